--- a/rookwall/balance.py
+++ b/stepstream/balance.py
@@ -1,4 +1,4 @@
-"""The decisions of one dispatcher; types, events and actions are in rookwall/interface.py.
+"""The decisions of one dispatcher; types, events and actions are in stepstream/interface.py.
 
 DynamicPart (Andreolini et al.): priority jobs go to the High Set, which borrows workers while its busy slots
 exceed its caps; ordinary jobs go to the Low Set and are refused while it is over its caps. docs/design.md
@@ -8,7 +8,7 @@
 from math import ceil, inf
 from zlib import crc32
 
-from rookwall import interface as i
+from stepstream import interface as i
 
 SAFETY_FACTOR = 18 / 26  # part of the slots at 'full' that still keeps the goals (the paper's figures)
 START_PRIORITY_SHARE = 0.2  # expected share of priority jobs before any is seen
--- a/rookwall/drill.py
+++ b/stepstream/drill.py
@@ -1,14 +1,14 @@
 """Wire adapter: plays Balancers against the drill protocol on standard input and output.
 
-It only translates. Every decision is taken in rookwall.balance.
+It only translates. Every decision is taken in stepstream.balance.
 """
 
 import sys
 from collections.abc import Callable, Iterator
 from typing import TextIO
 
-from rookwall import interface as i
-from rookwall.balance import Balancer
+from stepstream import interface as i
+from stepstream.balance import Balancer
 
 EFFECTS = {"pure": i.Effect.SAFE, "token": i.Effect.KEYED, "side_effect": i.Effect.UNSAFE}
 RESULTS = {
@@ -365,7 +365,7 @@
 
 
 def main() -> int:
-    return run(sys.stdin, sys.stdout, lambda text: print("rookwall.drill:", text, file=sys.stderr))
+    return run(sys.stdin, sys.stdout, lambda text: print("stepstream.drill:", text, file=sys.stderr))
 
 
 if __name__ == "__main__":
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,7 +1,7 @@
 """Small builders shared by the tests."""
 
-from rookwall import interface as i
-from rookwall.balance import Balancer
+from stepstream import interface as i
+from stepstream.balance import Balancer
 
 SAFE = i.JobClass(goal_us=400_000, deadline_us=5_000_000, effect=i.Effect.SAFE)
 UNSAFE = i.JobClass(goal_us=400_000, deadline_us=5_000_000, effect=i.Effect.UNSAFE)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -2,7 +2,7 @@
 
 from helpers import DEAR, SAFE, UNSAFE, Bench, entry, finals, pushes
 
-from rookwall import interface as i
+from stepstream import interface as i
 
 
 def shares(**more):
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -2,8 +2,8 @@
 
 from helpers import SAFE, UNSAFE, Bench, entry, finals, pushes
 
-from rookwall import interface as i
-from rookwall.balance import Balancer
+from stepstream import interface as i
+from stepstream.balance import Balancer
 
 REPORTS = {"reports": "answers", "report_columns": ("queue", "free_slots")}
 
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from rookwall import drill
+from stepstream import drill
 
 ROOT = Path(__file__).parent.parent
 CONF = (
@@ -145,7 +145,7 @@
 def actions_by_instance(instances):
     environment = {**os.environ, "PYTHONHASHSEED": str(sum(instances) + 1)}
     run = subprocess.run(
-        [sys.executable, "-m", "rookwall.drill"],
+        [sys.executable, "-m", "stepstream.drill"],
         input=transcript(instances),
         capture_output=True,
         text=True,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,7 +5,7 @@
 import pytest
 from helpers import DEAR, KEYED_ALL, KEYED_ZONE, SAFE, UNSAFE, Bench, entry, finals, pushes
 
-from rookwall import interface as i
+from stepstream import interface as i
 
 RAN = [i.Result.ERROR, i.Result.TIMEOUT, i.Result.RESET, i.Result.CANCELLED]
 NEVER_RAN = [i.Result.FULL, i.Result.CONNECT_FAILED]
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -4,7 +4,7 @@
 import sys
 from pathlib import Path
 
-PACKAGE = Path(__file__).parent.parent / "rookwall"
+PACKAGE = Path(__file__).parent.parent / "stepstream"
 LINES = (PACKAGE / "balance.py").read_text().splitlines()
 
 
@@ -14,7 +14,7 @@
 
 
 def test_interface_is_named_first():
-    assert "rookwall/interface.py" in LINES[0]
+    assert "stepstream/interface.py" in LINES[0]
 
 
 def test_only_the_standard_library_and_the_interface_are_imported():
@@ -26,6 +26,6 @@
                 roots = [node.module.split(".")[0]]
             else:
                 continue
-            assert all(r in sys.stdlib_module_names or r == "rookwall" for r in roots)
+            assert all(r in sys.stdlib_module_names or r == "stepstream" for r in roots)
             if name == "balance.py":
                 assert not {"time", "os", "sys", "io", "datetime"} & set(roots)
