--- /dev/null
+++ b/stepstream/__main__.py
@@ -0,0 +1,7 @@
+"""`python -m stepstream`."""
+
+import sys
+
+from stepstream.cli import main
+
+sys.exit(main())
--- /dev/null
+++ b/stepstream/dispatch.py
@@ -0,0 +1,375 @@
+"""The core: one Balancer, the open requests, their outbound calls and the timers.
+
+It knows no socket and no platform. It takes (now, events) and gives commands; a front turns what it hears
+into events and carries the commands out. Times are microseconds on the front's clock. One thread owns it.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from stepstream import interface as i
+from stepstream.balance import Balancer
+from stepstream.wheel import Wheel
+
+TICK_US = 2_000  # one tick of the wheel
+EARLY_US = 4_000  # calls are timed out so long before the deadline: the answer needs time to be written
+
+
+@dataclass(eq=False, slots=True)
+class Request:
+    """One job of a client. `payload` and `origin` belong to the front; the core hands them back."""
+
+    id: str
+    job_class: int
+    arrived_us: int
+    deadline_us: int
+    tenant: int = 0
+    key: str | None = None
+    slots: float = 1.0
+    memory: float = 0.0
+    client_retry: bool = False
+    payload: object = None
+    origin: object = None
+    calls: "list[Call]" = field(default_factory=list)
+    answered: bool = False
+
+
+@dataclass(eq=False, slots=True)
+class Call:
+    """One outbound call; `handle` is the front's."""
+
+    request: Request
+    number: int
+    worker: str
+    sent_us: int
+    deadline_us: int
+    open: bool = True
+    told: bool = False  # ended by news; a repeat of that news may still be on its way
+    handle: object = None
+
+
+class News(Enum):
+    STARTED = "started"
+    RUNNING = "running"
+    DONE = "done"
+    FAILED = "failed"
+    RETURNED = "returned"
+    LOST = "lost"
+
+
+NEWS_RESULTS = {News.FAILED: i.Result.ERROR, News.RETURNED: i.Result.FULL, News.LOST: i.Result.RESET}
+
+# Events besides the module's own WorkerList and Probed.
+
+
+@dataclass(frozen=True, slots=True)
+class Arrived:
+    request: Request
+
+
+@dataclass(frozen=True, slots=True)
+class Left:
+    """The client has closed its connection."""
+
+    request: Request
+
+
+@dataclass(frozen=True, slots=True)
+class CallEnded:
+    """The exchange for a call ended without the worker taking the job."""
+
+    call: Call
+    result: i.Result
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """A worker's news of a job."""
+
+    id: str
+    worker: str
+    news: News
+    result: object = None
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """A thread of the front failed on this request: it must be answered all the same."""
+
+    request: Request
+
+
+Event = Arrived | Left | CallEnded | Told | Broken | i.WorkerList | i.Probed
+
+
+class Outcome(Enum):
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class StartCall:
+    call: Call
+
+
+@dataclass(frozen=True, slots=True)
+class StopCall:
+    call: Call
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    request: Request
+    outcome: Outcome
+    result: object = None
+    pause_us: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeWorker:
+    worker: str
+
+
+@dataclass(frozen=True, slots=True)
+class AskList:
+    watch: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    text: str
+
+
+Command = StartCall | StopCall | Answer | ProbeWorker | AskList | Note
+
+
+class Dispatcher:
+    def __init__(
+        self, settings: i.Settings, seed: int, now_us: int, complain: Callable[[str], None] = print
+    ) -> None:
+        self.settings, self.complain = settings, complain
+        self.balancer = Balancer(settings, seed, now_us)
+        self.wheel = Wheel(now_us, TICK_US)
+        self.requests: dict[str, Request] = {}  # open, or with calls still out
+        self.open_count = 0  # requests that are owed an answer
+        self.commands: list[Command] = []
+        self.telling: list[i.Event] = []  # for the module
+
+    def next_us(self) -> int | None:
+        return self.wheel.next_us()
+
+    def handle(self, now_us: int, events: list[Event]) -> list[Command]:
+        for item in self.wheel.due(now_us):
+            self.guarded(self.on_timer, now_us, item)
+        for event in events:
+            self.guarded(self.on_event, now_us, event)
+        # Ending calls at once, as the module asked or because they may not go, tells it something new.
+        while self.telling:
+            told, self.telling = self.telling, []
+            actions = self.guarded(self.balancer.handle, now_us, told)
+            if actions is None:
+                self.rescue(told)
+                continue
+            for action in actions:
+                self.guarded(self.on_action, now_us, action)
+        commands, self.commands = self.commands, []
+        return commands
+
+    def guarded(self, step: Callable, *args: object) -> object:
+        """Guards the decision thread: one fault must cost at most what it was about."""
+        try:
+            return step(*args)
+        except Exception as error:
+            self.complain(f"fault in {step.__name__}: {type(error).__name__}: {error}")
+            return None
+
+    def rescue(self, told: list[i.Event]) -> None:
+        """The module failed over these: its new jobs would be owed an answer that it never gives."""
+        for event in told:
+            request = self.requests.get(event.job) if isinstance(event, i.Job) else None
+            if request is not None and not request.calls:
+                self.answer(request, Outcome.FAILED)
+
+    # -- events -------------------------------------------------------------------------------------------
+
+    def on_event(self, now_us: int, event: Event) -> None:
+        match event:
+            case Arrived(request):
+                self.on_arrived(now_us, request)
+            case Left(request):
+                self.close(request)
+            case CallEnded(call, result):
+                self.end_call(now_us, call, result)
+            case Told():
+                self.on_news(now_us, event)
+            case Broken(request):
+                self.answer(request, Outcome.FAILED)
+                self.telling.append(i.ClientLeft(request.id))
+            case _:
+                self.telling.append(event)
+
+    def on_arrived(self, now_us: int, request: Request) -> None:
+        if request.id in self.requests:
+            # Guards against an id that comes twice: two requests in one entry would get one answer.
+            self.commands.append(Answer(request, Outcome.FAILED))
+            return
+        if self.open_count >= self.settings.max_open:
+            self.commands.append(Answer(request, Outcome.REFUSED, None, self.settings.max_retry_after_us))
+            return
+        self.requests[request.id] = request
+        self.open_count += 1
+        self.wheel.set(request.deadline_us - EARLY_US, request)
+        budget_us = max(request.deadline_us - now_us, 0)
+        self.telling.append(
+            i.Job(
+                job=request.id,
+                job_class=request.job_class,
+                budget_us=budget_us,
+                tenant=request.tenant,
+                key=request.key,
+                slots=request.slots,
+                memory=request.memory,
+                client_retry=request.client_retry,
+            )
+        )
+
+    def on_news(self, now_us: int, told: Told) -> None:
+        """News may come before the 202, twice, or be of a time before a restart: applied at most once."""
+        request = self.requests.get(told.id)
+        calls = [c for c in request.calls if c.worker == told.worker] if request else []
+        if not calls:
+            return
+        call = calls[-1]
+        if told.news is News.DONE:
+            self.on_done(now_us, request, call, told.result)
+        elif told.news is News.STARTED and call.open:
+            self.telling.append(i.Started(request.id, call.number, call.worker))
+        elif told.news in NEWS_RESULTS and call.open:
+            call.told = True
+            self.end_call(now_us, call, NEWS_RESULTS[told.news])
+
+    def on_done(self, now_us: int, request: Request, call: Call, result: object) -> None:
+        served = not request.answered
+        if served:
+            self.answer(request, Outcome.SERVED, result)
+        call.told = True
+        if call.open:
+            self.end_call(now_us, call, i.Result.OK, True)
+        elif served:
+            # A call given up or broken before its 202 has served after all: the module only needs to let go.
+            self.telling.append(i.ClientLeft(request.id))
+
+    def end_call(self, now_us: int, call: Call, result: i.Result, over: bool = False) -> None:
+        if not call.open:
+            return
+        call.open = False
+        request = call.request
+        over = over or request.answered
+        spent_us = max(now_us - call.sent_us, 0)
+        self.telling.append(i.AttemptEnded(request.id, call.number, call.worker, result, spent_us, over))
+        self.forget(request)
+
+    def forget(self, request: Request) -> None:
+        if request.answered and not any(call.open for call in request.calls):
+            self.requests.pop(request.id, None)
+
+    def answer(self, request: Request, outcome: Outcome, result: object = None, pause_us: int = 0) -> None:
+        """The one final answer; whatever would be a second one is dropped."""
+        if not request.answered and self.requests.get(request.id) is request:
+            self.commands.append(Answer(request, outcome, result, pause_us))
+            self.settle(request)
+
+    def settle(self, request: Request) -> None:
+        request.answered = True
+        self.open_count -= 1
+        self.forget(request)
+
+    def close(self, request: Request) -> None:
+        """The client has gone: nothing is owed, and the module calls off what is out."""
+        if not request.answered and self.requests.get(request.id) is request:
+            self.settle(request)
+            self.telling.append(i.ClientLeft(request.id))
+
+    # -- timers -------------------------------------------------------------------------------------------
+
+    def on_timer(self, now_us: int, item: object) -> None:
+        match item:
+            case int():
+                self.telling.append(i.Timer(item))
+            case Call():
+                self.time_out(now_us, item)
+            case Request(answered=False):
+                self.on_deadline(now_us, item)
+            case tuple():
+                self.last_word(item[0])
+
+    def time_out(self, now_us: int, call: Call) -> None:
+        if call.open:
+            self.commands.append(StopCall(call))
+            self.end_call(now_us, call, i.Result.TIMEOUT)
+
+    def on_deadline(self, now_us: int, request: Request) -> None:
+        """Whatever the threads do, calls end here; the module then gives its answer in the same round."""
+        for call in request.calls:
+            self.time_out(now_us, call)
+        # Guards against a module that has no answer by the next tick.
+        self.wheel.set(now_us + TICK_US, (request,))
+
+    def last_word(self, request: Request) -> None:
+        if not request.answered:
+            self.answer(request, Outcome.FAILED)
+            self.telling.append(i.ClientLeft(request.id))
+
+    # -- the module's actions -----------------------------------------------------------------------------
+
+    def on_action(self, now_us: int, action: i.Action) -> None:
+        match action:
+            case i.Push(job, worker, limit_us):
+                self.on_push(now_us, self.requests.get(job), worker, limit_us)
+            case i.Refuse(job, pause_us):
+                self.on_final(job, Outcome.REFUSED, pause_us)
+            case i.Fail(job):
+                self.on_final(job, Outcome.FAILED, 0)
+            case i.Cancel(job, number):
+                self.on_cancel(now_us, self.requests.get(job), number)
+            case i.WakeMe(token, at_us):
+                self.wheel.set(at_us, token)
+            case i.WatchList(active):
+                self.commands += [AskList(watch=True)] if active else []
+            case i.FetchList():
+                self.commands.append(AskList(watch=False))
+            case i.Probe(worker):
+                self.commands.append(ProbeWorker(worker))
+            case i.Log(text):
+                self.commands.append(Note(text))
+
+    def on_push(self, now_us: int, request: Request | None, worker: str, limit_us: int) -> None:
+        if request is None:
+            return
+        deadline_us = request.deadline_us - EARLY_US
+        if limit_us:
+            deadline_us = min(deadline_us, now_us + limit_us)
+        call = Call(request, len(request.calls), worker, now_us, deadline_us)
+        # An open call to a worker bars a second one to it, and so does one ended by news that may repeat.
+        barred = any(c.worker == worker and (c.open or c.told) for c in request.calls)
+        request.calls.append(call)
+        spent = len(request.calls) > self.settings.attempt_limit
+        if request.answered or barred or spent or now_us >= deadline_us:
+            self.end_call(now_us, call, i.Result.NOT_SENT)
+            return
+        if limit_us:
+            self.wheel.set(deadline_us, call)
+        self.commands.append(StartCall(call))
+
+    def on_final(self, job: str, outcome: Outcome, pause_us: int) -> None:
+        request = self.requests.get(job)
+        if request is not None:
+            self.answer(request, outcome, None, pause_us)
+
+    def on_cancel(self, now_us: int, request: Request | None, number: int) -> None:
+        if request is not None and 0 <= number < len(request.calls) and request.calls[number].open:
+            call = request.calls[number]
+            self.commands.append(StopCall(call))
+            self.end_call(now_us, call, i.Result.CANCELLED)
--- a/stepstream/drill.py
+++ b/stepstream/drill.py
@@ -9,8 +9,8 @@
 
 from stepstream import interface as i
 from stepstream.balance import Balancer
+from stepstream.settings import FieldError, Fields, read_settings
 
-EFFECTS = {"pure": i.Effect.SAFE, "token": i.Effect.KEYED, "side_effect": i.Effect.UNSAFE}
 RESULTS = {
     "OK": i.Result.OK,
     "INTERNAL": i.Result.ERROR,
@@ -30,135 +30,10 @@
 }
 
 
-class WireError(Exception):
+class WireError(FieldError):
     """The peer sent something that cannot be read."""
 
 
-class Fields:
-    """The name=value parts of one message; names that nobody asks for are ignored."""
-
-    def __init__(self, parts: list[str]) -> None:
-        self.values: dict[str, str] = {}
-        for part in parts:
-            name, eq, value = part.partition("=")
-            if not eq or not name:
-                raise WireError(f"'{part}' is not name=value")
-            self.values[name] = value
-
-    def text(self, name: str, default: str | None = None) -> str:
-        value = self.values.get(name, default)
-        if value is None:
-            raise WireError(f"{name} is missing")
-        return value
-
-    def whole(self, name: str, default: int | None = None) -> int:
-        value = self.values.get(name)
-        if value is None and default is not None:
-            return default
-        try:
-            return int(self.text(name))
-        except ValueError:
-            raise WireError(f"{name}={value} is not a whole number") from None
-
-    def number(self, name: str, default: float | None = None) -> float:
-        value = self.values.get(name)
-        if value is None and default is not None:
-            return default
-        try:
-            number = float(self.text(name))
-        except ValueError:
-            raise WireError(f"{name}={value} is not a number") from None
-        if number != number or number in (float("inf"), float("-inf")):
-            raise WireError(f"{name}={value} is not a finite number")
-        return number
-
-    def flag(self, name: str, default: bool = False) -> bool:
-        value = self.values.get(name)
-        if value is None:
-            return default
-        if value in ("1", "true"):
-            return True
-        if value in ("0", "false"):
-            return False
-        raise WireError(f"{name}={value} is not a truth value")
-
-    def one_of(self, name: str, table: dict, default: str | None = None) -> object:
-        value = self.text(name, default)
-        if value not in table:
-            raise WireError(f"{name}={value} is not known")
-        return table[value]
-
-    def row(self, name: str) -> list[str]:
-        value = self.values.get(name, "")
-        return value.split(",") if value not in ("", "-") else []
-
-
-def read_settings(fields: Fields) -> i.Settings:
-    count = fields.whole("services.count")
-    if count < 1:
-        raise WireError("services.count must be at least 1")
-    try:
-        kinds = [int(x) for x in fields.row("extra.class_kind")] or [-1] * count
-        stretches = [float(x) for x in fields.row("extra.class_stretch")]
-    except ValueError:
-        raise WireError("extra.class_kind or extra.class_stretch is not a list of numbers") from None
-    stretches = stretches or [fields.number(f"services.{k}.aim_stretch", 0.0) for k in range(count)]
-    if len(kinds) != count or len(stretches) != count:
-        raise WireError("extra.class_kind or extra.class_stretch does not match services.count")
-
-    def job_class(k: int) -> i.JobClass:
-        at = f"services.{k}."
-        deadline = fields.whole(at + "deadline_us")
-        return i.JobClass(
-            goal_us=fields.whole(at + "goal_time_us", deadline),
-            deadline_us=deadline,
-            effect=fields.one_of(at + "effect", EFFECTS, "side_effect"),
-            worth=fields.number(at + "worth", 1.0),
-            late_worth=fields.number(at + "late_worth", 0.0),
-            stretch=stretches[k],
-            key_scope=fields.text(at + "key_scope", "cell"),
-            window_us=fields.whole(at + "window_us", 0),
-            kind=kinds[k],
-        )
-
-    fleet = fields.whole("fleet_size", 1)
-    if fleet < 1:
-        raise WireError("fleet_size must be at least 1")
-    return i.Settings(
-        classes=tuple(job_class(k) for k in range(count)),
-        quotas_per_s=tuple(
-            fields.number(f"projects.{k}.quota_per_s", 0.0) for k in range(fields.whole("projects.count", 0))
-        ),
-        over_share_worth=fields.number("over_share_worth", 1.0),
-        fleet_size=fleet,
-        zone=fields.whole("zone", 0),
-        must_ask=fields.text("discovery", "automatic") == "subscribe",
-        must_ask_us=fields.whole("safety.must_ask_in_us", 10_000_000),
-        attempt_limit=fields.whole("limits.try_limit", 1),
-        may_probe=fields.flag("limits.probing"),
-        may_cancel=fields.flag("limits.cancelling"),
-        may_duplicate=fields.flag("limits.may_duplicate"),
-        may_advise_retry=fields.flag("limits.retry_after"),
-        max_retry_after_us=fields.whole("limits.max_retry_after_us", 0),
-        reports=fields.text("load_report.how", "none"),
-        report_columns=tuple(report_name(fields, c) for c in fields.row("load_report.columns")),
-        tells_start=fields.flag("extra.tells_start"),
-        cross_zone_price=fields.number("deductions.cross_zone", 0.0),
-        probe_price=fields.number("deductions.probe", 0.0),
-        drain_grace_us=fields.whole("safety.stop_sending_within_us", 0),
-        cold_share=fields.number("safety.cold_share", 1.0),
-        warm_within_us=fields.whole("safety.warm_within_us", 0),
-        fall_multiple=fields.number("safety.fall_multiple", 1.0),
-        fall_span_us=fields.whole("safety.tip_after_us", 1_000_000),
-        quantum_us=fields.whole("quantum_us", 1_000),
-    )
-
-
-def report_name(fields: Fields, column: str) -> str:
-    """The reports' x0 and x1 by the meaning the settings give them."""
-    return fields.text(f"extra.report_{column}", column) if column in ("x0", "x1") else column
-
-
 def read_report(fields: Fields, settings: i.Settings) -> dict[str, float] | None:
     row = fields.row("gauge")
     if not row:
@@ -351,14 +226,14 @@
             now_us, batch = fields.whole("t_us"), fields.whole("batch")
             try:
                 reply = drill.batch(now_us, lines)
-            except WireError:
+            except FieldError:
                 raise
             except Exception as error:  # a fault in deciding must be seen, never papered over
                 reply = ["PANIC body_text=" + f"{type(error).__name__}: {error}".replace("\n", " ")]
             reply.append(f"FINISHED batch={batch}")
             sink.write("\n".join(reply) + "\n")
             sink.flush()
-    except WireError as error:
+    except FieldError as error:
         complain(f"line {lines.number}: {error}")
         return 2
     return 0
--- a/stepstream/interface.py
+++ b/stepstream/interface.py
@@ -59,6 +59,7 @@
     key_scope: str = "cell"  # keyed only: "all", "zone" or "cell"
     window_us: int = 0  # keyed only: how long repeats are dropped
     kind: int = -1  # the one worker kind that runs it, -1 for any
+    name: str = ""
 
 
 @dataclass(frozen=True)
@@ -87,6 +88,14 @@
     fall_multiple: float = 1.0
     fall_span_us: int = 1_000_000
     quantum_us: int = 1_000
+    # What only a real dispatcher needs; the module decides nothing by it.
+    tenants: tuple[str, ...] = ()
+    zones: tuple[str, ...] = ()
+    kinds: tuple[str, ...] = ()
+    grace_us: int = 0  # how long after a deadline a final answer still counts
+    conn_idle_us: int = 10_000_000  # a worker closes a connection idle for so long
+    dial_timeout_us: int = 250_000
+    max_open: int = 20_000  # requests
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/stepstream/net/discovery.py
@@ -0,0 +1,138 @@
+"""Discovery: the watch on the list of workers, and the destination set that it keeps."""
+
+import socket
+import threading
+from collections.abc import Callable
+from queue import Empty, SimpleQueue
+
+from stepstream import interface as i
+from stepstream.dispatch import Event
+from stepstream.net.http1 import Message, Parser, ProtocolError
+from stepstream.net.limits import Limits
+from stepstream.net.platform import DiscoverySide, Targets
+from stepstream.net.sockets import dial, stale, time_limit
+from stepstream.net.threads import log
+
+Address = tuple[str, int]
+
+
+class DestinationSet:
+    """Where workers listen, and which of them may get new work, as last told.
+
+    The discovery thread writes it before the core hears of a change: calls on their way look here last.
+    """
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.addresses: dict[str, Address] = {}
+        self.ready: set[str] = set()
+
+    def apply(self, targets: Targets) -> None:
+        with self.lock:
+            if targets.told.kind is not i.ListKind.CHANGES:
+                self.addresses, self.ready = {}, set()
+            self.addresses.update(targets.addresses)
+            for entry in targets.told.entries:
+                if entry.state is i.WorkerState.IN:
+                    self.ready.add(entry.worker)
+                else:
+                    self.ready.discard(entry.worker)
+
+    def address(self, worker: str) -> Address | None:
+        """None for a worker that must not get new work."""
+        with self.lock:
+            return self.addresses.get(worker) if worker in self.ready else None
+
+    def last_address(self, worker: str) -> Address | None:
+        with self.lock:
+            return self.addresses.get(worker)
+
+
+class Discovery:
+    def __init__(
+        self,
+        limits: Limits,
+        address: Address,
+        side: DiscoverySide,
+        destinations: DestinationSet,
+        post: Callable[[Event], None],
+    ) -> None:
+        self.limits, self.where, self.side = limits, address, side
+        self.destinations, self.post = destinations, post
+        self.asks: SimpleQueue[bool] = SimpleQueue()
+        self.version = 0
+        self.sock: socket.socket | None = None
+
+    def ask(self, watch: bool) -> None:
+        self.asks.put(watch)
+
+    def learn(self, targets: Targets) -> None:
+        self.version = targets.version
+        self.destinations.apply(targets)
+        self.post(targets.told)
+
+    def run(self) -> None:
+        while True:
+            watch = self.asks.get()
+            going = self.call(watch and self.version > 0)
+            while watch and going:
+                going = self.call(True)
+                if self.drain_asks():
+                    going = self.call(False)
+
+    def drain_asks(self) -> bool:
+        """Whether the whole list was asked for meanwhile; a watch that goes on needs no asking."""
+        fetch = False
+        try:
+            while True:
+                fetch = not self.asks.get_nowait() or fetch
+        except Empty:
+            return fetch
+
+    def call(self, watch: bool) -> bool:
+        """One call; on a failure the core is told, and asks again when it sees fit."""
+        try:
+            self.learn(self.side.read_answer(self.exchange(watch)))
+            return True
+        except (OSError, ProtocolError) as error:
+            self.hang_up()
+            self.drain_asks()
+            log(f"discovery failed: {error}")
+            self.post(i.WorkerList(i.ListKind.FAILED))
+            return False
+
+    def exchange(self, watch: bool) -> Message:
+        """Reads on from the moment the call is written: a change counts as told once discovery wrote it."""
+        host = f"{self.where[0]}:{self.where[1]}"
+        data = self.side.fetch_bytes(host)
+        seconds = self.limits.fetch
+        if watch:
+            data = self.side.watch_bytes(host, self.version, self.limits.watch_wait)
+            # Guards against a silent discovery: a watch without an answer must fail, or nothing is ever told.
+            seconds = self.limits.watch_wait + self.limits.watch_slack
+        sock = self.connect()
+        time_limit(sock, socket.SO_RCVTIMEO, seconds)
+        sock.sendall(data)
+        parser = Parser(self.limits, answers=True, body=self.limits.list_body)
+        message = None
+        while message is None:
+            piece = sock.recv(self.limits.read)
+            parser.feed(piece)
+            message = parser.next() if piece else parser.end()
+            if message is None and not piece:
+                raise ProtocolError(400, "the connection ended before the answer")
+        if not message.keep_alive or not parser.idle:
+            self.hang_up()
+        return message
+
+    def connect(self) -> socket.socket:
+        if self.sock is not None and stale(self.sock):
+            self.hang_up()
+        if self.sock is None:
+            self.sock = dial(self.where, self.limits.fetch, self.limits.write)
+        return self.sock
+
+    def hang_up(self) -> None:
+        if self.sock is not None:
+            self.sock.close()
+            self.sock = None
--- /dev/null
+++ b/stepstream/net/inbound.py
@@ -0,0 +1,357 @@
+"""The inbound side: clients' requests and workers' news, one reader thread a connection."""
+
+import socket
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from stepstream.dispatch import Answer, Arrived, Event, Left, Request, Told
+from stepstream.net import platform
+from stepstream.net.http1 import Message, Parser, ProtocolError, write_answer
+from stepstream.net.limits import Limits
+from stepstream.net.sockets import hang_up, time_limit
+from stepstream.net.threads import Clock, Crew, log, spawn
+
+
+class Door:
+    """Whether the dispatcher takes new work, as its connections and the front are told."""
+
+    def __init__(self) -> None:
+        self.leaving = False  # after SIGTERM: connections close after their next answer
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Bytes that are due at once, with no word from the core."""
+
+    data: bytes
+    close: bool
+
+
+Step = Reply | Request | Told
+
+
+class Phase(Enum):
+    READING = 1  # a message, or nothing yet
+    WAITING = 2  # a request is open; what comes behind it stays unread
+    CLOSED = 3
+
+
+class Session:
+    """An inbound connection as a state machine: bytes and answers in, steps and bytes out."""
+
+    def __init__(self, limits: Limits, side: platform.ClientSide, door: Door) -> None:
+        self.limits, self.side, self.door = limits, side, door
+        self.parser = Parser(limits)
+        self.phase = Phase.READING
+        self.request: Request | None = None
+        self.keep_alive = True
+
+    @property
+    def between(self) -> bool:
+        """Nothing is owed and nothing half read: it may be closed."""
+        return self.phase is Phase.READING and self.parser.idle
+
+    def feed(self, data: bytes, now_us: int) -> list[Step]:
+        if self.phase is Phase.CLOSED:
+            return []
+        self.parser.feed(data)
+        if self.phase is Phase.WAITING:
+            # Guards against a peer that sends on and on behind an open request.
+            if len(self.parser.buffer) > self.limits.head + self.limits.body:
+                return [self.refuse(ProtocolError(413, "too much behind an open request"))]
+            return []
+        return self.steps(now_us)
+
+    def steps(self, now_us: int) -> list[Step]:
+        found: list[Step] = []
+        while self.phase is Phase.READING:
+            try:
+                message = self.parser.next()
+                if message is None:
+                    break
+                self.keep_alive = message.keep_alive
+                found += self.read(message, now_us)
+            except ProtocolError as error:
+                found.append(self.refuse(error))
+        return found
+
+    def read(self, message: Message, now_us: int) -> list[Step]:
+        path = platform.path_of(message)
+        if path == platform.NEWS:
+            told = platform.read_news(message)
+            return [self.reply(200), *([told] if told else [])]
+        if path == platform.READY:
+            if message.method != "GET":
+                raise ProtocolError(405, "only GET")
+            return [self.reply(503 if self.door.leaving else 200)]
+        self.request = self.side.read_request(message, now_us)
+        self.phase = Phase.WAITING
+        return [self.request]
+
+    def closing(self) -> bool:
+        return self.door.leaving or not self.keep_alive
+
+    def reply(self, status: int) -> Reply:
+        close = self.closing()
+        self.phase = Phase.CLOSED if close else Phase.READING
+        return Reply(write_answer(status, close=close), close)
+
+    def refuse(self, error: ProtocolError) -> Reply:
+        """What breaks the framing ends the connection; a message that only says the wrong thing does not."""
+        if error.status in (404, 405) and self.phase is Phase.READING:
+            return self.reply(error.status)
+        self.phase = Phase.CLOSED
+        return Reply(write_answer(error.status, close=True), True)
+
+    def answer(self, answer: Answer) -> Reply | None:
+        """The final answer's bytes; None if the request is no longer this connection's."""
+        if self.phase is not Phase.WAITING or answer.request is not self.request:
+            return None
+        close = self.closing()
+        data = platform.final_answer(answer.outcome, answer.result, answer.pause_us, close)
+        self.request, self.phase = None, Phase.CLOSED if close else Phase.READING
+        return Reply(data, close)
+
+    @property
+    def owes(self) -> bool:
+        """A message is half read or a request open."""
+        return self.phase is Phase.WAITING or (self.phase is Phase.READING and not self.parser.idle)
+
+    def closed(self) -> Request | None:
+        """The peer has gone; the request that it leaves behind, if any."""
+        left, self.request, self.phase = self.request, None, Phase.CLOSED
+        return left
+
+
+class Inbound:
+    """A connection's driver. Its thread reads; whoever has an answer writes, never waiting for the peer."""
+
+    def __init__(self, sock: socket.socket, house: "House") -> None:
+        self.sock, self.house = sock, house
+        self.lock = threading.Lock()
+        self.session = Session(house.limits, house.side, house.door)
+        self.writing = False  # a late writer is at work on the rest of an answer
+        self.active = self.begun = time.monotonic()  # the last byte; the current message's first
+
+    def run(self) -> None:
+        try:
+            self.read_on()
+        finally:
+            with self.lock:
+                left = self.session.closed()
+                self.sock.close()
+            self.house.forget(self)
+            if left is not None:
+                self.house.post(Left(left))
+
+    def read_on(self) -> None:
+        limits = self.house.limits
+        time_limit(self.sock, socket.SO_RCVTIMEO, limits.slow_peer)
+        time_limit(self.sock, socket.SO_SNDTIMEO, limits.write)
+        while True:
+            try:
+                data = self.sock.recv(limits.read)
+            except BlockingIOError:
+                if self.lingers():
+                    return
+                continue
+            except OSError:
+                return
+            if not data:
+                return
+            if not self.on_data(data):
+                return
+
+    def lingers(self) -> bool:
+        """Guards against half-open and silent peers, which would hold their thread for ever."""
+        with self.lock:
+            if self.session.between:
+                return time.monotonic() - self.active > self.house.limits.inbound_idle
+            return self.session.phase is not Phase.WAITING and not self.writing
+
+    def on_data(self, data: bytes) -> bool:
+        now_us, now = self.house.clock.now_us(), time.monotonic()
+        with self.lock:
+            if self.session.between:
+                self.begun = now
+            self.active = now
+            steps = self.session.feed(data, now_us)
+            # Guards against a peer that drips its message: each byte alone would renew its time.
+            reading = self.session.phase is Phase.READING and not self.session.between
+            if reading and now - self.begun > self.house.limits.slow_peer:
+                steps.append(self.session.refuse(ProtocolError(400, "too slow")))
+        self.take(steps)
+        return True
+
+    def take(self, steps: list[Step]) -> None:
+        for step in steps:
+            match step:
+                case Reply():
+                    self.write(step)
+                case Request():
+                    step.origin = self
+                    self.house.post(Arrived(step))
+                case Told():
+                    self.house.post(step)
+
+    def answer(self, answer: Answer) -> None:
+        """Called by the decision thread: what the peer does not take at once goes to a late writer."""
+        with self.lock:
+            reply = self.session.answer(answer)
+            if reply is None:
+                return
+            self.active = time.monotonic()
+        self.write(reply)
+        with self.lock:
+            steps = self.session.steps(self.house.clock.now_us()) if self.session.parser.buffer else []
+        self.take(steps)
+
+    def write(self, reply: Reply) -> None:
+        with self.lock:
+            try:
+                sent = 0 if self.writing else self.sock.send(reply.data, socket.MSG_DONTWAIT)
+            except BlockingIOError:
+                sent = 0
+            except OSError:
+                hang_up(self.sock)
+                return
+            if sent == len(reply.data):
+                self.finish(reply)
+                return
+            self.writing = True
+        self.house.writers.submit(self.write_rest, reply, sent)
+
+    def write_rest(self, reply: Reply, sent: int) -> None:
+        try:
+            self.sock.sendall(memoryview(reply.data)[sent:])
+        except OSError:
+            hang_up(self.sock)
+            return
+        with self.lock:
+            self.writing = False
+            self.finish(reply)
+
+    def finish(self, reply: Reply) -> None:
+        """Half a close: a full one could reset the connection and take the answer with it."""
+        if reply.close:
+            try:
+                self.sock.shutdown(socket.SHUT_WR)
+            except OSError:
+                pass
+
+    def close_if_between(self, idle_for: float) -> bool:
+        """Between requests only, and not if bytes of the next one are here already."""
+        with self.lock:
+            if not self.session.between or time.monotonic() - self.active < idle_for:
+                return False
+            try:
+                if self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
+                    return False
+            except BlockingIOError:
+                pass
+            except OSError:
+                return False
+            self.session.phase = Phase.CLOSED
+            hang_up(self.sock)
+            return True
+
+
+class House:
+    """The listening socket, and every inbound connection within the budget."""
+
+    def __init__(
+        self,
+        limits: Limits,
+        clock: Clock,
+        side: platform.ClientSide,
+        post: Callable[[Event], None],
+    ) -> None:
+        self.limits, self.clock, self.side, self.post = limits, clock, side, post
+        self.door = Door()
+        self.writers = Crew("late writer", limits.late_writers)
+        self.lock = threading.Lock()
+        self.inbound: set[Inbound] = set()
+        self.turned_away = 0
+        self.last_accept = time.monotonic()
+        self.listener: socket.socket | None = None
+
+    def listen(self, address: tuple[str, int]) -> None:
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        # A restart must not wait for the connections of the process before it.
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(address)
+        self.listener.listen(self.limits.backlog)
+
+    def accept_on(self) -> None:
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError as error:
+                if self.listener.fileno() < 0:
+                    return
+                # Guards against a peer gone before its accept, or no descriptor left: neither may end this.
+                log(f"accept failed: {error}")
+                time.sleep(0.01)
+                continue
+            self.last_accept = time.monotonic()
+            self.admit(sock)
+
+    def admit(self, sock: socket.socket) -> None:
+        if len(self.inbound) >= self.limits.inbound:
+            self.make_room()
+        if len(self.inbound) >= self.limits.inbound:
+            self.fail_fast(sock)
+            return
+        inbound = Inbound(sock, self)
+        with self.lock:
+            self.inbound.add(inbound)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            spawn("inbound", inbound.run)
+        except (OSError, RuntimeError):
+            self.forget(inbound)
+            self.fail_fast(sock)
+
+    def make_room(self) -> None:
+        with self.lock:
+            idlest = sorted(self.inbound, key=lambda inbound: inbound.active)[:8]
+        if any(inbound.close_if_between(self.limits.spare_idle) for inbound in idlest):
+            time.sleep(0.001)  # its thread has to let go of it
+
+    def fail_fast(self, sock: socket.socket) -> None:
+        """Over budget: refused before a byte is read, without a thread."""
+        self.turned_away += 1
+        try:
+            sock.send(platform.refusal(self.side.settings.max_retry_after_us, True), socket.MSG_DONTWAIT)
+            sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+        sock.close()
+
+    def forget(self, inbound: Inbound) -> None:
+        with self.lock:
+            self.inbound.discard(inbound)
+
+    def close_idle(self) -> None:
+        with self.lock:
+            every = list(self.inbound)
+        for inbound in every:
+            inbound.close_if_between(0.0)
+
+    def busy(self) -> bool:
+        with self.lock:
+            return any(inbound.session.owes or inbound.writing for inbound in self.inbound)
+
+    def close_listener(self) -> None:
+        """Guards connections that the kernel has accepted: they are taken before the listener goes."""
+        self.listener.setblocking(False)
+        try:
+            while True:
+                self.admit(self.listener.accept()[0])
+        except OSError:
+            pass
+        hang_up(self.listener)
+        self.listener.close()
--- /dev/null
+++ b/stepstream/net/limits.py
@@ -0,0 +1,58 @@
+"""Every size, count and time of the network code, filled once at start and handed down."""
+
+from dataclasses import dataclass
+
+from stepstream.settings import Config
+
+
+@dataclass(frozen=True)
+class Limits:
+    # sizes, in bytes
+    head: int = 16 * 1024  # a message's first line and headers
+    body: int = 64 * 1024  # the platform's bound for a body
+    list_body: int = 4 * 1024 * 1024  # discovery's answers
+    read: int = 16 * 1024  # one read from a socket
+    stack: int = 256 * 1024  # a thread's stack; ujson needs most of it for deep nesting
+    # counts
+    inbound: int = 500  # connections of clients and workers, one thread each
+    outbound: int = 350  # connections to workers, idle ones included
+    call_threads: int = 96  # outbound calls between their start and their 202
+    late_writers: int = 8  # threads for answers that a slow client does not take at once
+    backlog: int = 1024
+    batch: int = 256  # events that the core takes at a time
+    # times, in seconds
+    dial: float = 0.25
+    write: float = 2.0  # a peer that takes nothing for so long is given up
+    slow_peer: float = 10.0  # from the first byte of a message to its last
+    inbound_idle: float = 120.0
+    spare_idle: float = 1.0  # an inbound connection idle for so long makes room for a new one
+    outbound_idle: float = 5.0  # well before the worker closes: a request must not cross its closing
+    queued: float = 0.3  # a call not begun by then ends as not sent
+    call_silence: float = 30.0  # backstop of a call's read; the core ends calls long before
+    delete_answer: float = 1.0
+    probe: float = 1.0
+    watch_wait: float = 8.0
+    watch_slack: float = 1.5  # a watch silent for so long after its wait has failed
+    fetch: float = 3.0
+    sweep: float = 0.5
+    stop_quiet: float = 0.3  # after SIGTERM: no new connection for so long means the front has noticed
+    stop_least: float = 0.8  # and never sooner than this
+    stop_longest: float = 60.0
+
+
+def limits_for(config: Config) -> Limits:
+    """The descriptors are split between the two sides; both keep within what memory allows."""
+    spare = min(64, config.sockets // 4)
+    usable = config.sockets - spare
+    by_memory = max(config.memory_mb - 64, 16) * 1024 // 128  # about 128 KiB a connection and its thread
+    inbound = max(min(usable * 3 // 5, by_memory), 4)
+    outbound = max(min(usable - inbound, by_memory), 4)
+    idle = config.settings.conn_idle_us / 1e6
+    return Limits(
+        inbound=inbound,
+        outbound=outbound,
+        call_threads=max(min(96, outbound), 2),
+        dial=config.settings.dial_timeout_us / 1e6,
+        outbound_idle=idle * 0.5,
+        watch_wait=min(8.0, config.settings.must_ask_us / 1e6 * 0.8),
+    )
--- /dev/null
+++ b/stepstream/net/platform.py
@@ -0,0 +1,217 @@
+"""The platform's words: its paths, headers and JSON stand here and nowhere else in the network code."""
+
+import math
+import re
+from dataclasses import dataclass
+from urllib.parse import parse_qs, unquote
+
+import ujson
+
+from stepstream import interface as i
+from stepstream.dispatch import News, Outcome, Request, Told
+from stepstream.net.http1 import Message, ProtocolError, write_answer, write_request
+
+READY, NEWS, TARGETS = "/-/ready", "/_jobs/news", "/api/targets"
+HEALTHY = "/-/healthy"
+ID = re.compile(r"[0-9A-Za-z._~-]{1,64}")
+STATES = {
+    "ready": i.WorkerState.IN,
+    "draining": i.WorkerState.DRAINING,
+    "gone": i.WorkerState.OUT,
+}
+TELLS = {news.value: news for news in News}
+
+
+class ClientSide:
+    """Reads what clients and workers send to the dispatcher, by the names in the settings."""
+
+    def __init__(self, settings: i.Settings) -> None:
+        self.settings = settings
+        self.classes = {kind.name: k for k, kind in enumerate(settings.classes)}
+        self.tenants = {name: k for k, name in enumerate(settings.tenants)}
+
+    def read_request(self, message: Message, now_us: int) -> Request:
+        path, _, query = message.target.partition("?")
+        job_class = self.classes.get(unquote(path[1:].partition("/")[0]))
+        if not path.startswith("/") or job_class is None:
+            raise ProtocolError(404, "no such class")
+        if message.method != "POST":
+            raise ProtocolError(405, "a job arrives by POST")
+        headers = message.headers
+        name = headers.get("request-id", "")
+        if not ID.fullmatch(name):
+            raise ProtocolError(400, "Request-Id is missing or malformed")
+        figures = read_figures(headers.get("request-info", ""))
+        deadline_us = self.settings.classes[job_class].deadline_us
+        if "request-timeout-ms" in headers:
+            if not re.fullmatch(r"[0-9]{1,9}", headers["request-timeout-ms"]):
+                raise ProtocolError(400, "Request-Timeout-Ms is not a whole number")
+            deadline_us = int(headers["request-timeout-ms"]) * 1000
+        return Request(
+            id=name,
+            job_class=job_class,
+            arrived_us=now_us,
+            deadline_us=now_us + deadline_us,
+            tenant=self.tenant(headers.get("tenant")),
+            key=parse_qs(query).get("user", [None])[0],
+            slots=figures.get("cores_needed", figures.get("slots", 1.0)),
+            memory=figures.get("ram_units", figures.get("memory", 0.0)),
+            client_retry=headers.get("client-retry") == "1",
+            payload=message,
+        )
+
+    def tenant(self, name: str | None) -> int:
+        if not self.tenants:
+            return 0
+        if name not in self.tenants:
+            raise ProtocolError(400, "Tenant is missing or not in the settings")
+        return self.tenants[name]
+
+
+def read_figures(text: str) -> dict[str, float]:
+    figures = {}
+    for part in filter(None, (piece.strip() for piece in text.split(","))):
+        name, equals, value = part.partition("=")
+        try:
+            figures[name] = float(value)
+        except ValueError:
+            equals = ""
+        if not equals or not math.isfinite(figures[name]) or figures[name] < 0:
+            raise ProtocolError(400, "Request-Info is malformed")
+    return figures
+
+
+def path_of(message: Message) -> str:
+    return message.target.partition("?")[0]
+
+
+def read_news(message: Message) -> Told | None:
+    """None for news of a kind that is not known: it is acknowledged, or its sender would repeat it."""
+    if message.method != "POST":
+        raise ProtocolError(405, "news arrives by POST")
+    data = read_json(message.body)
+    name, worker = data.get("id"), data.get("from")
+    if not isinstance(name, str) or not isinstance(worker, str) or not isinstance(data.get("state"), str):
+        raise ProtocolError(400, "news needs id, from and state")
+    if data["state"] not in TELLS:
+        return None
+    return Told(name, worker, TELLS[data["state"]], data.get("result"))
+
+
+def read_json(body: bytes) -> dict:
+    try:
+        data = ujson.loads(body)
+    except (ValueError, RecursionError):
+        raise ProtocolError(400, "the body is not JSON") from None
+    if not isinstance(data, dict):
+        raise ProtocolError(400, "the body is not a JSON object")
+    return data
+
+
+# -- answers to clients and workers -----------------------------------------------------------------------
+
+
+def final_answer(outcome: Outcome, result: object, pause_us: int, close: bool) -> bytes:
+    if outcome is Outcome.SERVED:
+        text = result if isinstance(result, str) else ujson.dumps(result, escape_forward_slashes=False)
+        return write_answer(200, text.encode("utf-8", "surrogatepass"), close=close)
+    if outcome is Outcome.REFUSED:
+        return refusal(pause_us, close)
+    return write_answer(502, close=close)
+
+
+def refusal(pause_us: int, close: bool) -> bytes:
+    headers = {"Retry-After": f"{pause_us / 1e6:.3f}"} if pause_us else None
+    return write_answer(503, headers=headers, close=close)
+
+
+# -- workers ----------------------------------------------------------------------------------------------
+
+
+def call_bytes(host: str, message: Message, timeout_ms: int) -> bytes:
+    headers = {"Host": host, "Request-Id": message.headers["request-id"]}
+    if "idempotency-key" in message.headers:
+        headers["Idempotency-Key"] = message.headers["idempotency-key"]
+    headers["Request-Timeout-Ms"] = str(max(timeout_ms, 1))
+    return write_request(message.method, message.target, headers, message.body)
+
+
+def give_up_bytes(host: str, name: str) -> bytes:
+    return write_request("DELETE", f"/jobs/{name}", {"Host": host})
+
+
+def probe_bytes(host: str) -> bytes:
+    return write_request("GET", HEALTHY, {"Host": host})
+
+
+def read_call_answer(message: Message) -> i.Result | None:
+    """How a call ended by its worker's answer; None if the worker has taken the job."""
+    if message.status == 202:
+        return None
+    if message.status in (503, 504) and message.headers.get("not-started") == "1":
+        return i.Result.FULL
+    return i.Result.ERROR
+
+
+# -- discovery --------------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Targets:
+    """One answer of discovery: what the core is told, and where the named workers listen."""
+
+    version: int
+    told: i.WorkerList
+    addresses: dict[str, tuple[str, int]]
+
+
+class DiscoverySide:
+    def __init__(self, settings: i.Settings) -> None:
+        self.zones = {name: k for k, name in enumerate(settings.zones)}
+        self.kinds = {name: k for k, name in enumerate(settings.kinds)}
+
+    @staticmethod
+    def fetch_bytes(host: str) -> bytes:
+        return write_request("GET", TARGETS, {"Host": host})
+
+    @staticmethod
+    def watch_bytes(host: str, version: int, wait_s: float) -> bytes:
+        return write_request("GET", f"{TARGETS}?index={version}&wait={int(wait_s * 1000)}", {"Host": host})
+
+    def read_answer(self, message: Message) -> Targets:
+        if message.status != 200:
+            raise ProtocolError(400, f"discovery answered {message.status}")
+        return self.read(read_json(message.body))
+
+    def read(self, data: dict, kept: bool = False) -> Targets:
+        """`kept` for the list from before a start, which may be old."""
+        try:
+            rows = [self.entry(row) for row in data.get("servers", ())]
+            version = int(data.get("version", 0))
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise ProtocolError(400, f"the list is malformed: {type(error).__name__} {error}") from None
+        kind = i.ListKind.COMPLETE if data.get("full", True) else i.ListKind.CHANGES
+        entries = tuple(entry for entry, _ in rows)
+        addresses = {entry.worker: address for entry, address in rows if address}
+        return Targets(version, i.WorkerList(i.ListKind.PERSISTED if kept else kind, entries), addresses)
+
+    def entry(self, row: dict) -> tuple[i.WorkerEntry, tuple[str, int] | None]:
+        state = STATES[row.get("state", "ready")]
+        host, _, port = row.get("addr", "").rpartition(":")
+        if not host and state is not i.WorkerState.OUT:
+            raise ValueError(f"{row['id']} has no addr")
+        entry = i.WorkerEntry(
+            worker=row["id"],
+            zone=place(self.zones, row.get("zone", 0)),
+            kind=place(self.kinds, row.get("kind", 0)),
+            cell=int(row.get("cell", 0)),
+            state=state,
+            weight=float(row.get("weight", 1.0)),
+            started_us=int(row.get("started_ms", 0)) * 1000,
+        )
+        return entry, (host, int(port)) if host else None
+
+
+def place(names: dict[str, int], name: object) -> int:
+    """The settings' index of a name; one that the settings do not list is nobody's own (-1)."""
+    return name if isinstance(name, int) else names.get(name, -1)
