--- a/stepstream/net/inbound.py
+++ b/stepstream/net/inbound.py
@@ -1,5 +1,6 @@
 """The inbound side: clients' requests and workers' news, one reader thread a connection."""
 
+import math
 import socket
 import threading
 import time
@@ -7,7 +8,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from stepstream.dispatch import Answer, Arrived, Event, Left, Request, Told
+from stepstream.dispatch import Answer, Arrived, Broken, Event, Left, Request, Told
 from stepstream.net import platform
 from stepstream.net.http1 import Message, Parser, ProtocolError, write_answer
 from stepstream.net.limits import Limits
@@ -48,6 +49,7 @@
         self.phase = Phase.READING
         self.request: Request | None = None
         self.keep_alive = True
+        self.of_worker = False  # it has brought news
 
     @property
     def between(self) -> bool:
@@ -82,6 +84,7 @@
         path = platform.path_of(message)
         if path == platform.NEWS:
             told = platform.read_news(message)
+            self.of_worker = True
             return [self.reply(200), *([told] if told else [])]
         if path == platform.READY:
             if message.method != "GET":
@@ -92,7 +95,8 @@
         return [self.request]
 
     def closing(self) -> bool:
-        return self.door.leaving or not self.keep_alive
+        # Open requests still wait for workers' news: those connections stay until the end.
+        return (self.door.leaving and not self.of_worker) or not self.keep_alive
 
     def reply(self, status: int) -> Reply:
         close = self.closing()
@@ -134,7 +138,7 @@
         self.lock = threading.Lock()
         self.session = Session(house.limits, house.side, house.door)
         self.writing = False  # a late writer is at work on the rest of an answer
-        self.active = self.begun = time.monotonic()  # the last byte; the current message's first
+        self.active = self.begun = time.monotonic()  # the last byte or answer; the current message's first
 
     def run(self) -> None:
         try:
@@ -160,9 +164,7 @@
                 continue
             except OSError:
                 return
-            if not data:
-                return
-            if not self.on_data(data):
+            if not data or not self.survives(data):
                 return
 
     def lingers(self) -> bool:
@@ -170,11 +172,33 @@
         with self.lock:
             if self.session.between:
                 return time.monotonic() - self.active > self.house.limits.inbound_idle
-            return self.session.phase is not Phase.WAITING and not self.writing
+            if self.session.phase is not Phase.READING:
+                return self.session.phase is Phase.CLOSED and not self.writing
+            reply = self.session.refuse(ProtocolError(400, "too slow"))
+        self.write(reply)
+        return True
+
+    def survives(self, data: bytes) -> bool:
+        """Guards a request against a fault in this thread: it is answered all the same."""
+        try:
+            return self.on_data(data)
+        except Exception as error:
+            log(f"fault in inbound: {type(error).__name__}: {error}")
+            with self.lock:
+                request = self.session.request
+                reply = None if request else self.session.refuse(ProtocolError(500, "fault"))
+            if request:
+                self.house.post(Broken(request))
+            else:
+                self.write(reply)
+            return True
 
     def on_data(self, data: bytes) -> bool:
         now_us, now = self.house.clock.now_us(), time.monotonic()
         with self.lock:
+            if self.session.phase is Phase.CLOSED:
+                # Guards against a peer that goes on sending after its last answer.
+                return now - self.active < self.house.limits.linger
             if self.session.between:
                 self.begun = now
             self.active = now
@@ -242,10 +266,24 @@
             except OSError:
                 pass
 
-    def close_if_between(self, idle_for: float) -> bool:
+    def spare_since(self) -> float:
+        """Since when it has been without an open request or answer; the oldest is the first to make room."""
+        with self.lock:
+            if self.session.phase is Phase.WAITING or self.writing:
+                return math.inf
+            return self.begun if self.session.owes else self.active
+
+    def evict(self) -> None:
+        """Guards the budget: peers that dawdle or say nothing must not keep out those that work."""
+        with self.lock:
+            if self.session.phase is not Phase.WAITING and not self.writing:
+                self.session.closed()
+                hang_up(self.sock)
+
+    def close_if_between(self) -> bool:
         """Between requests only, and not if bytes of the next one are here already."""
         with self.lock:
-            if not self.session.between or time.monotonic() - self.active < idle_for:
+            if not self.session.between or self.session.of_worker:
                 return False
             try:
                 if self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
@@ -275,7 +313,6 @@
         self.lock = threading.Lock()
         self.inbound: set[Inbound] = set()
         self.turned_away = 0
-        self.last_accept = time.monotonic()
         self.listener: socket.socket | None = None
 
     def listen(self, address: tuple[str, int]) -> None:
@@ -296,7 +333,6 @@
                 log(f"accept failed: {error}")
                 time.sleep(0.01)
                 continue
-            self.last_accept = time.monotonic()
             self.admit(sock)
 
     def admit(self, sock: socket.socket) -> None:
@@ -317,9 +353,11 @@
 
     def make_room(self) -> None:
         with self.lock:
-            idlest = sorted(self.inbound, key=lambda inbound: inbound.active)[:8]
-        if any(inbound.close_if_between(self.limits.spare_idle) for inbound in idlest):
-            time.sleep(0.001)  # its thread has to let go of it
+            every = list(self.inbound)
+        oldest = min(every, key=Inbound.spare_since)
+        if time.monotonic() - oldest.spare_since() >= self.limits.spare_idle:
+            oldest.evict()
+            self.forget(oldest)
 
     def fail_fast(self, sock: socket.socket) -> None:
         """Over budget: refused before a byte is read, without a thread."""
@@ -339,7 +377,7 @@
         with self.lock:
             every = list(self.inbound)
         for inbound in every:
-            inbound.close_if_between(0.0)
+            inbound.close_if_between()
 
     def busy(self) -> bool:
         with self.lock:
--- a/stepstream/net/limits.py
+++ b/stepstream/net/limits.py
@@ -16,16 +16,17 @@
     # counts
     inbound: int = 500  # connections of clients and workers, one thread each
     outbound: int = 350  # connections to workers, idle ones included
-    call_threads: int = 96  # outbound calls between their start and their 202
+    call_threads: int = 200  # outbound calls between their start and their 202
     late_writers: int = 8  # threads for answers that a slow client does not take at once
     backlog: int = 1024
     batch: int = 256  # events that the core takes at a time
     # times, in seconds
     dial: float = 0.25
     write: float = 2.0  # a peer that takes nothing for so long is given up
-    slow_peer: float = 10.0  # from the first byte of a message to its last
+    slow_peer: float = 5.0  # from the first byte of a message to its last
+    linger: float = 2.0  # a connection whose last answer is out waits so long for its peer to close
     inbound_idle: float = 120.0
-    spare_idle: float = 1.0  # an inbound connection idle for so long makes room for a new one
+    spare_idle: float = 1.0  # an inbound connection that has been so long without a request makes room
     outbound_idle: float = 5.0  # well before the worker closes: a request must not cross its closing
     queued: float = 0.3  # a call not begun by then ends as not sent
     call_silence: float = 30.0  # backstop of a call's read; the core ends calls long before
@@ -35,7 +36,7 @@
     watch_slack: float = 1.5  # a watch silent for so long after its wait has failed
     fetch: float = 3.0
     sweep: float = 0.5
-    stop_quiet: float = 0.3  # after SIGTERM: no new connection for so long means the front has noticed
+    stop_quiet: float = 0.3  # after SIGTERM: nothing owed for so long means the front has noticed
     stop_least: float = 0.8  # and never sooner than this
     stop_longest: float = 60.0
 
@@ -51,7 +52,7 @@
     return Limits(
         inbound=inbound,
         outbound=outbound,
-        call_threads=max(min(96, outbound), 2),
+        call_threads=max(min(200, outbound), 2),
         dial=config.settings.dial_timeout_us / 1e6,
         outbound_idle=idle * 0.5,
         watch_wait=min(8.0, config.settings.must_ask_us / 1e6 * 0.8),
--- a/stepstream/net/node.py
+++ b/stepstream/net/node.py
@@ -56,9 +56,12 @@
 
     def decide_on(self) -> None:
         while True:
-            events = self.wait_for_events()
-            for command in self.core.handle(self.clock.now_us(), events):
-                guarded("a command", self.carry_out, command)
+            guarded("decisions", self.decide)
+
+    def decide(self) -> None:
+        events = self.wait_for_events()
+        for command in self.core.handle(self.clock.now_us(), events):
+            guarded("a command", self.carry_out, command)
 
     def wait_for_events(self) -> list[dispatch.Event]:
         """All that is there by now, or nothing once a timer is due."""
@@ -104,19 +107,19 @@
         return 0
 
     def stop(self) -> None:
-        """Answers all that was taken; connections keep arriving until the front has noticed."""
-        begun = time.monotonic()
+        """Answers all that was taken; connections keep arriving until the front has noticed.
+
+        The listener stays open to the end: workers bring the news that open requests wait for on new ones.
+        """
+        begun = busy = time.monotonic()
         log(f"stopping, {self.core.open_count} requests open")
         self.house.door.leaving = True
-        while True:
+        while (now := time.monotonic()) - begun < self.limits.stop_longest:
             self.house.close_idle()
-            now = time.monotonic()
-            quiet = now - max(self.house.last_accept, begun) >= self.limits.stop_quiet
-            if (quiet and now - begun >= self.limits.stop_least) or now - begun > self.limits.stop_longest:
+            if self.house.busy() or self.core.open_count:
+                busy = now
+            if now - busy >= self.limits.stop_quiet and now - begun >= self.limits.stop_least:
                 break
             time.sleep(0.02)
         self.house.close_listener()
-        while self.house.busy() and time.monotonic() - begun < self.limits.stop_longest:
-            self.house.close_idle()
-            time.sleep(0.02)
         log("stopped: " + ", ".join(f"{n} {outcome.value}" for outcome, n in self.counts.items()))
--- /dev/null
+++ b/tests/net_helpers.py
@@ -0,0 +1,44 @@
+"""Settings, messages and limits that the network tests share."""
+
+from stepstream import interface as i
+from stepstream.dispatch import Request
+from stepstream.net.http1 import Message, write_request
+from stepstream.net.limits import Limits
+
+SETTINGS = i.Settings(
+    classes=(
+        i.JobClass(goal_us=200_000, deadline_us=5_000_000, effect=i.Effect.SAFE, name="revalue"),
+        i.JobClass(
+            goal_us=120_000,
+            deadline_us=5_000_000,
+            effect=i.Effect.KEYED,
+            worth=10.0,
+            window_us=7_500_000,
+            name="nav-publish",
+        ),
+    ),
+    attempt_limit=4,
+    may_cancel=True,
+    may_duplicate=True,
+    may_advise_retry=True,
+    max_retry_after_us=2_000_000,
+    tells_start=True,
+    must_ask=True,
+    tenants=("tatra-invest", "hron-asset"),
+    quotas_per_s=(92.0, 47.0),
+    zones=("ruzinov", "petrzalka"),
+    kinds=("new-blade", "old-blade"),
+)
+LIMITS = Limits()
+WORKERS = tuple(i.WorkerEntry(f"s-{k}", zone=0, cell=k % 2) for k in range(4))
+
+
+def job_bytes(name="00000000000000aa", path="/revalue", method="POST", body=b"{}", **headers):
+    given = {"Host": "x", "Request-Id": name, "Tenant": "tatra-invest", "Request-Timeout-Ms": "5000"}
+    given.update({key.replace("_", "-"): value for key, value in headers.items()})
+    return write_request(method, path, {k: v for k, v in given.items() if v is not None}, body)
+
+
+def request(name, now_us=1_000_000, job_class=0, budget_us=5_000_000):
+    message = Message("POST", "/revalue", headers={"request-id": name})
+    return Request(name, job_class, now_us, now_us + budget_us, payload=message)
--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,164 @@
+"""Connections as state machines, by random steps against models of their states."""
+
+from hypothesis import strategies as st
+from net_helpers import LIMITS, SETTINGS, job_bytes
+from walk import walks
+
+from stepstream import interface as i
+from stepstream.dispatch import Answer, Outcome, Request, Told
+from stepstream.net.http1 import write_answer, write_request
+from stepstream.net.inbound import Door, Phase, Reply, Session
+from stepstream.net.outbound import Exchange
+from stepstream.net.outbound import Phase as Stage
+from stepstream.net.platform import ClientSide
+
+NEWS = write_request("POST", "/_jobs/news", {}, b'{"id":"aa","from":"s-1","state":"done","result":"x"}')
+KINDS = {
+    "job": job_bytes(),
+    "news": NEWS,
+    "ready": b"GET /-/ready HTTP/1.1\r\n\r\n",
+    "lost": b"GET /nowhere HTTP/1.1\r\n\r\n",
+    "junk": b"junk\r\n\r\n",
+}
+
+
+class InboundRig:
+    """The model: messages that have wholly arrived, and one of idle, open and closed."""
+
+    def __init__(self):
+        self.door = Door()
+        self.session = Session(LIMITS, ClientSide(SETTINGS), self.door)
+        self.rest, self.queue, self.state, self.worker = b"", [], "idle", False
+        self.seen, self.expected, self.request = [], [], None
+
+    def send(self, kind):
+        if not self.rest:
+            self.queue.append(kind)
+            self.feed(KINDS[kind])
+
+    def send_half(self, kind):
+        if not self.rest:
+            self.rest, self.half = KINDS[kind][5:], kind
+            self.feed(KINDS[kind][:5])
+
+    def send_rest(self, _):
+        if self.rest:
+            self.queue.append(self.half)
+            data, self.rest = self.rest, b""
+            self.feed(data)
+
+    def feed(self, data):
+        self.note(self.session.feed(data, 0))
+        self.advance()
+
+    def answer(self, _):
+        reply = self.session.answer(Answer(self.request, Outcome.SERVED, "ok"))
+        assert (reply is not None) == (self.state == "open")
+        if reply is not None:
+            self.note([reply])
+            self.reply(200)
+            self.note(self.session.steps(0))
+            self.advance()
+
+    def leave(self, _):
+        left = self.session.closed()
+        assert (left is not None) == (self.state == "open")
+        self.state = "closed"
+
+    def stop(self, _):
+        self.door.leaving = True
+
+    def note(self, steps):
+        for step in steps:
+            if isinstance(step, Request):
+                self.request = step
+            status = int(step.data[9:12]) if isinstance(step, Reply) else None
+            self.seen.append((status, step.close) if status else type(step))
+
+    def advance(self):
+        while self.queue and self.state == "idle":
+            kind = self.queue.pop(0)
+            if kind == "job":
+                self.expected.append(Request)
+                self.state = "open"
+            elif kind == "junk":
+                self.expected.append((400, True))
+                self.state = "closed"
+            else:
+                self.worker = self.worker or kind == "news"
+                leaving = 503 if self.door.leaving else 200
+                self.reply({"news": 200, "lost": 404, "ready": leaving}[kind])
+                self.expected += [Told] if kind == "news" else []
+
+    def reply(self, status):
+        close = self.door.leaving and not self.worker
+        self.expected.append((status, close))
+        self.state = "closed" if close else "idle"
+
+    def check(self):
+        assert self.seen == self.expected
+        phases = {"idle": Phase.READING, "open": Phase.WAITING, "closed": Phase.CLOSED}
+        assert self.session.phase is phases[self.state]
+        if self.state == "idle":
+            assert self.session.between == (not self.rest)
+
+
+test_inbound_against_its_model = walks(
+    InboundRig,
+    send=st.sampled_from(list(KINDS)),
+    send_half=st.sampled_from(list(KINDS)),
+    send_rest=st.none(),
+    answer=st.none(),
+    leave=st.none(),
+    stop=st.none(),
+)
+
+ANSWERS = {
+    "taken": (write_answer(202), None),
+    "full": (write_answer(503, headers={"Not-Started": "1"}), i.Result.FULL),
+    "late": (write_answer(504, headers={"Not-Started": "1"}), i.Result.FULL),
+    "busy": (write_answer(503), i.Result.ERROR),
+    "error": (write_answer(500), i.Result.ERROR),
+    "hint": (b"HTTP/1.1 100 Continue\r\n\r\n", "nothing"),
+    "junk": (b"junk\r\n\r\n", i.Result.RESET),
+    "part": (b"HTTP/1.1 20", "cut"),
+}
+
+
+class OutboundRig:
+    """The model: whether the last byte is out, and the first thing that ended the exchange."""
+
+    def __init__(self):
+        self.exchange, self.out, self.end, self.cut = Exchange(LIMITS), False, "open", False
+
+    def written(self, _):
+        if self.end == "open" and not self.out:
+            self.exchange.written()
+            self.out = True
+
+    def answer(self, kind):
+        if self.end != "open" or self.cut or not self.out:
+            return
+        data, result = ANSWERS[kind]
+        self.exchange.feed(data)
+        self.cut = result == "cut"
+        if result not in ("cut", "nothing"):
+            self.end = result
+
+    def broke(self, by_end):
+        if by_end and self.out:
+            self.exchange.feed(b"")
+        else:
+            self.exchange.broke()
+        if self.end == "open":
+            self.end = i.Result.RESET if self.out else i.Result.CONNECT_FAILED
+
+    def check(self):
+        assert self.exchange.over == (self.end != "open")
+        assert self.exchange.result == (None if self.end == "open" else self.end)
+        assert (self.exchange.phase is Stage.TAKEN) == (self.end is None)
+
+
+test_outbound_against_its_model = walks(
+    OutboundRig, written=st.none(), answer=st.sampled_from(list(ANSWERS)), broke=st.booleans()
+)
--- /dev/null
+++ b/tests/test_http1.py
@@ -0,0 +1,97 @@
+"""The HTTP/1.1 parser: whole messages out of any pieces, one plain status for each fault."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from net_helpers import LIMITS
+
+from stepstream.net.http1 import Parser, ProtocolError, write_answer, write_request
+
+STREAM = [
+    (write_request("POST", "/a?user=1", {"Host": "x"}, b"hello"), b"hello"),
+    (write_request("GET", "/b", {"Host": "x"}), b""),
+    (
+        b"POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: 1\r\n\r\n",
+        b"abcde",
+    ),
+    (b"\r\nPOST /d HTTP/1.0\r\ncontent-length: 0\r\n\r\n", b""),
+]
+BYTES = b"".join(data for data, _ in STREAM)
+
+
+@settings(derandomize=True, deadline=None, database=None)
+@given(st.lists(st.integers(0, len(BYTES)), max_size=12))
+def test_pieces_of_any_size_give_the_same_messages(cuts):
+    parser, found, last = Parser(LIMITS), [], 0
+    for cut in [*sorted(cuts), len(BYTES)]:
+        parser.feed(BYTES[last:cut])
+        last = cut
+        while (message := parser.next()) is not None:
+            found.append(message.body)
+    assert found == [body for _, body in STREAM] and parser.idle
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"NONSENSE\r\n\r\n", 400),
+        (b"GET / HTTP/2.0\r\n\r\n", 400),
+        (b"GET /a b HTTP/1.1\r\n\r\n", 400),
+        (b"GET /\xff HTTP/1.1\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nno colon\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nA : b\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nabcd", 400),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffff\r\n", 413),
+        (b"POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 413),
+        (b"GET / HTTP/1.1\r\nA: " + b"a" * 20_000, 431),
+    ],
+)
+def test_faults_have_their_status_and_break_the_connection(data, status):
+    parser = Parser(LIMITS)
+    parser.feed(data)
+    with pytest.raises(ProtocolError) as fault:
+        parser.next()
+    assert fault.value.status == status
+    parser.feed(b"GET / HTTP/1.1\r\n\r\n")
+    with pytest.raises(ProtocolError):
+        parser.next()
+
+
+def test_an_answer_without_a_length_ends_with_its_connection():
+    parser = Parser(LIMITS, answers=True)
+    parser.feed(b"HTTP/1.1 200 OK\r\n\r\nabc")
+    assert parser.next() is None
+    message = parser.end()
+    assert message.body == b"abc" and not message.keep_alive
+
+
+def test_a_cut_answer_is_none():
+    parser = Parser(LIMITS, answers=True)
+    parser.feed(write_answer(200, b"abc")[:-1])
+    assert parser.next() is None and parser.end() is None
+
+
+def test_answers_without_a_body_need_no_length():
+    parser = Parser(LIMITS, answers=True)
+    parser.feed(b"HTTP/1.1 204 No Content\r\n\r\n" + write_answer(202))
+    assert [parser.next().status, parser.next().status] == [204, 202]
+
+
+@pytest.mark.parametrize(
+    ("head", "keeps"),
+    [
+        (b"HTTP/1.1\r\n", True),
+        (b"HTTP/1.0\r\n", False),
+        (b"HTTP/1.1\r\nConnection: x, Close\r\n", False),
+        (b"HTTP/1.0\r\nConnection: keep-alive\r\n", True),
+    ],
+)
+def test_keep_alive(head, keeps):
+    parser = Parser(LIMITS)
+    parser.feed(b"GET / " + head + b"\r\n")
+    assert parser.next().keep_alive is keeps
