--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,249 @@
+"""The whole program on loopback: a real process, a stand-in worker and a stand-in discovery.
+
+Waits end on what is seen, within generous bounds; no verdict rests on how fast the machine is.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+import pytest
+from net_helpers import LIMITS, job_bytes
+from test_settings import CONFIG
+
+from stepstream.net.http1 import Parser, write_answer, write_request
+
+ROOT = Path(__file__).parent.parent
+PATIENCE = 20.0
+
+
+class Server:
+    """Answers each request on 127.0.0.1 by what `reply(message)` gives: bytes, or None to hang up."""
+
+    def __init__(self, reply):
+        self.reply, self.seen = reply, []
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.port = self.sock.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                peer, _ = self.sock.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(peer,), daemon=True).start()
+
+    def serve(self, peer):
+        parser = Parser(LIMITS)
+        with peer:
+            while data := peer.recv(65536):
+                parser.feed(data)
+                while (message := parser.next()) is not None:
+                    self.seen.append(message)
+                    answer = self.reply(message)
+                    if answer is None:
+                        return
+                    peer.sendall(answer)
+
+
+def ask(port, data, sock=None):
+    """One exchange; on a connection of its own unless one is given."""
+    peer = sock or socket.create_connection(("127.0.0.1", port), timeout=PATIENCE)
+    parser = Parser(LIMITS, answers=True)
+    peer.sendall(data)
+    message = None
+    while message is None:
+        piece = peer.recv(65536)
+        parser.feed(piece)
+        message = parser.next() if piece else parser.end()
+        if message is None and not piece:
+            raise ConnectionError("no answer")
+    if sock is None:
+        peer.close()
+    return message
+
+
+def wait_for(seen):
+    until = time.monotonic() + PATIENCE
+    while not (found := seen()):
+        assert time.monotonic() < until, "nothing came"
+        time.sleep(0.01)
+    return found
+
+
+class World:
+    """A dispatcher's process with one worker and a discovery that names it."""
+
+    def __init__(self, folder):
+        self.worker = Server(self.on_worker)
+        self.discovery = Server(self.on_discovery)
+        with socket.create_server(("127.0.0.1", 0)) as probe:
+            self.port = probe.getsockname()[1]
+        self.hold = threading.Event()  # while set, jobs are taken but not done
+        self.answers = []  # what the worker gives instead of a 202, first come
+        entry = {"id": "s-1", "addr": f"127.0.0.1:{self.worker.port}", "state": "ready", "zone": "ruzinov"}
+        self.list = {"version": 3, "full": True, "servers": [entry]}
+        config = {
+            **CONFIG,
+            "listen": f"127.0.0.1:{self.port}",
+            "discovery": f"127.0.0.1:{self.discovery.port}",
+            "known": self.list,
+        }
+        path = folder / "config.json"
+        path.write_text(json.dumps(config))
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "stepstream", "serve"],
+            cwd=ROOT,
+            env={**os.environ, "EDGE_CONFIG": str(path)},
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        wait_for(self.ready)
+
+    def ready(self):
+        try:
+            return ask(self.port, b"GET /-/ready HTTP/1.1\r\n\r\n").status == 200
+        except OSError:
+            return False
+
+    def on_worker(self, message):
+        if message.method == "POST":
+            if self.answers:
+                return self.answers.pop(0)
+            if not self.hold.is_set():
+                self.news(message.headers["request-id"], "done", "17.5")
+            return write_answer(202)
+        return write_answer(200)
+
+    def on_discovery(self, message):
+        if "wait=" in message.target:
+            time.sleep(0.2)
+        return write_answer(200, json.dumps(self.list).encode())
+
+    def news(self, name, state, result=None):
+        body = json.dumps({"id": name, "from": "s-1", "state": state, "result": result}).encode()
+        return ask(self.port, write_request("POST", "/_jobs/news", {"Connection": "close"}, body)).status
+
+    def jobs(self):
+        return [m for m in self.worker.seen if m.method == "POST"]
+
+
+@pytest.fixture
+def world(tmp_path):
+    made = World(tmp_path)
+    yield made
+    if made.process.poll() is None:
+        made.process.kill()
+    made.process.communicate()
+    made.worker.sock.close()
+    made.discovery.sock.close()
+
+
+def test_a_job_is_served_with_what_the_worker_gave_though_news_precedes_the_202(world):
+    answer = ask(world.port, job_bytes(body=b"payload"))
+    assert (answer.status, answer.body) == (200, b"17.5")
+    (job,) = world.jobs()
+    assert (job.target, job.body, job.headers["request-id"]) == ("/revalue", b"payload", "00000000000000aa")
+    # Told again, and of a job from before a restart: acknowledged all the same.
+    assert world.news("00000000000000aa", "done", "x") == 200 and world.news("00ff", "lost") == 200
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET /nothing HTTP/1.1\r\n\r\n", 404),
+        (b"GET /revalue HTTP/1.1\r\n\r\n", 405),
+        (b"nonsense\r\n\r\n", 400),
+        (job_bytes(Tenant="nobody"), 400),
+        (b"POST /revalue HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", 413),
+        (b"GET / HTTP/1.1\r\nA: " + b"a" * 17_000, 431),
+        (write_request("POST", "/_jobs/news", {}, b"{"), 400),
+    ],
+)
+def test_malformed_peers_get_their_status_and_the_program_goes_on(world, data, status):
+    assert ask(world.port, data).status == status
+    assert ask(world.port, job_bytes()).status == 200
+
+
+def test_a_pipelined_request_waits_for_the_one_before(world):
+    with socket.create_connection(("127.0.0.1", world.port), timeout=PATIENCE) as peer:
+        assert ask(0, job_bytes(name="01") + job_bytes(name="02"), peer).status == 200
+        assert ask(0, b"GET /-/ready HTTP/1.1\r\n\r\n", peer).status == 200  # the second job's answer
+        wait_for(lambda: len(world.jobs()) == 2)
+
+
+def test_a_client_that_leaves_has_its_job_deleted_at_the_worker(world):
+    world.hold.set()
+    with socket.create_connection(("127.0.0.1", world.port), timeout=PATIENCE) as peer:
+        peer.sendall(job_bytes(name="0b"))
+        wait_for(world.jobs)
+    wait_for(lambda: [m.target for m in world.worker.seen if m.method == "DELETE"] == ["/jobs/0b"])
+
+
+def test_full_is_tried_again_and_an_error_of_a_keyed_job_is_not_called_harmless(world):
+    world.answers += [write_answer(503, headers={"Not-Started": "1"})]
+    assert ask(world.port, job_bytes(name="0c", path="/nav-publish")).status == 200
+    world.answers += [write_answer(500)] * 4
+    assert ask(world.port, job_bytes(name="0d", path="/nav-publish")).status not in (200, 429, 503)
+
+
+def test_sigterm_answers_what_is_open_takes_what_still_comes_and_ends_well(world):
+    world.hold.set()
+    answers = []
+
+    def client(name):
+        answers.append(ask(world.port, job_bytes(name=name)))
+
+    first = threading.Thread(target=client, args=("0e",))
+    first.start()
+    wait_for(world.jobs)
+    world.process.send_signal(signal.SIGTERM)
+    wait_for(lambda: ask(world.port, b"GET /-/ready HTTP/1.1\r\n\r\n").status == 503)
+    second = threading.Thread(target=client, args=("0f",))
+    second.start()
+    wait_for(lambda: len(world.jobs()) == 2)
+    # News comes on new connections: the listener must outlive the front's last one.
+    for name in ("0e", "0f"):
+        assert world.news(name, "done", "1") == 200
+    first.join(PATIENCE)
+    second.join(PATIENCE)
+    assert [(a.status, a.keep_alive) for a in answers] == [(200, False)] * 2
+    assert world.process.wait(PATIENCE) == 0
+    assert "stopped: 2 served" in world.process.stderr.read()
+
+
+def test_sigkill_and_a_new_start_on_the_same_address(world, tmp_path):
+    with socket.create_connection(("127.0.0.1", world.port), timeout=PATIENCE) as peer:
+        assert ask(0, job_bytes(), peer).status == 200
+        world.process.kill()
+        world.process.wait()
+        again = subprocess.Popen(
+            world.process.args, cwd=ROOT, env={**os.environ, "EDGE_CONFIG": str(tmp_path / "config.json")}
+        )
+        try:
+            wait_for(world.ready)
+        finally:
+            again.kill()
+            again.wait()
+
+
+def test_an_address_in_use_is_one_line_that_names_the_key(tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps({**CONFIG, "listen": f"127.0.0.1:{taken.getsockname()[1]}"}))
+        run = subprocess.run(
+            [sys.executable, "-m", "stepstream", "serve"],
+            cwd=ROOT,
+            env={**os.environ, "EDGE_CONFIG": str(path)},
+            capture_output=True,
+            text=True,
+            timeout=PATIENCE,
+        )
+    assert run.returncode == 2 and "listen=" in run.stderr and len(run.stderr.splitlines()) == 1
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,138 @@
+"""The platform's words, read and written."""
+
+import pytest
+from net_helpers import LIMITS, SETTINGS, job_bytes
+
+from stepstream import interface as i
+from stepstream.dispatch import News, Outcome, Told
+from stepstream.net import platform
+from stepstream.net.http1 import Message, Parser, ProtocolError
+
+SIDE = platform.ClientSide(SETTINGS)
+ROW = {
+    "id": "s-1",
+    "addr": "127.0.0.1:8081",
+    "zone": "petrzalka",
+    "kind": "old-blade",
+    "cell": 3,
+    "state": "ready",
+    "weight": 1.5,
+    "started_ms": 7,
+}
+
+
+def parsed(data):
+    parser = Parser(LIMITS)
+    parser.feed(data)
+    return parser.next()
+
+
+def read(**more):
+    return SIDE.read_request(parsed(job_bytes(**more)), 1_000)
+
+
+def test_a_request_is_read_by_the_names_in_the_settings():
+    taken = read(
+        path="/nav-publish?user=k7", Tenant="hron-asset", Request_Info="slots=2,x=1", Client_Retry="1"
+    )
+    assert (taken.job_class, taken.tenant, taken.key, taken.slots, taken.client_retry) == (
+        1,
+        1,
+        "k7",
+        2.0,
+        True,
+    )
+    assert (taken.arrived_us, taken.deadline_us) == (1_000, 5_001_000)
+
+
+@pytest.mark.parametrize(
+    ("more", "status"),
+    [
+        ({"path": "/nothing"}, 404),
+        ({"path": "*"}, 404),
+        ({"method": "GET", "body": b""}, 405),
+        ({"name": ""}, 400),
+        ({"name": "a/../b"}, 400),
+        ({"name": "a" * 65}, 400),
+        ({"Tenant": "nobody"}, 400),
+        ({"Tenant": None}, 400),
+        ({"Request_Timeout_Ms": "-1"}, 400),
+        ({"Request_Timeout_Ms": "soon"}, 400),
+        ({"Request_Info": "slots"}, 400),
+        ({"Request_Info": "slots=nan"}, 400),
+        ({"Request_Info": "slots=-1"}, 400),
+    ],
+)
+def test_what_is_wrong_with_a_request_has_its_status(more, status):
+    with pytest.raises(ProtocolError) as fault:
+        read(**more)
+    assert fault.value.status == status
+
+
+def news(body, method="POST"):
+    return platform.read_news(Message(method, platform.NEWS, body=body))
+
+
+def test_news_is_read_and_kinds_not_known_are_passed_over():
+    assert news(b'{"id":"a","from":"s","state":"done","result":"r"}') == Told("a", "s", News.DONE, "r")
+    assert news(b'{"id":"a","from":"s","state":"dancing"}') is None
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"[]", b"{", b'{"id":1,"from":"s","state":"done"}', b"[" * 60_000, b"\xff"]
+)
+def test_malformed_news_is_a_400(body):
+    with pytest.raises(ProtocolError) as fault:
+        news(body)
+    assert fault.value.status == 400
+
+
+def test_a_call_passes_on_what_it_must_and_says_how_long_it_waits():
+    message = parsed(job_bytes(path="/nav-publish?user=1", body=b"xyz", Idempotency_Key="k"))
+    sent = parsed(platform.call_bytes("h:1", message, 480))
+    assert (sent.method, sent.target, sent.body) == ("POST", "/nav-publish?user=1", b"xyz")
+    names = ("request-id", "idempotency-key", "request-timeout-ms")
+    assert [sent.headers[name] for name in names] == ["00000000000000aa", "k", "480"]
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "result"),
+    [
+        (202, {}, None),
+        (503, {"not-started": "1"}, i.Result.FULL),
+        (504, {"not-started": "1"}, i.Result.FULL),
+        (503, {}, i.Result.ERROR),
+        (500, {"not-started": "1"}, i.Result.ERROR),
+        (404, {}, i.Result.ERROR),
+    ],
+)
+def test_a_workers_answer_proves_no_more_than_the_table_says(status, headers, result):
+    assert platform.read_call_answer(Message(status=status, headers=headers)) is result
+
+
+def test_final_answers():
+    def answer(outcome, result=None, pause_us=0):
+        parser = Parser(LIMITS, answers=True)
+        parser.feed(platform.final_answer(outcome, result, pause_us, False))
+        return parser.next()
+
+    assert answer(Outcome.SERVED, "é").body == "é".encode()
+    refused = answer(Outcome.REFUSED, pause_us=1_500_000)
+    assert (refused.status, refused.headers["retry-after"]) == (503, "1.500")
+    assert "retry-after" not in answer(Outcome.REFUSED).headers
+    assert answer(Outcome.FAILED).status not in (200, 429, 503)
+
+
+def test_the_list_is_read_with_names_as_indices():
+    side = platform.DiscoverySide(SETTINGS)
+    targets = side.read({"version": 4, "full": False, "servers": [ROW]})
+    entry = i.WorkerEntry("s-1", 1, 1, 3, i.WorkerState.IN, 1.5, 7_000)
+    assert targets.told == i.WorkerList(i.ListKind.CHANGES, (entry,))
+    assert targets.addresses == {"s-1": ("127.0.0.1", 8081)}
+    assert side.read({"servers": []}, kept=True).told.kind is i.ListKind.PERSISTED
+
+
+@pytest.mark.parametrize("row", [{}, {"id": "s"}, {**ROW, "state": "odd"}, {**ROW, "addr": "x:y"}, 5])
+def test_a_malformed_list_is_a_protocol_error(row):
+    with pytest.raises(ProtocolError):
+        platform.DiscoverySide(SETTINGS).read({"servers": [row]})
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,122 @@
+"""The one reader: nested JSON and dotted pairs give the same Settings, and faults name their key."""
+
+import json
+
+import pytest
+
+from stepstream import cli
+from stepstream import interface as i
+from stepstream.settings import FieldError, Fields, config_from, flatten, read_settings
+
+SETTINGS = {
+    "services": [
+        {"name": "revalue", "deadline_us": 5000000, "goal_time_us": 200000, "effect": "pure", "worth": 1.0},
+        {"name": "nav-publish", "deadline_us": 5000000, "effect": "token", "window_us": 7500000},
+    ],
+    "extra": {"class_kind": [-1, -1], "class_stretch": [2.0, 1.5], "tells_start": True},
+    "projects": [{"name": "tatra-invest", "quota_per_s": 92.0}],
+    "zones": ["ruzinov", "petrzalka"],
+    "zone": 1,
+    "discovery": "subscribe",
+    "limits": {"try_limit": 4, "cancelling": True, "conn_idle_us": 8000000},
+    "load_report": {"how": "none", "columns": []},
+}
+CONFIG = {
+    "name": "n0",
+    "listen": "127.0.0.1:8081",
+    "discovery": "127.0.0.1:8500",
+    "seed": "8c1f30d27a5be964",
+    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+    "settings": SETTINGS,
+}
+
+
+def test_nested_json_reads_like_the_wire():
+    line = (
+        "services.count=2 services.0.name=revalue services.0.deadline_us=5000000 services.0.effect=pure "
+        "services.0.goal_time_us=200000 services.0.worth=1.0 services.1.name=nav-publish "
+        "services.1.deadline_us=5000000 services.1.effect=token services.1.window_us=7500000 "
+        "extra.class_kind=-1,-1 extra.class_stretch=2.0,1.5 extra.tells_start=true projects.count=1 "
+        "projects.0.name=tatra-invest projects.0.quota_per_s=92.0 zones=ruzinov,petrzalka zone=1 "
+        "discovery=subscribe limits.try_limit=4 limits.cancelling=true limits.conn_idle_us=8000000 "
+        "load_report.how=none load_report.columns="
+    )
+    nested = config_from(CONFIG, {}).settings
+    assert nested == read_settings(Fields(line.split(" ")))
+    assert nested.zones == ("ruzinov", "petrzalka") and nested.must_ask and nested.conn_idle_us == 8_000_000
+    assert nested.classes[1] == i.JobClass(
+        5_000_000, 5_000_000, i.Effect.KEYED, stretch=1.5, window_us=7_500_000, name="nav-publish"
+    )
+
+
+def test_the_environment_stands_in_for_what_the_file_leaves_out():
+    data = {key: value for key, value in CONFIG.items() if key != "listen"}
+    assert config_from(data, {"EDGE_LISTEN": "127.0.0.1:9"}).listen == ("127.0.0.1", 9)
+
+
+def changed(path, value):
+    data = json.loads(json.dumps(CONFIG))
+    *parents, last = path
+    at = data
+    for name in parents:
+        at = at[name]
+    at[last] = value
+    return data
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "words"),
+    [
+        (("listen",), "nowhere", "listen=nowhere"),
+        (("discovery",), "127.0.0.1:99999", "discovery=127.0.0.1:99999"),
+        (("seed",), "xyz", "seed=xyz"),
+        (("limits", "sockets"), 0, "limits.sockets"),
+        (("limits", "memory_mb"), "much", "limits.memory_mb=much"),
+        (("known",), [1], "known"),
+        (("settings",), None, "settings"),
+        (("settings", "services"), [], "services.count"),
+        (("settings", "services", 0, "effect"), "odd", "settings: services.0.effect=odd"),
+        (("settings", "services", 1, "deadline_us"), "soon", "services.1.deadline_us=soon"),
+        (("settings", "limits", "cancelling"), "maybe", "limits.cancelling=maybe"),
+        (("settings", "extra", "class_kind"), [1], "extra.class_kind"),
+        (("settings", "zones"), ["a,b"], "zones"),
+    ],
+)
+def test_a_fault_names_its_key(path, value, words):
+    with pytest.raises(FieldError, match=words.replace(".", r"\.")):
+        config_from(changed(path, value), {})
+
+
+def test_flatten_leaves_out_null_and_spells_truth_as_the_wire_does():
+    assert flatten({"a": {"b": True, "c": None}, "d": [1, 2]}, "", {}) == {"a.b": "true", "d": "1,2"}
+
+
+@pytest.mark.parametrize("command", ["serve", "check-config"])
+def test_bad_configuration_is_one_line_and_a_bad_exit(command, tmp_path, monkeypatch, capsys):
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(changed(("listen",), "nowhere")))
+    monkeypatch.setenv("EDGE_CONFIG", str(path))
+    assert cli.main([command]) == 2
+    (line,) = capsys.readouterr().err.splitlines()
+    assert line == "stepstream: configuration: listen=nowhere is not HOST:PORT"
+
+
+@pytest.mark.parametrize(
+    ("text", "words"), [(None, "cannot be read"), ("{", "cannot be read"), ("[]", "not a JSON object")]
+)
+def test_an_unreadable_file_is_named(text, words, tmp_path, monkeypatch, capsys):
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    monkeypatch.setenv("EDGE_CONFIG", str(path))
+    assert cli.main(["check-config"]) == 2
+    assert words in capsys.readouterr().err
+
+
+def test_check_config_and_version(tmp_path, monkeypatch, capsys):
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(CONFIG))
+    monkeypatch.setenv("EDGE_CONFIG", str(path))
+    assert cli.main(["check-config"]) == 0 and cli.main(["version"]) == 0
+    out = capsys.readouterr().out
+    assert "classes: revalue, nav-publish" in out and out.splitlines()[-1][0].isdigit()
