Start a mark of no room from the room that is known, not from a stale count

At fault: second_copies() and on_attempt_ended() in balance.py took min(worker.room, 0). Without reports worker.room is no report but 0 less our own pushes, so room plus busy slots, the cap, came to 0.

--- a/stepstream/balance.py
+++ b/stepstream/balance.py
@@ -352,7 +352,7 @@
         for _, held, attempt in due:
             if attempt.started or not attempt.open:
                 continue
-            attempt.worker.room, attempt.worker.room_us = min(attempt.worker.room, 0.0), self.now
+            attempt.worker.room, attempt.worker.room_us = min(self.room(attempt.worker), 0.0), self.now
             left = not held.ended and len(held.attempts) < self.s.attempt_limit and self.repeatable(held)
             if left and self.s.may_duplicate and held.kind.effect is not i.Effect.UNSAFE:
                 worker, tried = self.choose(held), [a.worker for a in held.attempts]
@@ -407,7 +407,7 @@
         if result is i.Result.FULL:
             worker.cap = max(full_at * SAFETY_FACTOR, 1.0)
             # Else a worker that turns jobs away at once would look idle and draw the next ones.
-            worker.room, worker.room_us = min(worker.room, 0.0), self.now
+            worker.room, worker.room_us = min(self.room(worker), 0.0), self.now
         elif result is i.Result.OK:
             self.judge(worker, False)
             self.note_served(held, event.spent_us)
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -355,3 +355,22 @@
         assert len(high) >= 5
         kept.add(high)
     assert len(kept) == 3
+
+
+def test_a_late_start_says_that_its_worker_is_full_at_its_busy_slots_not_at_none():
+    # Without reports the stored room is no report but 0 less our pushes: a mark kept that as the room, every
+    # cap became 0, the High Set borrowed all workers and an idle fleet refused its ordinary jobs.
+    for result in (None, i.Result.FULL):
+        bench = Bench(UNSAFE, workers=4, tells_start=True)
+        sent = [bench.job()[1][0] for _ in range(12)]
+        late = sent[0]
+        for push in sent[1:]:
+            bench.tell(i.Started(push.job, 0, push.worker))
+        marked = bench.balancer.workers[late.worker]
+        busy = marked.busy_slots
+        if result:
+            bench.ended(late.job, late.worker, result)
+            assert bench.balancer.room(marked) == marked.cap - marked.busy_slots < 0
+        else:
+            bench.tick(200_000)
+            assert bench.balancer.room(marked) == 0.0 and bench.balancer.median_cap() == busy > 1
