--- a/stepstream/net/limits.py
+++ b/stepstream/net/limits.py
@@ -36,6 +36,7 @@
     watch_slack: float = 1.5  # a watch silent for so long after its wait has failed
     fetch: float = 3.0
     sweep: float = 0.5
+    status: float = 60.0  # between two status lines in the log
     stop_quiet: float = 0.3  # after SIGTERM: nothing owed for so long means the front has noticed
     stop_least: float = 0.8  # and never sooner than this
     stop_longest: float = 60.0
--- a/stepstream/net/node.py
+++ b/stepstream/net/node.py
@@ -101,11 +101,22 @@
         # Threads that wait for the interpreter ask for it sooner than after the usual 5 ms.
         sys.setswitchinterval(0.001)
         self.start()
+        reported = time.monotonic()
         while not self.stopping.wait(self.limits.sweep):
             guarded("sweep", self.outbound.pool.sweep)
+            if time.monotonic() - reported >= self.limits.status:
+                reported += self.limits.status
+                self.report()
         self.stop()
         return 0
 
+    def report(self) -> None:
+        counts = ", ".join(f"{n} {outcome.value}" for outcome, n in self.counts.items())
+        log(
+            f"status: {self.core.open_count} requests open, {len(self.house.inbound)} inbound and "
+            f"{self.outbound.pool.count} outbound connections, {self.house.turned_away} turned away, {counts}"
+        )
+
     def stop(self) -> None:
         """Answers all that was taken; connections keep arriving until the front has noticed.
 
@@ -122,4 +133,5 @@
                 break
             time.sleep(0.02)
         self.house.close_listener()
-        log("stopped: " + ", ".join(f"{n} {outcome.value}" for outcome, n in self.counts.items()))
+        self.report()
+        log("stopped")
--- /dev/null
+++ b/tests/test_network.py
@@ -0,0 +1,332 @@
+"""The drivers on loopback sockets: what each outcome proves, the budgets, and discovery's silences."""
+
+import socket
+import threading
+
+import pytest
+from net_helpers import LIMITS, SETTINGS, job_bytes, request
+from test_node import PATIENCE, Server, ask, wait_for
+
+from stepstream import interface as i
+from stepstream.dispatch import Answer, Arrived, Broken, Call, CallEnded, Left, Outcome
+from stepstream.net.discovery import DestinationSet, Discovery
+from stepstream.net.http1 import write_answer
+from stepstream.net.inbound import House, Session
+from stepstream.net.limits import Limits, limits_for
+from stepstream.net.outbound import Outbound
+from stepstream.net.platform import ClientSide, DiscoverySide, Targets
+from stepstream.net.threads import Clock, Crew
+from stepstream.settings import Config
+
+CLOCK = Clock()
+
+
+def targets(state=i.WorkerState.IN, kind=i.ListKind.COMPLETE, **ports):
+    entries = tuple(i.WorkerEntry(name, state=state) for name in ports)
+    addresses = {name: ("127.0.0.1", port) for name, port in ports.items()}
+    return Targets(1, i.WorkerList(kind, entries), addresses)
+
+
+class Caller:
+    """An Outbound whose events are kept, and one worker 'w' that answers as told."""
+
+    def __init__(self, reply, limits=LIMITS):
+        self.events = []
+        self.server = Server(reply)
+        self.destinations = DestinationSet()
+        self.destinations.apply(targets(w=self.server.port))
+        self.outbound = Outbound(limits, CLOCK, self.destinations, self.events.append)
+
+    def call(self, name="aa", sent_us=None):
+        now = CLOCK.now_us()
+        call = Call(request(name, now), 0, "w", now if sent_us is None else sent_us, now + 5_000_000)
+        self.outbound.start(call)
+        return call
+
+    def outcome(self, call):
+        return wait_for(
+            lambda: [e.result for e in self.events if isinstance(e, CallEnded) and e.call is call]
+        )[0]
+
+
+def taken(_):
+    return write_answer(202)
+
+
+@pytest.mark.parametrize(
+    ("reply", "result"),
+    [
+        (lambda _: write_answer(503, headers={"Not-Started": "1"}), i.Result.FULL),
+        (lambda _: write_answer(500), i.Result.ERROR),
+        (lambda _: None, i.Result.RESET),
+        (lambda _: b"junk\r\n\r\n", i.Result.RESET),
+    ],
+)
+def test_an_outcome_proves_what_the_table_says(reply, result):
+    caller = Caller(reply)
+    assert caller.outcome(caller.call()) is result
+
+
+def test_a_refused_connection_never_ran():
+    caller = Caller(taken)
+    caller.server.sock.close()
+    with socket.create_server(("127.0.0.1", 0)) as closed:
+        port = closed.getsockname()[1]
+    caller.destinations.apply(targets(w=port))
+    assert caller.outcome(caller.call()) is i.Result.CONNECT_FAILED
+
+
+def test_a_202_ends_the_exchange_and_its_connection_serves_the_next():
+    caller = Caller(taken)
+    for name in ("01", "02", "03"):
+        call = caller.call(name)
+        wait_for(lambda call=call: call.handle.taken)
+        wait_for(lambda: caller.outbound.pool.idle.get("w"))
+    assert caller.outbound.pool.count == 1 and not caller.events
+
+
+def test_a_connection_that_its_worker_closed_is_not_written_to():
+    caller = Caller(taken)
+    caller.call("01")
+    line = wait_for(lambda: caller.outbound.pool.idle.get("w"))[0]
+    line.sock.shutdown(socket.SHUT_RDWR)  # as good as closed by the worker: reads end
+    call = caller.call("02")
+    wait_for(lambda: call.handle.taken)
+    assert not caller.events and [m.headers["request-id"] for m in caller.server.seen] == ["01", "02"]
+
+
+def test_idle_connections_are_retired_before_the_worker_closes_them():
+    caller = Caller(taken, Limits(outbound_idle=0.0))
+    caller.call()
+    wait_for(lambda: caller.outbound.pool.idle.get("w"))
+    caller.outbound.pool.sweep()
+    assert caller.outbound.pool.count == 0 and not caller.outbound.pool.idle
+
+
+@pytest.mark.parametrize("state", [i.WorkerState.DRAINING, i.WorkerState.OUT])
+def test_a_call_on_its_way_to_a_worker_that_drains_is_not_sent(state):
+    caller = Caller(taken)
+    caller.destinations.apply(targets(state, i.ListKind.CHANGES, w=caller.server.port))
+    assert caller.outcome(caller.call()) is i.Result.NOT_SENT and not caller.server.seen
+
+
+def test_a_drain_told_while_the_connection_is_made_still_counts(monkeypatch):
+    caller = Caller(taken)
+    take = caller.outbound.pool.take
+
+    def slow_take(worker, address):
+        line = take(worker, address)
+        caller.destinations.apply(targets(i.WorkerState.DRAINING, i.ListKind.CHANGES, w=address[1]))
+        return line
+
+    monkeypatch.setattr(caller.outbound.pool, "take", slow_take)
+    assert caller.outcome(caller.call()) is i.Result.NOT_SENT and not caller.server.seen
+
+
+def test_a_call_queued_too_long_is_not_sent():
+    caller = Caller(taken)
+    late = CLOCK.now_us() - int(LIMITS.queued * 1e6) - 1
+    assert caller.outcome(caller.call(sent_us=late)) is i.Result.NOT_SENT
+
+
+def test_a_spent_budget_of_connections_is_not_sent_and_idle_ones_make_room():
+    caller = Caller(taken, Limits(outbound=1))
+    caller.outbound.pool.reserve()
+    assert caller.outcome(caller.call("01")) is i.Result.NOT_SENT
+    caller.outbound.pool.release()
+    caller.call("02")
+    wait_for(lambda: caller.outbound.pool.idle.get("w"))
+    caller.outbound.pool.reserve()  # the idle one's place
+    assert caller.outbound.pool.count == 1
+
+
+def test_a_stop_before_the_202_closes_and_after_it_deletes():
+    hold = threading.Event()
+
+    def reply(message):
+        if message.method == "POST" and message.headers["request-id"] == "01":
+            hold.wait(PATIENCE)
+        return write_answer(202)
+
+    caller = Caller(reply)
+    first = caller.call("01")
+    wait_for(lambda: caller.server.seen)
+    caller.outbound.stop(first)
+    assert caller.outcome(first) is i.Result.RESET  # the core has ended it before: only the thread's word
+    hold.set()
+    second = caller.call("02")
+    wait_for(lambda: second.handle.taken)
+    caller.outbound.stop(second)
+    deleted = wait_for(lambda: [m.target for m in caller.server.seen if m.target == "/jobs/02"])
+    assert deleted == ["/jobs/02"]
+
+
+def test_a_fault_in_a_calls_thread_still_ends_the_call(monkeypatch, capfd):
+    def broken(*_):
+        raise KeyError("lost")
+
+    caller = Caller(taken)
+    monkeypatch.setattr(caller.outbound, "exchange", broken)
+    assert caller.outcome(caller.call()) is i.Result.NOT_SENT
+    assert "fault in a call: KeyError" in capfd.readouterr().err
+
+
+def test_a_crew_outlives_the_faults_of_its_jobs(capfd):
+    crew, seen = Crew("test", 1), []
+    crew.submit(lambda: 1 / 0)
+    crew.submit(seen.append, 1)
+    wait_for(lambda: seen)
+    assert crew.threads == 1 and "ZeroDivisionError" in capfd.readouterr().err
+
+
+# -- discovery --------------------------------------------------------------------------------------------
+
+
+class Watcher:
+    def __init__(self, reply, limits=LIMITS, version=0):
+        self.events = []
+        self.server = Server(reply)
+        where = ("127.0.0.1", self.server.port)
+        side = DiscoverySide(SETTINGS)
+        self.discovery = Discovery(limits, where, side, DestinationSet(), self.events.append)
+        self.discovery.version = version
+        threading.Thread(target=self.discovery.run, daemon=True).start()
+
+    def kinds(self):
+        return [event.kind for event in self.events]
+
+
+LIST = b'{"version":7,"full":true,"servers":[{"id":"s-1","addr":"127.0.0.1:1","state":"ready"}]}'
+
+
+def test_a_watch_goes_on_from_the_version_told():
+    gate = threading.Event()
+
+    def reply(message):
+        if "index=7" in message.target:
+            gate.wait(PATIENCE)
+        return write_answer(200, LIST)
+
+    watcher = Watcher(reply)
+    watcher.discovery.ask(True)
+    wait_for(lambda: len(watcher.server.seen) >= 2)
+    whole, watch = [m.target for m in watcher.server.seen[:2]]
+    assert whole == "/api/targets" and watch.startswith("/api/targets?index=7&wait=")
+    assert watcher.kinds()[0] is i.ListKind.COMPLETE
+    assert watcher.discovery.destinations.address("s-1") == ("127.0.0.1", 1)
+    gate.set()
+
+
+@pytest.mark.parametrize("answer", [write_answer(503), None, write_answer(200, b"[]"), b"junk\r\n\r\n"])
+def test_a_call_that_fails_is_told_as_failed_and_the_next_ask_is_heard(answer):
+    watcher = Watcher(lambda _: answer)
+    for n in (1, 2):
+        watcher.discovery.ask(True)
+        wait_for(lambda n=n: watcher.kinds() == [i.ListKind.FAILED] * n)
+
+
+def test_a_silent_discovery_times_out_as_failed():
+    silent = threading.Event()
+
+    def reply(_):
+        silent.wait(PATIENCE)
+
+    watcher = Watcher(reply, Limits(watch_wait=0.05, watch_slack=0.05), version=3)
+    watcher.discovery.ask(True)
+    wait_for(lambda: watcher.kinds() == [i.ListKind.FAILED])
+    silent.set()
+
+
+# -- the inbound side -------------------------------------------------------------------------------------
+
+
+class Home:
+    """A House whose events are kept; nobody decides here."""
+
+    def __init__(self, limits=LIMITS):
+        self.events = []
+        self.house = House(limits, CLOCK, ClientSide(SETTINGS), self.events.append)
+        self.house.listen(("127.0.0.1", 0))
+        self.port = self.house.listener.getsockname()[1]
+        threading.Thread(target=self.house.accept_on, daemon=True).start()
+
+    def dial(self):
+        return socket.create_connection(("127.0.0.1", self.port), timeout=PATIENCE)
+
+    def of(self, kind):
+        return [event.request for event in self.events if isinstance(event, kind)]
+
+
+def test_over_the_budget_a_connection_is_refused_at_once_and_open_requests_stay():
+    home = Home(Limits(inbound=1))
+    with home.dial() as peer:
+        peer.sendall(job_bytes())
+        (taken_one,) = wait_for(lambda: home.of(Arrived))
+        refused = ask(home.port, b"")
+        assert refused.status == 503 and refused.headers["retry-after"] == "2.000"
+        taken_one.origin.answer(Answer(taken_one, Outcome.SERVED, "ok"))
+        assert ask(0, b"", peer).status == 200
+
+
+def test_a_dawdling_peer_makes_room_for_one_that_works():
+    home = Home(Limits(inbound=1, spare_idle=0.0))
+    with home.dial() as dawdler:
+        dawdler.sendall(b"POST /revalue HTTP/1.1\r\n")
+        wait_for(lambda: any(not inbound.session.between for inbound in home.house.inbound))
+        assert ask(home.port, b"GET /-/ready HTTP/1.1\r\n\r\n").status == 200
+        assert dawdler.recv(1) == b""
+
+
+def test_a_slow_peer_gets_400_and_a_silent_one_is_let_go():
+    home = Home(Limits(slow_peer=0.05, inbound_idle=0.05))
+    with home.dial() as slow, home.dial() as silent:
+        assert ask(0, b"GET /-/ready HT", slow).status == 400
+        assert silent.recv(1) == b""
+    wait_for(lambda: not home.house.inbound)
+
+
+def test_a_client_that_leaves_while_it_waits_is_seen():
+    home = Home()
+    with home.dial() as peer:
+        peer.sendall(job_bytes())
+        wait_for(lambda: home.of(Arrived))
+    wait_for(lambda: home.of(Left) == home.of(Arrived))
+
+
+def test_an_answer_that_its_client_does_not_read_holds_up_nobody():
+    home = Home()
+    with home.dial() as peer:
+        peer.sendall(job_bytes())
+        (waiting,) = wait_for(lambda: home.of(Arrived))
+        waiting.origin.answer(Answer(waiting, Outcome.SERVED, "x" * 8_000_000))
+        assert waiting.origin.writing  # it came back before its peer had taken the answer
+        total = 0
+        while total < 8_000_000:
+            total += len(peer.recv(1 << 20))
+
+
+def test_a_fault_in_a_reader_thread_answers_its_request(monkeypatch, capfd):
+    home = Home()
+    feed = Session.feed
+
+    def broken(self, data, now_us):
+        if self.request is not None:
+            raise KeyError("lost")
+        return feed(self, data, now_us)
+
+    monkeypatch.setattr(Session, "feed", broken)
+    with home.dial() as peer:
+        peer.sendall(job_bytes())
+        wait_for(lambda: home.of(Arrived))
+        peer.sendall(b"x")
+        assert wait_for(lambda: home.of(Broken)) == home.of(Arrived)
+    assert "fault in inbound: KeyError" in capfd.readouterr().err
+
+
+def test_limits_keep_within_descriptors_and_memory():
+    for sockets, memory in ((1024, 192), (64, 192), (1024, 70)):
+        config = Config("n", ("h", 1), ("h", 2), 0, 1.0, memory, sockets, SETTINGS)
+        limits = limits_for(config)
+        assert limits.inbound + limits.outbound < sockets
+        assert limits.outbound_idle < SETTINGS.conn_idle_us / 1e6 / 1.5
+        assert limits.call_threads <= limits.outbound
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -216,7 +216,8 @@
     second.join(PATIENCE)
     assert [(a.status, a.keep_alive) for a in answers] == [(200, False)] * 2
     assert world.process.wait(PATIENCE) == 0
-    assert "stopped: 2 served" in world.process.stderr.read()
+    log = world.process.stderr.read()
+    assert "2 served, 0 refused, 0 failed" in log and log.endswith("stepstream: stopped\n")
 
 
 def test_sigkill_and_a_new_start_on_the_same_address(world, tmp_path):
