Keep reader threads for the next connection

Seen: workers bring each piece of news on its own connection, so a thread was started and ended about three times a job. House.admit now hands connections to a crew whose threads stay.

--- a/stepstream/net/inbound.py
+++ b/stepstream/net/inbound.py
@@ -13,7 +13,7 @@
 from stepstream.net.http1 import Message, Parser, ProtocolError, write_answer
 from stepstream.net.limits import Limits
 from stepstream.net.sockets import hang_up, time_limit
-from stepstream.net.threads import Clock, Crew, log, spawn
+from stepstream.net.threads import Clock, Crew, log
 
 
 class Door:
@@ -309,6 +309,7 @@
     ) -> None:
         self.limits, self.clock, self.side, self.post = limits, clock, side, post
         self.door = Door()
+        self.readers = Crew("inbound", limits.inbound)
         self.writers = Crew("late writer", limits.late_writers)
         self.lock = threading.Lock()
         self.inbound: set[Inbound] = set()
@@ -346,10 +347,10 @@
             self.inbound.add(inbound)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            spawn("inbound", inbound.run)
-        except (OSError, RuntimeError):
-            self.forget(inbound)
-            self.fail_fast(sock)
+        except OSError:
+            pass
+        # Threads are kept: workers bring each piece of news on a connection of its own.
+        self.readers.submit(inbound.run)
 
     def make_room(self) -> None:
         with self.lock:
