Leave connections for news when requests crowd in; README

By reading: requests could hold every inbound connection, and the news that ends them would have been turned away; a late writer's socket could be closed under its hands; a discovery that answers watches at once would be called in a loop. Conclusion: each has a guard and a comment; the first has a test.

--- a/stepstream/net/discovery.py
+++ b/stepstream/net/discovery.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import time
 from collections.abc import Callable
 from queue import Empty, SimpleQueue
 
@@ -92,7 +93,11 @@
     def call(self, watch: bool) -> bool:
         """One call; on a failure the core is told, and asks again when it sees fit."""
         try:
+            begun, version = time.monotonic(), self.version
             self.learn(self.side.read_answer(self.exchange(watch)))
+            if watch and self.version == version and time.monotonic() - begun < self.limits.watch_pause:
+                # Guards discovery from a loop of calls, should it answer watches without waiting.
+                time.sleep(self.limits.watch_pause)
             return True
         except (OSError, ProtocolError) as error:
             self.hang_up()
--- a/stepstream/net/inbound.py
+++ b/stepstream/net/inbound.py
@@ -21,6 +21,7 @@
 
     def __init__(self) -> None:
         self.leaving = False  # after SIGTERM: connections close after their next answer
+        self.crowded = False  # requests would leave no connection for the news that ends them
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,8 +91,12 @@
             if message.method != "GET":
                 raise ProtocolError(405, "only GET")
             return [self.reply(503 if self.door.leaving else 200)]
-        self.request = self.side.read_request(message, now_us)
-        self.phase = Phase.WAITING
+        request = self.side.read_request(message, now_us)
+        if self.door.crowded:
+            # Guards the news: with every connection held by a waiting request none of them would ever end.
+            self.phase = Phase.CLOSED
+            return [Reply(platform.refusal(self.side.settings.max_retry_after_us, True), True)]
+        self.request, self.phase = request, Phase.WAITING
         return [self.request]
 
     def closing(self) -> bool:
@@ -138,6 +143,7 @@
         self.lock = threading.Lock()
         self.session = Session(house.limits, house.side, house.door)
         self.writing = False  # a late writer is at work on the rest of an answer
+        self.ended = False  # the reader has left; the late writer closes the socket
         self.active = self.begun = time.monotonic()  # the last byte or answer; the current message's first
 
     def run(self) -> None:
@@ -146,7 +152,12 @@
         finally:
             with self.lock:
                 left = self.session.closed()
-                self.sock.close()
+                self.ended = True
+                if self.writing:
+                    # Guards the late writer: a number closed under its hands may be another's socket by then.
+                    hang_up(self.sock)
+                else:
+                    self.sock.close()
             self.house.forget(self)
             if left is not None:
                 self.house.post(Left(left))
@@ -253,10 +264,12 @@
             self.sock.sendall(memoryview(reply.data)[sent:])
         except OSError:
             hang_up(self.sock)
-            return
         with self.lock:
             self.writing = False
-            self.finish(reply)
+            if self.ended:
+                self.sock.close()
+            else:
+                self.finish(reply)
 
     def finish(self, reply: Reply) -> None:
         """Half a close: a full one could reset the connection and take the answer with it."""
@@ -345,6 +358,7 @@
         inbound = Inbound(sock, self)
         with self.lock:
             self.inbound.add(inbound)
+            self.count()
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError:
@@ -373,6 +387,10 @@
     def forget(self, inbound: Inbound) -> None:
         with self.lock:
             self.inbound.discard(inbound)
+            self.count()
+
+    def count(self) -> None:
+        self.door.crowded = len(self.inbound) > self.limits.inbound - self.limits.for_news
 
     def close_idle(self) -> None:
         with self.lock:
--- a/stepstream/net/limits.py
+++ b/stepstream/net/limits.py
@@ -16,6 +16,7 @@
     # counts
     inbound: int = 500  # connections of clients and workers, one thread each
     outbound: int = 350  # connections to workers, idle ones included
+    for_news: int = 48  # of the inbound ones; requests leave them to workers' news
     call_threads: int = 200  # outbound calls between their start and their 202
     late_writers: int = 8  # threads for answers that a slow client does not take at once
     backlog: int = 1024
@@ -34,6 +35,7 @@
     probe: float = 1.0
     watch_wait: float = 8.0
     watch_slack: float = 1.5  # a watch silent for so long after its wait has failed
+    watch_pause: float = 0.1  # before a watch goes on that was answered at once with nothing new
     fetch: float = 3.0
     sweep: float = 0.5
     status: float = 60.0  # between two status lines in the log
@@ -53,6 +55,7 @@
     return Limits(
         inbound=inbound,
         outbound=outbound,
+        for_news=min(48, inbound // 2),
         call_threads=max(min(200, outbound), 2),
         dial=config.settings.dial_timeout_us / 1e6,
         outbound_idle=idle * 0.5,
--- a/stepstream/net/outbound.py
+++ b/stepstream/net/outbound.py
@@ -201,7 +201,7 @@
             result = i.Result.RESET if flight.written else i.Result.NOT_SENT
         if result is not None:
             self.post(CallEnded(call, result))
-        if flight.stopped and flight.written and result is not i.Result.FULL:
+        if flight.stopped and flight.written and not flight.taken and result is not i.Result.FULL:
             self.give_up(call)  # its 202 may have crossed our closing
 
     def exchange(self, call: Call, flight: Flight) -> i.Result | None:
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -10,7 +10,7 @@
 from stepstream import interface as i
 from stepstream.dispatch import Answer, Arrived, Broken, Call, CallEnded, Left, Outcome
 from stepstream.net.discovery import DestinationSet, Discovery
-from stepstream.net.http1 import write_answer
+from stepstream.net.http1 import write_answer, write_request
 from stepstream.net.inbound import House, Session
 from stepstream.net.limits import Limits, limits_for
 from stepstream.net.outbound import Outbound
@@ -258,7 +258,7 @@
 
 
 def test_over_the_budget_a_connection_is_refused_at_once_and_open_requests_stay():
-    home = Home(Limits(inbound=1))
+    home = Home(Limits(inbound=1, for_news=0))
     with home.dial() as peer:
         peer.sendall(job_bytes())
         (taken_one,) = wait_for(lambda: home.of(Arrived))
@@ -268,6 +268,16 @@
         assert ask(0, b"", peer).status == 200
 
 
+def test_news_gets_in_when_requests_hold_all_other_connections():
+    home = Home(Limits(inbound=3, for_news=2))
+    with home.dial() as first, home.dial() as second:
+        first.sendall(job_bytes(name="01"))
+        wait_for(lambda: home.of(Arrived))
+        assert ask(0, job_bytes(name="02"), second).status == 503
+        news = write_request("POST", "/_jobs/news", {}, b'{"id":"01","from":"s","state":"started"}')
+        assert ask(home.port, news).status == 200
+
+
 def test_a_dawdling_peer_makes_room_for_one_that_works():
     home = Home(Limits(inbound=1, spare_idle=0.0))
     with home.dial() as dawdler:
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -1,8 +1,11 @@
 """The README's example runs as printed."""
 
+import json
 import re
 from pathlib import Path
 
+from stepstream.settings import config_from
+
 
 def test_readme_example(capsys):
     text = (Path(__file__).parent.parent / "README.md").read_text()
@@ -11,3 +14,18 @@
     first, second = capsys.readouterr().out.splitlines()
     assert first.startswith("Push(job='a1'") and second.startswith("[Push(job='a1'")
     assert first != second.strip("[]")  # the other worker
+
+
+def test_readme_configuration_is_read():
+    text = (Path(__file__).parent.parent / "README.md").read_text()
+    (example,) = re.findall(r"```json\n(.*?)```", text, re.S)
+    config = config_from(json.loads(example), {})
+    assert config.settings.classes[0].name == "revalue" and config.settings.must_ask
+
+
+def test_the_log_lines_are_explained():
+    root = Path(__file__).parent.parent
+    page = (root / "docs" / "oncall.md").read_text()
+    for path in sorted((root / "stepstream").rglob("*.py")):
+        for line in re.findall(r'(?:log|complain)\(\s*f?"([^"{:,]+)', path.read_text()):
+            assert line.strip() in page, f"{path.name}: {line}"
