Take the common cap from the latest 15 late starts, not from those of two seconds

Checked: a log of pools and marks showed the common cap at 1 or 2 for seconds, from one late start on one slow worker. At fault: median_cap() in balance.py took only marks of the last REPORT_FRESH_US as known caps. Now late starts (and prompt ones beyond the common cap) are kept, 15 of them; what answered 'full' counts as before.

--- a/stepstream/balance.py
+++ b/stepstream/balance.py
@@ -1,10 +1,10 @@
 """The decisions of one dispatcher; types, events and actions are in stepstream/interface.py.
 
 DynamicPart (Andreolini et al.): priority jobs go to the High Set, which borrows workers while its busy slots
-exceed its caps; ordinary jobs go to the Low Set and are refused while it is over its caps. docs/design.md
-"""
+exceed its caps; ordinary jobs go to the Low Set and are refused while it is over its caps. docs/design.md"""
 
 import random
+from collections import deque
 from math import ceil, inf
 from zlib import crc32
 
@@ -29,14 +29,14 @@
 KEY_HORIZON = 1000  # jobs that those parts are told by
 PROBES_A_JOB = 1.0  # a dispatcher's probes are bounded by its own jobs, whatever the size of the fleet
 COLD_PART = 0.4  # part of the fall multiple that is used; the rest is for chance
+LATE_KEPT = 15  # latest starts that tell the common cap where there are no reports
 START_PATIENCE = 0.4  # part of the goal in which a push should start
 TICK, ASK, PUMP, START = range(4)  # timer tokens
 
 
 class Balancer:
     def __init__(self, settings: i.Settings, seed: int, start_us: int) -> None:
-        self.s = settings
-        self.random, self.now = random.Random(seed), start_us
+        self.s, self.random, self.now = settings, random.Random(seed), start_us
         self.workers: dict[str, i.Worker] = {}
         self.order: list[i.Worker] = []  # workers that may be sent to, by id
         self.held: dict[str, i.Held] = {}
@@ -45,23 +45,22 @@
         self.stirred = False  # room or time has changed since the waiting jobs were last tried
         self.key_orders: dict[str, list[i.Worker]] = {}  # of the keys seen since the list changed
         self.key_jobs: dict[str | None, int] = {}
-        self.pool_rooms, self.strength = {}, 0.0  # of all workers, in warm ones
+        self.pool_rooms, self.strength = {}, 0.0  # by pool; of all workers, in warm ones
         self.common_cap: float | None = None
+        self.late_at: deque[float] = deque(maxlen=LATE_KEPT)  # busy slots where starts were late, or not yet
         # Periods begin at random: dispatchers that start together must not act in step.
         self.actions: list[i.Action] = [i.WakeMe(TICK, start_us + self.random.randrange(PERIOD_US))]
         self.actions += [i.WatchList(True)] if settings.must_ask else []
         self.priority_share = START_PRIORITY_SHARE
         self.mean_worth, self.served_gap_us, self.last_served_us = 0.0, 0.0, start_us
         self.mean_run_us = [0.0] * (len(settings.classes) + 1)  # of served jobs, by class; last, of all
-        self.jobs_seen, self.probe_credit = 0, 0.0
+        self.jobs_seen, self.probe_credit, self.ask_wait_us = 0, 0.0, ASK_AGAIN_US
         self.parts = [q / (sum(settings.quotas_per_s) or 1.0) for q in settings.quotas_per_s]  # by tenant
         self.credit = [1.0] * len(self.parts)
-        self.ask_wait_us = ASK_AGAIN_US
 
     def handle(self, now_us: int, events: list[i.Event]) -> list[i.Action]:
         self.now, self.pool_rooms = now_us, {}
-        if self.common_cap is None:
-            self.common_cap = self.median_cap()
+        self.common_cap = self.common_cap or self.median_cap()
         for event in events:
             match event:
                 case i.Job():
@@ -156,14 +155,16 @@
     # -- pools and caps -----------------------------------------------------------------------------------
 
     def median_cap(self) -> float | None:
-        """What stands in for an unknown cap: the median of the known ones, by report or by 'full'."""
-        caps = [w.room + w.busy_slots if self.fresh(w) else w.cap for w in self.order]
+        """What stands in for an unknown cap: the median of those known by report, 'full' or late starts."""
+        heard = self.s.reports != "none"  # else one late start on a slow worker must not stand for all
+        caps = [w.room + w.busy_slots if self.fresh(w) and (heard or w.cap) else w.cap for w in self.order]
+        caps += [] if heard else self.late_at
         known = sorted(c for c in caps if c is not None)
         return known[len(known) // 2] if known else None
 
     def room(self, worker: i.Worker) -> float:
         """Cap less busy slots; where load is reported an old 'full' must not draw sends to its worker."""
-        if self.now - worker.room_us <= REPORT_FRESH_US:
+        if self.fresh(worker):
             return worker.room
         cap = self.common_cap if worker.cap is None or self.s.reports != "none" else worker.cap
         return inf if cap is None else cap - worker.busy_slots
@@ -196,7 +197,8 @@
         return self.pool_rooms[high]
 
     def resize(self) -> None:
-        self.common_cap, self.strength = self.median_cap(), sum(self.warmth(w) for w in self.order)
+        self.common_cap, self.stirred = self.median_cap(), True
+        self.strength = sum(map(self.warmth, self.order))
         # Jobs that wait for room are load too: without them a full High Set would never look over its caps.
         room = self.pool_room(True) - sum(h.job.slots for h in self.waiting if h.priority and not h.ended)
         # Dispatchers that know few rooms must not all give back the same workers, down to the same one.
@@ -335,7 +337,10 @@
 
     def on_started(self, held: i.Held, number: int) -> None:
         if 0 <= number < len(held.attempts):
-            held.attempts[number].started = True
+            attempt = held.attempts[number]
+            attempt.started, busy = True, attempt.worker.busy_slots
+            if busy >= (self.common_cap or inf) and not self.fresh(attempt.worker):
+                self.late_at.append(busy + 1)  # it had room beyond the common cap
             self.cancel(held, [a for a in held.attempts if not a.started])
 
     def cancel(self, held: i.Held, attempts: list[i.Attempt]) -> None:
@@ -352,6 +357,7 @@
         for _, held, attempt in due:
             if attempt.started or not attempt.open:
                 continue
+            self.late_at.append(attempt.worker.busy_slots)
             attempt.worker.room, attempt.worker.room_us = min(self.room(attempt.worker), 0.0), self.now
             left = not held.ended and len(held.attempts) < self.s.attempt_limit and self.repeatable(held)
             if left and self.s.may_duplicate and held.kind.effect is not i.Effect.UNSAFE:
@@ -364,12 +370,10 @@
 
     def pump(self) -> None:
         """Jobs that wait get the room that has come up, priority jobs first; the late ones are given up."""
-        waiting = sorted(self.waiting, key=lambda h: not h.priority)
+        waiting = sorted((h for h in self.waiting if not h.ended), key=lambda h: not h.priority)
         self.waiting, stuck, retry, self.stirred = [], set(), self.stirred, False
         for held in waiting:
             sort = (held.priority, held.job.job_class)
-            if held.ended:
-                continue
             if (not retry or sort in stuck) and self.now < self.wait_until(held):
                 self.waiting.append(held)
             elif not self.push(held):
@@ -395,12 +399,10 @@
         held = self.held.get(event.job)
         if held is None or not 0 <= event.attempt < len(held.attempts):
             return
-        attempt = held.attempts[event.attempt]
+        attempt, result = held.attempts[event.attempt], event.result
         if not attempt.open:
             return
-        attempt.open = False
-        worker, result = attempt.worker, event.result
-        full_at = worker.busy_slots
+        attempt.open, worker, full_at = False, attempt.worker, attempt.worker.busy_slots
         self.change_busy(worker, -held.job.slots)
         self.on_report(worker, event.report)
         attempt.clean = result.never_ran
@@ -428,8 +430,6 @@
         self.served_gap_us = running(self.served_gap_us, self.now - self.last_served_us)
         self.last_served_us = self.now
 
-    # -- timers -------------------------------------------------------------------------------------------
-
     def on_timer(self, token: int) -> None:
         if token == ASK:
             self.actions.append(i.WatchList(True))
@@ -437,7 +437,6 @@
             self.second_copies()
         elif token == TICK:
             self.resize()
-            self.stirred = True
             if self.jobs_seen > KEY_HORIZON:
                 self.jobs_seen //= 2
                 self.key_jobs = {key: n // 2 for key, n in self.key_jobs.items() if n > 1}
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -374,3 +374,36 @@
         else:
             bench.tick(200_000)
             assert bench.balancer.room(marked) == 0.0 and bench.balancer.median_cap() == busy > 1
+
+
+def test_one_late_start_on_a_slow_worker_does_not_stand_for_all_caps():
+    # On a crash day the common cap stayed at one for seconds, from a single late start with one busy slot:
+    # jobs waited though workers had room, and ordinary ones were refused.
+    bench = Bench(SAFE, workers=4, tells_start=True)
+
+    def late_starts(n):
+        sent = [bench.job() for _ in range(n)]
+        bench.tick(200_000)
+        for name, actions in sent:
+            bench.ended(name, pushes(actions)[0].worker, i.Result.OK)
+
+    late_starts(12)
+    busy = bench.balancer.median_cap()
+    bench.later(3_000_000)
+    late_starts(1)
+    assert busy > 1 and bench.balancer.median_cap() == busy
+
+
+def test_a_prompt_start_beyond_the_common_cap_raises_it():
+    bench = Bench(SAFE, workers=1, tells_start=True)
+    balancer = bench.balancer
+    bench.job()
+    bench.tick(200_000)
+    bench.tick()  # the common cap is now one
+    assert balancer.common_cap == 1.0
+    bench.later(2_100_000)
+    for _ in range(6):
+        name, actions = bench.job()
+        for push in pushes(actions):
+            bench.tell(i.Started(name, 0, push.worker))
+    assert balancer.median_cap() > 1.0
