--- a/stepstream/net/inbound.py
+++ b/stepstream/net/inbound.py
@@ -21,7 +21,8 @@
 
     def __init__(self) -> None:
         self.leaving = False  # after SIGTERM: connections close after their next answer
-        self.crowded = False  # requests would leave no connection for the news that ends them
+        # Whether one more request would leave no connection for the news that ends it.
+        self.crowded: Callable[[], bool] = lambda: False
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,7 +93,7 @@
                 raise ProtocolError(405, "only GET")
             return [self.reply(503 if self.door.leaving else 200)]
         request = self.side.read_request(message, now_us)
-        if self.door.crowded:
+        if self.door.crowded():
             # Guards the news: with every connection held by a waiting request none of them would ever end.
             self.phase = Phase.CLOSED
             return [Reply(platform.refusal(self.side.settings.max_retry_after_us, True), True)]
@@ -322,6 +323,7 @@
     ) -> None:
         self.limits, self.clock, self.side, self.post = limits, clock, side, post
         self.door = Door()
+        self.door.crowded = self.crowded
         self.readers = Crew("inbound", limits.inbound)
         self.writers = Crew("late writer", limits.late_writers)
         self.lock = threading.Lock()
@@ -358,7 +360,6 @@
         inbound = Inbound(sock, self)
         with self.lock:
             self.inbound.add(inbound)
-            self.count()
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError:
@@ -387,10 +388,14 @@
     def forget(self, inbound: Inbound) -> None:
         with self.lock:
             self.inbound.discard(inbound)
-            self.count()
 
-    def count(self) -> None:
-        self.door.crowded = len(self.inbound) > self.limits.inbound - self.limits.for_news
+    def crowded(self) -> bool:
+        """Only open requests count: connections between requests make room when news needs it."""
+        most = self.limits.inbound - self.limits.for_news
+        if len(self.inbound) <= most:
+            return False
+        with self.lock:
+            return sum(inbound.session.phase is Phase.WAITING for inbound in self.inbound) >= most
 
     def close_idle(self) -> None:
         with self.lock:
