--- a/stepstream/dispatch.py
+++ b/stepstream/dispatch.py
@@ -12,9 +12,6 @@
 from stepstream.balance import Balancer
 from stepstream.wheel import Wheel
 
-TICK_US = 2_000  # one tick of the wheel
-EARLY_US = 4_000  # calls are timed out so long before the deadline: the answer needs time to be written
-
 
 @dataclass(eq=False, slots=True)
 class Request:
@@ -147,11 +144,19 @@
 
 class Dispatcher:
     def __init__(
-        self, settings: i.Settings, seed: int, now_us: int, complain: Callable[[str], None] = print
+        self,
+        settings: i.Settings,
+        seed: int,
+        now_us: int,
+        tick_us: int,
+        early_us: int,
+        complain: Callable[[str], None],
     ) -> None:
+        """`tick_us`: of the wheel; `early_us`: before a deadline, the time that writing an answer needs."""
         self.settings, self.complain = settings, complain
+        self.tick_us, self.early_us = tick_us, early_us
         self.balancer = Balancer(settings, seed, now_us)
-        self.wheel = Wheel(now_us, TICK_US)
+        self.wheel = Wheel(now_us, tick_us)
         self.requests: dict[str, Request] = {}  # open, or with calls still out
         self.open_count = 0  # requests that are owed an answer
         self.commands: list[Command] = []
@@ -220,7 +225,7 @@
             return
         self.requests[request.id] = request
         self.open_count += 1
-        self.wheel.set(request.deadline_us - EARLY_US, request)
+        self.wheel.set(request.deadline_us - self.early_us, request)
         budget_us = max(request.deadline_us - now_us, 0)
         self.telling.append(
             i.Job(
@@ -315,7 +320,7 @@
         for call in request.calls:
             self.time_out(now_us, call)
         # Guards against a module that has no answer by the next tick.
-        self.wheel.set(now_us + TICK_US, (request,))
+        self.wheel.set(now_us + self.tick_us, (request,))
 
     def last_word(self, request: Request) -> None:
         if not request.answered:
@@ -348,7 +353,7 @@
     def on_push(self, now_us: int, request: Request | None, worker: str, limit_us: int) -> None:
         if request is None:
             return
-        deadline_us = request.deadline_us - EARLY_US
+        deadline_us = request.deadline_us - self.early_us
         if limit_us:
             deadline_us = min(deadline_us, now_us + limit_us)
         call = Call(request, len(request.calls), worker, now_us, deadline_us)
--- a/stepstream/net/http1.py
+++ b/stepstream/net/http1.py
@@ -199,7 +199,7 @@
         return line
 
     def chunk_size(self) -> bool:
-        line = self.line(256)
+        line = self.line(self.limits.chunk_line)
         if line is None:
             return False
         size = line.partition(b";")[0].strip()
--- a/stepstream/net/inbound.py
+++ b/stepstream/net/inbound.py
@@ -347,7 +347,7 @@
                     return
                 # Guards against a peer gone before its accept, or no descriptor left: neither may end this.
                 log(f"accept failed: {error}")
-                time.sleep(0.01)
+                time.sleep(self.limits.accept_pause)
                 continue
             self.admit(sock)
 
--- a/stepstream/net/limits.py
+++ b/stepstream/net/limits.py
@@ -11,6 +11,7 @@
     head: int = 16 * 1024  # a message's first line and headers
     body: int = 64 * 1024  # the platform's bound for a body
     list_body: int = 4 * 1024 * 1024  # discovery's answers
+    chunk_line: int = 256  # the line before a chunk
     read: int = 16 * 1024  # one read from a socket
     stack: int = 256 * 1024  # a thread's stack; ujson needs most of it for deep nesting
     # counts
@@ -21,7 +22,12 @@
     late_writers: int = 8  # threads for answers that a slow client does not take at once
     backlog: int = 1024
     batch: int = 256  # events that the core takes at a time
+    # times, in microseconds
+    tick_us: int = 2_000  # of the timer wheel
+    early_us: int = 4_000  # calls are timed out so long before the deadline: an answer takes time to write
     # times, in seconds
+    nap: float = 0.5  # the decision thread's longest wait
+    accept_pause: float = 0.01  # after a failed accept
     dial: float = 0.25
     write: float = 2.0  # a peer that takes nothing for so long is given up
     slow_peer: float = 5.0  # from the first byte of a message to its last
@@ -42,6 +48,7 @@
     stop_quiet: float = 0.3  # after SIGTERM: nothing owed for so long means the front has noticed
     stop_least: float = 0.8  # and never sooner than this
     stop_longest: float = 60.0
+    stop_look: float = 0.02
 
 
 def limits_for(config: Config) -> Limits:
--- a/stepstream/net/node.py
+++ b/stepstream/net/node.py
@@ -17,8 +17,6 @@
 from stepstream.net.threads import Clock, guarded, log, spawn
 from stepstream.settings import Config
 
-LONGEST_NAP_S = 0.5
-
 
 class Node:
     def __init__(self, config: Config) -> None:
@@ -27,7 +25,8 @@
         self.clock = Clock()
         self.events: SimpleQueue[dispatch.Event] = SimpleQueue()
         post = self.events.put
-        self.core = Dispatcher(config.settings, config.seed, self.clock.now_us(), log)
+        ticks = self.limits.tick_us, self.limits.early_us
+        self.core = Dispatcher(config.settings, config.seed, self.clock.now_us(), *ticks, log)
         self.destinations = DestinationSet()
         self.house = House(self.limits, self.clock, ClientSide(config.settings), post)
         self.outbound = Outbound(self.limits, self.clock, self.destinations, post)
@@ -66,11 +65,12 @@
     def wait_for_events(self) -> list[dispatch.Event]:
         """All that is there by now, or nothing once a timer is due."""
         due_us = self.core.next_us()
-        nap = LONGEST_NAP_S if due_us is None else (due_us - self.clock.now_us()) / 1e6
+        longest = self.limits.nap
+        nap = longest if due_us is None else (due_us - self.clock.now_us()) / 1e6
         events: list[dispatch.Event] = []
         try:
             if nap > 0:
-                events.append(self.events.get(timeout=min(nap, LONGEST_NAP_S)))
+                events.append(self.events.get(timeout=min(nap, longest)))
             while len(events) < self.limits.batch:
                 events.append(self.events.get_nowait())
         except Empty:
@@ -131,7 +131,7 @@
                 busy = now
             if now - busy >= self.limits.stop_quiet and now - begun >= self.limits.stop_least:
                 break
-            time.sleep(0.02)
+            time.sleep(self.limits.stop_look)
         self.house.close_listener()
         self.report()
         log("stopped")
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -2,7 +2,7 @@
 
 import pytest
 from hypothesis import strategies as st
-from net_helpers import SETTINGS, WORKERS, request
+from net_helpers import LIMITS, SETTINGS, WORKERS, request
 from walk import walks
 
 from stepstream import interface as i
@@ -29,7 +29,7 @@
 
     def __init__(self, settings=SETTINGS):
         self.now, self.commands, self.complaints = START_US, [], []
-        self.core = Dispatcher(settings, 1, self.now, self.complaints.append)
+        self.core = Dispatcher(settings, 1, self.now, LIMITS.tick_us, LIMITS.early_us, self.complaints.append)
         self.tell(i.WorkerList(i.ListKind.PERSISTED, WORKERS))
 
     def tell(self, *events):
