Handle SIGHUP: reload the configuration, all or nothing, and follow discovery

Now the main thread takes signals from a queue (an Event's lock can be held by the code that the handler interrupts), reads the file by the one reader and, if all of it is right, retires the old discovery with its call, tells the core of the settings and hands down the limits. Classes and tenants are matched by name, so learned means, open jobs and requests read a moment before keep their meaning. A bad file is one line with its key.

--- a/stepstream/balance.py
+++ b/stepstream/balance.py
@@ -46,12 +46,11 @@
         self.key_orders: dict[str, list[i.Worker]] = {}  # of the keys seen since the list changed
         self.key_jobs: dict[str | None, int] = {}
         self.pool_rooms, self.strength = {}, 0.0  # by pool; of all workers, in warm ones
-        self.common_cap: float | None = None
         self.late_at: deque[float] = deque(maxlen=LATE_KEPT)  # busy slots where starts were late, or not yet
         # Periods begin at random: dispatchers that start together must not act in step.
         self.actions: list[i.Action] = [i.WakeMe(TICK, start_us + self.random.randrange(PERIOD_US))]
         self.actions += [i.WatchList(True)] if settings.must_ask else []
-        self.priority_share = START_PRIORITY_SHARE
+        self.priority_share, self.common_cap = START_PRIORITY_SHARE, None
         self.mean_worth, self.served_gap_us, self.last_served_us = 0.0, 0.0, start_us
         self.mean_run_us = [0.0] * (len(settings.classes) + 1)  # of served jobs, by class; last, of all
         self.jobs_seen, self.probe_credit, self.ask_wait_us = 0, 0.0, ASK_AGAIN_US
@@ -77,16 +76,26 @@
                     self.on_report(self.workers[event.worker], event.report)
                 case i.ClientLeft() if event.job in self.held:
                     self.end(self.held[event.job])
+                case i.NewSettings():
+                    self.on_settings(event.settings)
         self.pump()
         actions, self.actions = self.actions, []
         return actions
 
+    def on_settings(self, new: i.Settings) -> None:
+        old, self.s = self.s, new
+        self.mean_run_us[:-1] = i.carried(old.class_names, new.class_names, self.mean_run_us, 0.0)
+        self.parts = i.carried(old.tenants, new.tenants, self.parts, 0.0)
+        self.credit = i.carried(old.tenants, new.tenants, self.credit, 1.0)
+        for held in self.held.values():
+            held.move(new.class_names)
+
     # -- membership ---------------------------------------------------------------------------------------
 
     def on_list(self, event: i.WorkerList) -> None:
         if event.kind is i.ListKind.FAILED:  # ask again, jittered so that dispatchers don't ask as one
-            at_us = self.now + int(self.ask_wait_us * self.random.uniform(0.5, 1.0))
-            self.actions.append(i.WakeMe(ASK, at_us))
+            wait_us = int(self.ask_wait_us * self.random.uniform(0.5, 1.0))
+            self.actions.append(i.WakeMe(ASK, self.now + wait_us))
             self.ask_wait_us = min(2 * self.ask_wait_us, self.s.must_ask_us // 2)
             return
         self.ask_wait_us = ASK_AGAIN_US
@@ -135,8 +144,8 @@
     def warmth(self, worker: i.Worker) -> float:  # the least part of its capacity that it has by now
         if self.now >= worker.warm_us:
             return 1.0
-        age = self.now - worker.entry.started_us
-        return self.s.cold_share + (1 - self.s.cold_share) * max(age, 0) / self.s.warm_within_us
+        part = max(self.now - worker.entry.started_us, 0) / self.s.warm_within_us
+        return self.s.cold_share + (1 - self.s.cold_share) * part
 
     def cold_turn(self, held: i.Held, worker: i.Worker) -> bool:
         """It gets the work that a warm one did for us of late, times its warmth; so do all dispatchers."""
@@ -296,13 +305,11 @@
 
     def next_turn(self, pool: list[i.Worker]) -> i.Worker:
         """Smooth weighted round robin; a cold worker's weight shrinks with its warmth."""
-        total = 0.0
-        for worker in pool:
-            weight = max(worker.entry.weight, 1e-6) * self.warmth(worker)
+        weights = [max(w.entry.weight, 1e-6) * self.warmth(w) for w in pool]
+        for worker, weight in zip(pool, weights, strict=True):
             worker.turn += weight
-            total += weight
         best = max(pool, key=lambda w: w.turn)
-        best.turn -= total
+        best.turn -= sum(weights)
         return best
 
     # -- attempts -----------------------------------------------------------------------------------------
@@ -316,9 +323,8 @@
         worker = None if later else self.choose(held)
         if worker is None:
             self.waiting.append(held)
-            if not held.waited:
-                held.waited = True
-                self.actions.append(i.WakeMe(PUMP, self.wait_until(held)))
+            self.actions += [] if held.waited else [i.WakeMe(PUMP, self.wait_until(held))]
+            held.waited = True
             return False
         self.send(held, worker)
         return True
@@ -336,8 +342,7 @@
             self.actions.append(i.WakeMe(START, due))
 
     def on_started(self, held: i.Held, number: int) -> None:
-        if 0 <= number < len(held.attempts):
-            attempt = held.attempts[number]
+        if (attempt := held.attempt(number)) is not None:
             attempt.started, busy = True, attempt.worker.busy_slots
             if busy >= (self.common_cap or inf) and not self.fresh(attempt.worker):
                 self.late_at.append(busy + 1)  # it had room beyond the common cap
@@ -397,10 +402,8 @@
 
     def on_attempt_ended(self, event: i.AttemptEnded) -> None:
         held = self.held.get(event.job)
-        if held is None or not 0 <= event.attempt < len(held.attempts):
-            return
-        attempt, result = held.attempts[event.attempt], event.result
-        if not attempt.open:
+        attempt, result = held and held.attempt(event.attempt), event.result
+        if attempt is None or not attempt.open:
             return
         attempt.open, worker, full_at = False, attempt.worker, attempt.worker.busy_slots
         self.change_busy(worker, -held.job.slots)
@@ -422,13 +425,10 @@
             self.push(held, result is i.Result.FULL and 2 * len(held.attempts) >= self.s.attempt_limit)
 
     def note_served(self, held: i.Held, spent_us: int) -> None:
-        def running(mean: float, new: float) -> float:
-            return mean + MEMORY * (new - mean) if mean else max(new, 1.0)
-
         for k in (held.job.job_class, -1):
-            self.mean_run_us[k] = running(self.mean_run_us[k], spent_us)
-        self.served_gap_us = running(self.served_gap_us, self.now - self.last_served_us)
-        self.last_served_us = self.now
+            self.mean_run_us[k] = i.running(self.mean_run_us[k], spent_us, MEMORY)
+        gap_us, self.last_served_us = self.now - self.last_served_us, self.now
+        self.served_gap_us = i.running(self.served_gap_us, gap_us, MEMORY)
 
     def on_timer(self, token: int) -> None:
         if token == ASK:
--- a/stepstream/dispatch.py
+++ b/stepstream/dispatch.py
@@ -28,6 +28,7 @@
     client_retry: bool = False
     payload: object = None
     origin: object = None
+    settings: i.Settings | None = None  # those it was read by, if they may since have been replaced
     calls: "list[Call]" = field(default_factory=list)
     answered: bool = False
 
@@ -97,7 +98,7 @@
     request: Request
 
 
-Event = Arrived | Left | CallEnded | Told | Broken | i.WorkerList | i.Probed
+Event = Arrived | Left | CallEnded | Told | Broken | i.WorkerList | i.Probed | i.NewSettings
 
 
 class Outcome(Enum):
@@ -212,6 +213,9 @@
             case Broken(request):
                 self.answer(request, Outcome.FAILED)
                 self.telling.append(i.ClientLeft(request.id))
+            case i.NewSettings(settings):
+                self.settings = settings
+                self.telling.append(event)
             case _:
                 self.telling.append(event)
 
@@ -223,6 +227,9 @@
         if self.open_count >= self.settings.max_open:
             self.commands.append(Answer(request, Outcome.REFUSED, None, self.settings.max_retry_after_us))
             return
+        if not self.renamed(request):
+            self.commands.append(Answer(request, Outcome.FAILED))
+            return
         self.requests[request.id] = request
         self.open_count += 1
         self.wheel.set(request.deadline_us - self.early_us, request)
@@ -240,6 +247,19 @@
             )
         )
 
+    def renamed(self, request: Request) -> bool:
+        """Guards against a request read by settings replaced since: its numbers are those."""
+        old, new = request.settings, self.settings
+        if old is None or old is new:
+            return True
+        kind = old.classes[request.job_class].name
+        tenant = old.tenants[request.tenant] if old.tenants else ""
+        if kind not in new.class_names or (new.tenants and tenant not in new.tenants):
+            return False
+        request.job_class = new.class_names.index(kind)
+        request.tenant = new.tenants.index(tenant) if new.tenants else 0
+        return True
+
     def on_news(self, now_us: int, told: Told) -> None:
         """News may come before the 202, twice, or be of a time before a restart: applied at most once."""
         request = self.requests.get(told.id)
--- a/stepstream/interface.py
+++ b/stepstream/interface.py
@@ -4,7 +4,8 @@
 """
 
 from collections import deque
-from dataclasses import dataclass, field
+from collections.abc import Sequence
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from math import inf
 from zlib import crc32
@@ -97,6 +98,10 @@
     dial_timeout_us: int = 250_000
     max_open: int = 20_000  # requests
 
+    @property
+    def class_names(self) -> tuple[str, ...]:
+        return tuple(kind.name for kind in self.classes)
+
 
 @dataclass(frozen=True)
 class WorkerEntry:
@@ -167,7 +172,14 @@
     token: int
 
 
-Event = WorkerList | Job | AttemptEnded | Started | Probed | ClientLeft | Timer
+@dataclass(frozen=True)
+class NewSettings:
+    """The settings were replaced: what was learned stays, by the names of classes and tenants."""
+
+    settings: Settings
+
+
+Event = WorkerList | Job | AttemptEnded | Started | Probed | ClientLeft | Timer | NewSettings
 
 
 @dataclass(frozen=True)
@@ -231,6 +243,17 @@
 Action = Push | Refuse | Fail | Cancel | Probe | WakeMe | WatchList | FetchList | Log
 
 
+def running(mean: float, new: float, weight: float) -> float:
+    """A running mean with the newest value in; 0 stands for none so far."""
+    return mean + weight * (new - mean) if mean else max(new, 1.0)
+
+
+def carried(old: tuple[str, ...], new: tuple[str, ...], values: Sequence[float], fresh: float) -> list[float]:
+    """What was learned by name, in the order of the new names; `fresh` for a name not known before."""
+    known = dict(zip(old, values, strict=False))
+    return [known.get(name, fresh) for name in new]
+
+
 # What a Balancer remembers: plain records, all decisions are in balance.py.
 
 
@@ -279,6 +302,14 @@
     waited: bool = False  # a timer rings at the end of its patience
     ended: bool = False
 
+    def move(self, names: tuple[str, ...]) -> None:
+        """Settings were replaced: the job keeps its terms, its class may stand elsewhere or be gone (-1)."""
+        place = names.index(self.kind.name) if self.kind.name in names else -1
+        self.job = replace(self.job, job_class=place)
+
+    def attempt(self, number: int) -> Attempt | None:
+        return self.attempts[number] if 0 <= number < len(self.attempts) else None
+
     def may_have_run(self) -> Attempt | None:
         """The first attempt that is out or may have had its effect: repeats are bound to it."""
         return next((a for a in self.attempts if not a.clean), None)
--- a/stepstream/net/discovery.py
+++ b/stepstream/net/discovery.py
@@ -11,7 +11,7 @@
 from stepstream.net.http1 import Message, Parser, ProtocolError
 from stepstream.net.limits import Limits
 from stepstream.net.platform import DiscoverySide, Targets
-from stepstream.net.sockets import dial, stale, time_limit
+from stepstream.net.sockets import dial, hang_up, stale, time_limit
 from stepstream.net.threads import log
 
 Address = tuple[str, int]
@@ -50,6 +50,8 @@
 
 
 class Discovery:
+    """One address of discovery, asked by a thread of its own; a reload retires it and begins another."""
+
     def __init__(
         self,
         limits: Limits,
@@ -62,21 +64,39 @@
         self.destinations, self.post = destinations, post
         self.asks: SimpleQueue[bool] = SimpleQueue()
         self.version = 0
+        self.lock = threading.Lock()  # orders a list, or a new connection, against the end
+        self.retired = False
         self.sock: socket.socket | None = None
 
     def ask(self, watch: bool) -> None:
         self.asks.put(watch)
 
+    def retire(self) -> None:
+        """Its call ends now, and nothing of it is told once this returns."""
+        with self.lock:
+            self.retired = True
+            if self.sock is not None:
+                hang_up(self.sock)
+        self.asks.put(False)  # wakes the thread
+
     def learn(self, targets: Targets) -> None:
-        self.version = targets.version
-        self.destinations.apply(targets)
-        self.post(targets.told)
+        with self.lock:
+            # Guards against a list of the address before a reload, which must not follow the new one's.
+            if not self.retired:
+                self.version = targets.version
+                self.destinations.apply(targets)
+                self.post(targets.told)
 
     def run(self) -> None:
-        while True:
-            watch = self.asks.get()
+        while not self.retired:
+            self.serve_ask()
+        self.hang_up()
+
+    def serve_ask(self) -> None:
+        watch = self.asks.get()
+        if not self.retired:
             going = self.call(watch and self.version > 0)
-            while watch and going:
+            while watch and going and not self.retired:
                 going = self.call(True)
                 if self.drain_asks():
                     going = self.call(False)
@@ -102,10 +122,15 @@
         except (OSError, ProtocolError) as error:
             self.hang_up()
             self.drain_asks()
-            log(f"discovery failed: {error}")
-            self.post(i.WorkerList(i.ListKind.FAILED))
+            self.fail(error)
             return False
 
+    def fail(self, error: Exception) -> None:
+        with self.lock:
+            if not self.retired:
+                log(f"discovery failed: {error}")
+                self.post(i.WorkerList(i.ListKind.FAILED))
+
     def exchange(self, watch: bool) -> Message:
         """Reads on from the moment the call is written: a change counts as told once discovery wrote it."""
         host = f"{self.where[0]}:{self.where[1]}"
@@ -134,10 +159,16 @@
         if self.sock is not None and stale(self.sock):
             self.hang_up()
         if self.sock is None:
-            self.sock = dial(self.where, self.limits.fetch, self.limits.write)
+            sock = dial(self.where, self.limits.fetch, self.limits.write)
+            with self.lock:
+                self.sock = sock
+        if self.retired:
+            # Guards against a call that begins while its address is being left.
+            raise OSError("retired")
         return self.sock
 
     def hang_up(self) -> None:
-        if self.sock is not None:
-            self.sock.close()
-            self.sock = None
+        with self.lock:
+            sock, self.sock = self.sock, None
+        if sock is not None:
+            sock.close()
--- a/stepstream/net/inbound.py
+++ b/stepstream/net/inbound.py
@@ -17,9 +17,10 @@
 
 
 class Door:
-    """Whether the dispatcher takes new work, as its connections and the front are told."""
+    """What all inbound connections go by: the platform's words, and whether new work is taken."""
 
-    def __init__(self) -> None:
+    def __init__(self, side: platform.ClientSide) -> None:
+        self.side = side  # replaced by a reload, between two messages
         self.leaving = False  # after SIGTERM: connections close after their next answer
         # Whether one more request would leave no connection for the news that ends it.
         self.crowded: Callable[[], bool] = lambda: False
@@ -45,8 +46,8 @@
 class Session:
     """An inbound connection as a state machine: bytes and answers in, steps and bytes out."""
 
-    def __init__(self, limits: Limits, side: platform.ClientSide, door: Door) -> None:
-        self.limits, self.side, self.door = limits, side, door
+    def __init__(self, limits: Limits, door: Door) -> None:
+        self.limits, self.door = limits, door
         self.parser = Parser(limits)
         self.phase = Phase.READING
         self.request: Request | None = None
@@ -92,11 +93,11 @@
             if message.method != "GET":
                 raise ProtocolError(405, "only GET")
             return [self.reply(503 if self.door.leaving else 200)]
-        request = self.side.read_request(message, now_us)
+        request = self.door.side.read_request(message, now_us)
         if self.door.crowded():
             # Guards the news: with every connection held by a waiting request none of them would ever end.
             self.phase = Phase.CLOSED
-            return [Reply(platform.refusal(self.side.settings.max_retry_after_us, True), True)]
+            return [Reply(platform.refusal(self.door.side.settings.max_retry_after_us, True), True)]
         self.request, self.phase = request, Phase.WAITING
         return [self.request]
 
@@ -142,7 +143,7 @@
     def __init__(self, sock: socket.socket, house: "House") -> None:
         self.sock, self.house = sock, house
         self.lock = threading.Lock()
-        self.session = Session(house.limits, house.side, house.door)
+        self.session = Session(house.limits, house.door)
         self.writing = False  # a late writer is at work on the rest of an answer
         self.ended = False  # the reader has left; the late writer closes the socket
         self.active = self.begun = time.monotonic()  # the last byte or answer; the current message's first
@@ -321,8 +322,8 @@
         side: platform.ClientSide,
         post: Callable[[Event], None],
     ) -> None:
-        self.limits, self.clock, self.side, self.post = limits, clock, side, post
-        self.door = Door()
+        self.limits, self.clock, self.post = limits, clock, post
+        self.door = Door(side)
         self.door.crowded = self.crowded
         self.readers = Crew("inbound", limits.inbound)
         self.writers = Crew("late writer", limits.late_writers)
@@ -331,6 +332,11 @@
         self.turned_away = 0
         self.listener: socket.socket | None = None
 
+    def reconfigure(self, limits: Limits, side: platform.ClientSide) -> None:
+        """After a reload; connections beyond a smaller budget stay until they end."""
+        self.limits, self.door.side = limits, side
+        self.readers.most, self.writers.most = limits.inbound, limits.late_writers
+
     def listen(self, address: tuple[str, int]) -> None:
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         # A restart must not wait for the connections of the process before it.
@@ -378,8 +384,9 @@
     def fail_fast(self, sock: socket.socket) -> None:
         """Over budget: refused before a byte is read, without a thread."""
         self.turned_away += 1
+        data = platform.refusal(self.door.side.settings.max_retry_after_us, True)
         try:
-            sock.send(platform.refusal(self.side.settings.max_retry_after_us, True), socket.MSG_DONTWAIT)
+            sock.send(data, socket.MSG_DONTWAIT)
             sock.shutdown(socket.SHUT_WR)
         except OSError:
             pass
--- a/stepstream/net/node.py
+++ b/stepstream/net/node.py
@@ -7,6 +7,7 @@
 from queue import Empty, SimpleQueue
 
 from stepstream import dispatch
+from stepstream import interface as i
 from stepstream.dispatch import Dispatcher, Outcome
 from stepstream.net.discovery import DestinationSet, Discovery
 from stepstream.net.http1 import ProtocolError
@@ -15,7 +16,7 @@
 from stepstream.net.outbound import Outbound
 from stepstream.net.platform import ClientSide, DiscoverySide
 from stepstream.net.threads import Clock, guarded, log, spawn
-from stepstream.settings import Config
+from stepstream.settings import Config, FieldError, read_config
 
 
 class Node:
@@ -30,10 +31,14 @@
         self.destinations = DestinationSet()
         self.house = House(self.limits, self.clock, ClientSide(config.settings), post)
         self.outbound = Outbound(self.limits, self.clock, self.destinations, post)
-        side = DiscoverySide(config.settings)
-        self.discovery = Discovery(self.limits, config.discovery, side, self.destinations, post)
+        self.discovery = self.discovery_for(config, self.limits)
         self.counts = dict.fromkeys(Outcome, 0)
-        self.stopping = threading.Event()
+        # A queue and no Event: its put() may interrupt its own get(), as a signal handler does.
+        self.signals: SimpleQueue[int] = SimpleQueue()
+
+    def discovery_for(self, config: Config, limits: Limits) -> Discovery:
+        side = DiscoverySide(config.settings)
+        return Discovery(limits, config.discovery, side, self.destinations, self.events.put)
 
     def start(self) -> None:
         threading.stack_size(self.limits.stack)
@@ -96,13 +101,15 @@
     # -- the main thread ----------------------------------------------------------------------------------
 
     def run(self) -> int:
-        signal.signal(signal.SIGTERM, lambda *_: self.stopping.set())
-        signal.signal(signal.SIGINT, lambda *_: self.stopping.set())
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, lambda came, _: self.signals.put(came))
         # Threads that wait for the interpreter ask for it sooner than after the usual 5 ms.
         sys.setswitchinterval(0.001)
         self.start()
         reported = time.monotonic()
-        while not self.stopping.wait(self.limits.sweep):
+        while (came := self.next_signal()) in (None, signal.SIGHUP):
+            if came is not None:
+                guarded("reload", self.reload)
             guarded("sweep", self.outbound.pool.sweep)
             if time.monotonic() - reported >= self.limits.status:
                 reported += self.limits.status
@@ -110,6 +117,37 @@
         self.stop()
         return 0
 
+    def next_signal(self) -> int | None:
+        try:
+            return self.signals.get(timeout=self.limits.sweep)
+        except Empty:
+            return None
+
+    def reload(self) -> None:
+        """SIGHUP: the file is read anew, all or nothing; what is open or learned stays."""
+        try:
+            config = read_config()
+            if config.listen != self.config.listen:
+                raise FieldError(f"listen={config.listen[0]}:{config.listen[1]} changes only with a restart")
+        except FieldError as error:
+            log(f"configuration: {error}; the old one serves on")
+            return
+        self.apply(config)
+        log(f"reloaded: {config.name} asks discovery at {config.discovery[0]}:{config.discovery[1]}")
+
+    def apply(self, config: Config) -> None:
+        limits = limits_for(config)
+        old, new = self.discovery, self.discovery_for(config, limits)
+        spawn("discovery", new.run)  # first: without a thread nothing changes
+        old.retire()
+        # Before anything is read by the new settings: the core hears of them first.
+        self.events.put(i.NewSettings(config.settings))
+        self.config, self.limits = config, limits
+        self.house.reconfigure(limits, ClientSide(config.settings))
+        self.outbound.reconfigure(limits)
+        self.discovery = new
+        new.ask(True)
+
     def report(self) -> None:
         counts = ", ".join(f"{n} {outcome.value}" for outcome, n in self.counts.items())
         log(
--- a/stepstream/net/outbound.py
+++ b/stepstream/net/outbound.py
@@ -176,6 +176,11 @@
         self.pool = Pool(limits)
         self.crew = Crew("outbound", limits.call_threads)
 
+    def reconfigure(self, limits: Limits) -> None:
+        """After a reload; what is open beyond a smaller budget stays until it ends."""
+        self.limits = self.pool.limits = limits
+        self.crew.most = limits.call_threads
+
     def start(self, call: Call) -> None:
         call.handle = Flight()
         self.crew.submit(self.run, call, call.handle)
--- a/stepstream/net/platform.py
+++ b/stepstream/net/platform.py
@@ -58,6 +58,7 @@
             memory=figures.get("ram_units", figures.get("memory", 0.0)),
             client_retry=headers.get("client-retry") == "1",
             payload=message,
+            settings=self.settings,
         )
 
     def tenant(self, name: str | None) -> int:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -26,8 +26,8 @@
     """The model: messages that have wholly arrived, and one of idle, open and closed."""
 
     def __init__(self):
-        self.door = Door()
-        self.session = Session(LIMITS, ClientSide(SETTINGS), self.door)
+        self.door = Door(ClientSide(SETTINGS))
+        self.session = Session(LIMITS, self.door)
         self.rest, self.queue, self.state, self.worker = b"", [], "idle", False
         self.seen, self.expected, self.request = [], [], None
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -1,5 +1,7 @@
 """The core without sockets: one final answer in time, calls and news by the protocol's table."""
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import strategies as st
 from net_helpers import LIMITS, SETTINGS, WORKERS, request
@@ -173,6 +175,38 @@
     assert AskList(True) in desk.until(START_US + 600_000)
 
 
+TURNED = replace(SETTINGS, classes=SETTINGS.classes[::-1], tenants=SETTINGS.tenants[::-1])
+
+
+def test_a_request_read_before_a_reload_keeps_its_class_and_tenant_by_name():
+    desk = Desk()
+    desk.tell(i.NewSettings(TURNED))
+    taken = replace(request("aa", desk.now), settings=SETTINGS)
+    (call,) = of(StartCall, desk.tell(Arrived(taken)))
+    assert call.call.request is taken and (taken.job_class, taken.tenant) == (1, 1)
+
+
+def test_a_request_of_a_class_that_a_reload_took_away_is_answered():
+    desk = Desk()
+    desk.tell(i.NewSettings(replace(SETTINGS, classes=SETTINGS.classes[1:])))
+    taken = replace(request("aa", desk.now), settings=SETTINGS)
+    assert desk.tell(Arrived(taken)) == [Answer(taken, Outcome.FAILED)]
+
+
+def test_a_job_open_over_a_reload_is_served_and_counted_for_its_class():
+    desk = Desk()
+    _, commands = desk.take(job_class=1)
+    call = one_call(commands)
+    desk.core.balancer.mean_run_us[:] = [1.0, 2.0, 3.0]
+    desk.tell(i.NewSettings(TURNED))
+    assert desk.core.balancer.mean_run_us == [2.0, 1.0, 3.0]
+    desk.now += 1_000_000
+    assert of(Answer, desk.tell(Told("aa", call.worker, News.DONE, "1")))[0].outcome is Outcome.SERVED
+    assert desk.core.balancer.mean_run_us[0] > 2.0 and desk.core.balancer.mean_run_us[1] == 1.0
+    desk.tell(i.NewSettings(replace(SETTINGS, classes=SETTINGS.classes[1:])))
+    assert len(desk.core.balancer.mean_run_us) == 2
+
+
 class CoreRig:
     """The model: for each request its open calls by worker, and whether it has had its answer."""
 
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -237,6 +237,18 @@
     silent.set()
 
 
+def test_a_retired_discovery_ends_its_call_and_tells_nothing_more():
+    silent = threading.Event()
+    watcher = Watcher(lambda _: silent.wait(PATIENCE) and write_answer(200, LIST))
+    watcher.discovery.ask(True)
+    wait_for(lambda: watcher.server.seen)
+    watcher.discovery.retire()
+    wait_for(lambda: watcher.discovery.sock is None)
+    watcher.discovery.learn(targets(w=1))
+    silent.set()
+    assert not watcher.events and watcher.discovery.destinations.address("w") is None
+
+
 # -- the inbound side -------------------------------------------------------------------------------------
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -102,17 +102,25 @@
             "discovery": f"127.0.0.1:{self.discovery.port}",
             "known": self.list,
         }
-        path = folder / "config.json"
-        path.write_text(json.dumps(config))
+        self.config, self.path = config, folder / "config.json"
+        self.path.write_text(json.dumps(config))
         self.process = subprocess.Popen(
             [sys.executable, "-m", "stepstream", "serve"],
             cwd=ROOT,
-            env={**os.environ, "EDGE_CONFIG": str(path)},
+            env={**os.environ, "EDGE_CONFIG": str(self.path)},
             stderr=subprocess.PIPE,
             text=True,
         )
         wait_for(self.ready)
 
+    def reload(self, config):
+        """Replaces the file and sends SIGHUP; the log line that it causes."""
+        self.path.write_text(json.dumps(config))
+        self.process.send_signal(signal.SIGHUP)
+        for line in self.process.stderr:
+            if "reloaded" in line or "configuration" in line:
+                return line
+
     def ready(self):
         try:
             return ask(self.port, b"GET /-/ready HTTP/1.1\r\n\r\n").status == 200
@@ -226,6 +234,41 @@
     assert "2 served, 0 refused, 0 failed" in log and log.endswith("stepstream: stopped\n")
 
 
+def test_a_reload_asks_the_new_discovery_and_keeps_what_is_open(world):
+    world.hold.set()
+    new = Server(world.on_discovery)
+    with socket.create_connection(("127.0.0.1", world.port), timeout=PATIENCE) as peer:
+        peer.sendall(job_bytes(name="0e", Request_Timeout_Ms="60000"))
+        wait_for(world.jobs)
+        settings = {**world.config["settings"], "services": world.config["settings"]["services"][::-1]}
+        where = f"127.0.0.1:{new.port}"
+        assert where in world.reload({**world.config, "discovery": where, "settings": settings})
+        wait_for(lambda: [m for m in new.seen if "wait=" in m.target])
+        before = len(world.discovery.seen)
+        # The job of before the reload is answered on its connection, and a new one after it.
+        assert world.news("0e", "done", "1") == 200 and ask(0, b"", peer).body == b"1"
+        world.hold.clear()
+        assert ask(0, job_bytes(name="0f"), peer).status == 200
+        wait_for(lambda: len([m for m in new.seen if "wait=" in m.target]) > 2)
+    assert new.seen[0].target == "/api/targets" and len(world.discovery.seen) == before
+    new.sock.close()
+
+
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [
+        ({"settings": {}}, "services"),
+        ({"discovery": "x"}, "discovery"),
+        ({"listen": "127.0.0.1:1"}, "listen"),
+    ],
+)
+def test_a_reload_of_a_bad_file_is_one_line_and_changes_nothing(world, change, key):
+    assert key in world.reload({**world.config, **change})
+    assert ask(world.port, job_bytes()).status == 200
+    before = len(world.discovery.seen)
+    wait_for(lambda: len(world.discovery.seen) > before)
+
+
 def test_sigkill_and_a_new_start_on_the_same_address(world, tmp_path):
     with socket.create_connection(("127.0.0.1", world.port), timeout=PATIENCE) as peer:
         assert ask(0, job_bytes(), peer).status == 200
