Let strangers make room first and keep places for workers' news in a flood

Counters written to the log each half second (since taken out) showed: about 100 of the 128 inbound places were held by connections that had been answered 404 or had said nothing; when some 400 more came within 1.5 s, 360 connections were turned away, clients' and workers' alike, and in the same second the module began to refuse (110 requests, 2 before): its pushes looked late because the news of their starts had been turned away.

Checked: every connection that brought news came from a host that the list names as a worker's; clients, good and bad, share other hosts. Ruled out: CPU (0.26 s in the worst second), memory (22 of 80 MB), the workers (no errors).

At fault: inbound.py, make_room() (only what had been quiet for 1 s made room, the longest quiet first, so clients' idle connections went before the flood's), admit() (one budget for news and strangers), refuse() (404 and 405 kept the connection), lingers() (5 s for a new connection's first message, 120 s for a silent one); limits.py took 64 MB of memory for granted.

Now: strangers make room after 50 ms of quiet, old clients only after them and never over unread bytes; places are kept for workers' hosts; each error ends its connection; a new connection has 2 s for its first message, looked at from the main thread every half second, so that an error or a close comes within 3 s. Also: empty lines without end, white space and line feeds in a chunk's size, a transfer coding under HTTP/1.0 and figures like slots=1e300 are errors now.

--- a/stepstream/net/discovery.py
+++ b/stepstream/net/discovery.py
@@ -27,6 +27,7 @@
         self.lock = threading.Lock()
         self.addresses: dict[str, Address] = {}
         self.ready: set[str] = set()
+        self.hosts: frozenset[str] = frozenset()
 
     def apply(self, targets: Targets) -> None:
         with self.lock:
@@ -38,6 +39,10 @@
                     self.ready.add(entry.worker)
                 else:
                     self.ready.discard(entry.worker)
+            self.hosts = frozenset(host for host, _ in self.addresses.values())
+
+    def is_worker(self, host: str) -> bool:
+        return host in self.hosts
 
     def address(self, worker: str) -> Address | None:
         """None for a worker that must not get new work."""
--- a/stepstream/net/http1.py
+++ b/stepstream/net/http1.py
@@ -62,6 +62,7 @@
         self.buffer = bytearray()
         self.seen = 0  # bytes of the buffer already searched for a line's end
         self.message = Message()
+        self.blank = False  # an empty line stood before the message
         self.need = 0
         self.parts: list[bytes] = []
         self.size = 0  # of the chunks so far
@@ -100,8 +101,13 @@
     # -- steps: each is true once its state is over -----------------------------------------------------
 
     def head(self) -> bool:
-        while self.buffer[:2] == b"\r\n":  # empty lines before a message are allowed
+        if self.buffer[:2] == b"\r\n":
+            # One empty line before a message is allowed; guards against a peer that sends them without end.
+            if self.blank:
+                raise ProtocolError(400, "empty lines in place of a message")
+            self.blank = True
             del self.buffer[:2]
+            return bool(self.buffer) and self.head()
         at = self.buffer.find(b"\r\n\r\n", max(self.seen - 3, 0))
         if at < 0 or at > self.limits.head:
             self.seen = len(self.buffer)
@@ -113,9 +119,12 @@
         except UnicodeDecodeError:
             raise ProtocolError(400, "the head holds bytes outside ASCII") from None
         del self.buffer[: at + 4]
-        self.seen = 0
+        self.seen, self.blank = 0, False
         version = self.status_line(first) if self.answers else self.request_line(first)
         self.message.headers = headers = self.fields(lines)
+        if version == 0 and "transfer-encoding" in headers:
+            # Guards against smuggling: to an HTTP/1.0 party on the way the coding means nothing.
+            raise ProtocolError(400, "HTTP/1.0 has no transfer codings")
         connection = [part.strip().lower() for part in headers.get("connection", "").split(",")]
         self.message.keep_alive = "close" not in connection and (version > 0 or "keep-alive" in connection)
         self.frame(headers)
@@ -202,10 +211,11 @@
         line = self.line(self.limits.chunk_line)
         if line is None:
             return False
-        size = line.partition(b";")[0].strip()
-        if not re.fullmatch(rb"[0-9a-fA-F]{1,8}", size):
+        # Strict: white space or a bare line feed here is read differently by different parties.
+        found = re.fullmatch(rb"([0-9a-fA-F]{1,8})(;[\x20-\x7e]*)?", line)
+        if not found:
             raise ProtocolError(400, "a chunk's size is malformed")
-        self.need = int(size, 16)
+        self.need = int(found[1], 16)
         self.size += self.need
         self.check(self.size)
         self.state = State.CHUNK if self.need else State.TRAILER
--- a/stepstream/net/inbound.py
+++ b/stepstream/net/inbound.py
@@ -53,6 +53,8 @@
         self.request: Request | None = None
         self.keep_alive = True
         self.of_worker = False  # it has brought news
+        self.proven = False  # it has brought a job or news: it is no stranger
+        self.answered = False  # it has had an answer: its next message has a time of its own
 
     @property
     def between(self) -> bool:
@@ -87,7 +89,7 @@
         path = platform.path_of(message)
         if path == platform.NEWS:
             told = platform.read_news(message)
-            self.of_worker = True
+            self.of_worker = self.proven = True
             return [self.reply(200), *([told] if told else [])]
         if path == platform.READY:
             if message.method != "GET":
@@ -98,7 +100,7 @@
             # Guards the news: with every connection held by a waiting request none of them would ever end.
             self.phase = Phase.CLOSED
             return [Reply(platform.refusal(self.door.side.settings.max_retry_after_us, True), True)]
-        self.request, self.phase = request, Phase.WAITING
+        self.request, self.phase, self.proven = request, Phase.WAITING, True
         return [self.request]
 
     def closing(self) -> bool:
@@ -107,13 +109,11 @@
 
     def reply(self, status: int) -> Reply:
         close = self.closing()
-        self.phase = Phase.CLOSED if close else Phase.READING
+        self.phase, self.answered = Phase.CLOSED if close else Phase.READING, True
         return Reply(write_answer(status, close=close), close)
 
     def refuse(self, error: ProtocolError) -> Reply:
-        """What breaks the framing ends the connection; a message that only says the wrong thing does not."""
-        if error.status in (404, 405) and self.phase is Phase.READING:
-            return self.reply(error.status)
+        """Ends the connection: behind a message in doubt nothing is read, and strangers hold no place."""
         self.phase = Phase.CLOSED
         return Reply(write_answer(error.status, close=True), True)
 
@@ -123,9 +123,19 @@
             return None
         close = self.closing()
         data = platform.final_answer(answer.outcome, answer.result, answer.pause_us, close)
-        self.request, self.phase = None, Phase.CLOSED if close else Phase.READING
+        self.request, self.phase, self.answered = None, Phase.CLOSED if close else Phase.READING, True
         return Reply(data, close)
 
+    def patience(self, limits: Limits) -> float:
+        """For how long its peer may go on as it is; a stranger's silence is not that of an old client."""
+        if self.phase is Phase.WAITING:
+            return math.inf
+        if self.phase is Phase.CLOSED:
+            return limits.linger
+        if self.between:
+            return limits.inbound_idle if self.proven else limits.greeting
+        return limits.slow_peer if self.answered else limits.greeting
+
     @property
     def owes(self) -> bool:
         """A message is half read or a request open."""
@@ -140,12 +150,13 @@
 class Inbound:
     """A connection's driver. Its thread reads; whoever has an answer writes, never waiting for the peer."""
 
-    def __init__(self, sock: socket.socket, house: "House") -> None:
-        self.sock, self.house = sock, house
+    def __init__(self, sock: socket.socket, house: "House", guest: bool = True) -> None:
+        self.sock, self.house, self.guest = sock, house, guest  # guest: not from a worker's host
         self.lock = threading.Lock()
         self.session = Session(house.limits, house.door)
         self.writing = False  # a late writer is at work on the rest of an answer
         self.ended = False  # the reader has left; the late writer closes the socket
+        self.left = False  # it has made room and counts among those that leave
         self.active = self.begun = time.monotonic()  # the last byte or answer; the current message's first
 
     def run(self) -> None:
@@ -166,30 +177,37 @@
 
     def read_on(self) -> None:
         limits = self.house.limits
-        time_limit(self.sock, socket.SO_RCVTIMEO, limits.slow_peer)
         time_limit(self.sock, socket.SO_SNDTIMEO, limits.write)
         while True:
             try:
                 data = self.sock.recv(limits.read)
-            except BlockingIOError:
-                if self.lingers():
-                    return
-                continue
             except OSError:
                 return
             if not data or not self.survives(data):
                 return
 
-    def lingers(self) -> bool:
-        """Guards against half-open and silent peers, which would hold their thread for ever."""
+    def look(self, now: float) -> None:
+        """Guards against half-open, silent and dawdling peers, which would hold their thread for ever."""
         with self.lock:
-            if self.session.between:
-                return time.monotonic() - self.active > self.house.limits.inbound_idle
-            if self.session.phase is not Phase.READING:
-                return self.session.phase is Phase.CLOSED and not self.writing
-            reply = self.session.refuse(ProtocolError(400, "too slow"))
-        self.write(reply)
-        return True
+            session = self.session
+            since = self.active if session.between or session.phase is Phase.CLOSED else self.begun
+            if self.writing or now - since <= session.patience(self.house.limits):
+                return
+            reply = None
+            if session.phase is Phase.READING and not session.between:
+                reply, self.active = session.refuse(ProtocolError(400, "too slow")), now
+            elif session.phase is Phase.CLOSED or not self.unread():
+                session.phase = Phase.CLOSED
+                hang_up(self.sock)
+        if reply is not None:
+            self.write(reply)
+
+    def unread(self) -> bool:
+        """Guards a request that crosses the end of its connection: bytes of it may be here already."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:  # nothing, or no connection any more
+            return False
 
     def survives(self, data: bytes) -> bool:
         """Guards a request against a fault in this thread: it is answered all the same."""
@@ -212,13 +230,13 @@
             if self.session.phase is Phase.CLOSED:
                 # Guards against a peer that goes on sending after its last answer.
                 return now - self.active < self.house.limits.linger
-            if self.session.between:
+            if self.session.between and self.session.answered:
                 self.begun = now
             self.active = now
             steps = self.session.feed(data, now_us)
             # Guards against a peer that drips its message: each byte alone would renew its time.
             reading = self.session.phase is Phase.READING and not self.session.between
-            if reading and now - self.begun > self.house.limits.slow_peer:
+            if reading and now - self.begun > self.session.patience(self.house.limits):
                 steps.append(self.session.refuse(ProtocolError(400, "too slow")))
         self.take(steps)
         return True
@@ -240,7 +258,8 @@
             reply = self.session.answer(answer)
             if reply is None:
                 return
-            self.active = time.monotonic()
+            # What has come behind the request begins now, however long that took.
+            self.active = self.begun = time.monotonic()
         self.write(reply)
         with self.lock:
             steps = self.session.steps(self.house.clock.now_us()) if self.session.parser.buffer else []
@@ -281,31 +300,31 @@
             except OSError:
                 pass
 
-    def spare_since(self) -> float:
-        """Since when it has been without an open request or answer; the oldest is the first to make room."""
+    def spare(self) -> tuple[bool, float]:
+        """The least makes room first: strangers and the done before old clients, then the longest quiet."""
         with self.lock:
             if self.session.phase is Phase.WAITING or self.writing:
-                return math.inf
-            return self.begun if self.session.owes else self.active
+                return True, math.inf
+            known = self.session.proven and self.session.phase is not Phase.CLOSED
+            return known, self.begun if self.session.owes else self.active
 
-    def evict(self) -> None:
+    def evict(self) -> bool:
         """Guards the budget: peers that dawdle or say nothing must not keep out those that work."""
         with self.lock:
-            if self.session.phase is not Phase.WAITING and not self.writing:
-                self.session.closed()
-                hang_up(self.sock)
+            if (
+                self.session.phase is Phase.WAITING
+                or self.writing
+                or (self.session.between and self.unread())
+            ):
+                return False
+            self.session.closed()
+            hang_up(self.sock)
+            return True
 
     def close_if_between(self) -> bool:
         """Between requests only, and not if bytes of the next one are here already."""
         with self.lock:
-            if not self.session.between or self.session.of_worker:
-                return False
-            try:
-                if self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
-                    return False
-            except BlockingIOError:
-                pass
-            except OSError:
+            if not self.session.between or self.session.of_worker or self.unread():
                 return False
             self.session.phase = Phase.CLOSED
             hang_up(self.sock)
@@ -321,7 +340,10 @@
         clock: Clock,
         side: platform.ClientSide,
         post: Callable[[Event], None],
+        known_host: Callable[[str], bool] = lambda _: False,
     ) -> None:
+        """`known_host` tells a worker's host: news must get in when strangers take every other place."""
+        self.known_host = known_host
         self.limits, self.clock, self.post = limits, clock, post
         self.door = Door(side)
         self.door.crowded = self.crowded
@@ -329,6 +351,7 @@
         self.writers = Crew("late writer", limits.late_writers)
         self.lock = threading.Lock()
         self.inbound: set[Inbound] = set()
+        self.leaving = 0  # connections that have made room but are not closed yet
         self.turned_away = 0
         self.listener: socket.socket | None = None
 
@@ -347,7 +370,7 @@
     def accept_on(self) -> None:
         while True:
             try:
-                sock, _ = self.listener.accept()
+                sock, peer = self.listener.accept()
             except OSError as error:
                 if self.listener.fileno() < 0:
                     return
@@ -355,15 +378,16 @@
                 log(f"accept failed: {error}")
                 time.sleep(self.limits.accept_pause)
                 continue
-            self.admit(sock)
+            self.admit(sock, peer[0])
 
-    def admit(self, sock: socket.socket) -> None:
-        if len(self.inbound) >= self.limits.inbound:
+    def admit(self, sock: socket.socket, host: str) -> None:
+        guest = not self.known_host(host)
+        if self.full(guest):
             self.make_room()
-        if len(self.inbound) >= self.limits.inbound:
+        if self.full(guest):
             self.fail_fast(sock)
             return
-        inbound = Inbound(sock, self)
+        inbound = Inbound(sock, self, guest)
         with self.lock:
             self.inbound.add(inbound)
         try:
@@ -373,13 +397,43 @@
         # Threads are kept: workers bring each piece of news on a connection of its own.
         self.readers.submit(inbound.run)
 
+    def full(self, guest: bool) -> bool:
+        with self.lock:
+            if len(self.inbound) + self.leaving >= self.limits.inbound + self.limits.lag:
+                return True
+            guests = sum(inbound.guest for inbound in self.inbound)
+            most = self.limits.inbound
+            return guests >= most - self.limits.for_news if guest else len(self.inbound) >= most
+
     def make_room(self) -> None:
+        """Several strangers at a time, or each of a flood would look through all; an old client alone."""
+        quiet = time.monotonic() - self.limits.spare_idle
         with self.lock:
             every = list(self.inbound)
-        oldest = min(every, key=Inbound.spare_since)
-        if time.monotonic() - oldest.spare_since() >= self.limits.spare_idle:
-            oldest.evict()
-            self.forget(oldest)
+        spare = sorted((*inbound.spare(), k) for k, inbound in enumerate(every))
+        made = 0
+        for known, since, k in spare:
+            if made == self.limits.evict_at_once or (known and made):
+                return
+            if since <= quiet and every[k].evict():
+                made += 1
+                self.leave(every[k])
+
+    def leave(self, inbound: Inbound) -> None:
+        """Its place is free at once; its descriptor only when its thread has closed it."""
+        with self.lock:
+            if inbound in self.inbound:
+                self.inbound.discard(inbound)
+                self.leaving += 1
+                inbound.left = True
+
+    def look(self) -> None:
+        """Every while: ends what has gone on for too long."""
+        now = time.monotonic()
+        with self.lock:
+            every = list(self.inbound)
+        for inbound in every:
+            inbound.look(now)
 
     def fail_fast(self, sock: socket.socket) -> None:
         """Over budget: refused before a byte is read, without a thread."""
@@ -388,6 +442,8 @@
         try:
             sock.send(data, socket.MSG_DONTWAIT)
             sock.shutdown(socket.SHUT_WR)
+            # Guards the answer: closed over bytes unread, the connection is reset and the answer may be lost.
+            sock.recv(self.limits.head + self.limits.body, socket.MSG_DONTWAIT)
         except OSError:
             pass
         sock.close()
@@ -395,11 +451,13 @@
     def forget(self, inbound: Inbound) -> None:
         with self.lock:
             self.inbound.discard(inbound)
+            self.leaving -= inbound.left
+            inbound.left = False
 
     def crowded(self) -> bool:
         """Only open requests count: connections between requests make room when news needs it."""
-        most = self.limits.inbound - self.limits.for_news
-        if len(self.inbound) <= most:
+        most = self.limits.open_requests
+        if len(self.inbound) < most:
             return False
         with self.lock:
             return sum(inbound.session.phase is Phase.WAITING for inbound in self.inbound) >= most
@@ -419,7 +477,9 @@
         self.listener.setblocking(False)
         try:
             while True:
-                self.admit(self.listener.accept()[0])
+                sock, peer = self.listener.accept()
+                sock.setblocking(True)
+                self.admit(sock, peer[0])
         except OSError:
             pass
         hang_up(self.listener)
--- a/stepstream/net/limits.py
+++ b/stepstream/net/limits.py
@@ -17,8 +17,13 @@
     # counts
     inbound: int = 500  # connections of clients and workers, one thread each
     outbound: int = 350  # connections to workers, idle ones included
-    for_news: int = 48  # of the inbound ones; requests leave them to workers' news
+    for_news: int = 48  # of the inbound ones; kept for workers' hosts
+    open_requests: int = (
+        430  # a few fewer than all others: news may come from hosts that discovery does not name
+    )
     call_threads: int = 200  # outbound calls between their start and their 202
+    lag: int = 32  # connections that have made room while their threads have yet to close them
+    evict_at_once: int = 8  # connections that make room for the next ones
     late_writers: int = 8  # threads for answers that a slow client does not take at once
     backlog: int = 1024
     batch: int = 256  # events that the core takes at a time
@@ -30,10 +35,13 @@
     accept_pause: float = 0.01  # after a failed accept
     dial: float = 0.25
     write: float = 2.0  # a peer that takes nothing for so long is given up
-    slow_peer: float = 5.0  # from the first byte of a message to its last
+    greeting: float = (
+        2.0  # a new connection's first message, from the connect on; no stranger idles for longer
+    )
+    slow_peer: float = 2.0  # a later message, from its first byte to its last
     linger: float = 2.0  # a connection whose last answer is out waits so long for its peer to close
-    inbound_idle: float = 120.0
-    spare_idle: float = 1.0  # an inbound connection that has been so long without a request makes room
+    inbound_idle: float = 120.0  # of a connection that has brought jobs or news
+    spare_idle: float = 0.05  # an inbound connection that has been quiet for so long may have to make room
     outbound_idle: float = 5.0  # well before the worker closes: a request must not cross its closing
     queued: float = 0.3  # a call not begun by then ends as not sent
     call_silence: float = 30.0  # backstop of a call's read; the core ends calls long before
@@ -55,14 +63,17 @@
     """The descriptors are split between the two sides; both keep within what memory allows."""
     spare = min(64, config.sockets // 4)
     usable = config.sockets - spare
-    by_memory = max(config.memory_mb - 64, 16) * 1024 // 128  # about 128 KiB a connection and its thread
-    inbound = max(min(usable * 3 // 5, by_memory), 4)
+    by_memory = max(config.memory_mb - 20, 4) * 1024 // 128  # about 128 KiB a connection and its thread
+    inbound = max(min(usable * 2 // 3, by_memory), 4)
     outbound = max(min(usable - inbound, by_memory), 4)
+    for_news = min(48, inbound // 4)
     idle = config.settings.conn_idle_us / 1e6
     return Limits(
         inbound=inbound,
         outbound=outbound,
-        for_news=min(48, inbound // 2),
+        for_news=for_news,
+        open_requests=max((inbound - for_news) * 15 // 16, 1),
+        lag=spare // 2,
         call_threads=max(min(200, outbound), 2),
         dial=config.settings.dial_timeout_us / 1e6,
         outbound_idle=idle * 0.5,
--- a/stepstream/net/node.py
+++ b/stepstream/net/node.py
@@ -29,7 +29,9 @@
         ticks = self.limits.tick_us, self.limits.early_us
         self.core = Dispatcher(config.settings, config.seed, self.clock.now_us(), *ticks, log)
         self.destinations = DestinationSet()
-        self.house = House(self.limits, self.clock, ClientSide(config.settings), post)
+        self.house = House(
+            self.limits, self.clock, ClientSide(config.settings), post, self.destinations.is_worker
+        )
         self.outbound = Outbound(self.limits, self.clock, self.destinations, post)
         self.discovery = self.discovery_for(config, self.limits)
         self.counts = dict.fromkeys(Outcome, 0)
@@ -111,6 +113,7 @@
             if came is not None:
                 guarded("reload", self.reload)
             guarded("sweep", self.outbound.pool.sweep)
+            guarded("look", self.house.look)
             if time.monotonic() - reported >= self.limits.status:
                 reported += self.limits.status
                 self.report()
@@ -165,6 +168,7 @@
         self.house.door.leaving = True
         while (now := time.monotonic()) - begun < self.limits.stop_longest:
             self.house.close_idle()
+            guarded("look", self.house.look)
             if self.house.busy() or self.core.open_count:
                 busy = now
             if now - busy >= self.limits.stop_quiet and now - begun >= self.limits.stop_least:
--- a/stepstream/net/platform.py
+++ b/stepstream/net/platform.py
@@ -1,6 +1,5 @@
 """The platform's words: its paths, headers and JSON stand here and nowhere else in the network code."""
 
-import math
 import re
 from dataclasses import dataclass
 from urllib.parse import parse_qs, unquote
@@ -14,6 +13,7 @@
 READY, NEWS, TARGETS = "/-/ready", "/_jobs/news", "/api/targets"
 HEALTHY = "/-/healthy"
 ID = re.compile(r"[0-9A-Za-z._~-]{1,64}")
+MOST_FIGURE = 1e6  # slots or memory units; no worker has so many
 STATES = {
     "ready": i.WorkerState.IN,
     "draining": i.WorkerState.DRAINING,
@@ -77,7 +77,8 @@
             figures[name] = float(value)
         except ValueError:
             equals = ""
-        if not equals or not math.isfinite(figures[name]) or figures[name] < 0:
+        # Guards the sums of busy slots: a figure like 1e300 would swallow all others.
+        if not equals or not 0 <= figures[name] <= MOST_FIGURE:
             raise ProtocolError(400, "Request-Info is malformed")
     return figures
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -81,13 +81,13 @@
             if kind == "job":
                 self.expected.append(Request)
                 self.state = "open"
-            elif kind == "junk":
-                self.expected.append((400, True))
+            elif kind in ("junk", "lost"):
+                self.expected.append(({"junk": 400, "lost": 404}[kind], True))
                 self.state = "closed"
             else:
                 self.worker = self.worker or kind == "news"
                 leaving = 503 if self.door.leaving else 200
-                self.reply({"news": 200, "lost": 404, "ready": leaving}[kind])
+                self.reply({"news": 200, "ready": leaving}[kind])
                 self.expected += [Told] if kind == "news" else []
 
     def reply(self, status):
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -1,7 +1,9 @@
 """The drivers on loopback sockets: what each outcome proves, the budgets, and discovery's silences."""
 
+import contextlib
 import socket
 import threading
+import time
 
 import pytest
 from net_helpers import LIMITS, SETTINGS, job_bytes, request
@@ -11,7 +13,7 @@
 from stepstream.dispatch import Answer, Arrived, Broken, Call, CallEnded, Left, Outcome
 from stepstream.net.discovery import DestinationSet, Discovery
 from stepstream.net.http1 import write_answer, write_request
-from stepstream.net.inbound import House, Session
+from stepstream.net.inbound import House, Phase, Session
 from stepstream.net.limits import Limits, limits_for
 from stepstream.net.outbound import Outbound
 from stepstream.net.platform import ClientSide, DiscoverySide, Targets
@@ -19,6 +21,7 @@
 from stepstream.settings import Config
 
 CLOCK = Clock()
+NEWS = write_request("POST", "/_jobs/news", {}, b'{"id":"01","from":"s","state":"started"}')
 
 
 def targets(state=i.WorkerState.IN, kind=i.ListKind.COMPLETE, **ports):
@@ -252,18 +255,27 @@
 # -- the inbound side -------------------------------------------------------------------------------------
 
 
+WORKER_HOST = "127.0.0.9"
+
+
 class Home:
     """A House whose events are kept; nobody decides here."""
 
     def __init__(self, limits=LIMITS):
         self.events = []
-        self.house = House(limits, CLOCK, ClientSide(SETTINGS), self.events.append)
+        side = ClientSide(SETTINGS)
+        self.house = House(limits, CLOCK, side, self.events.append, lambda host: host == WORKER_HOST)
         self.house.listen(("127.0.0.1", 0))
         self.port = self.house.listener.getsockname()[1]
         threading.Thread(target=self.house.accept_on, daemon=True).start()
 
-    def dial(self):
-        return socket.create_connection(("127.0.0.1", self.port), timeout=PATIENCE)
+    def dial(self, host="127.0.0.1"):
+        where = ("127.0.0.1", self.port)
+        return socket.create_connection(where, timeout=PATIENCE, source_address=(host, 0))
+
+    def looked(self, done):
+        """Looks at the connections as the main thread does every while, until then."""
+        wait_for(lambda: self.house.look() or done())
 
     def of(self, kind):
         return [event.request for event in self.events if isinstance(event, kind)]
@@ -281,18 +293,44 @@
 
 
 def test_news_gets_in_when_requests_hold_all_other_connections():
-    home = Home(Limits(inbound=3, for_news=2))
+    home = Home(Limits(inbound=3, for_news=0, open_requests=1))
     with home.dial() as idle, home.dial() as first:
         assert ask(0, b"GET /-/ready HTTP/1.1\r\n\r\n", idle).status == 200
         first.sendall(job_bytes(name="01"))
         wait_for(lambda: home.of(Arrived))
         assert ask(0, job_bytes(name="02"), idle).status == 503
-        news = write_request("POST", "/_jobs/news", {}, b'{"id":"01","from":"s","state":"started"}')
-        assert ask(home.port, news).status == 200
+        assert ask(home.port, NEWS).status == 200
+
+
+def test_a_flood_of_strangers_keeps_out_neither_news_nor_clients():
+    home = Home(Limits(inbound=6, for_news=2, spare_idle=0.01))
+    with contextlib.ExitStack() as stack:
+        client = stack.enter_context(home.dial())
+        client.sendall(job_bytes(name="01"))
+        (waiting,) = wait_for(lambda: home.of(Arrived))
+        waiting.origin.answer(Answer(waiting, Outcome.SERVED, "ok"))
+        assert ask(0, b"", client).status == 200
+        for _ in range(20):
+            stack.enter_context(home.dial())  # says nothing
+        worker = stack.enter_context(home.dial(WORKER_HOST))
+        assert ask(0, NEWS, worker).status == 200
+        time.sleep(0.02)  # spare_idle: by then the flood has said nothing for long enough
+        # A new client finds a place, and the old one has kept its own.
+        fresh = stack.enter_context(home.dial())
+        fresh.sendall(job_bytes(name="02"))
+        wait_for(lambda: len(home.of(Arrived)) == 2)
+        client.sendall(job_bytes(name="03"))
+        wait_for(lambda: len(home.of(Arrived)) == 3)
+
+
+def test_over_the_budget_by_many_the_descriptors_of_those_that_leave_count():
+    home = Home(Limits(inbound=2, for_news=0, lag=0, spare_idle=0.0))
+    home.house.leaving = 2
+    assert ask(home.port, b"").status == 503
 
 
 def test_a_dawdling_peer_makes_room_for_one_that_works():
-    home = Home(Limits(inbound=1, spare_idle=0.0))
+    home = Home(Limits(inbound=1, for_news=0, spare_idle=0.0))
     with home.dial() as dawdler:
         dawdler.sendall(b"POST /revalue HTTP/1.1\r\n")
         wait_for(lambda: any(not inbound.session.between for inbound in home.house.inbound))
@@ -301,17 +339,40 @@
 
 
 def test_a_slow_peer_gets_400():
-    home = Home(Limits(slow_peer=0.05))
+    home = Home(Limits(greeting=0.05))
     with home.dial() as slow:
-        assert ask(0, b"GET /-/ready HT", slow).status == 400
+        slow.sendall(b"GET /-/ready HT")
+        wait_for(lambda: any(not inbound.session.between for inbound in home.house.inbound))
+        home.looked(lambda: all(inbound.session.phase is Phase.CLOSED for inbound in home.house.inbound))
+        assert ask(0, b"", slow).status == 400
     wait_for(lambda: not home.house.inbound)
 
 
-def test_a_silent_peer_is_let_go():
-    home = Home(Limits(slow_peer=0.05, inbound_idle=0.05))
-    with home.dial() as silent:
+def test_a_silent_stranger_is_let_go_and_an_old_client_is_not():
+    home = Home(Limits(greeting=0.05))
+    with home.dial() as silent, home.dial() as client:
+        client.sendall(job_bytes())
+        (waiting,) = wait_for(lambda: home.of(Arrived))
+        waiting.origin.answer(Answer(waiting, Outcome.SERVED, "ok"))
+        assert ask(0, b"", client).status == 200
+        home.looked(lambda: len(home.house.inbound) == 1)
         assert silent.recv(1) == b""
-    wait_for(lambda: not home.house.inbound)
+        client.sendall(job_bytes(name="02"))
+        wait_for(lambda: len(home.of(Arrived)) == 2)
+
+
+def test_a_peer_that_keeps_its_connection_after_an_error_is_let_go():
+    home = Home(Limits(linger=0.05))
+    with home.dial() as stays:
+        assert ask(0, b"GET /nowhere HTTP/1.1\r\n\r\n", stays).status == 404
+        home.looked(lambda: not home.house.inbound)
+
+
+def test_an_error_reaches_a_peer_that_is_still_sending():
+    home = Home()
+    with home.dial() as peer:
+        head = b"POST /revalue HTTP/1.1\r\nContent-Length: 20000000\r\n\r\n"
+        assert ask(0, head + bytes(20_000_000), peer).status == 413
 
 
 def test_a_client_that_leaves_while_it_waits_is_seen():
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -61,6 +61,7 @@
         ({"Request_Info": "slots"}, 400),
         ({"Request_Info": "slots=nan"}, 400),
         ({"Request_Info": "slots=-1"}, 400),
+        ({"Request_Info": "slots=1e300"}, 400),
     ],
 )
 def test_what_is_wrong_with_a_request_has_its_status(more, status):
