After SIGTERM serve clients on the connections they have while there is time

The dispatchers' logs: one stopped at 13.18 s and was back at 17.83 s, the other got SIGTERM at 16.18 s and closed its clients' connections as each fell idle, so from then on nobody served for 1.65 s.

Ruled out: the time of the start (0.1 to 0.3 s), requests lost at SIGTERM (none), and ending sooner (the platform starts the next process at a fixed time). At fault: node.py stop(), which closed idle connections from the first moment on, and Session.closing(), which closed after the next answer, though the protocol lets clients keep their connections and leaves 3.7 s until SIGKILL.

Now connections close 1.5 s before the platform may kill the process, and the core ends whatever is open 0.3 s before it: an answer in place of a reset. The front is told at once, as before.

--- a/stepstream/dispatch.py
+++ b/stepstream/dispatch.py
@@ -98,7 +98,14 @@
     request: Request
 
 
-Event = Arrived | Left | CallEnded | Told | Broken | i.WorkerList | i.Probed | i.NewSettings
+@dataclass(frozen=True, slots=True)
+class LastCall:
+    """The process ends soon: whatever is open or still comes is answered by then."""
+
+    by_us: int
+
+
+Event = Arrived | Left | CallEnded | Told | Broken | i.WorkerList | i.Probed | i.NewSettings | LastCall
 
 
 class Outcome(Enum):
@@ -160,6 +167,7 @@
         self.wheel = Wheel(now_us, tick_us)
         self.requests: dict[str, Request] = {}  # open, or with calls still out
         self.open_count = 0  # requests that are owed an answer
+        self.last_us: int | None = None  # the process ends then
         self.commands: list[Command] = []
         self.telling: list[i.Event] = []  # for the module
 
@@ -213,6 +221,10 @@
             case Broken(request):
                 self.answer(request, Outcome.FAILED)
                 self.telling.append(i.ClientLeft(request.id))
+            case LastCall(by_us):
+                self.last_us = by_us
+                for request in self.requests.values():
+                    self.hurry(request)
             case i.NewSettings(settings):
                 self.settings = settings
                 self.telling.append(event)
@@ -233,6 +245,7 @@
         self.requests[request.id] = request
         self.open_count += 1
         self.wheel.set(request.deadline_us - self.early_us, request)
+        self.hurry(request)
         budget_us = max(request.deadline_us - now_us, 0)
         self.telling.append(
             i.Job(
@@ -247,6 +260,12 @@
             )
         )
 
+    def hurry(self, request: Request) -> None:
+        """Guards a request against the end of the process: an answer in time beats a reset."""
+        if self.last_us is not None and self.last_us < request.deadline_us and not request.answered:
+            request.deadline_us = self.last_us
+            self.wheel.set(self.last_us - self.early_us, request)
+
     def renamed(self, request: Request) -> bool:
         """Guards against a request read by settings replaced since: its numbers are those."""
         old, new = request.settings, self.settings
--- a/stepstream/net/inbound.py
+++ b/stepstream/net/inbound.py
@@ -21,7 +21,8 @@
 
     def __init__(self, side: platform.ClientSide) -> None:
         self.side = side  # replaced by a reload, between two messages
-        self.leaving = False  # after SIGTERM: connections close after their next answer
+        self.leaving = False  # after SIGTERM: the front is told to send nobody new
+        self.closing = False  # some time later: connections close after their next answer
         # Whether one more request would leave no connection for the news that ends it.
         self.crowded: Callable[[], bool] = lambda: False
 
@@ -105,7 +106,7 @@
 
     def closing(self) -> bool:
         # Open requests still wait for workers' news: those connections stay until the end.
-        return (self.door.leaving and not self.of_worker) or not self.keep_alive
+        return (self.door.closing and not self.of_worker) or not self.keep_alive
 
     def reply(self, status: int) -> Reply:
         close = self.closing()
@@ -300,6 +301,11 @@
             except OSError:
                 pass
 
+    def busy(self) -> bool:
+        session = self.session
+        stays = session.proven and not session.of_worker and session.phase is Phase.READING
+        return session.owes or self.writing or (stays and not self.house.door.closing)
+
     def spare(self) -> tuple[bool, float]:
         """The least makes room first: strangers and the done before old clients, then the longest quiet."""
         with self.lock:
@@ -469,8 +475,9 @@
             inbound.close_if_between()
 
     def busy(self) -> bool:
+        """Something is owed, or, until connections are closed, a client may use the one it has."""
         with self.lock:
-            return any(inbound.session.owes or inbound.writing for inbound in self.inbound)
+            return any(inbound.busy() for inbound in self.inbound)
 
     def close_listener(self) -> None:
         """Guards connections that the kernel has accepted: they are taken before the listener goes."""
--- a/stepstream/net/limits.py
+++ b/stepstream/net/limits.py
@@ -55,6 +55,14 @@
     status: float = 60.0  # between two status lines in the log
     stop_quiet: float = 0.3  # after SIGTERM: nothing owed for so long means the front has noticed
     stop_least: float = 0.8  # and never sooner than this
+    kill_wait: float = 3.0  # a stopped dispatcher is killed after the longest deadline, taken as this at most
+    kill_more: float = 0.7  # and so much
+    answer_before: float = 0.3  # all is answered so long before that
+    close_before: float = 1.5  # and clients' connections close so long before
+    stop_serving: float = (
+        2.2  # after SIGTERM clients are served on the connections that they have for so long
+    )
+    stop_answer: float = 3.4  # and all is answered by then
     stop_longest: float = 60.0
     stop_look: float = 0.02
 
@@ -68,6 +76,8 @@
     outbound = max(min(usable - inbound, by_memory), 4)
     for_news = min(48, inbound // 4)
     idle = config.settings.conn_idle_us / 1e6
+    longest = max(kind.deadline_us for kind in config.settings.classes) / 1e6
+    killed = min(longest, Limits.kill_wait) + Limits.kill_more
     return Limits(
         inbound=inbound,
         outbound=outbound,
@@ -77,5 +87,7 @@
         call_threads=max(min(200, outbound), 2),
         dial=config.settings.dial_timeout_us / 1e6,
         outbound_idle=idle * 0.5,
+        stop_serving=max(killed - Limits.close_before, 0.4),
+        stop_answer=max(killed - Limits.answer_before, 0.4),
         watch_wait=min(8.0, config.settings.must_ask_us / 1e6 * 0.8),
     )
--- a/stepstream/net/node.py
+++ b/stepstream/net/node.py
@@ -161,13 +161,19 @@
     def stop(self) -> None:
         """Answers all that was taken; connections keep arriving until the front has noticed.
 
+        Clients go on with the connections that they have while there is time to answer: when dispatchers
+        restart one after the other, the next one may not be back yet and they would find nobody.
         The listener stays open to the end: workers bring the news that open requests wait for on new ones.
         """
         begun = busy = time.monotonic()
         log(f"stopping, {self.core.open_count} requests open")
         self.house.door.leaving = True
+        by_us = self.clock.now_us() + int(self.limits.stop_answer * 1e6)
+        self.events.put(dispatch.LastCall(by_us))
         while (now := time.monotonic()) - begun < self.limits.stop_longest:
-            self.house.close_idle()
+            if now - begun >= self.limits.stop_serving:
+                self.house.door.closing = True
+                self.house.close_idle()
             guarded("look", self.house.look)
             if self.house.busy() or self.core.open_count:
                 busy = now
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -15,6 +15,7 @@
     Broken,
     CallEnded,
     Dispatcher,
+    LastCall,
     Left,
     News,
     Outcome,
@@ -175,6 +176,16 @@
     assert AskList(True) in desk.until(START_US + 600_000)
 
 
+def test_before_the_process_ends_all_that_is_open_or_comes_is_answered():
+    desk = Desk()
+    early, _ = desk.take("aa")
+    last = desk.now + 1_000_000
+    desk.tell(LastCall(last))
+    late, _ = desk.take("bb")
+    answers = of(Answer, desk.until(last))
+    assert {a.request for a in answers} == {early, late}
+
+
 TURNED = replace(SETTINGS, classes=SETTINGS.classes[::-1], tenants=SETTINGS.tenants[::-1])
 
 
