Count strangers as they come and let 32 make room at once

Ruled out: memory (39 of 192 MB), descriptors (615 of 1,024), the workers (no errors). At fault: inbound.py, full(), which summed over up to 600 connections twice for each one that came, and make_room(), which sorted them all to free eight places.

Now the count is kept as connections come and go, and 32 strangers make room at a time.

--- a/stepstream/net/inbound.py
+++ b/stepstream/net/inbound.py
@@ -357,6 +357,7 @@
         self.writers = Crew("late writer", limits.late_writers)
         self.lock = threading.Lock()
         self.inbound: set[Inbound] = set()
+        self.guests = 0  # of these, not from a worker's host
         self.leaving = 0  # connections that have made room but are not closed yet
         self.turned_away = 0
         self.listener: socket.socket | None = None
@@ -396,6 +397,7 @@
         inbound = Inbound(sock, self, guest)
         with self.lock:
             self.inbound.add(inbound)
+            self.guests += guest
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError:
@@ -404,12 +406,13 @@
         self.readers.submit(inbound.run)
 
     def full(self, guest: bool) -> bool:
+        limits = self.limits
         with self.lock:
-            if len(self.inbound) + self.leaving >= self.limits.inbound + self.limits.lag:
+            if len(self.inbound) + self.leaving >= limits.inbound + limits.lag:
                 return True
-            guests = sum(inbound.guest for inbound in self.inbound)
-            most = self.limits.inbound
-            return guests >= most - self.limits.for_news if guest else len(self.inbound) >= most
+            if guest and self.guests >= limits.inbound - limits.for_news:
+                return True
+            return len(self.inbound) >= limits.inbound
 
     def make_room(self) -> None:
         """Several strangers at a time, or each of a flood would look through all; an old client alone."""
@@ -428,11 +431,18 @@
     def leave(self, inbound: Inbound) -> None:
         """Its place is free at once; its descriptor only when its thread has closed it."""
         with self.lock:
-            if inbound in self.inbound:
-                self.inbound.discard(inbound)
+            if self.strike(inbound):
                 self.leaving += 1
                 inbound.left = True
 
+    def strike(self, inbound: Inbound) -> bool:
+        """With the lock held."""
+        if inbound not in self.inbound:
+            return False
+        self.inbound.discard(inbound)
+        self.guests -= inbound.guest
+        return True
+
     def look(self) -> None:
         """Every while: ends what has gone on for too long."""
         now = time.monotonic()
@@ -456,7 +466,7 @@
 
     def forget(self, inbound: Inbound) -> None:
         with self.lock:
-            self.inbound.discard(inbound)
+            self.strike(inbound)
             self.leaving -= inbound.left
             inbound.left = False
 
--- a/stepstream/net/limits.py
+++ b/stepstream/net/limits.py
@@ -23,7 +23,7 @@
     )
     call_threads: int = 200  # outbound calls between their start and their 202
     lag: int = 32  # connections that have made room while their threads have yet to close them
-    evict_at_once: int = 8  # connections that make room for the next ones
+    evict_at_once: int = 32  # connections that make room for the next ones
     late_writers: int = 8  # threads for answers that a slow client does not take at once
     backlog: int = 1024
     batch: int = 256  # events that the core takes at a time
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -323,6 +323,19 @@
         wait_for(lambda: len(home.of(Arrived)) == 3)
 
 
+def test_a_flood_is_looked_through_once_for_many_and_every_place_is_given_back():
+    home = Home(Limits(inbound=12, for_news=2, spare_idle=0.01))
+    with contextlib.ExitStack() as stack:
+        for _ in range(10):
+            stack.enter_context(home.dial())
+        wait_for(lambda: home.house.guests == 10)
+        time.sleep(0.02)
+        assert ask(home.port, b"GET /-/ready HTTP/1.1\r\n\r\n").status == 200
+        assert home.house.guests <= 1  # the next ones find room without a look
+    wait_for(lambda: not home.house.inbound and not home.house.leaving)
+    assert home.house.guests == 0
+
+
 def test_over_the_budget_by_many_the_descriptors_of_those_that_leave_count():
     home = Home(Limits(inbound=2, for_news=0, lag=0, spare_idle=0.0))
     home.house.leaving = 2
