Take workers out of the pools whose runs take three times as long as usual

A log line for each attempt showed: waits before the start are short (1 of 800 over 150 ms), but 94 of 1,250 jobs ran on the two slow workers, whose median runs took 485 and 1,160 ms where the others' took 60 to 310. Ruled out: the reloads themselves, drains, caps (4 to 5 slots throughout).

At fault: balance.py had no notion of a slow worker; judge() counts errors and time-outs only. resize() also gave back the High Set's least busy worker whether well or not, so a slow one could be all that it kept.

First tried: passing over slow workers in choose() alone. Now it leaves both pools, with a trial every 3 s, and resize() moves well workers only.

--- a/stepstream/balance.py
+++ b/stepstream/balance.py
@@ -19,9 +19,10 @@
 SICK_AFTER = 0.6  # mean of recent failures that takes a worker out (three in a row do)
 FAIL_WEIGHT = 0.3  # weight of the newest outcome in that mean
 FIRST_PAUSE_US, LONGEST_PAUSE_US = 1_000_000, 8_000_000  # before a trial, doubled each time one fails
+SLOW = 1.1  # logarithm of how much longer than usual its runs take that takes a worker out
+PACE_WEIGHT, SLOW_PAUSE_US = 0.15, 3_000_000  # weight of its newest run in that; before each trial
 ASK_AGAIN_US = 500_000  # first wait after a failed call for the list, doubled each time
-REPORT_LAG_US = 300_000  # what we pushed within this time is not in a report yet
-REPORT_FRESH_US = 2_000_000  # an older report corrects nothing
+REPORT_LAG_US, REPORT_FRESH_US = 300_000, 2_000_000  # pushes newer are not in it; an older one tells nothing
 PATIENCE = 0.8  # part of its goal that a job may wait for room; later it would hardly be in time
 ROOMY = 0.5  # rotation keeps to workers with at least this part of the best one's room
 CHOICES = 64  # workers that a choice looks at; more would only make it dearer with the fleet
@@ -51,8 +52,7 @@
         self.actions: list[i.Action] = [i.WakeMe(TICK, start_us + self.random.randrange(PERIOD_US))]
         self.actions += [i.WatchList(True)] if settings.must_ask else []
         self.priority_share, self.common_cap = START_PRIORITY_SHARE, None
-        self.mean_worth, self.served_gap_us, self.last_served_us = 0.0, 0.0, start_us
-        self.mean_run_us = [0.0] * (len(settings.classes) + 1)  # of served jobs, by class; last, of all
+        self.mean_worth, self.runs = 0.0, i.Runs(len(settings.classes), start_us, MEMORY)
         self.jobs_seen, self.probe_credit, self.ask_wait_us = 0, 0.0, ASK_AGAIN_US
         self.parts = [q / (sum(settings.quotas_per_s) or 1.0) for q in settings.quotas_per_s]  # by tenant
         self.credit = [1.0] * len(self.parts)
@@ -84,7 +84,7 @@
 
     def on_settings(self, new: i.Settings) -> None:
         old, self.s = self.s, new
-        self.mean_run_us[:-1] = i.carried(old.class_names, new.class_names, self.mean_run_us, 0.0)
+        self.runs.carry(old.class_names, new.class_names)
         self.parts = i.carried(old.tenants, new.tenants, self.parts, 0.0)
         self.credit = i.carried(old.tenants, new.tenants, self.credit, 1.0)
         for held in self.held.values():
@@ -131,12 +131,23 @@
 
     def judge(self, worker: i.Worker, failed: bool) -> None:
         worker.failures += FAIL_WEIGHT * (failed - worker.failures)
-        if not failed:
+        if not failed and worker.pace_now <= SLOW:
             worker.pause_us = 0
         elif worker.failures > SICK_AFTER and self.now >= worker.trial_us:
             worker.pause_us = min(max(2 * worker.pause_us, FIRST_PAUSE_US), LONGEST_PAUSE_US)
             worker.trial_us = self.now + worker.pause_us
 
+    def look_at_pace(self) -> None:  # open runs count as they grow: on a slow worker few end
+        spare = self.pool_room(True) + self.pool_room(False) > 2 * self.one_cap()  # else slow ones are needed
+        for worker in self.order:
+            worker.pace_now = worker.pace
+        for held, attempt in ((h, a) for h in self.held.values() for a in h.attempts if a.open and a.started):
+            more = self.runs.surplus(held.job.job_class, self.now - attempt.started_us) - attempt.worker.pace
+            attempt.worker.pace_now += PACE_WEIGHT * max(more, 0.0)
+        for worker in self.order:
+            if worker.pace_now > SLOW and worker.failures <= SICK_AFTER and spare != (worker.pause_us > 0):
+                worker.pause_us, worker.trial_us = SLOW_PAUSE_US * spare, self.now + SLOW_PAUSE_US
+
     def usable(self, workers: list[i.Worker]) -> list[i.Worker]:
         well = [w for w in workers if not w.pause_us or self.now >= w.trial_us]
         return well if 2 * len(well) >= len(workers) else workers  # most look sick: it is not the workers
@@ -149,8 +160,8 @@
 
     def cold_turn(self, held: i.Held, worker: i.Worker) -> bool:
         """It gets the work that a warm one did for us of late, times its warmth; so do all dispatchers."""
-        own, mean = self.mean_run_us[held.job.job_class], self.mean_run_us[-1]
-        gap = self.served_gap_us or self.s.fall_span_us * self.s.fleet_size
+        own, mean = self.runs.mean_us[held.job.job_class], self.runs.mean_us[-1]
+        gap = self.runs.gap_us or self.s.fall_span_us * self.s.fleet_size
         gap *= own / mean if own and mean else 1.0
         gap *= self.strength / (self.s.fall_multiple * COLD_PART * self.warmth(worker))
         if gap <= self.s.fall_span_us:
@@ -192,11 +203,7 @@
             self.stirred = self.stirred or worker.room >= 1  # less room would help no waiting job
 
     def change_busy(self, worker: i.Worker, slots: float) -> None:
-        worker.busy_slots += slots
-        worker.recent.append((self.now, slots))
-        while worker.recent[0][0] < self.now - REPORT_LAG_US:
-            worker.recent.popleft()
-        worker.room -= slots
+        worker.change_busy(self.now, slots, REPORT_LAG_US)
         self.stirred = self.stirred or (slots < 0 and self.room(worker) >= 1)
 
     def pool_room(self, high: bool) -> float:  # summed caps less summed busy slots, once for a batch
@@ -212,7 +219,7 @@
         room = self.pool_room(True) - sum(h.job.slots for h in self.waiting if h.priority and not h.ended)
         # Dispatchers that know few rooms must not all give back the same workers, down to the same one.
         few = self.s.reports != "none" and 2 * sum(map(self.fresh, self.order)) < len(self.order)
-        order = self.random.sample(self.order, len(self.order)) if few else self.order
+        order = self.usable(self.random.sample(self.order, len(self.order)) if few else self.order)
         high, low = ([w for w in order if w.high == pool] for pool in (True, False))
         if room < 0 and len(low) > 1:
             max(low, key=self.room).high = True
@@ -290,12 +297,6 @@
             self.key_orders[key] = sorted(self.order, key=lambda w: (w.mark ^ k) * 0x9E3779B1 % 2**32)
         return self.order if key is None else self.key_orders[key]
 
-    def repeatable(self, held: i.Held) -> bool:
-        ran = held.may_have_run()
-        if ran is None or held.kind.effect is i.Effect.SAFE:
-            return True
-        return held.kind.effect is i.Effect.KEYED and self.now <= ran.sent_us + held.kind.window_us
-
     def in_scope(self, held: i.Held, workers: list[i.Worker]) -> list[i.Worker]:
         ran = held.may_have_run()
         if ran is None or held.kind.effect is i.Effect.SAFE or held.kind.key_scope == "all":
@@ -317,7 +318,7 @@
     def push(self, held: i.Held, later: bool = False) -> bool:
         """False if the job has to wait."""
         limit = 1 if held.excess else self.s.attempt_limit
-        if len(held.attempts) >= limit or self.now >= self.wait_until(held) or not self.repeatable(held):
+        if len(held.attempts) >= limit or self.now >= self.wait_until(held) or not held.repeatable(self.now):
             self.give_up(held)
             return True
         worker = None if later else self.choose(held)
@@ -343,7 +344,7 @@
 
     def on_started(self, held: i.Held, number: int) -> None:
         if (attempt := held.attempt(number)) is not None:
-            attempt.started, busy = True, attempt.worker.busy_slots
+            attempt.started_us, busy = attempt.started_us or self.now, attempt.worker.busy_slots
             if busy >= (self.common_cap or inf) and not self.fresh(attempt.worker):
                 self.late_at.append(busy + 1)  # it had room beyond the common cap
             self.cancel(held, [a for a in held.attempts if not a.started])
@@ -364,7 +365,7 @@
                 continue
             self.late_at.append(attempt.worker.busy_slots)
             attempt.worker.room, attempt.worker.room_us = min(self.room(attempt.worker), 0.0), self.now
-            left = not held.ended and len(held.attempts) < self.s.attempt_limit and self.repeatable(held)
+            left = not held.ended and len(held.attempts) < self.s.attempt_limit and held.repeatable(self.now)
             if left and self.s.may_duplicate and held.kind.effect is not i.Effect.UNSAFE:
                 worker, tried = self.choose(held), [a.worker for a in held.attempts]
                 if worker and worker not in tried and self.room(worker) >= held.job.slots:
@@ -415,7 +416,10 @@
             worker.room, worker.room_us = min(self.room(worker), 0.0), self.now
         elif result is i.Result.OK:
             self.judge(worker, False)
-            self.note_served(held, event.spent_us)
+            self.runs.served(self.now, held.job.job_class, event.spent_us)
+            if attempt.started:
+                more = self.runs.ran(held.job.job_class, self.now - attempt.started_us)
+                worker.pace += PACE_WEIGHT * (more - worker.pace)
         elif result not in (i.Result.NOT_SENT, i.Result.CANCELLED):
             self.judge(worker, True)
         if event.job_ended or held.ended:
@@ -424,18 +428,13 @@
             # Half of the attempts are kept for when room has changed: at a crowded fleet they are soon gone.
             self.push(held, result is i.Result.FULL and 2 * len(held.attempts) >= self.s.attempt_limit)
 
-    def note_served(self, held: i.Held, spent_us: int) -> None:
-        for k in (held.job.job_class, -1):
-            self.mean_run_us[k] = i.running(self.mean_run_us[k], spent_us, MEMORY)
-        gap_us, self.last_served_us = self.now - self.last_served_us, self.now
-        self.served_gap_us = i.running(self.served_gap_us, gap_us, MEMORY)
-
     def on_timer(self, token: int) -> None:
         if token == ASK:
             self.actions.append(i.WatchList(True))
         elif token == START:
             self.second_copies()
         elif token == TICK:
+            self.look_at_pace()
             self.resize()
             if self.jobs_seen > KEY_HORIZON:
                 self.jobs_seen //= 2
--- a/stepstream/interface.py
+++ b/stepstream/interface.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
 from enum import Enum
-from math import inf
+from math import inf, log
 from zlib import crc32
 
 
@@ -243,6 +243,9 @@
 Action = Push | Refuse | Fail | Cancel | Probe | WakeMe | WatchList | FetchList | Log
 
 
+SHORTEST_RUN_US = 1_000  # shorter runs tell nothing of their worker
+
+
 def running(mean: float, new: float, weight: float) -> float:
     """A running mean with the newest value in; 0 stands for none so far."""
     return mean + weight * (new - mean) if mean else max(new, 1.0)
@@ -254,6 +257,35 @@
     return [known.get(name, fresh) for name in new]
 
 
+class Runs:
+    """How long jobs have taken, in running means."""
+
+    def __init__(self, classes: int, start_us: int, weight: float) -> None:
+        self.weight = weight
+        self.mean_us = [0.0] * (classes + 1)  # from push to end, of served jobs, by class; last, of all
+        self.usual = [0.0] * classes  # from start to end, as a logarithm: few long jobs must not set it
+        self.gap_us, self.last_us = 0.0, start_us  # between two served jobs; the last one
+
+    def served(self, now_us: int, place: int, spent_us: int) -> None:
+        for k in (place, -1):
+            self.mean_us[k] = running(self.mean_us[k], spent_us, self.weight)
+        self.gap_us, self.last_us = running(self.gap_us, now_us - self.last_us, self.weight), now_us
+
+    def surplus(self, place: int, run_us: int) -> float:
+        """How much longer than usual this run is, as a logarithm; 0 while nothing is known of its class."""
+        usual = self.usual[place] if 0 <= place < len(self.usual) else 0.0
+        return log(max(run_us, SHORTEST_RUN_US)) - usual if usual else 0.0
+
+    def ran(self, place: int, run_us: int) -> float:
+        if 0 <= place < len(self.usual):
+            self.usual[place] = running(self.usual[place], log(max(run_us, SHORTEST_RUN_US)), self.weight)
+        return self.surplus(place, run_us)
+
+    def carry(self, old: tuple[str, ...], new: tuple[str, ...]) -> None:
+        self.mean_us[:-1] = carried(old, new, self.mean_us, 0.0)
+        self.usual = carried(old, new, self.usual, 0.0)
+
+
 # What a Balancer remembers: plain records, all decisions are in balance.py.
 
 
@@ -272,21 +304,34 @@
     room_us: float = -inf  # the time of that report
     recent: deque[tuple[int, float]] = field(default_factory=deque)  # our latest changes, too new for reports
     failures: float = 0.0
+    pace: float = 0.0  # how much longer than usual its runs take: mean of the logarithms of ended ones
+    pace_now: float = 0.0  # the same with those that are not over yet
     pause_us: int = 0  # above 0: out of both pools until the trial succeeds
     trial_us: int = 0  # when the next trial may be sent
 
     def __post_init__(self) -> None:
         self.mark = crc32(self.entry.worker.encode())  # stands for its id
 
+    def change_busy(self, now_us: int, slots: float, lag_us: int) -> None:
+        self.busy_slots += slots
+        self.recent.append((now_us, slots))
+        while self.recent[0][0] < now_us - lag_us:
+            self.recent.popleft()
+        self.room -= slots
+
 
 @dataclass(eq=False)
 class Attempt:
     worker: Worker
     sent_us: int
     open: bool = True
-    started: bool = False
+    started_us: int = 0  # 0: not yet, as far as we were told
     clean: bool = False  # proven never to have run
 
+    @property
+    def started(self) -> bool:
+        return self.started_us > 0
+
 
 @dataclass(eq=False)
 class Held:
@@ -310,6 +355,13 @@
     def attempt(self, number: int) -> Attempt | None:
         return self.attempts[number] if 0 <= number < len(self.attempts) else None
 
+    def repeatable(self, now_us: int) -> bool:
+        """Whether the rules let it be sent again, within its key scope."""
+        ran = self.may_have_run()
+        if ran is None or self.kind.effect is Effect.SAFE:
+            return True
+        return self.kind.effect is Effect.KEYED and now_us <= ran.sent_us + self.kind.window_us
+
     def may_have_run(self) -> Attempt | None:
         """The first attempt that is out or may have had its effect: repeats are bound to it."""
         return next((a for a in self.attempts if not a.clean), None)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -211,3 +211,65 @@
     assert gone
     bench.tell(i.WorkerList(i.ListKind.CHANGES, gone))
     assert [w.high for w in bench.balancer.order].count(False) == 1
+
+
+def known_caps(bench, cap):
+    """As if each worker had once been full; the common cap follows with the next period."""
+    for worker in bench.balancer.workers.values():
+        worker.cap = cap
+    bench.next_period()
+    return bench
+
+
+def run_jobs(bench, count, slow, times=8):
+    """Jobs one after the other; on `slow` each runs so many times as long. Where they went."""
+    went = []
+    for _ in range(count):
+        name, actions = bench.job()
+        (push,) = pushes(actions)
+        went.append(push.worker)
+        bench.tell(i.Started(name, 0, push.worker))
+        bench.later(200_000 * (times if push.worker == slow else 1))
+        bench.ended(name, push.worker, i.Result.OK)
+        bench.tick(50_000)
+    return went
+
+
+def test_a_worker_whose_runs_take_much_longer_leaves_but_for_trials_and_comes_back():
+    bench = known_caps(Bench(workers=4, tells_start=True), 8.0)
+    slow = entry(1).worker
+    run_jobs(bench, 40, None)
+    run_jobs(bench, 40, slow)
+    assert run_jobs(bench, 40, slow).count(slow) <= 6  # of ten by turns: one trial in three seconds
+    run_jobs(bench, 100, None)
+    assert run_jobs(bench, 40, None).count(slow) >= 8
+
+
+def test_a_run_that_has_not_ended_tells_by_how_long_it_is():
+    bench = known_caps(Bench(workers=4, tells_start=True), 20.0)
+    run_jobs(bench, 40, None)
+    stuck = {}
+    for _ in range(16):  # side by side, four on each; those of one worker do not end
+        name, actions = bench.job()
+        (push,) = pushes(actions)
+        bench.tell(i.Started(name, 0, push.worker))
+        stuck.setdefault(push.worker, []).append(name)
+    slow = next(iter(stuck))
+    for worker, names in stuck.items():
+        for name in names if worker != slow else ():
+            bench.ended(name, worker, i.Result.OK)
+    bench.tick(5_000_000)
+    assert slow not in run_jobs(bench, 20, None)[:10]
+
+
+def test_a_crowded_fleet_keeps_its_slow_workers():
+    bench = known_caps(Bench(workers=4, tells_start=True), 8.0)
+    slow = entry(1).worker
+    run_jobs(bench, 40, None)
+    run_jobs(bench, 40, slow)
+    assert bench.balancer.workers[slow].pause_us
+    # With caps of one slot the same jobs fill the fleet.
+    for worker in bench.balancer.workers.values():
+        worker.cap = 0.1
+    bench.tick()
+    assert not bench.balancer.workers[slow].pause_us
