Keep a peer's place while it still sends behind its error; shield the first of two ids

Read in the code: evict() could end a connection that was draining a long body 50 ms after its 413, over which the kernel sends a reset that may overtake the error (the time of the last byte was not kept once closed); and a fault in the thread of a second request with an open id made the core tell the module that the first one's client had left.

Now a closed connection keeps the time of its last byte, lingers from the end of its answer, and Broken counts only for the request that stands under its id. A discovery that stays silent is logged as such instead of as errno 11.

--- a/stepstream/dispatch.py
+++ b/stepstream/dispatch.py
@@ -218,9 +218,11 @@
                 self.end_call(now_us, call, result)
             case Told():
                 self.on_news(now_us, event)
-            case Broken(request):
+            case Broken(request) if self.requests.get(request.id) is request:
                 self.answer(request, Outcome.FAILED)
                 self.telling.append(i.ClientLeft(request.id))
+            case Broken():
+                pass  # guards the first of two with one id: the second's fault is not its
             case LastCall(by_us):
                 self.last_us = by_us
                 for request in self.requests.values():
--- a/stepstream/net/discovery.py
+++ b/stepstream/net/discovery.py
@@ -133,7 +133,8 @@
     def fail(self, error: Exception) -> None:
         with self.lock:
             if not self.retired:
-                log(f"discovery failed: {error}")
+                silent = isinstance(error, BlockingIOError)  # what a socket's time limit raises
+                log(f"discovery failed: {'no answer in time' if silent else error}")
                 self.post(i.WorkerList(i.ListKind.FAILED))
 
     def exchange(self, watch: bool) -> Message:
--- a/stepstream/net/inbound.py
+++ b/stepstream/net/inbound.py
@@ -158,7 +158,8 @@
         self.writing = False  # a late writer is at work on the rest of an answer
         self.ended = False  # the reader has left; the late writer closes the socket
         self.left = False  # it has made room and counts among those that leave
-        self.active = self.begun = time.monotonic()  # the last byte or answer; the current message's first
+        # The last byte or answer; the current message's first byte or, once closed, the last answer's end.
+        self.active = self.begun = time.monotonic()
 
     def run(self) -> None:
         try:
@@ -191,12 +192,12 @@
         """Guards against half-open, silent and dawdling peers, which would hold their thread for ever."""
         with self.lock:
             session = self.session
-            since = self.active if session.between or session.phase is Phase.CLOSED else self.begun
+            since = self.active if session.between else self.begun
             if self.writing or now - since <= session.patience(self.house.limits):
                 return
             reply = None
             if session.phase is Phase.READING and not session.between:
-                reply, self.active = session.refuse(ProtocolError(400, "too slow")), now
+                reply = session.refuse(ProtocolError(400, "too slow"))
             elif session.phase is Phase.CLOSED or not self.unread():
                 session.phase = Phase.CLOSED
                 hang_up(self.sock)
@@ -230,7 +231,8 @@
         with self.lock:
             if self.session.phase is Phase.CLOSED:
                 # Guards against a peer that goes on sending after its last answer.
-                return now - self.active < self.house.limits.linger
+                self.active = now
+                return now - self.begun < self.house.limits.linger
             if self.session.between and self.session.answered:
                 self.begun = now
             self.active = now
@@ -296,6 +298,7 @@
     def finish(self, reply: Reply) -> None:
         """Half a close: a full one could reset the connection and take the answer with it."""
         if reply.close:
+            self.begun = time.monotonic()  # what it lingers from; the last byte says whether it may make room
             try:
                 self.sock.shutdown(socket.SHUT_WR)
             except OSError:
@@ -312,6 +315,7 @@
             if self.session.phase is Phase.WAITING or self.writing:
                 return True, math.inf
             known = self.session.proven and self.session.phase is not Phase.CLOSED
+            # Guards an error on its way to a peer that still sends: ended now, a reset would overtake it.
             return known, self.begun if self.session.owes else self.active
 
     def evict(self) -> bool:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -169,6 +169,16 @@
     assert found == [Answer(taken, Outcome.FAILED), StopCall(one_call(commands))]
 
 
+def test_a_fault_of_a_second_request_with_the_same_id_leaves_the_first_alone():
+    desk = Desk()
+    first, commands = desk.take("aa")
+    call = one_call(commands)
+    second, _ = desk.take("aa")
+    assert not of(StopCall, desk.tell(Broken(second)))
+    (answer,) = of(Answer, desk.tell(Told("aa", call.worker, News.DONE, "1")))
+    assert answer.request is first and answer.outcome is Outcome.SERVED
+
+
 def test_a_failed_list_is_asked_for_again():
     desk = Desk()
     assert of(AskList, desk.commands) == [AskList(True)]
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -381,6 +381,20 @@
         home.looked(lambda: not home.house.inbound)
 
 
+def test_a_peer_that_is_still_sending_after_its_error_does_not_make_room():
+    home = Home(Limits(inbound=1, for_news=0, spare_idle=PATIENCE))
+    with home.dial() as sending:
+        sending.sendall(b"POST /revalue HTTP/1.1\r\nContent-Length: 20000000\r\n\r\n")
+        assert ask(0, b"", sending).status == 413
+        (closed,) = home.house.inbound
+        closed.active = 0.0  # as if long ago
+        sending.sendall(bytes(1000))
+        wait_for(lambda: closed.active > 0.0)
+        # Its place is not to be had for another one now; how long it may go on counts from its error.
+        assert ask(home.port, b"").status == 503
+        assert closed.begun < closed.active and closed in home.house.inbound
+
+
 def test_an_error_reaches_a_peer_that_is_still_sending():
     home = Home()
     with home.dial() as peer:
