Let idle clients make room before new connections that take their time

Counters in the log each half second (since taken out): about 115 idle clients' connections and 20 to 40 new ones held all 160 places; from the moment that they were full, batches of 32 new connections were ended before they had said anything, and the failures began in that same window. Nothing was turned away, the module refused nothing, workers gave one error in a window: ruled out.

At fault: inbound.py, spare(), which let strangers make room before idle clients whatever their age. It is the wrong way round for the young: a client whose idle connection ends sends its request on a new one, while a new connection that is ended before its first request has failed that request.

Now: connections that are done go first, then those that have brought nothing for a second, then idle clients, the newest last; of one rank several at a time, so that a flood is still looked through once for many.

--- a/stepstream/net/inbound.py
+++ b/stepstream/net/inbound.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from enum import Enum
+from enum import Enum, IntEnum
 
 from stepstream.dispatch import Answer, Arrived, Broken, Event, Left, Request, Told
 from stepstream.net import platform
@@ -148,6 +148,20 @@
         return left
 
 
+class Rank(IntEnum):
+    """Who makes room first.
+
+    An idle client's next request costs a new connection and no more; a new connection may be that of a client
+    that takes its time, and closed before its first request that request has failed.
+    """
+
+    DONE = 1
+    STRANGER = 2  # without a job or news for a good while
+    IDLE = 3
+    NEW = 4
+    NEVER = 5  # a request is open
+
+
 class Inbound:
     """A connection's driver. Its thread reads; whoever has an answer writes, never waiting for the peer."""
 
@@ -309,14 +323,19 @@
         stays = session.proven and not session.of_worker and session.phase is Phase.READING
         return session.owes or self.writing or (stays and not self.house.door.closing)
 
-    def spare(self) -> tuple[bool, float]:
-        """The least makes room first: strangers and the done before old clients, then the longest quiet."""
+    def spare(self, now: float) -> tuple[Rank, float]:
+        """The least makes room first, and among equals the one quiet for longest."""
         with self.lock:
-            if self.session.phase is Phase.WAITING or self.writing:
-                return True, math.inf
-            known = self.session.proven and self.session.phase is not Phase.CLOSED
-            # Guards an error on its way to a peer that still sends: ended now, a reset would overtake it.
-            return known, self.begun if self.session.owes else self.active
+            session = self.session
+            if session.phase is Phase.WAITING or self.writing:
+                return Rank.NEVER, math.inf
+            since = self.begun if session.owes else self.active
+            if session.phase is Phase.CLOSED:
+                # Guards an error on its way to a peer that still sends: ended now, a reset would overtake it.
+                return Rank.DONE, since
+            if session.proven:
+                return Rank.IDLE, since
+            return Rank.STRANGER if now - since >= self.house.limits.stranger else Rank.NEW, since
 
     def evict(self) -> bool:
         """Guards the budget: peers that dawdle or say nothing must not keep out those that work."""
@@ -419,17 +438,17 @@
             return len(self.inbound) >= limits.inbound
 
     def make_room(self) -> None:
-        """Several strangers at a time, or each of a flood would look through all; an old client alone."""
-        quiet = time.monotonic() - self.limits.spare_idle
+        """Several at a time, or each of a flood would look through all."""
+        now, made = time.monotonic(), 0
         with self.lock:
             every = list(self.inbound)
-        spare = sorted((*inbound.spare(), k) for k, inbound in enumerate(every))
-        made = 0
-        for known, since, k in spare:
-            if made == self.limits.evict_at_once or (known and made):
+        first = None
+        for rank, since, k in sorted((*inbound.spare(now), k) for k, inbound in enumerate(every)):
+            # Those that cost their clients something go only while nobody else does.
+            if made == self.limits.evict_at_once or (made and rank > first):
                 return
-            if since <= quiet and every[k].evict():
-                made += 1
+            if now - since >= self.limits.spare_idle and every[k].evict():
+                first, made = rank, made + 1
                 self.leave(every[k])
 
     def leave(self, inbound: Inbound) -> None:
--- a/stepstream/net/limits.py
+++ b/stepstream/net/limits.py
@@ -41,6 +41,7 @@
     slow_peer: float = 2.0  # a later message, from its first byte to its last
     linger: float = 2.0  # a connection whose last answer is out waits so long for its peer to close
     inbound_idle: float = 120.0  # of a connection that has brought jobs or news
+    stranger: float = 1.0  # a new connection without a whole message so far is the next to make room by then
     spare_idle: float = 0.05  # an inbound connection that has been quiet for so long may have to make room
     outbound_idle: float = 5.0  # well before the worker closes: a request must not cross its closing
     queued: float = 0.3  # a call not begun by then ends as not sent
