Watch from the known list's version at the start; ask for the whole list only without one

A trace of each call to discovery, counted over the whole fleet: 71 of the first 110 calls refused, then 355 calls for the whole list in 27 s, all of them failed (60 after 2 s of waiting, the rest turned away at once). The dispatchers worked on with the 60 workers of the start while 42 of them were replaced: 1,648 pushes answered 'full' in the last 10 s, and 42 new workers stood idle.

Ruled out: a discovery that answers nobody (the three watches that got in at the start were held and answered), and a list lost on its way (no answer was read and dropped).

Change: a version is known or None; the list from before the start counts; a failed watch is asked again as a watch. An answer with an older version than ours costs one whole list, as discovery has begun to count anew.

--- a/stepstream/net/discovery.py
+++ b/stepstream/net/discovery.py
@@ -70,7 +70,7 @@
         self.limits, self.where, self.side = limits, address, side
         self.destinations, self.post = destinations, post
         self.asks: SimpleQueue[bool] = SimpleQueue()
-        self.version = 0
+        self.version: int | None = None  # of the list that is held; 0 is a version like any other
         self.lock = threading.Lock()  # orders a list, or a new connection, against the end
         self.retired = False
         self.sock: socket.socket | None = None
@@ -87,6 +87,7 @@
         self.asks.put(False)  # wakes the thread
 
     def learn(self, targets: Targets) -> None:
+        """Takes over a list, also the one from before a start: a watch goes on from its version."""
         with self.lock:
             # Guards against a list of the address before a reload, which must not follow the new one's.
             if not self.retired:
@@ -102,7 +103,7 @@
     def serve_ask(self) -> None:
         watch = self.asks.get()
         if not self.retired:
-            going = self.call(watch and self.version > 0)
+            going = self.call(watch)
             while watch and going and not self.retired:
                 going = self.call(True)
                 if self.drain_asks():
@@ -118,11 +119,19 @@
             return fetch
 
     def call(self, watch: bool) -> bool:
-        """One call; on a failure the core is told, and asks again when it sees fit."""
+        """One call; on a failure the core is told, and asks again when it sees fit.
+
+        The whole list is asked for only where no version is known: it is dear where a fleet asks.
+        """
+        watch = watch and self.version is not None
         try:
             begun, version = time.monotonic(), self.version
-            self.learn(self.side.read_answer(self.exchange(watch)))
-            if watch and self.version == version and time.monotonic() - begun < self.limits.watch_pause:
+            targets = self.side.read_answer(self.exchange(watch))
+            self.learn(targets)
+            if watch and targets.version < version:
+                # Guards against a discovery that began to count anew: it would not tell what came before.
+                self.version = None
+            if watch and targets.version == version and time.monotonic() - begun < self.limits.watch_pause:
                 # Guards discovery from a loop of calls, should it answer watches without waiting.
                 time.sleep(self.limits.watch_pause)
             return True
--- a/stepstream/net/node.py
+++ b/stepstream/net/node.py
@@ -119,6 +119,8 @@
 
     def recall(self) -> None:
         """The list from before the start; one that cannot be read is as good as none."""
+        if not self.config.known:
+            return  # its version would be one that discovery never gave
         try:
             self.discovery.learn(self.discovery.side.read(self.config.known, kept=True))
         except ProtocolError as error:
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+from dataclasses import replace
 
 import pytest
 from net_helpers import LIMITS, SETTINGS, job_bytes, request
@@ -186,7 +187,7 @@
 
 
 class Watcher:
-    def __init__(self, reply, limits=LIMITS, version=0):
+    def __init__(self, reply, limits=LIMITS, version=None):
         self.events = []
         self.server = Server(reply)
         where = ("127.0.0.1", self.server.port)
@@ -220,6 +221,29 @@
     gate.set()
 
 
+def test_a_known_list_is_watched_from_its_version_even_if_that_is_0_and_a_call_failed():
+    """A fleet that asks for the whole list, at its start or after each failure, has discovery overbooked."""
+    watcher = Watcher(lambda _: write_answer(503))
+    watcher.discovery.learn(replace(targets(w=1), version=0))
+    for n in (1, 2):
+        watcher.discovery.ask(True)
+        wait_for(lambda n=n: watcher.kinds().count(i.ListKind.FAILED) == n)
+    assert all(m.target.startswith("/api/targets?index=0&wait=") for m in watcher.server.seen)
+
+
+def test_a_version_that_goes_back_costs_one_whole_list():
+    def reply(message):
+        if "index=9" in message.target:
+            return write_answer(200, b'{"version":7,"full":false,"servers":[]}')
+        return write_answer(200, LIST) if "index" not in message.target else write_answer(503)
+
+    watcher = Watcher(reply, version=9)
+    watcher.discovery.ask(True)
+    wait_for(lambda: i.ListKind.FAILED in watcher.kinds())
+    targets_asked = [m.target.partition("&")[0] for m in watcher.server.seen]
+    assert targets_asked == ["/api/targets?index=9", "/api/targets", "/api/targets?index=7"]
+
+
 @pytest.mark.parametrize("answer", [write_answer(503), None, write_answer(200, b"[]"), b"junk\r\n\r\n"])
 def test_a_call_that_fails_is_told_as_failed_and_the_next_ask_is_heard(answer):
     watcher = Watcher(lambda _: answer)
