Spread asks for the list over the fleet's size; let a large fleet's watches last longer

After the release 28 dispatchers asked within 0.4 s: 9 got in. Changes for those that were in waited for their turn too: of a release begun at 9.4 s they heard at 13.8 s.

Ruled out: refusals by the length of the list (a watch from version 8 with 54 changes takes 0.04 s more than one with none).

At fault: Balancer.__init__ asks at once, on_list's first wait of 0.25 to 0.5 s is that of one dispatcher, its longest of 5 s keeps 40 callers above what discovery can serve, and Limits.watch_wait has each dispatcher make a call every 8 s for nothing.

Change: the first ask comes by chance within 0.1 s a dispatcher of the fleet, waits after failures begin there and may grow to three times that; one alone, or one that knows no worker when a job comes, asks at once. A watch lasts as many seconds as there are dispatchers, 8 at least and 60 at most.

--- a/stepstream/balance.py
+++ b/stepstream/balance.py
@@ -22,6 +22,7 @@
 SLOW = 1.1  # logarithm of how much longer than usual its runs take that takes a worker out
 PACE_WEIGHT, SLOW_PAUSE_US = 0.15, 3_000_000  # weight of its newest run in that; before each trial
 ASK_AGAIN_US = 500_000  # first wait after a failed call for the list, doubled each time
+ASK_GAP_US = 100_000  # between two calls of a fleet that has started, or was turned away, as one
 REPORT_LAG_US, REPORT_FRESH_US = 300_000, 2_000_000  # pushes newer are not in it; an older one tells nothing
 PATIENCE = 0.8  # part of its goal that a job may wait for room; later it would hardly be in time
 ROOMY = 0.5  # rotation keeps to workers with at least this part of the best one's room
@@ -50,10 +51,14 @@
         self.late_at: deque[float] = deque(maxlen=LATE_KEPT)  # busy slots where starts were late, or not yet
         # Periods begin at random: dispatchers that start together must not act in step.
         self.actions: list[i.Action] = [i.WakeMe(TICK, start_us + self.random.randrange(PERIOD_US))]
-        self.actions += [i.WatchList(True)] if settings.must_ask else []
+        self.asking, self.ask_wait_us = not settings.must_ask, self.first_ask_wait_us()
+        if settings.fleet_size > 1:
+            self.ask_later(0.0, ASK_GAP_US * settings.fleet_size)
+        else:
+            self.ask()
         self.priority_share, self.common_cap = START_PRIORITY_SHARE, None
         self.mean_worth, self.runs = 0.0, i.Runs(len(settings.classes), start_us, MEMORY)
-        self.jobs_seen, self.probe_credit, self.ask_wait_us = 0, 0.0, ASK_AGAIN_US
+        self.jobs_seen, self.probe_credit = 0, 0.0
         self.parts = [q / (sum(settings.quotas_per_s) or 1.0) for q in settings.quotas_per_s]  # by tenant
         self.credit = [1.0] * len(self.parts)
 
@@ -93,12 +98,14 @@
     # -- membership ---------------------------------------------------------------------------------------
 
     def on_list(self, event: i.WorkerList) -> None:
-        if event.kind is i.ListKind.FAILED:  # ask again, jittered so that dispatchers don't ask as one
-            wait_us = int(self.ask_wait_us * self.random.uniform(0.5, 1.0))
-            self.actions.append(i.WakeMe(ASK, self.now + wait_us))
-            self.ask_wait_us = min(2 * self.ask_wait_us, self.s.must_ask_us // 2)
+        if event.kind is i.ListKind.FAILED:
+            self.asking = False
+            self.ask_later(0.5, self.ask_wait_us)
+            # Calls given up are work for discovery too: a fleet that does not fall behind never gets in.
+            longest_us = max(self.s.must_ask_us // 2, 3 * self.first_ask_wait_us())
+            self.ask_wait_us = min(2 * self.ask_wait_us, longest_us)
             return
-        self.ask_wait_us = ASK_AGAIN_US
+        self.ask_wait_us = self.first_ask_wait_us()
         for entry in event.entries:
             self.on_entry(entry)
         if event.kind is not i.ListKind.CHANGES:
@@ -114,6 +121,17 @@
         if self.order and all(w.high for w in self.order):
             self.order[-1].high = False
 
+    def first_ask_wait_us(self) -> int:
+        return min(max(ASK_AGAIN_US, ASK_GAP_US * self.s.fleet_size), self.s.must_ask_us // 2)
+
+    def ask_later(self, least: float, wait_us: int) -> None:
+        """By chance within the wait: asked by a whole fleet as one, discovery serves only the first few."""
+        self.actions.append(i.WakeMe(ASK, self.now + int(wait_us * self.random.uniform(least, 1.0))))
+
+    def ask(self) -> None:
+        self.actions += [] if self.asking else [i.WatchList(True)]
+        self.asking = True
+
     def on_entry(self, entry: i.WorkerEntry) -> None:
         if entry.state is i.WorkerState.OUT:
             self.workers.pop(entry.worker, None)
@@ -229,6 +247,8 @@
     # -- admission ----------------------------------------------------------------------------------------
 
     def on_job(self, job: i.Job) -> None:
+        if not self.workers:
+            self.ask()  # without a list from before the start nothing is gained by waiting for a turn
         self.probe_credit += PROBES_A_JOB
         self.jobs_seen += 1
         self.key_jobs[job.key] = self.key_jobs.get(job.key, 0) + 1
@@ -431,7 +451,7 @@
 
     def on_timer(self, token: int) -> None:
         if token == ASK:
-            self.actions.append(i.WatchList(True))
+            self.ask()
         elif token == START:
             self.second_copies()
         elif token == TICK:
--- a/stepstream/net/limits.py
+++ b/stepstream/net/limits.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from stepstream import interface as i
 from stepstream.settings import Config
 
 
@@ -62,7 +63,8 @@
     call_silence: float = 30.0  # backstop of a call's read; the core ends calls long before
     delete_answer: float = 1.0
     probe: float = 1.0
-    watch_wait: float = 8.0
+    watch_wait: float = 8.0  # each that ends is one more call for discovery
+    longest_watch: float = 60.0  # the platform's bound
     watch_slack: float = 1.5  # a watch silent for so long after its wait has failed
     watch_pause: float = 0.1  # before a watch goes on that was answered at once with nothing new
     fetch: float = 3.0
@@ -107,5 +109,13 @@
         outbound_idle=idle * 0.5,
         stop_serving=max(killed - Limits.close_before, 0.4),
         stop_answer=max(killed - Limits.answer_before, 0.4),
-        watch_wait=min(8.0, config.settings.must_ask_us / 1e6 * 0.8),
+        watch_wait=watch_wait(config.settings),
     )
+
+
+def watch_wait(settings: i.Settings) -> float:
+    """In seconds. The calls of a fleet, each of which goes on when its watch ends, are about one a second:
+    its discovery serves a few. A small fleet's hear sooner of a discovery that has fallen silent.
+    """
+    small = min(Limits.watch_wait, settings.must_ask_us / 1e6 * 0.8)
+    return min(max(small, 1.0 * settings.fleet_size), Limits.longest_watch)
