Count caps in parts of a slot and by whole pools where dispatchers are many

At fault: a cap is at least one slot (late_at holds our own busy slots, the push itself included), so a worker has room for 40 jobs at once from 40 dispatchers that have none there; pool_room then sums 30 such caps against 5 busy slots. Nothing is ever over its caps: no ordinary job is refused, and resize() gives back the High Set worker by worker down to one or two, the same ones at every dispatcher. A cap of one holds back what needs two.

Change: for more than eight dispatchers Share keeps the pool's busy slots and those that run, averaged over a second, and learns a cap in parts of a slot: a late start bounds it by twice what runs of ours and lowers it, a start in time raises it, so that 0.4 of the starts are late at the cap. Pools are summed by that cap; the High Set by 18/26 of it. None of our jobs on a worker is room for one. Ordinary jobs of more worth may exceed the caps by half, so the cheapest go first. One look moves a sixteenth of the workers, and gives back the last ids. A start is late there after 0.2 of the goal, not 0.4. Smaller fleets decide as before.

--- a/stepstream/balance.py
+++ b/stepstream/balance.py
@@ -13,7 +13,9 @@
 SAFETY_FACTOR = 18 / 26  # part of the slots at 'full' that still keeps the goals (the paper's figures)
 START_PRIORITY_SHARE = 0.2  # expected share of priority jobs before any is seen
 EXCESS_LEAVES = 1.0  # slots of a worker that jobs past a share leave free; they get one attempt
+DEAR_EXCEEDS = 0.5  # part of its caps by which ordinary jobs of more worth may exceed the Low Set's
 PERIOD_US = 500_000  # between two looks at the pools
+MOVES = 16  # one look moves one worker of so many
 MEMORY = 0.02  # weight of the newest job in running means
 SHARE_SLACK = 1.5  # past its share: asks so many times what the middle tenant does of its own
 SICK_AFTER = 0.6  # mean of recent failures that takes a worker out (three in a row do)
@@ -33,6 +35,7 @@
 COLD_PART = 0.4  # part of the fall multiple that is used; the rest is for chance
 LATE_KEPT = 15  # latest starts that tell the common cap where there are no reports
 START_PATIENCE = 0.4  # part of the goal in which a push should start
+START_PATIENCE_MANY = 0.2  # the same where the shares of many dispatchers are told by it
 TICK, ASK, PUMP, START = range(4)  # timer tokens
 
 
@@ -57,13 +60,16 @@
         else:
             self.ask()
         self.priority_share, self.common_cap = START_PRIORITY_SHARE, None
-        self.mean_worth, self.runs = 0.0, i.Runs(len(settings.classes), start_us, MEMORY)
+        self.mean_worth = self.ordinary_worth = 0.0
+        self.runs = i.Runs(len(settings.classes), start_us, MEMORY)
         self.jobs_seen, self.probe_credit = 0, 0.0
         self.parts = [q / (sum(settings.quotas_per_s) or 1.0) for q in settings.quotas_per_s]  # by tenant
         self.credit = [1.0] * len(self.parts)
+        self.share = i.Share(start_us, settings.fleet_size)
 
     def handle(self, now_us: int, events: list[i.Event]) -> list[i.Action]:
         self.now, self.pool_rooms = now_us, {}
+        self.share.advance(now_us)
         self.common_cap = self.common_cap or self.median_cap()
         for event in events:
             match event:
@@ -89,6 +95,7 @@
 
     def on_settings(self, new: i.Settings) -> None:
         old, self.s = self.s, new
+        self.share.many = new.fleet_size > i.MANY
         self.runs.carry(old.class_names, new.class_names)
         self.parts = i.carried(old.tenants, new.tenants, self.parts, 0.0)
         self.credit = i.carried(old.tenants, new.tenants, self.credit, 1.0)
@@ -211,6 +218,8 @@
         return self.now - worker.room_us <= REPORT_FRESH_US
 
     def one_cap(self) -> float:
+        if self.share.many:
+            return self.share.cap
         return inf if self.common_cap is None else max(self.common_cap, 1.0)
 
     def on_report(self, worker: i.Worker, report: dict[str, float] | None) -> None:
@@ -222,9 +231,16 @@
 
     def change_busy(self, worker: i.Worker, slots: float) -> None:
         worker.change_busy(self.now, slots, REPORT_LAG_US)
+        self.share.moved(worker.high, slots)
         self.stirred = self.stirred or (slots < 0 and self.room(worker) >= 1)
 
+    def change_running(self, worker: i.Worker, slots: float) -> None:
+        worker.running_slots += slots
+        self.share.ran(worker.high, slots)
+
     def pool_room(self, high: bool) -> float:  # summed caps less summed busy slots, once for a batch
+        if self.share.many:
+            return self.share.room(high)
         if high not in self.pool_rooms:
             pool = self.usable([w for w in self.order if w.high == high])
             self.pool_rooms[high] = sum(map(self.room, pool))
@@ -238,11 +254,17 @@
         # Dispatchers that know few rooms must not all give back the same workers, down to the same one.
         few = self.s.reports != "none" and 2 * sum(map(self.fresh, self.order)) < len(self.order)
         order = self.usable(self.random.sample(self.order, len(self.order)) if few else self.order)
-        high, low = ([w for w in order if w.high == pool] for pool in (True, False))
-        if room < 0 and len(low) > 1:
-            max(low, key=self.room).high = True
-        elif room > self.one_cap() and len(high) > max(few * self.priority_share * len(self.order), 1):
-            max(high, key=self.room).high = False
+        self.share.recount(order)
+        for _ in range(max(len(order) // MOVES, 1)):
+            high, low = ([w for w in order if w.high == pool] for pool in (True, False))
+            if room < 0 and len(low) > 1:
+                max(low, key=self.room).high = True
+                room += self.one_cap()
+            elif room > self.one_cap() and len(high) > max(few * self.priority_share * len(self.order), 1):
+                # Where dispatchers are many and most rooms alike, their High Sets must stay the same ids.
+                max(reversed(high) if self.share.many else high, key=self.room).high = False
+                room -= self.one_cap()
+        self.share.recount(order)
 
     # -- admission ----------------------------------------------------------------------------------------
 
@@ -259,11 +281,19 @@
         priority = worth >= self.mean_worth * (1 - 1e-6)  # with equal worths rounding must not decide
         self.priority_share += MEMORY * (priority - self.priority_share)
         held = self.held[job.job] = i.Held(job, kind, self.now, self.now + job.budget_us, priority, excess)
-        if not priority and self.pool_room(False) < job.slots and self.pool_room(True) <= self.one_cap():
+        if not priority and self.over(worth, job.slots) and self.pool_room(True) <= self.one_cap():
             self.give_up(held)
         else:
             self.push(held)
 
+    def over(self, worth: float, slots: float) -> bool:
+        """Whether the Low Set is over its caps for an ordinary job of this worth: the dearer go last."""
+        self.ordinary_worth += MEMORY * (worth - self.ordinary_worth) if self.ordinary_worth else worth
+        if not self.share.many:
+            return self.pool_room(False) < slots
+        dear = worth > self.ordinary_worth
+        return self.pool_room(False) < -DEAR_EXCEEDS * dear * self.share.cap * self.share.count[False]
+
     def in_share(self, tenant: int) -> bool:
         """By the tenant's part of the jobs seen here: one dispatcher's rates say nothing of the fleet's."""
         quotas = self.s.quotas_per_s
@@ -298,7 +328,13 @@
         # Rotation passes over workers without room; a cap alone never holds up a priority job.
         rooms = {w: self.room(w) for w in able}
         needed = held.job.slots + EXCESS_LEAVES * held.excess
-        free = [w for w in able if rooms[w] >= needed or (held.priority and not self.fresh(w))]
+        # Many keep a pool's caps at admission: none of our jobs on a worker is room for one there.
+        thin = self.share.many
+        free = [
+            w
+            for w in able
+            if rooms[w] >= needed or (not self.fresh(w) and (held.priority or (thin and not w.busy_slots)))
+        ]
         pool = [w for w in free if w.high == held.priority]
         # Else the Low Set lends to one job; the High Set does if it has a worker to give back.
         if not pool and (held.priority or self.pool_room(True) > self.one_cap() or all(w.high for w in able)):
@@ -359,12 +395,17 @@
             worker.trial_us = self.now + worker.pause_us  # one trial at a time
         self.actions.append(i.Push(held.job.job, worker.entry.worker))
         if self.s.tells_start:
-            due = self.now + int(START_PATIENCE * held.kind.goal_us)
+            patience = START_PATIENCE_MANY if self.share.many else START_PATIENCE
+            due = self.now + int(patience * held.kind.goal_us)
             self.unstarted.append((due, held, held.attempts[-1]))
             self.actions.append(i.WakeMe(START, due))
 
     def on_started(self, held: i.Held, number: int) -> None:
         if (attempt := held.attempt(number)) is not None:
+            if not attempt.started:
+                self.change_running(attempt.worker, held.job.slots)
+                if not attempt.late and not attempt.worker.high:
+                    self.share.started(False, late=False)
             attempt.started_us, busy = attempt.started_us or self.now, attempt.worker.busy_slots
             if busy >= (self.common_cap or inf) and not self.fresh(attempt.worker):
                 self.late_at.append(busy + 1)  # it had room beyond the common cap
@@ -385,6 +426,9 @@
             if attempt.started or not attempt.open:
                 continue
             self.late_at.append(attempt.worker.busy_slots)
+            attempt.late = True
+            if not attempt.worker.high:
+                self.share.started(False, late=True)
             attempt.worker.room, attempt.worker.room_us = min(self.room(attempt.worker), 0.0), self.now
             left = not held.ended and len(held.attempts) < self.s.attempt_limit and held.repeatable(self.now)
             if left and self.s.may_duplicate and held.kind.effect is not i.Effect.UNSAFE:
@@ -429,6 +473,8 @@
             return
         attempt.open, worker, full_at = False, attempt.worker, attempt.worker.busy_slots
         self.change_busy(worker, -held.job.slots)
+        if attempt.started:
+            self.change_running(worker, -held.job.slots)
         self.on_report(worker, event.report)
         attempt.clean = result.never_ran
         if result is i.Result.FULL:
--- a/stepstream/interface.py
+++ b/stepstream/interface.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
 from enum import Enum
-from math import inf, log
+from math import exp, inf, log
 from zlib import crc32
 
 
@@ -296,6 +296,78 @@
         self.usual = carried(old, new, self.usual, 0.0)
 
 
+MANY = 8  # dispatchers; of more, each seldom has a job of its own on a worker
+LEVEL_US = 1_000_000  # over which the busy slots of a pool are averaged
+SETTLED_US = 2_000_000  # after a start the levels are those of a running dispatcher
+LEAST_CAPS = 1.5  # slots; the least that the caps of a pool make up, else it would never be tried again
+LATE_PART = 0.4  # part of late starts at which a pool is at its caps
+CAP_STEP = 0.1  # what one late start takes off the cap
+HIGH_PART = 18 / 26  # the safety factor: what of its cap a worker of the High Set may be loaded with
+FULL = 2  # a cap is at most so many times what runs of ours where jobs wait
+FAR = 3  # a cap so many times the present load is not told to be higher by starts in time
+
+
+class Share:
+    """The cap of a worker as one of many dispatchers sees it, often a part of one slot: how many slots of its
+    own stand on a worker on average when jobs begin to start late there.
+
+    Its own jobs on one worker say nothing of that where it seldom has one; those on a whole pool do.
+    Pools go by `high`, True and False.
+    """
+
+    def __init__(self, now_us: int, dispatchers: int) -> None:
+        self.many = dispatchers > MANY
+        self.cap, self.now_us, self.begun_us = inf, now_us, now_us
+        self.busy = {True: 0.0, False: 0.0}  # by pool: slots of our unfinished pushes,
+        self.level = {True: 0.0, False: 0.0}  # the same averaged over LEVEL_US,
+        self.running = {True: 0.0, False: 0.0}  # those that have started,
+        self.run_level = {True: 0.0, False: 0.0}  # averaged,
+        self.count = {True: 0, False: 0}  # and workers
+
+    def advance(self, now_us: int) -> None:
+        part = 1 - exp(-(now_us - self.now_us) / LEVEL_US)
+        self.now_us = now_us
+        for high in (True, False):
+            self.level[high] += part * (self.busy[high] - self.level[high])
+            self.run_level[high] += part * (self.running[high] - self.run_level[high])
+
+    def recount(self, workers: "list[Worker]") -> None:
+        for high in (True, False):
+            pool = [worker for worker in workers if worker.high == high]
+            self.busy[high] = sum(worker.busy_slots for worker in pool)
+            self.running[high] = sum(worker.running_slots for worker in pool)
+            self.count[high] = len(pool)
+
+    def moved(self, high: bool, slots: float) -> None:
+        self.busy[high] += slots
+
+    def ran(self, high: bool, slots: float) -> None:
+        self.running[high] += slots
+
+    def started(self, high: bool, late: bool) -> None:
+        """A start, late or in time: the cap settles where LATE_PART of them are late.
+
+        Only what contradicts it moves it: while a pool is over its caps late starts are no news, or the cap
+        would sink with the load that the refusals take away.
+        """
+        if self.now_us < self.begun_us + SETTLED_US:
+            return
+        workers = max(self.count[high], 1)
+        mean, run = self.level[high] / workers, self.run_level[high] / workers
+        if late and run:
+            # Where jobs wait the slots are taken: what runs of ours is our part of them, whatever waits.
+            self.cap = min(self.cap, FULL * run)
+            self.cap *= 1 - CAP_STEP * (mean <= self.cap)
+        elif not late and self.cap < FAR * mean:
+            self.cap *= 1 + CAP_STEP * LATE_PART / (1 - LATE_PART)
+        self.cap = max(self.cap, LEAST_CAPS / workers)
+
+    def room(self, high: bool) -> float:
+        """The pool's summed caps less its summed busy slots."""
+        cap = self.cap * (HIGH_PART if high else 1.0)
+        return inf if cap == inf else cap * self.count[high] - self.level[high]
+
+
 # What a Balancer remembers: plain records, all decisions are in balance.py.
 
 
@@ -309,6 +381,7 @@
     high: bool = False
     turn: float = 0.0  # weighted round robin: the worker with the largest turn is next
     busy_slots: float = 0.0  # slots of our unfinished pushes
+    running_slots: float = 0.0  # of these, that have started
     cap: float | None = None
     room: float = 0.0  # free slots less waiting jobs by its last report, kept up with our pushes
     room_us: float = -inf  # the time of that report
@@ -336,6 +409,7 @@
     sent_us: int
     open: bool = True
     started_us: int = 0  # 0: not yet, as far as we were told
+    late: bool = False  # it had not started when it should have
     clean: bool = False  # proven never to have run
 
     @property
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,6 +3,7 @@
 import heapq
 
 import pytest
+from fleet_world import World
 
 from stepstream import interface as i
 from stepstream.balance import Balancer
@@ -76,3 +77,103 @@
 def test_watches_last_longer_where_more_of_them_end(size, seconds):
     settings = i.Settings(classes=(SAFE,), must_ask_us=10_000_000, fleet_size=size)
     assert watch_wait(settings) == seconds <= Limits.longest_watch
+
+
+# -- caps in parts of a slot -----------------------------------------------------------------------------
+
+LONG = i.JobClass(goal_us=200_000, deadline_us=5_000_000, effect=i.Effect.SAFE, worth=1.0)
+SHORT = i.JobClass(goal_us=120_000, deadline_us=5_000_000, effect=i.Effect.SAFE, worth=3.0)
+DEAR = i.JobClass(goal_us=120_000, deadline_us=5_000_000, effect=i.Effect.SAFE, worth=10.0)
+MIX, RUNS_US = (0.56, 0.26, 0.18), (340_000, 175_000, 175_000)
+GOALS_US = (200_000, 120_000, 120_000)
+
+
+def loaded(load, until_us=8_000_000, **more):
+    """Forty dispatchers and 30 workers of four slots that run so much of what they could."""
+    world = World((LONG, SHORT, DEAR), nodes=30, **more)
+    slots = sum(node.slots for node in world.nodes.values())
+    rate = load * slots / sum(part * run / 1e6 for part, run in zip(MIX, RUNS_US, strict=True))
+    world.load([part * rate for part in MIX], RUNS_US, until_us)
+    world.run(until_us + 2_000_000)
+    return world
+
+
+def in_time(world, since_us, until_us):
+    return [world.in_time(c, since_us, until_us, goal) for c, goal in enumerate(GOALS_US)]
+
+
+def test_an_overloaded_fleet_refuses_the_cheapest_and_serves_the_rest_in_time():
+    """One slot a dispatcher would be forty a worker: nothing refused, and nothing in time for anybody."""
+    world = loaded(1.4)
+    long, short, dear = in_time(world, 4_000_000, 8_000_000)
+    assert long > 0.3 and short > 0.5 and dear > 0.9
+    refused = [world.refused(c, 4_000_000, 8_000_000) for c in range(3)]
+    assert refused[0] > 0.25 and refused[0] > 2 * refused[1] and refused[2] < 0.01
+
+
+def test_a_fleet_with_room_refuses_next_to_nothing():
+    world = loaded(0.6)
+    assert all(part > 0.97 for part in in_time(world, 2_000_000, 8_000_000))
+    assert all(world.refused(c, 2_000_000, 8_000_000) < 0.02 for c in range(3))
+
+
+def test_high_sets_of_dispatchers_that_share_nothing_hold_the_same_ids():
+    world = loaded(1.0)
+    for balancer in world.balancers:
+        high = [worker.high for worker in balancer.order]
+        size = sum(high)
+        assert 1 <= size < 20 and sum(high[: size + 3]) >= size - 1
+
+
+def settled_share(level=2.0, running=2.0, workers=20):
+    share = i.Share(0, FLEET)
+    share.count[False], share.level[False], share.run_level[False] = workers, level, running
+    share.now_us = i.SETTLED_US
+    return share
+
+
+def test_a_late_start_bounds_the_cap_by_what_runs_of_ours_and_not_by_what_waits():
+    share = settled_share(level=16.0, running=2.0)
+    assert share.room(False) == float("inf")  # until a late start pools stay as they are
+    share.started(False, late=True)
+    assert share.cap <= i.FULL * 2.0 / 20
+    assert share.room(False) < -10
+
+
+def test_the_cap_sinks_with_late_starts_only_while_it_is_kept_and_comes_back():
+    share = settled_share()
+    for _ in range(100):
+        share.started(False, late=True)
+    assert 0.08 < share.cap < 0.1  # just below the load at which they were late
+    share.level[False] = 4.0
+    for _ in range(100):
+        share.started(False, late=False)
+    assert share.cap == pytest.approx(i.FAR * 4.0 / 20, rel=0.1)
+
+
+def test_a_pool_whose_jobs_were_all_refused_is_tried_again():
+    share = settled_share()
+    for _ in range(200):
+        share.started(False, late=True)
+        share.level[False] *= 0.9
+        share.run_level[False] *= 0.9
+    assert share.cap * share.count[False] >= 1
+
+
+def test_early_starts_set_no_cap_and_a_small_fleet_goes_by_whole_slots():
+    share = settled_share()
+    share.now_us = i.SETTLED_US - 1
+    share.started(False, late=True)
+    assert share.cap == float("inf")
+    assert share.many and not i.Share(0, i.MANY).many
+
+
+def test_a_wide_ordinary_job_goes_to_a_worker_with_none_of_ours():
+    """A cap of one slot, which one late start brings, would hold it back until it is refused."""
+    world = World((LONG, SHORT, DEAR), nodes=4)
+    one = world.balancers[0]
+    one.late_at.append(1)
+    one.mean_worth = 5.0  # or the first job would be a priority one
+    one.share.cap, one.share.count = 0.5, {True: 2, False: 2}
+    actions = one.handle(1_000, [i.Job("wide", 0, 5_000_000, slots=2.0)])
+    assert any(isinstance(action, i.Push) for action in actions)
