Add the admin listener: health, drain and maintenance of workers on the operator's address

The operators' calls come to an address of their own (operator, or EDGE_OPERATOR), one call a connection. One thread polls all admin connections on non-blocking sockets and feeds the byte-fed HTTP parser, so a caller that holds a connection 4 s without a whole call holds nobody up; calls are routed by a table and answered by a pure decision (admin/calls.py); admin/desk.py carries out the effect before the answer. Not taken: a thread for each admin connection, as the clients' side has, because slow callers would then need a bound of threads and could still take all of them; nor the clients' listener with a path of its own, because it shares the clients' budget and load, and the answer is owed in 1 s under any load.

A ban (PUT /workers/ID/maint) is a set kept by maintenance.py: members.py lays it over every entry as draining, so the module's own rule on drains holds, and the destination set refuses the worker at once. The call back makes the worker look started then (cold).

The drain (PUT /healthcheck/fail, ok) is drain.py: GET /-/ready and /healthcheck say no at once; from 0.5 s on (the front sends new connections 0.2 s after its first no, asked every 0.1 s) answers close their connections and idle clients' connections are closed.

The clients' listener takes SO_REUSEPORT, so that a second process of a hot restart may listen beside the first; other listeners do not.

--- /dev/null
+++ b/stepstream/admin/driver.py
@@ -0,0 +1,162 @@
+"""The admin listener's driver: one thread, non-blocking sockets and poll, so that a caller who holds a
+connection without a whole call holds nobody else up. Every connection is bounded in time and count.
+"""
+
+import select
+import socket
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from stepstream.admin.calls import Asked, Denied, Verdict, route
+from stepstream.net.http1 import Parser, ProtocolError, write_answer
+from stepstream.net.limits import Limits
+from stepstream.net.threads import log
+
+IN, OUT = select.POLLIN, select.POLLOUT
+GONE = select.POLLERR | select.POLLHUP | select.POLLNVAL
+
+
+@dataclass
+class Caller:
+    sock: socket.socket
+    parser: Parser
+    begun: float
+    out: bytearray = field(default_factory=bytearray)
+    answered: bool = False  # its answer is written or on its way; what it sends now is not read
+
+
+class LogQuota:
+    """Bad calls are logged at a bounded rate: a flood of them must not flood the log. Seconds passed in."""
+
+    def __init__(self, most: int, period: float) -> None:
+        self.most, self.period = most, period
+        self.since, self.lines, self.held = -period, 0, 0
+
+    def allows(self, now: float) -> str | None:
+        """None: say nothing; else what to add to the line (calls held back before it)."""
+        if now - self.since >= self.period:
+            self.since, self.lines = now, 0
+        if self.lines >= self.most:
+            self.held += 1
+            return None
+        self.lines += 1
+        held, self.held = self.held, 0
+        return f" ({held} more such calls not logged)" if held else ""
+
+
+class AdminListener:
+    """`answer` decides a readable call; `look` is called every turn, at least every `admin_turn` seconds."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        limits: Limits,
+        answer: Callable[[Asked], Verdict],
+        look: Callable[[float], None],
+    ) -> None:
+        """OSError if the address cannot be had."""
+        self.limits, self.answer, self.look = limits, answer, look
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.listener.bind(address)
+            self.listener.listen(limits.admin_connections)
+            self.listener.setblocking(False)
+        except OSError:
+            self.listener.close()
+            raise
+        self.poll = select.poll()
+        self.poll.register(self.listener, IN)
+        self.callers: dict[int, Caller] = {}
+        self.quota = LogQuota(limits.admin_log_lines, limits.admin_log_period)
+
+    def run(self) -> None:
+        while True:
+            self.turn()
+
+    def turn(self) -> None:
+        for number, events in self.poll.poll(self.limits.admin_turn * 1000):
+            if number == self.listener.fileno():
+                self.accept()
+            elif number in self.callers:
+                self.serve(self.callers[number], events)
+        now = time.monotonic()
+        for caller in [c for c in self.callers.values() if now - c.begun > self.limits.admin_patience]:
+            self.end(caller)
+        self.look(now)
+
+    def accept(self) -> None:
+        for _ in range(self.limits.admin_connections):
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return  # none left, or gone before its accept
+            if len(self.callers) >= self.limits.admin_connections:
+                # Guards the next callers: the one waiting longest without a whole call makes room.
+                self.end(min(self.callers.values(), key=lambda c: c.begun))
+            sock.setblocking(False)
+            parser = Parser(self.limits, body=self.limits.admin_body)
+            self.callers[sock.fileno()] = Caller(sock, parser, time.monotonic())
+            self.poll.register(sock, IN)
+
+    def serve(self, caller: Caller, events: int) -> None:
+        try:
+            if events & OUT:
+                self.send(caller)
+            elif events & (IN | GONE):
+                self.read(caller)
+        except OSError:
+            self.end(caller)
+
+    def read(self, caller: Caller) -> None:
+        data = caller.sock.recv(self.limits.read)
+        if not data or caller.answered:
+            self.end(caller)  # it has gone, or sends on behind its one call
+            return
+        caller.parser.feed(data)
+        try:
+            message = caller.parser.next()
+        except ProtocolError as error:
+            self.complain(f"admin call unread: {error}")
+            self.reply(caller, error.status, f"{error}")
+            return
+        if message is None:
+            return
+        asked = route(message.method, message.target)
+        if isinstance(asked, Denied):
+            self.complain(f"admin call {message.method} {message.target[:64]}: {asked.reason}")
+            self.reply(caller, asked.status, asked.reason)
+            return
+        verdict = self.answer(asked)
+        self.reply(caller, verdict.status, verdict.text, message.method == "HEAD")
+
+    def complain(self, text: str) -> None:
+        more = self.quota.allows(time.monotonic())
+        if more is not None:
+            log(text + more)
+
+    def reply(self, caller: Caller, status: int, text: str, head: bool = False) -> None:
+        body = (text + "\n").encode("utf-8", "replace")
+        data = write_answer(status, body, {"Content-Type": "text/plain"}, close=True)
+        caller.out += data[: len(data) - len(body)] if head else data
+        caller.answered = True
+        self.send(caller)
+
+    def send(self, caller: Caller) -> None:
+        try:
+            del caller.out[: caller.sock.send(caller.out)]
+        except BlockingIOError:
+            pass
+        if caller.out:
+            self.poll.modify(caller.sock, OUT)
+            return
+        self.end(caller)
+
+    def end(self, caller: Caller) -> None:
+        self.callers.pop(caller.sock.fileno(), None)
+        try:
+            self.poll.unregister(caller.sock)
+        except (KeyError, ValueError):
+            pass
+        caller.sock.close()
--- a/stepstream/dispatch.py
+++ b/stepstream/dispatch.py
@@ -7,12 +7,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import TYPE_CHECKING
 
 from stepstream import interface as i
 from stepstream.balance import Balancer
 from stepstream.members import Listed, Members
 from stepstream.wheel import Wheel
 
+if TYPE_CHECKING:
+    from stepstream.maintenance import BanState
+
 
 @dataclass(eq=False, slots=True)
 class Request:
@@ -83,6 +87,13 @@
     result: i.Result
 
 
+@dataclass(frozen=True, slots=True)
+class Maintained:
+    """The operators' bans, whole."""
+
+    state: "BanState"
+
+
 @dataclass(frozen=True, slots=True)
 class Told:
     """A worker's news of a job."""
@@ -116,7 +127,19 @@
     by_us: int
 
 
-Event = Arrived | Left | CallEnded | Told | Expires | Broken | Listed | i.Probed | i.NewSettings | LastCall
+Event = (
+    Arrived
+    | Left
+    | CallEnded
+    | Told
+    | Expires
+    | Broken
+    | Listed
+    | Maintained
+    | i.Probed
+    | i.NewSettings
+    | LastCall
+)
 
 
 class Outcome(Enum):
@@ -239,6 +262,8 @@
                 self.on_news(now_us, event)
             case Listed():
                 self.telling.append(self.members.apply(event))
+            case Maintained(state):
+                self.telling.append(self.members.maintain(state))
             case Expires(call, at_us) if call.open:
                 self.wheel.set(at_us, call)
             case Expires():
--- a/stepstream/members.py
+++ b/stepstream/members.py
@@ -7,9 +7,13 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from stepstream import interface as i
 
+if TYPE_CHECKING:
+    from stepstream.maintenance import BanState, Overlay
+
 
 @dataclass(frozen=True, slots=True)
 class Listed:
@@ -25,6 +29,7 @@
         self.owned: dict[str, dict[str, i.WorkerEntry]] = {}  # by source, what it holds
         self.source_of: dict[str, str] = {}
         self.claims: dict[tuple[str, str], i.WorkerEntry] = {}  # to ids that another source holds
+        self.overlay: Overlay | None = None  # the operators' bans, once there have been any
 
     def apply(self, listed: Listed) -> i.WorkerList:
         """What the module is told of this: a list of the same kind that takes nothing from other sources."""
@@ -39,8 +44,24 @@
         if full:
             named = {entry.worker for entry in entries}
             entries += [e for held in self.owned.values() for e in held.values() if e.worker not in named]
+        if self.overlay is not None:
+            entries = [self.overlay.lay(entry) for entry in entries]
         return i.WorkerList(told.kind, tuple(entries))
 
+    def maintain(self, state: "BanState") -> i.WorkerList:
+        """The operators' bans: the entries whose look they change, as changes."""
+        if self.overlay is None:
+            from stepstream.maintenance import Overlay
+
+            self.overlay = Overlay()
+        changed = self.overlay.take(state)
+        held = [e for own in self.owned.values() for e in own.values() if e.worker in changed]
+        return i.WorkerList(i.ListKind.CHANGES, tuple(self.overlay.lay(entry) for entry in held))
+
+    def holds(self, worker: str) -> bool:
+        """Whether any source has a worker by that id; safe to ask from another thread."""
+        return worker in self.source_of
+
     def heirs(self) -> list[i.WorkerEntry]:
         """Workers whose id another source held until now."""
         free = [claim for claim in self.claims if claim[1] not in self.source_of]
--- a/stepstream/net/discovery.py
+++ b/stepstream/net/discovery.py
@@ -30,6 +30,7 @@
         self.addresses: dict[str, Address] = {}
         self.ready: set[str] = set()
         self.hosts: frozenset[str] = frozenset()
+        self.banned: frozenset[str] = frozenset()  # out for maintenance, whatever the list says
 
     def apply(self, targets: Targets) -> None:
         with self.lock:
@@ -49,7 +50,12 @@
     def address(self, worker: str) -> Address | None:
         """None for a worker that must not get new work."""
         with self.lock:
-            return self.addresses.get(worker) if worker in self.ready else None
+            usable = worker in self.ready and worker not in self.banned
+            return self.addresses.get(worker) if usable else None
+
+    def ban(self, workers: frozenset[str]) -> None:
+        with self.lock:
+            self.banned = workers
 
     def last_address(self, worker: str) -> Address | None:
         with self.lock:
--- a/stepstream/net/inbound.py
+++ b/stepstream/net/inbound.py
@@ -26,6 +26,8 @@
         self.side = side  # replaced by a reload, between two messages
         self.leaving = False  # after SIGTERM: the front is told to send nobody new
         self.closing = False  # some time later: connections close after their next answer
+        self.failed = False  # the operators' drain: the front is told to send nobody new
+        self.drained = False  # some time later: as `closing`, until the drain ends
         self.gate: Gate | None = None  # who is calling, where an installation wants to know
         # Whether one more request would leave no connection for the news that ends it.
         self.crowded: Callable[[], bool] = lambda: False
@@ -106,7 +108,7 @@
         if path == platform.READY:
             if message.method != "GET":
                 raise ProtocolError(405, "only GET")
-            return [self.reply(503 if self.door.leaving else 200)]
+            return [self.reply(503 if self.door.leaving or self.door.failed else 200)]
         visa = self.visa_for(message)
         if isinstance(visa, Turned):
             return [self.turn_away(visa)]
@@ -147,7 +149,8 @@
 
     def closing(self) -> bool:
         # Open requests still wait for workers' news: those connections stay until the end.
-        return (self.door.closing and not self.of_worker) or not self.keep_alive
+        closing = self.door.closing or self.door.drained
+        return (closing and not self.of_worker) or not self.keep_alive
 
     def reply(self, status: int) -> Reply:
         close = self.closing()
@@ -442,8 +445,9 @@
         self.readers.most, self.writers.most = limits.inbound, limits.late_writers
 
     def listen(self, address: tuple[str, int]) -> Entrance:
-        """The platform's entrance."""
-        return self.let_in(address, lambda sock, guest: Inbound(Link(sock), self, guest), self.http_refusal)
+        """The platform's entrance; a hot restart's new process listens beside the old one (SO_REUSEPORT)."""
+        make = lambda sock, guest: Inbound(Link(sock), self, guest)  # noqa: E731
+        return self.let_in(address, make, self.http_refusal, shared=True)
 
     def listen_also(self, address: tuple[str, int], link: Callable[[socket.socket], Link]) -> Entrance:
         """HTTP over another kind of link; what is full there says so by its end."""
@@ -457,12 +461,18 @@
         address: tuple[str, int],
         make: Callable[[socket.socket, bool], Connection],
         refusal: Callable[[], bytes],
+        shared: bool = False,
     ) -> Entrance:
-        """Listens on one more address, for any protocol; OSError if it cannot be had."""
+        """Listens on one more address, for any protocol; OSError if it cannot be had.
+
+        `shared`: with SO_REUSEPORT, so that two processes of this user may listen there at once.
+        """
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             # A restart must not wait for the connections of the process before it.
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if shared:
+                listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
             listener.bind(address)
             listener.listen(self.limits.backlog)
         except OSError:
--- a/stepstream/net/limits.py
+++ b/stepstream/net/limits.py
@@ -39,6 +39,9 @@
     evict_at_once: int = 32  # connections that make room for the next ones
     late_writers: int = 8  # threads for answers that a slow client does not take at once
     backlog: int = 1024
+    admin_connections: int = 32  # operators' calls open at once; the oldest unfinished makes room
+    admin_body: int = 4096  # of an operator's call
+    admin_log_lines: int = 10  # lines on bad operators' calls in a period
     batch: int = 256  # events that the core takes at a time
     # times, in microseconds
     tick_us: int = 2_000  # of the timer wheel
@@ -82,6 +85,12 @@
     stop_answer: float = 3.4  # and all is answered by then
     stop_longest: float = 60.0
     stop_look: float = 0.02
+    admin_turn: float = 0.05  # the admin listener looks at its timers at least so often
+    admin_patience: float = 5.0  # an operator's call not whole by then is given up; callers may hold 4 s
+    admin_log_period: float = 10.0
+    drain_close: float = (
+        0.5  # after /healthcheck/fail: the front goes on sending for 0.2 s after its first no
+    )
 
 
 def limits_for(config: Config) -> Limits:
--- a/stepstream/net/node.py
+++ b/stepstream/net/node.py
@@ -23,6 +23,7 @@
 from stepstream.settings import Config, FieldError, read_config
 
 if TYPE_CHECKING:
+    from stepstream.admin.desk import Desk
     from stepstream.gearman.driver import GearmanSide
     from stepstream.identity.gate import Gate, Prepared
     from stepstream.operator_file import Operator
@@ -52,6 +53,7 @@
         self.gearman = self.gearman_for(operator)
         self.discovery = self.discovery_for(config, self.limits)
         self.counts = dict.fromkeys(Outcome, 0)
+        self.desk: Desk | None = None  # the admin listener's, where `operator` is set
 
     def discovery_for(self, config: Config, limits: Limits) -> Discovery:
         side = DiscoverySide(config.settings)
@@ -79,6 +81,8 @@
 
     def start(self) -> None:
         threading.stack_size(self.limits.stack)
+        if self.config.operator is not None:
+            self.desk = self.open_admin(self.config.operator)
         self.recall()
         doors = [(self.config.listen, self.house.listen(self.config.listen), "")]
         doors += self.open_more()
@@ -87,6 +91,28 @@
         for (host, port), entrance, what in doors:
             spawn("accept", self.house.accept_on, entrance)
             log(f"{self.config.name} serves on {host}:{port}{what}")
+        if self.desk is not None:
+            self.desk.started = True
+
+    def open_admin(self, address: tuple[str, int]) -> "Desk":
+        """The admin listener, in a thread of its own; FieldError if its address cannot be had."""
+        from stepstream.admin.desk import Desk
+        from stepstream.admin.driver import AdminListener
+        from stepstream.drain import Drain
+        from stepstream.maintenance import Bans
+
+        def known(worker: str) -> bool:
+            return self.destinations.last_address(worker) is not None or self.core.members.holds(worker)
+
+        drain = Drain(self.limits.drain_close)
+        desk = Desk(self.house, self.destinations, Bans(), drain, self.clock, self.events.put, known)
+        try:
+            listener = AdminListener(address, self.limits, desk.answer, desk.look)
+        except OSError as error:
+            raise FieldError(f"operator={address[0]}:{address[1]}: {error}") from None
+        spawn("admin", listener.run)
+        log(f"{self.config.name} hears operators on {address[0]}:{address[1]}")
+        return desk
 
     def open_more(self) -> list[tuple[tuple[str, int], Entrance, str]]:
         """What the operator's file adds; FieldError names the key whose address cannot be had."""
--- a/stepstream/settings.py
+++ b/stepstream/settings.py
@@ -172,6 +172,7 @@
     sockets: int
     settings: i.Settings
     known: dict = field(default_factory=dict)  # a list in discovery's form, maybe old
+    operator: tuple[str, int] | None = None  # the admin listener's address; None: there is none
 
 
 def flatten(value: object, path: str, pairs: dict[str, str]) -> dict[str, str]:
@@ -212,7 +213,9 @@
 
 
 def read_config(environment: Mapping[str, str] = os.environ) -> Config:
-    """EDGE_CONFIG's file; EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY stand in for what it leaves out."""
+    """EDGE_CONFIG's file; EDGE_NAME, EDGE_LISTEN, EDGE_DISCOVERY and EDGE_OPERATOR stand in for what it
+    leaves out.
+    """
     path = environment.get("EDGE_CONFIG")
     if not path:
         raise FieldError("EDGE_CONFIG is not set")
@@ -227,9 +230,10 @@
 
 
 def config_from(data: dict, environment: Mapping[str, str]) -> Config:
-    own = {name: data[name] for name in ("name", "listen", "discovery", "seed", "limits") if name in data}
+    names = ("name", "listen", "discovery", "operator", "seed", "limits")
+    own = {name: data[name] for name in names if name in data}
     pairs = flatten(own, "", {})
-    for name in ("name", "listen", "discovery"):
+    for name in ("name", "listen", "discovery", "operator"):
         if f"EDGE_{name.upper()}" in environment:
             pairs.setdefault(name, environment[f"EDGE_{name.upper()}"])
     fields = Fields.of(pairs)
@@ -257,4 +261,5 @@
         sockets=int(positive(fields, "limits.sockets", 1024)),
         settings=settings,
         known=known,
+        operator=address(fields, "operator") if fields.values.get("operator") else None,
     )
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -93,7 +93,8 @@
 class World:
     """A dispatcher's process with one worker and a discovery that names it."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, **more):
+        """`more`: further keys of the configuration."""
         self.worker = Server(self.on_worker)
         self.discovery = Server(self.on_discovery)
         self.port = free_port()
@@ -109,6 +110,7 @@
             "listen": f"127.0.0.1:{self.port}",
             "discovery": f"127.0.0.1:{self.discovery.port}",
             "known": self.list,
+            **more,
         }
         self.config, self.path = config, folder / "config.json"
         self.path.write_text(json.dumps(config))
