--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -214,4 +214,5 @@
     assert ask(operated.port, job_bytes("00000000000000b1")).status != 200
     assert len(operated.jobs()) == before
     assert put(operated, "/workers/s-1/ready") == 200
-    wait_for(lambda: ask(operated.port, job_bytes(f"00000000000000c{time.monotonic_ns() % 10}")).status == 200)
+    names = (f"00000000000000c{k}" for k in range(10_000))
+    wait_for(lambda: ask(operated.port, job_bytes(next(names))).status == 200)
