Hand over a hot restart: state in TMPDIR, the listener left to the new process, news passed on

Both processes listen on the clients' address (SO_REUSEPORT) and keep one state file in TMPDIR (upgrade/state.py, pure: bans and the processes on the address with their admin addresses, a format, a version and a CRC of the body; anything amiss is refused whole). upgrade/driver.py writes it under another name and renames it, and looks at it every turn of the admin listener by a stat; newer bans are taken over. The new process writes its yes there before it says yes. At SIGTERM the old process reads it anew; with a newer process ready and alive it closes its clients' listener at once (the accept queue taken first), answers what it holds and closes kept connections after their answers, and the front is not told no. News that a worker brings to the other process for its requests is passed on to its admin listener, marked so that it is never passed on twice (dispatch: Neighbour, PassOn; the core passes on only news of ids it does not hold).

At first the old process still missed its successor: SIGTERM came 10 ms after the successor's write, before the admin listener's next look (50 ms); hence the read at SIGTERM and the write before the yes.

Also: the admin listener's loop ends when its socket is closed (in tests it spun on POLLNVAL and slowed the others).

--- a/stepstream/admin/calls.py
+++ b/stepstream/admin/calls.py
@@ -16,12 +16,14 @@
     OK = "healthcheck/ok"  # and ends
     MAINT = "maint"  # a worker is taken out
     READY = "ready"  # and may serve again
+    NEWS = "news"  # a worker's news, passed on by the process beside this one in a hot restart
 
 
 @dataclass(frozen=True, slots=True)
 class Asked:
     call: Call
     worker: str = ""
+    body: bytes = b""  # of news passed on
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +39,7 @@
     "/healthcheck": (Call.HEALTH, READS),
     "/healthcheck/fail": (Call.FAIL, WRITES),
     "/healthcheck/ok": (Call.OK, WRITES),
+    "/_jobs/news": (Call.NEWS, frozenset({"POST"})),
 }
 WORKER_PATH = re.compile(r"/workers/([^/]*)/(maint|ready)")
 WORKER_ID = re.compile(r"[A-Za-z0-9._:@~-]{1,128}")  # discovery's ids, and Gearman's names
@@ -65,6 +68,7 @@
     LIFT = 2
     FAIL = 3
     OK = 4
+    NEWS = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +96,8 @@
             return Verdict(200, "OK", Effect.FAIL)
         case Call.OK:
             return Verdict(200, "OK", Effect.OK)
+        case Call.NEWS:
+            return Verdict(200, "OK", Effect.NEWS)
         case Call.MAINT if view.banned:
             return Verdict(200, "OK: out already")
         case Call.MAINT if view.known:
--- a/stepstream/admin/desk.py
+++ b/stepstream/admin/desk.py
@@ -6,15 +6,21 @@
 
 import time
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
-from stepstream.admin.calls import Asked, Effect, Verdict, View, decide
-from stepstream.dispatch import Event, Maintained
+from stepstream.admin.calls import Asked, Call, Effect, Verdict, View, decide
+from stepstream.dispatch import Event, Maintained, Neighbour
 from stepstream.drain import Drain
 from stepstream.maintenance import Bans
+from stepstream.net import platform
 from stepstream.net.discovery import DestinationSet
+from stepstream.net.http1 import Message, ProtocolError
 from stepstream.net.inbound import House
 from stepstream.net.threads import Clock, log
 
+if TYPE_CHECKING:
+    from stepstream.upgrade.driver import Keeper
+
 
 class Desk:
     def __init__(
@@ -31,7 +37,8 @@
         self.house, self.destinations, self.bans, self.drain = house, destinations, bans, drain
         self.clock, self.post, self.known = clock, post, known
         self.started = False  # the clients' listener is open and served
-        self.changed: Callable[[], None] = lambda: None  # the state is to be handed over anew
+        self.keeper: Keeper | None = None  # the handed-over state, where there is $TMPDIR
+        self.neighbour = False
         self.swept = 0.0
 
     def serving(self) -> bool:
@@ -39,6 +46,8 @@
         return self.started and not door.leaving and not self.drain.failed
 
     def answer(self, asked: Asked) -> Verdict:
+        if asked.call is Call.NEWS:
+            return self.news(asked.body)
         view = View(self.serving(), self.known(asked.worker), self.bans.holds(asked.worker))
         verdict = decide(asked, view)
         if verdict.effect is not None:
@@ -47,6 +56,16 @@
             self.bans.counts.unknown += 1
         return verdict
 
+    def news(self, body: bytes) -> Verdict:
+        """From the process beside this one: a worker brought it there, and it is this one's."""
+        try:
+            told = platform.read_news(Message(method="POST", body=body), relayed=True)
+        except ProtocolError as error:
+            return Verdict(error.status, f"{error}")
+        if told is not None:
+            self.post(told)
+        return Verdict(200, "OK")
+
     def carry_out(self, effect: Effect, worker: str) -> None:
         door = self.house.door
         match effect:
@@ -66,7 +85,8 @@
         state = self.bans.snapshot()
         self.destinations.ban(state.banned)
         self.post(Maintained(state))
-        self.changed()
+        if self.keeper is not None:
+            self.keeper.write()
         log(f"{text}; {len(state.banned)} out")
 
     def adopted(self) -> None:
@@ -77,7 +97,9 @@
         log(f"maintenance taken over: {len(state.banned)} out")
 
     def look(self, now: float) -> None:
-        """Every turn of the admin listener: a drain closes kept connections once its time has come."""
+        """Every turn of the admin listener: the other process's word, and a drain's closing when due."""
+        if self.keeper is not None:
+            self.look_beside()
         if not self.drain.closing(now) or now - self.swept < 0.1:
             return
         self.swept = now
@@ -85,3 +107,12 @@
             self.house.door.drained = True
             log("drain: kept connections close after their answers")
         self.house.close_idle()
+
+    def look_beside(self) -> None:
+        if self.keeper.watch():
+            self.adopted()
+        present = self.keeper.neighbour() is not None
+        if present != self.neighbour:
+            self.neighbour = present
+            self.post(Neighbour(present))
+            log(f"hot restart: {'a process beside this one' if present else 'alone'} on the clients' address")
--- a/stepstream/admin/driver.py
+++ b/stepstream/admin/driver.py
@@ -6,7 +6,7 @@
 import socket
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from stepstream.admin.calls import Asked, Denied, Verdict, route
 from stepstream.net.http1 import Parser, ProtocolError, write_answer
@@ -72,11 +72,14 @@
         self.quota = LogQuota(limits.admin_log_lines, limits.admin_log_period)
 
     def run(self) -> None:
-        while True:
+        """Until the listener is closed."""
+        while self.listener.fileno() >= 0:
             self.turn()
 
     def turn(self) -> None:
         for number, events in self.poll.poll(self.limits.admin_turn * 1000):
+            if events & select.POLLNVAL and number not in self.callers:
+                return  # the listener is closed
             if number == self.listener.fileno():
                 self.accept()
             elif number in self.callers:
@@ -128,7 +131,7 @@
             self.complain(f"admin call {message.method} {message.target[:64]}: {asked.reason}")
             self.reply(caller, asked.status, asked.reason)
             return
-        verdict = self.answer(asked)
+        verdict = self.answer(replace(asked, body=message.body))
         self.reply(caller, verdict.status, verdict.text, message.method == "HEAD")
 
     def complain(self, text: str) -> None:
--- a/stepstream/dispatch.py
+++ b/stepstream/dispatch.py
@@ -103,6 +103,14 @@
     news: News
     result: object = None
     progress: tuple[int, int] | None = None  # with News.RUNNING: so much of so much is done
+    relayed: bool = False  # passed on by the process beside this one in a hot restart
+
+
+@dataclass(frozen=True, slots=True)
+class Neighbour:
+    """Whether a process beside this one shares the clients' address: news it does not know goes there."""
+
+    present: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +144,7 @@
     | Broken
     | Listed
     | Maintained
+    | Neighbour
     | i.Probed
     | i.NewSettings
     | LastCall
@@ -188,7 +197,14 @@
     text: str
 
 
-Command = StartCall | StopCall | Answer | Progress | ProbeWorker | AskList | Note
+@dataclass(frozen=True, slots=True)
+class PassOn:
+    """News of a request that this process does not hold, for the process beside it."""
+
+    told: Told
+
+
+Command = StartCall | StopCall | Answer | Progress | ProbeWorker | AskList | Note | PassOn
 
 
 class Dispatcher:
@@ -212,6 +228,7 @@
         self.last_us: int | None = None  # the process ends then
         self.commands: list[Command] = []
         self.telling: list[i.Event] = []  # for the module
+        self.neighbour = False  # a process beside this one may hold requests that this one does not
 
     def next_us(self) -> int | None:
         return self.wheel.next_us()
@@ -264,6 +281,8 @@
                 self.telling.append(self.members.apply(event))
             case Maintained(state):
                 self.telling.append(self.members.maintain(state))
+            case Neighbour(present):
+                self.neighbour = present
             case Expires(call, at_us) if call.open:
                 self.wheel.set(at_us, call)
             case Expires():
@@ -336,6 +355,8 @@
         """News may come before the 202, twice, or be of a time before a restart: applied at most once."""
         request = self.requests.get(told.id)
         calls = [c for c in request.calls if c.worker == told.worker] if request else []
+        if request is None and self.neighbour and not told.relayed:
+            self.commands.append(PassOn(told))
         if not calls:
             return
         call = calls[-1]
--- a/stepstream/net/inbound.py
+++ b/stepstream/net/inbound.py
@@ -597,15 +597,20 @@
             return any(inbound.busy() for inbound in self.inbound)
 
     def close_entrances(self) -> None:
-        """Guards connections that the kernel has accepted: they are taken before the listeners go."""
         for entrance in self.entrances:
-            entrance.listener.setblocking(False)
-            try:
-                while True:
-                    sock, peer = entrance.listener.accept()
-                    sock.setblocking(True)
-                    self.admit(entrance, sock, peer[0])
-            except OSError:
-                pass
-            hang_up(entrance.listener)
-            entrance.listener.close()
+            self.close_entrance(entrance)
+
+    def close_entrance(self, entrance: Entrance) -> None:
+        """Guards connections that the kernel has accepted: they are taken before the listener goes."""
+        if entrance.listener.fileno() < 0:
+            return
+        entrance.listener.setblocking(False)
+        try:
+            while True:
+                sock, peer = entrance.listener.accept()
+                sock.setblocking(True)
+                self.admit(entrance, sock, peer[0])
+        except OSError:
+            pass
+        hang_up(entrance.listener)
+        entrance.listener.close()
--- a/stepstream/net/limits.py
+++ b/stepstream/net/limits.py
@@ -40,7 +40,9 @@
     late_writers: int = 8  # threads for answers that a slow client does not take at once
     backlog: int = 1024
     admin_connections: int = 32  # operators' calls open at once; the oldest unfinished makes room
-    admin_body: int = 4096  # of an operator's call
+    admin_body: int = 64 * 1024  # of an operator's call, or of news passed on with its result
+    handover_most: int = 1024 * 1024  # the handed-over state; more is not read
+    relay_threads: int = 4  # that pass news on to the process beside this one
     admin_log_lines: int = 10  # lines on bad operators' calls in a period
     batch: int = 256  # events that the core takes at a time
     # times, in microseconds
--- a/stepstream/net/node.py
+++ b/stepstream/net/node.py
@@ -92,6 +92,9 @@
             spawn("accept", self.house.accept_on, entrance)
             log(f"{self.config.name} serves on {host}:{port}{what}")
         if self.desk is not None:
+            if self.desk.keeper is not None:
+                # Before the yes: SIGTERM may reach the old process at once after it.
+                self.desk.keeper.write(ready=True)
             self.desk.started = True
 
     def open_admin(self, address: tuple[str, int]) -> "Desk":
@@ -110,6 +113,7 @@
             listener = AdminListener(address, self.limits, desk.answer, desk.look)
         except OSError as error:
             raise FieldError(f"operator={address[0]}:{address[1]}: {error}") from None
+        self.hand_over(desk, address)
         spawn("admin", listener.run)
         log(f"{self.config.name} hears operators on {address[0]}:{address[1]}")
         return desk
@@ -143,6 +147,19 @@
                 door(key, text, lambda at: self.gearman.listen_also(at, link), " for Gearman over TLS")
         return doors
 
+    def hand_over(self, desk: "Desk", address: tuple[str, int]) -> None:
+        """What the process before this one left in $TMPDIR: its bans hold here before a client is taken."""
+        from stepstream.upgrade.driver import Keeper, folder, own_process
+
+        where = folder()
+        if where is None:
+            return
+        own = own_process(address, self.clock.now_us())
+        desk.keeper = Keeper(where, self.config.name, own, desk.bans, self.limits)
+        found = desk.keeper.load()
+        if found is not None and found.bans.banned:
+            desk.adopted()
+
     def recall(self) -> None:
         """The list from before the start; one that cannot be read is as good as none."""
         if not self.config.known:
@@ -297,12 +314,14 @@
         The listener stays open to the end: workers bring the news that open requests wait for on new ones.
         """
         begun = busy = time.monotonic()
-        log(f"stopping, {self.core.open_count} requests open")
-        self.house.door.leaving = True
+        hot = self.leave_to_successor()
+        if not hot:
+            log(f"stopping, {self.core.open_count} requests open")
+            self.house.door.leaving = True
         by_us = self.clock.now_us() + int(self.limits.stop_answer * 1e6)
         self.events.put(dispatch.LastCall(by_us))
         while (now := time.monotonic()) - begun < self.limits.stop_longest:
-            if now - begun >= self.limits.stop_serving:
+            if hot or now - begun >= self.limits.stop_serving:
                 self.house.door.closing = True
                 self.house.close_idle()
             guarded("look", self.house.look)
@@ -317,6 +336,23 @@
         self.report()
         log("stopped")
 
+    def leave_to_successor(self) -> bool:
+        """A hot restart: a newer process takes clients on the same address; new connections go to it.
+
+        This one answers what it has taken and closes kept connections after their answers. News for its
+        requests that reaches the other process is passed on here; the front is not told no, since the
+        dispatcher as a whole goes on serving.
+        """
+        keeper = self.desk.keeper if self.desk is not None else None
+        if keeper is None:
+            return False
+        keeper.watch()  # the successor's yes may be newer than the admin listener's last look
+        if keeper.successor() is None:
+            return False
+        log(f"stopping for the process beside this one, {self.core.open_count} requests open")
+        self.house.close_entrance(self.house.entrances[0])
+        return True
+
 
 def read_again(path: str | None, config: Config, old: "Operator | None") -> "Operator | None":
     """The operator's file at a reload; what cannot change without a restart is a fault that names its key."""
--- a/stepstream/net/platform.py
+++ b/stepstream/net/platform.py
@@ -94,8 +94,11 @@
     return message.target.partition("?")[0]
 
 
-def read_news(message: Message) -> Told | None:
-    """None for news of a kind that is not known: it is acknowledged, or its sender would repeat it."""
+def read_news(message: Message, relayed: bool = False) -> Told | None:
+    """None for news of a kind that is not known: it is acknowledged, or its sender would repeat it.
+
+    `relayed`: passed on by the process beside this one, and never to be passed on again.
+    """
     if message.method != "POST":
         raise ProtocolError(405, "news arrives by POST")
     data = read_json(message.body)
@@ -104,7 +107,16 @@
         raise ProtocolError(400, "news needs id, from and state")
     if data["state"] not in TELLS:
         return None
-    return Told(name, worker, TELLS[data["state"]], data.get("result"), read_share(data.get("share")))
+    share = read_share(data.get("share"))
+    return Told(name, worker, TELLS[data["state"]], data.get("result"), share, relayed)
+
+
+def news_body(told: Told) -> bytes:
+    """News as a worker words it, for the process beside this one."""
+    data = {"id": told.id, "from": told.worker, "state": told.news.value, "result": told.result}
+    if told.progress is not None:
+        data["share"] = told.progress[0] / told.progress[1]
+    return ujson.dumps(data).encode()
 
 
 def read_share(share: object) -> tuple[int, int] | None:
--- /dev/null
+++ b/stepstream/upgrade/driver.py
@@ -0,0 +1,148 @@
+"""The handed-over state on disk, and news passed on to the process beside this one.
+
+The file is written whole under another name and renamed over the old one, so that a reader finds either
+the old state or the new, never a part. Each process looks at it every turn of its admin listener (a stat,
+no read, unless it has changed) and takes over bans that are newer than its own.
+"""
+
+import os
+import socket
+
+from stepstream.dispatch import Told
+from stepstream.maintenance import Bans
+from stepstream.net.http1 import Parser, ProtocolError, write_request
+from stepstream.net.limits import Limits
+from stepstream.net.platform import news_body
+from stepstream.net.sockets import dial, time_limit
+from stepstream.net.threads import Crew, log
+from stepstream.upgrade.state import DamagedError, Handover, Process, decode, encode, sibling, with_own
+
+RELAYED = "Stepstream-Relayed"  # marks news passed on: it is never passed on again
+
+
+def alive(pid: int) -> bool:
+    """Signal 0 sends nothing: only whether the process is there."""
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    except PermissionError:
+        return True
+    return True
+
+
+class Keeper:
+    def __init__(self, folder: str, name: str, own: Process, bans: Bans, limits: Limits) -> None:
+        self.path = os.path.join(folder, f"stepstream-{name}.handover")
+        self.own, self.bans, self.limits = own, bans, limits
+        self.others: tuple[Process, ...] = ()
+        self.seen: tuple[int, int, int] | None = None  # inode, time and size of what was last read or written
+        self.relays = Crew("relay", limits.relay_threads)
+
+    def load(self) -> Handover | None:
+        """At the start: what the process before this one left; None, with one line, if nothing usable."""
+        try:
+            with open(self.path, "rb") as file:
+                data = file.read(self.limits.handover_most)
+            self.seen = self.stamp()
+            state = decode(data)
+        except FileNotFoundError:
+            log("handover: no state found, starting clean")
+            return None
+        except (OSError, DamagedError) as error:
+            log(f"handover: state ignored, starting clean: {error}")
+            return None
+        self.take(state)
+        return state
+
+    def take(self, state: Handover) -> None:
+        self.others = tuple(p for p in state.processes if p.pid != self.own.pid)
+        self.bans.adopt(state.bans)
+
+    def stamp(self) -> tuple[int, int, int] | None:
+        try:
+            found = os.stat(self.path)
+        except OSError:
+            return None
+        return found.st_ino, found.st_mtime_ns, found.st_size
+
+    def write(self, ready: bool | None = None) -> None:
+        """Atomically; a failure costs a line, and the next change writes again."""
+        if ready is not None:
+            self.own = Process(self.own.pid, self.own.admin, self.own.started_us, ready)
+        living = {p.pid for p in self.others if alive(p.pid)}
+        state = with_own(Handover(self.bans.snapshot(), self.others), self.own, living)
+        self.others = state.processes[:-1]
+        part = f"{self.path}.{self.own.pid}.part"
+        try:
+            with open(part, "wb") as file:
+                file.write(encode(state))
+                file.flush()
+                os.fsync(file.fileno())
+            os.replace(part, self.path)
+            self.seen = self.stamp()
+        except OSError as error:
+            log(f"handover: state not written: {error}")
+
+    def watch(self) -> bool:
+        """Whether the other process has written bans newer than these."""
+        stamp = self.stamp()
+        if stamp is None or stamp == self.seen:
+            return False
+        self.seen = stamp
+        try:
+            with open(self.path, "rb") as file:
+                state = decode(file.read(self.limits.handover_most))
+        except (OSError, DamagedError) as error:
+            log(f"handover: state ignored: {error}")
+            return False
+        before = self.bans.snapshot().generation
+        self.take(state)
+        if all(p.pid != self.own.pid for p in state.processes):
+            self.write()  # guards this process's entry against a write of the other that did not know it
+        return self.bans.snapshot().generation != before
+
+    def successor(self) -> Process | None:
+        """A process that started after this one, takes clients and is there: this one may leave to it."""
+        found = sibling(Handover(processes=self.others), self.own.pid)
+        usable = found is not None and found.ready and found.started_us > self.own.started_us
+        return found if usable and alive(found.pid) else None
+
+    def neighbour(self) -> Process | None:
+        found = sibling(Handover(processes=self.others), self.own.pid)
+        return found if found is not None and alive(found.pid) else None
+
+    def pass_on(self, told: Told) -> None:
+        """News of a request that is not this process's: the other one may have it."""
+        target = self.neighbour()
+        if target is not None:
+            self.relays.submit(self.relay, target, told)
+
+    def relay(self, target: Process, told: Told) -> None:
+        host, _, port = target.admin.rpartition(":")
+        headers = {"Host": target.admin, RELAYED: "1", "Connection": "close"}
+        data = write_request("POST", "/_jobs/news", headers, news_body(told))
+        try:
+            sock = dial((host, int(port)), self.limits.dial, self.limits.relay_wait)
+        except OSError:
+            return
+        with sock:
+            try:
+                time_limit(sock, socket.SO_RCVTIMEO, self.limits.relay_wait)
+                sock.sendall(data)
+                parser = Parser(self.limits, answers=True)
+                while piece := sock.recv(self.limits.read):
+                    parser.feed(piece)
+                    if parser.next() is not None:
+                        return
+            except (OSError, ProtocolError):
+                pass
+
+
+def own_process(admin: tuple[str, int], now_us: int) -> Process:
+    return Process(os.getpid(), f"{admin[0]}:{admin[1]}", now_us)
+
+
+def folder() -> str | None:
+    """$TMPDIR, where both processes of a hot restart find it; None where it is not set."""
+    return os.environ.get("TMPDIR") or None
