Pass news on to the process beside this one: carry out the command, give the limit its time

With the case added, every relay ended in 0.1 ms with 'fault in relay: AttributeError: Limits object has no attribute relay_wait': the limit had been added to a line that the formatter had since split. A test now passes news through Keeper.relay to a real admin listener.

--- a/stepstream/net/limits.py
+++ b/stepstream/net/limits.py
@@ -91,6 +91,7 @@
     admin_turn: float = 0.05  # the admin listener looks at its timers at least so often
     admin_patience: float = 5.0  # an operator's call not whole by then is given up; callers may hold 4 s
     admin_log_period: float = 10.0
+    relay_wait: float = 0.5  # for the process beside this one to take news passed on
     drain_close: float = (
         0.5  # after /healthcheck/fail: the front goes on sending for 0.2 s after its first no
     )
--- a/stepstream/net/node.py
+++ b/stepstream/net/node.py
@@ -213,6 +213,8 @@
                 self.discovery.ask(watch)
             case dispatch.Note(text):
                 log(f"note: {text}")
+            case dispatch.PassOn(told) if self.desk is not None and self.desk.keeper is not None:
+                self.desk.keeper.pass_on(told)
 
     def carrier(self, worker: str) -> Carrier:
         """Of the source that holds the worker; discovery's says 'not sent' for one that nobody holds."""
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+import threading
 import time
 
 import pytest
@@ -13,6 +14,8 @@
 from test_dispatch import Desk
 from test_node import PATIENCE, ROOT, World, ask, free_port, job_bytes, wait_for
 
+from stepstream.admin.calls import Verdict
+from stepstream.admin.driver import AdminListener
 from stepstream.dispatch import Neighbour, News, PassOn, StartCall, Told
 from stepstream.maintenance import Bans, BanState
 from stepstream.net.http1 import Message
@@ -163,3 +166,19 @@
         return call(port, b"GET /healthcheck HTTP/1.1\r\n\r\n").status == 200
     except OSError:
         return False
+
+
+def test_news_passed_on_reaches_the_admin_listener_of_the_process_beside(tmp_path):
+
+    port, got = free_port(), []
+    listener = AdminListener(
+        ("127.0.0.1", port), LIMITS, lambda a: got.append(a) or Verdict(200, "OK"), print
+    )
+    threading.Thread(target=listener.run, daemon=True).start()
+    try:
+        keeper = Keeper(str(tmp_path), "n0", OLD, Bans(), LIMITS)
+        keeper.relay(Process(os.getpid(), f"127.0.0.1:{port}", 0), Told("aa", "s-1", News.DONE, "5"))
+        (asked,) = got
+        assert read_news(Message(method="POST", body=asked.body)) == Told("aa", "s-1", News.DONE, "5")
+    finally:
+        listener.listener.close()
