--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -1,12 +1,16 @@
 """The admin listener, the operators' drain and the maintenance of workers: decisions, driver and program."""
 
+import json
 import socket
+import subprocess
+import sys
 import threading
 import time
 
 import pytest
 from net_helpers import LIMITS
-from test_node import PATIENCE, World, ask, free_port, job_bytes, wait_for
+from test_node import PATIENCE, ROOT, World, ask, free_port, job_bytes, wait_for
+from test_settings import CONFIG
 
 from stepstream import interface as i
 from stepstream.admin.calls import Asked, Call, Denied, Effect, Verdict, View, decide, route
@@ -216,3 +220,31 @@
     assert put(operated, "/workers/s-1/ready") == 200
     names = (f"00000000000000c{k}" for k in range(10_000))
     wait_for(lambda: ask(operated.port, job_bytes(next(names))).status == 200)
+
+
+OPERATORS = ("stepstream.admin", "stepstream.drain", "stepstream.maintenance", "stepstream.upgrade")
+
+
+def started(operator):
+    """Modules and threads of a dispatcher started in a process of its own, with an admin address or not."""
+    config = {**CONFIG, "listen": f"127.0.0.1:{free_port()}", "discovery": f"127.0.0.1:{free_port()}"}
+    if operator:
+        config["operator"] = f"127.0.0.1:{free_port()}"
+    code = (
+        "import json, sys, threading\n"
+        "from stepstream.net.node import Node\n"
+        "from stepstream.settings import config_from\n"
+        f"Node(config_from(json.loads({json.dumps(config)!r}), {{}})).start()\n"
+        f"print(sorted({{m.rpartition('.')[0] or m for m in sys.modules if m.startswith({OPERATORS!r})}}))\n"
+        "print(sorted(t.name for t in threading.enumerate()))\n"
+    )
+    run = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    modules, threads = run.stdout.splitlines()
+    return modules, threads
+
+
+def test_serve_without_an_admin_address_loads_nothing_of_it_and_with_one_it_does():
+    modules, threads = started(operator=False)
+    assert modules == "[]" and "admin" not in threads
+    modules, threads = started(operator=True)
+    assert "stepstream.admin" in modules and "'admin'" in threads
