Give a cold worker of another zone its turns though the own zone has room

Ruled out: the ban itself (the core was told 'in' with the return's start, probe of members.maintain), the cold turn's pace (turns came 0.4 s after the return).

At fault: Balancer.choose, near = own zone only. Now a worker still warming up counts as near during its turns: its pace is the cold turn's, so the bound on what a cold worker gets holds, and it is warm before it is needed.

--- a/stepstream/balance.py
+++ b/stepstream/balance.py
@@ -344,8 +344,10 @@
         # Of stale and noisy counts the larger half is worth more than the rest: the turn goes round there.
         best = max(rooms[w] for w in pool)
         pool = [w for w in pool if best <= 0 or rooms[w] >= ROOMY * best]
-        # The price of crossing zones is paid only when the own zone has no room.
-        near = [w for w in pool if w.entry.zone == self.s.zone] if self.s.cross_zone_price else []
+        # The price of crossing zones is paid only when the own zone has no room, or for a cold worker's turn:
+        # one back from a restart, or from maintenance, must warm up before it is needed.
+        near = [w for w in pool if w.entry.zone == self.s.zone or self.now < w.warm_us]
+        near = near if self.s.cross_zone_price else []
         return self.next_turn(near or pool)
 
     def key_order(self, key: str | None) -> list[i.Worker]:  # the same at every dispatcher
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -407,3 +407,21 @@
         for push in pushes(actions):
             bench.tell(i.Started(name, 0, push.worker))
     assert balancer.median_cap() > 1.0
+
+
+def test_a_cold_worker_of_another_zone_gets_its_turns_though_the_own_zone_has_room():
+    # Back from maintenance or a restart, it must warm up before it is needed: else it gets nothing for long.
+    entries = [entry(k, zone=k % 2) for k in range(6)]
+    bench = Bench(SAFE, entries=entries, zone=0, cross_zone_price=0.05, **COLD)
+    for _ in range(100):
+        name, actions = bench.later(100_000).job()
+        bench.ended(name, pushes(actions)[0].worker, i.Result.OK)
+    bench.tell(i.WorkerList(i.ListKind.CHANGES, (entry(1, zone=1, started_us=bench.now),)))
+    sent = []
+    for _ in range(50):  # 5 s
+        name, actions = bench.later(100_000).job()
+        sent += [p.worker for p in pushes(actions)]
+        bench.ended(name, pushes(actions)[0].worker, i.Result.OK)
+    zone_of = {e.worker: e.zone for e in entries}
+    assert entry(1).worker in sent
+    assert {zone_of[w] for w in sent if w != entry(1).worker} == {0}  # a warm one of that zone gets nothing
