End a stop that only a crowd's unfinished messages hold; it was killed every time

A probe every 0.5 s of the stop counted what House.busy() saw: at 3.5 s nothing was open and 25 strangers with half a message held it ('half-stranger': 25), until SIGKILL. The crowd connects on and on; each is cut after 2 s, and the next one is there.

At fault: Inbound.busy() took any half-read message as owed. Now a stranger's half message holds the stop only if its connection came within 0.4 s of SIGTERM, the front's window for new connections; a proven client's, or a request's, always does.

A test holds a crowd of half messages after SIGTERM and sees the process end by itself.

--- a/stepstream/net/inbound.py
+++ b/stepstream/net/inbound.py
@@ -27,6 +27,7 @@
         self.leaving = False  # after SIGTERM: the front is told to send nobody new
         self.closing = False  # some time later: connections close after their next answer
         self.failed = False  # the operators' drain: the front is told to send nobody new
+        self.left_at: float | None = None  # monotonic seconds of SIGTERM
         self.drained = False  # some time later: as `closing`, until the drain ends
         self.gate: Gate | None = None  # who is calling, where an installation wants to know
         # Whether one more request would leave no connection for the news that ends it.
@@ -220,7 +221,7 @@
         self.ended = False  # the reader has left; the late writer closes the socket
         self.left = False  # it has made room and counts among those that leave
         # The last byte or answer; the current message's first byte or, once closed, the last answer's end.
-        self.active = self.begun = time.monotonic()
+        self.active = self.begun = self.came = time.monotonic()
 
     def run(self) -> None:
         try:
@@ -375,7 +376,20 @@
     def busy(self) -> bool:
         session = self.session
         stays = session.proven and not session.of_worker and session.phase is Phase.READING
-        return session.owes or self.writing or (stays and not self.house.door.closing)
+        return self.owes() or self.writing or (stays and not self.house.door.closing)
+
+    def owes(self) -> bool:
+        """A request is open, or a message half read that may yet be one of the front's.
+
+        Guards the end of a stop against a crowd that connects and never finishes a message: after SIGTERM the
+        front sends new connections for 0.4 s at most, and what a stranger began later is nobody's request.
+        """
+        session, left_at = self.session, self.house.door.left_at
+        if not session.owes:
+            return False
+        if session.phase is Phase.WAITING or session.proven or left_at is None:
+            return True
+        return self.came <= left_at + self.house.limits.stop_arrivals
 
     def spare(self, now: float) -> tuple[Rank, float]:
         """The least makes room first, and among equals the one quiet for longest."""
--- a/stepstream/net/limits.py
+++ b/stepstream/net/limits.py
@@ -86,6 +86,7 @@
         2.2  # after SIGTERM clients are served on the connections that they have for so long
     )
     stop_answer: float = 3.4  # and all is answered by then
+    stop_arrivals: float = 0.4  # after SIGTERM the front's new connections come for so long at most
     stop_longest: float = 60.0
     stop_look: float = 0.02
     admin_turn: float = 0.05  # the admin listener looks at its timers at least so often
--- a/stepstream/net/node.py
+++ b/stepstream/net/node.py
@@ -315,7 +315,7 @@
         restart one after the other, the next one may not be back yet and they would find nobody.
         The listener stays open to the end: workers bring the news that open requests wait for on new ones.
         """
-        begun = busy = time.monotonic()
+        begun = busy = self.house.door.left_at = time.monotonic()
         hot = self.leave_to_successor()
         if not hot:
             log(f"stopping, {self.core.open_count} requests open")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -373,3 +373,21 @@
             signal.signal(number, handler)
     assert stopped and max(node.signals.waits) <= 0.05
     assert not looked  # the rounds of looks keep their own pace
+
+
+def test_a_crowd_that_never_finishes_a_message_does_not_hold_the_stop(world):
+    world.process.send_signal(signal.SIGTERM)
+    wait_for(lambda: ask(world.port, b"GET /-/ready HTTP/1.1\r\n\r\n").status == 503)
+    time.sleep(0.5)  # the front's new connections have stopped by now; these are nobody's requests
+    crowd, until = [], time.monotonic() + 10.0
+    try:
+        while world.process.poll() is None and time.monotonic() < until:
+            with contextlib.suppress(OSError):
+                peer = socket.create_connection(("127.0.0.1", world.port), timeout=PATIENCE)
+                peer.sendall(b"POST /revalue HTTP/1.1\r\nRequest-Id: 0")
+                crowd.append(peer)
+            time.sleep(0.1)
+        assert world.process.wait(PATIENCE) == 0 and time.monotonic() < until
+    finally:
+        for peer in crowd:
+            peer.close()
