Hand discovery's list over in a hot restart, with the bans

The destination set keeps the list as it stands and gives it in discovery's own form; the admin listener writes it into the handed-over state whenever it has changed (at most one turn, 50 ms, late); the new process starts from it where its version is newer than the configuration's known list, and its watch goes on from there. Not taken: writing from the discovery thread at each answer, which would put a second writer of the file beside the admin listener's.

Why: what discovery told the old process (a worker draining, say) must hold in the new one within 2 s of its yes, also where discovery turns callers away; until now the new process had only the configuration's list and its own first call. Tests: the list passes through the destination set and back through the platform's reader; a newer list is taken over, an older one is not.

--- a/stepstream/admin/desk.py
+++ b/stepstream/admin/desk.py
@@ -39,6 +39,7 @@
         self.started = False  # the clients' listener is open and served
         self.keeper: Keeper | None = None  # the handed-over state, where there is $TMPDIR
         self.neighbour = False
+        self.listed = 0  # the destination set's changes that the handed-over state holds
         self.swept = 0.0
 
     def serving(self) -> bool:
@@ -111,6 +112,11 @@
     def look_beside(self) -> None:
         if self.keeper.watch():
             self.adopted()
+        if self.destinations.changes != self.listed:
+            # What discovery told this process passes to the next one, at most one turn late.
+            self.listed = self.destinations.changes
+            self.keeper.listed = self.destinations.listed()
+            self.keeper.write()
         present = self.keeper.neighbour() is not None
         if present != self.neighbour:
             self.neighbour = present
--- a/stepstream/net/discovery.py
+++ b/stepstream/net/discovery.py
@@ -31,18 +31,47 @@
         self.ready: set[str] = set()
         self.hosts: frozenset[str] = frozenset()
         self.banned: frozenset[str] = frozenset()  # out for maintenance, whatever the list says
+        self.entries: dict[str, i.WorkerEntry] = {}  # the list as it stands, for a hot restart's successor
+        self.version: int | None = None
+        self.changes = 0  # lists applied so far
 
     def apply(self, targets: Targets) -> None:
         with self.lock:
             if targets.told.kind is not i.ListKind.CHANGES:
-                self.addresses, self.ready = {}, set()
+                self.addresses, self.ready, self.entries = {}, set(), {}
             self.addresses.update(targets.addresses)
             for entry in targets.told.entries:
                 if entry.state is i.WorkerState.IN:
                     self.ready.add(entry.worker)
                 else:
                     self.ready.discard(entry.worker)
+                if entry.state is i.WorkerState.OUT:
+                    self.entries.pop(entry.worker, None)
+                else:
+                    self.entries[entry.worker] = entry
             self.hosts = frozenset(host for host, _ in self.addresses.values())
+            self.version, self.changes = targets.version, self.changes + 1
+
+    def listed(self) -> dict | None:
+        """The list in discovery's own form, zones and kinds by the settings' index; None before the first."""
+        with self.lock:
+            if self.version is None:
+                return None
+            rows = [
+                {
+                    "id": e.worker,
+                    "addr": f"{self.addresses[e.worker][0]}:{self.addresses[e.worker][1]}",
+                    "zone": e.zone,
+                    "kind": e.kind,
+                    "cell": e.cell,
+                    "state": "ready" if e.state is i.WorkerState.IN else "draining",
+                    "weight": e.weight,
+                    "started_ms": e.started_us // 1000,
+                }
+                for e in self.entries.values()
+                if e.worker in self.addresses
+            ]
+            return {"version": self.version, "full": True, "servers": rows}
 
     def is_worker(self, host: str) -> bool:
         return host in self.hosts
--- a/stepstream/net/node.py
+++ b/stepstream/net/node.py
@@ -54,6 +54,8 @@
         self.discovery = self.discovery_for(config, self.limits)
         self.counts = dict.fromkeys(Outcome, 0)
         self.desk: Desk | None = None  # the admin listener's, where `operator` is set
+        # The list from before the start: the configuration's, or a newer one handed over.
+        self.known = config.known
 
     def discovery_for(self, config: Config, limits: Limits) -> Discovery:
         side = DiscoverySide(config.settings)
@@ -149,7 +151,7 @@
 
     def hand_over(self, desk: "Desk", address: tuple[str, int]) -> None:
         """What the process before this one left in $TMPDIR: its bans hold here before a client is taken."""
-        from stepstream.upgrade.driver import Keeper, folder, own_process
+        from stepstream.upgrade.driver import Keeper, folder, newer, own_process
 
         where = folder()
         if where is None:
@@ -159,13 +161,16 @@
         found = desk.keeper.load()
         if found is not None and found.bans.banned:
             desk.adopted()
+        if found is not None and newer(found.listed, self.config.known or None):
+            self.known = found.listed  # what discovery told the process before this one
+            log(f"handover: discovery's list of version {found.listed.get('version')} taken over")
 
     def recall(self) -> None:
         """The list from before the start; one that cannot be read is as good as none."""
-        if not self.config.known:
+        if not self.known:
             return  # its version would be one that discovery never gave
         try:
-            self.discovery.learn(self.discovery.side.read(self.config.known, kept=True))
+            self.discovery.learn(self.discovery.side.read(self.known, kept=True))
         except ProtocolError as error:
             log(f"known list ignored: {error}")
 
--- a/stepstream/upgrade/driver.py
+++ b/stepstream/upgrade/driver.py
@@ -36,6 +36,7 @@
         self.path = os.path.join(folder, f"stepstream-{name}.handover")
         self.own, self.bans, self.limits = own, bans, limits
         self.others: tuple[Process, ...] = ()
+        self.listed: dict | None = None  # discovery's list, to be handed over with the rest
         self.seen: tuple[int, int, int] | None = None  # inode, time and size of what was last read or written
         self.relays = Crew("relay", limits.relay_threads)
 
@@ -58,6 +59,8 @@
     def take(self, state: Handover) -> None:
         self.others = tuple(p for p in state.processes if p.pid != self.own.pid)
         self.bans.adopt(state.bans)
+        if self.listed is None or newer(state.listed, self.listed):
+            self.listed = state.listed
 
     def stamp(self) -> tuple[int, int, int] | None:
         try:
@@ -71,7 +74,7 @@
         if ready is not None:
             self.own = Process(self.own.pid, self.own.admin, self.own.started_us, ready)
         living = {p.pid for p in self.others if alive(p.pid)}
-        state = with_own(Handover(self.bans.snapshot(), self.others), self.own, living)
+        state = with_own(Handover(self.bans.snapshot(), self.others, self.listed), self.own, living)
         self.others = state.processes[:-1]
         part = f"{self.path}.{self.own.pid}.part"
         try:
@@ -139,6 +142,13 @@
                 pass
 
 
+def newer(one: dict | None, other: dict | None) -> bool:
+    """Whether one list in discovery's form has a later version than the other."""
+    if one is None:
+        return False
+    return other is None or int(one.get("version", 0)) > int(other.get("version", 0))
+
+
 def own_process(admin: tuple[str, int], now_us: int) -> Process:
     return Process(os.getpid(), f"{admin[0]}:{admin[1]}", now_us)
 
--- a/stepstream/upgrade/state.py
+++ b/stepstream/upgrade/state.py
@@ -1,8 +1,8 @@
 """The handed-over state as bytes, and what a process makes of it; free of I/O.
 
-The file holds the operators' bans and the processes that share the clients' address, each with its
-admin address. It is checked whole: a file that is missing, cut short, of another format or version, or
-whose sum does not match is ignored, and the process starts clean.
+The file holds the operators' bans, the processes that share the clients' address, each with its admin
+address, and discovery's list as its writer last knew it. It is checked whole: a file that is missing, cut
+short, of another format or version, or whose sum does not match is ignored, and the process starts clean.
 """
 
 from dataclasses import dataclass, field
@@ -27,6 +27,7 @@
 class Handover:
     bans: BanState = BanState()
     processes: tuple[Process, ...] = field(default_factory=tuple)
+    listed: dict | None = None  # discovery's list as the writer last knew it, in discovery's own form
 
 
 class DamagedError(Exception):
@@ -39,6 +40,7 @@
         "banned": sorted(state.bans.banned),
         "lifted": [list(pair) for pair in state.bans.lifted],
         "processes": [[p.pid, p.admin, p.started_us, p.ready] for p in state.processes],
+        "list": state.listed,
     }
     text = ujson.dumps(body, sort_keys=True)
     outer = {"format": FORMAT, "version": VERSION, "sum": crc32(text.encode()), "body": text}
@@ -66,15 +68,18 @@
             tuple((str(w), int(at)) for w, at in body["lifted"]),
         )
         processes = tuple(Process(int(p), str(a), int(s), bool(r)) for p, a, s, r in body["processes"])
+        listed = body.get("list")
+        if listed is not None and not isinstance(listed, dict):
+            raise TypeError
     except (ValueError, KeyError, TypeError):
         raise DamagedError("a field is missing or of the wrong type") from None
-    return Handover(bans, processes)
+    return Handover(bans, processes, listed)
 
 
 def with_own(state: Handover, own: Process, alive: set[int]) -> Handover:
     """The state as this process writes it: its own entry new, those of ended processes gone."""
     others = tuple(p for p in state.processes if p.pid != own.pid and p.pid in alive)
-    return Handover(state.bans, (*others, own))
+    return Handover(state.bans, (*others, own), state.listed)
 
 
 def sibling(state: Handover, own_pid: int) -> Process | None:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -9,7 +9,7 @@
 import time
 
 import pytest
-from net_helpers import LIMITS, WORKERS
+from net_helpers import LIMITS, SETTINGS, WORKERS
 from test_admin import call
 from test_dispatch import Desk
 from test_node import PATIENCE, ROOT, World, ask, free_port, job_bytes, wait_for
@@ -18,13 +18,15 @@
 from stepstream.admin.driver import AdminListener
 from stepstream.dispatch import Neighbour, News, PassOn, StartCall, Told
 from stepstream.maintenance import Bans, BanState
+from stepstream.net.discovery import DestinationSet
 from stepstream.net.http1 import Message
-from stepstream.net.platform import news_body, read_news
+from stepstream.net.platform import DiscoverySide, news_body, read_news
 from stepstream.upgrade.driver import Keeper
 from stepstream.upgrade.state import DamagedError, Handover, Process, decode, encode, sibling, with_own
 
 OLD, NEW = Process(100, "127.0.0.1:9901", 1_000, True), Process(200, "127.0.0.1:9902", 2_000, True)
-STATE = Handover(BanState(3, frozenset({"s-1"}), (("s-2", 1_500),)), (OLD, NEW))
+LISTED = {"version": 7, "full": True, "servers": [{"id": "s-1", "addr": "127.0.0.1:9", "state": "draining"}]}
+STATE = Handover(BanState(3, frozenset({"s-1"}), (("s-2", 1_500),)), (OLD, NEW), LISTED)
 
 
 def test_a_state_reads_back_as_it_was_written():
@@ -73,6 +75,7 @@
 def test_the_own_entry_is_new_and_ended_processes_are_gone():
     again = Process(100, OLD.admin, 5_000, False)
     assert with_own(STATE, again, alive={200}).processes == (NEW, again)
+    assert with_own(STATE, again, alive={200}).listed == LISTED
     assert with_own(STATE, again, alive=set()).processes == (again,)
     assert sibling(STATE, 100) == NEW and sibling(Handover(processes=(OLD,)), 100) is None
 
@@ -169,11 +172,13 @@
 
 
 def test_news_passed_on_reaches_the_admin_listener_of_the_process_beside(tmp_path):
-
     port, got = free_port(), []
-    listener = AdminListener(
-        ("127.0.0.1", port), LIMITS, lambda a: got.append(a) or Verdict(200, "OK"), print
-    )
+
+    def answer(asked):
+        got.append(asked)
+        return Verdict(200, "OK")
+
+    listener = AdminListener(("127.0.0.1", port), LIMITS, answer, lambda now: None)
     threading.Thread(target=listener.run, daemon=True).start()
     try:
         keeper = Keeper(str(tmp_path), "n0", OLD, Bans(), LIMITS)
@@ -182,3 +187,45 @@
         assert read_news(Message(method="POST", body=asked.body)) == Told("aa", "s-1", News.DONE, "5")
     finally:
         listener.listener.close()
+
+
+def test_what_discovery_told_passes_over_in_its_own_form():
+    side = DiscoverySide(SETTINGS)
+    told = side.read(
+        {
+            "version": 41,
+            "full": True,
+            "servers": [
+                {
+                    "id": "s-1",
+                    "addr": "127.0.0.1:81",
+                    "zone": "petrzalka",
+                    "kind": "old-blade",
+                    "cell": 3,
+                    "state": "draining",
+                    "weight": 0.5,
+                    "started_ms": 1700,
+                },
+                {"id": "s-2", "addr": "127.0.0.1:82", "state": "ready"},
+            ],
+        }
+    )
+    destinations = DestinationSet()
+    assert destinations.listed() is None
+    destinations.apply(told)
+    destinations.apply(side.read({"version": 42, "full": False, "servers": [{"id": "s-2", "state": "gone"}]}))
+    again = side.read(destinations.listed(), kept=True)
+    assert again.version == 42 and again.addresses == {"s-1": ("127.0.0.1", 81)}
+    assert again.told.entries == told.told.entries[:1]
+
+
+def test_a_newer_list_is_taken_over_and_an_older_one_is_not(tmp_path):
+    first = Keeper(str(tmp_path), "n0", Process(os.getpid(), "127.0.0.1:9901", 1_000), Bans(), LIMITS)
+    first.listed = LISTED
+    first.write()
+    second = Keeper(str(tmp_path), "n0", Process(os.getppid(), "127.0.0.1:9902", 2_000), Bans(), LIMITS)
+    second.listed = {**LISTED, "version": 9}
+    second.load()
+    assert second.listed["version"] == 9
+    third = Keeper(str(tmp_path), "n0", Process(os.getppid(), "127.0.0.1:9902", 2_000), Bans(), LIMITS)
+    assert third.load().listed == LISTED and third.listed == LISTED
