Refuse settings that cannot be served by their key; serve a cold share or multiple of zero

Cause: read in the code: a deadline, attempt limit, dial time or open bound of 0 started a dispatcher that could answer nobody; a multiple, a cold share or a warm-up of 0 divided by zero in the module's cold_turn and warmth, and each job of that moment was answered as failed. A key scope that does not exist was taken as 'cell'. Lines at fault: settings.py read_settings (no bounds), balance.py cold_turn and warmth. Change: least() and share() name the key; what can be served is served at its word: of a multiple or share of 0 a cold worker gets nothing, a window of 0 allows no repeat. The scope is read only of keyed classes.

--- a/stepstream/balance.py
+++ b/stepstream/balance.py
@@ -182,7 +182,7 @@
     def warmth(self, worker: i.Worker) -> float:  # the least part of its capacity that it has by now
         if self.now >= worker.warm_us:
             return 1.0
-        part = max(self.now - worker.entry.started_us, 0) / self.s.warm_within_us
+        part = max(self.now - worker.entry.started_us, 0) / max(self.s.warm_within_us, 1)
         return self.s.cold_share + (1 - self.s.cold_share) * part
 
     def cold_turn(self, held: i.Held, worker: i.Worker) -> bool:
@@ -190,7 +190,8 @@
         own, mean = self.runs.mean_us[held.job.job_class], self.runs.mean_us[-1]
         gap = self.runs.gap_us or self.s.fall_span_us * self.s.fleet_size
         gap *= own / mean if own and mean else 1.0
-        gap *= self.strength / (self.s.fall_multiple * COLD_PART * self.warmth(worker))
+        part = self.s.fall_multiple * COLD_PART * self.warmth(worker)
+        gap = gap * self.strength / part if part else inf  # it may begin with nothing
         if gap <= self.s.fall_span_us:
             return self.now - worker.last_cold_us >= gap
         # Rarer pushes go by chance, drawn for each span: saved up, those of all would meet in a burst.
--- a/stepstream/settings.py
+++ b/stepstream/settings.py
@@ -12,6 +12,7 @@
 from stepstream import interface as i
 
 REPORTS = {how: how for how in ("answers", "probe", "none")}
+SCOPES = {scope: scope for scope in ("all", "zone", "cell")}
 EFFECTS = {"pure": i.Effect.SAFE, "token": i.Effect.KEYED, "side_effect": i.Effect.UNSAFE}
 
 
@@ -63,6 +64,19 @@
             raise FieldError(f"{name}={value} is not a finite number")
         return number
 
+    def least(self, name: str, least: int, default: int | None = None) -> int:
+        """A whole number that cannot be served below `least`."""
+        value = self.whole(name, default)
+        if value < least:
+            raise FieldError(f"{name}={value} must be at least {least}")
+        return value
+
+    def share(self, name: str, default: float) -> float:
+        value = self.number(name, default)
+        if not 0 <= value <= 1:
+            raise FieldError(f"{name}={value} is not between 0 and 1")
+        return value
+
     def flag(self, name: str, default: bool = False) -> bool:
         value = self.values.get(name)
         if value is None:
@@ -99,16 +113,20 @@
 
     def job_class(k: int) -> i.JobClass:
         at = f"services.{k}."
-        deadline = fields.whole(at + "deadline_us")
+        deadline = fields.least(at + "deadline_us", 1)
+        effect = fields.one_of(at + "effect", EFFECTS, "side_effect")
+        keyed = effect is i.Effect.KEYED  # to the others a scope means nothing
+        scope = fields.one_of(at + "key_scope", SCOPES, "cell") if keyed else "cell"
         return i.JobClass(
-            goal_us=fields.whole(at + "goal_time_us", deadline),
+            goal_us=fields.least(at + "goal_time_us", 1, deadline),
             deadline_us=deadline,
-            effect=fields.one_of(at + "effect", EFFECTS, "side_effect"),
+            effect=effect,
             worth=fields.number(at + "worth", 1.0),
             late_worth=fields.number(at + "late_worth", 0.0),
             stretch=stretches[k],
-            key_scope=fields.text(at + "key_scope", "cell"),
-            window_us=fields.whole(at + "window_us", 0),
+            key_scope=scope,
+            # Of 0: no repeat is inside it, and none is sent.
+            window_us=fields.least(at + "window_us", 0, 0),
             kind=kinds[k],
             name=fields.text(at + "name", ""),
         )
@@ -130,13 +148,13 @@
         fleet_size=fleet,
         zone=fields.whole("zone", 0),
         must_ask=fields.text("discovery", "automatic") == "subscribe",
-        must_ask_us=fields.whole("safety.must_ask_in_us", 10_000_000),
-        attempt_limit=fields.whole("limits.try_limit", 1),
+        must_ask_us=fields.least("safety.must_ask_in_us", 0, 10_000_000),
+        attempt_limit=fields.least("limits.try_limit", 1, 1),
         may_probe=fields.flag("limits.probing"),
         may_cancel=fields.flag("limits.cancelling"),
         may_duplicate=fields.flag("limits.may_duplicate"),
         may_advise_retry=fields.flag("limits.retry_after"),
-        max_retry_after_us=fields.whole("limits.max_retry_after_us", 0),
+        max_retry_after_us=fields.least("limits.max_retry_after_us", 0, 0),
         reports=fields.one_of("load_report.how", REPORTS, "none"),
         report_columns=tuple(columns),
         report_names=tuple(names),
@@ -144,21 +162,21 @@
         cross_zone_price=fields.number("deductions.cross_zone", 0.0),
         handshake_price=fields.number("deductions.handshake", 0.0),
         probe_price=fields.number("deductions.probe", 0.0),
-        drain_grace_us=fields.whole("safety.stop_sending_within_us", 0),
-        cold_share=fields.number("safety.cold_share", 1.0),
-        warm_within_us=fields.whole("safety.warm_within_us", 0),
-        fall_multiple=fields.number("safety.fall_multiple", 1.0),
-        fall_span_us=fields.whole("safety.tip_after_us", 1_000_000),
+        drain_grace_us=fields.least("safety.stop_sending_within_us", 0, 0),
+        cold_share=fields.share("safety.cold_share", 1.0),
+        warm_within_us=fields.least("safety.warm_within_us", 0, 0),
+        fall_multiple=max(fields.number("safety.fall_multiple", 1.0), 0.0),  # of 0: nothing while it is cold
+        fall_span_us=fields.least("safety.tip_after_us", 0, 1_000_000),
         quantum_us=fields.whole("quantum_us", 1_000),
         tenants=tuple(
             fields.text(f"projects.{k}.name", "") for k in range(fields.whole("projects.count", 0))
         ),
         zones=tuple(fields.row("zones")),
         kinds=tuple(fields.row("kinds")),
-        grace_us=fields.whole("safety.grace_to_answer_us", 0),
-        conn_idle_us=fields.whole("limits.conn_idle_us", 10_000_000),
-        dial_timeout_us=fields.whole("limits.dial_timeout_us", 250_000),
-        max_open=fields.whole("limits.max_open", 20_000),
+        grace_us=fields.least("safety.grace_to_answer_us", 0, 0),
+        conn_idle_us=fields.least("limits.conn_idle_us", 0, 10_000_000),
+        dial_timeout_us=fields.least("limits.dial_timeout_us", 1, 250_000),
+        max_open=fields.least("limits.max_open", 1, 20_000),
     )
 
 
