--- a/stepstream/dispatch.py
+++ b/stepstream/dispatch.py
@@ -36,6 +36,7 @@
     settings: i.Settings | None = None  # those that its numbers are of
     calls: "list[Call]" = field(default_factory=list)
     answered: bool = False
+    gone: bool = False  # its client has left: set by the front before the core hears of it
 
     @property
     def wary(self) -> bool:
@@ -56,9 +57,34 @@
     deadline_us: int
     open: bool = True
     told: bool = False  # ended by news; a repeat of that news may still be on its way
+    result: i.Result | None = None  # how it ended
+    write_by_us: int | None = None  # a repeat of a keyed job: past it nothing of it may be written
     carrier: object = None  # the ports.Carrier that took it
     handle: object = None
 
+    @property
+    def settled(self) -> bool:
+        """Its worker is done with it: of one given up the word that ends it may still be on its way there."""
+        return not self.open and self.result not in (i.Result.TIMEOUT, i.Result.CANCELLED)
+
+    @property
+    def wanted(self) -> bool:
+        """Whether it may still be sent: its client waits, and nobody else has answered."""
+        return self.open and not self.request.answered and not self.request.gone
+
+
+def write_by(request: Request) -> int | None:
+    """Until when a further call of a keyed job may be written: its repeats are dropped only inside the
+    window, which runs from the sending of the first call that may have run.
+    """
+    if request.settings is None:
+        return None
+    kind = request.settings.classes[request.job_class]
+    if kind.effect is not i.Effect.KEYED:
+        return None
+    ran = next((c for c in request.calls if c.result is None or not c.result.never_ran), None)
+    return None if ran is None else ran.sent_us + kind.window_us
+
 
 class News(Enum):
     STARTED = "started"
@@ -400,7 +426,7 @@
     ) -> None:
         if not call.open:
             return
-        call.open = False
+        call.open, call.result = False, result
         request = call.request
         over = over or request.answered
         spent_us = max(now_us - call.sent_us, 0)
@@ -489,8 +515,10 @@
         if limit_us:
             deadline_us = min(deadline_us, now_us + limit_us)
         call = Call(request, len(request.calls), worker, now_us, deadline_us)
-        # An open call to a worker bars a second one to it, and so does one ended by news that may repeat.
-        barred = any(c.worker == worker and (c.open or c.told) for c in request.calls)
+        # An open call to a worker bars a second one to it, and so does one given up, whose DELETE may come
+        # behind the second one, or one ended by news that may repeat.
+        barred = any(c.worker == worker and (c.told or not c.settled) for c in request.calls)
+        call.write_by_us = write_by(request)
         request.calls.append(call)
         spent = len(request.calls) > self.settings.attempt_limit
         if request.answered or barred or spent or now_us >= deadline_us:
--- a/stepstream/fleet/plug.py
+++ b/stepstream/fleet/plug.py
@@ -84,13 +84,14 @@
         except OSError as error:
             raise FieldError(f"fleet.listen={listen}: {error}") from None
         self.driver.heard = self.heard
+        if self.section.share_maintenance and self.maintenance is not None:
+            # Before the admin listener hears its first call: a word told by then would stay here.
+            self.maintenance.on_word = self.say
         spawn("fleet", self.driver.run)
         log(f"{self.host.config.name} is a member of {self.section.cluster} at {self.view.me.address}")
 
     def serving(self) -> None:
         self.phase = Phase.SERVING
-        if self.section.share_maintenance and self.maintenance is not None:
-            self.maintenance.on_word = self.say
 
     def prepare(self, config: Config, operator: Operator | None) -> Callable[[], None]:
         for key in FIXED:
--- a/stepstream/identity/tls.py
+++ b/stepstream/identity/tls.py
@@ -64,6 +64,7 @@
         self.tls = context.wrap_bio(self.incoming, self.outgoing, server_side=True)
         self.lock = threading.Lock()  # of the library's state
         self.certificate: Certificate | None = None
+        self.plain = b""  # waited for and not taken yet
 
     def begin(self) -> None:
         """The handshake; OSError (ssl.SSLError is one) if there is none. The driver's look bounds its
@@ -103,6 +104,14 @@
             with self.lock:
                 self.incoming.write(data)
 
+    def wait(self, size: int) -> bool:
+        self.plain = self.recv(size)
+        return bool(self.plain)
+
+    def take(self, size: int) -> bytes:
+        data, self.plain = self.plain, b""
+        return data
+
     def add(self, data: bytes) -> None:
         with self.lock:
             self.tls.write(data)
@@ -114,7 +123,7 @@
 
     def unread(self) -> bool:
         with self.lock:
-            waiting = bool(self.tls.pending() or self.incoming.pending)
+            waiting = bool(self.plain or self.tls.pending() or self.incoming.pending)
         return waiting or super().unread()
 
     def half_close(self) -> None:
--- a/stepstream/net/discovery.py
+++ b/stepstream/net/discovery.py
@@ -15,8 +15,9 @@
 from stepstream.net.http1 import Message, Parser, ProtocolError
 from stepstream.net.limits import Limits
 from stepstream.net.platform import DiscoverySide, Targets
+from stepstream.net.schedule import Schedule
 from stepstream.net.sockets import dial, hang_up, stale, time_limit
-from stepstream.net.threads import Complaints
+from stepstream.net.threads import Complaints, spawn
 
 Address = tuple[str, int]
 SOURCE = "discovery"
@@ -119,8 +120,20 @@
             return self.addresses.get(worker)
 
 
+class SilentError(OSError):
+    """A call was not answered in its time."""
+
+    def __init__(self) -> None:
+        super().__init__("no answer in time")
+
+
 class Discovery:
-    """One address of discovery, asked by a thread of its own; a reload retires it and begins another."""
+    """One address of discovery, called by a thread of its own; a reload retires it and begins another.
+
+    When it calls is `Schedule`'s word; the module's asks only cut the first pause short. A watch that has not
+    been answered in its time stays open beside the next call: given up before that one's answer, what it
+    missed would count as told at once.
+    """
 
     def __init__(
         self,
@@ -130,17 +143,22 @@
         destinations: DestinationSet,
         post: Callable[[Event], None],
         complaints: Complaints,
+        schedule: Schedule,
     ) -> None:
         self.limits, self.where, self.side, self.complaints = limits, address, side, complaints
-        self.destinations, self.post = destinations, post
-        self.asks: SimpleQueue[bool] = SimpleQueue()
+        self.destinations, self.post, self.schedule = destinations, post, schedule
+        self.wakes: SimpleQueue[None] = SimpleQueue()  # each cuts the pause between two calls short
         self.version: int | None = None  # of the list that is held; 0 is a version like any other
         self.lock = threading.Lock()  # orders a list, or a new connection, against the end
         self.retired = self.renewing = False
         self.sock: socket.socket | None = None
+        self.checking = threading.Lock()  # one check beside the watch at a time
+        self.heard = threading.Event()  # the first answer is in
 
-    def ask(self, watch: bool) -> None:
-        self.asks.put(watch)
+    def ask(self) -> None:
+        """The module wants the list: where none is held, the first call is made now."""
+        if self.version is None and not self.heard.is_set():
+            self.wakes.put(None)
 
     def retire(self) -> None:
         """Its call ends now, and nothing of it is told once this returns."""
@@ -148,14 +166,7 @@
             self.retired = True
             if self.sock is not None:
                 hang_up(self.sock)
-        self.asks.put(False)  # wakes the thread
-
-    def renew(self) -> None:
-        """The watch may have fallen silent: it is opened anew, from the version that is held."""
-        with self.lock:
-            if not self.retired and self.sock is not None:
-                self.renewing = True
-                hang_up(self.sock)
+        self.wakes.put(None)
 
     def learn(self, targets: Targets) -> None:
         """Takes over a list, also the one from before a start: a watch goes on from its version."""
@@ -167,102 +178,128 @@
                 self.post(Listed(SOURCE, targets.told))
 
     def run(self) -> None:
+        self.rest(self.schedule.first())
         while not self.retired:
-            if self.side.pushed:
-                self.follow()
-            else:
-                self.serve_ask()
+            self.rest(self.follow())
         self.hang_up()
 
-    def follow(self) -> None:
-        """Pushed lists come from an agent on the dispatcher's own machine: nobody has to ask for them.
-
-        Guards against a list that stays the one from before the start: the module asks only where it must,
-        and what the agent holds counts as told. A failed call is made again soon; the agent costs nothing.
-        """
-        if not self.call(True):
+    def rest(self, seconds: float) -> None:
+        if seconds > 0 and not self.retired:
             with contextlib.suppress(Empty):
-                self.asks.get(timeout=self.limits.agent_again)  # a retirement cuts it short
-
-    def serve_ask(self) -> None:
-        watch = self.asks.get()
-        if not self.retired:
-            going = self.call(watch)
-            while watch and going and not self.retired:
-                going = self.call(True)
-                if self.drain_asks():
-                    going = self.call(False)
-
-    def drain_asks(self) -> bool:
-        """Whether the whole list was asked for meanwhile; a watch that goes on needs no asking."""
-        fetch = False
-        try:
-            while True:
-                fetch = not self.asks.get_nowait() or fetch
-        except Empty:
-            return fetch
+                self.wakes.get(timeout=seconds)
 
-    def call(self, watch: bool) -> bool:
-        """One call; on a failure the core is told, and asks again when it sees fit.
+    def follow(self) -> float:
+        """One call and what comes of it; how long to wait before the next, in seconds.
 
-        The whole list is asked for only where no version is known: it is dear where a fleet asks.
+        A watch from the version that is held; the whole list only where none is known: it is dear where a
+        fleet asks. A failure changes nothing, is counted, and is called again soon.
         """
-        watch = watch and self.version is not None
+        begun, version = time.monotonic(), self.version
         try:
-            begun, version = time.monotonic(), self.version
-            targets = self.side.read_answer(self.exchange(watch))
-            self.renewing = False  # guards a later failure from passing for one that was asked for
-            self.learn(targets)
-            if watch and targets.version < version:
-                # Guards against a discovery that began to count anew: it would not tell what came before.
-                self.version = None
-            if watch and targets.version == version and time.monotonic() - begun < self.limits.watch_pause:
-                # Guards discovery from a loop of calls, should it answer watches without waiting.
-                time.sleep(self.limits.watch_pause)
-            return True
+            targets = self.side.read_answer(self.call(version))
         except Exception as error:
             # Any fault: without this thread nothing would be told any more.
             self.hang_up()
             if self.renewed():
-                return self.call(watch)
-            self.drain_asks()
-            self.fail(error)
-            return False
+                return 0.0
+            if not self.retired:
+                self.complaints.add(str(error))
+            return self.schedule.failed()
+        self.renewed()  # guards a later failure from passing for one that was asked for
+        self.learn(targets)
+        self.heard.set()
+        if version is not None and targets.version < version:
+            # Guards against a discovery that began to count anew: it would not tell what came before.
+            self.version = None
+        idle = version is not None and targets.version == version
+        return self.schedule.answered(time.monotonic() - begun, idle)
+
+    def call(self, version: int | None) -> Message:
+        """The answer to a watch, or to a call beside one that stays silent; OSError or ProtocolError."""
+        if version is None:
+            return self.exchange(self.connect(), self.side.fetch_bytes(self.host), self.schedule.limit)
+        wait = self.schedule.wait
+        try:
+            data = self.side.watch_bytes(self.host, version, wait)
+            return self.exchange(self.connect(), data, wait + self.schedule.slack)
+        except SilentError:
+            self.complaints.add("a watch fell silent")
+            message = self.ask_beside(version)
+            self.hang_up()  # only now: what it missed is known
+            return message
+
+    def ask_beside(self, version: int) -> Message:
+        """The changes since then, on a connection of its own, answered at once."""
+        begun, limit = time.monotonic(), self.schedule.limit
+        sock = dial(self.where, limit, self.limits.write)
+        try:
+            data = self.side.watch_bytes(self.host, version, 0.0)
+            return self.exchange(sock, data, limit - (time.monotonic() - begun))
+        finally:
+            sock.close()
+
+    def check(self) -> None:
+        """The watch may have fallen silent: the list is asked for beside it, and it is opened anew if there
+        is news. On a thread of its own; any thread may call this.
+        """
+        if self.checking.acquire(blocking=False):
+            spawn("discovery check", self.look_beside)
+
+    def look_beside(self) -> None:
+        try:
+            version = self.version
+            if version is None or self.retired:
+                return
+            targets = self.side.read_answer(self.ask_beside(version))
+            with self.lock:
+                news = targets.version != version and self.version == version and not self.retired
+            if news:
+                self.learn(targets)
+                self.renew()
+        except (OSError, ProtocolError) as error:
+            self.complaints.add(str(error))
+        finally:
+            self.checking.release()
+
+    def renew(self) -> None:
+        """The watch is opened anew, from the version that is held."""
+        with self.lock:
+            if not self.retired and self.sock is not None:
+                self.renewing = True
+                hang_up(self.sock)
 
     def renewed(self) -> bool:
         with self.lock:
             renewing, self.renewing = self.renewing and not self.retired, False
             return renewing
 
-    def fail(self, error: Exception) -> None:
-        with self.lock:
-            if not self.retired:
-                late = isinstance(error, BlockingIOError)  # what a socket's time limit raises
-                self.complaints.add("no answer in time" if late else f"{error}")
-                if not self.side.pushed:  # else nobody has asked
-                    self.post(Listed(SOURCE, i.WorkerList(i.ListKind.FAILED)))
-
-    def exchange(self, watch: bool) -> Message:
-        """Reads on from the moment the call is written: a change counts as told once discovery wrote it."""
-        host = f"{self.where[0]}:{self.where[1]}"
-        data = self.side.fetch_bytes(host)
-        seconds = self.limits.fetch
-        if watch:
-            data = self.side.watch_bytes(host, self.version, self.limits.watch_wait)
-            # Guards against a silent discovery: a watch without an answer must fail, or nothing is ever told.
-            seconds = self.limits.watch_wait + self.limits.watch_slack
-        sock = self.connect()
-        time_limit(sock, socket.SO_RCVTIMEO, seconds)
+    @property
+    def host(self) -> str:
+        return f"{self.where[0]}:{self.where[1]}"
+
+    def exchange(self, sock: socket.socket, data: bytes, seconds: float) -> Message:
+        """Reads on from the moment the call is written: a change counts as told once discovery wrote it.
+
+        `seconds` bound the whole answer: one that comes in drips must not hold the list up.
+        """
+        until = time.monotonic() + seconds
         sock.sendall(data)
         parser = Parser(self.limits, answers=True, body=self.limits.list_body)
         message = None
         while message is None:
-            piece = sock.recv(self.limits.read)
+            left = until - time.monotonic()
+            if left <= 0:
+                raise SilentError
+            time_limit(sock, socket.SO_RCVTIMEO, max(left, 0.001))
+            try:
+                piece = sock.recv(self.limits.read)
+            except BlockingIOError:  # what a socket's time limit raises
+                raise SilentError from None
             parser.feed(piece)
             message = parser.next() if piece else parser.end()
             if message is None and not piece:
                 raise ProtocolError(400, "the connection ended before the answer")
-        if not message.keep_alive or not parser.idle:
+        if sock is self.sock and (not message.keep_alive or not parser.idle):
             self.hang_up()
         return message
 
@@ -270,7 +307,7 @@
         if self.sock is not None and stale(self.sock):
             self.hang_up()
         if self.sock is None:
-            sock = dial(self.where, self.limits.fetch, self.limits.write)
+            sock = dial(self.where, self.schedule.limit, self.limits.write)
             with self.lock:
                 self.sock = sock
         if self.retired:
--- a/stepstream/net/inbound.py
+++ b/stepstream/net/inbound.py
@@ -24,6 +24,7 @@
 
     def __init__(self, side: platform.ClientSide) -> None:
         self.side = side  # replaced by a reload, between two messages
+        self.starting = False  # no list to serve from yet: the front is told to send nobody
         self.leaving = False  # after SIGTERM: the front is told to send nobody new
         self.closing = False  # some time later: connections close after their next answer
         self.failed = False  # the operators' drain: the front is told to send nobody new
@@ -109,7 +110,8 @@
         if path == platform.READY:
             if message.method != "GET":
                 raise ProtocolError(405, "only GET")
-            return [self.reply(503 if self.door.leaving or self.door.failed else 200)]
+            away = self.door.starting or self.door.leaving or self.door.failed
+            return [self.reply(503 if away else 200)]
         visa = self.visa_for(message)
         if isinstance(visa, Turned):
             return [self.turn_away(visa)]
@@ -220,6 +222,7 @@
         self.late: deque[Reply] = deque()  # what has come behind that
         self.ended = False  # the reader has left; the late writer closes the socket
         self.left = False  # it has made room and counts among those that leave
+        self.evicted = False  # it was ended to make room: its thread goes at once
         # The last byte or answer; the current message's first byte or, once closed, the last answer's end.
         self.active = self.begun = self.came = time.monotonic()
 
@@ -233,11 +236,18 @@
                 if self.writing:
                     # Guards the late writer: a number closed under its hands may be another's socket by then.
                     self.link.hang_up()
+                elif self.evicted:
+                    self.house.see_off(self.link.sock, self.house.limits.parting)
                 else:
                     self.link.close()
             self.house.forget(self)
-            if left is not None:
-                self.house.post(Left(left))
+            self.let_go(left)
+
+    def let_go(self, left: Request | None) -> None:
+        """Its client has gone: no call of it begins any more, also before the core has heard."""
+        if left is not None:
+            left.gone = True
+            self.house.post(Left(left))
 
     def read_on(self) -> None:
         limits = self.house.limits
@@ -248,10 +258,11 @@
             return
         while True:
             try:
-                data = self.link.recv(limits.read)
+                if not self.link.wait(limits.read):
+                    return
             except OSError:
                 return
-            if not data or not self.survives(data):
+            if not self.survives():
                 return
 
     def look(self, now: float) -> None:
@@ -265,15 +276,17 @@
             if session.phase is Phase.READING and not session.between:
                 reply = session.refuse(ProtocolError(400, "too slow"))
             elif session.phase is Phase.CLOSED or not self.link.unread():
-                session.phase = Phase.CLOSED
-                self.link.hang_up()
+                if session.phase is Phase.CLOSED:
+                    self.link.hang_up()
+                else:
+                    self.part(now)
         if reply is not None:
             self.write(reply)
 
-    def survives(self, data: bytes) -> bool:
+    def survives(self) -> bool:
         """Guards a request against a fault in this thread: it is answered all the same."""
         try:
-            return self.on_data(data)
+            return self.on_data()
         except Exception as error:
             log(f"fault in inbound: {type(error).__name__}: {error}")
             with self.lock:
@@ -285,9 +298,15 @@
                 self.write(reply)
             return True
 
-    def on_data(self, data: bytes) -> bool:
-        now_us, now = self.house.clock.now_us(), time.monotonic()
+    def on_data(self) -> bool:
+        """Takes what has come; false once its connection is to be closed.
+
+        Bytes leave the kernel under the lock only: whoever ends the connection sees those that nobody has
+        taken, and no request can be taken before its end and looked at after it.
+        """
         with self.lock:
+            data = self.link.take(self.house.limits.read)
+            now_us, now = self.house.clock.now_us(), time.monotonic()
             if self.session.phase is Phase.CLOSED:
                 # Guards against a peer that goes on sending after its last answer.
                 self.active = now
@@ -308,6 +327,11 @@
             match step:
                 case Reply():
                     self.write(step)
+                    if step.close:
+                        with self.lock:
+                            left = self.session.closed()
+                        # An error ends the connection: it was the answer to what was open too.
+                        self.let_go(left)
                 case Request():
                     step.origin = self
                     self.house.post(Arrived(step))
@@ -376,7 +400,10 @@
     def busy(self) -> bool:
         session = self.session
         stays = session.proven and not session.of_worker and session.phase is Phase.READING
-        return self.owes() or self.writing or (stays and not self.house.door.closing)
+        parting = session.phase is Phase.CLOSED and (
+            time.monotonic() - self.begun < self.house.limits.parting
+        )
+        return self.owes() or self.writing or parting or (stays and not self.house.door.closing)
 
     def owes(self) -> bool:
         """A request is open, or a message half read that may yet be one of the front's.
@@ -405,6 +432,14 @@
                 return Rank.IDLE, since
             return Rank.STRANGER if now - since >= self.house.limits.stranger else Rank.NEW, since
 
+    def part(self, now: float) -> None:
+        """With the lock held, between messages: half a close; what the peer sent meanwhile is read to its end
+        and dropped, for a close over unread bytes would reset the connection.
+        """
+        self.session.closed()
+        self.begun = now
+        self.link.half_close()
+
     def evict(self) -> bool:
         """Guards the budget: peers that dawdle or say nothing must not keep out those that work."""
         with self.lock:
@@ -415,6 +450,7 @@
             ):
                 return False
             self.session.closed()
+            self.evicted = True
             self.link.hang_up()
             return True
 
@@ -423,8 +459,7 @@
         with self.lock:
             if not self.session.between or self.session.of_worker or self.link.unread():
                 return False
-            self.session.phase = Phase.CLOSED
-            self.link.hang_up()
+            self.part(time.monotonic())
             return True
 
 
@@ -450,6 +485,7 @@
         self.inbound: set[Connection] = set()
         self.guests = 0  # of these, not from a worker's host
         self.leaving = 0  # connections that have made room but are not closed yet
+        self.seen_off: deque[tuple[float, socket.socket]] = deque()  # shut by us, and when to close them
         self.turned_away = 0
         self.entrances: list[Entrance] = []
 
@@ -572,6 +608,39 @@
             every = list(self.inbound)
         for inbound in every:
             inbound.look(now)
+        self.close_seen_off(now)
+
+    def see_off(self, sock: socket.socket, seconds: float) -> None:
+        """Closes a connection that we have shut, a while later and without a thread: closed over bytes that
+        its peer sends meanwhile, it would be reset, and what was told last could be lost with it.
+        """
+        with self.lock:
+            self.seen_off.append((time.monotonic() + seconds, sock))
+            oldest = self.seen_off.popleft()[1] if len(self.seen_off) > self.limits.seen_off else None
+        if oldest is not None:
+            self.read_out(oldest)
+            oldest.close()
+
+    def close_seen_off(self, now: float) -> None:
+        with self.lock:
+            waiting, self.seen_off = self.seen_off, deque()
+        kept = []
+        for until, sock in waiting:
+            self.read_out(sock)
+            if now > until:
+                sock.close()
+            else:
+                kept.append((until, sock))
+        with self.lock:
+            self.seen_off.extendleft(reversed(kept))
+
+    def read_out(self, sock: socket.socket) -> None:
+        """Drops what has come."""
+        try:
+            while sock.recv(self.limits.read, socket.MSG_DONTWAIT):
+                pass
+        except OSError:
+            pass  # nothing more, or no connection
 
     def fail_fast(self, entrance: Entrance, sock: socket.socket) -> None:
         """Over budget: refused before a byte is read, without a thread."""
@@ -579,11 +648,10 @@
         try:
             sock.send(entrance.refusal(), socket.MSG_DONTWAIT)
             sock.shutdown(socket.SHUT_WR)
-            # Guards the answer: closed over bytes unread, the connection is reset and the answer may be lost.
-            sock.recv(self.limits.head + self.limits.body, socket.MSG_DONTWAIT)
         except OSError:
-            pass
-        sock.close()
+            sock.close()
+            return
+        self.see_off(sock, self.limits.turned_linger)
 
     def forget(self, inbound: Connection) -> None:
         with self.lock:
--- a/stepstream/net/limits.py
+++ b/stepstream/net/limits.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass
 
-from stepstream import interface as i
 from stepstream.settings import Config
 
 
@@ -36,6 +35,7 @@
     )
     call_threads: int = 200  # outbound calls between their start and their 202
     lag: int = 32  # connections that have made room while their threads have yet to close them
+    seen_off: int = 16  # connections shut by us that are closed a while later
     evict_at_once: int = 32  # connections that make room for the next ones
     late_writers: int = 8  # threads for answers that a slow client does not take at once
     backlog: int = 1024
@@ -62,19 +62,18 @@
     linger: float = 2.0  # a connection whose last answer is out waits so long for its peer to close
     inbound_idle: float = 120.0  # of a connection that has brought jobs or news
     stranger: float = 1.0  # a new connection without a whole message so far is the next to make room by then
+    turned_linger: float = 1.0
+    parting: float = 0.3  # after we have shut a connection: for the peer's bytes on their way, and its end
     spare_idle: float = 0.05  # an inbound connection that has been quiet for so long may have to make room
     outbound_idle: float = 5.0  # well before the worker closes: a request must not cross its closing
+    outbound_rest: float = 0.05  # so long after its last answer a connection takes no further call
     queued: float = 0.3  # a call not begun by then ends as not sent
     call_silence: float = 30.0  # backstop of a call's read; the core ends calls long before
+    answer_rest: float = 1.0  # from an answer's first byte to its last; each read bounds the next by it
     delete_answer: float = 1.0
     probe: float = 1.0
-    watch_wait: float = 8.0  # each that ends is one more call for discovery
-    longest_watch: float = 60.0  # the platform's bound
-    watch_slack: float = 1.5  # a watch silent for so long after its wait has failed
-    agent_wait: float = 1.0  # a watch at the agent of pushed lists, which answers at no cost
-    agent_again: float = 0.1  # after a failed call to it
-    watch_pause: float = 0.1  # before a watch goes on that was answered at once with nothing new
-    fetch: float = 3.0
+    first_list: float = 6.0  # a start without a list waits so long for one before it takes clients
+    agent_first: float = 0.6  # a start beside an agent of pushed lists waits so long for its word
     sweep: float = 0.5
     signal_wait: float = 0.05  # the main thread's longest wait: a signal is heard by then at the latest
     status: float = 60.0  # between two status lines in the log
@@ -117,6 +116,7 @@
         for_news=for_news,
         open_requests=max((inbound - for_news) * 15 // 16, 1),
         lag=spare // 2,
+        seen_off=spare // 4,
         members=max(inbound // 2, 1),
         held=max(config.memory_mb // 6, 1) * 1024 * 1024,
         open_jobs=max(config.memory_mb * 20, 100),
@@ -125,16 +125,4 @@
         outbound_idle=idle * 0.5,
         stop_serving=max(killed - Limits.close_before, 0.4),
         stop_answer=max(killed - Limits.answer_before, 0.4),
-        watch_wait=watch_wait(config.settings),
     )
-
-
-def watch_wait(settings: i.Settings) -> float:
-    """In seconds. The calls of a fleet, each of which goes on when its watch ends, are about one a second:
-    its discovery serves a few. A small fleet's hear sooner of a discovery that has fallen silent, and
-    pushed lists cost nobody anything.
-    """
-    if not settings.must_ask:
-        return Limits.agent_wait
-    small = min(Limits.watch_wait, settings.must_ask_us / 1e6 * 0.8)
-    return min(max(small, 1.0 * settings.fleet_size), Limits.longest_watch)
--- a/stepstream/net/links.py
+++ b/stepstream/net/links.py
@@ -23,6 +23,14 @@
         """Waits; b"" for the peer's end. OSError if it broke."""
         return self.sock.recv(size)
 
+    def wait(self, size: int) -> bool:
+        """Until bytes can be taken; False for the peer's end. OSError if it broke."""
+        return bool(self.sock.recv(1, socket.MSG_PEEK))
+
+    def take(self, size: int) -> bytes:
+        """After a wait: what has come, without waiting."""
+        return self.sock.recv(size, socket.MSG_DONTWAIT)
+
     def add(self, data: bytes) -> None:
         """To what waits to be sent."""
         self.rest += data
--- a/stepstream/net/outbound.py
+++ b/stepstream/net/outbound.py
@@ -107,7 +107,7 @@
 
         `new`: not an idle one, which may have died unheard; the new one takes its place.
         """
-        if new and (line := self.pop(worker, 0)) is not None:
+        if new and (line := self.pop(worker, oldest=True)) is not None:
             self.close(line)
         while not new and (line := self.pop(worker)) is not None:
             # Guards against a stale connection: a request written to one after its closing is reset.
@@ -123,11 +123,18 @@
             raise
         return Line(sock, worker, address)
 
-    def pop(self, worker: str, place: int = -1) -> Line | None:
-        """An idle one, the one used last unless `place` is 0."""
+    def pop(self, worker: str, oldest: bool = False) -> Line | None:
+        """An idle one, of those that have rested the one used last.
+
+        Guards the next call against a second answer, or half a line, that comes a moment behind the last one:
+        it would pass for its own.
+        """
+        rested = time.monotonic() - self.limits.outbound_rest
         with self.lock:
-            lines = self.idle.get(worker)
-            return lines.pop(place) if lines else None
+            lines = self.idle.get(worker, ())
+            order = range(len(lines)) if oldest else reversed(range(len(lines)))
+            place = next((k for k in order if oldest or lines[k].idle_since <= rested), None)
+            return None if place is None else lines.pop(place)
 
     def reserve(self) -> None:
         with self.lock:
@@ -230,7 +237,7 @@
 
     def exchange(self, call: Call, flight: Flight) -> i.Result | None:
         """How the call ended, or None once the worker has taken the job."""
-        if flight.stopped or self.clock.now_us() - call.sent_us > self.limits.queued * 1e6:
+        if flight.stopped or not call.wanted or self.late(call):
             return i.Result.NOT_SENT
         address = self.destinations.address(call.worker)
         if address is None:
@@ -245,8 +252,10 @@
             return i.Result.CONNECT_FAILED
         self.destinations.reached(call.worker)
         with flight.lock:
-            # Guards against sending to a worker that began to drain while this call waited for its turn.
-            unwanted = flight.stopped or self.destinations.address(call.worker) is None
+            # The last look before the first byte. Guards against sending to a worker that began to drain, for
+            # a client that left, or past a window, while this call waited for its turn or its connection.
+            unwanted = flight.stopped or not call.wanted or self.late(call, connecting=self.limits.dial)
+            unwanted = unwanted or self.destinations.address(call.worker) != line.address
             flight.line = None if unwanted else line
         if unwanted:
             self.pool.give(line)
@@ -268,6 +277,14 @@
         flight.report = self.reports.header(exchange.load)
         return exchange.result
 
+    def late(self, call: Call, connecting: float = 0.0) -> bool:
+        """Whether it has waited for too long, or its window is over; `connecting`: seconds that it may have
+        taken to connect.
+        """
+        now_us = self.clock.now_us()
+        waited = now_us - call.sent_us > (self.limits.queued + connecting) * 1e6
+        return waited or (call.write_by_us is not None and now_us > call.write_by_us)
+
     def converse(self, call: Call, flight: Flight, line: Line, exchange: Exchange) -> None:
         left_ms = (call.deadline_us - self.clock.now_us()) // 1000
         data = platform.call_bytes(host_of(line.address), call.request.id, call.request.payload, left_ms)
@@ -275,9 +292,10 @@
             line.sock.sendall(data)
             flight.written = True
             exchange.written()
-            time_limit(line.sock, socket.SO_RCVTIMEO, self.limits.call_silence)
+            until = time.monotonic() + self.limits.call_silence
             while not exchange.over:
-                exchange.feed(line.sock.recv(self.limits.read))
+                exchange.feed(read_by(line.sock, until, self.limits.read))
+                until = min(until, time.monotonic() + self.limits.answer_rest)
         except OSError:
             exchange.broke()
 
@@ -294,10 +312,12 @@
         except (NoRoomError, OSError):
             return None
         parser, message = Parser(self.limits, answers=True), None
+        until = time.monotonic() + seconds
         try:
-            time_limit(line.sock, socket.SO_RCVTIMEO, seconds)
             line.sock.sendall(data)
-            while message is None and (piece := line.sock.recv(self.limits.read)):
+            while message is None:
+                if not (piece := read_by(line.sock, until, self.limits.read)):
+                    break
                 parser.feed(piece)
                 message = parser.next()
         except (OSError, ProtocolError):
@@ -324,5 +344,17 @@
         told(i.Probed(worker, ok, self.clock.now_us() - begun_us, report))
 
 
+def read_by(sock: socket.socket, until: float, size: int) -> bytes:
+    """What comes by then (monotonic seconds), b"" for the end; TimeoutError.
+
+    Guards the thread against an answer that comes in drips or never ends.
+    """
+    left = until - time.monotonic()
+    if left <= 0:
+        raise TimeoutError
+    time_limit(sock, socket.SO_RCVTIMEO, max(left, 0.001))
+    return sock.recv(size)
+
+
 def host_of(address: Address) -> str:
     return f"{address[0]}:{address[1]}"
--- a/stepstream/node.py
+++ b/stepstream/node.py
@@ -23,10 +23,11 @@
 from stepstream.net.doubt import Doubt
 from stepstream.net.http1 import ProtocolError
 from stepstream.net.inbound import House
-from stepstream.net.limits import Limits, limits_for, watch_wait
+from stepstream.net.limits import Limits, limits_for
 from stepstream.net.outbound import Outbound
 from stepstream.net.platform import ClientSide, DiscoverySide
 from stepstream.net.reports import Reports
+from stepstream.net.schedule import Schedule
 from stepstream.net.threads import Clock, Complaints, guarded, log, spawn
 from stepstream.ports import Carrier, Door, Subsystem
 from stepstream.settings import Config, FieldError, read_config
@@ -86,7 +87,8 @@
 
     def discovery_for(self, config: Config, limits: Limits) -> Discovery:
         side = DiscoverySide(config.settings)
-        more = self.events.put, self.bad_lists
+        schedule = Schedule.of(config.settings, random.Random(config.seed))
+        more = self.events.put, self.bad_lists, schedule
         return Discovery(limits, config.discovery, side, self.destinations, *more)
 
     def start(self) -> None:
@@ -94,14 +96,17 @@
         for part in self.parts.values():
             part.start()
         self.recall()
+        spawn("discovery", self.discovery.run)
+        self.await_agent()
+        self.house.door.starting = self.destinations.version is None
         doors = [Door(self.config.listen, self.house.listen(self.config.listen))]
         for part in self.parts.values():
             doors += part.open()
         spawn("decisions", self.decide_on)
-        spawn("discovery", self.discovery.run)
         for door in doors:
             spawn("accept", self.house.accept_on, door.entrance)
             log(f"{self.config.name} serves on {door.address[0]}:{door.address[1]}{door.what}")
+        spawn("first list", self.await_list)
         for part in self.parts.values():
             part.serving()
 
@@ -114,6 +119,18 @@
         except ProtocolError as error:
             log(f"known list ignored: {error}")
 
+    def await_agent(self) -> None:
+        """Guards the first requests: what an agent of pushed lists holds counts from the first moment."""
+        if not self.config.settings.must_ask:
+            self.discovery.heard.wait(self.limits.agent_first)
+
+    def await_list(self) -> None:
+        """Ready means: there is a list to serve from, or none could be had in a few seconds."""
+        if self.destinations.version is None:
+            self.discovery.ask()
+            self.discovery.heard.wait(self.limits.first_list)
+        self.house.door.starting = False
+
     # -- the decision thread ------------------------------------------------------------------------------
 
     def decide_on(self) -> None:
@@ -155,8 +172,8 @@
             case dispatch.ProbeWorker(worker):
                 if not self.spared(worker):
                     self.carrier(worker).probe(worker)
-            case dispatch.AskList(watch):
-                self.discovery.ask(watch)
+            case dispatch.AskList():
+                self.discovery.ask()
             case dispatch.Note(text):
                 log(f"note: {text}")
             case _ if (do := self.doers.get(type(command))) is not None:
@@ -197,8 +214,8 @@
 
     def look_at_list(self) -> None:
         if self.destinations.doubted():
-            log("discovery asked anew: workers that its list calls ready refuse connections")
-            self.discovery.renew()
+            log("discovery asked beside its watch: workers that its list calls ready refuse connections")
+            self.discovery.check()
 
     def look_at_parts(self) -> None:
         guarded("look", self.house.look)
@@ -235,7 +252,7 @@
         self.sharing = dispatchers
         settings = self.in_force(self.config)
         self.post(i.NewSettings(settings))
-        self.discovery.limits = replace(self.discovery.limits, watch_wait=watch_wait(settings))
+        self.discovery.schedule.dispatchers = dispatchers
         self.destinations.doubt.fleet = dispatchers
         log(f"the workers are shared by {dispatchers} dispatchers")
 
@@ -247,6 +264,7 @@
         config = replace(config, settings=self.in_force(config))
         limits = limits_for(config)
         old, new = self.discovery, self.discovery_for(config, limits)
+        new.ask()  # at once: what it has to tell counts soon after a reload
         spawn("discovery", new.run)  # first: without a thread nothing changes
         old.retire()
         # Before anything is read by the new settings: the core hears of them first.
@@ -257,7 +275,6 @@
         self.outbound.reconfigure(limits)
         self.destinations.doubt.fleet = config.settings.fleet_size
         self.discovery = new
-        new.ask(True)
 
     def report(self) -> None:
         counts = ", ".join(f"{n} {outcome.value}" for outcome, n in self.counts.items())
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -300,3 +300,44 @@
     leave=st.integers(0, 9),
     later=st.integers(0, 2_000_000),
 )
+
+
+@pytest.mark.parametrize(
+    ("result", "barred"),
+    [
+        (None, True),
+        (i.Result.RESET, False),
+        (i.Result.TIMEOUT, True),
+        (i.Result.CANCELLED, True),
+        (i.Result.FULL, False),
+        (i.Result.CONNECT_FAILED, False),
+        (i.Result.ERROR, False),
+    ],
+)
+def test_a_worker_that_may_still_have_a_call_of_a_job_gets_no_second_one(result, barred):
+    """The word that gives a call up may still be on its way when the second one gets there."""
+    desk = Desk()
+    taken, commands = desk.take()
+    first = one_call(commands)
+    if result is not None:
+        first.open, first.result = False, result
+    desk.core.on_push(desk.now, taken, first.worker, 0)
+    assert (not of(StartCall, desk.core.commands)) == barred
+    assert taken.calls[-1].result == (i.Result.NOT_SENT if barred else None)
+
+
+@pytest.mark.parametrize(
+    ("result", "bound"), [(i.Result.RESET, True), (None, True), (i.Result.CONNECT_FAILED, False)]
+)
+def test_a_repeat_of_a_keyed_job_is_bound_to_the_window_of_the_first_that_may_have_run(result, bound):
+    """Dialling and waiting for a turn take time: the window holds for the write, not for the decision."""
+    desk = Desk()
+    taken = replace(request("aa", desk.now, job_class=1), settings=SETTINGS)
+    first = one_call(desk.tell(Arrived(taken)))
+    assert first.write_by_us is None
+    if result is not None:
+        first.open, first.result = False, result
+    other = next(w.worker for w in WORKERS if w.worker != first.worker)
+    desk.core.on_push(desk.now + 50_000, taken, other, 0)
+    window_us = SETTINGS.classes[1].window_us
+    assert taken.calls[-1].write_by_us == (first.sent_us + window_us if bound else None)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,7 +7,6 @@
 
 from stepstream import interface as i
 from stepstream.balance import Balancer
-from stepstream.net.limits import Limits, watch_wait
 
 SAFE = i.JobClass(goal_us=200_000, deadline_us=5_000_000, effect=i.Effect.SAFE)
 FLEET = 40
@@ -73,12 +72,6 @@
     assert one.handle(0, jobs).count(i.WatchList(True)) == 1
 
 
-@pytest.mark.parametrize(("size", "seconds"), [(1, 8.0), (8, 8.0), (40, 40.0), (500, 60.0)])
-def test_watches_last_longer_where_more_of_them_end(size, seconds):
-    settings = i.Settings(classes=(SAFE,), must_ask=True, must_ask_us=10_000_000, fleet_size=size)
-    assert watch_wait(settings) == seconds <= Limits.longest_watch
-
-
 # -- caps in parts of a slot -----------------------------------------------------------------------------
 
 LONG = i.JobClass(goal_us=200_000, deadline_us=5_000_000, effect=i.Effect.SAFE, worth=1.0)
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -3,9 +3,11 @@
 import contextlib
 import random
 import socket
+import struct
 import threading
 import time
 from dataclasses import replace
+from functools import partial
 
 import pytest
 from net_helpers import LIMITS, PROBED, SETTINGS, job_bytes, request
@@ -13,7 +15,7 @@
 
 from stepstream import interface as i
 from stepstream.dispatch import Answer, Arrived, Broken, Call, CallEnded, Left, Outcome
-from stepstream.net.discovery import DestinationSet, Discovery
+from stepstream.net.discovery import DestinationSet, Discovery, SilentError
 from stepstream.net.doubt import MOST, Doubt
 from stepstream.net.http1 import write_answer, write_request
 from stepstream.net.inbound import House, Phase, Session
@@ -21,6 +23,7 @@
 from stepstream.net.outbound import Outbound
 from stepstream.net.platform import ClientSide, DiscoverySide, Targets
 from stepstream.net.reports import Reports
+from stepstream.net.schedule import Schedule
 from stepstream.net.threads import Clock, Complaints, Crew
 from stepstream.settings import Config
 
@@ -87,7 +90,7 @@
 
 
 def test_a_202_ends_the_exchange_and_its_connection_serves_the_next():
-    caller = Caller(taken)
+    caller = Caller(taken, Limits(outbound_rest=0.0))
     for name in ("01", "02", "03"):
         call = caller.call(name)
         wait_for(lambda call=call: call.handle.taken)
@@ -99,7 +102,8 @@
 def test_what_must_not_run_twice_goes_on_a_connection_of_its_own(effect, price, dialled):
     """A kept connection may have died unheard, and a reset under such a job is its failure."""
     kind = replace(SETTINGS.classes[0], effect=i.Effect(effect))
-    caller, lines = Caller(taken, settings=replace(SETTINGS, classes=(kind,), handshake_price=price)), []
+    settings, limits = replace(SETTINGS, classes=(kind,), handshake_price=price), Limits(outbound_rest=0.0)
+    caller, lines = Caller(taken, limits, settings), []
     for name in ("01", "02", "03"):
         call = caller.call(name)
         wait_for(lambda call=call: call.handle.taken)
@@ -159,6 +163,88 @@
     assert caller.outcome(caller.call()) is i.Result.NOT_SENT and not caller.server.seen
 
 
+class Dialling:
+    """A caller whose first connection is held while it is made, at the exact point."""
+
+    def __init__(self, monkeypatch):
+        self.caller = Caller(taken)
+        self.dialled, self.go = threading.Event(), threading.Event()
+        take = self.caller.outbound.pool.take
+
+        def held(worker, address, new=False):
+            line = take(worker, address, new)
+            self.dialled.set()
+            assert self.go.wait(PATIENCE)
+            return line
+
+        monkeypatch.setattr(self.caller.outbound.pool, "take", held)
+        self.call = self.caller.call()
+        assert self.dialled.wait(PATIENCE)
+
+    def result(self):
+        self.go.set()
+        return self.caller.outcome(self.call)
+
+
+def leaves(dialling):
+    dialling.call.request.gone = True
+
+
+def is_answered(dialling):
+    dialling.call.request.answered = True
+
+
+def is_past_its_window(dialling):
+    dialling.call.write_by_us = CLOCK.now_us() - 1
+
+
+def moves(dialling):
+    dialling.caller.destinations.apply(targets(w=free_port()))
+
+
+@pytest.mark.parametrize("crossing", [leaves, is_answered, is_past_its_window, moves])
+def test_what_happens_while_a_call_is_dialled_is_seen_before_its_first_byte(monkeypatch, crossing):
+    """The client leaves, another copy answers, the window of repeats ends, the worker's address changes."""
+    dialling = Dialling(monkeypatch)
+    crossing(dialling)
+    assert dialling.result() is i.Result.NOT_SENT and not dialling.caller.server.seen
+
+
+def test_a_second_answer_a_moment_late_does_not_pass_for_the_next_calls():
+    """A late 'turned away unstarted' would prove of the next job what is not so: it would be sent again."""
+    second = write_answer(503, headers={"Not-Started": "1"})
+    lines = []
+
+    class Twice(Server):
+        def converse(self, peer, parser):
+            lines.append(peer)
+            super().converse(peer, parser)
+
+    caller = Caller(taken)
+    caller.server = Twice(taken)
+    caller.destinations.apply(targets(w=caller.server.port))
+    caller.call("01")
+    wait_for(lambda: caller.outbound.pool.idle.get("w"))
+    call = caller.call("02")  # at once: the first connection has not rested
+    wait_for(lambda: call.handle.taken)
+    lines[0].sendall(second)
+    wait_for(lambda: len(caller.outbound.pool.idle["w"]) == 2)
+    assert len(lines) == 2 and not caller.events
+    # It has rested by now, but holds what belongs to nothing: it is closed, not used.
+    wait_for(lambda: all(time.monotonic() - x.idle_since > 0.05 for x in caller.outbound.pool.idle["w"]))
+    for name in ("03", "04"):
+        call = caller.call(name)
+        wait_for(lambda call=call: call.handle.taken)
+    assert not caller.events
+
+
+@pytest.mark.parametrize("start", [b"HTTP/1.1 202 Accepted\r\nContent-Length: 9\r\n\r\nx", b"HTTP/1.1 2"])
+def test_an_answer_that_never_ends_holds_its_call_for_a_bounded_time(start):
+    caller = Caller(lambda _: start, Limits(answer_rest=0.05))
+    assert caller.outcome(caller.call()) is i.Result.RESET
+    assert caller.outbound.pool.count == 0
+
+
 def test_a_call_queued_too_long_is_not_sent():
     caller = Caller(taken)
     late = CLOCK.now_us() - int(LIMITS.queued * 1e6) - 1
@@ -218,14 +304,32 @@
 # -- discovery --------------------------------------------------------------------------------------------
 
 
+def quick(settings=SETTINGS, **times):
+    """A schedule with other times, that repeats failed calls at once."""
+    given = {"failed": lambda self: 0.01, **times}
+    return type("Quick", (Schedule,), given).of(settings, random.Random(0))
+
+
+WATCHERS = []
+
+
+@pytest.fixture(autouse=True)
+def no_watcher_goes_on():
+    yield
+    while WATCHERS:
+        WATCHERS.pop().retire()
+
+
 class Watcher:
-    def __init__(self, reply, limits=LIMITS, version=None, settings=SETTINGS):
+    def __init__(self, reply, limits=LIMITS, version=None, settings=SETTINGS, schedule=None):
         self.events = []
         self.server = Server(reply)
         where = ("127.0.0.1", self.server.port)
         side, self.bad = DiscoverySide(settings), Complaints("discovery failed:", limits)
-        self.discovery = Discovery(limits, where, side, DestinationSet(), self.events.append, self.bad)
+        more = self.events.append, self.bad, schedule or quick(settings)
+        self.discovery = Discovery(limits, where, side, DestinationSet(), *more)
         self.discovery.version = version
+        WATCHERS.append(self.discovery)
         threading.Thread(target=self.discovery.run, daemon=True).start()
 
     def kinds(self):
@@ -244,7 +348,6 @@
         return write_answer(200, LIST)
 
     watcher = Watcher(reply)
-    watcher.discovery.ask(True)
     wait_for(lambda: len(watcher.server.seen) >= 2)
     whole, watch = [m.target for m in watcher.server.seen[:2]]
     assert whole == "/api/targets" and watch.startswith("/api/targets?index=7&wait=")
@@ -255,11 +358,9 @@
 
 def test_a_known_list_is_watched_from_its_version_even_if_that_is_0_and_a_call_failed():
     """A fleet that asks for the whole list, at its start or after each failure, has discovery overbooked."""
-    watcher = Watcher(lambda _: write_answer(503))
-    watcher.discovery.learn(replace(targets(w=1), version=0))
-    for n in (1, 2):
-        watcher.discovery.ask(True)
-        wait_for(lambda n=n: watcher.kinds().count(i.ListKind.FAILED) == n)
+    watcher = Watcher(lambda _: write_answer(503), version=0)
+    wait_for(lambda: watcher.bad.count >= 3)
+    watcher.discovery.retire()
     assert all(m.target.startswith("/api/targets?index=0&wait=") for m in watcher.server.seen)
 
 
@@ -270,9 +371,8 @@
         return write_answer(200, LIST) if "index" not in message.target else write_answer(503)
 
     watcher = Watcher(reply, version=9)
-    watcher.discovery.ask(True)
-    wait_for(lambda: i.ListKind.FAILED in watcher.kinds())
-    targets_asked = [m.target.partition("&")[0] for m in watcher.server.seen]
+    wait_for(lambda: watcher.bad.count)
+    targets_asked = [m.target.partition("&")[0] for m in watcher.server.seen[:3]]
     assert targets_asked == ["/api/targets?index=9", "/api/targets", "/api/targets?index=7"]
 
 
@@ -282,11 +382,11 @@
 
 
 @pytest.mark.parametrize("answer", [write_answer(503), None, *UNREADABLE])
-def test_a_call_that_fails_is_told_as_failed_and_the_next_ask_is_heard(answer):
+def test_a_call_that_fails_changes_nothing_is_counted_and_is_made_again(answer):
     watcher = Watcher(lambda _: answer)
-    for n in (1, 2):
-        watcher.discovery.ask(True)
-        wait_for(lambda n=n: watcher.kinds() == [i.ListKind.FAILED] * n)
+    wait_for(lambda: watcher.bad.count >= 3)
+    watcher.discovery.retire()
+    assert not watcher.events and watcher.discovery.version is None
 
 
 class Last(random.Random):
@@ -335,35 +435,68 @@
     assert caller.destinations.doubted() and not caller.destinations.doubted()
 
 
-def test_a_watch_that_fell_silent_is_opened_anew_and_nothing_is_told_as_failed():
-    silent = threading.Event()
+NEWER = LIST.replace(b"7", b"8")
+
+
+def test_a_watch_that_may_be_silent_is_asked_beside_and_opened_anew_only_on_news():
+    """Refusals alone prove nothing: given up on a guess, what the watch missed would count as told."""
+    hold, answers = threading.Event(), [NEWER.replace(b"8", b"7"), NEWER]
 
     def reply(message):
-        if len(watcher.server.seen) == 1:
-            silent.wait(PATIENCE)
-        return write_answer(200, LIST.replace(b"7", b"8"))
+        if "wait=0" in message.target:
+            return write_answer(200, answers.pop(0))
+        hold.wait(PATIENCE)
+
+    watcher = Watcher(reply, version=7, schedule=quick(wait=PATIENCE))
+    wait_for(lambda: len(watcher.server.seen) == 1)
+    line = watcher.discovery.sock
+    for left in (1, 0):
+        watcher.discovery.check()
+        wait_for(lambda left=left: len(answers) == left and not watcher.discovery.checking.locked())
+        if left:
+            assert watcher.discovery.sock is line and not watcher.events  # nothing new: it stays
+    wait_for(lambda: any(m.target.startswith("/api/targets?index=8") for m in watcher.server.seen))
+    assert watcher.kinds() == [i.ListKind.COMPLETE] and not watcher.bad.count
+    watcher.discovery.retire()
+    hold.set()
 
-    watcher = Watcher(reply, version=7)
-    watcher.discovery.renew()  # no call is out: nothing to open anew
-    watcher.discovery.ask(True)
-    wait_for(lambda: watcher.server.seen)
-    watcher.discovery.renew()
-    wait_for(lambda: watcher.kinds()[:1] == [i.ListKind.COMPLETE])
-    assert [m.target.partition("&")[0] for m in watcher.server.seen[:2]] == ["/api/targets?index=7"] * 2
-    assert i.ListKind.FAILED not in watcher.kinds() and not watcher.bad.count
-    silent.set()
 
+def test_a_silent_watch_stays_open_until_the_call_beside_it_is_answered():
+    """Closing a watch is giving it up: what it missed counts as told from then on."""
+    hold, state = threading.Event(), {}
 
-def test_a_silent_discovery_times_out_as_failed():
-    silent = threading.Event()
+    def reply(message):
+        if "wait=0" in message.target:
+            state["open"] = watcher.discovery.sock is state["line"] and state["line"].fileno() >= 0
+            return write_answer(200, NEWER)
+        state.setdefault("line", watcher.discovery.sock)
+        hold.wait(PATIENCE)
+
+    watcher = Watcher(reply, version=7, schedule=quick(wait=0.05, slack=0.05, limit=PATIENCE))
+    wait_for(lambda: watcher.kinds() == [i.ListKind.COMPLETE])
+    assert state["open"] and watcher.discovery.version == 8
+    watcher.discovery.retire()
+    hold.set()
 
-    def reply(_):
-        silent.wait(PATIENCE)
 
-    watcher = Watcher(reply, Limits(watch_wait=0.05, watch_slack=0.05), version=3)
-    watcher.discovery.ask(True)
-    wait_for(lambda: watcher.kinds() == [i.ListKind.FAILED])
-    silent.set()
+@pytest.mark.parametrize("drip", [b"", b"HTTP/1.1 200 OK\r\nX: "])
+def test_a_call_is_over_in_its_time_also_if_its_answer_comes_in_drips(drip):
+    """Each drip is within any bound on one read; the list would never come."""
+    limit, begun = 0.3, time.monotonic()
+    ours, theirs = socket.socketpair()
+    stop = threading.Event()
+
+    def feed():
+        theirs.sendall(drip) if drip else None
+        while not stop.wait(0.02):
+            theirs.sendall(b"x" if drip else b"")
+
+    threading.Thread(target=feed, daemon=True).start()
+    with ours, theirs:
+        with pytest.raises(SilentError):
+            Discovery.exchange(Watcher(lambda _: None).discovery, ours, b"GET", limit)
+        stop.set()
+    assert time.monotonic() - begun < PATIENCE / 2
 
 
 def test_a_pushed_list_is_followed_unasked_over_failures_and_silence_which_nobody_is_told():
@@ -373,8 +506,8 @@
     def reply(_):
         return answers.pop(0) if answers else silent.wait(PATIENCE) and None
 
-    limits = Limits(watch_wait=0.2, watch_slack=0.1, agent_again=0.01)
-    watcher = Watcher(reply, limits, 3, replace(SETTINGS, must_ask=False))
+    pushed = replace(SETTINGS, must_ask=False)
+    watcher = Watcher(reply, LIMITS, 3, pushed, quick(pushed, wait=0.1, slack=0.1, limit=0.1))
     wait_for(lambda: watcher.bad.count >= len(UNREADABLE) + 3)  # the 503 too, and two silences
     watcher.discovery.retire()
     silent.set()
@@ -385,7 +518,6 @@
 def test_a_retired_discovery_ends_its_call_and_tells_nothing_more():
     silent = threading.Event()
     watcher = Watcher(lambda _: silent.wait(PATIENCE) and write_answer(200, LIST))
-    watcher.discovery.ask(True)
     wait_for(lambda: watcher.server.seen)
     watcher.discovery.retire()
     wait_for(lambda: watcher.discovery.sock is None)
@@ -567,12 +699,123 @@
         assert ask(0, head + bytes(20_000_000), peer).status == 413
 
 
-def test_a_client_that_leaves_while_it_waits_is_seen():
+@pytest.mark.parametrize("how", ["closed", "half", "reset", "behind"])
+def test_a_client_that_leaves_while_it_waits_is_seen(how):
     home = Home()
     with home.dial() as peer:
         peer.sendall(job_bytes())
         wait_for(lambda: home.of(Arrived))
+        if how == "behind":  # bytes of its next requests stand before its end
+            peer.sendall(job_bytes(name="02") + job_bytes(name="03")[:40])
+        if how == "half":
+            peer.shutdown(socket.SHUT_WR)
+            wait_for(lambda: home.of(Left))
+        if how == "reset":
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     wait_for(lambda: home.of(Left) == home.of(Arrived))
+    assert len(home.of(Arrived)) == 1 and home.of(Left)[0].gone
+
+
+def test_a_client_that_sends_too_much_behind_its_request_has_gone_with_its_answer():
+    home = Home()
+    with home.dial() as peer:
+        peer.sendall(job_bytes())
+        wait_for(lambda: home.of(Arrived))
+        with contextlib.suppress(OSError):
+            peer.sendall(job_bytes(name="02") * 1000)
+        assert ask(0, b"", peer).status == 413
+        wait_for(lambda: home.of(Left) == home.of(Arrived))
+
+
+class Resting:
+    """A client with a connection at rest on a House, after one served request."""
+
+    def __init__(self):
+        self.home = Home()
+        self.peer = self.home.dial()
+        self.peer.sendall(job_bytes(name="01"))
+        (waiting,) = wait_for(lambda: self.home.of(Arrived))
+        self.inbound = waiting.origin
+        waiting.origin.answer(Answer(waiting, Outcome.SERVED, "ok"))
+        assert ask(0, b"", self.peer).status == 200
+
+
+ENDS = {
+    "stop": lambda one: one.home.house.close_idle(),
+    "idle": lambda one: one.inbound.look(time.monotonic() + 1000.0),
+    "room": lambda one: one.inbound.evict(),
+}
+
+
+@pytest.mark.parametrize("end", ENDS)
+def test_a_request_in_the_instant_of_our_close_is_not_sent_on_and_meets_no_reset(monkeypatch, end):
+    """It comes between the last look for bytes and the shutdown: its client sends it once more elsewhere."""
+    one = Resting()
+    shut = {name: getattr(one.inbound.link, name) for name in ("half_close", "hang_up")}
+
+    def crossed(name):
+        one.peer.sendall(job_bytes(name="02"))
+        wait_for(one.inbound.link.unread)
+        shut[name]()
+
+    for name in shut:
+        monkeypatch.setattr(one.inbound.link, name, partial(crossed, name))
+    ENDS[end](one)
+    assert one.peer.recv(100) == b""  # an end, and no reset over unread bytes
+    one.peer.close()
+    wait_for(lambda: one.inbound not in one.home.house.inbound)
+    assert [r.id for r in one.home.of(Arrived)] == ["01"]
+
+
+@pytest.mark.parametrize("end", ENDS)
+def test_a_request_that_was_there_before_our_close_is_served(monkeypatch, end):
+    """Its reader has been woken and stands right before it takes the bytes, while the close looks round."""
+    one = Resting()
+    woken, go = threading.Event(), threading.Event()
+    wait = one.inbound.link.wait
+
+    def held(size):
+        there = wait(size)
+        woken.set()
+        assert go.wait(PATIENCE)
+        return there
+
+    monkeypatch.setattr(one.inbound.link, "wait", held)
+    one.peer.sendall(job_bytes(name="02"))  # ends the wait that began before this hook
+    (_, second) = wait_for(lambda: len(one.home.of(Arrived)) == 2 and one.home.of(Arrived))
+    second.origin.answer(Answer(second, Outcome.SERVED, "ok"))
+    assert ask(0, b"", one.peer).status == 200
+    one.peer.sendall(job_bytes(name="03"))
+    assert woken.wait(PATIENCE)
+    ENDS[end](one)
+    go.set()
+    (*_, last) = wait_for(lambda: len(one.home.of(Arrived)) == 3 and one.home.of(Arrived))
+    last.origin.answer(Answer(last, Outcome.SERVED, "ok"))
+    assert ask(0, b"", one.peer).status == 200
+
+
+def test_one_that_is_turned_away_can_still_send_and_read_its_refusal():
+    """Closed at once, the connection would be reset by what its peer sends, and the refusal lost with it."""
+    home = Home(Limits(inbound=1, for_news=0))
+    with home.dial() as first:
+        first.sendall(job_bytes())
+        wait_for(lambda: home.of(Arrived))
+        with home.dial() as peer:
+            wait_for(lambda: home.house.turned_away)
+            for part in (job_bytes()[:30], job_bytes()[30:]):
+                peer.sendall(part)
+                time.sleep(0.05)  # for a reset to come, if there is one
+            assert ask(0, b"", peer).status == 503
+
+
+def test_those_turned_away_are_bounded_and_let_go_in_time():
+    home = Home(Limits(inbound=0, for_news=0, seen_off=3, turned_linger=0.05))
+    with contextlib.ExitStack() as stack:
+        for _ in range(10):
+            stack.enter_context(home.dial())
+        wait_for(lambda: home.house.turned_away == 10)
+        assert len(home.house.seen_off) <= 3
+        home.looked(lambda: not home.house.seen_off)
 
 
 def test_an_answer_that_its_client_does_not_read_holds_up_nobody():
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -391,3 +391,64 @@
     finally:
         for peer in crowd:
             peer.close()
+
+
+def started(node):
+    """Starts it on a thread of its own, as `run` does on the main one."""
+    thread = threading.Thread(target=node.start, daemon=True)
+    thread.start()
+    return thread
+
+
+def is_ready(port):
+    try:
+        return ask(port, b"GET /-/ready HTTP/1.1\r\n\r\n").status == 200
+    except ConnectionRefusedError:
+        return False
+
+
+@pytest.mark.parametrize("lists", ["automatic", "subscribe"])
+def test_a_start_is_not_ready_before_it_has_the_list_that_counts_as_told(lists):
+    """Pushed: what the agent holds counts from the first moment. Asked: with no list nobody can be served."""
+    answer = threading.Event()
+    drained = {"id": "s-1", "addr": "127.0.0.1:1", "state": "draining", "zone": "ruzinov"}
+
+    def reply(message):
+        answer.wait(PATIENCE)
+        return write_answer(200, json.dumps({"version": 4, "full": True, "servers": [drained]}).encode())
+
+    discovery, port = Server(reply), free_port()
+    known = {"version": 3, "full": True, "servers": [{**drained, "state": "ready"}]}
+    settings = {**CONFIG["settings"], "discovery": lists}
+    config = {
+        **CONFIG,
+        "settings": settings,
+        "known": known if lists == "automatic" else {},
+        "listen": f"127.0.0.1:{port}",
+        "discovery": f"127.0.0.1:{discovery.port}",
+    }
+    node = Node(config_from(config, {}))
+    node.limits = replace(node.limits, agent_first=PATIENCE, first_list=PATIENCE)
+    thread = started(node)
+    wait_for(lambda: discovery.seen)
+    if lists == "subscribe":
+        thread.join(PATIENCE)  # it listens, and says no
+    else:
+        with pytest.raises(ConnectionRefusedError):
+            ask(port, b"")
+    assert not is_ready(port)
+    answer.set()
+    wait_for(lambda: is_ready(port))
+    assert node.destinations.version == 4 and node.destinations.address("s-1") is None
+    node.discovery.retire()
+
+
+def test_a_start_beside_a_discovery_that_is_down_does_not_wait_for_long():
+    port = free_port()
+    config = {**CONFIG, "known": {}, "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{free_port()}"}
+    node = Node(config_from(config, {}))
+    assert node.limits.first_list < 10.0 and node.limits.agent_first < 1.0
+    node.limits = replace(node.limits, first_list=0.05)
+    started(node)
+    wait_for(lambda: is_ready(port))
+    node.discovery.retire()
