--- a/stepstream/net/discovery.py
+++ b/stepstream/net/discovery.py
@@ -172,14 +172,20 @@
                 hang_up(self.sock)
         self.hurry()
 
-    def learn(self, targets: Targets) -> None:
-        """Takes over a list, also the one from before a start: a watch goes on from its version."""
+    def learn(self, targets: Targets, since: int | None = None) -> bool:
+        """Takes over a list, also the one from before a start: a watch goes on from its version.
+
+        `since`: only if that version is still the one that is held. Whether it was taken.
+        """
         with self.lock:
-            # Guards against a list of the address before a reload, which must not follow the new one's.
-            if not self.retired:
-                self.version = targets.version
-                self.destinations.apply(targets)
-                self.post(Listed(SOURCE, targets.told))
+            # Guards against a list of the address before a reload, which must not follow the new one's, and
+            # against one that was overtaken.
+            if self.retired or (since is not None and self.version != since):
+                return False
+            self.version = targets.version
+            self.destinations.apply(targets)
+            self.post(Listed(SOURCE, targets.told))
+            return True
 
     def run(self) -> None:
         self.rest(self.schedule.first())
@@ -255,10 +261,7 @@
             if version is None or self.retired:
                 return
             targets = self.side.read_answer(self.ask_beside(version))
-            with self.lock:
-                news = targets.version != version and self.version == version and not self.retired
-            if news:
-                self.learn(targets)
+            if targets.version != version and self.learn(targets, since=version):
                 self.renew()
         except (OSError, ProtocolError) as error:
             self.complaints.add(str(error))
--- a/stepstream/net/http1.py
+++ b/stepstream/net/http1.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 as a state machine that is fed bytes and knows no socket."""
 
 import re
+from copy import copy
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -93,6 +94,15 @@
             self.state = State.BROKEN
             raise
 
+    def whole(self) -> bool:
+        """Whether the next message is wholly here; nothing is taken."""
+        twin = copy(self)
+        twin.buffer, twin.parts, twin.message = bytearray(self.buffer), list(self.parts), copy(self.message)
+        try:
+            return twin.next() is not None
+        except ProtocolError:
+            return False
+
     def end(self) -> Message | None:
         """The peer has closed its side: an answer without a length is whole now."""
         if self.state is not State.TO_END:
--- a/stepstream/net/inbound.py
+++ b/stepstream/net/inbound.py
@@ -151,9 +151,10 @@
         return Reply(platform.turned_answer(turned, close), close)
 
     def closing(self) -> bool:
-        # Open requests still wait for workers' news: those connections stay until the end.
+        # Open requests still wait for workers' news: those connections stay until the end. A request that has
+        # been read behind this one is answered before its connection closes.
         closing = self.door.closing or self.door.drained
-        return (closing and not self.of_worker) or not self.keep_alive
+        return not self.keep_alive or (closing and not self.of_worker and not self.parser.whole())
 
     def reply(self, status: int) -> Reply:
         close = self.closing()
@@ -494,10 +495,15 @@
         self.limits, self.door.side = limits, side
         self.readers.most, self.writers.most = limits.inbound, limits.late_writers
 
-    def listen(self, address: tuple[str, int]) -> Entrance:
-        """The platform's entrance; a hot restart's new process listens beside the old one (SO_REUSEPORT)."""
+    def bind(self, address: tuple[str, int]) -> Entrance:
+        """The platform's entrance, not open yet: its address is ours, and who connects is refused. A hot
+        restart's new process has it beside the old one (SO_REUSEPORT).
+        """
         make = lambda sock, guest: Inbound(Link(sock), self, guest)  # noqa: E731
-        return self.let_in(address, make, self.http_refusal, shared=True)
+        return self.let_in(address, make, self.http_refusal, shared=True, opened=False)
+
+    def open(self, entrance: Entrance) -> None:
+        entrance.listener.listen(self.limits.backlog)
 
     def listen_also(self, address: tuple[str, int], link: Callable[[socket.socket], Link]) -> Entrance:
         """HTTP over another kind of link; what is full there says so by its end."""
@@ -512,6 +518,7 @@
         make: Callable[[socket.socket, bool], Connection],
         refusal: Callable[[], bytes],
         shared: bool = False,
+        opened: bool = True,
     ) -> Entrance:
         """Listens on one more address, for any protocol; OSError if it cannot be had.
 
@@ -524,7 +531,8 @@
             if shared:
                 listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
             listener.bind(address)
-            listener.listen(self.limits.backlog)
+            if opened:
+                listener.listen(self.limits.backlog)
         except OSError:
             listener.close()
             raise
--- a/stepstream/node.py
+++ b/stepstream/node.py
@@ -96,19 +96,25 @@
         for part in self.parts.values():
             part.start()
         self.recall()
+        self.house.door.starting = True
+        entrance = self.house.bind(self.config.listen)
         spawn("discovery", self.discovery.run)
         self.await_agent()
-        self.house.door.starting = self.destinations.version is None
-        doors = [Door(self.config.listen, self.house.listen(self.config.listen))]
+        self.house.open(entrance)
+        doors = [Door(self.config.listen, entrance)]
         for part in self.parts.values():
             doors += part.open()
         spawn("decisions", self.decide_on)
         for door in doors:
             spawn("accept", self.house.accept_on, door.entrance)
             log(f"{self.config.name} serves on {door.address[0]}:{door.address[1]}{door.what}")
-        spawn("first list", self.await_list)
         for part in self.parts.values():
             part.serving()
+        # Last: whoever hears the yes may count on all of this.
+        if self.destinations.version is None:
+            spawn("first list", self.await_list)
+        else:
+            self.house.door.starting = False
 
     def recall(self) -> None:
         """The list from before the start; one that cannot be read is as good as none."""
@@ -126,9 +132,8 @@
 
     def await_list(self) -> None:
         """Ready means: there is a list to serve from, or none could be had in a few seconds."""
-        if self.destinations.version is None:
-            self.discovery.ask()
-            self.discovery.heard.wait(self.limits.first_list)
+        self.discovery.ask()
+        self.discovery.heard.wait(self.limits.first_list)
         self.house.door.starting = False
 
     # -- the decision thread ------------------------------------------------------------------------------
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -91,7 +91,9 @@
                 self.expected += [Told] if kind == "news" else []
 
     def reply(self, status):
-        close = self.door.leaving and not self.worker
+        # What has been read whole behind this one is answered first.
+        behind = bool(self.queue) and self.queue[0] != "junk"
+        close = self.door.leaving and not self.worker and not behind
         self.expected.append((status, close))
         self.state = "closed" if close else "idle"
 
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -461,6 +461,15 @@
     hold.set()
 
 
+def test_a_check_that_the_watch_has_overtaken_changes_nothing():
+    hold = threading.Event()
+    watcher = Watcher(lambda _: hold.wait(PATIENCE) and None, version=7)
+    assert not watcher.discovery.learn(replace(targets(w=1), version=8), since=6)
+    assert not watcher.events and watcher.discovery.version == 7
+    watcher.discovery.retire()
+    hold.set()
+
+
 def test_a_silent_watch_stays_open_until_the_call_beside_it_is_answered():
     """Closing a watch is giving it up: what it missed counts as told from then on."""
     hold, state = threading.Event(), {}
@@ -539,7 +548,8 @@
         self.events = []
         side = ClientSide(SETTINGS)
         self.house = House(limits, CLOCK, side, self.events.append, lambda host: host == WORKER_HOST)
-        entrance = self.house.listen(("127.0.0.1", 0))
+        entrance = self.house.bind(("127.0.0.1", 0))
+        self.house.open(entrance)
         self.port = entrance.listener.getsockname()[1]
         threading.Thread(target=self.house.accept_on, args=(entrance,), daemon=True).start()
 
@@ -699,6 +709,20 @@
         assert ask(0, head + bytes(20_000_000), peer).status == 413
 
 
+def test_requests_read_together_are_all_answered_before_a_stop_closes_their_connection():
+    home = Home()
+    with home.dial() as peer:
+        peer.sendall(job_bytes(name="01") + job_bytes(name="02") + job_bytes(name="03")[:20])
+        (first,) = wait_for(lambda: home.of(Arrived))
+        home.house.door.closing = True
+        for name, stays in (("01", True), ("02", False)):
+            (*_, waiting) = wait_for(lambda name=name: [r for r in home.of(Arrived) if r.id == name])
+            waiting.origin.answer(Answer(waiting, Outcome.SERVED, "ok"))
+            answer = ask(0, b"", peer)
+            assert (answer.status, answer.keep_alive) == (200, stays)
+        assert peer.recv(1) == b""
+
+
 @pytest.mark.parametrize("how", ["closed", "half", "reset", "behind"])
 def test_a_client_that_leaves_while_it_waits_is_seen(how):
     home = Home()
