Name the closing and the pauses by the field's terms: linger, backoff

Cause: seen_off and AGAIN hid what the field calls a lingering close and a backoff. Change: names only.

--- a/stepstream/net/inbound.py
+++ b/stepstream/net/inbound.py
@@ -238,7 +238,7 @@
                     # Guards the late writer: a number closed under its hands may be another's socket by then.
                     self.link.hang_up()
                 elif self.evicted:
-                    self.house.see_off(self.link.sock, self.house.limits.parting)
+                    self.house.linger(self.link.sock, self.house.limits.parting)
                 else:
                     self.link.close()
             self.house.forget(self)
@@ -486,7 +486,7 @@
         self.inbound: set[Connection] = set()
         self.guests = 0  # of these, not from a worker's host
         self.leaving = 0  # connections that have made room but are not closed yet
-        self.seen_off: deque[tuple[float, socket.socket]] = deque()  # shut by us, and when to close them
+        self.lingering: deque[tuple[float, socket.socket]] = deque()  # shut by us, and when to close them
         self.turned_away = 0
         self.entrances: list[Entrance] = []
 
@@ -616,22 +616,22 @@
             every = list(self.inbound)
         for inbound in every:
             inbound.look(now)
-        self.close_seen_off(now)
+        self.end_lingering(now)
 
-    def see_off(self, sock: socket.socket, seconds: float) -> None:
+    def linger(self, sock: socket.socket, seconds: float) -> None:
         """Closes a connection that we have shut, a while later and without a thread: closed over bytes that
         its peer sends meanwhile, it would be reset, and what was told last could be lost with it.
         """
         with self.lock:
-            self.seen_off.append((time.monotonic() + seconds, sock))
-            oldest = self.seen_off.popleft()[1] if len(self.seen_off) > self.limits.seen_off else None
+            self.lingering.append((time.monotonic() + seconds, sock))
+            oldest = self.lingering.popleft()[1] if len(self.lingering) > self.limits.lingering else None
         if oldest is not None:
             self.read_out(oldest)
             oldest.close()
 
-    def close_seen_off(self, now: float) -> None:
+    def end_lingering(self, now: float) -> None:
         with self.lock:
-            waiting, self.seen_off = self.seen_off, deque()
+            waiting, self.lingering = self.lingering, deque()
         kept = []
         for until, sock in waiting:
             self.read_out(sock)
@@ -640,7 +640,7 @@
             else:
                 kept.append((until, sock))
         with self.lock:
-            self.seen_off.extendleft(reversed(kept))
+            self.lingering.extendleft(reversed(kept))
 
     def read_out(self, sock: socket.socket) -> None:
         """Drops what has come."""
@@ -659,7 +659,7 @@
         except OSError:
             sock.close()
             return
-        self.see_off(sock, self.limits.turned_linger)
+        self.linger(sock, self.limits.turned_linger)
 
     def forget(self, inbound: Connection) -> None:
         with self.lock:
--- a/stepstream/net/limits.py
+++ b/stepstream/net/limits.py
@@ -35,7 +35,7 @@
     )
     call_threads: int = 200  # outbound calls between their start and their 202
     lag: int = 32  # connections that have made room while their threads have yet to close them
-    seen_off: int = 16  # connections shut by us that are closed a while later
+    lingering: int = 16  # connections shut by us that are closed a while later
     evict_at_once: int = 32  # connections that make room for the next ones
     late_writers: int = 8  # threads for answers that a slow client does not take at once
     backlog: int = 1024
@@ -116,7 +116,7 @@
         for_news=for_news,
         open_requests=max((inbound - for_news) * 15 // 16, 1),
         lag=spare // 2,
-        seen_off=spare // 4,
+        lingering=spare // 4,
         members=max(inbound // 2, 1),
         held=max(config.memory_mb // 6, 1) * 1024 * 1024,
         open_jobs=max(config.memory_mb * 20, 100),
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -833,13 +833,13 @@
 
 
 def test_those_turned_away_are_bounded_and_let_go_in_time():
-    home = Home(Limits(inbound=0, for_news=0, seen_off=3, turned_linger=0.05))
+    home = Home(Limits(inbound=0, for_news=0, lingering=3, turned_linger=0.05))
     with contextlib.ExitStack() as stack:
         for _ in range(10):
             stack.enter_context(home.dial())
         wait_for(lambda: home.house.turned_away == 10)
-        assert len(home.house.seen_off) <= 3
-        home.looked(lambda: not home.house.seen_off)
+        assert len(home.house.lingering) <= 3
+        home.looked(lambda: not home.house.lingering)
 
 
 def test_an_answer_that_its_client_does_not_read_holds_up_nobody():
--- a/tests/test_schedule.py
+++ b/tests/test_schedule.py
@@ -65,7 +65,7 @@
     one = of(size)
     pauses = [one.failed() for _ in range(failures)]
     assert max(pauses) + one.limit <= TOLD - GRACE
-    assert min(pauses) >= terms.AGAIN / 2  # bounded the other way too: no storm
+    assert min(pauses) >= terms.BACKOFF / 2  # bounded the other way too: no storm
     one.answered(1.0, idle=False)
     assert one.failed() <= pauses[-1]
 
