--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -488,24 +488,25 @@
     hold.set()
 
 
-@pytest.mark.parametrize("drip", [b"", b"HTTP/1.1 200 OK\r\nX: "])
+@pytest.mark.parametrize("drip", [b"", b"H"])
 def test_a_call_is_over_in_its_time_also_if_its_answer_comes_in_drips(drip):
     """Each drip is within any bound on one read; the list would never come."""
-    limit, begun = 0.3, time.monotonic()
+    limit, stop = 0.3, threading.Event()
     ours, theirs = socket.socketpair()
-    stop = threading.Event()
 
     def feed():
-        theirs.sendall(drip) if drip else None
-        while not stop.wait(0.02):
-            theirs.sendall(b"x" if drip else b"")
+        for _ in range(100):  # far past the limit, then its end: a call that waits for that has failed
+            if drip:
+                theirs.sendall(drip)
+            if stop.wait(0.02):
+                return
+        theirs.shutdown(socket.SHUT_WR)
 
     threading.Thread(target=feed, daemon=True).start()
     with ours, theirs:
         with pytest.raises(SilentError):
             Discovery.exchange(Watcher(lambda _: None).discovery, ours, b"GET", limit)
         stop.set()
-    assert time.monotonic() - begun < PATIENCE / 2
 
 
 def test_a_pushed_list_is_followed_unasked_over_failures_and_silence_which_nobody_is_told():
@@ -785,7 +786,11 @@
     for name in shut:
         monkeypatch.setattr(one.inbound.link, name, partial(crossed, name))
     ENDS[end](one)
-    assert one.peer.recv(100) == b""  # an end, and no reset over unread bytes
+    assert one.peer.recv(100) == b""
+    if end != "room":  # there the place is needed at once, and what is still on its way meets a reset
+        one.peer.sendall(job_bytes(name="03"))
+    time.sleep(0.1)  # for a reset over unread bytes to come, if there is one
+    assert one.peer.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
     one.peer.close()
     wait_for(lambda: one.inbound not in one.home.house.inbound)
     assert [r.id for r in one.home.of(Arrived)] == ["01"]
