Keep a silent watch open over failed calls beside it; one bounded read, fewer special cases

Change: calls beside a silent watch go on until one is answered. TimeoutError and one read_by serve outbound calls and discovery, where an own exception and a second loop stood. The lingering close of an evicted connection gained nothing that shows and is taken back. least() serves the counts too; a negative multiple is refused by its key instead of taken as 0.

--- a/stepstream/net/discovery.py
+++ b/stepstream/net/discovery.py
@@ -12,11 +12,11 @@
 from stepstream.dispatch import Event
 from stepstream.members import Listed
 from stepstream.net.doubt import Doubt
-from stepstream.net.http1 import Message, Parser, ProtocolError
+from stepstream.net.http1 import Parser, ProtocolError
 from stepstream.net.limits import Limits
 from stepstream.net.platform import DiscoverySide, Targets
 from stepstream.net.schedule import Schedule
-from stepstream.net.sockets import dial, hang_up, stale, time_limit
+from stepstream.net.sockets import dial, hang_up, read_by, stale
 from stepstream.net.threads import Complaints, spawn
 
 Address = tuple[str, int]
@@ -120,13 +120,6 @@
             return self.addresses.get(worker)
 
 
-class SilentError(OSError):
-    """A call was not answered in its time."""
-
-    def __init__(self) -> None:
-        super().__init__("no answer in time")
-
-
 class Discovery:
     """One address of discovery, called by a thread of its own; a reload retires it and begins another.
 
@@ -206,7 +199,7 @@
         """
         begun, version = time.monotonic(), self.version
         try:
-            targets = self.side.read_answer(self.call(version))
+            targets = self.call(version)
         except Exception as error:
             # Any fault: without this thread nothing would be told any more.
             self.hang_up()
@@ -224,21 +217,29 @@
         idle = version is not None and targets.version == version
         return self.schedule.answered(time.monotonic() - begun, idle)
 
-    def call(self, version: int | None) -> Message:
+    def call(self, version: int | None) -> Targets:
         """The answer to a watch, or to a call beside one that stays silent; OSError or ProtocolError."""
         if version is None:
             return self.exchange(self.connect(), self.side.fetch_bytes(self.host), self.schedule.limit)
-        wait = self.schedule.wait
+        sock, wait = self.connect(), self.schedule.wait
+        data = self.side.watch_bytes(self.host, version, wait)
         try:
-            data = self.side.watch_bytes(self.host, version, wait)
-            return self.exchange(self.connect(), data, wait + self.schedule.slack)
-        except SilentError:
+            return self.exchange(sock, data, wait + self.schedule.slack)
+        except TimeoutError:
             self.complaints.add("a watch fell silent")
-            message = self.ask_beside(version)
-            self.hang_up()  # only now: what it missed is known
-            return message
+        targets = None
+        while targets is None:
+            try:
+                targets = self.ask_beside(version)
+            except (OSError, ProtocolError) as error:
+                if self.retired:
+                    raise
+                self.complaints.add(str(error))
+                self.rest(self.schedule.failed())
+        self.hang_up()  # only now: what it missed is known
+        return targets
 
-    def ask_beside(self, version: int) -> Message:
+    def ask_beside(self, version: int) -> Targets:
         """The changes since then, on a connection of its own, answered at once."""
         begun, limit = time.monotonic(), self.schedule.limit
         sock = dial(self.where, limit, self.limits.write)
@@ -260,7 +261,7 @@
             version = self.version
             if version is None or self.retired:
                 return
-            targets = self.side.read_answer(self.ask_beside(version))
+            targets = self.ask_beside(version)
             if targets.version != version and self.learn(targets, since=version):
                 self.renew()
         except (OSError, ProtocolError) as error:
@@ -284,7 +285,7 @@
     def host(self) -> str:
         return f"{self.where[0]}:{self.where[1]}"
 
-    def exchange(self, sock: socket.socket, data: bytes, seconds: float) -> Message:
+    def exchange(self, sock: socket.socket, data: bytes, seconds: float) -> Targets:
         """Reads on from the moment the call is written: a change counts as told once discovery wrote it.
 
         `seconds` bound the whole answer: one that comes in drips must not hold the list up.
@@ -294,21 +295,14 @@
         parser = Parser(self.limits, answers=True, body=self.limits.list_body)
         message = None
         while message is None:
-            left = until - time.monotonic()
-            if left <= 0:
-                raise SilentError
-            time_limit(sock, socket.SO_RCVTIMEO, max(left, 0.001))
-            try:
-                piece = sock.recv(self.limits.read)
-            except BlockingIOError:  # what a socket's time limit raises
-                raise SilentError from None
+            piece = read_by(sock, until, self.limits.read)
             parser.feed(piece)
             message = parser.next() if piece else parser.end()
             if message is None and not piece:
                 raise ProtocolError(400, "the connection ended before the answer")
         if sock is self.sock and (not message.keep_alive or not parser.idle):
             self.hang_up()
-        return message
+        return self.side.read_answer(message)
 
     def connect(self) -> socket.socket:
         if self.sock is not None and stale(self.sock):
--- a/stepstream/net/inbound.py
+++ b/stepstream/net/inbound.py
@@ -223,7 +223,6 @@
         self.late: deque[Reply] = deque()  # what has come behind that
         self.ended = False  # the reader has left; the late writer closes the socket
         self.left = False  # it has made room and counts among those that leave
-        self.evicted = False  # it was ended to make room: its thread goes at once
         # The last byte or answer; the current message's first byte or, once closed, the last answer's end.
         self.active = self.begun = self.came = time.monotonic()
 
@@ -237,8 +236,6 @@
                 if self.writing:
                     # Guards the late writer: a number closed under its hands may be another's socket by then.
                     self.link.hang_up()
-                elif self.evicted:
-                    self.house.linger(self.link.sock, self.house.limits.parting)
                 else:
                     self.link.close()
             self.house.forget(self)
@@ -451,7 +448,6 @@
             ):
                 return False
             self.session.closed()
-            self.evicted = True
             self.link.hang_up()
             return True
 
--- a/stepstream/net/outbound.py
+++ b/stepstream/net/outbound.py
@@ -16,7 +16,7 @@
 from stepstream.net.http1 import Message, Parser, ProtocolError
 from stepstream.net.limits import Limits
 from stepstream.net.reports import HEADER, Report, Reports
-from stepstream.net.sockets import dial, hang_up, stale, time_limit
+from stepstream.net.sockets import dial, hang_up, read_by, stale
 from stepstream.net.threads import Clock, Complaints, Crew, log
 
 
@@ -344,17 +344,5 @@
         told(i.Probed(worker, ok, self.clock.now_us() - begun_us, report))
 
 
-def read_by(sock: socket.socket, until: float, size: int) -> bytes:
-    """What comes by then (monotonic seconds), b"" for the end; TimeoutError.
-
-    Guards the thread against an answer that comes in drips or never ends.
-    """
-    left = until - time.monotonic()
-    if left <= 0:
-        raise TimeoutError
-    time_limit(sock, socket.SO_RCVTIMEO, max(left, 0.001))
-    return sock.recv(size)
-
-
 def host_of(address: Address) -> str:
     return f"{address[0]}:{address[1]}"
--- a/stepstream/net/schedule.py
+++ b/stepstream/net/schedule.py
@@ -22,7 +22,7 @@
 FEW = 8  # dispatchers; so many may make their first calls at once
 LONGEST_WAIT = 60.0  # the platform's bound
 WAIT = 2.35  # of a watch, at least
-WAIT_EACH = 0.55  # and for each dispatcher: a fleet's watches end less than twice a second
+WAIT_EACH = 0.55  # and for each dispatcher: up to 109 of them, watches end less than twice a second
 SLACK = 0.4  # a watch unanswered so long after its wait is called beside
 LIMIT = 2.2  # of a call that does not wait: discovery itself fails one after 2 s in its queue
 FIRST_EACH = 0.1  # the fleet's first calls are spread by so much each
--- a/stepstream/net/sockets.py
+++ b/stepstream/net/sockets.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+import time
 
 
 def time_limit(sock: socket.socket, option: int, seconds: float) -> None:
@@ -24,6 +25,21 @@
     return sock
 
 
+def read_by(sock: socket.socket, until: float, size: int) -> bytes:
+    """What comes by then (monotonic seconds), b"" for the end; TimeoutError.
+
+    Guards the thread against an answer that comes in drips: each is within any bound on one read.
+    """
+    left = until - time.monotonic()
+    if left <= 0:
+        raise TimeoutError("no answer in time")
+    time_limit(sock, socket.SO_RCVTIMEO, max(left, 0.001))
+    try:
+        return sock.recv(size)
+    except BlockingIOError:  # what a socket's time limit raises
+        raise TimeoutError("no answer in time") from None
+
+
 def stale(sock: socket.socket) -> bool:
     """Whether an idle connection has been closed, or holds bytes that belong to nothing."""
     try:
--- a/stepstream/settings.py
+++ b/stepstream/settings.py
@@ -6,6 +6,7 @@
 import os
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from math import inf
 
 import ujson
 
@@ -71,10 +72,10 @@
             raise FieldError(f"{name}={value} must be at least {least}")
         return value
 
-    def share(self, name: str, default: float) -> float:
+    def between(self, name: str, low: float, high: float, default: float) -> float:
         value = self.number(name, default)
-        if not 0 <= value <= 1:
-            raise FieldError(f"{name}={value} is not between 0 and 1")
+        if not low <= value <= high:
+            raise FieldError(f"{name}={value} is not between {low:g} and {high:g}")
         return value
 
     def flag(self, name: str, default: bool = False) -> bool:
@@ -99,9 +100,7 @@
 
 
 def read_settings(fields: Fields) -> i.Settings:
-    count = fields.whole("services.count")
-    if count < 1:
-        raise FieldError("services.count must be at least 1")
+    count = fields.least("services.count", 1)
     try:
         kinds = [int(x) for x in fields.row("extra.class_kind")] or [-1] * count
         stretches = [float(x) for x in fields.row("extra.class_stretch")]
@@ -131,9 +130,6 @@
             name=fields.text(at + "name", ""),
         )
 
-    fleet = fields.whole("fleet_size", 1)
-    if fleet < 1:
-        raise FieldError("fleet_size must be at least 1")
     names = fields.row("load_report.columns")
     columns = [report_name(fields, name) for name in names]
     for name, meaning in zip(names, columns, strict=True):
@@ -145,7 +141,7 @@
             fields.number(f"projects.{k}.quota_per_s", 0.0) for k in range(fields.whole("projects.count", 0))
         ),
         over_share_worth=fields.number("over_share_worth", 1.0),
-        fleet_size=fleet,
+        fleet_size=fields.least("fleet_size", 1, 1),
         zone=fields.whole("zone", 0),
         must_ask=fields.text("discovery", "automatic") == "subscribe",
         must_ask_us=fields.least("safety.must_ask_in_us", 0, 10_000_000),
@@ -163,9 +159,9 @@
         handshake_price=fields.number("deductions.handshake", 0.0),
         probe_price=fields.number("deductions.probe", 0.0),
         drain_grace_us=fields.least("safety.stop_sending_within_us", 0, 0),
-        cold_share=fields.share("safety.cold_share", 1.0),
+        cold_share=fields.between("safety.cold_share", 0, 1, 1.0),
         warm_within_us=fields.least("safety.warm_within_us", 0, 0),
-        fall_multiple=max(fields.number("safety.fall_multiple", 1.0), 0.0),  # of 0: nothing while it is cold
+        fall_multiple=fields.between("safety.fall_multiple", 0, inf, 1.0),  # of 0: nothing while it is cold
         fall_span_us=fields.least("safety.tip_after_us", 0, 1_000_000),
         quantum_us=fields.whole("quantum_us", 1_000),
         tenants=tuple(
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -1,5 +1,6 @@
 """The departures from the plain mechanism, each with the failure that called for it."""
 
+import pytest
 from helpers import SAFE, UNSAFE, Bench, entry, finals, pushes
 
 from stepstream import interface as i
@@ -167,6 +168,16 @@
     assert sent <= 15  # a warm worker serves 60 x 2 / 20 = 6 a second of these dispatchers
 
 
+@pytest.mark.parametrize("zero", [{"fall_multiple": 0.0}, {"cold_share": 0.0}, {"warm_within_us": 0}])
+def test_a_setting_of_zero_round_a_cold_worker_costs_no_job(zero):
+    bench = Bench(SAFE, workers=4, **{**COLD, **zero})
+    # With no time to warm up only one that starts a moment from now, by its machine's clock, is cold.
+    started = bench.now + (0 if zero.get("warm_within_us", 1) else 1000)
+    bench.tell(i.WorkerList(i.ListKind.CHANGES, (entry(0, started_us=started),)))
+    sent = [pushes(bench.job()[1])[0].worker for _ in range(20)]
+    assert entry(0).worker not in sent or "warm_within_us" in zero
+
+
 def test_the_work_of_a_decision_is_bounded_at_a_large_fleet(monkeypatch):
     # The median cap and the order of a key's workers, made anew for each event, got whole days cut off.
     calls = {"room": 0, "median_cap": 0}
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -88,6 +88,7 @@
         (("settings", "limits", "max_open"), 0, "limits.max_open=0"),
         (("settings", "safety"), {"stop_sending_within_us": -1}, "safety.stop_sending_within_us=-1"),
         (("settings", "safety"), {"cold_share": 1.5}, "safety.cold_share=1.5 is not between 0 and 1"),
+        (("settings", "safety"), {"fall_multiple": -1}, "safety.fall_multiple=-1.0 is not between 0 and inf"),
         (("settings", "zones"), ["a,b"], "zones"),
         (("settings", "load_report", "how"), "sometimes", "load_report.how=sometimes"),
         (("settings", "load_report", "columns"), ["queue", "queue"], "load_report.columns names queue"),
