Keep golden answers of the admin listener, handed-over files and lab results

Cause: their forms follow from names of fields in places (asdict of counts, changes and figures; the digest of the settings is taken of their repr), so that a rename can change what other processes read.

Datagrams also go through the fleet's driver and its socket. Data that is read though the program writes it otherwise is kept as well. Clocks stand still, chance is fixed.

--- a/tests/golden/state_samples.py
+++ b/tests/golden/state_samples.py
@@ -19,7 +19,9 @@
 import msgspec
 
 if __name__ == "__main__":
-    sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
+    sys.path[:0] = [str(Path(__file__).resolve().parents[number]) for number in (1, 2)]
+
+from golden import state_answers
 
 from stepstream.fleet import messages as fleet_messages
 from stepstream.fleet import view as fleet_view
@@ -46,6 +48,7 @@
     error: type[Exception]
     samples: Callable[[], dict[str, object]]
     malformed: Callable[[], dict[str, bytes]]
+    tolerated: Callable[[], dict[str, bytes]]  # read, though the program writes it otherwise
 
 
 # -- membership datagrams -------------------------------------------------------------------------
@@ -121,9 +124,8 @@
         made[f"rows-{state.lower()}"] = fleet_datagram(ack, rows)
     for phase in ("STARTING", "SERVING", "DRAINING", "LEAVING"):
         made[f"facts-{phase.lower()}"] = fleet_datagram(ack, (), (member_facts("n0", phase),))
-    made["facts-ended"] = fleet_datagram(
-        ack, (), (member_facts(ended=tuple(range(2**47, 2**47 + 40))),)
-    )
+    marks_of_deaths = tuple(range(2**47, 2**47 + fleet_messages.MOST_ENDED))
+    made["facts-ended"] = fleet_datagram(ack, (), (member_facts(ended=marks_of_deaths),))
     words = operator_word(), operator_word("10.0.0.7:5000", 4, False), operator_word("Ž" * 20, 0)
     made["words"] = fleet_datagram(ack, (), (), words)
     made["all-parts"] = fleet_datagram(
@@ -223,11 +225,36 @@
     made["row-longer-by-one-element"] = extended(ping, (2,))
     made["facts-longer-by-one-element"] = extended(whole, (5, 0))
     made["word-longer-by-one-element"] = extended(whole, (6, 0))
-    made["over-the-longest-datagram"] = ping + b"\x00" * (fleet_messages.DATAGRAM + 1 - len(ping))
+    made["over-the-longest-datagram"] = ping.ljust(fleet_messages.DATAGRAM + 1, b"\x00")
     made["text-not-utf-8"] = ping.replace(b"golden", b"gold\xff\xff")
     return made
 
 
+def without_last(data: bytes, path: tuple[int, ...] = (), count: int = 1) -> bytes:
+    """MessagePack with the last elements of one of its nested arrays left out."""
+    whole = msgspec.msgpack.decode(data)
+    part = whole
+    for place in path:
+        part = part[place]
+    del part[-count:]
+    return msgspec.msgpack.encode(whole)
+
+
+def fleet_tolerated() -> dict[str, bytes]:
+    write = fleet_messages.encode
+    ping = write(fleet_datagram(fleet_messages.Ping(1, "n1")))
+    whole = write(fleet_samples()["all-parts"])
+    return {
+        "without-words": without_last(ping),
+        "without-rows-facts-and-words": without_last(ping, count=3),
+        "row-without-by": without_last(ping, (2,)),
+        "facts-without-ended": without_last(whole, (5, 0)),
+        "body-longer-by-one-element": extended(ping, (3,)),
+        "sender-suspect": set_in(ping, (2, 4), 1),
+        "address-beyond-the-ranges": set_in(ping, (2, 1), "999.0.0.1:99999"),
+    }
+
+
 # -- lease letters --------------------------------------------------------------------------------
 
 
@@ -237,6 +264,7 @@
 
 def lease_bodies() -> dict[str, object]:
     lease, one = "night-report", ballot()
+    greatest = lease_messages.Ballot(MOST_NUMBER, "p" * 128)
     longest = 86_400_000
     return {
         "prepare": lease_messages.Prepare(lease, one, 10_000, 250),
@@ -252,9 +280,7 @@
         "free": lease_messages.Free(lease, one),
         "foreign": lease_messages.Foreign(lease, one),
         "ballot-zero": lease_messages.Promised("0", lease_messages.Ballot(0, "p")),
-        "ballot-greatest": lease_messages.Promised(
-            lease, lease_messages.Ballot(MOST_NUMBER, "p" * 128)
-        ),
+        "ballot-greatest": lease_messages.Promised(lease, greatest),
     }
 
 
@@ -309,13 +335,16 @@
     }
     made = broken_frames(prepare) | {name: set_in(*change) for name, change in changes.items()}
     made["letter-longer-by-one-element"] = extended(prepare)
-    made["over-the-longest-letter"] = prepare + b"\x00" * (
-        lease_messages.LETTER + 65 - len(prepare)
-    )
+    made["over-the-longest-letter"] = prepare.ljust(lease_messages.LETTER + 65, b"\x00")
     made["text-not-utf-8"] = prepare.replace(b"night", b"nig\xff\xff")
     return made
 
 
+def lease_tolerated() -> dict[str, bytes]:
+    prepare = lease_messages.encode(lease_samples()["body-prepare"])
+    return {"ballot-longer-by-one-element": extended(prepare, (2, 0, 2))}
+
+
 # -- pages of the probe sweep ---------------------------------------------------------------------
 
 REPORT_NAMES = ("busy", "queue")
@@ -364,6 +393,16 @@
     return made
 
 
+def sweep_tolerated() -> dict[str, bytes]:
+    page = write_sweep(sweep_samples()["two-reports"])
+    return {
+        "report-of-unknown-fields-as-well": set_in(page, (2, 0, 3), {"busy": 0.5, "heat": 1.0}),
+        "one-report-too-old": set_in(page, (2, 0, 1), 401),
+        "numbers-whole": set_in(page, (2, 0, 3), {"busy": 1}),
+        "report-longer-by-one-element": extended(page, (2, 0)),
+    }
+
+
 # -- the handed-over state ------------------------------------------------------------------------
 
 LISTED = {
@@ -459,6 +498,18 @@
     }
 
 
+def handover_tolerated() -> dict[str, bytes]:
+    body = json.loads(json.loads(handover.encode(handover_samples()["whole"]))["body"])
+    numbered = [11, "127.0.0.1:9011", 5, 1]
+    less = {key: part for key, part in body.items() if key != "list"}
+    return {
+        "without-list": handover_file(json.dumps(less)),
+        "keys-beyond-the-known": handover_file(json.dumps({**body, "more": 1}), writer="later"),
+        "numbers-as-text": handover_file(json.dumps({**body, "generation": "4"})),
+        "ready-as-a-number": handover_file(json.dumps({**body, "processes": [numbered]})),
+    }
+
+
 FORMS = (
     Form(
         "fleet",
@@ -467,6 +518,7 @@
         fleet_messages.BadDatagramError,
         fleet_samples,
         fleet_malformed,
+        fleet_tolerated,
     ),
     Form(
         "leases",
@@ -475,8 +527,17 @@
         lease_messages.BadLetterError,
         lease_samples,
         lease_malformed,
+        lease_tolerated,
+    ),
+    Form(
+        "sweep",
+        write_sweep,
+        read_sweep,
+        sweep.BadPageError,
+        sweep_samples,
+        sweep_malformed,
+        sweep_tolerated,
     ),
-    Form("sweep", write_sweep, read_sweep, sweep.BadPageError, sweep_samples, sweep_malformed),
     Form(
         "handover",
         handover.encode,
@@ -484,6 +545,7 @@
         handover.DamagedError,
         handover_samples,
         handover_malformed,
+        handover_tolerated,
     ),
 )
 
@@ -533,10 +595,7 @@
 
 def sweep_pages() -> list[str]:
     """More reports than one page holds."""
-    seen = [
-        sweep.Seen(f"s-{number}", number, 1_000 * number, {"busy": number / 8})
-        for number in range(90)
-    ]
+    seen = [sweep.Seen(f"s-{k}", k, 1_000 * k, {"busy": k / 8}) for k in range(90)]
     return [page.hex() for page in sweep.pages(7, seen)]
 
 
@@ -585,12 +644,9 @@
     """All letters of three members, of which two want one lease after each other."""
     names = ("n0", "n1", "n2")
     rules = lease_rules_of(*names)
-    cores = {
-        name: lease_core.Core(
-            name, f"{name}@1f", rules, 1_700_000_000_000, random.Random(name), 0.0
-        )
-        for name in names
-    }
+    base, cores = 1_700_000_000_000, {}
+    for name in names:
+        cores[name] = lease_core.Core(name, f"{name}@1f", rules, base, random.Random(name), 0.0)
     told: list[list[str]] = []
     under_way: list[tuple[str, str, bytes]] = []
 
@@ -620,6 +676,7 @@
 
 
 TRANSCRIPTS: dict[str, Callable[[], object]] = {
+    **state_answers.TRANSCRIPTS,
     "marks": marks,
     "fencing": fencing,
     "sweep-pages": sweep_pages,
@@ -658,7 +715,11 @@
         if why is None:
             raise ValueError(f"{form.name}: {name} is not refused")
         refused[name] = {"data": data.hex(), "reason": why}
-    return {"samples": samples, "refused": refused}
+    tolerated = {
+        name: {"data": data.hex(), "written": form.write(form.read(data)).hex()}
+        for name, data in form.tolerated().items()
+    }
+    return {"samples": samples, "refused": refused, "tolerated": tolerated}
 
 
 def record() -> None:
--- a/tests/test_golden_state.py
+++ b/tests/test_golden_state.py
@@ -1,23 +1,8 @@
 """Forms of state that other processes read, against the bytes kept in tests/golden/state."""
 
-import importlib.util
-import sys
-from pathlib import Path
-
 import pytest
-
-SAMPLES = Path(__file__).resolve().parent / "golden" / "state_samples.py"
-
-
-def load_samples():
-    spec = importlib.util.spec_from_file_location("golden_state_samples", SAMPLES)
-    module = importlib.util.module_from_spec(spec)
-    sys.modules[spec.name] = module
-    spec.loader.exec_module(module)
-    return module
-
-
-golden = load_samples()
+from golden import state_answers
+from golden import state_samples as golden
 
 
 def cases(part):
@@ -47,11 +32,33 @@
     assert golden.reason(form, bytes.fromhex(kept["data"])) == kept["reason"]
 
 
+@pytest.mark.parametrize(("form", "name"), cases("tolerated"))
+def test_data_that_is_written_otherwise_is_read_as_recorded(form, name):
+    kept = golden.recorded(form.name)["tolerated"][name]
+    assert form.write(form.read(bytes.fromhex(kept["data"]))).hex() == kept["written"]
+
+
 @pytest.mark.parametrize("form", [pytest.param(form, id=form.name) for form in golden.FORMS])
 def test_every_sample_and_malformed_case_is_recorded(form):
     kept = golden.recorded(form.name)
     assert set(kept["samples"]) == set(form.samples())
     assert set(kept["refused"]) == set(form.malformed())
+    assert set(kept["tolerated"]) == set(form.tolerated())
+
+
+def test_the_driver_sends_the_recorded_datagrams():
+    kept, samples = golden.recorded("fleet")["samples"], golden.fleet_samples()
+    sent = state_answers.from_the_driver(list(samples.values()))
+    assert dict(zip(samples, (data.hex() for data in sent), strict=True)) == kept
+
+
+def test_the_driver_takes_the_recorded_datagrams_and_drops_the_malformed_ones():
+    kept = golden.recorded("fleet")
+    good = [bytes.fromhex(data) for data in kept["samples"].values()]
+    bad = [bytes.fromhex(case["data"]) for case in kept["refused"].values()]
+    heard, dropped = state_answers.through_the_driver(golden.CLUSTER, [*good, *bad])
+    assert heard == list(golden.fleet_samples().values())
+    assert dropped == len(bad)
 
 
 @pytest.mark.parametrize("name", golden.TRANSCRIPTS)
