--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -102,9 +102,7 @@
 
 def quantiles(values: list[float]) -> str:
     ordered = sorted(values)
-    return (
-        f"{statistics.median(ordered):.1f} | {ordered[min(int(len(ordered) * 0.99), len(ordered) - 1)]:.1f}"
-    )
+    return f"{statistics.median(ordered):.1f} | {ordered[min(int(len(ordered) * 0.99), len(ordered) - 1)]:.1f}"
 
 
 # -- processes --------------------------------------------------------------------------------------------
@@ -120,7 +118,11 @@
     return member.fleet()["counts"]["cpu_s"]
 
 
-LISTED = {"version": 3, "full": True, "servers": [{"id": "s-1", "addr": "127.0.0.1:9", "state": "ready"}]}
+LISTED = {
+    "version": 3,
+    "full": True,
+    "servers": [{"id": "s-1", "addr": "127.0.0.1:9", "state": "ready"}],
+}
 
 
 def twenty(seconds: float) -> dict:
@@ -160,7 +162,9 @@
         )
         begun = time.monotonic()
         rig.members["n3"].call("/workers/s-1/ready", "PUT")
-        rig.wait_for(lambda: not any(bans(rig, n) for n in everyone), 60.0, "the return of the worker")
+        rig.wait_for(
+            lambda: not any(bans(rig, n) for n in everyone), 60.0, "the return of the worker"
+        )
         told["word_everywhere_s"] = time.monotonic() - begun
         number = rig.members["n5"].fleet()["number"]
         rig.freeze("n5")
@@ -203,7 +207,9 @@
     axes[0].set_xlabel("members")
     axes[0].set_ylabel("seconds")
     axes[0].legend(fontsize=8)
-    means = [statistics.mean(row["bytes"] for row in rows if row["members"] == size) for size in sizes]
+    means = [
+        statistics.mean(row["bytes"] for row in rows if row["members"] == size) for size in sizes
+    ]
     axes[1].plot(sizes, means, marker="o")
     axes[1].set_xscale("log")
     axes[1].set_ylim(0)
@@ -255,18 +261,24 @@
 
 
 def show(told: dict, plays: dict[int, int]) -> None:
-    print("| members | plays | crash known, s: median | p99 | healed, s: median | p99 | datagrams | bytes |")
+    print(
+        "| members | plays | crash known, s: median | p99 | healed, s: median | p99 | datagrams | bytes |"
+    )
     print("| --- | --- | --- | --- | --- | --- | --- | --- |")
     for size, count in plays.items():
         rows = [row for row in told["sizes"] if row["members"] == size]
         sent, size_b = (statistics.mean(row[key] for row in rows) for key in ("sent", "bytes"))
         known, healed = ([row[key] for row in rows] for key in ("known", "healed"))
-        print(f"| {size} | {count} | {quantiles(known)} | {quantiles(healed)} | {sent:.1f} | {size_b:.0f} |")
+        print(
+            f"| {size} | {count} | {quantiles(known)} | {quantiles(healed)} | {sent:.1f} | {size_b:.0f} |"
+        )
     print("\n| | loss | one stalls | wrong deaths a member and hour | of the stalled one an hour |")
     print("| --- | --- | --- | --- | --- |")
     for row in told["wrong"]:
         stalled = f"{row['of the stalled']:.1f}" if row["stalled"] else "-"
-        print(f"| {row['which']} | {row['loss']:.0%} | {row['stalled']} | {row['wrong']:.2f} | {stalled} |")
+        print(
+            f"| {row['which']} | {row['loss']:.0%} | {row['stalled']} | {row['wrong']:.2f} | {stalled} |"
+        )
     good = [row["settled"] for row in told["schedules"] if "settled" in row]
     broken = [row for row in told["schedules"] if "broken" in row]
     print(f"\nschedules: {len(told['schedules'])}, broken {len(broken)}, settled {quantiles(good)}")
--- a/benchmarks/identity.py
+++ b/benchmarks/identity.py
@@ -41,7 +41,9 @@
 LINKS = 8
 LIMITS = Limits()
 SETTINGS = {
-    "services": [{"name": "revalue", "deadline_us": 4_000_000, "goal_time_us": 1_000_000, "effect": "pure"}],
+    "services": [
+        {"name": "revalue", "deadline_us": 4_000_000, "goal_time_us": 1_000_000, "effect": "pure"}
+    ],
     "extra": {"class_kind": [-1], "class_stretch": [0.0], "tells_start": True},
     "projects": [{"name": "north-fund", "quota_per_s": 1000.0}],
     "limits": {"try_limit": 4, "max_open": 20_000},
@@ -85,7 +87,9 @@
 
     def start(self) -> subprocess.Popen:
         server = self.ca.issue_cert(self.host)
-        (self.folder / "server.pem").write_bytes(b"".join(b.bytes() for b in server.cert_chain_pems))
+        (self.folder / "server.pem").write_bytes(
+            b"".join(b.bytes() for b in server.cert_chain_pems)
+        )
         (self.folder / "server.key").write_bytes(server.private_key_pem.bytes())
         (self.folder / "ca.pem").write_bytes(self.ca.cert_pem.bytes())
         config = {
@@ -101,7 +105,14 @@
         text = text.format(host=self.host, gearman=self.gearman, tls=self.tls, folder=self.folder)
         (self.folder / "operator.toml").write_text(text)
         return subprocess.Popen(
-            [sys.executable, "-m", "stepstream", "serve", "--operator", str(self.folder / "operator.toml")],
+            [
+                sys.executable,
+                "-m",
+                "stepstream",
+                "serve",
+                "--operator",
+                str(self.folder / "operator.toml"),
+            ],
             env={**os.environ, "EDGE_CONFIG": str(self.folder / "config.json")},
             stderr=subprocess.DEVNULL,
         )
@@ -120,7 +131,9 @@
             except OSError:
                 time.sleep(0.05)
         parser = codec.Parser(LIMITS, answers=True)
-        hello = [(Kind.OPTION_REQ, f"token:{self.token('worker/w')}")] if self.way != "plain" else []
+        hello = (
+            [(Kind.OPTION_REQ, f"token:{self.token('worker/w')}")] if self.way != "plain" else []
+        )
         for kind, arg in (*hello, (Kind.SET_CLIENT_ID, "w;start=1"), (Kind.CAN_DO, "revalue")):
             sock.sendall(codec.request(kind, arg))
         sock.sendall(codec.request(Kind.GRAB_JOB))
@@ -129,7 +142,8 @@
             while (packet := parser.next()) is not None:
                 if packet.kind is Kind.JOB_ASSIGN:
                     sock.sendall(
-                        codec.request(Kind.WORK_COMPLETE, packet.args[0], "1") + codec.request(Kind.GRAB_JOB)
+                        codec.request(Kind.WORK_COMPLETE, packet.args[0], "1")
+                        + codec.request(Kind.GRAB_JOB)
                     )
                 elif packet.kind is Kind.NO_JOB:
                     sock.sendall(codec.request(Kind.PRE_SLEEP))
@@ -142,9 +156,13 @@
         context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
         self.ca.configure_trust(context)
         self.ca.issue_cert("client.test").configure_cert(context)
-        return context.wrap_socket(socket.create_connection((self.host, self.tls)), server_hostname=self.host)
+        return context.wrap_socket(
+            socket.create_connection((self.host, self.tls)), server_hostname=self.host
+        )
 
-    def client(self, link: int, rate: float, seconds: float, tokens: list[str], begin: float) -> None:
+    def client(
+        self, link: int, rate: float, seconds: float, tokens: list[str], begin: float
+    ) -> None:
         sock, parser, n = self.connect(), Parser(LIMITS, answers=True), 0
         while (at := begin + (n + link / LINKS) * LINKS / rate) < begin + seconds:
             time.sleep(max(at - time.monotonic(), 0))
@@ -179,7 +197,8 @@
             tokens = [self.token("client", k) for k in range(count)]
         begin, before = time.monotonic() + 0.5, self.cpu()
         clients = [
-            threading.Thread(target=self.client, args=(k, rate, seconds, tokens, begin)) for k in range(LINKS)
+            threading.Thread(target=self.client, args=(k, rate, seconds, tokens, begin))
+            for k in range(LINKS)
         ]
         for thread in clients:
             thread.start()
--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -57,7 +57,12 @@
         told["whole"] = search.run()
     except TwoHoldersError as error:
         told["broken"] = str(error)
-    return {**told, "states": search.states, "held": search.held, "s": round(time.monotonic() - begun, 1)}
+    return {
+        **told,
+        "states": search.states,
+        "held": search.held,
+        "s": round(time.monotonic() - begun, 1),
+    }
 
 
 def crash(job: tuple[float, int]) -> dict:
@@ -146,14 +151,21 @@
 
 # -- the probe sweep --------------------------------------------------------------------------------------
 
-SWEPT = ((4, ""), (4, "kill"), (4, "stop"), (16, ""))  # dispatchers, what befalls the sweep's holder
+SWEPT = (
+    (4, ""),
+    (4, "kill"),
+    (4, "stop"),
+    (16, ""),
+)  # dispatchers, what befalls the sweep's holder
 
 
 def sweep_days(quick: bool) -> list[dict]:
     rows = []
     for dispatchers, harm in SWEPT:
         jobs = [
-            (seed, on, dispatchers, 12, harm) for seed in range(3 if quick else 10) for on in (False, True)
+            (seed, on, dispatchers, 12, harm)
+            for seed in range(3 if quick else 10)
+            for on in (False, True)
         ]
         with ProcessPoolExecutor(max_workers=4 if dispatchers < 8 else 2) as pool:
             rows += pool.map(play_swept, jobs)
@@ -161,7 +173,9 @@
 
 
 def show_sweep(rows: list[dict]) -> None:
-    print("| dispatchers | holder | probes a worker and second: alone | swept | score: gain | late, ms |")
+    print(
+        "| dispatchers | holder | probes a worker and second: alone | swept | score: gain | late, ms |"
+    )
     print("| --- | --- | --- | --- | --- | --- |")
     for dispatchers, harm in SWEPT:
         mine = [row for row in rows if (row["dispatchers"], row["harm"]) == (dispatchers, harm)]
@@ -182,7 +196,11 @@
 
 def quantiles(values: list[float]) -> tuple[float, float, float]:
     ordered = sorted(values)
-    return statistics.median(ordered), ordered[min(int(len(ordered) * 0.99), len(ordered) - 1)], ordered[-1]
+    return (
+        statistics.median(ordered),
+        ordered[min(int(len(ordered) * 0.99), len(ordered) - 1)],
+        ordered[-1],
+    )
 
 
 def main() -> None:
@@ -206,7 +224,9 @@
         told["load"] = list(pool.map(load, (0, 1, 10, 100)))
         told["orders"] = [order.result() for order in orders]
     with ProcessPoolExecutor(max_workers=5) as pool:
-        rigs = [(seed, 3 if seed % 2 else 5, 1 if quick else 4) for seed in range(2 if quick else 5)]
+        rigs = [
+            (seed, 3 if seed % 2 else 5, 1 if quick else 4) for seed in range(2 if quick else 5)
+        ]
         told["processes"] = list(pool.map(processes, rigs))
     told["cpu"] = [held_at_once(many, 20.0) for many in (1, 100, 1000)]
     out.mkdir(parents=True, exist_ok=True)
@@ -216,7 +236,9 @@
 
 def show(told: dict) -> None:
     good = [row for row in told["schedules"] if "settled" in row]
-    print(f"schedules {len(told['schedules'])}, broken {[x for x in told['schedules'] if 'broken' in x]}")
+    print(
+        f"schedules {len(told['schedules'])}, broken {[x for x in told['schedules'] if 'broken' in x]}"
+    )
     settled = [f"{x:.2f}" for x in quantiles([row["settled"] for row in good])]
     print(f"held again after the last fault, s: median, p99, most: {settled}")
     for key in ("grants", "acts", "refused"):
@@ -229,12 +251,16 @@
     print("| --- | --- | --- | --- | --- |")
     for ttl in sorted({row["ttl"] for row in told["crash"]}):
         rows = [row["s"] for row in told["crash"] if row["ttl"] == ttl]
-        print(f"| {ttl:g} | {len(rows)} | " + " | ".join(f"{x:.2f}" for x in quantiles(rows)) + " |")
+        print(
+            f"| {ttl:g} | {len(rows)} | " + " | ".join(f"{x:.2f}" for x in quantiles(rows)) + " |"
+        )
     for row in told["load"]:
         print(
             f"waiting {row['waiting']}: {row['letters_s']:.1f} letters, {row['bodies_s']:.1f} bodies a second"
         )
-    print("\n| rig | voters | schedules | acts | holders | refused | next act, s: median | most | faults |")
+    print(
+        "\n| rig | voters | schedules | acts | holders | refused | next act, s: median | most | faults |"
+    )
     print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     for row in told["processes"]:
         middle, _, most = quantiles(row["next_act_s"])
@@ -244,7 +270,9 @@
         )
     print("\n| leases held | holder, % of a core | voter | neither |\n| --- | --- | --- | --- |")
     for row in told["cpu"]:
-        print(f"| {row['leases']} | {row['holder']:.1f} | {row['voter']:.1f} | {row['neither']:.1f} |")
+        print(
+            f"| {row['leases']} | {row['holder']:.1f} | {row['voter']:.1f} | {row['neither']:.1f} |"
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/mixed.py
+++ b/benchmarks/mixed.py
@@ -58,7 +58,12 @@
     with ProcessPoolExecutor(len(MIXES)) as pool:
         runs = [loop.run_in_executor(pool, played, seed, seconds, load, mix) for mix in MIXES]
         found = await asyncio.gather(*runs)
-    return Row(load, seed, found[0][0], {mix: result for mix, (_, result) in zip(MIXES, found, strict=True)})
+    return Row(
+        load,
+        seed,
+        found[0][0],
+        {mix: result for mix, (_, result) in zip(MIXES, found, strict=True)},
+    )
 
 
 def table(rows: list[Row]) -> list[str]:
@@ -72,11 +77,15 @@
         late = max(row.results[mix].late_ms for mix in MIXES)
         scores = " | ".join(f"{score[mix]:.3f}" for mix in MIXES)
         less = score["mixed"] - score["http"]
-        lines.append(f"| {row.seed} | {row.jobs} | {scores} | {less:+.3f} | {broken} | {late:.0f} |")
+        lines.append(
+            f"| {row.seed} | {row.jobs} | {scores} | {less:+.3f} | {broken} | {late:.0f} |"
+        )
     means = [mean(row.results[mix].figures.score for row in rows) for mix in MIXES]
     less = [row.results["mixed"].figures.score - row.results["http"].figures.score for row in rows]
     scores = " | ".join(f"{m:.3f}" for m in means)
-    lines.append(f"| mean | | {scores} | {mean(less):+.3f} ({min(less):+.3f} to {max(less):+.3f}) | | |")
+    lines.append(
+        f"| mean | | {scores} | {mean(less):+.3f} ({min(less):+.3f} to {max(less):+.3f}) | | |"
+    )
     return lines
 
 
@@ -113,7 +122,9 @@
     arguments = docopt(__doc__)
     seeds, seconds = int(arguments["--seeds"]), int(arguments["--seconds"])
     loads = [float(load) for load in arguments["--loads"].split(",")]
-    rows = [asyncio.run(seed_of(seed, seconds, load)) for load in loads for seed in range(1, seeds + 1)]
+    rows = [
+        asyncio.run(seed_of(seed, seconds, load)) for load in loads for seed in range(1, seeds + 1)
+    ]
     text = report(rows)
     if arguments["--out"]:
         with open(arguments["--out"], "w", encoding="utf-8") as file:
--- a/stepstream/admin/desk.py
+++ b/stepstream/admin/desk.py
@@ -40,7 +40,9 @@
         self.started = False  # the clients' listener is open and served
         self.keeper: Keeper | None = None  # the handed-over state, where there is $TMPDIR
         self.neighbour = False
-        self.on_word: Callable[[str, bool], None] | None = None  # hears each word on a worker told here
+        self.on_word: Callable[[str, bool], None] | None = (
+            None  # hears each word on a worker told here
+        )
         self.heard: SimpleQueue[tuple[str, bool, str, int]] = SimpleQueue()  # words told elsewhere
         self.listed = 0  # the destination set's changes that the handed-over state holds
         self.swept = 0.0
@@ -137,4 +139,6 @@
         if present != self.neighbour:
             self.neighbour = present
             self.post(Neighbour(present))
-            log(f"hot restart: {'a process beside this one' if present else 'alone'} on the clients' address")
+            log(
+                f"hot restart: {'a process beside this one' if present else 'alone'} on the clients' address"
+            )
--- a/stepstream/admin/driver.py
+++ b/stepstream/admin/driver.py
@@ -68,7 +68,9 @@
             elif number in self.callers:
                 self.serve(self.callers[number], events)
         now = time.monotonic()
-        for caller in [c for c in self.callers.values() if now - c.begun > self.limits.admin_patience]:
+        for caller in [
+            c for c in self.callers.values() if now - c.begun > self.limits.admin_patience
+        ]:
             self.end(caller)
         self.look(now)
 
--- a/stepstream/admin/plug.py
+++ b/stepstream/admin/plug.py
@@ -18,7 +18,9 @@
     def __init__(self, host: Host) -> None:
         self.host = host
         drain = Drain(host.limits.drain_close)
-        self.desk = Desk(host.house, host.destinations, Bans(), drain, host.clock, host.post, self.known)
+        self.desk = Desk(
+            host.house, host.destinations, Bans(), drain, host.clock, host.post, self.known
+        )
 
     def known(self, worker: str) -> bool:
         host = self.host
@@ -42,7 +44,9 @@
         if where is None:
             return
         own = own_process(address, host.clock.now_us())
-        keeper = self.desk.keeper = Keeper(where, host.config.name, own, self.desk.bans, host.limits)
+        keeper = self.desk.keeper = Keeper(
+            where, host.config.name, own, self.desk.bans, host.limits
+        )
         found = keeper.load()
         if found is not None and found.bans.banned:
             self.desk.adopted()
--- a/stepstream/asking.py
+++ b/stepstream/asking.py
@@ -9,7 +9,9 @@
 PATIENCE_S = 5.0
 
 
-def call(at: str, path: str, method: str = "GET", patience_s: float = PATIENCE_S) -> tuple[int, dict]:
+def call(
+    at: str, path: str, method: str = "GET", patience_s: float = PATIENCE_S
+) -> tuple[int, dict]:
     """The status and what was told; ConnectionError without an answer, FieldError if `at` is no address."""
     host, _, port = at.rpartition(":")
     if not host or not (port.isascii() and port.isdigit() and 0 < int(port) < 65536):
--- a/stepstream/balance.py
+++ b/stepstream/balance.py
@@ -10,7 +10,9 @@
 
 from stepstream import interface as i
 
-SAFETY_FACTOR = 18 / 26  # part of the slots at 'full' that still keeps the goals (the paper's figures)
+SAFETY_FACTOR = (
+    18 / 26
+)  # part of the slots at 'full' that still keeps the goals (the paper's figures)
 START_PRIORITY_SHARE = 0.2  # expected share of priority jobs before any is seen
 EXCESS_LEAVES = 1.0  # slots of a worker that jobs past a share leave free; they get one attempt
 LENT_AT = 0.25  # part of a worker's cap that the High Set keeps from ordinary jobs where reports tell rooms
@@ -21,7 +23,10 @@
 SHARE_SLACK = 1.5  # past its share: asks so many times what the middle tenant does of its own
 SICK_AFTER = 0.6  # mean of recent failures that takes a worker out (three in a row do)
 FAIL_WEIGHT = 0.3  # weight of the newest outcome in that mean
-FIRST_PAUSE_US, LONGEST_PAUSE_US = 1_000_000, 8_000_000  # before a trial, doubled each time one fails
+FIRST_PAUSE_US, LONGEST_PAUSE_US = (
+    1_000_000,
+    8_000_000,
+)  # before a trial, doubled each time one fails
 SLOW = 1.1  # logarithm of how much longer than usual its runs take that takes a worker out
 PACE_WEIGHT, SLOW_PAUSE_US = 0.15, 3_000_000  # weight of its newest run in that; before each trial
 ASK_AGAIN_US = 500_000  # first wait after a failed call for the list, doubled each time
@@ -32,7 +37,9 @@
 CHOICES = 64  # workers that a choice looks at; more would only make it dearer with the fleet
 HOMES = 2  # workers that a key's jobs keep to; a hot key's, so many more for each one that it could fill
 KEY_HORIZON = 1000  # jobs that those parts are told by
-PROBES_A_JOB = 1.0  # a dispatcher's probes are bounded by its own jobs, whatever the size of the fleet
+PROBES_A_JOB = (
+    1.0  # a dispatcher's probes are bounded by its own jobs, whatever the size of the fleet
+)
 COLD_PART = 0.6  # part of the fall multiple that is used; the rest is for chance
 LATE_KEPT = 15  # latest starts that tell the common cap where there are no reports
 START_PATIENCE = 0.4  # part of the goal in which a push should start
@@ -47,12 +54,16 @@
         self.order: list[i.Worker] = []  # workers that may be sent to, by id
         self.held: dict[str, i.Held] = {}
         self.waiting: list[i.Held] = []  # held back until a worker has room
-        self.unstarted: list[tuple[int, i.Held, i.Attempt]] = []  # and when each should have started
+        self.unstarted: list[
+            tuple[int, i.Held, i.Attempt]
+        ] = []  # and when each should have started
         self.stirred = False  # room or time has changed since the waiting jobs were last tried
         self.key_orders: dict[str, list[i.Worker]] = {}  # of the keys seen since the list changed
         self.key_jobs: dict[str | None, int] = {}
         self.pool_rooms, self.strength = {}, 0.0  # by pool; of all workers, in warm ones
-        self.late_at: deque[float] = deque(maxlen=LATE_KEPT)  # busy slots where starts were late, or not yet
+        self.late_at: deque[float] = deque(
+            maxlen=LATE_KEPT
+        )  # busy slots where starts were late, or not yet
         # Periods begin at random: dispatchers that start together must not act in step.
         self.actions: list[i.Action] = [i.WakeMe(TICK, start_us + self.random.randrange(PERIOD_US))]
         self.asking, self.ask_wait_us = not settings.must_ask, self.first_ask_wait_us()
@@ -64,7 +75,9 @@
         self.mean_worth = self.ordinary_worth = 0.0
         self.runs = i.Runs(len(settings.classes), start_us, MEMORY)
         self.jobs_seen, self.probe_credit = 0, 0.0
-        self.parts = [q / (sum(settings.quotas_per_s) or 1.0) for q in settings.quotas_per_s]  # by tenant
+        self.parts = [
+            q / (sum(settings.quotas_per_s) or 1.0) for q in settings.quotas_per_s
+        ]  # by tenant
         self.credit = [1.0] * len(self.parts)
         self.report_age = i.ReportAge()
         self.share = i.Share(start_us, settings.fleet_size)
@@ -120,7 +133,9 @@
         if event.kind is not i.ListKind.CHANGES:
             named = {entry.worker for entry in event.entries}
             self.workers = {w: worker for w, worker in self.workers.items() if w in named}
-        self.order = [w for _, w in sorted(self.workers.items()) if w.entry.state is i.WorkerState.IN]
+        self.order = [
+            w for _, w in sorted(self.workers.items()) if w.entry.state is i.WorkerState.IN
+        ]
         self.key_orders, self.stirred = {}, True
         self.strength = sum(map(self.warmth, self.order))
         if not any(w.high for w in self.order):
@@ -135,7 +150,9 @@
 
     def ask_later(self, least: float, wait_us: int) -> None:
         """By chance within the wait: asked by a whole fleet as one, discovery serves only the first few."""
-        self.actions.append(i.WakeMe(ASK, self.now + int(wait_us * self.random.uniform(least, 1.0))))
+        self.actions.append(
+            i.WakeMe(ASK, self.now + int(wait_us * self.random.uniform(least, 1.0)))
+        )
 
     def ask(self) -> None:
         self.actions += [] if self.asking else [i.WatchList(True)]
@@ -151,7 +168,9 @@
             warm_us = entry.started_us + self.s.warm_within_us if entry.started_us else 0
             high = worker is not None and worker.high
             worker = self.workers[entry.worker] = i.Worker(entry, warm_us, self.now, high=high)
-            worker.turn = -self.random.random() * entry.weight  # else all begin with the same worker
+            worker.turn = (
+                -self.random.random() * entry.weight
+            )  # else all begin with the same worker
         worker.entry = entry
 
     # -- health -------------------------------------------------------------------------------------------
@@ -165,21 +184,36 @@
             worker.trial_us = self.now + worker.pause_us
 
     def look_at_pace(self) -> None:  # open runs count as they grow: on a slow worker few end
-        spare = self.pool_room(True) + self.pool_room(False) > 2 * self.one_cap()  # else slow ones are needed
+        spare = (
+            self.pool_room(True) + self.pool_room(False) > 2 * self.one_cap()
+        )  # else slow ones are needed
         for worker in self.order:
             worker.pace_now = worker.pace
-        for held, attempt in ((h, a) for h in self.held.values() for a in h.attempts if a.open and a.started):
-            more = self.runs.surplus(held.job.job_class, self.now - attempt.started_us) - attempt.worker.pace
+        for held, attempt in (
+            (h, a) for h in self.held.values() for a in h.attempts if a.open and a.started
+        ):
+            more = (
+                self.runs.surplus(held.job.job_class, self.now - attempt.started_us)
+                - attempt.worker.pace
+            )
             attempt.worker.pace_now += PACE_WEIGHT * max(more, 0.0)
         for worker in self.order:
-            if worker.pace_now > SLOW and worker.failures <= SICK_AFTER and spare != (worker.pause_us > 0):
+            if (
+                worker.pace_now > SLOW
+                and worker.failures <= SICK_AFTER
+                and spare != (worker.pause_us > 0)
+            ):
                 worker.pause_us, worker.trial_us = SLOW_PAUSE_US * spare, self.now + SLOW_PAUSE_US
 
     def usable(self, workers: list[i.Worker], job_class: int = -1) -> list[i.Worker]:
         well = [w for w in workers if w.fit(job_class, self.now)]
-        return well if 2 * len(well) >= len(workers) else workers  # most look sick: it is not the workers
+        return (
+            well if 2 * len(well) >= len(workers) else workers
+        )  # most look sick: it is not the workers
 
-    def warmth(self, worker: i.Worker) -> float:  # the least part of its capacity that it has by now
+    def warmth(
+        self, worker: i.Worker
+    ) -> float:  # the least part of its capacity that it has by now
         if self.now >= worker.warm_us:
             return 1.0
         part = max(self.now - worker.entry.started_us, 0) / max(self.s.warm_within_us, 1)
@@ -204,8 +238,13 @@
 
     def median_cap(self) -> float | None:
         """What stands in for an unknown cap: the median of those known by report, 'full' or late starts."""
-        heard = self.s.reports != "none"  # else one late start on a slow worker must not stand for all
-        caps = [w.room + w.busy_slots if self.fresh(w) and (heard or w.cap) else w.cap for w in self.order]
+        heard = (
+            self.s.reports != "none"
+        )  # else one late start on a slow worker must not stand for all
+        caps = [
+            w.room + w.busy_slots if self.fresh(w) and (heard or w.cap) else w.cap
+            for w in self.order
+        ]
         caps += [] if heard else self.late_at
         known = sorted(c for c in caps if c is not None)
         return known[len(known) // 2] if known else None
@@ -237,10 +276,14 @@
 
     def look_for_lost(self, worker: i.Worker) -> None:
         """It reports room and no queue: a job of ours that should have begun before the report never will."""
-        for held, attempt in ((h, a) for h in self.held.values() for a in h.attempts if a.worker is worker):
+        for held, attempt in (
+            (h, a) for h in self.held.values() for a in h.attempts if a.worker is worker
+        ):
             if attempt.unbegun and attempt.sent_us < self.now - i.ReportAge.AGES_US[-1]:
                 attempt.lost = True
-                worker.balked(held.job.job_class, attempt, self.now, FIRST_PAUSE_US, LONGEST_PAUSE_US)
+                worker.balked(
+                    held.job.job_class, attempt, self.now, FIRST_PAUSE_US, LONGEST_PAUSE_US
+                )
                 if held.kind.effect is i.Effect.SAFE and not held.ended:
                     self.cancel(held, [attempt])  # its end brings the next attempt
 
@@ -253,7 +296,9 @@
         worker.running_slots += slots
         self.share.ran(worker.high, slots)
 
-    def pool_room(self, high: bool) -> float:  # summed caps less summed busy slots, once for a batch
+    def pool_room(
+        self, high: bool
+    ) -> float:  # summed caps less summed busy slots, once for a batch
         if self.share.many:
             return self.share.room(high)
         if high not in self.pool_rooms:
@@ -263,13 +308,17 @@
 
     def lends(self) -> bool:
         """Whether the High Set has so much room that an ordinary job may have a worker of it."""
-        return self.pool_room(True) > self.one_cap() * (1.0 if self.s.reports == "none" else LENT_AT)
+        return self.pool_room(True) > self.one_cap() * (
+            1.0 if self.s.reports == "none" else LENT_AT
+        )
 
     def resize(self) -> None:
         self.common_cap, self.stirred = self.median_cap(), True
         self.strength = sum(map(self.warmth, self.order))
         # Jobs that wait for room are load too: without them a full High Set would never look over its caps.
-        room = self.pool_room(True) - sum(h.job.slots for h in self.waiting if h.priority and not h.ended)
+        room = self.pool_room(True) - sum(
+            h.job.slots for h in self.waiting if h.priority and not h.ended
+        )
         # Dispatchers that know few rooms must not all give back the same workers, down to the same one.
         few = self.s.reports != "none" and 2 * sum(map(self.fresh, self.order)) < len(self.order)
         order = self.usable(self.random.sample(self.order, len(self.order)) if few else self.order)
@@ -279,7 +328,9 @@
             if room < 0 and len(low) > 1:
                 max(low, key=self.room).high = True
                 room += self.one_cap()
-            elif room > self.one_cap() and len(high) > max(few * self.priority_share * len(self.order), 1):
+            elif room > self.one_cap() and len(high) > max(
+                few * self.priority_share * len(self.order), 1
+            ):
                 # Where dispatchers are many and most rooms alike, their High Sets must stay the same ids.
                 max(reversed(high) if self.share.many else high, key=self.room).high = False
                 room -= self.one_cap()
@@ -297,24 +348,34 @@
         excess = not self.in_share(job.tenant) and self.s.over_share_worth < 1.0
         worth = kind.worth * (self.s.over_share_worth if excess else 1.0)
         self.mean_worth += MEMORY * (worth - self.mean_worth) if self.mean_worth else worth
-        priority = worth >= self.mean_worth * (1 - 1e-6)  # with equal worths rounding must not decide
+        priority = worth >= self.mean_worth * (
+            1 - 1e-6
+        )  # with equal worths rounding must not decide
         self.priority_share += MEMORY * (priority - self.priority_share)
         stale = not priority and self.stale(job, kind)
         excess = excess or stale
-        held = self.held[job.job] = i.Held(job, kind, self.now, self.now + job.budget_us, priority, excess)
+        held = self.held[job.job] = i.Held(
+            job, kind, self.now, self.now + job.budget_us, priority, excess
+        )
         full = not priority and self.over(worth, job.slots) and not self.lends()
-        if (full and (excess or not self.soon(held))) or (stale and self.pool_room(False) < self.one_cap()):
+        if (full and (excess or not self.soon(held))) or (
+            stale and self.pool_room(False) < self.one_cap()
+        ):
             self.give_up(held)
         else:
             self.push(held)
 
     def over(self, worth: float, slots: float) -> bool:
         """Whether the Low Set is over its caps for an ordinary job of this worth: the dearer go last."""
-        self.ordinary_worth += MEMORY * (worth - self.ordinary_worth) if self.ordinary_worth else worth
+        self.ordinary_worth += (
+            MEMORY * (worth - self.ordinary_worth) if self.ordinary_worth else worth
+        )
         if not self.share.many:
             return self.pool_room(False) < slots
         dear = worth > self.ordinary_worth
-        return self.pool_room(False) < -DEAR_EXCEEDS * dear * self.share.cap * self.share.count[False]
+        return (
+            self.pool_room(False) < -DEAR_EXCEEDS * dear * self.share.cap * self.share.count[False]
+        )
 
     def stale(self, job: i.Job, kind: i.JobClass) -> bool:
         """A marked retry that has waited as advised: its goal is past, a first try's is not."""
@@ -326,7 +387,10 @@
 
         Without reports a pool over its caps has a queue already: late starts, which set them, count it."""
         ahead = 1 + sum(1 for h in self.waiting if not h.ended)
-        return self.s.reports != "none" and 0 < self.runs.gap_us * ahead <= self.wait_until(held) - self.now
+        return (
+            self.s.reports != "none"
+            and 0 < self.runs.gap_us * ahead <= self.wait_until(held) - self.now
+        )
 
     def in_share(self, tenant: int) -> bool:
         """By the tenant's part of the jobs seen here: one dispatcher's rates say nothing of the fleet's."""
@@ -368,7 +432,8 @@
         free = [
             w
             for w in able
-            if rooms[w] >= needed or (not self.fresh(w) and (held.priority or (thin and not w.busy_slots)))
+            if rooms[w] >= needed
+            or (not self.fresh(w) and (held.priority or (thin and not w.busy_slots)))
         ]
         pool = [w for w in free if w.high == held.priority]
         # Else the Low Set lends to one job; the High Set does if it has a worker to give back.
@@ -388,7 +453,9 @@
     def key_order(self, key: str | None) -> list[i.Worker]:  # the same at every dispatcher
         if key is not None and key not in self.key_orders:
             k = crc32(key.encode())
-            self.key_orders[key] = sorted(self.order, key=lambda w: (w.mark ^ k) * 0x9E3779B1 % 2**32)
+            self.key_orders[key] = sorted(
+                self.order, key=lambda w: (w.mark ^ k) * 0x9E3779B1 % 2**32
+            )
         return self.order if key is None else self.key_orders[key]
 
     def in_scope(self, held: i.Held, workers: list[i.Worker]) -> list[i.Worker]:
@@ -396,7 +463,9 @@
         if ran is None or held.kind.effect is i.Effect.SAFE or held.kind.key_scope == "all":
             return workers
         zone, here = held.kind.key_scope == "zone", ran.worker.entry
-        return [w for w in workers if (w.entry.zone == here.zone if zone else w.entry.cell == here.cell)]
+        return [
+            w for w in workers if (w.entry.zone == here.zone if zone else w.entry.cell == here.cell)
+        ]
 
     def next_turn(self, pool: list[i.Worker]) -> i.Worker:
         """Smooth weighted round robin; a cold worker's weight shrinks with its warmth."""
@@ -412,7 +481,11 @@
     def push(self, held: i.Held, later: bool = False) -> bool:
         """False if the job has to wait."""
         limit = 1 if held.excess else self.s.attempt_limit
-        if len(held.attempts) >= limit or self.now >= self.wait_until(held) or not held.repeatable(self.now):
+        if (
+            len(held.attempts) >= limit
+            or self.now >= self.wait_until(held)
+            or not held.repeatable(self.now)
+        ):
             self.give_up(held)
             return True
         worker = None if later else self.choose(held)
@@ -468,15 +541,25 @@
             attempt.late = True
             if not attempt.worker.high:
                 self.share.started(False, late=True)
-            attempt.worker.room, attempt.worker.room_us = min(self.room(attempt.worker), 0.0), self.now
-            left = not held.ended and len(held.attempts) < self.s.attempt_limit and held.repeatable(self.now)
+            attempt.worker.room, attempt.worker.room_us = (
+                min(self.room(attempt.worker), 0.0),
+                self.now,
+            )
+            left = (
+                not held.ended
+                and len(held.attempts) < self.s.attempt_limit
+                and held.repeatable(self.now)
+            )
             if left and self.s.may_duplicate and held.kind.effect is not i.Effect.UNSAFE:
                 worker, tried = self.choose(held), [a.worker for a in held.attempts]
                 if worker and worker not in tried and self.room(worker) >= held.job.slots:
                     self.send(held, worker)
 
     def wait_until(self, held: i.Held) -> int:
-        return min(held.arrived_us + int(PATIENCE * held.kind.goal_us), held.deadline_us - self.s.quantum_us)
+        return min(
+            held.arrived_us + int(PATIENCE * held.kind.goal_us),
+            held.deadline_us - self.s.quantum_us,
+        )
 
     def pump(self) -> None:
         """Jobs that wait get the room that has come up, priority jobs first; the late ones are given up."""
@@ -493,7 +576,9 @@
         """The final answer where there is no good attempt left; harmless to retry only if that is known."""
         everywhere = held.kind.effect is i.Effect.KEYED and held.kind.key_scope == "all"
         if held.may_have_run() is None or everywhere or held.kind.effect is i.Effect.SAFE:
-            pause = self.s.max_retry_after_us if self.s.may_advise_retry and not held.priority else 0
+            pause = (
+                self.s.max_retry_after_us if self.s.may_advise_retry and not held.priority else 0
+            )
             self.actions.append(i.Refuse(held.job.job, pause))
         else:
             self.actions.append(i.Fail(held.job.job))
@@ -532,7 +617,9 @@
             self.end(held)
         elif not any(a.open for a in held.attempts):
             # Half of the attempts are kept for when room has changed: at a crowded fleet they are soon gone.
-            self.push(held, result is i.Result.FULL and 2 * len(held.attempts) >= self.s.attempt_limit)
+            self.push(
+                held, result is i.Result.FULL and 2 * len(held.attempts) >= self.s.attempt_limit
+            )
 
     def on_timer(self, token: int) -> None:
         if token == ASK:
@@ -546,7 +633,9 @@
                 self.jobs_seen //= 2
                 self.key_jobs = {key: n // 2 for key, n in self.key_jobs.items() if n > 1}
             if self.s.reports != "none" and self.s.may_probe:
-                silent = [w for w in self.order if self.now - w.room_us >= PERIOD_US]  # maybe jammed
+                silent = [
+                    w for w in self.order if self.now - w.room_us >= PERIOD_US
+                ]  # maybe jammed
                 for worker in self.random.sample(silent, min(ceil(self.probe_credit), len(silent))):
                     self.actions.append(i.Probe(worker.entry.worker))
                 self.probe_credit = 0.0
--- a/stepstream/cli.py
+++ b/stepstream/cli.py
@@ -101,7 +101,9 @@
     try:
         from stepstream.operator_file import read_operator
     except ModuleNotFoundError as error:
-        raise FieldError(f"--operator needs the package {error.name}: pip install .[operator]") from None
+        raise FieldError(
+            f"--operator needs the package {error.name}: pip install .[operator]"
+        ) from None
 
     return read_operator(path, config.settings)
 
@@ -124,7 +126,9 @@
     try:
         from stepstream.lab.demo import run
     except ModuleNotFoundError as error:
-        print(f"stepstream: demo needs the package {error.name}: pip install .[lab]", file=sys.stderr)
+        print(
+            f"stepstream: demo needs the package {error.name}: pip install .[lab]", file=sys.stderr
+        )
         return 2
     try:
         return run(
@@ -144,7 +148,9 @@
     try:
         from stepstream.lab.fleet_play import run
     except ModuleNotFoundError as error:
-        print(f"stepstream: lab needs the package {error.name}: pip install .[lab]", file=sys.stderr)
+        print(
+            f"stepstream: lab needs the package {error.name}: pip install .[lab]", file=sys.stderr
+        )
         return 2
     try:
         return run(
@@ -167,7 +173,10 @@
         else:
             from stepstream.leases.commands import run
     except ModuleNotFoundError as error:
-        print(f"stepstream: {words[0]} needs the package {error.name}: pip install .[fleet]", file=sys.stderr)
+        print(
+            f"stepstream: {words[0]} needs the package {error.name}: pip install .[fleet]",
+            file=sys.stderr,
+        )
         return 2
     try:
         return run(words)
@@ -183,7 +192,10 @@
         from stepstream.identity import commands
         from stepstream.identity.keeper import KeeperError
     except ModuleNotFoundError as error:
-        print(f"stepstream: this needs the package {error.name}: pip install .[identity]", file=sys.stderr)
+        print(
+            f"stepstream: this needs the package {error.name}: pip install .[identity]",
+            file=sys.stderr,
+        )
         return 2
     try:
         return commands.keys(arguments) if arguments["keys"] else commands.token(arguments)
--- a/stepstream/dispatch.py
+++ b/stepstream/dispatch.py
@@ -95,7 +95,11 @@
     LOST = "lost"
 
 
-NEWS_RESULTS = {News.FAILED: i.Result.ERROR, News.RETURNED: i.Result.FULL, News.LOST: i.Result.RESET}
+NEWS_RESULTS = {
+    News.FAILED: i.Result.ERROR,
+    News.RETURNED: i.Result.FULL,
+    News.LOST: i.Result.RESET,
+}
 
 # Events besides the module's own WorkerList and Probed.
 
@@ -343,7 +347,9 @@
             self.commands.append(Answer(request, Outcome.FAILED))
             return
         if self.open_count >= self.settings.max_open:
-            self.commands.append(Answer(request, Outcome.REFUSED, None, self.settings.max_retry_after_us))
+            self.commands.append(
+                Answer(request, Outcome.REFUSED, None, self.settings.max_retry_after_us)
+            )
             return
         if not self.renamed(request):
             self.commands.append(Answer(request, Outcome.FAILED))
@@ -438,7 +444,9 @@
         if request.answered and not any(call.open for call in request.calls):
             self.requests.pop(request.id, None)
 
-    def answer(self, request: Request, outcome: Outcome, result: object = None, pause_us: int = 0) -> None:
+    def answer(
+        self, request: Request, outcome: Outcome, result: object = None, pause_us: int = 0
+    ) -> None:
         """The one final answer; whatever would be a second one is dropped."""
         if not request.answered and self.requests.get(request.id) is request:
             self.commands.append(Answer(request, outcome, result, pause_us))
--- a/stepstream/drill.py
+++ b/stepstream/drill.py
@@ -240,7 +240,9 @@
 
 
 def main() -> int:
-    return run(sys.stdin, sys.stdout, lambda text: print("stepstream.drill:", text, file=sys.stderr))
+    return run(
+        sys.stdin, sys.stdout, lambda text: print("stepstream.drill:", text, file=sys.stderr)
+    )
 
 
 if __name__ == "__main__":
--- a/stepstream/fleet/commands.py
+++ b/stepstream/fleet/commands.py
@@ -34,7 +34,13 @@
 
 OK, NOT_SO, BAD_CALL = 0, 1, 2
 TOLD = ("phase", "list_version", "settings", "open_requests", "program")
-STATES = {"alive": "green", "suspect": "yellow", "dead": "red", "left": "dim", "superseded": "magenta"}
+STATES = {
+    "alive": "green",
+    "suspect": "yellow",
+    "dead": "red",
+    "left": "dim",
+    "superseded": "magenta",
+}
 
 
 class RefusedError(Exception):
@@ -54,7 +60,9 @@
     if status == 404 and path == "/fleet":
         raise RefusedError(f"{at}: this dispatcher has no [fleet]", BAD_CALL)
     if status != 200:
-        raise RefusedError(f"{at}: {told.get('error', status)}", NOT_SO if status == 404 else BAD_CALL)
+        raise RefusedError(
+            f"{at}: {told.get('error', status)}", NOT_SO if status == 404 else BAD_CALL
+        )
     return told
 
 
@@ -71,7 +79,9 @@
         if arguments["explain"]:
             return explain(at, arguments["NAME"], arguments["--json"], console)
         told = ask(at, "/fleet/leave", "PUT")
-        console.print(f"{told['leaving']} stops: it answers all that it has taken, then says that it leaves")
+        console.print(
+            f"{told['leaving']} stops: it answers all that it has taken, then says that it leaves"
+        )
         return OK
     except RefusedError as error:
         print(f"stepstream: {error}", file=sys.stderr)
@@ -86,7 +96,9 @@
         console.print(table(told))
         for word in told["words"]:
             if word["out"]:
-                console.print(f"worker {word['worker']} is out for maintenance, told at {word['by']}")
+                console.print(
+                    f"worker {word['worker']} is out for maintenance, told at {word['by']}"
+                )
     return OK if told["settled"] else NOT_SO
 
 
@@ -98,7 +110,17 @@
         title_justify="left",
     )
     right = {"since", "list", "open"}
-    for column in ("name", "state", "since", "phase", "list", "settings", "open", "program", "address"):
+    for column in (
+        "name",
+        "state",
+        "since",
+        "phase",
+        "list",
+        "settings",
+        "open",
+        "program",
+        "address",
+    ):
         made.add_column(column, justify="right" if column in right else "left", no_wrap=True)
     for member in told["members"]:
         facts, state = member["facts"], member["state"]
@@ -148,7 +170,9 @@
     )
     if told["suspicion"]:
         accusers = ", ".join(told["suspicion"]["accusers"])
-        console.print(f"suspected by {accusers}; held dead in {told['suspicion']['dead_in_s']:.1f} s")
+        console.print(
+            f"suspected by {accusers}; held dead in {told['suspicion']['dead_in_s']:.1f} s"
+        )
     for change in told["history"]:
         console.print(line(change), highlight=False)
     return OK
--- a/stepstream/fleet/counting.py
+++ b/stepstream/fleet/counting.py
@@ -33,12 +33,16 @@
         """`hold`: seconds for which a member is held dead before this one bears witness to it."""
         self.own, self.hold = own, hold
         self.names = {own}
-        self.dropped: dict[str, int] = {}  # by name, the claim of death that it no longer counts for
+        self.dropped: dict[
+            str, int
+        ] = {}  # by name, the claim of death that it no longer counts for
 
     def witnessed(self, seen: Iterable[Seen]) -> list[int]:
         """The marks of those that this member has held dead for long enough; those that count go first."""
         dead = [x for x in seen if x.state is State.DEAD and x.since >= self.hold]
-        return [x.mark for x in sorted(dead, key=lambda x: (x.name not in self.names, x.since, x.name))]
+        return [
+            x.mark for x in sorted(dead, key=lambda x: (x.name not in self.names, x.since, x.name))
+        ]
 
     def update(self, seen: Iterable[Seen], witnesses: Mapping[str, frozenset[int]]) -> int:
         """How many count by now. `witnesses`: by member, this one included, the marks that each names."""
--- a/stepstream/fleet/gossip.py
+++ b/stepstream/fleet/gossip.py
@@ -9,7 +9,9 @@
 from stepstream.fleet import messages as m
 
 MOST = 4_096  # pieces that wait; with more the oftenest told goes first
-MOST_FACTS = 4  # in one datagram beside a body: they are news for people, and must not crowd out states
+MOST_FACTS = (
+    4  # in one datagram beside a body: they are news for people, and must not crowd out states
+)
 ROOM = m.DATAGRAM - 64  # what the frame round the pieces takes at most, beside sender and body
 
 
--- a/stepstream/fleet/messages.py
+++ b/stepstream/fleet/messages.py
@@ -11,10 +11,14 @@
 import msgspec
 
 VERSION = 1
-DATAGRAM = 1_400  # bytes; fits an Ethernet frame with room for tunnels, so that no datagram is fragmented
+DATAGRAM = (
+    1_400  # bytes; fits an Ethernet frame with room for tunnels, so that no datagram is fragmented
+)
 PARCEL = 1_080  # bytes of another subsystem's message in a datagram
 MOST_ROWS = 64  # of one sort in a datagram
-MOST_ENDED = 40  # deaths that one member bears witness to at once; the others' turn comes after these
+MOST_ENDED = (
+    40  # deaths that one member bears witness to at once; the others' turn comes after these
+)
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")]
 Place = Annotated[
@@ -78,7 +82,9 @@
     open_requests: Number
     started_ms: Number  # Unix time
     program: Text  # its version
-    ended: Annotated[tuple[Number, ...], msgspec.Meta(max_length=MOST_ENDED)] = ()  # marks of claims of death
+    ended: Annotated[
+        tuple[Number, ...], msgspec.Meta(max_length=MOST_ENDED)
+    ] = ()  # marks of claims of death
 
     @property
     def order(self) -> tuple[int, int]:
@@ -185,5 +191,7 @@
     if datagram.version != VERSION:
         raise BadDatagramError(f"version {datagram.version}, not {VERSION}")
     if datagram.cluster != cluster:
-        raise BadDatagramError(f"of cluster {datagram.cluster!r}: see seeds and cluster on both sides")
+        raise BadDatagramError(
+            f"of cluster {datagram.cluster!r}: see seeds and cluster on both sides"
+        )
     return datagram
--- a/stepstream/fleet/plug.py
+++ b/stepstream/fleet/plug.py
@@ -26,7 +26,13 @@
 
 READS = frozenset({"GET", "HEAD"})
 FACTS = 0.5  # seconds between two looks at what this member says of itself
-FIXED = ("fleet.listen", "fleet.advertise", "fleet.cluster", "fleet.share_maintenance", "fleet.follow_size")
+FIXED = (
+    "fleet.listen",
+    "fleet.advertise",
+    "fleet.cluster",
+    "fleet.share_maintenance",
+    "fleet.follow_size",
+)
 
 
 class FleetPart(Subsystem):
@@ -80,7 +86,9 @@
         listen = self.section.listen
         try:
             lines = logger(self.section.log)
-            self.driver = Driver(split_address(listen), self.view, self.host.limits, lines, self.act)
+            self.driver = Driver(
+                split_address(listen), self.view, self.host.limits, lines, self.act
+            )
         except OSError as error:
             raise FieldError(f"fleet.listen={listen}: {error}") from None
         self.driver.heard = self.heard
@@ -88,7 +96,9 @@
             # Before the admin listener hears its first call: a word told by then would stay here.
             self.maintenance.on_word = self.say
         spawn("fleet", self.driver.run)
-        log(f"{self.host.config.name} is a member of {self.section.cluster} at {self.view.me.address}")
+        log(
+            f"{self.host.config.name} is a member of {self.section.cluster} at {self.view.me.address}"
+        )
 
     def serving(self) -> None:
         self.phase = Phase.SERVING
@@ -98,7 +108,9 @@
             unchanged(key, self.host.operator, operator)
         check(operator.fleet, config)
         if config.name != self.host.config.name:
-            raise FieldError(f"name={config.name} changes only with a restart where there is [fleet]")
+            raise FieldError(
+                f"name={config.name} changes only with a restart where there is [fleet]"
+            )
         return lambda: self.take_over(operator.fleet)
 
     def take_over(self, section: Section) -> None:
@@ -130,7 +142,10 @@
 
     def act(self, now: float) -> None:
         """What follows from the view: this member's own facts, the share, and operators' words."""
-        seen = [Seen(name, x.row.state, now - x.since, x.row.mark) for name, x in self.view.members.items()]
+        seen = [
+            Seen(name, x.row.state, now - x.since, x.row.mark)
+            for name, x in self.view.members.items()
+        ]
         if now - self.facts_at >= FACTS:
             self.facts_at = now
             self.view.tell_facts(self.own_facts(self.roster.witnessed(seen)))
@@ -179,7 +194,9 @@
             if word is not None:
                 self.told[worker] = word
         if word is None:
-            log(f"fleet: no room for word of {worker}: {self.view.times.most} workers are known (fleet.most)")
+            log(
+                f"fleet: no room for word of {worker}: {self.view.times.most} workers are known (fleet.most)"
+            )
 
     def paths(self) -> Sequence[AdminPath]:
         return (
@@ -242,7 +259,9 @@
     try:
         msgspec.convert(config.name, m.Name)
     except msgspec.ValidationError:
-        raise FieldError(f"name={config.name} cannot be a member's: letters, digits, . _ - only") from None
+        raise FieldError(
+            f"name={config.name} cannot be a member's: letters, digits, . _ - only"
+        ) from None
     if (section.advertise or section.listen).startswith("0.0.0.0:"):
         raise FieldError("fleet.advertise: 0.0.0.0 is no address that others can reach")
     if section.timeout_ms >= section.period_ms:
--- a/stepstream/fleet/suspicion.py
+++ b/stepstream/fleet/suspicion.py
@@ -37,7 +37,9 @@
         self.until = self.since + self.longest - (self.longest - self.shortest) * part
 
 
-def begun(now: float, members: int, period: float, multiple: float, slack: float, wanted: int) -> Suspicion:
+def begun(
+    now: float, members: int, period: float, multiple: float, slack: float, wanted: int
+) -> Suspicion:
     """`members`: alive or suspect, the observer included. Few members cannot confirm each other often."""
     shortest = multiple * max(log10(max(members, 1)), 1.0) * period
     needed = max(min(wanted, members - 2), 0)
--- a/stepstream/fleet/view.py
+++ b/stepstream/fleet/view.py
@@ -26,7 +26,9 @@
 PRESENT = (State.ALIVE, State.SUSPECT)
 CHANGES = 512  # kept for those who watch
 HISTORY = 8  # changes kept of each member
-TAKE_OVER = 3.0  # seconds after its first word from others in which an earlier start's claim may still come
+TAKE_OVER = (
+    3.0  # seconds after its first word from others in which an earlier start's claim may still come
+)
 RELAYS = 64  # probes on behalf of others that are open at once
 TELLERS = 8  # members that tell a suspect of it in a period, and that probe it next themselves
 TELLING = 2**53  # number of a ping whose answer matters for what rides on it only
@@ -47,8 +49,12 @@
     gossip: float = 4.0  # how often news is passed on, times the fleet's logarithm
     sync: float = 5.0  # between two comparisons with a random member
     reach: float = 1.0  # between two tries at a seed or at a member held dead
-    young: float = 10.0  # after its start the settings' word on the fleet's size is the least that counts
-    health: int = 8  # the worst that a member thinks of itself; stretches its periods; 0: Lifeguard off
+    young: float = (
+        10.0  # after its start the settings' word on the fleet's size is the least that counts
+    )
+    health: int = (
+        8  # the worst that a member thinks of itself; stretches its periods; 0: Lifeguard off
+    )
     forget: float = 86_400.0  # a death or leave is remembered at least so long
     most: int = 1_024  # names
 
@@ -130,7 +136,13 @@
 
 class View:
     def __init__(
-        self, me: Row, cluster: str, seeds: Iterable[str], times: Times, draw: random.Random, now: float
+        self,
+        me: Row,
+        cluster: str,
+        seeds: Iterable[str],
+        times: Times,
+        draw: random.Random,
+        now: float,
     ) -> None:
         """`me`: alive, incarnation 0; `seeds`: addresses, its own among them does no harm."""
         self.me, self.cluster, self.times, self.draw, self.now = me, cluster, times, draw, now
@@ -140,7 +152,9 @@
         self.facts: dict[str, m.Facts] = {}
         self.facts_at: dict[str, float] = {}  # when they were heard here
         self.words: dict[str, m.Word] = {}
-        self.digest = me.mark  # of all rows, words and witnesses; equal for views that hold the same
+        self.digest = (
+            me.mark
+        )  # of all rows, words and witnesses; equal for views that hold the same
         self.gossip = Gossip(times.gossip)
         self.gossip.put(me)
         self.changes: deque[Change] = deque(maxlen=CHANGES)
@@ -149,12 +163,16 @@
         self.awareness = 0  # Lifeguard's local health: 0 is well
         self.joined = False  # has heard of any other member, from it
         self.joined_at = now
-        self.superseded = ""  # the address of a later start under this name; this one is passive then
+        self.superseded = (
+            ""  # the address of a later start under this name; this one is passive then
+        )
         self.leaving = False
         self.seq = draw.randrange(2**32)
         self.ring: list[str] = []  # probe order, drawn anew each time round
         self.suspects: dict[str, Member] = {}
-        self.urgent = ""  # a suspect to be probed next, out of turn; the latest only, so that rounds go on
+        self.urgent = (
+            ""  # a suspect to be probed next, out of turn; the latest only, so that rounds go on
+        )
         self.here: set[str] = {me.name}  # names of those alive or suspect
         self.probe: Probe | None = None
         self.relayed: dict[int, Relayed] = {}
@@ -238,7 +256,9 @@
             case m.Nack(seq):
                 if self.probe is not None and self.probe.seq == seq:
                     self.probe.nacks += 1
-            case m.Parcel(kind, data) if self.members[sender.name].row.generation == sender.generation:
+            case m.Parcel(kind, data) if (
+                self.members[sender.name].row.generation == sender.generation
+            ):
                 self.parcels.append(
                     (sender.name, kind, data)
                 )  # an earlier start's are not its name's any more
@@ -294,7 +314,12 @@
 
     def look_at_probe(self) -> None:
         probe = self.probe
-        if probe is not None and not probe.acked and not probe.asked and self.now >= probe.indirect_at:
+        if (
+            probe is not None
+            and not probe.acked
+            and not probe.asked
+            and self.now >= probe.indirect_at
+        ):
             self.ask_helpers(probe)
         if self.now < self.probe_at:
             return
@@ -394,7 +419,9 @@
             self.replace(member, row, by)
         elif row.order == member.row.order and member.suspicion is not None:
             if member.suspicion.confirmed(by):
-                self.gossip.put(row)  # a confirmation is news: others' suspicions shrink by it as well
+                self.gossip.put(
+                    row
+                )  # a confirmation is news: others' suspicions shrink by it as well
         return True
 
     def replace(self, member: Member, row: Row, by: str) -> None:
@@ -428,10 +455,14 @@
         if row.state is State.SUSPECT:
             count, t = len(self.here), self.times
             self.suspects[row.name] = member
-            member.suspicion = begun(self.now, count, t.period, t.suspicion, t.slack, t.confirmations)
+            member.suspicion = begun(
+                self.now, count, t.period, t.suspicion, t.slack, t.confirmations
+            )
             member.suspicion.confirmed(by)
             if by != self.me.name and self.draw.random() < TELLERS / count:
-                self.urgent = row.name  # some look for themselves next: doubts are confirmed, or refuted
+                self.urgent = (
+                    row.name
+                )  # some look for themselves next: doubts are confirmed, or refuted
         elif member.suspicion is not None:
             member.suspicion = None
             del self.suspects[row.name]
@@ -469,7 +500,9 @@
             self.turned.add(name)
             self.number += 1
             why = f"no room: {self.times.most} names are known (fleet.most)"
-            self.changes.append(Change(self.number, self.now, name, "", "turned away", self.me.name, why))
+            self.changes.append(
+                Change(self.number, self.now, name, "", "turned away", self.me.name, why)
+            )
         return False
 
     def about_me(self, row: Row, by: str) -> None:
@@ -488,7 +521,9 @@
             self.note(mine.name, "alive", "alive", by, why)
         else:
             self.superseded = row.address
-            why = f"{row.address} started later under this name: stop one, or give each its own name"
+            why = (
+                f"{row.address} started later under this name: stop one, or give each its own name"
+            )
             self.note(mine.name, "alive", "superseded", by, why)
 
     def renew(self, row: Row) -> None:
@@ -506,7 +541,9 @@
         """This member's own, whenever they have changed; owner, generation and count are filled in here."""
         old = self.facts.get(self.me.name)
         count = old.count + 1 if old is not None else 0
-        new = msgspec.structs.replace(facts, owner=self.me.name, generation=self.me.generation, count=count)
+        new = msgspec.structs.replace(
+            facts, owner=self.me.name, generation=self.me.generation, count=count
+        )
         if old is None or msgspec.structs.replace(new, count=old.count) != old:
             self.hold_facts(new)
 
@@ -555,7 +592,9 @@
         """Where two differ others do as well: each whole exchange is followed by one with somebody else."""
         if not self.hurried:
             self.hurried = True
-            self.sync_at = min(self.sync_at, self.now + self.times.reach * self.draw.uniform(0.5, 1.0))
+            self.sync_at = min(
+                self.sync_at, self.now + self.times.reach * self.draw.uniform(0.5, 1.0)
+            )
 
     def reach(self) -> None:
         """A seed that nobody alive answers at, and a member held dead: the other side of a cut, perhaps."""
@@ -581,7 +620,9 @@
         if len(self.paged) > self.times.most:
             self.paged.clear()
         self.paged[address] = self.now
-        parts: list[msgspec.Struct] = [x.row for x in self.members.values() if x.row.name != self.me.name]
+        parts: list[msgspec.Struct] = [
+            x.row for x in self.members.values() if x.row.name != self.me.name
+        ]
         parts += self.words.values()
         parts += self.facts.values()
         for page in pages(iter(parts), ROOM - m.size(self.me)) or [[]]:
--- a/stepstream/gearman/admin.py
+++ b/stepstream/gearman/admin.py
@@ -85,7 +85,8 @@
         for kind in settings.class_names:
             name = f"{tenant}/{kind}" if tenant else kind
             able = sum(
-                registered_name(m.runs, kind, tenant) is not None for m in desk.workers.members.values()
+                registered_name(m.runs, kind, tenant) is not None
+                for m in desk.workers.members.values()
             )
             rows.append(f"{name}\t{desk.jobs.open.get(name, 0)}\t{running.get(name, 0)}\t{able}\n")
     return "".join(rows) + END, False
@@ -98,7 +99,9 @@
 def maxqueue(desk: Desk, now_us: int, rest: tuple[str, ...]) -> tuple[str, bool]:
     """`maxqueue TENANT/CLASS [N]`: so many open jobs of it; without N the bound is lifted."""
     known = {
-        f"{t}/{k}" if t else k for t in desk.settings.tenants or ("",) for k in desk.settings.class_names
+        f"{t}/{k}" if t else k
+        for t in desk.settings.tenants or ("",)
+        for k in desk.settings.class_names
     }
     if not rest or rest[0] not in known:
         return error("UNKNOWN_FUNCTION", f"maxqueue takes one of {', '.join(sorted(known))}"), False
@@ -129,7 +132,9 @@
 
 
 def show_unique_jobs(desk: Desk, now_us: int, rest: tuple[str, ...]) -> tuple[str, bool]:
-    rows = [job.unique.decode("utf-8", "replace") for job in desk.jobs.by_handle.values() if job.unique]
+    rows = [
+        job.unique.decode("utf-8", "replace") for job in desk.jobs.by_handle.values() if job.unique
+    ]
     return "".join(f"{row}\n" for row in rows) + END, False
 
 
--- a/stepstream/gearman/codec.py
+++ b/stepstream/gearman/codec.py
@@ -88,7 +88,16 @@
     Kind.SUBMIT_JOB_HIGH_BG: _SUBMIT,
     Kind.SUBMIT_JOB_LOW: _SUBMIT,
     Kind.SUBMIT_JOB_LOW_BG: _SUBMIT,
-    Kind.SUBMIT_JOB_SCHED: ("function", "unique", "minute", "hour", "day", "month", "weekday", "workload"),
+    Kind.SUBMIT_JOB_SCHED: (
+        "function",
+        "unique",
+        "minute",
+        "hour",
+        "day",
+        "month",
+        "weekday",
+        "workload",
+    ),
     Kind.SUBMIT_JOB_EPOCH: ("function", "unique", "epoch", "workload"),
     Kind.SUBMIT_REDUCE_JOB: _REDUCE,
     Kind.SUBMIT_REDUCE_JOB_BACKGROUND: _REDUCE,
@@ -204,7 +213,9 @@
         _, self.number, self.need = HEADER.unpack_from(self.buffer)
         if self.need > self.limits.packet:
             # Guards memory: the size is believed by nobody before it is bounded.
-            raise GearmanError("PACKET_TOO_LARGE", f"a packet holds at most {self.limits.packet} bytes")
+            raise GearmanError(
+                "PACKET_TOO_LARGE", f"a packet holds at most {self.limits.packet} bytes"
+            )
         del self.buffer[: HEADER.size]
         self.state = State.BODY
         return None, True
@@ -222,7 +233,9 @@
     def text(self) -> tuple[Item | None, bool]:
         end = self.buffer.find(b"\n", self.seen)
         if end > self.limits.text_line or (end < 0 and len(self.buffer) > self.limits.text_line):
-            raise GearmanError("LINE_TOO_LONG", f"a text command has at most {self.limits.text_line} bytes")
+            raise GearmanError(
+                "LINE_TOO_LONG", f"a text command has at most {self.limits.text_line} bytes"
+            )
         self.seen = len(self.buffer)
         if end < 0:
             return None, False
@@ -244,7 +257,9 @@
         return Packet(kind)
     args = data.split(b"\0", len(names) - 1)
     if len(args) != len(names):
-        raise GearmanError("BAD_ARGUMENTS", f"{kind.name} lacks {names[len(args)]}: a NUL is missing")
+        raise GearmanError(
+            "BAD_ARGUMENTS", f"{kind.name} lacks {names[len(args)]}: a NUL is missing"
+        )
     return Packet(kind, tuple(args))
 
 
--- a/stepstream/gearman/desk.py
+++ b/stepstream/gearman/desk.py
@@ -11,7 +11,18 @@
 from dataclasses import dataclass, field, replace
 
 from stepstream import interface as i
-from stepstream.dispatch import Answer, Arrived, Call, CallEnded, Event, Expires, Left, News, Request, Told
+from stepstream.dispatch import (
+    Answer,
+    Arrived,
+    Call,
+    CallEnded,
+    Event,
+    Expires,
+    Left,
+    News,
+    Request,
+    Told,
+)
 from stepstream.gearman import admin, codec, names
 from stepstream.gearman.codec import GearmanError, Kind, Packet
 from stepstream.gearman.jobs import Job, JobTable, Stage
@@ -213,7 +224,13 @@
     # -- clients ------------------------------------------------------------------------------------------
 
     def submit(
-        self, now_us: int, peer: Peer, function: bytes, unique: bytes, workload: bytes, background: bool
+        self,
+        now_us: int,
+        peer: Peer,
+        function: bytes,
+        unique: bytes,
+        workload: bytes,
+        background: bool,
     ) -> None:
         asked = names.split_function(function, self.settings)
         visa = self.visa_for(peer, asked)
@@ -235,7 +252,9 @@
         visa: Visa | None,
     ) -> None:
         tenant = visa.tenant if visa else asked.tenant
-        target = names.find_target(asked, self.settings, self.section.tenant if tenant is None else tenant)
+        target = names.find_target(
+            asked, self.settings, self.section.tenant if tenant is None else tenant
+        )
         kind = self.settings.classes[target.job_class]
         if unique == b"-":  # the protocol's word for: by what the workload is
             unique = hashlib.sha256(workload).hexdigest().encode()
@@ -246,7 +265,9 @@
         if len(unique) > self.limits.unique:
             raise GearmanError("BAD_UNIQUE", f"a unique id has at most {self.limits.unique} bytes")
         if len(workload) > self.limits.body:
-            raise GearmanError("WORKLOAD_TOO_LARGE", f"a workload has at most {self.limits.body} bytes")
+            raise GearmanError(
+                "WORKLOAD_TOO_LARGE", f"a workload has at most {self.limits.body} bytes"
+            )
         if self.jobs.count_of(peer) >= self.section.jobs_a_connection:
             raise self.refusal("this connection has too many open jobs")
         name = names.function_name(self.settings, target.job_class, target.tenant)
@@ -264,7 +285,9 @@
         # The handle first: an outcome may follow at once.
         self.send(peer, codec.answer(Kind.JOB_CREATED, job.handle))
 
-    def new_job(self, now_us: int, name: str, unique: bytes, workload: bytes, target: names.Target) -> Job:
+    def new_job(
+        self, now_us: int, name: str, unique: bytes, workload: bytes, target: names.Target
+    ) -> Job:
         if self.house.closing():
             raise GearmanError("SHUTTING_DOWN", "no new jobs are taken; another server may")
         if self.jobs.open.get(name, 0) >= self.max_queue.get(name, MOST_FIGURE):
@@ -366,7 +389,9 @@
     def member_of(self, now_us: int, peer: Peer) -> Member:
         if peer.member is None:
             if len(self.workers.members) >= self.limits.members:
-                raise GearmanError("TOO_MANY_WORKERS", f"at most {self.limits.members} workers may join here")
+                raise GearmanError(
+                    "TOO_MANY_WORKERS", f"at most {self.limits.members} workers may join here"
+                )
             told = peer.client_id or f"c{peer.number}".encode()
             identity = names.read_client_id(told, self.settings, self.section.worker, now_us)
             if self.house.gate is not None:
@@ -399,7 +424,9 @@
         seconds = read_figure("timeout", timeout)
         member = self.member_of(now_us, peer)
         if name not in member.runs and len(member.runs) >= self.limits.abilities:
-            raise GearmanError("TOO_MANY_FUNCTIONS", f"a worker names at most {self.limits.abilities}")
+            raise GearmanError(
+                "TOO_MANY_FUNCTIONS", f"a worker names at most {self.limits.abilities}"
+            )
         self.workers.able(member, name, seconds * SECOND_US)
         self.tell(member)
 
@@ -449,15 +476,20 @@
     def report(self, peer: Peer, kind: Kind, handle: bytes, *args: bytes) -> None:
         member = peer.member
         if member is None:
-            raise GearmanError("JOB_NOT_FOUND", "this connection is no worker: it has said no CAN_DO")
+            raise GearmanError(
+                "JOB_NOT_FOUND", "this connection is no worker: it has said no CAN_DO"
+            )
         held = self.workers.held(member, handle)
         if held is None:
             return  # told twice, or a WORK_FAIL behind its WORK_EXCEPTION
         if kind is Kind.WORK_STATUS:
             done, of = (
-                read_figure(name, arg) for name, arg in zip(("numerator", "denominator"), args, strict=True)
+                read_figure(name, arg)
+                for name, arg in zip(("numerator", "denominator"), args, strict=True)
+            )
+            self.post(
+                Told(held.call.request.id, held.call.worker, News.RUNNING, progress=(done, of))
             )
-            self.post(Told(held.call.request.id, held.call.worker, News.RUNNING, progress=(done, of)))
         elif kind in (Kind.WORK_DATA, Kind.WORK_WARNING):
             if not self.workers.add_piece(held, args[0], kind is Kind.WORK_WARNING):
                 self.fail(member, held, b"its pieces are too large")
@@ -487,7 +519,9 @@
 
 def turned_away(turned: Turned) -> GearmanError:
     if turned.refusal is Refusal.LATER:
-        return GearmanError("JOB_QUEUE_FULL", f"refused retry-after={turned.retry_s:.3f} {turned.reason}")
+        return GearmanError(
+            "JOB_QUEUE_FULL", f"refused retry-after={turned.retry_s:.3f} {turned.reason}"
+        )
     return GearmanError(turned.refusal.value, turned.reason)
 
 
@@ -496,9 +530,13 @@
     unique = payload.idempotency_key or request.id
     match form:
         case Kind.GRAB_JOB_UNIQ:
-            return codec.answer(Kind.JOB_ASSIGN_UNIQ, held.handle, held.function, unique, payload.body)
+            return codec.answer(
+                Kind.JOB_ASSIGN_UNIQ, held.handle, held.function, unique, payload.body
+            )
         case Kind.GRAB_JOB_ALL:
-            return codec.answer(Kind.JOB_ASSIGN_ALL, held.handle, held.function, unique, "", payload.body)
+            return codec.answer(
+                Kind.JOB_ASSIGN_ALL, held.handle, held.function, unique, "", payload.body
+            )
     return codec.answer(Kind.JOB_ASSIGN, held.handle, held.function, payload.body)
 
 
@@ -507,7 +545,9 @@
     handle = job.handle
     if job.stage is Stage.SERVED:
         pieces, last = (
-            (result.pieces, result.last) if isinstance(result, Pieces) else ((), result_bytes(result))
+            (result.pieces, result.last)
+            if isinstance(result, Pieces)
+            else ((), result_bytes(result))
         )
         kinds = {True: Kind.WORK_WARNING, False: Kind.WORK_DATA}
         told = [codec.answer(kinds[piece.warning], handle, piece.data) for piece in pieces]
--- a/stepstream/gearman/driver.py
+++ b/stepstream/gearman/driver.py
@@ -34,7 +34,9 @@
 __all__ = ["SOURCE", "GearmanSide"]
 KEEPALIVE = {"TCP_KEEPIDLE": 30, "TCP_KEEPINTVL": 10, "TCP_KEEPCNT": 3}  # seconds, seconds, probes
 # Each of these has the module look at its whole list.
-COSTLY = frozenset((Kind.CAN_DO, Kind.CAN_DO_TIMEOUT, Kind.CANT_DO, Kind.RESET_ABILITIES, Kind.SET_CLIENT_ID))
+COSTLY = frozenset(
+    (Kind.CAN_DO, Kind.CAN_DO_TIMEOUT, Kind.CANT_DO, Kind.RESET_ABILITIES, Kind.SET_CLIENT_ID)
+)
 BUSY = codec.error("SERVER_FULL", "refused: too many connections")
 
 
@@ -71,7 +73,9 @@
         spawn("gearman writer", self.writer.run)
         return entrance
 
-    def listen_also(self, address: tuple[str, int], link: Callable[[socket.socket], Link]) -> Entrance:
+    def listen_also(
+        self, address: tuple[str, int], link: Callable[[socket.socket], Link]
+    ) -> Entrance:
         """The same over another kind of link; OSError if the address cannot be had."""
         return self.house.let_in(
             address, lambda sock, guest: GearmanConnection(link(sock), self, guest), bytes
@@ -313,7 +317,10 @@
             return Rank.DONE, self.active
         if self.session.proven:
             return Rank.IDLE, self.active
-        return Rank.STRANGER if now - self.begun >= self.house.limits.stranger else Rank.NEW, self.begun
+        return (
+            Rank.STRANGER if now - self.begun >= self.house.limits.stranger else Rank.NEW,
+            self.begun,
+        )
 
     def evict(self) -> bool:
         if self.waiting() or self.is_member():
@@ -338,12 +345,16 @@
         elif not self.session.between:
             if now - self.begun > limits.slow_peer:
                 with self.side.lock:
-                    reply = self.session.end(GearmanError("TOO_SLOW", "half a message, and then nothing"))
+                    reply = self.session.end(
+                        GearmanError("TOO_SLOW", "half a message, and then nothing")
+                    )
                     self.send(reply.data, reply.close)
         elif not self.session.proven:
             if now - self.begun > limits.greeting:
                 self.link.hang_up()
-        elif not self.waiting() and not self.is_member() and now - self.active > limits.inbound_idle:
+        elif (
+            not self.waiting() and not self.is_member() and now - self.active > limits.inbound_idle
+        ):
             self.link.hang_up()
 
 
--- a/stepstream/gearman/jobs.py
+++ b/stepstream/gearman/jobs.py
@@ -19,7 +19,11 @@
     FAILED = "failed"
 
 
-STAGES = {Outcome.SERVED: Stage.SERVED, Outcome.REFUSED: Stage.REFUSED, Outcome.FAILED: Stage.FAILED}
+STAGES = {
+    Outcome.SERVED: Stage.SERVED,
+    Outcome.REFUSED: Stage.REFUSED,
+    Outcome.FAILED: Stage.FAILED,
+}
 
 
 @dataclass(eq=False, slots=True)
@@ -41,7 +45,9 @@
     ended_us: int = 0
     listener: object = None  # whom the core answers; a ports.Origin
     visa: Visa | None = None  # of the caller whose job it is
-    callers: set[str] = field(default_factory=set)  # all that hang on it or did, where callers are known
+    callers: set[str] = field(
+        default_factory=set
+    )  # all that hang on it or did, where callers are known
 
     @property
     def running(self) -> bool:
@@ -68,7 +74,9 @@
         self.kept: OrderedDict[str, Job] = OrderedDict()  # ended ones, oldest first
         self.open: dict[str, int] = {}  # jobs by function
         self.held = 0  # bytes of open jobs' workloads
-        self.hanging: dict[object, dict[Job, int]] = {}  # by client: its open jobs, and submissions of each
+        self.hanging: dict[
+            object, dict[Job, int]
+        ] = {}  # by client: its open jobs, and submissions of each
 
     def joinable(self, function: str, unique: bytes) -> Job | None:
         return self.open_unique.get((function, unique)) if unique else None
--- a/stepstream/gearman/names.py
+++ b/stepstream/gearman/names.py
@@ -34,11 +34,14 @@
     text = name.decode("utf-8", "replace")
     whole, plus, slots = text.partition("+")
     if plus and not (slots.isascii() and slots.isdigit() and 1 <= int(slots[:9]) <= MOST_SLOTS):
-        raise GearmanError("BAD_FUNCTION", f"{text}: the slots behind + are a number from 1 to {MOST_SLOTS}")
+        raise GearmanError(
+            "BAD_FUNCTION", f"{text}: the slots behind + are a number from 1 to {MOST_SLOTS}"
+        )
     tenant, slash, kind = whole.rpartition("/")
     if kind not in settings.class_names:
         raise GearmanError(
-            "UNKNOWN_FUNCTION", f"{text}: no such class; there are {', '.join(settings.class_names)}"
+            "UNKNOWN_FUNCTION",
+            f"{text}: no such class; there are {', '.join(settings.class_names)}",
         )
     return Function(kind, tenant if slash else None, float(slots or 1))
 
@@ -55,7 +58,9 @@
 def function_name(settings: i.Settings, job_class: int, tenant: int) -> str:
     """The full name, as `status` lists it."""
     name = settings.tenant_name(tenant)
-    return f"{name}/{settings.classes[job_class].name}" if name else settings.classes[job_class].name
+    return (
+        f"{name}/{settings.classes[job_class].name}" if name else settings.classes[job_class].name
+    )
 
 
 def registered_name(runs: "dict[str, int]", kind: str, tenant: str) -> str | None:
@@ -76,7 +81,9 @@
     started_us: int
 
 
-def read_client_id(data: bytes, settings: i.Settings, defaults: WorkerDefaults, now_us: int) -> Identity:
+def read_client_id(
+    data: bytes, settings: i.Settings, defaults: WorkerDefaults, now_us: int
+) -> Identity:
     """`ID` or `ID;zone=Z;kind=K;cell=N;slots=N;weight=W;start=MS`, each part once and in any order.
 
     `start` is the worker's last start in Unix milliseconds. Without it the connection is taken for the start,
@@ -92,7 +99,9 @@
     for part in parts:
         key, equals, value = part.partition("=")
         if key not in FIELDS or not equals or key in said:
-            raise GearmanError("BAD_CLIENT_ID", f"'{part}' is none of {', '.join(FIELDS)}, or comes twice")
+            raise GearmanError(
+                "BAD_CLIENT_ID", f"'{part}' is none of {', '.join(FIELDS)}, or comes twice"
+            )
         said[key] = value
     start_ms = figure("start", said.get("start", "0"), 0, 2**53, whole=True)
     return Identity(
@@ -100,7 +109,9 @@
         zone=place("zone", said.get("zone", defaults.zone), settings.zones),
         kind=place("kind", said.get("kind", defaults.kind), settings.kinds),
         cell=int(figure("cell", said.get("cell", str(defaults.cell)), 0, 2**31, whole=True)),
-        slots=int(figure("slots", said.get("slots", str(defaults.slots)), 1, MOST_SLOTS, whole=True)),
+        slots=int(
+            figure("slots", said.get("slots", str(defaults.slots)), 1, MOST_SLOTS, whole=True)
+        ),
         weight=figure("weight", said.get("weight", str(defaults.weight)), 1e-6, 1e6),
         started_us=min(int(start_ms) * 1000, now_us) if start_ms else now_us,
     )
@@ -123,5 +134,7 @@
     except ValueError:
         number = None
     if number is None or not least <= number <= most:
-        raise GearmanError("BAD_CLIENT_ID", f"{key}={value} is not a number from {least:g} to {most:g}")
+        raise GearmanError(
+            "BAD_CLIENT_ID", f"{key}={value} is not a number from {least:g} to {most:g}"
+        )
     return number
--- a/stepstream/gearman/plug.py
+++ b/stepstream/gearman/plug.py
@@ -15,14 +15,18 @@
     def __init__(self, host: Host) -> None:
         self.host = host
         section, gate = host.operator.gearman, host.house.door.gate
-        self.side = GearmanSide(section, host.config, host.house, host.signals, host.events.qsize, gate)
+        self.side = GearmanSide(
+            section, host.config, host.house, host.signals, host.events.qsize, gate
+        )
         host.carriers[SOURCE] = self.side
 
     def open(self) -> Sequence[Door]:
         listen = self.host.operator.gearman.listen
         return (open_at("gearman.listen", listen, lambda _: self.side.listen(), " for Gearman"),)
 
-    def listen_also(self, address: tuple[str, int], link: Callable[[socket.socket], Link]) -> Entrance:
+    def listen_also(
+        self, address: tuple[str, int], link: Callable[[socket.socket], Link]
+    ) -> Entrance:
         return self.side.listen_also(address, link)
 
     def prepare(self, config: Config, operator: Operator | None) -> Callable[[], None]:
--- a/stepstream/gearman/session.py
+++ b/stepstream/gearman/session.py
@@ -72,7 +72,9 @@
                 return item
             case Unknown(number):
                 return self.fault(
-                    GearmanError("UNKNOWN_COMMAND", f"there is no packet of type {number} from here")
+                    GearmanError(
+                        "UNKNOWN_COMMAND", f"there is no packet of type {number} from here"
+                    )
                 )
             case Packet(Kind.ECHO_REQ, (data,)):
                 return Reply(codec.answer(Kind.ECHO_RES, data))
@@ -80,7 +82,9 @@
                 return item  # who is calling: the desk's to answer, and proof of nothing yet
             case Packet(Kind.OPTION_REQ, (option,)):
                 if option != b"exceptions":
-                    return self.fault(GearmanError("UNKNOWN_OPTION", "the one option is 'exceptions'"))
+                    return self.fault(
+                        GearmanError("UNKNOWN_OPTION", "the one option is 'exceptions'")
+                    )
                 self.exceptions = True
                 return Reply(codec.answer(Kind.OPTION_RES, option))
             case Packet(kind) if kind in NOT_OFFERED:
--- a/stepstream/gearman/workers.py
+++ b/stepstream/gearman/workers.py
@@ -42,7 +42,9 @@
     owner: object  # its connection
     key: str
     identity: Identity
-    runs: dict[str, int] = field(default_factory=dict)  # function: its time-out in microseconds, 0 for none
+    runs: dict[str, int] = field(
+        default_factory=dict
+    )  # function: its time-out in microseconds, 0 for none
     queue: deque[Waiting] = field(default_factory=deque)
     assigned: dict[str, Assigned] = field(default_factory=dict)
     ended: OrderedDict[str, None] = field(default_factory=OrderedDict)
--- a/stepstream/identity/audit.py
+++ b/stepstream/identity/audit.py
@@ -29,7 +29,9 @@
         self.allowed_too, self.denials_per_s, self.now = allowed_too, denials_per_s, now
         self.level, self.at, self.left_out = float(denials_per_s), now(), 0
 
-    def decision(self, front: str, what: str, decision: Decision, subject: str = "", key: str = "") -> None:
+    def decision(
+        self, front: str, what: str, decision: Decision, subject: str = "", key: str = ""
+    ) -> None:
         if decision.verdict is Verdict.ALLOWED:
             if self.allowed_too:
                 self.write(front, what, decision, subject, key)
@@ -43,14 +45,18 @@
 
     def may_write(self) -> bool:
         now = self.now()
-        self.level = min(self.level + (now - self.at) * self.denials_per_s, float(self.denials_per_s))
+        self.level = min(
+            self.level + (now - self.at) * self.denials_per_s, float(self.denials_per_s)
+        )
         self.at = now
         if self.level < 1.0:
             return False
         self.level -= 1.0
         return True
 
-    def write(self, front: str, what: str, decision: Decision, subject: str, key: str, **more: int) -> None:
+    def write(
+        self, front: str, what: str, decision: Decision, subject: str, key: str, **more: int
+    ) -> None:
         self.logger.info(
             "audit",
             front=front,
--- a/stepstream/identity/certificates.py
+++ b/stepstream/identity/certificates.py
@@ -39,7 +39,9 @@
         for kind in order:
             found = self.names.get(kind, ())
             if kind == "uri" and len([n for n in found if n.startswith("spiffe://")]) > 1:
-                raise CertificateError("two_spiffe_ids", self.key)  # SPIFFE X.509-SVID, 2: exactly one
+                raise CertificateError(
+                    "two_spiffe_ids", self.key
+                )  # SPIFFE X.509-SVID, 2: exactly one
             if found:
                 return found[0] if kind == "uri" else f"{kind}:{found[0]}"
         raise CertificateError("no_name", self.key)
@@ -48,9 +50,13 @@
 def read_certificate(der: bytes) -> Certificate:
     try:
         found = x509.load_der_x509_certificate(der)
-        names = {"cn": tuple(a.value for a in found.subject.get_attributes_for_oid(NameOID.COMMON_NAME))}
+        names = {
+            "cn": tuple(a.value for a in found.subject.get_attributes_for_oid(NameOID.COMMON_NAME))
+        }
         try:
-            alternative = found.extensions.get_extension_for_class(x509.SubjectAlternativeName).value
+            alternative = found.extensions.get_extension_for_class(
+                x509.SubjectAlternativeName
+            ).value
             names["uri"] = tuple(alternative.get_values_for_type(x509.UniformResourceIdentifier))
             names["dns"] = tuple(alternative.get_values_for_type(x509.DNSName))
         except x509.ExtensionNotFound:
--- a/stepstream/identity/commands.py
+++ b/stepstream/identity/commands.py
@@ -30,7 +30,9 @@
     else:
         for row in keeper.rows():
             ends = f" until {stamp(row['not_after'])}" if row.get("not_after") else ""
-            print(f"{row['kid']} {row['alg']} {row['state']} since {stamp(row.get('not_before', 0))}{ends}")
+            print(
+                f"{row['kid']} {row['alg']} {row['state']} since {stamp(row.get('not_before', 0))}{ends}"
+            )
     return 0
 
 
@@ -80,13 +82,17 @@
     decision = found.decision
     print(f"{decision.verdict.value}: {decision.reason}")
     print(f"rule: {decision.rule}")
-    print(f"subject: {found.subject or '-'}, key: {found.key or '-'}, caller: {decision.caller or '-'}")
+    print(
+        f"subject: {found.subject or '-'}, key: {found.key or '-'}, caller: {decision.caller or '-'}"
+    )
     if decision.tenant:
         print(f"tenant: {decision.tenant}")
     return 0 if decision.verdict is Verdict.ALLOWED else 1
 
 
-def explained(section: Section, text: bytes, kind: str, tenant: str | None, now: float) -> Explained:
+def explained(
+    section: Section, text: bytes, kind: str, tenant: str | None, now: float
+) -> Explained:
     prepared = prepare(section)
     try:
         claims = verify(text, prepared.ring, rules_of(section), now)
--- a/stepstream/identity/gate.py
+++ b/stepstream/identity/gate.py
@@ -153,18 +153,24 @@
         except FieldError as error:
             log(f"keys: {error}; the old ones serve on")
             return
-        verifier = rules.verifier.replaced(prepared.ring, rules_of(rules.section), rules.section.cache)
+        verifier = rules.verifier.replaced(
+            prepared.ring, rules_of(rules.section), rules.section.cache
+        )
         self.rules = replace(rules, verifier=verifier, credentials=prepared.credentials)
         self.stamp = prepared.stamp
         log(f"keys: {len(prepared.ring.keys)} read anew")
 
     # -- decisions ----------------------------------------------------------------------------------------
 
-    def enter(self, front: str, credential: Credential, kind: str, tenant: str | None) -> "Visa | Turned":
+    def enter(
+        self, front: str, credential: Credential, kind: str, tenant: str | None
+    ) -> "Visa | Turned":
         rules, now = self.rules, self.now()
         shown = self.shown(rules, credential, now)
         decision = shown.fault or rules.rights.judge(shown.identity, kind, tenant)
-        metered = decision.verdict is Verdict.ALLOWED and rules.rights.by_subject[shown.subject].metered
+        metered = (
+            decision.verdict is Verdict.ALLOWED and rules.rights.by_subject[shown.subject].metered
+        )
         if metered:
             with self.lock:
                 decision = self.rules.rights.admit(shown.identity, kind, tenant, now)
@@ -196,12 +202,16 @@
         section = self.rules.section
         if section.news == "open":
             return None
-        return self.named(front, credential, f"worker {name}", [prefix + name for prefix in section.workers])
+        return self.named(
+            front, credential, f"worker {name}", [prefix + name for prefix in section.workers]
+        )
 
     def admin(self, front: str, credential: Credential, what: str) -> Turned | None:
         return self.named(front, credential, what, self.rules.section.admins)
 
-    def named(self, front: str, credential: Credential, what: str, subjects: Sequence[str]) -> Turned | None:
+    def named(
+        self, front: str, credential: Credential, what: str, subjects: Sequence[str]
+    ) -> Turned | None:
         rules = self.rules
         shown = self.shown(rules, credential, self.now())
         if shown.fault is None and shown.subject in subjects:
@@ -224,7 +234,9 @@
         except TokenError as fault:
             return Shown(fault=Decision(Verdict.UNKNOWN, fault.reason, "identity"), key=fault.kid)
         except CertificateError as fault:
-            return Shown(fault=Decision(Verdict.UNKNOWN, fault.reason, "identity.tls"), key=fault.serial)
+            return Shown(
+                fault=Decision(Verdict.UNKNOWN, fault.reason, "identity.tls"), key=fault.serial
+            )
         identity = by_certificate or by_token
         if identity is None:
             return Shown(fault=Decision(Verdict.UNKNOWN, "no_credential", "identity"))
@@ -251,7 +263,11 @@
     fault: Decision | None = None
 
 
-REFUSALS = {Verdict.UNKNOWN: Refusal.UNKNOWN, Verdict.DENIED: Refusal.DENIED, Verdict.LATER: Refusal.LATER}
+REFUSALS = {
+    Verdict.UNKNOWN: Refusal.UNKNOWN,
+    Verdict.DENIED: Refusal.DENIED,
+    Verdict.LATER: Refusal.LATER,
+}
 
 
 def turned(decision: Decision) -> Turned:
--- a/stepstream/identity/keeper.py
+++ b/stepstream/identity/keeper.py
@@ -84,7 +84,9 @@
             serialization.NoEncryption(),
         )
         self.replace(self.private_path(kid), pem, 0o600)
-        rows.append({**public_row(algorithm, private), "kid": kid, "state": state.value, "not_before": now})
+        rows.append(
+            {**public_row(algorithm, private), "kid": kid, "state": state.value, "not_before": now}
+        )
         self.save(rows)
         return kid
 
@@ -145,7 +147,9 @@
         return jwt.encode(claims, pem, algorithm=row["alg"], headers={"kid": row["kid"]})
 
 
-def generate(algorithm: str) -> ed25519.Ed25519PrivateKey | ec.EllipticCurvePrivateKey | rsa.RSAPrivateKey:
+def generate(
+    algorithm: str,
+) -> ed25519.Ed25519PrivateKey | ec.EllipticCurvePrivateKey | rsa.RSAPrivateKey:
     match algorithm:
         case "EdDSA":
             return ed25519.Ed25519PrivateKey.generate()
--- a/stepstream/identity/plug.py
+++ b/stepstream/identity/plug.py
@@ -17,7 +17,9 @@
 class Listens(Protocol):
     """A front that takes connections over another kind of link as well."""
 
-    def listen_also(self, address: tuple[str, int], link: Callable[[socket.socket], Link]) -> Entrance: ...
+    def listen_also(
+        self, address: tuple[str, int], link: Callable[[socket.socket], Link]
+    ) -> Entrance: ...
 
 
 class IdentityPart(Subsystem):
@@ -36,7 +38,12 @@
         if section.gearman_listen:
             gearman: Listens = self.host.parts["gearman"]
             fronts.append(
-                ("identity.tls.gearman_listen", section.gearman_listen, gearman, " for Gearman over TLS")
+                (
+                    "identity.tls.gearman_listen",
+                    section.gearman_listen,
+                    gearman,
+                    " for Gearman over TLS",
+                )
             )
         return [
             open_at(key, text, lambda at, front=front: front.listen_also(at, self.gate.link), what)
--- a/stepstream/identity/rights.py
+++ b/stepstream/identity/rights.py
@@ -79,7 +79,9 @@
     meters: dict[str, Meter] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        self.by_subject = {subject: caller for caller in self.callers for subject in caller.subjects}
+        self.by_subject = {
+            subject: caller for caller in self.callers for subject in caller.subjects
+        }
 
     def carry(self, old: "Rights") -> None:
         """A reload: callers keep what they have used, by name."""
@@ -113,7 +115,9 @@
             return denied("class_not_allowed", "classes")
         demanded = self.methods.get(kind)
         if demanded is not None and identity.method not in demanded:
-            return Decision(Verdict.DENIED, "method_not_allowed", f"identity.methods.{kind}", caller.name)
+            return Decision(
+                Verdict.DENIED, "method_not_allowed", f"identity.methods.{kind}", caller.name
+            )
         if tenant is None:
             if len(caller.tenants) != 1 or "*" in caller.tenants:
                 return denied("tenant_missing", "tenants")
@@ -122,7 +126,9 @@
             return denied("tenant_contradicts", "tenants")
         return Decision(Verdict.ALLOWED, "allowed", rule, caller.name, tenant)
 
-    def admit(self, identity: Identity | None, kind: str, tenant: str | None, now: float) -> Decision:
+    def admit(
+        self, identity: Identity | None, kind: str, tenant: str | None, now: float
+    ) -> Decision:
         """As `judge`, and counted: an allowed request is open until `ended`."""
         decision = self.judge(identity, kind, tenant)
         if decision.verdict is not Verdict.ALLOWED:
@@ -134,13 +140,20 @@
         rule = f"identity.caller {caller.name}"
         if caller.most_open and meter.open >= caller.most_open:
             retry = 1 / caller.rate_per_s if caller.rate_per_s else 1.0
-            return Decision(Verdict.LATER, "too_many_open", f"{rule}: most_open", caller.name, retry_s=retry)
+            return Decision(
+                Verdict.LATER, "too_many_open", f"{rule}: most_open", caller.name, retry_s=retry
+            )
         if caller.rate_per_s:
             earned = max(now - meter.at, 0.0) * caller.rate_per_s
-            meter.level, meter.at = min(meter.level + earned, float(caller.burst)), max(now, meter.at)
+            meter.level, meter.at = (
+                min(meter.level + earned, float(caller.burst)),
+                max(now, meter.at),
+            )
             if meter.level < 1.0:
                 wait = (1.0 - meter.level) / caller.rate_per_s
-                return Decision(Verdict.LATER, "over_rate", f"{rule}: rate_per_s", caller.name, retry_s=wait)
+                return Decision(
+                    Verdict.LATER, "over_rate", f"{rule}: rate_per_s", caller.name, retry_s=wait
+                )
             meter.level -= 1.0
         meter.open += 1
         return decision
--- a/stepstream/identity/tokens.py
+++ b/stepstream/identity/tokens.py
@@ -137,7 +137,9 @@
     named = claims.get("jti", "")
     if not isinstance(named, str) or len(named) > 128:
         raise TokenError("bad_id", key.kid)
-    return Claims(subject, key.kid, expires, issued if not_before is None else not_before, issued, named)
+    return Claims(
+        subject, key.kid, expires, issued if not_before is None else not_before, issued, named
+    )
 
 
 def time_of(claims: dict, name: str, key: Key) -> float | None:
--- a/stepstream/interface.py
+++ b/stepstream/interface.py
@@ -118,7 +118,9 @@
     state: WorkerState = WorkerState.IN
     weight: float = 1.0
     started_us: int = 0  # 0: long ago
-    runs: frozenset[str] | None = None  # CLASS or TENANT/CLASS by name; None: whatever its kind allows
+    runs: frozenset[str] | None = (
+        None  # CLASS or TENANT/CLASS by name; None: whatever its kind allows
+    )
 
     def able(self, kind: JobClass, tenant: str) -> bool:
         """Whether it runs a tenant's job of this class; a worker may have named what it runs."""
@@ -264,7 +266,9 @@
     return mean + weight * (new - mean) if mean else max(new, 1.0)
 
 
-def carried(old: tuple[str, ...], new: tuple[str, ...], values: Sequence[float], fresh: float) -> list[float]:
+def carried(
+    old: tuple[str, ...], new: tuple[str, ...], values: Sequence[float], fresh: float
+) -> list[float]:
     """What was learned by name, in the order of the new names; `fresh` for a name not known before."""
     known = dict(zip(old, values, strict=False))
     return [known.get(name, fresh) for name in new]
@@ -275,8 +279,12 @@
 
     def __init__(self, classes: int, start_us: int, weight: float) -> None:
         self.weight = weight
-        self.mean_us = [0.0] * (classes + 1)  # from push to end, of served jobs, by class; last, of all
-        self.usual = [0.0] * classes  # from start to end, as a logarithm: few long jobs must not set it
+        self.mean_us = [0.0] * (
+            classes + 1
+        )  # from push to end, of served jobs, by class; last, of all
+        self.usual = [
+            0.0
+        ] * classes  # from start to end, as a logarithm: few long jobs must not set it
         self.gap_us, self.last_us = 0.0, start_us  # between two served jobs; the last one
 
     def served(self, now_us: int, place: int, spent_us: int) -> None:
@@ -291,7 +299,9 @@
 
     def ran(self, place: int, run_us: int) -> float:
         if 0 <= place < len(self.usual):
-            self.usual[place] = running(self.usual[place], log(max(run_us, SHORTEST_RUN_US)), self.weight)
+            self.usual[place] = running(
+                self.usual[place], log(max(run_us, SHORTEST_RUN_US)), self.weight
+            )
         return self.surplus(place, run_us)
 
     def carry(self, old: tuple[str, ...], new: tuple[str, ...]) -> None:
@@ -341,10 +351,14 @@
 MANY = 8  # dispatchers; of more, each seldom has a job of its own on a worker
 LEVEL_US = 1_000_000  # over which the busy slots of a pool are averaged
 SETTLED_US = 2_000_000  # after a start the levels are those of a running dispatcher
-LEAST_CAPS = 1.5  # slots; the least that the caps of a pool make up, else it would never be tried again
+LEAST_CAPS = (
+    1.5  # slots; the least that the caps of a pool make up, else it would never be tried again
+)
 LATE_PART = 0.4  # part of late starts at which a pool is at its caps
 CAP_STEP = 0.1  # what one late start takes off the cap
-HIGH_PART = 18 / 26  # the safety factor: what of its cap a worker of the High Set may be loaded with
+HIGH_PART = (
+    18 / 26
+)  # the safety factor: what of its cap a worker of the High Set may be loaded with
 FULL = 2  # a cap is at most so many times what runs of ours where jobs wait
 FAR = 3  # a cap so many times the present load is not told to be higher by starts in time
 
@@ -445,7 +459,9 @@
         default_factory=deque
     )  # our latest changes, some unseen by reports
     failures: float = 0.0
-    pace: float = 0.0  # how much longer than usual its runs take: mean of the logarithms of ended ones
+    pace: float = (
+        0.0  # how much longer than usual its runs take: mean of the logarithms of ended ones
+    )
     pace_now: float = 0.0  # the same with those that are not over yet
     pause_us: int = 0  # above 0: out of both pools until the trial succeeds
     trial_us: int = 0  # when the next trial may be sent
@@ -454,7 +470,9 @@
     def __post_init__(self) -> None:
         self.mark = crc32(self.entry.worker.encode())  # stands for its id
 
-    def balked(self, job_class: int, lost: "Attempt", now_us: int, first_us: int, longest_us: int) -> None:
+    def balked(
+        self, job_class: int, lost: "Attempt", now_us: int, first_us: int, longest_us: int
+    ) -> None:
         """It had room and never began this one: none of its class for a while, longer after each trial."""
         balk = self.balks.setdefault(job_class, Balk())
         if lost.sent_us >= balk.judged_us:
@@ -477,7 +495,9 @@
     def fit(self, job_class: int, now_us: int) -> bool:
         """Whether it is in its pool, or due for a trial, for jobs of this class; -1: of any."""
         balk = self.balks.get(job_class)
-        return (balk is None or now_us >= balk.trial_us) and (not self.pause_us or now_us >= self.trial_us)
+        return (balk is None or now_us >= balk.trial_us) and (
+            not self.pause_us or now_us >= self.trial_us
+        )
 
     def change_busy(self, now_us: int, slots: float) -> None:
         self.busy_slots += slots
--- a/stepstream/lab/catalogue.py
+++ b/stepstream/lab/catalogue.py
@@ -56,7 +56,9 @@
                 await asyncio.wait_for(self.news.wait_for(lambda: self.version > index), wait)
         except TimeoutError:
             pass
-        return self.written([row for row in self.rows.values() if self.changed[row["id"]] > index], False)
+        return self.written(
+            [row for row in self.rows.values() if self.changed[row["id"]] > index], False
+        )
 
     def tell(self, rows: list[dict]) -> None:
         now_us = self.clock.now_us()
--- a/stepstream/lab/clients.py
+++ b/stepstream/lab/clients.py
@@ -65,7 +65,9 @@
                 break
             heard = await self.attempt(ask, attempt, left_us)
             self.referee.answered(self.clock.now_us(), key, heard.final, heard.result)
-            if heard.final is Final.SERVED or (heard.final is Final.FAILED and part.effect == "side_effect"):
+            if heard.final is Final.SERVED or (
+                heard.final is Final.FAILED and part.effect == "side_effect"
+            ):
                 break  # what must not run twice is tried again only after a refusal
             advised = heard.pause_s if ask.patience < FOLLOWS else 0.0
             await asyncio.sleep(max(advised, self.day.site.backoff_ms / 1000))
@@ -165,7 +167,10 @@
         except OSError:
             pass
         self.lost = True
-        for future in [*self.submitted, *(f for waiting in self.open_jobs.values() for f in waiting)]:
+        for future in [
+            *self.submitted,
+            *(f for waiting in self.open_jobs.values() for f in waiting),
+        ]:
             future.set_result(Heard(Final.LOST))
 
     def on_packet(self, packet: Packet) -> None:
--- a/stepstream/lab/demo.py
+++ b/stepstream/lab/demo.py
@@ -40,7 +40,13 @@
 
 def as_json(day: Day, mix: str, seed: int, result: Result) -> dict:
     figures = asdict(result.figures)
-    head = {"mix": mix, "seed": seed, "seconds": day.seconds, "nodes": len(day.specs), "jobs": len(day.asks)}
+    head = {
+        "mix": mix,
+        "seed": seed,
+        "seconds": day.seconds,
+        "nodes": len(day.specs),
+        "jobs": len(day.asks),
+    }
     return {**head, **figures, **asdict(result.cost), "late_ms": result.late_ms}
 
 
@@ -61,7 +67,12 @@
 
 async def played(day: Day, seed: int) -> Result:
     console = Console(stderr=True)
-    columns = (TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(), TimeElapsedColumn())
+    columns = (
+        TextColumn("{task.description}"),
+        BarColumn(),
+        MofNCompleteColumn(),
+        TimeElapsedColumn(),
+    )
     rig = Rig(day, seed)
     with contextlib.ExitStack() as stack:
         shown = None
--- a/stepstream/lab/fleet_day.py
+++ b/stepstream/lab/fleet_day.py
@@ -146,7 +146,9 @@
         self.toppled = 0
 
     def node(self, k: int) -> ManyNode:
-        model = PricingNode(self.day.specs[k], self.day.streams["nodes"].spawn(1)[0], self.clock.now_us())
+        model = PricingNode(
+            self.day.specs[k], self.day.streams["nodes"].spawn(1)[0], self.clock.now_us()
+        )
         return ManyNode(model, self.clock, self.referee, host=self.host, dispatchers=self.fronts)
 
     async def start(self) -> None:
--- a/stepstream/lab/fleet_faults.py
+++ b/stepstream/lab/fleet_faults.py
@@ -78,12 +78,18 @@
     dice = random.Random(seed)
     faults, at = [], dice.uniform(0.0, 2.0)
     while at < seconds:
-        kind = dice.choice(("crash", "restart", "leave", "stall", "cut", "cut", "one_way", "flap", "loss"))
-        part = 1 if kind in ("restart", "leave") else dice.randint(1, max(int(len(names) * share), 1))
+        kind = dice.choice(
+            ("crash", "restart", "leave", "stall", "cut", "cut", "one_way", "flap", "loss")
+        )
+        part = (
+            1 if kind in ("restart", "leave") else dice.randint(1, max(int(len(names) * share), 1))
+        )
         who = tuple(sorted(dice.sample(names, part)))
         size = dice.choice((0.1, 0.3)) if kind == "loss" else 0.0
         length = 0.0 if kind == "restart" else dice.uniform(0.5, 12.0)
-        faults.append(Fault(kind=kind, at=round(at, 3), length=round(length, 3), who=who, size=size))
+        faults.append(
+            Fault(kind=kind, at=round(at, 3), length=round(length, 3), who=who, size=size)
+        )
         at += dice.expovariate(1 / 3.0)
     return Schedule(tuple(faults))
 
--- a/stepstream/lab/fleet_play.py
+++ b/stepstream/lab/fleet_play.py
@@ -104,7 +104,11 @@
         if before is not None:
             if claim[:2] < before[:2]:
                 self.broken.append(f"{now:.1f} s: {observer} went back to an older claim of {name}")
-            if claim[:2] == before[:2] and before[2] in ("dead", "left") and state in ("alive", "suspect"):
+            if (
+                claim[:2] == before[:2]
+                and before[2] in ("dead", "left")
+                and state in ("alive", "suspect")
+            ):
                 self.broken.append(f"{now:.1f} s: {observer} has {name} back on an old claim")
         self.claims[(life, name, "")] = claim
         if "count" in row["facts"]:
@@ -123,7 +127,9 @@
     broken: list[str]
 
 
-def play(rig: FleetRig, schedule: Schedule, seconds: float, console: Console) -> tuple[Watch, Outcome]:
+def play(
+    rig: FleetRig, schedule: Schedule, seconds: float, console: Console
+) -> tuple[Watch, Outcome]:
     fleet = OnProcesses(rig)
     rig.wait_for(lambda: rig.agreed(rig.members), 60.0, "one view at the start")
     watch, steps = Watch(time.monotonic()), Play(fleet, schedule)
@@ -152,7 +158,9 @@
     return watch, Outcome(len(rig.members), 0, settled, detected, watch.broken)
 
 
-def look(watch: Watch, rig: FleetRig, fleet: OnProcesses, waits: list, detected: list[float]) -> None:
+def look(
+    watch: Watch, rig: FleetRig, fleet: OnProcesses, waits: list, detected: list[float]
+) -> None:
     watch.look(rig, fleet.frozen)
     for wait in list(waits):
         begun, name = wait
@@ -188,10 +196,16 @@
     for fault in schedule.fault:
         axes.axvspan(fault.at, fault.at + max(fault.length, LOOK_S), color="#4575b4", alpha=0.12)
         axes.text(fault.at, -1.5, describe(fault)[:24], rotation=60, fontsize=6, va="bottom")
-    axes.set_yticks([k * (len(names) + 1) + len(names) / 2 for k in range(len(observers))], observers)
-    axes.set_xlabel("seconds; one band an observer, one line in it a member, from the first name down")
+    axes.set_yticks(
+        [k * (len(names) + 1) + len(names) / 2 for k in range(len(observers))], observers
+    )
+    axes.set_xlabel(
+        "seconds; one band an observer, one line in it a member, from the first name down"
+    )
     axes.invert_yaxis()
-    axes.legend(handles=[Patch(color=c, label=s) for s, c in COLOURS.items()], loc="lower right", fontsize=7)
+    axes.legend(
+        handles=[Patch(color=c, label=s) for s, c in COLOURS.items()], loc="lower right", fontsize=7
+    )
     figure.tight_layout()
     figure.savefig(path, dpi=110)
     pyplot.close(figure)
@@ -207,10 +221,14 @@
     with FleetRig(members, seed) as rig:
         watch, outcome = play(rig, schedule, seconds, console)
     outcome.seed = seed
-    made = Table("members", "seed", "faults", "crashes known after, s", "settled after, s", "broken")
+    made = Table(
+        "members", "seed", "faults", "crashes known after, s", "settled after, s", "broken"
+    )
     known = " ".join(f"{x:.1f}" for x in outcome.detected_s) or "-"
     settled = "never" if outcome.settled_s is None else f"{outcome.settled_s:.1f}"
-    made.add_row(str(members), str(seed), str(len(schedule.fault)), known, settled, str(len(outcome.broken)))
+    made.add_row(
+        str(members), str(seed), str(len(schedule.fault)), known, settled, str(len(outcome.broken))
+    )
     console.print(made)
     for line in outcome.broken[:20]:
         console.print(line, style="red", highlight=False)
--- a/stepstream/lab/fleet_rig.py
+++ b/stepstream/lab/fleet_rig.py
@@ -131,9 +131,13 @@
         for name in names:
             self.spawn(self.members[name])
         if wait:
-            self.wait_for(lambda: all(self.members[name].fleet() for name in names), START_S, "a start")
+            self.wait_for(
+                lambda: all(self.members[name].fleet() for name in names), START_S, "a start"
+            )
 
-    def files(self, member: Dispatcher, seeds: list[str] | None = None, more: str | None = None) -> None:
+    def files(
+        self, member: Dispatcher, seeds: list[str] | None = None, more: str | None = None
+    ) -> None:
         """Writes its configuration and its operator's file."""
         config = {
             "name": member.name,
@@ -151,7 +155,9 @@
             f'seeds = {seeds}\ncluster = "lab"\nshare_maintenance = true\n{more}\n'
         )
 
-    def spawn(self, member: Dispatcher, beside: bool = False, clock_s: float = 0.0) -> subprocess.Popen:
+    def spawn(
+        self, member: Dispatcher, beside: bool = False, clock_s: float = 0.0
+    ) -> subprocess.Popen:
         """Its process; `beside`: one more on the same addresses, for a hot restart, with $TMPDIR shared.
         `clock_s`: by how much its time of day is off, the monotonic one is not.
         """
@@ -205,7 +211,11 @@
         begun = time.monotonic()
         while not seen():
             if time.monotonic() - begun > seconds:
-                views = {name: member.states() for name, member in self.members.items() if member.running()}
+                views = {
+                    name: member.states()
+                    for name, member in self.members.items()
+                    if member.running()
+                }
                 raise AssertionError(f"{what} did not come in {seconds} s: {views}")
             time.sleep(LOOK_S)
         return time.monotonic() - begun
@@ -227,8 +237,12 @@
         told = [self.members[name].fleet() for name in names]
         if not all(view is not None and view["settled"] for view in told):
             return False
-        alive = [{row["name"] for row in view["members"] if row["state"] == "alive"} for view in told]
-        return len({view["digest"] for view in told}) == 1 and set(names) <= set.intersection(*alive)
+        alive = [
+            {row["name"] for row in view["members"] if row["state"] == "alive"} for view in told
+        ]
+        return len({view["digest"] for view in told}) == 1 and set(names) <= set.intersection(
+            *alive
+        )
 
     def held(self, by: Iterable[str], name: str, state: str) -> bool:
         return all(self.members[one].states().get(name) == state for one in by)
@@ -237,7 +251,10 @@
 def free_port(host: str) -> int:
     """For TCP and UDP alike."""
     while True:
-        with socket.create_server((host, 0)) as probe, socket.socket(type=socket.SOCK_DGRAM) as other:
+        with (
+            socket.create_server((host, 0)) as probe,
+            socket.socket(type=socket.SOCK_DGRAM) as other,
+        ):
             port = probe.getsockname()[1]
             try:
                 other.bind((host, port))
--- a/stepstream/lab/fleet_search.py
+++ b/stepstream/lab/fleet_search.py
@@ -13,7 +13,9 @@
 from stepstream.lab.fleet_world import BrokenError
 
 CLUSTER = "search"
-MOST_WAITING = 3  # datagrams under way between which there is a choice; the oldest beyond that are lost
+MOST_WAITING = (
+    3  # datagrams under way between which there is a choice; the oldest beyond that are lost
+)
 FAIR_ROUNDS = 80  # of time and whole delivery after which all must agree
 
 
@@ -24,7 +26,9 @@
     depth: int
     restarts: int = 1
     step: float = 0.25
-    settle_every: int = 50  # of so many new states one is played on with whole links, until all agree
+    settle_every: int = (
+        50  # of so many new states one is played on with whole links, until all agree
+    )
     states: int = 0
     settled: int = 0
     seen: set[int] = field(default_factory=set)
@@ -72,7 +76,9 @@
 
     def begin(self, address: str, name: str, generation: int) -> None:
         row = Row(name, address, generation, 0, State.ALIVE)
-        times = Times(period=0.5, timeout=0.2, sync=1.0, reach=0.5, suspicion=1.0, slack=2.0, young=2.0)
+        times = Times(
+            period=0.5, timeout=0.2, sync=1.0, reach=0.5, suspicion=1.0, slack=2.0, young=2.0
+        )
         seeds = ("127.0.0.1:1", "127.0.0.1:2")
         self.views[address] = View(row, CLUSTER, seeds, times, random.Random(7), self.now)
 
@@ -81,7 +87,12 @@
 
     def key(self) -> object:
         views = tuple(
-            (v.digest, v.awareness, v.probe is not None and v.probe.target, round(v.next_at() - self.now, 3))
+            (
+                v.digest,
+                v.awareness,
+                v.probe is not None and v.probe.target,
+                round(v.next_at() - self.now, 3),
+            )
             for v in self.views.values()
         )
         return views, tuple(self.waiting), self.restarts
--- a/stepstream/lab/fleet_world.py
+++ b/stepstream/lab/fleet_world.py
@@ -18,7 +18,9 @@
 from stepstream.lab.timeline import Timeline
 
 CLUSTER = "lab"
-LOOK = 0.1  # seconds between two looks at whom a member holds dead; the bound is two hundred of these
+LOOK = (
+    0.1  # seconds between two looks at whom a member holds dead; the bound is two hundred of these
+)
 HELD_DEAD = 40  # periods: no member that runs and is connected is held dead by another for longer
 COUNTING = 0.5  # seconds between two looks at who counts, as in the program
 
@@ -41,7 +43,9 @@
     seen: int = 0  # the newest change that was checked
     roster: Roster | None = None
     looked: float = -1.0  # for the next one
-    dead: dict[tuple[str, float], float] = field(default_factory=dict)  # since when it wrongly holds whom so
+    dead: dict[tuple[str, float], float] = field(
+        default_factory=dict
+    )  # since when it wrongly holds whom so
 
 
 class World(Timeline):
@@ -55,21 +59,29 @@
             self.sims[name] = Sim(name, f"127.1.{k >> 8}.{k & 255}:7946")
         self.at = {sim.address: sim for sim in self.sims.values()}
         self.seeds = tuple(sim.address for sim in list(self.sims.values())[:3])
-        self.best: dict[tuple[str, str], tuple] = {}  # observer, name: the greatest claim seen ended
+        self.best: dict[
+            tuple[str, str], tuple
+        ] = {}  # observer, name: the greatest claim seen ended
         self.sent = self.bytes = 0
-        self.deaths: list[tuple[float, str, str, bool]] = []  # when, observer, name, whether it was running
+        self.deaths: list[
+            tuple[float, str, str, bool]
+        ] = []  # when, observer, name, whether it was running
         self.clock_offset: dict[str, float] = {}  # of a member's time of day
         self.watch: Callable[[World, Sim], None] = check
 
     # -- members ------------------------------------------------------------------------------------------
 
-    def start(self, name: str, seeds: tuple[str, ...] | None = None, generation: int | None = None) -> None:
+    def start(
+        self, name: str, seeds: tuple[str, ...] | None = None, generation: int | None = None
+    ) -> None:
         sim = self.sims[name]
         if generation is None:
             generation = int((1_000_000 + self.now + self.clock_offset.get(name, 0.0)) * 1000)
         me = Row(name, sim.address, generation, 0, State.ALIVE)
         draw = random.Random(self.draw.random())
-        sim.view = View(me, CLUSTER, self.seeds if seeds is None else seeds, self.times, draw, self.now)
+        sim.view = View(
+            me, CLUSTER, self.seeds if seeds is None else seeds, self.times, draw, self.now
+        )
         sim.started, sim.stalled_until, sim.held, sim.seen, sim.dead = self.now, 0.0, [], 0, {}
         self.schedule(sim)
 
@@ -113,7 +125,10 @@
             sim.roster = None
         elif self.now >= sim.stalled_until:
             sim.roster = sim.roster or Roster(sim.name, hold)
-            seen = [Seen(n, x.row.state, self.now - x.since, x.row.mark) for n, x in view.members.items()]
+            seen = [
+                Seen(n, x.row.state, self.now - x.since, x.row.mark)
+                for n, x in view.members.items()
+            ]
             view.now = self.now
             ended = tuple(sim.roster.witnessed(seen)[: m.MOST_ENDED])
             view.tell_facts(m.Facts(sim.name, 0, 0, Phase.SERVING, 0, "", 0, 0, "", ended))
@@ -184,7 +199,9 @@
         for send in sends:
             data = m.encode(send.datagram)
             if len(data) > m.DATAGRAM:
-                raise BrokenError(f"{self.now:.3f} s: a datagram of {len(data)} bytes from {sim.name}")
+                raise BrokenError(
+                    f"{self.now:.3f} s: a datagram of {len(data)} bytes from {sim.name}"
+                )
             self.sent += 1
             self.bytes += len(data)
             to = self.at.get(send.address)
@@ -216,13 +233,16 @@
             return False
         alive = {sim.name for sim in self.running()}
         return all(
-            {n for n, x in view.members.items() if x.row.state is State.ALIVE} == alive for view in views[:1]
+            {n for n, x in view.members.items() if x.row.state is State.ALIVE} == alive
+            for view in views[:1]
         )
 
     def known(self, name: str, states: tuple[State, ...]) -> bool:
         """Whether all running others hold this member in one of these states."""
         return all(
-            sim.name == name or (x := sim.view.members.get(name)) is not None and x.row.state in states
+            sim.name == name
+            or (x := sim.view.members.get(name)) is not None
+            and x.row.state in states
             for sim in self.running()
         )
 
@@ -245,11 +265,15 @@
             ended = world.best.get(key)
             if row.state in PRESENT:
                 if ended is not None and row.order[:3] <= ended:
-                    raise BrokenError(f"{world.now:.3f} s: {sim.name} has {row.name} back on an old claim")
+                    raise BrokenError(
+                        f"{world.now:.3f} s: {sim.name} has {row.name} back on an old claim"
+                    )
             elif ended is None or row.order[:3] > ended:
                 world.best[key] = row.order[:3]
                 if row.state is State.DEAD:
-                    lives = world.sims[row.name].view is not None if row.name in world.sims else False
+                    lives = (
+                        world.sims[row.name].view is not None if row.name in world.sims else False
+                    )
                     world.deaths.append((world.now, sim.name, row.name, lives))
 
 
@@ -269,5 +293,7 @@
             continue
         since = held[name, other.started] = sim.dead.get((name, other.started), world.now)
         if world.now - since > HELD_DEAD * world.times.period:
-            raise BrokenError(f"{world.now:.3f} s: {sim.name} has held {name} dead since {since:.3f} s")
+            raise BrokenError(
+                f"{world.now:.3f} s: {sim.name} has held {name} dead since {since:.3f} s"
+            )
     sim.dead = held
--- a/stepstream/lab/lease_member.py
+++ b/stepstream/lab/lease_member.py
@@ -33,7 +33,9 @@
             try:
                 self.hold_once()
             except (OSError, ValueError, LostError, LateError):
-                time.sleep(0.05)  # the ledger does not answer, or the lease is gone: another attempt
+                time.sleep(
+                    0.05
+                )  # the ledger does not answer, or the lease is gone: another attempt
 
     def hold_many(self) -> None:
         """So many at once, for as long as they last, without an act."""
--- a/stepstream/lab/lease_rig.py
+++ b/stepstream/lab/lease_rig.py
@@ -15,9 +15,7 @@
 from stepstream.lab.lease_member import LEASE, LEDGER, TASKS
 
 TTL, ACT, HOLD = 1.2, 0.25, 1.5  # seconds; an act's longest as a share of the first; seconds
-TIMES = (
-    "period_ms = 200\ntimeout_ms = 90\nsync_ms = 1000\nreach_ms = 200\nyoung_s = 2\nhold_s = 2\nslack = 3\n"
-)
+TIMES = "period_ms = 200\ntimeout_ms = 90\nsync_ms = 1000\nreach_ms = 200\nyoung_s = 2\nhold_s = 2\nslack = 3\n"
 LEASES = "\n[leases]\nvoters = [{voters}]\nlongest_s = {ttl}\ntimeout_ms = 100\nturn_ms = 100\n"
 
 
@@ -86,7 +84,9 @@
             if member.running():
                 member.process.send_signal(signal.SIGCONT)
         self.ledger.send_signal(signal.SIGCONT)
-        self.start([name for name, member in self.members.items() if not member.running()], wait=False)
+        self.start(
+            [name for name, member in self.members.items() if not member.running()], wait=False
+        )
 
 
 @dataclass(frozen=True)
@@ -134,17 +134,25 @@
     Trouble("holder stopped, shorter than the lease", 0.5, lambda rig, h: rig.freeze(h)),
     Trouble("holder stopped, longer than the lease", 2.0, lambda rig, h: rig.freeze(h)),
     Trouble("holder killed", 1.5, lambda rig, h: kill(rig, h)),
-    Trouble("holder told to stop", 1.5, lambda rig, h: rig.members[h].process.send_signal(signal.SIGTERM)),
+    Trouble(
+        "holder told to stop",
+        1.5,
+        lambda rig, h: rig.members[h].process.send_signal(signal.SIGTERM),
+    ),
     Trouble("holder drained", 1.0, lambda rig, h: rig.drain(h)),
     Trouble("holder restarted at once", 1.0, lambda rig, h: restart(rig, h)),
     Trouble("holder cut off from all", 2.0, lambda rig, h: rig.cut([h], others(rig, h))),
-    Trouble("holder cut off from a majority", 2.0, lambda rig, h: rig.cut([h], majority_without(rig, h))),
+    Trouble(
+        "holder cut off from a majority", 2.0, lambda rig, h: rig.cut([h], majority_without(rig, h))
+    ),
     Trouble("holder not heard", 2.0, lambda rig, h: rig.cut([h], others(rig, h), both=False)),
     Trouble("holder hears nothing", 2.0, lambda rig, h: rig.cut(others(rig, h), [h], both=False)),
     Trouble("one voter with the holder, cut from the rest", 2.0, lambda rig, h: halves(rig, h)),
     Trouble("each voter restarted in turn", 0.5, voters_in_turn),
     Trouble("all voters killed at once", 1.0, lambda rig, h: kill(rig, *rig.voters)),
-    Trouble("a majority restarted together", 0.5, lambda rig, h: restart(rig, *majority_without(rig, h))),
+    Trouble(
+        "a majority restarted together", 0.5, lambda rig, h: restart(rig, *majority_without(rig, h))
+    ),
     Trouble(
         "messages later than a lease, doubled",
         2.5,
@@ -152,7 +160,11 @@
     ),
     Trouble("three in ten messages lost", 2.0, lambda rig, h: links(rig, loss=0.3)),
     Trouble("the ledger answers late", 1.5, lambda rig, h: rig.ledger.send_signal(signal.SIGSTOP)),
-    Trouble("two members stopped", 2.0, lambda rig, h: [rig.freeze(name) for name in (h, others(rig, h)[0])]),
+    Trouble(
+        "two members stopped",
+        2.0,
+        lambda rig, h: [rig.freeze(name) for name in (h, others(rig, h)[0])],
+    ),
 )
 
 
@@ -175,4 +187,10 @@
     rig.all_whole()
     whole = time.monotonic()
     took = rig.wait_for(lambda: rig.acted_since(whole), patience, f"an act after: {which.name}")
-    return {"name": which.name, "holder": holder, "begun": begun, "whole": whole, "next_act_s": took}
+    return {
+        "name": which.name,
+        "holder": holder,
+        "begun": begun,
+        "whole": whole,
+        "next_act_s": took,
+    }
--- a/stepstream/lab/lease_search.py
+++ b/stepstream/lab/lease_search.py
@@ -66,7 +66,10 @@
 
     def voter_key(self, name: str) -> object:
         counted = tuple(
-            (name in claim.promised, tuple(n for n, one in claim.rounds.items() if name in one.accepted))
+            (
+                name in claim.promised,
+                tuple(n for n, one in claim.rounds.items() if name in one.accepted),
+            )
             for claim in self.claims
         )
         return state_of(self.voters[name]), counted
@@ -76,7 +79,9 @@
     record = voter.records.get(LEASE)
     if record is None:
         return voter.silent_until
-    promised = (record.promised.number, record.promised.proposer) if record.promised is not None else None
+    promised = (
+        (record.promised.number, record.promised.proposer) if record.promised is not None else None
+    )
     grant = record.grant
     kept = (grant.ballot.number, grant.ballot.proposer, grant.until) if grant is not None else None
     return voter.silent_until, promised, record.closed, kept
@@ -85,7 +90,15 @@
 def claim_key(claim: Claim) -> object:
     rounds = tuple((n, one.sent_at, len(one.accepted)) for n, one in sorted(claim.rounds.items()))
     ballot = claim.ballot.number if claim.ballot is not None else 0
-    return ballot, len(claim.promised), rounds, claim.token, claim.ends_at, claim.over, claim.phase.value
+    return (
+        ballot,
+        len(claim.promised),
+        rounds,
+        claim.token,
+        claim.ends_at,
+        claim.over,
+        claim.phase.value,
+    )
 
 
 def own_voter(voter: Voter) -> Voter:
@@ -135,7 +148,9 @@
                 self.seen.add(key)
                 if len(self.seen) >= self.most:
                     return False
-                holders = sum(claim.held(self.local(then, k)) for k, claim in enumerate(then.claims))
+                holders = sum(
+                    claim.held(self.local(then, k)) for k, claim in enumerate(then.claims)
+                )
                 self.held += holders > 0
                 if holders > 1:
                     raise TwoHoldersError(" / ".join(unrolled((path, name))))
@@ -145,7 +160,8 @@
     def first(self) -> Situation:
         rules = Rules(VOTERS, drift=self.bounds.drift, longest=TTL, timeout=TTL / 4, turn=0.0)
         claims = tuple(
-            Claim(rules, LEASE, name, TTL, TTL / 4, Numbers(0), random.Random(1), 0.0) for name in PROPOSERS
+            Claim(rules, LEASE, name, TTL, TTL / 4, Numbers(0), random.Random(1), 0.0)
+            for name in PROPOSERS
         )
         voters = {name: Voter(rules, -1e6) for name in VOTERS}
         return Situation(0.0, voters, dict.fromkeys(VOTERS, frozenset()), claims)
@@ -192,7 +208,11 @@
                 then.asked = tuple(n + (j == k) for j, n in enumerate(situation.asked))
                 self.say(then, k, mine.prepare(self.local(then, k)))
                 yield f"{who} prepares {mine.ballot.number}", then
-        if claim.rounds and claim.rules.majority(claim.promised) and situation.renewals < bounds.renewals:
+        if (
+            claim.rounds
+            and claim.rules.majority(claim.promised)
+            and situation.renewals < bounds.renewals
+        ):
             then, mine = self.touched(situation, k)
             then.renewals += 1
             self.say(then, k, mine.propose(self.local(then, k)))
@@ -259,7 +279,9 @@
 
 
 def msg_without_wait(body: m.Message) -> m.Message:
-    return m.Prepare(body.lease, body.ballot, body.ttl_ms, 0) if isinstance(body, m.Prepare) else body
+    return (
+        m.Prepare(body.lease, body.ballot, body.ttl_ms, 0) if isinstance(body, m.Prepare) else body
+    )
 
 
 def unrolled(path: tuple) -> list[str]:
--- a/stepstream/lab/lease_world.py
+++ b/stepstream/lab/lease_world.py
@@ -39,7 +39,9 @@
     stalled_until: float = 0.0
     due: int = 0
     held: list[tuple[str, bytes]] = field(default_factory=list)
-    steps: list[Callable[[], None]] = field(default_factory=list)  # its tasks' that wait out a stall
+    steps: list[Callable[[], None]] = field(
+        default_factory=list
+    )  # its tasks' that wait out a stall
 
     def local(self, now: float) -> float:
         return (now - self.origin) * self.rate
@@ -67,7 +69,9 @@
     def begin(self, now: float, token: int, proposer: str) -> Act:
         self.guard.admit(token)
         if self.acts and token < self.acts[-1].token:
-            raise TwoHoldersError(f"{now:.3f} s: an act with token {token} after {self.acts[-1].token}")
+            raise TwoHoldersError(
+                f"{now:.3f} s: an act with token {token} after {self.acts[-1].token}"
+            )
         act = Act(token, proposer, now)
         self.acts.append(act)
         return act
@@ -78,7 +82,9 @@
         for other in self.acts:
             if other.taken and other.proposer != act.proposer and other.ended > act.begun + HAIR:
                 if other.begun < act.ended - HAIR:
-                    raise TwoHoldersError(f"{now:.3f} s: acts of {other.proposer} and {act.proposer} overlap")
+                    raise TwoHoldersError(
+                        f"{now:.3f} s: acts of {other.proposer} and {act.proposer} overlap"
+                    )
 
 
 @dataclass(frozen=True)
@@ -105,7 +111,9 @@
 class LeaseWorld(Timeline):
     """`names`: all members; the voters are the rules'. Drift is drawn within the rules' bound."""
 
-    def __init__(self, seed: int, names: list[str], rules: Rules, links: Links | None = None) -> None:
+    def __init__(
+        self, seed: int, names: list[str], rules: Rules, links: Links | None = None
+    ) -> None:
         super().__init__()
         self.draw = random.Random(seed)
         self.rules, self.links = rules, links or Links()
@@ -137,7 +145,9 @@
         process.core = Core(name, f"{name}@{process.starts}", self.rules, base, draw, 0.0)
         self.schedule(process)
         for task in self.tasks[name]:
-            self.step(process, self.draw.uniform(0.0, 0.5), lambda task=task: self.work(process, task))
+            self.step(
+                process, self.draw.uniform(0.0, 0.5), lambda task=task: self.work(process, task)
+            )
 
     def start_all(self) -> None:
         for name in self.processes:
@@ -190,7 +200,9 @@
         process.due += 1
         number = process.due
         at = min(max(process.real(process.core.next_at()), self.now, process.stalled_until), 1e12)
-        heapq.heappush(self.queue, (at + 1e-6, next(self.serial), lambda: self.tick_if(process, number)))
+        heapq.heappush(
+            self.queue, (at + 1e-6, next(self.serial), lambda: self.tick_if(process, number))
+        )
 
     def tick_if(self, process: Process, number: int) -> None:
         if process.core is not None and process.due == number and self.now >= process.stalled_until:
@@ -264,7 +276,9 @@
             pause = self.draw.uniform(0.02, 0.1)
             self.step(process, pause, lambda: self.turn(process, claim, task, since))
 
-    def begin(self, process: Process, claim: Claim, task: Task, since: float, length: float) -> None:
+    def begin(
+        self, process: Process, claim: Claim, task: Task, since: float, length: float
+    ) -> None:
         resource = self.resources.setdefault(claim.lease, Resource())
         try:
             act = resource.begin(self.now, claim.token, claim.proposer)
@@ -285,7 +299,9 @@
         """The resource has seen a higher token: this grant is of no use."""
         self.fenced += 1
         if error.highest == error.token:
-            raise TwoHoldersError(f"{self.now:.3f} s: {claim.proposer} was refused by its own token")
+            raise TwoHoldersError(
+                f"{self.now:.3f} s: {claim.proposer} was refused by its own token"
+            )
         process.core.lift(error.highest)
         self.let_go(process, claim, task)
 
@@ -306,7 +322,9 @@
         whole = self.now
         wanted = {task.lease for tasks in self.tasks.values() for task in tasks}
         if not self.run(within, lambda: all(self.holders(lease) for lease in wanted)):
-            raise TwoHoldersError(f"not all of {sorted(wanted)} are held {within} s after the last fault")
+            raise TwoHoldersError(
+                f"not all of {sorted(wanted)} are held {within} s after the last fault"
+            )
         return self.now - whole
 
     # -- what must hold -------------------------------------------------------------------------------------
@@ -326,7 +344,10 @@
 
     def check(self) -> None:
         for lease in {
-            x.lease for p in self.processes.values() if p.core is not None for x in p.core.claims.values()
+            x.lease
+            for p in self.processes.values()
+            if p.core is not None
+            for x in p.core.claims.values()
         }:
             found = self.holders(lease)
             if len(found) > 1:
--- a/stepstream/lab/ledger.py
+++ b/stepstream/lab/ledger.py
@@ -22,7 +22,11 @@
 
 class Ledger:
     def __init__(self, path: Path) -> None:
-        self.guard, self.lock, self.file = Guard(), threading.Lock(), path.open("a", encoding="utf-8")
+        self.guard, self.lock, self.file = (
+            Guard(),
+            threading.Lock(),
+            path.open("a", encoding="utf-8"),
+        )
         self.acts: list[tuple[int, str]] = []
 
     def do(self, asked: dict) -> dict:
@@ -40,7 +44,13 @@
                 told = {"act": act} if what == "begin" else {"taken": True}
             except FencedError as error:
                 what, told = f"refused {what}", {"fenced": error.highest}
-            row = {"at": time.monotonic(), "what": what, "token": token, "holder": holder, "act": act}
+            row = {
+                "at": time.monotonic(),
+                "what": what,
+                "token": token,
+                "holder": holder,
+                "act": act,
+            }
             self.file.write(json.dumps(row) + "\n")
             self.file.flush()
             return told
--- a/stepstream/lab/links.py
+++ b/stepstream/lab/links.py
@@ -46,7 +46,9 @@
         """The delay of each copy of a datagram that arrives."""
         for _ in range(1 + (draw.random() < self.doubled)):
             if draw.random() >= self.loss:
-                yield draw.uniform(*self.delay) + (self.late_s if draw.random() < self.late else 0.0)
+                yield draw.uniform(*self.delay) + (
+                    self.late_s if draw.random() < self.late else 0.0
+                )
 
 
 @dataclass(frozen=True, slots=True)
--- a/stepstream/lab/nodes.py
+++ b/stepstream/lab/nodes.py
@@ -168,7 +168,9 @@
         self.server = await asyncio.start_server(self.serve, self.host, self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, door: int = 0) -> None:
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, door: int = 0
+    ) -> None:
         parser = Parser(LIMITS)
         self.peers.add(writer)
         try:
@@ -246,7 +248,9 @@
 
     def load_header(self) -> dict[str, str]:
         """Where the settings say that answers hold reports."""
-        return {"Server-Load": self.load_text()} if self.referee.day.site.reports == "answers" else {}
+        return (
+            {"Server-Load": self.load_text()} if self.referee.day.site.reports == "answers" else {}
+        )
 
     async def bring_news(self) -> None:
         """Each piece until it is answered, ten times at the most; on one connection, in order."""
@@ -350,7 +354,12 @@
 
     def grab(self) -> None:
         """As long as it has a free slot; a draining one goes on asking, to see that it gets nothing."""
-        if self.asking or self.asleep or self.model.waiting or self.model.busy >= self.model.spec.slots:
+        if (
+            self.asking
+            or self.asleep
+            or self.model.waiting
+            or self.model.busy >= self.model.spec.slots
+        ):
             return
         self.asking = True
         self.send(Kind.GRAB_JOB_UNIQ)
--- a/stepstream/lab/pricing.py
+++ b/stepstream/lab/pricing.py
@@ -162,7 +162,9 @@
         while self.sent[0][0] <= now_us - self.spec.fall_span_us:
             self.sent.popleft()
         # Chance is allowed for: one longer job alone does not push a node over.
-        bound = self.spec.fall_multiple * self.spec.cores * self.pace(now_us) * self.spec.fall_span_us
+        bound = (
+            self.spec.fall_multiple * self.spec.cores * self.pace(now_us) * self.spec.fall_span_us
+        )
         return sum(work for _, work in self.sent) > bound and len(self.sent) > 2 * self.spec.cores
 
     def fits(self, task: Task) -> bool:
@@ -170,7 +172,10 @@
 
     def start_waiting(self, now_us: int) -> None:
         """In order: the first waits until it fits."""
-        while self.waiting and self.busy + min(self.waiting[0].slots, self.spec.slots) <= self.spec.slots:
+        while (
+            self.waiting
+            and self.busy + min(self.waiting[0].slots, self.spec.slots) <= self.spec.slots
+        ):
             task = self.waiting.popleft()
             task.started_us = task.told_us = now_us
             self.running[task.id] = task
--- a/stepstream/lab/referee.py
+++ b/stepstream/lab/referee.py
@@ -99,7 +99,10 @@
         name = f"{part.name} {key[0]} try {key[1]} at {node}"
         grace_us = self.day.site.drain_grace_ms * 1000 + SLACK_US
         if node in self.told and now_us > self.told[node] + grace_us:
-            self.breach(now_us, f"new work after the drain: {name}, {(now_us - self.told[node]) / 1e6:.3f} s")
+            self.breach(
+                now_us,
+                f"new work after the drain: {name}, {(now_us - self.told[node]) / 1e6:.3f} s",
+            )
         if any(a.node == node and a.open and not a.never_ran for a in tried.attempts):
             self.breach(now_us, f"a second open call to one node: {name}")
         ran = [a for a in tried.attempts if not a.never_ran]
@@ -126,7 +129,9 @@
     def asked(self, ask: Ask) -> None:
         self.records[ask.number] = Record(ask)
 
-    def answered(self, now_us: int, key: tuple[int, int], final: Final, result: str | None = None) -> None:
+    def answered(
+        self, now_us: int, key: tuple[int, int], final: Final, result: str | None = None
+    ) -> None:
         """A try's final answer: rule 1."""
         tried = self.tries.setdefault(key, Try())
         tried.finals.append(final)
@@ -141,7 +146,9 @@
             self.breach(now_us, f"served with what no node made: {part.name} {key[0]} try {key[1]}")
         may_have_run = any(not a.never_ran for a in tried.attempts)
         if final is Final.REFUSED and part.effect != "pure" and may_have_run:
-            self.breach(now_us, f"refused though it may have run: {part.name} {key[0]} try {key[1]}")
+            self.breach(
+                now_us, f"refused though it may have run: {part.name} {key[0]} try {key[1]}"
+            )
 
     # -- the score ----------------------------------------------------------------------------------------
 
@@ -164,9 +171,15 @@
     def figures(self) -> Figures:
         site, every = self.day.site, list(self.records.values())
         starts = range(0, max(self.day.seconds * 1_000_000 - WINDOW_US, 0) + 1, 1_000_000)
-        windows = [self.share([r for r in every if s <= r.ask.at_us < s + WINDOW_US]) for s in starts]
-        classes = {p.name: [r for r in every if r.ask.job_class == k] for k, p in enumerate(site.job)}
-        tenants = {t.name: [r for r in every if r.ask.tenant == k] for k, t in enumerate(site.tenant)}
+        windows = [
+            self.share([r for r in every if s <= r.ask.at_us < s + WINDOW_US]) for s in starts
+        ]
+        classes = {
+            p.name: [r for r in every if r.ask.job_class == k] for k, p in enumerate(site.job)
+        }
+        tenants = {
+            t.name: [r for r in every if r.ask.tenant == k] for k, t in enumerate(site.tenant)
+        }
         whole, worst = self.share(every), min(windows)
         by_class = {name: self.class_row(records) for name, records in classes.items()}
         by_tenant = {name: self.share(records) for name, records in tenants.items()}
--- a/stepstream/lab/rig.py
+++ b/stepstream/lab/rig.py
@@ -75,7 +75,10 @@
         self.referee = Referee(self.day)
         self.catalogue = Catalogue(self.clock, self.referee)
         self.host = own_host()
-        self.http, self.gearman = (self.host, free_port(self.host)), (self.host, free_port(self.host))
+        self.http, self.gearman = (
+            (self.host, free_port(self.host)),
+            (self.host, free_port(self.host)),
+        )
         self.folder = tempfile.TemporaryDirectory(prefix="stepstream-lab-")
         self.faults: list[asyncio.Task] = []
 
@@ -127,7 +130,9 @@
         (folder / "config.json").write_text(ujson.dumps(config))
         arguments = [sys.executable, "-m", "stepstream", "serve"]
         if self.with_gearman:
-            text = OPERATOR.format(host=self.host, port=self.gearman[1], tenant=self.day.site.tenant[0].name)
+            text = OPERATOR.format(
+                host=self.host, port=self.gearman[1], tenant=self.day.site.tenant[0].name
+            )
             (folder / "operator.toml").write_text(text)
             arguments += ["--operator", str(folder / "operator.toml")]
         self.log = open(folder / "log.txt", "w+", encoding="utf-8")
@@ -179,7 +184,10 @@
         before = self.cost()
         self.faults = [asyncio.ensure_future(self.fault(fault)) for fault in self.day.faults]
         watcher = asyncio.ensure_future(self.watch(clients, watch)) if watch else None
-        run, ended = asyncio.ensure_future(clients.run()), asyncio.ensure_future(self.process.wait())
+        run, ended = (
+            asyncio.ensure_future(clients.run()),
+            asyncio.ensure_future(self.process.wait()),
+        )
         try:
             await asyncio.wait((run, ended), return_when=asyncio.FIRST_COMPLETED)
         finally:
--- a/stepstream/lab/site.py
+++ b/stepstream/lab/site.py
@@ -90,7 +90,9 @@
     job: tuple[ClassPart, ...]
     tenant: tuple[TenantPart, ...]
     fault: tuple[FaultPart, ...] = ()
-    lists: Literal["asked", "pushed"] = "asked"  # of discovery, or of an agent beside the dispatcher
+    lists: Literal["asked", "pushed"] = (
+        "asked"  # of discovery, or of an agent beside the dispatcher
+    )
     reports: Literal["none", "probe", "answers"] = "none"  # where nodes tell their load
     report_ms: Annotated[float, msgspec.Meta(ge=0)] = 50.0  # a node looks at its load so often
     probe_work_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0  # a probe's, on a core of speed 1
@@ -109,7 +111,11 @@
         raise FieldError(f"--site={name} is none of {', '.join(OWN)}")
     where = path or f"{name}.toml"
     try:
-        text = open(path, encoding="utf-8").read() if path else (files(__package__) / where).read_text()
+        text = (
+            open(path, encoding="utf-8").read()
+            if path
+            else (files(__package__) / where).read_text()
+        )
         return msgspec.convert(tomllib.loads(text), Site)
     except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
         raise FieldError(f"site file {where}: {error}") from None
@@ -159,7 +165,9 @@
     if mix not in ("http", "gearman", "mixed"):
         raise FieldError(f"--mix={mix} is none of http, gearman, mixed")
     children = np.random.SeedSequence(seed).spawn(len(STREAMS))
-    streams = {name: np.random.default_rng(child) for name, child in zip(STREAMS, children, strict=True)}
+    streams = {
+        name: np.random.default_rng(child) for name, child in zip(STREAMS, children, strict=True)
+    }
     specs = tuple(draw_node(site, k, streams["fleet"]) for k in range(site.nodes))
     speeches = tuple(
         Speech.HTTP if mix == "http" or (mix == "mixed" and k % 2) else Speech.GEARMAN
@@ -190,7 +198,11 @@
 
 
 def draw_asks(
-    site: Site, specs: tuple[NodeSpec, ...], seconds: int, mix: str, streams: dict[str, np.random.Generator]
+    site: Site,
+    specs: tuple[NodeSpec, ...],
+    seconds: int,
+    mix: str,
+    streams: dict[str, np.random.Generator],
 ) -> tuple[Ask, ...]:
     """Poisson arrivals; each purpose has its stream, drawn for all jobs at once."""
     shares = np.array([part.share for part in site.job])
@@ -206,7 +218,9 @@
     spread = np.sqrt(np.log1p(np.array([part.cv for part in site.job]) ** 2))
     normal = streams["work"].standard_normal(count)
     tenant_shares = np.array([part.share for part in site.tenant])
-    tenants = streams["tenants"].choice(len(site.tenant), size=count, p=tenant_shares / tenant_shares.sum())
+    tenants = streams["tenants"].choice(
+        len(site.tenant), size=count, p=tenant_shares / tenant_shares.sum()
+    )
     speech, patience = streams["protocol"].random(count), streams["retries"].random(count)
     asks = []
     for n in range(count):
--- a/stepstream/leases/claim.py
+++ b/stepstream/leases/claim.py
@@ -88,7 +88,9 @@
         self.failures = 0
         self.tries = 0  # of one ballot's preparation
         self.holder = ""  # who may hold it, as a voter said last
-        self.answered: dict[str, float] = {}  # voters, when each last said anything but that it is silent
+        self.answered: dict[
+            str, float
+        ] = {}  # voters, when each last said anything but that it is silent
 
     # -- what it is asked ---------------------------------------------------------------------------------
 
@@ -131,7 +133,9 @@
             return []
         if self.token and now >= self.ends_at:
             self.lost = True
-            return [self.farewell()]  # it will not act again: whoever waits need not wait for the margin
+            return [
+                self.farewell()
+            ]  # it will not act again: whoever waits need not wait for the margin
         if self.token and self.fading:
             self.at = inf
         if now < self.at:
@@ -227,12 +231,17 @@
             self.ends_at, self.failures = ends_at, 0
             # Renewals of many leases go together, in few letters.
             grid = self.ttl / SLOTS
-            self.phase, self.at = Phase.REST, max((made.sent_at + self.ttl * RENEW) // grid * grid, now)
+            self.phase, self.at = (
+                Phase.REST,
+                max((made.sent_at + self.ttl * RENEW) // grid * grid, now),
+            )
 
     def no(self, now: float, member: str, wait: float) -> list[m.Message]:
         """A voter has not promised, or not accepted; the ballot is given up once no majority is left."""
         self.negative[member] = wait
-        if self.phase is Phase.REST or self.rules.majority(self.rules.everyone - self.negative.keys()):
+        if self.phase is Phase.REST or self.rules.majority(
+            self.rules.everyone - self.negative.keys()
+        ):
             return []
         if self.token:
             return self.pause(now)
--- a/stepstream/leases/commands.py
+++ b/stepstream/leases/commands.py
@@ -66,7 +66,9 @@
         print(f"stepstream: {at}: {told.get('error', status)}", file=sys.stderr)
         return NOT_SO if unknown else BAD_CALL
     if arguments["release"]:
-        console.print(f"{name}: {told['ending']} told to end; the lease is given back when they have")
+        console.print(
+            f"{name}: {told['ending']} told to end; the lease is given back when they have"
+        )
     elif arguments["--json"]:
         print(ujson.dumps(told, escape_forward_slashes=False))
     else:
@@ -77,7 +79,9 @@
 def table(rows: list[dict], at: str) -> Table:
     made = Table(title=f"leases as {at} knows them", title_justify="left")
     for column in ("name", "state", "holder", "token", "left", "waiting"):
-        made.add_column(column, justify="right" if column in ("token", "left") else "left", no_wrap=True)
+        made.add_column(
+            column, justify="right" if column in ("token", "left") else "left", no_wrap=True
+        )
     for row in rows:
         left = f"{row['left_ms'] / 1000:.1f} s"
         waiting = ", ".join(row["waiting"][:4]) + (" ..." if len(row["waiting"]) > 4 else "")
--- a/stepstream/leases/core.py
+++ b/stepstream/leases/core.py
@@ -173,7 +173,9 @@
         if before is not after:
             self.seen[claim.proposer] = after
             said = before.value if before is not None else ""
-            self.changes.append(Change(now, claim.lease, claim.proposer, said, after.value, claim.token))
+            self.changes.append(
+                Change(now, claim.lease, claim.proposer, said, after.value, claim.token)
+            )
 
     # -- sending ------------------------------------------------------------------------------------------
 
--- a/stepstream/leases/driver.py
+++ b/stepstream/leases/driver.py
@@ -43,7 +43,9 @@
             lines,
             act,
         )
-        self.turned = threading.Condition()  # its lock guards the core; notified with every change of state
+        self.turned = (
+            threading.Condition()
+        )  # its lock guards the core; notified with every change of state
         self.acted = 0.0
         self.cpu_s = 0.0  # that the thread has used
         self.closed = False
@@ -125,5 +127,7 @@
             self.lines.info("leases", more=len(changes) - LINES)
         for member in sorted(foreign):
             self.lines.info(
-                "leases: other rules", member=member, why="voters, drift and longest_s must be alike"
+                "leases: other rules",
+                member=member,
+                why="voters, drift and longest_s must be alike",
             )
--- a/stepstream/leases/plug.py
+++ b/stepstream/leases/plug.py
@@ -51,7 +51,9 @@
         self.core = Core(host.config.name, messenger.process, self.rules, base, draw, clock())
         self.sessions = Sessions(section.most_sessions)
         complaints = Complaints("lease letter dropped:", host.limits)
-        self.driver = Driver(self.core, messenger, complaints, logger(section.log), self.look_at_sessions)
+        self.driver = Driver(
+            self.core, messenger, complaints, logger(section.log), self.look_at_sessions
+        )
         self.leases = Leases(self.driver, self.rules)
         self.sweeper: Sweeper | None = None
         if section.probe_sweep:
@@ -77,11 +79,15 @@
     def start(self) -> None:
         for key, names in (("voters", self.rules.voters), ("old_voters", self.rules.old_voters)):
             if names and len(names) % 2 == 0:
-                log(f"leases.{key}: {len(names)} voters bear no more failures than {len(names) - 1}")
+                log(
+                    f"leases.{key}: {len(names)} voters bear no more failures than {len(names) - 1}"
+                )
             elif len(names) == 1:
                 log(f"leases.{key}: with one voter no lease is had while it is away")
         if self.core.voter is not None:
-            log(f"{self.host.config.name} votes on leases, after {self.rules.silence:.1f} s of silence")
+            log(
+                f"{self.host.config.name} votes on leases, after {self.rules.silence:.1f} s of silence"
+            )
         spawn("leases", self.driver.run)
 
     def serving(self) -> None:
@@ -132,9 +138,7 @@
             return words
         heard = self.sweeper.hearing
         refused = heard.old + heard.fenced
-        return (
-            f"{words}, {self.sweeper.probes} probes swept, {heard.heard} reports heard and {refused} refused"
-        )
+        return f"{words}, {self.sweeper.probes} probes swept, {heard.heard} reports heard and {refused} refused"
 
     # -- sessions -----------------------------------------------------------------------------------------
 
@@ -169,7 +173,11 @@
         if not NAME.fullmatch(call.parts[0]):
             return bad_name(call.parts[0])
         found = [row for row in self.told() if row["name"] == call.parts[0]]
-        return as_json(200, found[0]) if found else as_json(404, {"error": "no such lease is known here"})
+        return (
+            as_json(200, found[0])
+            if found
+            else as_json(404, {"error": "no such lease is known here"})
+        )
 
     def told(self) -> list[dict]:
         """By lease: as this dispatcher's own voter and claims know it."""
@@ -177,7 +185,11 @@
             now, rows = clock(), {}
             if self.core.voter is not None:
                 for lease, record in self.core.voter.records.items():
-                    grant = record.grant if record.grant is not None and record.grant.until > now else None
+                    grant = (
+                        record.grant
+                        if record.grant is not None and record.grant.until > now
+                        else None
+                    )
                     rows[lease] = {
                         "name": lease,
                         "holder": grant.ballot.proposer if grant is not None else "",
@@ -189,10 +201,20 @@
             for claim in self.core.claims.values():
                 row = rows.setdefault(
                     claim.lease,
-                    {"name": claim.lease, "holder": claim.holder, "token": 0, "left_ms": 0, "waiting": []},
+                    {
+                        "name": claim.lease,
+                        "holder": claim.holder,
+                        "token": 0,
+                        "left_ms": 0,
+                        "waiting": [],
+                    },
                 )
                 if claim.held(now):
-                    row |= {"holder": claim.proposer, "token": claim.token, "state": claim.state(now).value}
+                    row |= {
+                        "holder": claim.proposer,
+                        "token": claim.token,
+                        "state": claim.state(now).value,
+                    }
                     row["left_ms"] = round(claim.left(now) * 1000)
                 else:
                     row.setdefault("state", State.WANTED.value)
@@ -238,7 +260,11 @@
                 "drift": self.rules.drift,
             }
             error = no_quorum(self.rules, claim, now) if not claim.over else ""
-        return as_json(503, {**told, "error": error}) if error and not told["token"] else as_json(200, told)
+        return (
+            as_json(503, {**told, "error": error})
+            if error and not told["token"]
+            else as_json(200, told)
+        )
 
     def on_release(self, call: AdminCall) -> AdminAnswer:
         """By its own session: at once. By an operator: whoever holds it through here is told to end."""
@@ -248,7 +274,9 @@
         if name is None:
             ended = self.end_sessions(lease)
             return (
-                as_json(200, {"ending": ended}) if ended else as_json(404, {"error": "not held through here"})
+                as_json(200, {"ending": ended})
+                if ended
+                else as_json(404, {"error": "not held through here"})
             )
         with self.driver.turned:
             session = self.sessions.open.pop(name, None)
@@ -264,7 +292,9 @@
 
 
 def bad_name(lease: str) -> AdminAnswer:
-    return as_json(400, {"error": f"{lease[:80]!r} is no lease's name: [a-z0-9._-], 1 to 64 of them"})
+    return as_json(
+        400, {"error": f"{lease[:80]!r} is no lease's name: [a-z0-9._-], 1 to 64 of them"}
+    )
 
 
 def rules_of(section: Section) -> Rules:
--- a/stepstream/leases/rules.py
+++ b/stepstream/leases/rules.py
@@ -12,7 +12,9 @@
     voters: tuple[str, ...]
     old_voters: tuple[str, ...] = ()  # while voters are changed: majorities of both are needed
     drift: float = 0.01  # by which a clock may run fast or slow, as a share
-    longest: float = 60.0  # time to live that may be asked for; a voter is silent for so long after its start
+    longest: float = (
+        60.0  # time to live that may be asked for; a voter is silent for so long after its start
+    )
     timeout: float = 0.3  # of one round to the voters and back
     turn: float = 0.3  # for which the one that has waited longest goes first when a lease is free
     most: int = 1_024  # leases that a voter keeps
--- a/stepstream/leases/runner.py
+++ b/stepstream/leases/runner.py
@@ -25,7 +25,9 @@
 
 
 class Runner:
-    def __init__(self, at: str, name: str, ttl: float, wait: float | None, command: list[str]) -> None:
+    def __init__(
+        self, at: str, name: str, ttl: float, wait: float | None, command: list[str]
+    ) -> None:
         """Seconds; FieldError names an option that does not fit."""
         if ttl < SHORTEST_S:
             raise FieldError(f"--ttl={ttl:g} is under {SHORTEST_S:g} s")
@@ -50,14 +52,18 @@
             if self.until - clock() > self.act and self.told.get("token"):
                 return self.hold()
             if self.told.get("state") in ("lost", "released"):
-                self.session = uuid.uuid4().hex  # it was had and lost between two calls: another attempt
+                self.session = (
+                    uuid.uuid4().hex
+                )  # it was had and lost between two calls: another attempt
             if (error := self.told.get("error", "")) and error != said:
                 said = error
                 print(f"stepstream: waiting for {self.name}: {error}", file=sys.stderr)
             if self.stopped or (self.wait is not None and clock() - begun >= self.wait):
                 self.give_back()
                 if not self.stopped:
-                    print(f"stepstream: {self.name} was not had in {self.wait:g} s", file=sys.stderr)
+                    print(
+                        f"stepstream: {self.name} was not had in {self.wait:g} s", file=sys.stderr
+                    )
                 return 128 + self.stopped if self.stopped else NOT_HAD
             time.sleep(min(self.ttl / 20, 0.25))
 
@@ -100,7 +106,9 @@
         lost = self.watch(process)
         self.give_back()
         if lost:
-            print(f"stepstream: {self.name} was lost: {lost}; the command was ended", file=sys.stderr)
+            print(
+                f"stepstream: {self.name} was lost: {lost}; the command was ended", file=sys.stderr
+            )
             return LOST
         return process.returncode if process.returncode >= 0 else 128 - process.returncode
 
@@ -118,7 +126,11 @@
                 self.ask()
                 next_ask = now + self.ttl / 6
                 if self.told.get("ending") or self.told.get("state") in ("lost", "released"):
-                    why = "given back by an operator" if self.told.get("ending") else "not renewed in time"
+                    why = (
+                        "given back by an operator"
+                        if self.told.get("ending")
+                        else "not renewed in time"
+                    )
             if not why and clock() >= self.until - self.act:
                 why = self.told.get("error") or "not renewed in time"
             if (why or self.stopped) and not termed:
@@ -131,7 +143,12 @@
 
     def give_back(self) -> None:
         with contextlib.suppress(ConnectionError):
-            call(self.at, f"/leases/{self.name}/release?session={self.session}", "PUT", patience_s=1.0)
+            call(
+                self.at,
+                f"/leases/{self.name}/release?session={self.session}",
+                "PUT",
+                patience_s=1.0,
+            )
 
 
 def signal_group(process: subprocess.Popen, number: int) -> None:
--- a/stepstream/leases/sweep.py
+++ b/stepstream/leases/sweep.py
@@ -106,7 +106,12 @@
         fresh = [one for one in page.seen if one.age_ms <= OLDEST_S * 1000]
         self.old += len(page.seen) - len(fresh)
         told = [
-            Seen(one.worker, one.age_ms, one.spent_us, {k: v for k, v in one.report.items() if k in names})
+            Seen(
+                one.worker,
+                one.age_ms,
+                one.spent_us,
+                {k: v for k, v in one.report.items() if k in names},
+            )
             for one in fresh
         ]
         told = [one for one in told if one.report]
--- a/stepstream/leases/sweeper.py
+++ b/stepstream/leases/sweeper.py
@@ -109,7 +109,9 @@
         with self.lock:
             fresh, self.fresh = self.fresh, []
         now = time.monotonic()
-        seen = [Seen(p.worker, int((now - at) * 1000), max(p.spent_us, 0), p.report) for at, p in fresh]
+        seen = [
+            Seen(p.worker, int((now - at) * 1000), max(p.spent_us, 0), p.report) for at, p in fresh
+        ]
         for page in sweep.pages(lease.token, seen):
             for member in self.messenger.present():
                 self.messenger.post(member, KIND, page)
--- a/stepstream/leases/voter.py
+++ b/stepstream/leases/voter.py
@@ -82,7 +82,9 @@
         grant = record.grant
         if grant is not None and grant.ballot.proposer != ballot.proposer:
             self.enlist(now, member, record, body)
-            return m.Busy(lease, ballot, grant.ballot.proposer, grant.token, to_ms(grant.until - now))
+            return m.Busy(
+                lease, ballot, grant.ballot.proposer, grant.token, to_ms(grant.until - now)
+            )
         if grant is None and (wait := self.turn_in(now, record, ballot.proposer)) > 0:
             self.enlist(now, member, record, body)
             return m.Busy(lease, ballot, "", 0, to_ms(wait))
@@ -97,7 +99,11 @@
     def on_propose(self, now: float, body: m.Propose) -> m.Message:
         record = self.records.get(body.lease)
         if record is None or record.promised != body.ballot or record.closed:
-            top = record.promised.number if record is not None and record.promised is not None else self.floor
+            top = (
+                record.promised.number
+                if record is not None and record.promised is not None
+                else self.floor
+            )
             return m.Stale(body.lease, body.ballot, top)
         until = now + self.rules.kept(body.ttl_ms / 1000)
         record.grant = Grant(body.ballot, body.token, until)
@@ -128,7 +134,9 @@
             if len(record.waiters) >= self.rules.most_waiting:
                 return
         if known is not None:
-            since = min(since, known.since)  # one that was long on its way does not go back in the row
+            since = min(
+                since, known.since
+            )  # one that was long on its way does not go back in the row
         told = known is not None and known.told
         record.waiters[proposer] = Waiter(member, body.ballot, since, now, told)
         if record.grant is None:
@@ -187,7 +195,9 @@
             return True
         for lease, record in self.records.items():
             if record.grant is None and not record.waiters:
-                self.floor = max(self.floor, record.promised.number if record.promised is not None else 0)
+                self.floor = max(
+                    self.floor, record.promised.number if record.promised is not None else 0
+                )
                 del self.records[lease]
                 return True
         return False
@@ -195,7 +205,11 @@
 
 def covers(released: Ballot, ballot: Ballot | None) -> bool:
     """Whether a release is of this grant: an earlier grant's, arriving late, must not end a later one."""
-    return ballot is not None and ballot.proposer == released.proposer and ballot.number <= released.number
+    return (
+        ballot is not None
+        and ballot.proposer == released.proposer
+        and ballot.number <= released.number
+    )
 
 
 def to_ms(seconds: float) -> int:
--- a/stepstream/maintenance.py
+++ b/stepstream/maintenance.py
@@ -20,7 +20,9 @@
 
     generation: int = 0
     banned: frozenset[str] = frozenset()
-    lifted: tuple[tuple[str, int], ...] = ()  # (worker, microseconds on the one clock base) of each return
+    lifted: tuple[
+        tuple[str, int], ...
+    ] = ()  # (worker, microseconds on the one clock base) of each return
 
 
 @dataclass
@@ -47,7 +49,9 @@
                 return False
             self.counts.out += 1
             self.state = replace(
-                self.state, generation=self.state.generation + 1, banned=self.state.banned | {worker}
+                self.state,
+                generation=self.state.generation + 1,
+                banned=self.state.banned | {worker},
             )
             return True
 
@@ -57,7 +61,9 @@
                 self.counts.again += 1
                 return False
             self.counts.back += 1
-            lifted = tuple(pair for pair in self.state.lifted if pair[0] != worker)[-(LIFTED_MOST - 1) :]
+            lifted = tuple(pair for pair in self.state.lifted if pair[0] != worker)[
+                -(LIFTED_MOST - 1) :
+            ]
             self.state = BanState(
                 self.state.generation + 1, self.state.banned - {worker}, (*lifted, (worker, now_us))
             )
@@ -97,9 +103,15 @@
     def lay(self, entry: i.WorkerEntry) -> i.WorkerEntry:
         if entry.worker in self.banned:
             return (
-                entry if entry.state is not i.WorkerState.IN else replace(entry, state=i.WorkerState.DRAINING)
+                entry
+                if entry.state is not i.WorkerState.IN
+                else replace(entry, state=i.WorkerState.DRAINING)
             )
         back_us = self.lifted.get(entry.worker)
-        if back_us is not None and back_us > entry.started_us and entry.state is not i.WorkerState.OUT:
+        if (
+            back_us is not None
+            and back_us > entry.started_us
+            and entry.state is not i.WorkerState.OUT
+        ):
             return replace(entry, started_us=back_us)
         return entry
--- a/stepstream/members.py
+++ b/stepstream/members.py
@@ -43,7 +43,9 @@
         entries += self.heirs()
         if full:
             named = {entry.worker for entry in entries}
-            entries += [e for held in self.owned.values() for e in held.values() if e.worker not in named]
+            entries += [
+                e for held in self.owned.values() for e in held.values() if e.worker not in named
+            ]
         if self.overlay is not None:
             entries = [self.overlay.lay(entry) for entry in entries]
         return i.WorkerList(told.kind, tuple(entries))
@@ -71,7 +73,9 @@
         held = self.owned.get(source, {})
         for worker in [worker for worker in held if worker not in named]:
             del held[worker], self.source_of[worker]
-        for claim in [claim for claim in self.claims if claim[0] == source and claim[1] not in named]:
+        for claim in [
+            claim for claim in self.claims if claim[0] == source and claim[1] not in named
+        ]:
             del self.claims[claim]
 
     def take(self, source: str, entry: i.WorkerEntry) -> bool:
--- a/stepstream/net/discovery.py
+++ b/stepstream/net/discovery.py
@@ -37,7 +37,9 @@
         self.ready: set[str] = set()
         self.hosts: frozenset[str] = frozenset()
         self.banned: frozenset[str] = frozenset()  # out for maintenance, whatever the list says
-        self.entries: dict[str, i.WorkerEntry] = {}  # the list as it stands, for a hot restart's successor
+        self.entries: dict[
+            str, i.WorkerEntry
+        ] = {}  # the list as it stands, for a hot restart's successor
         self.version: int | None = None
         self.changes = 0  # lists applied so far
 
@@ -220,7 +222,9 @@
     def call(self, version: int | None) -> Targets:
         """The answer to a watch, or to a call beside one that stays silent; OSError or ProtocolError."""
         if version is None:
-            return self.exchange(self.connect(), self.side.fetch_bytes(self.host), self.schedule.limit)
+            return self.exchange(
+                self.connect(), self.side.fetch_bytes(self.host), self.schedule.limit
+            )
         sock, wait = self.connect(), self.schedule.wait
         data = self.side.watch_bytes(self.host, version, wait)
         try:
--- a/stepstream/net/doubt.py
+++ b/stepstream/net/doubt.py
@@ -14,7 +14,9 @@
 NOTICE = 2.0  # a list tells of a crash that late or later; a refusal older than this is not news on its way
 SPREAD = 0.05  # for each dispatcher: all see a crash at once, and discovery answers one call after another
 LONGEST_SPREAD = 10.0
-AGAIN = 15.0  # between two doubts: a list that has been asked for anew and still says ready is believed
+AGAIN = (
+    15.0  # between two doubts: a list that has been asked for anew and still says ready is believed
+)
 MOST = 256  # workers remembered
 
 
@@ -44,7 +46,9 @@
 
     def told(self, workers: set[str] | None) -> None:
         """Discovery's word on these, or on all (None)."""
-        for worker in list(self.refused_at) if workers is None else workers & self.refused_at.keys():
+        for worker in (
+            list(self.refused_at) if workers is None else workers & self.refused_at.keys()
+        ):
             del self.refused_at[worker]
         self.settle()
 
--- a/stepstream/net/http1.py
+++ b/stepstream/net/http1.py
@@ -97,7 +97,11 @@
     def whole(self) -> bool:
         """Whether the next message is wholly here; nothing is taken."""
         twin = copy(self)
-        twin.buffer, twin.parts, twin.message = bytearray(self.buffer), list(self.parts), copy(self.message)
+        twin.buffer, twin.parts, twin.message = (
+            bytearray(self.buffer),
+            list(self.parts),
+            copy(self.message),
+        )
         try:
             return twin.next() is not None
         except ProtocolError:
@@ -139,7 +143,9 @@
             # Guards against smuggling: to an HTTP/1.0 party on the way the coding means nothing.
             raise ProtocolError(400, "HTTP/1.0 has no transfer codings")
         connection = [part.strip().lower() for part in headers.get("connection", "").split(",")]
-        self.message.keep_alive = "close" not in connection and (version > 0 or "keep-alive" in connection)
+        self.message.keep_alive = "close" not in connection and (
+            version > 0 or "keep-alive" in connection
+        )
         self.frame(headers)
         return True
 
--- a/stepstream/net/inbound.py
+++ b/stepstream/net/inbound.py
@@ -172,7 +172,11 @@
             return None
         close = self.closing()
         data = platform.final_answer(answer.outcome, answer.result, answer.pause_us, close)
-        self.request, self.phase, self.answered = None, Phase.CLOSED if close else Phase.READING, True
+        self.request, self.phase, self.answered = (
+            None,
+            Phase.CLOSED if close else Phase.READING,
+            True,
+        )
         self.end_visa(self.visa)
         return Reply(data, close)
 
@@ -346,7 +350,9 @@
             self.active = self.begun = time.monotonic()
         self.write(reply)
         with self.lock:
-            steps = self.session.steps(self.house.clock.now_us()) if self.session.parser.buffer else []
+            steps = (
+                self.session.steps(self.house.clock.now_us()) if self.session.parser.buffer else []
+            )
         self.take(steps)
 
     def write(self, reply: Reply) -> None:
@@ -386,7 +392,9 @@
     def finish(self, reply: Reply) -> None:
         """Half a close: a full one could reset the connection and take the answer with it."""
         if reply.close:
-            self.begun = time.monotonic()  # what it lingers from; the last byte says whether it may make room
+            self.begun = (
+                time.monotonic()
+            )  # what it lingers from; the last byte says whether it may make room
             self.link.half_close()
 
     def progress(self, done: int, of: int) -> None:
@@ -482,7 +490,9 @@
         self.inbound: set[Connection] = set()
         self.guests = 0  # of these, not from a worker's host
         self.leaving = 0  # connections that have made room but are not closed yet
-        self.lingering: deque[tuple[float, socket.socket]] = deque()  # shut by us, and when to close them
+        self.lingering: deque[tuple[float, socket.socket]] = (
+            deque()
+        )  # shut by us, and when to close them
         self.turned_away = 0
         self.entrances: list[Entrance] = []
 
@@ -501,7 +511,9 @@
     def open(self, entrance: Entrance) -> None:
         entrance.listener.listen(self.limits.backlog)
 
-    def listen_also(self, address: tuple[str, int], link: Callable[[socket.socket], Link]) -> Entrance:
+    def listen_also(
+        self, address: tuple[str, int], link: Callable[[socket.socket], Link]
+    ) -> Entrance:
         """HTTP over another kind of link; what is full there says so by its end."""
         return self.let_in(address, lambda sock, guest: Inbound(link(sock), self, guest), bytes)
 
@@ -620,7 +632,9 @@
         """
         with self.lock:
             self.lingering.append((time.monotonic() + seconds, sock))
-            oldest = self.lingering.popleft()[1] if len(self.lingering) > self.limits.lingering else None
+            oldest = (
+                self.lingering.popleft()[1] if len(self.lingering) > self.limits.lingering else None
+            )
         if oldest is not None:
             self.read_out(oldest)
             oldest.close()
--- a/stepstream/net/limits.py
+++ b/stepstream/net/limits.py
@@ -25,8 +25,12 @@
     abilities: int = 256  # functions of one worker
     peer_errors: int = 16  # of one Gearman connection, before it is ended
     open_jobs: int = 4000  # Gearman's; each costs a few KiB beside its workload
-    list_changes: int = 300  # what a Gearman peer may say of itself or ask in text before it is slowed
-    pressing: int = 64  # events that wait for the core; with more, Gearman clients are read no further
+    list_changes: int = (
+        300  # what a Gearman peer may say of itself or ask in text before it is slowed
+    )
+    pressing: int = (
+        64  # events that wait for the core; with more, Gearman clients are read no further
+    )
     inbound: int = 500  # connections of clients and workers, one thread each
     outbound: int = 350  # connections to workers, idle ones included
     for_news: int = 48  # of the inbound ones; kept for workers' hosts
@@ -47,7 +51,9 @@
     batch: int = 256  # events that the core takes at a time
     # times, in microseconds
     tick_us: int = 2_000  # of the timer wheel
-    early_us: int = 4_000  # calls are timed out so long before the deadline: an answer takes time to write
+    early_us: int = (
+        4_000  # calls are timed out so long before the deadline: an answer takes time to write
+    )
     # times, in seconds
     nap: float = 0.5  # the decision thread's longest wait
     accept_pause: float = 0.01  # after a failed accept
@@ -61,25 +67,39 @@
     slow_peer: float = 2.0  # a later message, from its first byte to its last
     linger: float = 2.0  # a connection whose last answer is out waits so long for its peer to close
     inbound_idle: float = 120.0  # of a connection that has brought jobs or news
-    stranger: float = 1.0  # a new connection without a whole message so far is the next to make room by then
+    stranger: float = (
+        1.0  # a new connection without a whole message so far is the next to make room by then
+    )
     turned_linger: float = 1.0
-    parting: float = 0.3  # after we have shut a connection: for the peer's bytes on their way, and its end
-    spare_idle: float = 0.05  # an inbound connection that has been quiet for so long may have to make room
-    outbound_idle: float = 5.0  # well before the worker closes: a request must not cross its closing
+    parting: float = (
+        0.3  # after we have shut a connection: for the peer's bytes on their way, and its end
+    )
+    spare_idle: float = (
+        0.05  # an inbound connection that has been quiet for so long may have to make room
+    )
+    outbound_idle: float = (
+        5.0  # well before the worker closes: a request must not cross its closing
+    )
     outbound_rest: float = 0.05  # so long after its last answer a connection takes no further call
     queued: float = 0.3  # a call not begun by then ends as not sent
     call_silence: float = 30.0  # backstop of a call's read; the core ends calls long before
-    answer_rest: float = 1.0  # from an answer's first byte to its last; each read bounds the next by it
+    answer_rest: float = (
+        1.0  # from an answer's first byte to its last; each read bounds the next by it
+    )
     delete_answer: float = 1.0
     probe: float = 1.0
     first_list: float = 6.0  # a start without a list waits so long for one before it takes clients
     agent_first: float = 0.6  # a start beside an agent of pushed lists waits so long for its word
     sweep: float = 0.5
-    signal_wait: float = 0.05  # the main thread's longest wait: a signal is heard by then at the latest
+    signal_wait: float = (
+        0.05  # the main thread's longest wait: a signal is heard by then at the latest
+    )
     status: float = 60.0  # between two status lines in the log
     stop_quiet: float = 0.3  # after SIGTERM: nothing owed for so long means the front has noticed
     stop_least: float = 0.8  # and never sooner than this
-    kill_wait: float = 3.0  # a stopped dispatcher is killed after the longest deadline, taken as this at most
+    kill_wait: float = (
+        3.0  # a stopped dispatcher is killed after the longest deadline, taken as this at most
+    )
     kill_more: float = 0.7  # and so much
     answer_before: float = 0.3  # all is answered so long before that
     close_before: float = 1.5  # and clients' connections close so long before
@@ -91,7 +111,9 @@
     stop_longest: float = 60.0
     stop_look: float = 0.02
     admin_turn: float = 0.05  # the admin listener looks at its timers at least so often
-    admin_patience: float = 5.0  # an operator's call not whole by then is given up; callers may hold 4 s
+    admin_patience: float = (
+        5.0  # an operator's call not whole by then is given up; callers may hold 4 s
+    )
     log_period: float = 10.0
     relay_wait: float = 0.5  # for the process beside this one to take news passed on
     drain_close: float = (
@@ -103,7 +125,9 @@
     """The descriptors are split between the two sides; both keep within what memory allows."""
     spare = min(64, config.sockets // 4)
     usable = config.sockets - spare
-    by_memory = max(config.memory_mb - 20, 4) * 1024 // 128  # about 128 KiB a connection and its thread
+    by_memory = (
+        max(config.memory_mb - 20, 4) * 1024 // 128
+    )  # about 128 KiB a connection and its thread
     inbound = max(min(usable * 2 // 3, by_memory), 4)
     outbound = max(min(usable - inbound, by_memory), 4)
     for_news = min(48, inbound // 4)
--- a/stepstream/net/outbound.py
+++ b/stepstream/net/outbound.py
@@ -164,7 +164,9 @@
         """Retires connections idle for long, the oldest of which stand first."""
         oldest = time.monotonic() - self.limits.outbound_idle
         with self.lock:
-            retired = [line for lines in self.idle.values() for line in lines if line.idle_since < oldest]
+            retired = [
+                line for lines in self.idle.values() for line in lines if line.idle_since < oldest
+            ]
             for worker, lines in list(self.idle.items()):
                 self.idle[worker] = [line for line in lines if line.idle_since >= oldest]
                 if not self.idle[worker]:
@@ -254,7 +256,9 @@
         with flight.lock:
             # The last look before the first byte. Guards against sending to a worker that began to drain, for
             # a client that left, or past a window, while this call waited for its turn or its connection.
-            unwanted = flight.stopped or not call.wanted or self.late(call, connecting=self.limits.dial)
+            unwanted = (
+                flight.stopped or not call.wanted or self.late(call, connecting=self.limits.dial)
+            )
             unwanted = unwanted or self.destinations.address(call.worker) != line.address
             flight.line = None if unwanted else line
         if unwanted:
@@ -287,7 +291,9 @@
 
     def converse(self, call: Call, flight: Flight, line: Line, exchange: Exchange) -> None:
         left_ms = (call.deadline_us - self.clock.now_us()) // 1000
-        data = platform.call_bytes(host_of(line.address), call.request.id, call.request.payload, left_ms)
+        data = platform.call_bytes(
+            host_of(line.address), call.request.id, call.request.payload, left_ms
+        )
         try:
             line.sock.sendall(data)
             flight.written = True
--- a/stepstream/net/platform.py
+++ b/stepstream/net/platform.py
@@ -89,7 +89,9 @@
     return message.target.partition("?")[0]
 
 
-def read_news(message: Message, reports: Reports | None = None, relayed: bool = False) -> Told | None:
+def read_news(
+    message: Message, reports: Reports | None = None, relayed: bool = False
+) -> Told | None:
     """None for news of a kind that is not known: it is acknowledged, or its sender would repeat it.
 
     `relayed`: passed on by the process beside this one, and never to be passed on again.
@@ -98,7 +100,11 @@
         raise ProtocolError(405, "news arrives by POST")
     data = read_json(message.body)
     name, worker = data.get("id"), data.get("from")
-    if not isinstance(name, str) or not isinstance(worker, str) or not isinstance(data.get("state"), str):
+    if (
+        not isinstance(name, str)
+        or not isinstance(worker, str)
+        or not isinstance(data.get("state"), str)
+    ):
         raise ProtocolError(400, "news needs id, from and state")
     if data["state"] not in TELLS:
         return None
@@ -218,7 +224,9 @@
 
     @staticmethod
     def watch_bytes(host: str, version: int, wait_s: float) -> bytes:
-        return write_request("GET", f"{TARGETS}?index={version}&wait={int(wait_s * 1000)}", {"Host": host})
+        return write_request(
+            "GET", f"{TARGETS}?index={version}&wait={int(wait_s * 1000)}", {"Host": host}
+        )
 
     def read_answer(self, message: Message) -> Targets:
         if message.status != 200:
@@ -231,11 +239,15 @@
             rows = [self.entry(row) for row in data.get("servers", ())]
             version = int(data.get("version", 0))
         except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
-            raise ProtocolError(400, f"the list is malformed: {type(error).__name__} {error}") from None
+            raise ProtocolError(
+                400, f"the list is malformed: {type(error).__name__} {error}"
+            ) from None
         kind = i.ListKind.COMPLETE if data.get("full", True) else i.ListKind.CHANGES
         entries = tuple(entry for entry, _ in rows)
         addresses = {entry.worker: address for entry, address in rows if address}
-        return Targets(version, i.WorkerList(i.ListKind.PERSISTED if kept else kind, entries), addresses)
+        return Targets(
+            version, i.WorkerList(i.ListKind.PERSISTED if kept else kind, entries), addresses
+        )
 
     def entry(self, row: dict) -> tuple[i.WorkerEntry, tuple[str, int] | None]:
         state = STATES[row.get("state", "ready")]
--- a/stepstream/net/reports.py
+++ b/stepstream/net/reports.py
@@ -61,7 +61,9 @@
             fields = how(given)
             if not isinstance(fields, dict):
                 raise ValueError("it is not an object")
-            return {names[name]: figure(value) for name, value in fields.items() if name in names} or None
+            return {
+                names[name]: figure(value) for name, value in fields.items() if name in names
+            } or None
         except (ValueError, RecursionError) as error:
             self.complain(f"{error}")
             return None
--- a/stepstream/net/schedule.py
+++ b/stepstream/net/schedule.py
@@ -27,8 +27,14 @@
 LIMIT = 2.2  # of a call that does not wait: discovery itself fails one after 2 s in its queue
 FIRST_EACH = 0.1  # the fleet's first calls are spread by so much each
 LONGEST_FIRST = 4.0  # and over so long at most
-BACKOFF, BACKOFF_EACH = 0.25, 0.05  # after a failure, at least, and for each dispatcher; doubled each time
-LONGEST_BACKOFF_EACH, LONGEST_BACKOFF = 0.35, 3.0  # up to so much for each dispatcher, within these bounds
+BACKOFF, BACKOFF_EACH = (
+    0.25,
+    0.05,
+)  # after a failure, at least, and for each dispatcher; doubled each time
+LONGEST_BACKOFF_EACH, LONGEST_BACKOFF = (
+    0.35,
+    3.0,
+)  # up to so much for each dispatcher, within these bounds
 LEAST_LONGEST_BACKOFF = 0.5
 AGENT_WAIT, AGENT_SLACK, AGENT_LIMIT, AGENT_BACKOFF = 0.25, 0.1, 0.25, 0.05
 PAUSE = 0.1  # before a watch goes on that was answered at once with nothing new; 0.2 s would end it
@@ -75,7 +81,9 @@
         if self.pushed:
             return AGENT_BACKOFF
         least = max(BACKOFF_EACH * self.dispatchers, BACKOFF)
-        most = min(max(LONGEST_BACKOFF_EACH * self.dispatchers, LEAST_LONGEST_BACKOFF), LONGEST_BACKOFF)
+        most = min(
+            max(LONGEST_BACKOFF_EACH * self.dispatchers, LEAST_LONGEST_BACKOFF), LONGEST_BACKOFF
+        )
         return min(least * 2 ** min(self.failures - 1, 8), most) * self.draw.uniform(0.5, 1.0)
 
     def answered(self, took: float, idle: bool) -> float:
--- a/stepstream/net/sockets.py
+++ b/stepstream/net/sockets.py
@@ -8,7 +8,9 @@
 def time_limit(sock: socket.socket, option: int, seconds: float) -> None:
     """SO_RCVTIMEO or SO_SNDTIMEO: unlike settimeout() they leave the socket a blocking one."""
     whole = int(seconds)
-    sock.setsockopt(socket.SOL_SOCKET, option, struct.pack("ll", whole, int((seconds - whole) * 1e6)))
+    sock.setsockopt(
+        socket.SOL_SOCKET, option, struct.pack("ll", whole, int((seconds - whole) * 1e6))
+    )
 
 
 def dial(address: tuple[str, int], seconds: float, write: float) -> socket.socket:
--- a/stepstream/node.py
+++ b/stepstream/node.py
@@ -60,7 +60,9 @@
         self.post = self.events.put
         ticks = self.limits.tick_us, self.limits.early_us
         self.core = Dispatcher(config.settings, config.seed, self.clock.now_us(), *ticks, log)
-        self.destinations = DestinationSet(Doubt(config.settings.fleet_size, random.Random(config.seed)))
+        self.destinations = DestinationSet(
+            Doubt(config.settings.fleet_size, random.Random(config.seed))
+        )
         self.bad_reports = Complaints("load report ignored:", self.limits)
         self.bad_answers = Complaints("answer", self.limits)
         self.bad_lists = Complaints("discovery failed:", self.limits)
@@ -78,12 +80,16 @@
         self.known = config.known
         self.hot = False
         self.spared = lambda worker: False
-        self.sharing: int | None = None  # dispatchers, where a subsystem knows better than the settings
+        self.sharing: int | None = (
+            None  # dispatchers, where a subsystem knows better than the settings
+        )
         self.parts: dict[str, Subsystem] = {}
         for name, module in PLUGS.items():
             if switched_on(name, config, operator):
                 self.parts[name] = import_module(module).plug(self)
-        self.doers = {kind: do for part in self.parts.values() for kind, do in part.commands().items()}
+        self.doers = {
+            kind: do for part in self.parts.values() for kind, do in part.commands().items()
+        }
 
     def discovery_for(self, config: Config, limits: Limits) -> Discovery:
         side = DiscoverySide(config.settings)
@@ -219,7 +225,9 @@
 
     def look_at_list(self) -> None:
         if self.destinations.doubted():
-            log("discovery asked beside its watch: workers that its list calls ready refuse connections")
+            log(
+                "discovery asked beside its watch: workers that its list calls ready refuse connections"
+            )
             self.discovery.check()
 
     def look_at_parts(self) -> None:
@@ -242,7 +250,9 @@
             config = read_config()
             operator = read_again(self.operator_path, config, self.operator)
             if config.listen != self.config.listen:
-                raise FieldError(f"listen={config.listen[0]}:{config.listen[1]} changes only with a restart")
+                raise FieldError(
+                    f"listen={config.listen[0]}:{config.listen[1]} changes only with a restart"
+                )
             taken_over = [part.prepare(config, operator) for part in self.parts.values()]
         except FieldError as error:
             log(f"configuration: {error}; the old one serves on")
@@ -251,7 +261,9 @@
         self.operator = operator
         for take_over in taken_over:
             take_over()
-        log(f"reloaded: {config.name} asks discovery at {config.discovery[0]}:{config.discovery[1]}")
+        log(
+            f"reloaded: {config.name} asks discovery at {config.discovery[0]}:{config.discovery[1]}"
+        )
 
     def share_by(self, dispatchers: int) -> None:
         self.sharing = dispatchers
--- a/stepstream/operator_file.py
+++ b/stepstream/operator_file.py
@@ -34,9 +34,13 @@
     """`[gearman]`: the second front and carrier, docs/gearman.md."""
 
     listen: Address
-    tenant: str = ""  # of functions that name none; "": such functions are refused where there are tenants
+    tenant: str = (
+        ""  # of functions that name none; "": such functions are refused where there are tenants
+    )
     allow_shutdown: bool = False  # the text command `shutdown`
-    queue: Annotated[int, msgspec.Meta(ge=0, le=10_000)] = 8  # jobs that may wait for a worker's GRAB_JOB
+    queue: Annotated[int, msgspec.Meta(ge=0, le=10_000)] = (
+        8  # jobs that may wait for a worker's GRAB_JOB
+    )
     queue_wait_ms: Count = 1_000  # one that waits longer is returned, never run
     keep_s: Count = 300  # for how long an ended background job can be asked for
     keep_most: Count = 10_000  # jobs kept for that, the oldest go first
@@ -48,7 +52,9 @@
     """`[[identity.caller]]`: who may do what. "*" stands for all tenants or classes."""
 
     name: Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
-    subjects: Annotated[tuple[str, ...], msgspec.Meta(min_length=1)]  # of tokens, and names of certificates
+    subjects: Annotated[
+        tuple[str, ...], msgspec.Meta(min_length=1)
+    ]  # of tokens, and names of certificates
     tenants: tuple[str, ...]
     classes: tuple[str, ...]
     state: Literal["active", "suspended"] = "active"
@@ -78,7 +84,9 @@
     issuer: Annotated[str, msgspec.Meta(min_length=1)]
     audience: Annotated[str, msgspec.Meta(min_length=1)]
     leeway_s: Annotated[int, msgspec.Meta(ge=0, le=60)] = 5  # by which clocks may differ
-    token_bytes: Annotated[int, msgspec.Meta(ge=256, le=12_288)] = 4096  # a longer one is not looked at
+    token_bytes: Annotated[int, msgspec.Meta(ge=256, le=12_288)] = (
+        4096  # a longer one is not looked at
+    )
     longest_s: Count = 86_400  # between a token's issue and its end
     cache: Count = 10_000  # verified tokens
     workers: tuple[str, ...] = ("worker/",)  # a worker's subject is one of these and its id
@@ -94,7 +102,9 @@
     tls: Tls | None = None
 
 
-Place = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]  # IPv4:PORT, never a name
+Place = Annotated[
+    str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
+]  # IPv4:PORT, never a name
 Milliseconds = Annotated[int, msgspec.Meta(ge=10, le=600_000)]
 
 
@@ -132,13 +142,17 @@
     """`[leases]`: fleet-wide tasks with one holder at a time, docs/leases.md."""
 
     voters: Annotated[tuple[MemberName, ...], msgspec.Meta(min_length=1, max_length=15)]
-    old_voters: Annotated[tuple[MemberName, ...], msgspec.Meta(max_length=15)] = ()  # while they are changed
+    old_voters: Annotated[
+        tuple[MemberName, ...], msgspec.Meta(max_length=15)
+    ] = ()  # while they are changed
     drift: Annotated[float, msgspec.Meta(gt=0, le=0.2)] = 0.01
     longest_s: Annotated[float, msgspec.Meta(ge=1, le=3600)] = 60.0
     timeout_ms: Milliseconds = 300
     turn_ms: Milliseconds = 300
     most: Annotated[int, msgspec.Meta(ge=1, le=65_536)] = 4_096  # leases that a voter keeps
-    most_sessions: Annotated[int, msgspec.Meta(ge=1, le=65_536)] = 1_024  # `lease run` and tasks here
+    most_sessions: Annotated[int, msgspec.Meta(ge=1, le=65_536)] = (
+        1_024  # `lease run` and tasks here
+    )
     probe_sweep: bool = False  # one dispatcher's probes of workers serve all
     log: Literal["json", "console"] = "console"
 
@@ -206,7 +220,9 @@
             f"leases.longest_s={leases.longest_s:g} is under the {SWEEP_S:g} s of probe_sweep's lease"
         )
     if leases.longest_s * 1000 < 4 * leases.timeout_ms:
-        raise FieldError(f"leases.longest_s={leases.longest_s:g} is under four times leases.timeout_ms")
+        raise FieldError(
+            f"leases.longest_s={leases.longest_s:g} is under four times leases.timeout_ms"
+        )
 
 
 def check_address(key: str, text: str) -> None:
@@ -232,7 +248,9 @@
                     raise FieldError(f"{at}.{kind}={value} is {names[f'{kind} {value}']}'s too")
                 names[f"{kind} {value}"] = at
         if any(subject.startswith(identity.workers) for subject in row.subjects):
-            raise FieldError(f"{at}.subjects: names that begin with one of identity.workers are workers'")
+            raise FieldError(
+                f"{at}.subjects: names that begin with one of identity.workers are workers'"
+            )
     if identity.tls is not None:
         check_address("identity.tls.listen", identity.tls.listen)
         check_address("identity.tls.gearman_listen", identity.tls.gearman_listen or ":1")
@@ -240,7 +258,9 @@
 
 def one_of(key: str, value: str, known: tuple[str, ...]) -> None:
     if value and value not in known:
-        raise FieldError(f"{key}={value} is not in the settings ({', '.join(known) or 'which name none'})")
+        raise FieldError(
+            f"{key}={value} is not in the settings ({', '.join(known) or 'which name none'})"
+        )
 
 
 def split_address(text: str) -> tuple[str, int]:
--- a/stepstream/ports.py
+++ b/stepstream/ports.py
@@ -107,7 +107,9 @@
 class Gate(Protocol):
     """Who may come in, where an installation wants to know. Any thread; none of these waits."""
 
-    def enter(self, front: str, credential: Credential, kind: str, tenant: str | None) -> "Visa | Turned":
+    def enter(
+        self, front: str, credential: Credential, kind: str, tenant: str | None
+    ) -> "Visa | Turned":
         """A client's request of a class; `tenant` None: the one that the caller stands for."""
 
     def owner(self, front: str, credential: Credential, callers: set[str]) -> Turned | None:
@@ -231,7 +233,9 @@
 class Maintenance(Protocol):
     """Operators' words on workers, as the admin listener's part keeps them."""
 
-    on_word: "Callable[[str, bool], None] | None"  # called with each word told here: worker, whether out
+    on_word: (
+        "Callable[[str, bool], None] | None"  # called with each word told here: worker, whether out
+    )
 
     def hear(self, worker: str, out: bool, by: str, at_us: int) -> None:
         """A word told at another dispatcher; any thread, never waits."""
--- a/stepstream/settings.py
+++ b/stepstream/settings.py
@@ -105,7 +105,9 @@
         kinds = [int(x) for x in fields.row("extra.class_kind")] or [-1] * count
         stretches = [float(x) for x in fields.row("extra.class_stretch")]
     except ValueError:
-        raise FieldError("extra.class_kind or extra.class_stretch is not a list of numbers") from None
+        raise FieldError(
+            "extra.class_kind or extra.class_stretch is not a list of numbers"
+        ) from None
     stretches = stretches or [fields.number(f"services.{k}.aim_stretch", 0.0) for k in range(count)]
     if len(kinds) != count or len(stretches) != count:
         raise FieldError("extra.class_kind or extra.class_stretch does not match services.count")
@@ -138,7 +140,8 @@
     return i.Settings(
         classes=tuple(job_class(k) for k in range(count)),
         quotas_per_s=tuple(
-            fields.number(f"projects.{k}.quota_per_s", 0.0) for k in range(fields.whole("projects.count", 0))
+            fields.number(f"projects.{k}.quota_per_s", 0.0)
+            for k in range(fields.whole("projects.count", 0))
         ),
         over_share_worth=fields.number("over_share_worth", 1.0),
         fleet_size=fields.least("fleet_size", 1, 1),
@@ -161,7 +164,9 @@
         drain_grace_us=fields.least("safety.stop_sending_within_us", 0, 0),
         cold_share=fields.between("safety.cold_share", 0, 1, 1.0),
         warm_within_us=fields.least("safety.warm_within_us", 0, 0),
-        fall_multiple=fields.between("safety.fall_multiple", 0, inf, 1.0),  # of 0: nothing while it is cold
+        fall_multiple=fields.between(
+            "safety.fall_multiple", 0, inf, 1.0
+        ),  # of 0: nothing while it is cold
         fall_span_us=fields.least("safety.tip_after_us", 0, 1_000_000),
         quantum_us=fields.whole("quantum_us", 1_000),
         tenants=tuple(
--- a/stepstream/upgrade/driver.py
+++ b/stepstream/upgrade/driver.py
@@ -15,7 +15,15 @@
 from stepstream.net.platform import news_body
 from stepstream.net.sockets import dial, time_limit
 from stepstream.net.threads import Crew, log
-from stepstream.upgrade.state import DamagedError, Handover, Process, decode, encode, sibling, with_own
+from stepstream.upgrade.state import (
+    DamagedError,
+    Handover,
+    Process,
+    decode,
+    encode,
+    sibling,
+    with_own,
+)
 
 RELAYED = "Stepstream-Relayed"  # marks news passed on: it is never passed on again
 
@@ -37,7 +45,9 @@
         self.own, self.bans, self.limits = own, bans, limits
         self.others: tuple[Process, ...] = ()
         self.listed: dict | None = None  # discovery's list, to be handed over with the rest
-        self.seen: tuple[int, int, int] | None = None  # inode, time and size of what was last read or written
+        self.seen: tuple[int, int, int] | None = (
+            None  # inode, time and size of what was last read or written
+        )
         self.relays = Crew("relay", limits.relay_threads)
 
     def load(self) -> Handover | None:
