--- a/stepstream/upgrade/state.py
+++ b/stepstream/upgrade/state.py
@@ -27,7 +27,9 @@
 class Handover:
     bans: BanState = BanState()
     processes: tuple[Process, ...] = field(default_factory=tuple)
-    listed: dict | None = None  # discovery's list as the writer last knew it, in discovery's own form
+    listed: dict | None = (
+        None  # discovery's list as the writer last knew it, in discovery's own form
+    )
 
 
 class DamagedError(Exception):
@@ -67,7 +69,9 @@
             frozenset(str(w) for w in body["banned"]),
             tuple((str(w), int(at)) for w, at in body["lifted"]),
         )
-        processes = tuple(Process(int(p), str(a), int(s), bool(r)) for p, a, s, r in body["processes"])
+        processes = tuple(
+            Process(int(p), str(a), int(s), bool(r)) for p, a, s, r in body["processes"]
+        )
         listed = body.get("list")
         if listed is not None and not isinstance(listed, dict):
             raise TypeError
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -37,9 +37,16 @@
 
 class World:
     def __init__(self, classes, dispatchers=40, nodes=20, zones=1, seed=1, **settings):
-        common = {"tells_start": True, "may_cancel": True, "may_duplicate": True, "attempt_limit": 4}
+        common = {
+            "tells_start": True,
+            "may_cancel": True,
+            "may_duplicate": True,
+            "attempt_limit": 4,
+        }
         self.random, self.now, self.heap, self.order = random.Random(seed), 0, [], 0
-        self.nodes = {f"w{k:02}": Node(i.WorkerEntry(f"w{k:02}", zone=k % zones)) for k in range(nodes)}
+        self.nodes = {
+            f"w{k:02}": Node(i.WorkerEntry(f"w{k:02}", zone=k % zones)) for k in range(nodes)
+        }
         self.jobs: dict[str, Job] = {}
         self.balancers = []
         told = i.WorkerList(i.ListKind.PERSISTED, tuple(node.entry for node in self.nodes.values()))
@@ -79,7 +86,10 @@
                 case i.WakeMe(token, at_us):
                     self.at(max(at_us, self.now + 1), self.tell, k, i.Timer(token))
                 case i.Push(name, worker):
-                    number, self.jobs[name].attempts = self.jobs[name].attempts, self.jobs[name].attempts + 1
+                    number, self.jobs[name].attempts = (
+                        self.jobs[name].attempts,
+                        self.jobs[name].attempts + 1,
+                    )
                     self.at(self.now + HOP_US, self.reach, k, name, number, worker)
                 case i.Cancel(name, number):
                     self.at(self.now + HOP_US, self.drop, k, name, number)
@@ -131,10 +141,20 @@
 
     def in_time(self, job_class, since_us, until_us, goal_us):
         """The part of a class's jobs of that time that was served within its goal and twice its run."""
-        jobs = [j for j in self.jobs.values() if j.job_class == job_class and since_us <= j.at_us < until_us]
-        good = [j for j in jobs if j.latency_us is not None and j.latency_us <= goal_us + 2 * j.run_us]
+        jobs = [
+            j
+            for j in self.jobs.values()
+            if j.job_class == job_class and since_us <= j.at_us < until_us
+        ]
+        good = [
+            j for j in jobs if j.latency_us is not None and j.latency_us <= goal_us + 2 * j.run_us
+        ]
         return len(good) / len(jobs)
 
     def refused(self, job_class, since_us, until_us):
-        jobs = [j for j in self.jobs.values() if j.job_class == job_class and since_us <= j.at_us < until_us]
+        jobs = [
+            j
+            for j in self.jobs.values()
+            if j.job_class == job_class and since_us <= j.at_us < until_us
+        ]
         return sum(j.refused for j in jobs) / len(jobs)
--- a/tests/gearman_helpers.py
+++ b/tests/gearman_helpers.py
@@ -67,7 +67,9 @@
     def grab(self):
         """The job handed over (handle, function, unique, workload), or None."""
         (packet,) = [
-            p for p in self.send(Kind.GRAB_JOB_UNIQ) if p.kind in (Kind.NO_JOB, Kind.JOB_ASSIGN_UNIQ)
+            p
+            for p in self.send(Kind.GRAB_JOB_UNIQ)
+            if p.kind in (Kind.NO_JOB, Kind.JOB_ASSIGN_UNIQ)
         ]
         return packet.args or None
 
@@ -78,7 +80,9 @@
         self.faults, self.http, self.stopped = [], [], []
         self.core = Dispatcher(settings, 1, self.now, 2_000, 4_000, self.faults.append)
         self.closing = self.full = False
-        house = House(self.new_id, lambda: self.full, lambda: self.closing, self.on_answer, self.on_progress)
+        house = House(
+            self.new_id, lambda: self.full, lambda: self.closing, self.on_answer, self.on_progress
+        )
         self.desk = Desk("n0", section, settings, limits, house)
         self.plugs = []
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,10 +6,18 @@
 SAFE = i.JobClass(goal_us=400_000, deadline_us=5_000_000, effect=i.Effect.SAFE)
 UNSAFE = i.JobClass(goal_us=400_000, deadline_us=5_000_000, effect=i.Effect.UNSAFE)
 KEYED_ZONE = i.JobClass(
-    goal_us=4_000_000, deadline_us=5_000_000, effect=i.Effect.KEYED, key_scope="zone", window_us=2_000_000
+    goal_us=4_000_000,
+    deadline_us=5_000_000,
+    effect=i.Effect.KEYED,
+    key_scope="zone",
+    window_us=2_000_000,
 )
 KEYED_ALL = i.JobClass(
-    goal_us=4_000_000, deadline_us=5_000_000, effect=i.Effect.KEYED, key_scope="all", window_us=2_000_000
+    goal_us=4_000_000,
+    deadline_us=5_000_000,
+    effect=i.Effect.KEYED,
+    key_scope="all",
+    window_us=2_000_000,
 )
 DEAR = i.JobClass(goal_us=400_000, deadline_us=5_000_000, effect=i.Effect.SAFE, worth=10.0)
 
@@ -48,7 +56,9 @@
 
     def next_period(self):
         """Goes to the end of the running period, whose first one has a random length."""
-        self.tick(max(a.at_us for a in self.log if isinstance(a, i.WakeMe) and a.token == 0) - self.now)
+        self.tick(
+            max(a.at_us for a in self.log if isinstance(a, i.WakeMe) and a.token == 0) - self.now
+        )
         return self
 
     def tick(self, us=500_000):
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -31,12 +31,21 @@
     kinds=("new-blade", "old-blade"),
 )
 LIMITS = Limits()
-PROBED = {"reports": "probe", "report_names": ("queue", "x0"), "report_columns": ("queue", "free_slots")}
+PROBED = {
+    "reports": "probe",
+    "report_names": ("queue", "x0"),
+    "report_columns": ("queue", "free_slots"),
+}
 WORKERS = tuple(i.WorkerEntry(f"s-{k}", zone=0, cell=k % 2) for k in range(4))
 
 
 def job_bytes(name="00000000000000aa", path="/revalue", method="POST", body=b"{}", **headers):
-    given = {"Host": "x", "Request-Id": name, "Tenant": "tatra-invest", "Request-Timeout-Ms": "5000"}
+    given = {
+        "Host": "x",
+        "Request-Id": name,
+        "Tenant": "tatra-invest",
+        "Request-Timeout-Ms": "5000",
+    }
     given.update({key.replace("_", "-"): value for key, value in headers.items()})
     return write_request(method, path, {k: v for k, v in given.items() if v is not None}, body)
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -59,7 +59,9 @@
     assert bans.ban("s-1") and not bans.ban("s-1")
     assert bans.lift("s-1", 5_000) and not bans.lift("s-1", 6_000)
     state = bans.snapshot()
-    assert state.banned == frozenset() and state.lifted == (("s-1", 5_000),) and state.generation == 2
+    assert (
+        state.banned == frozenset() and state.lifted == (("s-1", 5_000),) and state.generation == 2
+    )
     assert (bans.counts.out, bans.counts.back, bans.counts.again) == (1, 1, 2)
     assert not bans.adopt(BanState(2, frozenset({"s-9"})))
     assert bans.adopt(BanState(3, frozenset({"s-9"}))) and bans.holds("s-9")
@@ -136,7 +138,9 @@
 
 def test_a_call_is_answered_beside_callers_that_hold_their_connections(admin):
     fake, port = admin
-    slow = [socket.create_connection(("127.0.0.1", port)) for _ in range(LIMITS.admin_connections // 2)]
+    slow = [
+        socket.create_connection(("127.0.0.1", port)) for _ in range(LIMITS.admin_connections // 2)
+    ]
     for sock in slow:
         sock.sendall(b"PUT /healthcheck/fa")
     begun = time.monotonic()
@@ -149,7 +153,9 @@
 
 def test_more_callers_than_places_make_room_from_the_oldest(admin):
     _, port = admin
-    held = [socket.create_connection(("127.0.0.1", port)) for _ in range(LIMITS.admin_connections + 4)]
+    held = [
+        socket.create_connection(("127.0.0.1", port)) for _ in range(LIMITS.admin_connections + 4)
+    ]
     time.sleep(0.2)
     assert call(port, b"PUT /healthcheck/ok HTTP/1.1\r\n\r\n").status == 200
     held[0].settimeout(PATIENCE)
@@ -228,7 +234,11 @@
 
 def started(operator):
     """Modules and threads of a dispatcher started in a process of its own, with an admin address or not."""
-    config = {**CONFIG, "listen": f"127.0.0.1:{free_port()}", "discovery": f"127.0.0.1:{free_port()}"}
+    config = {
+        **CONFIG,
+        "listen": f"127.0.0.1:{free_port()}",
+        "discovery": f"127.0.0.1:{free_port()}",
+    }
     if operator:
         config["operator"] = f"127.0.0.1:{free_port()}"
     code = (
@@ -239,7 +249,9 @@
         f"print(sorted({{m.rpartition('.')[0] or m for m in sys.modules if m.startswith({OPERATORS!r})}}))\n"
         "print(sorted(t.name for t in threading.enumerate()))\n"
     )
-    run = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    run = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
+    )
     modules, threads = run.stdout.splitlines()
     return modules, threads
 
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -82,7 +82,9 @@
     before = workers_of(bench, 1)
     name, actions = bench.job(tenant=1)
     bench.ended(name, pushes(actions)[0].worker, i.Result.FULL)
-    open_jobs = [(n, p.worker) for n, a in (bench.job(tenant=1) for _ in range(40)) for p in pushes(a)]
+    open_jobs = [
+        (n, p.worker) for n, a in (bench.job(tenant=1) for _ in range(40)) for p in pushes(a)
+    ]
     for _ in range(3):
         bench.tick()
     for n, w in open_jobs:
@@ -97,10 +99,14 @@
 def test_a_class_that_only_the_other_pool_can_run_goes_there():
     only_kind_1 = i.JobClass(400_000, 5_000_000, i.Effect.SAFE, kind=1)
     for where in (0, 3):
-        bench = Bench(only_kind_1, entries=[entry(k, kind=int(k == where)) for k in range(4)], **shares())
+        bench = Bench(
+            only_kind_1, entries=[entry(k, kind=int(k == where)) for k in range(4)], **shares()
+        )
         for tenant in (0, 1):
             for _ in range(10):
-                assert pushes(bench.later(1000).job(tenant=tenant)[1])[0].worker == entry(where).worker
+                assert (
+                    pushes(bench.later(1000).job(tenant=tenant)[1])[0].worker == entry(where).worker
+                )
 
 
 def test_equal_worths_count_as_priority():
@@ -337,15 +343,23 @@
 
 
 @pytest.mark.parametrize("effect", [i.Effect.SAFE, i.Effect.UNSAFE])
-@pytest.mark.parametrize("more", [{}, {"queue": 1.0}, None])  # the first one waits for two slots; not told
+@pytest.mark.parametrize(
+    "more", [{}, {"queue": 1.0}, None]
+)  # the first one waits for two slots; not told
 def test_a_job_is_lost_that_a_worker_with_room_and_no_queue_has_not_begun(effect, more):
     bench = Bench(replace(SAFE, effect=effect), workers=3, **LAZY)
-    name, (push, *_) = [bench.job() for _ in range(6)][0]  # it takes more than this one: one verdict
+    name, (push, *_) = [bench.job() for _ in range(6)][
+        0
+    ]  # it takes more than this one: one verdict
     bench.tick(170_000)
     told = {**ROOM, **more} if more is not None else {"free_slots": 4.0}
     answer = bench.later(140_000).tell(i.Probed(push.worker, True, report=told))
-    assert [b.pause_us for b in bench.balancer.workers[push.worker].balks.values()] == [10**6] * (more == {})
-    assert (i.Cancel(name, 0) in answer) == (more == {} and effect is i.Effect.SAFE)  # it goes elsewhere
+    assert [b.pause_us for b in bench.balancer.workers[push.worker].balks.values()] == [10**6] * (
+        more == {}
+    )
+    assert (i.Cancel(name, 0) in answer) == (
+        more == {} and effect is i.Effect.SAFE
+    )  # it goes elsewhere
 
 
 def test_a_class_keeps_away_from_a_worker_that_never_begins_its_jobs_but_for_trials():
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -51,7 +51,9 @@
         forgetful = self.random.randrange(len(self.balancers))
         fresh = Balancer(self.balancers[forgetful].s, self.random.randrange(2**32), self.now)
         self.balancers[forgetful] = fresh
-        all_entries = {n.entry.worker: n.entry for n in self.nodes.values()} | {e.worker: e for e in entries}
+        all_entries = {n.entry.worker: n.entry for n in self.nodes.values()} | {
+            e.worker: e for e in entries
+        }
         self.tell(forgetful, i.WorkerList(i.ListKind.PERSISTED, tuple(all_entries.values())))
         for k in range(len(self.balancers)):
             if k != forgetful:
@@ -69,10 +71,13 @@
 
 
 @pytest.mark.parametrize(
-    ("dispatchers", "nodes", "cold"), [(2, 12, 4), (8, 12, 4), (30, 20, 8), (30, 20, 1), (200, 30, 10)]
+    ("dispatchers", "nodes", "cold"),
+    [(2, 12, 4), (8, 12, 4), (30, 20, 8), (30, 20, 1), (200, 30, 10)],
 )
 @pytest.mark.parametrize("seed", [1, 2])
-def test_all_dispatchers_together_keep_a_cold_worker_under_its_budget(dispatchers, nodes, cold, seed):
+def test_all_dispatchers_together_keep_a_cold_worker_under_its_budget(
+    dispatchers, nodes, cold, seed
+):
     world = ColdWorld(dispatchers, nodes, seed)
     rate = 0.8 * nodes * SLOTS / (RUN_US / 1e6)
     world.load([rate], [RUN_US], END_US)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -12,7 +12,9 @@
 from stepstream.net.outbound import Phase as Stage
 from stepstream.net.platform import ClientSide
 
-NEWS = write_request("POST", "/_jobs/news", {}, b'{"id":"aa","from":"s-1","state":"done","result":"x"}')
+NEWS = write_request(
+    "POST", "/_jobs/news", {}, b'{"id":"aa","from":"s-1","state":"done","result":"x"}'
+)
 KINDS = {
     "job": job_bytes(),
     "news": NEWS,
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -168,7 +168,9 @@
     assert sent <= 15  # a warm worker serves 60 x 2 / 20 = 6 a second of these dispatchers
 
 
-@pytest.mark.parametrize("zero", [{"fall_multiple": 0.0}, {"cold_share": 0.0}, {"warm_within_us": 0}])
+@pytest.mark.parametrize(
+    "zero", [{"fall_multiple": 0.0}, {"cold_share": 0.0}, {"warm_within_us": 0}]
+)
 def test_a_setting_of_zero_round_a_cold_worker_costs_no_job(zero):
     bench = Bench(SAFE, workers=4, **{**COLD, **zero})
     # With no time to warm up only one that starts a moment from now, by its machine's clock, is cold.
@@ -220,7 +222,9 @@
 
 def test_a_tenant_within_its_share_is_told_by_the_mix_and_not_by_a_rate_per_dispatcher():
     # quota / fleet_size is under one job a second here: at a busy dispatcher every tenant looked past it.
-    bench = Bench(SAFE, workers=6, fleet_size=170, quotas_per_s=(40.0, 13.0, 13.0), over_share_worth=0.05)
+    bench = Bench(
+        SAFE, workers=6, fleet_size=170, quotas_per_s=(40.0, 13.0, 13.0), over_share_worth=0.05
+    )
     within = {0: [], 1: [], 2: []}
     for k in range(400):
         tenant = 1 + k % 2 if k % 10 < 2 else 0  # the first sends 8 in 10, three times its share
@@ -233,7 +237,9 @@
 
 
 def starts(job_class, reported_rooms=(3.0, 3.0, 3.0)):
-    bench = Bench(job_class, workers=3, tells_start=True, may_duplicate=True, may_cancel=True, **REPORTS)
+    bench = Bench(
+        job_class, workers=3, tells_start=True, may_duplicate=True, may_cancel=True, **REPORTS
+    )
     reported(bench, list(reported_rooms))
     name, actions = bench.job()
     return bench, name, pushes(actions)[0].worker
@@ -317,7 +323,9 @@
     # At 330 workers a choice cost a millisecond, each event several, and the day was cut off.
     looks = []
     original = Balancer.room
-    monkeypatch.setattr(Balancer, "room", lambda self, worker: looks.append(worker) or original(self, worker))
+    monkeypatch.setattr(
+        Balancer, "room", lambda self, worker: looks.append(worker) or original(self, worker)
+    )
     bench = Bench(SAFE, workers=250, fleet_size=250, **REPORTS)
     reported(bench, [4.0] * 250)
     for key in (None, "aa"):
@@ -332,7 +340,9 @@
     name, actions = bench.job()
     again = pushes(bench.ended(name, pushes(actions)[0].worker, i.Result.FULL))
     assert again and not pushes(bench.ended(name, again[0].worker, i.Result.FULL, attempt=1))
-    later = [p for _ in range(3) for p in pushes(bench.next_period().tell())] or pushes(bench.log)[2:]
+    later = [p for _ in range(3) for p in pushes(bench.next_period().tell())] or pushes(bench.log)[
+        2:
+    ]
     assert len(later) <= 1
 
 
@@ -435,4 +445,6 @@
         bench.ended(name, pushes(actions)[0].worker, i.Result.OK)
     zone_of = {e.worker: e.zone for e in entries}
     assert entry(1).worker in sent
-    assert {zone_of[w] for w in sent if w != entry(1).worker} == {0}  # a warm one of that zone gets nothing
+    assert {zone_of[w] for w in sent if w != entry(1).worker} == {
+        0
+    }  # a warm one of that zone gets nothing
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -32,7 +32,9 @@
 
     def __init__(self, settings=SETTINGS):
         self.now, self.commands, self.complaints = START_US, [], []
-        self.core = Dispatcher(settings, 1, self.now, LIMITS.tick_us, LIMITS.early_us, self.complaints.append)
+        self.core = Dispatcher(
+            settings, 1, self.now, LIMITS.tick_us, LIMITS.early_us, self.complaints.append
+        )
         self.tell(i.WorkerList(i.ListKind.PERSISTED, WORKERS))
 
     def tell(self, *events):
@@ -142,7 +144,9 @@
     call = one_call(commands)
     monkeypatch.setattr(desk.core.balancer, "handle", lambda now, events: [])
     desk.core.on_push(desk.now, call.request, call.worker, 0)
-    assert [c.open for c in call.request.calls] == [True, False] and not of(StartCall, desk.core.commands)
+    assert [c.open for c in call.request.calls] == [True, False] and not of(
+        StartCall, desk.core.commands
+    )
 
 
 def test_beyond_the_open_requests_allowed_the_next_is_refused_at_once():
@@ -222,7 +226,9 @@
     desk.tell(i.NewSettings(TURNED))
     assert desk.core.balancer.runs.mean_us == [2.0, 1.0, 3.0]
     desk.now += 1_000_000
-    assert of(Answer, desk.tell(Told("aa", call.worker, News.DONE, "1")))[0].outcome is Outcome.SERVED
+    assert (
+        of(Answer, desk.tell(Told("aa", call.worker, News.DONE, "1")))[0].outcome is Outcome.SERVED
+    )
     assert desk.core.balancer.runs.mean_us[0] > 2.0 and desk.core.balancer.runs.mean_us[1] == 1.0
     desk.tell(i.NewSettings(replace(SETTINGS, classes=SETTINGS.classes[1:])))
     assert len(desk.core.balancer.runs.mean_us) == 2
@@ -295,7 +301,9 @@
     take=st.integers(0, 1),
     end=st.tuples(st.integers(0, 9), st.sampled_from(list(i.Result))),
     news=st.tuples(
-        st.integers(0, 9), st.sampled_from(list(News)), st.sampled_from(["s-0", "s-1", "s-2", "s-3"])
+        st.integers(0, 9),
+        st.sampled_from(list(News)),
+        st.sampled_from(["s-0", "s-1", "s-2", "s-3"]),
     ),
     leave=st.integers(0, 9),
     later=st.integers(0, 2_000_000),
@@ -329,7 +337,9 @@
 @pytest.mark.parametrize(
     ("result", "bound"), [(i.Result.RESET, True), (None, True), (i.Result.CONNECT_FAILED, False)]
 )
-def test_a_repeat_of_a_keyed_job_is_bound_to_the_window_of_the_first_that_may_have_run(result, bound):
+def test_a_repeat_of_a_keyed_job_is_bound_to_the_window_of_the_first_that_may_have_run(
+    result, bound
+):
     """Dialling and waiting for a turn take time: the window holds for the write, not for the decision."""
     desk = Desk()
     taken = replace(request("aa", desk.now, job_class=1), settings=SETTINGS)
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -53,7 +53,11 @@
     assert (code, complaints) == (0, [])
     assert out[0] == "FINISHED batch=0"
     assert [line for line in out if line.startswith("RELAY msg_id=00000000000000aa")]
-    assert out[-3:] == ["AS dispatcher=3", "REPORT_FAILURE msg_id=00000000000000aa", "FINISHED batch=3"]
+    assert out[-3:] == [
+        "AS dispatcher=3",
+        "REPORT_FAILURE msg_id=00000000000000aa",
+        "FINISHED batch=3",
+    ]
 
 
 def test_late_events_of_ended_requests_are_ignored():
@@ -122,7 +126,11 @@
 
     monkeypatch.setattr(drill.Balancer, "handle", broken)
     code, out, _ = play(*START)
-    assert code == 0 and out[0].startswith("PANIC body_text=KeyError") and out[-1] == "FINISHED batch=1"
+    assert (
+        code == 0
+        and out[0].startswith("PANIC body_text=KeyError")
+        and out[-1] == "FINISHED batch=1"
+    )
 
 
 def transcript(instances):
@@ -135,7 +143,9 @@
             if number == 1:
                 lines += [f"ENLIST rng_seed={at + 9} discovery=subscribe {CONF}", *START[3:-1]]
             else:
-                lines.append(f"REQUEST msg_id={at * 1000 + number:016x} type={number % 2} budget_us=5000000")
+                lines.append(
+                    f"REQUEST msg_id={at * 1000 + number:016x} type={number % 2} budget_us=5000000"
+                )
             if number % 7 == 0:
                 lines += ["TOPOLOGY serial=2 mode=Error", "WAKE ctx=0", "WAKE ctx=1"]
         lines.append("END")
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -25,9 +25,7 @@
 from stepstream.lab.fleet_rig import Dispatcher, FleetRig
 
 # Shorter than the defaults, so that the whole of this file takes a minute and a half.
-TIMES = (
-    "period_ms = 200\ntimeout_ms = 90\nsync_ms = 1000\nreach_ms = 300\nyoung_s = 2\nhold_s = 2\nslack = 3\n"
-)
+TIMES = "period_ms = 200\ntimeout_ms = 90\nsync_ms = 1000\nreach_ms = 300\nyoung_s = 2\nhold_s = 2\nslack = 3\n"
 PATIENCE = 40.0
 
 
@@ -56,7 +54,9 @@
     return told and told["counted"]
 
 
-def test_a_crash_is_known_the_count_follows_and_a_restart_is_taken_back_with_nothing_remembered(fleet):
+def test_a_crash_is_known_the_count_follows_and_a_restart_is_taken_back_with_nothing_remembered(
+    fleet,
+):
     fleet.kill("n4")
     rest = ALL - {"n4"}
     fleet.wait_for(lambda: fleet.held(rest, "n4", "dead"), PATIENCE, "the death")
@@ -73,12 +73,15 @@
     fleet.cut(side, rest)
     fleet.wait_for(
         lambda: (
-            all(fleet.held(rest, s, "dead") for s in side) and all(fleet.held(side, r, "dead") for r in rest)
+            all(fleet.held(rest, s, "dead") for s in side)
+            and all(fleet.held(side, r, "dead") for r in rest)
         ),
         PATIENCE,
         "the cut",
     )
-    fleet.wait_for(lambda: {counted(fleet, n) for n in rest} == {len(rest)}, PATIENCE, "the majority's count")
+    fleet.wait_for(
+        lambda: {counted(fleet, n) for n in rest} == {len(rest)}, PATIENCE, "the majority's count"
+    )
     assert {counted(fleet, name) for name in side} == {5}
     fleet.heal()
     fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE, "the healing")
@@ -151,7 +154,9 @@
     numbers = {name: fleet.members[name].fleet()["number"] for name in ALL}
     for name in ("n0", "n1"):
         assert fleet.stop(name) == 0
-        fleet.wait_for(lambda name=name: fleet.held(ALL - {name}, name, "left"), PATIENCE, "the leave")
+        fleet.wait_for(
+            lambda name=name: fleet.held(ALL - {name}, name, "left"), PATIENCE, "the leave"
+        )
         fleet.start([name])
         fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE, "the return")
     told = fleet.members["n4"].call(f"/fleet/changes?after={numbers['n4']}")[1]["changes"]
@@ -197,14 +202,20 @@
 
 def test_a_ban_holds_at_all_also_where_it_was_cut_off_or_started_empty(fleet):
     """A worker that only n0 is told of: its word counts whether or not others know the worker."""
-    listed = {"version": 3, "full": True, "servers": [{"id": "s-1", "addr": "127.0.0.1:9", "state": "ready"}]}
+    listed = {
+        "version": 3,
+        "full": True,
+        "servers": [{"id": "s-1", "addr": "127.0.0.1:9", "state": "ready"}],
+    }
     fleet.kill("n0")
     fleet.members["n0"].known = listed
     fleet.start(["n0"])
     fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE, "the return")
     fleet.cut(["n4"], ALL - {"n4"})
     assert fleet.members["n0"].call("/workers/s-1/maint", "PUT")[0] == 200
-    fleet.wait_for(lambda: all(v for n, v in out_at(fleet, "s-1").items() if n != "n4"), PATIENCE, "the ban")
+    fleet.wait_for(
+        lambda: all(v for n, v in out_at(fleet, "s-1").items() if n != "n4"), PATIENCE, "the ban"
+    )
     fleet.kill("n0")  # who was told
     fleet.kill("n1")
     fleet.start(["n1"])
@@ -245,7 +256,11 @@
     fleet.start(["n4"])
     tried = fleet.members["n4"].fleet()["counts"]
     told = fleet.members["n4"].fleet()
-    assert not told["settled"] and list(fleet.members["n4"].states()) == ["n4"] and tried["probes"] == 0
+    assert (
+        not told["settled"]
+        and list(fleet.members["n4"].states()) == ["n4"]
+        and tried["probes"] == 0
+    )
     assert run(["fleet", "members", "--at", fleet.members["n4"].admin]) == 1
     fleet.start(["n0"])
     fleet.wait_for(lambda: fleet.agreed(["n0", "n4"]), PATIENCE, "the two")
@@ -261,7 +276,9 @@
     fleet.spawn(member, clock_s=-back)
     fleet.wait_for(lambda: member.fleet() and fleet.agreed(ALL), PATIENCE, "the return")
     assert "clock was ahead" in member.words()
-    old, new = (next(r for r in rows if r["name"] == "n2") for rows in (before, member.fleet()["members"]))
+    old, new = (
+        next(r for r in rows if r["name"] == "n2") for rows in (before, member.fleet()["members"])
+    )
     assert new["generation"] > old["generation"]
 
 
@@ -274,7 +291,9 @@
         rest = sorted(ALL - {"n3"})
         fleet.wait_for(lambda: fleet.held(rest, "n3", "dead"), PATIENCE, "the death")
         fleet.wait_for(lambda: fleet.held(rest, "heir", "alive"), PATIENCE, "the heir")
-        fleet.wait_for(lambda: {counted(fleet, n) for n in rest} == {5}, PATIENCE, "one for the other")
+        fleet.wait_for(
+            lambda: {counted(fleet, n) for n in rest} == {5}, PATIENCE, "one for the other"
+        )
     finally:
         heir.process.kill()
         heir.process.wait()
@@ -295,7 +314,9 @@
     fleet.files(member)
     member.advertise = kept
     member.process.send_signal(signal.SIGHUP)
-    fleet.wait_for(lambda: "fleet.advertise=127.0.0.1:9 changes only" in member.words(), PATIENCE, "its no")
+    fleet.wait_for(
+        lambda: "fleet.advertise=127.0.0.1:9 changes only" in member.words(), PATIENCE, "its no"
+    )
     fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE, "one view")
 
 
@@ -306,7 +327,9 @@
     member.ports["admin"] = free_port_at(member.host)
     fleet.files(member)
     new = fleet.spawn(member, beside=True)
-    fleet.wait_for(lambda: member.words().count("serves on") >= 2 and member.fleet(), PATIENCE, "the new one")
+    fleet.wait_for(
+        lambda: member.words().count("serves on") >= 2 and member.fleet(), PATIENCE, "the new one"
+    )
     old.send_signal(signal.SIGTERM)
     assert old.wait(PATIENCE) == 0 and new.poll() is None
     fleet.heal()
@@ -339,7 +362,11 @@
     assert "alive for" in capsys.readouterr().out
     assert run(["fleet", "explain", "nobody", "--at", at]) == 1
     assert run(["fleet", "members", "--at", f"127.0.0.1:{free_port()}"]) == 2
-    for path, status in (("/fleet/changes?after=x", 400), ("/fleet/members/", 404), ("/fleet/leave", 405)):
+    for path, status in (
+        ("/fleet/changes?after=x", 400),
+        ("/fleet/members/", 404),
+        ("/fleet/leave", 405),
+    ):
         assert fleet.members["n0"].call(path)[0] == status
     fleet.kill("n4")
     assert run(["fleet", "members", "--at", at]) in (0, 1)
@@ -368,9 +395,18 @@
 )
 def test_a_faulty_key_is_one_line_that_names_it(tmp_path, section, key):
     (tmp_path / "operator.toml").write_text("[fleet]\n" + section)
-    (tmp_path / "config.json").write_text(json.dumps({**CONFIG, "listen": f"127.0.0.1:{free_port()}"}))
+    (tmp_path / "config.json").write_text(
+        json.dumps({**CONFIG, "listen": f"127.0.0.1:{free_port()}"})
+    )
     done = subprocess.run(
-        [sys.executable, "-m", "stepstream", "serve", "--operator", str(tmp_path / "operator.toml")],
+        [
+            sys.executable,
+            "-m",
+            "stepstream",
+            "serve",
+            "--operator",
+            str(tmp_path / "operator.toml"),
+        ],
         cwd=ROOT,
         env={**os.environ, "EDGE_CONFIG": str(tmp_path / "config.json")},
         capture_output=True,
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -33,7 +33,9 @@
 
 
 def view(times=TIMES, name="me", seeds=()):
-    return View(Row(name, "127.0.0.1:1", 1000, 0, State.ALIVE), CLUSTER, seeds, times, random.Random(1), 0.0)
+    return View(
+        Row(name, "127.0.0.1:1", 1000, 0, State.ALIVE), CLUSTER, seeds, times, random.Random(1), 0.0
+    )
 
 
 # -- claims -----------------------------------------------------------------------------------------------
@@ -58,7 +60,16 @@
 
 FACTS = st.builds(
     lambda owner, generation, count: m.Facts(
-        owner, generation, count, m.Phase.SERVING, 0, "", count, 0, "", (generation, count) if count else ()
+        owner,
+        generation,
+        count,
+        m.Phase.SERVING,
+        0,
+        "",
+        count,
+        0,
+        "",
+        (generation, count) if count else (),
     ),
     owner=st.sampled_from(["a", "b"]),
     generation=st.integers(1, 2),
@@ -101,7 +112,9 @@
 @given(st.data())
 def test_bytes_from_anywhere_are_a_datagram_or_dropped(data):
     whole = m.encode(
-        m.Datagram(m.VERSION, CLUSTER, view().me, m.PingFor(3, "n1", "127.0.0.1:5"), rows=(view().me,) * 3)
+        m.Datagram(
+            m.VERSION, CLUSTER, view().me, m.PingFor(3, "n1", "127.0.0.1:5"), rows=(view().me,) * 3
+        )
     )
     part = bytearray(whole[: data.draw(st.integers(0, len(whole)))])
     for _ in range(data.draw(st.integers(0, 3))):
@@ -124,12 +137,19 @@
         (m.encode(m.Datagram(2, CLUSTER, view().me, m.Ack(1))), "version 2"),
         (m.encode(m.Datagram(1, "other", view().me, m.Ack(1))), "cluster 'other'"),
         (
-            m.encode(m.Datagram(1, CLUSTER, Row("a b", "127.0.0.1:1", 1, 0, State.ALIVE), m.Ack(1))),
+            m.encode(
+                m.Datagram(1, CLUSTER, Row("a b", "127.0.0.1:1", 1, 0, State.ALIVE), m.Ack(1))
+            ),
+            "unreadable",
+        ),
+        (
+            m.encode(m.Datagram(1, CLUSTER, Row("a", "host:1", 1, 0, State.ALIVE), m.Ack(1))),
             "unreadable",
         ),
-        (m.encode(m.Datagram(1, CLUSTER, Row("a", "host:1", 1, 0, State.ALIVE), m.Ack(1))), "unreadable"),
         (
-            m.encode(m.Datagram(1, CLUSTER, Row("a", "127.0.0.1:1", 2**60, 0, State.ALIVE), m.Ack(1))),
+            m.encode(
+                m.Datagram(1, CLUSTER, Row("a", "127.0.0.1:1", 2**60, 0, State.ALIVE), m.Ack(1))
+            ),
             "unreadable",
         ),
     ],
@@ -211,7 +231,9 @@
     raise AssertionError("nothing noticed")
 
 
-def test_a_member_that_lives_and_is_connected_but_held_dead_for_long_is_noticed_at_that_step(monkeypatch):
+def test_a_member_that_lives_and_is_connected_but_held_dead_for_long_is_noticed_at_that_step(
+    monkeypatch,
+):
     made = world()
     made.links.cut(names(1), names(0, 2, 3, 4))
     made.run(40.0)  # cut off: no fault of theirs
@@ -359,7 +381,9 @@
     heir = made.sims["heir"] = type(made.sims["n3"])("heir", made.sims["n3"].address)
     made.at[heir.address] = heir
     made.start("heir")
-    assert made.run(30.0, lambda: made.known("n3", (State.DEAD,)) and made.known("heir", (State.ALIVE,)))
+    assert made.run(
+        30.0, lambda: made.known("n3", (State.DEAD,)) and made.known("heir", (State.ALIVE,))
+    )
     assert heir.view.counts.not_me > 0
 
 
@@ -453,7 +477,9 @@
         made.run(5.0)
         made.links.cut(names(0, 1), names(2, 3, 4))
         made.sims["n2"].view.seeds = made.seeds[:2]
-        assert made.run(40.0, lambda made=made: {made.counted(n) for n in names(2, 3, 4)} == {3}), seed
+        assert made.run(40.0, lambda made=made: {made.counted(n) for n in names(2, 3, 4)} == {3}), (
+            seed
+        )
         assert {made.counted(n) for n in names(0, 1)} == {5}
 
 
@@ -476,7 +502,9 @@
     for now in range(0, 80, 2):
         seen = {
             name: [
-                Seen(b, State.DEAD if dead else State.ALIVE, now - found[name, b], everyone.index(b))
+                Seen(
+                    b, State.DEAD if dead else State.ALIVE, now - found[name, b], everyone.index(b)
+                )
                 for b in everyone
                 for dead in [(side[b] != side[name] or b not in up) and now >= found[name, b]]
             ]
--- a/tests/test_gearman_desk.py
+++ b/tests/test_gearman_desk.py
@@ -74,7 +74,9 @@
     worker.send(Kind.WORK_DATA, held, "half of the first")
     worker.leave()
     other.send(Kind.WORK_COMPLETE, other.grab()[0], "whole of the second")
-    assert [p.args[1] for p in client.of(Kind.WORK_DATA, Kind.WORK_COMPLETE)] == [b"whole of the second"]
+    assert [p.args[1] for p in client.of(Kind.WORK_DATA, Kind.WORK_COMPLETE)] == [
+        b"whole of the second"
+    ]
 
 
 def test_a_gearman_job_runs_on_an_http_node_with_its_key_and_progress():
@@ -106,7 +108,9 @@
     worker.send(Kind.CAN_DO, "once")
     floor.later(10_000)
     worker.send(Kind.WORK_EXCEPTION, worker.grab()[0], "no market data")
-    assert client.got[-2].args[1] == b"failed no market data" and client.got[-1].kind is Kind.WORK_FAIL
+    assert (
+        client.got[-2].args[1] == b"failed no market data" and client.got[-1].kind is Kind.WORK_FAIL
+    )
 
 
 @pytest.mark.parametrize(
@@ -204,8 +208,15 @@
 def test_the_same_unique_of_another_tenant_or_class_is_another_job():
     floor, _ = floor_with_worker()
     client = floor.plug()
-    functions = ("tatra-invest/revalue", "hron-asset/revalue", "tatra-invest/nav-publish", "revalue")
-    assert len({submit(client, function, "u") for function in functions}) == 3  # a bare one is tatra-invest's
+    functions = (
+        "tatra-invest/revalue",
+        "hron-asset/revalue",
+        "tatra-invest/nav-publish",
+        "revalue",
+    )
+    assert (
+        len({submit(client, function, "u") for function in functions}) == 3
+    )  # a bare one is tatra-invest's
     assert submit(client, "revalue", "-", "w") == submit(client, "revalue", "-", "w")
     assert submit(client, "revalue", "-", "v") != submit(client, "revalue", "-", "w")
 
@@ -355,8 +366,12 @@
     assert [call.request.job_class for call in floor.http] == [2]
 
 
-@pytest.mark.parametrize(("function", "again"), [("revalue", True), ("nav-publish", True), ("once", False)])
-def test_a_worker_that_disconnects_after_progress_is_repeated_only_as_the_class_allows(function, again):
+@pytest.mark.parametrize(
+    ("function", "again"), [("revalue", True), ("nav-publish", True), ("once", False)]
+)
+def test_a_worker_that_disconnects_after_progress_is_repeated_only_as_the_class_allows(
+    function, again
+):
     floor, worker = floor_with_worker()
     worker.send(Kind.CAN_DO, "once")
     client = floor.plug()
@@ -372,7 +387,9 @@
 
 def test_a_keyed_job_stays_in_the_cell_of_the_worker_that_may_have_run_it_and_in_its_window():
     floor = Floor()
-    workers = [floor.plug().join(f"w{k}", extra=f";cell={cell}") for k, cell in enumerate((1, 1, 2, 2))]
+    workers = [
+        floor.plug().join(f"w{k}", extra=f";cell={cell}") for k, cell in enumerate((1, 1, 2, 2))
+    ]
     client = floor.plug()
     submit(client, "nav-publish", "key")
     (first,) = [w for w in workers if w.peer.member.queue]
@@ -449,7 +466,9 @@
 
 def test_can_do_timeout_is_kept_and_its_late_result_still_serves_while_nothing_else_has():
     patient = replace(THREE.classes[0], goal_us=4_000_000)
-    floor, worker = floor_with_worker(settings=replace(THREE, classes=(patient, *THREE.classes[1:])))
+    floor, worker = floor_with_worker(
+        settings=replace(THREE, classes=(patient, *THREE.classes[1:]))
+    )
     worker.send(Kind.CAN_DO_TIMEOUT, "revalue", "1")
     client = floor.plug()
     submit(client)
@@ -532,9 +551,9 @@
     client = floor.plug()
     handle = submit(client, unique="u").decode()
     assert "127.0.0.1 w : nav-publish revalue\n" in told(floor, "workers")
-    assert "tatra-invest/revalue\t1\t1\t1\n" in told(floor, "status") and told(floor, "status").endswith(
-        ".\n"
-    )
+    assert "tatra-invest/revalue\t1\t1\t1\n" in told(floor, "status") and told(
+        floor, "status"
+    ).endswith(".\n")
     assert told(floor, "version").startswith("OK ")
     assert f"{handle}\topen\t1\t1\ttatra-invest/revalue\n" in told(floor, "show jobs")
     assert told(floor, "show unique jobs") == "u\n.\n"
@@ -571,7 +590,9 @@
     def __init__(self):
         self.floor = Floor()
         self.clients = [self.floor.plug() for _ in range(3)]
-        self.workers = [self.floor.plug().join(f"w{k}", "revalue", "nav-publish", "once") for k in range(2)]
+        self.workers = [
+            self.floor.plug().join(f"w{k}", "revalue", "nav-publish", "once") for k in range(2)
+        ]
         self.holding = {worker: [] for worker in self.workers}
         self.owed = {client: 0 for client in self.clients}
         self.handed, self.serial = {}, 0
@@ -606,7 +627,9 @@
             worker.send(kind, handle, "1", "2")
             return
         self.holding[worker].pop(0)
-        worker.send(kind, handle, *((b"made of " + workload,) if kind is Kind.WORK_COMPLETE else ()))
+        worker.send(
+            kind, handle, *((b"made of " + workload,) if kind is Kind.WORK_COMPLETE else ())
+        )
 
     def leave(self, k):
         client = self.clients[k]
@@ -640,7 +663,9 @@
             for packet in client.of(Kind.WORK_COMPLETE):
                 assert packet.args[1].startswith(b"made of ")
         opened = [job for job in jobs.by_handle.values() if job.request is not None]
-        assert jobs.held == sum(job.size for job in opened) and sum(jobs.open.values()) == len(opened)
+        assert jobs.held == sum(job.size for job in opened) and sum(jobs.open.values()) == len(
+            opened
+        )
         assert floor.core.open_count == len(opened)
         waiting = [w.call for m in floor.desk.workers.members.values() for w in m.queue]
         assert all(call.open for call in waiting) and len(set(map(id, waiting))) == len(waiting)
--- a/tests/test_gearman_node.py
+++ b/tests/test_gearman_node.py
@@ -70,7 +70,9 @@
         self.http, self.gearman = free_port(), free_port()
         self.path, self.operator = folder / "config.json", folder / "operator.toml"
         # No job's patience may end because the machine is busy: one that waits too long is refused.
-        services = [{**kind, "goal_time_us": kind["deadline_us"]} for kind in CONFIG["settings"]["services"]]
+        services = [
+            {**kind, "goal_time_us": kind["deadline_us"]} for kind in CONFIG["settings"]["services"]
+        ]
         self.config = {
             **CONFIG,
             "settings": {**CONFIG["settings"], "services": services},
@@ -103,7 +105,9 @@
 
     def reload(self):
         self.process.send_signal(signal.SIGHUP)
-        return next(line for line in self.process.stderr if "reloaded" in line or "configuration" in line)
+        return next(
+            line for line in self.process.stderr if "reloaded" in line or "configuration" in line
+        )
 
 
 @pytest.fixture
@@ -141,7 +145,9 @@
 
 
 def test_another_library_as_client_and_worker_unchanged(program):
-    library_worker(program, b"lib;zone=ruzinov;start=1", {b"revalue": revalue, b"nav-publish": broken})
+    library_worker(
+        program, b"lib;zone=ruzinov;start=1", {b"revalue": revalue, b"nav-publish": broken}
+    )
     client = gearman.GearmanClient([f"127.0.0.1:{program.gearman}"])
     done = client.submit_job("revalue", b"abc", poll_timeout=PATIENCE)
     assert (done.state, done.result, list(done.data_updates)) == ("COMPLETE", b"ABC", [b"part "])
@@ -154,7 +160,10 @@
     later = client.submit_job("revalue", b"x", background=True, poll_timeout=PATIENCE)
     wait_for(lambda: client.get_job_status(later, poll_timeout=PATIENCE).status["running"] is False)
     admin = gearman.GearmanAdminClient([f"127.0.0.1:{program.gearman}"])
-    assert {row["task"] for row in admin.get_status()} == {"tatra-invest/revalue", "tatra-invest/nav-publish"}
+    assert {row["task"] for row in admin.get_status()} == {
+        "tatra-invest/revalue",
+        "tatra-invest/nav-publish",
+    }
     assert any(row["client_id"] == "lib" for row in admin.get_workers())
     # The same worker serves the portal.
     answer = ask(program.http, job_bytes(body=b"over http"))
@@ -199,7 +208,17 @@
         b"half a line",
         b"",
     ],
-    ids=["4 GiB", "answers", "no NUL", "half", "unknown", "not text", "long line", "half line", "silent"],
+    ids=[
+        "4 GiB",
+        "answers",
+        "no NUL",
+        "half",
+        "unknown",
+        "not text",
+        "long line",
+        "half line",
+        "silent",
+    ],
 )
 def test_bad_input_gets_an_error_or_the_end_in_time_and_disturbs_nobody(program, data):
     bad = Peer(program.gearman)
@@ -237,7 +256,9 @@
         quick.send(Kind.SUBMIT_JOB, "revalue", "", "x")
         # It may be refused while the one worker is busy; it is never left without an outcome.
         quick.until(Kind.WORK_COMPLETE, Kind.WORK_FAIL)
-        return program.command("workers").count("127.0.0.1") <= 3  # worker, quick and the asker itself
+        return (
+            program.command("workers").count("127.0.0.1") <= 3
+        )  # worker, quick and the asker itself
 
     wait_for(given_up)
     assert program.process.poll() is None
@@ -310,4 +331,6 @@
         text=True,
         timeout=PATIENCE,
     )
-    assert run.returncode == 2 and "gearman.listen" in run.stderr and len(run.stderr.splitlines()) == 1
+    assert (
+        run.returncode == 2 and "gearman.listen" in run.stderr and len(run.stderr.splitlines()) == 1
+    )
--- a/tests/test_identity_node.py
+++ b/tests/test_identity_node.py
@@ -190,7 +190,10 @@
 
 
 def test_a_worker_joins_only_as_whom_its_token_names(guarded):
-    for token, expected in ((None, b"NOT_IDENTIFIED"), (guarded.token("worker/other"), b"NOT_ALLOWED")):
+    for token, expected in (
+        (None, b"NOT_IDENTIFIED"),
+        (guarded.token("worker/other"), b"NOT_ALLOWED"),
+    ):
         peer = Peer(guarded.gearman)
         if token:
             peer.send(Kind.OPTION_REQ, f"token:{token}").until(Kind.OPTION_RES)
@@ -201,7 +204,10 @@
 def test_gearman_clients_are_known_by_their_token_and_keep_to_their_own_jobs(guarded):
     guarded.worker()
     peer = Peer(guarded.gearman)
-    assert peer.send(Kind.SUBMIT_JOB, "revalue", "", "x").until(Kind.ERROR).args[0] == b"NOT_IDENTIFIED"
+    assert (
+        peer.send(Kind.SUBMIT_JOB, "revalue", "", "x").until(Kind.ERROR).args[0]
+        == b"NOT_IDENTIFIED"
+    )
     said = peer.send(Kind.OPTION_REQ, f"token:{guarded.token()}").until(Kind.OPTION_RES)
     assert said.args == (b"token",)  # never the token itself
     handle = peer.send(Kind.SUBMIT_JOB_BG, "revalue", "u", "x").until(Kind.JOB_CREATED).args[0]
@@ -211,7 +217,11 @@
     )
     assert peer.send(Kind.GET_STATUS, handle).until(Kind.STATUS_RES).args[1] == b"1"
     other = Peer(guarded.gearman).send(Kind.OPTION_REQ, f"token:{guarded.token('publisher')}")
-    for kind, name in ((Kind.GET_STATUS, handle), (Kind.GET_STATUS_UNIQUE, "u"), (Kind.GET_STATUS, "H:none")):
+    for kind, name in (
+        (Kind.GET_STATUS, handle),
+        (Kind.GET_STATUS_UNIQUE, "u"),
+        (Kind.GET_STATUS, "H:none"),
+    ):
         assert other.send(kind, name).until(Kind.ERROR).args == (b"NOT_ALLOWED", b"anothers_job")
     assert guarded.command("status").startswith("ERR NOT_IDENTIFIED")
     assert guarded.command("version").startswith("OK")
@@ -304,13 +314,17 @@
         .serial_number(x509.random_serial_number())
         .not_valid_before(now - datetime.timedelta(seconds=60))
         .not_valid_after(now + datetime.timedelta(seconds=seconds))
-        .add_extension(x509.SubjectAlternativeName([x509.UniformResourceIdentifier(uri)]), critical=True)
+        .add_extension(
+            x509.SubjectAlternativeName([x509.UniformResourceIdentifier(uri)]), critical=True
+        )
         .sign(signer, hashes.SHA256())
     )
     path = sealed.folder / f"client{made.serial_number}.pem"
     path.write_bytes(
         key.private_bytes(
-            serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
         )
         + made.public_bytes(serialization.Encoding.PEM)
     )
@@ -340,7 +354,9 @@
     with dial(sealed.gearman_tls, publisher) as sock:
         peer = Peer.__new__(Peer)
         peer.sock, peer.parser = sock, codec.Parser(LIMITS, answers=True)
-        done = peer.send(Kind.SUBMIT_JOB, "tatra-invest/nav-publish", "k", "x").until(Kind.WORK_COMPLETE)
+        done = peer.send(Kind.SUBMIT_JOB, "tatra-invest/nav-publish", "k", "x").until(
+            Kind.WORK_COMPLETE
+        )
         assert done.args[1] == b"17.5"
 
 
@@ -398,7 +414,9 @@
             pass
     with pytest.raises((ssl.SSLError, OSError)):
         dial(sealed.http, client_context(sealed))
-    stalled = [socket.create_connection(("127.0.0.1", sealed.tls), timeout=PATIENCE) for _ in range(20)]
+    stalled = [
+        socket.create_connection(("127.0.0.1", sealed.tls), timeout=PATIENCE) for _ in range(20)
+    ]
     for peer in stalled:
         peer.sendall(b"\x16\x03\x01")
     context, _ = with_uri(sealed, "spiffe://danubia/portal")
@@ -457,16 +475,23 @@
     stepstream("keys", "new", "--dir", folder, "--state", "next", "--alg", "ES256")
     assert "may not know it" in stepstream("keys", "rotate", "--dir", folder).stderr
     assert "signs from now on" in stepstream("keys", "rotate", "--dir", folder, "--early").stdout
-    states = [line.split()[2] for line in stepstream("keys", "list", "--dir", folder).stdout.splitlines()]
+    states = [
+        line.split()[2] for line in stepstream("keys", "list", "--dir", folder).stdout.splitlines()
+    ]
     assert states == ["retiring", "active", "next"]
     names = ("--subject", "portal", "--issuer", NAMES["iss"], "--audience", NAMES["aud"])
     token = stepstream("token", "issue", "--dir", folder, *names).stdout.strip()
     told = json.loads(stepstream("token", "inspect", token).stdout)
     assert (
-        told["header"]["alg"] == "ES256" and told["claims"]["sub"] == "portal" and told["verified"] is False
+        told["header"]["alg"] == "ES256"
+        and told["claims"]["sub"] == "portal"
+        and told["verified"] is False
     )
     assert stepstream("token", "inspect", "nonsense").returncode == 2
-    assert "is revoked" in stepstream("keys", "revoke", kid, "--dir", folder).stdout and not private.exists()
+    assert (
+        "is revoked" in stepstream("keys", "revoke", kid, "--dir", folder).stdout
+        and not private.exists()
+    )
     assert stepstream("keys", "revoke", "who", "--dir", folder).returncode == 2
 
 
@@ -476,7 +501,12 @@
         return stepstream("identity", "explain", *words, EDGE_CONFIG=str(guarded.path))
 
     good = explain(guarded.token(), "revalue")
-    assert good.returncode == 0 and "allowed" in good.stdout and "tenant: tatra-invest" in good.stdout
+    assert (
+        good.returncode == 0 and "allowed" in good.stdout and "tenant: tatra-invest" in good.stdout
+    )
     bad = explain(guarded.token(), "nav-publish", "--tenant", "tatra-invest")
-    assert bad.returncode == 1 and "class_not_allowed\nrule: identity.caller portal: classes" in bad.stdout
+    assert (
+        bad.returncode == 1
+        and "class_not_allowed\nrule: identity.caller portal: classes" in bad.stdout
+    )
     assert "not_a_token" in explain("x", "revalue").stdout
--- a/tests/test_identity_rights.py
+++ b/tests/test_identity_rights.py
@@ -11,7 +11,10 @@
 from stepstream.identity.rights import Caller, Decision, Identity, Method, Rights, Verdict
 
 PORTAL = Caller(
-    "portal", frozenset(("portal", "portal-2")), frozenset(("north",)), frozenset(("revalue", "price-check"))
+    "portal",
+    frozenset(("portal", "portal-2")),
+    frozenset(("north",)),
+    frozenset(("revalue", "price-check")),
 )
 ADMIN = Caller("admin", frozenset(("admin",)), frozenset(("*",)), frozenset(("*",)))
 OUT = Caller("out", frozenset(("out",)), frozenset(("*",)), frozenset(("*",)), suspended=True)
@@ -31,7 +34,14 @@
     [
         (None, "revalue", "north", Verdict.UNKNOWN, "no_credential", "identity"),
         (by_token("who"), "revalue", "north", Verdict.DENIED, "unknown_caller", "identity.caller"),
-        (by_token("out"), "revalue", "north", Verdict.DENIED, "suspended", "identity.caller out: state"),
+        (
+            by_token("out"),
+            "revalue",
+            "north",
+            Verdict.DENIED,
+            "suspended",
+            "identity.caller out: state",
+        ),
         (
             by_token("portal"),
             "nav-publish",
@@ -72,7 +82,14 @@
             "method_not_allowed",
             "identity.methods.nav-publish",
         ),
-        (by_token("portal-2"), "revalue", "north", Verdict.ALLOWED, "allowed", "identity.caller portal"),
+        (
+            by_token("portal-2"),
+            "revalue",
+            "north",
+            Verdict.ALLOWED,
+            "allowed",
+            "identity.caller portal",
+        ),
         (
             Identity("admin", Method.CERTIFICATE),
             "nav-publish",
@@ -93,7 +110,9 @@
 
 
 def test_over_its_rate_a_caller_hears_when_to_come_back():
-    slow = Caller("slow", frozenset(("slow",)), frozenset(("*",)), frozenset(("*",)), rate_per_s=2.0, burst=1)
+    slow = Caller(
+        "slow", frozenset(("slow",)), frozenset(("*",)), frozenset(("*",)), rate_per_s=2.0, burst=1
+    )
     engine = rights(slow)
     assert engine.admit(by_token("slow"), "revalue", "north", 10.0).verdict is Verdict.ALLOWED
     later = engine.admit(by_token("slow"), "revalue", "north", 10.1)
--- a/tests/test_identity_tokens.py
+++ b/tests/test_identity_tokens.py
@@ -17,7 +17,9 @@
 
 NOW = 1_900_000_000
 RULES = TokenRules(issuer="https://issuer.test", audience="stepstream")
-KEYS = {kid: (alg, generate(alg)) for kid, alg in (("ed", "EdDSA"), ("es", "ES256"), ("rs", "RS256"))}
+KEYS = {
+    kid: (alg, generate(alg)) for kid, alg in (("ed", "EdDSA"), ("es", "ES256"), ("rs", "RS256"))
+}
 KEYS |= {kid: ("EdDSA", generate("EdDSA")) for kid in ("next", "soon", "old", "past", "gone")}
 STATES = {
     "next": {"state": "next", "not_before": NOW - 10},
@@ -27,7 +29,8 @@
     "gone": {"state": "revoked"},
 }
 ROWS = [
-    {**public_row(alg, private), "kid": kid, **STATES.get(kid, {})} for kid, (alg, private) in KEYS.items()
+    {**public_row(alg, private), "kid": kid, **STATES.get(kid, {})}
+    for kid, (alg, private) in KEYS.items()
 ]
 RING = read_keys({"keys": ROWS})
 GOOD = {
@@ -63,11 +66,17 @@
 def public_pem(kid):
     from cryptography.hazmat.primitives import serialization as s
 
-    return KEYS[kid][1].public_key().public_bytes(s.Encoding.PEM, s.PublicFormat.SubjectPublicKeyInfo)
+    return (
+        KEYS[kid][1].public_key().public_bytes(s.Encoding.PEM, s.PublicFormat.SubjectPublicKeyInfo)
+    )
 
 
 def hs256_with_the_public_key(kid):
-    signed = b64(json.dumps({"alg": "HS256", "kid": kid}).encode()) + b"." + b64(json.dumps(GOOD).encode())
+    signed = (
+        b64(json.dumps({"alg": "HS256", "kid": kid}).encode())
+        + b"."
+        + b64(json.dumps(GOOD).encode())
+    )
     return signed + b"." + b64(hmac.new(public_pem(kid), signed, hashlib.sha256).digest())
 
 
@@ -75,7 +84,9 @@
     """Signed by one key in the name of another of the same algorithm."""
     head, body, _ = sign(kid).split(b".")
     alg, private = KEYS[other]
-    return b".".join((head, body, b64(jwt.get_algorithm_by_name(alg).sign(head + b"." + body, private))))
+    return b".".join(
+        (head, body, b64(jwt.get_algorithm_by_name(alg).sign(head + b"." + body, private)))
+    )
 
 
 FORGED = {
@@ -128,7 +139,10 @@
     "payload no JSON": (sign(payload=b"{"), "not_json"),
     "payload a string": (sign(payload=b'"x"'), "not_json"),
     "payload NaN": (sign(payload=b'{"exp":NaN}'), "not_json"),
-    "claim twice": (sign(payload=json.dumps(GOOD).encode()[:-1] + b',"sub":"admin"}'), "duplicate_claim"),
+    "claim twice": (
+        sign(payload=json.dumps(GOOD).encode()[:-1] + b',"sub":"admin"}'),
+        "duplicate_claim",
+    ),
     "no issuer": (sign(iss=None), "no_issuer"),
     "issuer another": (sign(iss="https://issuer.test.evil"), "wrong_issuer"),
     "issuer a list": (sign(iss=[RULES.issuer]), "wrong_issuer"),
@@ -172,12 +186,18 @@
 def test_good_tokens_of_each_algorithm_and_state_are_taken(kid):
     claims = verify(sign(kid), RING, RULES, NOW)
     assert claims == Claims("portal", kid, NOW + 60, NOW - 5, NOW - 5, "1")
-    assert verify(sign(kid, aud=["x", RULES.audience], exp=NOW - 4), RING, RULES, NOW).subject == "portal"
+    assert (
+        verify(sign(kid, aud=["x", RULES.audience], exp=NOW - 4), RING, RULES, NOW).subject
+        == "portal"
+    )
 
 
 @settings(derandomize=True, deadline=None, max_examples=300, database=None)
 @given(
-    st.sampled_from(["ed", "es", "rs"]), st.integers(0, 2**16), st.integers(1, 255), st.sampled_from("xid")
+    st.sampled_from(["ed", "es", "rs"]),
+    st.integers(0, 2**16),
+    st.integers(1, 255),
+    st.sampled_from("xid"),
 )
 def test_no_mutation_of_a_good_token_is_taken(kid, at, flip, how):
     token = bytearray(TOKENS[kid])
@@ -213,7 +233,12 @@
 
 def test_a_cached_token_ends_with_its_time_and_with_its_key():
     verifier, token = Verifier(RING, RULES, 10), sign()
-    assert [reason_of(verifier, token, NOW + k) for k in (0, 1, 64, 65)] == [None, None, None, "expired"]
+    assert [reason_of(verifier, token, NOW + k) for k in (0, 1, 64, 65)] == [
+        None,
+        None,
+        None,
+        "expired",
+    ]
     verifier, token = Verifier(RING, RULES, 10), sign("old", exp=NOW + 600)
     assert [reason_of(verifier, token, NOW + k) for k in (0, 9, 10)] == [None, None, "key_past"]
     assert (verifier.hits, verifier.misses) == (2, 1)
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -40,4 +40,6 @@
             continue
         assert not {m for m in found if m.split(".")[1] in SUBSYSTEMS}, name
     inner = {name: found for name, found in imports().items() if name.startswith("stepstream.net.")}
-    assert not any("stepstream.node" in found or "stepstream.host" in found for found in inner.values())
+    assert not any(
+        "stepstream.node" in found or "stepstream.host" in found for found in inner.values()
+    )
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -20,7 +20,9 @@
 from stepstream.net.reports import Reports
 from stepstream.settings import FieldError, Fields, flatten, read_settings
 
-SPEC = NodeSpec("s", "east", "large", 0, cores=2, speed=1.0, queue=2, cold_share=0.5, warm_us=1_000_000)
+SPEC = NodeSpec(
+    "s", "east", "large", 0, cores=2, speed=1.0, queue=2, cold_share=0.5, warm_us=1_000_000
+)
 T0 = 1_000_000_000
 
 
@@ -40,7 +42,12 @@
 
 def test_jobs_run_at_the_nodes_speed_and_wait_in_order():
     model = node(speed=2.0)
-    for name, work, slots in (("a", 400_000, 1), ("b", 200_000, 1), ("c", 200_000, 2), ("d", 100_000, 1)):
+    for name, work, slots in (
+        ("a", 400_000, 1),
+        ("b", 200_000, 1),
+        ("c", 200_000, 2),
+        ("d", 100_000, 1),
+    ):
         assert model.offer(T0, Task(name, work, slots)) is Offer.TAKEN
     words = play(model, T0 + 1_000_000)
     assert [(w, n) for w, n, _ in words] == [
@@ -130,15 +137,27 @@
     [
         (lambda r, n: r.answered(5, (n, 0), Final.SERVED, "x"), "served with what no node made"),
         (lambda r, n: r.answered(5, (n, 0), Final.LOST), "lost"),
-        (lambda r, n: [r.answered(5, (n, 0), Final.FAILED) for _ in range(2)], "second final answer"),
+        (
+            lambda r, n: [r.answered(5, (n, 0), Final.FAILED) for _ in range(2)],
+            "second final answer",
+        ),
         (
             lambda r, n: (r.arrived(1, (n, 0), "a", 0), r.answered(5, (n, 0), Final.REFUSED)),
             "refused though it may have run",
         ),
         (lambda r, n: [r.arrived(1, (n, 0), "a", 0) for _ in range(2)], "a second open call"),
-        (lambda r, n: [r.arrived(1, (n, 0), w, c) for w, c in (("a", 0), ("b", 1))], "outside its cell"),
-        (lambda r, n: [r.arrived(t, (n, 0), w, 0) for t, w in ((1, "a"), (10**7, "b"))], "past its window"),
-        (lambda r, n: (r.drain_told(1, "a"), r.arrived(600_000, (n, 0), "a", 0)), "new work after the drain"),
+        (
+            lambda r, n: [r.arrived(1, (n, 0), w, c) for w, c in (("a", 0), ("b", 1))],
+            "outside its cell",
+        ),
+        (
+            lambda r, n: [r.arrived(t, (n, 0), w, 0) for t, w in ((1, "a"), (10**7, "b"))],
+            "past its window",
+        ),
+        (
+            lambda r, n: (r.drain_told(1, "a"), r.arrived(600_000, (n, 0), "a", 0)),
+            "new work after the drain",
+        ),
         (lambda r, n: r.toppled(1, "a"), "pushed over"),
     ],
 )
@@ -174,8 +193,12 @@
 
 
 def test_the_days_settings_are_what_a_dispatcher_reads():
-    settings = read_settings(Fields.of(flatten(settings_of(draw_day(read_site(), 1, 5, "http")), "", {})))
-    assert settings.class_names == ("revalue", "price-check", "nav-publish") and settings.tells_start
+    settings = read_settings(
+        Fields.of(flatten(settings_of(draw_day(read_site(), 1, 5, "http")), "", {}))
+    )
+    assert (
+        settings.class_names == ("revalue", "price-check", "nav-publish") and settings.tells_start
+    )
 
 
 @pytest.mark.parametrize("how", ["probe", "answers"])
@@ -186,7 +209,10 @@
     made, reports = HttpNode(node(cores=2), Clock(), Referee(day)), Reports(settings, pytest.fail)
     for name in ("a", "b", "c"):
         made.model.offer(made.clock.now_us(), Task(name, 10**9))
-    read = [reports.probe(made.load_text().encode()), reports.header(made.load_header().get("Server-Load"))]
+    read = [
+        reports.probe(made.load_text().encode()),
+        reports.header(made.load_header().get("Server-Load")),
+    ]
     full = {"queue": 1.0, "free_slots": 0.0}
     assert [*read, reports.news(made.look())] == [full, *[full if how == "answers" else None] * 2]
 
@@ -231,7 +257,12 @@
     try:
         where = json.loads(held.stdout.readline())
         host, _, port = where["http"].rpartition(":")
-        headers = {"Host": "x", "Request-Id": "0a", "Tenant": "north-fund", "Request-Timeout-Ms": "4000"}
+        headers = {
+            "Host": "x",
+            "Request-Id": "0a",
+            "Tenant": "north-fund",
+            "Request-Timeout-Ms": "4000",
+        }
         for body in (b"[0,0,1000,1]", b"what others send"):
             with socket.create_connection((host, int(port)), timeout=PATIENCE) as peer:
                 answer = ask(0, write_request("POST", "/revalue", headers, body), peer)
@@ -241,9 +272,14 @@
         assert held.wait(PATIENCE * 2) == 0
 
 
-@pytest.mark.parametrize("wrong", [["--mix", "x"], ["--site", "x"], ["--seconds", "x"], ["--seconds", "0"]])
+@pytest.mark.parametrize(
+    "wrong", [["--mix", "x"], ["--site", "x"], ["--seconds", "x"], ["--seconds", "0"]]
+)
 def test_a_wrong_word_on_the_command_line_is_named(wrong):
     run = subprocess.run(
-        [sys.executable, "-m", "stepstream", "demo", *wrong], cwd=ROOT, capture_output=True, text=True
+        [sys.executable, "-m", "stepstream", "demo", *wrong],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
     )
     assert run.returncode == 2 and wrong[0] in run.stderr
--- a/tests/test_lease_processes.py
+++ b/tests/test_lease_processes.py
@@ -72,9 +72,12 @@
         {"at": 5.0, "what": "begin", "token": 7, "holder": "c", "act": 2},
     ]
     found = " / ".join(ledger.faults(rows))
-    assert "token 5 taken after 7" in found and "of b and of c" in found and "a and b overlap" in found
+    assert (
+        "token 5 taken after 7" in found and "of b and of c" in found and "a and b overlap" in found
+    )
     fair = [
-        {**row, "at": at} for row, at in zip((rows[0], rows[2], rows[1], rows[3]), (1, 2, 3, 4), strict=True)
+        {**row, "at": at}
+        for row, at in zip((rows[0], rows[2], rows[1], rows[3]), (1, 2, 3, 4), strict=True)
     ]
     assert not ledger.faults(fair)
 
@@ -83,8 +86,19 @@
 
 
 def lease_run(fleet, name, command, *options, at="n4"):
-    words = [sys.executable, "-m", "stepstream", "lease", "run", name, "--at", fleet.members[at].admin]
-    return subprocess.Popen([*words, *options, "--", *command], cwd=ROOT, stderr=subprocess.PIPE, text=True)
+    words = [
+        sys.executable,
+        "-m",
+        "stepstream",
+        "lease",
+        "run",
+        name,
+        "--at",
+        fleet.members[at].admin,
+    ]
+    return subprocess.Popen(
+        [*words, *options, "--", *command], cwd=ROOT, stderr=subprocess.PIPE, text=True
+    )
 
 
 SHELL = ["sh", "-c"]
@@ -108,7 +122,9 @@
 def test_of_two_commands_one_waits_and_both_have_their_turn(fleet, tmp_path):
     log = tmp_path / "log"
     script = f"echo begin >> {log}; sleep 0.5; echo end >> {log}"
-    jobs = [lease_run(fleet, "turns", [*SHELL, script], "--ttl", "1.2", at=f"n{k}") for k in range(3)]
+    jobs = [
+        lease_run(fleet, "turns", [*SHELL, script], "--ttl", "1.2", at=f"n{k}") for k in range(3)
+    ]
     assert [job.wait(PATIENCE) for job in jobs] == [0, 0, 0]
     assert log.read_text().split() == ["begin", "end"] * 3
 
@@ -139,7 +155,10 @@
 
         fleet.wait_for(held, PATIENCE, "the holder")
         if end == "release":
-            assert run(["lease", "show", "long", "--at", at]) == 0 and "held" in capsys.readouterr().out
+            assert (
+                run(["lease", "show", "long", "--at", at]) == 0
+                and "held" in capsys.readouterr().out
+            )
             assert run(["lease", "release", "long", "--at", at]) == 0
             assert "told to end" in capsys.readouterr().out
         else:
@@ -168,12 +187,27 @@
 @pytest.mark.parametrize(
     ("method", "path", "status", "words"),
     [
-        ("PUT", "/leases/No_Such/want?session=abcdefgh&ttl_ms=1200&act_ms=300", 400, "no lease's name"),
+        (
+            "PUT",
+            "/leases/No_Such/want?session=abcdefgh&ttl_ms=1200&act_ms=300",
+            400,
+            "no lease's name",
+        ),
         ("PUT", f"/leases/{'a' * 65}/want?session=abcdefgh", 400, "no lease's name"),
         ("PUT", "/leases/a/want?session=x&ttl_ms=1200&act_ms=300", 400, "session"),
         ("PUT", "/leases/a/want?session=abcdefgh&ttl_ms=x&act_ms=300", 400, "ttl_ms"),
-        ("PUT", "/leases/a/want?session=abcdefgh&ttl_ms=100&act_ms=30", 400, "ttl_ms=100 is under 400"),
-        ("PUT", "/leases/a/want?session=abcdefgh&ttl_ms=99999&act_ms=30", 400, "leases.longest_s=1.2"),
+        (
+            "PUT",
+            "/leases/a/want?session=abcdefgh&ttl_ms=100&act_ms=30",
+            400,
+            "ttl_ms=100 is under 400",
+        ),
+        (
+            "PUT",
+            "/leases/a/want?session=abcdefgh&ttl_ms=99999&act_ms=30",
+            400,
+            "leases.longest_s=1.2",
+        ),
         ("PUT", "/leases/a/want?session=abcdefgh&ttl_ms=1200&act_ms=900", 400, "act_ms"),
         ("PUT", "/leases/a/release?session=abcdefgh", 404, "no such session"),
         ("PUT", "/leases/a/release", 404, "not held"),
@@ -207,15 +241,27 @@
         (FLEET + '[leases]\nvoters = ["a", "b", "a"]\n', "leases.voters[2]=a is there twice"),
         (FLEET + '[leases]\nvoters = ["a b"]\n', "leases.voters[0]"),
         (FLEET + '[leases]\nvoters = ["a"]\ndrift = 0.0\n', "leases.drift"),
-        (FLEET + '[leases]\nvoters = ["a"]\nlongest_s = 1\n', "leases.longest_s=1 is under four times"),
+        (
+            FLEET + '[leases]\nvoters = ["a"]\nlongest_s = 1\n',
+            "leases.longest_s=1 is under four times",
+        ),
         (FLEET + '[leases]\nvoters = ["a"]\ncolour = 1\n', "colour"),
     ],
 )
 def test_a_faulty_key_is_one_line_that_names_it(tmp_path, text, key):
     (tmp_path / "operator.toml").write_text(text)
-    (tmp_path / "config.json").write_text(json.dumps({**CONFIG, "listen": f"127.0.0.1:{free_port()}"}))
+    (tmp_path / "config.json").write_text(
+        json.dumps({**CONFIG, "listen": f"127.0.0.1:{free_port()}"})
+    )
     done = subprocess.run(
-        [sys.executable, "-m", "stepstream", "check-config", "--operator", str(tmp_path / "operator.toml")],
+        [
+            sys.executable,
+            "-m",
+            "stepstream",
+            "check-config",
+            "--operator",
+            str(tmp_path / "operator.toml"),
+        ],
         cwd=ROOT,
         env={**os.environ, "EDGE_CONFIG": str(tmp_path / "config.json")},
         capture_output=True,
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -121,7 +121,11 @@
     guard.take(5, lambda: taken.append(5))
     with pytest.raises(FencedError) as refused:
         guard.take(4, lambda: taken.append(4))
-    assert taken == [5, 5] and (refused.value.token, refused.value.highest, guard.refused) == (4, 5, 1)
+    assert taken == [5, 5] and (refused.value.token, refused.value.highest, guard.refused) == (
+        4,
+        5,
+        1,
+    )
 
 
 # -- in every order ---------------------------------------------------------------------------------------
@@ -186,7 +190,9 @@
         made.start(name)
         made.run(RULES.silence + 2.0)
     assert made.holders("x") == [holder] and len(made.grants) == 1
-    assert made.grants[0].token == min(act.token for act in made.resources["x"].acts)  # and its token
+    assert made.grants[0].token == min(
+        act.token for act in made.resources["x"].acts
+    )  # and its token
 
 
 def test_after_a_restart_of_all_voters_nothing_is_granted_for_the_longest_lease():
@@ -243,7 +249,9 @@
     voter, first, second = Voter(RULES, -100.0), Ballot(5, "a.1"), Ballot(6, "a.2")
     for at, ballot in ((0.0, first), (1.0, second)):
         voter.handle(at, "a", m.Release("x", first)) if ballot is second else None
-        assert voter.handle(at, "a", m.Prepare("x", ballot, 3000, 0)) == [("a", m.Promised("x", ballot))]
+        assert voter.handle(at, "a", m.Prepare("x", ballot, 3000, 0)) == [
+            ("a", m.Promised("x", ballot))
+        ]
         assert voter.handle(at, "a", m.Propose("x", ballot, 1, 5, 3000)) == [
             ("a", m.Accepted("x", ballot, 1))
         ]
@@ -317,11 +325,16 @@
     ],
 )
 def test_times_out_of_bounds_are_named(ttl, act, key):
-    assert fault_of(RULES, ttl, act).startswith(key) and bool(fault_of(RULES, ttl, act)) == bool(key)
+    assert fault_of(RULES, ttl, act).startswith(key) and bool(fault_of(RULES, ttl, act)) == bool(
+        key
+    )
 
 
 def test_a_member_with_other_rules_is_told_so_and_gets_no_vote():
-    mine, other = core(), Core("n1", "n1@1", Rules(("n1", "n8", "n9"), longest=6.0), 1, random.Random(2), 0.0)
+    mine, other = (
+        core(),
+        Core("n1", "n1@1", Rules(("n1", "n8", "n9"), longest=6.0), 1, random.Random(2), 0.0),
+    )
     claim, sends = other.acquire(1.0, "x", 4.0, 1.0)
     letter = m.Letter(m.VERSION, other.rules.marks, (m.Prepare("x", claim.ballot, 4000, 0),))
     ((to, answer),) = [(x.member, x.letter) for x in mine.handle(1.0, "n1", letter)]
@@ -338,7 +351,9 @@
         if k:
             voter.handle(0.0, "a", m.Propose(f"x{k}", ballot, 1, 5, 3000))
     ((_, told),) = voter.handle(0.0, "b", m.Prepare("x9", Ballot(9, "b.1"), 3000, 0))
-    assert isinstance(told, m.Stale) and told.number == 50 and set(voter.records) == {"x1", "x2", "x9"}
+    assert (
+        isinstance(told, m.Stale) and told.number == 50 and set(voter.records) == {"x1", "x2", "x9"}
+    )
     for k in range(5):
         voter.handle(0.0, "b", m.Prepare("x1", Ballot(99, f"b.{k}"), 3000, 0))
     assert len(voter.records["x1"].waiters) == 2
@@ -347,7 +362,10 @@
 @settings(derandomize=True, max_examples=300, deadline=None)
 @given(st.data())
 def test_bytes_from_anywhere_are_a_letter_or_dropped(data):
-    bodies = (m.Prepare("x", Ballot(200, "b.1"), 3000, 5), m.Propose("x", Ballot(200, "b.1"), 1, 200, 3000))
+    bodies = (
+        m.Prepare("x", Ballot(200, "b.1"), 3000, 5),
+        m.Propose("x", Ballot(200, "b.1"), 1, 200, 3000),
+    )
     whole = m.encode(m.Letter(m.VERSION, RULES.marks, bodies))
     part = bytearray(whole[: data.draw(st.integers(0, len(whole)))])
     for _ in range(data.draw(st.integers(0, 3))):
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -34,7 +34,9 @@
         assert self.members.apply(Listed(source, told)) is told
 
     def apply(self, source, kind, rows):
-        entries = tuple(i.WorkerEntry(w, kind=SOURCES.index(source), state=s) for w, s in rows.items())
+        entries = tuple(
+            i.WorkerEntry(w, kind=SOURCES.index(source), state=s) for w, s in rows.items()
+        )
         told = self.members.apply(Listed(source, i.WorkerList(kind, entries)))
         assert told.kind is kind
         # What the module makes of it.
@@ -70,7 +72,8 @@
     MembersRig,
     changes=st.tuples(st.sampled_from(SOURCES), st.sampled_from(IDS), st.sampled_from(STATES)),
     full=st.tuples(
-        st.sampled_from(SOURCES), st.dictionaries(st.sampled_from(IDS), st.sampled_from(STATES), max_size=3)
+        st.sampled_from(SOURCES),
+        st.dictionaries(st.sampled_from(IDS), st.sampled_from(STATES), max_size=3),
     ),
     failed=st.sampled_from(SOURCES),
 )
@@ -79,7 +82,9 @@
 def test_a_full_list_of_one_source_keeps_the_other_sources_workers():
     members = Members(lambda _: None)
     members.apply(Listed("gearman", i.WorkerList(i.ListKind.CHANGES, (i.WorkerEntry("g"),))))
-    told = members.apply(Listed("discovery", i.WorkerList(i.ListKind.COMPLETE, (i.WorkerEntry("s"),))))
+    told = members.apply(
+        Listed("discovery", i.WorkerList(i.ListKind.COMPLETE, (i.WorkerEntry("s"),)))
+    )
     assert {e.worker for e in told.entries} == {"g", "s"}
     told = members.apply(Listed("discovery", i.WorkerList(i.ListKind.COMPLETE, ())))
     assert {e.worker for e in told.entries} == {"g"}
@@ -90,6 +95,8 @@
     members = Members(said.append)
     members.apply(Listed("discovery", i.WorkerList(i.ListKind.COMPLETE, (i.WorkerEntry("a"),))))
     for _ in range(3):
-        told = members.apply(Listed("gearman", i.WorkerList(i.ListKind.CHANGES, (i.WorkerEntry("a"),))))
+        told = members.apply(
+            Listed("gearman", i.WorkerList(i.ListKind.CHANGES, (i.WorkerEntry("a"),)))
+        )
         assert told.entries == ()
     assert said == ["worker a of gearman waits: discovery holds that id"]
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -98,11 +98,16 @@
     assert caller.outbound.pool.count == 1 and not caller.events
 
 
-@pytest.mark.parametrize("effect,price,dialled", [("unsafe", 0, 3), ("unsafe", 0.01, 1), ("safe", 0, 1)])
+@pytest.mark.parametrize(
+    "effect,price,dialled", [("unsafe", 0, 3), ("unsafe", 0.01, 1), ("safe", 0, 1)]
+)
 def test_what_must_not_run_twice_goes_on_a_connection_of_its_own(effect, price, dialled):
     """A kept connection may have died unheard, and a reset under such a job is its failure."""
     kind = replace(SETTINGS.classes[0], effect=i.Effect(effect))
-    settings, limits = replace(SETTINGS, classes=(kind,), handshake_price=price), Limits(outbound_rest=0.0)
+    settings, limits = (
+        replace(SETTINGS, classes=(kind,), handshake_price=price),
+        Limits(outbound_rest=0.0),
+    )
     caller, lines = Caller(taken, limits, settings), []
     for name in ("01", "02", "03"):
         call = caller.call(name)
@@ -111,7 +116,9 @@
     assert len(set(map(id, lines))) == dialled and caller.outbound.pool.count == 1
 
 
-@pytest.mark.parametrize("load,report,bad", [("TEXT queue=3", {"queue": 3.0}, 0), ("TEXT queue=x", None, 1)])
+@pytest.mark.parametrize(
+    "load,report,bad", [("TEXT queue=3", {"queue": 3.0}, 0), ("TEXT queue=x", None, 1)]
+)
 def test_a_load_report_costs_nothing_but_itself(load, report, bad):
     """In an answer that turns a call away, and in a probe's; one that cannot be read is counted."""
     settings = replace(SETTINGS, **{**PROBED, "reports": "answers"})
@@ -132,7 +139,10 @@
     line.sock.shutdown(socket.SHUT_RDWR)  # as good as closed by the worker: reads end
     call = caller.call("02")
     wait_for(lambda: call.handle.taken)
-    assert not caller.events and [m.headers["request-id"] for m in caller.server.seen] == ["01", "02"]
+    assert not caller.events and [m.headers["request-id"] for m in caller.server.seen] == [
+        "01",
+        "02",
+    ]
 
 
 def test_idle_connections_are_retired_before_the_worker_closes_them():
@@ -209,14 +219,18 @@
     wait_for(lambda: len(caller.outbound.pool.idle["w"]) == 2)
     assert len(lines) == 2 and not caller.events
     # It has rested by now, but holds what belongs to nothing: it is closed, not used.
-    wait_for(lambda: all(time.monotonic() - x.idle_since > 0.05 for x in caller.outbound.pool.idle["w"]))
+    wait_for(
+        lambda: all(time.monotonic() - x.idle_since > 0.05 for x in caller.outbound.pool.idle["w"])
+    )
     for name in ("03", "04"):
         call = caller.call(name)
         wait_for(lambda call=call: call.handle.taken)
     assert not caller.events
 
 
-@pytest.mark.parametrize("start", [b"HTTP/1.1 202 Accepted\r\nContent-Length: 9\r\n\r\nx", b"HTTP/1.1 2"])
+@pytest.mark.parametrize(
+    "start", [b"HTTP/1.1 202 Accepted\r\nContent-Length: 9\r\n\r\nx", b"HTTP/1.1 2"]
+)
 def test_an_answer_that_never_ends_holds_its_call_for_a_bounded_time(start):
     caller = Caller(lambda _: start, Limits(answer_rest=0.05))
     assert caller.outcome(caller.call()) is i.Result.RESET
@@ -252,7 +266,9 @@
     first = caller.call("01")
     wait_for(lambda: caller.server.seen)
     caller.outbound.stop(first)
-    assert caller.outcome(first) is i.Result.RESET  # the core has ended it before: only the thread's word
+    assert (
+        caller.outcome(first) is i.Result.RESET
+    )  # the core has ended it before: only the thread's word
     hold.set()
     second = caller.call("02")
     wait_for(lambda: second.handle.taken)
@@ -385,7 +401,12 @@
         ([("refused", "a", 0.0), ("refused", "b", 1.0), ("told", {"c"})], 3.1),
         ([("refused", "a", 0.0), ("refused", "b", 1.0), ("told", None)], None),
         ([("refused", "a", 0.0), ("refused", "b", 1.0), ("due", 4.0), ("refused", "a", 5.0)], None),
-        ([("refused", w, 1.0) for w in "ab"] + [("due", 4.0)] + [("refused", w, 5.0) for w in "ab"], 21.1),
+        (
+            [("refused", w, 1.0) for w in "ab"]
+            + [("due", 4.0)]
+            + [("refused", w, 5.0) for w in "ab"],
+            21.1,
+        ),
     ],
 )
 def test_a_list_is_doubted_once_several_workers_that_it_calls_ready_refuse(steps, due):
@@ -408,7 +429,10 @@
     caller.destinations.apply(targets(w=free_port(), x=free_port(), y=caller.server.port))
     for name in "wx":
         assert caller.outcome(caller.call(worker=name)) is i.Result.CONNECT_FAILED
-    assert set(caller.destinations.doubt.refused_at) == {"w", "x"} and not caller.destinations.doubted()
+    assert (
+        set(caller.destinations.doubt.refused_at) == {"w", "x"}
+        and not caller.destinations.doubted()
+    )
     caller.destinations.doubt.due_at = 0.0
     assert caller.destinations.doubted() and not caller.destinations.doubted()
 
@@ -476,7 +500,9 @@
     ours, theirs = socket.socketpair()
 
     def feed():
-        for _ in range(100):  # far past the limit, then its end: a call that waits for that has failed
+        for _ in range(
+            100
+        ):  # far past the limit, then its end: a call that waits for that has failed
             if drip:
                 theirs.sendall(drip)
             if stop.wait(0.02):
@@ -529,7 +555,9 @@
     def __init__(self, limits=LIMITS):
         self.events = []
         side = ClientSide(SETTINGS)
-        self.house = House(limits, CLOCK, side, self.events.append, lambda host: host == WORKER_HOST)
+        self.house = House(
+            limits, CLOCK, side, self.events.append, lambda host: host == WORKER_HOST
+        )
         entrance = self.house.bind(("127.0.0.1", 0))
         self.house.open(entrance)
         self.port = entrance.listener.getsockname()[1]
@@ -578,7 +606,9 @@
 
 
 def test_a_flood_of_strangers_keeps_out_neither_news_nor_clients():
-    home = Home(Limits(inbound=6, for_news=2, spare_idle=0.0, stranger=0.0))  # no verdict by the clock
+    home = Home(
+        Limits(inbound=6, for_news=2, spare_idle=0.0, stranger=0.0)
+    )  # no verdict by the clock
     with contextlib.ExitStack() as stack:
         client = stack.enter_context(home.dial())
         client.sendall(job_bytes(name="01"))
@@ -645,7 +675,9 @@
     with home.dial() as slow:
         slow.sendall(b"GET /-/ready HT")
         wait_for(lambda: any(not inbound.session.between for inbound in home.house.inbound))
-        home.looked(lambda: all(inbound.session.phase is Phase.CLOSED for inbound in home.house.inbound))
+        home.looked(
+            lambda: all(inbound.session.phase is Phase.CLOSED for inbound in home.house.inbound)
+        )
         assert ask(0, b"", slow).status == 400
     wait_for(lambda: not home.house.inbound)
 
@@ -698,7 +730,9 @@
         (first,) = wait_for(lambda: home.of(Arrived))
         home.house.door.closing = True
         for name, stays in (("01", True), ("02", False)):
-            (*_, waiting) = wait_for(lambda name=name: [r for r in home.of(Arrived) if r.id == name])
+            (*_, waiting) = wait_for(
+                lambda name=name: [r for r in home.of(Arrived) if r.id == name]
+            )
             waiting.origin.answer(Answer(waiting, Outcome.SERVED, "ok"))
             answer = ask(0, b"", peer)
             assert (answer.status, answer.keep_alive) == (200, stays)
@@ -768,7 +802,9 @@
         monkeypatch.setattr(one.inbound.link, name, partial(crossed, name))
     ENDS[end](one)
     assert one.peer.recv(100) == b""
-    if end != "room":  # there the place is needed at once, and what is still on its way meets a reset
+    if (
+        end != "room"
+    ):  # there the place is needed at once, and what is still on its way meets a reset
         one.peer.sendall(job_bytes(name="03"))
     time.sleep(0.1)  # for a reset over unread bytes to come, if there is one
     assert one.peer.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -101,10 +101,18 @@
         self.port = free_port()
         self.hold = threading.Event()  # while set, jobs are taken but not done
         self.answers = []  # what the worker gives instead of a 202, first come
-        entry = {"id": "s-1", "addr": f"127.0.0.1:{self.worker.port}", "state": "ready", "zone": "ruzinov"}
+        entry = {
+            "id": "s-1",
+            "addr": f"127.0.0.1:{self.worker.port}",
+            "state": "ready",
+            "zone": "ruzinov",
+        }
         self.list = {"version": 3, "full": True, "servers": [entry]}
         # Without tells of starts a job that is held here does not look like a sign of a full worker.
-        told = {**CONFIG["settings"], "extra": {**CONFIG["settings"]["extra"], "tells_start": False}}
+        told = {
+            **CONFIG["settings"],
+            "extra": {**CONFIG["settings"]["extra"], "tells_start": False},
+        }
         config = {
             **CONFIG,
             "settings": told,
@@ -154,7 +162,9 @@
 
     def news(self, name, state, result=None):
         body = json.dumps({"id": name, "from": "s-1", "state": state, "result": result}).encode()
-        return ask(self.port, write_request("POST", "/_jobs/news", {"Connection": "close"}, body)).status
+        return ask(
+            self.port, write_request("POST", "/_jobs/news", {"Connection": "close"}, body)
+        ).status
 
     def jobs(self):
         return [m for m in self.worker.seen if m.method == "POST"]
@@ -175,7 +185,11 @@
     answer = ask(world.port, job_bytes(body=b"payload"))
     assert (answer.status, answer.body) == (200, b"17.5")
     (job,) = world.jobs()
-    assert (job.target, job.body, job.headers["request-id"]) == ("/revalue", b"payload", "00000000000000aa")
+    assert (job.target, job.body, job.headers["request-id"]) == (
+        "/revalue",
+        b"payload",
+        "00000000000000aa",
+    )
     # Told again, and of a job from before a restart: acknowledged all the same.
     assert world.news("00000000000000aa", "done", "x") == 200 and world.news("00ff", "lost") == 200
 
@@ -200,7 +214,9 @@
 def test_a_pipelined_request_waits_for_the_one_before(world):
     with socket.create_connection(("127.0.0.1", world.port), timeout=PATIENCE) as peer:
         assert ask(0, job_bytes(name="01") + job_bytes(name="02"), peer).status == 200
-        assert ask(0, b"GET /-/ready HTTP/1.1\r\n\r\n", peer).status == 200  # the second job's answer
+        assert (
+            ask(0, b"GET /-/ready HTTP/1.1\r\n\r\n", peer).status == 200
+        )  # the second job's answer
         wait_for(lambda: len(world.jobs()) == 2)
 
 
@@ -284,7 +300,10 @@
     with socket.create_connection(("127.0.0.1", world.port), timeout=PATIENCE) as peer:
         peer.sendall(job_bytes(name="0e", Request_Timeout_Ms="60000"))
         wait_for(world.jobs)
-        settings = {**world.config["settings"], "services": world.config["settings"]["services"][::-1]}
+        settings = {
+            **world.config["settings"],
+            "services": world.config["settings"]["services"][::-1],
+        }
         where = f"127.0.0.1:{new.port}"
         assert where in world.reload({**world.config, "discovery": where, "settings": settings})
         wait_for(lambda: [m for m in new.seen if "wait=" in m.target])
@@ -319,7 +338,9 @@
         world.process.kill()
         world.process.wait()
         again = subprocess.Popen(
-            world.process.args, cwd=ROOT, env={**os.environ, "EDGE_CONFIG": str(tmp_path / "config.json")}
+            world.process.args,
+            cwd=ROOT,
+            env={**os.environ, "EDGE_CONFIG": str(tmp_path / "config.json")},
         )
         try:
             wait_for(world.ready)
@@ -364,7 +385,10 @@
     monkeypatch.setattr(node, "stop", lambda: stopped.append(True))
     monkeypatch.setattr(node, "look_round", lambda: looked.append(True))
     switch = sys.getswitchinterval()
-    handlers = {number: signal.getsignal(number) for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)}
+    handlers = {
+        number: signal.getsignal(number)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    }
     try:
         assert node.run() == 0
     finally:
@@ -415,7 +439,9 @@
 
     def reply(message):
         answer.wait(PATIENCE)
-        return write_answer(200, json.dumps({"version": 4, "full": True, "servers": [drained]}).encode())
+        return write_answer(
+            200, json.dumps({"version": 4, "full": True, "servers": [drained]}).encode()
+        )
 
     discovery, port = Server(reply), free_port()
     known = {"version": 3, "full": True, "servers": [{**drained, "state": "ready"}]}
@@ -445,7 +471,12 @@
 
 def test_a_start_beside_a_discovery_that_is_down_does_not_wait_for_long():
     port = free_port()
-    config = {**CONFIG, "known": {}, "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{free_port()}"}
+    config = {
+        **CONFIG,
+        "known": {},
+        "listen": f"127.0.0.1:{port}",
+        "discovery": f"127.0.0.1:{free_port()}",
+    }
     node = Node(config_from(config, {}))
     assert node.limits.first_list < 10.0 and node.limits.agent_first < 1.0
     node.limits = replace(node.limits, first_list=0.05)
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -52,7 +52,9 @@
 
 
 def test_a_section_takes_its_defaults(tmp_path):
-    text = '[gearman]\nlisten = "127.0.0.1:4730"\ntenant = "hron-asset"\n[gearman.worker]\nslots = 4\n'
+    text = (
+        '[gearman]\nlisten = "127.0.0.1:4730"\ntenant = "hron-asset"\n[gearman.worker]\nslots = 4\n'
+    )
     gearman = read(tmp_path, text).gearman
     assert (gearman.tenant, gearman.queue, gearman.worker.slots) == ("hron-asset", 8, 4)
     assert gearman == Gearman(listen="127.0.0.1:4730", tenant="hron-asset", worker=gearman.worker)
@@ -64,22 +66,43 @@
         ("[gearman]\n", "gearman: Object missing required field `listen`"),
         ('[gearman]\nlisten = "127.0.0.1"\n', "gearman.listen: "),
         ('[gearman]\nlisten = "127.0.0.1:99999"\n', "gearman.listen="),
-        ('[gearman]\nlisten = "127.0.0.1:1"\nqueue = "x"\n', "gearman.queue: Expected `int`, got `str`"),
-        ('[gearman]\nlisten = "127.0.0.1:1"\nquue = 1\n', "gearman: Object contains unknown field `quue`"),
+        (
+            '[gearman]\nlisten = "127.0.0.1:1"\nqueue = "x"\n',
+            "gearman.queue: Expected `int`, got `str`",
+        ),
+        (
+            '[gearman]\nlisten = "127.0.0.1:1"\nquue = 1\n',
+            "gearman: Object contains unknown field `quue`",
+        ),
         ('[gearman]\nlisten = "127.0.0.1:1"\nkeep_s = 0\n', "gearman.keep_s: "),
         ('[gearman]\nlisten = "127.0.0.1:1"\ntenant = "nobody"\n', "gearman.tenant=nobody"),
-        ('[gearman]\nlisten = "127.0.0.1:1"\n[gearman.worker]\nzone = "mars"\n', "gearman.worker.zone=mars"),
-        ('[gearman]\nlisten = "127.0.0.1:1"\n[gearman.worker]\nslots = 0\n', "gearman.worker.slots: "),
-        (IDENTITY + '[[identity.caller]]\nname = "a"\n', "identity.caller[0]: Object missing required field"),
+        (
+            '[gearman]\nlisten = "127.0.0.1:1"\n[gearman.worker]\nzone = "mars"\n',
+            "gearman.worker.zone=mars",
+        ),
+        (
+            '[gearman]\nlisten = "127.0.0.1:1"\n[gearman.worker]\nslots = 0\n',
+            "gearman.worker.slots: ",
+        ),
+        (
+            IDENTITY + '[[identity.caller]]\nname = "a"\n',
+            "identity.caller[0]: Object missing required field",
+        ),
         (IDENTITY + CALLER.replace("revalue", "mining"), "identity.caller[0].classes=mining"),
         (IDENTITY + CALLER.replace("hron-asset", "nobody"), "identity.caller[0].tenants=nobody"),
         (IDENTITY + CALLER + CALLER, "identity.caller[1].name=a is identity.caller[0]'s too"),
-        (IDENTITY + CALLER.replace('"s"', '"worker/s"'), "identity.caller[0].subjects: names that begin"),
+        (
+            IDENTITY + CALLER.replace('"s"', '"worker/s"'),
+            "identity.caller[0].subjects: names that begin",
+        ),
         (IDENTITY + 'methods = {mining = ["token"]}\n', "identity.methods.mining"),
         (IDENTITY + 'methods = {revalue = ["word"]}\n', "identity.methods"),
         (IDENTITY + "leeway_s = 61\n", "identity.leeway_s"),
         (IDENTITY + TLS.replace(":1", ":99999"), "identity.tls.listen="),
-        (IDENTITY + TLS + 'gearman_listen = "127.0.0.1:1"\n', "identity.tls.gearman_listen needs [gearman]"),
+        (
+            IDENTITY + TLS + 'gearman_listen = "127.0.0.1:1"\n',
+            "identity.tls.gearman_listen needs [gearman]",
+        ),
         ("[xds]\n", "Object contains unknown field `xds`"),
         ("[gearman\n", "cannot be read"),
     ],
@@ -105,5 +128,7 @@
         "import sys, stepstream.cli, stepstream.node\n"
         f"print([m for m in sys.modules if m.startswith({HEAVY!r})])\n"
     )
-    run = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    run = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
+    )
     assert run.stdout.strip() == "[]"
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -33,7 +33,10 @@
 
 def test_a_request_is_read_by_the_names_in_the_settings():
     taken = read(
-        path="/nav-publish?user=k7", Tenant="hron-asset", Request_Info="slots=2,x=1", Client_Retry="1"
+        path="/nav-publish?user=k7",
+        Tenant="hron-asset",
+        Request_Info="slots=2,x=1",
+        Client_Retry="1",
     )
     assert (taken.job_class, taken.tenant, taken.key, taken.slots, taken.client_retry) == (
         1,
@@ -75,7 +78,9 @@
 
 
 def test_news_is_read_and_kinds_not_known_are_passed_over():
-    assert news(b'{"id":"a","from":"s","state":"done","result":"r"}') == Told("a", "s", News.DONE, "r")
+    assert news(b'{"id":"a","from":"s","state":"done","result":"r"}') == Told(
+        "a", "s", News.DONE, "r"
+    )
     assert news(b'{"id":"a","from":"s","state":"dancing"}') is None
 
 
@@ -134,7 +139,9 @@
     assert side.read({"servers": []}, kept=True).told.kind is i.ListKind.PERSISTED
 
 
-@pytest.mark.parametrize("row", [{}, {"id": "s"}, {**ROW, "state": "odd"}, {**ROW, "addr": "x:y"}, 5])
+@pytest.mark.parametrize(
+    "row", [{}, {"id": "s"}, {**ROW, "state": "odd"}, {**ROW, "addr": "x:y"}, 5]
+)
 def test_a_malformed_list_is_a_protocol_error(row):
     with pytest.raises(ProtocolError):
         platform.DiscoverySide(SETTINGS).read({"servers": [row]})
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -20,8 +20,19 @@
 
 
 FULL = {"queue": 2.0, "free_slots": 1.5}
-FORMS = {"TEXT util=0.6, queue=2, x0=1.5": FULL, " TEXT x0 = 1.5,queue=2 ,zone=a": FULL, "TEXT util=0": None}
-BAD = ("JSON queue=2", "TEXT queue", "TEXT queue=many", "TEXT queue=-1", "TEXT queue=nan", "TEXT x0=1e400")
+FORMS = {
+    "TEXT util=0.6, queue=2, x0=1.5": FULL,
+    " TEXT x0 = 1.5,queue=2 ,zone=a": FULL,
+    "TEXT util=0": None,
+}
+BAD = (
+    "JSON queue=2",
+    "TEXT queue",
+    "TEXT queue=many",
+    "TEXT queue=-1",
+    "TEXT queue=nan",
+    "TEXT x0=1e400",
+)
 
 
 @pytest.mark.parametrize("text", [*FORMS, *BAD])
@@ -53,4 +64,6 @@
     bodies = (tail, b"TEXT queue=" + tail, b"{" + tail, json.dumps(load).encode())
     found = [made.news(load), made.header("TEXT " + text), *map(made.probe, bodies)]
     for report in filter(None, found):
-        assert set(report) <= {"queue", "free_slots"} and all(0 <= x <= MOST for x in report.values())
+        assert set(report) <= {"queue", "free_slots"} and all(
+            0 <= x <= MOST for x in report.values()
+        )
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -92,7 +92,12 @@
 
 def cold_pushes(started_at, result, fleet=1):
     bench = Bench(
-        SAFE, workers=4, fleet_size=fleet, cold_share=0.1, warm_within_us=20_000_000, fall_multiple=3.0
+        SAFE,
+        workers=4,
+        fleet_size=fleet,
+        cold_share=0.1,
+        warm_within_us=20_000_000,
+        fall_multiple=3.0,
     )
     for _ in range(200):  # settle the rate: 20 jobs a second over 4 workers
         name, actions = bench.later(50_000).job()
@@ -155,13 +160,19 @@
                 job["tries"].append({"to": a.worker, "at": self.bench.now, "clean": False})
                 limit = min(a.limit_us or kind.deadline_us, job["until"] - self.bench.now)
                 when = self.bench.now + self.random.randrange(1000, 3_000_000)
-                self.out.append((min(when, self.bench.now + limit), a.job, len(job["tries"]) - 1, a.worker))
+                self.out.append(
+                    (min(when, self.bench.now + limit), a.job, len(job["tries"]) - 1, a.worker)
+                )
             elif isinstance(a, i.Refuse | i.Fail):
                 job = self.jobs[a.job]
                 assert not job["over"] and self.bench.now <= job["until"]
                 job["over"] = True
                 kind = self.classes[job["class"]]
-                if isinstance(a, i.Refuse) and kind.effect is not i.Effect.SAFE and kind.key_scope != "all":
+                if (
+                    isinstance(a, i.Refuse)
+                    and kind.effect is not i.Effect.SAFE
+                    and kind.key_scope != "all"
+                ):
                     assert all(t["clean"] for t in job["tries"])
 
     def answer(self, due):
@@ -207,7 +218,8 @@
                 self.check(
                     self.bench.tell(
                         i.WorkerList(
-                            i.ListKind.CHANGES, (entry(k, zone=k % 2, state=state, started_us=started),)
+                            i.ListKind.CHANGES,
+                            (entry(k, zone=k % 2, state=state, started_us=started),),
                         )
                     )
                 )
@@ -234,7 +246,9 @@
             if (p.job, k) not in answered:
                 answered.add((p.job, k))
                 bench.tell(
-                    i.Started(p.job, 7, p.worker), i.Started("gone", 0, p.worker), i.ClientLeft("gone")
+                    i.Started(p.job, 7, p.worker),
+                    i.Started("gone", 0, p.worker),
+                    i.ClientLeft("gone"),
                 )
                 report = {"free_slots": -3.0} if k % 2 else {}
                 for attempt in range(5):  # the further ones were never made
--- a/tests/test_schedule.py
+++ b/tests/test_schedule.py
@@ -57,7 +57,9 @@
 
 @settings(derandomize=True, deadline=None, database=None)
 @given(size=SIZES, failures=st.integers(1, 30))
-def test_no_row_of_failures_makes_a_pause_that_with_the_calls_round_it_reaches_the_bound(size, failures):
+def test_no_row_of_failures_makes_a_pause_that_with_the_calls_round_it_reaches_the_bound(
+    size, failures
+):
     """A call that hangs to its limit, the pause after it and the next call's way, whatever failed before."""
     one = of(size)
     pauses = [one.failed() for _ in range(failures)]
@@ -67,7 +69,9 @@
     assert one.failed() <= pauses[-1]
 
 
-@pytest.mark.parametrize(("size", "seconds"), [(1, 2.35), (4, 2.35), (8, 4.4), (40, 22.0), (500, 60.0)])
+@pytest.mark.parametrize(
+    ("size", "seconds"), [(1, 2.35), (4, 2.35), (8, 4.4), (40, 22.0), (500, 60.0)]
+)
 def test_watches_last_longer_where_more_of_them_end(size, seconds):
     assert of(size).wait == pytest.approx(seconds) and of(size).wait <= 60.0  # the platform's bound
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -10,7 +10,13 @@
 
 SETTINGS = {
     "services": [
-        {"name": "revalue", "deadline_us": 5000000, "goal_time_us": 200000, "effect": "pure", "worth": 1.0},
+        {
+            "name": "revalue",
+            "deadline_us": 5000000,
+            "goal_time_us": 200000,
+            "effect": "pure",
+            "worth": 1.0,
+        },
         {"name": "nav-publish", "deadline_us": 5000000, "effect": "token", "window_us": 7500000},
     ],
     "extra": {"class_kind": [-1, -1], "class_stretch": [2.0, 1.5], "tells_start": True},
@@ -43,7 +49,11 @@
     )
     nested = config_from(CONFIG, {}).settings
     assert nested == read_settings(Fields(line.split(" ")))
-    assert nested.zones == ("ruzinov", "petrzalka") and nested.must_ask and nested.conn_idle_us == 8_000_000
+    assert (
+        nested.zones == ("ruzinov", "petrzalka")
+        and nested.must_ask
+        and nested.conn_idle_us == 8_000_000
+    )
     assert nested.classes[1] == i.JobClass(
         5_000_000, 5_000_000, i.Effect.KEYED, stretch=1.5, window_us=7_500_000, name="nav-publish"
     )
@@ -79,19 +89,39 @@
         (("settings", "services", 1, "deadline_us"), "soon", "services.1.deadline_us=soon"),
         (("settings", "limits", "cancelling"), "maybe", "limits.cancelling=maybe"),
         (("settings", "extra", "class_kind"), [1], "extra.class_kind"),
-        (("settings", "services", 0, "deadline_us"), 0, "services.0.deadline_us=0 must be at least 1"),
+        (
+            ("settings", "services", 0, "deadline_us"),
+            0,
+            "services.0.deadline_us=0 must be at least 1",
+        ),
         (("settings", "services", 0, "goal_time_us"), -5, "services.0.goal_time_us=-5"),
         (("settings", "services", 1, "window_us"), -1, "services.1.window_us=-1"),
         (("settings", "services", 1, "key_scope"), "planet", "services.1.key_scope=planet"),
         (("settings", "limits", "try_limit"), 0, "limits.try_limit=0 must be at least 1"),
         (("settings", "limits", "dial_timeout_us"), 0, "limits.dial_timeout_us=0"),
         (("settings", "limits", "max_open"), 0, "limits.max_open=0"),
-        (("settings", "safety"), {"stop_sending_within_us": -1}, "safety.stop_sending_within_us=-1"),
-        (("settings", "safety"), {"cold_share": 1.5}, "safety.cold_share=1.5 is not between 0 and 1"),
-        (("settings", "safety"), {"fall_multiple": -1}, "safety.fall_multiple=-1.0 is not between 0 and inf"),
+        (
+            ("settings", "safety"),
+            {"stop_sending_within_us": -1},
+            "safety.stop_sending_within_us=-1",
+        ),
+        (
+            ("settings", "safety"),
+            {"cold_share": 1.5},
+            "safety.cold_share=1.5 is not between 0 and 1",
+        ),
+        (
+            ("settings", "safety"),
+            {"fall_multiple": -1},
+            "safety.fall_multiple=-1.0 is not between 0 and inf",
+        ),
         (("settings", "zones"), ["a,b"], "zones"),
         (("settings", "load_report", "how"), "sometimes", "load_report.how=sometimes"),
-        (("settings", "load_report", "columns"), ["queue", "queue"], "load_report.columns names queue"),
+        (
+            ("settings", "load_report", "columns"),
+            ["queue", "queue"],
+            "load_report.columns names queue",
+        ),
     ],
 )
 def test_a_fault_names_its_key(path, value, words):
@@ -100,7 +130,10 @@
 
 
 def test_flatten_leaves_out_null_and_spells_truth_as_the_wire_does():
-    assert flatten({"a": {"b": True, "c": None}, "d": [1, 2]}, "", {}) == {"a.b": "true", "d": "1,2"}
+    assert flatten({"a": {"b": True, "c": None}, "d": [1, 2]}, "", {}) == {
+        "a.b": "true",
+        "d": "1,2",
+    }
 
 
 @pytest.mark.parametrize("command", ["serve", "check-config"])
@@ -114,7 +147,8 @@
 
 
 @pytest.mark.parametrize(
-    ("text", "words"), [(None, "cannot be read"), ("{", "cannot be read"), ("[]", "not a JSON object")]
+    ("text", "words"),
+    [(None, "cannot be read"), ("{", "cannot be read"), ("[]", "not a JSON object")],
 )
 def test_an_unreadable_file_is_named(text, words, tmp_path, monkeypatch, capsys):
     path = tmp_path / "config.json"
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -22,10 +22,22 @@
 from stepstream.net.http1 import Message
 from stepstream.net.platform import DiscoverySide, news_body, read_news
 from stepstream.upgrade.driver import Keeper
-from stepstream.upgrade.state import DamagedError, Handover, Process, decode, encode, sibling, with_own
+from stepstream.upgrade.state import (
+    DamagedError,
+    Handover,
+    Process,
+    decode,
+    encode,
+    sibling,
+    with_own,
+)
 
 OLD, NEW = Process(100, "127.0.0.1:9901", 1_000, True), Process(200, "127.0.0.1:9902", 2_000, True)
-LISTED = {"version": 7, "full": True, "servers": [{"id": "s-1", "addr": "127.0.0.1:9", "state": "draining"}]}
+LISTED = {
+    "version": 7,
+    "full": True,
+    "servers": [{"id": "s-1", "addr": "127.0.0.1:9", "state": "draining"}],
+}
 STATE = Handover(BanState(3, frozenset({"s-1"}), (("s-2", 1_500),)), (OLD, NEW), LISTED)
 
 
@@ -55,7 +67,8 @@
 
 
 @pytest.mark.parametrize(
-    "kind", ["cut short", "empty", "another version", "another format", "a changed byte", "a wrong type"]
+    "kind",
+    ["cut short", "empty", "another version", "another format", "a changed byte", "a wrong type"],
 )
 def test_a_damaged_state_is_refused_whole(kind):
     with pytest.raises(DamagedError):
@@ -63,7 +76,9 @@
 
 
 @pytest.mark.parametrize("kind", ["missing", "cut short", "another version", "a changed byte"])
-def test_a_process_starts_clean_from_a_damaged_or_missing_state_with_one_line(tmp_path, kind, capsys):
+def test_a_process_starts_clean_from_a_damaged_or_missing_state_with_one_line(
+    tmp_path, kind, capsys
+):
     if kind != "missing":
         (tmp_path / "stepstream-n0.handover").write_bytes(damaged(kind))
     bans = Bans()
@@ -86,9 +101,13 @@
     first = Keeper(str(tmp_path), "n0", mine, first_bans, LIMITS)
     first_bans.ban("s-1")
     first.write()
-    assert [p.name for p in tmp_path.iterdir()] == ["stepstream-n0.handover"]  # nothing half written stays
+    assert [p.name for p in tmp_path.iterdir()] == [
+        "stepstream-n0.handover"
+    ]  # nothing half written stays
     second_bans = Bans()
-    second = Keeper(str(tmp_path), "n0", Process(os.getppid(), "127.0.0.1:9902", 2_000), second_bans, LIMITS)
+    second = Keeper(
+        str(tmp_path), "n0", Process(os.getppid(), "127.0.0.1:9902", 2_000), second_bans, LIMITS
+    )
     assert second.load() is not None and second_bans.holds("s-1")
     second_bans.lift("s-1", 3_000)
     second.write(ready=True)
@@ -151,7 +170,9 @@
     try:
         wait_for(lambda: healthy(new_admin))
         # The ban holds in the new process: a second call out changes nothing there.
-        assert call(new_admin, b"PUT /workers/s-1/maint HTTP/1.1\r\n\r\n").body.startswith(b"OK: out")
+        assert call(new_admin, b"PUT /workers/s-1/maint HTTP/1.1\r\n\r\n").body.startswith(
+            b"OK: out"
+        )
         assert call(new_admin, b"PUT /workers/s-1/ready HTTP/1.1\r\n\r\n").status == 200
         wait_for(lambda: ask(world.port, job_bytes(f"{time.monotonic_ns():016x}")).status == 200)
         world.process.send_signal(signal.SIGTERM)
@@ -182,9 +203,13 @@
     threading.Thread(target=listener.run, daemon=True).start()
     try:
         keeper = Keeper(str(tmp_path), "n0", OLD, Bans(), LIMITS)
-        keeper.relay(Process(os.getpid(), f"127.0.0.1:{port}", 0), Told("aa", "s-1", News.DONE, "5"))
+        keeper.relay(
+            Process(os.getpid(), f"127.0.0.1:{port}", 0), Told("aa", "s-1", News.DONE, "5")
+        )
         (asked,) = got
-        assert read_news(Message(method="POST", body=asked.body)) == Told("aa", "s-1", News.DONE, "5")
+        assert read_news(Message(method="POST", body=asked.body)) == Told(
+            "aa", "s-1", News.DONE, "5"
+        )
     finally:
         listener.listener.close()
 
@@ -213,19 +238,27 @@
     destinations = DestinationSet()
     assert destinations.listed() is None
     destinations.apply(told)
-    destinations.apply(side.read({"version": 42, "full": False, "servers": [{"id": "s-2", "state": "gone"}]}))
+    destinations.apply(
+        side.read({"version": 42, "full": False, "servers": [{"id": "s-2", "state": "gone"}]})
+    )
     again = side.read(destinations.listed(), kept=True)
     assert again.version == 42 and again.addresses == {"s-1": ("127.0.0.1", 81)}
     assert again.told.entries == told.told.entries[:1]
 
 
 def test_a_newer_list_is_taken_over_and_an_older_one_is_not(tmp_path):
-    first = Keeper(str(tmp_path), "n0", Process(os.getpid(), "127.0.0.1:9901", 1_000), Bans(), LIMITS)
+    first = Keeper(
+        str(tmp_path), "n0", Process(os.getpid(), "127.0.0.1:9901", 1_000), Bans(), LIMITS
+    )
     first.listed = LISTED
     first.write()
-    second = Keeper(str(tmp_path), "n0", Process(os.getppid(), "127.0.0.1:9902", 2_000), Bans(), LIMITS)
+    second = Keeper(
+        str(tmp_path), "n0", Process(os.getppid(), "127.0.0.1:9902", 2_000), Bans(), LIMITS
+    )
     second.listed = {**LISTED, "version": 9}
     second.load()
     assert second.listed["version"] == 9
-    third = Keeper(str(tmp_path), "n0", Process(os.getppid(), "127.0.0.1:9902", 2_000), Bans(), LIMITS)
+    third = Keeper(
+        str(tmp_path), "n0", Process(os.getppid(), "127.0.0.1:9902", 2_000), Bans(), LIMITS
+    )
     assert third.load().listed == LISTED and third.listed == LISTED
