--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -14,12 +14,12 @@
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
-from stepstream.fleet.messages import State
-from stepstream.fleet.view import Times
 from stepstream.lab.fleet_faults import draw
 from stepstream.lab.fleet_rig import Dispatcher, FleetRig
 from stepstream.lab.fleet_search import Search
 from stepstream.lab.fleet_world import BrokenError, World
+from stepstream.membership.messages import State
+from stepstream.membership.view import Times
 
 SWIM = {"health": 0, "confirmations": 0, "slack": 1.0}  # Lifeguard's parts off: one fixed suspicion
 
--- a/benchmarks/identity.py
+++ b/benchmarks/identity.py
@@ -30,12 +30,12 @@
 import ujson
 from docopt import docopt
 
+from stepstream.config.limits import Limits
 from stepstream.gearman import codec
 from stepstream.gearman.codec import Kind
+from stepstream.http.codec import Parser, write_request
 from stepstream.identity.keeper import Keeper
 from stepstream.identity.keys import State
-from stepstream.net.http1 import Parser, write_request
-from stepstream.net.limits import Limits
 
 WAYS = ("plain", "token, cached", "token, new each", "certificate, kept")
 LINKS = 8
@@ -44,7 +44,7 @@
     "services": [
         {"name": "revalue", "deadline_us": 4_000_000, "goal_time_us": 1_000_000, "effect": "pure"}
     ],
-    "extra": {"class_kind": [-1], "class_stretch": [0.0], "tells_start": True},
+    "extra": {"class_kind": [-1], "class_stretch": [0.0], "reports_start": True},
     "projects": [{"name": "north-fund", "quota_per_s": 1000.0}],
     "limits": {"try_limit": 4, "max_open": 20_000},
 }
--- a/stepstream/__init__.py
+++ b/stepstream/__init__.py
@@ -1,6 +1,6 @@
 """stepstream: the decisions of a dispatcher that pushes jobs to workers, and the dispatcher round them."""
 
-from stepstream.balance import Balancer
+from stepstream.policy.load_balancer import LoadBalancer
 
-__all__ = ["Balancer"]
+__all__ = ["LoadBalancer"]
 __version__ = "0.2.0"
--- a/stepstream/admin/driver.py
+++ b/stepstream/admin/listener.py
@@ -8,11 +8,11 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 
-from stepstream.admin.calls import Added, Asked, Denied, Verdict, route
-from stepstream.net.http1 import Parser, ProtocolError, write_answer
-from stepstream.net.limits import Limits
-from stepstream.net.threads import Complaints, log
-from stepstream.ports import AdminAnswer, AdminPath
+from stepstream.admin.routing import Added, Asked, Denied, Verdict, route
+from stepstream.config.limits import Limits
+from stepstream.http.codec import Parser, ProtocolError, write_answer
+from stepstream.ports.admin import AdminResponse, AdminRoute
+from stepstream.runtime.log import RateLimitedLogger, log
 
 IN, OUT = select.POLLIN, select.POLLOUT
 GONE = select.POLLERR | select.POLLHUP | select.POLLNVAL
@@ -36,7 +36,7 @@
         limits: Limits,
         answer: Callable[[Asked], Verdict],
         look: Callable[[float], None],
-        paths: Sequence[AdminPath] = (),
+        paths: Sequence[AdminRoute] = (),
     ) -> None:
         """`paths`: what subsystems add. OSError if the address cannot be had."""
         self.limits, self.answer, self.look, self.paths = limits, answer, look, paths
@@ -44,7 +44,7 @@
         try:
             self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             self.listener.bind(address)
-            self.listener.listen(limits.admin_connections)
+            self.listener.listen(limits.connections.admin)
             self.listener.setblocking(False)
         except OSError:
             self.listener.close()
@@ -52,7 +52,7 @@
         self.poll = select.poll()
         self.poll.register(self.listener, IN)
         self.callers: dict[int, Caller] = {}
-        self.complaints = Complaints("admin call", limits)
+        self.complaints = RateLimitedLogger("admin call", limits)
 
     def run(self) -> None:
         """Until the listener is closed."""
@@ -60,7 +60,7 @@
             self.turn()
 
     def turn(self) -> None:
-        for number, events in self.poll.poll(self.limits.admin_turn * 1000):
+        for number, events in self.poll.poll(self.limits.timeouts.admin_poll_seconds * 1000):
             if events & select.POLLNVAL and number not in self.callers:
                 return  # the listener is closed
             if number == self.listener.fileno():
@@ -69,22 +69,24 @@
                 self.serve(self.callers[number], events)
         now = time.monotonic()
         for caller in [
-            c for c in self.callers.values() if now - c.begun > self.limits.admin_patience
+            c
+            for c in self.callers.values()
+            if now - c.begun > self.limits.timeouts.admin_request_seconds
         ]:
             self.end(caller)
         self.look(now)
 
     def accept(self) -> None:
-        for _ in range(self.limits.admin_connections):
+        for _ in range(self.limits.connections.admin):
             try:
                 sock, _ = self.listener.accept()
             except OSError:
                 return  # none left, or gone before its accept
-            if len(self.callers) >= self.limits.admin_connections:
+            if len(self.callers) >= self.limits.connections.admin:
                 # Guards the next callers: the one waiting longest without a whole call makes room.
                 self.end(min(self.callers.values(), key=lambda c: c.begun))
             sock.setblocking(False)
-            parser = Parser(self.limits, body=self.limits.admin_body)
+            parser = Parser(self.limits, body=self.limits.sizes.admin_body_bytes)
             self.callers[sock.fileno()] = Caller(sock, parser, time.monotonic())
             self.poll.register(sock, IN)
 
@@ -98,7 +100,7 @@
             self.end(caller)
 
     def read(self, caller: Caller) -> None:
-        data = caller.sock.recv(self.limits.read)
+        data = caller.sock.recv(self.limits.sizes.read_bytes)
         if not data or caller.answered:
             self.end(caller)  # it has gone, or sends on behind its one call
             return
@@ -119,18 +121,18 @@
         head = message.method == "HEAD"
         if isinstance(asked, Added):
             told = self.answer_added(asked, message.body)
-            self.reply(caller, told.status, told.text, head, told.kind)
+            self.reply(caller, told.status, told.text, head, told.content_type)
             return
         verdict = self.answer(replace(asked, body=message.body))
         self.reply(caller, verdict.status, verdict.text, head)
 
-    def answer_added(self, added: Added, body: bytes) -> AdminAnswer:
+    def answer_added(self, added: Added, body: bytes) -> AdminResponse:
         try:
             return added.path.answer(replace(added.call, body=body))
         except Exception as error:
             # Guards the listener, and the caller: a subsystem's fault is an answer, not a silence.
             log(f"fault in an admin call: {type(error).__name__}: {error}")
-            return AdminAnswer(500, "fault")
+            return AdminResponse(500, "fault")
 
     def reply(
         self, caller: Caller, status: int, text: str, head: bool = False, kind: str = "text/plain"
--- a/stepstream/admin/calls.py
+++ b/stepstream/admin/routing.py
@@ -10,7 +10,7 @@
 from enum import Enum
 from urllib.parse import parse_qsl, unquote
 
-from stepstream.ports import AdminCall, AdminPath
+from stepstream.ports.admin import AdminRequest, AdminRoute
 
 
 class Call(Enum):
@@ -33,8 +33,8 @@
 class Added:
     """A call that a subsystem answers."""
 
-    path: AdminPath
-    call: AdminCall
+    path: AdminRoute
+    call: AdminRequest
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,7 +56,7 @@
 WORKER_ID = re.compile(r"[A-Za-z0-9._:@~-]{1,128}")  # discovery's ids, and Gearman's names
 
 
-def route(method: str, target: str, added: Sequence[AdminPath] = ()) -> Asked | Added | Denied:
+def route(method: str, target: str, added: Sequence[AdminRoute] = ()) -> Asked | Added | Denied:
     """The call behind a request line; a query is ignored, but for paths that subsystems have added."""
     path, _, query = target.partition("?")
     for more in added:
@@ -64,7 +64,7 @@
             if method not in more.methods:
                 return Denied(405, f"{path[:64]} takes {' or '.join(sorted(more.methods))}")
             values = dict(parse_qsl(query[:1024], keep_blank_values=True))
-            return Added(more, AdminCall(method, tuple(map(unquote, parts.groups(""))), values))
+            return Added(more, AdminRequest(method, tuple(map(unquote, parts.groups(""))), values))
     found = WORKER_PATH.fullmatch(path)
     if found:
         call, allowed = Call(found[2]), WRITES
--- a/stepstream/admin/desk.py
+++ b/stepstream/admin/service.py
@@ -9,27 +9,28 @@
 from queue import SimpleQueue
 from typing import TYPE_CHECKING
 
-from stepstream.admin.calls import Asked, Call, Effect, Verdict, View, decide
-from stepstream.dispatch import Event, Maintained, Neighbour
-from stepstream.drain import Drain
-from stepstream.maintenance import Bans
-from stepstream.net import platform
-from stepstream.net.discovery import DestinationSet
-from stepstream.net.http1 import Message, ProtocolError
-from stepstream.net.inbound import House
-from stepstream.net.threads import Clock, log
+from stepstream.admin.routing import Asked, Call, Effect, Verdict, View, decide
+from stepstream.core.drain import DrainState
+from stepstream.core.events import Event, MaintenanceChanged, SiblingProcessChanged
+from stepstream.core.maintenance import MaintenanceRegistry
+from stepstream.http import platform_api as platform
+from stepstream.http.codec import Message, ProtocolError
+from stepstream.http.destination_set import DestinationSet
+from stepstream.http.server import InboundServer
+from stepstream.runtime.clock import Clock
+from stepstream.runtime.log import log
 
 if TYPE_CHECKING:
-    from stepstream.upgrade.driver import Keeper
+    from stepstream.hot_restart.controller import HotRestartController
 
 
-class Desk:
+class AdminService:
     def __init__(
         self,
-        house: House,
+        house: InboundServer,
         destinations: DestinationSet,
-        bans: Bans,
-        drain: Drain,
+        bans: MaintenanceRegistry,
+        drain: DrainState,
         clock: Clock,
         post: Callable[[Event], None],
         known: Callable[[str], bool],
@@ -38,7 +39,9 @@
         self.house, self.destinations, self.bans, self.drain = house, destinations, bans, drain
         self.clock, self.post, self.known = clock, post, known
         self.started = False  # the clients' listener is open and served
-        self.keeper: Keeper | None = None  # the handed-over state, where there is $TMPDIR
+        self.keeper: HotRestartController | None = (
+            None  # the handed-over state, where there is $TMPDIR
+        )
         self.neighbour = False
         self.on_word: Callable[[str, bool], None] | None = (
             None  # hears each word on a worker told here
@@ -48,13 +51,13 @@
         self.swept = 0.0
 
     def serving(self) -> bool:
-        door = self.house.door
-        return self.started and not door.leaving and not self.drain.failed
+        door = self.house.state
+        return self.started and not door.shutting_down and not self.drain.active
 
     def answer(self, asked: Asked) -> Verdict:
         if asked.call is Call.NEWS:
             return self.news(asked.body)
-        view = View(self.serving(), self.known(asked.worker), self.bans.holds(asked.worker))
+        view = View(self.serving(), self.known(asked.worker), self.bans.contains(asked.worker))
         verdict = decide(asked, view)
         if verdict.effect is not None:
             self.carry_out(verdict.effect, asked.worker)
@@ -68,7 +71,7 @@
     def news(self, body: bytes) -> Verdict:
         """From the process beside this one: a worker brought it there, and it is this one's."""
         try:
-            told = platform.read_news(Message(method="POST", body=body), relayed=True)
+            told = platform.read_notification(Message(method="POST", body=body), relayed=True)
         except ProtocolError as error:
             return Verdict(error.status, f"{error}")
         if told is not None:
@@ -76,42 +79,42 @@
         return Verdict(200, "OK")
 
     def carry_out(self, effect: Effect, worker: str) -> None:
-        door = self.house.door
+        door = self.house.state
         match effect:
-            case Effect.BAN if self.bans.ban(worker):
+            case Effect.BAN if self.bans.begin(worker):
                 self.spread(f"worker {worker} out for maintenance")
-            case Effect.LIFT if self.bans.lift(worker, self.clock.now_us()):
+            case Effect.LIFT if self.bans.release(worker, self.clock.now_us()):
                 self.spread(f"worker {worker} back from maintenance, cold")
-            case Effect.FAIL if self.drain.fail(time.monotonic()):
-                door.failed = True
+            case Effect.FAIL if self.drain.start(time.monotonic()):
+                door.draining = True
                 log("drain asked: the front is told no from now on")
-            case Effect.OK if self.drain.ok():
-                door.failed = door.drained = False
+            case Effect.OK if self.drain.cancel():
+                door.draining = door.drain_closing = False
                 log("drain ended: the front is told yes again")
 
     def spread(self, text: str) -> None:
         """The bans, everywhere they count."""
         state = self.bans.snapshot()
-        self.destinations.ban(state.banned)
-        self.post(Maintained(state))
+        self.destinations.ban(state.in_maintenance)
+        self.post(MaintenanceChanged(state))
         if self.keeper is not None:
             self.keeper.write()
-        log(f"{text}; {len(state.banned)} out")
+        log(f"{text}; {len(state.in_maintenance)} out")
 
     def adopted(self) -> None:
         """Another process's bans were taken over."""
         state = self.bans.snapshot()
-        self.destinations.ban(state.banned)
-        self.post(Maintained(state))
-        log(f"maintenance taken over: {len(state.banned)} out")
+        self.destinations.ban(state.in_maintenance)
+        self.post(MaintenanceChanged(state))
+        log(f"maintenance taken over: {len(state.in_maintenance)} out")
 
     def hear_on(self) -> None:
         """Words told at other dispatchers: they hold here whether or not this one knows the worker."""
         while not self.heard.empty():
             worker, out, by, at_us = self.heard.get_nowait()
-            if out and self.bans.ban(worker):
+            if out and self.bans.begin(worker):
                 self.spread(f"worker {worker} out for maintenance, told at {by}")
-            elif not out and self.bans.lift(worker, at_us):
+            elif not out and self.bans.release(worker, at_us):
                 self.spread(f"worker {worker} back from maintenance, cold, told at {by}")
 
     def look(self, now: float) -> None:
@@ -119,11 +122,11 @@
         self.hear_on()
         if self.keeper is not None:
             self.look_beside()
-        if not self.drain.closing(now) or now - self.swept < 0.1:
+        if not self.drain.closes_connections(now) or now - self.swept < 0.1:
             return
         self.swept = now
-        if not self.house.door.drained:
-            self.house.door.drained = True
+        if not self.house.state.drain_closing:
+            self.house.state.drain_closing = True
             log("drain: kept connections close after their answers")
         self.house.close_idle()
 
@@ -138,7 +141,7 @@
         present = self.keeper.neighbour() is not None
         if present != self.neighbour:
             self.neighbour = present
-            self.post(Neighbour(present))
+            self.post(SiblingProcessChanged(present))
             log(
                 f"hot restart: {'a process beside this one' if present else 'alone'} on the clients' address"
             )
--- a/stepstream/admin/plug.py
+++ b/stepstream/admin/subsystem.py
@@ -2,40 +2,49 @@
 
 from collections.abc import Callable, Mapping
 
-from stepstream.admin.desk import Desk
-from stepstream.admin.driver import AdminListener
-from stepstream.dispatch import Command, PassOn
-from stepstream.drain import Drain
-from stepstream.host import Host
-from stepstream.maintenance import Bans
-from stepstream.net.threads import log, spawn
-from stepstream.ports import Subsystem
-from stepstream.settings import FieldError
-from stepstream.upgrade.driver import Keeper, folder, newer, own_process
-
-
-class AdminPart(Subsystem):
-    def __init__(self, host: Host) -> None:
+from stepstream.admin.listener import AdminListener
+from stepstream.admin.service import AdminService
+from stepstream.config.errors import ConfigurationError
+from stepstream.core.commands import Command, ForwardNotification
+from stepstream.core.drain import DrainState
+from stepstream.core.maintenance import MaintenanceRegistry
+from stepstream.hot_restart.controller import HotRestartController, folder, newer, own_process
+from stepstream.ports.subsystem import Subsystem
+from stepstream.runtime.log import log
+from stepstream.runtime.threads import spawn_thread
+from stepstream.subsystem_context import SubsystemContext
+
+
+class AdminSubsystem(Subsystem):
+    def __init__(self, host: SubsystemContext) -> None:
         self.host = host
-        drain = Drain(host.limits.drain_close)
-        self.desk = Desk(
-            host.house, host.destinations, Bans(), drain, host.clock, host.post, self.known
+        drain = DrainState(host.limits.timeouts.drain_close_seconds)
+        self.desk = AdminService(
+            host.server,
+            host.destinations,
+            MaintenanceRegistry(),
+            drain,
+            host.clock,
+            host.post,
+            self.known,
         )
 
     def known(self, worker: str) -> bool:
         host = self.host
-        return host.destinations.last_address(worker) is not None or host.core.members.holds(worker)
+        return host.destinations.last_address(worker) is not None or host.core.endpoints.contains(
+            worker
+        )
 
     def start(self) -> None:
         """The admin listener, in a thread of its own; FieldError if its address cannot be had."""
         host, address = self.host, self.host.config.operator
-        paths = [path for part in host.parts.values() for path in part.paths()]
+        paths = [path for part in host.subsystems.values() for path in part.admin_routes()]
         try:
             listener = AdminListener(address, host.limits, self.desk.answer, self.desk.look, paths)
         except OSError as error:
-            raise FieldError(f"operator={address[0]}:{address[1]}: {error}") from None
+            raise ConfigurationError(f"operator={address[0]}:{address[1]}: {error}") from None
         self.take_over(address)
-        spawn("admin", listener.run)
+        spawn_thread("admin", listener.run)
         log(f"{host.config.name} hears operators on {address[0]}:{address[1]}")
 
     def take_over(self, address: tuple[str, int]) -> None:
@@ -44,17 +53,19 @@
         if where is None:
             return
         own = own_process(address, host.clock.now_us())
-        keeper = self.desk.keeper = Keeper(
+        keeper = self.desk.keeper = HotRestartController(
             where, host.config.name, own, self.desk.bans, host.limits
         )
         found = keeper.load()
-        if found is not None and found.bans.banned:
+        if found is not None and found.bans.in_maintenance:
             self.desk.adopted()
         if found is not None and newer(found.listed, host.config.known or None):
-            host.known = found.listed  # what discovery told the process before this one
+            host.persisted_endpoints = (
+                found.listed
+            )  # what discovery told the process before this one
             log(f"handover: discovery's list of version {found.listed.get('version')} taken over")
 
-    def serving(self) -> None:
+    def on_serving(self) -> None:
         if self.desk.keeper is not None:
             # Before the yes: SIGTERM may reach the old process at once after it.
             self.desk.keeper.write(ready=True)
@@ -63,27 +74,27 @@
     # -- ports.Maintenance --------------------------------------------------------------------------------
 
     @property
-    def on_word(self) -> Callable[[str, bool], None] | None:
+    def on_change(self) -> Callable[[str, bool], None] | None:
         return self.desk.on_word
 
-    @on_word.setter
-    def on_word(self, heard: Callable[[str, bool], None]) -> None:
+    @on_change.setter
+    def on_change(self, heard: Callable[[str, bool], None]) -> None:
         self.desk.on_word = heard
 
-    def hear(self, worker: str, out: bool, by: str, at_us: int) -> None:
+    def apply_remote_change(self, worker: str, out: bool, by: str, at_us: int) -> None:
         self.desk.heard.put((worker, out, by, at_us))
 
     def draining(self) -> bool:
-        return self.desk.drain.failed
+        return self.desk.drain.active
 
-    def commands(self) -> Mapping[type, Callable[[Command], None]]:
-        return {PassOn: self.pass_on}
+    def command_handlers(self) -> Mapping[type, Callable[[Command], None]]:
+        return {ForwardNotification: self.pass_on}
 
-    def pass_on(self, command: PassOn) -> None:
+    def pass_on(self, command: ForwardNotification) -> None:
         if self.desk.keeper is not None:
-            self.desk.keeper.pass_on(command.told)
+            self.desk.keeper.pass_on(command.notification)
 
-    def leave(self) -> bool:
+    def begin_shutdown(self) -> bool:
         """A hot restart: a newer process takes clients on the same address; new connections go to it.
 
         This one answers what it has taken and closes kept connections after their answers. News for its
@@ -95,5 +106,5 @@
         return keeper.successor() is not None
 
 
-def plug(host: Host) -> AdminPart:
-    return AdminPart(host)
+def create_subsystem(host: SubsystemContext) -> AdminSubsystem:
+    return AdminSubsystem(host)
--- a/stepstream/asking.py
+++ b/stepstream/admin_client.py
@@ -4,18 +4,18 @@
 
 import ujson
 
-from stepstream.settings import FieldError
+from stepstream.config.errors import ConfigurationError
 
-PATIENCE_S = 5.0
+TIMEOUT_SECONDS = 5.0
 
 
-def call(
-    at: str, path: str, method: str = "GET", patience_s: float = PATIENCE_S
+def call_admin(
+    at: str, path: str, method: str = "GET", patience_s: float = TIMEOUT_SECONDS
 ) -> tuple[int, dict]:
     """The status and what was told; ConnectionError without an answer, FieldError if `at` is no address."""
     host, _, port = at.rpartition(":")
     if not host or not (port.isascii() and port.isdigit() and 0 < int(port) < 65536):
-        raise FieldError(f"--at={at} is not HOST:PORT")
+        raise ConfigurationError(f"--at={at} is not HOST:PORT")
     connection = http.client.HTTPConnection(host, int(port), timeout=patience_s)
     try:
         connection.request(method, path)
--- a/stepstream/cli.py
+++ b/stepstream/cli.py
@@ -63,10 +63,11 @@
 from docopt import docopt
 
 from stepstream import __version__
-from stepstream.settings import Config, FieldError, read_config
+from stepstream.config.errors import ConfigurationError
+from stepstream.config.node_config import NodeConfig, read_config
 
 if TYPE_CHECKING:
-    from stepstream.operator_file import Operator
+    from stepstream.config.operator_file import OperatorConfig
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -87,7 +88,7 @@
     try:
         config = read_config()
         operator = operator_from(path, config)
-    except FieldError as error:
+    except ConfigurationError as error:
         print(f"stepstream: configuration: {error}", file=sys.stderr)
         return 2
     if arguments["identity"]:
@@ -95,25 +96,25 @@
     return serve(config, operator, path) if arguments["serve"] else summarize(config, operator)
 
 
-def operator_from(path: str | None, config: Config) -> "Operator | None":
+def operator_from(path: str | None, config: NodeConfig) -> "OperatorConfig | None":
     if path is None:
         return None
     try:
-        from stepstream.operator_file import read_operator
+        from stepstream.config.operator_file import read_operator
     except ModuleNotFoundError as error:
-        raise FieldError(
+        raise ConfigurationError(
             f"--operator needs the package {error.name}: pip install .[operator]"
         ) from None
 
     return read_operator(path, config.settings)
 
 
-def serve(config: Config, operator: "Operator | None", path: str | None) -> int:
-    from stepstream.node import Node
+def serve(config: NodeConfig, operator: "OperatorConfig | None", path: str | None) -> int:
+    from stepstream.node.node import Node
 
     try:
         return Node(config, operator, path).run()
-    except FieldError as error:
+    except ConfigurationError as error:
         print(f"stepstream: configuration: {error}", file=sys.stderr)
         return 2
     except OSError as error:
@@ -139,7 +140,7 @@
             hold=arguments["--hold"],
             site=arguments["--site"],
         )
-    except FieldError as error:
+    except ConfigurationError as error:
         print(f"stepstream: demo: {error}", file=sys.stderr)
         return 2
 
@@ -160,7 +161,7 @@
             seconds=whole("--seconds", arguments["--seconds"]),
             out=arguments["--out"],
         )
-    except FieldError as error:
+    except ConfigurationError as error:
         print(f"stepstream: lab: {error}", file=sys.stderr)
         return 2
 
@@ -169,7 +170,7 @@
     """`fleet` and `lease`, which ask a running dispatcher."""
     try:
         if words[0] == "fleet":
-            from stepstream.fleet.commands import run
+            from stepstream.membership.commands import run
         else:
             from stepstream.leases.commands import run
     except ModuleNotFoundError as error:
@@ -180,7 +181,7 @@
         return 2
     try:
         return run(words)
-    except FieldError as error:
+    except ConfigurationError as error:
         print(f"stepstream: {error}", file=sys.stderr)
         return 2
     except KeyboardInterrupt:
@@ -204,25 +205,25 @@
         return 2
 
 
-def explain(operator: "Operator", arguments: dict) -> int:
+def explain(operator: "OperatorConfig", arguments: dict) -> int:
     from stepstream.identity import commands
 
     try:
         return commands.explain(
             operator.identity, arguments["--token"], arguments["--class"], arguments["--tenant"]
         )
-    except FieldError as error:
+    except ConfigurationError as error:
         print(f"stepstream: {error}", file=sys.stderr)
         return 2
 
 
 def whole(name: str, text: str) -> int:
     if not text.isascii() or not text.isdigit() or len(text) > 9:
-        raise FieldError(f"{name}={text} is not a whole number")
+        raise ConfigurationError(f"{name}={text} is not a whole number")
     return int(text)
 
 
-def summarize(config: Config, operator: "Operator | None") -> int:
+def summarize(config: NodeConfig, operator: "OperatorConfig | None") -> int:
     settings = config.settings
     print(f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}")
     print(f"classes: {', '.join(kind.name for kind in settings.classes)}")
--- /dev/null
+++ b/stepstream/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: the settings reader, the operator's file and the limits."""
--- /dev/null
+++ b/stepstream/config/errors.py
@@ -0,0 +1,7 @@
+"""Errors in configuration."""
+
+pass
+
+
+class ConfigurationError(Exception):
+    """A value is missing or cannot be read; the text names its key."""
--- a/stepstream/operator_file.py
+++ b/stepstream/config/operator_file.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from stepstream import interface as i
-from stepstream.settings import FieldError
+from stepstream.config.errors import ConfigurationError
+from stepstream.model.settings import Settings
 
 Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 Address = Annotated[str, msgspec.Meta(pattern=r"^[^:\s]+:\d{1,5}$")]  # HOST:PORT
@@ -30,7 +30,7 @@
     weight: Annotated[float, msgspec.Meta(gt=0)] = 1.0
 
 
-class Gearman(Section, kw_only=True):
+class GearmanSection(Section, kw_only=True):
     """`[gearman]`: the second front and carrier, docs/gearman.md."""
 
     listen: Address
@@ -48,7 +48,7 @@
     worker: WorkerDefaults = WorkerDefaults()
 
 
-class CallerRow(Section, kw_only=True):
+class CallerSection(Section, kw_only=True):
     """`[[identity.caller]]`: who may do what. "*" stands for all tenants or classes."""
 
     name: Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
@@ -63,7 +63,7 @@
     most_open: Annotated[int, msgspec.Meta(ge=0)] = 0  # open requests; 0: no bound of its own
 
 
-class Tls(Section, kw_only=True):
+class TlsSection(Section, kw_only=True):
     """`[identity.tls]`: listeners beside the plain ones."""
 
     listen: Address
@@ -77,7 +77,7 @@
     names: tuple[Literal["uri", "dns", "cn"], ...] = ("uri", "dns")
 
 
-class Identity(Section, kw_only=True):
+class IdentitySection(Section, kw_only=True):
     """`[identity]`: who is calling, docs/identity.md."""
 
     keys: str  # path of the JWK set
@@ -98,8 +98,8 @@
     methods: dict[
         str, Annotated[tuple[Literal["token", "certificate"], ...], msgspec.Meta(min_length=1)]
     ] = {}
-    caller: Annotated[tuple[CallerRow, ...], msgspec.Meta(max_length=10_000)] = ()
-    tls: Tls | None = None
+    caller: Annotated[tuple[CallerSection, ...], msgspec.Meta(max_length=10_000)] = ()
+    tls: TlsSection | None = None
 
 
 Place = Annotated[
@@ -108,7 +108,7 @@
 Milliseconds = Annotated[int, msgspec.Meta(ge=10, le=600_000)]
 
 
-class Fleet(Section, kw_only=True):
+class MembershipSection(Section, kw_only=True):
     """`[fleet]`: the dispatchers' own view of each other, docs/fleet.md."""
 
     listen: Place  # UDP
@@ -138,7 +138,7 @@
 MemberName = Annotated[str, msgspec.Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")]
 
 
-class Leases(Section, kw_only=True):
+class LeasesSection(Section, kw_only=True):
     """`[leases]`: fleet-wide tasks with one holder at a time, docs/leases.md."""
 
     voters: Annotated[tuple[MemberName, ...], msgspec.Meta(min_length=1, max_length=15)]
@@ -157,28 +157,28 @@
     log: Literal["json", "console"] = "console"
 
 
-class Operator(Section, kw_only=True):
-    gearman: Gearman | None = None
-    identity: Identity | None = None
-    fleet: Fleet | None = None
-    leases: Leases | None = None
+class OperatorConfig(Section, kw_only=True):
+    gearman: GearmanSection | None = None
+    identity: IdentitySection | None = None
+    fleet: MembershipSection | None = None
+    leases: LeasesSection | None = None
 
 
-def read_operator(path: str, settings: i.Settings) -> Operator:
+def read_operator(path: str, settings: Settings) -> OperatorConfig:
     """The file's sections, checked against the deployment's settings; FieldError names the faulty key."""
     try:
         with open(path, "rb") as file:
             data = tomllib.load(file)
     except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise FieldError(f"operator file {path} cannot be read: {error}") from None
+        raise ConfigurationError(f"operator file {path} cannot be read: {error}") from None
     try:
-        operator = msgspec.convert(data, Operator)
+        operator = msgspec.convert(data, OperatorConfig)
     except msgspec.ValidationError as error:
-        raise FieldError(f"operator file {path}: {reworded(str(error))}") from None
+        raise ConfigurationError(f"operator file {path}: {reworded(str(error))}") from None
     try:
         check(operator, settings)
-    except FieldError as error:
-        raise FieldError(f"operator file {path}: {error}") from None
+    except ConfigurationError as error:
+        raise ConfigurationError(f"operator file {path}: {error}") from None
     return operator
 
 
@@ -189,11 +189,11 @@
     return f"{key}: {fault}" if key else fault
 
 
-def check(operator: Operator, settings: i.Settings) -> None:
+def check(operator: OperatorConfig, settings: Settings) -> None:
     if (gearman := operator.gearman) is not None:
         one_of("gearman.tenant", gearman.tenant, settings.tenants)
         one_of("gearman.worker.zone", gearman.worker.zone, settings.zones)
-        one_of("gearman.worker.kind", gearman.worker.kind, settings.kinds)
+        one_of("gearman.worker.kind", gearman.worker.kind, settings.worker_kinds)
         check_address("gearman.listen", gearman.listen)
     if (fleet := operator.fleet) is not None:
         check_address("fleet.listen", fleet.listen)
@@ -205,32 +205,32 @@
     if (identity := operator.identity) is not None:
         check_identity(identity, settings)
         if identity.tls is not None and identity.tls.gearman_listen and gearman is None:
-            raise FieldError("identity.tls.gearman_listen needs [gearman]")
+            raise ConfigurationError("identity.tls.gearman_listen needs [gearman]")
 
 
-def check_leases(leases: Leases, operator: Operator) -> None:
+def check_leases(leases: LeasesSection, operator: OperatorConfig) -> None:
     if operator.fleet is None:
-        raise FieldError("leases needs [fleet]: its members carry the messages")
+        raise ConfigurationError("leases needs [fleet]: its members carry the messages")
     for key, names in (("voters", leases.voters), ("old_voters", leases.old_voters)):
         for place, name in enumerate(names):
             if name in names[:place]:
-                raise FieldError(f"leases.{key}[{place}]={name} is there twice")
+                raise ConfigurationError(f"leases.{key}[{place}]={name} is there twice")
     if leases.probe_sweep and leases.longest_s < SWEEP_S:
-        raise FieldError(
+        raise ConfigurationError(
             f"leases.longest_s={leases.longest_s:g} is under the {SWEEP_S:g} s of probe_sweep's lease"
         )
     if leases.longest_s * 1000 < 4 * leases.timeout_ms:
-        raise FieldError(
+        raise ConfigurationError(
             f"leases.longest_s={leases.longest_s:g} is under four times leases.timeout_ms"
         )
 
 
 def check_address(key: str, text: str) -> None:
     if not 0 <= int(text.rpartition(":")[2]) < 65536:
-        raise FieldError(f"{key}={text} is not HOST:PORT")
+        raise ConfigurationError(f"{key}={text} is not HOST:PORT")
 
 
-def check_identity(identity: Identity, settings: i.Settings) -> None:
+def check_identity(identity: IdentitySection, settings: Settings) -> None:
     for kind, _ in identity.methods.items():
         one_of(f"identity.methods.{kind}", kind, settings.class_names)
     names: dict[str, str] = {}
@@ -245,10 +245,12 @@
         for kind, values in (("name", (row.name,)), ("subjects", row.subjects)):
             for value in values:
                 if f"{kind} {value}" in names:
-                    raise FieldError(f"{at}.{kind}={value} is {names[f'{kind} {value}']}'s too")
+                    raise ConfigurationError(
+                        f"{at}.{kind}={value} is {names[f'{kind} {value}']}'s too"
+                    )
                 names[f"{kind} {value}"] = at
         if any(subject.startswith(identity.workers) for subject in row.subjects):
-            raise FieldError(
+            raise ConfigurationError(
                 f"{at}.subjects: names that begin with one of identity.workers are workers'"
             )
     if identity.tls is not None:
@@ -258,7 +260,7 @@
 
 def one_of(key: str, value: str, known: tuple[str, ...]) -> None:
     if value and value not in known:
-        raise FieldError(
+        raise ConfigurationError(
             f"{key}={value} is not in the settings ({', '.join(known) or 'which name none'})"
         )
 
@@ -268,17 +270,17 @@
     return host, int(port)
 
 
-def unchanged(key: str, old: Operator, new: Operator) -> None:
+def require_unchanged(key: str, old: OperatorConfig, new: OperatorConfig) -> None:
     """FieldError if a reload would change a value, or switch a section on or off, that needs a restart."""
     before, after = part_of(old, key), part_of(new, key)
     if isinstance(before, Section) or isinstance(after, Section):
         if (before is None) != (after is None):
-            raise FieldError(f"{key} is switched on or off only with a restart")
+            raise ConfigurationError(f"{key} is switched on or off only with a restart")
     elif before != after:
-        raise FieldError(f"{key}={after} changes only with a restart")
+        raise ConfigurationError(f"{key}={after} changes only with a restart")
 
 
-def part_of(operator: Operator, key: str) -> object:
+def part_of(operator: OperatorConfig, key: str) -> object:
     """A section or a value by its path; None where a section on the way is missing."""
     part: object = operator
     for name in key.split("."):
--- a/stepstream/drain.py
+++ b/stepstream/core/drain.py
@@ -10,26 +10,26 @@
 
 
 @dataclass
-class Drain:
-    close_after: float  # seconds from the call to the closing of kept connections
-    failed_at: float | None = None  # monotonic seconds of the first call out; None: not drained
+class DrainState:
+    close_after_seconds: float  # seconds from the call to the closing of kept connections
+    started_at: float | None = None  # monotonic seconds of the first call out; None: not drained
 
-    def fail(self, now: float) -> bool:
+    def start(self, now: float) -> bool:
         """Whether this began a drain; a second call keeps the first one's time."""
-        if self.failed_at is not None:
+        if self.started_at is not None:
             return False
-        self.failed_at = now
+        self.started_at = now
         return True
 
-    def ok(self) -> bool:
+    def cancel(self) -> bool:
         """Whether a drain ended."""
-        ended, self.failed_at = self.failed_at is not None, None
+        ended, self.started_at = self.started_at is not None, None
         return ended
 
     @property
-    def failed(self) -> bool:
-        return self.failed_at is not None
+    def active(self) -> bool:
+        return self.started_at is not None
 
-    def closing(self, now: float) -> bool:
+    def closes_connections(self, now: float) -> bool:
         """Whether connections are to close after their answers, and idle ones at once."""
-        return self.failed_at is not None and now - self.failed_at >= self.close_after
+        return self.started_at is not None and now - self.started_at >= self.close_after_seconds
--- a/stepstream/maintenance.py
+++ b/stepstream/core/maintenance.py
@@ -9,67 +9,69 @@
 import threading
 from dataclasses import dataclass, field, replace
 
-from stepstream import interface as i
+from stepstream.model.endpoints import Endpoint, EndpointState
 
 LIFTED_MOST = 1024  # returns remembered for their cold start; the oldest go first
 
 
 @dataclass(frozen=True, slots=True)
-class BanState:
+class MaintenanceState:
     """What passes between processes and to the core. `generation` orders two states: the higher is newer."""
 
     generation: int = 0
-    banned: frozenset[str] = frozenset()
-    lifted: tuple[
+    in_maintenance: frozenset[str] = frozenset()
+    released: tuple[
         tuple[str, int], ...
     ] = ()  # (worker, microseconds on the one clock base) of each return
 
 
 @dataclass
-class Counts:
+class MaintenanceCounters:
     out: int = 0  # calls that took a worker out
     back: int = 0  # calls that let one back
     again: int = 0  # calls that changed nothing
     unknown: int = 0  # calls for ids that nobody holds
 
 
-class Bans:
+class MaintenanceRegistry:
     """The operators' word, shared by the admin listener's thread and whoever hands the state over."""
 
     def __init__(self) -> None:
         self.lock = threading.Lock()
-        self.state = BanState()
-        self.counts = Counts()
+        self.state = MaintenanceState()
+        self.counts = MaintenanceCounters()
 
-    def ban(self, worker: str) -> bool:
+    def begin(self, worker: str) -> bool:
         """Whether that changed anything; a second call out changes nothing."""
         with self.lock:
-            if worker in self.state.banned:
+            if worker in self.state.in_maintenance:
                 self.counts.again += 1
                 return False
             self.counts.out += 1
             self.state = replace(
                 self.state,
                 generation=self.state.generation + 1,
-                banned=self.state.banned | {worker},
+                in_maintenance=self.state.in_maintenance | {worker},
             )
             return True
 
-    def lift(self, worker: str, now_us: int) -> bool:
+    def release(self, worker: str, now_us: int) -> bool:
         with self.lock:
-            if worker not in self.state.banned:
+            if worker not in self.state.in_maintenance:
                 self.counts.again += 1
                 return False
             self.counts.back += 1
-            lifted = tuple(pair for pair in self.state.lifted if pair[0] != worker)[
+            lifted = tuple(pair for pair in self.state.released if pair[0] != worker)[
                 -(LIFTED_MOST - 1) :
             ]
-            self.state = BanState(
-                self.state.generation + 1, self.state.banned - {worker}, (*lifted, (worker, now_us))
+            self.state = MaintenanceState(
+                self.state.generation + 1,
+                self.state.in_maintenance - {worker},
+                (*lifted, (worker, now_us)),
             )
             return True
 
-    def adopt(self, state: BanState) -> bool:
+    def adopt(self, state: MaintenanceState) -> bool:
         """Another process's state, if it is newer than this one's."""
         with self.lock:
             if state.generation <= self.state.generation:
@@ -77,41 +79,41 @@
             self.state = state
             return True
 
-    def snapshot(self) -> BanState:
+    def snapshot(self) -> MaintenanceState:
         with self.lock:
             return self.state
 
-    def holds(self, worker: str) -> bool:
-        return worker in self.state.banned
+    def contains(self, worker: str) -> bool:
+        return worker in self.state.in_maintenance
 
 
 @dataclass
-class Overlay:
+class MaintenanceOverlay:
     """The bans as the core keeps them, to be laid over every entry that a catalogue gives."""
 
-    banned: frozenset[str] = frozenset()
-    lifted: dict[str, int] = field(default_factory=dict)
+    in_maintenance: frozenset[str] = frozenset()
+    released: dict[str, int] = field(default_factory=dict)
 
-    def take(self, state: BanState) -> set[str]:
+    def update(self, state: MaintenanceState) -> set[str]:
         """The workers whose look has changed."""
-        changed = set(self.banned ^ state.banned)
-        lifted = dict(state.lifted)
-        changed |= {w for w, at_us in lifted.items() if self.lifted.get(w) != at_us}
-        self.banned, self.lifted = state.banned, lifted
+        changed = set(self.in_maintenance ^ state.in_maintenance)
+        lifted = dict(state.released)
+        changed |= {w for w, at_us in lifted.items() if self.released.get(w) != at_us}
+        self.in_maintenance, self.released = state.in_maintenance, lifted
         return changed
 
-    def lay(self, entry: i.WorkerEntry) -> i.WorkerEntry:
-        if entry.worker in self.banned:
+    def apply(self, entry: Endpoint) -> Endpoint:
+        if entry.worker_id in self.in_maintenance:
             return (
                 entry
-                if entry.state is not i.WorkerState.IN
-                else replace(entry, state=i.WorkerState.DRAINING)
+                if entry.state is not EndpointState.ACTIVE
+                else replace(entry, state=EndpointState.DRAINING)
             )
-        back_us = self.lifted.get(entry.worker)
+        back_us = self.released.get(entry.worker_id)
         if (
             back_us is not None
             and back_us > entry.started_us
-            and entry.state is not i.WorkerState.OUT
+            and entry.state is not EndpointState.REMOVED
         ):
             return replace(entry, started_us=back_us)
         return entry
--- a/stepstream/gearman/admin.py
+++ b/stepstream/gearman/admin.py
@@ -4,11 +4,11 @@
 from typing import Protocol
 
 from stepstream import __version__
-from stepstream import interface as i
+from stepstream.config.operator_file import GearmanSection
 from stepstream.gearman.jobs import Job, JobTable
 from stepstream.gearman.names import registered_name
 from stepstream.gearman.workers import Member, WorkerTable
-from stepstream.operator_file import Gearman
+from stepstream.model.settings import Settings
 
 END = ".\n"
 MOST_QUEUE = 10**9
@@ -26,8 +26,8 @@
 class Desk(Protocol):
     """What the commands look at and change."""
 
-    section: Gearman
-    settings: i.Settings
+    section: GearmanSection
+    settings: Settings
     jobs: JobTable
     workers: WorkerTable
     max_queue: dict[str, int]
--- a/stepstream/gearman/codec.py
+++ b/stepstream/gearman/codec.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from enum import Enum, IntEnum
 
-from stepstream.net.limits import Limits
+from stepstream.config.limits import Limits
 
 HEADER = struct.Struct(">4sII")
 REQ, RES = b"\0REQ", b"\0RES"
@@ -211,10 +211,11 @@
         if len(self.buffer) < HEADER.size:
             return None, False
         _, self.number, self.need = HEADER.unpack_from(self.buffer)
-        if self.need > self.limits.packet:
+        if self.need > self.limits.gearman.packet_bytes:
             # Guards memory: the size is believed by nobody before it is bounded.
             raise GearmanError(
-                "PACKET_TOO_LARGE", f"a packet holds at most {self.limits.packet} bytes"
+                "PACKET_TOO_LARGE",
+                f"a packet holds at most {self.limits.gearman.packet_bytes} bytes",
             )
         del self.buffer[: HEADER.size]
         self.state = State.BODY
@@ -232,9 +233,12 @@
 
     def text(self) -> tuple[Item | None, bool]:
         end = self.buffer.find(b"\n", self.seen)
-        if end > self.limits.text_line or (end < 0 and len(self.buffer) > self.limits.text_line):
+        if end > self.limits.gearman.text_line_bytes or (
+            end < 0 and len(self.buffer) > self.limits.gearman.text_line_bytes
+        ):
             raise GearmanError(
-                "LINE_TOO_LONG", f"a text command has at most {self.limits.text_line} bytes"
+                "LINE_TOO_LONG",
+                f"a text command has at most {self.limits.gearman.text_line_bytes} bytes",
             )
         self.seen = len(self.buffer)
         if end < 0:
--- a/stepstream/gearman/desk.py
+++ b/stepstream/gearman/desk.py
@@ -10,28 +10,36 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from stepstream import interface as i
-from stepstream.dispatch import (
-    Answer,
-    Arrived,
-    Call,
+from stepstream.config.limits import Limits
+from stepstream.config.operator_file import GearmanSection
+from stepstream.core.commands import Answer
+from stepstream.core.endpoint_set import EndpointsUpdated
+from stepstream.core.events import (
     CallEnded,
+    CallTimeoutSet,
+    ClientDisconnected,
     Event,
-    Expires,
-    Left,
-    News,
-    Request,
-    Told,
+    JobNotification,
+    JobStatus,
+    RequestReceived,
 )
+from stepstream.core.requests import Call, Request
 from stepstream.gearman import admin, codec, names
 from stepstream.gearman.codec import GearmanError, Kind, Packet
 from stepstream.gearman.jobs import Job, JobTable, Stage
 from stepstream.gearman.session import TOKEN, Session
 from stepstream.gearman.workers import SECOND_US, Assigned, Ended, Member, WorkerTable
-from stepstream.members import Listed
-from stepstream.net.limits import Limits
-from stepstream.operator_file import Gearman
-from stepstream.ports import Credential, Gate, Payload, Pieces, Refusal, Turned, Visa, result_bytes
+from stepstream.model.endpoints import EndpointList, EndpointListKind, EndpointState
+from stepstream.model.events import AttemptResult
+from stepstream.model.settings import Effect, Settings
+from stepstream.ports.access_control import (
+    AccessControl,
+    Authorization,
+    Credential,
+    Rejection,
+    RejectionKind,
+)
+from stepstream.ports.payload import ChunkedResult, Payload, result_bytes
 
 SOURCE = "gearman"
 MOST_FIGURE = 10**15
@@ -101,7 +109,7 @@
     closing: Callable[[], bool] = lambda: False  # after SIGTERM: nothing new is taken
     on_answer: Callable[[Job, Answer], None] = lambda job, answer: None
     on_progress: Callable[[Job, int, int], None] = lambda job, done, of: None
-    gate: Gate | None = None  # who is calling, where an installation wants to know
+    gate: AccessControl | None = None  # who is calling, where an installation wants to know
 
 
 @dataclass(slots=True)
@@ -112,18 +120,20 @@
 
 class Desk:
     def __init__(
-        self, name: str, section: Gearman, settings: i.Settings, limits: Limits, house: House
+        self, name: str, section: GearmanSection, settings: Settings, limits: Limits, house: House
     ) -> None:
         self.name, self.section, self.settings, self.limits = name, section, settings, limits
         self.house = house
         self.jobs = JobTable(section.keep_s * SECOND_US, section.keep_most)
-        self.workers = WorkerTable(section.queue, section.queue_wait_ms * 1000, limits.pieces)
+        self.workers = WorkerTable(
+            section.queue, section.queue_wait_ms * 1000, limits.gearman.partial_result_bytes
+        )
         self.peers: dict[Peer, None] = {}  # a dict for its order
         self.max_queue: dict[str, int] = {}  # by function, set by the text command
         self.handles = self.numbers = 0
         self.out = Out()
 
-    def reconfigure(self, section: Gearman, settings: i.Settings, limits: Limits) -> None:
+    def reconfigure(self, section: GearmanSection, settings: Settings, limits: Limits) -> None:
         """A reload: what is open or joined stays as it is."""
         self.section, self.settings, self.limits = section, settings, limits
         self.jobs.keep_us, self.jobs.keep_most = section.keep_s * SECOND_US, section.keep_most
@@ -161,7 +171,7 @@
     def give_up(self, job: Job, now_us: int) -> list[object]:
         request, owed = job.request, self.jobs.end(job, Stage.FAILED, now_us)
         if request is not None:
-            self.post(Left(request))
+            self.post(ClientDisconnected(request))
         return owed
 
     def cancel(self, now_us: int, job: Job) -> None:
@@ -213,9 +223,9 @@
     def on_line(self, now_us: int, peer: Peer, words: tuple[str, ...]) -> bool:
         """A text command; True if it asks the program to end and may."""
         if self.house.gate is not None and words[0] != "version":
-            turned = self.house.gate.admin(SOURCE, peer.credential, " ".join(words))
+            turned = self.house.gate.authorize_admin(SOURCE, peer.credential, " ".join(words))
             if turned is not None:
-                self.send(peer, admin.error(turned.refusal.value, turned.reason).encode())
+                self.send(peer, admin.error(turned.kind.value, turned.reason).encode())
                 return False
         text, ends = admin.run(self, now_us, words)
         self.send(peer, text.encode())
@@ -238,7 +248,7 @@
             self.take_in(now_us, peer, asked, unique, workload, background, visa)
         except GearmanError:
             if visa is not None:
-                visa.end()
+                visa.release()
             raise
 
     def take_in(
@@ -249,7 +259,7 @@
         unique: bytes,
         workload: bytes,
         background: bool,
-        visa: Visa | None,
+        visa: Authorization | None,
     ) -> None:
         tenant = visa.tenant if visa else asked.tenant
         target = names.find_target(
@@ -258,15 +268,17 @@
         kind = self.settings.classes[target.job_class]
         if unique == b"-":  # the protocol's word for: by what the workload is
             unique = hashlib.sha256(workload).hexdigest().encode()
-        if kind.effect is i.Effect.KEYED and not re.fullmatch(rb"[!-~]{1,128}", unique):
+        if kind.effect is Effect.IDEMPOTENT_WITH_KEY and not re.fullmatch(rb"[!-~]{1,128}", unique):
             raise GearmanError(
                 "BAD_UNIQUE", f"{kind.name} needs a unique id of 1 to 128 printable characters"
             )
-        if len(unique) > self.limits.unique:
-            raise GearmanError("BAD_UNIQUE", f"a unique id has at most {self.limits.unique} bytes")
-        if len(workload) > self.limits.body:
+        if len(unique) > self.limits.gearman.unique_id_bytes:
             raise GearmanError(
-                "WORKLOAD_TOO_LARGE", f"a workload has at most {self.limits.body} bytes"
+                "BAD_UNIQUE", f"a unique id has at most {self.limits.gearman.unique_id_bytes} bytes"
+            )
+        if len(workload) > self.limits.sizes.body_bytes:
+            raise GearmanError(
+                "WORKLOAD_TOO_LARGE", f"a workload has at most {self.limits.sizes.body_bytes} bytes"
             )
         if self.jobs.count_of(peer) >= self.section.jobs_a_connection:
             raise self.refusal("this connection has too many open jobs")
@@ -276,7 +288,7 @@
             job = self.new_job(now_us, name, unique, workload, target)
             job.visa = visa
         elif visa is not None:
-            visa.end()  # the job is open once, and counts for who brought it
+            visa.release()  # the job is open once, and counts for who brought it
         if visa is not None:
             job.callers.add(visa.caller)
         job.background = job.background or background
@@ -292,13 +304,13 @@
             raise GearmanError("SHUTTING_DOWN", "no new jobs are taken; another server may")
         if self.jobs.open.get(name, 0) >= self.max_queue.get(name, MOST_FIGURE):
             raise self.refusal(f"{name} has as many jobs as maxqueue allows")
-        full = self.house.full() or sum(self.jobs.open.values()) >= self.limits.open_jobs
-        if full or self.jobs.held + len(workload) > self.limits.held:
+        full = self.house.full() or sum(self.jobs.open.values()) >= self.limits.gearman.open_jobs
+        if full or self.jobs.held + len(workload) > self.limits.gearman.in_flight_workload_bytes:
             raise self.refusal("too many jobs are open here")
         kind = self.settings.classes[target.job_class]
         job = Job(self.new_handle(), name, unique, len(workload))
         job.listener = Listener(job, self.house.on_answer, self.house.on_progress)
-        key = unique.decode("ascii") if kind.effect is i.Effect.KEYED else ""
+        key = unique.decode("ascii") if kind.effect is Effect.IDEMPOTENT_WITH_KEY else ""
         job.request = Request(
             id=self.house.new_id(),
             job_class=target.job_class,
@@ -307,11 +319,11 @@
             tenant=target.tenant,
             slots=target.slots,
             payload=Payload(f"/{kind.name}", workload, key),
-            origin=job.listener,
+            response_sink=job.listener,
             settings=self.settings,
         )
         self.jobs.add(job)
-        self.post(Arrived(job.request))
+        self.post(RequestReceived(job.request))
         return job
 
     # -- who is calling -----------------------------------------------------------------------------------
@@ -321,12 +333,12 @@
         peer.token, peer.checked_us = token or None, 0
         self.send(peer, codec.answer(Kind.OPTION_RES, "token"))
 
-    def visa_for(self, peer: Peer, asked: names.Function) -> Visa | None:
+    def visa_for(self, peer: Peer, asked: names.Function) -> Authorization | None:
         gate = self.house.gate
         if gate is None:
             return None
-        found = gate.enter(SOURCE, peer.credential, asked.kind, asked.tenant)
-        if isinstance(found, Turned):
+        found = gate.authorize_request(SOURCE, peer.credential, asked.kind, asked.tenant)
+        if isinstance(found, Rejection):
             raise turned_away(found)
         return found
 
@@ -335,7 +347,7 @@
         gate = self.house.gate
         if gate is None:
             return
-        found = gate.owner(SOURCE, peer.credential, job.callers if job else set())
+        found = gate.authorize_job_access(SOURCE, peer.credential, job.callers if job else set())
         if found is not None:
             raise turned_away(found)
 
@@ -343,7 +355,9 @@
         """Its credential may have ended since it joined: it gets nothing more, what it holds goes on."""
         if now_us - peer.checked_us < CHECK_AGAIN_US:
             return
-        turned = self.house.gate.worker(SOURCE, peer.credential, peer.member.identity.name)
+        turned = self.house.gate.authorize_worker(
+            SOURCE, peer.credential, peer.member.identity.name
+        )
         if turned is not None:
             raise turned_away(turned)
         peer.checked_us = now_us
@@ -388,14 +402,15 @@
 
     def member_of(self, now_us: int, peer: Peer) -> Member:
         if peer.member is None:
-            if len(self.workers.members) >= self.limits.members:
+            if len(self.workers.members) >= self.limits.gearman.workers:
                 raise GearmanError(
-                    "TOO_MANY_WORKERS", f"at most {self.limits.members} workers may join here"
+                    "TOO_MANY_WORKERS",
+                    f"at most {self.limits.gearman.workers} workers may join here",
                 )
             told = peer.client_id or f"c{peer.number}".encode()
             identity = names.read_client_id(told, self.settings, self.section.worker, now_us)
             if self.house.gate is not None:
-                turned = self.house.gate.worker(SOURCE, peer.credential, identity.name)
+                turned = self.house.gate.authorize_worker(SOURCE, peer.credential, identity.name)
                 if turned is not None:
                     raise turned_away(turned)
             peer.member = self.workers.join(peer, identity)
@@ -405,11 +420,13 @@
         member, peer.member = peer.member, None
         if member is not None:
             # The list first: what goes back must not be pushed here again.
-            self.tell(member, i.WorkerState.OUT)
+            self.tell(member, EndpointState.REMOVED)
             self.end(self.workers.leave(member))
 
-    def tell(self, member: Member, state: i.WorkerState | None = None) -> None:
-        self.post(Listed(SOURCE, i.WorkerList(i.ListKind.CHANGES, (member.entry(state),))))
+    def tell(self, member: Member, state: EndpointState | None = None) -> None:
+        self.post(
+            EndpointsUpdated(SOURCE, EndpointList(EndpointListKind.CHANGES, (member.entry(state),)))
+        )
 
     def end(self, over: list[Ended]) -> None:
         for ended in over:
@@ -423,9 +440,10 @@
             )
         seconds = read_figure("timeout", timeout)
         member = self.member_of(now_us, peer)
-        if name not in member.runs and len(member.runs) >= self.limits.abilities:
+        if name not in member.runs and len(member.runs) >= self.limits.gearman.functions_per_worker:
             raise GearmanError(
-                "TOO_MANY_FUNCTIONS", f"a worker names at most {self.limits.abilities}"
+                "TOO_MANY_FUNCTIONS",
+                f"a worker names at most {self.limits.gearman.functions_per_worker}",
             )
         self.workers.able(member, name, seconds * SECOND_US)
         self.tell(member)
@@ -455,7 +473,7 @@
         over = self.workers.push(now_us, call, kind, settings.tenant_name(request.tenant))
         self.end(over)
         if not over:
-            self.wake(self.workers.members[call.worker])
+            self.wake(self.workers.members[call.worker_id])
 
     def stop(self, call: Call) -> None:
         self.workers.stop(call)
@@ -468,10 +486,10 @@
             self.send(peer, codec.answer(Kind.NO_JOB))
             return
         self.send(peer, assignment(held, form))
-        self.post(Told(held.call.request.id, held.call.worker, News.STARTED))
+        self.post(JobNotification(held.call.request.id, held.call.worker_id, JobStatus.STARTED))
         timeout_us = peer.member.runs.get(held.function, 0)
         if timeout_us:
-            self.post(Expires(held.call, now_us + timeout_us))
+            self.post(CallTimeoutSet(held.call, now_us + timeout_us))
 
     def report(self, peer: Peer, kind: Kind, handle: bytes, *args: bytes) -> None:
         member = peer.member
@@ -488,28 +506,36 @@
                 for name, arg in zip(("numerator", "denominator"), args, strict=True)
             )
             self.post(
-                Told(held.call.request.id, held.call.worker, News.RUNNING, progress=(done, of))
+                JobNotification(
+                    held.call.request.id,
+                    held.call.worker_id,
+                    JobStatus.RUNNING,
+                    progress=(done, of),
+                )
             )
         elif kind in (Kind.WORK_DATA, Kind.WORK_WARNING):
             if not self.workers.add_piece(held, args[0], kind is Kind.WORK_WARNING):
                 self.fail(member, held, b"its pieces are too large")
                 raise GearmanError(
-                    "RESULT_TOO_LARGE", f"a job's pieces have at most {self.limits.pieces} bytes"
+                    "RESULT_TOO_LARGE",
+                    f"a job's pieces have at most {self.limits.gearman.partial_result_bytes} bytes",
                 )
         elif kind is Kind.WORK_COMPLETE:
             self.workers.over(member, held)
             result = self.workers.result(held, args[0])
-            self.post(Told(held.call.request.id, held.call.worker, News.DONE, result))
+            self.post(
+                JobNotification(held.call.request.id, held.call.worker_id, JobStatus.DONE, result)
+            )
         else:
             self.fail(member, held, args[0] if args else b"")
         self.wake(member)
 
     def fail(self, member: Member, held: Assigned, text: bytes) -> None:
-        origin = held.call.request.origin
+        origin = held.call.request.response_sink
         if text and isinstance(origin, Listener):
             origin.job.exception = text
         self.workers.over(member, held)
-        self.end([Ended(held.call, i.Result.ERROR)])
+        self.end([Ended(held.call, AttemptResult.ERROR)])
 
     def look(self, now_us: int) -> None:
         """Every while: what has gone on for too long."""
@@ -517,12 +543,13 @@
         self.jobs.expire(now_us)
 
 
-def turned_away(turned: Turned) -> GearmanError:
-    if turned.refusal is Refusal.LATER:
+def turned_away(turned: Rejection) -> GearmanError:
+    if turned.kind is RejectionKind.RATE_LIMITED:
         return GearmanError(
-            "JOB_QUEUE_FULL", f"refused retry-after={turned.retry_s:.3f} {turned.reason}"
+            "JOB_QUEUE_FULL",
+            f"refused retry-after={turned.retry_after_seconds:.3f} {turned.reason}",
         )
-    return GearmanError(turned.refusal.value, turned.reason)
+    return GearmanError(turned.kind.value, turned.reason)
 
 
 def assignment(held: Assigned, form: Kind) -> bytes:
@@ -545,8 +572,8 @@
     handle = job.handle
     if job.stage is Stage.SERVED:
         pieces, last = (
-            (result.pieces, result.last)
-            if isinstance(result, Pieces)
+            (result.chunks, result.last)
+            if isinstance(result, ChunkedResult)
             else ((), result_bytes(result))
         )
         kinds = {True: Kind.WORK_WARNING, False: Kind.WORK_DATA}
--- a/stepstream/gearman/driver.py
+++ b/stepstream/gearman/driver.py
@@ -16,20 +16,22 @@
 from collections.abc import Callable
 from queue import SimpleQueue
 
-from stepstream import interface as i
-from stepstream.dispatch import Answer, Call
+from stepstream.config.node_config import NodeConfig
+from stepstream.config.operator_file import GearmanSection, split_address
+from stepstream.core.commands import Answer
+from stepstream.core.requests import Call
 from stepstream.gearman import codec
 from stepstream.gearman.codec import GearmanError, Kind, Packet
 from stepstream.gearman.desk import SOURCE, SUBMITS, Desk, House, Peer
 from stepstream.gearman.jobs import Job
 from stepstream.gearman.session import Reply, Session, Step
-from stepstream.net import inbound
-from stepstream.net.inbound import Rank
-from stepstream.net.links import Link
-from stepstream.net.threads import guarded, log, spawn
-from stepstream.operator_file import Gearman, split_address
-from stepstream.ports import Entrance, Gate
-from stepstream.settings import Config
+from stepstream.http.server import EvictionRank, InboundServer
+from stepstream.model.events import HealthChecked
+from stepstream.ports.access_control import AccessControl
+from stepstream.ports.connections import ListenerSpec
+from stepstream.runtime.log import log
+from stepstream.runtime.threads import run_guarded, spawn_thread
+from stepstream.runtime.transport import Transport
 
 __all__ = ["SOURCE", "GearmanSide"]
 KEEPALIVE = {"TCP_KEEPIDLE": 30, "TCP_KEEPINTVL": 10, "TCP_KEEPCNT": 3}  # seconds, seconds, probes
@@ -45,12 +47,12 @@
 
     def __init__(
         self,
-        section: Gearman,
-        config: Config,
-        house: inbound.House,
+        section: GearmanSection,
+        config: NodeConfig,
+        house: InboundServer,
         signals: "SimpleQueue[int]",
         pending: Callable[[], int],
-        gate: Gate | None = None,
+        gate: AccessControl | None = None,
     ) -> None:
         """`pending`: events that the core has yet to take; `gate`: who is calling, if that is asked."""
         self.house, self.signals, self.pending = house, signals, pending
@@ -59,7 +61,7 @@
         asked = House(
             new_id=lambda: secrets.token_hex(8),
             full=house.crowded,
-            closing=lambda: house.door.closing,
+            closing=lambda: house.state.closing,
             gate=gate,
             on_answer=self.on_answer,
             on_progress=self.on_progress,
@@ -67,24 +69,24 @@
         self.desk = Desk(config.name, section, config.settings, house.limits, asked)
         self.writer = Writer(house)
 
-    def listen(self) -> Entrance:
+    def listen(self) -> ListenerSpec:
         """OSError if the address cannot be had."""
-        entrance = self.house.let_in(self.address, self.open, lambda: BUSY)
-        spawn("gearman writer", self.writer.run)
+        entrance = self.house.listen(self.address, self.open, lambda: BUSY)
+        spawn_thread("gearman writer", self.writer.run)
         return entrance
 
-    def listen_also(
-        self, address: tuple[str, int], link: Callable[[socket.socket], Link]
-    ) -> Entrance:
+    def listen_with_transport(
+        self, address: tuple[str, int], link: Callable[[socket.socket], Transport]
+    ) -> ListenerSpec:
         """The same over another kind of link; OSError if the address cannot be had."""
-        return self.house.let_in(
+        return self.house.listen(
             address, lambda sock, guest: GearmanConnection(link(sock), self, guest), bytes
         )
 
     def open(self, sock: socket.socket, guest: bool) -> "GearmanConnection":
-        return GearmanConnection(Link(sock), self, guest)
+        return GearmanConnection(Transport(sock), self, guest)
 
-    def reconfigure(self, section: Gearman, config: Config) -> None:
+    def reconfigure(self, section: GearmanSection, config: NodeConfig) -> None:
         with self.lock:
             self.desk.reconfigure(section, config.settings, self.house.limits)
 
@@ -131,18 +133,18 @@
         with self.lock:
             self.desk.stop(call)
 
-    def probe(self, worker: str) -> None:
+    def check_health(self, worker: str) -> None:
         """Gearman has no probe of a worker: whether its connection stands is all there is to know."""
         with self.lock:
-            self.house.post(i.Probed(worker, worker in self.desk.workers.members))
+            self.house.post(HealthChecked(worker, worker in self.desk.workers.members))
 
 
 class GearmanConnection:
     """A connection's driver; a ports.Connection. Its thread reads, whoever has something to say sends."""
 
-    def __init__(self, link: Link, side: GearmanSide, guest: bool) -> None:
-        self.link, self.side, self.house, self.guest = link, side, side.house, guest
-        self.left = False
+    def __init__(self, link: Transport, side: GearmanSide, guest: bool) -> None:
+        self.link, self.side, self.house, self.is_external = link, side, side.house, guest
+        self.evicted = False
         self.lock = threading.Lock()  # of the bytes that wait
         self.moved = 0.0  # when the peer last took some of them
         self.last_word = False
@@ -150,7 +152,7 @@
         self.session = Session(side.house.limits)
         self.dropped = False  # it is hung up on: what it said is of no interest any more
         self.begun = self.active = self.paid = time.monotonic()
-        self.credit = float(side.house.limits.list_changes)
+        self.credit = float(side.house.limits.gearman.registration_changes)
         with side.lock:
             self.peer = side.desk.opened(self.session, peer_host(link.sock))
             side.connections[self.peer] = self
@@ -177,7 +179,7 @@
     def read_on(self) -> None:
         while True:
             try:
-                data = self.link.recv(self.house.limits.read)
+                data = self.link.recv(self.house.limits.sizes.read_bytes)
             except OSError:
                 return
             if not data:
@@ -226,13 +228,16 @@
         """
         limits, now = self.house.limits, time.monotonic()
         if isinstance(step, codec.Line) or (isinstance(step, Packet) and step.kind in COSTLY):
-            earned = (now - self.paid) / limits.list_change
-            self.credit, self.paid = min(self.credit + earned, limits.list_changes) - 1, now
+            earned = (now - self.paid) / limits.gearman.registration_change_pause_seconds
+            self.credit, self.paid = (
+                min(self.credit + earned, limits.gearman.registration_changes) - 1,
+                now,
+            )
             if self.credit < 0:
-                time.sleep(limits.list_change)
+                time.sleep(limits.gearman.registration_change_pause_seconds)
         elif isinstance(step, Packet) and step.kind in SUBMITS:
-            while self.side.pending() > limits.pressing and not self.ended:
-                time.sleep(limits.pressed)
+            while self.side.pending() > limits.gearman.core_backlog_events and not self.ended:
+                time.sleep(limits.gearman.core_backlog_check_seconds)
 
     def end(self) -> None:
         with self.side.lock:
@@ -265,7 +270,7 @@
                 return
             if not waited:
                 self.moved = time.monotonic()
-            if len(self.link.rest) > self.house.limits.unsent:
+            if len(self.link.rest) > self.house.limits.sizes.unsent_bytes:
                 # Guards memory against a peer that asks for much and reads little.
                 self.drop()
                 return
@@ -298,7 +303,7 @@
 
     # -- as the house sees it -----------------------------------------------------------------------------
 
-    def waiting(self) -> bool:
+    def has_open_request(self) -> bool:
         return self.peer in self.side.desk.jobs.hanging
 
     def is_member(self) -> bool:
@@ -307,53 +312,62 @@
     def busy(self) -> bool:
         if self.session.closed:
             return bool(self.link.rest)
-        stays = self.session.proven and not self.is_member() and not self.house.door.closing
-        return self.waiting() or bool(self.link.rest) or stays or not self.session.between
+        stays = self.session.proven and not self.is_member() and not self.house.state.closing
+        return self.has_open_request() or bool(self.link.rest) or stays or not self.session.between
 
-    def spare(self, now: float) -> tuple[Rank, float]:
-        if self.waiting() or self.is_member() or self.link.rest:
-            return Rank.NEVER, math.inf
+    def eviction_rank(self, now: float) -> tuple[EvictionRank, float]:
+        if self.has_open_request() or self.is_member() or self.link.rest:
+            return EvictionRank.NEVER, math.inf
         if self.session.closed:
-            return Rank.DONE, self.active
+            return EvictionRank.DONE, self.active
         if self.session.proven:
-            return Rank.IDLE, self.active
+            return EvictionRank.IDLE, self.active
         return (
-            Rank.STRANGER if now - self.begun >= self.house.limits.stranger else Rank.NEW,
+            EvictionRank.STRANGER
+            if now - self.begun >= self.house.limits.timeouts.unproven_seconds
+            else EvictionRank.NEW,
             self.begun,
         )
 
     def evict(self) -> bool:
-        if self.waiting() or self.is_member():
+        if self.has_open_request() or self.is_member():
             return False
         self.link.hang_up()
         return True
 
-    def close_if_between(self) -> bool:
-        if self.waiting() or self.is_member() or self.link.rest or not self.session.between:
+    def close_if_idle(self) -> bool:
+        if (
+            self.has_open_request()
+            or self.is_member()
+            or self.link.rest
+            or not self.session.between
+        ):
             return False
         self.link.hang_up()
         return True
 
-    def look(self, now: float) -> None:
+    def enforce_timeouts(self, now: float) -> None:
         """Guards against half a packet and silence, silent strangers, and peers that read nothing."""
         limits = self.house.limits
-        if self.link.rest and now - self.moved > limits.write:
+        if self.link.rest and now - self.moved > limits.timeouts.write_seconds:
             self.link.hang_up()
         elif self.session.closed:
-            if now - self.begun > limits.linger:
+            if now - self.begun > limits.timeouts.linger_seconds:
                 self.link.hang_up()
         elif not self.session.between:
-            if now - self.begun > limits.slow_peer:
+            if now - self.begun > limits.timeouts.message_seconds:
                 with self.side.lock:
                     reply = self.session.end(
                         GearmanError("TOO_SLOW", "half a message, and then nothing")
                     )
                     self.send(reply.data, reply.close)
         elif not self.session.proven:
-            if now - self.begun > limits.greeting:
+            if now - self.begun > limits.timeouts.first_message_seconds:
                 self.link.hang_up()
         elif (
-            not self.waiting() and not self.is_member() and now - self.active > limits.inbound_idle
+            not self.has_open_request()
+            and not self.is_member()
+            and now - self.active > limits.timeouts.inbound_idle_seconds
         ):
             self.link.hang_up()
 
@@ -361,7 +375,7 @@
 class Writer:
     """One thread for all peers that do not take their bytes at once; it costs nothing while all do."""
 
-    def __init__(self, house: inbound.House) -> None:
+    def __init__(self, house: InboundServer) -> None:
         self.house = house
         self.connections: dict[Peer, GearmanConnection] = {}
         self.lock = threading.Lock()
@@ -394,7 +408,7 @@
 
     def run(self) -> None:
         while True:
-            guarded("gearman writer", self.turn)
+            run_guarded("gearman writer", self.turn)
 
     def turn(self) -> None:
         for number, _ in self.poll.poll():
--- a/stepstream/gearman/jobs.py
+++ b/stepstream/gearman/jobs.py
@@ -8,8 +8,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from stepstream.dispatch import Answer, Outcome, Request
-from stepstream.ports import Visa
+from stepstream.core.commands import Answer, Outcome
+from stepstream.core.requests import Request
+from stepstream.ports.access_control import Authorization
 
 
 class Stage(Enum):
@@ -21,7 +22,7 @@
 
 STAGES = {
     Outcome.SERVED: Stage.SERVED,
-    Outcome.REFUSED: Stage.REFUSED,
+    Outcome.REJECTED: Stage.REFUSED,
     Outcome.FAILED: Stage.FAILED,
 }
 
@@ -44,7 +45,7 @@
     exception: bytes = b""  # a worker's, of the latest run that failed
     ended_us: int = 0
     listener: object = None  # whom the core answers; a ports.Origin
-    visa: Visa | None = None  # of the caller whose job it is
+    visa: Authorization | None = None  # of the caller whose job it is
     callers: set[str] = field(
         default_factory=set
     )  # all that hang on it or did, where callers are known
@@ -111,7 +112,7 @@
             return []
         job.stage, job.pause_us, job.ended_us, job.request = stage, pause_us, now_us, None
         if job.visa is not None:
-            job.visa.end()
+            job.visa.release()
         owed, job.clients = job.clients, []
         for client in owed:
             mine = self.hanging.get(client)
@@ -133,7 +134,7 @@
         return owed
 
     def finish(self, job: Job, answer: Answer, now_us: int) -> list[object]:
-        return self.end(job, STAGES[answer.outcome], now_us, answer.pause_us)
+        return self.end(job, STAGES[answer.outcome], now_us, answer.retry_after_us)
 
     def expire(self, now_us: int) -> None:
         """Guards memory: outcomes are kept for a while, and only so many."""
--- a/stepstream/gearman/names.py
+++ b/stepstream/gearman/names.py
@@ -3,9 +3,9 @@
 import re
 from dataclasses import dataclass
 
-from stepstream import interface as i
+from stepstream.config.operator_file import WorkerDefaults
 from stepstream.gearman.codec import GearmanError
-from stepstream.operator_file import WorkerDefaults
+from stepstream.model.settings import Settings
 
 CLIENT_ID = re.compile(r"[!-:<-~]{1,64}")  # printable, no space and no semicolon
 MOST_SLOTS = 1024
@@ -29,7 +29,7 @@
     slots: float
 
 
-def split_function(name: bytes, settings: i.Settings) -> Function:
+def split_function(name: bytes, settings: Settings) -> Function:
     """`CLASS`, `TENANT/CLASS`, each with `+N` behind it for a job of N slots."""
     text = name.decode("utf-8", "replace")
     whole, plus, slots = text.partition("+")
@@ -46,7 +46,7 @@
     return Function(kind, tenant if slash else None, float(slots or 1))
 
 
-def find_target(function: Function, settings: i.Settings, tenant: str) -> Target:
+def find_target(function: Function, settings: Settings, tenant: str) -> Target:
     """`tenant`: whose job it is."""
     if settings.tenants and tenant not in settings.tenants:
         fault = f"no such tenant {tenant}" if tenant else "a function here is TENANT/CLASS"
@@ -55,7 +55,7 @@
     return Target(settings.class_names.index(function.kind), place, function.slots)
 
 
-def function_name(settings: i.Settings, job_class: int, tenant: int) -> str:
+def function_name(settings: Settings, job_class: int, tenant: int) -> str:
     """The full name, as `status` lists it."""
     name = settings.tenant_name(tenant)
     return (
@@ -82,7 +82,7 @@
 
 
 def read_client_id(
-    data: bytes, settings: i.Settings, defaults: WorkerDefaults, now_us: int
+    data: bytes, settings: Settings, defaults: WorkerDefaults, now_us: int
 ) -> Identity:
     """`ID` or `ID;zone=Z;kind=K;cell=N;slots=N;weight=W;start=MS`, each part once and in any order.
 
@@ -107,7 +107,7 @@
     return Identity(
         name=name,
         zone=place("zone", said.get("zone", defaults.zone), settings.zones),
-        kind=place("kind", said.get("kind", defaults.kind), settings.kinds),
+        kind=place("kind", said.get("kind", defaults.kind), settings.worker_kinds),
         cell=int(figure("cell", said.get("cell", str(defaults.cell)), 0, 2**31, whole=True)),
         slots=int(
             figure("slots", said.get("slots", str(defaults.slots)), 1, MOST_SLOTS, whole=True)
--- a/stepstream/gearman/session.py
+++ b/stepstream/gearman/session.py
@@ -7,9 +7,9 @@
 
 from dataclasses import dataclass
 
+from stepstream.config.limits import Limits
 from stepstream.gearman import admin, codec
 from stepstream.gearman.codec import GearmanError, Kind, Line, Packet, Parser, Unknown
-from stepstream.net.limits import Limits
 
 TOKEN = b"token:"
 NOT_OFFERED = {
@@ -97,6 +97,6 @@
     def fault(self, fault: GearmanError) -> Reply:
         """An error that leaves the framing whole; a peer that makes nothing else is ended."""
         self.errors += 1
-        if self.errors >= self.limits.peer_errors:
+        if self.errors >= self.limits.gearman.errors_per_connection:
             return self.end(fault)
         return Reply(codec.error(fault.code, str(fault)))
--- a/stepstream/gearman/workers.py
+++ b/stepstream/gearman/workers.py
@@ -7,11 +7,12 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
-from stepstream import interface as i
-from stepstream.dispatch import Call
+from stepstream.core.requests import Call
 from stepstream.gearman.codec import GearmanError
 from stepstream.gearman.names import Identity, registered_name
-from stepstream.ports import Piece, Pieces
+from stepstream.model.endpoints import Endpoint, EndpointState
+from stepstream.model.events import AttemptResult
+from stepstream.ports.payload import ChunkedResult, ResultChunk
 
 ENDED_KEPT = 64  # handles whose late words are passed over in silence
 SECOND_US = 1_000_000
@@ -30,7 +31,7 @@
     call: Call
     handle: str
     function: str
-    pieces: list[Piece] = field(default_factory=list)
+    pieces: list[ResultChunk] = field(default_factory=list)
     size: int = 0
     given_up: bool = False
 
@@ -50,17 +51,17 @@
     ended: OrderedDict[str, None] = field(default_factory=OrderedDict)
     asleep: bool = False
 
-    def entry(self, state: i.WorkerState | None = None) -> i.WorkerEntry:
+    def entry(self, state: EndpointState | None = None) -> Endpoint:
         told = self.identity
-        return i.WorkerEntry(
-            worker=self.key,
+        return Endpoint(
+            worker_id=self.key,
             zone=told.zone,
-            kind=told.kind,
+            worker_kind=told.kind,
             cell=told.cell,
-            state=state or (i.WorkerState.IN if self.runs else i.WorkerState.DRAINING),
+            state=state or (EndpointState.ACTIVE if self.runs else EndpointState.DRAINING),
             weight=told.weight,
             started_us=told.started_us,
-            runs=frozenset(self.runs),
+            supported_jobs=frozenset(self.runs),
         )
 
     @property
@@ -73,7 +74,7 @@
     """A call that is over here, and what that proves."""
 
     call: Call
-    result: i.Result
+    result: AttemptResult
 
 
 class WorkerTable:
@@ -110,7 +111,7 @@
         kept, back = deque(), []
         for waiting in member.queue:
             if registered_name(member.runs, waiting.kind, waiting.tenant) is None:
-                back.append(Ended(waiting.call, i.Result.NOT_SENT))
+                back.append(Ended(waiting.call, AttemptResult.NOT_SENT))
             else:
                 kept.append(waiting)
         member.queue = kept
@@ -119,8 +120,8 @@
     def leave(self, member: Member) -> list[Ended]:
         """Its connection has ended: what waited has never run, what it held may have."""
         self.members.pop(member.key, None)
-        over = [Ended(waiting.call, i.Result.NOT_SENT) for waiting in member.queue]
-        over += [Ended(a.call, i.Result.RESET) for a in member.assigned.values()]
+        over = [Ended(waiting.call, AttemptResult.NOT_SENT) for waiting in member.queue]
+        over += [Ended(a.call, AttemptResult.RESET) for a in member.assigned.values()]
         member.queue.clear()
         member.assigned.clear()
         return over
@@ -128,14 +129,14 @@
     # -- calls --------------------------------------------------------------------------------------------
 
     def push(self, now_us: int, call: Call, kind: str, tenant: str) -> list[Ended]:
-        member = self.members.get(call.worker)
+        member = self.members.get(call.worker_id)
         if member is None or registered_name(member.runs, kind, tenant) is None:
-            return [Ended(call, i.Result.NOT_SENT)]
+            return [Ended(call, AttemptResult.NOT_SENT)]
         # Given up or not, the worker still works on it: this wire cannot recall it.
         if any(held.call.request is call.request for held in member.assigned.values()):
-            return [Ended(call, i.Result.NOT_SENT)]
+            return [Ended(call, AttemptResult.NOT_SENT)]
         if len(member.queue) + len(member.assigned) >= member.identity.slots + self.queue:
-            return [Ended(call, i.Result.FULL)]
+            return [Ended(call, AttemptResult.FULL)]
         member.queue.append(Waiting(call, kind, tenant, now_us))
         return []
 
@@ -161,7 +162,7 @@
 
     def stop(self, call: Call) -> None:
         """Given up by the core. What waits is taken back; what runs cannot be recalled on this wire."""
-        member = self.members.get(call.worker)
+        member = self.members.get(call.worker_id)
         if member is None:
             return
         member.queue = deque(waiting for waiting in member.queue if waiting.call is not call)
@@ -173,7 +174,7 @@
         over = []
         for member in self.members.values():
             while member.queue and now_us - member.queue[0].since_us >= self.queue_wait_us:
-                over.append(Ended(member.queue.popleft().call, i.Result.FULL))
+                over.append(Ended(member.queue.popleft().call, AttemptResult.FULL))
         return over
 
     # -- a worker's words on what it holds ----------------------------------------------------------------
@@ -198,8 +199,8 @@
         held.size += len(data)
         if held.size > self.most_pieces:
             return False
-        held.pieces.append(Piece(data, warning))
+        held.pieces.append(ResultChunk(data, warning))
         return True
 
-    def result(self, held: Assigned, last: bytes) -> Pieces:
-        return Pieces(tuple(held.pieces), last)
+    def result(self, held: Assigned, last: bytes) -> ChunkedResult:
+        return ChunkedResult(tuple(held.pieces), last)
--- a/stepstream/upgrade/driver.py
+++ b/stepstream/hot_restart/controller.py
@@ -8,22 +8,23 @@
 import os
 import socket
 
-from stepstream.dispatch import Told
-from stepstream.maintenance import Bans
-from stepstream.net.http1 import Parser, ProtocolError, write_request
-from stepstream.net.limits import Limits
-from stepstream.net.platform import news_body
-from stepstream.net.sockets import dial, time_limit
-from stepstream.net.threads import Crew, log
-from stepstream.upgrade.state import (
+from stepstream.config.limits import Limits
+from stepstream.core.events import JobNotification
+from stepstream.core.maintenance import MaintenanceRegistry
+from stepstream.hot_restart.state import (
     DamagedError,
     Handover,
-    Process,
+    ProcessRecord,
     decode,
     encode,
     sibling,
     with_own,
 )
+from stepstream.http.codec import Parser, ProtocolError, write_request
+from stepstream.http.platform_api import notification_body
+from stepstream.runtime.log import log
+from stepstream.runtime.sockets import connect, set_socket_timeout
+from stepstream.runtime.threads import ThreadPool
 
 RELAYED = "Stepstream-Relayed"  # marks news passed on: it is never passed on again
 
@@ -39,22 +40,24 @@
     return True
 
 
-class Keeper:
-    def __init__(self, folder: str, name: str, own: Process, bans: Bans, limits: Limits) -> None:
+class HotRestartController:
+    def __init__(
+        self, folder: str, name: str, own: ProcessRecord, bans: MaintenanceRegistry, limits: Limits
+    ) -> None:
         self.path = os.path.join(folder, f"stepstream-{name}.handover")
         self.own, self.bans, self.limits = own, bans, limits
-        self.others: tuple[Process, ...] = ()
+        self.others: tuple[ProcessRecord, ...] = ()
         self.listed: dict | None = None  # discovery's list, to be handed over with the rest
         self.seen: tuple[int, int, int] | None = (
             None  # inode, time and size of what was last read or written
         )
-        self.relays = Crew("relay", limits.relay_threads)
+        self.relays = ThreadPool("relay", limits.connections.forwarder_threads)
 
     def load(self) -> Handover | None:
         """At the start: what the process before this one left; None, with one line, if nothing usable."""
         try:
             with open(self.path, "rb") as file:
-                data = file.read(self.limits.handover_most)
+                data = file.read(self.limits.sizes.handover_bytes)
             self.seen = self.stamp()
             state = decode(data)
         except FileNotFoundError:
@@ -82,7 +85,7 @@
     def write(self, ready: bool | None = None) -> None:
         """Atomically; a failure costs a line, and the next change writes again."""
         if ready is not None:
-            self.own = Process(self.own.pid, self.own.admin, self.own.started_us, ready)
+            self.own = ProcessRecord(self.own.pid, self.own.admin, self.own.started_us, ready)
         living = {p.pid for p in self.others if alive(p.pid)}
         state = with_own(Handover(self.bans.snapshot(), self.others, self.listed), self.own, living)
         self.others = state.processes[:-1]
@@ -105,7 +108,7 @@
         self.seen = stamp
         try:
             with open(self.path, "rb") as file:
-                state = decode(file.read(self.limits.handover_most))
+                state = decode(file.read(self.limits.sizes.handover_bytes))
         except (OSError, DamagedError) as error:
             log(f"handover: state ignored: {error}")
             return False
@@ -115,36 +118,40 @@
             self.write()  # guards this process's entry against a write of the other that did not know it
         return self.bans.snapshot().generation != before
 
-    def successor(self) -> Process | None:
+    def successor(self) -> ProcessRecord | None:
         """A process that started after this one, takes clients and is there: this one may leave to it."""
         found = sibling(Handover(processes=self.others), self.own.pid)
         usable = found is not None and found.ready and found.started_us > self.own.started_us
         return found if usable and alive(found.pid) else None
 
-    def neighbour(self) -> Process | None:
+    def neighbour(self) -> ProcessRecord | None:
         found = sibling(Handover(processes=self.others), self.own.pid)
         return found if found is not None and alive(found.pid) else None
 
-    def pass_on(self, told: Told) -> None:
+    def pass_on(self, told: JobNotification) -> None:
         """News of a request that is not this process's: the other one may have it."""
         target = self.neighbour()
         if target is not None:
             self.relays.submit(self.relay, target, told)
 
-    def relay(self, target: Process, told: Told) -> None:
+    def relay(self, target: ProcessRecord, told: JobNotification) -> None:
         host, _, port = target.admin.rpartition(":")
         headers = {"Host": target.admin, RELAYED: "1", "Connection": "close"}
-        data = write_request("POST", "/_jobs/news", headers, news_body(told))
+        data = write_request("POST", "/_jobs/news", headers, notification_body(told))
         try:
-            sock = dial((host, int(port)), self.limits.dial, self.limits.relay_wait)
+            sock = connect(
+                (host, int(port)),
+                self.limits.timeouts.connect_seconds,
+                self.limits.timeouts.forward_seconds,
+            )
         except OSError:
             return
         with sock:
             try:
-                time_limit(sock, socket.SO_RCVTIMEO, self.limits.relay_wait)
+                set_socket_timeout(sock, socket.SO_RCVTIMEO, self.limits.timeouts.forward_seconds)
                 sock.sendall(data)
                 parser = Parser(self.limits, answers=True)
-                while piece := sock.recv(self.limits.read):
+                while piece := sock.recv(self.limits.sizes.read_bytes):
                     parser.feed(piece)
                     if parser.next() is not None:
                         return
@@ -159,8 +166,8 @@
     return other is None or int(one.get("version", 0)) > int(other.get("version", 0))
 
 
-def own_process(admin: tuple[str, int], now_us: int) -> Process:
-    return Process(os.getpid(), f"{admin[0]}:{admin[1]}", now_us)
+def own_process(admin: tuple[str, int], now_us: int) -> ProcessRecord:
+    return ProcessRecord(os.getpid(), f"{admin[0]}:{admin[1]}", now_us)
 
 
 def folder() -> str | None:
--- a/stepstream/upgrade/state.py
+++ b/stepstream/hot_restart/state.py
@@ -10,13 +10,13 @@
 
 import ujson
 
-from stepstream.maintenance import BanState
+from stepstream.core.maintenance import MaintenanceState
 
 FORMAT, VERSION = "stepstream-handover", 1
 
 
 @dataclass(frozen=True, slots=True)
-class Process:
+class ProcessRecord:
     pid: int
     admin: str  # HOST:PORT of its admin listener, where its sibling passes news on
     started_us: int
@@ -25,8 +25,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Handover:
-    bans: BanState = BanState()
-    processes: tuple[Process, ...] = field(default_factory=tuple)
+    bans: MaintenanceState = MaintenanceState()
+    processes: tuple[ProcessRecord, ...] = field(default_factory=tuple)
     listed: dict | None = (
         None  # discovery's list as the writer last knew it, in discovery's own form
     )
@@ -39,8 +39,8 @@
 def encode(state: Handover) -> bytes:
     body = {
         "generation": state.bans.generation,
-        "banned": sorted(state.bans.banned),
-        "lifted": [list(pair) for pair in state.bans.lifted],
+        "banned": sorted(state.bans.in_maintenance),
+        "lifted": [list(pair) for pair in state.bans.released],
         "processes": [[p.pid, p.admin, p.started_us, p.ready] for p in state.processes],
         "list": state.listed,
     }
@@ -64,13 +64,13 @@
         raise DamagedError("its sum does not match")
     try:
         body = ujson.loads(text)
-        bans = BanState(
+        bans = MaintenanceState(
             int(body["generation"]),
             frozenset(str(w) for w in body["banned"]),
             tuple((str(w), int(at)) for w, at in body["lifted"]),
         )
         processes = tuple(
-            Process(int(p), str(a), int(s), bool(r)) for p, a, s, r in body["processes"]
+            ProcessRecord(int(p), str(a), int(s), bool(r)) for p, a, s, r in body["processes"]
         )
         listed = body.get("list")
         if listed is not None and not isinstance(listed, dict):
@@ -80,13 +80,13 @@
     return Handover(bans, processes, listed)
 
 
-def with_own(state: Handover, own: Process, alive: set[int]) -> Handover:
+def with_own(state: Handover, own: ProcessRecord, alive: set[int]) -> Handover:
     """The state as this process writes it: its own entry new, those of ended processes gone."""
     others = tuple(p for p in state.processes if p.pid != own.pid and p.pid in alive)
     return Handover(state.bans, (*others, own), state.listed)
 
 
-def sibling(state: Handover, own_pid: int) -> Process | None:
+def sibling(state: Handover, own_pid: int) -> ProcessRecord | None:
     """The other process on the clients' address, the newest if there were several."""
     others = [p for p in state.processes if p.pid != own_pid]
     return max(others, key=lambda p: p.started_us) if others else None
--- a/stepstream/net/http1.py
+++ b/stepstream/http/codec.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from stepstream.net.limits import Limits
+from stepstream.config.limits import Limits
 
 TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f]")  # in a header's value
@@ -61,7 +61,7 @@
 
     def __init__(self, limits: Limits, answers: bool = False, body: int | None = None) -> None:
         self.limits, self.answers = limits, answers
-        self.most = limits.body if body is None else body
+        self.most = limits.sizes.body_bytes if body is None else body
         self.state = State.HEAD
         self.buffer = bytearray()
         self.seen = 0  # bytes of the buffer already searched for a line's end
@@ -126,9 +126,9 @@
             del self.buffer[:2]
             return bool(self.buffer) and self.head()
         at = self.buffer.find(b"\r\n\r\n", max(self.seen - 3, 0))
-        if at < 0 or at > self.limits.head:
+        if at < 0 or at > self.limits.sizes.head_bytes:
             self.seen = len(self.buffer)
-            if self.seen > self.limits.head:
+            if self.seen > self.limits.sizes.head_bytes:
                 raise ProtocolError(431, "the head is too large")
             return False
         try:
@@ -227,7 +227,7 @@
         return line
 
     def chunk_size(self) -> bool:
-        line = self.line(self.limits.chunk_line)
+        line = self.line(self.limits.sizes.chunk_line_bytes)
         if line is None:
             return False
         # Strict: white space or a bare line feed here is read differently by different parties.
@@ -251,7 +251,7 @@
         return True
 
     def trailer(self) -> bool:
-        line = self.line(self.limits.head)
+        line = self.line(self.limits.sizes.head_bytes)
         if line is None:
             return False
         if not line:
--- a/stepstream/net/discovery.py
+++ b/stepstream/http/discovery_client.py
@@ -1,128 +1,26 @@
-"""Discovery: the watch on the list of workers, and the destination set that it keeps."""
+"""The watch on discovery's list of workers."""
 
 import contextlib
-import random
 import socket
 import threading
 import time
 from collections.abc import Callable
 from queue import Empty, SimpleQueue
 
-from stepstream import interface as i
-from stepstream.dispatch import Event
-from stepstream.members import Listed
-from stepstream.net.doubt import Doubt
-from stepstream.net.http1 import Parser, ProtocolError
-from stepstream.net.limits import Limits
-from stepstream.net.platform import DiscoverySide, Targets
-from stepstream.net.schedule import Schedule
-from stepstream.net.sockets import dial, hang_up, read_by, stale
-from stepstream.net.threads import Complaints, spawn
+pass
+from stepstream.config.limits import Limits
+from stepstream.core.endpoint_set import EndpointsUpdated
+from stepstream.core.events import Event
+from stepstream.http.codec import Parser, ProtocolError
+from stepstream.http.destination_set import SOURCE, Address, DestinationSet
+from stepstream.http.platform_api import DiscoveryApi, EndpointAnswer
+from stepstream.http.poll_schedule import PollSchedule
+from stepstream.runtime.log import RateLimitedLogger
+from stepstream.runtime.sockets import connect, is_stale, receive_until, shut_down
+from stepstream.runtime.threads import spawn_thread
 
-Address = tuple[str, int]
-SOURCE = "discovery"
 
-
-class DestinationSet:
-    """Where workers listen, and which of them may get new work, as last told.
-
-    The discovery thread writes it before the core hears of a change: calls on their way look here last.
-    """
-
-    def __init__(self, doubt: Doubt | None = None) -> None:
-        """`doubt`: of a dispatcher that has discovery to itself, if it is left out."""
-        self.lock = threading.Lock()
-        self.doubt = doubt or Doubt(1, random.Random(0))
-        self.addresses: dict[str, Address] = {}
-        self.ready: set[str] = set()
-        self.hosts: frozenset[str] = frozenset()
-        self.banned: frozenset[str] = frozenset()  # out for maintenance, whatever the list says
-        self.entries: dict[
-            str, i.WorkerEntry
-        ] = {}  # the list as it stands, for a hot restart's successor
-        self.version: int | None = None
-        self.changes = 0  # lists applied so far
-
-    def apply(self, targets: Targets) -> None:
-        with self.lock:
-            if targets.told.kind is not i.ListKind.CHANGES:
-                self.addresses, self.ready, self.entries = {}, set(), {}
-            self.addresses.update(targets.addresses)
-            for entry in targets.told.entries:
-                if entry.state is i.WorkerState.IN:
-                    self.ready.add(entry.worker)
-                else:
-                    self.ready.discard(entry.worker)
-                if entry.state is i.WorkerState.OUT:
-                    self.entries.pop(entry.worker, None)
-                else:
-                    self.entries[entry.worker] = entry
-            self.hosts = frozenset(host for host, _ in self.addresses.values())
-            self.version, self.changes = targets.version, self.changes + 1
-            whole = targets.told.kind is not i.ListKind.CHANGES
-            self.doubt.told(None if whole else {entry.worker for entry in targets.told.entries})
-
-    def refused(self, worker: str) -> None:
-        """Its machine refuses connections; if the list calls it ready, one of the two is wrong."""
-        with self.lock:
-            if worker in self.ready:
-                self.doubt.refused(worker, time.monotonic())
-
-    def reached(self, worker: str) -> None:
-        if self.doubt.refused_at:  # looked at without the lock: nearly always empty
-            with self.lock:
-                self.doubt.reached(worker)
-
-    def doubted(self) -> bool:
-        """Whether the list is to be asked for anew now."""
-        with self.lock:
-            return self.doubt.due(time.monotonic())
-
-    def listed(self) -> dict | None:
-        """The list in discovery's own form, zones and kinds by the settings' index; None before the first."""
-        with self.lock:
-            if self.version is None:
-                return None
-            rows = [
-                {
-                    "id": e.worker,
-                    "addr": f"{self.addresses[e.worker][0]}:{self.addresses[e.worker][1]}",
-                    "zone": e.zone,
-                    "kind": e.kind,
-                    "cell": e.cell,
-                    "state": "ready" if e.state is i.WorkerState.IN else "draining",
-                    "weight": e.weight,
-                    "started_ms": e.started_us // 1000,
-                }
-                for e in self.entries.values()
-                if e.worker in self.addresses
-            ]
-            return {"version": self.version, "full": True, "servers": rows}
-
-    def is_worker(self, host: str) -> bool:
-        return host in self.hosts
-
-    def address(self, worker: str) -> Address | None:
-        """None for a worker that must not get new work."""
-        with self.lock:
-            usable = worker in self.ready and worker not in self.banned
-            return self.addresses.get(worker) if usable else None
-
-    def usable(self) -> list[str]:
-        """The workers that may get new work."""
-        with self.lock:
-            return sorted(self.ready - self.banned)
-
-    def ban(self, workers: frozenset[str]) -> None:
-        with self.lock:
-            self.banned = workers
-
-    def last_address(self, worker: str) -> Address | None:
-        with self.lock:
-            return self.addresses.get(worker)
-
-
-class Discovery:
+class DiscoveryClient:
     """One address of discovery, called by a thread of its own; a reload retires it and begins another.
 
     When it calls is `Schedule`'s word; the module's asks only cut the first pause short. A watch that has not
@@ -134,11 +32,11 @@
         self,
         limits: Limits,
         address: Address,
-        side: DiscoverySide,
+        side: DiscoveryApi,
         destinations: DestinationSet,
         post: Callable[[Event], None],
-        complaints: Complaints,
-        schedule: Schedule,
+        complaints: RateLimitedLogger,
+        schedule: PollSchedule,
     ) -> None:
         self.limits, self.where, self.side, self.complaints = limits, address, side, complaints
         self.destinations, self.post, self.schedule = destinations, post, schedule
@@ -150,24 +48,24 @@
         self.checking = threading.Lock()  # one check beside the watch at a time
         self.heard = threading.Event()  # the first answer is in
 
-    def ask(self) -> None:
+    def poll(self) -> None:
         """The module wants the list: where none is held, the first call is made now."""
         if self.version is None and not self.heard.is_set():
-            self.hurry()
+            self.poll_soon()
 
-    def hurry(self) -> None:
+    def poll_soon(self) -> None:
         """The next call is made now."""
         self.wakes.put(None)
 
-    def retire(self) -> None:
+    def stop(self) -> None:
         """Its call ends now, and nothing of it is told once this returns."""
         with self.lock:
             self.retired = True
             if self.sock is not None:
-                hang_up(self.sock)
-        self.hurry()
+                shut_down(self.sock)
+        self.poll_soon()
 
-    def learn(self, targets: Targets, since: int | None = None) -> bool:
+    def learn(self, targets: EndpointAnswer, since: int | None = None) -> bool:
         """Takes over a list, also the one from before a start: a watch goes on from its version.
 
         `since`: only if that version is still the one that is held. Whether it was taken.
@@ -179,7 +77,7 @@
                 return False
             self.version = targets.version
             self.destinations.apply(targets)
-            self.post(Listed(SOURCE, targets.told))
+            self.post(EndpointsUpdated(SOURCE, targets.update))
             return True
 
     def run(self) -> None:
@@ -219,7 +117,7 @@
         idle = version is not None and targets.version == version
         return self.schedule.answered(time.monotonic() - begun, idle)
 
-    def call(self, version: int | None) -> Targets:
+    def call(self, version: int | None) -> EndpointAnswer:
         """The answer to a watch, or to a call beside one that stays silent; OSError or ProtocolError."""
         if version is None:
             return self.exchange(
@@ -243,10 +141,10 @@
         self.hang_up()  # only now: what it missed is known
         return targets
 
-    def ask_beside(self, version: int) -> Targets:
+    def ask_beside(self, version: int) -> EndpointAnswer:
         """The changes since then, on a connection of its own, answered at once."""
         begun, limit = time.monotonic(), self.schedule.limit
-        sock = dial(self.where, limit, self.limits.write)
+        sock = connect(self.where, limit, self.limits.timeouts.write_seconds)
         try:
             data = self.side.watch_bytes(self.host, version, 0.0)
             return self.exchange(sock, data, limit - (time.monotonic() - begun))
@@ -258,7 +156,7 @@
         is news. On a thread of its own; any thread may call this.
         """
         if self.checking.acquire(blocking=False):
-            spawn("discovery check", self.look_beside)
+            spawn_thread("discovery check", self.look_beside)
 
     def look_beside(self) -> None:
         try:
@@ -278,7 +176,7 @@
         with self.lock:
             if not self.retired and self.sock is not None:
                 self.renewing = True
-                hang_up(self.sock)
+                shut_down(self.sock)
 
     def renewed(self) -> bool:
         with self.lock:
@@ -289,17 +187,17 @@
     def host(self) -> str:
         return f"{self.where[0]}:{self.where[1]}"
 
-    def exchange(self, sock: socket.socket, data: bytes, seconds: float) -> Targets:
+    def exchange(self, sock: socket.socket, data: bytes, seconds: float) -> EndpointAnswer:
         """Reads on from the moment the call is written: a change counts as told once discovery wrote it.
 
         `seconds` bound the whole answer: one that comes in drips must not hold the list up.
         """
         until = time.monotonic() + seconds
         sock.sendall(data)
-        parser = Parser(self.limits, answers=True, body=self.limits.list_body)
+        parser = Parser(self.limits, answers=True, body=self.limits.sizes.endpoint_list_bytes)
         message = None
         while message is None:
-            piece = read_by(sock, until, self.limits.read)
+            piece = receive_until(sock, until, self.limits.sizes.read_bytes)
             parser.feed(piece)
             message = parser.next() if piece else parser.end()
             if message is None and not piece:
@@ -309,10 +207,10 @@
         return self.side.read_answer(message)
 
     def connect(self) -> socket.socket:
-        if self.sock is not None and stale(self.sock):
+        if self.sock is not None and is_stale(self.sock):
             self.hang_up()
         if self.sock is None:
-            sock = dial(self.where, self.schedule.limit, self.limits.write)
+            sock = connect(self.where, self.schedule.limit, self.limits.timeouts.write_seconds)
             with self.lock:
                 self.sock = sock
         if self.retired:
--- a/stepstream/net/reports.py
+++ b/stepstream/http/load_reports.py
@@ -9,8 +9,8 @@
 
 import ujson
 
-from stepstream import interface as i
-from stepstream.net.figures import figure, read_pairs
+from stepstream.http.named_numbers import bounded_number, read_pairs
+from stepstream.model.settings import Settings
 
 HEADER = "server-load"
 
@@ -29,18 +29,20 @@
     return ujson.loads(text) if text.lstrip().startswith("{") else read_text(text)
 
 
-class Reports:
+class LoadReportReader:
     """Reads reports by the settings in force; any thread."""
 
-    def __init__(self, settings: i.Settings, complain: Callable[[str], None]) -> None:
+    def __init__(self, settings: Settings, complain: Callable[[str], None]) -> None:
         """`complain` is told what is wrong with a report."""
         self.complain = complain
         self.reconfigure(settings)
 
-    def reconfigure(self, settings: i.Settings) -> None:
-        self.names = dict(zip(settings.report_names, settings.report_columns, strict=True))
-        self.in_answers = settings.reports == "answers"
-        self.in_probes = settings.reports != "none"
+    def reconfigure(self, settings: Settings) -> None:
+        self.names = dict(
+            zip(settings.load_report_names, settings.load_report_columns, strict=True)
+        )
+        self.in_answers = settings.load_report_source == "answers"
+        self.in_probes = settings.load_report_source != "none"
 
     def header(self, text: str | None) -> Report | None:
         """Of an answer that ends an attempt; None where the settings say that such bring none."""
@@ -62,7 +64,9 @@
             if not isinstance(fields, dict):
                 raise ValueError("it is not an object")
             return {
-                names[name]: figure(value) for name, value in fields.items() if name in names
+                names[name]: bounded_number(value)
+                for name, value in fields.items()
+                if name in names
             } or None
         except (ValueError, RecursionError) as error:
             self.complain(f"{error}")
--- a/stepstream/net/figures.py
+++ b/stepstream/http/named_numbers.py
@@ -14,7 +14,7 @@
     return pairs
 
 
-def figure(value: object) -> float:
+def bounded_number(value: object) -> float:
     """A number from 0 to MOST, or the text of one; else ValueError.
 
     Guards the sums of busy slots: a figure like 1e300 would swallow all others.
--- a/stepstream/net/platform.py
+++ b/stepstream/http/platform_api.py
@@ -6,28 +6,33 @@
 
 import ujson
 
-from stepstream import interface as i
-from stepstream.dispatch import News, Outcome, Request, Told
-from stepstream.net.figures import figure, read_pairs
-from stepstream.net.http1 import Message, ProtocolError, write_answer, write_request
-from stepstream.net.reports import Reports
-from stepstream.ports import Payload, Refusal, Turned, result_bytes
+from stepstream.core.commands import Outcome
+from stepstream.core.events import JobNotification, JobStatus
+from stepstream.core.requests import Request
+from stepstream.http.codec import Message, ProtocolError, write_answer, write_request
+from stepstream.http.load_reports import LoadReportReader
+from stepstream.http.named_numbers import bounded_number, read_pairs
+from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind, EndpointState
+from stepstream.model.events import AttemptResult
+from stepstream.model.settings import Settings
+from stepstream.ports.access_control import Rejection, RejectionKind
+from stepstream.ports.payload import Payload, result_bytes
 
 READY, NEWS, TARGETS = "/-/ready", "/_jobs/news", "/api/targets"
 HEALTHY, LOAD = "/-/healthy", "/-/load"
 ID = re.compile(r"[0-9A-Za-z._~-]{1,64}")
 STATES = {
-    "ready": i.WorkerState.IN,
-    "draining": i.WorkerState.DRAINING,
-    "gone": i.WorkerState.OUT,
+    "ready": EndpointState.ACTIVE,
+    "draining": EndpointState.DRAINING,
+    "gone": EndpointState.REMOVED,
 }
-TELLS = {news.value: news for news in News}
+TELLS = {news.value: news for news in JobStatus}
 
 
-class ClientSide:
+class ClientApi:
     """Reads what clients and workers send to the dispatcher, by the names in the settings."""
 
-    def __init__(self, settings: i.Settings, reports: Reports | None = None) -> None:
+    def __init__(self, settings: Settings, reports: LoadReportReader | None = None) -> None:
         """`reports` reads those of news that ends a call; None: nobody wants to know."""
         self.settings, self.reports = settings, reports
         self.classes = {kind.name: k for k, kind in enumerate(settings.classes)}
@@ -80,7 +85,7 @@
 
 def read_figures(text: str) -> dict[str, float]:
     try:
-        return {name: figure(value) for name, value in read_pairs(text).items()}
+        return {name: bounded_number(value) for name, value in read_pairs(text).items()}
     except ValueError:
         raise ProtocolError(400, "Request-Info is malformed") from None
 
@@ -89,9 +94,9 @@
     return message.target.partition("?")[0]
 
 
-def read_news(
-    message: Message, reports: Reports | None = None, relayed: bool = False
-) -> Told | None:
+def read_notification(
+    message: Message, reports: LoadReportReader | None = None, relayed: bool = False
+) -> JobNotification | None:
     """None for news of a kind that is not known: it is acknowledged, or its sender would repeat it.
 
     `relayed`: passed on by the process beside this one, and never to be passed on again.
@@ -110,12 +115,19 @@
         return None
     share = read_share(data.get("share"))
     load = reports.news(data.get("load")) if reports else None
-    return Told(name, worker, TELLS[data["state"]], data.get("result"), share, relayed, load)
+    return JobNotification(
+        name, worker, TELLS[data["state"]], data.get("result"), share, relayed, load
+    )
 
 
-def news_body(told: Told) -> bytes:
+def notification_body(told: JobNotification) -> bytes:
     """News as a worker words it, for the process beside this one."""
-    data = {"id": told.id, "from": told.worker, "state": told.news.value, "result": told.result}
+    data = {
+        "id": told.request_id,
+        "from": told.worker_id,
+        "state": told.status.value,
+        "result": told.result,
+    }
     if told.progress is not None:
         data["share"] = told.progress[0] / told.progress[1]
     return ujson.dumps(data).encode()
@@ -143,8 +155,8 @@
 def final_answer(outcome: Outcome, result: object, pause_us: int, close: bool) -> bytes:
     if outcome is Outcome.SERVED:
         return write_answer(200, result_bytes(result), close=close)
-    if outcome is Outcome.REFUSED:
-        return refusal(pause_us, close)
+    if outcome is Outcome.REJECTED:
+        return overload_answer(pause_us, close)
     return write_answer(502, close=close)
 
 
@@ -155,19 +167,23 @@
     return token.encode("utf-8", "replace") if scheme.lower() == "bearer" and token else None
 
 
-def turned_answer(turned: Turned, close: bool) -> bytes:
+def rejection_answer(turned: Rejection, close: bool) -> bytes:
     """401 and 403 with a challenge (RFC 6750, 3); a rate is a refusal like any other."""
-    if turned.refusal is Refusal.LATER:
-        return refusal(int(turned.retry_s * 1e6), close)
+    if turned.kind is RejectionKind.RATE_LIMITED:
+        return overload_answer(int(turned.retry_after_seconds * 1e6), close)
     challenge = 'Bearer realm="stepstream"'
     if turned.reason != "no_credential":
-        error = "invalid_token" if turned.refusal is Refusal.UNKNOWN else "insufficient_scope"
+        error = (
+            "invalid_token"
+            if turned.kind is RejectionKind.UNAUTHENTICATED
+            else "insufficient_scope"
+        )
         challenge += f', error="{error}", error_description="{turned.reason}"'
-    status = 401 if turned.refusal is Refusal.UNKNOWN else 403
+    status = 401 if turned.kind is RejectionKind.UNAUTHENTICATED else 403
     return write_answer(status, headers={"WWW-Authenticate": challenge}, close=close)
 
 
-def refusal(pause_us: int, close: bool) -> bytes:
+def overload_answer(pause_us: int, close: bool) -> bytes:
     headers = {"Retry-After": f"{pause_us / 1e6:.3f}"} if pause_us else None
     return write_answer(503, headers=headers, close=close)
 
@@ -183,40 +199,42 @@
     return write_request("POST", payload.path, headers, payload.body)
 
 
-def give_up_bytes(host: str, name: str) -> bytes:
+def cancel_bytes(host: str, name: str) -> bytes:
     return write_request("DELETE", f"/jobs/{name}", {"Host": host})
 
 
-def probe_bytes(host: str, path: str = HEALTHY) -> bytes:
+def health_check_bytes(host: str, path: str = HEALTHY) -> bytes:
     return write_request("GET", path, {"Host": host})
 
 
-def read_call_answer(message: Message) -> i.Result | None:
+def read_call_answer(message: Message) -> AttemptResult | None:
     """How a call ended by its worker's answer; None if the worker has taken the job."""
     if message.status == 202:
         return None
     if message.status in (503, 504) and message.headers.get("not-started") == "1":
-        return i.Result.FULL
-    return i.Result.ERROR
+        return AttemptResult.FULL
+    return AttemptResult.ERROR
 
 
 # -- discovery --------------------------------------------------------------------------------------------
 
 
 @dataclass(frozen=True, slots=True)
-class Targets:
+class EndpointAnswer:
     """One answer of discovery: what the core is told, and where the named workers listen."""
 
     version: int
-    told: i.WorkerList
+    update: EndpointList
     addresses: dict[str, tuple[str, int]]
 
 
-class DiscoverySide:
-    def __init__(self, settings: i.Settings) -> None:
-        self.pushed = not settings.must_ask  # the address is that of an agent beside the dispatcher
+class DiscoveryApi:
+    def __init__(self, settings: Settings) -> None:
+        self.pushed = (
+            not settings.polls_endpoints
+        )  # the address is that of an agent beside the dispatcher
         self.zones = {name: k for k, name in enumerate(settings.zones)}
-        self.kinds = {name: k for k, name in enumerate(settings.kinds)}
+        self.kinds = {name: k for k, name in enumerate(settings.worker_kinds)}
 
     @staticmethod
     def fetch_bytes(host: str) -> bytes:
@@ -228,12 +246,12 @@
             "GET", f"{TARGETS}?index={version}&wait={int(wait_s * 1000)}", {"Host": host}
         )
 
-    def read_answer(self, message: Message) -> Targets:
+    def read_answer(self, message: Message) -> EndpointAnswer:
         if message.status != 200:
             raise ProtocolError(400, f"discovery answered {message.status}")
         return self.read(read_json(message.body))
 
-    def read(self, data: dict, kept: bool = False) -> Targets:
+    def read(self, data: dict, kept: bool = False) -> EndpointAnswer:
         """`kept` for the list from before a start, which may be old."""
         try:
             rows = [self.entry(row) for row in data.get("servers", ())]
@@ -242,27 +260,27 @@
             raise ProtocolError(
                 400, f"the list is malformed: {type(error).__name__} {error}"
             ) from None
-        kind = i.ListKind.COMPLETE if data.get("full", True) else i.ListKind.CHANGES
+        kind = EndpointListKind.COMPLETE if data.get("full", True) else EndpointListKind.CHANGES
         entries = tuple(entry for entry, _ in rows)
-        addresses = {entry.worker: address for entry, address in rows if address}
-        return Targets(
-            version, i.WorkerList(i.ListKind.PERSISTED if kept else kind, entries), addresses
+        addresses = {entry.worker_id: address for entry, address in rows if address}
+        return EndpointAnswer(
+            version, EndpointList(EndpointListKind.PERSISTED if kept else kind, entries), addresses
         )
 
-    def entry(self, row: dict) -> tuple[i.WorkerEntry, tuple[str, int] | None]:
+    def entry(self, row: dict) -> tuple[Endpoint, tuple[str, int] | None]:
         state = STATES[row.get("state", "ready")]
         host, _, port = row.get("addr", "").rpartition(":")
-        if not host and state is not i.WorkerState.OUT:
+        if not host and state is not EndpointState.REMOVED:
             raise ValueError(f"{row['id']} has no addr")
         if not isinstance(row["id"], str):
             raise ValueError("an id is not text")
-        entry = i.WorkerEntry(
-            worker=row["id"],
+        entry = Endpoint(
+            worker_id=row["id"],
             zone=place(self.zones, row.get("zone", 0)),
-            kind=place(self.kinds, row.get("kind", 0)),
+            worker_kind=place(self.kinds, row.get("kind", 0)),
             cell=int(row.get("cell", 0)),
             state=state,
-            weight=figure(row.get("weight", 1.0)),
+            weight=bounded_number(row.get("weight", 1.0)),
             started_us=int(row.get("started_ms", 0)) * 1000,
         )
         return entry, (host, int(port)) if host else None
--- a/stepstream/net/schedule.py
+++ b/stepstream/http/poll_schedule.py
@@ -17,7 +17,7 @@
 import random
 from dataclasses import dataclass, field
 
-from stepstream import interface as i
+from stepstream.model.settings import Settings
 
 FEW = 8  # dispatchers; so many may make their first calls at once
 LONGEST_WAIT = 60.0  # the platform's bound
@@ -41,7 +41,7 @@
 
 
 @dataclass
-class Schedule:
+class PollSchedule:
     """`dispatchers`: of the fleet that calls the same discovery; `pushed`: an agent beside it is called."""
 
     dispatchers: int
@@ -50,8 +50,8 @@
     failures: int = field(default=0, init=False)  # in a row
 
     @classmethod
-    def of(cls, settings: i.Settings, draw: random.Random) -> "Schedule":
-        return cls(settings.fleet_size, not settings.must_ask, draw)
+    def of(cls, settings: Settings, draw: random.Random) -> "PollSchedule":
+        return cls(settings.dispatcher_count, not settings.polls_endpoints, draw)
 
     @property
     def wait(self) -> float:
--- a/stepstream/net/doubt.py
+++ b/stepstream/http/staleness.py
@@ -21,7 +21,7 @@
 
 
 @dataclass
-class Doubt:
+class StalenessDetector:
     """`fleet`: dispatchers that ask the same discovery."""
 
     fleet: int
--- a/stepstream/identity/audit.py
+++ b/stepstream/identity/audit.py
@@ -10,7 +10,7 @@
 from typing import TextIO
 
 from stepstream.identity.rights import Decision, Verdict
-from stepstream.lines import Form, logger
+from stepstream.runtime.structured_log import LogFormat, structured_logger
 
 MOST_TEXT = 128  # of what a caller may have made up
 
@@ -18,14 +18,14 @@
 class Audit:
     def __init__(
         self,
-        form: Form,
+        form: LogFormat,
         allowed_too: bool,
         denials_per_s: int,
         stream: TextIO = sys.stderr,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         """`form`: json or console. `allowed_too`: else only what was not allowed is written."""
-        self.logger = logger(form, stream)
+        self.logger = structured_logger(form, stream)
         self.allowed_too, self.denials_per_s, self.now = allowed_too, denials_per_s, now
         self.level, self.at, self.left_out = float(denials_per_s), now(), 0
 
--- a/stepstream/identity/commands.py
+++ b/stepstream/identity/commands.py
@@ -7,13 +7,13 @@
 
 import ujson
 
+from stepstream.config.errors import ConfigurationError
+from stepstream.config.operator_file import IdentitySection as Section
 from stepstream.identity.gate import prepare, rights_of, rules_of
 from stepstream.identity.keeper import Keeper, KeeperError
 from stepstream.identity.keys import State
 from stepstream.identity.rights import Decision, Identity, Method, Verdict
 from stepstream.identity.tokens import TokenError, decoded, read_object, verify
-from stepstream.operator_file import Identity as Section
-from stepstream.settings import FieldError
 
 
 def keys(arguments: dict) -> int:
@@ -77,7 +77,7 @@
 def explain(section: Section | None, text: str, kind: str, tenant: str | None) -> int:
     """The decision and the rule behind it, as the gate would take it now; 0 if allowed, else 1."""
     if section is None:
-        raise FieldError("the operator's file has no [identity]")
+        raise ConfigurationError("the operator's file has no [identity]")
     found = explained(section, text.encode(), kind, tenant, time.time())
     decision = found.decision
     print(f"{decision.verdict.value}: {decision.reason}")
--- a/stepstream/identity/gate.py
+++ b/stepstream/identity/gate.py
@@ -9,16 +9,16 @@
 
 import ujson
 
+from stepstream.config.errors import ConfigurationError
+from stepstream.config.operator_file import IdentitySection as Section
 from stepstream.identity import tls
 from stepstream.identity.audit import Audit
 from stepstream.identity.certificates import NAMES, Certificate, CertificateError, Revoked, check
 from stepstream.identity.keys import KeyRing, KeySetError, read_keys
 from stepstream.identity.rights import Caller, Decision, Identity, Method, Rights, Verdict
 from stepstream.identity.tokens import TokenError, TokenRules, Verifier
-from stepstream.net.threads import log
-from stepstream.operator_file import Identity as Section
-from stepstream.ports import Credential, Refusal, Turned
-from stepstream.settings import FieldError
+from stepstream.ports.access_control import Credential, Rejection, RejectionKind
+from stepstream.runtime.log import log
 
 MOST_KEY_FILE = 256 * 1024
 
@@ -31,7 +31,7 @@
     tenant: str
     gate: "Gate | None" = None
 
-    def end(self) -> None:
+    def release(self) -> None:
         gate, self.gate = self.gate, None
         if gate is not None:
             gate.ended(self.caller)
@@ -54,13 +54,15 @@
             stat = os.fstat(file.fileno())
             data = file.read(MOST_KEY_FILE + 1)
     except OSError as error:
-        raise FieldError(f"identity.keys={section.keys}: {error.strerror or error}") from None
+        raise ConfigurationError(
+            f"identity.keys={section.keys}: {error.strerror or error}"
+        ) from None
     if len(data) > MOST_KEY_FILE:
-        raise FieldError(f"identity.keys={section.keys}: over {MOST_KEY_FILE} bytes")
+        raise ConfigurationError(f"identity.keys={section.keys}: over {MOST_KEY_FILE} bytes")
     try:
         ring = read_keys(ujson.loads(data))
     except (KeySetError, ValueError, RecursionError) as error:
-        raise FieldError(f"identity.keys={section.keys}: {error}") from None
+        raise ConfigurationError(f"identity.keys={section.keys}: {error}") from None
     credentials = tls.load(section.tls) if section.tls else None
     return Prepared(section, ring, (stat.st_mtime_ns, stat.st_ino), credentials)
 
@@ -150,7 +152,7 @@
         self.stamp = stamp  # said once a change
         try:
             prepared = prepare(rules.section)
-        except FieldError as error:
+        except ConfigurationError as error:
             log(f"keys: {error}; the old ones serve on")
             return
         verifier = rules.verifier.replaced(
@@ -162,9 +164,9 @@
 
     # -- decisions ----------------------------------------------------------------------------------------
 
-    def enter(
+    def authorize_request(
         self, front: str, credential: Credential, kind: str, tenant: str | None
-    ) -> "Visa | Turned":
+    ) -> "Visa | Rejection":
         rules, now = self.rules, self.now()
         shown = self.shown(rules, credential, now)
         decision = shown.fault or rules.rights.judge(shown.identity, kind, tenant)
@@ -188,7 +190,9 @@
         with self.lock:
             self.rules.rights.ended(caller)
 
-    def owner(self, front: str, credential: Credential, callers: set[str]) -> Turned | None:
+    def authorize_job_access(
+        self, front: str, credential: Credential, callers: set[str]
+    ) -> Rejection | None:
         rules = self.rules
         shown = self.shown(rules, credential, self.now())
         caller = rules.rights.by_subject.get(shown.subject)
@@ -198,7 +202,7 @@
         self.note(rules, front, "status", decision, shown)
         return turned(decision)
 
-    def worker(self, front: str, credential: Credential, name: str) -> Turned | None:
+    def authorize_worker(self, front: str, credential: Credential, name: str) -> Rejection | None:
         section = self.rules.section
         if section.news == "open":
             return None
@@ -206,12 +210,12 @@
             front, credential, f"worker {name}", [prefix + name for prefix in section.workers]
         )
 
-    def admin(self, front: str, credential: Credential, what: str) -> Turned | None:
+    def authorize_admin(self, front: str, credential: Credential, what: str) -> Rejection | None:
         return self.named(front, credential, what, self.rules.section.admins)
 
     def named(
         self, front: str, credential: Credential, what: str, subjects: Sequence[str]
-    ) -> Turned | None:
+    ) -> Rejection | None:
         rules = self.rules
         shown = self.shown(rules, credential, self.now())
         if shown.fault is None and shown.subject in subjects:
@@ -264,11 +268,11 @@
 
 
 REFUSALS = {
-    Verdict.UNKNOWN: Refusal.UNKNOWN,
-    Verdict.DENIED: Refusal.DENIED,
-    Verdict.LATER: Refusal.LATER,
+    Verdict.UNKNOWN: RejectionKind.UNAUTHENTICATED,
+    Verdict.DENIED: RejectionKind.FORBIDDEN,
+    Verdict.LATER: RejectionKind.RATE_LIMITED,
 }
 
 
-def turned(decision: Decision) -> Turned:
-    return Turned(REFUSALS[decision.verdict], decision.reason, decision.retry_s)
+def turned(decision: Decision) -> Rejection:
+    return Rejection(REFUSALS[decision.verdict], decision.reason, decision.retry_s)
--- a/stepstream/identity/tls.py
+++ b/stepstream/identity/tls.py
@@ -14,10 +14,10 @@
 
 from cryptography import x509
 
+from stepstream.config.errors import ConfigurationError
+from stepstream.config.operator_file import TlsSection as Section
 from stepstream.identity.certificates import Certificate, Revoked, read_certificate, read_crls
-from stepstream.net.links import Link
-from stepstream.operator_file import Tls as Section
-from stepstream.settings import FieldError
+from stepstream.runtime.transport import Transport
 
 RECORD = 16 * 1024
 LEAST = {"1.2": ssl.TLSVersion.TLSv1_2, "1.3": ssl.TLSVersion.TLSv1_3}
@@ -42,22 +42,24 @@
     try:
         context.load_cert_chain(section.certificate, section.key)
     except (OSError, ssl.SSLError) as error:
-        raise FieldError(f"identity.tls.certificate={section.certificate}: {error}") from None
+        raise ConfigurationError(
+            f"identity.tls.certificate={section.certificate}: {error}"
+        ) from None
     try:
         bundle = Path(section.clients_ca).read_bytes()
         issuers = x509.load_pem_x509_certificates(bundle)
         context.load_verify_locations(cadata=bundle.decode("ascii"))
     except (OSError, ValueError) as error:
-        raise FieldError(f"identity.tls.clients_ca={section.clients_ca}: {error}") from None
+        raise ConfigurationError(f"identity.tls.clients_ca={section.clients_ca}: {error}") from None
     context.verify_mode = ssl.CERT_REQUIRED if section.clients == "required" else ssl.CERT_OPTIONAL
     try:
         revoked = read_crls(Path(section.crl).read_bytes(), issuers) if section.crl else Revoked()
     except (OSError, ValueError) as error:
-        raise FieldError(f"identity.tls.crl={section.crl}: {error}") from None
+        raise ConfigurationError(f"identity.tls.crl={section.crl}: {error}") from None
     return Credentials(context, revoked)
 
 
-class TlsLink(Link):
+class TlsLink(Transport):
     def __init__(self, sock: socket.socket, context: ssl.SSLContext) -> None:
         super().__init__(sock)
         self.incoming, self.outgoing = ssl.MemoryBIO(), ssl.MemoryBIO()
--- a/stepstream/lab/catalogue.py
+++ b/stepstream/lab/catalogue.py
@@ -6,9 +6,9 @@
 
 import ujson
 
+from stepstream.http.codec import Message, Parser, ProtocolError, write_answer
 from stepstream.lab.nodes import LIMITS, READ, Clock
 from stepstream.lab.referee import Referee
-from stepstream.net.http1 import Message, Parser, ProtocolError, write_answer
 
 
 @dataclass(eq=False)
--- a/stepstream/lab/clients.py
+++ b/stepstream/lab/clients.py
@@ -7,10 +7,10 @@
 
 from stepstream.gearman import codec
 from stepstream.gearman.codec import Kind, Packet
+from stepstream.http.codec import Message, write_request
 from stepstream.lab.nodes import LIMITS, READ, Clock, Workload, read_answer
 from stepstream.lab.referee import Final, Referee
 from stepstream.lab.site import Ask, Day, Speech
-from stepstream.net.http1 import Message, write_request
 
 FOLLOWS = 0.5  # part of the clients that wait as long as they are told
 GEARMAN_LINKS = 4
--- a/stepstream/lab/demo.py
+++ b/stepstream/lab/demo.py
@@ -11,11 +11,11 @@
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeElapsedColumn
 from rich.table import Table
 
+from stepstream.config.errors import ConfigurationError
 from stepstream.lab.clients import Clients
 from stepstream.lab.referee import Figures
 from stepstream.lab.rig import Result, Rig
 from stepstream.lab.site import Day, draw_day, read_site
-from stepstream.settings import FieldError
 
 WIDTH = 120
 LATE_MS = 100.0  # a lab later than this says so: its figures are the machine's as well
@@ -24,7 +24,7 @@
 def run(mix: str, seconds: int, seed: int, json_path: str | None, hold: bool, site: str) -> int:
     """0 if all rules were kept, 1 if one was broken."""
     if not 1 <= seconds <= 3600:
-        raise FieldError(f"--seconds={seconds} is not between 1 and 3600")
+        raise ConfigurationError(f"--seconds={seconds} is not between 1 and 3600")
     day = draw_day(read_site(name=site), seed, seconds, mix)
     if hold:
         return asyncio.run(held(day, seed))
--- a/stepstream/lab/fleet_day.py
+++ b/stepstream/lab/fleet_day.py
@@ -16,6 +16,7 @@
 import msgspec
 import ujson
 
+from stepstream.http.codec import Message, write_request
 from stepstream.lab.catalogue import Catalogue
 from stepstream.lab.clients import Clients, Heard, heard_http
 from stepstream.lab.fleet_rig import free_port
@@ -24,7 +25,6 @@
 from stepstream.lab.referee import Figures, Final
 from stepstream.lab.rig import PATIENCE_S, START_S, Rig
 from stepstream.lab.site import Day, Fault, draw_day, read_site, settings_of
-from stepstream.net.http1 import Message, write_request
 
 NOTICE_S = 1.0  # the front goes on sending to a dead dispatcher for so long
 HOLD_S = 3  # of `fleet.hold_s`: shorter than its default, as the day is short
--- a/stepstream/lab/fleet_faults.py
+++ b/stepstream/lab/fleet_faults.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from stepstream.settings import FieldError
+from stepstream.config.errors import ConfigurationError
 
 Seconds = Annotated[float, msgspec.Meta(ge=0, le=86_400)]
 Kind = Literal["crash", "restart", "leave", "stall", "cut", "one_way", "flap", "loss"]
@@ -64,12 +64,12 @@
         with open(path, "rb") as file:
             schedule = msgspec.convert(tomllib.load(file), Schedule)
     except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError, msgspec.ValidationError) as error:
-        raise FieldError(f"faults {path}: {error}") from None
+        raise ConfigurationError(f"faults {path}: {error}") from None
     known = set(names)
     for place, fault in enumerate(schedule.fault):
         for name in fault.who:
             if name not in known:
-                raise FieldError(f"faults {path}: fault[{place}].who: no member {name}")
+                raise ConfigurationError(f"faults {path}: fault[{place}].who: no member {name}")
     return schedule
 
 
--- a/stepstream/lab/fleet_play.py
+++ b/stepstream/lab/fleet_play.py
@@ -11,9 +11,9 @@
 from rich.console import Console
 from rich.table import Table
 
+from stepstream.config.errors import ConfigurationError
 from stepstream.lab.fleet_faults import Fault, Play, Schedule, draw, read
 from stepstream.lab.fleet_rig import FleetRig
-from stepstream.settings import FieldError
 
 LOOK_S = 0.1
 COLOURS = {
@@ -214,7 +214,7 @@
 def run(members: int, seed: int, faults: str | None, seconds: int, out: str | None) -> int:
     """0 if all that must hold did, 1 if not."""
     if not 2 <= members <= 20:
-        raise FieldError(f"--members={members} is not between 2 and 20")
+        raise ConfigurationError(f"--members={members} is not between 2 and 20")
     console = Console(width=120)
     names = tuple(f"n{k}" for k in range(members))
     schedule = read(faults, names) if faults else draw(seed, names, seconds)
--- a/stepstream/lab/fleet_search.py
+++ b/stepstream/lab/fleet_search.py
@@ -7,10 +7,10 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from stepstream.fleet import messages as m
-from stepstream.fleet.messages import Row, State
-from stepstream.fleet.view import PRESENT, Send, Times, View
 from stepstream.lab.fleet_world import BrokenError
+from stepstream.membership import messages as m
+from stepstream.membership.messages import Row, State
+from stepstream.membership.view import PRESENT, Send, Times, View
 
 CLUSTER = "search"
 MOST_WAITING = (
--- a/stepstream/lab/fleet_world.py
+++ b/stepstream/lab/fleet_world.py
@@ -9,13 +9,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from stepstream.fleet import messages as m
-from stepstream.fleet.counting import Roster, Seen
-from stepstream.fleet.messages import Phase, Row, State
-from stepstream.fleet.view import PRESENT, Send, Times, View
 from stepstream.lab.fleet_faults import Play, Schedule
 from stepstream.lab.links import Links
 from stepstream.lab.timeline import Timeline
+from stepstream.membership import messages as m
+from stepstream.membership.counting import Roster, Seen
+from stepstream.membership.messages import Phase, Row, State
+from stepstream.membership.view import PRESENT, Send, Times, View
 
 CLUSTER = "lab"
 LOOK = (
--- a/stepstream/lab/lease_member.py
+++ b/stepstream/lab/lease_member.py
@@ -12,11 +12,11 @@
 import time
 
 from stepstream.cli import main
+from stepstream.config.operator_file import split_address
 from stepstream.lab.ledger import Client
-from stepstream.leases import plug
-from stepstream.leases.tasks import LateError, Leases, LostError
-from stepstream.net.threads import spawn
-from stepstream.operator_file import split_address
+from stepstream.leases import subsystem
+from stepstream.leases.tasks import LateError, Lease, Leases, LostError
+from stepstream.runtime.threads import spawn_thread
 
 LEDGER, LEASE, MANY, TASKS = "LAB_LEDGER", "LAB_LEASE", "LAB_MANY", "LAB_TASKS"
 
@@ -63,7 +63,7 @@
             lease.release()
         time.sleep(self.draw.uniform(0.0, 0.2))
 
-    def act_once(self, client: Client, lease: "plug.Lease") -> None:
+    def act_once(self, client: Client, lease: Lease) -> None:
         with lease.act() as token:
             told = client.ask(do="begin", token=token, holder=lease.claim.proposer)
             if "act" in told:
@@ -74,15 +74,15 @@
             raise LostError(f"{self.name} was fenced off")
 
 
-class Part(plug.LeasesPart):
+class Part(subsystem.LeasesSubsystem):
     def start(self) -> None:
         super().start()
         if self.host.config.name not in os.environ.get(TASKS, self.host.config.name).split(","):
             return
         task = Task(self.leases)
-        spawn("lab task", task.hold_many if MANY in os.environ else task.run)
+        spawn_thread("lab task", task.hold_many if MANY in os.environ else task.run)
 
 
 if __name__ == "__main__":
-    plug.plug = Part
+    subsystem.create_subsystem = Part
     sys.exit(main(sys.argv[1:]))
--- a/stepstream/lab/nodes.py
+++ b/stepstream/lab/nodes.py
@@ -7,12 +7,12 @@
 
 import ujson
 
+from stepstream.config.limits import Limits
 from stepstream.gearman import codec
 from stepstream.gearman.codec import Kind, Packet
+from stepstream.http.codec import Message, Parser, ProtocolError, write_answer, write_request
 from stepstream.lab.pricing import Happening, Health, Offer, PricingNode, Task, Word
 from stepstream.lab.referee import Attempt, Referee
-from stepstream.net.http1 import Message, Parser, ProtocolError, write_answer, write_request
-from stepstream.net.limits import Limits
 
 LIMITS = Limits()
 READ = 65536
--- a/stepstream/lab/site.py
+++ b/stepstream/lab/site.py
@@ -13,8 +13,8 @@
 import msgspec
 import numpy as np
 
+from stepstream.config.errors import ConfigurationError
 from stepstream.lab.pricing import NodeSpec
-from stepstream.settings import FieldError
 
 Range = tuple[float, float]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
@@ -108,7 +108,7 @@
 def read_site(path: str | None = None, name: str = OWN[0]) -> Site:
     """A site that comes with the program, by its name, or a file of their form; FieldError names the key."""
     if name not in OWN:
-        raise FieldError(f"--site={name} is none of {', '.join(OWN)}")
+        raise ConfigurationError(f"--site={name} is none of {', '.join(OWN)}")
     where = path or f"{name}.toml"
     try:
         text = (
@@ -118,7 +118,7 @@
         )
         return msgspec.convert(tomllib.loads(text), Site)
     except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
-        raise FieldError(f"site file {where}: {error}") from None
+        raise ConfigurationError(f"site file {where}: {error}") from None
 
 
 class Speech(Enum):
@@ -163,7 +163,7 @@
 def draw_day(site: Site, seed: int, seconds: int, mix: str) -> Day:
     """One draw; `mix` is http, gearman or mixed and changes nothing but who speaks what."""
     if mix not in ("http", "gearman", "mixed"):
-        raise FieldError(f"--mix={mix} is none of http, gearman, mixed")
+        raise ConfigurationError(f"--mix={mix} is none of http, gearman, mixed")
     children = np.random.SeedSequence(seed).spawn(len(STREAMS))
     streams = {
         name: np.random.default_rng(child) for name, child in zip(STREAMS, children, strict=True)
--- a/stepstream/leases/commands.py
+++ b/stepstream/leases/commands.py
@@ -36,8 +36,8 @@
 from rich.console import Console
 from rich.table import Table
 
-from stepstream.asking import call
-from stepstream.settings import FieldError
+from stepstream.admin_client import call_admin
+from stepstream.config.errors import ConfigurationError
 
 OK, NOT_SO, BAD_CALL = 0, 1, 2
 
@@ -55,9 +55,9 @@
         return run_command(arguments)
     try:
         if arguments["release"]:
-            status, told = call(at, f"/leases/{name}/release", "PUT")
+            status, told = call_admin(at, f"/leases/{name}/release", "PUT")
         else:
-            status, told = call(at, "/leases" if arguments["list"] else f"/leases/{name}")
+            status, told = call_admin(at, "/leases" if arguments["list"] else f"/leases/{name}")
     except ConnectionError as error:
         print(f"stepstream: {error}", file=sys.stderr)
         return BAD_CALL
@@ -97,7 +97,7 @@
         wait = seconds("--wait", arguments["--wait"]) if arguments["--wait"] is not None else None
         command = [arguments["COMMAND"], *arguments["ARGUMENT"]]
         runner = Runner(arguments["--at"], arguments["NAME"], ttl, wait, command)
-    except FieldError as error:
+    except ConfigurationError as error:
         print(f"stepstream: {error}", file=sys.stderr)
         return os.EX_USAGE
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -111,5 +111,5 @@
     except ValueError:
         value = -1.0
     if not 0 < value < 86_400:
-        raise FieldError(f"{key}={text} is not a number of seconds")
+        raise ConfigurationError(f"{key}={text} is not a number of seconds")
     return value
--- a/stepstream/leases/driver.py
+++ b/stepstream/leases/driver.py
@@ -12,8 +12,8 @@
 from stepstream.leases import messages as m
 from stepstream.leases.claim import Claim
 from stepstream.leases.core import Change, Core, Send
-from stepstream.net.threads import Complaints, log
-from stepstream.ports import Messenger
+from stepstream.ports.messaging import MessageTransport
+from stepstream.runtime.log import RateLimitedLogger, log
 
 KIND = "lease"
 LONGEST_WAIT = 0.5  # seconds
@@ -31,8 +31,8 @@
     def __init__(
         self,
         core: Core,
-        messenger: Messenger,
-        complaints: Complaints,
+        messenger: MessageTransport,
+        complaints: RateLimitedLogger,
         lines: structlog.BoundLogger,
         act: Callable[[float], None],
     ) -> None:
@@ -50,7 +50,7 @@
         self.cpu_s = 0.0  # that the thread has used
         self.closed = False
         self.foreign: set[str] = set()  # members of other rules that were told of
-        messenger.hear(KIND, self.hear)
+        messenger.subscribe(KIND, self.hear)
 
     # -- any thread ---------------------------------------------------------------------------------------
 
@@ -80,7 +80,7 @@
 
     def carry(self, sends: list[Send]) -> None:
         for send in sends:
-            self.messenger.post(send.member, KIND, m.encode(send.letter))
+            self.messenger.send(send.member, KIND, m.encode(send.letter))
 
     # -- the thread ---------------------------------------------------------------------------------------
 
--- a/stepstream/leases/runner.py
+++ b/stepstream/leases/runner.py
@@ -13,9 +13,9 @@
 import time
 import uuid
 
-from stepstream.asking import call
+from stepstream.admin_client import call_admin
+from stepstream.config.errors import ConfigurationError
 from stepstream.leases.driver import clock
-from stepstream.settings import FieldError
 
 LOST, NOT_HAD, BAD_CALL = os.EX_UNAVAILABLE, os.EX_TEMPFAIL, os.EX_USAGE
 KILL_S = 0.3  # before the end of the lease: SIGKILL, and its process is surely gone
@@ -30,7 +30,7 @@
     ) -> None:
         """Seconds; FieldError names an option that does not fit."""
         if ttl < SHORTEST_S:
-            raise FieldError(f"--ttl={ttl:g} is under {SHORTEST_S:g} s")
+            raise ConfigurationError(f"--ttl={ttl:g} is under {SHORTEST_S:g} s")
         self.at, self.name, self.ttl, self.wait, self.command = at, name, ttl, wait, command
         self.act = max(ttl / 4, KILL_S + 0.2)  # from SIGTERM to the lease's end
         self.session = uuid.uuid4().hex
@@ -77,7 +77,9 @@
         # While the command runs nothing may keep this program past the time to end it.
         spare = max(self.until - self.act - asked, LOOK_S) if self.token else self.ttl
         try:
-            status, told = call(self.at, path, "PUT", patience_s=min(self.ttl / 4, 2.0, spare))
+            status, told = call_admin(
+                self.at, path, "PUT", patience_s=min(self.ttl / 4, 2.0, spare)
+            )
         except ConnectionError as error:
             self.told = {"error": str(error)}
             return 0
@@ -143,7 +145,7 @@
 
     def give_back(self) -> None:
         with contextlib.suppress(ConnectionError):
-            call(
+            call_admin(
                 self.at,
                 f"/leases/{self.name}/release?session={self.session}",
                 "PUT",
--- a/stepstream/leases/plug.py
+++ b/stepstream/leases/subsystem.py
@@ -5,7 +5,10 @@
 import time
 from collections.abc import Callable, Sequence
 
-from stepstream.host import Host
+from stepstream.config.errors import ConfigurationError
+from stepstream.config.node_config import NodeConfig
+from stepstream.config.operator_file import LeasesSection as Section
+from stepstream.config.operator_file import OperatorConfig, require_unchanged
 from stepstream.leases import messages as m
 from stepstream.leases.claim import State
 from stepstream.leases.core import Core, fault_of
@@ -14,12 +17,13 @@
 from stepstream.leases.sessions import Session, Sessions, no_quorum
 from stepstream.leases.sweeper import Sweeper
 from stepstream.leases.tasks import Leases
-from stepstream.lines import logger
-from stepstream.net.threads import Complaints, log, spawn
-from stepstream.operator_file import Leases as Section
-from stepstream.operator_file import Operator, unchanged
-from stepstream.ports import AdminAnswer, AdminCall, AdminPath, Messenger, Subsystem, as_json
-from stepstream.settings import Config, FieldError
+from stepstream.ports.admin import AdminRequest, AdminResponse, AdminRoute, json_response
+from stepstream.ports.messaging import MessageTransport
+from stepstream.ports.subsystem import Subsystem
+from stepstream.runtime.log import RateLimitedLogger, log
+from stepstream.runtime.structured_log import structured_logger
+from stepstream.runtime.threads import spawn_thread
+from stepstream.subsystem_context import SubsystemContext
 
 READS, WRITES = frozenset({"GET", "HEAD"}), frozenset({"PUT", "POST"})
 FIXED = tuple(
@@ -40,38 +44,38 @@
 SESSION = re.compile(r"[A-Za-z0-9-]{8,64}")
 
 
-class LeasesPart(Subsystem):
-    def __init__(self, host: Host) -> None:
+class LeasesSubsystem(Subsystem):
+    def __init__(self, host: SubsystemContext) -> None:
         self.host = host
         section = host.operator.leases
         self.rules = rules_of(section)
-        messenger: Messenger = host.parts["fleet"]
+        messenger: MessageTransport = host.subsystems["fleet"]
         base = time.time_ns() // 1_000_000
         draw = random.Random()  # by the machine's own chance: members must not draw alike
         self.core = Core(host.config.name, messenger.process, self.rules, base, draw, clock())
         self.sessions = Sessions(section.most_sessions)
-        complaints = Complaints("lease letter dropped:", host.limits)
+        complaints = RateLimitedLogger("lease letter dropped:", host.limits)
         self.driver = Driver(
-            self.core, messenger, complaints, logger(section.log), self.look_at_sessions
+            self.core, messenger, complaints, structured_logger(section.log), self.look_at_sessions
         )
         self.leases = Leases(self.driver, self.rules)
         self.sweeper: Sweeper | None = None
         if section.probe_sweep:
             self.sweeper = self.sweeper_for(messenger, complaints)
-            host.spared = self.sweeper.spared
+            host.is_health_check_delegated = self.sweeper.spared
         self.leaving = False
 
-    def sweeper_for(self, messenger: Messenger, complaints: Complaints) -> Sweeper:
+    def sweeper_for(self, messenger: MessageTransport, complaints: RateLimitedLogger) -> Sweeper:
         host = self.host
         settings = host.config.settings
-        if settings.reports == "none" or not settings.may_probe:
+        if settings.load_report_source == "none" or not settings.may_check_health:
             why = "needs load reports and probes (load_report.how, limits.probing)"
-            raise FieldError(f"leases.probe_sweep {why}")
+            raise ConfigurationError(f"leases.probe_sweep {why}")
 
         def names() -> tuple[str, ...]:
-            return host.config.settings.report_columns
+            return host.config.settings.load_report_columns
 
-        told = host.destinations.usable, host.outbound.probe, names, host.post
+        told = host.destinations.usable, host.outbound.check_health, names, host.post
         return Sweeper(self.leases, messenger, complaints, *told)
 
     # -- the node's calls ---------------------------------------------------------------------------------
@@ -88,18 +92,20 @@
             log(
                 f"{self.host.config.name} votes on leases, after {self.rules.silence:.1f} s of silence"
             )
-        spawn("leases", self.driver.run)
+        spawn_thread("leases", self.driver.run)
 
-    def serving(self) -> None:
+    def on_serving(self) -> None:
         if self.sweeper is not None:
-            spawn("sweep", self.sweeper.run)
+            spawn_thread("sweep", self.sweeper.run)
 
-    def prepare(self, config: Config, operator: Operator | None) -> Callable[[], None]:
+    def prepare_reload(
+        self, config: NodeConfig, operator: OperatorConfig | None
+    ) -> Callable[[], None]:
         for key in FIXED:
-            unchanged(key, self.host.operator, operator)
+            require_unchanged(key, self.host.operator, operator)
         return lambda: None
 
-    def leave(self) -> bool:
+    def begin_shutdown(self) -> bool:
         """Nothing new, and nothing is renewed; whoever holds one through here is told to end."""
         self.leaving = True
         self.let_go()
@@ -116,9 +122,9 @@
             self.driver.turned.notify_all()
         self.driver.carry(sends)
 
-    def look(self) -> None:
+    def run_periodic_tasks(self) -> None:
         """A drained dispatcher holds no leases; its tasks may want them again once the drain is over."""
-        desk = self.host.parts.get("operator")
+        desk = self.host.subsystems.get("operator")
         drained = desk is not None and desk.draining()
         if drained and not self.leases.closed:
             self.let_go()
@@ -158,25 +164,25 @@
 
     # -- the admin listener's thread ----------------------------------------------------------------------
 
-    def paths(self) -> Sequence[AdminPath]:
+    def admin_routes(self) -> Sequence[AdminRoute]:
         return (
-            AdminPath(r"/leases", READS, self.on_list),
-            AdminPath(r"/leases/([^/]{1,200})", READS, self.on_show),
-            AdminPath(r"/leases/([^/]{1,200})/want", WRITES, self.on_want),
-            AdminPath(r"/leases/([^/]{1,200})/release", WRITES, self.on_release),
+            AdminRoute(r"/leases", READS, self.on_list),
+            AdminRoute(r"/leases/([^/]{1,200})", READS, self.on_show),
+            AdminRoute(r"/leases/([^/]{1,200})/want", WRITES, self.on_want),
+            AdminRoute(r"/leases/([^/]{1,200})/release", WRITES, self.on_release),
         )
 
-    def on_list(self, call: AdminCall) -> AdminAnswer:
-        return as_json(200, self.told())
+    def on_list(self, call: AdminRequest) -> AdminResponse:
+        return json_response(200, self.told())
 
-    def on_show(self, call: AdminCall) -> AdminAnswer:
+    def on_show(self, call: AdminRequest) -> AdminResponse:
         if not NAME.fullmatch(call.parts[0]):
             return bad_name(call.parts[0])
         found = [row for row in self.told() if row["name"] == call.parts[0]]
         return (
-            as_json(200, found[0])
+            json_response(200, found[0])
             if found
-            else as_json(404, {"error": "no such lease is known here"})
+            else json_response(404, {"error": "no such lease is known here"})
         )
 
     def told(self) -> list[dict]:
@@ -220,13 +226,13 @@
                     row.setdefault("state", State.WANTED.value)
             return [rows[lease] for lease in sorted(rows)]
 
-    def on_want(self, call: AdminCall) -> AdminAnswer:
+    def on_want(self, call: AdminRequest) -> AdminResponse:
         """A program outside wants the lease, or goes on wanting or holding it; it asks again and again."""
         lease, session_name = call.parts[0], call.query.get("session", "")
         if not NAME.fullmatch(lease):
             return bad_name(lease)
         if not SESSION.fullmatch(session_name):
-            return as_json(400, {"error": "session: 8 to 64 letters, digits and hyphens"})
+            return json_response(400, {"error": "session: 8 to 64 letters, digits and hyphens"})
         now = clock()
         with self.driver.turned:
             session = self.sessions.get(now, session_name)
@@ -234,21 +240,21 @@
         if session is None:
             ttl, act = (milliseconds(call.query.get(key, "")) for key in ("ttl_ms", "act_ms"))
             if ttl is None or act is None:
-                return as_json(400, {"error": "ttl_ms and act_ms: whole milliseconds"})
+                return json_response(400, {"error": "ttl_ms and act_ms: whole milliseconds"})
             if fault := fault_of(self.rules, ttl, act):
-                return as_json(400, {"error": fault})
+                return json_response(400, {"error": fault})
             if self.leases.closed or not room:
                 closed = "this dispatcher is drained or stops"
                 why = closed if self.leases.closed else "leases.most_sessions are open"
-                return as_json(503, {"error": why})
+                return json_response(503, {"error": why})
             claim = self.driver.acquire(lease, ttl, act)
             with self.driver.turned:
                 session = self.sessions.add(now, session_name, claim)
         elif session.claim.lease != lease:
-            return as_json(400, {"error": f"session is of lease {session.claim.lease}"})
+            return json_response(400, {"error": f"session is of lease {session.claim.lease}"})
         return self.answer(session)
 
-    def answer(self, session: Session) -> AdminAnswer:
+    def answer(self, session: Session) -> AdminResponse:
         with self.driver.turned:
             now, claim = clock(), session.claim
             told = {
@@ -261,12 +267,12 @@
             }
             error = no_quorum(self.rules, claim, now) if not claim.over else ""
         return (
-            as_json(503, {**told, "error": error})
+            json_response(503, {**told, "error": error})
             if error and not told["token"]
-            else as_json(200, told)
+            else json_response(200, told)
         )
 
-    def on_release(self, call: AdminCall) -> AdminAnswer:
+    def on_release(self, call: AdminRequest) -> AdminResponse:
         """By its own session: at once. By an operator: whoever holds it through here is told to end."""
         lease, name = call.parts[0], call.query.get("session")
         if not NAME.fullmatch(lease):
@@ -274,16 +280,16 @@
         if name is None:
             ended = self.end_sessions(lease)
             return (
-                as_json(200, {"ending": ended})
+                json_response(200, {"ending": ended})
                 if ended
-                else as_json(404, {"error": "not held through here"})
+                else json_response(404, {"error": "not held through here"})
             )
         with self.driver.turned:
             session = self.sessions.open.pop(name, None)
         if session is None:
-            return as_json(404, {"error": "no such session"})
+            return json_response(404, {"error": "no such session"})
         self.driver.release(session.claim)
-        return as_json(200, {"released": lease})
+        return json_response(200, {"released": lease})
 
 
 def milliseconds(text: str) -> float | None:
@@ -291,8 +297,8 @@
     return int(text) / 1000 if text.isascii() and text.isdigit() and len(text) <= 8 else None
 
 
-def bad_name(lease: str) -> AdminAnswer:
-    return as_json(
+def bad_name(lease: str) -> AdminResponse:
+    return json_response(
         400, {"error": f"{lease[:80]!r} is no lease's name: [a-z0-9._-], 1 to 64 of them"}
     )
 
@@ -309,5 +315,5 @@
     )
 
 
-def plug(host: Host) -> LeasesPart:
-    return LeasesPart(host)
+def create_subsystem(host: SubsystemContext) -> LeasesSubsystem:
+    return LeasesSubsystem(host)
--- a/stepstream/leases/sweep.py
+++ b/stepstream/leases/sweep.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
+from stepstream.config.operator_file import SWEEP_S
 from stepstream.leases.guard import FencedError, Guard
-from stepstream.operator_file import SWEEP_S
 
 LEASE = "probe-sweep"
 TTL_S, ACT_S = SWEEP_S, 1.0  # a probe takes a second at most, net/limits.py
--- a/stepstream/leases/sweeper.py
+++ b/stepstream/leases/sweeper.py
@@ -4,12 +4,12 @@
 import time
 from collections.abc import Callable, Sequence
 
-from stepstream import interface as i
 from stepstream.leases import sweep
 from stepstream.leases.sweep import Hearing, Seen
 from stepstream.leases.tasks import Lease, Leases, LostError
-from stepstream.net.threads import Complaints, log
-from stepstream.ports import Messenger
+from stepstream.model.events import HealthChecked
+from stepstream.ports.messaging import MessageTransport
+from stepstream.runtime.log import RateLimitedLogger, log
 
 KIND = "sweep"
 TELLING_S = 0.05  # what probes have brought is passed on so often
@@ -24,21 +24,21 @@
     def __init__(
         self,
         leases: Leases,
-        messenger: Messenger,
-        complaints: Complaints,
+        messenger: MessageTransport,
+        complaints: RateLimitedLogger,
         workers: Callable[[], Sequence[str]],
-        probe: Callable[[str, Callable[[i.Probed], None]], None],
+        probe: Callable[[str, Callable[[HealthChecked], None]], None],
         names: Callable[[], Sequence[str]],
-        post: Callable[[i.Probed], None],
+        post: Callable[[HealthChecked], None],
     ) -> None:
         self.leases, self.messenger, self.complaints = leases, messenger, complaints
         self.workers, self.probe, self.names, self.post = workers, probe, names, post
         self.hearing = Hearing()
         self.lock = threading.Lock()
-        self.fresh: list[tuple[float, i.Probed]] = []  # answered, not yet told
+        self.fresh: list[tuple[float, HealthChecked]] = []  # answered, not yet told
         self.probes = 0
         self.closed = False
-        messenger.hear(KIND, self.hear)
+        messenger.subscribe(KIND, self.hear)
 
     # -- everybody ----------------------------------------------------------------------------------------
 
@@ -49,7 +49,7 @@
             self.complaints.add(f"sweep from {member}: {error}")
             return
         for one in told:
-            self.post(i.Probed(one.worker, True, one.spent_us, one.report))
+            self.post(HealthChecked(one.worker, True, one.spent_us, one.report))
 
     def spared(self, worker: str) -> bool:
         """Whether this dispatcher's own probe of it is left out."""
@@ -98,10 +98,10 @@
         time.sleep(max(begun + period - time.monotonic(), 0.0) if workers else PAUSE_S)
         self.tell(lease)
 
-    def answered(self, probed: i.Probed) -> None:
+    def answered(self, probed: HealthChecked) -> None:
         self.post(probed)
-        if probed.ok and probed.report:
-            self.hearing.note(probed.worker, time.monotonic())
+        if probed.healthy and probed.load_report:
+            self.hearing.note(probed.worker_id, time.monotonic())
             with self.lock:
                 self.fresh.append((time.monotonic(), probed))
 
@@ -110,8 +110,9 @@
             fresh, self.fresh = self.fresh, []
         now = time.monotonic()
         seen = [
-            Seen(p.worker, int((now - at) * 1000), max(p.spent_us, 0), p.report) for at, p in fresh
+            Seen(p.worker_id, int((now - at) * 1000), max(p.elapsed_us, 0), p.load_report)
+            for at, p in fresh
         ]
         for page in sweep.pages(lease.token, seen):
             for member in self.messenger.present():
-                self.messenger.post(member, KIND, page)
+                self.messenger.send(member, KIND, page)
--- a/stepstream/fleet/commands.py
+++ b/stepstream/membership/commands.py
@@ -30,7 +30,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from stepstream.asking import call
+from stepstream.admin_client import call_admin
 
 OK, NOT_SO, BAD_CALL = 0, 1, 2
 TOLD = ("phase", "list_version", "settings", "open_requests", "program")
@@ -54,7 +54,7 @@
 def ask(at: str, path: str, method: str = "GET") -> dict:
     """One call; RefusedError if there is no answer, or none that is a yes."""
     try:
-        status, told = call(at, path, method)
+        status, told = call_admin(at, path, method)
     except ConnectionError as error:
         raise RefusedError(str(error), BAD_CALL) from None
     if status == 404 and path == "/fleet":
--- a/stepstream/fleet/counting.py
+++ b/stepstream/membership/counting.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from stepstream.fleet.messages import State
+from stepstream.membership.messages import State
 
 PRESENT = (State.ALIVE, State.SUSPECT)
 
--- a/stepstream/fleet/driver.py
+++ b/stepstream/membership/driver.py
@@ -9,10 +9,10 @@
 
 import structlog
 
-from stepstream.fleet import messages as m
-from stepstream.fleet.view import Change, Send, View
-from stepstream.net.limits import Limits
-from stepstream.net.threads import Complaints, log
+from stepstream.config.limits import Limits
+from stepstream.membership import messages as m
+from stepstream.membership.view import Change, Send, View
+from stepstream.runtime.log import RateLimitedLogger, log
 
 LONGEST_WAIT = 0.5  # seconds
 READS = 64  # datagrams before the timers are looked at again
@@ -39,7 +39,7 @@
         """OSError if the address cannot be had. SO_REUSEPORT: a hot restart's two processes both listen."""
         self.view, self.lines, self.act = view, lines, act
         self.lock = threading.Lock()
-        self.complaints = Complaints("fleet datagram dropped:", limits)
+        self.complaints = RateLimitedLogger("fleet datagram dropped:", limits)
         self.unsent = 0
         self.written = 0  # the newest change in the log
         self.acted = 0.0
--- a/stepstream/fleet/gossip.py
+++ b/stepstream/membership/gossip.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from stepstream.fleet import messages as m
+from stepstream.membership import messages as m
 
 MOST = 4_096  # pieces that wait; with more the oftenest told goes first
 MOST_FACTS = (
--- a/stepstream/fleet/report.py
+++ b/stepstream/membership/report.py
@@ -2,8 +2,8 @@
 
 from dataclasses import asdict
 
-from stepstream.fleet.messages import Facts, Phase
-from stepstream.fleet.view import Change, Member, View, state_name
+from stepstream.membership.messages import Facts, Phase
+from stepstream.membership.view import Change, Member, View, state_name
 
 
 def facts_of(view: View, name: str, now: float) -> dict:
--- a/stepstream/fleet/plug.py
+++ b/stepstream/membership/subsystem.py
@@ -4,25 +4,33 @@
 import signal
 import time
 from collections.abc import Callable, Sequence
-from dataclasses import replace
-from hashlib import blake2b
 
 import msgspec
 
 from stepstream import __version__
-from stepstream.fleet import messages as m
-from stepstream.fleet import report
-from stepstream.fleet.counting import Roster, Seen
-from stepstream.fleet.driver import Driver, new_generation
-from stepstream.fleet.messages import Phase
-from stepstream.fleet.view import Times, View
-from stepstream.host import Host
-from stepstream.lines import logger
-from stepstream.net.threads import log, spawn
-from stepstream.operator_file import Fleet as Section
-from stepstream.operator_file import Operator, split_address, unchanged
-from stepstream.ports import AdminAnswer, AdminCall, AdminPath, Maintenance, Subsystem, as_json
-from stepstream.settings import Config, FieldError
+from stepstream.config.errors import ConfigurationError
+from stepstream.config.node_config import NodeConfig
+from stepstream.config.operator_file import MembershipSection as Section
+from stepstream.config.operator_file import OperatorConfig, require_unchanged, split_address
+from stepstream.membership import messages as m
+from stepstream.membership import report
+from stepstream.membership.counting import Roster, Seen
+from stepstream.membership.driver import Driver, new_generation
+from stepstream.membership.messages import Phase
+from stepstream.membership.settings_digest import settings_digest
+from stepstream.membership.view import Times, View
+from stepstream.ports.admin import (
+    AdminRequest,
+    AdminResponse,
+    AdminRoute,
+    WorkerMaintenance,
+    json_response,
+)
+from stepstream.ports.subsystem import Subsystem
+from stepstream.runtime.log import log
+from stepstream.runtime.structured_log import structured_logger
+from stepstream.runtime.threads import spawn_thread
+from stepstream.subsystem_context import SubsystemContext
 
 READS = frozenset({"GET", "HEAD"})
 FACTS = 0.5  # seconds between two looks at what this member says of itself
@@ -35,8 +43,8 @@
 )
 
 
-class FleetPart(Subsystem):
-    def __init__(self, host: Host) -> None:
+class MembershipSubsystem(Subsystem):
+    def __init__(self, host: SubsystemContext) -> None:
         """FieldError names a key of the section, or of the configuration, that does not fit."""
         self.host = host
         section, config = host.operator.fleet, host.config
@@ -49,7 +57,7 @@
         self.roster = Roster(config.name, section.hold_s)
         self.started_ms = time.time_ns() // 1_000_000
         self.phase = Phase.STARTING
-        self.counted = config.settings.fleet_size
+        self.counted = config.settings.dispatcher_count
         self.told: dict[str, m.Word] = {}  # words that maintenance here has heard
         self.facts_at = 0.0  # when it last told them
         self.driver: Driver | None = None
@@ -58,10 +66,10 @@
 
     # -- for other subsystems (ports.Messenger) -----------------------------------------------------------
 
-    def hear(self, kind: str, take: Callable[[str, bytes], None]) -> None:
+    def subscribe(self, kind: str, take: Callable[[str, bytes], None]) -> None:
         self.heard[kind] = take
 
-    def post(self, member: str, kind: str, data: bytes) -> None:
+    def send(self, member: str, kind: str, data: bytes) -> None:
         if self.driver is not None:
             self.driver.post(member, kind, data)
 
@@ -77,38 +85,40 @@
         return self.host.operator.fleet
 
     @property
-    def maintenance(self) -> Maintenance | None:
-        return self.host.parts.get("operator")
+    def maintenance(self) -> WorkerMaintenance | None:
+        return self.host.subsystems.get("operator")
 
     # -- the node's calls ---------------------------------------------------------------------------------
 
     def start(self) -> None:
         listen = self.section.listen
         try:
-            lines = logger(self.section.log)
+            lines = structured_logger(self.section.log)
             self.driver = Driver(
                 split_address(listen), self.view, self.host.limits, lines, self.act
             )
         except OSError as error:
-            raise FieldError(f"fleet.listen={listen}: {error}") from None
+            raise ConfigurationError(f"fleet.listen={listen}: {error}") from None
         self.driver.heard = self.heard
         if self.section.share_maintenance and self.maintenance is not None:
             # Before the admin listener hears its first call: a word told by then would stay here.
-            self.maintenance.on_word = self.say
-        spawn("fleet", self.driver.run)
+            self.maintenance.on_change = self.say
+        spawn_thread("fleet", self.driver.run)
         log(
             f"{self.host.config.name} is a member of {self.section.cluster} at {self.view.me.address}"
         )
 
-    def serving(self) -> None:
+    def on_serving(self) -> None:
         self.phase = Phase.SERVING
 
-    def prepare(self, config: Config, operator: Operator | None) -> Callable[[], None]:
+    def prepare_reload(
+        self, config: NodeConfig, operator: OperatorConfig | None
+    ) -> Callable[[], None]:
         for key in FIXED:
-            unchanged(key, self.host.operator, operator)
+            require_unchanged(key, self.host.operator, operator)
         check(operator.fleet, config)
         if config.name != self.host.config.name:
-            raise FieldError(
+            raise ConfigurationError(
                 f"name={config.name} changes only with a restart where there is [fleet]"
             )
         return lambda: self.take_over(operator.fleet)
@@ -120,13 +130,13 @@
             self.roster.hold = section.hold_s
             self.counted = 0  # the settings are new: what follows from the view is told again
 
-    def leave(self) -> bool:
+    def begin_shutdown(self) -> bool:
         self.phase = Phase.LEAVING
         return False
 
     def stop(self) -> None:
         """All is answered. In a hot restart the name goes on with the process beside this one."""
-        if self.host.hot:
+        if self.host.hot_restarting:
             self.driver.closed = True
         else:
             self.driver.leave()
@@ -153,12 +163,12 @@
         if counted != self.counted:
             self.counted = counted
             if self.section.follow_size:
-                self.host.share_by(counted)
+                self.host.set_dispatcher_count(counted)
         if self.section.share_maintenance and self.maintenance is not None:
             for worker, word in self.view.words.items():
                 if self.told.get(worker) != word:
                     self.told[worker] = word
-                    self.maintenance.hear(worker, word.out, word.by, word.at_us)
+                    self.maintenance.apply_remote_change(worker, word.out, word.by, word.at_us)
 
     def count(self, now: float, seen: list[Seen]) -> int:
         witnesses = {name: frozenset(facts.ended) for name, facts in self.view.facts.items()}
@@ -166,7 +176,7 @@
         young = now - self.view.begun < self.view.times.young
         if young or not self.view.joined:
             # Until it has heard of the others for a while, the settings' word is the safer one.
-            return max(counted, self.host.config.settings.fleet_size)
+            return max(counted, self.host.config.settings.dispatcher_count)
         return counted
 
     def own_facts(self, ended: list[int]) -> m.Facts:
@@ -179,7 +189,7 @@
             count=0,
             phase=phase,
             list_version=min(max(host.destinations.version or 0, 0), 2**53),
-            settings=digest_of(host.config),
+            settings=settings_digest(host.config.settings),
             open_requests=host.core.open_count,
             started_ms=self.started_ms,
             program=__version__,
@@ -198,43 +208,39 @@
                 f"fleet: no room for word of {worker}: {self.view.times.most} workers are known (fleet.most)"
             )
 
-    def paths(self) -> Sequence[AdminPath]:
+    def admin_routes(self) -> Sequence[AdminRoute]:
         return (
-            AdminPath(r"/fleet", READS, self.on_members),
-            AdminPath(r"/fleet/changes", READS, self.on_changes),
-            AdminPath(r"/fleet/members/([^/]{1,128})", READS, self.on_explain),
-            AdminPath(r"/fleet/leave", frozenset({"PUT", "POST"}), self.on_leave),
+            AdminRoute(r"/fleet", READS, self.on_members),
+            AdminRoute(r"/fleet/changes", READS, self.on_changes),
+            AdminRoute(r"/fleet/members/([^/]{1,128})", READS, self.on_explain),
+            AdminRoute(r"/fleet/leave", frozenset({"PUT", "POST"}), self.on_leave),
         )
 
-    def on_members(self, call: AdminCall) -> AdminAnswer:
+    def on_members(self, call: AdminRequest) -> AdminResponse:
         with self.driver.lock:
             told = report.members(self.view, self.counted, time.monotonic())
         counts = {"dropped": self.driver.complaints.count, "unsent": self.driver.unsent}
         told["counts"] |= {**counts, "cpu_s": round(self.driver.cpu_s, 3)}
-        return as_json(200, told)
+        return json_response(200, told)
 
-    def on_changes(self, call: AdminCall) -> AdminAnswer:
+    def on_changes(self, call: AdminRequest) -> AdminResponse:
         after = call.query.get("after", "0")
         if not (after.isascii() and after.isdigit() and len(after) < 16):
-            return as_json(400, {"error": "after is not a whole number"})
+            return json_response(400, {"error": "after is not a whole number"})
         with self.driver.lock:
-            return as_json(200, report.changes(self.view, int(after), time.monotonic()))
+            return json_response(200, report.changes(self.view, int(after), time.monotonic()))
 
-    def on_explain(self, call: AdminCall) -> AdminAnswer:
+    def on_explain(self, call: AdminRequest) -> AdminResponse:
         with self.driver.lock:
             found = report.explain(self.view, call.parts[0], time.monotonic())
-        return as_json(200, found) if found else as_json(404, {"error": "no such member"})
+        return (
+            json_response(200, found) if found else json_response(404, {"error": "no such member"})
+        )
 
-    def on_leave(self, call: AdminCall) -> AdminAnswer:
+    def on_leave(self, call: AdminRequest) -> AdminResponse:
         """The graceful stop, as SIGTERM begins it: all is answered, and the others are told."""
         self.host.signals.put(signal.SIGTERM)
-        return as_json(200, {"leaving": self.view.me.name})
-
-
-def digest_of(config: Config) -> str:
-    """Of the settings in force; what differs by design from one dispatcher to the next is left out."""
-    alike = replace(config.settings, fleet_size=1, zone=0)
-    return blake2b(repr(alike).encode(), digest_size=6).hexdigest()
+        return json_response(200, {"leaving": self.view.me.name})
 
 
 def times_of(section: Section) -> Times:
@@ -255,20 +261,22 @@
     )
 
 
-def check(section: Section, config: Config) -> None:
+def check(section: Section, config: NodeConfig) -> None:
     try:
         msgspec.convert(config.name, m.Name)
     except msgspec.ValidationError:
-        raise FieldError(
+        raise ConfigurationError(
             f"name={config.name} cannot be a member's: letters, digits, . _ - only"
         ) from None
     if (section.advertise or section.listen).startswith("0.0.0.0:"):
-        raise FieldError("fleet.advertise: 0.0.0.0 is no address that others can reach")
+        raise ConfigurationError("fleet.advertise: 0.0.0.0 is no address that others can reach")
     if section.timeout_ms >= section.period_ms:
-        raise FieldError(f"fleet.timeout_ms={section.timeout_ms} must be under period_ms")
+        raise ConfigurationError(f"fleet.timeout_ms={section.timeout_ms} must be under period_ms")
     if section.share_maintenance and config.operator is None:
-        raise FieldError("fleet.share_maintenance needs `operator`, the admin listener's address")
+        raise ConfigurationError(
+            "fleet.share_maintenance needs `operator`, the admin listener's address"
+        )
 
 
-def plug(host: Host) -> FleetPart:
-    return FleetPart(host)
+def create_subsystem(host: SubsystemContext) -> MembershipSubsystem:
+    return MembershipSubsystem(host)
--- a/stepstream/fleet/view.py
+++ b/stepstream/membership/view.py
@@ -18,10 +18,10 @@
 
 import msgspec
 
-from stepstream.fleet import messages as m
-from stepstream.fleet.gossip import ROOM, Gossip, pages, sorted_out
-from stepstream.fleet.messages import Row, State
-from stepstream.fleet.suspicion import Suspicion, begun
+from stepstream.membership import messages as m
+from stepstream.membership.gossip import ROOM, Gossip, pages, sorted_out
+from stepstream.membership.messages import Row, State
+from stepstream.membership.suspicion import Suspicion, begun
 
 PRESENT = (State.ALIVE, State.SUSPECT)
 CHANGES = 512  # kept for those who watch
--- a/stepstream/interface.py
+++ b/stepstream/model/records.py
@@ -1,315 +1,17 @@
-"""What a Balancer is told (settings, events), what it answers (actions) and the records it keeps.
-
-Times are whole microseconds on the caller's clock, which only moves forward.
-"""
+"""Records that the policy keeps of workers, jobs and attempts, and the estimators on them."""
 
 from collections import deque
-from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
-from enum import Enum
 from itertools import takewhile
-from math import exp, inf, log
+from math import exp, inf
 from zlib import crc32
 
+from stepstream.model.endpoints import Endpoint
+from stepstream.model.events import JobSubmitted
+from stepstream.model.settings import Effect, JobClass
 
-class Effect(Enum):
-    """What a repeat of a job of this class may do."""
-
-    SAFE = "safe"  # may be repeated freely
-    KEYED = "keyed"  # repeats are dropped inside the key scope, for a while
-    UNSAFE = "unsafe"  # must never run twice
-
-
-class Result(Enum):
-    """How an attempt ended. The last three prove that the job never ran there."""
-
-    OK = "ok"
-    ERROR = "error"
-    TIMEOUT = "timeout"
-    RESET = "reset"
-    CANCELLED = "cancelled"
-    FULL = "full"
-    CONNECT_FAILED = "connect_failed"
-    NOT_SENT = "not_sent"
-
-    @property
-    def never_ran(self) -> bool:
-        return self in (Result.FULL, Result.CONNECT_FAILED, Result.NOT_SENT)
-
-
-class WorkerState(Enum):
-    IN = "in"
-    DRAINING = "draining"
-    OUT = "out"
-
-
-class ListKind(Enum):
-    CHANGES = "changes"  # only the entries that changed
-    COMPLETE = "complete"  # whoever is missing is gone
-    PERSISTED = "persisted"  # the list kept from before a restart; may be old
-    FAILED = "failed"  # a call for the list failed, or the watch broke; no entries
-
-
-@dataclass(frozen=True)
-class JobClass:
-    goal_us: int  # an answer within this (plus stretch x its own work) earns full worth
-    deadline_us: int
-    effect: Effect = Effect.UNSAFE
-    worth: float = 1.0
-    late_worth: float = 0.0  # fraction earned after the goal and before the deadline
-    stretch: float = 0.0
-    key_scope: str = "cell"  # keyed only: "all", "zone" or "cell"
-    window_us: int = 0  # keyed only: how long repeats are dropped
-    kind: int = -1  # the one worker kind that runs it, -1 for any
-    name: str = ""
-
-
-@dataclass(frozen=True)
-class Settings:
-    classes: tuple[JobClass, ...]
-    quotas_per_s: tuple[float, ...] = ()  # by tenant, for all dispatchers together
-    over_share_worth: float = 1.0
-    fleet_size: int = 1  # dispatchers that share the workers, this one included
-    zone: int = 0
-    must_ask: bool = False  # the worker list comes only when asked for
-    must_ask_us: int = 10_000_000
-    attempt_limit: int = 1
-    may_probe: bool = False
-    may_cancel: bool = False
-    may_duplicate: bool = False
-    may_advise_retry: bool = False
-    max_retry_after_us: int = 0
-    reports: str = "none"  # "answers", "probe" or "none"
-    report_columns: tuple[str, ...] = ()  # by meaning: "queue", "free_slots"
-    tells_start: bool = False
-    cross_zone_price: float = 0.0
-    probe_price: float = 0.0
-    handshake_price: float = 0.0
-    drain_grace_us: int = 0
-    cold_share: float = 1.0
-    warm_within_us: int = 0
-    fall_multiple: float = 1.0
-    fall_span_us: int = 1_000_000
-    quantum_us: int = 1_000
-    # What only a real dispatcher needs; the module decides nothing by it.
-    report_names: tuple[str, ...] = ()  # of the columns, as the reports word them
-    tenants: tuple[str, ...] = ()
-    zones: tuple[str, ...] = ()
-    kinds: tuple[str, ...] = ()
-    grace_us: int = 0  # how long after a deadline a final answer still counts
-    conn_idle_us: int = 10_000_000  # a worker closes a connection idle for so long
-    dial_timeout_us: int = 250_000
-    max_open: int = 20_000  # requests
-
-    def tenant_name(self, tenant: int) -> str:
-        return self.tenants[tenant] if 0 <= tenant < len(self.tenants) else ""
-
-    @property
-    def class_names(self) -> tuple[str, ...]:
-        return tuple(kind.name for kind in self.classes)
-
-
-@dataclass(frozen=True)
-class WorkerEntry:
-    worker: str
-    zone: int = 0
-    kind: int = 0
-    cell: int = 0
-    state: WorkerState = WorkerState.IN
-    weight: float = 1.0
-    started_us: int = 0  # 0: long ago
-    runs: frozenset[str] | None = (
-        None  # CLASS or TENANT/CLASS by name; None: whatever its kind allows
-    )
-
-    def able(self, kind: JobClass, tenant: str) -> bool:
-        """Whether it runs a tenant's job of this class; a worker may have named what it runs."""
-        if kind.kind not in (-1, self.kind):
-            return False
-        return self.runs is None or kind.name in self.runs or f"{tenant}/{kind.name}" in self.runs
-
-
-@dataclass(frozen=True)
-class WorkerList:
-    kind: ListKind
-    entries: tuple[WorkerEntry, ...] = ()
-
-
-@dataclass(frozen=True)
-class Job:
-    job: str
-    job_class: int
-    budget_us: int  # time left before the client gives up
-    tenant: int = 0
-    key: str | None = None
-    slots: float = 1.0
-    memory: float = 0.0
-    client_retry: bool = False
-
-
-@dataclass(frozen=True)
-class AttemptEnded:
-    job: str
-    attempt: int
-    worker: str
-    result: Result
-    spent_us: int = 0
-    job_ended: bool = False  # the client has its answer, by this attempt or before it
-    report: dict[str, float] | None = None
-
-
-@dataclass(frozen=True)
-class Started:
-    """The job has begun to run on the worker."""
-
-    job: str
-    attempt: int
-    worker: str
-
-
-@dataclass(frozen=True)
-class Probed:
-    worker: str
-    ok: bool
-    spent_us: int = 0
-    report: dict[str, float] | None = None
-
-
-@dataclass(frozen=True)
-class ClientLeft:
-    """No answer is owed any more."""
-
-    job: str
-
-
-@dataclass(frozen=True)
-class Timer:
-    token: int
-
-
-@dataclass(frozen=True)
-class NewSettings:
-    """The settings were replaced: what was learned stays, by the names of classes and tenants."""
-
-    settings: Settings
-
-
-Event = WorkerList | Job | AttemptEnded | Started | Probed | ClientLeft | Timer | NewSettings
-
-
-@dataclass(frozen=True)
-class Push:
-    """Start an attempt; attempts of a job count 0, 1, 2 ... in the order of their pushes."""
-
-    job: str
-    worker: str
-    limit_us: int = 0  # 0: until the client gives up
-
-
-@dataclass(frozen=True)
-class Refuse:
-    """A final answer that promises the job never ran (or may be repeated without harm)."""
-
-    job: str
-    pause_us: int = 0
-
-
-@dataclass(frozen=True)
-class Fail:
-    """A final answer that promises nothing."""
-
-    job: str
 
-
-@dataclass(frozen=True)
-class Cancel:
-    job: str
-    attempt: int
-
-
-@dataclass(frozen=True)
-class Probe:
-    worker: str
-
-
-@dataclass(frozen=True)
-class WakeMe:
-    token: int
-    at_us: int
-
-
-@dataclass(frozen=True)
-class WatchList:
-    """Ask for the worker list's changes from here on."""
-
-    active: bool = field(default=True)
-
-
-@dataclass(frozen=True)
-class FetchList:
-    """Ask for the complete worker list once."""
-
-
-@dataclass(frozen=True)
-class Log:
-    text: str
-
-
-Action = Push | Refuse | Fail | Cancel | Probe | WakeMe | WatchList | FetchList | Log
-
-
-SHORTEST_RUN_US = 1_000  # shorter runs tell nothing of their worker
-
-
-def running(mean: float, new: float, weight: float) -> float:
-    """A running mean with the newest value in; 0 stands for none so far."""
-    return mean + weight * (new - mean) if mean else max(new, 1.0)
-
-
-def carried(
-    old: tuple[str, ...], new: tuple[str, ...], values: Sequence[float], fresh: float
-) -> list[float]:
-    """What was learned by name, in the order of the new names; `fresh` for a name not known before."""
-    known = dict(zip(old, values, strict=False))
-    return [known.get(name, fresh) for name in new]
-
-
-class Runs:
-    """How long jobs have taken, in running means."""
-
-    def __init__(self, classes: int, start_us: int, weight: float) -> None:
-        self.weight = weight
-        self.mean_us = [0.0] * (
-            classes + 1
-        )  # from push to end, of served jobs, by class; last, of all
-        self.usual = [
-            0.0
-        ] * classes  # from start to end, as a logarithm: few long jobs must not set it
-        self.gap_us, self.last_us = 0.0, start_us  # between two served jobs; the last one
-
-    def served(self, now_us: int, place: int, spent_us: int) -> None:
-        for k in (place, -1):
-            self.mean_us[k] = running(self.mean_us[k], spent_us, self.weight)
-        self.gap_us, self.last_us = running(self.gap_us, now_us - self.last_us, self.weight), now_us
-
-    def surplus(self, place: int, run_us: int) -> float:
-        """How much longer than usual this run is, as a logarithm; 0 while nothing is known of its class."""
-        usual = self.usual[place] if 0 <= place < len(self.usual) else 0.0
-        return log(max(run_us, SHORTEST_RUN_US)) - usual if usual else 0.0
-
-    def ran(self, place: int, run_us: int) -> float:
-        if 0 <= place < len(self.usual):
-            self.usual[place] = running(
-                self.usual[place], log(max(run_us, SHORTEST_RUN_US)), self.weight
-            )
-        return self.surplus(place, run_us)
-
-    def carry(self, old: tuple[str, ...], new: tuple[str, ...]) -> None:
-        self.mean_us[:-1] = carried(old, new, self.mean_us, 0.0)
-        self.usual = carried(old, new, self.usual, 0.0)
-
-
-class ReportAge:
+class LoadReportLag:
     """How old a report's news is, learned: of a few ages the one by which reports agree best with our pushes.
 
     Between two reports of a worker the free slots change by what we pushed and what ended an age before;
@@ -348,22 +50,38 @@
             self.errors[k] += self.WEIGHT * ((free - before + mine) ** 2 - self.errors[k])
 
 
-MANY = 8  # dispatchers; of more, each seldom has a job of its own on a worker
+MANY_DISPATCHERS = 8  # dispatchers; of more, each seldom has a job of its own on a worker
+
+
 LEVEL_US = 1_000_000  # over which the busy slots of a pool are averaged
+
+
 SETTLED_US = 2_000_000  # after a start the levels are those of a running dispatcher
+
+
 LEAST_CAPS = (
     1.5  # slots; the least that the caps of a pool make up, else it would never be tried again
 )
+
+
 LATE_PART = 0.4  # part of late starts at which a pool is at its caps
+
+
 CAP_STEP = 0.1  # what one late start takes off the cap
+
+
 HIGH_PART = (
     18 / 26
 )  # the safety factor: what of its cap a worker of the High Set may be loaded with
+
+
 FULL = 2  # a cap is at most so many times what runs of ours where jobs wait
+
+
 FAR = 3  # a cap so many times the present load is not told to be higher by starts in time
 
 
-class Share:
+class PoolLoadEstimator:
     """The cap of a worker as one of many dispatchers sees it, often a part of one slot: how many slots of its
     own stand on a worker on average when jobs begin to start late there.
 
@@ -372,7 +90,7 @@
     """
 
     def __init__(self, now_us: int, dispatchers: int) -> None:
-        self.many = dispatchers > MANY
+        self.many = dispatchers > MANY_DISPATCHERS
         self.cap, self.now_us, self.begun_us = inf, now_us, now_us
         self.busy = {True: 0.0, False: 0.0}  # by pool: slots of our unfinished pushes,
         self.level = {True: 0.0, False: 0.0}  # the same averaged over LEVEL_US,
@@ -424,11 +142,8 @@
         return inf if cap == inf else cap * self.count[high] - self.level[high]
 
 
-# What a Balancer remembers: plain records, all decisions are in balance.py.
-
-
 @dataclass(slots=True)
-class Balk:
+class ClassEjection:
     """A class whose jobs a worker took and never began."""
 
     pause_us: int = 0
@@ -436,12 +151,12 @@
     judged_us: int = 0  # those sent before are under the verdict already
 
 
-RECENT_US = ReportAge.LONGEST_US + ReportAge.AGES_US[-1]
+RECENT_US = LoadReportLag.LONGEST_US + LoadReportLag.AGES_US[-1]
 
 
 @dataclass(eq=False)
 class Worker:
-    entry: WorkerEntry
+    entry: Endpoint
     warm_us: int  # from here on it is surely warm
     last_cold_us: float  # our last push to it while cold, or when we learned of its start
     cold_span_us: float = -inf  # the end of the span for which was drawn
@@ -465,16 +180,18 @@
     pace_now: float = 0.0  # the same with those that are not over yet
     pause_us: int = 0  # above 0: out of both pools until the trial succeeds
     trial_us: int = 0  # when the next trial may be sent
-    balks: dict[int, Balk] = field(default_factory=dict)  # by class, those that keep away from it
+    balks: dict[int, ClassEjection] = field(
+        default_factory=dict
+    )  # by class, those that keep away from it
 
     def __post_init__(self) -> None:
-        self.mark = crc32(self.entry.worker.encode())  # stands for its id
+        self.mark = crc32(self.entry.worker_id.encode())  # stands for its id
 
     def balked(
         self, job_class: int, lost: "Attempt", now_us: int, first_us: int, longest_us: int
     ) -> None:
         """It had room and never began this one: none of its class for a while, longer after each trial."""
-        balk = self.balks.setdefault(job_class, Balk())
+        balk = self.balks.setdefault(job_class, ClassEjection())
         if lost.sent_us >= balk.judged_us:
             balk.pause_us = min(max(2 * balk.pause_us, first_us), longest_us)
             balk.trial_us, balk.judged_us = now_us + balk.pause_us, now_us
@@ -528,10 +245,10 @@
 
 
 @dataclass(eq=False)
-class Held:
+class InFlightJob:
     """A job whose final answer is still owed, or whose attempts are still out."""
 
-    job: Job
+    job: JobSubmitted
     kind: JobClass
     arrived_us: int
     deadline_us: int
@@ -552,9 +269,12 @@
     def repeatable(self, now_us: int) -> bool:
         """Whether the rules let it be sent again, within its key scope."""
         ran = self.may_have_run()
-        if ran is None or self.kind.effect is Effect.SAFE:
+        if ran is None or self.kind.effect is Effect.IDEMPOTENT:
             return True
-        return self.kind.effect is Effect.KEYED and now_us <= ran.sent_us + self.kind.window_us
+        return (
+            self.kind.effect is Effect.IDEMPOTENT_WITH_KEY
+            and now_us <= ran.sent_us + self.kind.idempotency_window_us
+        )
 
     def may_have_run(self) -> Attempt | None:
         """The first attempt that is out or may have had its effect: repeats are bound to it."""
--- /dev/null
+++ b/stepstream/model/settings.py
@@ -0,0 +1,76 @@
+"""Settings of one deployment, as the policy and the dispatcher read them.
+
+Times are whole microseconds on the caller's clock, which only moves forward.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Effect(Enum):
+    """What a repeat of a job of this class may do."""
+
+    IDEMPOTENT = "safe"  # may be repeated freely
+    IDEMPOTENT_WITH_KEY = "keyed"  # repeats are dropped inside the key scope, for a while
+    NOT_IDEMPOTENT = "unsafe"  # must never run twice
+
+
+@dataclass(frozen=True)
+class JobClass:
+    latency_objective_us: (
+        int  # an answer within this (plus stretch x its own work) earns full worth
+    )
+    deadline_us: int
+    effect: Effect = Effect.NOT_IDEMPOTENT
+    priority_weight: float = 1.0
+    late_weight_fraction: float = 0.0  # fraction earned after the goal and before the deadline
+    objective_stretch: float = 0.0
+    key_scope: str = "cell"  # keyed only: "all", "zone" or "cell"
+    idempotency_window_us: int = 0  # keyed only: how long repeats are dropped
+    worker_kind: int = -1  # the one worker kind that runs it, -1 for any
+    name: str = ""
+
+
+@dataclass(frozen=True)
+class Settings:
+    classes: tuple[JobClass, ...]
+    quotas_per_s: tuple[float, ...] = ()  # by tenant, for all dispatchers together
+    over_quota_weight_fraction: float = 1.0
+    dispatcher_count: int = 1  # dispatchers that share the workers, this one included
+    zone: int = 0
+    polls_endpoints: bool = False  # the worker list comes only when asked for
+    endpoint_poll_interval_us: int = 10_000_000
+    attempt_limit: int = 1
+    may_check_health: bool = False
+    may_cancel: bool = False
+    may_hedge: bool = False
+    may_advise_retry: bool = False
+    max_retry_after_us: int = 0
+    load_report_source: str = "none"  # "answers", "probe" or "none"
+    load_report_columns: tuple[str, ...] = ()  # by meaning: "queue", "free_slots"
+    reports_start: bool = False
+    cross_zone_price: float = 0.0
+    health_check_price: float = 0.0
+    handshake_price: float = 0.0
+    drain_grace_us: int = 0
+    cold_capacity_fraction: float = 1.0
+    slow_start_us: int = 0
+    overload_multiple: float = 1.0
+    overload_window_us: int = 1_000_000
+    scheduling_quantum_us: int = 1_000
+    # What only a real dispatcher needs; the module decides nothing by it.
+    load_report_names: tuple[str, ...] = ()  # of the columns, as the reports word them
+    tenants: tuple[str, ...] = ()
+    zones: tuple[str, ...] = ()
+    worker_kinds: tuple[str, ...] = ()
+    answer_grace_us: int = 0  # how long after a deadline a final answer still counts
+    worker_idle_timeout_us: int = 10_000_000  # a worker closes a connection idle for so long
+    connect_timeout_us: int = 250_000
+    max_open_requests: int = 20_000  # requests
+
+    def tenant_name(self, tenant: int) -> str:
+        return self.tenants[tenant] if 0 <= tenant < len(self.tenants) else ""
+
+    @property
+    def class_names(self) -> tuple[str, ...]:
+        return tuple(kind.name for kind in self.classes)
--- /dev/null
+++ b/stepstream/node/__init__.py
@@ -0,0 +1,1 @@
+"""The composition root: wiring, decision thread, signals."""
