--- a/stepstream/balance.py
+++ b/stepstream/policy/load_balancer.py
@@ -8,7 +8,38 @@
 from math import ceil, inf
 from zlib import crc32
 
-from stepstream import interface as i
+from stepstream.model.actions import (
+    CancelAttempt,
+    CheckHealth,
+    Fail,
+    PolicyAction,
+    Reject,
+    SetTimer,
+    StartAttempt,
+    WatchEndpoints,
+)
+from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind, EndpointState
+from stepstream.model.estimators import RunTimeEstimator, carry_over
+from stepstream.model.events import (
+    AttemptEnded,
+    AttemptResult,
+    AttemptStarted,
+    HealthChecked,
+    JobAbandoned,
+    JobSubmitted,
+    PolicyEvent,
+    SettingsChanged,
+    TimerFired,
+)
+from stepstream.model.records import (
+    MANY_DISPATCHERS,
+    Attempt,
+    InFlightJob,
+    LoadReportLag,
+    PoolLoadEstimator,
+    Worker,
+)
+from stepstream.model.settings import Effect, JobClass, Settings
 
 SAFETY_FACTOR = (
     18 / 26
@@ -47,94 +78,96 @@
 TICK, ASK, PUMP, START = range(4)  # timer tokens
 
 
-class Balancer:
-    def __init__(self, settings: i.Settings, seed: int, start_us: int) -> None:
+class LoadBalancer:
+    def __init__(self, settings: Settings, seed: int, start_us: int) -> None:
         self.s, self.random, self.now = settings, random.Random(seed), start_us
-        self.workers: dict[str, i.Worker] = {}
-        self.order: list[i.Worker] = []  # workers that may be sent to, by id
-        self.held: dict[str, i.Held] = {}
-        self.waiting: list[i.Held] = []  # held back until a worker has room
+        self.workers: dict[str, Worker] = {}
+        self.order: list[Worker] = []  # workers that may be sent to, by id
+        self.held: dict[str, InFlightJob] = {}
+        self.waiting: list[InFlightJob] = []  # held back until a worker has room
         self.unstarted: list[
-            tuple[int, i.Held, i.Attempt]
+            tuple[int, InFlightJob, Attempt]
         ] = []  # and when each should have started
         self.stirred = False  # room or time has changed since the waiting jobs were last tried
-        self.key_orders: dict[str, list[i.Worker]] = {}  # of the keys seen since the list changed
+        self.key_orders: dict[str, list[Worker]] = {}  # of the keys seen since the list changed
         self.key_jobs: dict[str | None, int] = {}
         self.pool_rooms, self.strength = {}, 0.0  # by pool; of all workers, in warm ones
         self.late_at: deque[float] = deque(
             maxlen=LATE_KEPT
         )  # busy slots where starts were late, or not yet
         # Periods begin at random: dispatchers that start together must not act in step.
-        self.actions: list[i.Action] = [i.WakeMe(TICK, start_us + self.random.randrange(PERIOD_US))]
-        self.asking, self.ask_wait_us = not settings.must_ask, self.first_ask_wait_us()
-        if settings.fleet_size > i.MANY:
-            self.ask_later(0.0, ASK_GAP_US * settings.fleet_size)
+        self.actions: list[PolicyAction] = [
+            SetTimer(TICK, start_us + self.random.randrange(PERIOD_US))
+        ]
+        self.asking, self.ask_wait_us = not settings.polls_endpoints, self.first_ask_wait_us()
+        if settings.dispatcher_count > MANY_DISPATCHERS:
+            self.ask_later(0.0, ASK_GAP_US * settings.dispatcher_count)
         else:
             self.ask()
         self.priority_share, self.common_cap = START_PRIORITY_SHARE, None
         self.mean_worth = self.ordinary_worth = 0.0
-        self.runs = i.Runs(len(settings.classes), start_us, MEMORY)
+        self.runs = RunTimeEstimator(len(settings.classes), start_us, MEMORY)
         self.jobs_seen, self.probe_credit = 0, 0.0
         self.parts = [
             q / (sum(settings.quotas_per_s) or 1.0) for q in settings.quotas_per_s
         ]  # by tenant
         self.credit = [1.0] * len(self.parts)
-        self.report_age = i.ReportAge()
-        self.share = i.Share(start_us, settings.fleet_size)
+        self.report_age = LoadReportLag()
+        self.share = PoolLoadEstimator(start_us, settings.dispatcher_count)
 
-    def handle(self, now_us: int, events: list[i.Event]) -> list[i.Action]:
+    def handle(self, now_us: int, events: list[PolicyEvent]) -> list[PolicyAction]:
         self.now, self.pool_rooms = now_us, {}
         self.share.advance(now_us)
         self.common_cap = self.common_cap or self.median_cap()
         for event in events:
             match event:
-                case i.Job():
+                case JobSubmitted():
                     self.on_job(event)
-                case i.AttemptEnded():
+                case AttemptEnded():
                     self.on_attempt_ended(event)
-                case i.Started() if event.job in self.held:
-                    self.on_started(self.held[event.job], event.attempt)
-                case i.WorkerList():
+                case AttemptStarted() if event.job_id in self.held:
+                    self.on_started(self.held[event.job_id], event.attempt_number)
+                case EndpointList():
                     self.on_list(event)
-                case i.Timer():
+                case TimerFired():
                     self.on_timer(event.token)
-                case i.Probed() if event.worker in self.workers:
-                    self.on_report(self.workers[event.worker], event.report)
-                case i.ClientLeft() if event.job in self.held:
-                    self.end(self.held[event.job])
-                case i.NewSettings():
+                case HealthChecked() if event.worker_id in self.workers:
+                    self.on_report(self.workers[event.worker_id], event.load_report)
+                case JobAbandoned() if event.job_id in self.held:
+                    self.end(self.held[event.job_id])
+                case SettingsChanged():
                     self.on_settings(event.settings)
         self.pump()
         actions, self.actions = self.actions, []
         return actions
 
-    def on_settings(self, new: i.Settings) -> None:
+    def on_settings(self, new: Settings) -> None:
         old, self.s = self.s, new
-        self.share.many = new.fleet_size > i.MANY
+        self.share.many = new.dispatcher_count > MANY_DISPATCHERS
         self.runs.carry(old.class_names, new.class_names)
-        self.parts = i.carried(old.tenants, new.tenants, self.parts, 0.0)
-        self.credit = i.carried(old.tenants, new.tenants, self.credit, 1.0)
+        self.parts = carry_over(old.tenants, new.tenants, self.parts, 0.0)
+        self.credit = carry_over(old.tenants, new.tenants, self.credit, 1.0)
         for held in self.held.values():
             held.move(new.class_names)
 
     # -- membership ---------------------------------------------------------------------------------------
 
-    def on_list(self, event: i.WorkerList) -> None:
-        if event.kind is i.ListKind.FAILED:
+    def on_list(self, event: EndpointList) -> None:
+        if event.kind is EndpointListKind.FAILED:
             self.asking = False
             self.ask_later(0.5, self.ask_wait_us)
             # Calls given up are work for discovery too: a fleet that does not fall behind never gets in.
-            longest_us = max(self.s.must_ask_us // 2, 3 * self.first_ask_wait_us())
+            longest_us = max(self.s.endpoint_poll_interval_us // 2, 3 * self.first_ask_wait_us())
             self.ask_wait_us = min(2 * self.ask_wait_us, longest_us)
             return
         self.ask_wait_us = self.first_ask_wait_us()
-        for entry in event.entries:
+        for entry in event.endpoints:
             self.on_entry(entry)
-        if event.kind is not i.ListKind.CHANGES:
-            named = {entry.worker for entry in event.entries}
+        if event.kind is not EndpointListKind.CHANGES:
+            named = {entry.worker_id for entry in event.endpoints}
             self.workers = {w: worker for w, worker in self.workers.items() if w in named}
         self.order = [
-            w for _, w in sorted(self.workers.items()) if w.entry.state is i.WorkerState.IN
+            w for _, w in sorted(self.workers.items()) if w.entry.state is EndpointState.ACTIVE
         ]
         self.key_orders, self.stirred = {}, True
         self.strength = sum(map(self.warmth, self.order))
@@ -146,28 +179,31 @@
             self.order[-1].high = False
 
     def first_ask_wait_us(self) -> int:
-        return min(max(ASK_AGAIN_US, ASK_GAP_US * self.s.fleet_size), self.s.must_ask_us // 2)
+        return min(
+            max(ASK_AGAIN_US, ASK_GAP_US * self.s.dispatcher_count),
+            self.s.endpoint_poll_interval_us // 2,
+        )
 
     def ask_later(self, least: float, wait_us: int) -> None:
         """By chance within the wait: asked by a whole fleet as one, discovery serves only the first few."""
         self.actions.append(
-            i.WakeMe(ASK, self.now + int(wait_us * self.random.uniform(least, 1.0)))
+            SetTimer(ASK, self.now + int(wait_us * self.random.uniform(least, 1.0)))
         )
 
     def ask(self) -> None:
-        self.actions += [] if self.asking else [i.WatchList(True)]
+        self.actions += [] if self.asking else [WatchEndpoints(True)]
         self.asking = True
 
-    def on_entry(self, entry: i.WorkerEntry) -> None:
-        if entry.state is i.WorkerState.OUT:
-            self.workers.pop(entry.worker, None)
+    def on_entry(self, entry: Endpoint) -> None:
+        if entry.state is EndpointState.REMOVED:
+            self.workers.pop(entry.worker_id, None)
             return
-        worker = self.workers.get(entry.worker)
+        worker = self.workers.get(entry.worker_id)
         if worker is None or entry.started_us > worker.entry.started_us:
             # A restarted process is cold and healthy, and its old cap says nothing; its pool stays.
-            warm_us = entry.started_us + self.s.warm_within_us if entry.started_us else 0
+            warm_us = entry.started_us + self.s.slow_start_us if entry.started_us else 0
             high = worker is not None and worker.high
-            worker = self.workers[entry.worker] = i.Worker(entry, warm_us, self.now, high=high)
+            worker = self.workers[entry.worker_id] = Worker(entry, warm_us, self.now, high=high)
             worker.turn = (
                 -self.random.random() * entry.weight
             )  # else all begin with the same worker
@@ -175,7 +211,7 @@
 
     # -- health -------------------------------------------------------------------------------------------
 
-    def judge(self, worker: i.Worker, failed: bool) -> None:
+    def judge(self, worker: Worker, failed: bool) -> None:
         worker.failures += FAIL_WEIGHT * (failed - worker.failures)
         if not failed and worker.pace_now <= SLOW:
             worker.pause_us = 0
@@ -205,33 +241,31 @@
             ):
                 worker.pause_us, worker.trial_us = SLOW_PAUSE_US * spare, self.now + SLOW_PAUSE_US
 
-    def usable(self, workers: list[i.Worker], job_class: int = -1) -> list[i.Worker]:
+    def usable(self, workers: list[Worker], job_class: int = -1) -> list[Worker]:
         well = [w for w in workers if w.fit(job_class, self.now)]
         return (
             well if 2 * len(well) >= len(workers) else workers
         )  # most look sick: it is not the workers
 
-    def warmth(
-        self, worker: i.Worker
-    ) -> float:  # the least part of its capacity that it has by now
+    def warmth(self, worker: Worker) -> float:  # the least part of its capacity that it has by now
         if self.now >= worker.warm_us:
             return 1.0
-        part = max(self.now - worker.entry.started_us, 0) / max(self.s.warm_within_us, 1)
-        return self.s.cold_share + (1 - self.s.cold_share) * part
+        part = max(self.now - worker.entry.started_us, 0) / max(self.s.slow_start_us, 1)
+        return self.s.cold_capacity_fraction + (1 - self.s.cold_capacity_fraction) * part
 
-    def cold_turn(self, held: i.Held, worker: i.Worker) -> bool:
+    def cold_turn(self, held: InFlightJob, worker: Worker) -> bool:
         """It gets the work that a warm one did for us of late, times its warmth; so do all dispatchers."""
         own, mean = self.runs.mean_us[held.job.job_class], self.runs.mean_us[-1]
-        gap = self.runs.gap_us or self.s.fall_span_us * self.s.fleet_size
+        gap = self.runs.gap_us or self.s.overload_window_us * self.s.dispatcher_count
         gap *= own / mean if own and mean else 1.0
-        part = self.s.fall_multiple * COLD_PART * self.warmth(worker)
+        part = self.s.overload_multiple * COLD_PART * self.warmth(worker)
         gap = gap * self.strength / part if part else inf  # it may begin with nothing
-        if gap <= self.s.fall_span_us:
+        if gap <= self.s.overload_window_us:
             return self.now - worker.last_cold_us >= gap
         # Rarer pushes go by chance, drawn for each span: saved up, those of all would meet in a burst.
         if self.now >= worker.cold_span_us:
-            worker.cold_span_us = self.now + self.s.fall_span_us
-            worker.cold_chance = self.random.random() < self.s.fall_span_us / gap
+            worker.cold_span_us = self.now + self.s.overload_window_us
+            worker.cold_chance = self.random.random() < self.s.overload_window_us / gap
         return worker.cold_chance
 
     # -- pools and caps -----------------------------------------------------------------------------------
@@ -239,7 +273,7 @@
     def median_cap(self) -> float | None:
         """What stands in for an unknown cap: the median of those known by report, 'full' or late starts."""
         heard = (
-            self.s.reports != "none"
+            self.s.load_report_source != "none"
         )  # else one late start on a slow worker must not stand for all
         caps = [
             w.room + w.busy_slots if self.fresh(w) and (heard or w.cap) else w.cap
@@ -249,14 +283,18 @@
         known = sorted(c for c in caps if c is not None)
         return known[len(known) // 2] if known else None
 
-    def room(self, worker: i.Worker) -> float:
+    def room(self, worker: Worker) -> float:
         """Cap less busy slots; where load is reported an old 'full' must not draw sends to its worker."""
         if self.fresh(worker):
             return worker.room
-        cap = self.common_cap if worker.cap is None or self.s.reports != "none" else worker.cap
+        cap = (
+            self.common_cap
+            if worker.cap is None or self.s.load_report_source != "none"
+            else worker.cap
+        )
         return inf if cap is None else cap - worker.busy_slots
 
-    def fresh(self, worker: i.Worker) -> bool:
+    def fresh(self, worker: Worker) -> bool:
         return self.now - worker.room_us <= REPORT_FRESH_US
 
     def one_cap(self) -> float:
@@ -264,7 +302,7 @@
             return self.share.cap
         return inf if self.common_cap is None else max(self.common_cap, 1.0)
 
-    def on_report(self, worker: i.Worker, report: dict[str, float] | None) -> None:
+    def on_report(self, worker: Worker, report: dict[str, float] | None) -> None:
         if report and "free_slots" in report:
             free = report["free_slots"] - report.get("queue", 0.0)
             self.report_age.heard(worker, self.now, free)
@@ -274,25 +312,25 @@
                 self.look_for_lost(worker)
             self.stirred = self.stirred or worker.room >= 1  # less room would help no waiting job
 
-    def look_for_lost(self, worker: i.Worker) -> None:
+    def look_for_lost(self, worker: Worker) -> None:
         """It reports room and no queue: a job of ours that should have begun before the report never will."""
         for held, attempt in (
             (h, a) for h in self.held.values() for a in h.attempts if a.worker is worker
         ):
-            if attempt.unbegun and attempt.sent_us < self.now - i.ReportAge.AGES_US[-1]:
+            if attempt.unbegun and attempt.sent_us < self.now - LoadReportLag.AGES_US[-1]:
                 attempt.lost = True
                 worker.balked(
                     held.job.job_class, attempt, self.now, FIRST_PAUSE_US, LONGEST_PAUSE_US
                 )
-                if held.kind.effect is i.Effect.SAFE and not held.ended:
+                if held.kind.effect is Effect.IDEMPOTENT and not held.ended:
                     self.cancel(held, [attempt])  # its end brings the next attempt
 
-    def change_busy(self, worker: i.Worker, slots: float) -> None:
+    def change_busy(self, worker: Worker, slots: float) -> None:
         worker.change_busy(self.now, slots)
         self.share.moved(worker.high, slots)
         self.stirred = self.stirred or (slots < 0 and self.room(worker) >= 1)
 
-    def change_running(self, worker: i.Worker, slots: float) -> None:
+    def change_running(self, worker: Worker, slots: float) -> None:
         worker.running_slots += slots
         self.share.ran(worker.high, slots)
 
@@ -309,7 +347,7 @@
     def lends(self) -> bool:
         """Whether the High Set has so much room that an ordinary job may have a worker of it."""
         return self.pool_room(True) > self.one_cap() * (
-            1.0 if self.s.reports == "none" else LENT_AT
+            1.0 if self.s.load_report_source == "none" else LENT_AT
         )
 
     def resize(self) -> None:
@@ -320,7 +358,9 @@
             h.job.slots for h in self.waiting if h.priority and not h.ended
         )
         # Dispatchers that know few rooms must not all give back the same workers, down to the same one.
-        few = self.s.reports != "none" and 2 * sum(map(self.fresh, self.order)) < len(self.order)
+        few = self.s.load_report_source != "none" and 2 * sum(map(self.fresh, self.order)) < len(
+            self.order
+        )
         order = self.usable(self.random.sample(self.order, len(self.order)) if few else self.order)
         self.share.recount(order)
         for _ in range(max(len(order) // MOVES, 1)):
@@ -338,15 +378,15 @@
 
     # -- admission ----------------------------------------------------------------------------------------
 
-    def on_job(self, job: i.Job) -> None:
+    def on_job(self, job: JobSubmitted) -> None:
         if not self.workers:
             self.ask()  # without a list from before the start nothing is gained by waiting for a turn
         self.probe_credit += PROBES_A_JOB
         self.jobs_seen += 1
         self.key_jobs[job.key] = self.key_jobs.get(job.key, 0) + 1
         kind = self.s.classes[job.job_class]
-        excess = not self.in_share(job.tenant) and self.s.over_share_worth < 1.0
-        worth = kind.worth * (self.s.over_share_worth if excess else 1.0)
+        excess = not self.in_share(job.tenant) and self.s.over_quota_weight_fraction < 1.0
+        worth = kind.priority_weight * (self.s.over_quota_weight_fraction if excess else 1.0)
         self.mean_worth += MEMORY * (worth - self.mean_worth) if self.mean_worth else worth
         priority = worth >= self.mean_worth * (
             1 - 1e-6
@@ -354,7 +394,7 @@
         self.priority_share += MEMORY * (priority - self.priority_share)
         stale = not priority and self.stale(job, kind)
         excess = excess or stale
-        held = self.held[job.job] = i.Held(
+        held = self.held[job.job_id] = InFlightJob(
             job, kind, self.now, self.now + job.budget_us, priority, excess
         )
         full = not priority and self.over(worth, job.slots) and not self.lends()
@@ -377,18 +417,18 @@
             self.pool_room(False) < -DEAR_EXCEEDS * dear * self.share.cap * self.share.count[False]
         )
 
-    def stale(self, job: i.Job, kind: i.JobClass) -> bool:
+    def stale(self, job: JobSubmitted, kind: JobClass) -> bool:
         """A marked retry that has waited as advised: its goal is past, a first try's is not."""
-        advised = self.s.may_advise_retry and self.s.max_retry_after_us > kind.goal_us
-        return job.client_retry and advised and not kind.late_worth
+        advised = self.s.may_advise_retry and self.s.max_retry_after_us > kind.latency_objective_us
+        return job.client_retry and advised and not kind.late_weight_fraction
 
-    def soon(self, held: i.Held) -> bool:
+    def soon(self, held: InFlightJob) -> bool:
         """Whether jobs of ours end so often that its turn is likely to come while it is still worth it.
 
         Without reports a pool over its caps has a queue already: late starts, which set them, count it."""
         ahead = 1 + sum(1 for h in self.waiting if not h.ended)
         return (
-            self.s.reports != "none"
+            self.s.load_report_source != "none"
             and 0 < self.runs.gap_us * ahead <= self.wait_until(held) - self.now
         )
 
@@ -408,10 +448,10 @@
 
     # -- choice -------------------------------------------------------------------------------------------
 
-    def choose(self, held: i.Held) -> i.Worker | None:
+    def choose(self, held: InFlightJob) -> Worker | None:
         key = held.job.key
         tenant = self.s.tenant_name(held.job.tenant)
-        able = [w for w in self.key_order(key) if w.entry.able(held.kind, tenant)]
+        able = [w for w in self.key_order(key) if w.entry.can_run(held.kind, tenant)]
         if len(able) > CHOICES:
             able = self.random.sample(able, CHOICES) if key is None else able[:CHOICES]
         turn = [w for w in able if self.now >= w.warm_us or self.cold_turn(held, w)]
@@ -450,7 +490,7 @@
         near = near if self.s.cross_zone_price else []
         return self.next_turn(near or pool)
 
-    def key_order(self, key: str | None) -> list[i.Worker]:  # the same at every dispatcher
+    def key_order(self, key: str | None) -> list[Worker]:  # the same at every dispatcher
         if key is not None and key not in self.key_orders:
             k = crc32(key.encode())
             self.key_orders[key] = sorted(
@@ -458,16 +498,16 @@
             )
         return self.order if key is None else self.key_orders[key]
 
-    def in_scope(self, held: i.Held, workers: list[i.Worker]) -> list[i.Worker]:
+    def in_scope(self, held: InFlightJob, workers: list[Worker]) -> list[Worker]:
         ran = held.may_have_run()
-        if ran is None or held.kind.effect is i.Effect.SAFE or held.kind.key_scope == "all":
+        if ran is None or held.kind.effect is Effect.IDEMPOTENT or held.kind.key_scope == "all":
             return workers
         zone, here = held.kind.key_scope == "zone", ran.worker.entry
         return [
             w for w in workers if (w.entry.zone == here.zone if zone else w.entry.cell == here.cell)
         ]
 
-    def next_turn(self, pool: list[i.Worker]) -> i.Worker:
+    def next_turn(self, pool: list[Worker]) -> Worker:
         """Smooth weighted round robin; a cold worker's weight shrinks with its warmth."""
         weights = [max(w.entry.weight, 1e-6) * self.warmth(w) for w in pool]
         for worker, weight in zip(pool, weights, strict=True):
@@ -478,7 +518,7 @@
 
     # -- attempts -----------------------------------------------------------------------------------------
 
-    def push(self, held: i.Held, later: bool = False) -> bool:
+    def push(self, held: InFlightJob, later: bool = False) -> bool:
         """False if the job has to wait."""
         limit = 1 if held.excess else self.s.attempt_limit
         if (
@@ -491,27 +531,27 @@
         worker = None if later else self.choose(held)
         if worker is None:
             self.waiting.append(held)
-            self.actions += [] if held.waited else [i.WakeMe(PUMP, self.wait_until(held))]
+            self.actions += [] if held.waited else [SetTimer(PUMP, self.wait_until(held))]
             held.waited = True
             return False
         self.send(held, worker)
         return True
 
-    def send(self, held: i.Held, worker: i.Worker) -> None:
-        held.attempts.append(i.Attempt(worker, self.now))
+    def send(self, held: InFlightJob, worker: Worker) -> None:
+        held.attempts.append(Attempt(worker, self.now))
         self.change_busy(worker, held.job.slots)
         worker.last_cold_us, worker.cold_chance = self.now, False
         if worker.pause_us:
             worker.trial_us = self.now + worker.pause_us  # one trial at a time
         worker.tried(held.job.job_class, self.now)
-        self.actions.append(i.Push(held.job.job, worker.entry.worker))
-        if self.s.tells_start:
+        self.actions.append(StartAttempt(held.job.job_id, worker.entry.worker_id))
+        if self.s.reports_start:
             patience = START_PATIENCE_MANY if self.share.many else START_PATIENCE
-            due = self.now + int(patience * held.kind.goal_us)
+            due = self.now + int(patience * held.kind.latency_objective_us)
             self.unstarted.append((due, held, held.attempts[-1]))
-            self.actions.append(i.WakeMe(START, due))
+            self.actions.append(SetTimer(START, due))
 
-    def on_started(self, held: i.Held, number: int) -> None:
+    def on_started(self, held: InFlightJob, number: int) -> None:
         if (attempt := held.attempt(number)) is not None:
             if not attempt.started:
                 self.change_running(attempt.worker, held.job.slots)
@@ -523,10 +563,10 @@
                 self.late_at.append(busy + 1)  # it had room beyond the common cap
             self.cancel(held, [a for a in held.attempts if not a.started])
 
-    def cancel(self, held: i.Held, attempts: list[i.Attempt]) -> None:
+    def cancel(self, held: InFlightJob, attempts: list[Attempt]) -> None:
         for number, attempt in enumerate(held.attempts):
             if self.s.may_cancel and attempt.open and attempt in attempts:
-                self.actions.append(i.Cancel(held.job.job, number))
+                self.actions.append(CancelAttempt(held.job.job_id, number))
 
     def second_copies(self) -> None:
         """A push that does not start soon proves that its worker has no room, whatever a late report says.
@@ -550,15 +590,15 @@
                 and len(held.attempts) < self.s.attempt_limit
                 and held.repeatable(self.now)
             )
-            if left and self.s.may_duplicate and held.kind.effect is not i.Effect.UNSAFE:
+            if left and self.s.may_hedge and held.kind.effect is not Effect.NOT_IDEMPOTENT:
                 worker, tried = self.choose(held), [a.worker for a in held.attempts]
                 if worker and worker not in tried and self.room(worker) >= held.job.slots:
                     self.send(held, worker)
 
-    def wait_until(self, held: i.Held) -> int:
+    def wait_until(self, held: InFlightJob) -> int:
         return min(
-            held.arrived_us + int(PATIENCE * held.kind.goal_us),
-            held.deadline_us - self.s.quantum_us,
+            held.arrived_us + int(PATIENCE * held.kind.latency_objective_us),
+            held.deadline_us - self.s.scheduling_quantum_us,
         )
 
     def pump(self) -> None:
@@ -572,53 +612,54 @@
             elif not self.push(held):
                 stuck.add(sort)
 
-    def give_up(self, held: i.Held) -> None:
+    def give_up(self, held: InFlightJob) -> None:
         """The final answer where there is no good attempt left; harmless to retry only if that is known."""
-        everywhere = held.kind.effect is i.Effect.KEYED and held.kind.key_scope == "all"
-        if held.may_have_run() is None or everywhere or held.kind.effect is i.Effect.SAFE:
+        everywhere = held.kind.effect is Effect.IDEMPOTENT_WITH_KEY and held.kind.key_scope == "all"
+        if held.may_have_run() is None or everywhere or held.kind.effect is Effect.IDEMPOTENT:
             pause = (
                 self.s.max_retry_after_us if self.s.may_advise_retry and not held.priority else 0
             )
-            self.actions.append(i.Refuse(held.job.job, pause))
+            self.actions.append(Reject(held.job.job_id, pause))
         else:
-            self.actions.append(i.Fail(held.job.job))
+            self.actions.append(Fail(held.job.job_id))
         self.end(held)
 
-    def end(self, held: i.Held) -> None:
+    def end(self, held: InFlightJob) -> None:
         held.ended = True
         self.cancel(held, held.attempts)  # what is still out serves nobody
         if not any(a.open for a in held.attempts):
-            self.held.pop(held.job.job, None)
+            self.held.pop(held.job.job_id, None)
 
-    def on_attempt_ended(self, event: i.AttemptEnded) -> None:
-        held = self.held.get(event.job)
-        attempt, result = held and held.attempt(event.attempt), event.result
+    def on_attempt_ended(self, event: AttemptEnded) -> None:
+        held = self.held.get(event.job_id)
+        attempt, result = held and held.attempt(event.attempt_number), event.result
         if attempt is None or not attempt.open:
             return
         attempt.open, worker, full_at = False, attempt.worker, attempt.worker.busy_slots
         self.change_busy(worker, -held.job.slots)
         if attempt.started:
             self.change_running(worker, -held.job.slots)
-        self.on_report(worker, event.report)
+        self.on_report(worker, event.load_report)
         attempt.clean = result.never_ran
-        if result is i.Result.FULL:
+        if result is AttemptResult.FULL:
             worker.cap = max(full_at * SAFETY_FACTOR, 1.0)
             # Else a worker that turns jobs away at once would look idle and draw the next ones.
             worker.room, worker.room_us = min(self.room(worker), 0.0), self.now
-        elif result is i.Result.OK:
+        elif result is AttemptResult.OK:
             self.judge(worker, False)
-            self.runs.served(self.now, held.job.job_class, event.spent_us)
+            self.runs.served(self.now, held.job.job_class, event.elapsed_us)
             if attempt.started:
                 more = self.runs.ran(held.job.job_class, self.now - attempt.started_us)
                 worker.pace += PACE_WEIGHT * (more - worker.pace)
-        elif result not in (i.Result.NOT_SENT, i.Result.CANCELLED):
+        elif result not in (AttemptResult.NOT_SENT, AttemptResult.CANCELLED):
             self.judge(worker, True)
-        if event.job_ended or held.ended:
+        if event.job_answered or held.ended:
             self.end(held)
         elif not any(a.open for a in held.attempts):
             # Half of the attempts are kept for when room has changed: at a crowded fleet they are soon gone.
             self.push(
-                held, result is i.Result.FULL and 2 * len(held.attempts) >= self.s.attempt_limit
+                held,
+                result is AttemptResult.FULL and 2 * len(held.attempts) >= self.s.attempt_limit,
             )
 
     def on_timer(self, token: int) -> None:
@@ -632,11 +673,11 @@
             if self.jobs_seen > KEY_HORIZON:
                 self.jobs_seen //= 2
                 self.key_jobs = {key: n // 2 for key, n in self.key_jobs.items() if n > 1}
-            if self.s.reports != "none" and self.s.may_probe:
+            if self.s.load_report_source != "none" and self.s.may_check_health:
                 silent = [
                     w for w in self.order if self.now - w.room_us >= PERIOD_US
                 ]  # maybe jammed
                 for worker in self.random.sample(silent, min(ceil(self.probe_credit), len(silent))):
-                    self.actions.append(i.Probe(worker.entry.worker))
+                    self.actions.append(CheckHealth(worker.entry.worker_id))
                 self.probe_credit = 0.0
-            self.actions.append(i.WakeMe(TICK, self.now + PERIOD_US))
+            self.actions.append(SetTimer(TICK, self.now + PERIOD_US))
--- /dev/null
+++ b/stepstream/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Protocols between the core, fronts, carriers and subsystems, a module a concern."""
--- a/stepstream/lines.py
+++ b/stepstream/runtime/structured_log.py
@@ -5,10 +5,10 @@
 
 import structlog
 
-Form = Literal["json", "console"]
+LogFormat = Literal["json", "console"]
 
 
-def logger(form: Form, stream: TextIO = sys.stderr) -> structlog.BoundLogger:
+def structured_logger(form: LogFormat, stream: TextIO = sys.stderr) -> structlog.BoundLogger:
     """`json`: one object a line, keys sorted; `console`: for people. Times are UTC, in ISO form."""
     last = (
         structlog.processors.JSONRenderer(sort_keys=True)
--- a/stepstream/net/links.py
+++ b/stepstream/runtime/transport.py
@@ -2,10 +2,10 @@
 
 import socket
 
-from stepstream.net.sockets import hang_up
+from stepstream.runtime.sockets import shut_down
 
 
-class Link:
+class Transport:
     """Plain TCP. What the peer did not take at once stays in `rest`; its owner lets one thread at a time
     send.
     """
@@ -77,7 +77,7 @@
             pass
 
     def hang_up(self) -> None:
-        hang_up(self.sock)
+        shut_down(self.sock)
 
     def close(self) -> None:
         self.sock.close()
--- a/tests/test_admin.py
+++ b/tests/admin/test_admin.py
@@ -8,17 +8,18 @@
 import time
 
 import pytest
-from net_helpers import LIMITS
-from test_node import PATIENCE, ROOT, World, ask, free_port, job_bytes, wait_for
-from test_settings import CONFIG
-
-from stepstream import interface as i
-from stepstream.admin.calls import Asked, Call, Denied, Effect, Verdict, View, decide, route
-from stepstream.admin.driver import AdminListener
-from stepstream.drain import Drain
-from stepstream.maintenance import Bans, BanState, Overlay
-from stepstream.members import Listed, Members
-from stepstream.net.threads import LogQuota
+from admin_helpers import call
+from config_helpers import CONFIG
+from net_helpers import LIMITS, job_bytes
+from node_helpers import PATIENCE, ROOT, World, ask, free_port, wait_for
+
+from stepstream.admin.listener import AdminListener
+from stepstream.admin.routing import Asked, Call, Denied, Effect, Verdict, View, decide, route
+from stepstream.core.drain import DrainState
+from stepstream.core.endpoint_set import EndpointSet, EndpointsUpdated
+from stepstream.core.maintenance import MaintenanceOverlay, MaintenanceRegistry, MaintenanceState
+from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind, EndpointState
+from stepstream.runtime.log import LogRateLimit
 
 # -- which call, and its answer ---------------------------------------------------------------------------
 
@@ -55,53 +56,67 @@
 
 
 def test_bans_count_and_order_their_states():
-    bans = Bans()
-    assert bans.ban("s-1") and not bans.ban("s-1")
-    assert bans.lift("s-1", 5_000) and not bans.lift("s-1", 6_000)
+    bans = MaintenanceRegistry()
+    assert bans.begin("s-1")
+    assert not bans.begin("s-1")
+    assert bans.release("s-1", 5_000)
+    assert not bans.release("s-1", 6_000)
     state = bans.snapshot()
-    assert (
-        state.banned == frozenset() and state.lifted == (("s-1", 5_000),) and state.generation == 2
-    )
+    assert state.in_maintenance == frozenset()
+    assert state.released == (("s-1", 5_000),)
+    assert state.generation == 2
     assert (bans.counts.out, bans.counts.back, bans.counts.again) == (1, 1, 2)
-    assert not bans.adopt(BanState(2, frozenset({"s-9"})))
-    assert bans.adopt(BanState(3, frozenset({"s-9"}))) and bans.holds("s-9")
+    assert not bans.adopt(MaintenanceState(2, frozenset({"s-9"})))
+    assert bans.adopt(MaintenanceState(3, frozenset({"s-9"})))
+    assert bans.contains("s-9")
 
 
 def test_a_banned_worker_looks_draining_whatever_its_list_says_and_returns_cold():
-    members = Members(lambda _: None)
-    entries = (i.WorkerEntry("s-1", started_us=1_000), i.WorkerEntry("s-2"))
-    members.apply(Listed("discovery", i.WorkerList(i.ListKind.COMPLETE, entries)))
-    told = members.maintain(BanState(1, frozenset({"s-1"})))
-    assert [(e.worker, e.state) for e in told.entries] == [("s-1", i.WorkerState.DRAINING)]
-    again = members.apply(Listed("discovery", i.WorkerList(i.ListKind.COMPLETE, entries)))
-    assert {e.worker: e.state for e in again.entries}["s-1"] is i.WorkerState.DRAINING
-    back = members.maintain(BanState(2, frozenset(), (("s-1", 9_000),)))
-    assert [(e.state, e.started_us) for e in back.entries] == [(i.WorkerState.IN, 9_000)]
-    later = members.apply(Listed("discovery", i.WorkerList(i.ListKind.CHANGES, entries[:1])))
-    assert later.entries[0].started_us == 9_000  # the list's older start does not make it warm
+    members = EndpointSet(lambda _: None)
+    entries = (Endpoint("s-1", started_us=1_000), Endpoint("s-2"))
+    members.apply(EndpointsUpdated("discovery", EndpointList(EndpointListKind.COMPLETE, entries)))
+    told = members.maintain(MaintenanceState(1, frozenset({"s-1"})))
+    assert [(e.worker_id, e.state) for e in told.endpoints] == [("s-1", EndpointState.DRAINING)]
+    again = members.apply(
+        EndpointsUpdated("discovery", EndpointList(EndpointListKind.COMPLETE, entries))
+    )
+    assert {e.worker_id: e.state for e in again.endpoints}["s-1"] is EndpointState.DRAINING
+    back = members.maintain(MaintenanceState(2, frozenset(), (("s-1", 9_000),)))
+    assert [(e.state, e.started_us) for e in back.endpoints] == [(EndpointState.ACTIVE, 9_000)]
+    later = members.apply(
+        EndpointsUpdated("discovery", EndpointList(EndpointListKind.CHANGES, entries[:1]))
+    )
+    assert later.endpoints[0].started_us == 9_000  # the list's older start does not make it warm
 
 
 def test_an_overlay_keeps_a_later_start_and_leaves_a_gone_worker_gone():
-    overlay = Overlay()
-    overlay.take(BanState(1, frozenset(), (("s-1", 9_000),)))
-    assert overlay.lay(i.WorkerEntry("s-1", started_us=12_000)).started_us == 12_000
-    gone = i.WorkerEntry("s-1", state=i.WorkerState.OUT)
-    assert overlay.lay(gone) is gone
+    overlay = MaintenanceOverlay()
+    overlay.update(MaintenanceState(1, frozenset(), (("s-1", 9_000),)))
+    assert overlay.apply(Endpoint("s-1", started_us=12_000)).started_us == 12_000
+    gone = Endpoint("s-1", state=EndpointState.REMOVED)
+    assert overlay.apply(gone) is gone
 
 
 # -- the drain on a fake clock ----------------------------------------------------------------------------
 
 
 def test_a_drain_closes_kept_connections_after_its_time_and_ends_at_once():
-    drain = Drain(close_after=0.5)
-    assert not drain.failed and not drain.closing(100.0)
-    assert drain.fail(10.0) and not drain.fail(10.3)  # the second call keeps the first one's time
-    assert drain.failed and not drain.closing(10.49) and drain.closing(10.5)
-    assert drain.ok() and not drain.failed and not drain.closing(11.0) and not drain.ok()
+    drain = DrainState(close_after_seconds=0.5)
+    assert not drain.active
+    assert not drain.closes_connections(100.0)
+    assert drain.start(10.0)
+    assert not drain.start(10.3)
+    assert drain.active
+    assert not drain.closes_connections(10.49)
+    assert drain.closes_connections(10.5)
+    assert drain.cancel()
+    assert not drain.active
+    assert not drain.closes_connections(11.0)
+    assert not drain.cancel()
 
 
 def test_bad_calls_are_logged_within_a_rate():
-    quota = LogQuota(2, 10.0)
+    quota = LogRateLimit(2, 10.0)
     assert [quota.allows(t) for t in (0.0, 1.0, 2.0, 3.0)] == ["", "", None, None]
     assert quota.allows(10.5) == " (2 more such not logged)"
 
@@ -130,16 +145,10 @@
     listener.listener.close()
 
 
-def call(port, data):
-    with socket.create_connection(("127.0.0.1", port), timeout=PATIENCE) as sock:
-        sock.sendall(data)
-        return ask(port, b"", sock)
-
-
 def test_a_call_is_answered_beside_callers_that_hold_their_connections(admin):
     fake, port = admin
     slow = [
-        socket.create_connection(("127.0.0.1", port)) for _ in range(LIMITS.admin_connections // 2)
+        socket.create_connection(("127.0.0.1", port)) for _ in range(LIMITS.connections.admin // 2)
     ]
     for sock in slow:
         sock.sendall(b"PUT /healthcheck/fa")
@@ -154,7 +163,7 @@
 def test_more_callers_than_places_make_room_from_the_oldest(admin):
     _, port = admin
     held = [
-        socket.create_connection(("127.0.0.1", port)) for _ in range(LIMITS.admin_connections + 4)
+        socket.create_connection(("127.0.0.1", port)) for _ in range(LIMITS.connections.admin + 4)
     ]
     time.sleep(0.2)
     assert call(port, b"PUT /healthcheck/ok HTTP/1.1\r\n\r\n").status == 200
@@ -229,7 +238,12 @@
     wait_for(lambda: ask(operated.port, job_bytes(next(names))).status == 200)
 
 
-OPERATORS = ("stepstream.admin", "stepstream.drain", "stepstream.maintenance", "stepstream.upgrade")
+OPERATORS = (
+    "stepstream.admin",
+    "stepstream.core.drain",
+    "stepstream.core.maintenance",
+    "stepstream.hot_restart",
+)
 
 
 def started(operator):
@@ -243,8 +257,8 @@
         config["operator"] = f"127.0.0.1:{free_port()}"
     code = (
         "import json, sys, threading\n"
-        "from stepstream.node import Node\n"
-        "from stepstream.settings import config_from\n"
+        "from stepstream.node.node import Node\n"
+        "from stepstream.config.node_config import config_from\n"
         f"Node(config_from(json.loads({json.dumps(config)!r}), {{}})).start()\n"
         f"print(sorted({{m.rpartition('.')[0] or m for m in sys.modules if m.startswith({OPERATORS!r})}}))\n"
         "print(sorted(t.name for t in threading.enumerate()))\n"
@@ -258,6 +272,8 @@
 
 def test_serve_without_an_admin_address_loads_nothing_of_it_and_with_one_it_does():
     modules, threads = started(operator=False)
-    assert modules == "[]" and "admin" not in threads
+    assert modules == "[]"
+    assert "admin" not in threads
     modules, threads = started(operator=True)
-    assert "stepstream.admin" in modules and "'admin'" in threads
+    assert "stepstream.admin" in modules
+    assert "'admin'" in threads
--- a/tests/test_operator_file.py
+++ b/tests/config/test_operator_file.py
@@ -7,19 +7,19 @@
 import pytest
 from net_helpers import SETTINGS
 
-from stepstream.operator_file import Gearman, Operator, read_operator
-from stepstream.settings import FieldError
+from stepstream.config.errors import ConfigurationError
+from stepstream.config.operator_file import GearmanSection, OperatorConfig, read_operator
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[2]
 HEAVY = (
     "msgspec",
     "tomllib",
-    "stepstream.operator_file",
+    "stepstream.config.operator_file",
     "stepstream.gearman",
     "stepstream.identity",
-    "stepstream.fleet",
+    "stepstream.membership",
     "stepstream.leases",
-    "stepstream.lines",
+    "stepstream.runtime.structured_log",
     "jwt",
     "cryptography",
     "structlog",
@@ -48,7 +48,7 @@
 
 
 def test_an_empty_file_switches_nothing_on(tmp_path):
-    assert read(tmp_path, "") == Operator(gearman=None)
+    assert read(tmp_path, "") == OperatorConfig(gearman=None)
 
 
 def test_a_section_takes_its_defaults(tmp_path):
@@ -57,7 +57,9 @@
     )
     gearman = read(tmp_path, text).gearman
     assert (gearman.tenant, gearman.queue, gearman.worker.slots) == ("hron-asset", 8, 4)
-    assert gearman == Gearman(listen="127.0.0.1:4730", tenant="hron-asset", worker=gearman.worker)
+    assert gearman == GearmanSection(
+        listen="127.0.0.1:4730", tenant="hron-asset", worker=gearman.worker
+    )
 
 
 @pytest.mark.parametrize(
@@ -108,13 +110,14 @@
     ],
 )
 def test_a_fault_names_its_key(tmp_path, text, key):
-    with pytest.raises(FieldError) as fault:
+    with pytest.raises(ConfigurationError) as fault:
         read(tmp_path, text)
-    assert key in str(fault.value) and "operator.toml" in str(fault.value)
+    assert key in str(fault.value)
+    assert "operator.toml" in str(fault.value)
 
 
 def test_a_file_that_is_not_there_is_named(tmp_path):
-    with pytest.raises(FieldError, match="nowhere.toml cannot be read"):
+    with pytest.raises(ConfigurationError, match="nowhere.toml cannot be read"):
         read_operator(str(tmp_path / "nowhere.toml"), SETTINGS)
 
 
@@ -125,7 +128,7 @@
 
 def test_serve_without_the_file_imports_nothing_of_it():
     code = (
-        "import sys, stepstream.cli, stepstream.node\n"
+        "import sys, stepstream.cli, stepstream.node.node\n"
         f"print([m for m in sys.modules if m.startswith({HEAVY!r})])\n"
     )
     run = subprocess.run(
--- a/tests/test_settings.py
+++ b/tests/config/test_settings.py
@@ -3,38 +3,14 @@
 import json
 
 import pytest
+from config_helpers import CONFIG
 
 from stepstream import cli
-from stepstream import interface as i
-from stepstream.settings import FieldError, Fields, config_from, flatten, read_settings
-
-SETTINGS = {
-    "services": [
-        {
-            "name": "revalue",
-            "deadline_us": 5000000,
-            "goal_time_us": 200000,
-            "effect": "pure",
-            "worth": 1.0,
-        },
-        {"name": "nav-publish", "deadline_us": 5000000, "effect": "token", "window_us": 7500000},
-    ],
-    "extra": {"class_kind": [-1, -1], "class_stretch": [2.0, 1.5], "tells_start": True},
-    "projects": [{"name": "tatra-invest", "quota_per_s": 92.0}],
-    "zones": ["ruzinov", "petrzalka"],
-    "zone": 1,
-    "discovery": "subscribe",
-    "limits": {"try_limit": 4, "cancelling": True, "conn_idle_us": 8000000},
-    "load_report": {"how": "none", "columns": []},
-}
-CONFIG = {
-    "name": "n0",
-    "listen": "127.0.0.1:8081",
-    "discovery": "127.0.0.1:8500",
-    "seed": "8c1f30d27a5be964",
-    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-    "settings": SETTINGS,
-}
+from stepstream.config.errors import ConfigurationError
+from stepstream.config.fields import SettingsFields, flatten
+from stepstream.config.node_config import config_from
+from stepstream.config.settings_reader import read_settings
+from stepstream.model.settings import Effect, JobClass
 
 
 def test_nested_json_reads_like_the_wire():
@@ -48,14 +24,17 @@
         "load_report.how=none load_report.columns="
     )
     nested = config_from(CONFIG, {}).settings
-    assert nested == read_settings(Fields(line.split(" ")))
-    assert (
-        nested.zones == ("ruzinov", "petrzalka")
-        and nested.must_ask
-        and nested.conn_idle_us == 8_000_000
-    )
-    assert nested.classes[1] == i.JobClass(
-        5_000_000, 5_000_000, i.Effect.KEYED, stretch=1.5, window_us=7_500_000, name="nav-publish"
+    assert nested == read_settings(SettingsFields(line.split(" ")))
+    assert nested.zones == ("ruzinov", "petrzalka")
+    assert nested.polls_endpoints
+    assert nested.worker_idle_timeout_us == 8_000_000
+    assert nested.classes[1] == JobClass(
+        5_000_000,
+        5_000_000,
+        Effect.IDEMPOTENT_WITH_KEY,
+        objective_stretch=1.5,
+        idempotency_window_us=7_500_000,
+        name="nav-publish",
     )
 
 
@@ -125,7 +104,7 @@
     ],
 )
 def test_a_fault_names_its_key(path, value, words):
-    with pytest.raises(FieldError, match=words.replace(".", r"\.")):
+    with pytest.raises(ConfigurationError, match=words.replace(".", r"\.")):
         config_from(changed(path, value), {})
 
 
@@ -163,6 +142,8 @@
     path = tmp_path / "config.json"
     path.write_text(json.dumps(CONFIG))
     monkeypatch.setenv("EDGE_CONFIG", str(path))
-    assert cli.main(["check-config"]) == 0 and cli.main(["version"]) == 0
+    assert cli.main(["check-config"]) == 0
+    assert cli.main(["version"]) == 0
     out = capsys.readouterr().out
-    assert "classes: revalue, nav-publish" in out and out.splitlines()[-1][0].isdigit()
+    assert "classes: revalue, nav-publish" in out
+    assert out.splitlines()[-1][0].isdigit()
--- a/tests/test_gearman_codec.py
+++ b/tests/gearman/test_gearman_codec.py
@@ -47,7 +47,8 @@
         raw = b"".join(codec.write(magic, packet.kind, *packet.args) for packet in sent)
         cuts = sorted(data.draw(st.lists(st.integers(0, len(raw)), max_size=8)))
         parser = Parser(LIMITS, answers=magic is codec.RES)
-        assert feed_split(parser, raw, cuts) == sent and parser.idle
+        assert feed_split(parser, raw, cuts) == sent
+        assert parser.idle
 
     check()
 
@@ -85,23 +86,30 @@
 def test_framing_in_doubt_is_one_error_and_the_end(data, code):
     session = Session(LIMITS)
     (reply,) = session.feed(data + codec.request(Kind.GRAB_JOB))
-    assert reply.close and code.encode() in reply.data and session.closed
+    assert reply.close
+    assert code.encode() in reply.data
+    assert session.closed
     assert session.feed(codec.request(Kind.ECHO_REQ, b"x")) == []
 
 
 def test_what_is_half_here_and_what_says_nothing_is_ended_within_three_seconds():
-    assert max(LIMITS.greeting, LIMITS.slow_peer) + LIMITS.sweep < 3.0
+    assert (
+        max(LIMITS.timeouts.first_message_seconds, LIMITS.timeouts.message_seconds)
+        + LIMITS.loop.sweep_seconds
+        < 3.0
+    )
 
 
 def test_another_protocols_words_end_the_connection_before_its_body_is_read():
     hidden = codec.request(Kind.SUBMIT_JOB, "revalue", "", "x")
     (reply,) = Session(LIMITS).feed(b"POST /revalue HTTP/1.1\r\n\r\n" + hidden)
-    assert reply.close and reply.data.startswith(b"ERR UNKNOWN_COMMAND")
+    assert reply.close
+    assert reply.data.startswith(b"ERR UNKNOWN_COMMAND")
 
 
 def test_a_size_is_refused_before_its_bytes_are_waited_for():
     parser = Parser(LIMITS)
-    parser.feed(codec.HEADER.pack(codec.REQ, Kind.ECHO_REQ, LIMITS.packet + 1))
+    parser.feed(codec.HEADER.pack(codec.REQ, Kind.ECHO_REQ, LIMITS.gearman.packet_bytes + 1))
     with pytest.raises(GearmanError):
         parser.next()
     assert parser.state is State.BROKEN
@@ -125,8 +133,12 @@
     parser.feed(codec.HEADER.pack(codec.REQ, 99, 2) + b"ab" + codec.request(Kind.PRE_SLEEP))
     assert [parser.next(), parser.next()] == [Unknown(99), Packet(Kind.PRE_SLEEP)]
     session = Session(LIMITS)
-    replies = session.feed(codec.HEADER.pack(codec.REQ, 99, 0) * (LIMITS.peer_errors + 5))
-    assert [r.close for r in replies] == [False] * (LIMITS.peer_errors - 1) + [True]
+    replies = session.feed(
+        codec.HEADER.pack(codec.REQ, 99, 0) * (LIMITS.gearman.errors_per_connection + 5)
+    )
+    assert [r.close for r in replies] == [False] * (LIMITS.gearman.errors_per_connection - 1) + [
+        True
+    ]
 
 
 @pytest.mark.parametrize(
@@ -139,7 +151,9 @@
 )
 def test_what_is_not_offered_is_refused_by_its_name(packet):
     (reply,) = Session(LIMITS).feed(packet)
-    assert isinstance(reply, Reply) and not reply.close and b"NOT_OFFERED\0SUBMIT_" in reply.data
+    assert isinstance(reply, Reply)
+    assert not reply.close
+    assert b"NOT_OFFERED\0SUBMIT_" in reply.data
 
 
 def test_an_argument_that_cannot_be_split_is_not_written():
--- a/tests/test_gearman_desk.py
+++ b/tests/gearman/test_gearman_desk.py
@@ -8,10 +8,10 @@
 from net_helpers import LIMITS
 from walk import walks
 
-from stepstream import interface as i
-from stepstream.dispatch import LastCall, News
+from stepstream.core.events import JobStatus, ShutdownStarted
 from stepstream.gearman.codec import Kind
-from stepstream.ports import Refusal, Turned
+from stepstream.model.events import SettingsChanged
+from stepstream.ports.access_control import Rejection, RejectionKind
 
 FINALS = (Kind.WORK_COMPLETE, Kind.WORK_FAIL)
 
@@ -48,7 +48,8 @@
     client = floor.plug()
     handle = submit(client, "tatra-invest/revalue+2", "u1", "body")
     held, function, unique, workload = worker.grab()
-    assert (function, workload) == (b"revalue", b"body") and held != handle
+    assert (function, workload) == (b"revalue", b"body")
+    assert held != handle
     worker.send(Kind.WORK_STATUS, held, "1", "4")
     worker.send(Kind.WORK_DATA, held, "part")
     worker.send(Kind.WORK_WARNING, held, "hm")
@@ -61,7 +62,9 @@
         (Kind.WORK_WARNING, (b"hm",)),
         (Kind.WORK_COMPLETE, (b"end",)),
     ]
-    assert not floor.core.requests and not floor.desk.jobs.by_handle and floor.desk.jobs.held == 0
+    assert not floor.core.requests
+    assert not floor.desk.jobs.by_handle
+    assert floor.desk.jobs.held == 0
 
 
 def test_a_job_that_failed_after_data_serves_only_what_the_second_worker_made():
@@ -87,7 +90,7 @@
     (call,) = floor.http
     assert (call.request.payload.path, call.request.payload.body) == ("/nav-publish", b"body")
     assert call.request.payload.idempotency_key == "key-1"
-    floor.http_news(call, News.RUNNING, progress=(400, 1000))
+    floor.http_news(call, JobStatus.RUNNING, progress=(400, 1000))
     floor.http_done(call)
     assert [p.args[1:] for p in client.got[1:]] == [(b"400", b"1000"), (b"17.5",)]
 
@@ -108,9 +111,8 @@
     worker.send(Kind.CAN_DO, "once")
     floor.later(10_000)
     worker.send(Kind.WORK_EXCEPTION, worker.grab()[0], "no market data")
-    assert (
-        client.got[-2].args[1] == b"failed no market data" and client.got[-1].kind is Kind.WORK_FAIL
-    )
+    assert client.got[-2].args[1] == b"failed no market data"
+    assert client.got[-1].kind is Kind.WORK_FAIL
 
 
 @pytest.mark.parametrize(
@@ -129,20 +131,26 @@
     floor = Floor()
     client = floor.plug()
     assert code(client.send(Kind.SUBMIT_JOB, function, unique, "x")) == expected
-    assert not client.ended and not floor.core.requests
+    assert not client.ended
+    assert not floor.core.requests
 
 
 def test_too_much_is_refused_with_the_time_to_come_back_and_bounds_memory():
-    small = replace(LIMITS, held=100, body=90)
+    small = replace(
+        LIMITS,
+        gearman=replace(LIMITS.gearman, in_flight_workload_bytes=100),
+        sizes=replace(LIMITS.sizes, body_bytes=90),
+    )
     floor = Floor(limits=small, section=replace_section(jobs_a_connection=2))
     client = floor.plug()
     assert code(client.send(Kind.SUBMIT_JOB, "revalue", "", "x" * 91)) == "WORKLOAD_TOO_LARGE"
     submit(client, data="x" * 80)
     fault = client.send(Kind.SUBMIT_JOB, "revalue", "", "x" * 30)
-    assert code(fault) == "JOB_QUEUE_FULL" and b"retry-after=2.000" in fault[0].args[1]
+    assert code(fault) == "JOB_QUEUE_FULL"
+    assert b"retry-after=2.000" in fault[0].args[1]
     submit(client)
     assert code(client.send(Kind.SUBMIT_JOB, "revalue", "", "")) == "JOB_QUEUE_FULL"
-    few = Floor(limits=replace(LIMITS, open_jobs=2))
+    few = Floor(limits=replace(LIMITS, gearman=replace(LIMITS.gearman, open_jobs=2)))
     for _ in range(2):
         submit(few.plug(), kind=Kind.SUBMIT_JOB_BG)
     assert code(few.plug().send(Kind.SUBMIT_JOB_BG, "revalue", "", "")) == "JOB_QUEUE_FULL"
@@ -167,8 +175,9 @@
     client = floor.plug()
     submit(client)
     client.leave()
-    assert [call.worker for call in floor.stopped] == ["s-1"]
-    assert not floor.core.requests and not floor.desk.jobs.by_handle
+    assert [call.worker_id for call in floor.stopped] == ["s-1"]
+    assert not floor.core.requests
+    assert not floor.desk.jobs.by_handle
 
 
 def test_a_job_that_waits_for_its_worker_is_taken_back_when_its_client_drops():
@@ -183,9 +192,11 @@
     floor, worker = floor_with_worker()
     clients = [floor.plug() for _ in range(3)]
     handles = {submit(client, unique="same", data=f"{k}") for k, client in enumerate(clients)}
-    assert len(handles) == 1 and len(floor.core.requests) == 1
+    assert len(handles) == 1
+    assert len(floor.core.requests) == 1
     held = worker.grab()
-    assert held[3] == b"0" and worker.grab() is None
+    assert held[3] == b"0"
+    assert worker.grab() is None
     clients[0].leave()
     clients[1].leave()
     assert floor.core.open_count == 1
@@ -234,7 +245,8 @@
     (packet,) = asker.send(Kind.GET_STATUS_UNIQUE, "bg")
     assert packet.args == (b"bg", b"1", b"0", b"9", b"9", b"0")
     floor.later((SECTION.keep_s + 1) * 1_000_000, step=10_000_000)
-    assert status(asker, handle) == (0, 0, 0, 0) and not floor.desk.jobs.latest
+    assert status(asker, handle) == (0, 0, 0, 0)
+    assert not floor.desk.jobs.latest
 
 
 def test_refused_and_failed_background_jobs_have_their_own_numbers():
@@ -244,7 +256,8 @@
     assert status(asker, handle) == (1, 0, 0, 0)
     floor.later(1_000_000)
     known, running, pause_ms, of = status(asker, handle)
-    assert (known, running, of) == (1, 0, 0) and pause_ms >= 1
+    assert (known, running, of) == (1, 0, 0)
+    assert pause_ms >= 1
     floor, worker = floor_with_worker()
     worker.send(Kind.CAN_DO, "once")
     asker = floor.plug()
@@ -258,7 +271,8 @@
     away, here = floor.plug(), floor.plug()
     assert submit(away, unique="u", kind=Kind.SUBMIT_JOB_BG) == submit(here, unique="u")
     here.leave()
-    assert worker.grab() is not None and floor.core.open_count == 1
+    assert worker.grab() is not None
+    assert floor.core.open_count == 1
 
 
 def test_only_so_many_outcomes_are_kept_the_oldest_go_first():
@@ -278,17 +292,26 @@
     floor = Floor()
     floor.plug().send(Kind.CAN_DO, "revalue")
     floor.plug().join("w", extra=";zone=petrzalka;kind=old-blade;cell=3;slots=4;weight=0.5")
-    new, told = [w.entry for w in floor.core.balancer.workers.values()]
-    assert new.worker == "gearman:c1" and new.started_us == floor.now and new.runs == {"revalue"}
-    assert (told.zone, told.kind, told.cell, told.weight, told.started_us) == (1, 1, 3, 0.5, 1_000)
+    new, told = [w.entry for w in floor.core.load_balancer.workers.values()]
+    assert new.worker_id == "gearman:c1"
+    assert new.started_us == floor.now
+    assert new.supported_jobs == {"revalue"}
+    assert (told.zone, told.worker_kind, told.cell, told.weight, told.started_us) == (
+        1,
+        1,
+        3,
+        0.5,
+        1_000,
+    )
 
 
 def test_two_connections_of_one_id_are_two_workers():
     floor = Floor()
     first, second = floor.plug().join("w"), floor.plug().join("w")
-    assert sorted(floor.core.balancer.workers) == ["gearman:w", "gearman:w~2"]
+    assert sorted(floor.core.load_balancer.workers) == ["gearman:w", "gearman:w~2"]
     first.leave()
-    assert sorted(floor.core.balancer.workers) == ["gearman:w~2"] and second.peer.member
+    assert sorted(floor.core.load_balancer.workers) == ["gearman:w~2"]
+    assert second.peer.member
 
 
 @pytest.mark.parametrize(
@@ -322,13 +345,14 @@
 
 
 def test_only_the_worker_that_has_work_is_woken_and_once():
-    floor = Floor(limits=replace(LIMITS, members=1000))
+    floor = Floor(limits=replace(LIMITS, gearman=replace(LIMITS.gearman, workers=1000)))
     workers = [floor.plug().join(f"w{k}") for k in range(1000)]
     for worker in workers:
         worker.send(Kind.PRE_SLEEP)
     submit(floor.plug())
     woken = [w for w in workers if w.of(Kind.NOOP)]
-    assert len(woken) == 1 and len(woken[0].of(Kind.NOOP)) == 1
+    assert len(woken) == 1
+    assert len(woken[0].of(Kind.NOOP)) == 1
     assert woken[0].grab() is not None
 
 
@@ -345,7 +369,8 @@
     for _ in range(6):
         submit(client)
     member = worker.peer.member
-    assert len(member.queue) == 2 and floor.http  # one slot, one place
+    assert len(member.queue) == 2
+    assert floor.http
 
 
 @pytest.mark.parametrize("how", ["cant", "reset", "close"])
@@ -398,7 +423,8 @@
     first.leave()
     floor.later(1_000)
     (second,) = [w for w in workers if w.peer.member and w.peer.member.queue]
-    assert second.peer.member.identity.cell == cell and second is not first
+    assert second.peer.member.identity.cell == cell
+    assert second is not first
     second.grab()
     second.leave()
     # Nobody of the cell is left: the others never see it.
@@ -409,7 +435,7 @@
 
 @pytest.mark.parametrize(("after_us", "again"), [(300_000, 1), (700_000, 0)])
 def test_a_keyed_job_is_repeated_inside_its_window_only(after_us, again):
-    keyed = replace(THREE.classes[1], goal_us=4_000_000, window_us=500_000)
+    keyed = replace(THREE.classes[1], latency_objective_us=4_000_000, idempotency_window_us=500_000)
     settings = replace(THREE, classes=(THREE.classes[0], keyed, THREE.classes[2]))
     floor, first = floor_with_worker(settings=settings)
     client = floor.plug()
@@ -431,7 +457,8 @@
     assert len(worker.peer.member.queue) == 1
     floor.http_worker()
     floor.later(1_200_000)
-    assert not worker.peer.member.queue and len(floor.http) == 1  # never grabbed: it goes elsewhere
+    assert not worker.peer.member.queue
+    assert len(floor.http) == 1
     floor.http_done(floor.http[0])
     floor.later(4_000_000)
     assert len(client.of(*FINALS)) == 2
@@ -465,7 +492,7 @@
 
 
 def test_can_do_timeout_is_kept_and_its_late_result_still_serves_while_nothing_else_has():
-    patient = replace(THREE.classes[0], goal_us=4_000_000)
+    patient = replace(THREE.classes[0], latency_objective_us=4_000_000)
     floor, worker = floor_with_worker(
         settings=replace(THREE, classes=(patient, *THREE.classes[1:]))
     )
@@ -477,14 +504,16 @@
     floor.later(900_000)
     assert not floor.http
     floor.later(200_000)
-    assert [call.worker for call in floor.http] == ["s-1"]
+    assert [call.worker_id for call in floor.http] == ["s-1"]
     worker.send(Kind.WORK_COMPLETE, held, "late but its own")
     assert [p.args[1] for p in client.of(*FINALS)] == [b"late but its own"]
-    assert floor.stopped[-1].worker == "s-1"
+    assert floor.stopped[-1].worker_id == "s-1"
 
 
 def test_pieces_without_end_fail_the_job_and_not_the_program():
-    floor, worker = floor_with_worker(limits=replace(LIMITS, pieces=10))
+    floor, worker = floor_with_worker(
+        limits=replace(LIMITS, gearman=replace(LIMITS.gearman, partial_result_bytes=10))
+    )
     worker.send(Kind.CAN_DO, "once")
     client = floor.plug()
     submit(client, "once")
@@ -497,14 +526,16 @@
 def test_an_id_changes_only_while_nothing_is_held():
     floor, worker = floor_with_worker()
     worker.send(Kind.SET_CLIENT_ID, "other;slots=2")
-    assert list(floor.core.balancer.workers) == ["gearman:other"]
+    assert list(floor.core.load_balancer.workers) == ["gearman:other"]
     submit(floor.plug())
     worker.grab()
     assert code(worker.send(Kind.SET_CLIENT_ID, "third")) == "BAD_CLIENT_ID"
 
 
 def test_members_and_functions_are_bounded():
-    floor = Floor(limits=replace(LIMITS, members=1, abilities=2))
+    floor = Floor(
+        limits=replace(LIMITS, gearman=replace(LIMITS.gearman, workers=1, functions_per_worker=2))
+    )
     floor.plug().join("a")
     assert code(floor.plug().send(Kind.CAN_DO, "revalue")) == "TOO_MANY_WORKERS"
     assert code(floor.plugs[0].send(Kind.CAN_DO, "third")) == "TOO_MANY_FUNCTIONS"
@@ -517,9 +548,10 @@
     submit(client)
     handle = submit(client, kind=Kind.SUBMIT_JOB_BG)
     worker.grab()
-    floor.tell(LastCall(floor.now + 300_000))
+    floor.tell(ShutdownStarted(floor.now + 300_000))
     floor.later(400_000)
-    assert len(client.of(*FINALS)) == 1 and status(client, handle)[:2] == (1, 0)
+    assert len(client.of(*FINALS)) == 1
+    assert status(client, handle)[:2] == (1, 0)
     assert floor.core.open_count == 0
 
 
@@ -528,7 +560,7 @@
     client = floor.plug()
     submit(client)
     turned = replace(THREE, classes=THREE.classes[::-1])
-    floor.tell(i.NewSettings(turned))
+    floor.tell(SettingsChanged(turned))
     floor.desk.reconfigure(SECTION, turned, LIMITS)
     submit(client, "nav-publish", "k")
     held = [worker.grab() for _ in range(2)][0]
@@ -551,15 +583,15 @@
     client = floor.plug()
     handle = submit(client, unique="u").decode()
     assert "127.0.0.1 w : nav-publish revalue\n" in told(floor, "workers")
-    assert "tatra-invest/revalue\t1\t1\t1\n" in told(floor, "status") and told(
-        floor, "status"
-    ).endswith(".\n")
+    assert "tatra-invest/revalue\t1\t1\t1\n" in told(floor, "status")
+    assert told(floor, "status").endswith(".\n")
     assert told(floor, "version").startswith("OK ")
     assert f"{handle}\topen\t1\t1\ttatra-invest/revalue\n" in told(floor, "show jobs")
     assert told(floor, "show unique jobs") == "u\n.\n"
     assert told(floor, "cancel job H:none").startswith("ERR JOB_NOT_FOUND")
     assert told(floor, f"cancel job {handle}") == "OK\n"
-    assert [p.kind for p in client.of(*FINALS)] == [Kind.WORK_FAIL] and worker.grab() is None
+    assert [p.kind for p in client.of(*FINALS)] == [Kind.WORK_FAIL]
+    assert worker.grab() is None
 
 
 def test_maxqueue_bounds_a_function_and_is_lifted_again():
@@ -576,9 +608,11 @@
 
 def test_shutdown_is_refused_unless_the_file_allows_it():
     floor = Floor()
-    assert told(floor, "shutdown").startswith("ERR NOT_ALLOWED") and not floor.shut
+    assert told(floor, "shutdown").startswith("ERR NOT_ALLOWED")
+    assert not floor.shut
     floor = Floor(section=replace_section(allow_shutdown=True))
-    assert told(floor, "shutdown") == "OK\n" and floor.shut
+    assert told(floor, "shutdown") == "OK\n"
+    assert floor.shut
 
 
 # -- random steps against a model -------------------------------------------------------------------------
@@ -663,19 +697,20 @@
             for packet in client.of(Kind.WORK_COMPLETE):
                 assert packet.args[1].startswith(b"made of ")
         opened = [job for job in jobs.by_handle.values() if job.request is not None]
-        assert jobs.held == sum(job.size for job in opened) and sum(jobs.open.values()) == len(
-            opened
-        )
+        assert jobs.held == sum(job.size for job in opened)
+        assert sum(jobs.open.values()) == len(opened)
         assert floor.core.open_count == len(opened)
         waiting = [w.call for m in floor.desk.workers.members.values() for w in m.queue]
-        assert all(call.open for call in waiting) and len(set(map(id, waiting))) == len(waiting)
+        assert all(call.open for call in waiting)
+        assert len(set(map(id, waiting))) == len(waiting)
         assert all(n == 1 for workload, n in self.handed.items() if workload.startswith(b"once"))
 
     def finish(self):
         self.floor.later(12_000_000, step=500_000)
         for client, owed in self.owed.items():
             assert len(client.of(*FINALS)) == owed
-        assert self.floor.core.open_count == 0 and not self.floor.desk.jobs.hanging
+        assert self.floor.core.open_count == 0
+        assert not self.floor.desk.jobs.hanging
         assert set(self.floor.desk.jobs.by_handle) == set(self.floor.desk.jobs.kept)
 
 
@@ -708,13 +743,13 @@
     def __init__(self):
         self.open_to_workers, self.asked = True, 0
 
-    def enter(self, front, credential, kind, tenant):
-        return Turned(Refusal.UNKNOWN, "no_credential")
+    def authorize_request(self, front, credential, kind, tenant):
+        return Rejection(RejectionKind.UNAUTHENTICATED, "no_credential")
 
-    def worker(self, front, credential, name):
+    def authorize_worker(self, front, credential, name):
         self.asked += 1
         good = self.open_to_workers and credential.token == b"good"
-        return None if good else Turned(Refusal.DENIED, "somebody_else")
+        return None if good else Rejection(RejectionKind.FORBIDDEN, "somebody_else")
 
 
 def test_a_worker_whose_credential_has_ended_gets_nothing_more_and_ends_what_it_holds():
--- a/tests/gearman_helpers.py
+++ b/tests/gearman_helpers.py
@@ -4,19 +4,24 @@
 
 from net_helpers import LIMITS, SETTINGS
 
-from stepstream import interface as i
-from stepstream.dispatch import Answer, Dispatcher, News, Progress, StartCall, StopCall, Told
+from stepstream.config.operator_file import GearmanSection
+from stepstream.core.commands import Answer, Progress, StartCall, StopCall
+from stepstream.core.dispatcher import Dispatcher
+from stepstream.core.endpoint_set import EndpointsUpdated
+from stepstream.core.events import JobNotification, JobStatus
 from stepstream.gearman import codec
 from stepstream.gearman.codec import Kind, Parser
 from stepstream.gearman.desk import SOURCE, Desk, House
 from stepstream.gearman.session import Reply, Session
-from stepstream.members import Listed
-from stepstream.operator_file import Gearman
+from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind
+from stepstream.model.settings import Effect, JobClass
 
 START = 1_800_000_000_000_000
-SECTION = Gearman(listen="127.0.0.1:4730", tenant="tatra-invest", queue=2)
-UNSAFE = i.JobClass(goal_us=200_000, deadline_us=5_000_000, effect=i.Effect.UNSAFE, name="once")
-THREE = replace(SETTINGS, classes=(*SETTINGS.classes, UNSAFE), must_ask=False)
+SECTION = GearmanSection(listen="127.0.0.1:4730", tenant="tatra-invest", queue=2)
+UNSAFE = JobClass(
+    latency_objective_us=200_000, deadline_us=5_000_000, effect=Effect.NOT_IDEMPOTENT, name="once"
+)
+THREE = replace(SETTINGS, classes=(*SETTINGS.classes, UNSAFE), polls_endpoints=False)
 
 
 class Plug:
@@ -101,7 +106,11 @@
         return self.plugs[-1]
 
     def http_worker(self, name="s-1"):
-        self.tell(Listed("discovery", i.WorkerList(i.ListKind.COMPLETE, (i.WorkerEntry(name),))))
+        self.tell(
+            EndpointsUpdated(
+                "discovery", EndpointList(EndpointListKind.COMPLETE, (Endpoint(name),))
+            )
+        )
 
     def tell(self, *events):
         self.run(list(events))
@@ -122,28 +131,28 @@
         for command in self.core.handle(self.now, events):
             match command:
                 case StartCall(call):
-                    gearman = self.core.members.source(call.worker) == SOURCE
+                    gearman = self.core.endpoints.owner(call.worker_id) == SOURCE
                     call.carrier = self.desk if gearman else None
                     self.desk.start(self.now, call) if gearman else self.http.append(call)
                 case StopCall(call):
                     self.stopped.append(call)
                     self.desk.stop(call)
                 case Answer(request):
-                    request.origin.answer(command)
+                    request.response_sink.answer(command)
                 case Progress(request, done, of):
-                    request.origin.progress(done, of)
+                    request.response_sink.progress(done, of)
 
     def http_news(self, call, news, result=None, progress=None):
-        self.tell(Told(call.request.id, call.worker, news, result, progress))
+        self.tell(JobNotification(call.request.id, call.worker_id, news, result, progress))
 
     def http_done(self, call, result="17.5"):
-        self.http_news(call, News.DONE, result)
+        self.http_news(call, JobStatus.DONE, result)
 
     def later(self, us, step=100_000):
         """Time passes; timers ring as they come due."""
         until = self.now + us
         while self.now < until:
-            due = self.core.next_us()
+            due = self.core.next_timer_us()
             self.now = min(until, self.now + step, max(due, self.now + 1) if due else until)
             self.run([])
             self.desk.look(self.now)
--- a/tests/golden/front_samples.py
+++ b/tests/golden/front_samples.py
@@ -36,12 +36,17 @@
         sys.path.insert(0, str(folder))
 
 from stepstream import cli  # noqa: E402
-from stepstream import dispatch as core  # noqa: E402
-from stepstream.net import inbound, outbound, platform, reports  # noqa: E402
-from stepstream.net.http1 import Message, Parser, ProtocolError, write_answer  # noqa: E402
-from stepstream.net.limits import Limits  # noqa: E402
-from stepstream.ports import Payload, Piece, Pieces  # noqa: E402
-from stepstream.settings import config_from  # noqa: E402
+from stepstream.config.limits import Limits
+from stepstream.config.node_config import config_from
+from stepstream.core.commands import Answer, Outcome
+from stepstream.core.events import JobNotification
+from stepstream.core.requests import Request
+from stepstream.http import load_reports as reports
+from stepstream.http import platform_api as platform
+from stepstream.http.codec import Message, Parser, ProtocolError, write_answer
+from stepstream.http.exchange import HttpExchange
+from stepstream.http.session import HttpSession, Reply, ServerState
+from stepstream.ports.payload import ChunkedResult, Payload, ResultChunk
 
 RECORDED = HERE / "fronts"
 NOW_US = 1_900_000_000_000_000
@@ -169,26 +174,26 @@
     """A reader of load reports, and the list of its complaints."""
     complaints: list[str] = []
     settings = settings_of(changed("settings.load_report.how", how))
-    return reports.Reports(settings, complaints.append), complaints
+    return reports.LoadReportReader(settings, complaints.append), complaints
 
 
 def http_session(gate: object = None, **flags: bool) -> object:
     """An inbound connection without its socket; `flags` are those of the door that it goes by."""
-    door = inbound.Door(platform.ClientSide(settings_of(), reports_reader()[0]))
-    door.gate = gate
+    door = ServerState(platform.ClientApi(settings_of(), reports_reader()[0]))
+    door.access_control = gate
     for name, value in flags.items():
-        setattr(door, name, value)
-    return inbound.Session(LIMITS, door)
+        setattr(door, STATE_FIELDS.get(name, name), value)
+    return HttpSession(LIMITS, door)
 
 
 def step_of(step: object) -> dict:
     """What a session gives for what it read: bytes due, a request, or a worker's news."""
     match step:
-        case inbound.Reply():
+        case Reply():
             return {"bytes": text_of(step.data), "close": step.close}
-        case core.Request():
+        case Request():
             return {"request": request_of(step)}
-        case core.Told():
+        case JobNotification():
             return {"news": told_of(step)}
     raise TypeError(type(step))
 
@@ -214,12 +219,12 @@
     if told is None:
         return None
     return {
-        "id": told.id,
-        "from": told.worker,
-        "news": told.news.value,
+        "id": told.request_id,
+        "from": told.worker_id,
+        "news": told.status.value,
         "result": plain(told.result),
         "progress": plain(told.progress),
-        "report": told.report,
+        "report": told.load_report,
     }
 
 
@@ -233,12 +238,12 @@
     """A request's final answer on its connection."""
     session = http_session()
     (request,) = session.feed(job(head), NOW_US)
-    answer = core.Answer(request, core.Outcome(outcome), result, pause_us)
+    answer = Answer(request, Outcome(outcome), result, pause_us)
     return [step_of(session.answer(answer))]
 
 
 def pieces(*parts: tuple[bytes, bool], last: bytes) -> object:
-    return Pieces(tuple(Piece(data, warning) for data, warning in parts), last)
+    return ChunkedResult(tuple(ResultChunk(data, warning) for data, warning in parts), last)
 
 
 def status_answer(status: int, close: bool) -> str:
@@ -246,7 +251,7 @@
 
 
 def refusal_of_a_full_house(pause_us: int) -> str:
-    return text_of(platform.refusal(pause_us, True))
+    return text_of(platform.overload_answer(pause_us, True))
 
 
 def call_bytes(path: str, body: bytes, key: str, timeout_ms: int) -> str:
@@ -255,16 +260,16 @@
 
 
 def give_up_bytes() -> str:
-    return text_of(platform.give_up_bytes("127.0.0.1:9000", "00000000000000aa"))
+    return text_of(platform.cancel_bytes("127.0.0.1:9000", "00000000000000aa"))
 
 
 def probe_bytes(how: str) -> str:
     path = platform.LOAD if reports_reader(how)[0].in_probes else platform.HEALTHY
-    return text_of(platform.probe_bytes("127.0.0.1:9000", path))
+    return text_of(platform.health_check_bytes("127.0.0.1:9000", path))
 
 
 def list_call(version: int | None, wait_s: float = 30.0) -> str:
-    side = platform.DiscoverySide(settings_of())
+    side = platform.DiscoveryApi(settings_of())
     if version is None:
         return text_of(side.fetch_bytes("127.0.0.1:8500"))
     return text_of(side.watch_bytes("127.0.0.1:8500", version, wait_s))
@@ -272,7 +277,7 @@
 
 def list_read(data: bytes) -> object:
     """Discovery's answer, read from the bytes of its connection."""
-    parser = Parser(LIMITS, answers=True, body=LIMITS.list_body)
+    parser = Parser(LIMITS, answers=True, body=LIMITS.sizes.endpoint_list_bytes)
     parser.feed(data)
     try:
         message = parser.next() or parser.end()
@@ -282,17 +287,17 @@
 
 
 def discovery_side() -> object:
-    return platform.DiscoverySide(settings_of())
+    return platform.DiscoveryApi(settings_of())
 
 
 def targets_of(targets: object) -> dict:
     rows = [
-        [e.worker, e.zone, e.kind, e.cell, e.state.value, e.weight, e.started_us]
-        for e in targets.told.entries
+        [e.worker_id, e.zone, e.worker_kind, e.cell, e.state.value, e.weight, e.started_us]
+        for e in targets.update.endpoints
     ]
     return {
         "version": targets.version,
-        "kind": targets.told.kind.value,
+        "kind": targets.update.kind.value,
         "rows": rows,
         "addresses": plain(targets.addresses),
     }
@@ -300,7 +305,7 @@
 
 def list_written(data: dict) -> object:
     """The list that is kept for a hot restart, in discovery's own form."""
-    from stepstream.net.discovery import DestinationSet
+    from stepstream.http.destination_set import DestinationSet
 
     destinations = DestinationSet()
     destinations.apply(discovery_side().read(data, kept=True))
@@ -310,7 +315,7 @@
 def news_read(body: bytes) -> object:
     reader, complaints = reports_reader()
     try:
-        told = platform.read_news(Message("POST", platform.NEWS, body=body), reader)
+        told = platform.read_notification(Message("POST", platform.NEWS, body=body), reader)
     except ProtocolError as error:
         return {"status": error.status}
     return {"news": told_of(told), "complaints": len(complaints)}
@@ -318,8 +323,8 @@
 
 def news_written(body: bytes) -> str:
     """News as it goes on to the process beside this one."""
-    told = platform.read_news(Message("POST", platform.NEWS, body=body))
-    return text_of(platform.news_body(told))
+    told = platform.read_notification(Message("POST", platform.NEWS, body=body))
+    return text_of(platform.notification_body(told))
 
 
 def report_read(place: str, how: str, given: object) -> object:
@@ -330,7 +335,7 @@
 
 def call_ended(data: bytes, written: bool = True) -> dict:
     """What a worker's answer to a call proves, by its bytes; then the connection ends."""
-    exchange = outbound.Exchange(LIMITS)
+    exchange = HttpExchange(LIMITS)
     if written:
         exchange.written()
     if data:
@@ -514,6 +519,13 @@
     "empty": "",
 }
 READY = b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n"
+# Names of the recorded cases, and the fields of the server state that they set.
+STATE_FIELDS = {
+    "leaving": "shutting_down",
+    "failed": "draining",
+    "drained": "drain_closing",
+    "crowded": "is_overloaded",
+}
 DOORS = ("starting", "leaving", "failed", "closing", "drained")
 
 
@@ -925,7 +937,7 @@
     """The operator's file as the program holds it: values in the order of the fields."""
     import msgspec
 
-    from stepstream.operator_file import read_operator
+    from stepstream.config.operator_file import read_operator
 
     with written_files(operator=text) as files:
         read = read_operator(str(files / "operator.toml"), settings_of())
@@ -1061,9 +1073,9 @@
     """The gate of an operator's file with [identity], its clock at NOW_S, and its audit lines."""
 
     def __init__(self, folder: Path, form: str = "json", denials_per_s: int = 20) -> None:
+        from stepstream.config.operator_file import read_operator
         from stepstream.identity.audit import Audit
         from stepstream.identity.gate import Gate, prepare
-        from stepstream.operator_file import read_operator
 
         section = read_operator(str(folder / "operator.toml"), settings_of()).identity
         self.gate = Gate(prepare(section), now=lambda: NOW_S)
@@ -1158,7 +1170,7 @@
         elif peer == "answer":
             job = next(iter(floor.desk.jobs.by_handle.values()))
             outcome, result, pause_us = what
-            answer = core.Answer(job.request, core.Outcome(outcome), result, pause_us)
+            answer = Answer(job.request, Outcome(outcome), result, pause_us)
             floor.desk.answer(floor.now, job, answer)
             floor.settle()
         else:
@@ -1176,8 +1188,8 @@
 
 def status_line(*sections: str) -> str:
     """The status line of a program that has not begun to serve."""
-    from stepstream.node import Node
-    from stepstream.operator_file import read_operator
+    from stepstream.config.operator_file import read_operator
+    from stepstream.node.node import Node
 
     error = io.StringIO()
     with key_folder() as folder, contextlib.redirect_stderr(error):
@@ -1187,7 +1199,7 @@
         config = config_from({**CONFIG, "operator": ""}, {})
         node = Node(config, operator, str(path))
         node.counts.update({outcome: 5 + k for k, outcome in enumerate(node.counts)})
-        node.house.turned_away, node.outbound.pool.count = 1, 2
+        node.server.rejected_count, node.outbound.pool.count = 1, 2
         node.bad_reports.count, node.bad_answers.count, node.bad_lists.count = 3, 4, 9
         node.report()
     return error.getvalue()
--- a/tests/golden/state_answers.py
+++ b/tests/golden/state_answers.py
@@ -21,29 +21,30 @@
 
 import msgspec
 
-from stepstream.admin.desk import Desk
-from stepstream.admin.driver import AdminListener
-from stepstream.dispatch import News, Told
-from stepstream.drain import Drain
-from stepstream.fleet import driver as fleet_driver
-from stepstream.fleet import messages as fleet_messages
-from stepstream.fleet import plug as fleet_plug
-from stepstream.fleet import view as fleet_view
-from stepstream.interface import Probed
+from stepstream.admin.listener import AdminListener
+from stepstream.admin.service import AdminService
+from stepstream.config.limits import Limits
+from stepstream.config.node_config import config_from
+from stepstream.config.operator_file import OperatorConfig
+from stepstream.core.drain import DrainState
+from stepstream.core.events import JobNotification, JobStatus
+from stepstream.core.maintenance import MaintenanceRegistry
+from stepstream.hot_restart import controller as handover_driver
+from stepstream.hot_restart import state as handover
+from stepstream.http import platform_api as platform
+from stepstream.http.destination_set import DestinationSet
 from stepstream.lab import demo, fleet_faults, fleet_play, ledger, nodes, referee, rig
 from stepstream.leases import core as lease_core
 from stepstream.leases import messages as lease_messages
-from stepstream.leases import plug as lease_plug
+from stepstream.leases import subsystem as lease_plug
 from stepstream.leases.sweeper import Sweeper
-from stepstream.maintenance import Bans
-from stepstream.net import platform
-from stepstream.net.discovery import DestinationSet
-from stepstream.net.limits import Limits
-from stepstream.operator_file import Operator
-from stepstream.ports import AdminAnswer, AdminPath
-from stepstream.settings import config_from
-from stepstream.upgrade import driver as handover_driver
-from stepstream.upgrade import state as handover
+from stepstream.membership import driver as fleet_driver
+from stepstream.membership import messages as fleet_messages
+from stepstream.membership import subsystem as fleet_plug
+from stepstream.membership import view as fleet_view
+from stepstream.membership.settings_digest import settings_digest
+from stepstream.model.events import HealthChecked
+from stepstream.ports.admin import AdminResponse, AdminRoute
 
 UNIX_MS = 1_700_000_000_000
 LIMITS = Limits()
@@ -183,10 +184,12 @@
 
 def desk_for(clock: StillClock, posted: list) -> object:
     """A desk that knows one worker, of a process that does not yet take clients."""
-    door = SimpleNamespace(leaving=False, failed=False, drained=False)
-    house = SimpleNamespace(door=door, close_idle=lambda: None)
+    door = SimpleNamespace(shutting_down=False, draining=False, drain_closing=False)
+    house = SimpleNamespace(state=door, close_idle=lambda: None)
     known = {"s-1", "10.0.0.7:5000"}.__contains__
-    return Desk(house, DestinationSet(), Bans(), Drain(0.5), clock, posted.append, known)
+    return AdminService(
+        house, DestinationSet(), MaintenanceRegistry(), DrainState(0.5), clock, posted.append, known
+    )
 
 
 def broken_answer(call: object) -> object:
@@ -198,11 +201,11 @@
     clock, posted = StillClock(), []
     desk = desk_for(clock, posted)
     paths = (
-        AdminPath(r"/broken", frozenset({"GET"}), broken_answer),
-        AdminPath(
+        AdminRoute(r"/broken", frozenset({"GET"}), broken_answer),
+        AdminRoute(
             r"/plain/([^/]+)",
             frozenset({"GET", "HEAD"}),
-            lambda call: AdminAnswer(200, repr(call.parts)),
+            lambda call: AdminResponse(200, repr(call.parts)),
         ),
     )
     with quiet(), clock.in_force():
@@ -253,14 +256,22 @@
             "another protocol": b"GET /healthcheck HTTP/3\r\n\r\n",
             "a length that is none": b"PUT /healthcheck/ok HTTP/1.1\r\nContent-Length: x\r\n\r\n",
             "a body over the bound": b"POST /_jobs/news HTTP/1.1\r\nContent-Length: 65537\r\n\r\n",
-            "a head over the bound": b"GET /healthcheck HTTP/1.1\r\nA: " + b"a" * LIMITS.head,
+            "a head over the bound": b"GET /healthcheck HTTP/1.1\r\nA: "
+            + b"a" * LIMITS.sizes.head_bytes,
         }.items():
             caller.send(title, data)
         caller.close()
     news = [
-        [told.id, told.worker, told.news.value, told.result, told.progress, told.relayed]
+        [
+            told.request_id,
+            told.worker_id,
+            told.status.value,
+            told.result,
+            told.progress,
+            told.forwarded,
+        ]
         for told in posted
-        if isinstance(told, Told)
+        if isinstance(told, JobNotification)
     ]
     return [*caller.told, ["news taken", json.dumps(news)]]
 
@@ -269,7 +280,7 @@
 
 
 def operator_sections(**sections: object) -> object:
-    return msgspec.convert(sections, Operator)
+    return msgspec.convert(sections, OperatorConfig)
 
 
 def row(
@@ -293,13 +304,13 @@
         core=SimpleNamespace(open_count=3),
         destinations=SimpleNamespace(version=42),
         signals=SimpleQueue(),
-        parts={},
+        subsystems={},
     )
 
 
 def fleet_part(host: SimpleNamespace, clock: StillClock) -> object:
     """The subsystem with a view whose chance and start are fixed, and a socket on any port."""
-    part = fleet_plug.FleetPart(host)
+    part = fleet_plug.MembershipSubsystem(host)
     me = row("n0", 7946, "ALIVE")
     times = fleet_plug.times_of(host.operator.fleet)
     seeds = host.operator.fleet.seeds
@@ -338,7 +349,7 @@
     host = fleet_host(clock)
     with quiet(), clock.in_force():
         part = fleet_part(host, clock)
-        caller = Caller(desk_for(clock, []), part.paths())
+        caller = Caller(desk_for(clock, []), part.admin_routes())
         ask = caller.ask
         ask("GET", "/fleet")
         ask("GET", "/fleet/changes")
@@ -385,18 +396,18 @@
     """What a member says of itself, by its phase, with the digest of its settings."""
     clock = StillClock()
     with quiet(), clock.in_force():
-        part = fleet_plug.FleetPart(fleet_host(clock))
+        part = fleet_plug.MembershipSubsystem(fleet_host(clock))
         started = msgspec.to_builtins(part.own_facts([17, 4]))
-        part.serving()
+        part.on_serving()
         serving = msgspec.to_builtins(part.own_facts([]))
-        part.leave()
+        part.begin_shutdown()
         leaving = msgspec.to_builtins(part.own_facts([]))
     told = {"starting": started, "serving": serving, "leaving": leaving}
     program = 8  # the program's version, which changes with each release
     for facts in told.values():
         facts[program] = ""
     other = {**CONFIGURATION, "settings": {**SETTINGS, "zone": 0}}
-    told["settings in another zone"] = fleet_plug.digest_of(config_from(other, {}))
+    told["settings in another zone"] = settings_digest(config_from(other, {}).settings)
     return told
 
 
@@ -410,8 +421,8 @@
         self.clock, self.answering, self.posted = clock, True, []
         messenger = SimpleNamespace(
             process="n0@1f",
-            hear=lambda kind, take: None,
-            post=self.post,
+            subscribe=lambda kind, take: None,
+            send=self.post,
             present=lambda: ["n1"],
             superseded=lambda: False,
         )
@@ -420,9 +431,9 @@
             config=SimpleNamespace(name="n0"),
             operator=operator,
             limits=LIMITS,
-            parts={"fleet": messenger},
+            subsystems={"fleet": messenger},
         )
-        self.part = lease_plug.LeasesPart(host)
+        self.part = lease_plug.LeasesSubsystem(host)
         rules = self.part.rules
         self.peer = lease_core.Core("n1", "n1@2f", rules, UNIX_MS, random.Random(1), clock.now)
 
@@ -446,7 +457,7 @@
     clock = StillClock()
     with quiet(), clock.in_force():
         rig_made = LeaseRig(clock, ("n0", "n1", "n2"), most_sessions=4)
-        caller = Caller(desk_for(clock, []), rig_made.part.paths())
+        caller = Caller(desk_for(clock, []), rig_made.part.admin_routes())
         ask = caller.ask
         ask("GET", "/leases")
         ask("PUT", f"/leases/early/{want('session-0')}")
@@ -531,16 +542,16 @@
     """What the holder of the probe sweep tells of two workers: member, kind and data."""
     clock, told, heard = StillClock(), [], []
     messenger = SimpleNamespace(
-        hear=lambda kind, take: heard.append(kind),
-        post=lambda member, kind, data: told.append([member, kind, data.hex()]),
+        subscribe=lambda kind, take: heard.append(kind),
+        send=lambda member, kind, data: told.append([member, kind, data.hex()]),
         present=lambda: ["n1", "n2"],
     )
     with clock.in_force():
         made = Sweeper(None, messenger, None, list, None, tuple, lambda probed: None)
-        made.answered(Probed("s-1", True, 3_400, {"busy": 0.25}))
+        made.answered(HealthChecked("s-1", True, 3_400, {"busy": 0.25}))
         clock.now += 0.125
-        made.answered(Probed("s-2", True, 0, {"busy": 1.0, "queue": 2.0}))
-        made.answered(Probed("s-3", False, 0, None))
+        made.answered(HealthChecked("s-2", True, 0, {"busy": 1.0, "queue": 2.0}))
+        made.answered(HealthChecked("s-3", False, 0, None))
         made.tell(SimpleNamespace(token=UNIX_MS))
     return [*told, ["kinds heard", *heard]]
 
@@ -550,7 +561,7 @@
 
 def listed_workers() -> list[object]:
     """Discovery's list in its own form before its first answer, after a whole list and a change."""
-    side = platform.DiscoverySide(config_from(CONFIGURATION, {}).settings)
+    side = platform.DiscoveryApi(config_from(CONFIGURATION, {}).settings)
     workers = DestinationSet()
     told: list[object] = [workers.listed()]
     first = {"id": "s-1", "addr": "127.0.0.1:5000", "zone": "petrzalka", "cell": 3, "weight": 2.5}
@@ -569,8 +580,8 @@
 
 
 def keeper_for(folder: str, pid: int, bans: object) -> object:
-    own = handover.Process(pid, f"127.0.0.1:{9000 + pid}", UNIX_MS * 1000 + pid)
-    return handover_driver.Keeper(folder, "n0", own, bans, LIMITS)
+    own = handover.ProcessRecord(pid, f"127.0.0.1:{9000 + pid}", UNIX_MS * 1000 + pid)
+    return handover_driver.HotRestartController(folder, "n0", own, bans, LIMITS)
 
 
 def handover_files() -> list[list[object]]:
@@ -582,34 +593,38 @@
             files = {path.name: path.read_text() for path in sorted(Path(folder).iterdir())}
             told.append([title, files])
 
-        old_bans, new_bans = Bans(), Bans()
+        old_bans, new_bans = MaintenanceRegistry(), MaintenanceRegistry()
         old, new = keeper_for(folder, 11, old_bans), keeper_for(folder, 12, new_bans)
         told.append(["nothing to load", old.load() is None])
-        old_bans.ban("s-1")
-        old_bans.ban("s-2")
-        old_bans.lift("s-2", UNIX_MS * 1000)
+        old_bans.begin("s-1")
+        old_bans.begin("s-2")
+        old_bans.release("s-2", UNIX_MS * 1000)
         old.listed = {"version": 3, "full": True, "servers": []}
         old.write(ready=True)
         look("the old process takes clients")
         new.load()
         new.write()
         look("the new process has loaded")
-        told.append(["bans taken over", sorted(new_bans.snapshot().banned)])
+        told.append(["bans taken over", sorted(new_bans.snapshot().in_maintenance)])
         new.write(ready=True)
         look("the new process takes clients")
         told.append(["the old process sees newer bans", old.watch()])
         told.append(["the old process has a successor", old.successor() is not None])
         Path(new.path).write_text("{")
-        told.append(["damaged", keeper_for(folder, 13, Bans()).load() is None])
+        told.append(["damaged", keeper_for(folder, 13, MaintenanceRegistry()).load() is None])
     return told
 
 
 def worker_news() -> dict[str, object]:
     done, running = platform.TELLS["done"], platform.TELLS["running"]
     return {
-        "done": Told("job-1", "s-1", done, {"sum": 3}),
-        "running": Told("job-1", "s-1", running, None, (250, 1000)),
-        **{news.value: Told("job-1", "s-1", news) for news in News if news not in (done, running)},
+        "done": JobNotification("job-1", "s-1", done, {"sum": 3}),
+        "running": JobNotification("job-1", "s-1", running, None, (250, 1000)),
+        **{
+            news.value: JobNotification("job-1", "s-1", news)
+            for news in JobStatus
+            if news not in (done, running)
+        },
     }
 
 
@@ -618,8 +633,8 @@
     told = {}
     with tempfile.TemporaryDirectory() as folder, socket.create_server(("127.0.0.1", 0)) as server:
         port = server.getsockname()[1]
-        target = handover.Process(12, f"127.0.0.1:{port}", 1)
-        keeper = keeper_for(folder, 11, Bans())
+        target = handover.ProcessRecord(12, f"127.0.0.1:{port}", 1)
+        keeper = keeper_for(folder, 11, MaintenanceRegistry())
         for name, news in worker_news().items():
             thread = threading.Thread(target=keeper.relay, args=(target, news))
             thread.start()
--- a/tests/golden/state_samples.py
+++ b/tests/golden/state_samples.py
@@ -23,15 +23,15 @@
 
 from golden import state_answers
 
-from stepstream.fleet import messages as fleet_messages
-from stepstream.fleet import view as fleet_view
+from stepstream.core.maintenance import MaintenanceState
+from stepstream.hot_restart import state as handover
 from stepstream.leases import core as lease_core
 from stepstream.leases import guard as lease_guard
 from stepstream.leases import messages as lease_messages
 from stepstream.leases import rules as lease_rules
 from stepstream.leases import sweep
-from stepstream.maintenance import BanState
-from stepstream.upgrade import state as handover
+from stepstream.membership import messages as fleet_messages
+from stepstream.membership import view as fleet_view
 
 FOLDER = Path(__file__).resolve().parent / "state"
 CLUSTER = "golden"
@@ -424,13 +424,15 @@
 
 
 def handover_process(pid: int, ready: bool = False) -> object:
-    return handover.Process(pid, f"127.0.0.1:{9000 + pid}", 1_700_000_000_000_000 + pid, ready)
+    return handover.ProcessRecord(
+        pid, f"127.0.0.1:{9000 + pid}", 1_700_000_000_000_000 + pid, ready
+    )
 
 
 def handover_state(
     bans: tuple = (0, frozenset(), ()), processes: tuple = (), listed: dict | None = None
 ) -> object:
-    return handover.Handover(BanState(*bans), processes, listed)
+    return handover.Handover(MaintenanceState(*bans), processes, listed)
 
 
 def handover_samples() -> dict[str, object]:
--- a/tests/test_golden_fronts.py
+++ b/tests/golden/test_golden_fronts.py
@@ -21,9 +21,11 @@
     expected, given = RECORDED[group][name], front_samples.as_json(sample())
     if isinstance(expected, dict) and "key" in expected:
         # A fault's wording may get better; its exit code and the key that it names may not change.
-        assert given["code"] == expected["code"] and given["out"] == expected["out"]
+        assert given["code"] == expected["code"]
+        assert given["out"] == expected["out"]
         key = rf"(?<![\w.]){re.escape(expected['key'])}(?!\w)"
-        assert re.search(key, expected["err"]) and re.search(key, given["err"])
+        assert re.search(key, expected["err"])
+        assert re.search(key, given["err"])
         return
     assert given == expected
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,39 +1,47 @@
 """Small builders shared by the tests."""
 
-from stepstream import interface as i
-from stepstream.balance import Balancer
-
-SAFE = i.JobClass(goal_us=400_000, deadline_us=5_000_000, effect=i.Effect.SAFE)
-UNSAFE = i.JobClass(goal_us=400_000, deadline_us=5_000_000, effect=i.Effect.UNSAFE)
-KEYED_ZONE = i.JobClass(
-    goal_us=4_000_000,
+from stepstream.model.actions import Fail, PolicyAction, Reject, SetTimer, StartAttempt
+from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind
+from stepstream.model.events import AttemptEnded, AttemptResult, JobSubmitted, TimerFired
+from stepstream.model.settings import Effect, JobClass, Settings
+from stepstream.policy.load_balancer import LoadBalancer
+
+SAFE = JobClass(latency_objective_us=400_000, deadline_us=5_000_000, effect=Effect.IDEMPOTENT)
+UNSAFE = JobClass(latency_objective_us=400_000, deadline_us=5_000_000, effect=Effect.NOT_IDEMPOTENT)
+KEYED_ZONE = JobClass(
+    latency_objective_us=4_000_000,
     deadline_us=5_000_000,
-    effect=i.Effect.KEYED,
+    effect=Effect.IDEMPOTENT_WITH_KEY,
     key_scope="zone",
-    window_us=2_000_000,
+    idempotency_window_us=2_000_000,
 )
-KEYED_ALL = i.JobClass(
-    goal_us=4_000_000,
+KEYED_ALL = JobClass(
+    latency_objective_us=4_000_000,
     deadline_us=5_000_000,
-    effect=i.Effect.KEYED,
+    effect=Effect.IDEMPOTENT_WITH_KEY,
     key_scope="all",
-    window_us=2_000_000,
+    idempotency_window_us=2_000_000,
+)
+DEAR = JobClass(
+    latency_objective_us=400_000,
+    deadline_us=5_000_000,
+    effect=Effect.IDEMPOTENT,
+    priority_weight=10.0,
 )
-DEAR = i.JobClass(goal_us=400_000, deadline_us=5_000_000, effect=i.Effect.SAFE, worth=10.0)
 
 
 class Bench:
     """One balancer, its clock, and short words for telling it things."""
 
     def __init__(self, *classes, workers=4, entries=None, seed=1, **settings):
-        self.settings = i.Settings(classes=classes or (SAFE,), **{"attempt_limit": 5, **settings})
-        self.balancer = Balancer(self.settings, seed, 1_000_000)
+        self.settings = Settings(classes=classes or (SAFE,), **{"attempt_limit": 5, **settings})
+        self.balancer = LoadBalancer(self.settings, seed, 1_000_000)
         self.now = 1_000_000
         self.count = 0
-        self.log: list[i.Action] = []
+        self.log: list[PolicyAction] = []
         if entries is None:
             entries = [entry(k) for k in range(workers)]
-        self.start_actions = self.tell(i.WorkerList(i.ListKind.PERSISTED, tuple(entries)))
+        self.start_actions = self.tell(EndpointList(EndpointListKind.PERSISTED, tuple(entries)))
 
     def tell(self, *events):
         actions = self.balancer.handle(self.now, list(events))
@@ -48,34 +56,34 @@
         self.count += 1
         name = f"{self.count:016x}"
         budget = self.settings.classes[job_class].deadline_us if budget_us is None else budget_us
-        return name, self.tell(i.Job(name, job_class, budget, tenant, **more))
+        return name, self.tell(JobSubmitted(name, job_class, budget, tenant, **more))
 
     def ended(self, name, worker, result, attempt=0, job_ended=None, report=None):
-        over = result is i.Result.OK if job_ended is None else job_ended
-        return self.tell(i.AttemptEnded(name, attempt, worker, result, 1000, over, report))
+        over = result is AttemptResult.OK if job_ended is None else job_ended
+        return self.tell(AttemptEnded(name, attempt, worker, result, 1000, over, report))
 
     def next_period(self):
         """Goes to the end of the running period, whose first one has a random length."""
         self.tick(
-            max(a.at_us for a in self.log if isinstance(a, i.WakeMe) and a.token == 0) - self.now
+            max(a.at_us for a in self.log if isinstance(a, SetTimer) and a.token == 0) - self.now
         )
         return self
 
     def tick(self, us=500_000):
         """Lets a period pass and rings every timer that is due by then."""
         self.now += us
-        due = [a for a in self.log if isinstance(a, i.WakeMe) and a.at_us <= self.now]
-        self.log = [a for a in self.log if not (isinstance(a, i.WakeMe) and a.at_us <= self.now)]
-        return self.tell(*[i.Timer(a.token) for a in due])
+        due = [a for a in self.log if isinstance(a, SetTimer) and a.at_us <= self.now]
+        self.log = [a for a in self.log if not (isinstance(a, SetTimer) and a.at_us <= self.now)]
+        return self.tell(*[TimerFired(a.token) for a in due])
 
 
 def entry(k, **more):
-    return i.WorkerEntry(f"10.0.0.{k}:5000", **more)
+    return Endpoint(f"10.0.0.{k}:5000", **more)
 
 
 def pushes(actions):
-    return [a for a in actions if isinstance(a, i.Push)]
+    return [a for a in actions if isinstance(a, StartAttempt)]
 
 
 def finals(actions):
-    return [a for a in actions if isinstance(a, i.Refuse | i.Fail)]
+    return [a for a in actions if isinstance(a, Reject | Fail)]
--- a/tests/test_upgrade.py
+++ b/tests/hot_restart/test_hot_restart.py
@@ -9,36 +9,40 @@
 import time
 
 import pytest
-from net_helpers import LIMITS, SETTINGS, WORKERS
-from test_admin import call
-from test_dispatch import Desk
-from test_node import PATIENCE, ROOT, World, ask, free_port, job_bytes, wait_for
-
-from stepstream.admin.calls import Verdict
-from stepstream.admin.driver import AdminListener
-from stepstream.dispatch import Neighbour, News, PassOn, StartCall, Told
-from stepstream.maintenance import Bans, BanState
-from stepstream.net.discovery import DestinationSet
-from stepstream.net.http1 import Message
-from stepstream.net.platform import DiscoverySide, news_body, read_news
-from stepstream.upgrade.driver import Keeper
-from stepstream.upgrade.state import (
+from admin_helpers import call
+from core_helpers import Desk
+from net_helpers import LIMITS, SETTINGS, WORKERS, job_bytes
+from node_helpers import PATIENCE, ROOT, World, ask, free_port, wait_for
+
+from stepstream.admin.listener import AdminListener
+from stepstream.admin.routing import Verdict
+from stepstream.core.commands import ForwardNotification, StartCall
+from stepstream.core.events import JobNotification, JobStatus, SiblingProcessChanged
+from stepstream.core.maintenance import MaintenanceRegistry, MaintenanceState
+from stepstream.hot_restart.controller import HotRestartController
+from stepstream.hot_restart.state import (
     DamagedError,
     Handover,
-    Process,
+    ProcessRecord,
     decode,
     encode,
     sibling,
     with_own,
 )
+from stepstream.http.codec import Message
+from stepstream.http.destination_set import DestinationSet
+from stepstream.http.platform_api import DiscoveryApi, notification_body, read_notification
 
-OLD, NEW = Process(100, "127.0.0.1:9901", 1_000, True), Process(200, "127.0.0.1:9902", 2_000, True)
+OLD, NEW = (
+    ProcessRecord(100, "127.0.0.1:9901", 1_000, True),
+    ProcessRecord(200, "127.0.0.1:9902", 2_000, True),
+)
 LISTED = {
     "version": 7,
     "full": True,
     "servers": [{"id": "s-1", "addr": "127.0.0.1:9", "state": "draining"}],
 }
-STATE = Handover(BanState(3, frozenset({"s-1"}), (("s-2", 1_500),)), (OLD, NEW), LISTED)
+STATE = Handover(MaintenanceState(3, frozenset({"s-1"}), (("s-2", 1_500),)), (OLD, NEW), LISTED)
 
 
 def test_a_state_reads_back_as_it_was_written():
@@ -81,59 +85,71 @@
 ):
     if kind != "missing":
         (tmp_path / "stepstream-n0.handover").write_bytes(damaged(kind))
-    bans = Bans()
-    keeper = Keeper(str(tmp_path), "n0", NEW, bans, LIMITS)
-    assert keeper.load() is None and bans.snapshot() == BanState()
+    bans = MaintenanceRegistry()
+    keeper = HotRestartController(str(tmp_path), "n0", NEW, bans, LIMITS)
+    assert keeper.load() is None
+    assert bans.snapshot() == MaintenanceState()
     assert len(capsys.readouterr().err.splitlines()) == 1
 
 
 def test_the_own_entry_is_new_and_ended_processes_are_gone():
-    again = Process(100, OLD.admin, 5_000, False)
+    again = ProcessRecord(100, OLD.admin, 5_000, False)
     assert with_own(STATE, again, alive={200}).processes == (NEW, again)
     assert with_own(STATE, again, alive={200}).listed == LISTED
     assert with_own(STATE, again, alive=set()).processes == (again,)
-    assert sibling(STATE, 100) == NEW and sibling(Handover(processes=(OLD,)), 100) is None
+    assert sibling(STATE, 100) == NEW
+    assert sibling(Handover(processes=(OLD,)), 100) is None
 
 
 def test_bans_pass_to_the_next_process_and_back(tmp_path):
-    mine = Process(os.getpid(), "127.0.0.1:9901", 1_000, True)
-    first_bans = Bans()
-    first = Keeper(str(tmp_path), "n0", mine, first_bans, LIMITS)
-    first_bans.ban("s-1")
+    mine = ProcessRecord(os.getpid(), "127.0.0.1:9901", 1_000, True)
+    first_bans = MaintenanceRegistry()
+    first = HotRestartController(str(tmp_path), "n0", mine, first_bans, LIMITS)
+    first_bans.begin("s-1")
     first.write()
     assert [p.name for p in tmp_path.iterdir()] == [
         "stepstream-n0.handover"
     ]  # nothing half written stays
-    second_bans = Bans()
-    second = Keeper(
-        str(tmp_path), "n0", Process(os.getppid(), "127.0.0.1:9902", 2_000), second_bans, LIMITS
+    second_bans = MaintenanceRegistry()
+    second = HotRestartController(
+        str(tmp_path),
+        "n0",
+        ProcessRecord(os.getppid(), "127.0.0.1:9902", 2_000),
+        second_bans,
+        LIMITS,
     )
-    assert second.load() is not None and second_bans.holds("s-1")
-    second_bans.lift("s-1", 3_000)
+    assert second.load() is not None
+    assert second_bans.contains("s-1")
+    second_bans.release("s-1", 3_000)
     second.write(ready=True)
-    assert first.watch() and not first_bans.holds("s-1")
-    assert first.successor() is not None and first.successor().pid == os.getppid()
+    assert first.watch()
+    assert not first_bans.contains("s-1")
+    assert first.successor() is not None
+    assert first.successor().pid == os.getppid()
     assert not first.watch()  # nothing new since
 
 
 def test_news_of_a_request_that_is_not_here_goes_to_the_process_beside_once():
     desk = Desk()
-    told = Told("zz", WORKERS[0].worker, News.DONE, "x")
+    told = JobNotification("zz", WORKERS[0].worker_id, JobStatus.DONE, "x")
     assert desk.tell(told) == []
-    desk.tell(Neighbour(True))
-    assert desk.tell(told) == [PassOn(told)]
-    assert desk.tell(Told("zz", WORKERS[0].worker, News.DONE, "x", relayed=True)) == []
+    desk.tell(SiblingProcessChanged(True))
+    assert desk.tell(told) == [ForwardNotification(told)]
+    assert (
+        desk.tell(JobNotification("zz", WORKERS[0].worker_id, JobStatus.DONE, "x", forwarded=True))
+        == []
+    )
     taken, commands = desk.take("aa")
     (start,) = [c for c in commands if isinstance(c, StartCall)]
-    own = Told("aa", start.call.worker, News.DONE, "y")
-    assert not [c for c in desk.tell(own) if isinstance(c, PassOn)]
+    own = JobNotification("aa", start.call.worker_id, JobStatus.DONE, "y")
+    assert not [c for c in desk.tell(own) if isinstance(c, ForwardNotification)]
 
 
 def test_news_passed_on_reads_back_as_it_came():
-    told = Told("zz", "s-1", News.RUNNING, None, (400, 1000))
-    assert read_news(Message(method="POST", body=news_body(told)), relayed=True) == Told(
-        "zz", "s-1", News.RUNNING, None, (400, 1000), True
-    )
+    told = JobNotification("zz", "s-1", JobStatus.RUNNING, None, (400, 1000))
+    assert read_notification(
+        Message(method="POST", body=notification_body(told)), relayed=True
+    ) == JobNotification("zz", "s-1", JobStatus.RUNNING, None, (400, 1000), True)
 
 
 # -- two processes on one address -------------------------------------------------------------------------
@@ -202,20 +218,21 @@
     listener = AdminListener(("127.0.0.1", port), LIMITS, answer, lambda now: None)
     threading.Thread(target=listener.run, daemon=True).start()
     try:
-        keeper = Keeper(str(tmp_path), "n0", OLD, Bans(), LIMITS)
+        keeper = HotRestartController(str(tmp_path), "n0", OLD, MaintenanceRegistry(), LIMITS)
         keeper.relay(
-            Process(os.getpid(), f"127.0.0.1:{port}", 0), Told("aa", "s-1", News.DONE, "5")
+            ProcessRecord(os.getpid(), f"127.0.0.1:{port}", 0),
+            JobNotification("aa", "s-1", JobStatus.DONE, "5"),
         )
         (asked,) = got
-        assert read_news(Message(method="POST", body=asked.body)) == Told(
-            "aa", "s-1", News.DONE, "5"
+        assert read_notification(Message(method="POST", body=asked.body)) == JobNotification(
+            "aa", "s-1", JobStatus.DONE, "5"
         )
     finally:
         listener.listener.close()
 
 
 def test_what_discovery_told_passes_over_in_its_own_form():
-    side = DiscoverySide(SETTINGS)
+    side = DiscoveryApi(SETTINGS)
     told = side.read(
         {
             "version": 41,
@@ -242,23 +259,37 @@
         side.read({"version": 42, "full": False, "servers": [{"id": "s-2", "state": "gone"}]})
     )
     again = side.read(destinations.listed(), kept=True)
-    assert again.version == 42 and again.addresses == {"s-1": ("127.0.0.1", 81)}
-    assert again.told.entries == told.told.entries[:1]
+    assert again.version == 42
+    assert again.addresses == {"s-1": ("127.0.0.1", 81)}
+    assert again.update.endpoints == told.update.endpoints[:1]
 
 
 def test_a_newer_list_is_taken_over_and_an_older_one_is_not(tmp_path):
-    first = Keeper(
-        str(tmp_path), "n0", Process(os.getpid(), "127.0.0.1:9901", 1_000), Bans(), LIMITS
+    first = HotRestartController(
+        str(tmp_path),
+        "n0",
+        ProcessRecord(os.getpid(), "127.0.0.1:9901", 1_000),
+        MaintenanceRegistry(),
+        LIMITS,
     )
     first.listed = LISTED
     first.write()
-    second = Keeper(
-        str(tmp_path), "n0", Process(os.getppid(), "127.0.0.1:9902", 2_000), Bans(), LIMITS
+    second = HotRestartController(
+        str(tmp_path),
+        "n0",
+        ProcessRecord(os.getppid(), "127.0.0.1:9902", 2_000),
+        MaintenanceRegistry(),
+        LIMITS,
     )
     second.listed = {**LISTED, "version": 9}
     second.load()
     assert second.listed["version"] == 9
-    third = Keeper(
-        str(tmp_path), "n0", Process(os.getppid(), "127.0.0.1:9902", 2_000), Bans(), LIMITS
+    third = HotRestartController(
+        str(tmp_path),
+        "n0",
+        ProcessRecord(os.getppid(), "127.0.0.1:9902", 2_000),
+        MaintenanceRegistry(),
+        LIMITS,
     )
-    assert third.load().listed == LISTED and third.listed == LISTED
+    assert third.load().listed == LISTED
+    assert third.listed == LISTED
--- a/tests/test_http1.py
+++ b/tests/http/test_codec.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 from net_helpers import LIMITS
 
-from stepstream.net.http1 import Parser, ProtocolError, write_answer, write_request
+from stepstream.http.codec import Parser, ProtocolError, write_answer, write_request
 
 STREAM = [
     (write_request("POST", "/a?user=1", {"Host": "x"}, b"hello"), b"hello"),
@@ -28,7 +28,8 @@
         last = cut
         while (message := parser.next()) is not None:
             found.append(message.body)
-    assert found == [body for _, body in STREAM] and parser.idle
+    assert found == [body for _, body in STREAM]
+    assert parser.idle
 
 
 @pytest.mark.parametrize(
@@ -74,13 +75,15 @@
     parser.feed(b"HTTP/1.1 200 OK\r\n\r\nabc")
     assert parser.next() is None
     message = parser.end()
-    assert message.body == b"abc" and not message.keep_alive
+    assert message.body == b"abc"
+    assert not message.keep_alive
 
 
 def test_a_cut_answer_is_none():
     parser = Parser(LIMITS, answers=True)
     parser.feed(write_answer(200, b"abc")[:-1])
-    assert parser.next() is None and parser.end() is None
+    assert parser.next() is None
+    assert parser.end() is None
 
 
 def test_answers_without_a_body_need_no_length():
--- a/tests/test_connections.py
+++ b/tests/http/test_connections.py
@@ -4,13 +4,15 @@
 from net_helpers import LIMITS, SETTINGS, job_bytes
 from walk import walks
 
-from stepstream import interface as i
-from stepstream.dispatch import Answer, Outcome, Request, Told
-from stepstream.net.http1 import write_answer, write_request
-from stepstream.net.inbound import Door, Phase, Reply, Session
-from stepstream.net.outbound import Exchange
-from stepstream.net.outbound import Phase as Stage
-from stepstream.net.platform import ClientSide
+from stepstream.core.commands import Answer, Outcome
+from stepstream.core.events import JobNotification
+from stepstream.core.requests import Request
+from stepstream.http.codec import write_answer, write_request
+from stepstream.http.exchange import ExchangePhase as Stage
+from stepstream.http.exchange import HttpExchange
+from stepstream.http.platform_api import ClientApi
+from stepstream.http.session import HttpSession, Reply, ServerState, SessionPhase
+from stepstream.model.events import AttemptResult
 
 NEWS = write_request(
     "POST", "/_jobs/news", {}, b'{"id":"aa","from":"s-1","state":"done","result":"x"}'
@@ -28,8 +30,8 @@
     """The model: messages that have wholly arrived, and one of idle, open and closed."""
 
     def __init__(self):
-        self.door = Door(ClientSide(SETTINGS))
-        self.session = Session(LIMITS, self.door)
+        self.door = ServerState(ClientApi(SETTINGS))
+        self.session = HttpSession(LIMITS, self.door)
         self.rest, self.queue, self.state, self.worker = b"", [], "idle", False
         self.seen, self.expected, self.request = [], [], None
 
@@ -68,7 +70,7 @@
         self.state = "closed"
 
     def stop(self, _):
-        self.door.leaving = self.door.closing = True
+        self.door.shutting_down = self.door.closing = True
 
     def note(self, steps):
         for step in steps:
@@ -88,20 +90,24 @@
                 self.state = "closed"
             else:
                 self.worker = self.worker or kind == "news"
-                leaving = 503 if self.door.leaving else 200
+                leaving = 503 if self.door.shutting_down else 200
                 self.reply({"news": 200, "ready": leaving}[kind])
-                self.expected += [Told] if kind == "news" else []
+                self.expected += [JobNotification] if kind == "news" else []
 
     def reply(self, status):
         # What has been read whole behind this one is answered first.
         behind = bool(self.queue) and self.queue[0] != "junk"
-        close = self.door.leaving and not self.worker and not behind
+        close = self.door.shutting_down and not self.worker and not behind
         self.expected.append((status, close))
         self.state = "closed" if close else "idle"
 
     def check(self):
         assert self.seen == self.expected
-        phases = {"idle": Phase.READING, "open": Phase.WAITING, "closed": Phase.CLOSED}
+        phases = {
+            "idle": SessionPhase.READING,
+            "open": SessionPhase.WAITING,
+            "closed": SessionPhase.CLOSED,
+        }
         assert self.session.phase is phases[self.state]
         if self.state == "idle":
             assert self.session.between == (not self.rest)
@@ -119,12 +125,12 @@
 
 ANSWERS = {
     "taken": (write_answer(202), None),
-    "full": (write_answer(503, headers={"Not-Started": "1"}), i.Result.FULL),
-    "late": (write_answer(504, headers={"Not-Started": "1"}), i.Result.FULL),
-    "busy": (write_answer(503), i.Result.ERROR),
-    "error": (write_answer(500), i.Result.ERROR),
+    "full": (write_answer(503, headers={"Not-Started": "1"}), AttemptResult.FULL),
+    "late": (write_answer(504, headers={"Not-Started": "1"}), AttemptResult.FULL),
+    "busy": (write_answer(503), AttemptResult.ERROR),
+    "error": (write_answer(500), AttemptResult.ERROR),
     "hint": (b"HTTP/1.1 100 Continue\r\n\r\n", "nothing"),
-    "junk": (b"junk\r\n\r\n", i.Result.RESET),
+    "junk": (b"junk\r\n\r\n", AttemptResult.RESET),
     "part": (b"HTTP/1.1 20", "cut"),
 }
 
@@ -133,7 +139,7 @@
     """The model: whether the last byte is out, and the first thing that ended the exchange."""
 
     def __init__(self):
-        self.exchange, self.out, self.end, self.cut = Exchange(LIMITS), False, "open", False
+        self.exchange, self.out, self.end, self.cut = HttpExchange(LIMITS), False, "open", False
 
     def written(self, _):
         if self.end == "open" and not self.out:
@@ -155,7 +161,7 @@
         else:
             self.exchange.broke()
         if self.end == "open":
-            self.end = i.Result.RESET if self.out else i.Result.CONNECT_FAILED
+            self.end = AttemptResult.RESET if self.out else AttemptResult.CONNECT_FAILED
 
     def check(self):
         assert self.exchange.over == (self.end != "open")
--- a/tests/test_reports.py
+++ b/tests/http/test_load_reports.py
@@ -8,15 +8,17 @@
 from hypothesis import strategies as st
 from net_helpers import PROBED, SETTINGS
 
-from stepstream.net import platform
-from stepstream.net.figures import MOST
-from stepstream.net.http1 import Message
-from stepstream.net.reports import Reports
+from stepstream.http import platform_api as platform
+from stepstream.http.codec import Message
+from stepstream.http.load_reports import LoadReportReader
+from stepstream.http.named_numbers import MOST
 
 
 def reader(how="answers"):
     wrong = []
-    return Reports(replace(SETTINGS, **{**PROBED, "reports": how}), wrong.append), wrong
+    return LoadReportReader(
+        replace(SETTINGS, **{**PROBED, "load_report_source": how}), wrong.append
+    ), wrong
 
 
 FULL = {"queue": 2.0, "free_slots": 1.5}
@@ -45,11 +47,15 @@
 @pytest.mark.parametrize("how,places", [("answers", 3), ("probe", 1), ("none", 0)])
 def test_reports_come_where_the_settings_say_also_after_a_reload(how, places):
     made, _ = reader("none")
-    made.reconfigure(replace(SETTINGS, **{**PROBED, "reports": how}))
+    made.reconfigure(replace(SETTINGS, **{**PROBED, "load_report_source": how}))
     load = {"queue": 2, "x0": 1.5}
     news = json.dumps({"id": "a", "from": "s", "state": "done", "load": load}).encode()
-    told = platform.read_news(Message("POST", platform.NEWS, body=news), made)
-    read = [made.probe(json.dumps(load).encode()), made.header("TEXT queue=2, x0=1.5"), told.report]
+    told = platform.read_notification(Message("POST", platform.NEWS, body=news), made)
+    read = [
+        made.probe(json.dumps(load).encode()),
+        made.header("TEXT queue=2, x0=1.5"),
+        told.load_report,
+    ]
     assert read == [FULL] * places + [None] * (3 - places)
 
 
@@ -64,6 +70,5 @@
     bodies = (tail, b"TEXT queue=" + tail, b"{" + tail, json.dumps(load).encode())
     found = [made.news(load), made.header("TEXT " + text), *map(made.probe, bodies)]
     for report in filter(None, found):
-        assert set(report) <= {"queue", "free_slots"} and all(
-            0 <= x <= MOST for x in report.values()
-        )
+        assert set(report) <= {"queue", "free_slots"}
+        assert all(0 <= x <= MOST for x in report.values())
--- a/tests/test_platform.py
+++ b/tests/http/test_platform_api.py
@@ -3,12 +3,14 @@
 import pytest
 from net_helpers import LIMITS, SETTINGS, job_bytes
 
-from stepstream import interface as i
-from stepstream.dispatch import News, Outcome, Told
-from stepstream.net import platform
-from stepstream.net.http1 import Message, Parser, ProtocolError
-
-SIDE = platform.ClientSide(SETTINGS)
+from stepstream.core.commands import Outcome
+from stepstream.core.events import JobNotification, JobStatus
+from stepstream.http import platform_api as platform
+from stepstream.http.codec import Message, Parser, ProtocolError
+from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind, EndpointState
+from stepstream.model.events import AttemptResult
+
+SIDE = platform.ClientApi(SETTINGS)
 ROW = {
     "id": "s-1",
     "addr": "127.0.0.1:8081",
@@ -74,12 +76,12 @@
 
 
 def news(body, method="POST"):
-    return platform.read_news(Message(method, platform.NEWS, body=body))
+    return platform.read_notification(Message(method, platform.NEWS, body=body))
 
 
 def test_news_is_read_and_kinds_not_known_are_passed_over():
-    assert news(b'{"id":"a","from":"s","state":"done","result":"r"}') == Told(
-        "a", "s", News.DONE, "r"
+    assert news(b'{"id":"a","from":"s","state":"done","result":"r"}') == JobNotification(
+        "a", "s", JobStatus.DONE, "r"
     )
     assert news(b'{"id":"a","from":"s","state":"dancing"}') is None
 
@@ -95,7 +97,7 @@
 
 def test_a_call_passes_on_what_it_must_and_says_how_long_it_waits():
     message = parsed(job_bytes(path="/nav-publish?user=1", body=b"xyz", Idempotency_Key="k"))
-    request = platform.ClientSide(SETTINGS).read_request(message, 0)
+    request = platform.ClientApi(SETTINGS).read_request(message, 0)
     sent = parsed(platform.call_bytes("h:1", request.id, request.payload, 480))
     assert (sent.method, sent.target, sent.body) == ("POST", "/nav-publish?user=1", b"xyz")
     names = ("request-id", "idempotency-key", "request-timeout-ms")
@@ -106,11 +108,11 @@
     ("status", "headers", "result"),
     [
         (202, {}, None),
-        (503, {"not-started": "1"}, i.Result.FULL),
-        (504, {"not-started": "1"}, i.Result.FULL),
-        (503, {}, i.Result.ERROR),
-        (500, {"not-started": "1"}, i.Result.ERROR),
-        (404, {}, i.Result.ERROR),
+        (503, {"not-started": "1"}, AttemptResult.FULL),
+        (504, {"not-started": "1"}, AttemptResult.FULL),
+        (503, {}, AttemptResult.ERROR),
+        (500, {"not-started": "1"}, AttemptResult.ERROR),
+        (404, {}, AttemptResult.ERROR),
     ],
 )
 def test_a_workers_answer_proves_no_more_than_the_table_says(status, headers, result):
@@ -124,19 +126,19 @@
         return parser.next()
 
     assert answer(Outcome.SERVED, "é").body == "é".encode()
-    refused = answer(Outcome.REFUSED, pause_us=1_500_000)
+    refused = answer(Outcome.REJECTED, pause_us=1_500_000)
     assert (refused.status, refused.headers["retry-after"]) == (503, "1.500")
-    assert "retry-after" not in answer(Outcome.REFUSED).headers
+    assert "retry-after" not in answer(Outcome.REJECTED).headers
     assert answer(Outcome.FAILED).status not in (200, 429, 503)
 
 
 def test_the_list_is_read_with_names_as_indices():
-    side = platform.DiscoverySide(SETTINGS)
+    side = platform.DiscoveryApi(SETTINGS)
     targets = side.read({"version": 4, "full": False, "servers": [ROW]})
-    entry = i.WorkerEntry("s-1", 1, 1, 3, i.WorkerState.IN, 1.5, 7_000)
-    assert targets.told == i.WorkerList(i.ListKind.CHANGES, (entry,))
+    entry = Endpoint("s-1", 1, 1, 3, EndpointState.ACTIVE, 1.5, 7_000)
+    assert targets.update == EndpointList(EndpointListKind.CHANGES, (entry,))
     assert targets.addresses == {"s-1": ("127.0.0.1", 8081)}
-    assert side.read({"servers": []}, kept=True).told.kind is i.ListKind.PERSISTED
+    assert side.read({"servers": []}, kept=True).update.kind is EndpointListKind.PERSISTED
 
 
 @pytest.mark.parametrize(
@@ -144,4 +146,4 @@
 )
 def test_a_malformed_list_is_a_protocol_error(row):
     with pytest.raises(ProtocolError):
-        platform.DiscoverySide(SETTINGS).read({"servers": [row]})
+        platform.DiscoveryApi(SETTINGS).read({"servers": [row]})
--- a/tests/test_schedule.py
+++ b/tests/http/test_poll_schedule.py
@@ -6,8 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from stepstream.net import schedule as terms
-from stepstream.net.schedule import Schedule
+from stepstream.http import poll_schedule as terms
+from stepstream.http.poll_schedule import PollSchedule
 
 TOLD = 6.0  # s after discovery had it and could be reached
 GRACE = 0.5  # the drain grace of the platform's days
@@ -22,7 +22,7 @@
 
 
 def of(size, pushed=False):
-    return Schedule(size, pushed, Slowest(0))
+    return PollSchedule(size, pushed, Slowest(0))
 
 
 def test_a_few_hear_of_a_change_in_time_though_a_watch_falls_silent_and_one_call_hangs():
@@ -73,11 +73,13 @@
     ("size", "seconds"), [(1, 2.35), (4, 2.35), (8, 4.4), (40, 22.0), (500, 60.0)]
 )
 def test_watches_last_longer_where_more_of_them_end(size, seconds):
-    assert of(size).wait == pytest.approx(seconds) and of(size).wait <= 60.0  # the platform's bound
+    assert of(size).wait == pytest.approx(seconds)
+    assert of(size).wait <= 60.0
 
 
 def test_an_agents_word_is_never_older_than_half_a_second():
     """What it holds counts as told at once; it answers at no cost."""
     one = of(200, pushed=True)
     assert one.first() == 0.0
-    assert one.wait + one.slack <= 0.5 and one.limit + one.failed() <= 0.5
+    assert one.wait + one.slack <= 0.5
+    assert one.limit + one.failed() <= 0.5
--- a/tests/test_identity_node.py
+++ b/tests/identity/test_identity_node.py
@@ -14,15 +14,15 @@
 import trustme
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
+from gearman_program import Peer, Program
 from net_helpers import LIMITS, job_bytes
-from test_gearman_node import Peer, Program
-from test_node import PATIENCE, ROOT, ask, free_port, wait_for
+from node_helpers import PATIENCE, ROOT, ask, free_port, wait_for
 
 from stepstream.gearman import codec
 from stepstream.gearman.codec import Kind
+from stepstream.http.codec import write_request
 from stepstream.identity.keeper import Keeper
 from stepstream.identity.keys import State
-from stepstream.net.http1 import write_request
 
 NAMES = {"iss": "https://issuer.test", "aud": "stepstream"}
 SECTION = """[gearman]
@@ -161,7 +161,8 @@
         ("x" * 5000, "too_long"),
     ):
         status, said = challenge(guarded.post(token))
-        assert status == 401 and f'error_description="{reason}"' in said
+        assert status == 401
+        assert f'error_description="{reason}"' in said
     for answer, reason in (
         (guarded.post(portal, tenant="nobody"), "tenant_contradicts"),
         (guarded.post(portal, path="/nav-publish"), "class_not_allowed"),
@@ -169,11 +170,14 @@
         (guarded.post(guarded.token("stranger")), "unknown_caller"),
     ):
         status, said = challenge(answer)
-        assert status == 403 and 'error="insufficient_scope"' in said and reason in said
+        assert status == 403
+        assert 'error="insufficient_scope"' in said
+        assert reason in said
     slow = guarded.token("slow")
     assert guarded.post(slow).status == 200
     later = guarded.post(slow)
-    assert later.status == 503 and float(later.headers["retry-after"]) > 1
+    assert later.status == 503
+    assert float(later.headers["retry-after"]) > 1
     # The connection of somebody turned away goes on.
     with socket.create_connection(("127.0.0.1", guarded.http), timeout=PATIENCE) as peer:
         assert [guarded.post(t, peer).status for t in (None, portal)] == [401, 200]
@@ -251,7 +255,8 @@
     for thread in threads:
         thread.join()
     # The module may refuse under load; nobody was turned away for who he is.
-    assert 200 in seen and not set(seen) & {401, 403}
+    assert 200 in seen
+    assert not set(seen) & {401, 403}
 
 
 def test_a_revoked_key_ends_cached_tokens_on_open_connections(guarded):
@@ -269,7 +274,8 @@
     token, whole = guarded.token(), (guarded.folder / "keys.json").read_bytes()
     (guarded.folder / "keys.json").write_bytes(whole[: len(whole) // 2])
     line = next(line for line in guarded.process.stderr if "keys:" in line)
-    assert "the old ones serve on" in line and guarded.post(token).status == 200
+    assert "the old ones serve on" in line
+    assert guarded.post(token).status == 200
 
 
 def test_no_token_and_no_key_is_written_to_the_log(guarded):
@@ -442,7 +448,9 @@
         thread.start()
     for thread in threads:
         thread.join(PATIENCE)
-    assert len(seen) == 100 and 200 in seen and not set(seen) & {401, 403}
+    assert len(seen) == 100
+    assert 200 in seen
+    assert not set(seen) & {401, 403}
 
 
 def test_no_session_is_resumed(sealed):
@@ -482,16 +490,12 @@
     names = ("--subject", "portal", "--issuer", NAMES["iss"], "--audience", NAMES["aud"])
     token = stepstream("token", "issue", "--dir", folder, *names).stdout.strip()
     told = json.loads(stepstream("token", "inspect", token).stdout)
-    assert (
-        told["header"]["alg"] == "ES256"
-        and told["claims"]["sub"] == "portal"
-        and told["verified"] is False
-    )
+    assert told["header"]["alg"] == "ES256"
+    assert told["claims"]["sub"] == "portal"
+    assert told["verified"] is False
     assert stepstream("token", "inspect", "nonsense").returncode == 2
-    assert (
-        "is revoked" in stepstream("keys", "revoke", kid, "--dir", folder).stdout
-        and not private.exists()
-    )
+    assert "is revoked" in stepstream("keys", "revoke", kid, "--dir", folder).stdout
+    assert not private.exists()
     assert stepstream("keys", "revoke", "who", "--dir", folder).returncode == 2
 
 
@@ -501,12 +505,10 @@
         return stepstream("identity", "explain", *words, EDGE_CONFIG=str(guarded.path))
 
     good = explain(guarded.token(), "revalue")
-    assert (
-        good.returncode == 0 and "allowed" in good.stdout and "tenant: tatra-invest" in good.stdout
-    )
+    assert good.returncode == 0
+    assert "allowed" in good.stdout
+    assert "tenant: tatra-invest" in good.stdout
     bad = explain(guarded.token(), "nav-publish", "--tenant", "tatra-invest")
-    assert (
-        bad.returncode == 1
-        and "class_not_allowed\nrule: identity.caller portal: classes" in bad.stdout
-    )
+    assert bad.returncode == 1
+    assert "class_not_allowed\nrule: identity.caller portal: classes" in bad.stdout
     assert "not_a_token" in explain("x", "revalue").stdout
--- a/tests/test_identity_rights.py
+++ b/tests/identity/test_identity_rights.py
@@ -116,7 +116,8 @@
     engine = rights(slow)
     assert engine.admit(by_token("slow"), "revalue", "north", 10.0).verdict is Verdict.ALLOWED
     later = engine.admit(by_token("slow"), "revalue", "north", 10.1)
-    assert later.verdict is Verdict.LATER and later.retry_s == pytest.approx(0.4)
+    assert later.verdict is Verdict.LATER
+    assert later.retry_s == pytest.approx(0.4)
     assert engine.admit(by_token("slow"), "revalue", "north", 10.5).verdict is Verdict.ALLOWED
     # One caller's rate is not another's, and what is denied costs nothing.
     assert engine.admit(by_token("admin"), "revalue", "north", 10.5).verdict is Verdict.ALLOWED
@@ -203,7 +204,8 @@
         "http", "north/revalue", Decision(Verdict.ALLOWED, "allowed", "r", "portal"), "portal", "k1"
     )
     found = lines(stream)
-    assert len(found) == 4 and found[2]["left_out"] == 3
+    assert len(found) == 4
+    assert found[2]["left_out"] == 3
     assert {k: found[0][k] for k in ("front", "what", "decision", "reason", "subject", "key")} == {
         "front": "http",
         "what": "north/revalue",
--- a/tests/test_identity_tokens.py
+++ b/tests/identity/test_identity_tokens.py
@@ -179,7 +179,8 @@
 
 
 def test_the_table_is_as_long_as_it_should_be():
-    assert len(FORGED) >= 40 and len({token for token, _ in FORGED.values()}) == len(FORGED)
+    assert len(FORGED) >= 40
+    assert len({token for token, _ in FORGED.values()}) == len(FORGED)
 
 
 @pytest.mark.parametrize("kid", ["ed", "es", "rs", "next", "old"])
@@ -214,7 +215,8 @@
         return
     # Base64 leaves some bits of a last letter without meaning: those change nothing that is signed.
     parts = bytes(token).split(b"."), TOKENS[kid].split(b".")
-    assert parts[0][:2] == parts[1][:2] and claims.subject == "portal"
+    assert parts[0][:2] == parts[1][:2]
+    assert claims.subject == "portal"
 
 
 TOKENS = {kid: sign(kid) for kid in ("ed", "es", "rs")}
@@ -265,7 +267,8 @@
     tokens = [sign(jti=str(k)) for k in range(3)]
     for token in (*tokens, tokens[0]):
         verifier.verify(token, NOW)
-    assert len(verifier.known) == 2 and verifier.misses == 4
+    assert len(verifier.known) == 2
+    assert verifier.misses == 4
 
 
 def test_a_rotation_drops_no_good_token_and_takes_none_past_its_end():
@@ -329,5 +332,7 @@
 
 
 def test_states_and_times_are_read():
-    assert RING.find("old").state is State.RETIRING and RING.find("old").not_after == NOW + 10
-    assert RING.find("ed").state is State.ACTIVE and RING.find("nobody") is None
+    assert RING.find("old").state is State.RETIRING
+    assert RING.find("old").not_after == NOW + 10
+    assert RING.find("ed").state is State.ACTIVE
+    assert RING.find("nobody") is None
--- a/tests/test_lab.py
+++ b/tests/lab/test_lab.py
@@ -9,16 +9,18 @@
 import numpy as np
 import pytest
 from msgspec.structs import replace as replaced
-from test_node import PATIENCE, ROOT, ask
+from node_helpers import PATIENCE, ROOT, ask
 
-from stepstream import interface as i
+from stepstream.config.errors import ConfigurationError
+from stepstream.config.fields import SettingsFields, flatten
+from stepstream.config.settings_reader import read_settings
+from stepstream.http.codec import write_request
+from stepstream.http.load_reports import LoadReportReader
 from stepstream.lab.nodes import Clock, HttpNode
 from stepstream.lab.pricing import Health, NodeSpec, Offer, PricingNode, Task, Word
 from stepstream.lab.referee import Final, Referee
 from stepstream.lab.site import Speech, draw_day, read_site, settings_of
-from stepstream.net.http1 import write_request
-from stepstream.net.reports import Reports
-from stepstream.settings import FieldError, Fields, flatten, read_settings
+from stepstream.model.settings import Effect
 
 SPEC = NodeSpec(
     "s", "east", "large", 0, cores=2, speed=1.0, queue=2, cold_share=0.5, warm_us=1_000_000
@@ -72,7 +74,8 @@
     model = node()
     offers = [model.offer(T0, Task(str(k), 500_000)) for k in range(5)]
     assert offers == [Offer.TAKEN] * 4 + [Offer.FULL]
-    assert model.cancel(T0, "3") and not model.cancel(T0, "3")
+    assert model.cancel(T0, "3")
+    assert not model.cancel(T0, "3")
     assert model.offer(T0, Task("5", 500_000)) is Offer.TAKEN
 
 
@@ -90,7 +93,8 @@
     model = node(queue=100, fall_multiple=2.0)
     model.start(T0)
     offers = [model.offer(T0, Task(str(k), 500_000)) for k in range(12)]
-    assert offers[-1] is Offer.DOWN and Offer.TAKEN in offers
+    assert offers[-1] is Offer.DOWN
+    assert Offer.TAKEN in offers
     warm = node(queue=100, fall_multiple=2.0)
     assert {warm.offer(T0, Task(str(k), 500_000)) for k in range(12)} == {Offer.TAKEN}
 
@@ -99,9 +103,11 @@
     model = node()
     model.offer(T0, Task("a", 500_000))
     assert [task.id for task in model.die(T0 + 10)] == ["a"]
-    assert model.offer(T0 + 20, Task("b", 1)) is Offer.DOWN and model.next_us() == float("inf")
+    assert model.offer(T0 + 20, Task("b", 1)) is Offer.DOWN
+    assert model.next_us() == float("inf")
     model.start(T0 + 30)
-    assert model.health is Health.UP and model.is_cold(T0 + 40)
+    assert model.health is Health.UP
+    assert model.is_cold(T0 + 40)
 
 
 # -- the referee ------------------------------------------------------------------------------------------
@@ -129,7 +135,8 @@
     referee.arrived(10, (n, 0), "s-1", 0).open = False
     referee.made((n, 0), "r")
     referee.answered(referee.day.asks[n].at_us + 1000, (n, 0), Final.SERVED, "r")
-    assert not referee.breaches and referee.in_time(referee.records[n])
+    assert not referee.breaches
+    assert referee.in_time(referee.records[n])
 
 
 @pytest.mark.parametrize(
@@ -163,7 +170,8 @@
 )
 def test_each_broken_rule_is_seen(referee, what, text):
     what(referee, of_class(referee, "nav-publish"))
-    assert len(referee.breaches) == 1 and text in referee.breaches[0]
+    assert len(referee.breaches) == 1
+    assert text in referee.breaches[0]
 
 
 def test_what_the_rules_allow_is_no_breach(referee):
@@ -186,7 +194,8 @@
 def test_the_same_seed_is_the_same_day_whatever_is_spoken():
     days = {mix: draw_day(read_site(), 7, 10, mix) for mix in ("http", "gearman", "mixed")}
     plain = [tuple(replace(ask, speech=Speech.HTTP) for ask in day.asks) for day in days.values()]
-    assert plain[0] == plain[1] == plain[2] and len(plain[0]) > 100
+    assert plain[0] == plain[1] == plain[2]
+    assert len(plain[0]) > 100
     assert len({(day.specs, day.faults) for day in days.values()}) == 1
     assert {ask.speech for ask in days["mixed"].asks} == set(Speech) == set(days["mixed"].speeches)
     assert draw_day(read_site(), 8, 10, "http").asks != days["http"].asks
@@ -194,19 +203,22 @@
 
 def test_the_days_settings_are_what_a_dispatcher_reads():
     settings = read_settings(
-        Fields.of(flatten(settings_of(draw_day(read_site(), 1, 5, "http")), "", {}))
-    )
-    assert (
-        settings.class_names == ("revalue", "price-check", "nav-publish") and settings.tells_start
+        SettingsFields.of(flatten(settings_of(draw_day(read_site(), 1, 5, "http")), "", {}))
     )
+    assert settings.class_names == ("revalue", "price-check", "nav-publish")
+    assert settings.reports_start
 
 
 @pytest.mark.parametrize("how", ["probe", "answers"])
 def test_what_a_node_of_the_second_site_tells_of_its_load_is_what_the_dispatcher_reads(how):
     day = draw_day(replaced(read_site(name="probed"), reports=how, report_ms=0.0), 1, 5, "http")
-    settings = read_settings(Fields.of(flatten(settings_of(day), "", {})))
-    assert not settings.must_ask and settings.classes[-1].effect is i.Effect.UNSAFE
-    made, reports = HttpNode(node(cores=2), Clock(), Referee(day)), Reports(settings, pytest.fail)
+    settings = read_settings(SettingsFields.of(flatten(settings_of(day), "", {})))
+    assert not settings.polls_endpoints
+    assert settings.classes[-1].effect is Effect.NOT_IDEMPOTENT
+    made, reports = (
+        HttpNode(node(cores=2), Clock(), Referee(day)),
+        LoadReportReader(settings, pytest.fail),
+    )
     for name in ("a", "b", "c"):
         made.model.offer(made.clock.now_us(), Task(name, 10**9))
     read = [
@@ -220,9 +232,9 @@
 def test_a_faulty_site_file_names_its_key(tmp_path):
     path = tmp_path / "site.toml"
     path.write_text("nodes = 1\n")
-    with pytest.raises(FieldError, match="site.toml"):
+    with pytest.raises(ConfigurationError, match="site.toml"):
         read_site(str(path))
-    with pytest.raises(FieldError, match="--mix=smoke"):
+    with pytest.raises(ConfigurationError, match="--mix=smoke"):
         draw_day(read_site(), 1, 5, "smoke")
 
 
@@ -242,7 +254,8 @@
     found = json.loads((tmp_path / "out.json").read_text())
     assert found["breaches"] == [] and run.returncode == 0, run.stdout + run.stderr
     # Not how well: that is the machine's as much as the program's. Every job has come to an end.
-    assert sum(found["finals"].values()) == found["jobs"] > 50 and found["finals"]["served"] > 0
+    assert sum(found["finals"].values()) == found["jobs"] > 50
+    assert found["finals"]["served"] > 0
     assert "all four rules kept" in run.stdout
 
 
@@ -266,7 +279,8 @@
         for body in (b"[0,0,1000,1]", b"what others send"):
             with socket.create_connection((host, int(port)), timeout=PATIENCE) as peer:
                 answer = ask(0, write_request("POST", "/revalue", headers, body), peer)
-            assert answer.status == 200 and answer.body.startswith(b"price ")
+            assert answer.status == 200
+            assert answer.body.startswith(b"price ")
     finally:
         held.terminate()
         assert held.wait(PATIENCE * 2) == 0
@@ -282,4 +296,5 @@
         capture_output=True,
         text=True,
     )
-    assert run.returncode == 2 and wrong[0] in run.stderr
+    assert run.returncode == 2
+    assert wrong[0] in run.stderr
--- a/tests/test_lease_processes.py
+++ b/tests/leases/test_lease_processes.py
@@ -12,8 +12,8 @@
 import time
 
 import pytest
-from test_node import ROOT, free_port
-from test_settings import CONFIG
+from config_helpers import CONFIG
+from node_helpers import ROOT, free_port
 
 from stepstream.lab import ledger
 from stepstream.lab.fleet_day import play_swept
@@ -44,7 +44,8 @@
     before = len(fleet.rows())
     told = trouble(fleet, which, PATIENCE)
     rows = fleet.rows()
-    assert not ledger.faults(rows) and len(rows) > before
+    assert not ledger.faults(rows)
+    assert len(rows) > before
     # Every time without an act is explained: it begins or ends with the fault, or is as short as a handover.
     ends = [row["at"] for row in rows[before:] if row["what"] == "end"]
     for one, other in zip(ends, ends[1:], strict=False):
@@ -72,9 +73,9 @@
         {"at": 5.0, "what": "begin", "token": 7, "holder": "c", "act": 2},
     ]
     found = " / ".join(ledger.faults(rows))
-    assert (
-        "token 5 taken after 7" in found and "of b and of c" in found and "a and b overlap" in found
-    )
+    assert "token 5 taken after 7" in found
+    assert "of b and of c" in found
+    assert "a and b overlap" in found
     fair = [
         {**row, "at": at}
         for row, at in zip((rows[0], rows[2], rows[1], rows[3]), (1, 2, 3, 4), strict=True)
@@ -110,10 +111,12 @@
     first = lease_run(fleet, "job", [*SHELL, script], "--ttl", "1.2")
     assert first.wait(PATIENCE) == 7
     name, fence = told.read_text().split()
-    assert name == "job" and int(fence) > 0
+    assert name == "job"
+    assert int(fence) > 0
     second = lease_run(fleet, "job", [*SHELL, script], "--ttl", "1.2", at="n0")
     begun = time.monotonic()
-    assert second.wait(PATIENCE) == 7 and time.monotonic() - begun < PATIENCE / 2
+    assert second.wait(PATIENCE) == 7
+    assert time.monotonic() - begun < PATIENCE / 2
     assert int(told.read_text().split()[1]) > int(fence)
     missing = lease_run(fleet, "job", ["no-such-program"], "--ttl", "1.2")
     assert missing.wait(PATIENCE) == 127
@@ -137,10 +140,12 @@
     fleet.wait_for(lambda: log.exists(), PATIENCE, "the first one's beat")
     fleet.kill("n3")
     second = lease_run(fleet, "beat", [*SHELL, f"echo second >> {log}"], "--ttl", "1.2", at="n4")
-    assert first.wait(PATIENCE) == 69 and "lost" in first.stderr.read()
+    assert first.wait(PATIENCE) == 69
+    assert "lost" in first.stderr.read()
     assert second.wait(PATIENCE) == 0
     lines = log.read_text().split()
-    assert lines[-1] == "second" and lines.count("second") == 1
+    assert lines[-1] == "second"
+    assert lines.count("second") == 1
 
 
 def test_an_operator_takes_a_lease_back_and_sigterm_of_the_dispatcher_does(fleet, capsys):
@@ -155,10 +160,8 @@
 
         fleet.wait_for(held, PATIENCE, "the holder")
         if end == "release":
-            assert (
-                run(["lease", "show", "long", "--at", at]) == 0
-                and "held" in capsys.readouterr().out
-            )
+            assert run(["lease", "show", "long", "--at", at]) == 0
+            assert "held" in capsys.readouterr().out
             assert run(["lease", "release", "long", "--at", at]) == 0
             assert "told to end" in capsys.readouterr().out
         else:
@@ -179,7 +182,8 @@
         return status == 503 and told["error"] == "no quorum: 1 of 3 voters answered, not n0, n1"
 
     fleet.wait_for(refused, PATIENCE, "the 503")
-    assert job.wait(PATIENCE) == 75 and "of 3 voters answered" in job.stderr.read()
+    assert job.wait(PATIENCE) == 75
+    assert "of 3 voters answered" in job.stderr.read()
     time.sleep(TTL)  # who asks no more wants it no more
     assert fleet.members["n4"].call("/leases/none/release?session=abcdefgh", "PUT")[0] == 404
 
@@ -217,7 +221,8 @@
 )
 def test_a_bad_call_is_a_4xx_that_names_what_is_wrong(fleet, method, path, status, words):
     got, told = fleet.members["n1"].call(path, method)
-    assert got == status and words in json.dumps(told)
+    assert got == status
+    assert words in json.dumps(told)
 
 
 @pytest.mark.parametrize(
@@ -268,7 +273,9 @@
         text=True,
         timeout=PATIENCE,
     )
-    assert done.returncode == 2 and key in done.stderr and len(done.stderr.splitlines()) == 1
+    assert done.returncode == 2
+    assert key in done.stderr
+    assert len(done.stderr.splitlines()) == 1
 
 
 def test_a_reload_that_would_change_the_voters_is_refused_by_its_key(fleet):
@@ -283,7 +290,7 @@
 def test_one_dispatcher_probes_for_all_and_each_for_itself_once_it_is_gone():
     swept, killed = (play_swept((1, True, 3, 8, harm)) for harm in ("", "kill"))
     assert swept["breaches"] == killed["breaches"] == []
-    assert (
-        len(swept["sweepers"]) == 1 and killed["sweepers"]
-    )  # how many probes that saves: benchmarks/leases.py
-    assert killed["probes_a_worker_s"] > 0 and killed["whole"] > 0
+    assert len(swept["sweepers"]) == 1
+    assert killed["sweepers"]
+    assert killed["probes_a_worker_s"] > 0
+    assert killed["whole"] > 0
--- a/tests/test_leases.py
+++ b/tests/leases/test_leases.py
@@ -53,7 +53,8 @@
 
 def test_one_seed_replays_everything():
     made = [play(5) for _ in range(2)]
-    assert made[0].sent == made[1].sent > 0 and made[0].grants == made[1].grants
+    assert made[0].sent == made[1].sent > 0
+    assert made[0].grants == made[1].grants
 
 
 def no_silence(monkeypatch):
@@ -121,7 +122,8 @@
     guard.take(5, lambda: taken.append(5))
     with pytest.raises(FencedError) as refused:
         guard.take(4, lambda: taken.append(4))
-    assert taken == [5, 5] and (refused.value.token, refused.value.highest, guard.refused) == (
+    assert taken == [5, 5]
+    assert (refused.value.token, refused.value.highest, guard.refused) == (
         4,
         5,
         1,
@@ -134,7 +136,9 @@
 def test_three_voters_and_two_proposers_in_every_order():
     """Larger bounds, with restarts, renewals and releases, are tried whole in benchmarks/leases.py."""
     search = Search(Bounds(renewals=0, restarts=0, releases=False, steps=1))
-    assert search.run() and search.states > 5_000 and search.held > 500
+    assert search.run()
+    assert search.states > 5_000
+    assert search.held > 500
 
 
 @pytest.mark.parametrize(
@@ -189,7 +193,8 @@
         made.run(0.2)
         made.start(name)
         made.run(RULES.silence + 2.0)
-    assert made.holders("x") == [holder] and len(made.grants) == 1
+    assert made.holders("x") == [holder]
+    assert len(made.grants) == 1
     assert made.grants[0].token == min(
         act.token for act in made.resources["x"].acts
     )  # and its token
@@ -204,7 +209,8 @@
     at, before = made.now, len(made.grants)
     made.run(RULES.silence * 0.98)
     assert len(made.grants) == before
-    assert made.run(3.0, lambda: len(made.grants) > before) and made.grants[-1].since - at >= 6.0
+    assert made.run(3.0, lambda: len(made.grants) > before)
+    assert made.grants[-1].since - at >= 6.0
 
 
 @pytest.mark.parametrize("back", [-3600.0, 0.0])
@@ -265,7 +271,8 @@
     voter.handle(0.0, "a", m.Propose("x", ballot, 1, 5, 3000))
     voter.handle(1.0, "a", m.Release("x", ballot))
     ((_, told),) = voter.handle(1.1, "a", m.Propose("x", ballot, 2, 5, 3000))
-    assert isinstance(told, m.Stale) and voter.records["x"].grant is None
+    assert isinstance(told, m.Stale)
+    assert voter.records["x"].grant is None
 
 
 def test_a_lease_counts_from_the_sending_of_its_proposal_and_doubt_comes_before_its_end():
@@ -278,13 +285,17 @@
     claim.handle(0.4, "stranger", m.Accepted("x", ask.ballot, offer.round))
     assert claim.state(0.4) is State.WANTED
     claim.handle(0.5, "n2", m.Accepted("x", ask.ballot, offer.round))
-    assert claim.ends_at == 3.2 and claim.token == 8
+    assert claim.ends_at == 3.2
+    assert claim.token == 8
     seen = [claim.state(at) for at in (1.0, 2.19, 2.21, 3.19, 3.21)]
     assert seen == [State.HELD, State.HELD, State.DOUBTFUL, State.DOUBTFUL, State.LOST]
     (renewal,) = claim.tick(1.3)
-    assert renewal.ballot == ask.ballot and claim.state(1.3) is State.RENEWING
+    assert renewal.ballot == ask.ballot
+    assert claim.state(1.3) is State.RENEWING
     claim.handle(3.3, "n0", m.Accepted("x", ask.ballot, 2))  # too late: it is lost, and stays so
-    assert claim.lost and not claim.may_act(3.3) and claim.tick(9.0) == []
+    assert claim.lost
+    assert not claim.may_act(3.3)
+    assert claim.tick(9.0) == []
 
 
 def test_voters_are_changed_by_way_of_both_sets_and_a_step_left_out_is_caught():
@@ -309,7 +320,8 @@
         return made
 
     made = change(steps)
-    assert made.holders("x") and made.grants[-1].since > made.now - 30
+    assert made.holders("x")
+    assert made.grants[-1].since > made.now - 30
     with pytest.raises(TwoHoldersError):
         change([steps[0], steps[2]])
 
@@ -325,9 +337,8 @@
     ],
 )
 def test_times_out_of_bounds_are_named(ttl, act, key):
-    assert fault_of(RULES, ttl, act).startswith(key) and bool(fault_of(RULES, ttl, act)) == bool(
-        key
-    )
+    assert fault_of(RULES, ttl, act).startswith(key)
+    assert bool(fault_of(RULES, ttl, act)) == bool(key)
 
 
 def test_a_member_with_other_rules_is_told_so_and_gets_no_vote():
@@ -338,7 +349,9 @@
     claim, sends = other.acquire(1.0, "x", 4.0, 1.0)
     letter = m.Letter(m.VERSION, other.rules.marks, (m.Prepare("x", claim.ballot, 4000, 0),))
     ((to, answer),) = [(x.member, x.letter) for x in mine.handle(1.0, "n1", letter)]
-    assert to == "n1" and isinstance(answer.bodies[0], m.Foreign) and "n1" in mine.foreign
+    assert to == "n1"
+    assert isinstance(answer.bodies[0], m.Foreign)
+    assert "n1" in mine.foreign
     other.handle(1.1, "n0", answer)
     assert not claim.promised - {"n1"}
 
@@ -351,9 +364,9 @@
         if k:
             voter.handle(0.0, "a", m.Propose(f"x{k}", ballot, 1, 5, 3000))
     ((_, told),) = voter.handle(0.0, "b", m.Prepare("x9", Ballot(9, "b.1"), 3000, 0))
-    assert (
-        isinstance(told, m.Stale) and told.number == 50 and set(voter.records) == {"x1", "x2", "x9"}
-    )
+    assert isinstance(told, m.Stale)
+    assert told.number == 50
+    assert set(voter.records) == {"x1", "x2", "x9"}
     for k in range(5):
         voter.handle(0.0, "b", m.Prepare("x1", Ballot(99, f"b.{k}"), 3000, 0))
     assert len(voter.records["x1"].waiters) == 2
@@ -420,7 +433,8 @@
         True,
     ]
     assert not hearing.spared("s-1", 11.7)  # nothing more came: back to its own probes
-    assert hearing.read(sweep.pages(6, [seen("s-5")])[0], names, 11.0) == [] and hearing.fenced == 1
+    assert hearing.read(sweep.pages(6, [seen("s-5")])[0], names, 11.0) == []
+    assert hearing.fenced == 1
     for data in (b"\xc1", sweep.ENCODER.encode(sweep.Page(9, 1, ()))):
         with pytest.raises(sweep.BadPageError):
             hearing.read(data, names, 11.0)
@@ -429,6 +443,7 @@
 def test_reports_of_many_workers_go_in_pages_that_fit():
     many = [seen(f"worker-{k:060}", queue=float(k)) for k in range(200)]
     pages = sweep.pages(1, many)
-    assert all(len(page) <= 1_080 for page in pages) and len(pages) < 40
+    assert all(len(page) <= 1_080 for page in pages)
+    assert len(pages) < 40
     hearing = sweep.Hearing()
     assert sum(len(hearing.read(page, ("queue",), 0.0)) for page in pages) == 200
--- a/tests/test_fleet_processes.py
+++ b/tests/membership/test_membership_processes.py
@@ -14,15 +14,15 @@
 import time
 
 import pytest
-from test_node import ROOT, free_port
-from test_settings import CONFIG
+from config_helpers import CONFIG
+from node_helpers import ROOT, free_port
 
 from stepstream.cli import main
-from stepstream.fleet import messages as m
-from stepstream.fleet.commands import run
 from stepstream.lab.fleet_day import play
 from stepstream.lab.fleet_play import Watch
 from stepstream.lab.fleet_rig import Dispatcher, FleetRig
+from stepstream.membership import messages as m
+from stepstream.membership.commands import run
 
 # Shorter than the defaults, so that the whole of this file takes a minute and a half.
 TIMES = "period_ms = 200\ntimeout_ms = 90\nsync_ms = 1000\nreach_ms = 300\nyoung_s = 2\nhold_s = 2\nslack = 3\n"
@@ -246,7 +246,8 @@
             PATIENCE,
             "one settled view",
         )
-        assert made.process.poll() is None and fleet.members["n3"].running()
+        assert made.process.poll() is None
+        assert fleet.members["n3"].running()
     fleet.kill("n3")  # as the line says
 
 
@@ -256,11 +257,9 @@
     fleet.start(["n4"])
     tried = fleet.members["n4"].fleet()["counts"]
     told = fleet.members["n4"].fleet()
-    assert (
-        not told["settled"]
-        and list(fleet.members["n4"].states()) == ["n4"]
-        and tried["probes"] == 0
-    )
+    assert not told["settled"]
+    assert list(fleet.members["n4"].states()) == ["n4"]
+    assert tried["probes"] == 0
     assert run(["fleet", "members", "--at", fleet.members["n4"].admin]) == 1
     fleet.start(["n0"])
     fleet.wait_for(lambda: fleet.agreed(["n0", "n4"]), PATIENCE, "the two")
@@ -331,7 +330,8 @@
         lambda: member.words().count("serves on") >= 2 and member.fleet(), PATIENCE, "the new one"
     )
     old.send_signal(signal.SIGTERM)
-    assert old.wait(PATIENCE) == 0 and new.poll() is None
+    assert old.wait(PATIENCE) == 0
+    assert new.poll() is None
     fleet.heal()
     fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE, "one view")
     told = fleet.members["n0"].call(f"/fleet/changes?after={number}")[1]["changes"]
@@ -350,14 +350,14 @@
     at = fleet.members["n0"].admin
     assert run(["fleet", "members", "--at", at]) == 0
     shown = capsys.readouterr().out
-    assert "settled" in shown and all(name in shown for name in ALL) and "serving" in shown
+    assert "settled" in shown
+    assert all(name in shown for name in ALL)
+    assert "serving" in shown
     assert run(["fleet", "members", "--at", at, "--json"]) == 0
     told = json.loads(capsys.readouterr().out)
-    assert (
-        told["self"] == "n0"
-        and told["settled"]
-        and len({r["facts"]["settings"] for r in told["members"]}) == 1
-    )
+    assert told["self"] == "n0"
+    assert told["settled"]
+    assert len({r["facts"]["settings"] for r in told["members"]}) == 1
     assert run(["fleet", "explain", "n1", "--at", at]) == 0
     assert "alive for" in capsys.readouterr().out
     assert run(["fleet", "explain", "nobody", "--at", at]) == 1
@@ -413,7 +413,9 @@
         text=True,
         timeout=PATIENCE,
     )
-    assert done.returncode == 2 and key in done.stderr and len(done.stderr.splitlines()) == 1
+    assert done.returncode == 2
+    assert key in done.stderr
+    assert len(done.stderr.splitlines()) == 1
 
 
 def test_the_lab_plays_a_schedule_and_leaves_a_table_and_a_chart(tmp_path, capsys):
@@ -422,11 +424,13 @@
     words = ["lab", "fleet", "--members", "3", "--faults", str(faults), "--seconds", "2"]
     assert main([*words, "--out", str(tmp_path)]) == 0
     told = json.loads((tmp_path / "fleet.json").read_text())
-    assert told["broken"] == [] and told["settled_s"] is not None
+    assert told["broken"] == []
+    assert told["settled_s"] is not None
     assert {span["state"] for span in told["spans"]} >= {"alive"}
     assert (tmp_path / "fleet.png").read_bytes().startswith(b"\x89PNG")
     faults.write_text('[[fault]]\nkind = "restart"\nat = 0.5\nwho = ["n9"]\n')
-    assert main(words) == 2 and "fault[0].who: no member n9" in capsys.readouterr().err
+    assert main(words) == 2
+    assert "fault[0].who: no member n9" in capsys.readouterr().err
     assert main(["lab", "fleet", "--members", "1"]) == 2
 
 
@@ -436,10 +440,12 @@
     for change in ({}, {"state": "alive"}, {"incarnation": 0}, {"generation": 4}):
         watch.saw(1.0, "n0@1", "n0", {**row, **change})
     watch.saw(2.0, "n0@1", "n0", {**row, "facts": {"count": 3}})
-    assert len(watch.broken) == 4 and "back on an old claim" in watch.broken[0]
+    assert len(watch.broken) == 4
+    assert "back on an old claim" in watch.broken[0]
 
 
 @pytest.mark.parametrize("viewed", [False, True])
 def test_a_day_on_which_two_of_four_dispatchers_crash_keeps_the_rules(viewed):
     told = play((3, viewed, 3))
-    assert told["breaches"] == [] and told["finals"]["served"] > 100
+    assert told["breaches"] == []
+    assert told["finals"]["served"] > 100
--- a/tests/test_fleet_view.py
+++ b/tests/membership/test_membership_view.py
@@ -7,13 +7,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from stepstream.fleet import messages as m
-from stepstream.fleet.counting import Roster, Seen
-from stepstream.fleet.messages import Row, State
-from stepstream.fleet.view import Times, View
 from stepstream.lab.fleet_faults import Fault, Schedule, draw
 from stepstream.lab.fleet_search import Search
 from stepstream.lab.fleet_world import CLUSTER, BrokenError, World
+from stepstream.membership import messages as m
+from stepstream.membership.counting import Roster, Seen
+from stepstream.membership.messages import Row, State
+from stepstream.membership.view import Times, View
 
 TIMES = Times()
 SETTLE = 20.0  # seconds after the last fault, at 5 members; most settle in one
@@ -126,7 +126,8 @@
     except m.BadDatagramError:
         return
     target.handle(1.0, told)  # whatever is readable is also bounded
-    assert len(target.members) <= 1 + 4 and told.cluster == CLUSTER
+    assert len(target.members) <= 1 + 4
+    assert told.cluster == CLUSTER
 
 
 @pytest.mark.parametrize(
@@ -163,13 +164,15 @@
     made = view(Times(most=3, forget=100.0))
     for k, name in enumerate("abcd"):
         made.claim(Row(name, f"127.0.0.1:{k + 2}", 1, 0, State.ALIVE), name)
-    assert set(made.members) == {"me", "a", "b"} and made.counts.turned_away == 2
+    assert set(made.members) == {"me", "a", "b"}
+    assert made.counts.turned_away == 2
     assert [c.name for c in made.changes if c.after == "turned away"] == ["c", "d"]
     made.claim(Row("a", "127.0.0.1:2", 1, 0, State.DEAD), "b")
     made.now = 99.0
     assert not made.claim(Row("c", "127.0.0.1:4", 1, 0, State.ALIVE), "c")
     made.now = 100.0
-    assert made.claim(Row("c", "127.0.0.1:4", 1, 0, State.ALIVE), "c") and "a" not in made.members
+    assert made.claim(Row("c", "127.0.0.1:4", 1, 0, State.ALIVE), "c")
+    assert "a" not in made.members
 
 
 # -- schedules --------------------------------------------------------------------------------------------
@@ -246,7 +249,8 @@
 def test_three_members_in_every_order_of_four_steps(monkeypatch):
     search = Search(depth=4)
     search.run()
-    assert search.states > 1000 and search.settled >= 20
+    assert search.states > 1000
+    assert search.settled >= 20
     old_claims_win(monkeypatch)
     with pytest.raises(BrokenError):
         Search(depth=4, settle_every=10).run()
@@ -313,7 +317,8 @@
         assert made.run(10.0, made.agreed)
         assert not [death for death in made.deaths if death[1] == "n2"]
         back = made.sims["n2"].view
-        assert back.counts.stalls == 1 and back.members["n2"].row.incarnation <= 2
+        assert back.counts.stalls == 1
+        assert back.members["n2"].row.incarnation <= 2
         assert made.now - begun < seconds + 5.0
 
 
@@ -325,7 +330,8 @@
             if made.draw.random() < 0.3:
                 made.stall(sim.name, made.draw.uniform(0.1, 1.0))
         made.run(1.0)
-    assert not made.deaths and made.run(SETTLE, made.agreed)
+    assert not made.deaths
+    assert made.run(SETTLE, made.agreed)
 
 
 def test_a_one_way_cut_is_settled_while_it_lasts_by_the_helpers():
@@ -360,9 +366,12 @@
     assert made.run(SETTLE, lambda: bool(old.view.superseded))
     made.run(10.0)
     lines = [change for change in old.view.changes if change.after == "superseded"]
-    assert len(lines) == 1 and twin.address in lines[0].why and "its own name" in lines[0].why
+    assert len(lines) == 1
+    assert twin.address in lines[0].why
+    assert "its own name" in lines[0].why
     rows = {sim.view.members["n4"].row.address for sim in made.running() if sim is not old}
-    assert rows == {twin.address} and not twin.view.superseded
+    assert rows == {twin.address}
+    assert not twin.view.superseded
 
 
 def test_a_restart_whose_clock_was_set_back_takes_its_name_over():
@@ -391,7 +400,8 @@
     made = World(2, 5, TIMES)
     made.start("n4", seeds=(made.sims["n4"].address, made.sims["n0"].address))  # itself among them
     made.run(10.0)
-    assert not made.sims["n4"].view.joined and not made.sims["n4"].view.settled
+    assert not made.sims["n4"].view.joined
+    assert not made.sims["n4"].view.settled
     for name in names(0, 1, 2, 3):
         made.start(name)
     assert made.run(SETTLE, made.agreed)
@@ -430,7 +440,8 @@
         begun = made.now
         assert made.run(15.0, lambda made=made: made.known("n1", (State.DEAD,)))
         assert made.now - begun < 10.0
-    assert max(count for count, _ in load) < 6 and max(size for _, size in load) < 400
+    assert max(count for count, _ in load) < 6
+    assert max(size for _, size in load) < 400
 
 
 # -- operators' words and the count -----------------------------------------------------------------------
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -1,42 +1,48 @@
 """Settings, messages and limits that the network tests share."""
 
-from stepstream import interface as i
-from stepstream.dispatch import Request
-from stepstream.net.http1 import write_request
-from stepstream.net.limits import Limits
-from stepstream.ports import Payload
+from stepstream.config.limits import Limits
+from stepstream.core.requests import Request
+from stepstream.http.codec import write_request
+from stepstream.model.endpoints import Endpoint
+from stepstream.model.settings import Effect, JobClass, Settings
+from stepstream.ports.payload import Payload
 
-SETTINGS = i.Settings(
+SETTINGS = Settings(
     classes=(
-        i.JobClass(goal_us=200_000, deadline_us=5_000_000, effect=i.Effect.SAFE, name="revalue"),
-        i.JobClass(
-            goal_us=120_000,
+        JobClass(
+            latency_objective_us=200_000,
             deadline_us=5_000_000,
-            effect=i.Effect.KEYED,
-            worth=10.0,
-            window_us=7_500_000,
+            effect=Effect.IDEMPOTENT,
+            name="revalue",
+        ),
+        JobClass(
+            latency_objective_us=120_000,
+            deadline_us=5_000_000,
+            effect=Effect.IDEMPOTENT_WITH_KEY,
+            priority_weight=10.0,
+            idempotency_window_us=7_500_000,
             name="nav-publish",
         ),
     ),
     attempt_limit=4,
     may_cancel=True,
-    may_duplicate=True,
+    may_hedge=True,
     may_advise_retry=True,
     max_retry_after_us=2_000_000,
-    tells_start=True,
-    must_ask=True,
+    reports_start=True,
+    polls_endpoints=True,
     tenants=("tatra-invest", "hron-asset"),
     quotas_per_s=(92.0, 47.0),
     zones=("ruzinov", "petrzalka"),
-    kinds=("new-blade", "old-blade"),
+    worker_kinds=("new-blade", "old-blade"),
 )
 LIMITS = Limits()
 PROBED = {
-    "reports": "probe",
-    "report_names": ("queue", "x0"),
-    "report_columns": ("queue", "free_slots"),
+    "load_report_source": "probe",
+    "load_report_names": ("queue", "x0"),
+    "load_report_columns": ("queue", "free_slots"),
 }
-WORKERS = tuple(i.WorkerEntry(f"s-{k}", zone=0, cell=k % 2) for k in range(4))
+WORKERS = tuple(Endpoint(f"s-{k}", zone=0, cell=k % 2) for k in range(4))
 
 
 def job_bytes(name="00000000000000aa", path="/revalue", method="POST", body=b"{}", **headers):
--- a/tests/test_node.py
+++ b/tests/node/test_node.py
@@ -13,161 +13,27 @@
 import threading
 import time
 from dataclasses import replace
-from pathlib import Path
 from queue import Empty
 
 import pytest
-from net_helpers import LIMITS, job_bytes
-from test_settings import CONFIG
-
-from stepstream.dispatch import LastCall
-from stepstream.net.http1 import Parser, write_answer, write_request
-from stepstream.node import Node
-from stepstream.settings import config_from
-
-ROOT = Path(__file__).parent.parent
-PATIENCE = 20.0
-
-
-class Server:
-    """Answers each request on 127.0.0.1 by what `reply(message)` gives: bytes, or None to hang up."""
-
-    def __init__(self, reply):
-        self.reply, self.seen = reply, []
-        self.sock = socket.create_server(("127.0.0.1", 0))
-        self.port = self.sock.getsockname()[1]
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        while True:
-            try:
-                peer, _ = self.sock.accept()
-            except OSError:
-                return
-            threading.Thread(target=self.serve, args=(peer,), daemon=True).start()
-
-    def serve(self, peer):
-        with peer, contextlib.suppress(OSError):  # the other side may hang up at any time
-            self.converse(peer, Parser(LIMITS))
-
-    def converse(self, peer, parser):
-        while data := peer.recv(65536):
-            parser.feed(data)
-            while (message := parser.next()) is not None:
-                self.seen.append(message)
-                answer = self.reply(message)
-                if answer is None:
-                    return
-                peer.sendall(answer)
-
-
-def ask(port, data, sock=None):
-    """One exchange; on a connection of its own unless one is given."""
-    peer = sock or socket.create_connection(("127.0.0.1", port), timeout=PATIENCE)
-    parser = Parser(LIMITS, answers=True)
-    peer.sendall(data)
-    message = None
-    while message is None:
-        piece = peer.recv(65536)
-        parser.feed(piece)
-        message = parser.next() if piece else parser.end()
-        if message is None and not piece:
-            raise ConnectionError("no answer")
-    if sock is None:
-        peer.close()
-    return message
-
-
-def free_port():
-    with socket.create_server(("127.0.0.1", 0)) as probe:
-        return probe.getsockname()[1]
-
-
-def wait_for(seen):
-    until = time.monotonic() + PATIENCE
-    while not (found := seen()):
-        assert time.monotonic() < until, "nothing came"
-        time.sleep(0.01)
-    return found
-
-
-class World:
-    """A dispatcher's process with one worker and a discovery that names it."""
-
-    def __init__(self, folder, **more):
-        """`more`: further keys of the configuration."""
-        self.worker = Server(self.on_worker)
-        self.discovery = Server(self.on_discovery)
-        self.port = free_port()
-        self.hold = threading.Event()  # while set, jobs are taken but not done
-        self.answers = []  # what the worker gives instead of a 202, first come
-        entry = {
-            "id": "s-1",
-            "addr": f"127.0.0.1:{self.worker.port}",
-            "state": "ready",
-            "zone": "ruzinov",
-        }
-        self.list = {"version": 3, "full": True, "servers": [entry]}
-        # Without tells of starts a job that is held here does not look like a sign of a full worker.
-        told = {
-            **CONFIG["settings"],
-            "extra": {**CONFIG["settings"]["extra"], "tells_start": False},
-        }
-        config = {
-            **CONFIG,
-            "settings": told,
-            "listen": f"127.0.0.1:{self.port}",
-            "discovery": f"127.0.0.1:{self.discovery.port}",
-            "known": self.list,
-            **more,
-        }
-        self.config, self.path = config, folder / "config.json"
-        self.path.write_text(json.dumps(config))
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "stepstream", "serve"],
-            cwd=ROOT,
-            env={**os.environ, "EDGE_CONFIG": str(self.path)},
-            stderr=subprocess.PIPE,
-            text=True,
-        )
-        wait_for(self.ready)
+from config_helpers import CONFIG
+from net_helpers import job_bytes
+from node_helpers import PATIENCE, ROOT, Server, World, ask, free_port, wait_for
 
-    def reload(self, config):
-        """Replaces the file and sends SIGHUP; the log line that it causes."""
-        self.path.write_text(json.dumps(config))
-        self.process.send_signal(signal.SIGHUP)
-        for line in self.process.stderr:
-            if "reloaded" in line or "configuration" in line:
-                return line
+from stepstream.config.node_config import config_from
+from stepstream.core.events import ShutdownStarted
+from stepstream.http.codec import write_answer, write_request
+from stepstream.node.node import Node
 
-    def ready(self):
-        try:
-            return ask(self.port, b"GET /-/ready HTTP/1.1\r\n\r\n").status == 200
-        except OSError:
-            return False
-
-    def on_worker(self, message):
-        if message.method == "POST":
-            if self.answers:
-                return self.answers.pop(0)
-            if not self.hold.is_set():
-                self.news(message.headers["request-id"], "done", "17.5")
-            return write_answer(202)
-        return write_answer(200)
-
-    def on_discovery(self, message):
-        if "wait=" in message.target:
-            time.sleep(0.2)
-        return write_answer(200, json.dumps(self.list).encode())
-
-    def news(self, name, state, result=None):
-        body = json.dumps({"id": name, "from": "s-1", "state": state, "result": result}).encode()
-        return ask(
-            self.port, write_request("POST", "/_jobs/news", {"Connection": "close"}, body)
-        ).status
-
-    def jobs(self):
-        return [m for m in self.worker.seen if m.method == "POST"]
+
+def with_shutdown(limits, **seconds):
+    """The limits with other times of a shutdown."""
+    return replace(limits, shutdown=replace(limits.shutdown, **seconds))
+
+
+def with_startup(limits, **seconds):
+    """The limits with other waits of a start."""
+    return replace(limits, startup=replace(limits.startup, **seconds))
 
 
 @pytest.fixture
@@ -191,7 +57,8 @@
         "00000000000000aa",
     )
     # Told again, and of a job from before a restart: acknowledged all the same.
-    assert world.news("00000000000000aa", "done", "x") == 200 and world.news("00ff", "lost") == 200
+    assert world.news("00000000000000aa", "done", "x") == 200
+    assert world.news("00ff", "lost") == 200
 
 
 @pytest.mark.parametrize(
@@ -258,15 +125,16 @@
     assert [a.status for a in answers] == [200] * 2
     assert world.process.wait(PATIENCE) == 0
     log = world.process.stderr.read()
-    assert "2 served, 0 refused, 0 failed" in log and log.endswith("stepstream: stopped\n")
+    assert "2 served, 0 refused, 0 failed" in log
+    assert log.endswith("stepstream: stopped\n")
 
 
 def test_after_sigterm_clients_go_on_with_their_connections_until_these_close(world):
     config = config_from({**world.config, "listen": f"127.0.0.1:{free_port()}"}, {})
     node = Node(config)
-    node.limits = replace(node.limits, stop_serving=PATIENCE, stop_answer=PATIENCE)
+    node.limits = with_shutdown(node.limits, serving_seconds=PATIENCE, answering_seconds=PATIENCE)
     node.start()
-    port = node.house.entrances[0].listener.getsockname()[1]
+    port = node.server.listeners[0].listener.getsockname()[1]
     with socket.create_connection(("127.0.0.1", port), timeout=PATIENCE) as peer:
         # The stand-in worker knows the first dispatcher only: its news does not come here.
         world.hold.set()
@@ -274,7 +142,7 @@
         wait_for(world.jobs)
         stop = threading.Thread(target=node.stop, daemon=True)
         stop.start()
-        wait_for(lambda: node.house.door.leaving)
+        wait_for(lambda: node.server.state.shutting_down)
         told = write_request(
             "POST", "/_jobs/news", {}, b'{"id":"0a","from":"s-1","state":"done","result":"1"}'
         )
@@ -285,11 +153,12 @@
         wait_for(lambda: len(world.jobs()) == 2)
         assert stop.is_alive()
         # Now its connections close, and what is open has until then to be answered.
-        node.limits = replace(node.limits, stop_serving=0.0)
-        wait_for(lambda: node.house.door.closing)
-        node.events.put(LastCall(node.clock.now_us()))
+        node.limits = with_shutdown(node.limits, serving_seconds=0.0)
+        wait_for(lambda: node.server.state.closing)
+        node.events.put(ShutdownStarted(node.clock.now_us()))
         answer = ask(0, b"", peer)
-        assert answer.status == 503 and not answer.keep_alive
+        assert answer.status == 503
+        assert not answer.keep_alive
     stop.join(PATIENCE)
     assert not stop.is_alive()
 
@@ -309,11 +178,13 @@
         wait_for(lambda: [m for m in new.seen if "wait=" in m.target])
         before = len(world.discovery.seen)
         # The job of before the reload is answered on its connection, and a new one after it.
-        assert world.news("0e", "done", "1") == 200 and ask(0, b"", peer).body == b"1"
+        assert world.news("0e", "done", "1") == 200
+        assert ask(0, b"", peer).body == b"1"
         world.hold.clear()
         assert ask(0, job_bytes(name="0f"), peer).status == 200
         wait_for(lambda: len([m for m in new.seen if "wait=" in m.target]) > 2)
-    assert new.seen[0].target == "/api/targets" and len(world.discovery.seen) == before
+    assert new.seen[0].target == "/api/targets"
+    assert len(world.discovery.seen) == before
     new.sock.close()
 
 
@@ -361,7 +232,9 @@
             text=True,
             timeout=PATIENCE,
         )
-    assert run.returncode == 2 and "listen=" in run.stderr and len(run.stderr.splitlines()) == 1
+    assert run.returncode == 2
+    assert "listen=" in run.stderr
+    assert len(run.stderr.splitlines()) == 1
 
 
 class Signals:
@@ -395,7 +268,8 @@
         sys.setswitchinterval(switch)
         for number, handler in handlers.items():
             signal.signal(number, handler)
-    assert stopped and max(node.signals.waits) <= 0.05
+    assert stopped
+    assert max(node.signals.waits) <= 0.05
     assert not looked  # the rounds of looks keep their own pace
 
 
@@ -411,7 +285,8 @@
                 peer.sendall(b"POST /revalue HTTP/1.1\r\nRequest-Id: 0")
                 crowd.append(peer)
             time.sleep(0.1)
-        assert world.process.wait(PATIENCE) == 0 and time.monotonic() < until
+        assert world.process.wait(PATIENCE) == 0
+        assert time.monotonic() < until
     finally:
         for peer in crowd:
             peer.close()
@@ -454,7 +329,9 @@
         "discovery": f"127.0.0.1:{discovery.port}",
     }
     node = Node(config_from(config, {}))
-    node.limits = replace(node.limits, agent_first=PATIENCE, first_list=PATIENCE)
+    node.limits = with_startup(
+        node.limits, first_agent_list_seconds=PATIENCE, first_endpoint_list_seconds=PATIENCE
+    )
     thread = started(node)
     wait_for(lambda: discovery.seen)
     if lists == "subscribe":
@@ -465,8 +342,9 @@
     assert not is_ready(port)
     answer.set()
     wait_for(lambda: is_ready(port))
-    assert node.destinations.version == 4 and node.destinations.address("s-1") is None
-    node.discovery.retire()
+    assert node.destinations.version == 4
+    assert node.destinations.address("s-1") is None
+    node.discovery.stop()
 
 
 def test_a_start_beside_a_discovery_that_is_down_does_not_wait_for_long():
@@ -478,11 +356,12 @@
         "discovery": f"127.0.0.1:{free_port()}",
     }
     node = Node(config_from(config, {}))
-    assert node.limits.first_list < 10.0 and node.limits.agent_first < 1.0
-    node.limits = replace(node.limits, first_list=0.05)
+    assert node.limits.startup.first_endpoint_list_seconds < 10.0
+    assert node.limits.startup.first_agent_list_seconds < 1.0
+    node.limits = with_startup(node.limits, first_endpoint_list_seconds=0.05)
     started(node)
     wait_for(lambda: is_ready(port))
-    node.discovery.retire()
+    node.discovery.stop()
 
 
 def test_a_reload_that_leaves_discovery_where_it_is_goes_on_from_the_list_that_is_held(world):
--- a/tests/test_cold.py
+++ b/tests/policy/test_cold.py
@@ -13,14 +13,15 @@
 from math import sqrt
 
 import pytest
-from fleet_world import World
+from policy_world import World
 
-from stepstream import interface as i
-from stepstream.balance import COLD_PART, Balancer
+from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind
+from stepstream.model.settings import Effect, JobClass
+from stepstream.policy.load_balancer import COLD_PART, LoadBalancer
 
 SPAN_US, MULTIPLE, COLD_SHARE, WARM_US = 2_000_000, 4.0, 0.3, 9_000_000
 RUN_US, SLOTS = 200_000, 4
-JOBS = i.JobClass(goal_us=500_000, deadline_us=5_000_000, effect=i.Effect.SAFE)
+JOBS = JobClass(latency_objective_us=500_000, deadline_us=5_000_000, effect=Effect.IDEMPOTENT)
 BEGIN_US, END_US = 3_000_000, 9_000_000
 
 
@@ -28,8 +29,12 @@
     """Uneven traffic; from BEGIN_US on some nodes are back cold, and one dispatcher has lost its memory."""
 
     def __init__(self, dispatchers, nodes, seed):
-        more = {"cold_share": COLD_SHARE, "warm_within_us": WARM_US, "fall_multiple": MULTIPLE}
-        super().__init__((JOBS,), dispatchers, nodes, seed=seed, fall_span_us=SPAN_US, **more)
+        more = {
+            "cold_capacity_fraction": COLD_SHARE,
+            "slow_start_us": WARM_US,
+            "overload_multiple": MULTIPLE,
+        }
+        super().__init__((JOBS,), dispatchers, nodes, seed=seed, overload_window_us=SPAN_US, **more)
         # Some get several times the mean, as the platform's front does it.
         self.shares = [self.random.choice((0.5, 0.5, 1.0, 1.0, 4.0)) for _ in range(dispatchers)]
         self.reached = {}  # by cold node: when requests came
@@ -45,19 +50,19 @@
 
     def restart(self, count):
         cold = sorted(self.nodes)[:count]
-        entries = tuple(i.WorkerEntry(name, started_us=self.now) for name in cold)
+        entries = tuple(Endpoint(name, started_us=self.now) for name in cold)
         for name in cold:
             self.nodes[name].speed, self.reached[name] = COLD_SHARE, []
         forgetful = self.random.randrange(len(self.balancers))
-        fresh = Balancer(self.balancers[forgetful].s, self.random.randrange(2**32), self.now)
+        fresh = LoadBalancer(self.balancers[forgetful].s, self.random.randrange(2**32), self.now)
         self.balancers[forgetful] = fresh
-        all_entries = {n.entry.worker: n.entry for n in self.nodes.values()} | {
-            e.worker: e for e in entries
+        all_entries = {n.entry.worker_id: n.entry for n in self.nodes.values()} | {
+            e.worker_id: e for e in entries
         }
-        self.tell(forgetful, i.WorkerList(i.ListKind.PERSISTED, tuple(all_entries.values())))
+        self.tell(forgetful, EndpointList(EndpointListKind.PERSISTED, tuple(all_entries.values())))
         for k in range(len(self.balancers)):
             if k != forgetful:
-                self.tell(k, i.WorkerList(i.ListKind.CHANGES, entries))
+                self.tell(k, EndpointList(EndpointListKind.CHANGES, entries))
 
     def excess(self, worker):
         """The most by which a window's count was over what is allowed."""
