--- a/tests/test_departures.py
+++ b/tests/policy/test_departures.py
@@ -3,27 +3,32 @@
 import pytest
 from helpers import SAFE, UNSAFE, Bench, entry, finals, pushes
 
-from stepstream import interface as i
-from stepstream.balance import Balancer
+from stepstream.model.actions import CancelAttempt, CheckHealth, Reject, SetTimer
+from stepstream.model.endpoints import EndpointList, EndpointListKind
+from stepstream.model.events import AttemptResult, AttemptStarted, HealthChecked
+from stepstream.policy.load_balancer import LoadBalancer
 
-REPORTS = {"reports": "answers", "report_columns": ("queue", "free_slots")}
+REPORTS = {"load_report_source": "answers", "load_report_columns": ("queue", "free_slots")}
 
 
 def reported(bench, rooms):
     """Every worker's report, by probes: free slots, or waiting jobs where the number is below 0."""
     for k, room in enumerate(rooms):
         report = {"free_slots": max(room, 0.0), "queue": max(-room, 0.0)}
-        bench.tell(i.Probed(entry(k).worker, True, 500, report))
+        bench.tell(HealthChecked(entry(k).worker_id, True, 500, report))
 
 
 def test_a_job_waits_while_no_worker_has_room_and_takes_the_first_room_reported():
     bench = Bench(SAFE, workers=3, **REPORTS)
     reported(bench, [0.0, 0.0, -2.0])
     name, actions = bench.job()
-    assert not pushes(actions) and not finals(actions)
+    assert not pushes(actions)
+    assert not finals(actions)
     bench.later(50_000)
-    answer = bench.tell(i.Probed(entry(2).worker, True, 500, {"free_slots": 3.0, "queue": 0.0}))
-    assert [(p.job, p.worker) for p in pushes(answer)] == [(name, entry(2).worker)]
+    answer = bench.tell(
+        HealthChecked(entry(2).worker_id, True, 500, {"free_slots": 3.0, "queue": 0.0})
+    )
+    assert [(p.job_id, p.worker_id) for p in pushes(answer)] == [(name, entry(2).worker_id)]
 
 
 def test_a_job_that_waited_too_long_to_be_in_time_is_refused_once():
@@ -31,7 +36,7 @@
     reported(bench, [0.0, 0.0, 0.0])
     name, _ = bench.job()
     answer = [a for _ in range(10) for a in bench.tick(40_000)]
-    assert [type(a) for a in finals(answer)] == [i.Refuse]
+    assert [type(a) for a in finals(answer)] == [Reject]
     assert not bench.balancer.held
 
 
@@ -40,8 +45,8 @@
         bench = Bench(SAFE, workers=3, **REPORTS)
         reported(bench, [0.0, 0.0, 0.0])
         name, actions = bench.job(budget_us=budget)
-        assert [a.at_us - bench.now for a in actions if isinstance(a, i.WakeMe)] == [at]
-        assert [a.job for a in finals(bench.tick(at))] == [name]
+        assert [a.at_us - bench.now for a in actions if isinstance(a, SetTimer)] == [at]
+        assert [a.job_id for a in finals(bench.tick(at))] == [name]
 
 
 def test_old_reports_hold_up_no_priority_job():
@@ -71,9 +76,11 @@
         bench = Bench(SAFE, workers=10, seed=seed, **REPORTS)
         reported(bench, [2.0] * 10)
         for _ in range(6):
-            homes |= {p.worker for p in pushes(bench.later(1000).job(key="aa")[1])}
+            homes |= {p.worker_id for p in pushes(bench.later(1000).job(key="aa")[1])}
     assert len(homes) == 2
-    others = {p.worker for k in range(8) for p in pushes(bench.later(1000).job(key=f"key{k}")[1])}
+    others = {
+        p.worker_id for k in range(8) for p in pushes(bench.later(1000).job(key=f"key{k}")[1])
+    }
     assert others - homes
 
 
@@ -83,8 +90,8 @@
     def zones(price, rooms):
         bench = Bench(SAFE, entries=entries, zone=1, cross_zone_price=price, **REPORTS)
         reported(bench, rooms)
-        sent = [p.worker for _ in range(4) for p in pushes(bench.later(1000).job()[1])]
-        return {e.zone for e in entries if e.worker in sent}
+        sent = [p.worker_id for _ in range(4) for p in pushes(bench.later(1000).job()[1])]
+        return {e.zone for e in entries if e.worker_id in sent}
 
     assert zones(0.05, [8.0] * 8) == {1}
     assert zones(0.0, [8.0] * 8) == {0, 1}
@@ -94,24 +101,25 @@
 def test_rotation_keeps_to_workers_with_at_least_half_of_the_best_room():
     bench = Bench(SAFE, workers=4, **REPORTS)
     reported(bench, [20.0, 2.0, 20.0, 20.0])
-    sent = [p.worker for _ in range(6) for p in pushes(bench.later(1000).job()[1])]
-    assert len(sent) == 6 and entry(1).worker not in sent
+    sent = [p.worker_id for _ in range(6) for p in pushes(bench.later(1000).job()[1])]
+    assert len(sent) == 6
+    assert entry(1).worker_id not in sent
 
 
 def probed_at_period_end(jobs, workers=30, **more):
     """How many workers are probed after so many jobs in a period, with one worker's report known."""
-    bench = Bench(SAFE, workers=workers, **{"may_probe": True, **REPORTS, **more})
+    bench = Bench(SAFE, workers=workers, **{"may_check_health": True, **REPORTS, **more})
     bench.next_period().later(400_000)
-    bench.tell(i.Probed(entry(1).worker, True, 500, {"free_slots": 9.0, "queue": 0.0}))
+    bench.tell(HealthChecked(entry(1).worker_id, True, 500, {"free_slots": 9.0, "queue": 0.0}))
     for _ in range(jobs):
         bench.job()
-    return [a.worker for a in bench.tick(100_000) if isinstance(a, i.Probe)]
+    return [a.worker_id for a in bench.tick(100_000) if isinstance(a, CheckHealth)]
 
 
 def test_workers_without_a_report_for_a_period_are_probed_where_allowed():
     probed = probed_at_period_end(jobs=9, workers=3)
-    assert sorted(probed) == [entry(0).worker, entry(2).worker]
-    assert not probed_at_period_end(jobs=9, may_probe=False)
+    assert sorted(probed) == [entry(0).worker_id, entry(2).worker_id]
+    assert not probed_at_period_end(jobs=9, may_check_health=False)
 
 
 def test_probes_are_bounded_by_own_jobs_and_not_by_the_fleet():
@@ -125,12 +133,13 @@
     firsts, periods = set(), set()
     for seed in range(20):
         bench = Bench(SAFE, workers=20, seed=seed)
-        periods |= {a.at_us for a in bench.start_actions if isinstance(a, i.WakeMe)}
-        firsts |= {p.worker for p in pushes(bench.job()[1])}
-    assert len(periods) >= 15 and len(firsts) >= 5
+        periods |= {a.at_us for a in bench.start_actions if isinstance(a, SetTimer)}
+        firsts |= {p.worker_id for p in pushes(bench.job()[1])}
+    assert len(periods) >= 15
+    assert len(firsts) >= 5
 
 
-COLD = {"cold_share": 0.2, "warm_within_us": 20_000_000, "fall_multiple": 3.0}
+COLD = {"cold_capacity_fraction": 0.2, "slow_start_us": 20_000_000, "overload_multiple": 3.0}
 
 
 def a_cold_one(seed, gap_us, workers=4):
@@ -138,8 +147,8 @@
     bench = Bench(SAFE, workers=workers, seed=seed, **COLD)
     for _ in range(100):
         name, actions = bench.later(gap_us).job()
-        bench.ended(name, pushes(actions)[0].worker, i.Result.OK)
-    bench.tell(i.WorkerList(i.ListKind.CHANGES, (entry(0, started_us=bench.now),)))
+        bench.ended(name, pushes(actions)[0].worker_id, AttemptResult.OK)
+    bench.tell(EndpointList(EndpointListKind.CHANGES, (entry(0, started_us=bench.now),)))
     return bench
 
 
@@ -150,8 +159,8 @@
         bench = a_cold_one(seed, 500_000)
         for step in range(60):
             name, actions = bench.later(300_000).job()
-            bench.ended(name, pushes(actions)[0].worker, i.Result.OK)
-            if pushes(actions)[0].worker == entry(0).worker:
+            bench.ended(name, pushes(actions)[0].worker_id, AttemptResult.OK)
+            if pushes(actions)[0].worker_id == entry(0).worker_id:
                 waits.add(step)
                 break
     assert len(waits) >= 4
@@ -164,66 +173,74 @@
         bench = a_cold_one(seed, 500_000, workers=20)
         bench.later(12_000_000)
         for _ in range(25):  # a burst: more jobs in one moment than there are workers
-            sent += sum(p.worker == entry(0).worker for p in pushes(bench.later(1000).job()[1]))
+            sent += sum(
+                p.worker_id == entry(0).worker_id for p in pushes(bench.later(1000).job()[1])
+            )
     assert sent <= 15  # a warm worker serves 60 x 2 / 20 = 6 a second of these dispatchers
 
 
 @pytest.mark.parametrize(
-    "zero", [{"fall_multiple": 0.0}, {"cold_share": 0.0}, {"warm_within_us": 0}]
+    "zero", [{"overload_multiple": 0.0}, {"cold_capacity_fraction": 0.0}, {"slow_start_us": 0}]
 )
 def test_a_setting_of_zero_round_a_cold_worker_costs_no_job(zero):
     bench = Bench(SAFE, workers=4, **{**COLD, **zero})
     # With no time to warm up only one that starts a moment from now, by its machine's clock, is cold.
-    started = bench.now + (0 if zero.get("warm_within_us", 1) else 1000)
-    bench.tell(i.WorkerList(i.ListKind.CHANGES, (entry(0, started_us=started),)))
-    sent = [pushes(bench.job()[1])[0].worker for _ in range(20)]
-    assert entry(0).worker not in sent or "warm_within_us" in zero
+    started = bench.now + (0 if zero.get("slow_start_us", 1) else 1000)
+    bench.tell(EndpointList(EndpointListKind.CHANGES, (entry(0, started_us=started),)))
+    sent = [pushes(bench.job()[1])[0].worker_id for _ in range(20)]
+    assert entry(0).worker_id not in sent or "slow_start_us" in zero
 
 
 def test_the_work_of_a_decision_is_bounded_at_a_large_fleet(monkeypatch):
     # The median cap and the order of a key's workers, made anew for each event, got whole days cut off.
     calls = {"room": 0, "median_cap": 0}
     for name in calls:
-        original = getattr(Balancer, name)
+        original = getattr(LoadBalancer, name)
 
         def counted(self, *args, name=name, original=original):
             calls[name] += 1
             return original(self, *args)
 
-        monkeypatch.setattr(Balancer, name, counted)
+        monkeypatch.setattr(LoadBalancer, name, counted)
     workers = 200
-    bench = Bench(SAFE, workers=workers, fleet_size=300, **REPORTS)
+    bench = Bench(SAFE, workers=workers, dispatcher_count=300, **REPORTS)
     reported(bench, [4.0] * workers)
     bench.job(key="aa")
     before, medians = calls["room"], calls["median_cap"]
     for k in range(50):
         name, actions = bench.later(1000).job(key=f"key{k % 3}")
-        bench.ended(name, pushes(actions)[0].worker, i.Result.OK)
+        bench.ended(name, pushes(actions)[0].worker_id, AttemptResult.OK)
     assert calls["room"] - before <= 3 * workers * 50
     assert calls["median_cap"] - medians <= 1
 
 
 def test_a_fleet_that_is_mostly_cold_still_gets_work():
     # A budget by served jobs a worker shrank with what the cold ones served, and starved them.
-    bench = Bench(SAFE, workers=8, cold_share=0.2, warm_within_us=20_000_000, fall_multiple=3.0)
+    bench = Bench(
+        SAFE, workers=8, cold_capacity_fraction=0.2, slow_start_us=20_000_000, overload_multiple=3.0
+    )
     for _ in range(200):
         name, actions = bench.later(20_000).job()
-        bench.ended(name, pushes(actions)[0].worker, i.Result.OK)
+        bench.ended(name, pushes(actions)[0].worker_id, AttemptResult.OK)
     cold = tuple(entry(k, started_us=bench.now) for k in range(6))
-    bench.tell(i.WorkerList(i.ListKind.CHANGES, cold))
-    served, names = 0, {e.worker for e in cold}
+    bench.tell(EndpointList(EndpointListKind.CHANGES, cold))
+    served, names = 0, {e.worker_id for e in cold}
     for _ in range(200):
         name, actions = bench.later(20_000).job()
         for p in pushes(actions):
-            served += p.worker in names
-            bench.ended(name, p.worker, i.Result.OK)
+            served += p.worker_id in names
+            bench.ended(name, p.worker_id, AttemptResult.OK)
     assert served >= 20
 
 
 def test_a_tenant_within_its_share_is_told_by_the_mix_and_not_by_a_rate_per_dispatcher():
     # quota / fleet_size is under one job a second here: at a busy dispatcher every tenant looked past it.
     bench = Bench(
-        SAFE, workers=6, fleet_size=170, quotas_per_s=(40.0, 13.0, 13.0), over_share_worth=0.05
+        SAFE,
+        workers=6,
+        dispatcher_count=170,
+        quotas_per_s=(40.0, 13.0, 13.0),
+        over_quota_weight_fraction=0.05,
     )
     within = {0: [], 1: [], 2: []}
     for k in range(400):
@@ -231,29 +248,30 @@
         name, actions = bench.later(10_000).job(tenant=tenant)
         for p in pushes(actions):
             within[tenant].append(bench.balancer.held[name].priority)
-            bench.ended(name, p.worker, i.Result.OK)
+            bench.ended(name, p.worker_id, AttemptResult.OK)
     assert sum(within[1][20:] + within[2][20:]) >= 0.95 * len(within[1][20:] + within[2][20:])
     assert 0.3 <= sum(within[0][100:]) / len(within[0][100:]) <= 0.75
 
 
 def starts(job_class, reported_rooms=(3.0, 3.0, 3.0)):
     bench = Bench(
-        job_class, workers=3, tells_start=True, may_duplicate=True, may_cancel=True, **REPORTS
+        job_class, workers=3, reports_start=True, may_hedge=True, may_cancel=True, **REPORTS
     )
     reported(bench, list(reported_rooms))
     name, actions = bench.job()
-    return bench, name, pushes(actions)[0].worker
+    return bench, name, pushes(actions)[0].worker_id
 
 
 def test_a_push_that_does_not_start_soon_gets_a_second_copy_and_the_first_to_start_stays():
     # Late reports kept jobs behind long queues at workers that looked free.
     bench, name, first = starts(SAFE)
     second = pushes(bench.tick(160_000))
-    assert [p.job for p in second] == [name] and second[0].worker != first
+    assert [p.job_id for p in second] == [name]
+    assert second[0].worker_id != first
     assert not pushes(bench.tick(10_000))
-    assert bench.tell(i.Started(name, 1, second[0].worker)) == [i.Cancel(name, 0)]
-    assert not bench.ended(name, first, i.Result.CANCELLED, attempt=0)
-    bench.ended(name, second[0].worker, i.Result.OK, attempt=1)
+    assert bench.tell(AttemptStarted(name, 1, second[0].worker_id)) == [CancelAttempt(name, 0)]
+    assert not bench.ended(name, first, AttemptResult.CANCELLED, attempt=0)
+    bench.ended(name, second[0].worker_id, AttemptResult.OK, attempt=1)
     assert not bench.balancer.held
 
 
@@ -262,20 +280,20 @@
         bench, name, _ = starts(job_class, rooms)
         assert not pushes(bench.tick(160_000))
     bench, name, first = starts(SAFE)
-    bench.tell(i.Started(name, 0, first))
+    bench.tell(AttemptStarted(name, 0, first))
     assert not pushes(bench.tick(160_000))
 
 
 def test_a_worker_whose_push_does_not_start_has_no_room():
     bench, _, stuck = starts(UNSAFE)
     bench.tick(160_000)
-    assert stuck not in [p.worker for _ in range(4) for p in pushes(bench.later(1000).job()[1])]
+    assert stuck not in [p.worker_id for _ in range(4) for p in pushes(bench.later(1000).job()[1])]
 
 
 def test_a_copy_still_out_when_the_job_is_answered_is_cancelled():
     bench, name, first = starts(SAFE)
     bench.tick(160_000)
-    assert bench.ended(name, first, i.Result.OK) == [i.Cancel(name, 1)]
+    assert bench.ended(name, first, AttemptResult.OK) == [CancelAttempt(name, 1)]
 
 
 def test_a_hot_key_gets_more_homes_in_a_large_fleet():
@@ -287,19 +305,20 @@
         key = "hot" if k % 4 == 0 else f"rare{k % 40}"
         name, actions = bench.later(2000).job(key=key)
         if key in homes:
-            homes[key] |= {p.worker for p in pushes(actions)}
-        bench.ended(name, pushes(actions)[0].worker, i.Result.OK)
-    assert len(homes["hot"]) >= 8 and len(homes["rare1"]) <= 2
+            homes[key] |= {p.worker_id for p in pushes(actions)}
+        bench.ended(name, pushes(actions)[0].worker_id, AttemptResult.OK)
+    assert len(homes["hot"]) >= 8
+    assert len(homes["rare1"]) <= 2
 
 
 def past_share(rooms):
     """A bench with a tenant (0) that is past its share and that asks for one more job."""
-    shares = {"quotas_per_s": (1.0, 1000.0), "over_share_worth": 0.05, "attempt_limit": 5}
+    shares = {"quotas_per_s": (1.0, 1000.0), "over_quota_weight_fraction": 0.05, "attempt_limit": 5}
     bench = Bench(SAFE, workers=len(rooms), **shares, **REPORTS)
     for k in range(60):
         name, actions = bench.later(1000).job(tenant=k % 2)
         for p in pushes(actions):
-            bench.ended(name, p.worker, i.Result.OK)
+            bench.ended(name, p.worker_id, AttemptResult.OK)
     bench.later(400_000)
     reported(bench, rooms)
     return bench, *bench.job(tenant=0)
@@ -308,9 +327,11 @@
 def test_a_job_past_its_tenants_share_gets_one_attempt():
     # Tried again and again, such jobs took the workers from those inside a share.
     bench, name, actions = past_share([3.0] * 6)
-    assert finals(bench.ended(name, pushes(actions)[0].worker, i.Result.FULL)) == [i.Refuse(name)]
+    assert finals(bench.ended(name, pushes(actions)[0].worker_id, AttemptResult.FULL)) == [
+        Reject(name)
+    ]
     name, actions = bench.job(tenant=1)
-    assert pushes(bench.ended(name, pushes(actions)[0].worker, i.Result.FULL))
+    assert pushes(bench.ended(name, pushes(actions)[0].worker_id, AttemptResult.FULL))
 
 
 def test_a_job_past_its_tenants_share_leaves_a_slot_free():
@@ -322,11 +343,11 @@
 def test_a_choice_looks_at_a_bounded_number_of_workers(monkeypatch):
     # At 330 workers a choice cost a millisecond, each event several, and the day was cut off.
     looks = []
-    original = Balancer.room
+    original = LoadBalancer.room
     monkeypatch.setattr(
-        Balancer, "room", lambda self, worker: looks.append(worker) or original(self, worker)
+        LoadBalancer, "room", lambda self, worker: looks.append(worker) or original(self, worker)
     )
-    bench = Bench(SAFE, workers=250, fleet_size=250, **REPORTS)
+    bench = Bench(SAFE, workers=250, dispatcher_count=250, **REPORTS)
     reported(bench, [4.0] * 250)
     for key in (None, "aa"):
         looks.clear()
@@ -338,8 +359,9 @@
     # At a crowded fleet all attempts ended as full within milliseconds.
     bench = Bench(SAFE, workers=8, attempt_limit=4)
     name, actions = bench.job()
-    again = pushes(bench.ended(name, pushes(actions)[0].worker, i.Result.FULL))
-    assert again and not pushes(bench.ended(name, again[0].worker, i.Result.FULL, attempt=1))
+    again = pushes(bench.ended(name, pushes(actions)[0].worker_id, AttemptResult.FULL))
+    assert again
+    assert not pushes(bench.ended(name, again[0].worker_id, AttemptResult.FULL, attempt=1))
     later = [p for _ in range(3) for p in pushes(bench.next_period().tell())] or pushes(bench.log)[
         2:
     ]
@@ -350,15 +372,17 @@
     # Its cap of one stayed, above the common cap of a crowded fleet, and drew the sends of all dispatchers.
     bench = Bench(SAFE, workers=6, **REPORTS)
     name, actions = bench.job()
-    jammed = pushes(actions)[0].worker
-    bench.ended(name, jammed, i.Result.FULL)
+    jammed = pushes(actions)[0].worker_id
+    bench.ended(name, jammed, AttemptResult.FULL)
     bench.later(2_100_000)
     for k in range(6):
-        if entry(k).worker != jammed:
-            bench.tell(i.Probed(entry(k).worker, True, 500, {"free_slots": 0.4, "queue": 0.0}))
+        if entry(k).worker_id != jammed:
+            bench.tell(
+                HealthChecked(entry(k).worker_id, True, 500, {"free_slots": 0.4, "queue": 0.0})
+            )
     bench.tick(1000)
     balancer = bench.balancer
-    others = [w for w in balancer.order if w.entry.worker != jammed]
+    others = [w for w in balancer.order if w.entry.worker_id != jammed]
     assert balancer.room(balancer.workers[jammed]) <= max(balancer.room(w) for w in others)
 
 
@@ -370,9 +394,9 @@
         for _ in range(60):
             name, actions = bench.later(10_000).job()
             report = {"free_slots": 3.0, "queue": 0.0}
-            bench.ended(name, pushes(actions)[0].worker, i.Result.OK, report=report)
+            bench.ended(name, pushes(actions)[0].worker_id, AttemptResult.OK, report=report)
             bench.next_period()
-        high = frozenset(w.entry.worker for w in bench.balancer.order if w.high)
+        high = frozenset(w.entry.worker_id for w in bench.balancer.order if w.high)
         assert len(high) >= 5
         kept.add(high)
     assert len(kept) == 3
@@ -381,42 +405,44 @@
 def test_a_late_start_says_that_its_worker_is_full_at_its_busy_slots_not_at_none():
     # Without reports the stored room is no report but 0 less our pushes: a mark kept that as the room, every
     # cap became 0, the High Set borrowed all workers and an idle fleet refused its ordinary jobs.
-    for result in (None, i.Result.FULL):
-        bench = Bench(UNSAFE, workers=4, tells_start=True)
+    for result in (None, AttemptResult.FULL):
+        bench = Bench(UNSAFE, workers=4, reports_start=True)
         sent = [bench.job()[1][0] for _ in range(12)]
         late = sent[0]
         for push in sent[1:]:
-            bench.tell(i.Started(push.job, 0, push.worker))
-        marked = bench.balancer.workers[late.worker]
+            bench.tell(AttemptStarted(push.job_id, 0, push.worker_id))
+        marked = bench.balancer.workers[late.worker_id]
         busy = marked.busy_slots
         if result:
-            bench.ended(late.job, late.worker, result)
+            bench.ended(late.job_id, late.worker_id, result)
             assert bench.balancer.room(marked) == marked.cap - marked.busy_slots < 0
         else:
             bench.tick(200_000)
-            assert bench.balancer.room(marked) == 0.0 and bench.balancer.median_cap() == busy > 1
+            assert bench.balancer.room(marked) == 0.0
+            assert bench.balancer.median_cap() == busy > 1
 
 
 def test_one_late_start_on_a_slow_worker_does_not_stand_for_all_caps():
     # On a crash day the common cap stayed at one for seconds, from a single late start with one busy slot:
     # jobs waited though workers had room, and ordinary ones were refused.
-    bench = Bench(SAFE, workers=4, tells_start=True)
+    bench = Bench(SAFE, workers=4, reports_start=True)
 
     def late_starts(n):
         sent = [bench.job() for _ in range(n)]
         bench.tick(200_000)
         for name, actions in sent:
-            bench.ended(name, pushes(actions)[0].worker, i.Result.OK)
+            bench.ended(name, pushes(actions)[0].worker_id, AttemptResult.OK)
 
     late_starts(12)
     busy = bench.balancer.median_cap()
     bench.later(3_000_000)
     late_starts(1)
-    assert busy > 1 and bench.balancer.median_cap() == busy
+    assert busy > 1
+    assert bench.balancer.median_cap() == busy
 
 
 def test_a_prompt_start_beyond_the_common_cap_raises_it():
-    bench = Bench(SAFE, workers=1, tells_start=True)
+    bench = Bench(SAFE, workers=1, reports_start=True)
     balancer = bench.balancer
     bench.job()
     bench.tick(200_000)
@@ -426,7 +452,7 @@
     for _ in range(6):
         name, actions = bench.job()
         for push in pushes(actions):
-            bench.tell(i.Started(name, 0, push.worker))
+            bench.tell(AttemptStarted(name, 0, push.worker_id))
     assert balancer.median_cap() > 1.0
 
 
@@ -436,15 +462,15 @@
     bench = Bench(SAFE, entries=entries, zone=0, cross_zone_price=0.05, **COLD)
     for _ in range(100):
         name, actions = bench.later(100_000).job()
-        bench.ended(name, pushes(actions)[0].worker, i.Result.OK)
-    bench.tell(i.WorkerList(i.ListKind.CHANGES, (entry(1, zone=1, started_us=bench.now),)))
+        bench.ended(name, pushes(actions)[0].worker_id, AttemptResult.OK)
+    bench.tell(EndpointList(EndpointListKind.CHANGES, (entry(1, zone=1, started_us=bench.now),)))
     sent = []
     for _ in range(50):  # 5 s
         name, actions = bench.later(100_000).job()
-        sent += [p.worker for p in pushes(actions)]
-        bench.ended(name, pushes(actions)[0].worker, i.Result.OK)
-    zone_of = {e.worker: e.zone for e in entries}
-    assert entry(1).worker in sent
-    assert {zone_of[w] for w in sent if w != entry(1).worker} == {
+        sent += [p.worker_id for p in pushes(actions)]
+        bench.ended(name, pushes(actions)[0].worker_id, AttemptResult.OK)
+    zone_of = {e.worker_id: e.zone for e in entries}
+    assert entry(1).worker_id in sent
+    assert {zone_of[w] for w in sent if w != entry(1).worker_id} == {
         0
     }  # a warm one of that zone gets nothing
--- a/tests/test_balance.py
+++ b/tests/policy/test_load_balancer.py
@@ -6,12 +6,16 @@
 import pytest
 from helpers import DEAR, SAFE, UNSAFE, Bench, entry, finals, pushes
 
-from stepstream import interface as i
+from stepstream.model.actions import CancelAttempt, Reject, SetTimer, WatchEndpoints
+from stepstream.model.endpoints import EndpointList, EndpointListKind, EndpointState
+from stepstream.model.events import AttemptResult, AttemptStarted, HealthChecked, TimerFired
+from stepstream.model.records import RECENT_US, LoadReportLag, Worker
+from stepstream.model.settings import Effect, JobClass
 
 
 def shares(**more):
     """Two tenants: 0 is nearly always past its share, 1 never."""
-    return {"quotas_per_s": (0.5, 1000.0), "over_share_worth": 0.05, **more}
+    return {"quotas_per_s": (0.5, 1000.0), "over_quota_weight_fraction": 0.05, **more}
 
 
 def settle(bench, n=40):
@@ -19,7 +23,7 @@
     for k in range(n):
         name, actions = bench.later(1000).job(tenant=k % 2)
         for p in pushes(actions):
-            bench.ended(name, p.worker, i.Result.OK)
+            bench.ended(name, p.worker_id, AttemptResult.OK)
 
 
 def workers_of(bench, tenant, n=60):
@@ -27,8 +31,8 @@
     for _ in range(n):
         name, actions = bench.later(1000).job(tenant=tenant)
         for p in pushes(actions):
-            seen.add(p.worker)
-            bench.ended(name, p.worker, i.Result.OK)
+            seen.add(p.worker_id)
+            bench.ended(name, p.worker_id, AttemptResult.OK)
     return seen
 
 
@@ -36,7 +40,7 @@
     bench = Bench(SAFE, workers=10, **shares())
     settle(bench)
     # ceil(0.2 * 10 + 10 * 0.8 * (1 - 18 / 26)) = 5
-    ids = sorted(entry(k).worker for k in range(10))
+    ids = sorted(entry(k).worker_id for k in range(10))
     assert workers_of(bench, 1) == set(ids[:5])
     assert workers_of(bench, 0) == set(ids[5:])
 
@@ -46,7 +50,8 @@
     settle(bench)
     for _ in range(300):
         name, actions = bench.later(1000).job(tenant=0)
-        assert pushes(actions) and not finals(actions)
+        assert pushes(actions)
+        assert not finals(actions)
 
 
 def test_rotation_is_weighted():
@@ -55,24 +60,26 @@
     sent = []
     for _ in range(80):
         name, actions = bench.later(1000).job()
-        sent.append(pushes(actions)[0].worker)
-        bench.ended(name, sent[-1], i.Result.OK)
+        sent.append(pushes(actions)[0].worker_id)
+        bench.ended(name, sent[-1], AttemptResult.OK)
     pool = set(sent)
-    total = sum(e.weight for e in entries if e.worker in pool)
+    total = sum(e.weight for e in entries if e.worker_id in pool)
     for e in entries:
-        if e.worker in pool:
-            assert abs(sent.count(e.worker) - 80 * e.weight / total) <= 1
+        if e.worker_id in pool:
+            assert abs(sent.count(e.worker_id) - 80 * e.weight / total) <= 1
 
 
 def test_ordinary_jobs_are_refused_over_the_low_sets_caps_and_priority_jobs_are_not():
     bench = Bench(SAFE, workers=4, **shares())
     settle(bench)
     name, actions = bench.job(tenant=0)
-    bench.ended(name, pushes(actions)[0].worker, i.Result.FULL)  # caps are known from here on
+    bench.ended(
+        name, pushes(actions)[0].worker_id, AttemptResult.FULL
+    )  # caps are known from here on
     answers = [bench.later(1000).job(tenant=0)[1] for _ in range(30)]
     assert any(finals(a) for a in answers)
     assert all(pushes(a) for a in [bench.later(1000).job(tenant=1)[1] for _ in range(5)])
-    refused = [a for actions in answers for a in actions if isinstance(a, i.Refuse)]
+    refused = [a for actions in answers for a in actions if isinstance(a, Reject)]
     assert refused
 
 
@@ -81,14 +88,14 @@
     settle(bench)
     before = workers_of(bench, 1)
     name, actions = bench.job(tenant=1)
-    bench.ended(name, pushes(actions)[0].worker, i.Result.FULL)
+    bench.ended(name, pushes(actions)[0].worker_id, AttemptResult.FULL)
     open_jobs = [
-        (n, p.worker) for n, a in (bench.job(tenant=1) for _ in range(40)) for p in pushes(a)
+        (n, p.worker_id) for n, a in (bench.job(tenant=1) for _ in range(40)) for p in pushes(a)
     ]
     for _ in range(3):
         bench.tick()
     for n, w in open_jobs:
-        bench.ended(n, w, i.Result.OK)
+        bench.ended(n, w, AttemptResult.OK)
     grown = workers_of(bench, 1)
     assert len(before) < len(grown) < 6  # a worker always stays in the Low Set
     for _ in range(10):
@@ -97,15 +104,18 @@
 
 
 def test_a_class_that_only_the_other_pool_can_run_goes_there():
-    only_kind_1 = i.JobClass(400_000, 5_000_000, i.Effect.SAFE, kind=1)
+    only_kind_1 = JobClass(400_000, 5_000_000, Effect.IDEMPOTENT, worker_kind=1)
     for where in (0, 3):
         bench = Bench(
-            only_kind_1, entries=[entry(k, kind=int(k == where)) for k in range(4)], **shares()
+            only_kind_1,
+            entries=[entry(k, worker_kind=int(k == where)) for k in range(4)],
+            **shares(),
         )
         for tenant in (0, 1):
             for _ in range(10):
                 assert (
-                    pushes(bench.later(1000).job(tenant=tenant)[1])[0].worker == entry(where).worker
+                    pushes(bench.later(1000).job(tenant=tenant)[1])[0].worker_id
+                    == entry(where).worker_id
                 )
 
 
@@ -123,16 +133,16 @@
     cheap, dear = set(), set()
     for k in range(200):
         name, actions = bench.later(1000).job(k % 2)
-        worker = pushes(actions)[0].worker
+        worker = pushes(actions)[0].worker_id
         if k > 100:
             (dear if k % 2 else cheap).add(worker)
-        bench.ended(name, worker, i.Result.OK)
+        bench.ended(name, worker, AttemptResult.OK)
     assert not cheap & dear
 
 
 def test_a_worker_that_errs_fast_leaves_and_gets_a_trial_after_a_pause():
     bench = Bench(SAFE, workers=4)
-    bad = entry(0).worker
+    bad = entry(0).worker_id
 
     def play(n):
         sent = []
@@ -140,9 +150,9 @@
             name, actions = bench.later(10_000).job()
             attempt = 0
             while pushes(actions):
-                worker = pushes(actions)[0].worker
+                worker = pushes(actions)[0].worker_id
                 sent.append(worker)
-                result = i.Result.ERROR if worker == bad else i.Result.OK
+                result = AttemptResult.ERROR if worker == bad else AttemptResult.OK
                 actions = bench.ended(name, worker, result, attempt)
                 attempt += 1
         return sent.count(bad)
@@ -158,27 +168,29 @@
     for _ in range(60):
         name, actions = bench.later(10_000).job()
         assert pushes(actions)
-        bench.ended(name, pushes(actions)[0].worker, i.Result.ERROR)
+        bench.ended(name, pushes(actions)[0].worker_id, AttemptResult.ERROR)
 
 
 def test_a_list_that_must_be_asked_for_is_asked_at_once_and_again_after_errors():
-    bench = Bench(SAFE, must_ask=True)
-    assert i.WatchList(True) in bench.start_actions
+    bench = Bench(SAFE, polls_endpoints=True)
+    assert WatchEndpoints(True) in bench.start_actions
     waits = []
     for _ in range(6):
-        asked = bench.tell(i.WorkerList(i.ListKind.FAILED))
-        wake = [a for a in asked if isinstance(a, i.WakeMe)]
-        assert len(wake) == 1 and i.WatchList(True) not in asked
+        asked = bench.tell(EndpointList(EndpointListKind.FAILED))
+        wake = [a for a in asked if isinstance(a, SetTimer)]
+        assert len(wake) == 1
+        assert WatchEndpoints(True) not in asked
         waits.append(wake[0].at_us - bench.now)
         bench.now = wake[0].at_us
-        assert i.WatchList(True) in bench.tell(i.Timer(wake[0].token))
-    assert waits[0] < 1_000_000 and waits[-1] > waits[0]
-    assert max(waits) <= bench.settings.must_ask_us
+        assert WatchEndpoints(True) in bench.tell(TimerFired(wake[0].token))
+    assert waits[0] < 1_000_000
+    assert waits[-1] > waits[0]
+    assert max(waits) <= bench.settings.endpoint_poll_interval_us
 
 
 def test_same_events_give_the_same_actions():
     def play():
-        bench = Bench(SAFE, DEAR, workers=5, seed=7, must_ask=True)
+        bench = Bench(SAFE, DEAR, workers=5, seed=7, polls_endpoints=True)
         for k in range(50):
             bench.later(1000).job(k % 2)
         bench.tick()
@@ -188,38 +200,40 @@
 
 
 def test_a_worker_that_turned_a_job_away_gets_none_until_a_newer_report():
-    bench = Bench(SAFE, workers=4, report_columns=("free_slots",), reports="answers")
+    bench = Bench(
+        SAFE, workers=4, load_report_columns=("free_slots",), load_report_source="answers"
+    )
     idle = {"free_slots": 4.0}
     for _ in range(8):
         name, actions = bench.later(400_000).job()
-        bench.ended(name, pushes(actions)[0].worker, i.Result.OK, report=idle)
+        bench.ended(name, pushes(actions)[0].worker_id, AttemptResult.OK, report=idle)
     name, actions = bench.job()
-    full = pushes(actions)[0].worker
-    retry = pushes(bench.ended(name, full, i.Result.FULL))[0].worker
-    bench.ended(name, retry, i.Result.OK, attempt=1, report=idle)
+    full = pushes(actions)[0].worker_id
+    retry = pushes(bench.ended(name, full, AttemptResult.FULL))[0].worker_id
+    bench.ended(name, retry, AttemptResult.OK, attempt=1, report=idle)
 
     def turns(n):
         found = []
         for _ in range(n):
             name, actions = bench.later(1000).job()
-            found.append(pushes(actions)[0].worker)
-            bench.ended(name, found[-1], i.Result.OK)
+            found.append(pushes(actions)[0].worker_id)
+            bench.ended(name, found[-1], AttemptResult.OK)
         return found
 
     assert full not in turns(8)
-    bench.tell(i.Probed(full, True, 500, idle))
+    bench.tell(HealthChecked(full, True, 500, idle))
     assert full in turns(8)
 
 
 def test_the_low_set_keeps_a_worker_when_all_of_it_has_gone():
     bench = Bench(SAFE, workers=6, **shares())
     gone = tuple(
-        entry(k, state=i.WorkerState.OUT)
+        entry(k, state=EndpointState.REMOVED)
         for k in range(6)
-        if not bench.balancer.workers[entry(k).worker].high
+        if not bench.balancer.workers[entry(k).worker_id].high
     )
     assert gone
-    bench.tell(i.WorkerList(i.ListKind.CHANGES, gone))
+    bench.tell(EndpointList(EndpointListKind.CHANGES, gone))
     assert [w.high for w in bench.balancer.order].count(False) == 1
 
 
@@ -237,17 +251,17 @@
     for _ in range(count):
         name, actions = bench.job()
         (push,) = pushes(actions)
-        went.append(push.worker)
-        bench.tell(i.Started(name, 0, push.worker))
-        bench.later(200_000 * (times if push.worker == slow else 1))
-        bench.ended(name, push.worker, i.Result.OK)
+        went.append(push.worker_id)
+        bench.tell(AttemptStarted(name, 0, push.worker_id))
+        bench.later(200_000 * (times if push.worker_id == slow else 1))
+        bench.ended(name, push.worker_id, AttemptResult.OK)
         bench.tick(50_000)
     return went
 
 
 def test_a_worker_whose_runs_take_much_longer_leaves_but_for_trials_and_comes_back():
-    bench = known_caps(Bench(workers=4, tells_start=True), 8.0)
-    slow = entry(1).worker
+    bench = known_caps(Bench(workers=4, reports_start=True), 8.0)
+    slow = entry(1).worker_id
     run_jobs(bench, 40, None)
     run_jobs(bench, 40, slow)
     assert run_jobs(bench, 40, slow).count(slow) <= 6  # of ten by turns: one trial in three seconds
@@ -256,25 +270,25 @@
 
 
 def test_a_run_that_has_not_ended_tells_by_how_long_it_is():
-    bench = known_caps(Bench(workers=4, tells_start=True), 20.0)
+    bench = known_caps(Bench(workers=4, reports_start=True), 20.0)
     run_jobs(bench, 40, None)
     stuck = {}
     for _ in range(16):  # side by side, four on each; those of one worker do not end
         name, actions = bench.job()
         (push,) = pushes(actions)
-        bench.tell(i.Started(name, 0, push.worker))
-        stuck.setdefault(push.worker, []).append(name)
+        bench.tell(AttemptStarted(name, 0, push.worker_id))
+        stuck.setdefault(push.worker_id, []).append(name)
     slow = next(iter(stuck))
     for worker, names in stuck.items():
         for name in names if worker != slow else ():
-            bench.ended(name, worker, i.Result.OK)
+            bench.ended(name, worker, AttemptResult.OK)
     bench.tick(5_000_000)
     assert slow not in run_jobs(bench, 20, None)[:10]
 
 
 def test_a_crowded_fleet_keeps_its_slow_workers():
-    bench = known_caps(Bench(workers=4, tells_start=True), 8.0)
-    slow = entry(1).worker
+    bench = known_caps(Bench(workers=4, reports_start=True), 8.0)
+    slow = entry(1).worker_id
     run_jobs(bench, 40, None)
     run_jobs(bench, 40, slow)
     assert bench.balancer.workers[slow].pause_us
@@ -285,18 +299,20 @@
     assert not bench.balancer.workers[slow].pause_us
 
 
-def crowded(reports="probe", retry_after_us=2_000_000):
+def crowded(load_report_source="probe", retry_after_us=2_000_000):
     """Two workers that report no free slot, priority and ordinary jobs, one of ours ends every 10 ms."""
     advice = {"may_advise_retry": True, "max_retry_after_us": retry_after_us}
-    bench = Bench(SAFE, DEAR, workers=2, reports=reports, **advice)
+    bench = Bench(SAFE, DEAR, workers=2, load_report_source=load_report_source, **advice)
     open_jobs = []
     for k in range(60):
         name, actions = bench.later(10_000).job(k % 2)
-        open_jobs += [(name, p.worker) for p in pushes(actions)]
+        open_jobs += [(name, p.worker_id) for p in pushes(actions)]
         if k >= 8:
-            bench.ended(*open_jobs.pop(0), i.Result.OK)
+            bench.ended(*open_jobs.pop(0), AttemptResult.OK)
     for k in range(2):
-        bench.later(400_000).tell(i.Probed(entry(k).worker, True, report={"free_slots": 0.0}))
+        bench.later(400_000).tell(
+            HealthChecked(entry(k).worker_id, True, load_report={"free_slots": 0.0})
+        )
     return bench, open_jobs
 
 
@@ -304,29 +320,32 @@
     """Refused at once it would be back too late, while a slot is free some 10 ms later."""
     bench, open_jobs = crowded()
     name, actions = bench.job()
-    assert not pushes(actions) and not finals(actions)
+    assert not pushes(actions)
+    assert not finals(actions)
     assert finals([bench.job()[1] for _ in range(60)][-1])  # sixty ahead of it
     bench.later(10_000)
-    assert pushes(bench.ended(*open_jobs[0], i.Result.OK))[0].job == name
+    assert pushes(bench.ended(*open_jobs[0], AttemptResult.OK))[0].job_id == name
 
 
 def test_a_marked_retry_whose_goal_the_advice_outlasted_goes_behind_first_tries():
     for retry_after_us in (2_000_000, 100_000):
         bench, _ = crowded(retry_after_us=retry_after_us)
-        assert bool(finals(bench.job(client_retry=True)[1])) == (retry_after_us > SAFE.goal_us)
+        assert bool(finals(bench.job(client_retry=True)[1])) == (
+            retry_after_us > SAFE.latency_objective_us
+        )
 
 
 def test_the_high_set_lends_with_part_of_a_cap_free_only_where_rooms_are_told():
     for reports, lent in (("probe", 1), ("none", 0)):
         bench, _ = crowded(reports)
-        lender = next(w.entry.worker for w in bench.balancer.order if w.high)
-        bench.tell(i.Probed(lender, True, report={"free_slots": 2.0}))
-        assert [p.worker for p in pushes(bench.job()[1])] == [lender] * lent
+        lender = next(w.entry.worker_id for w in bench.balancer.order if w.high)
+        bench.tell(HealthChecked(lender, True, load_report={"free_slots": 2.0}))
+        assert [p.worker_id for p in pushes(bench.job()[1])] == [lender] * lent
 
 
-@pytest.mark.parametrize("true_us", i.ReportAge.AGES_US)
+@pytest.mark.parametrize("true_us", LoadReportLag.AGES_US)
 def test_the_age_of_reports_is_learned_from_how_they_agree_with_our_pushes(true_us):
-    draw, age, worker = Random(7), i.ReportAge(), i.Worker(entry(0), 0, 0)
+    draw, age, worker = Random(7), LoadReportLag(), Worker(entry(0), 0, 0)
     busy = [(0, 0.0)]
     for step in range(4000):
         now, slots = busy[-1][0] + draw.randrange(10_000, 50_000), draw.choice((1.0, -1.0))
@@ -335,14 +354,15 @@
         if step % 10 == 0:
             told = next(held for at, held in reversed(busy) if at <= max(now - true_us, 0))
             age.heard(worker, now, draw.uniform(-0.2, 0.2) - told)
-    assert age.us == true_us and len(worker.recent) <= i.RECENT_US / 10_000 + 1
+    assert age.us == true_us
+    assert len(worker.recent) <= RECENT_US / 10_000 + 1
 
 
 ROOM = {"free_slots": 4.0, "queue": 0.0}
-LAZY = {"reports": "probe", "tells_start": True, "may_cancel": True}
+LAZY = {"load_report_source": "probe", "reports_start": True, "may_cancel": True}
 
 
-@pytest.mark.parametrize("effect", [i.Effect.SAFE, i.Effect.UNSAFE])
+@pytest.mark.parametrize("effect", [Effect.IDEMPOTENT, Effect.NOT_IDEMPOTENT])
 @pytest.mark.parametrize(
     "more", [{}, {"queue": 1.0}, None]
 )  # the first one waits for two slots; not told
@@ -353,27 +373,30 @@
     ]  # it takes more than this one: one verdict
     bench.tick(170_000)
     told = {**ROOM, **more} if more is not None else {"free_slots": 4.0}
-    answer = bench.later(140_000).tell(i.Probed(push.worker, True, report=told))
-    assert [b.pause_us for b in bench.balancer.workers[push.worker].balks.values()] == [10**6] * (
-        more == {}
-    )
-    assert (i.Cancel(name, 0) in answer) == (
-        more == {} and effect is i.Effect.SAFE
+    answer = bench.later(140_000).tell(HealthChecked(push.worker_id, True, load_report=told))
+    assert [b.pause_us for b in bench.balancer.workers[push.worker_id].balks.values()] == [
+        10**6
+    ] * (more == {})
+    assert (CancelAttempt(name, 0) in answer) == (
+        more == {} and effect is Effect.IDEMPOTENT
     )  # it goes elsewhere
 
 
 def test_a_class_keeps_away_from_a_worker_that_never_begins_its_jobs_but_for_trials():
     bench = Bench(UNSAFE, SAFE, DEAR, workers=2, **LAZY)
-    lazy, sent = entry(1).worker, {0: [], 1: [], 2: []}
+    lazy, sent = entry(1).worker_id, {0: [], 1: [], 2: []}
     for k in range(360):
         name, (push, *_) = bench.later(50_000).job(k % 3)
-        sent[k % 3] += [k] if push.worker == lazy else []
-        if push.worker != lazy or k % 3 or k >= 180:
-            bench.tell(i.Started(name, 0, push.worker))
-            bench.later(1000).ended(name, push.worker, i.Result.OK)
+        sent[k % 3] += [k] if push.worker_id == lazy else []
+        if push.worker_id != lazy or k % 3 or k >= 180:
+            bench.tell(AttemptStarted(name, 0, push.worker_id))
+            bench.later(1000).ended(name, push.worker_id, AttemptResult.OK)
         bench.tick(30_000)
         if k % 8 == 0:  # else a second job might come before the verdict on a trial
-            bench.tell(*[i.Probed(entry(w).worker, True, report=ROOM) for w in range(2)])
+            bench.tell(
+                *[HealthChecked(entry(w).worker_id, True, load_report=ROOM) for w in range(2)]
+            )
     # The first, and one trial after 1, 2 and 4 s; then it begins the next one, and has as many as ever.
-    assert len([k for k in sent[0] if k < 180]) == 4 and len([k for k in sent[1] if k < 180]) > 40
+    assert len([k for k in sent[0] if k < 180]) == 4
+    assert len([k for k in sent[1] if k < 180]) > 40
     assert len([k for k in sent[0] if k >= 270]) == 30
--- a/tests/test_fleet.py
+++ b/tests/policy/test_many_dispatchers.py
@@ -3,18 +3,22 @@
 import heapq
 
 import pytest
-from fleet_world import World
+from policy_world import World
 
-from stepstream import interface as i
-from stepstream.balance import Balancer
+from stepstream.model.actions import SetTimer, StartAttempt, WatchEndpoints
+from stepstream.model.endpoints import EndpointList, EndpointListKind
+from stepstream.model.events import JobSubmitted, TimerFired
+from stepstream.model.records import FAR, FULL, MANY_DISPATCHERS, SETTLED_US, PoolLoadEstimator
+from stepstream.model.settings import Effect, JobClass, Settings
+from stepstream.policy.load_balancer import LoadBalancer
 
-SAFE = i.JobClass(goal_us=200_000, deadline_us=5_000_000, effect=i.Effect.SAFE)
+SAFE = JobClass(latency_objective_us=200_000, deadline_us=5_000_000, effect=Effect.IDEMPOTENT)
 FLEET = 40
 
 
 def fleet(count=FLEET, **more):
-    settings = i.Settings(classes=(SAFE,), must_ask=True, fleet_size=count, **more)
-    return [Balancer(settings, seed, 0) for seed in range(count)]
+    settings = Settings(classes=(SAFE,), polls_endpoints=True, dispatcher_count=count, **more)
+    return [LoadBalancer(settings, seed, 0) for seed in range(count)]
 
 
 class Queue:
@@ -39,20 +43,21 @@
         if now > until_us:
             break
         for action in balancers[k].handle(now, heard):
-            if isinstance(action, i.WakeMe):
-                heapq.heappush(events, (action.at_us, k, [i.Timer(action.token)]))
-            if isinstance(action, i.WatchList):
+            if isinstance(action, SetTimer):
+                heapq.heappush(events, (action.at_us, k, [TimerFired(action.token)]))
+            if isinstance(action, WatchEndpoints):
                 calls += 1
                 at, served = queue.ask(now)
-                kind = i.ListKind.CHANGES if served else i.ListKind.FAILED
+                kind = EndpointListKind.CHANGES if served else EndpointListKind.FAILED
                 told.update({k: at} if served else {})
-                heapq.heappush(events, (at, k, [i.WorkerList(kind)]))
+                heapq.heappush(events, (at, k, [EndpointList(kind)]))
     return told, calls
 
 
 def test_a_fleet_that_starts_as_one_is_served_by_a_discovery_that_takes_a_seventh_of_a_second_a_call():
     told, calls = ask_all(fleet(), Queue(140_000), 30_000_000)
-    assert len(told) == FLEET and max(told.values()) < 8_000_000
+    assert len(told) == FLEET
+    assert max(told.values()) < 8_000_000
     assert calls <= FLEET * 1.2
 
 
@@ -60,23 +65,39 @@
     balancers, queue = fleet(), Queue(140_000)
     queue.free_us = 5_000_000  # it was down, or others have filled it
     told, calls = ask_all(balancers, queue, 60_000_000)
-    assert len(told) == FLEET and max(told.values()) < 35_000_000
+    assert len(told) == FLEET
+    assert max(told.values()) < 35_000_000
     assert calls <= FLEET * 4
 
 
 def test_one_of_few_dispatchers_or_without_any_worker_asks_at_once():
-    assert all(i.WatchList(True) in one.handle(0, []) for one in fleet(i.MANY))
+    assert all(WatchEndpoints(True) in one.handle(0, []) for one in fleet(MANY_DISPATCHERS))
     one = fleet()[0]
-    assert i.WatchList(True) not in one.handle(0, [])
-    jobs = [i.Job("a", 0, 5_000_000), i.Job("b", 0, 5_000_000)]
-    assert one.handle(0, jobs).count(i.WatchList(True)) == 1
+    assert WatchEndpoints(True) not in one.handle(0, [])
+    jobs = [JobSubmitted("a", 0, 5_000_000), JobSubmitted("b", 0, 5_000_000)]
+    assert one.handle(0, jobs).count(WatchEndpoints(True)) == 1
 
 
 # -- caps in parts of a slot -----------------------------------------------------------------------------
 
-LONG = i.JobClass(goal_us=200_000, deadline_us=5_000_000, effect=i.Effect.SAFE, worth=1.0)
-SHORT = i.JobClass(goal_us=120_000, deadline_us=5_000_000, effect=i.Effect.SAFE, worth=3.0)
-DEAR = i.JobClass(goal_us=120_000, deadline_us=5_000_000, effect=i.Effect.SAFE, worth=10.0)
+LONG = JobClass(
+    latency_objective_us=200_000,
+    deadline_us=5_000_000,
+    effect=Effect.IDEMPOTENT,
+    priority_weight=1.0,
+)
+SHORT = JobClass(
+    latency_objective_us=120_000,
+    deadline_us=5_000_000,
+    effect=Effect.IDEMPOTENT,
+    priority_weight=3.0,
+)
+DEAR = JobClass(
+    latency_objective_us=120_000,
+    deadline_us=5_000_000,
+    effect=Effect.IDEMPOTENT,
+    priority_weight=10.0,
+)
 MIX, RUNS_US = (0.56, 0.26, 0.18), (340_000, 175_000, 175_000)
 GOALS_US = (200_000, 120_000, 120_000)
 
@@ -99,9 +120,13 @@
     """One slot a dispatcher would be forty a worker: nothing refused, and nothing in time for anybody."""
     world = loaded(1.4)
     long, short, dear = in_time(world, 4_000_000, 8_000_000)
-    assert long > 0.3 and short > 0.5 and dear > 0.9
+    assert long > 0.3
+    assert short > 0.5
+    assert dear > 0.9
     refused = [world.refused(c, 4_000_000, 8_000_000) for c in range(3)]
-    assert refused[0] > 0.25 and refused[0] > 2 * refused[1] and refused[2] < 0.01
+    assert refused[0] > 0.25
+    assert refused[0] > 2 * refused[1]
+    assert refused[2] < 0.01
 
 
 def test_a_fleet_with_room_refuses_next_to_nothing():
@@ -115,13 +140,14 @@
     for balancer in world.balancers:
         high = [worker.high for worker in balancer.order]
         size = sum(high)
-        assert 1 <= size < 20 and sum(high[: size + 3]) >= size - 1
+        assert 1 <= size < 20
+        assert sum(high[: size + 3]) >= size - 1
 
 
 def settled_share(level=2.0, running=2.0, workers=20):
-    share = i.Share(0, FLEET)
+    share = PoolLoadEstimator(0, FLEET)
     share.count[False], share.level[False], share.run_level[False] = workers, level, running
-    share.now_us = i.SETTLED_US
+    share.now_us = SETTLED_US
     return share
 
 
@@ -129,7 +155,7 @@
     share = settled_share(level=16.0, running=2.0)
     assert share.room(False) == float("inf")  # until a late start pools stay as they are
     share.started(False, late=True)
-    assert share.cap <= i.FULL * 2.0 / 20
+    assert share.cap <= FULL * 2.0 / 20
     assert share.room(False) < -10
 
 
@@ -141,7 +167,7 @@
     share.level[False] = 4.0
     for _ in range(100):
         share.started(False, late=False)
-    assert share.cap == pytest.approx(i.FAR * 4.0 / 20, rel=0.1)
+    assert share.cap == pytest.approx(FAR * 4.0 / 20, rel=0.1)
 
 
 def test_a_pool_whose_jobs_were_all_refused_is_tried_again():
@@ -155,10 +181,11 @@
 
 def test_early_starts_set_no_cap_and_a_small_fleet_goes_by_whole_slots():
     share = settled_share()
-    share.now_us = i.SETTLED_US - 1
+    share.now_us = SETTLED_US - 1
     share.started(False, late=True)
     assert share.cap == float("inf")
-    assert share.many and not i.Share(0, i.MANY).many
+    assert share.many
+    assert not PoolLoadEstimator(0, MANY_DISPATCHERS).many
 
 
 def test_a_wide_ordinary_job_goes_to_a_worker_with_none_of_ours():
@@ -168,5 +195,5 @@
     one.late_at.append(1)
     one.mean_worth = 5.0  # or the first job would be a priority one
     one.share.cap, one.share.count = 0.5, {True: 2, False: 2}
-    actions = one.handle(1_000, [i.Job("wide", 0, 5_000_000, slots=2.0)])
-    assert any(isinstance(action, i.Push) for action in actions)
+    actions = one.handle(1_000, [JobSubmitted("wide", 0, 5_000_000, slots=2.0)])
+    assert any(isinstance(action, StartAttempt) for action in actions)
--- a/tests/fleet_world.py
+++ b/tests/policy_world.py
@@ -4,8 +4,17 @@
 import random
 from dataclasses import dataclass, field
 
-from stepstream import interface as i
-from stepstream.balance import Balancer
+from stepstream.model.actions import CancelAttempt, Fail, Reject, SetTimer, StartAttempt
+from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind
+from stepstream.model.events import (
+    AttemptEnded,
+    AttemptResult,
+    AttemptStarted,
+    JobSubmitted,
+    TimerFired,
+)
+from stepstream.model.settings import Settings
+from stepstream.policy.load_balancer import LoadBalancer
 
 HOP_US = 1_000  # from a dispatcher to a worker and back
 
@@ -14,7 +23,7 @@
 class Node:
     """A worker: jobs run in its slots and wait in turn; it may be dead or fail what it is sent."""
 
-    entry: i.WorkerEntry
+    entry: Endpoint
     slots: int = 4
     speed: float = 1.0
     dead: bool = False
@@ -38,23 +47,26 @@
 class World:
     def __init__(self, classes, dispatchers=40, nodes=20, zones=1, seed=1, **settings):
         common = {
-            "tells_start": True,
+            "reports_start": True,
             "may_cancel": True,
-            "may_duplicate": True,
+            "may_hedge": True,
             "attempt_limit": 4,
         }
         self.random, self.now, self.heap, self.order = random.Random(seed), 0, [], 0
-        self.nodes = {
-            f"w{k:02}": Node(i.WorkerEntry(f"w{k:02}", zone=k % zones)) for k in range(nodes)
-        }
+        self.nodes = {f"w{k:02}": Node(Endpoint(f"w{k:02}", zone=k % zones)) for k in range(nodes)}
         self.jobs: dict[str, Job] = {}
         self.balancers = []
-        told = i.WorkerList(i.ListKind.PERSISTED, tuple(node.entry for node in self.nodes.values()))
+        told = EndpointList(
+            EndpointListKind.PERSISTED, tuple(node.entry for node in self.nodes.values())
+        )
         for k in range(dispatchers):
-            made = i.Settings(
-                classes=classes, fleet_size=dispatchers, zone=k % zones, **{**common, **settings}
+            made = Settings(
+                classes=classes,
+                dispatcher_count=dispatchers,
+                zone=k % zones,
+                **{**common, **settings},
             )
-            self.balancers.append(Balancer(made, self.random.randrange(2**32), 0))
+            self.balancers.append(LoadBalancer(made, self.random.randrange(2**32), 0))
             self.tell(k, told)
 
     def at(self, us, step, *args):
@@ -78,32 +90,32 @@
     def arrive(self, k, job_class, run_us):
         name = f"{len(self.jobs):08x}"
         self.jobs[name] = Job(job_class, run_us, self.now)
-        self.tell(k, i.Job(name, job_class, 5_000_000))
+        self.tell(k, JobSubmitted(name, job_class, 5_000_000))
 
     def tell(self, k, *events):
         for action in self.balancers[k].handle(self.now, list(events)):
             match action:
-                case i.WakeMe(token, at_us):
-                    self.at(max(at_us, self.now + 1), self.tell, k, i.Timer(token))
-                case i.Push(name, worker):
+                case SetTimer(token, at_us):
+                    self.at(max(at_us, self.now + 1), self.tell, k, TimerFired(token))
+                case StartAttempt(name, worker):
                     number, self.jobs[name].attempts = (
                         self.jobs[name].attempts,
                         self.jobs[name].attempts + 1,
                     )
                     self.at(self.now + HOP_US, self.reach, k, name, number, worker)
-                case i.Cancel(name, number):
+                case CancelAttempt(name, number):
                     self.at(self.now + HOP_US, self.drop, k, name, number)
-                case i.Refuse(name) | i.Fail(name):
+                case Reject(name) | Fail(name):
                     self.jobs[name].refused = True
 
     def reach(self, k, name, number, worker):
         node = self.nodes[worker]
         node.sent += 1
         if node.dead:
-            self.end(k, name, number, worker, i.Result.CONNECT_FAILED)
+            self.end(k, name, number, worker, AttemptResult.CONNECT_FAILED)
         elif self.random.random() < node.fails:
             self.jobs[name].errors += 1
-            self.end(k, name, number, worker, i.Result.ERROR)
+            self.end(k, name, number, worker, AttemptResult.ERROR)
         else:
             node.queue.append((k, name, number, worker))
             self.start_next(node)
@@ -113,7 +125,7 @@
             place = node.queue.pop(0)
             node.running.add(place)
             k, name, number, worker = place
-            self.at(self.now + HOP_US, self.tell, k, i.Started(name, number, worker))
+            self.at(self.now + HOP_US, self.tell, k, AttemptStarted(name, number, worker))
             self.at(self.now + int(self.jobs[name].run_us / node.speed), self.done, place)
 
     def done(self, place):
@@ -123,7 +135,7 @@
             job = self.jobs[name]
             if job.latency_us is None and not job.refused:
                 job.latency_us = self.now + HOP_US - job.at_us
-            self.end(k, name, number, worker, i.Result.OK)
+            self.end(k, name, number, worker, AttemptResult.OK)
             self.start_next(self.nodes[worker])
 
     def drop(self, k, name, number):
@@ -131,12 +143,12 @@
             for place in [p for p in (*node.queue, *node.running) if p[:3] == (k, name, number)]:
                 node.queue = [p for p in node.queue if p != place]
                 node.running.discard(place)
-                self.end(*place, i.Result.CANCELLED)
+                self.end(*place, AttemptResult.CANCELLED)
                 self.start_next(node)
 
     def end(self, k, name, number, worker, result):
         over = self.jobs[name].latency_us is not None
-        ended = i.AttemptEnded(name, number, worker, result, 1000, over)
+        ended = AttemptEnded(name, number, worker, result, 1000, over)
         self.at(self.now + HOP_US, self.tell, k, ended)
 
     def in_time(self, job_class, since_us, until_us, goal_us):
--- a/tests/test_drill.py
+++ b/tests/simulator_adapter/test_simulator_adapter.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from stepstream import drill
+from stepstream import simulator_adapter as drill
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[2]
 CONF = (
     "services.count=2 services.0.deadline_us=5000000 services.0.effect=pure services.0.goal_time_us=400000 "
     "services.1.deadline_us=5000000 services.1.effect=side_effect services.1.goal_time_us=400000 "
@@ -71,7 +71,8 @@
             "PEER origin_peer=1 msg=68",
         ),
     )
-    assert code == 0 and out[-1] == "FINISHED batch=2"
+    assert code == 0
+    assert out[-1] == "FINISHED batch=2"
 
 
 def test_a_table_number_is_used_in_the_order_of_events():
@@ -86,12 +87,14 @@
             REQUEST,
         ),
     )
-    assert code == 0 and any(line.endswith("runner=10.0.0.9:5000") for line in out)
+    assert code == 0
+    assert any(line.endswith("runner=10.0.0.9:5000") for line in out)
 
 
 def test_an_instance_that_exits_and_comes_back_starts_anew():
     code, out, _ = play(*START, *batch(2, REQUEST, "EXIT", *START[2:-1], REQUEST))
-    assert code == 0 and len([line for line in out if line.startswith("RELAY")]) == 2
+    assert code == 0
+    assert len([line for line in out if line.startswith("RELAY")]) == 2
 
 
 @pytest.mark.parametrize(
@@ -115,8 +118,10 @@
 )
 def test_malformed_input_gets_one_plain_line_and_a_bad_exit(lines, words):
     code, out, complaints = play(*lines)
-    assert code != 0 and len(complaints) == 1
-    assert words in complaints[0] and complaints[0].startswith("line ")
+    assert code != 0
+    assert len(complaints) == 1
+    assert words in complaints[0]
+    assert complaints[0].startswith("line ")
     assert not out or out[-1].startswith("FINISHED")  # no half reply
 
 
@@ -124,13 +129,11 @@
     def broken(*_):
         raise KeyError("lost")
 
-    monkeypatch.setattr(drill.Balancer, "handle", broken)
+    monkeypatch.setattr(drill.LoadBalancer, "handle", broken)
     code, out, _ = play(*START)
-    assert (
-        code == 0
-        and out[0].startswith("PANIC body_text=KeyError")
-        and out[-1] == "FINISHED batch=1"
-    )
+    assert code == 0
+    assert out[0].startswith("PANIC body_text=KeyError")
+    assert out[-1] == "FINISHED batch=1"
 
 
 def transcript(instances):
@@ -155,7 +158,7 @@
 def actions_by_instance(instances):
     environment = {**os.environ, "PYTHONHASHSEED": str(sum(instances) + 1)}
     run = subprocess.run(
-        [sys.executable, "-m", "stepstream.drill"],
+        [sys.executable, "-m", "stepstream.simulator_adapter"],
         input=transcript(instances),
         capture_output=True,
         text=True,
@@ -177,4 +180,5 @@
     apart = {}
     for k in range(3):
         apart.update(actions_by_instance([k]))
-    assert together == apart and len(together) == 3
+    assert together == apart
+    assert len(together) == 3
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -1,11 +1,32 @@
-"""All imports go one way: no circles, typing's included, and no room knows one above it."""
+"""All imports go one way: no cycles, typing's included, and no package imports one above it."""
 
 import ast
 from graphlib import TopologicalSorter
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-SUBSYSTEMS = ("admin", "fleet", "gearman", "identity", "lab", "leases", "upgrade")
+SUBSYSTEMS = {"admin", "membership", "gearman", "identity", "leases", "hot_restart"}
+# Package by package, the other packages (or top-level modules) of the program that it may import.
+MAY_IMPORT = {
+    "model": set(),
+    "policy": {"model"},
+    "config": {"model"},
+    "core": {"model", "policy"},
+    "ports": {"config", "core", "model"},
+    "runtime": {"config"},
+    "http": {"config", "core", "model", "ports", "runtime"},
+    "subsystem_context": {"config", "core", "http", "ports", "runtime"},
+    "admin_client": {"config"},
+    "admin": {"config", "core", "hot_restart", "http", "ports", "runtime", "subsystem_context"},
+    "hot_restart": {"config", "core", "http", "runtime"},
+    "membership": {"admin_client", "config", "model", "ports", "runtime", "subsystem_context"},
+    "leases": {"admin_client", "config", "model", "ports", "runtime", "subsystem_context"},
+    "identity": {"config", "ports", "runtime", "subsystem_context"},
+    "gearman": {"config", "core", "http", "model", "ports", "runtime", "subsystem_context"},
+    "node": {"config", "core", "http", "model", "ports", "runtime"},
+    "simulator_adapter": {"config", "model", "policy"},
+}
+MAY_IMPORT_ALL = {"stepstream", "__main__", "cli", "lab"}
 
 
 def imports():
@@ -28,18 +49,28 @@
     return graph
 
 
-def test_there_is_no_circle():
+def test_there_is_no_cycle():
     graph = imports()
     assert len(list(TopologicalSorter(graph).static_order())) >= len(graph) > 60
 
 
-def test_only_the_wiring_and_the_command_line_know_a_subsystem():
-    for name, found in imports().items():
-        room = name.split(".")[1] if "." in name else ""
-        if room in SUBSYSTEMS or name in ("stepstream.cli", "stepstream.node"):
+def package_of(module):
+    """The package below the topmost one, or the top-level module."""
+    return module.split(".")[1] if "." in module else module
+
+
+def test_each_package_imports_only_what_stands_below_it():
+    for module, found in imports().items():
+        package = package_of(module)
+        if package in MAY_IMPORT_ALL:
+            continue
+        others = {package_of(name) for name in found} - {package}
+        assert others <= MAY_IMPORT[package], module
+
+
+def test_no_package_outside_the_composition_root_imports_a_subsystem():
+    for module, found in imports().items():
+        package = package_of(module)
+        if package in MAY_IMPORT_ALL | SUBSYSTEMS | {"node"}:
             continue
-        assert not {m for m in found if m.split(".")[1] in SUBSYSTEMS}, name
-    inner = {name: found for name, found in imports().items() if name.startswith("stepstream.net.")}
-    assert not any(
-        "stepstream.node" in found or "stepstream.host" in found for found in inner.values()
-    )
+        assert not {package_of(name) for name in found} & SUBSYSTEMS, module
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -4,7 +4,7 @@
 import re
 from pathlib import Path
 
-from stepstream.settings import config_from
+from stepstream.config.node_config import config_from
 
 
 def test_readme_example(capsys):
@@ -12,7 +12,8 @@
     (example,) = re.findall(r"```python\n(.*?)```", text, re.S)
     exec(compile(example, "README.md", "exec"), {})
     first, second = capsys.readouterr().out.splitlines()
-    assert first.startswith("Push(job='a1'") and second.startswith("[Push(job='a1'")
+    assert first.startswith("StartAttempt(job_id='a1'")
+    assert second.startswith("[StartAttempt(job_id='a1'")
     assert first != second.strip("[]")  # the other worker
 
 
@@ -20,7 +21,8 @@
     text = (Path(__file__).parent.parent / "README.md").read_text()
     (example,) = re.findall(r"```json\n(.*?)```", text, re.S)
     config = config_from(json.loads(example), {})
-    assert config.settings.classes[0].name == "revalue" and config.settings.must_ask
+    assert config.settings.classes[0].name == "revalue"
+    assert config.settings.polls_endpoints
 
 
 def test_the_log_lines_are_explained():
