--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,58 @@
+"""The pages that lead into the code name only files and definitions that exist."""
+
+import ast
+import re
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parents[1]
+PACKAGE = ROOT / "stepstream"
+PAGES = ("architecture.md", "glossary.md", "crossings.md")
+FILE = re.compile(r"`((?:[a-z_]+/)*[a-z_]+\.(?:py|md))`")
+FOLDER = re.compile(r"`((?:[a-z_]+/)+)`")
+MEMBER = re.compile(r"`([A-Z]\w+)\.([a-z_]\w*|[A-Z][A-Z_]+)`")
+CLASS = re.compile(r"`([A-Z][a-z]\w+)`")
+# Names of the standard library and of other programs that the pages mention.
+FOREIGN = {"TimeoutError"}
+
+
+def definitions():
+    """Class by class, the names of its methods, fields and attributes."""
+    found = {}
+    for path in PACKAGE.rglob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.ClassDef):
+                names = found.setdefault(node.name, set())
+                names |= {base.id for base in node.bases if isinstance(base, ast.Name)}
+                for inner in ast.walk(node):
+                    if isinstance(inner, ast.FunctionDef):
+                        names.add(inner.name)
+                    elif isinstance(inner, ast.Name) and isinstance(inner.ctx, ast.Store):
+                        names.add(inner.id)
+                    elif isinstance(inner, ast.Attribute) and isinstance(inner.ctx, ast.Store):
+                        names.add(inner.attr)
+    return found
+
+
+def names_of(page):
+    return (ROOT / "docs" / page).read_text()
+
+
+@pytest.mark.parametrize("page", PAGES)
+def test_files_and_folders_named_by_a_page_exist(page):
+    text = names_of(page)
+    for name in FILE.findall(text) + FOLDER.findall(text):
+        places = (ROOT / name, PACKAGE / name, ROOT / "docs" / name, ROOT / "tests" / name)
+        assert any(place.exists() for place in places), name
+
+
+@pytest.mark.parametrize("page", PAGES)
+def test_classes_and_members_named_by_a_page_exist(page):
+    defined = definitions()
+    text = names_of(page)
+    for owner, member in MEMBER.findall(text):
+        assert owner in defined, owner
+        assert member in defined[owner], f"{owner}.{member}"
+    for name in CLASS.findall(text):
+        assert name in defined or name in FOREIGN, name
