--- /dev/null
+++ b/stepstream/admin/connection.py
@@ -0,0 +1,49 @@
+"""One connection to the admin listener: its parser, its response's unsent bytes and its age.
+
+A record without a thread of its own; the listener's thread alone touches it.
+"""
+
+import contextlib
+import socket
+from dataclasses import dataclass, field
+
+from stepstream.http.codec import Message, Parser, write_answer
+from stepstream.ports.admin import AdminResponse
+
+
+@dataclass(slots=True, eq=False)
+class AdminConnection:
+    """A caller's connection, for one request and its response; the socket does not block."""
+
+    sock: socket.socket
+    parser: Parser
+    opened_at: float  # monotonic seconds
+    unsent: bytearray = field(default_factory=bytearray)
+    responded: bool = False  # the response is sent or on its way; what arrives now is not read
+
+    def receive(self, max_bytes: int) -> bytes:
+        """Read what has arrived; b"" at the end. Raise OSError if the connection has broken."""
+        return self.sock.recv(max_bytes)
+
+    def parse(self, received: bytes) -> Message | None:
+        """Return the request once it is complete; raise ProtocolError if it is malformed."""
+        self.parser.feed(received)
+        return self.parser.next()
+
+    def respond(self, response: AdminResponse, *, head_only: bool = False) -> None:
+        """Queue the response; `head_only` leaves its body out, as HEAD asks (RFC 9110, 9.3.2)."""
+        body = f"{response.text}\n".encode("utf-8", "replace")
+        headers = {"Content-Type": response.content_type}
+        data = write_answer(response.status, body, headers, close=True)
+        self.unsent += data[: len(data) - len(body)] if head_only else data
+        self.responded = True
+
+    def flush(self) -> bool:
+        """Send what the socket takes now; return whether all is sent.
+
+        Raise OSError if the connection has broken.
+        """
+        with contextlib.suppress(BlockingIOError):
+            sent = self.sock.send(self.unsent)
+            del self.unsent[:sent]
+        return not self.unsent
--- a/stepstream/admin/listener.py
+++ b/stepstream/admin/listener.py
@@ -1,162 +1,176 @@
-"""The admin listener's driver: one thread, non-blocking sockets and poll, so that a caller who holds a
-connection without a whole call holds nobody else up. Every connection is bounded in time and count.
+"""The driver of the admin listener: one thread, non-blocking sockets and poll(2).
+
+A caller that holds a connection without a complete request delays nobody else; every connection is
+bounded in time, and all of them in number. The listener owns its sockets and connections, and its
+thread alone touches them. `AdminSubsystem.start` starts that thread.
 """
 
+import contextlib
 import select
 import socket
 import time
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field, replace
-
-from stepstream.admin.routing import Added, Asked, Denied, Verdict, route
+from dataclasses import replace
+
+from stepstream.admin.connection import AdminConnection
+from stepstream.admin.routing import (
+    MAX_ECHOED_CHARACTERS,
+    AdminRequestError,
+    OperatorRequest,
+    SubsystemRequest,
+    route,
+)
 from stepstream.config.limits import Limits
-from stepstream.http.codec import Parser, ProtocolError, write_answer
+from stepstream.http.codec import Message, Parser, ProtocolError
 from stepstream.ports.admin import AdminResponse, AdminRoute
 from stepstream.runtime.log import RateLimitedLogger, log
 
-IN, OUT = select.POLLIN, select.POLLOUT
-GONE = select.POLLERR | select.POLLHUP | select.POLLNVAL
-
-
-@dataclass
-class Caller:
-    sock: socket.socket
-    parser: Parser
-    begun: float
-    out: bytearray = field(default_factory=bytearray)
-    answered: bool = False  # its answer is written or on its way; what it sends now is not read
+READABLE = select.POLLIN
+WRITABLE = select.POLLOUT
+BROKEN = select.POLLERR | select.POLLHUP | select.POLLNVAL
+MILLISECONDS_PER_SECOND = 1000
 
 
 class AdminListener:
-    """`answer` decides a readable call; `look` is called every turn, at least every `admin_turn` seconds."""
+    """Accepts operators' connections and passes complete requests on.
+
+    `answer` gets the requests to the listener's own routes, the routes of `subsystem_routes` answer
+    theirs. `run_periodic_tasks` is called with the monotonic time at every turn, at least once in
+    `admin_poll_seconds`. All of these run in the listener's thread. The constructor raises OSError
+    if the address cannot be bound.
+    """
 
     def __init__(
         self,
         address: tuple[str, int],
         limits: Limits,
-        answer: Callable[[Asked], Verdict],
-        look: Callable[[float], None],
-        paths: Sequence[AdminRoute] = (),
+        answer: Callable[[OperatorRequest], AdminResponse],
+        run_periodic_tasks: Callable[[float], None],
+        subsystem_routes: Sequence[AdminRoute] = (),
     ) -> None:
-        """`paths`: what subsystems add. OSError if the address cannot be had."""
-        self.limits, self.answer, self.look, self.paths = limits, answer, look, paths
-        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.limits = limits
+        self.answer = answer
+        self.run_periodic_tasks = run_periodic_tasks
+        self.subsystem_routes = subsystem_routes
+        self.listening_socket = self._listen(address)
+        self.poll = select.poll()
+        self.poll.register(self.listening_socket, READABLE)
+        self.connections: dict[int, AdminConnection] = {}  # by file descriptor
+        self.bad_requests = RateLimitedLogger("admin call", limits)
+
+    def _listen(self, address: tuple[str, int]) -> socket.socket:
+        listening_socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            self.listener.bind(address)
-            self.listener.listen(limits.connections.admin)
-            self.listener.setblocking(False)
+            listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listening_socket.bind(address)
+            listening_socket.listen(self.limits.connections.admin)
+            listening_socket.setblocking(False)  # noqa: FBT003  the socket's own signature
         except OSError:
-            self.listener.close()
+            listening_socket.close()
             raise
-        self.poll = select.poll()
-        self.poll.register(self.listener, IN)
-        self.callers: dict[int, Caller] = {}
-        self.complaints = RateLimitedLogger("admin call", limits)
+        return listening_socket
 
     def run(self) -> None:
-        """Until the listener is closed."""
-        while self.listener.fileno() >= 0:
-            self.turn()
-
-    def turn(self) -> None:
-        for number, events in self.poll.poll(self.limits.timeouts.admin_poll_seconds * 1000):
-            if events & select.POLLNVAL and number not in self.callers:
-                return  # the listener is closed
-            if number == self.listener.fileno():
-                self.accept()
-            elif number in self.callers:
-                self.serve(self.callers[number], events)
+        """Serve until the listening socket is closed; the body of the listener's thread."""
+        while self.listening_socket.fileno() >= 0:
+            self.poll_once()
+
+    def poll_once(self) -> None:
+        """Wait for events, serve them, and run what is due by time."""
+        poll_milliseconds = self.limits.timeouts.admin_poll_seconds * MILLISECONDS_PER_SECOND
+        for descriptor, events in self.poll.poll(poll_milliseconds):
+            if events & select.POLLNVAL and descriptor not in self.connections:
+                return  # the listening socket is closed
+            if descriptor == self.listening_socket.fileno():
+                self._accept()
+            elif descriptor in self.connections:
+                self._serve(self.connections[descriptor], events)
         now = time.monotonic()
-        for caller in [
-            c
-            for c in self.callers.values()
-            if now - c.begun > self.limits.timeouts.admin_request_seconds
-        ]:
-            self.end(caller)
-        self.look(now)
-
-    def accept(self) -> None:
-        for _ in range(self.limits.connections.admin):
+        self._close_expired(now)
+        self.run_periodic_tasks(now)
+
+    def _accept(self) -> None:
+        """Take the waiting connections; each beyond the bound evicts the oldest."""
+        max_connections = self.limits.connections.admin
+        for _ in range(max_connections):
             try:
-                sock, _ = self.listener.accept()
+                sock, _ = self.listening_socket.accept()
             except OSError:
                 return  # none left, or gone before its accept
-            if len(self.callers) >= self.limits.connections.admin:
-                # Guards the next callers: the one waiting longest without a whole call makes room.
-                self.end(min(self.callers.values(), key=lambda c: c.begun))
-            sock.setblocking(False)
+            if len(self.connections) >= max_connections:
+                # Guards the next callers against those that hold connections without a request.
+                self._close(min(self.connections.values(), key=lambda oldest: oldest.opened_at))
+            sock.setblocking(False)  # noqa: FBT003  the socket's own signature
             parser = Parser(self.limits, body=self.limits.sizes.admin_body_bytes)
-            self.callers[sock.fileno()] = Caller(sock, parser, time.monotonic())
-            self.poll.register(sock, IN)
+            self.connections[sock.fileno()] = AdminConnection(sock, parser, time.monotonic())
+            self.poll.register(sock, READABLE)
 
-    def serve(self, caller: Caller, events: int) -> None:
+    def _close_expired(self, now: float) -> None:
+        """Close the connections that are still open after the time for a request."""
+        max_age_seconds = self.limits.timeouts.admin_request_seconds
+        for connection in list(self.connections.values()):
+            if now - connection.opened_at > max_age_seconds:
+                self._close(connection)
+
+    def _serve(self, connection: AdminConnection, events: int) -> None:
         try:
-            if events & OUT:
-                self.send(caller)
-            elif events & (IN | GONE):
-                self.read(caller)
+            if events & WRITABLE:
+                self._flush(connection)
+            elif events & (READABLE | BROKEN):
+                self._read(connection)
         except OSError:
-            self.end(caller)
+            self._close(connection)
 
-    def read(self, caller: Caller) -> None:
-        data = caller.sock.recv(self.limits.sizes.read_bytes)
-        if not data or caller.answered:
-            self.end(caller)  # it has gone, or sends on behind its one call
+    def _read(self, connection: AdminConnection) -> None:
+        """Read, and respond once the request is complete or cannot become so."""
+        received = connection.receive(self.limits.sizes.read_bytes)
+        if not received or connection.responded:
+            self._close(connection)  # the caller has closed it, or sends on after its one request
             return
-        caller.parser.feed(data)
         try:
-            message = caller.parser.next()
+            message = connection.parse(received)
         except ProtocolError as error:
-            self.complaints.add(f"unread: {error}")
-            self.reply(caller, error.status, f"{error}")
-            return
-        if message is None:
-            return
-        asked = route(message.method, message.target, self.paths)
-        if isinstance(asked, Denied):
-            self.complaints.add(f"{message.method} {message.target[:64]}: {asked.reason}")
-            self.reply(caller, asked.status, asked.reason)
-            return
-        head = message.method == "HEAD"
-        if isinstance(asked, Added):
-            told = self.answer_added(asked, message.body)
-            self.reply(caller, told.status, told.text, head, told.content_type)
+            self.bad_requests.add(f"unread: {error}")
+            connection.respond(AdminResponse(error.status, str(error)))
+        else:
+            if message is None:
+                return
+            self._respond(connection, message)
+        self._flush(connection)
+
+    def _respond(self, connection: AdminConnection, message: Message) -> None:
+        """Route the request and queue its response; that to an unroutable HEAD has a body too."""
+        try:
+            request = route(message.method, message.target, self.subsystem_routes)
+        except AdminRequestError as error:
+            target = message.target[:MAX_ECHOED_CHARACTERS]
+            self.bad_requests.add(f"{message.method} {target}: {error}")
+            connection.respond(AdminResponse(error.status, str(error)))
             return
-        verdict = self.answer(replace(asked, body=message.body))
-        self.reply(caller, verdict.status, verdict.text, head)
-
-    def answer_added(self, added: Added, body: bytes) -> AdminResponse:
+        if isinstance(request, SubsystemRequest):
+            response = self._answer_subsystem_request(request, message.body)
+        else:
+            response = self.answer(replace(request, body=message.body))
+        connection.respond(response, head_only=message.method == "HEAD")
+
+    @staticmethod
+    def _answer_subsystem_request(request: SubsystemRequest, body: bytes) -> AdminResponse:
         try:
-            return added.path.answer(replace(added.call, body=body))
-        except Exception as error:
-            # Guards the listener, and the caller: a subsystem's fault is an answer, not a silence.
+            return request.route.answer(replace(request.request, body=body))
+        except Exception as error:  # noqa: BLE001  a subsystem's fault must not end the listener
+            # Guards the caller too: the fault is a response, not a silence.
             log(f"fault in an admin call: {type(error).__name__}: {error}")
             return AdminResponse(500, "fault")
 
-    def reply(
-        self, caller: Caller, status: int, text: str, head: bool = False, kind: str = "text/plain"
-    ) -> None:
-        body = (text + "\n").encode("utf-8", "replace")
-        data = write_answer(status, body, {"Content-Type": kind}, close=True)
-        caller.out += data[: len(data) - len(body)] if head else data
-        caller.answered = True
-        self.send(caller)
-
-    def send(self, caller: Caller) -> None:
-        try:
-            del caller.out[: caller.sock.send(caller.out)]
-        except BlockingIOError:
-            pass
-        if caller.out:
-            self.poll.modify(caller.sock, OUT)
-            return
-        self.end(caller)
-
-    def end(self, caller: Caller) -> None:
-        self.callers.pop(caller.sock.fileno(), None)
-        try:
-            self.poll.unregister(caller.sock)
-        except (KeyError, ValueError):
-            pass
-        caller.sock.close()
+    def _flush(self, connection: AdminConnection) -> None:
+        """Send on; close once the response is out, else wait until the socket takes more."""
+        if connection.flush():
+            self._close(connection)
+        else:
+            self.poll.modify(connection.sock, WRITABLE)
+
+    def _close(self, connection: AdminConnection) -> None:
+        self.connections.pop(connection.sock.fileno(), None)
+        with contextlib.suppress(KeyError, ValueError):  # not registered, or closed already
+            self.poll.unregister(connection.sock)
+        connection.sock.close()
--- a/stepstream/admin/routing.py
+++ b/stepstream/admin/routing.py
@@ -1,7 +1,8 @@
-"""Which operator's call a request is, and what it is answered: a table and a decision, free of I/O.
+"""The routing table of the admin listener, and the decision on each of its actions; free of I/O.
 
-One call a connection, HTTP/1.1; 2xx is yes, 4xx or 5xx is no. Mutations come by PUT (POST is taken as well,
-as other proxies' admin listeners want it).
+One request a connection, HTTP/1.1; 2xx means done, 4xx and 5xx mean refused. Changes come by PUT
+(POST is taken as well, as other proxies' admin listeners want it). Owns no state; any thread may
+call it.
 """
 
 import re
@@ -10,117 +11,142 @@
 from enum import Enum
 from urllib.parse import parse_qsl, unquote
 
-from stepstream.ports.admin import AdminRequest, AdminRoute
+from stepstream.ports.admin import AdminRequest, AdminResponse, AdminRoute
 
+HTTP_OK = 200
+HTTP_BAD_REQUEST = 400
+HTTP_NOT_FOUND = 404
+HTTP_METHOD_NOT_ALLOWED = 405
+HTTP_UNAVAILABLE = 503
 
-class Call(Enum):
-    HEALTH = "healthcheck"  # yes once this process takes clients, and while it is not drained
-    FAIL = "healthcheck/fail"  # the operator's drain of this dispatcher begins
-    OK = "healthcheck/ok"  # and ends
-    MAINT = "maint"  # a worker is taken out
-    READY = "ready"  # and may serve again
-    NEWS = "news"  # a worker's news, passed on by the process beside this one in a hot restart
+MAX_QUERY_CHARACTERS = 1024  # more of a query is not read
+MAX_ECHOED_CHARACTERS = 64  # of a path, in a response or a log line
 
+READ_METHODS = frozenset({"GET", "HEAD"})
+WRITE_METHODS = frozenset({"PUT", "POST"})
 
-@dataclass(frozen=True, slots=True)
-class Asked:
-    call: Call
-    worker: str = ""
-    body: bytes = b""  # of news passed on
+
+class AdminAction(Enum):
+    """What a request asks for; the value names it in the response to a wrong method."""
+
+    CHECK_HEALTH = "healthcheck"  # 200 while this process takes clients and is not draining
+    START_DRAIN = "healthcheck/fail"
+    CANCEL_DRAIN = "healthcheck/ok"
+    START_MAINTENANCE = "maint"  # of one worker
+    END_MAINTENANCE = "ready"
+    TAKE_NOTIFICATION = "news"  # a worker's, forwarded by the sibling process of a hot restart
+
+
+# Path to action and methods; `*` stands for a worker's id.
+ROUTES = {
+    "/healthcheck": (AdminAction.CHECK_HEALTH, READ_METHODS),
+    "/healthcheck/fail": (AdminAction.START_DRAIN, WRITE_METHODS),
+    "/healthcheck/ok": (AdminAction.CANCEL_DRAIN, WRITE_METHODS),
+    "/workers/*/maint": (AdminAction.START_MAINTENANCE, WRITE_METHODS),
+    "/workers/*/ready": (AdminAction.END_MAINTENANCE, WRITE_METHODS),
+    "/_jobs/news": (AdminAction.TAKE_NOTIFICATION, frozenset({"POST"})),
+}
+WORKER_PATH = re.compile(r"/workers/([^/]*)(/.*)")
+WORKER_ID = re.compile(r"[A-Za-z0-9._:@~-]{1,128}")  # discovery's ids, and Gearman's names
 
 
 @dataclass(frozen=True, slots=True)
-class Added:
-    """A call that a subsystem answers."""
+class OperatorRequest:
+    """A request to one of the listener's own routes."""
 
-    path: AdminRoute
-    call: AdminRequest
+    action: AdminAction
+    worker_id: str = ""  # of the maintenance actions
+    body: bytes = b""  # of a forwarded notification
 
 
 @dataclass(frozen=True, slots=True)
-class Denied:
-    """A call that cannot be read: its status, and a reason for the log and the body."""
+class SubsystemRequest:
+    """A request to a route that a subsystem has added and answers."""
 
-    status: int
-    reason: str
+    route: AdminRoute
+    request: AdminRequest
 
 
-READS, WRITES = frozenset({"GET", "HEAD"}), frozenset({"PUT", "POST"})
-PATHS = {
-    "/healthcheck": (Call.HEALTH, READS),
-    "/healthcheck/fail": (Call.FAIL, WRITES),
-    "/healthcheck/ok": (Call.OK, WRITES),
-    "/_jobs/news": (Call.NEWS, frozenset({"POST"})),
-}
-WORKER_PATH = re.compile(r"/workers/([^/]*)/(maint|ready)")
-WORKER_ID = re.compile(r"[A-Za-z0-9._:@~-]{1,128}")  # discovery's ids, and Gearman's names
+class AdminRequestError(Exception):
+    """A request that no route takes; the text is the reason, for the response and the log."""
 
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
 
-def route(method: str, target: str, added: Sequence[AdminRoute] = ()) -> Asked | Added | Denied:
-    """The call behind a request line; a query is ignored, but for paths that subsystems have added."""
-    path, _, query = target.partition("?")
-    for more in added:
-        if (parts := re.fullmatch(more.pattern, path)) is not None:
-            if method not in more.methods:
-                return Denied(405, f"{path[:64]} takes {' or '.join(sorted(more.methods))}")
-            values = dict(parse_qsl(query[:1024], keep_blank_values=True))
-            return Added(more, AdminRequest(method, tuple(map(unquote, parts.groups(""))), values))
-    found = WORKER_PATH.fullmatch(path)
-    if found:
-        call, allowed = Call(found[2]), WRITES
-        worker = unquote(found[1])
-        if not WORKER_ID.fullmatch(worker):
-            return Denied(400, "a worker's id is malformed")
-    elif path in PATHS:
-        (call, allowed), worker = PATHS[path], ""
-    else:
-        return Denied(404, f"no such call: {path[:64]}")
-    if method not in allowed:
-        return Denied(405, f"{call.value} takes {' or '.join(sorted(allowed))}")
-    return Asked(call, worker)
 
+def route(
+    method: str, target: str, subsystem_routes: Sequence[AdminRoute] = ()
+) -> OperatorRequest | SubsystemRequest:
+    """Find the route of a request line; raise AdminRequestError if there is none.
 
-class Effect(Enum):
-    BAN = 1
-    LIFT = 2
-    FAIL = 3
-    OK = 4
-    NEWS = 5
+    A query is ignored, except on the routes of subsystems. The request's body is left empty.
+    """
+    path, _, query = target.partition("?")
+    for subsystem_route in subsystem_routes:
+        match = re.fullmatch(subsystem_route.pattern, path)
+        if match is not None:
+            _check_method(method, subsystem_route.methods, path[:MAX_ECHOED_CHARACTERS])
+            parts = tuple(unquote(part) for part in match.groups(""))
+            parameters = dict(parse_qsl(query[:MAX_QUERY_CHARACTERS], keep_blank_values=True))
+            return SubsystemRequest(subsystem_route, AdminRequest(method, parts, parameters))
+    return _route_to_action(method, path)
+
+
+def _route_to_action(method: str, path: str) -> OperatorRequest:
+    """Look the path up in the listener's own table."""
+    worker_path = WORKER_PATH.fullmatch(path)
+    table_path = f"/workers/*{worker_path[2]}" if worker_path else path
+    if table_path not in ROUTES:
+        raise AdminRequestError(HTTP_NOT_FOUND, f"no such call: {path[:MAX_ECHOED_CHARACTERS]}")
+    action, methods = ROUTES[table_path]
+    worker_id = unquote(worker_path[1]) if worker_path else ""
+    if worker_path and not WORKER_ID.fullmatch(worker_id):
+        raise AdminRequestError(HTTP_BAD_REQUEST, "a worker's id is malformed")
+    _check_method(method, methods, action.value)
+    return OperatorRequest(action, worker_id)
+
+
+def _check_method(method: str, allowed: frozenset[str], what: str) -> None:
+    if method not in allowed:
+        raise AdminRequestError(
+            HTTP_METHOD_NOT_ALLOWED, f"{what} takes {' or '.join(sorted(allowed))}"
+        )
 
 
 @dataclass(frozen=True, slots=True)
-class Verdict:
-    status: int
-    text: str
-    effect: Effect | None = None
+class ProcessView:
+    """What a decision needs to know of the process, taken by its caller."""
+
+    serving: bool  # clients are taken: their listener is open, no drain and no shutdown goes on
+    worker_known: bool  # an endpoint list or the Gearman front has the request's worker
+    worker_in_maintenance: bool
 
 
 @dataclass(frozen=True, slots=True)
-class View:
-    """What the decision needs to know of the process, taken by the driver."""
-
-    serving: bool  # it takes clients: its listener is open and it is neither drained nor stopping
-    known: bool  # the call's worker is held by one of the catalogues
-    banned: bool  # the call's worker is out for maintenance
-
-
-def decide(asked: Asked, view: View) -> Verdict:
-    """Two calls out need one call back; an id that nobody holds is owed a no, unless it is out."""
-    match asked.call:
-        case Call.HEALTH:
-            return Verdict(200, "OK") if view.serving else Verdict(503, "not serving")
-        case Call.FAIL:
-            return Verdict(200, "OK", Effect.FAIL)
-        case Call.OK:
-            return Verdict(200, "OK", Effect.OK)
-        case Call.NEWS:
-            return Verdict(200, "OK", Effect.NEWS)
-        case Call.MAINT if view.banned:
-            return Verdict(200, "OK: out already")
-        case Call.MAINT if view.known:
-            return Verdict(200, "OK", Effect.BAN)
-        case Call.READY if view.banned:
-            return Verdict(200, "OK", Effect.LIFT)
-        case Call.READY if view.known:
-            return Verdict(200, "OK: in already")
-    return Verdict(404, f"no worker {asked.worker}")
+class Decision:
+    """The response to a request, and the action to carry out before it is sent, if any."""
+
+    response: AdminResponse
+    effect: AdminAction | None = None
+
+
+def decide(request: OperatorRequest, view: ProcessView) -> Decision:
+    """Decide on any action but a forwarded notification, which depends on its body alone.
+
+    Maintenance does not count its starts: one end is enough. An id that nobody knows is refused,
+    unless it is in maintenance.
+    """
+    match request.action:
+        case AdminAction.CHECK_HEALTH if view.serving:
+            return Decision(AdminResponse(HTTP_OK, "OK"))
+        case AdminAction.CHECK_HEALTH:
+            return Decision(AdminResponse(HTTP_UNAVAILABLE, "not serving"))
+        case AdminAction.START_DRAIN | AdminAction.CANCEL_DRAIN:
+            return Decision(AdminResponse(HTTP_OK, "OK"), request.action)
+    if not view.worker_known and not view.worker_in_maintenance:
+        return Decision(AdminResponse(HTTP_NOT_FOUND, f"no worker {request.worker_id}"))
+    starts = request.action is AdminAction.START_MAINTENANCE
+    if starts == view.worker_in_maintenance:
+        return Decision(AdminResponse(HTTP_OK, "OK: out already" if starts else "OK: in already"))
+    return Decision(AdminResponse(HTTP_OK, "OK"), request.action)
--- a/stepstream/admin/service.py
+++ b/stepstream/admin/service.py
@@ -1,147 +1,224 @@
-"""What the operators' calls do to the process: the wiring between the admin listener and the rest.
+"""The admin service: what operators' requests do to the process, and what follows from them later.
 
-Each effect takes hold before the call is answered: a ban is in the destination set, so that no call is
-written to that worker from then on, and the core hears of it in its next round.
+Each effect holds before its request is answered: a worker in maintenance is marked in the
+destination set, so that no call is written to it from then on, and the core learns of it in its
+next round. The service owns the maintenance registry and the drain. Everything here runs in the
+admin listener's thread, except where a docstring says otherwise.
 """
 
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from queue import SimpleQueue
 from typing import TYPE_CHECKING
 
-from stepstream.admin.routing import Asked, Call, Effect, Verdict, View, decide
+from stepstream.admin.routing import (
+    HTTP_NOT_FOUND,
+    HTTP_OK,
+    AdminAction,
+    OperatorRequest,
+    ProcessView,
+    decide,
+)
 from stepstream.core.drain import DrainState
-from stepstream.core.events import Event, MaintenanceChanged, SiblingProcessChanged
+from stepstream.core.events import MaintenanceChanged, SiblingProcessChanged
 from stepstream.core.maintenance import MaintenanceRegistry
-from stepstream.http import platform_api as platform
 from stepstream.http.codec import Message, ProtocolError
-from stepstream.http.destination_set import DestinationSet
-from stepstream.http.server import InboundServer
-from stepstream.runtime.clock import Clock
+from stepstream.http.platform_api import read_notification
+from stepstream.ports.admin import AdminResponse
 from stepstream.runtime.log import log
+from stepstream.subsystem_context import SubsystemContext
 
 if TYPE_CHECKING:
     from stepstream.hot_restart.controller import HotRestartController
 
+IDLE_CLOSE_PERIOD_SECONDS = 0.1  # between two closings of idle connections in a drain
+
+
+@dataclass(frozen=True, slots=True)
+class RemoteMaintenanceChange:
+    """A maintenance request that another dispatcher, `source`, has taken."""
+
+    worker_id: str
+    in_maintenance: bool
+    source: str
+    at_us: int  # when it was taken, on that dispatcher's clock
+
 
 class AdminService:
-    def __init__(
-        self,
-        house: InboundServer,
-        destinations: DestinationSet,
-        bans: MaintenanceRegistry,
-        drain: DrainState,
-        clock: Clock,
-        post: Callable[[Event], None],
-        known: Callable[[str], bool],
-    ) -> None:
-        """`known`: whether a catalogue holds a worker by that id."""
-        self.house, self.destinations, self.bans, self.drain = house, destinations, bans, drain
-        self.clock, self.post, self.known = clock, post, known
-        self.started = False  # the clients' listener is open and served
-        self.keeper: HotRestartController | None = (
-            None  # the handed-over state, where there is $TMPDIR
-        )
-        self.neighbour = False
-        self.on_word: Callable[[str, bool], None] | None = (
-            None  # hears each word on a worker told here
+    """Carries out maintenance of workers, drains, and the admin part of a hot restart.
+
+    `context` is the node that it acts on. `started` is set once clients are taken, `hot_restart`
+    where there is a state folder, and `on_maintenance_change` by whoever spreads maintenance to
+    other dispatchers.
+    """
+
+    def __init__(self, context: SubsystemContext, drain: DrainState) -> None:
+        self.context = context
+        self.drain = drain
+        self.maintenance = MaintenanceRegistry()
+        self.started = False
+        self.hot_restart: HotRestartController | None = None
+        self.on_maintenance_change: Callable[[str, bool], None] | None = None
+        self.remote_changes: SimpleQueue[RemoteMaintenanceChange] = SimpleQueue()
+        self.sibling_present = False
+        self.handed_over_updates = 0  # of the destination set, that the state file holds
+        self.idle_closed_at = 0.0  # monotonic seconds
+
+    # -- requests ----------------------------------------------------------------------------------
+
+    def answer(self, request: OperatorRequest) -> AdminResponse:
+        """Decide on a request and carry out its effect."""
+        if request.action is AdminAction.TAKE_NOTIFICATION:
+            return self._take_notification(request.body)
+        worker_id = request.worker_id
+        view = ProcessView(
+            self.is_serving(), self._is_known(worker_id), self.maintenance.contains(worker_id)
         )
-        self.heard: SimpleQueue[tuple[str, bool, str, int]] = SimpleQueue()  # words told elsewhere
-        self.listed = 0  # the destination set's changes that the handed-over state holds
-        self.swept = 0.0
-
-    def serving(self) -> bool:
-        door = self.house.state
-        return self.started and not door.shutting_down and not self.drain.active
-
-    def answer(self, asked: Asked) -> Verdict:
-        if asked.call is Call.NEWS:
-            return self.news(asked.body)
-        view = View(self.serving(), self.known(asked.worker), self.bans.contains(asked.worker))
-        verdict = decide(asked, view)
-        if verdict.effect is not None:
-            self.carry_out(verdict.effect, asked.worker)
-        elif verdict.status == 404:
-            self.bans.counts.unknown += 1
-        if self.on_word is not None and verdict.status == 200 and asked.worker:
-            # Also where it changes nothing here: another dispatcher may have been told the opposite.
-            self.on_word(asked.worker, asked.call is Call.MAINT)
-        return verdict
-
-    def news(self, body: bytes) -> Verdict:
-        """From the process beside this one: a worker brought it there, and it is this one's."""
+        decision = decide(request, view)
+        status = decision.response.status
+        if decision.effect is not None:
+            self._carry_out(decision.effect, worker_id)
+        elif status == HTTP_NOT_FOUND:
+            self.maintenance.counts.unknown += 1
+        if self.on_maintenance_change is not None and status == HTTP_OK and worker_id:
+            # Also where nothing changes here: another dispatcher may have been told the opposite.
+            starts = request.action is AdminAction.START_MAINTENANCE
+            self.on_maintenance_change(worker_id, starts)
+        return decision.response
+
+    def is_serving(self) -> bool:
+        """Tell whether clients are taken: started, and neither shutting down nor draining."""
+        shutting_down = self.context.server.state.shutting_down
+        return self.started and not shutting_down and not self.drain.active
+
+    def _is_known(self, worker_id: str) -> bool:
+        """Tell whether discovery's endpoint list or the Gearman front has the worker."""
+        listed = self.context.destinations.last_address(worker_id) is not None
+        return listed or self.context.core.endpoints.contains(worker_id)
+
+    def _take_notification(self, body: bytes) -> AdminResponse:
+        """Post a notification that a worker sent to the sibling process, and that belongs here."""
         try:
-            told = platform.read_notification(Message(method="POST", body=body), relayed=True)
+            notification = read_notification(Message(method="POST", body=body), relayed=True)
         except ProtocolError as error:
-            return Verdict(error.status, f"{error}")
-        if told is not None:
-            self.post(told)
-        return Verdict(200, "OK")
+            return AdminResponse(error.status, str(error))
+        if notification is not None:
+            self.context.post(notification)
+        return AdminResponse(HTTP_OK, "OK")
 
-    def carry_out(self, effect: Effect, worker: str) -> None:
-        door = self.house.state
+    def _carry_out(self, effect: AdminAction, worker_id: str) -> None:
         match effect:
-            case Effect.BAN if self.bans.begin(worker):
-                self.spread(f"worker {worker} out for maintenance")
-            case Effect.LIFT if self.bans.release(worker, self.clock.now_us()):
-                self.spread(f"worker {worker} back from maintenance, cold")
-            case Effect.FAIL if self.drain.start(time.monotonic()):
-                door.draining = True
-                log("drain asked: the front is told no from now on")
-            case Effect.OK if self.drain.cancel():
-                door.draining = door.drain_closing = False
-                log("drain ended: the front is told yes again")
-
-    def spread(self, text: str) -> None:
-        """The bans, everywhere they count."""
-        state = self.bans.snapshot()
-        self.destinations.ban(state.in_maintenance)
-        self.post(MaintenanceChanged(state))
-        if self.keeper is not None:
-            self.keeper.write()
-        log(f"{text}; {len(state.in_maintenance)} out")
-
-    def adopted(self) -> None:
-        """Another process's bans were taken over."""
-        state = self.bans.snapshot()
-        self.destinations.ban(state.in_maintenance)
-        self.post(MaintenanceChanged(state))
-        log(f"maintenance taken over: {len(state.in_maintenance)} out")
-
-    def hear_on(self) -> None:
-        """Words told at other dispatchers: they hold here whether or not this one knows the worker."""
-        while not self.heard.empty():
-            worker, out, by, at_us = self.heard.get_nowait()
-            if out and self.bans.begin(worker):
-                self.spread(f"worker {worker} out for maintenance, told at {by}")
-            elif not out and self.bans.release(worker, at_us):
-                self.spread(f"worker {worker} back from maintenance, cold, told at {by}")
-
-    def look(self, now: float) -> None:
-        """Every turn of the admin listener: words from elsewhere, and a drain's closing when due."""
-        self.hear_on()
-        if self.keeper is not None:
-            self.look_beside()
-        if not self.drain.closes_connections(now) or now - self.swept < 0.1:
+            case AdminAction.START_MAINTENANCE:
+                self._start_maintenance(worker_id)
+            case AdminAction.END_MAINTENANCE:
+                self._end_maintenance(worker_id, self.context.clock.now_us())
+            case AdminAction.START_DRAIN:
+                self._start_drain()
+            case AdminAction.CANCEL_DRAIN:
+                self._cancel_drain()
+
+    # -- maintenance of workers --------------------------------------------------------------------
+
+    def _start_maintenance(self, worker_id: str, origin: str = "") -> None:
+        if self.maintenance.begin(worker_id):
+            self._spread_maintenance(f"worker {worker_id} out for maintenance{origin}")
+
+    def _end_maintenance(self, worker_id: str, at_us: int, origin: str = "") -> None:
+        """Release the worker, which starts over as one that has started at `at_us`."""
+        if self.maintenance.release(worker_id, at_us):
+            self._spread_maintenance(f"worker {worker_id} back from maintenance, cold{origin}")
+
+    def _spread_maintenance(self, change: str) -> None:
+        """Apply the changed maintenance state here and hand it over, with a line in the log."""
+        count = self._apply_maintenance()
+        if self.hot_restart is not None:
+            self.hot_restart.write()
+        log(f"{change}; {count} out")
+
+    def adopt_maintenance(self) -> None:
+        """Apply the maintenance state taken over from another process.
+
+        The main thread calls it too, before the listener's thread is there.
+        """
+        count = self._apply_maintenance()
+        log(f"maintenance taken over: {count} out")
+
+    def _apply_maintenance(self) -> int:
+        """Pass the state to the destination set and the core; return how many workers it holds."""
+        state = self.maintenance.snapshot()
+        self.context.destinations.ban(state.in_maintenance)
+        self.context.post(MaintenanceChanged(state))
+        return len(state.in_maintenance)
+
+    def queue_remote_change(self, change: RemoteMaintenanceChange) -> None:
+        """Leave a change to the listener's next turn; any thread, never waits."""
+        self.remote_changes.put(change)
+
+    def _apply_remote_changes(self) -> None:
+        """Apply other dispatchers' changes, whether or not this one knows the worker."""
+        while not self.remote_changes.empty():
+            change = self.remote_changes.get_nowait()
+            origin = f", told at {change.source}"
+            if change.in_maintenance:
+                self._start_maintenance(change.worker_id, origin)
+            else:
+                self._end_maintenance(change.worker_id, change.at_us, origin)
+
+    # -- the drain ---------------------------------------------------------------------------------
+
+    def _start_drain(self) -> None:
+        if self.drain.start(time.monotonic()):
+            self.context.server.state.draining = True
+            log("drain asked: the front is told no from now on")
+
+    def _cancel_drain(self) -> None:
+        if self.drain.cancel():
+            state = self.context.server.state
+            state.draining = False
+            state.drain_closing = False
+            log("drain ended: the front is told yes again")
+
+    def _close_idle_connections(self, now: float) -> None:
+        """Close clients' idle connections in a drain, once that is due and then once a period."""
+        in_period = now - self.idle_closed_at < IDLE_CLOSE_PERIOD_SECONDS
+        if not self.drain.closes_connections(now) or in_period:
             return
-        self.swept = now
-        if not self.house.state.drain_closing:
-            self.house.state.drain_closing = True
+        self.idle_closed_at = now
+        server = self.context.server
+        if not server.state.drain_closing:
+            server.state.drain_closing = True
             log("drain: kept connections close after their answers")
-        self.house.close_idle()
-
-    def look_beside(self) -> None:
-        if self.keeper.watch():
-            self.adopted()
-        if self.destinations.changes != self.listed:
-            # What discovery told this process passes to the next one, at most one turn late.
-            self.listed = self.destinations.changes
-            self.keeper.listed = self.destinations.listed()
-            self.keeper.write()
-        present = self.keeper.neighbour() is not None
-        if present != self.neighbour:
-            self.neighbour = present
-            self.post(SiblingProcessChanged(present))
-            log(
-                f"hot restart: {'a process beside this one' if present else 'alone'} on the clients' address"
-            )
+        server.close_idle()
+
+    # -- every turn of the listener ----------------------------------------------------------------
+
+    def run_periodic_tasks(self, now: float) -> None:
+        """Apply what other dispatchers and the sibling process have changed, and advance a drain.
+
+        `now` is in monotonic seconds.
+        """
+        self._apply_remote_changes()
+        if self.hot_restart is not None:
+            if self.hot_restart.check_file():
+                self.adopt_maintenance()
+            self._hand_over_endpoint_list(self.hot_restart)
+            self._post_sibling_change(self.hot_restart)
+        self._close_idle_connections(now)
+
+    def _hand_over_endpoint_list(self, hot_restart: "HotRestartController") -> None:
+        """Pass discovery's list to the next process, at most one turn after it has changed."""
+        destinations = self.context.destinations
+        if destinations.changes != self.handed_over_updates:
+            self.handed_over_updates = destinations.changes
+            hot_restart.endpoint_list = destinations.listed()
+            hot_restart.write()
+
+    def _post_sibling_change(self, hot_restart: "HotRestartController") -> None:
+        """Tell the core when a sibling process has appeared or gone."""
+        present = hot_restart.sibling() is not None
+        if present != self.sibling_present:
+            self.sibling_present = present
+            self.context.post(SiblingProcessChanged(present))
+            where = "a process beside this one" if present else "alone"
+            log(f"hot restart: {where} on the clients' address")
--- a/stepstream/admin/subsystem.py
+++ b/stepstream/admin/subsystem.py
@@ -1,14 +1,19 @@
-"""How the admin listener plugs into the node, and with it maintenance, drains and the hot restart."""
+"""How the admin listener plugs into the node, and with it maintenance, drains and the hot restart.
+
+The main thread makes and starts it; the service's docstrings say what other threads may call.
+"""
 
 from collections.abc import Callable, Mapping
 
 from stepstream.admin.listener import AdminListener
-from stepstream.admin.service import AdminService
+from stepstream.admin.service import AdminService, RemoteMaintenanceChange
 from stepstream.config.errors import ConfigurationError
 from stepstream.core.commands import Command, ForwardNotification
 from stepstream.core.drain import DrainState
-from stepstream.core.maintenance import MaintenanceRegistry
-from stepstream.hot_restart.controller import HotRestartController, folder, newer, own_process
+from stepstream.hot_restart.controller import HotRestartController
+from stepstream.hot_restart.process import own_record
+from stepstream.hot_restart.state import HandoverState, is_newer_list
+from stepstream.hot_restart.state_file import StateFile, state_folder
 from stepstream.ports.subsystem import Subsystem
 from stepstream.runtime.log import log
 from stepstream.runtime.threads import spawn_thread
@@ -16,95 +21,116 @@
 
 
 class AdminSubsystem(Subsystem):
-    def __init__(self, host: SubsystemContext) -> None:
-        self.host = host
-        drain = DrainState(host.limits.timeouts.drain_close_seconds)
-        self.desk = AdminService(
-            host.server,
-            host.destinations,
-            MaintenanceRegistry(),
-            drain,
-            host.clock,
-            host.post,
-            self.known,
-        )
-
-    def known(self, worker: str) -> bool:
-        host = self.host
-        return host.destinations.last_address(worker) is not None or host.core.endpoints.contains(
-            worker
-        )
+    """The subsystem behind the settings' `operator`; it is also `ports.admin.WorkerMaintenance`."""
+
+    def __init__(self, context: SubsystemContext, address: tuple[str, int]) -> None:
+        self.context = context
+        self.address = address
+        drain = DrainState(context.limits.timeouts.drain_close_seconds)
+        self.service = AdminService(context, drain)
 
     def start(self) -> None:
-        """The admin listener, in a thread of its own; FieldError if its address cannot be had."""
-        host, address = self.host, self.host.config.operator
-        paths = [path for part in host.subsystems.values() for path in part.admin_routes()]
+        """Take over a predecessor's state and serve operators.
+
+        The subsystem owns the listener's thread, a daemon that ends with the process. Raise
+        ConfigurationError if the admin listener's address cannot be bound.
+        """
+        host, port = self.address
+        subsystems = self.context.subsystems.values()
+        routes = [route for subsystem in subsystems for route in subsystem.admin_routes()]
+        service = self.service
         try:
-            listener = AdminListener(address, host.limits, self.desk.answer, self.desk.look, paths)
+            listener = AdminListener(
+                self.address,
+                self.context.limits,
+                service.answer,
+                service.run_periodic_tasks,
+                routes,
+            )
         except OSError as error:
-            raise ConfigurationError(f"operator={address[0]}:{address[1]}: {error}") from None
-        self.take_over(address)
+            raise ConfigurationError(f"operator={host}:{port}: {error}") from error
+        self._prepare_hot_restart()
         spawn_thread("admin", listener.run)
-        log(f"{host.config.name} hears operators on {address[0]}:{address[1]}")
+        log(f"{self.context.config.name} hears operators on {host}:{port}")
 
-    def take_over(self, address: tuple[str, int]) -> None:
-        """What the process before this one left in $TMPDIR: its bans hold here before a client is taken."""
-        host, where = self.host, folder()
-        if where is None:
+    def _prepare_hot_restart(self) -> None:
+        """Take over the state in $TMPDIR: its maintenance holds before a client is taken."""
+        folder = state_folder()
+        if folder is None:
             return
-        own = own_process(address, host.clock.now_us())
-        keeper = self.desk.keeper = HotRestartController(
-            where, host.config.name, own, self.desk.bans, host.limits
-        )
-        found = keeper.load()
-        if found is not None and found.bans.in_maintenance:
-            self.desk.adopted()
-        if found is not None and newer(found.listed, host.config.known or None):
-            host.persisted_endpoints = (
-                found.listed
-            )  # what discovery told the process before this one
-            log(f"handover: discovery's list of version {found.listed.get('version')} taken over")
+        context = self.context
+        own = own_record(self.address, context.clock.now_us())
+        file = StateFile(folder, context.config.name, own.pid, context.limits.sizes.handover_bytes)
+        hot_restart = HotRestartController(file, own, self.service.maintenance, context.limits)
+        self.service.hot_restart = hot_restart
+        state = hot_restart.load()
+        if state is not None:
+            self._adopt(state)
+
+    def _adopt(self, state: HandoverState) -> None:
+        """Apply the predecessor's maintenance, and its endpoint list if newer than ours."""
+        if state.maintenance.in_maintenance:
+            self.service.adopt_maintenance()
+        handed_over = state.endpoint_list
+        configured = self.context.config.known or None
+        if handed_over is not None and is_newer_list(handed_over, configured):
+            self.context.persisted_endpoints = handed_over
+            version = handed_over.get("version")
+            log(f"handover: discovery's list of version {version} taken over")
 
     def on_serving(self) -> None:
-        if self.desk.keeper is not None:
-            # Before the yes: SIGTERM may reach the old process at once after it.
-            self.desk.keeper.write(ready=True)
-        self.desk.started = True
+        """Record that clients are taken.
 
-    # -- ports.Maintenance --------------------------------------------------------------------------------
+        First in the state file, then in the answers to health checks: SIGTERM may reach the
+        predecessor as soon as a health check has succeeded.
+        """
+        if self.service.hot_restart is not None:
+            self.service.hot_restart.write(ready=True)
+        self.service.started = True
 
-    @property
-    def on_change(self) -> Callable[[str, bool], None] | None:
-        return self.desk.on_word
+    def begin_shutdown(self) -> bool:
+        """Tell whether this is a hot restart: a successor takes clients on the same address.
 
-    @on_change.setter
-    def on_change(self, heard: Callable[[str, bool], None]) -> None:
-        self.desk.on_word = heard
+        New connections go to it. This process answers what it has taken and closes idle
+        connections; the notifications of its requests that reach the successor are forwarded to it.
+        """
+        hot_restart = self.service.hot_restart
+        if hot_restart is None:
+            return False
+        hot_restart.check_file()  # the successor may be ready since the listener's last turn
+        return hot_restart.successor() is not None
 
-    def apply_remote_change(self, worker: str, out: bool, by: str, at_us: int) -> None:
-        self.desk.heard.put((worker, out, by, at_us))
+    def command_handlers(self) -> Mapping[type, Callable[[Command], None]]:
+        """Carry out the forwarding of notifications, in the decision thread."""
+        return {ForwardNotification: self._forward_notification}
 
-    def draining(self) -> bool:
-        return self.desk.drain.active
+    def _forward_notification(self, command: Command) -> None:
+        if self.service.hot_restart is not None and isinstance(command, ForwardNotification):
+            self.service.hot_restart.forward_notification(command.notification)
 
-    def command_handlers(self) -> Mapping[type, Callable[[Command], None]]:
-        return {ForwardNotification: self.pass_on}
+    # -- ports.admin.WorkerMaintenance -------------------------------------------------------------
 
-    def pass_on(self, command: ForwardNotification) -> None:
-        if self.desk.keeper is not None:
-            self.desk.keeper.pass_on(command.notification)
+    @property
+    def on_change(self) -> Callable[[str, bool], None] | None:
+        """What is called with each maintenance request taken here: worker, whether it starts."""
+        return self.service.on_maintenance_change
 
-    def begin_shutdown(self) -> bool:
-        """A hot restart: a newer process takes clients on the same address; new connections go to it.
+    @on_change.setter
+    def on_change(self, callback: Callable[[str, bool], None] | None) -> None:
+        self.service.on_maintenance_change = callback
 
-        This one answers what it has taken and closes kept connections after their answers. News for its
-        requests that reaches the other process is passed on here.
-        """
-        if (keeper := self.desk.keeper) is None:
-            return False
-        keeper.watch()  # the successor's yes may be newer than the admin listener's last look
-        return keeper.successor() is not None
+    def apply_remote_change(self, worker: str, out: bool, by: str, at_us: int) -> None:  # noqa: FBT001  the port's
+        """Take over a maintenance request of dispatcher `by`, soon; any thread, never waits."""
+        self.service.queue_remote_change(RemoteMaintenanceChange(worker, out, by, at_us))
+
+    def draining(self) -> bool:
+        """Tell whether an operator's drain of this dispatcher goes on; any thread."""
+        return self.service.drain.active
 
 
-def create_subsystem(host: SubsystemContext) -> AdminSubsystem:
-    return AdminSubsystem(host)
+def create_subsystem(context: SubsystemContext) -> AdminSubsystem:
+    """Make the subsystem; the node does so only where the settings have an `operator`."""
+    address = context.config.operator
+    if address is None:
+        raise ConfigurationError("operator is missing: HOST:PORT of the admin listener")
+    return AdminSubsystem(context, address)
--- a/stepstream/hot_restart/controller.py
+++ b/stepstream/hot_restart/controller.py
@@ -1,175 +1,115 @@
-"""The handed-over state on disk, and news passed on to the process beside this one.
+"""The controller of a hot restart: takes over and hands over state, detects the sibling process.
 
-The file is written whole under another name and renamed over the old one, so that a reader finds either
-the old state or the new, never a part. Each process looks at it every turn of its admin listener (a stat,
-no read, unless it has changed) and takes over bans that are newer than its own.
+It owns what this process knows of its siblings and of the endpoint list to be handed over. The
+admin listener's thread checks the file at every turn; the main thread loads the state before that
+thread starts, writes it once clients are taken, and checks it at a shutdown; the decision thread
+forwards notifications.
 """
 
-import os
-import socket
+from dataclasses import replace
 
 from stepstream.config.limits import Limits
 from stepstream.core.events import JobNotification
 from stepstream.core.maintenance import MaintenanceRegistry
+from stepstream.hot_restart.forwarder import NotificationForwarder
+from stepstream.hot_restart.process import ProcessRecord, is_alive, newest_sibling
 from stepstream.hot_restart.state import (
-    DamagedError,
-    Handover,
-    ProcessRecord,
-    decode,
-    encode,
-    sibling,
-    with_own,
+    EndpointListJson,
+    HandoverState,
+    HandoverStateError,
+    is_newer_list,
+    replace_own_record,
 )
-from stepstream.http.codec import Parser, ProtocolError, write_request
-from stepstream.http.platform_api import notification_body
+from stepstream.hot_restart.state_file import StateFile
 from stepstream.runtime.log import log
-from stepstream.runtime.sockets import connect, set_socket_timeout
-from stepstream.runtime.threads import ThreadPool
 
-RELAYED = "Stepstream-Relayed"  # marks news passed on: it is never passed on again
 
+class HotRestartController:
+    """Keeps this process and its sibling informed of each other through the state file.
 
-def alive(pid: int) -> bool:
-    """Signal 0 sends nothing: only whether the process is there."""
-    try:
-        os.kill(pid, 0)
-    except ProcessLookupError:
-        return False
-    except PermissionError:
-        return True
-    return True
-
+    `own` describes this process, `maintenance` is the registry that follows newer states of a
+    sibling.
+    """
 
-class HotRestartController:
     def __init__(
-        self, folder: str, name: str, own: ProcessRecord, bans: MaintenanceRegistry, limits: Limits
+        self, file: StateFile, own: ProcessRecord, maintenance: MaintenanceRegistry, limits: Limits
     ) -> None:
-        self.path = os.path.join(folder, f"stepstream-{name}.handover")
-        self.own, self.bans, self.limits = own, bans, limits
-        self.others: tuple[ProcessRecord, ...] = ()
-        self.listed: dict | None = None  # discovery's list, to be handed over with the rest
-        self.seen: tuple[int, int, int] | None = (
-            None  # inode, time and size of what was last read or written
-        )
-        self.relays = ThreadPool("relay", limits.connections.forwarder_threads)
-
-    def load(self) -> Handover | None:
-        """At the start: what the process before this one left; None, with one line, if nothing usable."""
+        self.file = file
+        self.own = own
+        self.maintenance = maintenance
+        self.forwarder = NotificationForwarder(limits)
+        self.siblings: tuple[ProcessRecord, ...] = ()
+        self.endpoint_list: EndpointListJson | None = None  # to be handed over with the rest
+
+    def load(self) -> HandoverState | None:
+        """Take over what the process before this one left, at the start.
+
+        Return None, with one line in the log, if there is nothing usable.
+        """
         try:
-            with open(self.path, "rb") as file:
-                data = file.read(self.limits.sizes.handover_bytes)
-            self.seen = self.stamp()
-            state = decode(data)
+            state = self.file.read()
         except FileNotFoundError:
             log("handover: no state found, starting clean")
             return None
-        except (OSError, DamagedError) as error:
+        except (OSError, HandoverStateError) as error:
             log(f"handover: state ignored, starting clean: {error}")
             return None
-        self.take(state)
+        self._adopt(state)
         return state
 
-    def take(self, state: Handover) -> None:
-        self.others = tuple(p for p in state.processes if p.pid != self.own.pid)
-        self.bans.adopt(state.bans)
-        if self.listed is None or newer(state.listed, self.listed):
-            self.listed = state.listed
-
-    def stamp(self) -> tuple[int, int, int] | None:
-        try:
-            found = os.stat(self.path)
-        except OSError:
-            return None
-        return found.st_ino, found.st_mtime_ns, found.st_size
+    def write(self, *, ready: bool | None = None) -> None:
+        """Write the state; `ready` changes this process's own record first.
 
-    def write(self, ready: bool | None = None) -> None:
-        """Atomically; a failure costs a line, and the next change writes again."""
+        A failure costs a line in the log, and the next change writes again.
+        """
         if ready is not None:
-            self.own = ProcessRecord(self.own.pid, self.own.admin, self.own.started_us, ready)
-        living = {p.pid for p in self.others if alive(p.pid)}
-        state = with_own(Handover(self.bans.snapshot(), self.others, self.listed), self.own, living)
-        self.others = state.processes[:-1]
-        part = f"{self.path}.{self.own.pid}.part"
+            self.own = replace(self.own, ready=ready)
+        alive_pids = {process.pid for process in self.siblings if is_alive(process.pid)}
+        processes = replace_own_record(self.siblings, self.own, alive_pids)
+        self.siblings = processes[:-1]
+        state = HandoverState(self.maintenance.snapshot(), processes, self.endpoint_list)
         try:
-            with open(part, "wb") as file:
-                file.write(encode(state))
-                file.flush()
-                os.fsync(file.fileno())
-            os.replace(part, self.path)
-            self.seen = self.stamp()
+            self.file.write(state)
         except OSError as error:
             log(f"handover: state not written: {error}")
 
-    def watch(self) -> bool:
-        """Whether the other process has written bans newer than these."""
-        stamp = self.stamp()
-        if stamp is None or stamp == self.seen:
-            return False
-        self.seen = stamp
+    def check_file(self) -> bool:
+        """Follow what a sibling has written; return whether that changed the maintenance state."""
         try:
-            with open(self.path, "rb") as file:
-                state = decode(file.read(self.limits.sizes.handover_bytes))
-        except (OSError, DamagedError) as error:
+            state = self.file.read_if_changed()
+        except (OSError, HandoverStateError) as error:
             log(f"handover: state ignored: {error}")
             return False
-        before = self.bans.snapshot().generation
-        self.take(state)
-        if all(p.pid != self.own.pid for p in state.processes):
-            self.write()  # guards this process's entry against a write of the other that did not know it
-        return self.bans.snapshot().generation != before
+        if state is None:
+            return False
+        generation_before = self.maintenance.snapshot().generation
+        self._adopt(state)
+        if all(process.pid != self.own.pid for process in state.processes):
+            # Guards this process's record against a sibling that wrote without knowing of it.
+            self.write()
+        return self.maintenance.snapshot().generation != generation_before
+
+    def _adopt(self, state: HandoverState) -> None:
+        """Take over the siblings, and whatever is newer than this process's own."""
+        self.siblings = tuple(process for process in state.processes if process.pid != self.own.pid)
+        self.maintenance.adopt(state.maintenance)
+        if self.endpoint_list is None or is_newer_list(state.endpoint_list, self.endpoint_list):
+            self.endpoint_list = state.endpoint_list
+
+    def sibling(self) -> ProcessRecord | None:
+        """Return the newest other process on the clients' address, None if it has ended."""
+        sibling = newest_sibling(self.siblings, self.own.pid)
+        return sibling if sibling is not None and is_alive(sibling.pid) else None
 
     def successor(self) -> ProcessRecord | None:
-        """A process that started after this one, takes clients and is there: this one may leave to it."""
-        found = sibling(Handover(processes=self.others), self.own.pid)
-        usable = found is not None and found.ready and found.started_us > self.own.started_us
-        return found if usable and alive(found.pid) else None
-
-    def neighbour(self) -> ProcessRecord | None:
-        found = sibling(Handover(processes=self.others), self.own.pid)
-        return found if found is not None and alive(found.pid) else None
-
-    def pass_on(self, told: JobNotification) -> None:
-        """News of a request that is not this process's: the other one may have it."""
-        target = self.neighbour()
-        if target is not None:
-            self.relays.submit(self.relay, target, told)
-
-    def relay(self, target: ProcessRecord, told: JobNotification) -> None:
-        host, _, port = target.admin.rpartition(":")
-        headers = {"Host": target.admin, RELAYED: "1", "Connection": "close"}
-        data = write_request("POST", "/_jobs/news", headers, notification_body(told))
-        try:
-            sock = connect(
-                (host, int(port)),
-                self.limits.timeouts.connect_seconds,
-                self.limits.timeouts.forward_seconds,
-            )
-        except OSError:
-            return
-        with sock:
-            try:
-                set_socket_timeout(sock, socket.SO_RCVTIMEO, self.limits.timeouts.forward_seconds)
-                sock.sendall(data)
-                parser = Parser(self.limits, answers=True)
-                while piece := sock.recv(self.limits.sizes.read_bytes):
-                    parser.feed(piece)
-                    if parser.next() is not None:
-                        return
-            except (OSError, ProtocolError):
-                pass
-
-
-def newer(one: dict | None, other: dict | None) -> bool:
-    """Whether one list in discovery's form has a later version than the other."""
-    if one is None:
-        return False
-    return other is None or int(one.get("version", 0)) > int(other.get("version", 0))
-
-
-def own_process(admin: tuple[str, int], now_us: int) -> ProcessRecord:
-    return ProcessRecord(os.getpid(), f"{admin[0]}:{admin[1]}", now_us)
-
-
-def folder() -> str | None:
-    """$TMPDIR, where both processes of a hot restart find it; None where it is not set."""
-    return os.environ.get("TMPDIR") or None
+        """Return the sibling if it started after this process and takes clients, else None."""
+        sibling = self.sibling()
+        if sibling is None or not sibling.ready or sibling.started_at_us <= self.own.started_at_us:
+            return None
+        return sibling
+
+    def forward_notification(self, notification: JobNotification) -> None:
+        """Forward a notification whose request this process does not hold: the sibling may."""
+        sibling = self.sibling()
+        if sibling is not None:
+            self.forwarder.submit(sibling, notification)
--- /dev/null
+++ b/stepstream/hot_restart/process.py
@@ -0,0 +1,38 @@
+"""The record of a process that shares the clients' address in a hot restart; owns no state."""
+
+import os
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessRecord:
+    """A dispatcher's process as the state file lists it."""
+
+    pid: int
+    admin_address: str  # HOST:PORT of its admin listener, which takes forwarded notifications
+    started_at_us: int  # on the clock that the processes of one machine share
+    ready: bool = False  # its listener for clients is open
+
+
+def own_record(admin_address: tuple[str, int], now_us: int) -> ProcessRecord:
+    """Describe this process, started at `now_us` and not yet ready."""
+    host, port = admin_address
+    return ProcessRecord(os.getpid(), f"{host}:{port}", now_us)
+
+
+def newest_sibling(processes: Iterable[ProcessRecord], own_pid: int) -> ProcessRecord | None:
+    """Return the process other than `own_pid` that started last, None if there is no other."""
+    siblings = [process for process in processes if process.pid != own_pid]
+    return max(siblings, key=lambda process: process.started_at_us, default=None)
+
+
+def is_alive(pid: int) -> bool:
+    """Tell whether a process of this id exists; signal 0 only checks that (kill(2))."""
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    except PermissionError:
+        return True
+    return True
--- a/stepstream/hot_restart/state.py
+++ b/stepstream/hot_restart/state.py
@@ -1,92 +1,134 @@
-"""The handed-over state as bytes, and what a process makes of it; free of I/O.
+"""The handover state and its codec: what one process of a hot restart leaves to the next.
 
-The file holds the operators' bans, the processes that share the clients' address, each with its admin
-address, and discovery's list as its writer last knew it. It is checked whole: a file that is missing, cut
-short, of another format or version, or whose sum does not match is ignored, and the process starts clean.
+The file is a JSON object of `format`, `version`, `sum` (CRC-32 of the body's UTF-8 bytes) and
+`body`, itself JSON in a string. It is accepted as a whole or not at all: each deviation raises an
+error of its own, and the reader starts clean. Owns no state; any thread may call it.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import Any
 from zlib import crc32
 
 import ujson
 
 from stepstream.core.maintenance import MaintenanceState
+from stepstream.hot_restart.process import ProcessRecord
 
-FORMAT, VERSION = "stepstream-handover", 1
+FORMAT = "stepstream-handover"
+VERSION = 1
 
-
-@dataclass(frozen=True, slots=True)
-class ProcessRecord:
-    pid: int
-    admin: str  # HOST:PORT of its admin listener, where its sibling passes news on
-    started_us: int
-    ready: bool = False  # it takes clients
+EndpointListJson = dict[str, Any]  # an endpoint list in the form in which discovery sends it
 
 
 @dataclass(frozen=True, slots=True)
-class Handover:
-    bans: MaintenanceState = MaintenanceState()
+class HandoverState:
+    """What the state file holds."""
+
+    maintenance: MaintenanceState = MaintenanceState()
     processes: tuple[ProcessRecord, ...] = field(default_factory=tuple)
-    listed: dict | None = (
-        None  # discovery's list as the writer last knew it, in discovery's own form
-    )
+    endpoint_list: EndpointListJson | None = None  # as the writer last received it
+
+
+class HandoverStateError(Exception):
+    """The bytes are no usable handover state; the text names the deviation, for one log line."""
+
+
+class StateFormatError(HandoverStateError):
+    """The bytes are not a JSON object of the handover's format."""
+
 
+class StateVersionError(HandoverStateError):
+    """The state was written in another version of the format."""
 
-class DamagedError(Exception):
-    """The file cannot be used; the text says why, for one line in the log."""
 
+class StateChecksumError(HandoverStateError):
+    """The body is missing, or does not match its checksum."""
 
-def encode(state: Handover) -> bytes:
+
+class StateFieldError(HandoverStateError):
+    """A field of the body is missing or has the wrong type."""
+
+
+def encode(state: HandoverState) -> bytes:
+    """Write the state as the file's bytes."""
+    # The keys `banned`, `lifted` and `list` are part of the format, whatever the code calls them.
     body = {
-        "generation": state.bans.generation,
-        "banned": sorted(state.bans.in_maintenance),
-        "lifted": [list(pair) for pair in state.bans.released],
-        "processes": [[p.pid, p.admin, p.started_us, p.ready] for p in state.processes],
-        "list": state.listed,
+        "generation": state.maintenance.generation,
+        "banned": sorted(state.maintenance.in_maintenance),
+        "lifted": [list(release) for release in state.maintenance.released],
+        "processes": [
+            [process.pid, process.admin_address, process.started_at_us, process.ready]
+            for process in state.processes
+        ],
+        "list": state.endpoint_list,
+    }
+    body_text = ujson.dumps(body, sort_keys=True)
+    envelope = {
+        "format": FORMAT,
+        "version": VERSION,
+        "sum": crc32(body_text.encode()),
+        "body": body_text,
     }
-    text = ujson.dumps(body, sort_keys=True)
-    outer = {"format": FORMAT, "version": VERSION, "sum": crc32(text.encode()), "body": text}
-    return ujson.dumps(outer).encode()
+    return ujson.dumps(envelope).encode()
 
 
-def decode(data: bytes) -> Handover:
-    """DamagedError if anything of it is amiss."""
+def decode(data: bytes) -> HandoverState:
+    """Read the file's bytes; raise HandoverStateError if anything in them deviates."""
+    body_text = _open_envelope(data)
     try:
-        outer = ujson.loads(data)
-    except (ValueError, RecursionError):
-        raise DamagedError("not whole JSON") from None
-    if not isinstance(outer, dict) or outer.get("format") != FORMAT:
-        raise DamagedError("not a handed-over state")
-    if outer.get("version") != VERSION:
-        raise DamagedError(f"version {outer.get('version')!r}, not {VERSION}")
-    text = outer.get("body")
-    if not isinstance(text, str) or crc32(text.encode()) != outer.get("sum"):
-        raise DamagedError("its sum does not match")
+        return _read_body(ujson.loads(body_text))
+    except (ValueError, KeyError, TypeError) as error:
+        raise StateFieldError("a field is missing or of the wrong type") from error
+
+
+def _open_envelope(data: bytes) -> str:
+    """Check format, version and checksum, and return the body's text."""
     try:
-        body = ujson.loads(text)
-        bans = MaintenanceState(
-            int(body["generation"]),
-            frozenset(str(w) for w in body["banned"]),
-            tuple((str(w), int(at)) for w, at in body["lifted"]),
-        )
-        processes = tuple(
-            ProcessRecord(int(p), str(a), int(s), bool(r)) for p, a, s, r in body["processes"]
-        )
-        listed = body.get("list")
-        if listed is not None and not isinstance(listed, dict):
-            raise TypeError
-    except (ValueError, KeyError, TypeError):
-        raise DamagedError("a field is missing or of the wrong type") from None
-    return Handover(bans, processes, listed)
-
-
-def with_own(state: Handover, own: ProcessRecord, alive: set[int]) -> Handover:
-    """The state as this process writes it: its own entry new, those of ended processes gone."""
-    others = tuple(p for p in state.processes if p.pid != own.pid and p.pid in alive)
-    return Handover(state.bans, (*others, own), state.listed)
-
-
-def sibling(state: Handover, own_pid: int) -> ProcessRecord | None:
-    """The other process on the clients' address, the newest if there were several."""
-    others = [p for p in state.processes if p.pid != own_pid]
-    return max(others, key=lambda p: p.started_us) if others else None
+        envelope = ujson.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise StateFormatError("not whole JSON") from error
+    if not isinstance(envelope, dict) or envelope.get("format") != FORMAT:
+        raise StateFormatError("not a handed-over state")
+    if envelope.get("version") != VERSION:
+        raise StateVersionError(f"version {envelope.get('version')!r}, not {VERSION}")
+    body_text = envelope.get("body")
+    if not isinstance(body_text, str) or crc32(body_text.encode()) != envelope.get("sum"):
+        raise StateChecksumError("its sum does not match")
+    return body_text
+
+
+def _read_body(body: object) -> HandoverState:
+    """Convert the parsed body; raise ValueError, KeyError or TypeError where it does not fit."""
+    if not isinstance(body, dict):
+        raise TypeError("the body is not an object")
+    maintenance = MaintenanceState(
+        int(body["generation"]),
+        frozenset(str(worker_id) for worker_id in body["banned"]),
+        tuple((str(worker_id), int(at_us)) for worker_id, at_us in body["lifted"]),
+    )
+    processes = tuple(
+        ProcessRecord(int(pid), str(admin_address), int(started_at_us), bool(ready))
+        for pid, admin_address, started_at_us, ready in body["processes"]
+    )
+    endpoint_list = body.get("list")
+    if endpoint_list is not None and not isinstance(endpoint_list, dict):
+        raise TypeError("the endpoint list is not an object")
+    return HandoverState(maintenance, processes, endpoint_list)
+
+
+def replace_own_record(
+    processes: Iterable[ProcessRecord], own: ProcessRecord, alive_pids: set[int]
+) -> tuple[ProcessRecord, ...]:
+    """Return the records of running processes, this process's own one renewed and last."""
+    siblings = [
+        process for process in processes if process.pid != own.pid and process.pid in alive_pids
+    ]
+    return (*siblings, own)
+
+
+def is_newer_list(candidate: EndpointListJson | None, current: EndpointListJson | None) -> bool:
+    """Tell whether the candidate has a later version; any list is newer than none."""
+    if candidate is None:
+        return False
+    return current is None or int(candidate.get("version", 0)) > int(current.get("version", 0))
--- a/tests/admin/test_admin.py
+++ b/tests/admin/test_admin.py
@@ -1,4 +1,4 @@
-"""The admin listener, the operators' drain and the maintenance of workers: decisions, driver and program."""
+"""The admin listener, drains and the maintenance of workers: routing, decisions, driver, program."""
 
 import json
 import socket
@@ -8,70 +8,141 @@
 import time
 
 import pytest
-from admin_helpers import call
+from admin_helpers import request
 from config_helpers import CONFIG
 from net_helpers import LIMITS, job_bytes
 from node_helpers import PATIENCE, ROOT, World, ask, free_port, wait_for
 
 from stepstream.admin.listener import AdminListener
-from stepstream.admin.routing import Asked, Call, Denied, Effect, Verdict, View, decide, route
+from stepstream.admin.routing import (
+    AdminAction,
+    AdminRequestError,
+    Decision,
+    OperatorRequest,
+    ProcessView,
+    SubsystemRequest,
+    decide,
+    route,
+)
 from stepstream.core.drain import DrainState
 from stepstream.core.endpoint_set import EndpointSet, EndpointsUpdated
 from stepstream.core.maintenance import MaintenanceOverlay, MaintenanceRegistry, MaintenanceState
 from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind, EndpointState
+from stepstream.ports.admin import AdminRequest, AdminResponse, AdminRoute
 from stepstream.runtime.log import LogRateLimit
 
-# -- which call, and its answer ---------------------------------------------------------------------------
+# -- routing and decisions --------------------------------------------------------------------------------
 
 
 @pytest.mark.parametrize(
     ("method", "target", "expected"),
     [
-        ("GET", "/healthcheck", Asked(Call.HEALTH)),
-        ("PUT", "/healthcheck/fail", Asked(Call.FAIL)),
-        ("POST", "/healthcheck/ok", Asked(Call.OK)),
-        ("PUT", "/workers/s-5be2a07c/maint", Asked(Call.MAINT, "s-5be2a07c")),
-        ("PUT", "/workers/s-1/ready?now=1", Asked(Call.READY, "s-1")),
-        ("GET", "/workers/s-1/maint", Denied(405, "maint takes POST or PUT")),
-        ("PUT", "/healthcheck", Denied(405, "healthcheck takes GET or HEAD")),
-        ("PUT", "/workers//maint", Denied(400, "a worker's id is malformed")),
-        ("PUT", "/workers/a%20b/maint", Denied(400, "a worker's id is malformed")),
-        ("PUT", "/workers/s-1/reboot", Denied(404, "no such call: /workers/s-1/reboot")),
-        ("GET", "/", Denied(404, "no such call: /")),
+        ("GET", "/healthcheck", OperatorRequest(AdminAction.CHECK_HEALTH)),
+        ("PUT", "/healthcheck/fail", OperatorRequest(AdminAction.START_DRAIN)),
+        ("POST", "/healthcheck/ok", OperatorRequest(AdminAction.CANCEL_DRAIN)),
+        (
+            "PUT",
+            "/workers/s-5be2a07c/maint",
+            OperatorRequest(AdminAction.START_MAINTENANCE, "s-5be2a07c"),
+        ),
+        (
+            "PUT",
+            "/workers/s-1/ready?now=1",
+            OperatorRequest(AdminAction.END_MAINTENANCE, "s-1"),
+        ),
+        ("POST", "/_jobs/news", OperatorRequest(AdminAction.TAKE_NOTIFICATION)),
     ],
 )
-def test_calls_are_read_by_their_table(method, target, expected):
+def test_a_request_is_routed_by_method_and_path(method, target, expected):
     assert route(method, target) == expected
 
 
-def test_two_calls_out_need_one_back_and_an_unknown_id_is_a_no():
-    maint, ready = Asked(Call.MAINT, "s-1"), Asked(Call.READY, "s-1")
-    assert decide(maint, View(True, known=True, banned=False)) == Verdict(200, "OK", Effect.BAN)
-    assert decide(maint, View(True, known=True, banned=True)).effect is None
-    assert decide(ready, View(True, known=False, banned=True)) == Verdict(200, "OK", Effect.LIFT)
-    assert decide(ready, View(True, known=True, banned=False)).status == 200
-    assert decide(maint, View(True, known=False, banned=False)).status == 404
-    assert decide(ready, View(True, known=False, banned=False)).status == 404
-    assert decide(Asked(Call.HEALTH), View(False, False, False)).status == 503
-
-
-def test_bans_count_and_order_their_states():
-    bans = MaintenanceRegistry()
-    assert bans.begin("s-1")
-    assert not bans.begin("s-1")
-    assert bans.release("s-1", 5_000)
-    assert not bans.release("s-1", 6_000)
-    state = bans.snapshot()
+@pytest.mark.parametrize(
+    ("method", "target", "status", "reason"),
+    [
+        ("GET", "/workers/s-1/maint", 405, "maint takes POST or PUT"),
+        ("PUT", "/healthcheck", 405, "healthcheck takes GET or HEAD"),
+        ("PUT", "/workers//maint", 400, "a worker's id is malformed"),
+        ("PUT", "/workers/a%20b/maint", 400, "a worker's id is malformed"),
+        ("PUT", "/workers/*/maint", 400, "a worker's id is malformed"),
+        ("PUT", "/workers/s-1/reboot", 404, "no such call: /workers/s-1/reboot"),
+        ("PUT", "/workers/s-1/maint/now", 404, "no such call: /workers/s-1/maint/now"),
+        ("GET", "/", 404, "no such call: /"),
+    ],
+)
+def test_a_request_without_a_route_is_rejected_with_its_reason(method, target, status, reason):
+    with pytest.raises(AdminRequestError) as raised:
+        route(method, target)
+    assert (raised.value.status, str(raised.value)) == (status, reason)
+
+
+def test_a_subsystems_route_gets_the_variable_parts_and_the_query():
+    added = AdminRoute(r"/leases/([^/]+)", frozenset({"GET"}), lambda _: AdminResponse(200, "OK"))
+    assert route("GET", "/leases/a%2Fb?since=3&all", [added]) == SubsystemRequest(
+        added, AdminRequest("GET", ("a/b",), {"since": "3", "all": ""})
+    )
+    with pytest.raises(AdminRequestError, match="^/leases/a takes GET$"):
+        route("PUT", "/leases/a", [added])
+
+
+STARTS = OperatorRequest(AdminAction.START_MAINTENANCE, "s-1")
+ENDS = OperatorRequest(AdminAction.END_MAINTENANCE, "s-1")
+HEALTH_CHECK = OperatorRequest(AdminAction.CHECK_HEALTH)
+OK = AdminResponse(200, "OK")
+
+
+@pytest.mark.parametrize(
+    ("request_", "known", "in_maintenance", "expected"),
+    [
+        (STARTS, True, False, Decision(OK, AdminAction.START_MAINTENANCE)),
+        (STARTS, True, True, Decision(AdminResponse(200, "OK: out already"))),
+        (STARTS, False, True, Decision(AdminResponse(200, "OK: out already"))),
+        (ENDS, False, True, Decision(OK, AdminAction.END_MAINTENANCE)),
+        (ENDS, True, True, Decision(OK, AdminAction.END_MAINTENANCE)),
+        (ENDS, True, False, Decision(AdminResponse(200, "OK: in already"))),
+        (STARTS, False, False, Decision(AdminResponse(404, "no worker s-1"))),
+        (ENDS, False, False, Decision(AdminResponse(404, "no worker s-1"))),
+    ],
+)
+def test_maintenance_ends_at_the_first_request_and_an_unknown_worker_is_refused(
+    request_, known, in_maintenance, expected
+):
+    assert decide(request_, ProcessView(True, known, in_maintenance)) == expected
+
+
+@pytest.mark.parametrize(("serving", "status"), [(True, 200), (False, 503)])
+def test_a_health_check_succeeds_while_clients_are_taken(serving, status):
+    decision = decide(HEALTH_CHECK, ProcessView(serving, False, False))
+    assert decision.response.status == status
+    assert decision.effect is None
+
+
+@pytest.mark.parametrize("action", [AdminAction.START_DRAIN, AdminAction.CANCEL_DRAIN])
+def test_a_drain_starts_and_ends_on_request_in_any_state(action):
+    decision = decide(OperatorRequest(action), ProcessView(False, False, False))
+    assert decision == Decision(OK, action)
+
+
+# -- maintenance of workers -------------------------------------------------------------------------------
+
+
+def test_maintenance_states_are_counted_and_ordered_by_generation():
+    registry = MaintenanceRegistry()
+    assert registry.begin("s-1")
+    assert not registry.begin("s-1")
+    assert registry.release("s-1", 5_000)
+    assert not registry.release("s-1", 6_000)
+    state = registry.snapshot()
     assert state.in_maintenance == frozenset()
     assert state.released == (("s-1", 5_000),)
     assert state.generation == 2
-    assert (bans.counts.out, bans.counts.back, bans.counts.again) == (1, 1, 2)
-    assert not bans.adopt(MaintenanceState(2, frozenset({"s-9"})))
-    assert bans.adopt(MaintenanceState(3, frozenset({"s-9"})))
-    assert bans.contains("s-9")
+    assert (registry.counts.out, registry.counts.back, registry.counts.again) == (1, 1, 2)
+    assert not registry.adopt(MaintenanceState(2, frozenset({"s-9"})))
+    assert registry.adopt(MaintenanceState(3, frozenset({"s-9"})))
+    assert registry.contains("s-9")
 
 
-def test_a_banned_worker_looks_draining_whatever_its_list_says_and_returns_cold():
+def test_a_worker_in_maintenance_is_draining_whatever_its_list_says_and_returns_cold():
     members = EndpointSet(lambda _: None)
     entries = (Endpoint("s-1", started_us=1_000), Endpoint("s-2"))
     members.apply(EndpointsUpdated("discovery", EndpointList(EndpointListKind.COMPLETE, entries)))
@@ -89,7 +160,7 @@
     assert later.endpoints[0].started_us == 9_000  # the list's older start does not make it warm
 
 
-def test_an_overlay_keeps_a_later_start_and_leaves_a_gone_worker_gone():
+def test_the_overlay_keeps_a_later_start_and_leaves_a_removed_worker_removed():
     overlay = MaintenanceOverlay()
     overlay.update(MaintenanceState(1, frozenset(), (("s-1", 9_000),)))
     assert overlay.apply(Endpoint("s-1", started_us=12_000)).started_us == 12_000
@@ -97,10 +168,10 @@
     assert overlay.apply(gone) is gone
 
 
-# -- the drain on a fake clock ----------------------------------------------------------------------------
+# -- the drain on a clock of its own -------------------------------------------------------------------------
 
 
-def test_a_drain_closes_kept_connections_after_its_time_and_ends_at_once():
+def test_a_drain_closes_connections_after_its_time_and_ends_at_once():
     drain = DrainState(close_after_seconds=0.5)
     assert not drain.active
     assert not drain.closes_connections(100.0)
@@ -115,7 +186,7 @@
     assert not drain.cancel()
 
 
-def test_bad_calls_are_logged_within_a_rate():
+def test_bad_requests_are_logged_within_a_rate():
     quota = LogRateLimit(2, 10.0)
     assert [quota.allows(t) for t in (0.0, 1.0, 2.0, 3.0)] == ["", "", None, None]
     assert quota.allows(10.5) == " (2 more such not logged)"
@@ -124,52 +195,56 @@
 # -- the driver on real sockets ---------------------------------------------------------------------------
 
 
-class Fake:
+class RecordingService:
+    """Answers every request with 200 and records it."""
+
     def __init__(self):
-        self.asked, self.looked = [], 0
+        self.requests = []
 
-    def answer(self, asked):
-        self.asked.append(asked)
-        return Verdict(200, "OK")
+    def answer(self, request):
+        self.requests.append(request)
+        return OK
 
-    def look(self, now):
-        self.looked += 1
+    def run_periodic_tasks(self, now):
+        pass
 
 
 @pytest.fixture
 def admin():
-    fake, port = Fake(), free_port()
-    listener = AdminListener(("127.0.0.1", port), LIMITS, fake.answer, fake.look)
+    service, port = RecordingService(), free_port()
+    listener = AdminListener(
+        ("127.0.0.1", port), LIMITS, service.answer, service.run_periodic_tasks
+    )
     threading.Thread(target=listener.run, daemon=True).start()
-    yield fake, port
-    listener.listener.close()
+    yield service, port
+    listener.listening_socket.close()
 
 
-def test_a_call_is_answered_beside_callers_that_hold_their_connections(admin):
-    fake, port = admin
+def test_a_request_is_answered_beside_callers_that_hold_their_connections(admin):
+    service, port = admin
     slow = [
         socket.create_connection(("127.0.0.1", port)) for _ in range(LIMITS.connections.admin // 2)
     ]
     for sock in slow:
         sock.sendall(b"PUT /healthcheck/fa")
     begun = time.monotonic()
-    assert call(port, b"GET /healthcheck HTTP/1.1\r\n\r\n").status == 200
+    assert request(port, b"GET /healthcheck HTTP/1.1\r\n\r\n").status == 200
     assert time.monotonic() - begun < 1.0
-    assert fake.asked == [Asked(Call.HEALTH)]
+    assert service.requests == [HEALTH_CHECK]
     for sock in slow:
         sock.close()
 
 
-def test_more_callers_than_places_make_room_from_the_oldest(admin):
+def test_a_connection_beyond_the_bound_evicts_the_oldest(admin):
     _, port = admin
-    held = [
+    idle = [
         socket.create_connection(("127.0.0.1", port)) for _ in range(LIMITS.connections.admin + 4)
     ]
     time.sleep(0.2)
-    assert call(port, b"PUT /healthcheck/ok HTTP/1.1\r\n\r\n").status == 200
-    held[0].settimeout(PATIENCE)
-    assert held[0].recv(10) == b""  # the oldest was let go
-    for sock in held:
+    assert request(port, b"PUT /healthcheck/ok HTTP/1.1\r\n\r\n").status == 200
+    idle[0].settimeout(PATIENCE)
+    assert idle[0].recv(10) == b""  # the oldest was evicted
+    for sock in idle:
         sock.close()
 
 
@@ -183,11 +258,11 @@
         (b"PUT /healthcheck/ok HTTP/1.1\r\nContent-Length: 99999\r\n\r\n", 413),
     ],
 )
-def test_bad_calls_get_a_4xx_and_change_nothing(admin, data, status):
-    fake, port = admin
-    assert call(port, data).status == status
-    assert fake.asked == []
-    assert call(port, b"GET /healthcheck HTTP/1.1\r\n\r\n").status == 200
+def test_bad_requests_get_a_4xx_and_change_nothing(admin, data, status):
+    service, port = admin
+    assert request(port, data).status == status
+    assert service.requests == []
+    assert request(port, b"GET /healthcheck HTTP/1.1\r\n\r\n").status == 200
 
 
 # -- the program ------------------------------------------------------------------------------------------
@@ -207,25 +282,25 @@
 
 
 def put(world, path):
-    return call(world.admin, f"PUT {path} HTTP/1.1\r\n\r\n".encode()).status
+    return request(world.admin, f"PUT {path} HTTP/1.1\r\n\r\n".encode()).status
 
 
-def test_the_program_drains_on_the_operators_word_and_serves_again(operated):
-    assert call(operated.admin, b"GET /healthcheck HTTP/1.1\r\n\r\n").status == 200
-    kept = socket.create_connection(("127.0.0.1", operated.port), timeout=PATIENCE)
-    assert ask(0, job_bytes("00000000000000a1"), kept).status == 200
+def test_the_program_drains_on_request_and_serves_again(operated):
+    assert request(operated.admin, b"GET /healthcheck HTTP/1.1\r\n\r\n").status == 200
+    connection = socket.create_connection(("127.0.0.1", operated.port), timeout=PATIENCE)
+    assert ask(0, job_bytes("00000000000000a1"), connection).status == 200
     assert put(operated, "/healthcheck/fail") == 200
     assert not operated.ready()
-    assert call(operated.admin, b"GET /healthcheck HTTP/1.1\r\n\r\n").status == 503
-    answer = ask(0, job_bytes("00000000000000a2"), kept)  # a kept connection is still served
+    assert request(operated.admin, b"GET /healthcheck HTTP/1.1\r\n\r\n").status == 503
+    answer = ask(0, job_bytes("00000000000000a2"), connection)  # an open connection is still served
     assert answer.status == 200
-    kept.settimeout(PATIENCE)
-    assert kept.recv(10) == b""  # and closed after an answer once the drain's time has come
+    connection.settimeout(PATIENCE)
+    assert connection.recv(10) == b""  # and closed after an answer once the drain's time has come
     assert put(operated, "/healthcheck/ok") == 200
     wait_for(operated.ready)
 
 
-def test_a_worker_out_for_maintenance_gets_nothing_until_it_is_back(operated):
+def test_a_worker_in_maintenance_gets_no_jobs_until_it_ends(operated):
     assert put(operated, "/workers/s-9/maint") == 404
     assert put(operated, "/workers/s-1/maint") == 200
     assert put(operated, "/workers/s-1/maint") == 200
@@ -238,7 +313,7 @@
     wait_for(lambda: ask(operated.port, job_bytes(next(names))).status == 200)
 
 
-OPERATORS = (
+ADMIN_MODULES = (
     "stepstream.admin",
     "stepstream.core.drain",
     "stepstream.core.maintenance",
@@ -246,7 +321,7 @@
 )
 
 
-def started(operator):
+def loaded_by_a_start(operator):
     """Modules and threads of a dispatcher started in a process of its own, with an admin address or not."""
     config = {
         **CONFIG,
@@ -260,7 +335,7 @@
         "from stepstream.node.node import Node\n"
         "from stepstream.config.node_config import config_from\n"
         f"Node(config_from(json.loads({json.dumps(config)!r}), {{}})).start()\n"
-        f"print(sorted({{m.rpartition('.')[0] or m for m in sys.modules if m.startswith({OPERATORS!r})}}))\n"
+        f"print(sorted({{m.rpartition('.')[0] or m for m in sys.modules if m.startswith({ADMIN_MODULES!r})}}))\n"
         "print(sorted(t.name for t in threading.enumerate()))\n"
     )
     run = subprocess.run(
@@ -271,9 +346,9 @@
 
 
 def test_serve_without_an_admin_address_loads_nothing_of_it_and_with_one_it_does():
-    modules, threads = started(operator=False)
+    modules, threads = loaded_by_a_start(operator=False)
     assert modules == "[]"
     assert "admin" not in threads
-    modules, threads = started(operator=True)
+    modules, threads = loaded_by_a_start(operator=True)
     assert "stepstream.admin" in modules
     assert "'admin'" in threads
--- a/tests/golden/state_answers.py
+++ b/tests/golden/state_answers.py
@@ -30,7 +30,8 @@
 from stepstream.core.events import JobNotification, JobStatus
 from stepstream.core.maintenance import MaintenanceRegistry
 from stepstream.hot_restart import controller as handover_driver
-from stepstream.hot_restart import state as handover
+from stepstream.hot_restart import state_file
+from stepstream.hot_restart.process import ProcessRecord
 from stepstream.http import platform_api as platform
 from stepstream.http.destination_set import DestinationSet
 from stepstream.lab import demo, fleet_faults, fleet_play, ledger, nodes, referee, rig
@@ -159,8 +160,10 @@
 
     def __init__(self, desk: object, paths: Sequence[object] = ()) -> None:
         self.told: list[list[str]] = []
-        self.listener = AdminListener(("127.0.0.1", 0), LIMITS, desk.answer, desk.look, paths)
-        self.address = self.listener.listener.getsockname()
+        self.listener = AdminListener(
+            ("127.0.0.1", 0), LIMITS, desk.answer, desk.run_periodic_tasks, paths
+        )
+        self.address = self.listener.listening_socket.getsockname()
 
     def ask(self, method: str, target: str, body: bytes = b"") -> None:
         self.send(
@@ -174,12 +177,12 @@
             sock.setblocking(False)
             answer, ended = bytearray(), False
             while not ended:
-                self.listener.turn()
+                self.listener.poll_once()
                 ended = read_all(sock, answer)
         self.told.append([title, answer.decode()])
 
     def close(self) -> None:
-        self.listener.listener.close()
+        self.listener.listening_socket.close()
 
 
 def desk_for(clock: StillClock, posted: list) -> object:
@@ -187,9 +190,14 @@
     door = SimpleNamespace(shutting_down=False, draining=False, drain_closing=False)
     house = SimpleNamespace(state=door, close_idle=lambda: None)
     known = {"s-1", "10.0.0.7:5000"}.__contains__
-    return AdminService(
-        house, DestinationSet(), MaintenanceRegistry(), DrainState(0.5), clock, posted.append, known
+    context = SimpleNamespace(
+        server=house,
+        destinations=DestinationSet(),
+        core=SimpleNamespace(endpoints=SimpleNamespace(contains=known)),
+        clock=clock,
+        post=posted.append,
     )
+    return AdminService(context, DrainState(0.5))
 
 
 def broken_answer(call: object) -> object:
@@ -580,8 +588,9 @@
 
 
 def keeper_for(folder: str, pid: int, bans: object) -> object:
-    own = handover.ProcessRecord(pid, f"127.0.0.1:{9000 + pid}", UNIX_MS * 1000 + pid)
-    return handover_driver.HotRestartController(folder, "n0", own, bans, LIMITS)
+    own = ProcessRecord(pid, f"127.0.0.1:{9000 + pid}", UNIX_MS * 1000 + pid)
+    file = state_file.StateFile(folder, "n0", pid, LIMITS.sizes.handover_bytes)
+    return handover_driver.HotRestartController(file, own, bans, LIMITS)
 
 
 def handover_files() -> list[list[object]]:
@@ -599,7 +608,7 @@
         old_bans.begin("s-1")
         old_bans.begin("s-2")
         old_bans.release("s-2", UNIX_MS * 1000)
-        old.listed = {"version": 3, "full": True, "servers": []}
+        old.endpoint_list = {"version": 3, "full": True, "servers": []}
         old.write(ready=True)
         look("the old process takes clients")
         new.load()
@@ -608,9 +617,9 @@
         told.append(["bans taken over", sorted(new_bans.snapshot().in_maintenance)])
         new.write(ready=True)
         look("the new process takes clients")
-        told.append(["the old process sees newer bans", old.watch()])
+        told.append(["the old process sees newer bans", old.check_file()])
         told.append(["the old process has a successor", old.successor() is not None])
-        Path(new.path).write_text("{")
+        Path(new.file.path).write_text("{")
         told.append(["damaged", keeper_for(folder, 13, MaintenanceRegistry()).load() is None])
     return told
 
@@ -633,10 +642,10 @@
     told = {}
     with tempfile.TemporaryDirectory() as folder, socket.create_server(("127.0.0.1", 0)) as server:
         port = server.getsockname()[1]
-        target = handover.ProcessRecord(12, f"127.0.0.1:{port}", 1)
+        target = ProcessRecord(12, f"127.0.0.1:{port}", 1)
         keeper = keeper_for(folder, 11, MaintenanceRegistry())
         for name, news in worker_news().items():
-            thread = threading.Thread(target=keeper.relay, args=(target, news))
+            thread = threading.Thread(target=keeper.forwarder.forward, args=(target, news))
             thread.start()
             connection, _ = server.accept()
             with connection:
--- a/tests/golden/state_samples.py
+++ b/tests/golden/state_samples.py
@@ -432,7 +432,7 @@
 def handover_state(
     bans: tuple = (0, frozenset(), ()), processes: tuple = (), listed: dict | None = None
 ) -> object:
-    return handover.Handover(MaintenanceState(*bans), processes, listed)
+    return handover.HandoverState(MaintenanceState(*bans), processes, listed)
 
 
 def handover_samples() -> dict[str, object]:
@@ -544,7 +544,7 @@
         "handover",
         handover.encode,
         handover.decode,
-        handover.DamagedError,
+        handover.HandoverStateError,
         handover_samples,
         handover_malformed,
         handover_tolerated,
--- a/tests/hot_restart/test_hot_restart.py
+++ b/tests/hot_restart/test_hot_restart.py
@@ -1,4 +1,4 @@
-"""The hot restart: the handed-over state, damaged in each way; bans across an upgrade; news passed on."""
+"""The hot restart: the state file, whole and damaged; maintenance across it; forwarded notifications."""
 
 import json
 import os
@@ -7,42 +7,52 @@
 import sys
 import threading
 import time
+from zlib import crc32
 
 import pytest
-from admin_helpers import call
+from admin_helpers import request
 from core_helpers import Desk
 from net_helpers import LIMITS, SETTINGS, WORKERS, job_bytes
 from node_helpers import PATIENCE, ROOT, World, ask, free_port, wait_for
 
 from stepstream.admin.listener import AdminListener
-from stepstream.admin.routing import Verdict
 from stepstream.core.commands import ForwardNotification, StartCall
 from stepstream.core.events import JobNotification, JobStatus, SiblingProcessChanged
 from stepstream.core.maintenance import MaintenanceRegistry, MaintenanceState
 from stepstream.hot_restart.controller import HotRestartController
+from stepstream.hot_restart.forwarder import NotificationForwarder
+from stepstream.hot_restart.process import ProcessRecord, newest_sibling
 from stepstream.hot_restart.state import (
-    DamagedError,
-    Handover,
-    ProcessRecord,
+    HandoverState,
+    StateChecksumError,
+    StateFieldError,
+    StateFormatError,
+    StateVersionError,
     decode,
     encode,
-    sibling,
-    with_own,
+    replace_own_record,
 )
+from stepstream.hot_restart.state_file import StateFile
 from stepstream.http.codec import Message
 from stepstream.http.destination_set import DestinationSet
 from stepstream.http.platform_api import DiscoveryApi, notification_body, read_notification
+from stepstream.ports.admin import AdminResponse
 
-OLD, NEW = (
-    ProcessRecord(100, "127.0.0.1:9901", 1_000, True),
-    ProcessRecord(200, "127.0.0.1:9902", 2_000, True),
-)
-LISTED = {
+OLD = ProcessRecord(100, "127.0.0.1:9901", 1_000, True)
+NEW = ProcessRecord(200, "127.0.0.1:9902", 2_000, True)
+ENDPOINT_LIST = {
     "version": 7,
     "full": True,
     "servers": [{"id": "s-1", "addr": "127.0.0.1:9", "state": "draining"}],
 }
-STATE = Handover(MaintenanceState(3, frozenset({"s-1"}), (("s-2", 1_500),)), (OLD, NEW), LISTED)
+STATE = HandoverState(
+    MaintenanceState(3, frozenset({"s-1"}), (("s-2", 1_500),)), (OLD, NEW), ENDPOINT_LIST
+)
+
+
+def controller_for(folder, own, maintenance=None):
+    file = StateFile(str(folder), "n0", own.pid, LIMITS.sizes.handover_bytes)
+    return HotRestartController(file, own, maintenance or MaintenanceRegistry(), LIMITS)
 
 
 def test_a_state_reads_back_as_it_was_written():
@@ -65,17 +75,22 @@
             return json.dumps({**outer, "body": outer["body"].replace("s-1", "s-7")}).encode()
         case "a wrong type":
             body = json.dumps({**json.loads(outer["body"]), "banned": 5}, sort_keys=True)
-            from zlib import crc32
-
             return json.dumps({**outer, "body": body, "sum": crc32(body.encode())}).encode()
 
 
 @pytest.mark.parametrize(
-    "kind",
-    ["cut short", "empty", "another version", "another format", "a changed byte", "a wrong type"],
+    ("kind", "error"),
+    [
+        ("cut short", StateFormatError),
+        ("empty", StateFormatError),
+        ("another version", StateVersionError),
+        ("another format", StateFormatError),
+        ("a changed byte", StateChecksumError),
+        ("a wrong type", StateFieldError),
+    ],
 )
-def test_a_damaged_state_is_refused_whole(kind):
-    with pytest.raises(DamagedError):
+def test_a_damaged_state_is_rejected_whole(kind, error):
+    with pytest.raises(error):
         decode(damaged(kind))
 
 
@@ -85,56 +100,90 @@
 ):
     if kind != "missing":
         (tmp_path / "stepstream-n0.handover").write_bytes(damaged(kind))
-    bans = MaintenanceRegistry()
-    keeper = HotRestartController(str(tmp_path), "n0", NEW, bans, LIMITS)
-    assert keeper.load() is None
-    assert bans.snapshot() == MaintenanceState()
+    maintenance = MaintenanceRegistry()
+    assert controller_for(tmp_path, NEW, maintenance).load() is None
+    assert maintenance.snapshot() == MaintenanceState()
     assert len(capsys.readouterr().err.splitlines()) == 1
 
 
-def test_the_own_entry_is_new_and_ended_processes_are_gone():
-    again = ProcessRecord(100, OLD.admin, 5_000, False)
-    assert with_own(STATE, again, alive={200}).processes == (NEW, again)
-    assert with_own(STATE, again, alive={200}).listed == LISTED
-    assert with_own(STATE, again, alive=set()).processes == (again,)
-    assert sibling(STATE, 100) == NEW
-    assert sibling(Handover(processes=(OLD,)), 100) is None
+def test_the_own_record_is_renewed_and_those_of_ended_processes_are_dropped():
+    renewed = ProcessRecord(100, OLD.admin_address, 5_000, False)
+    assert replace_own_record((OLD, NEW), renewed, alive_pids={200}) == (NEW, renewed)
+    assert replace_own_record((OLD, NEW), renewed, alive_pids=set()) == (renewed,)
+
+
+def test_the_sibling_is_the_newest_other_process():
+    oldest = ProcessRecord(50, "127.0.0.1:9900", 500, True)
+    assert newest_sibling((oldest, OLD, NEW), 100) == NEW
+    assert newest_sibling((oldest, OLD, NEW), 200) == OLD
+    assert newest_sibling((OLD,), 100) is None
+
+
+def test_a_write_keeps_the_endpoint_list_that_was_taken_over(tmp_path):
+    first = controller_for(tmp_path, ProcessRecord(os.getpid(), "127.0.0.1:9901", 1_000))
+    first.endpoint_list = ENDPOINT_LIST
+    first.write()
+    second = controller_for(tmp_path, ProcessRecord(os.getppid(), "127.0.0.1:9902", 2_000))
+    second.load()
+    second.write()
+    state = second.file.read()
+    assert state.endpoint_list == ENDPOINT_LIST
+    assert [process.pid for process in state.processes] == [os.getpid(), os.getppid()]
 
 
-def test_bans_pass_to_the_next_process_and_back(tmp_path):
-    mine = ProcessRecord(os.getpid(), "127.0.0.1:9901", 1_000, True)
-    first_bans = MaintenanceRegistry()
-    first = HotRestartController(str(tmp_path), "n0", mine, first_bans, LIMITS)
-    first_bans.begin("s-1")
+def test_maintenance_passes_to_the_successor_and_back(tmp_path):
+    first_maintenance, second_maintenance = MaintenanceRegistry(), MaintenanceRegistry()
+    own = ProcessRecord(os.getpid(), "127.0.0.1:9901", 1_000, True)
+    first = controller_for(tmp_path, own, first_maintenance)
+    first_maintenance.begin("s-1")
     first.write()
-    assert [p.name for p in tmp_path.iterdir()] == [
-        "stepstream-n0.handover"
-    ]  # nothing half written stays
-    second_bans = MaintenanceRegistry()
-    second = HotRestartController(
-        str(tmp_path),
-        "n0",
-        ProcessRecord(os.getppid(), "127.0.0.1:9902", 2_000),
-        second_bans,
-        LIMITS,
+    names = [path.name for path in tmp_path.iterdir()]
+    assert names == ["stepstream-n0.handover"]  # nothing unfinished stays
+    second = controller_for(
+        tmp_path, ProcessRecord(os.getppid(), "127.0.0.1:9902", 2_000), second_maintenance
     )
     assert second.load() is not None
-    assert second_bans.contains("s-1")
-    second_bans.release("s-1", 3_000)
+    assert second_maintenance.contains("s-1")
+    second_maintenance.release("s-1", 3_000)
     second.write(ready=True)
-    assert first.watch()
-    assert not first_bans.contains("s-1")
+    assert first.check_file()
+    assert not first_maintenance.contains("s-1")
     assert first.successor() is not None
     assert first.successor().pid == os.getppid()
-    assert not first.watch()  # nothing new since
+    assert not first.check_file()  # nothing new since
 
 
-def test_news_of_a_request_that_is_not_here_goes_to_the_process_beside_once():
+@pytest.mark.parametrize(
+    ("sibling", "successor"),
+    [
+        (ProcessRecord(os.getppid(), "127.0.0.1:9902", 2_000, True), True),
+        (ProcessRecord(os.getppid(), "127.0.0.1:9902", 2_000, False), False),
+        (ProcessRecord(os.getppid(), "127.0.0.1:9902", 500, True), False),
+    ],
+)
+def test_a_successor_started_later_and_takes_clients(tmp_path, sibling, successor):
+    controller_for(tmp_path, sibling).write()
+    own = controller_for(tmp_path, ProcessRecord(os.getpid(), "127.0.0.1:9901", 1_000, True))
+    own.load()
+    assert own.sibling() == sibling
+    assert own.successor() == (sibling if successor else None)
+
+
+def test_an_own_record_that_a_sibling_did_not_know_is_written_again(tmp_path):
+    own = controller_for(tmp_path, ProcessRecord(os.getpid(), "127.0.0.1:9901", 1_000, True))
+    own.write()
+    controller_for(tmp_path, ProcessRecord(os.getppid(), "127.0.0.1:9902", 2_000)).write()
+    assert not own.check_file()  # the maintenance state is the same
+    pids = {process.pid for process in own.file.read().processes}
+    assert pids == {os.getpid(), os.getppid()}
+
+
+def test_a_notification_of_an_unknown_request_is_forwarded_to_the_sibling_once():
     desk = Desk()
-    told = JobNotification("zz", WORKERS[0].worker_id, JobStatus.DONE, "x")
-    assert desk.tell(told) == []
+    notification = JobNotification("zz", WORKERS[0].worker_id, JobStatus.DONE, "x")
+    assert desk.tell(notification) == []
     desk.tell(SiblingProcessChanged(True))
-    assert desk.tell(told) == [ForwardNotification(told)]
+    assert desk.tell(notification) == [ForwardNotification(notification)]
     assert (
         desk.tell(JobNotification("zz", WORKERS[0].worker_id, JobStatus.DONE, "x", forwarded=True))
         == []
@@ -145,17 +194,19 @@
     assert not [c for c in desk.tell(own) if isinstance(c, ForwardNotification)]
 
 
-def test_news_passed_on_reads_back_as_it_came():
-    told = JobNotification("zz", "s-1", JobStatus.RUNNING, None, (400, 1000))
+def test_a_forwarded_notification_reads_back_as_it_came():
+    notification = JobNotification("zz", "s-1", JobStatus.RUNNING, None, (400, 1000))
     assert read_notification(
-        Message(method="POST", body=notification_body(told)), relayed=True
+        Message(method="POST", body=notification_body(notification)), relayed=True
     ) == JobNotification("zz", "s-1", JobStatus.RUNNING, None, (400, 1000), True)
 
 
 # -- two processes on one address -------------------------------------------------------------------------
 
 
-def test_a_hot_restart_keeps_bans_serves_throughout_and_the_old_process_leaves_well(tmp_path):
+def test_a_hot_restart_keeps_maintenance_serves_throughout_and_the_old_process_ends_cleanly(
+    tmp_path,
+):
     folder = tmp_path / "tmp"
     folder.mkdir()
     os.environ["TMPDIR"] = str(folder)
@@ -172,7 +223,7 @@
 
 def upgrade(world, tmp_path):
     old_admin = int(world.config["operator"].rpartition(":")[2])
-    assert call(old_admin, b"PUT /workers/s-1/maint HTTP/1.1\r\n\r\n").status == 200
+    assert request(old_admin, b"PUT /workers/s-1/maint HTTP/1.1\r\n\r\n").status == 200
     new_admin = free_port()
     path = tmp_path / "new.json"
     path.write_text(json.dumps({**world.config, "operator": f"127.0.0.1:{new_admin}"}))
@@ -185,11 +236,11 @@
     )
     try:
         wait_for(lambda: healthy(new_admin))
-        # The ban holds in the new process: a second call out changes nothing there.
-        assert call(new_admin, b"PUT /workers/s-1/maint HTTP/1.1\r\n\r\n").body.startswith(
+        # Maintenance holds in the new process: a second request changes nothing there.
+        assert request(new_admin, b"PUT /workers/s-1/maint HTTP/1.1\r\n\r\n").body.startswith(
             b"OK: out"
         )
-        assert call(new_admin, b"PUT /workers/s-1/ready HTTP/1.1\r\n\r\n").status == 200
+        assert request(new_admin, b"PUT /workers/s-1/ready HTTP/1.1\r\n\r\n").status == 200
         wait_for(lambda: ask(world.port, job_bytes(f"{time.monotonic_ns():016x}")).status == 200)
         world.process.send_signal(signal.SIGTERM)
         assert world.process.wait(timeout=PATIENCE) == 0
@@ -203,35 +254,32 @@
 
 def healthy(port):
     try:
-        return call(port, b"GET /healthcheck HTTP/1.1\r\n\r\n").status == 200
+        return request(port, b"GET /healthcheck HTTP/1.1\r\n\r\n").status == 200
     except OSError:
         return False
 
 
-def test_news_passed_on_reaches_the_admin_listener_of_the_process_beside(tmp_path):
-    port, got = free_port(), []
+def test_a_forwarded_notification_reaches_the_admin_listener_of_the_sibling(tmp_path):
+    port, requests = free_port(), []
 
-    def answer(asked):
-        got.append(asked)
-        return Verdict(200, "OK")
+    def answer(operator_request):
+        requests.append(operator_request)
+        return AdminResponse(200, "OK")
 
     listener = AdminListener(("127.0.0.1", port), LIMITS, answer, lambda now: None)
     threading.Thread(target=listener.run, daemon=True).start()
     try:
-        keeper = HotRestartController(str(tmp_path), "n0", OLD, MaintenanceRegistry(), LIMITS)
-        keeper.relay(
-            ProcessRecord(os.getpid(), f"127.0.0.1:{port}", 0),
-            JobNotification("aa", "s-1", JobStatus.DONE, "5"),
-        )
-        (asked,) = got
-        assert read_notification(Message(method="POST", body=asked.body)) == JobNotification(
-            "aa", "s-1", JobStatus.DONE, "5"
+        notification = JobNotification("aa", "s-1", JobStatus.DONE, "5")
+        NotificationForwarder(LIMITS).forward(
+            ProcessRecord(os.getpid(), f"127.0.0.1:{port}", 0), notification
         )
+        (forwarded,) = requests
+        assert read_notification(Message(method="POST", body=forwarded.body)) == notification
     finally:
-        listener.listener.close()
+        listener.listening_socket.close()
 
 
-def test_what_discovery_told_passes_over_in_its_own_form():
+def test_the_endpoint_list_is_handed_over_in_discoverys_form():
     side = DiscoveryApi(SETTINGS)
     told = side.read(
         {
@@ -265,31 +313,15 @@
 
 
 def test_a_newer_list_is_taken_over_and_an_older_one_is_not(tmp_path):
-    first = HotRestartController(
-        str(tmp_path),
-        "n0",
-        ProcessRecord(os.getpid(), "127.0.0.1:9901", 1_000),
-        MaintenanceRegistry(),
-        LIMITS,
-    )
-    first.listed = LISTED
+    predecessor = ProcessRecord(os.getpid(), "127.0.0.1:9901", 1_000)
+    successor = ProcessRecord(os.getppid(), "127.0.0.1:9902", 2_000)
+    first = controller_for(tmp_path, predecessor)
+    first.endpoint_list = ENDPOINT_LIST
     first.write()
-    second = HotRestartController(
-        str(tmp_path),
-        "n0",
-        ProcessRecord(os.getppid(), "127.0.0.1:9902", 2_000),
-        MaintenanceRegistry(),
-        LIMITS,
-    )
-    second.listed = {**LISTED, "version": 9}
+    second = controller_for(tmp_path, successor)
+    second.endpoint_list = {**ENDPOINT_LIST, "version": 9}
     second.load()
-    assert second.listed["version"] == 9
-    third = HotRestartController(
-        str(tmp_path),
-        "n0",
-        ProcessRecord(os.getppid(), "127.0.0.1:9902", 2_000),
-        MaintenanceRegistry(),
-        LIMITS,
-    )
-    assert third.load().listed == LISTED
-    assert third.listed == LISTED
+    assert second.endpoint_list["version"] == 9
+    third = controller_for(tmp_path, successor)
+    assert third.load().endpoint_list == ENDPOINT_LIST
+    assert third.endpoint_list == ENDPOINT_LIST
