--- a/stepstream/admin/listener.py
+++ b/stepstream/admin/listener.py
@@ -14,6 +14,7 @@
 
 from stepstream.admin.connection import AdminConnection
 from stepstream.admin.routing import (
+    HTTP_SERVER_ERROR,
     MAX_ECHOED_CHARACTERS,
     AdminRequestError,
     OperatorRequest,
@@ -99,7 +100,9 @@
                 return  # none left, or gone before its accept
             if len(self.connections) >= max_connections:
                 # Guards the next callers against those that hold connections without a request.
-                self._close(min(self.connections.values(), key=lambda oldest: oldest.opened_at))
+                self._close(
+                    min(self.connections.values(), key=lambda connection: connection.opened_at)
+                )
             sock.setblocking(False)  # noqa: FBT003  the socket's own signature
             parser = Parser(self.limits, body=self.limits.sizes.admin_body_bytes)
             self.connections[sock.fileno()] = AdminConnection(sock, parser, time.monotonic())
@@ -160,7 +163,7 @@
         except Exception as error:  # noqa: BLE001  a subsystem's fault must not end the listener
             # Guards the caller too: the fault is a response, not a silence.
             log(f"fault in an admin call: {type(error).__name__}: {error}")
-            return AdminResponse(500, "fault")
+            return AdminResponse(HTTP_SERVER_ERROR, "fault")
 
     def _flush(self, connection: AdminConnection) -> None:
         """Send on; close once the response is out, else wait until the socket takes more."""
--- a/stepstream/admin/service.py
+++ b/stepstream/admin/service.py
@@ -42,7 +42,7 @@
     worker_id: str
     in_maintenance: bool
     source: str
-    at_us: int  # when it was taken, on that dispatcher's clock
+    at_us: int  # when it was taken: microseconds since the epoch, by that dispatcher's clock
 
 
 class AdminService:
--- a/stepstream/hot_restart/process.py
+++ b/stepstream/hot_restart/process.py
@@ -11,7 +11,7 @@
 
     pid: int
     admin_address: str  # HOST:PORT of its admin listener, which takes forwarded notifications
-    started_at_us: int  # on the clock that the processes of one machine share
+    started_at_us: int  # microseconds since the epoch
     ready: bool = False  # its listener for clients is open
 
 
