--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -23,7 +23,7 @@
 from stepstream.lab.lease_search import Bounds, Search, TwoHoldersError
 from stepstream.lab.lease_world import LeaseWorld, Resource, Task, drawn
 from stepstream.lab.lease_world import TwoHoldersError as BrokenError
-from stepstream.leases.rules import Rules
+from stepstream.leases.configuration import LeaseConfiguration
 
 SMALL = (
     Bounds(renewals=0, restarts=0, releases=False, steps=2),
@@ -68,11 +68,15 @@
 def crash(job: tuple[float, int]) -> dict:
     """From a holder's crash to the next one's first act; the crash comes at any time of a renewal."""
     ttl, seed = job
-    world = LeaseWorld(seed, [f"n{k}" for k in range(5)], Rules(("n0", "n1", "n2"), longest=ttl))
+    world = LeaseWorld(
+        seed,
+        [f"n{k}" for k in range(5)],
+        LeaseConfiguration(("n0", "n1", "n2"), max_ttl_seconds=ttl),
+    )
     for name in ("n3", "n4"):
         world.tasks[name] = [Task("x", ttl=ttl, act=ttl / 10, hold=1e6, think=0.1)]
     world.start_all()
-    world.run(world.rules.silence + 5.0 + world.draw.uniform(0.0, ttl))
+    world.run(world.rules.recovery_seconds + 5.0 + world.draw.uniform(0.0, ttl))
     (holder,) = world.holders("x")
     acts = len(world.resources["x"].acts)
     world.kill(holder.partition("@")[0])
@@ -84,7 +88,11 @@
 
 def load(waiting: int) -> dict:
     """One holder that stays, so many that wait: bodies a second, all members' together."""
-    world = LeaseWorld(1, [f"n{k}" for k in range(10)], Rules(("n0", "n1", "n2"), longest=15.0))
+    world = LeaseWorld(
+        1,
+        [f"n{k}" for k in range(10)],
+        LeaseConfiguration(("n0", "n1", "n2"), max_ttl_seconds=15.0),
+    )
     world.start_all()
     world.run(16.0)
     for k in range(waiting + 1):
--- a/stepstream/lab/lease_member.py
+++ b/stepstream/lab/lease_member.py
@@ -15,14 +15,14 @@
 from stepstream.config.operator_file import split_address
 from stepstream.lab.ledger import Client
 from stepstream.leases import subsystem
-from stepstream.leases.tasks import LateError, Lease, Leases, LostError
+from stepstream.leases.client import Lease, LeaseClient, LeaseLostError, OperationOverranError
 from stepstream.runtime.threads import spawn_thread
 
 LEDGER, LEASE, MANY, TASKS = "LAB_LEDGER", "LAB_LEASE", "LAB_MANY", "LAB_TASKS"
 
 
 class Task:
-    def __init__(self, leases: Leases) -> None:
+    def __init__(self, leases: LeaseClient) -> None:
         self.leases, self.ledger = leases, split_address(os.environ[LEDGER])
         name, *times = os.environ[LEASE].split(",")
         self.name, (self.ttl, self.act, self.hold) = name, map(float, times)
@@ -32,7 +32,7 @@
         while True:
             try:
                 self.hold_once()
-            except (OSError, ValueError, LostError, LateError):
+            except (OSError, ValueError, LeaseLostError, OperationOverranError):
                 time.sleep(
                     0.05
                 )  # the ledger does not answer, or the lease is gone: another attempt
@@ -44,7 +44,7 @@
         while True:
             time.sleep(1.0)
             for name, lease in leases.items():
-                if lease.claim.over:
+                if lease.proposer.is_over:
                     leases[name] = self.leases.acquire(name, self.ttl, self.act)
 
     def hold_once(self) -> None:
@@ -52,7 +52,7 @@
         try:
             client = Client(self.ledger)
             try:
-                while not lease.wait(0.5) and not lease.claim.over:
+                while not lease.wait(0.5) and not lease.proposer.is_over:
                     pass
                 begun = time.monotonic()
                 while time.monotonic() - begun < self.hold:
@@ -64,22 +64,24 @@
         time.sleep(self.draw.uniform(0.0, 0.2))
 
     def act_once(self, client: Client, lease: Lease) -> None:
-        with lease.act() as token:
-            told = client.ask(do="begin", token=token, holder=lease.claim.proposer)
+        with lease.operation() as token:
+            told = client.ask(do="begin", token=token, holder=lease.proposer.proposer_id)
             if "act" in told:
                 time.sleep(self.draw.uniform(0.1, 0.5) * self.act)
                 told = client.ask(do="end", act=told["act"])
         if "fenced" in told:
-            lease.fenced(told["fenced"])
-            raise LostError(f"{self.name} was fenced off")
+            lease.on_fenced(told["fenced"])
+            raise LeaseLostError(f"{self.name} was fenced off")
 
 
 class Part(subsystem.LeasesSubsystem):
     def start(self) -> None:
         super().start()
-        if self.host.config.name not in os.environ.get(TASKS, self.host.config.name).split(","):
+        if self.context.config.name not in os.environ.get(TASKS, self.context.config.name).split(
+            ","
+        ):
             return
-        task = Task(self.leases)
+        task = Task(self.client)
         spawn_thread("lab task", task.hold_many if MANY in os.environ else task.run)
 
 
--- a/stepstream/lab/lease_search.py
+++ b/stepstream/lab/lease_search.py
@@ -12,13 +12,14 @@
 from dataclasses import dataclass, field
 
 from stepstream.leases import messages as m
-from stepstream.leases.claim import Claim, Numbers, Round
-from stepstream.leases.rules import Rules
-from stepstream.leases.voter import Record, Voter
+from stepstream.leases.acceptor import Acceptor, LeaseRecord
+from stepstream.leases.configuration import LeaseConfiguration
+from stepstream.leases.proposer import BallotSequence, ProposalRound, Proposer
+from stepstream.leases.wait_queue import WaitQueue
 
 LEASE, TTL = "x", 2.0
 VOTERS, PROPOSERS = ("v0", "v1", "v2"), ("a", "b")
-HEARD = (m.Promised, m.Accepted)
+HEARD = (m.Promise, m.Accepted)
 RATES = {
     "a": -1,
     "b": 0,
@@ -46,9 +47,9 @@
     """
 
     now: float
-    voters: dict[str, Voter]
+    voters: dict[str, Acceptor]
     boxes: dict[str, frozenset[int]]
-    claims: tuple[Claim, ...]
+    claims: tuple[Proposer, ...]
     renewals: int = 0
     restarts: int = 0
     asked: tuple[int, ...] = (0, 0)  # ballots begun
@@ -67,58 +68,72 @@
     def voter_key(self, name: str) -> object:
         counted = tuple(
             (
-                name in claim.promised,
-                tuple(n for n, one in claim.rounds.items() if name in one.accepted),
+                name in claim.promised_by,
+                tuple(n for n, one in claim.rounds.items() if name in one.accepted_by),
             )
             for claim in self.claims
         )
         return state_of(self.voters[name]), counted
 
 
-def state_of(voter: Voter) -> object:
+def state_of(voter: Acceptor) -> object:
     record = voter.records.get(LEASE)
     if record is None:
-        return voter.silent_until
+        return voter.recovering_until
     promised = (
         (record.promised.number, record.promised.proposer) if record.promised is not None else None
     )
     grant = record.grant
-    kept = (grant.ballot.number, grant.ballot.proposer, grant.until) if grant is not None else None
-    return voter.silent_until, promised, record.closed, kept
+    kept = (
+        (grant.ballot.number, grant.ballot.proposer, grant.expires_at)
+        if grant is not None
+        else None
+    )
+    return voter.recovering_until, promised, record.promise_released, kept
 
 
-def claim_key(claim: Claim) -> object:
-    rounds = tuple((n, one.sent_at, len(one.accepted)) for n, one in sorted(claim.rounds.items()))
+def claim_key(claim: Proposer) -> object:
+    rounds = tuple(
+        (n, one.sent_at, len(one.accepted_by)) for n, one in sorted(claim.rounds.items())
+    )
     ballot = claim.ballot.number if claim.ballot is not None else 0
     return (
         ballot,
-        len(claim.promised),
+        len(claim.promised_by),
         rounds,
         claim.token,
-        claim.ends_at,
-        claim.over,
+        claim.expires_at,
+        claim.is_over,
         claim.phase.value,
     )
 
 
-def own_voter(voter: Voter) -> Voter:
-    made = Voter.__new__(Voter)
+def own_voter(voter: Acceptor) -> Acceptor:
+    made = Acceptor.__new__(Acceptor)
     made.__dict__.update(voter.__dict__)
     record = voter.records.get(LEASE)
     if record is not None:
-        fresh = Record(record.promised, record.closed, record.grant, record.free_since, {})
+        fresh = LeaseRecord(
+            WaitQueue(voter.configuration),
+            record.promised,
+            record.promise_released,
+            record.grant,
+            record.free_since,
+        )
         made.records = {LEASE: fresh}
     else:
         made.records = {}
     return made
 
 
-def own_claim(claim: Claim) -> Claim:
-    made = Claim.__new__(Claim)
+def own_claim(claim: Proposer) -> Proposer:
+    made = Proposer.__new__(Proposer)
     made.__dict__.update(claim.__dict__)
-    made.numbers = Numbers(claim.numbers.highest)
-    made.promised, made.negative, made.answered = set(claim.promised), {}, {}
-    made.rounds = {n: Round(one.sent_at, set(one.accepted)) for n, one in claim.rounds.items()}
+    made.ballots = BallotSequence(claim.ballots.highest)
+    made.promised_by, made.rejections, made.answered_at = set(claim.promised_by), {}, {}
+    made.rounds = {
+        n: ProposalRound(one.sent_at, set(one.accepted_by)) for n, one in claim.rounds.items()
+    }
     return made
 
 
@@ -149,7 +164,7 @@
                 if len(self.seen) >= self.most:
                     return False
                 holders = sum(
-                    claim.held(self.local(then, k)) for k, claim in enumerate(then.claims)
+                    claim.is_held(self.local(then, k)) for k, claim in enumerate(then.claims)
                 )
                 self.held += holders > 0
                 if holders > 1:
@@ -158,12 +173,18 @@
         return True
 
     def first(self) -> Situation:
-        rules = Rules(VOTERS, drift=self.bounds.drift, longest=TTL, timeout=TTL / 4, turn=0.0)
+        rules = LeaseConfiguration(
+            VOTERS,
+            max_clock_drift=self.bounds.drift,
+            max_ttl_seconds=TTL,
+            round_timeout_seconds=TTL / 4,
+            head_start_seconds=0.0,
+        )
         claims = tuple(
-            Claim(rules, LEASE, name, TTL, TTL / 4, Numbers(0), random.Random(1), 0.0)
+            Proposer(rules, LEASE, name, TTL, TTL / 4, BallotSequence(0), random.Random(1), 0.0)
             for name in PROPOSERS
         )
-        voters = {name: Voter(rules, -1e6) for name in VOTERS}
+        voters = {name: Acceptor(rules, -1e6) for name in VOTERS}
         return Situation(0.0, voters, dict.fromkeys(VOTERS, frozenset()), claims)
 
     def local(self, situation: Situation, k: int) -> float:
@@ -192,25 +213,27 @@
             if situation.restarts < bounds.restarts:
                 then = situation.copy()
                 then.restarts += 1
-                fresh = Voter(situation.voters[name].rules, self.clock(situation))
+                fresh = Acceptor(situation.voters[name].configuration, self.clock(situation))
                 then.voters = {**situation.voters, name: fresh}
                 yield f"{name} restarts", then
         for k, claim in enumerate(situation.claims):
-            if not claim.over:
+            if not claim.is_over:
                 yield from self.tries(situation, k, claim)
 
-    def tries(self, situation: Situation, k: int, claim: Claim) -> Iterator[tuple[str, Situation]]:
+    def tries(
+        self, situation: Situation, k: int, claim: Proposer
+    ) -> Iterator[tuple[str, Situation]]:
         bounds, who = self.bounds, PROPOSERS[k]
         if situation.asked[k] < bounds.ballots[k]:
             for skip in (0, 1):
                 then, mine = self.touched(situation, k)
-                mine.numbers.highest += skip
+                mine.ballots.highest += skip
                 then.asked = tuple(n + (j == k) for j, n in enumerate(situation.asked))
-                self.say(then, k, mine.prepare(self.local(then, k)))
+                self.say(then, k, mine.begin_ballot(self.local(then, k)))
                 yield f"{who} prepares {mine.ballot.number}", then
         if (
             claim.rounds
-            and claim.rules.majority(claim.promised)
+            and claim.configuration.is_quorum(claim.promised_by)
             and situation.renewals < bounds.renewals
         ):
             then, mine = self.touched(situation, k)
@@ -219,10 +242,10 @@
             yield f"{who} proposes again", then
         if bounds.releases and claim.token:
             then, mine = self.touched(situation, k)
-            self.say(then, k, mine.release(self.local(then, k)))
+            self.say(then, k, mine.release())
             yield f"{who} releases", then
 
-    def touched(self, situation: Situation, k: int) -> tuple[Situation, Claim]:
+    def touched(self, situation: Situation, k: int) -> tuple[Situation, Proposer]:
         then, mine = situation.copy(), own_claim(situation.claims[k])
         then.claims = tuple(mine if j == k else claim for j, claim in enumerate(situation.claims))
         return then, mine
@@ -232,7 +255,7 @@
         then.now += 1.0
         for k in range(len(PROPOSERS)):
             claim = then.claims[k]
-            if claim.token and not claim.over and self.local(then, k) >= claim.ends_at:
+            if claim.token and not claim.is_over and self.local(then, k) >= claim.expires_at:
                 moved, mine = self.touched(then, k)
                 then = moved
                 self.say(then, k, mine.tick(self.local(then, k)))
@@ -256,9 +279,9 @@
     def heard(self, situation: Situation, name: str, k: int, body: m.Message) -> Situation | None:
         """A proposer hears an answer; None if that is no news."""
         claim = situation.claims[k]
-        if claim.over or body.ballot != claim.ballot:
+        if claim.is_over or body.ballot != claim.ballot:
             return None
-        if isinstance(body, m.Promised) and name in claim.promised:
+        if isinstance(body, m.Promise) and name in claim.promised_by:
             return None
         then, mine = self.touched(situation, k)
         self.say(then, k, mine.handle(self.local(then, k), name, body))
--- a/stepstream/lab/lease_world.py
+++ b/stepstream/lab/lease_world.py
@@ -14,10 +14,10 @@
 from stepstream.lab.links import Links
 from stepstream.lab.timeline import Timeline
 from stepstream.leases import messages as m
-from stepstream.leases.claim import Claim
-from stepstream.leases.core import Core, Send
-from stepstream.leases.guard import FencedError, Guard
-from stepstream.leases.rules import Rules
+from stepstream.leases.configuration import LeaseConfiguration
+from stepstream.leases.fencing import FencedError, FencingGuard
+from stepstream.leases.participant import OutgoingEnvelope, Participant
+from stepstream.leases.proposer import Proposer
 
 HAIR = 1e-9  # seconds by which two clocks' sums may differ
 
@@ -34,7 +34,7 @@
     rate: float = 1.0
     ahead: float = 0.0
     origin: float = 0.0
-    core: Core | None = None  # None: not running
+    core: Participant | None = None  # None: not running
     starts: int = 0
     stalled_until: float = 0.0
     due: int = 0
@@ -63,7 +63,7 @@
 class Resource:
     """Guarded; an act begins and ends, and counts only if neither was fenced off."""
 
-    guard: Guard = field(default_factory=Guard)
+    guard: FencingGuard = field(default_factory=FencingGuard)
     acts: list[Act] = field(default_factory=list)
 
     def begin(self, now: float, token: int, proposer: str) -> Act:
@@ -112,14 +112,14 @@
     """`names`: all members; the voters are the rules'. Drift is drawn within the rules' bound."""
 
     def __init__(
-        self, seed: int, names: list[str], rules: Rules, links: Links | None = None
+        self, seed: int, names: list[str], rules: LeaseConfiguration, links: Links | None = None
     ) -> None:
         super().__init__()
         self.draw = random.Random(seed)
         self.rules, self.links = rules, links or Links()
         self.processes = {name: Process(name) for name in names}
         for process in self.processes.values():
-            process.rate = 1.0 + self.draw.choice((-1, -1, 0, 1, 1)) * rules.drift
+            process.rate = 1.0 + self.draw.choice((-1, -1, 0, 1, 1)) * rules.max_clock_drift
         self.resources: dict[str, Resource] = {}
         self.grants: list[Grant] = []
         self.given: dict[str, str] = {}  # by lease, who was seen to hold it last
@@ -142,7 +142,7 @@
         process.origin, process.stalled_until, process.held, process.steps = self.now, 0.0, [], []
         base = max(int((1_000 + self.now + process.ahead) * 1000), 0)
         draw = random.Random(self.draw.random())
-        process.core = Core(name, f"{name}@{process.starts}", self.rules, base, draw, 0.0)
+        process.core = Participant(name, f"{name}@{process.starts}", self.rules, base, draw, 0.0)
         self.schedule(process)
         for task in self.tasks[name]:
             self.step(
@@ -160,7 +160,7 @@
     def leave(self, name: str) -> None:
         """SIGTERM: all is released, the acts in hand having ended."""
         process = self.processes[name]
-        for claim in list(process.core.claims.values()):
+        for claim in list(process.core.proposers.values()):
             self.carry(process, process.core.release(process.local(self.now), claim))
         self.kill(name)
 
@@ -199,7 +199,9 @@
     def schedule(self, process: Process) -> None:
         process.due += 1
         number = process.due
-        at = min(max(process.real(process.core.next_at()), self.now, process.stalled_until), 1e12)
+        at = min(
+            max(process.real(process.core.next_tick_at()), self.now, process.stalled_until), 1e12
+        )
         heapq.heappush(
             self.queue, (at + 1e-6, next(self.serial), lambda: self.tick_if(process, number))
         )
@@ -213,11 +215,11 @@
         self.check()
         self.schedule(process)
 
-    def carry(self, process: Process, sends: list[Send]) -> None:
+    def carry(self, process: Process, sends: list[OutgoingEnvelope]) -> None:
         for send in sends:
-            data = m.encode(send.letter)
+            data = m.encode(send.envelope)
             self.sent += 1
-            self.bodies += len(send.letter.bodies)
+            self.bodies += len(send.envelope.messages)
             if (process.name, send.member) in self.links.cuts or send.member not in self.processes:
                 continue
             for delay in self.links.fate(self.draw):
@@ -259,17 +261,17 @@
         self.carry(process, sends)
         self.turn(process, claim, task, inf)
 
-    def turn(self, process: Process, claim: Claim, task: Task, since: float) -> None:
+    def turn(self, process: Process, claim: Proposer, task: Task, since: float) -> None:
         """Looks at its lease and acts if it may: the check comes right before the act. `since`: it acts."""
         now = process.local(self.now)
-        if claim.over:
+        if claim.is_over:
             pause = self.draw.uniform(0.5, 1.5) * task.think
             self.step(process, pause, lambda: self.work(process, task))
         elif now - since > task.hold:
             self.let_go(process, claim, task)
-        elif claim.may_act(now):
+        elif claim.may_begin_operation(now):
             # Between the check and the write anything may happen to the process.
-            length = self.draw.uniform(0.2, 1.0) * task.act / (1 + self.rules.drift)
+            length = self.draw.uniform(0.2, 1.0) * task.act / (1 + self.rules.max_clock_drift)
             then = (process, claim, task, min(since, now))
             self.step(process, length * 0.3, lambda: self.begin(*then, length * 0.7))
         else:
@@ -277,17 +279,17 @@
             self.step(process, pause, lambda: self.turn(process, claim, task, since))
 
     def begin(
-        self, process: Process, claim: Claim, task: Task, since: float, length: float
+        self, process: Process, claim: Proposer, task: Task, since: float, length: float
     ) -> None:
         resource = self.resources.setdefault(claim.lease, Resource())
         try:
-            act = resource.begin(self.now, claim.token, claim.proposer)
+            act = resource.begin(self.now, claim.token, claim.proposer_id)
         except FencedError as error:
             self.behind(process, claim, task, error)
             return
         self.step(process, length, lambda: self.end(process, claim, task, since, act))
 
-    def end(self, process: Process, claim: Claim, task: Task, since: float, act: Act) -> None:
+    def end(self, process: Process, claim: Proposer, task: Task, since: float, act: Act) -> None:
         try:
             self.resources[claim.lease].end(self.now, act)
         except FencedError as error:
@@ -295,17 +297,17 @@
             return
         self.step(process, 0.01, lambda: self.turn(process, claim, task, since))
 
-    def behind(self, process: Process, claim: Claim, task: Task, error: FencedError) -> None:
+    def behind(self, process: Process, claim: Proposer, task: Task, error: FencedError) -> None:
         """The resource has seen a higher token: this grant is of no use."""
         self.fenced += 1
-        if error.highest == error.token:
+        if error.highest_token == error.token:
             raise TwoHoldersError(
-                f"{self.now:.3f} s: {claim.proposer} was refused by its own token"
+                f"{self.now:.3f} s: {claim.proposer_id} was refused by its own token"
             )
-        process.core.lift(error.highest)
+        process.core.advance_ballots_past(error.highest_token)
         self.let_go(process, claim, task)
 
-    def let_go(self, process: Process, claim: Claim, task: Task) -> None:
+    def let_go(self, process: Process, claim: Proposer, task: Task) -> None:
         self.carry(process, process.core.release(process.local(self.now), claim))
         self.turn(process, claim, task, inf)
 
@@ -332,14 +334,14 @@
     def holders(self, lease: str) -> list[str]:
         """Whoever would find that it holds the lease if it looked at its clock now."""
         return [
-            claim.proposer
+            claim.proposer_id
             for process in self.processes.values()
             if process.core is not None
-            for claim in process.core.claims.values()
+            for claim in process.core.proposers.values()
             if claim.lease == lease
             and claim.token
-            and not claim.over
-            and process.real(claim.ends_at) > self.now + HAIR
+            and not claim.is_over
+            and process.real(claim.expires_at) > self.now + HAIR
         ]
 
     def check(self) -> None:
@@ -347,7 +349,7 @@
             x.lease
             for p in self.processes.values()
             if p.core is not None
-            for x in p.core.claims.values()
+            for x in p.core.proposers.values()
         }:
             found = self.holders(lease)
             if len(found) > 1:
@@ -355,9 +357,9 @@
             if found and self.given.get(lease) != found[0]:
                 self.given[lease] = found[0]
                 claim = next(
-                    p.core.claims[found[0]]
+                    p.core.proposers[found[0]]
                     for p in self.processes.values()
-                    if p.core is not None and found[0] in p.core.claims
+                    if p.core is not None and found[0] in p.core.proposers
                 )
                 self.grants.append(Grant(lease, found[0], claim.token, self.now))
 
@@ -369,7 +371,11 @@
     """A world with one lease that every member wants, its clocks, links and voters drawn by the seed."""
     voters, members = SHAPES[seed % len(SHAPES)]
     names = [f"n{k}" for k in range(members)]
-    world = LeaseWorld(seed, names, Rules(tuple(names[:voters]), longest=6.0, drift=drift))
+    world = LeaseWorld(
+        seed,
+        names,
+        LeaseConfiguration(tuple(names[:voters]), max_ttl_seconds=6.0, max_clock_drift=drift),
+    )
     pick = world.draw.choice
     world.links = Links(
         doubled=0.05,
--- a/stepstream/lab/ledger.py
+++ b/stepstream/lab/ledger.py
@@ -15,7 +15,7 @@
 import time
 from pathlib import Path
 
-from stepstream.leases.guard import FencedError, Guard
+from stepstream.leases.fencing import FencedError, FencingGuard
 
 PATIENCE_S = 5.0
 
@@ -23,7 +23,7 @@
 class Ledger:
     def __init__(self, path: Path) -> None:
         self.guard, self.lock, self.file = (
-            Guard(),
+            FencingGuard(),
             threading.Lock(),
             path.open("a", encoding="utf-8"),
         )
@@ -43,7 +43,7 @@
                 self.guard.admit(token)
                 told = {"act": act} if what == "begin" else {"taken": True}
             except FencedError as error:
-                what, told = f"refused {what}", {"fenced": error.highest}
+                what, told = f"refused {what}", {"fenced": error.highest_token}
             row = {
                 "at": time.monotonic(),
                 "what": what,
--- a/stepstream/leases/__init__.py
+++ b/stepstream/leases/__init__.py
@@ -1,1 +1,16 @@
-"""Leases for fleet-wide tasks: one holder at a time, by a majority of diskless voters; docs/leases.md."""
+"""Leases on fleet-wide tasks: one holder at a time, granted by a quorum of diskless acceptors.
+
+The algorithm is PaxosLease (Trencseni, Gazso, Reinhardt 2012); sessions, heartbeats and sequencers
+(here: fencing tokens) follow Chubby (Burrows 2006). docs/leases.md has the messages and the proof.
+
+    messages, configuration    what members exchange and what they must agree on
+    proposer, acceptor, wait_queue, participant
+                               the state machines, without I/O
+    fencing                    the check at a guarded resource
+    driver, client             the thread that runs the state machines, and its interface for tasks
+    sessions, admin_api        leases held for programs outside, by calls to the admin listener
+    health_reports, health_check_leader
+                               one dispatcher's health checks serve all
+    subsystem                  plugs all of it into the node
+    commands, command_runner   `stepstream lease`
+"""
--- /dev/null
+++ b/stepstream/leases/admin_api.py
@@ -0,0 +1,259 @@
+"""The admin listener's calls on leases: `GET /leases` and its sub-paths.
+
+Paths, query parameters, JSON fields and error texts are read by operators' tools and by
+`stepstream lease`; their spelling is fixed. This module alone translates between them and the
+package's terms: `want` is a session's heartbeat, `act_ms` an operation's time, `left_ms` the
+remaining time, `ending` that the program is to end, `drift` the bound on clock drift.
+
+Owns no state. The admin listener's thread calls it; the driver's lock guards what it reads.
+"""
+
+import re
+from collections.abc import Mapping, Sequence
+
+from stepstream.leases.acceptor import LeaseRecord
+from stepstream.leases.client import LeaseClient
+from stepstream.leases.configuration import (
+    LeaseConfiguration,
+    LeaseTimesError,
+    check_lease_times,
+)
+from stepstream.leases.driver import LeaseDriver, boot_time_seconds
+from stepstream.leases.errors import LeaseError
+from stepstream.leases.messages import LEASE_NAME_PATTERN
+from stepstream.leases.proposer import LeaseState, Proposer
+from stepstream.leases.sessions import Session, SessionService
+from stepstream.ports.admin import AdminRequest, AdminResponse, AdminRoute, json_response
+
+READ_METHODS = frozenset({"GET", "HEAD"})
+WRITE_METHODS = frozenset({"PUT", "POST"})
+LEASE_NAME = re.compile(LEASE_NAME_PATTERN)
+SESSION_NAME = re.compile(r"[A-Za-z0-9-]{8,64}")
+MAX_MILLISECONDS_DIGITS = 8
+MAX_QUOTED_CHARS = 80  # of a bad name
+FREE = "free"  # the `state` of a lease that nobody holds
+
+Row = dict[str, object]  # one lease in `GET /leases`
+
+
+class BadRequestError(LeaseError):
+    """A call's path or parameter does not fit; the text is the answer's `error`."""
+
+
+class LeaseAdminApi:
+    """Answers the calls."""
+
+    def __init__(self, driver: LeaseDriver, sessions: SessionService, client: LeaseClient) -> None:
+        self.driver = driver
+        self.sessions = sessions
+        self.client = client
+
+    def routes(self) -> Sequence[AdminRoute]:
+        """Return the paths that it answers."""
+        lease_path = r"/leases/([^/]{1,200})"
+        return (
+            AdminRoute(r"/leases", READ_METHODS, self.on_list),
+            AdminRoute(lease_path, READ_METHODS, self.on_show),
+            AdminRoute(f"{lease_path}/want", WRITE_METHODS, self.on_want),
+            AdminRoute(f"{lease_path}/release", WRITE_METHODS, self.on_release),
+        )
+
+    def on_list(self, _request: AdminRequest) -> AdminResponse:
+        """Answer `GET /leases`: all leases that this dispatcher knows of."""
+        return json_response(200, self.rows())
+
+    def on_show(self, request: AdminRequest) -> AdminResponse:
+        """Answer `GET /leases/NAME`: one of them."""
+        try:
+            lease = lease_name(request)
+        except BadRequestError as error:
+            return error_response(400, str(error))
+        for row in self.rows():
+            if row["name"] == lease:
+                return json_response(200, row)
+        return error_response(404, "no such lease is known here")
+
+    def on_want(self, request: AdminRequest) -> AdminResponse:
+        """Answer `PUT /leases/NAME/want`: a heartbeat of a session, or its first call."""
+        now = boot_time_seconds()
+        try:
+            lease = lease_name(request)
+            session_name = session_name_of(request)
+            session = self.sessions.heartbeat(now, session_name)
+            if session is None:
+                return self.open_session(now, lease, session_name, request.query)
+        except BadRequestError as error:
+            return error_response(400, str(error))
+        if session.proposer.lease != lease:
+            return error_response(400, f"session is of lease {session.proposer.lease}")
+        return self.session_response(session)
+
+    def open_session(
+        self, now: float, lease: str, session_name: str, query: Mapping[str, str]
+    ) -> AdminResponse:
+        """Open a session, if there is capacity; `BadRequestError` if its times do not fit."""
+        configuration = self.client.configuration
+        has_capacity = self.sessions.has_capacity(now)
+        ttl_seconds = seconds_from_milliseconds(query.get("ttl_ms", ""))
+        operation_seconds = seconds_from_milliseconds(query.get("act_ms", ""))
+        if ttl_seconds is None or operation_seconds is None:
+            raise BadRequestError("ttl_ms and act_ms: whole milliseconds")
+        try:
+            check_lease_times(configuration, ttl_seconds, operation_seconds)
+        except LeaseTimesError as error:
+            raise BadRequestError(str(error)) from error
+        if self.client.closed:
+            return error_response(503, "this dispatcher is drained or stops")
+        if not has_capacity:
+            return error_response(503, "leases.most_sessions are open")
+        session = self.sessions.open(now, session_name, lease, ttl_seconds, operation_seconds)
+        return self.session_response(session)
+
+    def session_response(self, session: Session) -> AdminResponse:
+        """Answer with a session's lease; 503 while a quorum of acceptors is missing."""
+        configuration = self.client.configuration
+        proposer = session.proposer
+        with self.driver.state_changed:
+            now = boot_time_seconds()
+            fields = {
+                "state": proposer.state(now).value,
+                "token": proposer.token,
+                "left_ms": int(proposer.remaining_seconds(now) * 1000),
+                "ending": session.ending,
+                "holder": proposer.last_known_holder,
+                "drift": configuration.max_clock_drift,
+            }
+            error = "" if proposer.is_over else missing_quorum(configuration, proposer, now)
+        if error and not fields["token"]:
+            return json_response(503, {**fields, "error": error})
+        return json_response(200, fields)
+
+    def on_release(self, request: AdminRequest) -> AdminResponse:
+        """Answer `PUT /leases/NAME/release`.
+
+        With a session's name, its program gives the lease back at once. Without, an operator takes
+        it back: whoever holds it through this dispatcher is told to end.
+        """
+        try:
+            lease = lease_name(request)
+        except BadRequestError as error:
+            return error_response(400, str(error))
+        session_name = request.query.get("session")
+        if session_name is None:
+            ended_count = self.sessions.end(lease)
+            if ended_count == 0:
+                return error_response(404, "not held through here")
+            return json_response(200, {"ending": ended_count})
+        if not self.sessions.release(session_name):
+            return error_response(404, "no such session")
+        return json_response(200, {"released": lease})
+
+    # -- rows of `GET /leases` --------------------------------------------------------------------
+
+    def rows(self) -> list[Row]:
+        """Return each lease as this dispatcher's own acceptor and proposers know it, by name."""
+        rows: dict[str, Row] = {}
+        participant = self.driver.participant
+        with self.driver.state_changed:
+            now = boot_time_seconds()
+            if participant.acceptor is not None:
+                for lease, record in participant.acceptor.records.items():
+                    rows[lease] = acceptor_row(now, lease, record)
+            for proposer in participant.proposers.values():
+                if proposer.lease not in rows:
+                    rows[proposer.lease] = proposer_row(proposer)
+                fill_from_proposer(now, rows[proposer.lease], proposer)
+        return [rows[lease] for lease in sorted(rows)]
+
+
+def acceptor_row(now: float, lease: str, record: LeaseRecord) -> Row:
+    """Return a lease as the acceptor knows it."""
+    grant = record.grant
+    waiting = [waiter.ballot.proposer for waiter in record.waiters.in_order(now)]
+    if grant is None or grant.expires_at <= now:
+        return {
+            "name": lease,
+            "holder": "",
+            "token": 0,
+            "state": FREE,
+            "left_ms": 0,
+            "waiting": waiting,
+        }
+    return {
+        "name": lease,
+        "holder": grant.ballot.proposer,
+        "token": grant.token,
+        "state": LeaseState.HELD.value,
+        "left_ms": round((grant.expires_at - now) * 1000),
+        "waiting": waiting,
+    }
+
+
+def proposer_row(proposer: Proposer) -> Row:
+    """Return a lease of which the acceptor here, if any, knows nothing."""
+    return {
+        "name": proposer.lease,
+        "holder": proposer.last_known_holder,
+        "token": 0,
+        "left_ms": 0,
+        "waiting": [],
+    }
+
+
+def fill_from_proposer(now: float, row: Row, proposer: Proposer) -> None:
+    """Add what one of this dispatcher's proposers knows: the holder knows its own lease best."""
+    if not proposer.is_held(now):
+        row.setdefault("state", LeaseState.ACQUIRING.value)
+        return
+    row["holder"] = proposer.proposer_id
+    row["token"] = proposer.token
+    row["state"] = proposer.state(now).value
+    row["left_ms"] = round(proposer.remaining_seconds(now) * 1000)
+
+
+def missing_quorum(configuration: LeaseConfiguration, proposer: Proposer, now: float) -> str:
+    """Return why a lease cannot be had just now, "" if it can: too few acceptors have answered."""
+    recent_seconds = 2 * configuration.waiter_refresh_seconds()
+    answered = {name for name, at in proposer.answered_at.items() if now - at <= recent_seconds}
+    first_rounds = 2 * configuration.round_timeout_seconds
+    if (
+        proposer.is_held(now)
+        or configuration.is_quorum(answered)
+        or now - proposer.requested_at < first_rounds
+    ):
+        return ""
+    acceptors = configuration.all_acceptors
+    missing = ", ".join(sorted(acceptors - answered))
+    return f"no quorum: {len(answered)} of {len(acceptors)} voters answered, not {missing}"
+
+
+# -- parameters -----------------------------------------------------------------------------------
+
+
+def lease_name(request: AdminRequest) -> str:
+    """Return the lease that the path names."""
+    name = request.parts[0]
+    if not LEASE_NAME.fullmatch(name):
+        quoted = repr(name[:MAX_QUOTED_CHARS])
+        raise BadRequestError(f"{quoted} is no lease's name: [a-z0-9._-], 1 to 64 of them")
+    return name
+
+
+def session_name_of(request: AdminRequest) -> str:
+    """Return the session that the query names."""
+    name = request.query.get("session", "")
+    if not SESSION_NAME.fullmatch(name):
+        raise BadRequestError("session: 8 to 64 letters, digits and hyphens")
+    return name
+
+
+def seconds_from_milliseconds(text: str) -> float | None:
+    """Return the seconds of whole milliseconds; None if the text is no such number."""
+    if not (text.isascii() and text.isdigit() and len(text) <= MAX_MILLISECONDS_DIGITS):
+        return None
+    return int(text) / 1000
+
+
+def error_response(status: int, text: str) -> AdminResponse:
+    """Return an answer with an error's text."""
+    return json_response(status, {"error": text})
--- a/stepstream/leases/commands.py
+++ b/stepstream/leases/commands.py
@@ -25,11 +25,14 @@
 Exit codes of run: the command's own (128 and the signal's number, if one ended it); 64 the call was bad;
 69 the lease was lost, and the command ended for it; 75 the lease was not had in time. Of the others: 0;
 1 no such lease; 2 the call could not be made.
-"""
+"""  # noqa: E501  printed as the usage, whose text is fixed
 
 import os
 import signal
 import sys
+from http import HTTPStatus
+from types import FrameType
+from typing import Any
 
 import ujson
 from docopt import DocoptExit, docopt
@@ -39,77 +42,121 @@
 from stepstream.admin_client import call_admin
 from stepstream.config.errors import ConfigurationError
 
-OK, NOT_SO, BAD_CALL = 0, 1, 2
+# Exit codes of all commands but `run`, whose codes are in `command_runner`.
+EXIT_OK = 0
+EXIT_NO_SUCH_LEASE = 1
+EXIT_BAD_CALL = 2
 
+UNKNOWN_PATH = "no such call"  # how the admin listener's 404 begins where it has no leases at all
+PIPE_WIDTH = 160  # columns where standard output is no terminal
+MAX_LISTED_WAITERS = 4
+MAX_SECONDS = 86_400
 
-def run(words: list[str], console: Console | None = None) -> int:
-    """The command's exit code."""
+Arguments = dict[str, Any]  # docopt's
+Row = dict[str, Any]  # one lease in the admin listener's JSON, `admin_api.Row`
+
+
+def run(argv: list[str], console: Console | None = None) -> int:
+    """Run `stepstream lease ...` and return its exit code; `argv` begins with `lease`."""
     try:
-        arguments = docopt(__doc__, words)
+        arguments = docopt(__doc__, argv)
     except DocoptExit as error:
         print(error.usage.strip(), file=sys.stderr)
-        return os.EX_USAGE if words[1:2] == ["run"] else BAD_CALL
-    console = console or Console(width=None if sys.stdout.isatty() else 160)
-    at, name = arguments["--at"], arguments["NAME"]
+        return os.EX_USAGE if argv[1:2] == ["run"] else EXIT_BAD_CALL
     if arguments["run"]:
         return run_command(arguments)
+    console = console or Console(width=None if sys.stdout.isatty() else PIPE_WIDTH)
+    at = arguments["--at"]
     try:
-        if arguments["release"]:
-            status, told = call_admin(at, f"/leases/{name}/release", "PUT")
-        else:
-            status, told = call_admin(at, "/leases" if arguments["list"] else f"/leases/{name}")
+        status, answer = call_admin(at, *path_and_method(arguments))
     except ConnectionError as error:
         print(f"stepstream: {error}", file=sys.stderr)
-        return BAD_CALL
-    if status != 200:
-        unknown = status == 404 and not str(told.get("error", "")).startswith("no such call")
-        print(f"stepstream: {at}: {told.get('error', status)}", file=sys.stderr)
-        return NOT_SO if unknown else BAD_CALL
+        return EXIT_BAD_CALL
+    if status != HTTPStatus.OK:
+        return report_failure(at, status, answer)
+    print_answer(arguments, answer, console)
+    return EXIT_OK
+
+
+def path_and_method(arguments: Arguments) -> tuple[str, str]:
+    """Return the admin listener's call for `list`, `show` or `release`."""
+    name = arguments["NAME"]
     if arguments["release"]:
-        console.print(
-            f"{name}: {told['ending']} told to end; the lease is given back when they have"
-        )
+        return f"/leases/{name}/release", "PUT"
+    return ("/leases" if arguments["list"] else f"/leases/{name}"), "GET"
+
+
+def report_failure(at: str, status: int, answer: Row) -> int:
+    """Print why the dispatcher did not answer 200; return the exit code."""
+    error = answer.get("error", status)
+    print(f"stepstream: {at}: {error}", file=sys.stderr)
+    is_unknown = status == HTTPStatus.NOT_FOUND and not str(answer.get("error", "")).startswith(
+        UNKNOWN_PATH
+    )
+    return EXIT_NO_SUCH_LEASE if is_unknown else EXIT_BAD_CALL
+
+
+def print_answer(arguments: Arguments, answer: Any, console: Console) -> None:  # noqa: ANN401  parsed JSON
+    """Print the dispatcher's answer as the options say."""
+    name = arguments["NAME"]
+    if arguments["release"]:
+        ending = answer["ending"]
+        console.print(f"{name}: {ending} told to end; the lease is given back when they have")
     elif arguments["--json"]:
-        print(ujson.dumps(told, escape_forward_slashes=False))
+        print(ujson.dumps(answer, escape_forward_slashes=False))
     else:
-        console.print(table(told if isinstance(told, list) else [told], at))
-    return OK
+        rows = answer if isinstance(answer, list) else [answer]
+        console.print(lease_table(rows, arguments["--at"]))
 
 
-def table(rows: list[dict], at: str) -> Table:
-    made = Table(title=f"leases as {at} knows them", title_justify="left")
+def lease_table(rows: list[Row], at: str) -> Table:
+    """Return the leases as a table."""
+    table = Table(title=f"leases as {at} knows them", title_justify="left")
     for column in ("name", "state", "holder", "token", "left", "waiting"):
-        made.add_column(
-            column, justify="right" if column in ("token", "left") else "left", no_wrap=True
-        )
+        is_number = column in ("token", "left")
+        table.add_column(column, justify="right" if is_number else "left", no_wrap=True)
     for row in rows:
-        left = f"{row['left_ms'] / 1000:.1f} s"
-        waiting = ", ".join(row["waiting"][:4]) + (" ..." if len(row["waiting"]) > 4 else "")
-        made.add_row(row["name"], row["state"], row["holder"], str(row["token"]), left, waiting)
-    return made
+        remaining = f"{row['left_ms'] / 1000:.1f} s"
+        waiting = ", ".join(row["waiting"][:MAX_LISTED_WAITERS])
+        if len(row["waiting"]) > MAX_LISTED_WAITERS:
+            waiting += " ..."
+        table.add_row(
+            row["name"], row["state"], row["holder"], str(row["token"]), remaining, waiting
+        )
+    return table
 
 
-def run_command(arguments: dict) -> int:
-    from stepstream.leases.runner import Runner
+def run_command(arguments: Arguments) -> int:
+    """Run `stepstream lease run` and return its exit code."""
+    from stepstream.leases.command_runner import CommandRunner
 
+    wait_text = arguments["--wait"]
     try:
-        ttl = seconds("--ttl", arguments["--ttl"])
-        wait = seconds("--wait", arguments["--wait"]) if arguments["--wait"] is not None else None
-        command = [arguments["COMMAND"], *arguments["ARGUMENT"]]
-        runner = Runner(arguments["--at"], arguments["NAME"], ttl, wait, command)
+        runner = CommandRunner(
+            arguments["--at"],
+            arguments["NAME"],
+            parse_seconds("--ttl", arguments["--ttl"]),
+            parse_seconds("--wait", wait_text) if wait_text is not None else None,
+            [arguments["COMMAND"], *arguments["ARGUMENT"]],
+        )
     except ConfigurationError as error:
         print(f"stepstream: {error}", file=sys.stderr)
         return os.EX_USAGE
+
+    def on_signal(number: int, _frame: FrameType | None) -> None:
+        runner.stop(number)
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda came, _: runner.stop(came))
+        signal.signal(number, on_signal)
     return runner.run()
 
 
-def seconds(key: str, text: str) -> float:
+def parse_seconds(option: str, text: str) -> float:
+    """Return an option's seconds; raise `ConfigurationError` if it is no such number."""
     try:
-        value = float(text)
+        seconds = float(text)
     except ValueError:
-        value = -1.0
-    if not 0 < value < 86_400:
-        raise ConfigurationError(f"{key}={text} is not a number of seconds")
-    return value
+        seconds = -1.0
+    if not 0 < seconds < MAX_SECONDS:
+        raise ConfigurationError(f"{option}={text} is not a number of seconds")
+    return seconds
--- a/stepstream/leases/driver.py
+++ b/stepstream/leases/driver.py
@@ -1,6 +1,10 @@
-"""The leases' one thread: timers of the core, its letters by way of the fleet's messenger.
+"""The driver of the leases: timers, and envelopes by way of the membership layer.
 
-The clock is CLOCK_BOOTTIME: monotonic, and it goes on while the machine is suspended, as voters' clocks do.
+Owns the `leases` thread and the lock of the participant and of the sessions. The subsystem starts
+the thread and stops it; every other call may come from any thread.
+
+The clock is CLOCK_BOOTTIME: monotonic, and it goes on while the machine is suspended, as the other
+members' clocks do. All times are its seconds.
 """
 
 import threading
@@ -9,125 +13,146 @@
 
 import structlog
 
-from stepstream.leases import messages as m
-from stepstream.leases.claim import Claim
-from stepstream.leases.core import Change, Core, Send
+from stepstream.leases.messages import EnvelopeError, decode, encode
+from stepstream.leases.participant import OutgoingEnvelope, Participant, StateChange
+from stepstream.leases.proposer import Proposer
 from stepstream.ports.messaging import MessageTransport
 from stepstream.runtime.log import RateLimitedLogger, log
 
-KIND = "lease"
-LONGEST_WAIT = 0.5  # seconds
-LINES = 50  # changes written in one turn; more are counted in one line
+MESSAGE_KIND = "lease"  # of the envelopes, among the membership layer's application messages
+MAX_WAIT_SECONDS = 0.5
+PERIODIC_SECONDS = 0.5
+MAX_LOGGED_CHANGES = 50  # in one step; more are counted in one line
 
 
-def clock() -> float:
-    """Seconds; only differences mean anything."""
+def boot_time_seconds() -> float:
+    """Return the clock of all leases; only differences mean anything."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-class Driver:
-    """Every call may come from any thread. `act` is called by the thread twice a second and must not wait."""
+class LeaseDriver:
+    """Runs a participant.
+
+    `run_periodic` is called by the thread twice a second with the time, without the lock; it must
+    not wait.
+    """
 
     def __init__(
         self,
-        core: Core,
-        messenger: MessageTransport,
-        complaints: RateLimitedLogger,
-        lines: structlog.BoundLogger,
-        act: Callable[[float], None],
+        participant: Participant,
+        transport: MessageTransport,
+        malformed_logger: RateLimitedLogger,
+        logger: structlog.BoundLogger,
+        run_periodic: Callable[[float], None],
     ) -> None:
-        self.core, self.messenger, self.complaints, self.lines, self.act = (
-            core,
-            messenger,
-            complaints,
-            lines,
-            act,
-        )
-        self.turned = (
-            threading.Condition()
-        )  # its lock guards the core; notified with every change of state
-        self.acted = 0.0
-        self.cpu_s = 0.0  # that the thread has used
-        self.closed = False
-        self.foreign: set[str] = set()  # members of other rules that were told of
-        messenger.subscribe(KIND, self.hear)
-
-    # -- any thread ---------------------------------------------------------------------------------------
-
-    def hear(self, member: str, data: bytes) -> None:
+        self.participant = participant
+        self.transport = transport
+        self.malformed_logger = malformed_logger
+        self.logger = logger
+        self.run_periodic = run_periodic
+        # Its lock guards the participant and the subsystem's sessions; notified with each change.
+        self.state_changed = threading.Condition()
+        self.last_periodic_at = 0.0  # of time.monotonic()
+        self.cpu_seconds = 0.0  # that the thread has used
+        self.stopped = False
+        self.logged_mismatches: set[str] = set()  # members whose other configuration was logged
+        transport.subscribe(MESSAGE_KIND, self.on_envelope)
+
+    # -- any thread -------------------------------------------------------------------------------
+
+    def on_envelope(self, member: str, data: bytes) -> None:
+        """Take another member's envelope; one that cannot be read is dropped and logged."""
         try:
-            letter = m.decode(data)
-        except m.BadLetterError as error:
-            self.complaints.add(f"from {member}: {error}")
+            envelope = decode(data)
+        except EnvelopeError as error:
+            self.malformed_logger.add(f"from {member}: {error}")
             return
-        with self.turned:
-            sends = self.core.handle(clock(), member, letter)
-            self.turned.notify_all()
-        self.carry(sends)
-
-    def acquire(self, lease: str, ttl: float, act: float) -> Claim:
-        with self.turned:
-            claim, sends = self.core.acquire(clock(), lease, ttl, act)
-            self.turned.notify_all()
-        self.carry(sends)
-        return claim
-
-    def release(self, claim: Claim) -> None:
-        with self.turned:
-            sends = self.core.release(clock(), claim)
-            self.turned.notify_all()
-        self.carry(sends)
-
-    def carry(self, sends: list[Send]) -> None:
-        for send in sends:
-            self.messenger.send(send.member, KIND, m.encode(send.letter))
-
-    # -- the thread ---------------------------------------------------------------------------------------
+        with self.state_changed:
+            outgoing = self.participant.handle(boot_time_seconds(), member, envelope)
+            self.state_changed.notify_all()
+        self.send(outgoing)
+
+    def acquire(self, lease: str, ttl_seconds: float, operation_seconds: float) -> Proposer:
+        """Begin an attempt at a lease."""
+        with self.state_changed:
+            proposer, outgoing = self.participant.acquire(
+                boot_time_seconds(), lease, ttl_seconds, operation_seconds
+            )
+            self.state_changed.notify_all()
+        self.send(outgoing)
+        return proposer
+
+    def release(self, proposer: Proposer) -> None:
+        """Give a lease back; no operation may be under way."""
+        with self.state_changed:
+            outgoing = self.participant.release(boot_time_seconds(), proposer)
+            self.state_changed.notify_all()
+        self.send(outgoing)
+
+    def send(self, outgoing: list[OutgoingEnvelope]) -> None:
+        """Hand envelopes to the membership layer; the lock is not held."""
+        for each in outgoing:
+            self.transport.send(each.member, MESSAGE_KIND, encode(each.envelope))
+
+    # -- the `leases` thread ----------------------------------------------------------------------
 
     def run(self) -> None:
-        while not self.closed:
+        """Run the participant's timers until the driver is stopped."""
+        while not self.stopped:
             try:
-                self.turn()
-            except Exception as error:
-                # Guards the leases: a fault over one of them must not end the others' renewals.
+                self.step()
+            except Exception as error:  # noqa: BLE001  a fault over one lease must not end the renewals of all others
                 log(f"fault in leases: {type(error).__name__}: {error}")
-                time.sleep(LONGEST_WAIT)
-
-    def turn(self) -> None:
-        with self.turned:
-            wait = min(max(self.core.next_at() - clock(), 0.0), LONGEST_WAIT)
-            if wait > 0:
-                self.turned.wait(wait)
-            if self.messenger.superseded():
-                self.core.voter = None  # a later process votes under this name
-            sends = self.core.tick(clock())
-            changes = list(self.core.changes)
-            self.core.changes.clear()
-            foreign = set(self.core.foreign) - self.foreign
-            self.foreign = set(self.core.foreign)
+                time.sleep(MAX_WAIT_SECONDS)
+
+    def step(self) -> None:
+        """Wait for the next timer or change, take the steps that are due, and log what changed."""
+        with self.state_changed:
+            self.wait_for_work()
+            if self.transport.superseded():
+                self.participant.acceptor = None  # a later process votes under this name
+            outgoing = self.participant.tick(boot_time_seconds())
+            changes = list(self.participant.state_changes)
+            self.participant.state_changes.clear()
+            mismatches = set(self.participant.mismatched_members)
             if changes:
-                self.turned.notify_all()
-        self.carry(sends)
-        self.write(changes, foreign)
-        if (now := time.monotonic()) - self.acted >= LONGEST_WAIT:
-            self.acted, self.cpu_s = now, time.thread_time()
-            self.act(clock())
-
-    def write(self, changes: list[Change], foreign: set[str]) -> None:
-        for change in changes[:LINES]:
-            self.lines.info(
+                self.state_changed.notify_all()
+        self.send(outgoing)
+        self.log_changes(changes)
+        self.log_mismatches(mismatches)
+        now = time.monotonic()
+        if now - self.last_periodic_at >= PERIODIC_SECONDS:
+            self.last_periodic_at = now
+            self.cpu_seconds = time.thread_time()
+            self.run_periodic(boot_time_seconds())
+
+    def wait_for_work(self) -> None:
+        """Wait until the next timer is due, a change is notified, or for half a second."""
+        until_tick = self.participant.next_tick_at() - boot_time_seconds()
+        wait_seconds = min(max(until_tick, 0.0), MAX_WAIT_SECONDS)
+        if wait_seconds > 0:
+            self.state_changed.wait(wait_seconds)
+
+    def log_changes(self, changes: list[StateChange]) -> None:
+        """Log the leases' transitions."""
+        for change in changes[:MAX_LOGGED_CHANGES]:
+            self.logger.info(
                 "lease",
                 lease=change.lease,
                 before=change.before,
                 after=change.after,
                 token=change.token,
-                holder=change.proposer,
+                holder=change.proposer_id,
             )
-        if len(changes) > LINES:
-            self.lines.info("leases", more=len(changes) - LINES)
-        for member in sorted(foreign):
-            self.lines.info(
+        if len(changes) > MAX_LOGGED_CHANGES:
+            self.logger.info("leases", more=len(changes) - MAX_LOGGED_CHANGES)
+
+    def log_mismatches(self, mismatches: set[str]) -> None:
+        """Log the members found since the last call to have another configuration."""
+        for member in sorted(mismatches - self.logged_mismatches):
+            self.logger.info(
                 "leases: other rules",
                 member=member,
                 why="voters, drift and longest_s must be alike",
             )
+        self.logged_mismatches = mismatches
--- /dev/null
+++ b/stepstream/leases/health_check_leader.py
@@ -0,0 +1,175 @@
+"""The health-check leader: the dispatcher with the lease `probe-sweep` checks workers for all.
+
+    follower -> leader   the lease is granted: it checks every worker evenly over each period
+    leader -> follower   the lease can no longer cover a check: it stops before the next one
+    either -> stopped    this dispatcher stops
+
+Owns the `sweep` thread's state; the subsystem starts the thread and stops it by `stopped`. Results
+of health checks come from other threads, which the lock below serves; pages come on the thread of
+the membership layer. All times are seconds of time.monotonic().
+"""
+
+import threading
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from stepstream.leases.client import Lease, LeaseClient, LeaseLostError
+from stepstream.leases.health_reports import (
+    LEASE_NAME,
+    OPERATION_SECONDS,
+    TTL_SECONDS,
+    HealthReport,
+    HealthReportLearner,
+    ReportPageError,
+    encode_pages,
+    probe_period_seconds,
+)
+from stepstream.model.events import HealthChecked
+from stepstream.ports.messaging import MessageTransport
+from stepstream.runtime.log import RateLimitedLogger, log
+
+MESSAGE_KIND = "sweep"  # of the pages, among the membership layer's application messages
+PUBLISH_SECONDS = 0.05  # between two publications of what the checks have brought
+PAUSE_SECONDS = 0.5  # after a fault, or while there is no worker
+
+
+@dataclass(frozen=True, slots=True)
+class HealthCheckPort:
+    """What the leader uses of the node."""
+
+    list_workers: Callable[[], Sequence[str]]
+    check_health: Callable[[str, Callable[[HealthChecked], None]], None]  # calls back on any thread
+    load_report_columns: Callable[[], Sequence[str]]  # of the settings in force
+    post: Callable[[HealthChecked], None]  # to the core
+
+
+class HealthCheckLeader:
+    """Campaigns for the lease, leads while it holds it, and learns from the leader otherwise."""
+
+    def __init__(
+        self,
+        client: LeaseClient,
+        transport: MessageTransport,
+        malformed_logger: RateLimitedLogger,
+        port: HealthCheckPort,
+    ) -> None:
+        self.client = client
+        self.transport = transport
+        self.malformed_logger = malformed_logger
+        self.port = port
+        self.learner = HealthReportLearner()
+        self.lock = threading.Lock()  # guards unsent_reports
+        self.unsent_reports: list[tuple[float, HealthChecked]] = []  # and when each was answered
+        self.probe_count = 0
+        self.stopped = False
+        transport.subscribe(MESSAGE_KIND, self.on_page)
+
+    # -- every member -----------------------------------------------------------------------------
+
+    def on_page(self, member: str, data: bytes) -> None:
+        """Post the fresh reports of the leader's page to the core."""
+        columns = self.port.load_report_columns()
+        try:
+            reports = self.learner.learn(data, columns, time.monotonic())
+        except ReportPageError as error:
+            self.malformed_logger.add(f"sweep from {member}: {error}")
+            return
+        for report in reports:
+            checked = HealthChecked(
+                report.worker_id,
+                healthy=True,
+                elapsed_us=report.elapsed_us,
+                load_report=report.load_report,
+            )
+            self.port.post(checked)
+
+    def is_delegated(self, worker_id: str) -> bool:
+        """Tell whether this dispatcher leaves out its own check of a worker."""
+        return self.learner.is_delegated(worker_id, time.monotonic())
+
+    # -- the leader: the `sweep` thread -----------------------------------------------------------
+
+    def run(self) -> None:
+        """Campaign and lead until stopped."""
+        while not self.stopped:
+            try:
+                self.lead()
+            except LeaseLostError:
+                time.sleep(PAUSE_SECONDS)  # this dispatcher is drained or stops
+            except Exception as error:  # noqa: BLE001  without a leader each dispatcher checks for itself, which costs workers more
+                log(f"fault in the probe sweep: {type(error).__name__}: {error}")
+                time.sleep(PAUSE_SECONDS)
+
+    def lead(self) -> None:
+        """Make one attempt at the lease, to its end."""
+        lease = self.client.acquire(LEASE_NAME, TTL_SECONDS, OPERATION_SECONDS)
+        try:
+            while not lease.wait(PAUSE_SECONDS) and not lease.is_over and not self.stopped:
+                pass
+            while lease.may_begin_operation() and not self.stopped:
+                self.probe_all(lease)
+        finally:
+            lease.release()
+
+    def probe_all(self, lease: Lease) -> None:
+        """Check all workers once, evenly over the period, each right after a look at the lease."""
+        workers = list(self.port.list_workers())
+        period_seconds = probe_period_seconds(len(self.transport.present()) + 1)
+        begun_at = time.monotonic()
+        published_at = begun_at
+        for place, worker_id in enumerate(workers):
+            due_at = begun_at + place * period_seconds / len(workers)
+            published_at = self.publish_until(due_at, published_at, lease)
+            if self.stopped or not lease.may_begin_operation():
+                return
+            self.probe_count += 1
+            self.port.check_health(worker_id, self.on_health_checked)
+        if workers:
+            time.sleep(max(begun_at + period_seconds - time.monotonic(), 0.0))
+        else:
+            time.sleep(PAUSE_SECONDS)
+        self.publish(lease)
+
+    def publish_until(self, due_at: float, published_at: float, lease: Lease) -> float:
+        """Wait, publishing regularly meanwhile; return when it was published last."""
+        while True:
+            now = time.monotonic()
+            if now - published_at >= PUBLISH_SECONDS:
+                published_at = now
+                self.publish(lease)
+            elif now < due_at:
+                time.sleep(min(due_at - now, PUBLISH_SECONDS))
+            else:
+                return published_at
+
+    def on_health_checked(self, checked: HealthChecked) -> None:
+        """Take a check's result, on any thread: to the core, and with a report to all members."""
+        self.port.post(checked)
+        if checked.healthy and checked.load_report:
+            answered_at = time.monotonic()
+            self.learner.record(checked.worker_id, answered_at)
+            with self.lock:
+                self.unsent_reports.append((answered_at, checked))
+
+    def publish(self, lease: Lease) -> None:
+        """Send the reports that have come since the last call to all members."""
+        with self.lock:
+            unsent = self.unsent_reports
+            self.unsent_reports = []
+        now = time.monotonic()
+        reports = [health_report(now, answered_at, checked) for answered_at, checked in unsent]
+        for page in encode_pages(lease.token, reports):
+            for member in self.transport.present():
+                self.transport.send(member, MESSAGE_KIND, page)
+
+
+def health_report(now: float, answered_at: float, checked: HealthChecked) -> HealthReport:
+    """Return a check's result for a page."""
+    assert checked.load_report is not None
+    return HealthReport(
+        checked.worker_id,
+        int((now - answered_at) * 1000),
+        max(checked.elapsed_us, 0),
+        checked.load_report,
+    )
--- a/stepstream/leases/messages.py
+++ b/stepstream/leases/messages.py
@@ -1,128 +1,171 @@
-"""What proposers and voters tell each other, as MessagePack inside the fleet's datagrams; free of I/O.
+"""Messages between proposers and acceptors, and the envelopes that carry them. Free of I/O.
 
-PaxosLease (Trencseni, Gazso, Reinhardt 2012): a ballot is prepared, then proposed, at all voters; a majority
-that accepts grants the lease. docs/leases.md has the table of messages and the proof.
+PaxosLease (Trencseni, Gazso, Reinhardt 2012): a proposer sends `Prepare` with a new ballot to all
+acceptors; a quorum of `Promise` lets it send `Propose`; a quorum of `Accepted` makes it the lease
+holder. The paper's empty or non-empty prepare response is `Promise` or `Busy` here; the other
+messages tell a proposer why there is no promise, release a lease early (the paper's "Releasing
+leases") or call the next waiter. docs/leases.md has the table of messages and the proof.
+
+Wire format: one MessagePack array an envelope, inside a datagram of the membership layer. Structs
+are encoded by position, a message's type as an integer tag, so that names here are not on the wire.
+
+This module owns no state; any thread may call it.
 """
 
 from typing import Annotated
 
 import msgspec
 
-VERSION = 1
-LETTER = 1_000  # bytes that fit one of the fleet's datagrams beside its frame
-MOST_BODIES = 64  # in a letter
+from stepstream.leases.errors import LeaseError
+
+PROTOCOL_VERSION = 1
+MAX_ENVELOPE_BYTES = 1_000  # fits one datagram of the membership layer beside its frame
+READ_TOLERANCE_BYTES = 64  # by which an envelope that arrives may be longer
+MAX_MESSAGES_PER_ENVELOPE = 64
+MAX_REASON_CHARS = 160  # of a decoder's error that is logged
+MAX_DURATION_MS = 86_400_000  # a day
 
-LEASE = r"^[a-z0-9._-]{1,64}$"
-Lease = Annotated[str, msgspec.Meta(pattern=LEASE)]
-Proposer = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
-Number = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
-Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=86_400_000)]
+LEASE_NAME_PATTERN = r"^[a-z0-9._-]{1,64}$"
+LeaseName = Annotated[str, msgspec.Meta(pattern=LEASE_NAME_PATTERN)]
+ProposerId = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+SafeInteger = Annotated[int, msgspec.Meta(ge=0, le=2**53)]  # exact as a JSON number as well
+Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
 
 
 class Ballot(msgspec.Struct, frozen=True, array_like=True, order=True):
-    """`proposer`: one attempt of one process to hold one lease: NAME@GENERATION.SERIAL."""
+    """A ballot, ordered by number, then by proposer.
+
+    `proposer` names one attempt of one process at one lease: NAME@GENERATION.SERIAL.
+    """
+
+    number: SafeInteger
+    proposer: ProposerId
 
-    number: Number
-    proposer: Proposer
 
+class LeaseMessage(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """What every message names: the lease and the ballot that it is about."""
 
-class Body(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
-    lease: Lease
+    lease: LeaseName
     ballot: Ballot
 
 
-class Prepare(Body, frozen=True, tag=1):
-    """Promise to accept no other ballot; `waited_ms`: for how long its proposer has wanted the lease."""
+class Prepare(LeaseMessage, frozen=True, tag=1):
+    """Ask for a promise of this ballot; `waited_ms`: since the proposer began to want the lease."""
 
     ttl_ms: Milliseconds
     waited_ms: Milliseconds
 
 
-class Promised(Body, frozen=True, tag=2):
-    """To a voter that holds nothing of it that another may still hold."""
+class Promise(LeaseMessage, frozen=True, tag=2):
+    """Promise to accept no other ballot; this acceptor keeps no other proposer's grant."""
 
 
-class Busy(Body, frozen=True, tag=3):
-    """Nothing is promised: `holder` may still hold it, or, with "", it is another's turn first."""
+class Busy(LeaseMessage, frozen=True, tag=3):
+    """Promise nothing: `holder` may still hold the lease or, if "", another waiter goes first."""
 
     holder: Annotated[str, msgspec.Meta(max_length=128)]
-    token: Number
-    left_ms: Milliseconds
+    token: SafeInteger
+    remaining_ms: Milliseconds
 
 
-class Stale(Body, frozen=True, tag=4):
-    """Nothing is promised or accepted: `number` must be exceeded, or this ballot has no promise here."""
+class StaleBallot(LeaseMessage, frozen=True, tag=4):
+    """Reject a ballot that is not above `highest_number`, or that has no promise here."""
 
-    number: Number
+    highest_number: SafeInteger
 
 
-class Silent(Body, frozen=True, tag=5):
-    """A voter that started less than the longest lease ago, and cannot know what it had promised."""
+class Recovering(LeaseMessage, frozen=True, tag=5):
+    """Answer nothing yet: the acceptor restarted too lately to know what it had accepted."""
 
-    left_ms: Milliseconds
+    remaining_ms: Milliseconds
 
 
-class Propose(Body, frozen=True, tag=6):
-    """Hold it for `ttl_ms` from now. `round` tells the answers of one ballot's renewals apart."""
+class Propose(LeaseMessage, frozen=True, tag=6):
+    """Ask for the lease for `ttl_ms`; `round` tells a ballot's renewals apart."""
 
-    round: Number
-    token: Number
+    round: SafeInteger
+    token: SafeInteger
     ttl_ms: Milliseconds
 
 
-class Accepted(Body, frozen=True, tag=7):
-    round: Number
+class Accepted(LeaseMessage, frozen=True, tag=7):
+    """Accept the proposal of this round."""
 
+    round: SafeInteger
 
-class Release(Body, frozen=True, tag=8):
-    """Whatever this proposer was granted up to this ballot is over; nothing of it is accepted any more."""
 
+class Release(LeaseMessage, frozen=True, tag=8):
+    """End all grants to this proposer up to this ballot; nothing of it is accepted any more."""
 
-class Free(Body, frozen=True, tag=9):
-    """To one that waits: it is your turn. The ballot is the one that had to wait."""
 
+class LeaseAvailable(LeaseMessage, frozen=True, tag=9):
+    """Tell a waiter that its turn has come; the ballot is the one that had to wait."""
 
-class Foreign(Body, frozen=True, tag=10):
-    """Neither promised nor accepted: the two have no set of voters, or not the same bounds, in common."""
 
+class ConfigurationMismatch(LeaseMessage, frozen=True, tag=10):
+    """Reject a member that shares no acceptor set, or not the same time bounds, with this one."""
 
-Message = Prepare | Promised | Busy | Stale | Silent | Propose | Accepted | Release | Free | Foreign
-ASKS = (Prepare, Propose, Release)  # of voters; the rest are their answers
 
+Message = (
+    Prepare
+    | Promise
+    | Busy
+    | StaleBallot
+    | Recovering
+    | Propose
+    | Accepted
+    | Release
+    | LeaseAvailable
+    | ConfigurationMismatch
+)
+ProposerMessage = Prepare | Propose | Release
+PROPOSER_MESSAGES = (Prepare, Propose, Release)  # to acceptors; the rest are their answers
 
-class Letter(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
-    """`sets`: digests of the sets of voters whose majorities the sender wants, each with the bounds."""
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """Several messages to one member.
+
+    `configuration_digests`: of the acceptor sets whose quorums the sender needs, with its bounds.
+    """
 
     version: Annotated[int, msgspec.Meta(ge=0, le=255)]
-    sets: Annotated[tuple[Number, ...], msgspec.Meta(min_length=1, max_length=2)]
-    bodies: Annotated[tuple[Message, ...], msgspec.Meta(max_length=MOST_BODIES)]
+    configuration_digests: Annotated[
+        tuple[SafeInteger, ...], msgspec.Meta(min_length=1, max_length=2)
+    ]
+    messages: Annotated[tuple[Message, ...], msgspec.Meta(max_length=MAX_MESSAGES_PER_ENVELOPE)]
 
 
-class BadLetterError(Exception):
-    """It is dropped and counted; the text says why, for one line in the log within a rate."""
+class EnvelopeError(LeaseError):
+    """Data that is no envelope of this version; it is dropped and counted, the text says why."""
 
 
 ENCODER = msgspec.msgpack.Encoder()
-DECODER = msgspec.msgpack.Decoder(Letter)
+DECODER = msgspec.msgpack.Decoder(Envelope)
 
 
-def encode(letter: Letter) -> bytes:
-    return ENCODER.encode(letter)
+def encode(envelope: Envelope) -> bytes:
+    """Return the envelope's bytes."""
+    return ENCODER.encode(envelope)
 
 
-def size(body: Message) -> int:
-    """Bytes."""
-    return len(ENCODER.encode(body))
+def encoded_size_bytes(message: Message) -> int:
+    """Return the bytes that the message takes in an envelope."""
+    return len(ENCODER.encode(message))
 
 
-def decode(data: bytes) -> Letter:
-    """BadLetterError if it is too long, unreadable or of another version."""
-    if len(data) > LETTER + 64:
-        raise BadLetterError(f"{len(data)} bytes, over {LETTER + 64}")
+def decode(data: bytes) -> Envelope:
+    """Return the envelope; raise `EnvelopeError` if too long, unreadable or of another version."""
+    if len(data) > MAX_ENVELOPE_BYTES + READ_TOLERANCE_BYTES:
+        raise EnvelopeError(f"{len(data)} bytes, over {MAX_ENVELOPE_BYTES + READ_TOLERANCE_BYTES}")
     try:
-        letter = DECODER.decode(data)
+        envelope = DECODER.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise BadLetterError(f"unreadable: {error}"[:160]) from None
-    if letter.version != VERSION:
-        raise BadLetterError(f"version {letter.version}, not {VERSION}")
-    return letter
+        raise EnvelopeError(f"unreadable: {error}"[:MAX_REASON_CHARS]) from error
+    if envelope.version != PROTOCOL_VERSION:
+        raise EnvelopeError(f"version {envelope.version}, not {PROTOCOL_VERSION}")
+    return envelope
+
+
+def to_milliseconds(seconds: float) -> int:
+    """Return a duration for the wire: rounded up, a day at most."""
+    return min(int(max(seconds, 0.0) * 1000) + 1, MAX_DURATION_MS)
--- /dev/null
+++ b/stepstream/leases/participant.py
@@ -0,0 +1,320 @@
+"""One member's part in all leases: its acceptor, if it is one, and its proposers. Free of I/O.
+
+Routes messages: from other members' envelopes to the acceptor and the proposers, and theirs into
+envelopes. What a member says to itself takes no envelope. Who is an acceptor stands in the
+configuration; the membership list has no say in it.
+
+Owns the acceptor, the proposers and their schedule. The driver's lock guards it; whoever calls
+holds that lock. All times are seconds of the caller's monotonic clock.
+"""
+
+import random
+from collections import defaultdict, deque
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass
+from heapq import heappop, heappush
+from math import inf
+
+from stepstream.leases.acceptor import Acceptor, AddressedMessage
+from stepstream.leases.configuration import LeaseConfiguration
+from stepstream.leases.messages import (
+    MAX_ENVELOPE_BYTES,
+    MAX_MESSAGES_PER_ENVELOPE,
+    PROPOSER_MESSAGES,
+    PROTOCOL_VERSION,
+    ConfigurationMismatch,
+    Envelope,
+    Message,
+    Prepare,
+    Propose,
+    ProposerMessage,
+    Release,
+    encoded_size_bytes,
+)
+from stepstream.leases.proposer import BallotSequence, LeaseState, Proposer
+
+MAX_UNREAD_STATE_CHANGES = 512
+RELEASE_REPEATS = 2  # a release that is lost costs the next holder a time to live
+MAX_PENDING_REPEATS = 4_096
+ENVELOPE_FRAME_BYTES = 40  # of an envelope around its messages, at most
+
+
+@dataclass(frozen=True, slots=True)
+class OutgoingEnvelope:
+    """An envelope and the member that it is for."""
+
+    member: str
+    envelope: Envelope
+
+
+@dataclass(frozen=True, slots=True)
+class StateChange:
+    """A transition of one proposer's lease, for the log; `before` is "" at its start."""
+
+    at: float
+    lease: str
+    proposer_id: str
+    before: str
+    after: str
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseRepeat:
+    """A release that is to be sent again."""
+
+    due_at: float
+    release: Release
+    remaining: int
+
+
+class Participant:
+    """One process's part in the leases.
+
+    `process_id` names this start of the process and no other ever. Ballot numbers begin above
+    `first_number`, best the time of day in milliseconds: a clock that was set back costs rejections
+    by the fencing guard, never safety.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        process_id: str,
+        configuration: LeaseConfiguration,
+        first_number: int,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self.name = name
+        self.process_id = process_id
+        self.configuration = configuration
+        self.rng = rng
+        self.ballots = BallotSequence(first_number)
+        is_acceptor = name in configuration.all_acceptors
+        self.acceptor = Acceptor(configuration, now) if is_acceptor else None
+        self.proposers: dict[str, Proposer] = {}  # by proposer id
+        self.schedule: list[tuple[float, str]] = []  # a heap of ticks; outdated entries linger
+        self.last_serial = 0  # of the proposer ids
+        self.release_repeats: deque[ReleaseRepeat] = deque(maxlen=MAX_PENDING_REPEATS)
+        self.mismatched_members: dict[str, tuple[int, ...]] = {}  # and their digests
+        self.last_states: dict[str, LeaseState] = {}  # by proposer id
+        self.state_changes: deque[StateChange] = deque(maxlen=MAX_UNREAD_STATE_CHANGES)
+        self.last_tick_at = -inf
+        self.loopback: deque[Message] = deque()  # to this member itself
+        self.outbox: defaultdict[str, list[Message]] = defaultdict(list)  # by member
+
+    # -- leases -----------------------------------------------------------------------------------
+
+    def acquire(
+        self, now: float, lease: str, ttl_seconds: float, operation_seconds: float
+    ) -> tuple[Proposer, list[OutgoingEnvelope]]:
+        """Begin an attempt at a lease.
+
+        The times must have passed `configuration.check_lease_times`.
+        """
+        self.last_serial += 1
+        proposer = Proposer(
+            self.configuration,
+            lease,
+            f"{self.process_id}.{self.last_serial}",
+            ttl_seconds,
+            operation_seconds,
+            self.ballots,
+            self.rng,
+            now,
+        )
+        self.proposers[proposer.proposer_id] = proposer
+        self.record_state(now, proposer)
+        self.apply(now, proposer, proposer.tick(now))
+        return proposer, self.drain_outbox(now)
+
+    def release(self, now: float, proposer: Proposer) -> list[OutgoingEnvelope]:
+        """Give a lease back; no operation may be under way."""
+        self.release_and_retire(now, proposer)
+        return self.drain_outbox(now)
+
+    def wind_down(self, now: float, lease: str | None = None) -> list[OutgoingEnvelope]:
+        """Have one lease or all end: no operation begins, nothing is renewed.
+
+        Held leases end when their tasks release them or when they expire; attempts that are not
+        granted yet are withdrawn at once.
+        """
+        for proposer in list(self.proposers.values()):
+            if lease not in (None, proposer.lease):
+                continue
+            proposer.winding_down = True
+            if not proposer.token:
+                self.release_and_retire(now, proposer)
+        return self.drain_outbox(now)
+
+    def advance_ballots_past(self, number: int) -> None:
+        """Have later ballots above a token that a guarded resource has seen."""
+        self.ballots.advance_past(number)
+
+    def release_and_retire(self, now: float, proposer: Proposer) -> None:
+        """End an attempt and tell the acceptors."""
+        releases = proposer.release()
+        self.broadcast(releases)
+        self.retire(now, proposer, releases)
+
+    def retire(self, now: float, proposer: Proposer, messages: Sequence[ProposerMessage]) -> None:
+        """Forget an attempt that is over; its release is repeated."""
+        self.record_state(now, proposer)
+        repeat_at = now + self.configuration.round_timeout_seconds
+        for message in messages:
+            if isinstance(message, Release):
+                self.release_repeats.append(ReleaseRepeat(repeat_at, message, RELEASE_REPEATS))
+        self.proposers.pop(proposer.proposer_id, None)
+        self.last_states.pop(proposer.proposer_id, None)
+
+    # -- messages ---------------------------------------------------------------------------------
+
+    def handle(self, now: float, member: str, envelope: Envelope) -> list[OutgoingEnvelope]:
+        """Take an envelope of another member, by the name that the membership list has for it."""
+        if set(envelope.configuration_digests).isdisjoint(self.configuration.digests):
+            self.on_mismatch(now, member, envelope)
+            return self.drain_outbox(now)
+        self.mismatched_members.pop(member, None)
+        for message in envelope.messages:
+            self.dispatch(now, member, message)
+        return self.drain_outbox(now)
+
+    def on_mismatch(self, now: float, member: str, envelope: Envelope) -> None:
+        """Reject what a member with another configuration asks for."""
+        self.mismatched_members[member] = envelope.configuration_digests
+        if len(self.mismatched_members) > self.configuration.max_leases:
+            self.mismatched_members.pop(next(iter(self.mismatched_members)))
+        for message in envelope.messages:
+            if isinstance(message, Prepare | Propose):
+                rejection = ConfigurationMismatch(message.lease, message.ballot)
+                self.outbox[member].append(rejection)
+            elif isinstance(message, ConfigurationMismatch):
+                self.dispatch(now, member, message)
+
+    def dispatch(self, now: float, member: str, message: Message) -> None:
+        """Give a message to the acceptor, or an answer to its proposer."""
+        if isinstance(message, PROPOSER_MESSAGES):
+            if self.acceptor is not None:
+                self.enqueue(self.acceptor.handle(now, member, message))
+            return
+        proposer = self.proposers.get(message.ballot.proposer)
+        if proposer is not None:
+            self.apply(now, proposer, proposer.handle(now, member, message))
+
+    def apply(self, now: float, proposer: Proposer, messages: Sequence[ProposerMessage]) -> None:
+        """Send what a proposer's step has brought, and schedule or end the proposer."""
+        self.broadcast(messages)
+        if proposer.is_over:
+            self.retire(now, proposer, messages)
+        else:
+            self.record_state(now, proposer)
+            self.reschedule(proposer)
+
+    def record_state(self, now: float, proposer: Proposer) -> None:
+        """Note a transition of the proposer's lease, if there is one."""
+        before = self.last_states.get(proposer.proposer_id)
+        after = proposer.state(now)
+        if before is after:
+            return
+        self.last_states[proposer.proposer_id] = after
+        before_text = before.value if before is not None else ""
+        change = StateChange(
+            now, proposer.lease, proposer.proposer_id, before_text, after.value, proposer.token
+        )
+        self.state_changes.append(change)
+
+    # -- timers -----------------------------------------------------------------------------------
+
+    def tick(self, now: float) -> list[OutgoingEnvelope]:
+        """Take every step that is due."""
+        self.last_tick_at = now
+        if self.acceptor is not None:
+            self.enqueue(self.acceptor.tick(now))
+        self.tick_proposers(now)
+        self.repeat_releases(now)
+        return self.drain_outbox(now)
+
+    def tick_proposers(self, now: float) -> None:
+        """Tick the proposers whose time has come."""
+        while self.schedule and self.schedule[0][0] <= now:
+            _, proposer_id = heappop(self.schedule)
+            proposer = self.proposers.get(proposer_id)
+            if proposer is None:
+                continue
+            if now >= proposer.next_tick_at():
+                self.apply(now, proposer, proposer.tick(now))
+            else:
+                self.reschedule(proposer)
+
+    def repeat_releases(self, now: float) -> None:
+        """Send again the releases that are due."""
+        while self.release_repeats and now >= self.release_repeats[0].due_at:
+            repeat = self.release_repeats.popleft()
+            self.broadcast([repeat.release])
+            if repeat.remaining > 1:
+                due_at = now + self.configuration.round_timeout_seconds
+                again = ReleaseRepeat(due_at, repeat.release, repeat.remaining - 1)
+                self.release_repeats.append(again)
+
+    def next_tick_at(self) -> float:
+        """Return when `tick` has something to do; infinity if never."""
+        due_at = self.schedule[0][0] if self.schedule else inf
+        if self.release_repeats:
+            due_at = min(due_at, self.release_repeats[0].due_at)
+        return min(due_at, self.acceptor.next_tick_at) if self.acceptor is not None else due_at
+
+    def reschedule(self, proposer: Proposer) -> None:
+        """Put a proposer's next tick into the schedule, unless an entry stands there no later."""
+        at = proposer.next_tick_at()
+        if at < proposer.scheduled_at or proposer.scheduled_at <= self.last_tick_at:
+            proposer.scheduled_at = at
+            heappush(self.schedule, (at, proposer.proposer_id))
+
+    # -- sending ----------------------------------------------------------------------------------
+
+    def broadcast(self, messages: Sequence[ProposerMessage]) -> None:
+        """Queue messages to all acceptors."""
+        if not messages:
+            return
+        acceptors = sorted(self.configuration.all_acceptors)
+        self.enqueue((member, message) for message in messages for member in acceptors)
+
+    def enqueue(self, addressed: Iterable[AddressedMessage]) -> None:
+        """Queue messages, each to its member."""
+        for member, message in addressed:
+            if member == self.name:
+                self.loopback.append(message)
+            else:
+                self.outbox[member].append(message)
+
+    def drain_outbox(self, now: float) -> list[OutgoingEnvelope]:
+        """Deliver what this member says to itself; return all else in envelopes."""
+        while self.loopback:
+            self.dispatch(now, self.name, self.loopback.popleft())
+        if not self.outbox:
+            return []
+        digests = self.configuration.digests
+        outgoing = [
+            OutgoingEnvelope(member, Envelope(PROTOCOL_VERSION, digests, tuple(part)))
+            for member, messages in self.outbox.items()
+            for part in split_into_envelopes(messages)
+        ]
+        self.outbox.clear()
+        return outgoing
+
+
+def split_into_envelopes(messages: Sequence[Message]) -> Iterator[list[Message]]:
+    """Yield the messages in parts that fit one envelope each."""
+    part: list[Message] = []
+    capacity_bytes = MAX_ENVELOPE_BYTES - ENVELOPE_FRAME_BYTES
+    free_bytes = capacity_bytes
+    for message in messages:
+        size_bytes = encoded_size_bytes(message)
+        if part and (size_bytes > free_bytes or len(part) >= MAX_MESSAGES_PER_ENVELOPE):
+            yield part
+            part = []
+            free_bytes = capacity_bytes
+        part.append(message)
+        free_bytes -= size_bytes
+    if part:
+        yield part
--- /dev/null
+++ b/stepstream/leases/proposer.py
@@ -0,0 +1,393 @@
+"""The proposer: one attempt to hold one lease, from asking for it to its end. Free of I/O.
+
+Its role is PaxosLease's proposer (Trencseni, Gazso, Reinhardt 2012), which is also the learner of
+its own lease: it counts the acceptances itself. The phases of a ballot:
+
+    IDLE       -> PREPARING  when `next_step_at` comes: a new ballot, `Prepare` to all acceptors
+    PREPARING  -> PROPOSING  on promises of a quorum: `Propose` to all acceptors
+    PREPARING  -> PREPARING  on the round's timeout, at most twice: the same ballot again
+    PROPOSING  -> IDLE       on acceptances of a quorum: the lease is held
+    IDLE       -> PROPOSING  at a third of the time to live ("Extending leases"), if nobody has
+                             rejected the ballot: a renewal in one round trip
+    any        -> IDLE       once rejections leave no quorum, or on timeouts: a randomized backoff
+
+A lease is held until a time to live after the proposal was *sent* that a quorum accepted.
+Acceptors start their timers later and run them longer (`LeaseConfiguration.acceptor_ttl_seconds`),
+so that the holder's expires first. A proposer whose lease was lost or released is over; a task
+that still wants the lease makes another one.
+
+The participant owns proposers; whoever calls holds the driver's lock. All times are seconds of the
+caller's monotonic clock.
+"""
+
+import random
+from dataclasses import dataclass, field
+from enum import Enum
+from math import inf
+
+from stepstream.leases.configuration import LeaseConfiguration
+from stepstream.leases.messages import (
+    MAX_DURATION_MS,
+    Accepted,
+    Ballot,
+    Busy,
+    ConfigurationMismatch,
+    LeaseAvailable,
+    Message,
+    Prepare,
+    Promise,
+    Propose,
+    ProposerMessage,
+    Recovering,
+    Release,
+    StaleBallot,
+)
+
+RENEWAL_SHARE = 1 / 3  # of the time to live, after the sending of the last accepted proposal
+RENEWAL_SLOTS_PER_TTL = 30  # renewals of many leases fall into common slots
+MAX_OPEN_ROUNDS = 4  # of one ballot, whose answers still count
+MAX_PREPARE_ATTEMPTS = 3  # of one ballot
+MAX_BACKOFF_DOUBLINGS = 5
+BACKOFF_SHARE = (0.1, 1.0)  # of the longest backoff, drawn evenly
+WAIT_SHARE = (0.6, 1.0)  # of the waiters' refresh interval, drawn evenly
+WAIT_JITTER_SHARE = (0.0, 0.1)  # of a round's timeout, added to an announced wait
+
+
+class LeaseState(Enum):
+    """What a task sees of its lease. The values are on the wire: JSON answers and log lines."""
+
+    ACQUIRING = "wanted"
+    HELD = "held"
+    RENEWING = "renewing"  # held, a renewal is on its way
+    EXPIRING = "doubtful"  # too late for a new operation; the one under way can still end
+    LOST = "lost"
+    RELEASED = "released"
+
+
+class Phase(Enum):
+    """Where the current ballot stands."""
+
+    IDLE = 0
+    PREPARING = 1
+    PROPOSING = 2
+
+
+@dataclass
+class BallotSequence:
+    """The highest ballot number that one process knows of; all its proposers share it."""
+
+    highest: int
+
+    def next_number(self) -> int:
+        """Return a number above all that are known."""
+        self.highest += 1
+        return self.highest
+
+    def advance_past(self, number: int) -> None:
+        """Have later ballots above a number that was seen elsewhere."""
+        self.highest = max(self.highest, number)
+
+
+@dataclass(slots=True)
+class ProposalRound:
+    """One sending of a ballot's proposal, and the acceptors that accepted it."""
+
+    sent_at: float
+    accepted_by: set[str] = field(default_factory=set)
+
+
+class Proposer:
+    """One attempt at one lease.
+
+    `proposer_id` is of this attempt and no other. `ttl_seconds` is the time to live of each grant,
+    `operation_seconds` the longest time that one operation under the lease takes.
+    """
+
+    def __init__(  # noqa: PLR0913, PLR0917  all distinct, and made in one place
+        self,
+        configuration: LeaseConfiguration,
+        lease: str,
+        proposer_id: str,
+        ttl_seconds: float,
+        operation_seconds: float,
+        ballots: BallotSequence,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self.configuration = configuration
+        self.lease = lease
+        self.proposer_id = proposer_id
+        self.ttl_seconds = int(ttl_seconds * 1000) / 1000  # no longer than the acceptors are told
+        self.operation_seconds = operation_seconds
+        self.ballots = ballots
+        self.rng = rng
+        self.requested_at = now
+
+        self.phase = Phase.IDLE
+        self.next_step_at = now
+        self.scheduled_at = -inf  # owned by the participant's schedule
+        self.ballot: Ballot | None = None
+        self.prepare_attempts = 0  # of this ballot
+        self.promised_by: set[str] = set()
+        self.rejections: dict[str, float] = {}  # by acceptor: seconds until it may promise
+        self.round_number = 0
+        self.rounds: dict[int, ProposalRound] = {}
+        self.can_renew = False  # no acceptor has rejected this ballot: one round renews
+        self.consecutive_failures = 0
+
+        self.token = 0  # fencing token: the number of the ballot that was first accepted
+        self.expires_at = -inf
+        self.lost = False
+        self.released = False
+        self.winding_down = False  # not renewed any more, and no operation begins
+        self.last_known_holder = ""  # as an acceptor said last
+        self.answered_at: dict[str, float] = {}  # by acceptor, but for recovering ones
+
+    # -- queries ----------------------------------------------------------------------------------
+
+    def is_held(self, now: float) -> bool:
+        """Tell whether nobody else can hold the lease now."""
+        return not self.is_over and now < self.expires_at
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the attempt has ended for good."""
+        return self.lost or self.released
+
+    def may_begin_operation(self, now: float) -> bool:
+        """Tell whether an operation begun now ends while nobody else can hold the lease."""
+        enough_time = self.expires_at - now > self.operation_seconds
+        return self.is_held(now) and enough_time and not self.winding_down
+
+    def remaining_seconds(self, now: float) -> float:
+        """Return the seconds for which the lease is held at least."""
+        return max(self.expires_at - now, 0.0) if not self.is_over else 0.0
+
+    def state(self, now: float) -> LeaseState:
+        """Return what a task sees of the lease."""
+        if self.released:
+            return LeaseState.RELEASED
+        if self.lost or (self.token and now >= self.expires_at):
+            return LeaseState.LOST
+        if not self.token:
+            return LeaseState.ACQUIRING
+        if not self.may_begin_operation(now):
+            return LeaseState.EXPIRING
+        return LeaseState.HELD if self.phase is Phase.IDLE else LeaseState.RENEWING
+
+    def next_tick_at(self) -> float:
+        """Return when `tick` has something to do; infinity if never."""
+        if self.is_over:
+            return inf
+        return min(self.next_step_at, self.expires_at) if self.token else self.next_step_at
+
+    # -- timers -----------------------------------------------------------------------------------
+
+    def tick(self, now: float) -> list[ProposerMessage]:
+        """Take the step that is due; return the messages for all acceptors."""
+        if self.is_over:
+            return []
+        if self.token and now >= self.expires_at:
+            return self.expire()
+        if self.token and self.winding_down:
+            self.next_step_at = inf
+        if now < self.next_step_at:
+            return []
+        match self.phase:
+            case Phase.PREPARING:
+                return self.on_prepare_timeout(now)
+            case Phase.PROPOSING:
+                return self.on_propose_timeout(now)
+        renews = self.token and self.can_renew
+        return self.propose(now) if renews else self.begin_ballot(now)
+
+    def expire(self) -> list[ProposerMessage]:
+        """End the attempt; tell the acceptors, to spare the waiters the margin for clock drift."""
+        self.lost = True
+        return self.release_messages()
+
+    def on_prepare_timeout(self, now: float) -> list[ProposerMessage]:
+        """Repeat the ballot's prepare, some of which may have been lost, or back off."""
+        if self.prepare_attempts < MAX_PREPARE_ATTEMPTS and not self.rejections:
+            return self.send_prepare(now)
+        return self.back_off(now)
+
+    def on_propose_timeout(self, now: float) -> list[ProposerMessage]:
+        """Repeat the proposal, with a new ballot if this one was rejected, or back off."""
+        if not self.is_held(now) and self.round_number >= MAX_OPEN_ROUNDS:
+            return self.back_off(now)
+        return self.propose(now) if self.can_renew else self.begin_ballot(now)
+
+    def begin_ballot(self, now: float) -> list[ProposerMessage]:
+        """Begin a new ballot."""
+        self.ballot = Ballot(self.ballots.next_number(), self.proposer_id)
+        self.promised_by = set()
+        self.rejections = {}
+        self.prepare_attempts = 0
+        self.round_number = 0
+        self.rounds = {}
+        self.can_renew = False
+        return self.send_prepare(now)
+
+    def send_prepare(self, now: float) -> list[ProposerMessage]:
+        """Ask for promises of the current ballot."""
+        self.phase = Phase.PREPARING
+        self.next_step_at = now + self.configuration.round_timeout_seconds
+        self.prepare_attempts += 1
+        waited_ms = min(int((now - self.requested_at) * 1000), MAX_DURATION_MS)
+        return [Prepare(self.lease, self.current_ballot(), self.ttl_ms(), waited_ms)]
+
+    def propose(self, now: float) -> list[ProposerMessage]:
+        """Propose the lease under the current ballot, for the first time or as a renewal."""
+        ballot = self.current_ballot()
+        self.phase = Phase.PROPOSING
+        self.next_step_at = now + self.configuration.round_timeout_seconds
+        self.round_number += 1
+        self.rounds[self.round_number] = ProposalRound(now)
+        self.rounds.pop(self.round_number - MAX_OPEN_ROUNDS, None)
+        self.can_renew = True
+        token = self.token or ballot.number
+        return [Propose(self.lease, ballot, self.round_number, token, self.ttl_ms())]
+
+    def back_off(self, now: float) -> list[ProposerMessage]:
+        """Rest for a randomized time, so that two proposers in step get out of it."""
+        self.consecutive_failures = min(self.consecutive_failures + 1, MAX_BACKOFF_DOUBLINGS)
+        longest = self.configuration.round_timeout_seconds
+        if not self.token:
+            longest *= 2**self.consecutive_failures / 2
+        self.phase = Phase.IDLE
+        self.next_step_at = now + self.rng.uniform(*BACKOFF_SHARE) * longest
+        self.can_renew = False
+        return []
+
+    def current_ballot(self) -> Ballot:
+        """Return the ballot that the phases after `IDLE` have."""
+        assert self.ballot is not None
+        return self.ballot
+
+    def ttl_ms(self) -> int:
+        """Return the time to live for the wire."""
+        return int(self.ttl_seconds * 1000)
+
+    # -- acceptors' answers -----------------------------------------------------------------------
+
+    def handle(self, now: float, member: str, message: Message) -> list[ProposerMessage]:
+        """Take an acceptor's answer; return the messages for all acceptors that follow from it."""
+        if self.is_over:
+            return []
+        if self.token and now >= self.expires_at:
+            return self.tick(now)
+        match message:
+            case Busy(token=seen) | StaleBallot(highest_number=seen):
+                self.ballots.advance_past(seen)
+            case LeaseAvailable() if message.ballot.proposer == self.proposer_id:
+                return self.on_lease_available(now)
+        if message.ballot != self.ballot or member not in self.configuration.all_acceptors:
+            return []
+        return self.on_ballot_answer(now, member, message)
+
+    def on_ballot_answer(self, now: float, member: str, message: Message) -> list[ProposerMessage]:
+        """Take an acceptor's answer about the current ballot."""
+        if not isinstance(message, Recovering | ConfigurationMismatch):
+            self.answered_at[member] = now
+        match message:
+            case Promise():
+                return self.on_promise(now, member)
+            case Accepted():
+                self.on_accepted(now, member, message.round)
+            case StaleBallot():
+                return self.on_stale_ballot(now, member)
+            case Busy():
+                self.last_known_holder = message.holder or self.last_known_holder
+                return self.on_rejection(now, member, message.remaining_ms / 1000)
+            case Recovering():
+                return self.on_rejection(now, member, message.remaining_ms / 1000)
+            case ConfigurationMismatch():
+                refresh = self.configuration.waiter_refresh_seconds()
+                return self.on_rejection(now, member, refresh)
+        return []
+
+    def on_promise(self, now: float, member: str) -> list[ProposerMessage]:
+        """Count a promise; propose once a quorum has promised."""
+        if self.phase is not Phase.PREPARING:
+            return []
+        self.promised_by.add(member)
+        return self.propose(now) if self.configuration.is_quorum(self.promised_by) else []
+
+    def on_accepted(self, now: float, member: str, round_number: int) -> None:
+        """Count an acceptance; the lease is held or extended once a quorum has accepted a round."""
+        proposal = self.rounds.get(round_number)
+        if proposal is None:
+            return
+        proposal.accepted_by.add(member)
+        expires_at = proposal.sent_at + self.ttl_seconds
+        accepted = self.configuration.is_quorum(proposal.accepted_by)
+        if not accepted or now >= expires_at or expires_at <= self.expires_at:
+            return
+        self.token = self.token or self.current_ballot().number
+        self.expires_at = expires_at
+        self.consecutive_failures = 0
+        # Renewals of many leases fall into the same slot and go together, in few envelopes.
+        slot_seconds = self.ttl_seconds / RENEWAL_SLOTS_PER_TTL
+        renew_at = proposal.sent_at + self.ttl_seconds * RENEWAL_SHARE
+        self.phase = Phase.IDLE
+        self.next_step_at = max(renew_at // slot_seconds * slot_seconds, now)
+
+    def on_stale_ballot(self, now: float, member: str) -> list[ProposerMessage]:
+        """Take a stale ballot's rejection.
+
+        An acceptor that had promised has restarted or promised another ballot since. A lease that
+        is held stays so, but its next renewal begins with a new ballot.
+        """
+        if self.phase is Phase.PROPOSING or self.token:
+            self.can_renew = False
+        if self.token:
+            return []
+        return self.on_rejection(now, member, 0.0)
+
+    def on_rejection(
+        self, now: float, member: str, retry_after_seconds: float
+    ) -> list[ProposerMessage]:
+        """Count an acceptor that did not promise or accept; give up once no quorum remains."""
+        self.rejections[member] = retry_after_seconds
+        possible = self.configuration.all_acceptors - self.rejections.keys()
+        if self.phase is Phase.IDLE or self.configuration.is_quorum(possible):
+            return []
+        self.back_off(now)
+        wait = min(self.rejections.values())
+        if not self.token and wait > 0:
+            self.wait_for_turn(now, wait)
+        return []
+
+    def wait_for_turn(self, now: float, announced_seconds: float) -> None:
+        """Rest until the lease may be free.
+
+        Bounds the messages: a waiter asks again only then, or to keep its place in the queue.
+        """
+        refresh = self.configuration.waiter_refresh_seconds()
+        longest = refresh * self.rng.uniform(*WAIT_SHARE)
+        jitter = self.rng.uniform(*WAIT_JITTER_SHARE) * self.configuration.round_timeout_seconds
+        self.next_step_at = now + min(announced_seconds + jitter, longest)
+
+    def on_lease_available(self, now: float) -> list[ProposerMessage]:
+        """Begin a ballot at once, since an acceptor says that it is this proposer's turn."""
+        if self.token or self.phase is not Phase.IDLE:
+            return []
+        self.consecutive_failures = 0
+        return self.begin_ballot(now)
+
+    # -- end --------------------------------------------------------------------------------------
+
+    def release(self) -> list[ProposerMessage]:
+        """Give the lease back (the paper's "Releasing leases"); no operation may be under way.
+
+        May be called any number of times.
+        """
+        if self.is_over:
+            return []
+        self.released = True
+        return self.release_messages()
+
+    def release_messages(self) -> list[ProposerMessage]:
+        """Return the release of all that was granted, if anything was ever asked for."""
+        return [Release(self.lease, self.ballot)] if self.ballot is not None else []
--- a/stepstream/leases/sessions.py
+++ b/stepstream/leases/sessions.py
@@ -1,70 +1,154 @@
-"""Leases held for programs outside, by the admin listener's calls; told the time; free of I/O.
+"""Sessions: leases held for programs outside, which keep them alive by heartbeats.
 
-Such a program asks again and again; what it is told is how long nobody else can hold the lease. If it asks no
-more, its lease is not renewed: it runs out, and is never released while the program may still act.
+After Chubby (Burrows 2006, section 2.8, sessions and KeepAlives). A program calls the admin
+listener again and again; each call is a heartbeat and is answered with how long nobody else can
+hold the lease.
+
+    waiting  -> held       the proposer is granted the lease
+    waiting  -> withdrawn  no heartbeat for half a time to live
+    held     -> winding down   the same, or an operator takes it back, or this dispatcher stops
+    winding down -> expired    the lease runs out
+
+A held lease is never released on a program's behalf, since the program may still act: without
+heartbeats it is no longer renewed and runs out.
+
+`SessionTable` owns the sessions and has no I/O; `SessionService` runs it under the driver's lock
+and may be called by any thread. All times are seconds of the driver's clock.
 """
 
 from dataclasses import dataclass
 
-from stepstream.leases.claim import Claim
-from stepstream.leases.rules import Rules
+from stepstream.leases.driver import LeaseDriver, boot_time_seconds
+from stepstream.leases.proposer import Proposer
 
-ASKED = 0.5  # of the time to live: unheard for longer, a session is not renewed
+HEARTBEAT_TIMEOUT_SHARE = 0.5  # of the time to live
 
 
 @dataclass(slots=True)
 class Session:
-    name: str  # drawn by the program outside
-    claim: Claim
-    asked: float  # last
-    ending: bool = False  # an operator wants the lease back, or this dispatcher stops
+    """One outside program's attempt at one lease."""
+
+    name: str  # chosen by the program at random
+    proposer: Proposer
+    last_heartbeat_at: float
+    ending: bool = False  # the program is to end and to give the lease back
 
+    def is_silent(self, now: float) -> bool:
+        """Tell whether heartbeats have stopped."""
+        timeout = HEARTBEAT_TIMEOUT_SHARE * self.proposer.ttl_seconds
+        return now - self.last_heartbeat_at > timeout
 
-class Sessions:
-    def __init__(self, most: int) -> None:
-        self.most = most
-        self.open: dict[str, Session] = {}
+    def is_forgettable(self, now: float) -> bool:
+        """Tell whether the lease is over and its program silent for a time to live."""
+        silent_seconds = now - self.last_heartbeat_at
+        return self.proposer.is_over and silent_seconds > self.proposer.ttl_seconds
 
-    def get(self, now: float, name: str) -> Session | None:
-        session = self.open.get(name)
+
+class SessionTable:
+    """The open sessions, by name."""
+
+    def __init__(self, max_sessions: int) -> None:
+        self.max_sessions = max_sessions
+        self.open_sessions: dict[str, Session] = {}
+
+    def heartbeat(self, now: float, name: str) -> Session | None:
+        """Return a known session, kept alive."""
+        session = self.open_sessions.get(name)
         if session is not None:
-            session.asked = now
+            session.last_heartbeat_at = now
         return session
 
-    def add(self, now: float, name: str, claim: Claim) -> Session:
-        session = self.open[name] = Session(name, claim, now)
+    def add(self, now: float, name: str, proposer: Proposer) -> Session:
+        """Open a session."""
+        session = Session(name, proposer, now)
+        self.open_sessions[name] = session
         return session
 
-    def room(self, now: float) -> bool:
-        self.sweep(now)
-        return len(self.open) < self.most
+    def remove(self, name: str) -> Session | None:
+        """Close a session and return it."""
+        return self.open_sessions.pop(name, None)
+
+    def has_capacity(self, now: float) -> bool:
+        """Tell whether one more session fits, after the silent ones were expired."""
+        self.expire(now)
+        return len(self.open_sessions) < self.max_sessions
 
-    def end(self, lease: str | None = None) -> list[Session]:
-        """Told to end, all or one lease's; the core has them fade."""
-        ended = [x for x in self.open.values() if lease in (None, x.claim.lease)]
+    def ask_to_end(self, lease: str | None = None) -> list[Session]:
+        """Mark the sessions of one lease, or all, as ending; the participant winds them down."""
+        ended = [
+            session
+            for session in self.open_sessions.values()
+            if lease in (None, session.proposer.lease)
+        ]
         for session in ended:
             session.ending = True
         return ended
 
-    def sweep(self, now: float) -> list[Session]:
-        """Those unheard for too long are not renewed; returned are those that only wait, to be withdrawn."""
+    def expire(self, now: float) -> list[Session]:
+        """Wind down the silent sessions; return those that only waited, for their withdrawal."""
         waiting = []
-        for session in self.open.values():
-            if now - session.asked > ASKED * session.claim.ttl:
-                session.claim.fading = True
-                if not session.claim.token:
+        for session in self.open_sessions.values():
+            if session.is_silent(now):
+                session.proposer.winding_down = True
+                if not session.proposer.token:
                     waiting.append(session)
-        gone = [x for x in self.open.values() if x.claim.over and now - x.asked > x.claim.ttl]
-        for session in [*gone, *waiting]:
-            self.open.pop(session.name, None)
+        forgettable = [
+            session for session in self.open_sessions.values() if session.is_forgettable(now)
+        ]
+        for session in [*forgettable, *waiting]:
+            self.open_sessions.pop(session.name, None)
         return waiting
 
 
-def no_quorum(rules: Rules, claim: Claim, now: float) -> str:
-    """Why a lease cannot be had just now, or "": how many voters have answered of late."""
-    patience = 2 * rules.proposer_waits()
-    heard = {name for name, at in claim.answered.items() if now - at <= patience}
-    if claim.held(now) or rules.majority(heard) or now - claim.wanted_at < 2 * rules.timeout:
-        return ""
-    missing = ", ".join(sorted(rules.everyone - heard))
-    return f"no quorum: {len(heard)} of {len(rules.everyone)} voters answered, not {missing}"
+class SessionService:
+    """The sessions of one dispatcher."""
+
+    def __init__(self, driver: LeaseDriver, table: SessionTable) -> None:
+        self.driver = driver
+        self.table = table  # guarded by the driver's lock
+
+    def heartbeat(self, now: float, name: str) -> Session | None:
+        """Return a known session, kept alive."""
+        with self.driver.state_changed:
+            return self.table.heartbeat(now, name)
+
+    def has_capacity(self, now: float) -> bool:
+        """Tell whether one more session may be opened."""
+        with self.driver.state_changed:
+            return self.table.has_capacity(now)
+
+    def open(
+        self, now: float, name: str, lease: str, ttl_seconds: float, operation_seconds: float
+    ) -> Session:
+        """Open a session and begin its attempt at the lease."""
+        proposer = self.driver.acquire(lease, ttl_seconds, operation_seconds)
+        with self.driver.state_changed:
+            return self.table.add(now, name, proposer)
+
+    def release(self, name: str) -> bool:
+        """Give a session's lease back at its program's call; return False if it is unknown."""
+        with self.driver.state_changed:
+            session = self.table.remove(name)
+        if session is None:
+            return False
+        self.driver.release(session.proposer)
+        return True
+
+    def end(self, lease: str | None = None) -> int:
+        """Have the holders of one lease, or of all, end; return how many programs are told so.
+
+        Tasks inside this dispatcher end as well. Each ends after its operation under way.
+        """
+        with self.driver.state_changed:
+            ended = self.table.ask_to_end(lease)
+            outgoing = self.driver.participant.wind_down(boot_time_seconds(), lease)
+            self.driver.state_changed.notify_all()
+        self.driver.send(outgoing)
+        return len(ended)
+
+    def expire(self, now: float) -> None:
+        """Withdraw or wind down the sessions without heartbeats."""
+        with self.driver.state_changed:
+            waiting = self.table.expire(now)
+        for session in waiting:
+            self.driver.release(session.proposer)
--- a/tests/golden/state_answers.py
+++ b/tests/golden/state_answers.py
@@ -34,10 +34,10 @@
 from stepstream.http import platform_api as platform
 from stepstream.http.destination_set import DestinationSet
 from stepstream.lab import demo, fleet_faults, fleet_play, ledger, nodes, referee, rig
-from stepstream.leases import core as lease_core
 from stepstream.leases import messages as lease_messages
+from stepstream.leases import participant as lease_participant
 from stepstream.leases import subsystem as lease_plug
-from stepstream.leases.sweeper import Sweeper
+from stepstream.leases.health_check_leader import HealthCheckLeader, HealthCheckPort
 from stepstream.membership import driver as fleet_driver
 from stepstream.membership import messages as fleet_messages
 from stepstream.membership import subsystem as fleet_plug
@@ -434,18 +434,20 @@
             subsystems={"fleet": messenger},
         )
         self.part = lease_plug.LeasesSubsystem(host)
-        rules = self.part.rules
-        self.peer = lease_core.Core("n1", "n1@2f", rules, UNIX_MS, random.Random(1), clock.now)
+        rules = self.part.configuration
+        self.peer = lease_participant.Participant(
+            "n1", "n1@2f", rules, UNIX_MS, random.Random(1), clock.now
+        )
 
     def post(self, member: str, kind: str, data: bytes) -> None:
         self.posted.append([member, kind, data.hex()])
         if member == "n1" and self.answering:
             sends = self.peer.handle(self.clock.now, "n0", lease_messages.decode(data))
             for send in sends:
-                self.part.driver.hear("n1", lease_messages.encode(send.letter))
+                self.part.driver.on_envelope("n1", lease_messages.encode(send.envelope))
 
     def tick(self) -> None:
-        self.part.driver.carry(self.part.core.tick(self.clock.now))
+        self.part.driver.send(self.part.participant.tick(self.clock.now))
 
 
 def want(session: str, ttl_ms: object = 5_000, act_ms: object = 1_000) -> str:
@@ -519,7 +521,7 @@
             ask(method, target)
         for number in range(5, 10):
             ask("PUT", f"/leases/room/{want(f'session-{number}')}")
-        rig_made.part.leases.closed = True
+        rig_made.part.client.closed = True
         ask("PUT", f"/leases/late/{want('session-a')}")
         caller.close()
     return caller.told
@@ -546,13 +548,14 @@
         send=lambda member, kind, data: told.append([member, kind, data.hex()]),
         present=lambda: ["n1", "n2"],
     )
+    port = HealthCheckPort(list, None, tuple, lambda probed: None)
     with clock.in_force():
-        made = Sweeper(None, messenger, None, list, None, tuple, lambda probed: None)
-        made.answered(HealthChecked("s-1", True, 3_400, {"busy": 0.25}))
+        made = HealthCheckLeader(None, messenger, None, port)
+        made.on_health_checked(HealthChecked("s-1", True, 3_400, {"busy": 0.25}))
         clock.now += 0.125
-        made.answered(HealthChecked("s-2", True, 0, {"busy": 1.0, "queue": 2.0}))
-        made.answered(HealthChecked("s-3", False, 0, None))
-        made.tell(SimpleNamespace(token=UNIX_MS))
+        made.on_health_checked(HealthChecked("s-2", True, 0, {"busy": 1.0, "queue": 2.0}))
+        made.on_health_checked(HealthChecked("s-3", False, 0, None))
+        made.publish(SimpleNamespace(token=UNIX_MS))
     return [*told, ["kinds heard", *heard]]
 
 
--- a/tests/golden/state_samples.py
+++ b/tests/golden/state_samples.py
@@ -25,11 +25,11 @@
 
 from stepstream.core.maintenance import MaintenanceState
 from stepstream.hot_restart import state as handover
-from stepstream.leases import core as lease_core
-from stepstream.leases import guard as lease_guard
+from stepstream.leases import configuration as lease_configuration
+from stepstream.leases import fencing as lease_fencing
+from stepstream.leases import health_reports
 from stepstream.leases import messages as lease_messages
-from stepstream.leases import rules as lease_rules
-from stepstream.leases import sweep
+from stepstream.leases import participant as lease_participant
 from stepstream.membership import messages as fleet_messages
 from stepstream.membership import view as fleet_view
 
@@ -269,23 +269,23 @@
     return {
         "prepare": lease_messages.Prepare(lease, one, 10_000, 250),
         "prepare-longest": lease_messages.Prepare("a" * 64, one, longest, longest),
-        "promised": lease_messages.Promised(lease, one),
+        "promised": lease_messages.Promise(lease, one),
         "busy": lease_messages.Busy(lease, one, "n1@18bcfe56800009.4", 1_700_000_000_000, 4_321),
         "busy-by-turn": lease_messages.Busy(lease, one, "", 0, 300),
-        "stale": lease_messages.Stale(lease, one, 1_700_000_000_009),
-        "silent": lease_messages.Silent(lease, one, 59_999),
+        "stale": lease_messages.StaleBallot(lease, one, 1_700_000_000_009),
+        "silent": lease_messages.Recovering(lease, one, 59_999),
         "propose": lease_messages.Propose(lease, one, 2, 1_700_000_000_001, 10_000),
         "accepted": lease_messages.Accepted(lease, one, 2),
         "release": lease_messages.Release(lease, one),
-        "free": lease_messages.Free(lease, one),
-        "foreign": lease_messages.Foreign(lease, one),
-        "ballot-zero": lease_messages.Promised("0", lease_messages.Ballot(0, "p")),
-        "ballot-greatest": lease_messages.Promised(lease, greatest),
+        "free": lease_messages.LeaseAvailable(lease, one),
+        "foreign": lease_messages.ConfigurationMismatch(lease, one),
+        "ballot-zero": lease_messages.Promise("0", lease_messages.Ballot(0, "p")),
+        "ballot-greatest": lease_messages.Promise(lease, greatest),
     }
 
 
 def lease_letter(bodies: tuple[object, ...], sets: tuple[int, ...] = (0xABCDEF012345,)) -> object:
-    return lease_messages.Letter(1, sets, bodies)
+    return lease_messages.Envelope(1, sets, bodies)
 
 
 def lease_samples() -> dict[str, object]:
@@ -335,7 +335,7 @@
     }
     made = broken_frames(prepare) | {name: set_in(*change) for name, change in changes.items()}
     made["letter-longer-by-one-element"] = extended(prepare)
-    made["over-the-longest-letter"] = prepare.ljust(lease_messages.LETTER + 65, b"\x00")
+    made["over-the-longest-letter"] = prepare.ljust(lease_messages.MAX_ENVELOPE_BYTES + 65, b"\x00")
     made["text-not-utf-8"] = prepare.replace(b"night", b"nig\xff\xff")
     return made
 
@@ -352,8 +352,8 @@
 
 def sweep_samples() -> dict[str, object]:
     """By name, the token and the reports of one page."""
-    seen = sweep.Seen("s-1", 12, 3_400, {"busy": 0.25, "queue": 3.0})
-    other = sweep.Seen("10.0.0.7:5000", 400, 60_000_000, {"queue": 0.0})
+    seen = health_reports.HealthReport("s-1", 12, 3_400, {"busy": 0.25, "queue": 3.0})
+    other = health_reports.HealthReport("10.0.0.7:5000", 400, 60_000_000, {"queue": 0.0})
     return {
         "one-report": (5, (seen,)),
         "two-reports": (MOST_NUMBER, (seen, other)),
@@ -363,14 +363,14 @@
 
 def write_sweep(sample: tuple[int, tuple]) -> bytes:
     token, seen = sample
-    (page,) = sweep.pages(token, seen)
+    (page,) = health_reports.encode_pages(token, seen)
     return page
 
 
 def read_sweep(data: bytes) -> tuple[int, tuple]:
-    hearing = sweep.Hearing()
-    told = hearing.read(data, REPORT_NAMES, 100.0)
-    return hearing.guard.highest, tuple(told)
+    hearing = health_reports.HealthReportLearner()
+    told = hearing.learn(data, REPORT_NAMES, 100.0)
+    return hearing.guard.highest_token, tuple(told)
 
 
 def sweep_malformed() -> dict[str, bytes]:
@@ -526,7 +526,7 @@
         "leases",
         lease_messages.encode,
         lease_messages.decode,
-        lease_messages.BadLetterError,
+        lease_messages.EnvelopeError,
         lease_samples,
         lease_malformed,
         lease_tolerated,
@@ -535,7 +535,7 @@
         "sweep",
         write_sweep,
         read_sweep,
-        sweep.BadPageError,
+        health_reports.ReportPageError,
         sweep_samples,
         sweep_malformed,
         sweep_tolerated,
@@ -556,7 +556,7 @@
 
 
 def lease_rules_of(*voters: str, old: tuple[str, ...] = ()) -> object:
-    return lease_rules.Rules(voters, old)
+    return lease_configuration.LeaseConfiguration(voters, old)
 
 
 def marks() -> dict[str, object]:
@@ -577,7 +577,7 @@
             )
         ],
         "rules": [
-            list(rules.marks)
+            list(rules.digests)
             for rules in (lease_rules_of("n2", "n0", "n1"), lease_rules_of("n0", old=("n1", "n2")))
         ],
     }
@@ -585,20 +585,20 @@
 
 def fencing() -> dict[str, object]:
     """A guarded resource refuses a token behind the highest one; its error names both."""
-    guard, told = lease_guard.Guard(), []
+    guard, told = lease_fencing.FencingGuard(), []
     for token in (5, 5, 9, 8, 0, 10):
         try:
             guard.admit(token)
             told.append([token, "taken"])
-        except lease_guard.FencedError as error:
-            told.append([token, str(error), error.token, error.highest])
-    return {"calls": told, "highest": guard.highest, "refused": guard.refused}
+        except lease_fencing.FencedError as error:
+            told.append([token, str(error), error.token, error.highest_token])
+    return {"calls": told, "highest": guard.highest_token, "refused": guard.rejected}
 
 
 def sweep_pages() -> list[str]:
     """More reports than one page holds."""
-    seen = [sweep.Seen(f"s-{k}", k, 1_000 * k, {"busy": k / 8}) for k in range(90)]
-    return [page.hex() for page in sweep.pages(7, seen)]
+    seen = [health_reports.HealthReport(f"s-{k}", k, 1_000 * k, {"busy": k / 8}) for k in range(90)]
+    return [page.hex() for page in health_reports.encode_pages(7, seen)]
 
 
 def fleet_conversation() -> list[list[str]]:
@@ -648,13 +648,15 @@
     rules = lease_rules_of(*names)
     base, cores = 1_700_000_000_000, {}
     for name in names:
-        cores[name] = lease_core.Core(name, f"{name}@1f", rules, base, random.Random(name), 0.0)
+        cores[name] = lease_participant.Participant(
+            name, f"{name}@1f", rules, base, random.Random(name), 0.0
+        )
     told: list[list[str]] = []
     under_way: list[tuple[str, str, bytes]] = []
 
     def carry(sender: str, sends: list) -> None:
         for send in sends:
-            data = lease_messages.encode(send.letter)
+            data = lease_messages.encode(send.envelope)
             told.append([sender, send.member, data.hex()])
             under_way.append((sender, send.member, data))
 
@@ -669,7 +671,7 @@
         if step == 120:
             carry("n0", cores["n0"].release(now, claim))
         for name, core in cores.items():
-            if core.next_at() <= now:
+            if core.next_tick_at() <= now:
                 carry(name, core.tick(now))
         while under_way:
             sender, member, data = under_way.pop(0)
--- a/tests/leases/test_leases.py
+++ b/tests/leases/test_leases.py
@@ -10,17 +10,18 @@
 from stepstream.lab.fleet_faults import draw
 from stepstream.lab.lease_search import Bounds, Search
 from stepstream.lab.lease_world import LeaseWorld, Resource, Task, TwoHoldersError, drawn
+from stepstream.leases import health_reports
 from stepstream.leases import messages as m
-from stepstream.leases import sweep
-from stepstream.leases.claim import Claim, Numbers, State
-from stepstream.leases.core import Core, fault_of
-from stepstream.leases.guard import FencedError, Guard
+from stepstream.leases.acceptor import Acceptor, Grant, LeaseRecord
+from stepstream.leases.configuration import LeaseConfiguration, LeaseTimesError, check_lease_times
+from stepstream.leases.fencing import FencedError, FencingGuard
 from stepstream.leases.messages import Ballot
-from stepstream.leases.rules import Rules
-from stepstream.leases.voter import Grant, Record, Voter
+from stepstream.leases.participant import Participant
+from stepstream.leases.proposer import BallotSequence, LeaseState, Proposer
+from stepstream.leases.wait_queue import WaitQueue
 
 THREE = ("n0", "n1", "n2")
-RULES = Rules(THREE, longest=6.0)
+RULES = LeaseConfiguration(THREE, max_ttl_seconds=6.0)
 
 
 def world(seed=1, members=5, rules=RULES, tasks=()):
@@ -28,7 +29,7 @@
     for name, task in tasks:
         made.tasks[name].append(task)
     made.start_all()
-    made.run(rules.silence + 0.1)
+    made.run(rules.recovery_seconds + 0.1)
     return made
 
 
@@ -58,42 +59,45 @@
 
 
 def no_silence(monkeypatch):
-    monkeypatch.setattr(Rules, "silence", property(lambda rules: 0.0))
+    monkeypatch.setattr(LeaseConfiguration, "recovery_seconds", property(lambda rules: 0.0))
 
 
 def no_drift_margin(monkeypatch):
-    monkeypatch.setattr(Rules, "kept", lambda rules, ttl: ttl)
+    monkeypatch.setattr(LeaseConfiguration, "acceptor_ttl_seconds", lambda rules, ttl: ttl)
 
 
 def majority_off_by_one(monkeypatch):
-    def enough(rules, names):
-        return all(2 * len(one & frozenset(names)) + 2 > len(one) for one in rules.sets)
+    def enough(configuration, names):
+        return all(
+            2 * len(one & frozenset(names)) + 2 > len(one) for one in configuration.acceptor_sets
+        )
 
-    monkeypatch.setattr(Rules, "majority", enough)
+    monkeypatch.setattr(LeaseConfiguration, "is_quorum", enough)
 
 
 def renewal_from_an_old_ballot(monkeypatch):
-    def accepts(voter, now, body):
-        record = voter.records.setdefault(body.lease, Record())
-        until = now + voter.rules.kept(body.ttl_ms / 1000)
-        record.grant = Grant(body.ballot, body.token, until)
-        voter.due = min(voter.due, until)
+    def accepts(acceptor, now, body):
+        fresh = LeaseRecord(WaitQueue(acceptor.configuration))
+        record = acceptor.records.setdefault(body.lease, fresh)
+        expires_at = now + acceptor.configuration.acceptor_ttl_seconds(body.ttl_ms / 1000)
+        record.grant = Grant(body.ballot, body.token, expires_at)
+        acceptor.next_tick_at = min(acceptor.next_tick_at, expires_at)
         return m.Accepted(body.lease, body.ballot, body.round)
 
-    monkeypatch.setattr(Voter, "on_propose", accepts)
+    monkeypatch.setattr(Acceptor, "on_propose", accepts)
 
 
 def guard_refuses_its_own(monkeypatch):
     def admit(guard, token):
-        if token <= guard.highest:
-            raise FencedError(token, guard.highest)
-        guard.highest = token
+        if token <= guard.highest_token:
+            raise FencedError(token, guard.highest_token)
+        guard.highest_token = token
 
-    monkeypatch.setattr(Guard, "admit", admit)
+    monkeypatch.setattr(FencingGuard, "admit", admit)
 
 
 def guard_refuses_nobody(monkeypatch):
-    monkeypatch.setattr(Guard, "admit", lambda guard, token: None)
+    monkeypatch.setattr(FencingGuard, "admit", lambda guard, token: None)
 
 
 @pytest.mark.parametrize(
@@ -117,13 +121,13 @@
 
 
 def test_a_guard_takes_an_effect_whole_or_not_at_all():
-    guard, taken = Guard(), []
-    guard.take(5, lambda: taken.append(5))
-    guard.take(5, lambda: taken.append(5))
+    guard, taken = FencingGuard(), []
+    guard.apply(5, lambda: taken.append(5))
+    guard.apply(5, lambda: taken.append(5))
     with pytest.raises(FencedError) as refused:
-        guard.take(4, lambda: taken.append(4))
+        guard.apply(4, lambda: taken.append(4))
     assert taken == [5, 5]
-    assert (refused.value.token, refused.value.highest, guard.refused) == (
+    assert (refused.value.token, refused.value.highest_token, guard.rejected) == (
         4,
         5,
         1,
@@ -164,7 +168,7 @@
 def test_a_slow_clock_among_fast_ones_needs_the_margin(margin, monkeypatch):
     if not margin:
         no_drift_margin(monkeypatch)
-    rules = Rules(THREE, longest=6.0, drift=0.05)
+    rules = LeaseConfiguration(THREE, max_ttl_seconds=6.0, max_clock_drift=0.05)
     made = LeaseWorld(1, [f"n{k}" for k in range(5)], rules)
     for name, process in made.processes.items():
         process.rate = 0.95 if name == "n3" else 1.05
@@ -192,7 +196,7 @@
         made.kill(name)
         made.run(0.2)
         made.start(name)
-        made.run(RULES.silence + 2.0)
+        made.run(RULES.recovery_seconds + 2.0)
     assert made.holders("x") == [holder]
     assert len(made.grants) == 1
     assert made.grants[0].token == min(
@@ -207,7 +211,7 @@
         made.kill(name)
         made.start(name)
     at, before = made.now, len(made.grants)
-    made.run(RULES.silence * 0.98)
+    made.run(RULES.recovery_seconds * 0.98)
     assert len(made.grants) == before
     assert made.run(3.0, lambda: len(made.grants) > before)
     assert made.grants[-1].since - at >= 6.0
@@ -217,7 +221,7 @@
 def test_tokens_grow_past_a_restart_of_everybody_though_the_clock_was_set_back(back):
     made = world(tasks=[(f"n{k}", Task("x")) for k in range(5)])
     made.run(5.0)
-    before = made.resources["x"].guard.highest
+    before = made.resources["x"].guard.highest_token
     for name, process in made.processes.items():
         process.ahead = back
         made.kill(name)
@@ -242,21 +246,21 @@
 def test_two_proposers_in_step_get_out_of_it():
     for seed in range(30):
         made = world(seed, tasks=[("n3", Task("x", hold=1e6)), ("n4", Task("x", hold=1e6))])
-        assert made.run(RULES.silence + 5.0, lambda made=made: bool(made.holders("x")))
+        assert made.run(RULES.recovery_seconds + 5.0, lambda made=made: bool(made.holders("x")))
 
 
 def core(name="n0", now=0.0):
-    made = Core(name, f"{name}@1", RULES, 100, random.Random(1), now)
-    made.voter.silent_until = now
+    made = Participant(name, f"{name}@1", RULES, 100, random.Random(1), now)
+    made.acceptor.recovering_until = now
     return made
 
 
 def test_a_release_of_an_earlier_grant_that_arrives_late_ends_no_later_one():
-    voter, first, second = Voter(RULES, -100.0), Ballot(5, "a.1"), Ballot(6, "a.2")
+    voter, first, second = Acceptor(RULES, -100.0), Ballot(5, "a.1"), Ballot(6, "a.2")
     for at, ballot in ((0.0, first), (1.0, second)):
         voter.handle(at, "a", m.Release("x", first)) if ballot is second else None
         assert voter.handle(at, "a", m.Prepare("x", ballot, 3000, 0)) == [
-            ("a", m.Promised("x", ballot))
+            ("a", m.Promise("x", ballot))
         ]
         assert voter.handle(at, "a", m.Propose("x", ballot, 1, 5, 3000)) == [
             ("a", m.Accepted("x", ballot, 1))
@@ -266,42 +270,52 @@
 
 
 def test_a_renewal_that_crosses_its_release_is_not_accepted():
-    voter, ballot = Voter(RULES, -100.0), Ballot(5, "a.1")
+    voter, ballot = Acceptor(RULES, -100.0), Ballot(5, "a.1")
     voter.handle(0.0, "a", m.Prepare("x", ballot, 3000, 0))
     voter.handle(0.0, "a", m.Propose("x", ballot, 1, 5, 3000))
     voter.handle(1.0, "a", m.Release("x", ballot))
     ((_, told),) = voter.handle(1.1, "a", m.Propose("x", ballot, 2, 5, 3000))
-    assert isinstance(told, m.Stale)
+    assert isinstance(told, m.StaleBallot)
     assert voter.records["x"].grant is None
 
 
 def test_a_lease_counts_from_the_sending_of_its_proposal_and_doubt_comes_before_its_end():
-    numbers = Numbers(7)
-    claim = Claim(RULES, "x", "a.1", 3.0, 1.0, numbers, random.Random(1), 0.0)
+    numbers = BallotSequence(7)
+    claim = Proposer(RULES, "x", "a.1", 3.0, 1.0, numbers, random.Random(1), 0.0)
     (ask,) = claim.tick(0.0)
-    claim.handle(0.1, "n0", m.Promised("x", ask.ballot))
-    (offer,) = claim.handle(0.2, "n1", m.Promised("x", ask.ballot))
+    claim.handle(0.1, "n0", m.Promise("x", ask.ballot))
+    (offer,) = claim.handle(0.2, "n1", m.Promise("x", ask.ballot))
     claim.handle(0.3, "n1", m.Accepted("x", ask.ballot, offer.round))
     claim.handle(0.4, "stranger", m.Accepted("x", ask.ballot, offer.round))
-    assert claim.state(0.4) is State.WANTED
+    assert claim.state(0.4) is LeaseState.ACQUIRING
     claim.handle(0.5, "n2", m.Accepted("x", ask.ballot, offer.round))
-    assert claim.ends_at == 3.2
+    assert claim.expires_at == 3.2
     assert claim.token == 8
     seen = [claim.state(at) for at in (1.0, 2.19, 2.21, 3.19, 3.21)]
-    assert seen == [State.HELD, State.HELD, State.DOUBTFUL, State.DOUBTFUL, State.LOST]
+    assert seen == [
+        LeaseState.HELD,
+        LeaseState.HELD,
+        LeaseState.EXPIRING,
+        LeaseState.EXPIRING,
+        LeaseState.LOST,
+    ]
     (renewal,) = claim.tick(1.3)
     assert renewal.ballot == ask.ballot
-    assert claim.state(1.3) is State.RENEWING
+    assert claim.state(1.3) is LeaseState.RENEWING
     claim.handle(3.3, "n0", m.Accepted("x", ask.ballot, 2))  # too late: it is lost, and stays so
     assert claim.lost
-    assert not claim.may_act(3.3)
+    assert not claim.may_begin_operation(3.3)
     assert claim.tick(9.0) == []
 
 
 def test_voters_are_changed_by_way_of_both_sets_and_a_step_left_out_is_caught():
     """Old, then both, then new; every dispatcher at one step before any goes on to the next."""
     old, new = THREE, ("n3", "n4", "n5")
-    steps = [Rules(old, longest=2.0), Rules(new, old, longest=2.0), Rules(new, longest=2.0)]
+    steps = [
+        LeaseConfiguration(old, max_ttl_seconds=2.0),
+        LeaseConfiguration(new, old, max_ttl_seconds=2.0),
+        LeaseConfiguration(new, max_ttl_seconds=2.0),
+    ]
 
     def change(steps):
         made = LeaseWorld(3, [f"n{k}" for k in range(8)], steps[0])
@@ -311,7 +325,7 @@
         made.run(5.0)
         for rules in steps[1:]:
             made.rules = rules
-            for names in (rules.voters, [n for n in made.names if n not in rules.voters]):
+            for names in (rules.acceptors, [n for n in made.names if n not in rules.acceptors]):
                 for name in names:
                     made.kill(name)
                     made.start(name)
@@ -333,39 +347,53 @@
         (7.0, 1.0, "ttl_ms=7000"),
         (4.0, 2.5, "act_ms"),
         (4.0, 0.0, "act_ms"),
-        (4.0, 1.0, ""),
     ],
 )
 def test_times_out_of_bounds_are_named(ttl, act, key):
-    assert fault_of(RULES, ttl, act).startswith(key)
-    assert bool(fault_of(RULES, ttl, act)) == bool(key)
+    with pytest.raises(LeaseTimesError) as refused:
+        check_lease_times(RULES, ttl, act)
+    assert str(refused.value).startswith(key)
+    assert isinstance(refused.value, ValueError)
+
+
+def test_times_within_bounds_are_taken():
+    check_lease_times(RULES, 4.0, 1.0)
 
 
 def test_a_member_with_other_rules_is_told_so_and_gets_no_vote():
     mine, other = (
         core(),
-        Core("n1", "n1@1", Rules(("n1", "n8", "n9"), longest=6.0), 1, random.Random(2), 0.0),
+        Participant(
+            "n1",
+            "n1@1",
+            LeaseConfiguration(("n1", "n8", "n9"), max_ttl_seconds=6.0),
+            1,
+            random.Random(2),
+            0.0,
+        ),
     )
     claim, sends = other.acquire(1.0, "x", 4.0, 1.0)
-    letter = m.Letter(m.VERSION, other.rules.marks, (m.Prepare("x", claim.ballot, 4000, 0),))
-    ((to, answer),) = [(x.member, x.letter) for x in mine.handle(1.0, "n1", letter)]
+    letter = m.Envelope(
+        m.PROTOCOL_VERSION, other.configuration.digests, (m.Prepare("x", claim.ballot, 4000, 0),)
+    )
+    ((to, answer),) = [(x.member, x.envelope) for x in mine.handle(1.0, "n1", letter)]
     assert to == "n1"
-    assert isinstance(answer.bodies[0], m.Foreign)
-    assert "n1" in mine.foreign
+    assert isinstance(answer.messages[0], m.ConfigurationMismatch)
+    assert "n1" in mine.mismatched_members
     other.handle(1.1, "n0", answer)
-    assert not claim.promised - {"n1"}
+    assert not claim.promised_by - {"n1"}
 
 
 def test_a_voter_keeps_no_more_than_its_bounds_and_forgets_no_number():
-    voter = Voter(Rules(THREE, most=3, most_waiting=2), -100.0)
+    voter = Acceptor(LeaseConfiguration(THREE, max_leases=3, max_waiters=2), -100.0)
     for k in range(3):
         ballot = Ballot(50 + k, "a.1")
         voter.handle(0.0, "a", m.Prepare(f"x{k}", ballot, 3000, 0))
         if k:
             voter.handle(0.0, "a", m.Propose(f"x{k}", ballot, 1, 5, 3000))
     ((_, told),) = voter.handle(0.0, "b", m.Prepare("x9", Ballot(9, "b.1"), 3000, 0))
-    assert isinstance(told, m.Stale)
-    assert told.number == 50
+    assert isinstance(told, m.StaleBallot)
+    assert told.highest_number == 50
     assert set(voter.records) == {"x1", "x2", "x9"}
     for k in range(5):
         voter.handle(0.0, "b", m.Prepare("x1", Ballot(99, f"b.{k}"), 3000, 0))
@@ -379,7 +407,7 @@
         m.Prepare("x", Ballot(200, "b.1"), 3000, 5),
         m.Propose("x", Ballot(200, "b.1"), 1, 200, 3000),
     )
-    whole = m.encode(m.Letter(m.VERSION, RULES.marks, bodies))
+    whole = m.encode(m.Envelope(m.PROTOCOL_VERSION, RULES.digests, bodies))
     part = bytearray(whole[: data.draw(st.integers(0, len(whole)))])
     for _ in range(data.draw(st.integers(0, 3))):
         if part:
@@ -387,10 +415,10 @@
     mine = core()
     try:
         letter = m.decode(bytes(part))
-    except m.BadLetterError:
+    except m.EnvelopeError:
         return
     mine.handle(1.0, "n1", letter)
-    assert len(mine.voter.records) <= 2
+    assert len(mine.acceptor.records) <= 2
 
 
 @pytest.mark.parametrize(
@@ -398,14 +426,14 @@
     [
         (b"\xc1", "unreadable"),
         (b"x" * 1100, "over"),
-        (m.encode(m.Letter(2, (1,), ())), "version 2"),
-        (m.encode(m.Letter(1, (1,), (m.Release("No Name", Ballot(1, "a")),))), "unreadable"),
-        (m.encode(m.Letter(1, (1,), (m.Release("x", Ballot(2**60, "a")),))), "unreadable"),
-        (m.encode(m.Letter(1, (1, 2, 3), ())), "unreadable"),
+        (m.encode(m.Envelope(2, (1,), ())), "version 2"),
+        (m.encode(m.Envelope(1, (1,), (m.Release("No Name", Ballot(1, "a")),))), "unreadable"),
+        (m.encode(m.Envelope(1, (1,), (m.Release("x", Ballot(2**60, "a")),))), "unreadable"),
+        (m.encode(m.Envelope(1, (1, 2, 3), ())), "unreadable"),
     ],
 )
 def test_a_letter_that_is_not_ours_is_dropped_with_its_reason(data, why):
-    with pytest.raises(m.BadLetterError, match=why):
+    with pytest.raises(m.EnvelopeError, match=why):
         m.decode(data)
 
 
@@ -413,37 +441,39 @@
 
 
 def seen(worker="s-1", age_ms=5, **report):
-    return sweep.Seen(worker, age_ms, 700, report or {"queue": 1.0, "free_slots": 2.0})
+    return health_reports.HealthReport(
+        worker, age_ms, 700, report or {"queue": 1.0, "free_slots": 2.0}
+    )
 
 
 def test_a_swept_report_is_told_once_fresh_and_by_the_newest_holder():
-    hearing, names = sweep.Hearing(), ("queue", "free_slots")
-    (page,) = sweep.pages(
+    hearing, names = health_reports.HealthReportLearner(), ("queue", "free_slots")
+    (page,) = health_reports.encode_pages(
         7, [seen(), seen("s-2", age_ms=900), seen("s-3", colour=1.0), seen("s-4", queue=3.0, x=1.0)]
     )
-    told = hearing.read(page, names, 10.0)
-    assert [(one.worker, one.report) for one in told] == [
+    told = hearing.learn(page, names, 10.0)
+    assert [(one.worker_id, one.load_report) for one in told] == [
         ("s-1", {"queue": 1.0, "free_slots": 2.0}),
         ("s-4", {"queue": 3.0}),
     ]
-    assert [hearing.spared(worker, 11.5) for worker in ("s-1", "s-2", "s-3", "s-4")] == [
+    assert [hearing.is_delegated(worker, 11.5) for worker in ("s-1", "s-2", "s-3", "s-4")] == [
         True,
         False,
         False,
         True,
     ]
-    assert not hearing.spared("s-1", 11.7)  # nothing more came: back to its own probes
-    assert hearing.read(sweep.pages(6, [seen("s-5")])[0], names, 11.0) == []
-    assert hearing.fenced == 1
-    for data in (b"\xc1", sweep.ENCODER.encode(sweep.Page(9, 1, ()))):
-        with pytest.raises(sweep.BadPageError):
-            hearing.read(data, names, 11.0)
+    assert not hearing.is_delegated("s-1", 11.7)  # nothing more came: back to its own probes
+    assert hearing.learn(health_reports.encode_pages(6, [seen("s-5")])[0], names, 11.0) == []
+    assert hearing.fenced_count == 1
+    for data in (b"\xc1", health_reports.ENCODER.encode(health_reports.ReportPage(9, 1, ()))):
+        with pytest.raises(health_reports.ReportPageError):
+            hearing.learn(data, names, 11.0)
 
 
 def test_reports_of_many_workers_go_in_pages_that_fit():
     many = [seen(f"worker-{k:060}", queue=float(k)) for k in range(200)]
-    pages = sweep.pages(1, many)
+    pages = health_reports.encode_pages(1, many)
     assert all(len(page) <= 1_080 for page in pages)
     assert len(pages) < 40
-    hearing = sweep.Hearing()
-    assert sum(len(hearing.read(page, ("queue",), 0.0)) for page in pages) == 200
+    hearing = health_reports.HealthReportLearner()
+    assert sum(len(hearing.learn(page, ("queue",), 0.0)) for page in pages) == 200
