--- a/stepstream/leases/acceptor.py
+++ b/stepstream/leases/acceptor.py
@@ -101,7 +101,7 @@
         lease, ballot = prepare.lease, prepare.ballot
         record = self.records.get(lease)
         if record is None:
-            if not self.make_room():
+            if not self.has_capacity():
                 wait_ms = to_milliseconds(self.configuration.max_ttl_seconds)
                 return Busy(lease, ballot, "", 0, wait_ms)
             record = LeaseRecord(WaitQueue(self.configuration), free_since=now)
@@ -120,9 +120,10 @@
 
     def busy_reply(self, now: float, record: LeaseRecord, prepare: Prepare) -> Busy | None:
         """Return why the proposer has to wait: another's grant, or another waiter's turn."""
-        lease, ballot, grant = prepare.lease, prepare.ballot, record.grant
+        lease, ballot = prepare.lease, prepare.ballot
+        grant = record.grant
         if grant is None:
-            wait = record.waiters.seconds_until_turn(now, record.free_since, ballot.proposer)
+            wait = record.waiters.seconds_until_eligible(now, record.free_since, ballot.proposer)
             return Busy(lease, ballot, "", 0, to_milliseconds(wait)) if wait > 0 else None
         if grant.ballot.proposer == ballot.proposer:
             return None
@@ -163,14 +164,14 @@
     def enlist(self, now: float, member: str, record: LeaseRecord, prepare: Prepare) -> None:
         """Put a proposer into the queue; while the lease is free its turn comes by a timer."""
         if record.waiters.enlist(now, member, prepare) and record.grant is None:
-            turn_at = now + self.configuration.head_start_seconds
-            self.next_tick_at = min(self.next_tick_at, turn_at)
+            eligible_at = now + self.configuration.head_start_seconds
+            self.next_tick_at = min(self.next_tick_at, eligible_at)
 
     def call_waiters(self, now: float, lease: str, record: LeaseRecord) -> list[AddressedMessage]:
         """Tell those waiters of a free lease whose turn has come."""
-        called, next_turn_at = record.waiters.call_due(now, record.free_since)
-        if next_turn_at is not None:
-            self.next_tick_at = min(self.next_tick_at, next_turn_at)
+        called, next_eligible_at = record.waiters.take_eligible(now, record.free_since)
+        if next_eligible_at is not None:
+            self.next_tick_at = min(self.next_tick_at, next_eligible_at)
         return [(waiter.member, LeaseAvailable(lease, waiter.ballot)) for waiter in called]
 
     # -- timers -----------------------------------------------------------------------------------
@@ -191,8 +192,8 @@
                 calls.extend(self.call_waiters(now, lease, record))
         return calls
 
-    def make_room(self) -> bool:
-        """Tell whether one more lease fits, after a record that nobody needs was dropped.
+    def has_capacity(self) -> bool:
+        """Tell whether one more lease fits, after dropping a record that nobody needs.
 
         The dropped record's ballot number is remembered for all leases, so that no number is
         promised twice.
--- a/stepstream/leases/command_runner.py
+++ b/stepstream/leases/command_runner.py
@@ -113,7 +113,7 @@
         )  # from SIGTERM to the lease's end
         self.session_name = uuid.uuid4().hex
         self.token = 0  # that the command was given
-        self.held_until = 0.0  # nobody else can hold the lease before
+        self.expires_at = 0.0  # nobody else can hold the lease before
         self.answer = SessionAnswer()
         self.stop_signal = 0  # the number of the signal that came
 
@@ -145,7 +145,7 @@
 
     def has_time_to_run(self) -> bool:
         """Tell whether the lease lasts until the command would have to be ended."""
-        return self.held_until - boot_time_seconds() > self.term_seconds
+        return self.expires_at - boot_time_seconds() > self.term_seconds
 
     def is_wait_over(self, begun_at: float) -> bool:
         """Tell whether `--wait` has passed."""
@@ -170,9 +170,9 @@
             f"/leases/{self.name}/want?session={self.session_name}"
             f"&ttl_ms={self.ttl_seconds * 1000:.0f}&act_ms={self.term_seconds * 1000:.0f}"
         )
-        patience_seconds = self.patience_seconds(called_at)
+        call_timeout_seconds = self.call_timeout_seconds(called_at)
         try:
-            status, fields = call_admin(self.address, path, "PUT", patience_s=patience_seconds)
+            status, fields = call_admin(self.address, path, "PUT", patience_s=call_timeout_seconds)
         except ConnectionError as error:
             self.answer = SessionAnswer(error=str(error))
             return
@@ -180,17 +180,17 @@
         if status == HTTPStatus.OK and answer.remaining_seconds and self.token in (0, answer.token):
             drift = answer.max_clock_drift
             surely_seconds = answer.remaining_seconds * (1 - drift) / (1 + drift)
-            self.held_until = max(self.held_until, called_at + surely_seconds)
+            self.expires_at = max(self.expires_at, called_at + surely_seconds)
 
-    def patience_seconds(self, now: float) -> float:
+    def call_timeout_seconds(self, now: float) -> float:
         """Return the bound on a call.
 
         While the command runs, nothing may keep this program past the time to end it.
         """
-        spare_seconds = self.ttl_seconds
+        available_seconds = self.ttl_seconds
         if self.token:
-            spare_seconds = max(self.held_until - self.term_seconds - now, POLL_SECONDS)
-        return min(self.ttl_seconds / 4, MAX_CALL_SECONDS, spare_seconds)
+            available_seconds = max(self.expires_at - self.term_seconds - now, POLL_SECONDS)
+        return min(self.ttl_seconds / 4, MAX_CALL_SECONDS, available_seconds)
 
     def release(self) -> None:
         """Give the lease back; if the dispatcher cannot be reached, it expires."""
@@ -240,7 +240,7 @@
         lost_reason = ""
         while process.poll() is None:
             now = boot_time_seconds()
-            if now >= self.held_until - KILL_MARGIN_SECONDS:
+            if now >= self.expires_at - KILL_MARGIN_SECONDS:
                 lost_reason = lost_reason or self.not_renewed_reason()
                 signal_group(process, signal.SIGKILL)
                 process.wait()
@@ -249,7 +249,7 @@
                 self.heartbeat()
                 next_heartbeat_at = now + self.ttl_seconds / HEARTBEATS_PER_TTL
                 lost_reason = self.answered_loss()
-            if not lost_reason and boot_time_seconds() >= self.held_until - self.term_seconds:
+            if not lost_reason and boot_time_seconds() >= self.expires_at - self.term_seconds:
                 lost_reason = self.not_renewed_reason()
             if (lost_reason or self.stop_signal) and not is_terminated:
                 is_terminated = True
--- a/stepstream/leases/proposer.py
+++ b/stepstream/leases/proposer.py
@@ -356,10 +356,10 @@
         self.back_off(now)
         wait = min(self.rejections.values())
         if not self.token and wait > 0:
-            self.wait_for_turn(now, wait)
+            self.wait_until_available(now, wait)
         return []
 
-    def wait_for_turn(self, now: float, announced_seconds: float) -> None:
+    def wait_until_available(self, now: float, announced_seconds: float) -> None:
         """Rest until the lease may be free.
 
         Bounds the messages: a waiter asks again only then, or to keep its place in the queue.
--- a/stepstream/leases/sessions.py
+++ b/stepstream/leases/sessions.py
@@ -73,7 +73,7 @@
         self.expire(now)
         return len(self.open_sessions) < self.max_sessions
 
-    def ask_to_end(self, lease: str | None = None) -> list[Session]:
+    def mark_ending(self, lease: str | None = None) -> list[Session]:
         """Mark the sessions of one lease, or all, as ending; the participant winds them down."""
         ended = [
             session
@@ -140,7 +140,7 @@
         Tasks inside this dispatcher end as well. Each ends after its operation under way.
         """
         with self.driver.state_changed:
-            ended = self.table.ask_to_end(lease)
+            ended = self.table.mark_ending(lease)
             outgoing = self.driver.participant.wind_down(boot_time_seconds(), lease)
             self.driver.state_changed.notify_all()
         self.driver.send(outgoing)
--- a/stepstream/leases/subsystem.py
+++ b/stepstream/leases/subsystem.py
@@ -105,8 +105,11 @@
         self, _config: NodeConfig, operator: OperatorConfig | None
     ) -> Callable[[], None]:
         """Refuse a reload that changes what members have to agree on."""
+        # With this subsystem there is an operator's file, before and after the reload.
+        current = cast("OperatorConfig", self.context.operator)
+        reloaded = cast("OperatorConfig", operator)
         for key in RESTART_ONLY_KEYS:
-            require_unchanged(key, self.context.operator, operator)
+            require_unchanged(key, current, reloaded)
         return lambda: None
 
     def run_periodic_tasks(self) -> None:
--- a/stepstream/leases/wait_queue.py
+++ b/stepstream/leases/wait_queue.py
@@ -22,7 +22,7 @@
     member: str
     ballot: Ballot
     waiting_since: float  # by the proposer's own account
-    last_heard_at: float
+    last_refresh_at: float
     notified: bool = False  # that it is its turn
 
 
@@ -47,7 +47,7 @@
         waiting_since = now - prepare.waited_ms / 1000
         known = self.waiters.get(proposer)
         if known is None:
-            if not self.make_room(now):
+            if not self.has_capacity(now):
                 return False
             self.waiters[proposer] = Waiter(member, prepare.ballot, waiting_since, now)
             return True
@@ -61,8 +61,8 @@
         """Forget a proposer that waits no more."""
         self.waiters.pop(proposer, None)
 
-    def make_room(self, now: float) -> bool:
-        """Tell whether one more fits, after those that have gone silent were dropped."""
+    def has_capacity(self, now: float) -> bool:
+        """Tell whether one more fits, after dropping those that have gone silent."""
         if len(self.waiters) >= self.configuration.max_waiters:
             self.drop_silent(now)
         return len(self.waiters) < self.configuration.max_waiters
@@ -73,7 +73,7 @@
         self.waiters = {
             proposer: waiter
             for proposer, waiter in self.waiters.items()
-            if waiter.last_heard_at >= oldest
+            if waiter.last_refresh_at >= oldest
         }
 
     def in_order(self, now: float) -> list[Waiter]:
@@ -84,8 +84,8 @@
             key=lambda waiter: (waiter.waiting_since, waiter.ballot.proposer),
         )
 
-    def seconds_until_turn(self, now: float, free_since: float, proposer: str) -> float:
-        """Return when a proposer may go first; zero or less if it may now."""
+    def seconds_until_eligible(self, now: float, free_since: float, proposer: str) -> float:
+        """Return the time until a proposer may try; zero or less if it may now."""
         ahead = 0
         for waiter in self.in_order(now):
             if waiter.ballot.proposer == proposer:
@@ -93,13 +93,13 @@
             ahead += 1
         return free_since + ahead * self.configuration.head_start_seconds - now
 
-    def call_due(self, now: float, free_since: float) -> tuple[list[Waiter], float | None]:
-        """Return the waiters whose turn has newly come, and when the next one's does."""
+    def take_eligible(self, now: float, free_since: float) -> tuple[list[Waiter], float | None]:
+        """Return the waiters that have become eligible, and when the next one does."""
         called: list[Waiter] = []
         for place, waiter in enumerate(self.in_order(now)):
-            turn_at = free_since + place * self.configuration.head_start_seconds
-            if turn_at > now:
-                return called, turn_at
+            eligible_at = free_since + place * self.configuration.head_start_seconds
+            if eligible_at > now:
+                return called, eligible_at
             if not waiter.notified:
                 waiter.notified = True
                 called.append(waiter)
