--- /dev/null
+++ b/tests/leases/test_lease_messages.py
@@ -0,0 +1,53 @@
+"""Envelopes from the network, good and bad."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from lease_helpers import CONFIGURATION, recovered_participant
+
+from stepstream.leases.messages import (
+    PROTOCOL_VERSION,
+    Ballot,
+    Envelope,
+    EnvelopeError,
+    Prepare,
+    Propose,
+    Release,
+    decode,
+    encode,
+)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.data())
+def test_bytes_from_anywhere_are_an_envelope_or_dropped(data):
+    ballot = Ballot(200, "b.1")
+    messages = (Prepare("x", ballot, 3000, 5), Propose("x", ballot, 1, 200, 3000))
+    whole = encode(Envelope(PROTOCOL_VERSION, CONFIGURATION.digests, messages))
+    part = bytearray(whole[: data.draw(st.integers(0, len(whole)))])
+    for _ in range(data.draw(st.integers(0, 3))):
+        if part:
+            part[data.draw(st.integers(0, len(part) - 1))] = data.draw(st.integers(0, 255))
+    participant = recovered_participant()
+    try:
+        envelope = decode(bytes(part))
+    except EnvelopeError:
+        return
+    participant.handle(1.0, "n1", envelope)
+    assert len(participant.acceptor.records) <= 2
+
+
+@pytest.mark.parametrize(
+    ("data", "reason"),
+    [
+        (b"\xc1", "unreadable"),
+        (b"x" * 1100, "over"),
+        (encode(Envelope(2, (1,), ())), "version 2"),
+        (encode(Envelope(1, (1,), (Release("No Name", Ballot(1, "a")),))), "unreadable"),
+        (encode(Envelope(1, (1,), (Release("x", Ballot(2**60, "a")),))), "unreadable"),
+        (encode(Envelope(1, (1, 2, 3), ())), "unreadable"),
+    ],
+)
+def test_data_that_is_no_envelope_is_dropped_with_its_reason(data, reason):
+    with pytest.raises(EnvelopeError, match=reason):
+        decode(data)
