Name the tests of leases on processes for their behaviour; drop an unread counter

Change: the driver's CPU counter was written and read by nobody; tests and their variables carry the field's terms.

--- a/stepstream/leases/acceptor.py
+++ b/stepstream/leases/acceptor.py
@@ -80,7 +80,7 @@
         return max(self.recovering_until - now, 0.0)
 
     def handle(self, now: float, member: str, message: ProposerMessage) -> list[AddressedMessage]:
-        """Take a proposer's message; return the answer, and what others are told for it."""
+        """Take a proposer's message; return the answer, and messages to waiters."""
         replies = self.tick(now)
         if (wait_seconds := self.remaining_recovery_seconds(now)) > 0:
             if not isinstance(message, Release):
--- a/stepstream/leases/driver.py
+++ b/stepstream/leases/driver.py
@@ -53,7 +53,6 @@
         # Its lock guards the participant and the subsystem's sessions; notified with each change.
         self.state_changed = threading.Condition()
         self.last_periodic_at = 0.0  # of time.monotonic()
-        self.cpu_seconds = 0.0  # that the thread has used
         self.stopped = False
         self.logged_mismatches: set[str] = set()  # members whose other configuration was logged
         transport.subscribe(MESSAGE_KIND, self.on_envelope)
@@ -123,7 +122,6 @@
         now = time.monotonic()
         if now - self.last_periodic_at >= PERIODIC_SECONDS:
             self.last_periodic_at = now
-            self.cpu_seconds = time.thread_time()
             self.run_periodic(boot_time_seconds())
 
     def wait_for_work(self) -> None:
--- a/stepstream/leases/proposer.py
+++ b/stepstream/leases/proposer.py
@@ -117,7 +117,7 @@
         self.configuration = configuration
         self.lease = lease
         self.proposer_id = proposer_id
-        self.ttl_seconds = int(ttl_seconds * 1000) / 1000  # no longer than the acceptors are told
+        self.ttl_seconds = int(ttl_seconds * 1000) / 1000  # as sent to the acceptors
         self.operation_seconds = operation_seconds
         self.ballots = ballots
         self.rng = rng
--- a/stepstream/leases/sessions.py
+++ b/stepstream/leases/sessions.py
@@ -135,7 +135,7 @@
         return True
 
     def end(self, lease: str | None = None) -> int:
-        """Have the holders of one lease, or of all, end; return how many programs are told so.
+        """Have the holders of one lease, or of all, end; return the number of programs.
 
         Tasks inside this dispatcher end as well. Each ends after its operation under way.
         """
--- a/stepstream/leases/wait_queue.py
+++ b/stepstream/leases/wait_queue.py
@@ -23,7 +23,7 @@
     ballot: Ballot
     waiting_since: float  # by the proposer's own account
     last_refresh_at: float
-    notified: bool = False  # that it is its turn
+    notified: bool = False  # that it is eligible
 
 
 class WaitQueue:
@@ -77,7 +77,7 @@
         }
 
     def in_order(self, now: float) -> list[Waiter]:
-        """Return the waiters that are heard of, the longest waiting first."""
+        """Return the waiters that keep refreshing, the longest waiting first."""
         self.drop_silent(now)
         return sorted(
             self.waiters.values(),
--- a/tests/leases/test_lease_processes.py
+++ b/tests/leases/test_lease_processes.py
@@ -1,6 +1,6 @@
-"""Real dispatchers that contend for leases, a ledger that they act at, and faults while they hold them.
+"""Real dispatchers that contend for leases and operate on a ledger, under faults.
 
-The ledger is the witness: whatever befell the processes, its tokens never fall and no two holders' acts
+The ledger is the witness: under any fault its tokens never fall and no two holders' operations
 overlap. Waits end on what it and the admin listeners say, within generous bounds.
 """
 
@@ -20,13 +20,13 @@
 from stepstream.lab.lease_rig import TROUBLES, TTL, LeaseRig, trouble
 from stepstream.leases.commands import run
 
-PATIENCE = 40.0
+TIMEOUT_SECONDS = 40.0
 
 
 @pytest.fixture(scope="module")
 def rig():
     with LeaseRig(5, 3, seed=1) as made:
-        made.wait_for(made.holder, PATIENCE, "a first holder")
+        made.wait_for(made.holder, TIMEOUT_SECONDS, "a first holder")
         yield made
         assert not ledger.faults(made.rows())
 
@@ -34,37 +34,38 @@
 @pytest.fixture
 def fleet(rig):
     rig.all_whole()
-    rig.wait_for(lambda: all(x.fleet() for x in rig.members.values()), PATIENCE, "all up")
-    rig.wait_for(rig.holder, PATIENCE, "a holder")
+    rig.wait_for(
+        lambda: all(member.fleet() for member in rig.members.values()), TIMEOUT_SECONDS, "all up"
+    )
+    rig.wait_for(rig.holder, TIMEOUT_SECONDS, "a holder")
     return rig
 
 
-@pytest.mark.parametrize("which", TROUBLES, ids=lambda x: x.name)
-def test_one_holder_at_a_time_whatever_befalls_it_and_another_after_it(fleet, which):
-    before = len(fleet.rows())
-    told = trouble(fleet, which, PATIENCE)
+@pytest.mark.parametrize("fault", TROUBLES, ids=lambda fault: fault.name)
+def test_under_a_fault_there_is_one_holder_at_a_time_and_another_afterwards(fleet, fault):
+    rows_before = len(fleet.rows())
+    outcome = trouble(fleet, fault, TIMEOUT_SECONDS)
     rows = fleet.rows()
     assert not ledger.faults(rows)
-    assert len(rows) > before
-    # Every time without an act is explained: it begins or ends with the fault, or is as short as a handover.
-    ends = [row["at"] for row in rows[before:] if row["what"] == "end"]
-    for one, other in zip(ends, ends[1:], strict=False):
-        meets = one < told["whole"] + TTL and other > told["begun"]
-        assert other - one < PATIENCE / 4 or meets, (one, other, told)
+    assert len(rows) > rows_before
+    # Each time without an operation meets the fault, or is as short as a handover.
+    ends = [row["at"] for row in rows[rows_before:] if row["what"] == "end"]
+    for earlier, later in zip(ends, ends[1:], strict=False):
+        meets_fault = earlier < outcome["whole"] + TTL and later > outcome["begun"]
+        assert later - earlier < TIMEOUT_SECONDS / 4 or meets_fault, (earlier, later, outcome)
 
 
 @pytest.mark.parametrize("seed", range(6))
-def test_faults_that_overlap(fleet, seed):
-    """Two and three of them one into the other, drawn by the seed."""
+def test_under_overlapping_faults_there_is_one_holder_at_a_time(fleet, seed):
     fleet.draw.seed(seed)
-    for which in fleet.draw.sample(TROUBLES, 2):
-        which.begin(fleet, fleet.holder() or "n0")
+    for fault in fleet.draw.sample(TROUBLES, 2):
+        fault.begin(fleet, fleet.holder() or "n0")
         time.sleep(fleet.draw.uniform(0.1, 1.0) * TTL)
-    trouble(fleet, fleet.draw.choice(TROUBLES), PATIENCE)
+    trouble(fleet, fleet.draw.choice(TROUBLES), TIMEOUT_SECONDS)
     assert not ledger.faults(fleet.rows())
 
 
-def test_a_ledger_with_two_holders_is_noticed(tmp_path):
+def test_the_check_of_a_ledger_finds_two_holders():
     rows = [
         {"at": 1.0, "what": "begin", "token": 5, "holder": "a", "act": 0},
         {"at": 2.0, "what": "begin", "token": 7, "holder": "b", "act": 1},
@@ -76,18 +77,18 @@
     assert "token 5 taken after 7" in found
     assert "of b and of c" in found
     assert "a and b overlap" in found
-    fair = [
+    one_after_the_other = [
         {**row, "at": at}
         for row, at in zip((rows[0], rows[2], rows[1], rows[3]), (1, 2, 3, 4), strict=True)
     ]
-    assert not ledger.faults(fair)
+    assert not ledger.faults(one_after_the_other)
 
 
 # -- programs outside ---------------------------------------------------------------------------------------
 
 
 def lease_run(fleet, name, command, *options, at="n4"):
-    words = [
+    program = [
         sys.executable,
         "-m",
         "stepstream",
@@ -98,57 +99,59 @@
         fleet.members[at].admin,
     ]
     return subprocess.Popen(
-        [*words, *options, "--", *command], cwd=ROOT, stderr=subprocess.PIPE, text=True
+        [*program, *options, "--", *command], cwd=ROOT, stderr=subprocess.PIPE, text=True
     )
 
 
 SHELL = ["sh", "-c"]
 
 
-def test_a_command_runs_under_its_lease_and_its_code_comes_back(fleet, tmp_path):
-    told = tmp_path / "told"
-    script = f'echo "$STEPSTREAM_LEASE $STEPSTREAM_FENCE" > {told}; exit 7'
+def test_a_command_runs_under_its_lease_and_its_exit_code_is_returned(fleet, tmp_path):
+    output = tmp_path / "output"
+    script = f'echo "$STEPSTREAM_LEASE $STEPSTREAM_FENCE" > {output}; exit 7'
     first = lease_run(fleet, "job", [*SHELL, script], "--ttl", "1.2")
-    assert first.wait(PATIENCE) == 7
-    name, fence = told.read_text().split()
+    assert first.wait(TIMEOUT_SECONDS) == 7
+    name, token = output.read_text().split()
     assert name == "job"
-    assert int(fence) > 0
+    assert int(token) > 0
     second = lease_run(fleet, "job", [*SHELL, script], "--ttl", "1.2", at="n0")
     begun = time.monotonic()
-    assert second.wait(PATIENCE) == 7
-    assert time.monotonic() - begun < PATIENCE / 2
-    assert int(told.read_text().split()[1]) > int(fence)
+    assert second.wait(TIMEOUT_SECONDS) == 7
+    assert time.monotonic() - begun < TIMEOUT_SECONDS / 2
+    assert int(output.read_text().split()[1]) > int(token)
     missing = lease_run(fleet, "job", ["no-such-program"], "--ttl", "1.2")
-    assert missing.wait(PATIENCE) == 127
+    assert missing.wait(TIMEOUT_SECONDS) == 127
 
 
-def test_of_two_commands_one_waits_and_both_have_their_turn(fleet, tmp_path):
+def test_commands_that_want_one_lease_run_one_after_the_other(fleet, tmp_path):
     log = tmp_path / "log"
     script = f"echo begin >> {log}; sleep 0.5; echo end >> {log}"
     jobs = [
         lease_run(fleet, "turns", [*SHELL, script], "--ttl", "1.2", at=f"n{k}") for k in range(3)
     ]
-    assert [job.wait(PATIENCE) for job in jobs] == [0, 0, 0]
+    assert [job.wait(TIMEOUT_SECONDS) for job in jobs] == [0, 0, 0]
     assert log.read_text().split() == ["begin", "end"] * 3
 
 
-def test_a_command_that_ignores_sigterm_is_killed_before_the_lease_can_be_anothers(fleet, tmp_path):
-    """Its dispatcher is killed: the command is ended by its own clock, then another one begins."""
+def test_a_command_that_ignores_sigterm_is_killed_before_another_can_hold_the_lease(
+    fleet, tmp_path
+):
+    # Its dispatcher is killed: `lease run` ends the command by its own clock.
     log = tmp_path / "log"
     beat = f"trap '' TERM; while true; do echo first >> {log}; sleep 0.02; done"
     first = lease_run(fleet, "beat", [*SHELL, beat], "--ttl", "1.2", at="n3")
-    fleet.wait_for(lambda: log.exists(), PATIENCE, "the first one's beat")
+    fleet.wait_for(lambda: log.exists(), TIMEOUT_SECONDS, "the first one's beat")
     fleet.kill("n3")
     second = lease_run(fleet, "beat", [*SHELL, f"echo second >> {log}"], "--ttl", "1.2", at="n4")
-    assert first.wait(PATIENCE) == 69
+    assert first.wait(TIMEOUT_SECONDS) == 69
     assert "lost" in first.stderr.read()
-    assert second.wait(PATIENCE) == 0
+    assert second.wait(TIMEOUT_SECONDS) == 0
     lines = log.read_text().split()
     assert lines[-1] == "second"
     assert lines.count("second") == 1
 
 
-def test_an_operator_takes_a_lease_back_and_sigterm_of_the_dispatcher_does(fleet, capsys):
+def test_an_operator_and_a_stopping_dispatcher_take_a_lease_back(fleet, capsys):
     for end in ("release", "term"):
         job = lease_run(fleet, "long", ["sleep", "60"], "--ttl", "1.2", at="n2")
         at = fleet.members["n2"].admin
@@ -158,7 +161,7 @@
             rows = json.loads(capsys.readouterr().out)
             return [r for r in rows if r["name"] == "long" and r["holder"].startswith("n2@")]
 
-        fleet.wait_for(held, PATIENCE, "the holder")
+        fleet.wait_for(held, TIMEOUT_SECONDS, "the holder")
         if end == "release":
             assert run(["lease", "show", "long", "--at", at]) == 0
             assert "held" in capsys.readouterr().out
@@ -166,30 +169,30 @@
             assert "told to end" in capsys.readouterr().out
         else:
             fleet.members["n2"].process.send_signal(signal.SIGTERM)
-        assert job.wait(PATIENCE) == 69
+        assert job.wait(TIMEOUT_SECONDS) == 69
     assert run(["lease", "show", "nobody", "--at", fleet.members["n0"].admin]) == 1
     assert run(["lease", "list", "--at", f"127.0.0.1:{free_port()}"]) == 2
 
 
-def test_without_a_quorum_it_says_how_many_voters_answered_and_waits_or_gives_up(fleet):
+def test_without_a_quorum_the_answer_names_the_missing_acceptors_and_the_command_gives_up(fleet):
     for name in ("n0", "n1"):
         fleet.kill(name)
     job = lease_run(fleet, "none", ["true"], "--ttl", "1.2", "--wait", "3")
     path = "/leases/none/want?session=abcdefgh&ttl_ms=1200&act_ms=300"
 
-    def refused():
-        status, told = fleet.members["n4"].call(path, "PUT")
-        return status == 503 and told["error"] == "no quorum: 1 of 3 voters answered, not n0, n1"
+    def is_rejected():
+        status, answer = fleet.members["n4"].call(path, "PUT")
+        return status == 503 and answer["error"] == "no quorum: 1 of 3 voters answered, not n0, n1"
 
-    fleet.wait_for(refused, PATIENCE, "the 503")
-    assert job.wait(PATIENCE) == 75
+    fleet.wait_for(is_rejected, TIMEOUT_SECONDS, "the 503")
+    assert job.wait(TIMEOUT_SECONDS) == 75
     assert "of 3 voters answered" in job.stderr.read()
-    time.sleep(TTL)  # who asks no more wants it no more
+    time.sleep(TTL)  # without heartbeats the session is withdrawn
     assert fleet.members["n4"].call("/leases/none/release?session=abcdefgh", "PUT")[0] == 404
 
 
 @pytest.mark.parametrize(
-    ("method", "path", "status", "words"),
+    ("method", "path", "status", "error"),
     [
         (
             "PUT",
@@ -219,19 +222,19 @@
         ("GET", "/leases/nobody-ever", 404, "no such lease"),
     ],
 )
-def test_a_bad_call_is_a_4xx_that_names_what_is_wrong(fleet, method, path, status, words):
-    got, told = fleet.members["n1"].call(path, method)
-    assert got == status
-    assert words in json.dumps(told)
+def test_a_bad_call_is_answered_4xx_with_what_is_wrong(fleet, method, path, status, error):
+    answered_status, answer = fleet.members["n1"].call(path, method)
+    assert answered_status == status
+    assert error in json.dumps(answer)
 
 
 @pytest.mark.parametrize(
-    "words",
+    "options",
     [["--ttl", "0.2"], ["--ttl", "x"], ["--ttl", "900"], ["--wait", "-1"]],
-    ids=lambda words: words[1],
+    ids=lambda options: options[1],
 )
-def test_a_bad_lease_run_is_64(fleet, words):
-    assert lease_run(fleet, "bad", ["true"], *words).wait(PATIENCE) == 64
+def test_lease_run_with_bad_options_exits_with_64(fleet, options):
+    assert lease_run(fleet, "bad", ["true"], *options).wait(TIMEOUT_SECONDS) == 64
 
 
 FLEET = '[fleet]\nlisten = "127.0.0.1:7946"\ncluster = "lab"\n'
@@ -253,12 +256,12 @@
         (FLEET + '[leases]\nvoters = ["a"]\ncolour = 1\n', "colour"),
     ],
 )
-def test_a_faulty_key_is_one_line_that_names_it(tmp_path, text, key):
+def test_check_config_names_a_faulty_key_in_one_line(tmp_path, text, key):
     (tmp_path / "operator.toml").write_text(text)
     (tmp_path / "config.json").write_text(
         json.dumps({**CONFIG, "listen": f"127.0.0.1:{free_port()}"})
     )
-    done = subprocess.run(
+    completed = subprocess.run(
         [
             sys.executable,
             "-m",
@@ -271,23 +274,23 @@
         env={**os.environ, "EDGE_CONFIG": str(tmp_path / "config.json")},
         capture_output=True,
         text=True,
-        timeout=PATIENCE,
+        timeout=TIMEOUT_SECONDS,
     )
-    assert done.returncode == 2
-    assert key in done.stderr
-    assert len(done.stderr.splitlines()) == 1
+    assert completed.returncode == 2
+    assert key in completed.stderr
+    assert len(completed.stderr.splitlines()) == 1
 
 
-def test_a_reload_that_would_change_the_voters_is_refused_by_its_key(fleet):
+def test_a_reload_that_would_change_the_acceptors_is_refused_by_its_key(fleet):
     member = fleet.members["n1"]
     fleet.files(member, more=fleet.more.replace('"n2"]', '"n4"]'))
     member.process.send_signal(signal.SIGHUP)
     line = "leases.voters=('n0', 'n1', 'n4') changes only with a restart"
-    fleet.wait_for(lambda: line in member.words(), PATIENCE, "its no")
+    fleet.wait_for(lambda: line in member.words(), TIMEOUT_SECONDS, "the refusal")
     fleet.files(member)
 
 
-def test_one_dispatcher_probes_for_all_and_each_for_itself_once_it_is_gone():
+def test_one_dispatcher_checks_workers_for_all_and_each_for_itself_once_it_is_gone():
     swept, killed = (play_swept((1, True, 3, 8, harm)) for harm in ("", "kill"))
     assert swept["breaches"] == killed["breaches"] == []
     assert len(swept["sweepers"]) == 1
