Record decision streams that a reordered policy must decide again byte for byte

Cause: the policy's code is about to be renamed and split; its tests hold single rules, and no test held whole sequences of decisions with their random draws and float sums.

--- /dev/null
+++ b/tests/golden/decision_codec.py
@@ -0,0 +1,141 @@
+"""The one place where recorded decision streams meet the names of the program's types.
+
+A recorded stream holds plain data only: settings as the wire's dotted keys, enum values as the
+program spells them ("connect_failed", "persisted"), kinds of events and actions as lower-case
+words. After a rename in the program only this file changes; the recordings stay as they are.
+"""
+
+import importlib
+from types import ModuleType
+
+from stepstream.balance import Balancer
+from stepstream.interface import (
+    AttemptEnded,
+    Cancel,
+    ClientLeft,
+    Fail,
+    FetchList,
+    Job,
+    ListKind,
+    Log,
+    NewSettings,
+    Probe,
+    Probed,
+    Push,
+    Refuse,
+    Result,
+    Started,
+    Timer,
+    WakeMe,
+    WatchList,
+    WorkerEntry,
+    WorkerList,
+    WorkerState,
+)
+from stepstream.settings import Fields, read_settings
+
+# The modules whose every line the recorded streams have to reach.
+DECISION_MODULES = ("stepstream.balance", "stepstream.interface")
+
+
+def decision_modules() -> list[ModuleType]:
+    """The modules that hold the decision code."""
+    return [importlib.import_module(name) for name in DECISION_MODULES]
+
+
+def settings_from(pairs: dict[str, str]):
+    """The program's settings, from the wire's dotted keys."""
+    return read_settings(Fields.of(pairs))
+
+
+def new_policy(settings: dict[str, str], seed: int, start_us: int) -> Balancer:
+    """A policy that has been told nothing yet."""
+    return Balancer(settings_from(settings), seed, start_us)
+
+
+def decide(policy: Balancer, now_us: int, events: list[dict]) -> list[dict]:
+    """Hand one round of plain events to the policy; its actions as plain data, in their order."""
+    actions = policy.handle(now_us, [event_from(event) for event in events])
+    return [action_to_data(action) for action in actions]
+
+
+def entry_from(data: dict) -> WorkerEntry:
+    """One line of a worker list."""
+    return WorkerEntry(
+        worker=data["worker"],
+        zone=data["zone"],
+        kind=data["kind"],
+        cell=data["cell"],
+        state=WorkerState(data["state"]),
+        weight=data["weight"],
+        started_us=data["started_us"],
+        runs=None if data["runs"] is None else frozenset(data["runs"]),
+    )
+
+
+def event_from(data: dict):
+    """The program's event, from plain data."""
+    match data["event"]:
+        case "job":
+            return Job(
+                job=data["job"],
+                job_class=data["class"],
+                budget_us=data["budget_us"],
+                tenant=data["tenant"],
+                key=data["key"],
+                slots=data["slots"],
+                memory=data["memory"],
+                client_retry=data["client_retry"],
+            )
+        case "ended":
+            return AttemptEnded(
+                job=data["job"],
+                attempt=data["attempt"],
+                worker=data["worker"],
+                result=Result(data["result"]),
+                spent_us=data["spent_us"],
+                job_ended=data["job_ended"],
+                report=data["report"],
+            )
+        case "started":
+            return Started(data["job"], data["attempt"], data["worker"])
+        case "probed":
+            return Probed(data["worker"], data["ok"], data["spent_us"], data["report"])
+        case "list":
+            return WorkerList(ListKind(data["kind"]), tuple(map(entry_from, data["entries"])))
+        case "left":
+            return ClientLeft(data["job"])
+        case "timer":
+            return Timer(data["token"])
+        case "settings":
+            return NewSettings(settings_from(data["settings"]))
+    raise ValueError(f"no event is called {data['event']}")
+
+
+def action_to_data(action) -> dict:
+    """Plain data, from the program's action."""
+    match action:
+        case Push():
+            return {
+                "action": "push",
+                "job": action.job,
+                "worker": action.worker,
+                "limit_us": action.limit_us,
+            }
+        case Refuse():
+            return {"action": "refuse", "job": action.job, "pause_us": action.pause_us}
+        case Fail():
+            return {"action": "fail", "job": action.job}
+        case Cancel():
+            return {"action": "cancel", "job": action.job, "attempt": action.attempt}
+        case Probe():
+            return {"action": "probe", "worker": action.worker}
+        case WakeMe():
+            return {"action": "wake", "token": action.token, "at_us": action.at_us}
+        case WatchList():
+            return {"action": "watch", "active": action.active}
+        case FetchList():
+            return {"action": "fetch"}
+        case Log():
+            return {"action": "log", "text": action.text}
+    raise ValueError(f"no plain form of {action!r}")
