--- a/tests/golden/decision_codec.py
+++ b/tests/golden/decision_codec.py
@@ -8,37 +8,45 @@
 import importlib
 from types import ModuleType
 
-from stepstream.balance import Balancer
-from stepstream.interface import (
-    AttemptEnded,
-    Cancel,
-    ClientLeft,
+from stepstream.config.fields import SettingsFields
+from stepstream.config.settings_reader import read_settings
+from stepstream.model.actions import (
+    CancelAttempt,
+    CheckHealth,
     Fail,
-    FetchList,
-    Job,
-    ListKind,
-    Log,
-    NewSettings,
-    Probe,
-    Probed,
-    Push,
-    Refuse,
-    Result,
-    Started,
-    Timer,
-    WakeMe,
-    WatchList,
-    WorkerEntry,
-    WorkerList,
-    WorkerState,
+    FetchEndpoints,
+    Reject,
+    SetTimer,
+    StartAttempt,
+    WatchEndpoints,
+    WriteLog,
+)
+from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind, EndpointState
+from stepstream.model.events import (
+    AttemptEnded,
+    AttemptResult,
+    AttemptStarted,
+    HealthChecked,
+    JobAbandoned,
+    JobSubmitted,
+    SettingsChanged,
+    TimerFired,
 )
-from stepstream.settings import Fields, read_settings
+from stepstream.policy.load_balancer import LoadBalancer
 
 # The modules whose every line the recorded streams have to reach.
-DECISION_MODULES = ("stepstream.balance", "stepstream.interface")
+DECISION_MODULES = (
+    "stepstream.model.actions",
+    "stepstream.model.endpoints",
+    "stepstream.model.estimators",
+    "stepstream.model.events",
+    "stepstream.model.records",
+    "stepstream.model.settings",
+    "stepstream.policy.load_balancer",
+)
 
 
-Policy = Balancer  # what the streams are played against
+Policy = LoadBalancer  # what the streams are played against
 
 
 def decision_modules() -> list[ModuleType]:
@@ -48,12 +56,12 @@
 
 def settings_from(pairs: dict[str, str]):
     """The program's settings, from the wire's dotted keys."""
-    return read_settings(Fields.of(pairs))
+    return read_settings(SettingsFields.of(pairs))
 
 
 def new_policy(settings: dict[str, str], seed: int, start_us: int) -> Policy:
     """A policy that has been told nothing yet."""
-    return Balancer(settings_from(settings), seed, start_us)
+    return LoadBalancer(settings_from(settings), seed, start_us)
 
 
 def decide(policy: Policy, now_us: int, events: list[dict]) -> list[dict]:
@@ -92,7 +100,7 @@
 def worker_learned(worker) -> list:
     """What the policy has learned of one worker."""
     return [
-        worker.entry.worker,
+        worker.entry.worker_id,
         worker.high,
         worker.turn,
         worker.busy_slots,
@@ -108,17 +116,17 @@
     ]
 
 
-def entry_from(data: dict) -> WorkerEntry:
+def entry_from(data: dict) -> Endpoint:
     """One line of a worker list."""
-    return WorkerEntry(
-        worker=data["worker"],
+    return Endpoint(
+        worker_id=data["worker"],
         zone=data["zone"],
-        kind=data["kind"],
+        worker_kind=data["kind"],
         cell=data["cell"],
-        state=WorkerState(data["state"]),
+        state=EndpointState(data["state"]),
         weight=data["weight"],
         started_us=data["started_us"],
-        runs=None if data["runs"] is None else frozenset(data["runs"]),
+        supported_jobs=None if data["runs"] is None else frozenset(data["runs"]),
     )
 
 
@@ -126,8 +134,8 @@
     """The program's event, from plain data."""
     match data["event"]:
         case "job":
-            return Job(
-                job=data["job"],
+            return JobSubmitted(
+                job_id=data["job"],
                 job_class=data["class"],
                 budget_us=data["budget_us"],
                 tenant=data["tenant"],
@@ -138,53 +146,55 @@
             )
         case "ended":
             return AttemptEnded(
-                job=data["job"],
-                attempt=data["attempt"],
-                worker=data["worker"],
-                result=Result(data["result"]),
-                spent_us=data["spent_us"],
-                job_ended=data["job_ended"],
-                report=data["report"],
+                job_id=data["job"],
+                attempt_number=data["attempt"],
+                worker_id=data["worker"],
+                result=AttemptResult(data["result"]),
+                elapsed_us=data["spent_us"],
+                job_answered=data["job_ended"],
+                load_report=data["report"],
             )
         case "started":
-            return Started(data["job"], data["attempt"], data["worker"])
+            return AttemptStarted(data["job"], data["attempt"], data["worker"])
         case "probed":
-            return Probed(data["worker"], data["ok"], data["spent_us"], data["report"])
+            return HealthChecked(data["worker"], data["ok"], data["spent_us"], data["report"])
         case "list":
-            return WorkerList(ListKind(data["kind"]), tuple(map(entry_from, data["entries"])))
+            return EndpointList(
+                EndpointListKind(data["kind"]), tuple(map(entry_from, data["entries"]))
+            )
         case "left":
-            return ClientLeft(data["job"])
+            return JobAbandoned(data["job"])
         case "timer":
-            return Timer(data["token"])
+            return TimerFired(data["token"])
         case "settings":
-            return NewSettings(settings_from(data["settings"]))
+            return SettingsChanged(settings_from(data["settings"]))
     raise ValueError(f"no event is called {data['event']}")
 
 
 def action_to_data(action) -> dict:
     """Plain data, from the program's action."""
     match action:
-        case Push():
+        case StartAttempt():
             return {
                 "action": "push",
-                "job": action.job,
-                "worker": action.worker,
-                "limit_us": action.limit_us,
+                "job": action.job_id,
+                "worker": action.worker_id,
+                "limit_us": action.timeout_us,
             }
-        case Refuse():
-            return {"action": "refuse", "job": action.job, "pause_us": action.pause_us}
+        case Reject():
+            return {"action": "refuse", "job": action.job_id, "pause_us": action.retry_after_us}
         case Fail():
-            return {"action": "fail", "job": action.job}
-        case Cancel():
-            return {"action": "cancel", "job": action.job, "attempt": action.attempt}
-        case Probe():
-            return {"action": "probe", "worker": action.worker}
-        case WakeMe():
+            return {"action": "fail", "job": action.job_id}
+        case CancelAttempt():
+            return {"action": "cancel", "job": action.job_id, "attempt": action.attempt_number}
+        case CheckHealth():
+            return {"action": "probe", "worker": action.worker_id}
+        case SetTimer():
             return {"action": "wake", "token": action.token, "at_us": action.at_us}
-        case WatchList():
+        case WatchEndpoints():
             return {"action": "watch", "active": action.active}
-        case FetchList():
+        case FetchEndpoints():
             return {"action": "fetch"}
-        case Log():
+        case WriteLog():
             return {"action": "log", "text": action.text}
     raise ValueError(f"no plain form of {action!r}")
