Split the policy by decision and move its records and estimators to the model

Change: modules for admission, selection, pools, outliers, slow start, retries, hedging, endpoint polling and health checks are functions over one state object; records of workers, jobs and attempts, the lag of load reports, pool load, the mix of jobs and tenants' usage stand in the model. Timer tokens, key scopes and sources of load reports are enums; the pools are objects.

--- a/stepstream/model/__init__.py
+++ b/stepstream/model/__init__.py
@@ -1,1 +1,4 @@
-"""What the policy is told and answers, and the records and estimators that it reads; decides nothing."""
+"""What the policy is notified of and answers, its records and estimators.
+
+It remembers and measures; it decides nothing. Only the decision thread touches its mutable objects.
+"""
--- a/stepstream/model/actions.py
+++ b/stepstream/model/actions.py
@@ -1,6 +1,16 @@
 """Actions: what the policy asks the dispatcher to do."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from enum import IntEnum
+
+
+class TimerToken(IntEnum):
+    """What a timer is for. The simulator's wire carries these numbers."""
+
+    PERIODIC_TASKS = 0
+    POLL_ENDPOINTS = 1
+    WAIT_EXPIRED = 2  # a job has waited for headroom as long as it may
+    START_DUE = 3  # an attempt should have started by now
 
 
 @dataclass(frozen=True)
@@ -29,35 +39,43 @@
 
 @dataclass(frozen=True)
 class CancelAttempt:
+    """Call off an attempt, wherever it is; its end is reported all the same."""
+
     job_id: str
     attempt_number: int
 
 
 @dataclass(frozen=True)
 class CheckHealth:
+    """Ask a worker for its health and load."""
+
     worker_id: str
 
 
 @dataclass(frozen=True)
 class SetTimer:
-    token: int
+    """Report at this time that a timer has fired."""
+
+    token: TimerToken
     at_us: int
 
 
 @dataclass(frozen=True)
 class WatchEndpoints:
-    """Ask for the worker list's changes from here on."""
+    """Poll for the endpoint list's changes from here on."""
 
-    active: bool = field(default=True)
+    active: bool = True
 
 
 @dataclass(frozen=True)
 class FetchEndpoints:
-    """Ask for the complete worker list once."""
+    """Call for the complete endpoint list once."""
 
 
 @dataclass(frozen=True)
 class WriteLog:
+    """Write a line to the log."""
+
     text: str
 
 
--- a/stepstream/model/endpoints.py
+++ b/stepstream/model/endpoints.py
@@ -7,12 +7,16 @@
 
 
 class EndpointState(Enum):
+    """Whether a worker may get new jobs."""
+
     ACTIVE = "in"
     DRAINING = "draining"
     REMOVED = "out"
 
 
 class EndpointListKind(Enum):
+    """What an endpoint list says of workers that it does not name."""
+
     CHANGES = "changes"  # only the entries that changed
     COMPLETE = "complete"  # whoever is missing is gone
     PERSISTED = "persisted"  # the list kept from before a restart; may be old
@@ -21,6 +25,8 @@
 
 @dataclass(frozen=True)
 class Endpoint:
+    """One worker process as the endpoint list names it."""
+
     worker_id: str
     zone: int = 0
     worker_kind: int = 0
@@ -28,12 +34,11 @@
     state: EndpointState = EndpointState.ACTIVE
     weight: float = 1.0
     started_us: int = 0  # 0: long ago
-    supported_jobs: frozenset[str] | None = (
-        None  # CLASS or TENANT/CLASS by name; None: whatever its kind allows
-    )
+    # CLASS or TENANT/CLASS by name; None: whatever its kind allows.
+    supported_jobs: frozenset[str] | None = None
 
     def can_run(self, kind: JobClass, tenant: str) -> bool:
-        """Whether it runs a tenant's job of this class; a worker may have named what it runs."""
+        """Return whether it runs a tenant's job of the class, by its kind and what it has named."""
         if kind.worker_kind not in (-1, self.worker_kind):
             return False
         return (
@@ -45,5 +50,7 @@
 
 @dataclass(frozen=True)
 class EndpointList:
+    """An endpoint list, or a failed call for one."""
+
     kind: EndpointListKind
     endpoints: tuple[Endpoint, ...] = ()
--- a/stepstream/model/estimators.py
+++ b/stepstream/model/estimators.py
@@ -1,57 +1,66 @@
-"""Running means, and how long jobs take."""
+"""Running means, and estimators of run times.
+
+State: the means. Only the decision thread touches it.
+"""
 
 from collections.abc import Sequence
 from math import log
 
+NEWEST_JOB_WEIGHT = 0.02  # of the newest job in running means
 SHORTEST_RUN_US = 1_000  # shorter runs tell nothing of their worker
 
 
-def running_mean(mean: float, new: float, weight: float) -> float:
-    """A running mean with the newest value in; 0 stands for none so far."""
-    return mean + weight * (new - mean) if mean else max(new, 1.0)
+def running_mean(mean: float, newest: float, weight: float) -> float:
+    """Return a running mean with the newest value included; 0 stands for none so far."""
+    return mean + weight * (newest - mean) if mean else max(newest, 1.0)
 
 
 def carry_over(
-    old: tuple[str, ...], new: tuple[str, ...], values: Sequence[float], fresh: float
+    old_names: tuple[str, ...],
+    new_names: tuple[str, ...],
+    values: Sequence[float],
+    default: float,
 ) -> list[float]:
-    """What was learned by name, in the order of the new names; `fresh` for a name not known before."""
-    known = dict(zip(old, values, strict=False))
-    return [known.get(name, fresh) for name in new]
+    """Return values that were learned by name in the order of the new names."""
+    known = dict(zip(old_names, values, strict=False))
+    return [known.get(name, default) for name in new_names]
 
 
 class RunTimeEstimator:
-    """How long jobs have taken, in running means."""
-
-    def __init__(self, classes: int, start_us: int, weight: float) -> None:
-        self.weight = weight
-        self.mean_us = [0.0] * (
-            classes + 1
-        )  # from push to end, of served jobs, by class; last, of all
-        self.usual = [
-            0.0
-        ] * classes  # from start to end, as a logarithm: few long jobs must not set it
-        self.gap_us, self.last_us = 0.0, start_us  # between two served jobs; the last one
-
-    def served(self, now_us: int, place: int, spent_us: int) -> None:
-        for k in (place, -1):
-            self.mean_us[k] = running_mean(self.mean_us[k], spent_us, self.weight)
-        self.gap_us, self.last_us = (
-            running_mean(self.gap_us, now_us - self.last_us, self.weight),
-            now_us,
+    """How long jobs have taken, in running means by class."""
+
+    def __init__(self, class_count: int, start_us: int) -> None:
+        # From the attempt to its end, of served jobs, by class; the last one is of all classes.
+        self.mean_us = [0.0] * (class_count + 1)
+        # Logarithms of the time from start to end: few long jobs must not set what is usual.
+        self.usual_log_us = [0.0] * class_count
+        self.served_interval_us = 0.0  # between two served jobs
+        self.last_served_us = start_us
+
+    def record_served(self, now_us: int, job_class: int, elapsed_us: int) -> None:
+        """Count a served job, with the time since its attempt was sent."""
+        for index in (job_class, -1):
+            self.mean_us[index] = running_mean(self.mean_us[index], elapsed_us, NEWEST_JOB_WEIGHT)
+        self.served_interval_us = running_mean(
+            self.served_interval_us, now_us - self.last_served_us, NEWEST_JOB_WEIGHT
         )
+        self.last_served_us = now_us
 
-    def surplus(self, place: int, run_us: int) -> float:
-        """How much longer than usual this run is, as a logarithm; 0 while nothing is known of its class."""
-        usual = self.usual[place] if 0 <= place < len(self.usual) else 0.0
+    def slowness(self, job_class: int, run_us: int) -> float:
+        """Return how much longer than usual a run is, as a logarithm; 0 while that is unknown."""
+        known = 0 <= job_class < len(self.usual_log_us)
+        usual = self.usual_log_us[job_class] if known else 0.0
         return log(max(run_us, SHORTEST_RUN_US)) - usual if usual else 0.0
 
-    def ran(self, place: int, run_us: int) -> float:
-        if 0 <= place < len(self.usual):
-            self.usual[place] = running_mean(
-                self.usual[place], log(max(run_us, SHORTEST_RUN_US)), self.weight
-            )
-        return self.surplus(place, run_us)
+    def record_run(self, job_class: int, run_us: int) -> float:
+        """Count a run and return how much longer than usual it was, as a logarithm."""
+        if 0 <= job_class < len(self.usual_log_us):
+            run_log_us = log(max(run_us, SHORTEST_RUN_US))
+            usual = self.usual_log_us[job_class]
+            self.usual_log_us[job_class] = running_mean(usual, run_log_us, NEWEST_JOB_WEIGHT)
+        return self.slowness(job_class, run_us)
 
-    def carry(self, old: tuple[str, ...], new: tuple[str, ...]) -> None:
-        self.mean_us[:-1] = carry_over(old, new, self.mean_us, 0.0)
-        self.usual = carry_over(old, new, self.usual, 0.0)
+    def carry_over(self, old_names: tuple[str, ...], new_names: tuple[str, ...]) -> None:
+        """Keep what was learned of the classes that replaced settings still name."""
+        self.mean_us[:-1] = carry_over(old_names, new_names, self.mean_us, 0.0)
+        self.usual_log_us = carry_over(old_names, new_names, self.usual_log_us, 0.0)
--- a/stepstream/model/events.py
+++ b/stepstream/model/events.py
@@ -1,4 +1,4 @@
-"""Events: what the policy is told."""
+"""Events: what the dispatcher notifies the policy of."""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -21,11 +21,14 @@
 
     @property
     def never_ran(self) -> bool:
+        """Return whether it proves that the job never ran on that worker."""
         return self in (AttemptResult.FULL, AttemptResult.CONNECT_FAILED, AttemptResult.NOT_SENT)
 
 
 @dataclass(frozen=True)
 class JobSubmitted:
+    """A job has arrived."""
+
     job_id: str
     job_class: int
     budget_us: int  # time left before the client gives up
@@ -38,6 +41,8 @@
 
 @dataclass(frozen=True)
 class AttemptEnded:
+    """An attempt is over."""
+
     job_id: str
     attempt_number: int
     worker_id: str
@@ -58,6 +63,8 @@
 
 @dataclass(frozen=True)
 class HealthChecked:
+    """A worker has answered a health check, or has not."""
+
     worker_id: str
     healthy: bool
     elapsed_us: int = 0
@@ -66,19 +73,21 @@
 
 @dataclass(frozen=True)
 class JobAbandoned:
-    """No answer is owed any more."""
+    """The job's client has gone: no answer is owed any more."""
 
     job_id: str
 
 
 @dataclass(frozen=True)
 class TimerFired:
+    """A timer that the policy had set has fired."""
+
     token: int
 
 
 @dataclass(frozen=True)
 class SettingsChanged:
-    """The settings were replaced: what was learned stays, by the names of classes and tenants."""
+    """The settings were replaced; what was learned of classes and tenants stays, by name."""
 
     settings: Settings
 
--- /dev/null
+++ b/stepstream/model/job_records.py
@@ -0,0 +1,97 @@
+"""Records of jobs in flight and their attempts.
+
+The policy's state owns the records; only the decision thread touches them.
+"""
+
+from dataclasses import dataclass, field, replace
+
+from stepstream.model.events import JobSubmitted
+from stepstream.model.settings import Effect, JobClass
+from stepstream.model.worker_records import Worker
+
+
+@dataclass(eq=False, slots=True)
+class Attempt:
+    """One attempt of a job on a worker."""
+
+    worker: Worker
+    sent_us: int
+    open: bool = True
+    started_us: int = 0  # 0: not yet, as far as we were notified
+    late: bool = False  # it had not started when it should have
+    lost: bool = False  # it never will, by its worker's load report
+    never_ran: bool = False  # proven
+
+    @property
+    def started(self) -> bool:
+        """Return whether the worker is known to have started it."""
+        return self.started_us > 0
+
+    @property
+    def start_missing(self) -> bool:
+        """Return whether it is late, still open and not yet known to be lost."""
+        return self.late and self.open and not self.started and not self.lost
+
+
+@dataclass(eq=False, slots=True)
+class InFlightJob:
+    """A job whose final answer is still owed, or whose attempts are still open."""
+
+    request: JobSubmitted
+    class_settings: JobClass  # as they were when the job arrived
+    arrived_us: int
+    priority: bool  # served by the High Set
+    priority_weight: float
+    excess: bool = False  # past its tenant's quota, or a stale retry: one attempt, last in line
+    stale_retry: bool = False
+    attempts: list[Attempt] = field(default_factory=list)
+    wait_timer_set: bool = False
+    ended: bool = False  # the final answer was given, or is no longer owed
+
+    @property
+    def deadline_us(self) -> int:
+        """Return when its client gives up."""
+        return self.arrived_us + self.request.budget_us
+
+    @property
+    def has_open_attempt(self) -> bool:
+        """Return whether an attempt has not ended yet."""
+        return any(attempt.open for attempt in self.attempts)
+
+    @property
+    def tried_workers(self) -> list[Worker]:
+        """Return the workers of its attempts, in their order."""
+        return [attempt.worker for attempt in self.attempts]
+
+    def reclassify(self, class_names: tuple[str, ...]) -> None:
+        """Find its class among replaced settings by name; -1 stands for a class that is gone."""
+        name = self.class_settings.name
+        index = class_names.index(name) if name in class_names else -1
+        self.request = replace(self.request, job_class=index)
+
+    def attempt_at(self, number: int) -> Attempt | None:
+        """Return the attempt of this number, or None if there was none."""
+        return self.attempts[number] if 0 <= number < len(self.attempts) else None
+
+    def may_repeat(self, now_us: int) -> bool:
+        """Return whether its effect allows another attempt, within its key scope."""
+        first = self.first_possible_run()
+        if first is None or self.class_settings.effect is Effect.IDEMPOTENT:
+            return True
+        return (
+            self.class_settings.effect is Effect.IDEMPOTENT_WITH_KEY
+            and now_us <= first.sent_us + self.class_settings.idempotency_window_us
+        )
+
+    def first_possible_run(self) -> Attempt | None:
+        """Return the first attempt that may have had its effect: repeats are bound to it."""
+        return next((attempt for attempt in self.attempts if not attempt.never_ran), None)
+
+
+@dataclass(frozen=True, slots=True)
+class AwaitedStart:
+    """An attempt that should have started by a certain time."""
+
+    due_us: int
+    job: InFlightJob
+    attempt: Attempt
--- /dev/null
+++ b/stepstream/model/load_report_lag.py
@@ -0,0 +1,56 @@
+"""Estimator of how old the news in a load report is when it arrives.
+
+State: an error for each candidate lag. Only the decision thread touches it.
+"""
+
+from itertools import takewhile
+
+from stepstream.model.worker_records import (
+    LONGEST_REPORT_INTERVAL_US,
+    LONGEST_REPORT_LAG_US,
+    Worker,
+)
+
+CANDIDATE_LAGS_US = (20_000, 60_000, 150_000, LONGEST_REPORT_LAG_US)
+NEWEST_ERROR_WEIGHT = 0.02  # in the running means
+
+
+class LoadReportLag:
+    """The candidate lag by which reports agree best with our own attempts.
+
+    Between two reports of a worker its free slots change by the attempts that we started and that
+    ended a lag earlier. What other dispatchers do there makes all candidates err alike.
+    """
+
+    def __init__(self) -> None:
+        self.errors = [0.0] * len(CANDIDATE_LAGS_US)  # running means of squared errors, in slots
+
+    @property
+    def lag_us(self) -> int:
+        """Return the candidate with the smallest error so far."""
+        return CANDIDATE_LAGS_US[self.errors.index(min(self.errors))]
+
+    def unreported_slots(self, worker: Worker, now_us: int) -> float:
+        """Return the slots of our own changes that a report arriving now does not include."""
+        since_us = now_us - self.lag_us
+        newest = takewhile(lambda change: change.at_us >= since_us, reversed(worker.busy_history))
+        return sum(change.slots for change in newest)
+
+    def record_report(self, worker: Worker, now_us: int, headroom: float) -> None:
+        """Compare a report's headroom, in slots, with the worker's previous report."""
+        previous_us = worker.last_report_us
+        previous = worker.last_report_headroom
+        worker.last_report_us = now_us
+        worker.last_report_headroom = headroom
+        if now_us - previous_us > LONGEST_REPORT_INTERVAL_US:
+            return
+        own_changes = [0.0] * len(CANDIDATE_LAGS_US)
+        for at_us, slots in reversed(worker.busy_history):  # newest first: reports come often
+            if at_us + LONGEST_REPORT_LAG_US < previous_us:
+                break
+            for index, lag_us in enumerate(CANDIDATE_LAGS_US):
+                if previous_us <= at_us + lag_us < now_us:
+                    own_changes[index] += slots
+        for index, slots in enumerate(own_changes):
+            squared_error = (headroom - previous + slots) ** 2
+            self.errors[index] += NEWEST_ERROR_WEIGHT * (squared_error - self.errors[index])
--- a/stepstream/model/settings.py
+++ b/stepstream/model/settings.py
@@ -4,7 +4,7 @@
 """
 
 from dataclasses import dataclass
-from enum import Enum
+from enum import Enum, StrEnum
 
 
 class Effect(Enum):
@@ -15,24 +15,43 @@
     NOT_IDEMPOTENT = "unsafe"  # must never run twice
 
 
+class KeyScope(StrEnum):
+    """How far an idempotency key reaches: repeats inside the scope are dropped."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class LoadReportSource(StrEnum):
+    """Where workers' load reports come from."""
+
+    ANSWERS = "answers"  # in answers and health checks
+    PROBE = "probe"  # in health checks only
+    NONE = "none"
+
+
 @dataclass(frozen=True)
 class JobClass:
-    latency_objective_us: (
-        int  # an answer within this (plus stretch x its own work) earns full worth
-    )
+    """The terms of one class of jobs."""
+
+    # An answer within this, plus `objective_stretch` times its own run, earns the full weight.
+    latency_objective_us: int
     deadline_us: int
     effect: Effect = Effect.NOT_IDEMPOTENT
     priority_weight: float = 1.0
-    late_weight_fraction: float = 0.0  # fraction earned after the goal and before the deadline
+    late_weight_fraction: float = 0.0  # fraction earned after the objective and before the deadline
     objective_stretch: float = 0.0
-    key_scope: str = "cell"  # keyed only: "all", "zone" or "cell"
-    idempotency_window_us: int = 0  # keyed only: how long repeats are dropped
+    key_scope: KeyScope = KeyScope.CELL  # only where idempotent with a key
+    idempotency_window_us: int = 0  # only there too: how long repeats are dropped
     worker_kind: int = -1  # the one worker kind that runs it, -1 for any
     name: str = ""
 
 
 @dataclass(frozen=True)
 class Settings:
+    """Settings of one deployment; counts, prices and permissions as its platform states them."""
+
     classes: tuple[JobClass, ...]
     quotas_per_s: tuple[float, ...] = ()  # by tenant, for all dispatchers together
     over_quota_weight_fraction: float = 1.0
@@ -46,7 +65,7 @@
     may_hedge: bool = False
     may_advise_retry: bool = False
     max_retry_after_us: int = 0
-    load_report_source: str = "none"  # "answers", "probe" or "none"
+    load_report_source: LoadReportSource = LoadReportSource.NONE
     load_report_columns: tuple[str, ...] = ()  # by meaning: "queue", "free_slots"
     reports_start: bool = False
     cross_zone_price: float = 0.0
@@ -58,8 +77,8 @@
     overload_multiple: float = 1.0
     overload_window_us: int = 1_000_000
     scheduling_quantum_us: int = 1_000
-    # What only a real dispatcher needs; the module decides nothing by it.
-    load_report_names: tuple[str, ...] = ()  # of the columns, as the reports word them
+    # What only a running dispatcher needs; the policy decides nothing by it.
+    load_report_names: tuple[str, ...] = ()  # of the columns, as load reports spell them
     tenants: tuple[str, ...] = ()
     zones: tuple[str, ...] = ()
     worker_kinds: tuple[str, ...] = ()
@@ -69,8 +88,10 @@
     max_open_requests: int = 20_000  # requests
 
     def tenant_name(self, tenant: int) -> str:
+        """Return the tenant's name, or "" for one that the settings do not name."""
         return self.tenants[tenant] if 0 <= tenant < len(self.tenants) else ""
 
     @property
     def class_names(self) -> tuple[str, ...]:
+        """Return the names of the classes in their order."""
         return tuple(kind.name for kind in self.classes)
--- a/tests/core/test_dispatcher.py
+++ b/tests/core/test_dispatcher.py
@@ -205,18 +205,18 @@
     desk = Desk()
     _, commands = desk.take(job_class=1)
     call = one_call(commands)
-    desk.core.load_balancer.runs.mean_us[:] = [1.0, 2.0, 3.0]
+    desk.core.load_balancer.state.run_times.mean_us[:] = [1.0, 2.0, 3.0]
     desk.tell(SettingsChanged(TURNED))
-    assert desk.core.load_balancer.runs.mean_us == [2.0, 1.0, 3.0]
+    assert desk.core.load_balancer.state.run_times.mean_us == [2.0, 1.0, 3.0]
     desk.now += 1_000_000
     assert (
         of(Answer, desk.tell(JobNotification("aa", call.worker_id, JobStatus.DONE, "1")))[0].outcome
         is Outcome.SERVED
     )
-    assert desk.core.load_balancer.runs.mean_us[0] > 2.0
-    assert desk.core.load_balancer.runs.mean_us[1] == 1.0
+    assert desk.core.load_balancer.state.run_times.mean_us[0] > 2.0
+    assert desk.core.load_balancer.state.run_times.mean_us[1] == 1.0
     desk.tell(SettingsChanged(replace(SETTINGS, classes=SETTINGS.classes[1:])))
-    assert len(desk.core.load_balancer.runs.mean_us) == 2
+    assert len(desk.core.load_balancer.state.run_times.mean_us) == 2
 
 
 class CoreRig:
--- a/tests/gearman/test_gearman_desk.py
+++ b/tests/gearman/test_gearman_desk.py
@@ -292,7 +292,7 @@
     floor = Floor()
     floor.plug().send(Kind.CAN_DO, "revalue")
     floor.plug().join("w", extra=";zone=petrzalka;kind=old-blade;cell=3;slots=4;weight=0.5")
-    new, told = [w.entry for w in floor.core.load_balancer.workers.values()]
+    new, told = [w.endpoint for w in floor.core.load_balancer.state.workers.values()]
     assert new.worker_id == "gearman:c1"
     assert new.started_us == floor.now
     assert new.supported_jobs == {"revalue"}
@@ -308,9 +308,9 @@
 def test_two_connections_of_one_id_are_two_workers():
     floor = Floor()
     first, second = floor.plug().join("w"), floor.plug().join("w")
-    assert sorted(floor.core.load_balancer.workers) == ["gearman:w", "gearman:w~2"]
+    assert sorted(floor.core.load_balancer.state.workers) == ["gearman:w", "gearman:w~2"]
     first.leave()
-    assert sorted(floor.core.load_balancer.workers) == ["gearman:w~2"]
+    assert sorted(floor.core.load_balancer.state.workers) == ["gearman:w~2"]
     assert second.peer.member
 
 
@@ -526,7 +526,7 @@
 def test_an_id_changes_only_while_nothing_is_held():
     floor, worker = floor_with_worker()
     worker.send(Kind.SET_CLIENT_ID, "other;slots=2")
-    assert list(floor.core.load_balancer.workers) == ["gearman:other"]
+    assert list(floor.core.load_balancer.state.workers) == ["gearman:other"]
     submit(floor.plug())
     worker.grab()
     assert code(worker.send(Kind.SET_CLIENT_ID, "third")) == "BAD_CLIENT_ID"
--- a/tests/golden/decision_codec.py
+++ b/tests/golden/decision_codec.py
@@ -37,12 +37,30 @@
 # The modules whose every line the recorded streams have to reach.
 DECISION_MODULES = (
     "stepstream.model.actions",
+    "stepstream.model.ejections",
     "stepstream.model.endpoints",
     "stepstream.model.estimators",
     "stepstream.model.events",
-    "stepstream.model.records",
+    "stepstream.model.job_mix",
+    "stepstream.model.job_records",
+    "stepstream.model.load_report_lag",
+    "stepstream.model.pool_load",
+    "stepstream.model.pools",
     "stepstream.model.settings",
+    "stepstream.model.state",
+    "stepstream.model.tenant_usage",
+    "stepstream.model.worker_records",
+    "stepstream.policy.admission",
+    "stepstream.policy.attempts",
+    "stepstream.policy.endpoint_polling",
+    "stepstream.policy.health_checks",
+    "stepstream.policy.hedging",
     "stepstream.policy.load_balancer",
+    "stepstream.policy.outliers",
+    "stepstream.policy.pools",
+    "stepstream.policy.retries",
+    "stepstream.policy.selection",
+    "stepstream.policy.slow_start",
 )
 
 
@@ -75,44 +93,53 @@
 
     Actions alone would not show a changed order of float sums, or not for long.
     """
-    runs, share = policy.runs, policy.share
-    pools = (share.busy, share.level, share.running, share.run_level, share.count)
+    state = policy.state
+    pool_load = state.pool_load
+    pools = (pool_load.high_set, pool_load.low_set)
+    slot_counts = (
+        [pool.busy_slots for pool in pools],
+        [pool.mean_busy_slots for pool in pools],
+        [pool.running_slots for pool in pools],
+        [pool.mean_running_slots for pool in pools],
+        [pool.worker_count for pool in pools],
+    )
+    runs = state.run_times
     return {
-        "draws": [policy.random.getstate()],
+        "draws": [state.rng.getstate()],
         "means": [
-            policy.mean_worth,
-            policy.ordinary_worth,
-            policy.priority_share,
-            policy.common_cap,
-            policy.strength,
-            policy.probe_credit,
-            list(policy.parts),
-            list(policy.credit),
-            list(policy.late_at),
+            state.job_mix.mean_weight,
+            state.job_mix.mean_ordinary_weight,
+            state.job_mix.priority_fraction,
+            state.common_cap,
+            state.warm_worker_count,
+            state.health_check_credit,
+            list(state.tenant_usage.fractions),
+            list(state.tenant_usage.credits),
+            list(state.late_start_slots),
         ],
-        "runs": [runs.gap_us, list(runs.mean_us), list(runs.usual)],
-        "report age": list(policy.report_age.errors),
-        "share": [share.cap, [[pool[True], pool[False]] for pool in pools]],
-        "workers": [worker_learned(policy.workers[name]) for name in sorted(policy.workers)],
+        "runs": [runs.served_interval_us, list(runs.mean_us), list(runs.usual_log_us)],
+        "report age": list(state.report_lag.errors),
+        "share": [pool_load.cap, list(slot_counts)],
+        "workers": [worker_learned(state, state.workers[name]) for name in sorted(state.workers)],
     }
 
 
-def worker_learned(worker) -> list:
+def worker_learned(state, worker) -> list:
     """What the policy has learned of one worker."""
     return [
-        worker.entry.worker_id,
-        worker.high,
-        worker.turn,
+        worker.endpoint.worker_id,
+        worker.pool is state.high_set,
+        worker.current_weight,
         worker.busy_slots,
         worker.running_slots,
         worker.cap,
-        worker.room,
-        worker.heard,
-        worker.failures,
-        worker.pace,
-        worker.pace_now,
-        worker.pause_us,
-        worker.trial_us,
+        worker.headroom,
+        worker.last_report_headroom,
+        worker.failure_rate,
+        worker.slowness,
+        worker.slowness_with_open_runs,
+        worker.ejection_time_us,
+        worker.next_probation_us,
     ]
 
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,9 +1,9 @@
 """Small builders shared by the tests."""
 
-from stepstream.model.actions import Fail, PolicyAction, Reject, SetTimer, StartAttempt
+from stepstream.model.actions import Fail, PolicyAction, Reject, SetTimer, StartAttempt, TimerToken
 from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind
 from stepstream.model.events import AttemptEnded, AttemptResult, JobSubmitted, TimerFired
-from stepstream.model.settings import Effect, JobClass, Settings
+from stepstream.model.settings import Effect, JobClass, KeyScope, Settings
 from stepstream.policy.load_balancer import LoadBalancer
 
 SAFE = JobClass(latency_objective_us=400_000, deadline_us=5_000_000, effect=Effect.IDEMPOTENT)
@@ -12,14 +12,14 @@
     latency_objective_us=4_000_000,
     deadline_us=5_000_000,
     effect=Effect.IDEMPOTENT_WITH_KEY,
-    key_scope="zone",
+    key_scope=KeyScope.ZONE,
     idempotency_window_us=2_000_000,
 )
 KEYED_ALL = JobClass(
     latency_objective_us=4_000_000,
     deadline_us=5_000_000,
     effect=Effect.IDEMPOTENT_WITH_KEY,
-    key_scope="all",
+    key_scope=KeyScope.ALL,
     idempotency_window_us=2_000_000,
 )
 DEAR = JobClass(
@@ -65,7 +65,12 @@
     def next_period(self):
         """Goes to the end of the running period, whose first one has a random length."""
         self.tick(
-            max(a.at_us for a in self.log if isinstance(a, SetTimer) and a.token == 0) - self.now
+            max(
+                a.at_us
+                for a in self.log
+                if isinstance(a, SetTimer) and a.token is TimerToken.PERIODIC_TASKS
+            )
+            - self.now
         )
         return self
 
--- a/tests/policy/test_cold.py
+++ b/tests/policy/test_cold.py
@@ -17,7 +17,8 @@
 
 from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind
 from stepstream.model.settings import Effect, JobClass
-from stepstream.policy.load_balancer import COLD_PART, LoadBalancer
+from stepstream.policy.load_balancer import LoadBalancer
+from stepstream.policy.slow_start import USED_OVERLOAD_FRACTION
 
 SPAN_US, MULTIPLE, COLD_SHARE, WARM_US = 2_000_000, 4.0, 0.3, 9_000_000
 RUN_US, SLOTS = 200_000, 4
@@ -54,7 +55,9 @@
         for name in cold:
             self.nodes[name].speed, self.reached[name] = COLD_SHARE, []
         forgetful = self.random.randrange(len(self.balancers))
-        fresh = LoadBalancer(self.balancers[forgetful].s, self.random.randrange(2**32), self.now)
+        fresh = LoadBalancer(
+            self.balancers[forgetful].state.settings, self.random.randrange(2**32), self.now
+        )
         self.balancers[forgetful] = fresh
         all_entries = {n.entry.worker_id: n.entry for n in self.nodes.values()} | {
             e.worker_id: e for e in entries
@@ -95,5 +98,6 @@
 
 
 def test_the_allowance_for_chance_is_several_standard_deviations():
-    least = min((n + 2 * sqrt(n) + 2 - COLD_PART * n) / sqrt(COLD_PART * n) for n in range(1, 400))
+    part = USED_OVERLOAD_FRACTION
+    least = min((n + 2 * sqrt(n) + 2 - part * n) / sqrt(part * n) for n in range(1, 400))
     assert least > 4.8
--- a/tests/policy/test_load_balancer.py
+++ b/tests/policy/test_load_balancer.py
@@ -9,8 +9,10 @@
 from stepstream.model.actions import CancelAttempt, Reject, SetTimer, WatchEndpoints
 from stepstream.model.endpoints import EndpointList, EndpointListKind, EndpointState
 from stepstream.model.events import AttemptResult, AttemptStarted, HealthChecked, TimerFired
-from stepstream.model.records import RECENT_US, LoadReportLag, Worker
-from stepstream.model.settings import Effect, JobClass
+from stepstream.model.load_report_lag import CANDIDATE_LAGS_US, LoadReportLag
+from stepstream.model.pools import Pool
+from stepstream.model.settings import Effect, JobClass, LoadReportSource
+from stepstream.model.worker_records import BUSY_HISTORY_US, Worker
 
 
 def shares(**more):
@@ -122,7 +124,7 @@
 def test_equal_worths_count_as_priority():
     bench = Bench(SAFE, SAFE, workers=4)
     assert all(pushes(bench.later(1000).job(k % 2)[1]) for k in range(50))
-    assert bench.balancer.priority_share > START_SHARE
+    assert bench.balancer.state.job_mix.priority_fraction > START_SHARE
 
 
 START_SHARE = 0.2
@@ -201,7 +203,10 @@
 
 def test_a_worker_that_turned_a_job_away_gets_none_until_a_newer_report():
     bench = Bench(
-        SAFE, workers=4, load_report_columns=("free_slots",), load_report_source="answers"
+        SAFE,
+        workers=4,
+        load_report_columns=("free_slots",),
+        load_report_source=LoadReportSource.ANSWERS,
     )
     idle = {"free_slots": 4.0}
     for _ in range(8):
@@ -227,19 +232,20 @@
 
 def test_the_low_set_keeps_a_worker_when_all_of_it_has_gone():
     bench = Bench(SAFE, workers=6, **shares())
+    high_set = bench.balancer.state.high_set
     gone = tuple(
         entry(k, state=EndpointState.REMOVED)
         for k in range(6)
-        if not bench.balancer.workers[entry(k).worker_id].high
+        if bench.balancer.state.workers[entry(k).worker_id].pool is not high_set
     )
     assert gone
     bench.tell(EndpointList(EndpointListKind.CHANGES, gone))
-    assert [w.high for w in bench.balancer.order].count(False) == 1
+    assert sum(w.pool is not high_set for w in bench.balancer.state.eligible_workers) == 1
 
 
 def known_caps(bench, cap):
     """As if each worker had once been full; the common cap follows with the next period."""
-    for worker in bench.balancer.workers.values():
+    for worker in bench.balancer.state.workers.values():
         worker.cap = cap
     bench.next_period()
     return bench
@@ -291,15 +297,15 @@
     slow = entry(1).worker_id
     run_jobs(bench, 40, None)
     run_jobs(bench, 40, slow)
-    assert bench.balancer.workers[slow].pause_us
+    assert bench.balancer.state.workers[slow].ejection_time_us
     # With caps of one slot the same jobs fill the fleet.
-    for worker in bench.balancer.workers.values():
+    for worker in bench.balancer.state.workers.values():
         worker.cap = 0.1
     bench.tick()
-    assert not bench.balancer.workers[slow].pause_us
+    assert not bench.balancer.state.workers[slow].ejection_time_us
 
 
-def crowded(load_report_source="probe", retry_after_us=2_000_000):
+def crowded(load_report_source=LoadReportSource.PROBE, retry_after_us=2_000_000):
     """Two workers that report no free slot, priority and ordinary jobs, one of ours ends every 10 ms."""
     advice = {"may_advise_retry": True, "max_retry_after_us": retry_after_us}
     bench = Bench(SAFE, DEAR, workers=2, load_report_source=load_report_source, **advice)
@@ -336,16 +342,19 @@
 
 
 def test_the_high_set_lends_with_part_of_a_cap_free_only_where_rooms_are_told():
-    for reports, lent in (("probe", 1), ("none", 0)):
+    for reports, lent in ((LoadReportSource.PROBE, 1), (LoadReportSource.NONE, 0)):
         bench, _ = crowded(reports)
-        lender = next(w.entry.worker_id for w in bench.balancer.order if w.high)
+        state = bench.balancer.state
+        lender = next(
+            w.endpoint.worker_id for w in state.eligible_workers if w.pool is state.high_set
+        )
         bench.tell(HealthChecked(lender, True, load_report={"free_slots": 2.0}))
         assert [p.worker_id for p in pushes(bench.job()[1])] == [lender] * lent
 
 
-@pytest.mark.parametrize("true_us", LoadReportLag.AGES_US)
+@pytest.mark.parametrize("true_us", CANDIDATE_LAGS_US)
 def test_the_age_of_reports_is_learned_from_how_they_agree_with_our_pushes(true_us):
-    draw, age, worker = Random(7), LoadReportLag(), Worker(entry(0), 0, 0)
+    draw, lag, worker = Random(7), LoadReportLag(), Worker(entry(0), 0, 0, Pool(1.0))
     busy = [(0, 0.0)]
     for step in range(4000):
         now, slots = busy[-1][0] + draw.randrange(10_000, 50_000), draw.choice((1.0, -1.0))
@@ -353,13 +362,13 @@
         busy.append((now, busy[-1][1] + slots))
         if step % 10 == 0:
             told = next(held for at, held in reversed(busy) if at <= max(now - true_us, 0))
-            age.heard(worker, now, draw.uniform(-0.2, 0.2) - told)
-    assert age.us == true_us
-    assert len(worker.recent) <= RECENT_US / 10_000 + 1
+            lag.record_report(worker, now, draw.uniform(-0.2, 0.2) - told)
+    assert lag.lag_us == true_us
+    assert len(worker.busy_history) <= BUSY_HISTORY_US / 10_000 + 1
 
 
 ROOM = {"free_slots": 4.0, "queue": 0.0}
-LAZY = {"load_report_source": "probe", "reports_start": True, "may_cancel": True}
+LAZY = {"load_report_source": LoadReportSource.PROBE, "reports_start": True, "may_cancel": True}
 
 
 @pytest.mark.parametrize("effect", [Effect.IDEMPOTENT, Effect.NOT_IDEMPOTENT])
@@ -374,9 +383,10 @@
     bench.tick(170_000)
     told = {**ROOM, **more} if more is not None else {"free_slots": 4.0}
     answer = bench.later(140_000).tell(HealthChecked(push.worker_id, True, load_report=told))
-    assert [b.pause_us for b in bench.balancer.workers[push.worker_id].balks.values()] == [
-        10**6
-    ] * (more == {})
+    assert [
+        e.ejection_time_us
+        for e in bench.balancer.state.workers[push.worker_id].class_ejections.values()
+    ] == [10**6] * (more == {})
     assert (CancelAttempt(name, 0) in answer) == (
         more == {} and effect is Effect.IDEMPOTENT
     )  # it goes elsewhere
--- a/tests/policy/test_many_dispatchers.py
+++ b/tests/policy/test_many_dispatchers.py
@@ -1,4 +1,4 @@
-"""Many dispatchers side by side, which share nothing: what is harmless from one and harmful from forty."""
+"""Many dispatchers side by side, which load nothing: what is harmless from one and harmful from forty."""
 
 import heapq
 
@@ -8,7 +8,13 @@
 from stepstream.model.actions import SetTimer, StartAttempt, WatchEndpoints
 from stepstream.model.endpoints import EndpointList, EndpointListKind
 from stepstream.model.events import JobSubmitted, TimerFired
-from stepstream.model.records import FAR, FULL, MANY_DISPATCHERS, SETTLED_US, PoolLoadEstimator
+from stepstream.model.pool_load import (
+    MANY_DISPATCHERS,
+    MOST_CAP_OVER_LOAD,
+    MOST_CAP_OVER_RUNNING,
+    SETTLED_US,
+    PoolLoadEstimator,
+)
 from stepstream.model.settings import Effect, JobClass, Settings
 from stepstream.policy.load_balancer import LoadBalancer
 
@@ -138,62 +144,66 @@
 def test_high_sets_of_dispatchers_that_share_nothing_hold_the_same_ids():
     world = loaded(1.0)
     for balancer in world.balancers:
-        high = [worker.high for worker in balancer.order]
+        state = balancer.state
+        high = [worker.pool is state.high_set for worker in state.eligible_workers]
         size = sum(high)
         assert 1 <= size < 20
         assert sum(high[: size + 3]) >= size - 1
 
 
-def settled_share(level=2.0, running=2.0, workers=20):
-    share = PoolLoadEstimator(0, FLEET)
-    share.count[False], share.level[False], share.run_level[False] = workers, level, running
-    share.now_us = SETTLED_US
-    return share
+def settled_load(level=2.0, running=2.0, workers=20):
+    load = PoolLoadEstimator(0, FLEET)
+    load.low_set.worker_count = workers
+    load.low_set.mean_busy_slots = level
+    load.low_set.mean_running_slots = running
+    load.now_us = SETTLED_US
+    return load
 
 
 def test_a_late_start_bounds_the_cap_by_what_runs_of_ours_and_not_by_what_waits():
-    share = settled_share(level=16.0, running=2.0)
-    assert share.room(False) == float("inf")  # until a late start pools stay as they are
-    share.started(False, late=True)
-    assert share.cap <= FULL * 2.0 / 20
-    assert share.room(False) < -10
+    load = settled_load(level=16.0, running=2.0)
+    assert load.headroom(load.low_set) == float("inf")  # until a late start pools stay as they are
+    load.record_low_set_start(late=True)
+    assert load.cap <= MOST_CAP_OVER_RUNNING * 2.0 / 20
+    assert load.headroom(load.low_set) < -10
 
 
 def test_the_cap_sinks_with_late_starts_only_while_it_is_kept_and_comes_back():
-    share = settled_share()
+    load = settled_load()
     for _ in range(100):
-        share.started(False, late=True)
-    assert 0.08 < share.cap < 0.1  # just below the load at which they were late
-    share.level[False] = 4.0
+        load.record_low_set_start(late=True)
+    assert 0.08 < load.cap < 0.1  # just below the load at which they were late
+    load.low_set.mean_busy_slots = 4.0
     for _ in range(100):
-        share.started(False, late=False)
-    assert share.cap == pytest.approx(FAR * 4.0 / 20, rel=0.1)
+        load.record_low_set_start(late=False)
+    assert load.cap == pytest.approx(MOST_CAP_OVER_LOAD * 4.0 / 20, rel=0.1)
 
 
 def test_a_pool_whose_jobs_were_all_refused_is_tried_again():
-    share = settled_share()
+    load = settled_load()
     for _ in range(200):
-        share.started(False, late=True)
-        share.level[False] *= 0.9
-        share.run_level[False] *= 0.9
-    assert share.cap * share.count[False] >= 1
+        load.record_low_set_start(late=True)
+        load.low_set.mean_busy_slots *= 0.9
+        load.low_set.mean_running_slots *= 0.9
+    assert load.cap * load.low_set.worker_count >= 1
 
 
 def test_early_starts_set_no_cap_and_a_small_fleet_goes_by_whole_slots():
-    share = settled_share()
-    share.now_us = SETTLED_US - 1
-    share.started(False, late=True)
-    assert share.cap == float("inf")
-    assert share.many
-    assert not PoolLoadEstimator(0, MANY_DISPATCHERS).many
+    load = settled_load()
+    load.now_us = SETTLED_US - 1
+    load.record_low_set_start(late=True)
+    assert load.cap == float("inf")
+    assert load.is_many
+    assert not PoolLoadEstimator(0, MANY_DISPATCHERS).is_many
 
 
 def test_a_wide_ordinary_job_goes_to_a_worker_with_none_of_ours():
     """A cap of one slot, which one late start brings, would hold it back until it is refused."""
     world = World((LONG, SHORT, DEAR), nodes=4)
     one = world.balancers[0]
-    one.late_at.append(1)
-    one.mean_worth = 5.0  # or the first job would be a priority one
-    one.share.cap, one.share.count = 0.5, {True: 2, False: 2}
+    one.state.late_start_slots.append(1)
+    one.state.job_mix.mean_weight = 5.0  # or the first job would be a priority one
+    one.state.pool_load.cap = 0.5
+    one.state.high_set.worker_count = one.state.low_set.worker_count = 2
     actions = one.handle(1_000, [JobSubmitted("wide", 0, 5_000_000, slots=2.0)])
     assert any(isinstance(action, StartAttempt) for action in actions)
--- a/tests/policy/test_rules.py
+++ b/tests/policy/test_rules.py
@@ -8,7 +8,7 @@
 from stepstream.model.actions import CancelAttempt, Fail, Reject, StartAttempt
 from stepstream.model.endpoints import EndpointList, EndpointListKind, EndpointState
 from stepstream.model.events import AttemptResult, AttemptStarted, HealthChecked, JobAbandoned
-from stepstream.model.settings import Effect
+from stepstream.model.settings import Effect, KeyScope, LoadReportSource
 
 RAN = [AttemptResult.ERROR, AttemptResult.TIMEOUT, AttemptResult.RESET, AttemptResult.CANCELLED]
 NEVER_RAN = [AttemptResult.FULL, AttemptResult.CONNECT_FAILED]
@@ -168,7 +168,8 @@
                 if kind.effect is Effect.IDEMPOTENT_WITH_KEY and ran:
                     assert self.bench.now <= ran[0]["at"] + kind.idempotency_window_us
                     assert (
-                        kind.key_scope == "all" or self.zone[ran[0]["to"]] == self.zone[a.worker_id]
+                        kind.key_scope is KeyScope.ALL
+                        or self.zone[ran[0]["to"]] == self.zone[a.worker_id]
                     )
                 job["tries"].append({"to": a.worker_id, "at": self.bench.now, "clean": False})
                 limit = min(a.timeout_us or kind.deadline_us, job["until"] - self.bench.now)
@@ -190,7 +191,7 @@
                 if (
                     isinstance(a, Reject)
                     and kind.effect is not Effect.IDEMPOTENT
-                    and kind.key_scope != "all"
+                    and kind.key_scope is not KeyScope.ALL
                 ):
                     assert all(t["clean"] for t in job["tries"])
 
@@ -252,7 +253,7 @@
     world.run()
     assert world.jobs
     assert all(job["over"] for job in world.jobs.values())
-    assert not world.bench.balancer.held  # nothing is kept of what has ended
+    assert not world.bench.balancer.state.jobs  # nothing is kept of what has ended
 
 
 @pytest.mark.parametrize("fleet", [1, 500])
@@ -265,7 +266,7 @@
         "may_check_health": True,
     }
     reports = {
-        "load_report_source": "answers",
+        "load_report_source": LoadReportSource.ANSWERS,
         "load_report_columns": ("queue", "free_slots"),
         "reports_start": True,
     }
@@ -296,4 +297,4 @@
     name, actions = bench.job()
     answers = actions + [a for _ in range(4) for a in bench.tick(2_000_000)]
     assert name in [a.job_id for a in finals(answers)]
-    assert not bench.balancer.held
+    assert not bench.balancer.state.jobs
