--- /dev/null
+++ b/tests/golden/decision_codec.py
@@ -0,0 +1,227 @@
+"""The one place where recorded decision streams meet the names of the program's types.
+
+A recorded stream holds plain data only: settings as the wire's dotted keys, enum values as the
+program spells them ("connect_failed", "persisted"), kinds of events and actions as lower-case
+words. After a rename in the program only this file changes; the recordings stay as they are.
+"""
+
+import importlib
+from types import ModuleType
+
+from stepstream.config.fields import SettingsFields
+from stepstream.config.settings_reader import read_settings
+from stepstream.model.actions import (
+    CancelAttempt,
+    CheckHealth,
+    Fail,
+    FetchEndpoints,
+    Reject,
+    SetTimer,
+    StartAttempt,
+    WatchEndpoints,
+    WriteLog,
+)
+from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind, EndpointState
+from stepstream.model.events import (
+    AttemptEnded,
+    AttemptResult,
+    AttemptStarted,
+    HealthChecked,
+    JobAbandoned,
+    JobSubmitted,
+    SettingsChanged,
+    TimerFired,
+)
+from stepstream.policy.load_balancer import LoadBalancer
+
+# The modules whose every line the recorded streams have to reach.
+DECISION_MODULES = (
+    "stepstream.model.actions",
+    "stepstream.model.ejections",
+    "stepstream.model.endpoints",
+    "stepstream.model.estimators",
+    "stepstream.model.events",
+    "stepstream.model.job_mix",
+    "stepstream.model.job_records",
+    "stepstream.model.load_report_lag",
+    "stepstream.model.pool_load",
+    "stepstream.model.pools",
+    "stepstream.model.settings",
+    "stepstream.model.state",
+    "stepstream.model.tenant_usage",
+    "stepstream.model.worker_records",
+    "stepstream.policy.admission",
+    "stepstream.policy.attempts",
+    "stepstream.policy.endpoint_polling",
+    "stepstream.policy.health_checks",
+    "stepstream.policy.hedging",
+    "stepstream.policy.load_balancer",
+    "stepstream.policy.outliers",
+    "stepstream.policy.pools",
+    "stepstream.policy.retries",
+    "stepstream.policy.selection",
+    "stepstream.policy.slow_start",
+)
+
+
+Policy = LoadBalancer  # what the streams are played against
+
+
+def decision_modules() -> list[ModuleType]:
+    """The modules that hold the decision code."""
+    return [importlib.import_module(name) for name in DECISION_MODULES]
+
+
+def settings_from(pairs: dict[str, str]):
+    """The program's settings, from the wire's dotted keys."""
+    return read_settings(SettingsFields.of(pairs))
+
+
+def new_policy(settings: dict[str, str], seed: int, start_us: int) -> Policy:
+    """A policy that has been told nothing yet."""
+    return LoadBalancer(settings_from(settings), seed, start_us)
+
+
+def decide(policy: Policy, now_us: int, events: list[dict]) -> list[dict]:
+    """Hand one round of plain events to the policy; its actions as plain data, in their order."""
+    actions = policy.handle(now_us, [event_from(event) for event in events])
+    return [action_to_data(action) for action in actions]
+
+
+def learned(policy: Policy) -> dict[str, list]:
+    """What the policy has drawn and averaged so far, by topic; floats to the last bit.
+
+    Actions alone would not show a changed order of float sums, or not for long.
+    """
+    state = policy.state
+    pool_load = state.pool_load
+    pools = (pool_load.high_set, pool_load.low_set)
+    slot_counts = (
+        [pool.busy_slots for pool in pools],
+        [pool.mean_busy_slots for pool in pools],
+        [pool.running_slots for pool in pools],
+        [pool.mean_running_slots for pool in pools],
+        [pool.worker_count for pool in pools],
+    )
+    runs = state.run_times
+    return {
+        "draws": [state.rng.getstate()],
+        "means": [
+            state.job_mix.mean_weight,
+            state.job_mix.mean_ordinary_weight,
+            state.job_mix.priority_fraction,
+            state.common_cap,
+            state.warm_worker_count,
+            state.health_check_credit,
+            list(state.tenant_usage.fractions),
+            list(state.tenant_usage.credits),
+            list(state.late_start_slots),
+        ],
+        "runs": [runs.served_interval_us, list(runs.mean_us), list(runs.usual_log_us)],
+        "report age": list(state.report_lag.errors),
+        "share": [pool_load.cap, list(slot_counts)],
+        "workers": [worker_learned(state, state.workers[name]) for name in sorted(state.workers)],
+    }
+
+
+def worker_learned(state, worker) -> list:
+    """What the policy has learned of one worker."""
+    return [
+        worker.endpoint.worker_id,
+        worker.pool is state.high_set,
+        worker.current_weight,
+        worker.busy_slots,
+        worker.running_slots,
+        worker.cap,
+        worker.headroom,
+        worker.last_report_headroom,
+        worker.failure_rate,
+        worker.slowness,
+        worker.slowness_with_open_runs,
+        worker.ejection_time_us,
+        worker.next_probation_us,
+    ]
+
+
+def entry_from(data: dict) -> Endpoint:
+    """One line of a worker list."""
+    return Endpoint(
+        worker_id=data["worker"],
+        zone=data["zone"],
+        worker_kind=data["kind"],
+        cell=data["cell"],
+        state=EndpointState(data["state"]),
+        weight=data["weight"],
+        started_us=data["started_us"],
+        supported_jobs=None if data["runs"] is None else frozenset(data["runs"]),
+    )
+
+
+def event_from(data: dict):
+    """The program's event, from plain data."""
+    match data["event"]:
+        case "job":
+            return JobSubmitted(
+                job_id=data["job"],
+                job_class=data["class"],
+                budget_us=data["budget_us"],
+                tenant=data["tenant"],
+                key=data["key"],
+                slots=data["slots"],
+                memory=data["memory"],
+                client_retry=data["client_retry"],
+            )
+        case "ended":
+            return AttemptEnded(
+                job_id=data["job"],
+                attempt_number=data["attempt"],
+                worker_id=data["worker"],
+                result=AttemptResult(data["result"]),
+                elapsed_us=data["spent_us"],
+                job_answered=data["job_ended"],
+                load_report=data["report"],
+            )
+        case "started":
+            return AttemptStarted(data["job"], data["attempt"], data["worker"])
+        case "probed":
+            return HealthChecked(data["worker"], data["ok"], data["spent_us"], data["report"])
+        case "list":
+            return EndpointList(
+                EndpointListKind(data["kind"]), tuple(map(entry_from, data["entries"]))
+            )
+        case "left":
+            return JobAbandoned(data["job"])
+        case "timer":
+            return TimerFired(data["token"])
+        case "settings":
+            return SettingsChanged(settings_from(data["settings"]))
+    raise ValueError(f"no event is called {data['event']}")
+
+
+def action_to_data(action) -> dict:
+    """Plain data, from the program's action."""
+    match action:
+        case StartAttempt():
+            return {
+                "action": "push",
+                "job": action.job_id,
+                "worker": action.worker_id,
+                "limit_us": action.timeout_us,
+            }
+        case Reject():
+            return {"action": "refuse", "job": action.job_id, "pause_us": action.retry_after_us}
+        case Fail():
+            return {"action": "fail", "job": action.job_id}
+        case CancelAttempt():
+            return {"action": "cancel", "job": action.job_id, "attempt": action.attempt_number}
+        case CheckHealth():
+            return {"action": "probe", "worker": action.worker_id}
+        case SetTimer():
+            return {"action": "wake", "token": action.token, "at_us": action.at_us}
+        case WatchEndpoints():
+            return {"action": "watch", "active": action.active}
+        case FetchEndpoints():
+            return {"action": "fetch"}
+        case WriteLog():
+            return {"action": "log", "text": action.text}
+    raise ValueError(f"no plain form of {action!r}")
