--- a/stepstream/admin/service.py
+++ b/stepstream/admin/service.py
@@ -95,7 +95,7 @@
     def spread(self, text: str) -> None:
         """The bans, everywhere they count."""
         state = self.bans.snapshot()
-        self.destinations.ban(state.in_maintenance)
+        self.destinations.set_in_maintenance(state.in_maintenance)
         self.post(MaintenanceChanged(state))
         if self.keeper is not None:
             self.keeper.write()
@@ -104,7 +104,7 @@
     def adopted(self) -> None:
         """Another process's bans were taken over."""
         state = self.bans.snapshot()
-        self.destinations.ban(state.in_maintenance)
+        self.destinations.set_in_maintenance(state.in_maintenance)
         self.post(MaintenanceChanged(state))
         log(f"maintenance taken over: {len(state.in_maintenance)} out")
 
@@ -133,10 +133,10 @@
     def look_beside(self) -> None:
         if self.keeper.watch():
             self.adopted()
-        if self.destinations.changes != self.listed:
+        if self.destinations.update_count != self.listed:
             # What discovery told this process passes to the next one, at most one turn late.
-            self.listed = self.destinations.changes
-            self.keeper.listed = self.destinations.listed()
+            self.listed = self.destinations.update_count
+            self.keeper.listed = self.destinations.export_list()
             self.keeper.write()
         present = self.keeper.neighbour() is not None
         if present != self.neighbour:
--- a/stepstream/admin/subsystem.py
+++ b/stepstream/admin/subsystem.py
@@ -31,7 +31,7 @@
 
     def known(self, worker: str) -> bool:
         host = self.host
-        return host.destinations.last_address(worker) is not None or host.core.endpoints.contains(
+        return host.destinations.listed_address(worker) is not None or host.core.endpoints.contains(
             worker
         )
 
--- a/stepstream/http/destination_set.py
+++ b/stepstream/http/destination_set.py
@@ -1,4 +1,10 @@
-"""The destination set: which workers there are and where they listen."""
+"""The destination set: where discovery's workers listen, and which of them may get new work.
+
+State: the endpoint list as discovery last reported it, the workers in maintenance, and the detector
+of a stale list. The discovery client's thread replaces the list before the core hears of a change,
+so that calls on their way see it at their last check before the first byte; any thread may read.
+Both sides go through `DestinationSet`'s lock, except where a method says why it needs none.
+"""
 
 import random
 import threading
@@ -8,108 +14,140 @@
 from stepstream.http.staleness import StalenessDetector
 from stepstream.model.endpoints import Endpoint, EndpointListKind, EndpointState
 
-Address = tuple[str, int]
+Address = tuple[str, int]  # host and port, as the socket module takes them
 
+SOURCE = "discovery"  # the name of this source of endpoints
 
-SOURCE = "discovery"
 
+def host_and_port(address: Address) -> str:
+    """Return an address as a Host header and discovery word it."""
+    return f"{address[0]}:{address[1]}"
 
-class DestinationSet:
-    """Where workers listen, and which of them may get new work, as last told.
 
-    The discovery thread writes it before the core hears of a change: calls on their way look here last.
-    """
+class DestinationSet:
+    """The endpoint list in force, merged from complete lists and changes."""
 
-    def __init__(self, doubt: StalenessDetector | None = None) -> None:
-        """`doubt`: of a dispatcher that has discovery to itself, if it is left out."""
+    def __init__(self, staleness: StalenessDetector | None = None) -> None:
+        """`staleness` defaults to the detector of a dispatcher that has discovery to itself."""
+        # Guards all that follows. Innermost: no other lock is taken while it is held.
         self.lock = threading.Lock()
-        self.doubt = doubt or StalenessDetector(1, random.Random(0))
+        self.staleness = staleness or StalenessDetector(1, random.Random(0))
         self.addresses: dict[str, Address] = {}
-        self.ready: set[str] = set()
-        self.hosts: frozenset[str] = frozenset()
-        self.banned: frozenset[str] = frozenset()  # out for maintenance, whatever the list says
-        self.entries: dict[
-            str, Endpoint
-        ] = {}  # the list as it stands, for a hot restart's successor
-        self.version: int | None = None
-        self.changes = 0  # lists applied so far
-
-    def apply(self, targets: EndpointAnswer) -> None:
+        self.active_workers: set[str] = set()
+        self.worker_hosts: frozenset[str] = frozenset()
+        self.in_maintenance: frozenset[str] = frozenset()  # no new work, whatever the list says
+        self.endpoints: dict[str, Endpoint] = {}  # for a hot restart's successor
+        self.version: int | None = None  # discovery's index of the list; None before the first
+        self.update_count = 0
+
+    def apply(self, answer: EndpointAnswer) -> None:
+        """Take over a complete list or a list of changes."""
+        with self.lock:
+            is_complete = answer.update.kind is not EndpointListKind.CHANGES
+            if is_complete:
+                self.addresses = {}
+                self.active_workers = set()
+                self.endpoints = {}
+            self.addresses.update(answer.addresses)
+            for endpoint in answer.update.endpoints:
+                self.apply_endpoint(endpoint)
+            self.worker_hosts = frozenset(host for host, _ in self.addresses.values())
+            self.version = answer.version
+            self.update_count += 1
+            listed = {endpoint.worker_id for endpoint in answer.update.endpoints}
+            self.staleness.record_listed(None if is_complete else listed)
+
+    def apply_endpoint(self, endpoint: Endpoint) -> None:
+        """Take over one entry; the caller holds the lock."""
+        if endpoint.state is EndpointState.ACTIVE:
+            self.active_workers.add(endpoint.worker_id)
+        else:
+            self.active_workers.discard(endpoint.worker_id)
+        if endpoint.state is EndpointState.REMOVED:
+            # Its address stays: a cancellation may still have to reach it.
+            self.endpoints.pop(endpoint.worker_id, None)
+        else:
+            self.endpoints[endpoint.worker_id] = endpoint
+
+    def set_in_maintenance(self, workers: frozenset[str]) -> None:
+        """Replace the workers in maintenance: none of them gets new work from now on."""
+        with self.lock:
+            self.in_maintenance = workers
+
+    # -- addresses ---------------------------------------------------------------------------------
+
+    def usable_address(self, worker: str) -> Address | None:
+        """Return where a worker listens; None for one that must not get new work."""
         with self.lock:
-            if targets.update.kind is not EndpointListKind.CHANGES:
-                self.addresses, self.ready, self.entries = {}, set(), {}
-            self.addresses.update(targets.addresses)
-            for entry in targets.update.endpoints:
-                if entry.state is EndpointState.ACTIVE:
-                    self.ready.add(entry.worker_id)
-                else:
-                    self.ready.discard(entry.worker_id)
-                if entry.state is EndpointState.REMOVED:
-                    self.entries.pop(entry.worker_id, None)
-                else:
-                    self.entries[entry.worker_id] = entry
-            self.hosts = frozenset(host for host, _ in self.addresses.values())
-            self.version, self.changes = targets.version, self.changes + 1
-            whole = targets.update.kind is not EndpointListKind.CHANGES
-            self.doubt.told(
-                None if whole else {entry.worker_id for entry in targets.update.endpoints}
-            )
+            usable = worker in self.active_workers and worker not in self.in_maintenance
+            return self.addresses.get(worker) if usable else None
+
+    def listed_address(self, worker: str) -> Address | None:
+        """Return where a worker listens, or last did, whether or not it may get new work."""
+        with self.lock:
+            return self.addresses.get(worker)
+
+    def usable_workers(self) -> list[str]:
+        """Return the workers that may get new work, sorted."""
+        with self.lock:
+            return sorted(self.active_workers - self.in_maintenance)
+
+    def is_worker_host(self, host: str) -> bool:
+        """Return whether a worker listens at this host."""
+        # Needs no lock: the set is replaced as one.
+        return host in self.worker_hosts
+
+    # -- staleness ---------------------------------------------------------------------------------
 
     def report_refused(self, worker: str) -> None:
-        """Its machine refuses connections; if the list calls it ready, one of the two is wrong."""
+        """Report that a worker's machine refuses connections.
+
+        If the list calls the worker active, either the list is stale or the worker crashed just
+        now.
+        """
         with self.lock:
-            if worker in self.ready:
-                self.doubt.refused(worker, time.monotonic())
+            if worker in self.active_workers:
+                self.staleness.record_refusal(worker, time.monotonic())
 
     def report_reachable(self, worker: str) -> None:
-        if self.doubt.refused_at:  # looked at without the lock: nearly always empty
+        """Report that a worker accepts connections."""
+        # Read without the lock, which each call would have to wait for: it is nearly always empty.
+        if self.staleness.first_refusal_seconds:
             with self.lock:
-                self.doubt.reached(worker)
+                self.staleness.record_connect(worker)
 
-    def is_suspected_stale(self) -> bool:
-        """Whether the list is to be asked for anew now."""
+    def claim_staleness_check(self) -> bool:
+        """Return whether the list is to be checked now; whoever gets True must make the check."""
         with self.lock:
-            return self.doubt.due(time.monotonic())
+            return self.staleness.claim_check(time.monotonic())
+
+    # -- hot restart -------------------------------------------------------------------------------
+
+    def export_list(self) -> dict[str, object] | None:
+        """Return the list in discovery's own JSON form; None before the first list.
 
-    def listed(self) -> dict | None:
-        """The list in discovery's own form, zones and kinds by the settings' index; None before the first."""
+        Zones and kinds are given as indexes into the settings.
+        """
         with self.lock:
             if self.version is None:
                 return None
             rows = [
-                {
-                    "id": e.worker_id,
-                    "addr": f"{self.addresses[e.worker_id][0]}:{self.addresses[e.worker_id][1]}",
-                    "zone": e.zone,
-                    "kind": e.worker_kind,
-                    "cell": e.cell,
-                    "state": "ready" if e.state is EndpointState.ACTIVE else "draining",
-                    "weight": e.weight,
-                    "started_ms": e.started_us // 1000,
-                }
-                for e in self.entries.values()
-                if e.worker_id in self.addresses
+                export_endpoint(endpoint, self.addresses[endpoint.worker_id])
+                for endpoint in self.endpoints.values()
+                if endpoint.worker_id in self.addresses
             ]
             return {"version": self.version, "full": True, "servers": rows}
 
-    def is_worker(self, host: str) -> bool:
-        return host in self.hosts
-
-    def address(self, worker: str) -> Address | None:
-        """None for a worker that must not get new work."""
-        with self.lock:
-            usable = worker in self.ready and worker not in self.banned
-            return self.addresses.get(worker) if usable else None
 
-    def usable(self) -> list[str]:
-        """The workers that may get new work."""
-        with self.lock:
-            return sorted(self.ready - self.banned)
-
-    def ban(self, workers: frozenset[str]) -> None:
-        with self.lock:
-            self.banned = workers
-
-    def last_address(self, worker: str) -> Address | None:
-        with self.lock:
-            return self.addresses.get(worker)
+def export_endpoint(endpoint: Endpoint, address: Address) -> dict[str, object]:
+    """Return one entry as discovery words it; the keys and states are its wire names."""
+    return {
+        "id": endpoint.worker_id,
+        "addr": host_and_port(address),
+        "zone": endpoint.zone,
+        "kind": endpoint.worker_kind,
+        "cell": endpoint.cell,
+        "state": "ready" if endpoint.state is EndpointState.ACTIVE else "draining",
+        "weight": endpoint.weight,
+        "started_ms": endpoint.started_us // 1000,
+    }
--- a/stepstream/http/exchange.py
+++ b/stepstream/http/exchange.py
@@ -1,74 +1,109 @@
-"""One HTTP exchange with a worker, as a state machine without I/O."""
+"""One HTTP exchange with a worker, as a state machine without I/O.
+
+The thread that makes the call owns the exchange and feeds it what happens on the connection; the
+exchange decides what that proves about the job: that it was accepted, that it cannot have run, or
+neither.
+"""
 
 from enum import Enum
 
 from stepstream.config.limits import Limits
-from stepstream.http import platform_api as platform
 from stepstream.http.codec import Message, Parser, ProtocolError
 from stepstream.http.load_reports import HEADER
+from stepstream.http.platform_api import read_call_answer
 from stepstream.model.events import AttemptResult
 
+# RFC 9110, 15.2: answers with these statuses are interim, and the final one follows.
+FIRST_INTERIM_STATUS = 100
+FIRST_FINAL_STATUS = 200
+
 
 class ExchangePhase(Enum):
-    WRITING = 1  # the request's last byte is not out: it never ran
-    WAITING = 2
-    TAKEN = 3
+    """How far an exchange has come.
+
+    WRITING          -- request written  --> AWAITING_ANSWER WRITING          -- connection lost
+    --> ENDED (CONNECT_FAILED: an incomplete request never runs) AWAITING_ANSWER  -- 202
+    --> JOB_ACCEPTED AWAITING_ANSWER  -- any other answer --> ENDED (what the answer says)
+    AWAITING_ANSWER  -- connection lost  --> ENDED (RESET: the job may have run) AWAITING_ANSWER  --
+    unreadable bytes --> ENDED (RESET)
+
+    JOB_ACCEPTED and ENDED are final.
+    """
+
+    WRITING = 1
+    AWAITING_ANSWER = 2
+    JOB_ACCEPTED = 3
     ENDED = 4
 
 
 class HttpExchange:
-    """One request to a worker as it looks from its connection; decides what the outcome proves."""
+    """One request to a worker and the answer to it.
+
+    Once it is over, `result` is how the attempt ended, or None if the worker has accepted the job;
+    `connection_reusable` says whether the connection stands between two messages.
+    """
 
     def __init__(self, limits: Limits) -> None:
         self.parser = Parser(limits, answers=True)
         self.phase = ExchangePhase.WRITING
         self.result: AttemptResult | None = None
-        self.load: str | None = None  # the load report of an answer that ended it, unread
-        self.unreadable: ProtocolError | None = None
-        self.reusable = False
+        # the load report, not yet read, of an answer that ended the exchange
+        self.load_report_text: str | None = None
+        self.protocol_error: ProtocolError | None = None
+        self.connection_reusable = False
 
-    def written(self) -> None:
-        self.phase = ExchangePhase.WAITING
+    @property
+    def is_over(self) -> bool:
+        """Whether the exchange has come to a final phase."""
+        return self.phase in (ExchangePhase.JOB_ACCEPTED, ExchangePhase.ENDED)
 
-    def feed(self, data: bytes) -> None:
-        """Bytes of the answer; none means that the worker closed."""
+    def mark_request_written(self) -> None:
+        """Note that the request's last byte is out: from now on the job may run."""
+        self.phase = ExchangePhase.AWAITING_ANSWER
+
+    def receive(self, data: bytes) -> None:
+        """Take bytes of the answer; none means that the worker closed its side."""
         try:
             self.parser.feed(data)
             message = self.parser.next() if data else self.parser.end()
-            while message is not None and 100 <= message.status < 200:
+            while (
+                message is not None and FIRST_INTERIM_STATUS <= message.status < FIRST_FINAL_STATUS
+            ):
                 message = self.parser.next()
         except ProtocolError as error:
-            self.unreadable = error
+            self.protocol_error = error
             self.end(AttemptResult.RESET)  # an unreadable answer proves nothing
             return
         if message is not None:
-            self.answered(message)
+            self.handle_answer(message)
         elif not data:
-            self.broke()
+            self.connection_lost()
 
-    def answered(self, message: Message) -> None:
-        self.reusable = (
-            message.keep_alive and self.parser.idle and self.phase is ExchangePhase.WAITING
+    def handle_answer(self, message: Message) -> None:
+        """Decide by the final answer."""
+        # An answer that comes before the request is written leaves the connection inside a message.
+        self.connection_reusable = (
+            message.keep_alive and self.parser.idle and self.phase is ExchangePhase.AWAITING_ANSWER
         )
-        result = platform.read_call_answer(message)
+        result = read_call_answer(message)
         if result is None:
-            self.phase = ExchangePhase.TAKEN
+            self.phase = ExchangePhase.JOB_ACCEPTED
         else:
-            self.load = message.headers.get(HEADER)
+            self.load_report_text = message.headers.get(HEADER)
             self.end(result)
 
-    def broke(self) -> None:
-        """Never ran only if the last byte was not written; else it may have."""
-        self.end(
-            AttemptResult.CONNECT_FAILED
-            if self.phase is ExchangePhase.WRITING
-            else AttemptResult.RESET
-        )
+    def connection_lost(self) -> None:
+        """End an exchange whose connection broke or timed out.
 
-    def end(self, result: AttemptResult) -> None:
-        if self.phase not in (ExchangePhase.TAKEN, ExchangePhase.ENDED):
-            self.phase, self.result = ExchangePhase.ENDED, result
+        The job cannot have run only if the request's last byte was not written.
+        """
+        if self.phase is ExchangePhase.WRITING:
+            self.end(AttemptResult.CONNECT_FAILED)
+        else:
+            self.end(AttemptResult.RESET)
 
-    @property
-    def over(self) -> bool:
-        return self.phase in (ExchangePhase.TAKEN, ExchangePhase.ENDED)
+    def end(self, result: AttemptResult) -> None:
+        """End the exchange unless it is over."""
+        if not self.is_over:
+            self.phase = ExchangePhase.ENDED
+            self.result = result
--- a/stepstream/http/named_numbers.py
+++ b/stepstream/http/named_numbers.py
@@ -1,25 +1,45 @@
-"""`name=value` figures as headers and load reports word them; free of I/O."""
+"""Read `name=value` numbers as the platform's headers and load reports write them.
 
-MOST = 1e6  # slots, memory units or waiting jobs; no worker has so many
+Pure functions: no state, no I/O.
+"""
+
+from stepstream.http.errors import HttpError
+
+LARGEST_NUMBER = 1e6  # slots, memory units or waiting jobs; no worker has so many
+QUOTED_CHARACTERS = 40  # of malformed input, in an error's text
+
+
+class PairFormatError(HttpError, ValueError):
+    """A part of a peer's text is not `name=value`."""
 
 
 def read_pairs(text: str) -> dict[str, str]:
-    """`name=value, name=value`, values unread; ValueError if a part is worded otherwise."""
+    """Split `name=value, name=value`; the values stay text.
+
+    Raises PairFormatError for a part without an equals sign.
+    """
     pairs = {}
     for part in filter(None, (piece.strip() for piece in text.split(","))):
         name, equals, value = part.partition("=")
         if not equals:
-            raise ValueError(f"{part[:40]!r} is not name=value")
+            raise PairFormatError(f"{part[:QUOTED_CHARACTERS]!r} is not name=value")
         pairs[name.strip()] = value
     return pairs
 
 
 def bounded_number(value: object) -> float:
-    """A number from 0 to MOST, or the text of one; else ValueError.
+    """Return a number from 0 to LARGEST_NUMBER, given as one or as its text.
 
-    Guards the sums of busy slots: a figure like 1e300 would swallow all others.
+    Raises ValueError for anything else, as float() does. The bound guards the sums over workers: a
+    number like 1e300 would swallow all others.
     """
     number = float(value) if isinstance(value, str) else value
-    if isinstance(number, bool) or not isinstance(number, int | float) or not 0 <= number <= MOST:
-        raise ValueError(f"{value!r:.40} is not a number from 0 to {MOST:.0f}")
+    if (
+        isinstance(number, bool)
+        or not isinstance(number, int | float)
+        or not 0 <= number <= LARGEST_NUMBER
+    ):
+        raise ValueError(
+            f"{value!r:.{QUOTED_CHARACTERS}} is not a number from 0 to {LARGEST_NUMBER:.0f}"
+        )
     return float(number)
--- a/stepstream/http/outbound.py
+++ b/stepstream/http/outbound.py
@@ -1,42 +1,49 @@
-"""Outbound calls: one exchange with a worker each, over pooled connections.
+"""The carrier of calls to discovery's workers: a thread for each exchange, over pooled connections.
 
-A call holds a thread only until its 202; the job's outcome arrives as a notification on the inbound side.
+A call holds a thread only until its 202: the job's outcome arrives as a notification on the inbound
+side.
+
+State: the connection pool and the pool of calling threads, which also sends cancellations and
+health checks. `OutboundCarrier` itself is stateless besides; what it keeps of a call is in the
+call's `InFlightCall`. The decision thread starts and stops calls, the main thread replaces the
+limits at a reload.
 """
 
-import threading
 import time
 from collections.abc import Callable
+from typing import cast
 
 from stepstream.config.limits import Limits
 from stepstream.core.events import CallEnded, Event
 from stepstream.core.requests import Call
-from stepstream.http import platform_api as platform
 from stepstream.http.codec import Message, Parser, ProtocolError
 from stepstream.http.connection_pool import ConnectionPool, PooledConnection, PoolExhaustedError
-from stepstream.http.destination_set import Address, DestinationSet
-from stepstream.http.exchange import ExchangePhase, HttpExchange
-from stepstream.http.load_reports import LoadReportReader, Report
+from stepstream.http.destination_set import Address, DestinationSet, host_and_port
+from stepstream.http.exchange import HttpExchange
+from stepstream.http.in_flight_call import CallPhase, InFlightCall, UnsentReason
+from stepstream.http.load_reports import LoadReportReader
+from stepstream.http.platform_api import (
+    HEALTHY,
+    LOAD,
+    call_bytes,
+    cancel_bytes,
+    health_check_bytes,
+)
+from stepstream.http.receiving import receive_message
 from stepstream.model.events import AttemptResult, HealthChecked
+from stepstream.ports.payload import Payload
 from stepstream.runtime.clock import Clock
 from stepstream.runtime.log import RateLimitedLogger, log
-from stepstream.runtime.sockets import receive_until, shut_down
+from stepstream.runtime.sockets import receive_until
 from stepstream.runtime.threads import ThreadPool
 
-
-class InFlightCall:
-    """What the driver keeps of a call; its lock orders the calling thread against a stop."""
-
-    __slots__ = ("lock", "line", "stopped", "taken", "written", "report")
-
-    def __init__(self) -> None:
-        self.lock = threading.Lock()
-        self.line: PooledConnection | None = None
-        self.stopped = self.taken = self.written = False
-        self.report: Report | None = None
+HEALTHY_STATUS = 200
+MICROSECONDS = 1e6  # in a second
+MICROSECONDS_PER_MILLISECOND = 1000
 
 
 class OutboundCarrier:
-    """The platform's carrier: calls to the workers that discovery names."""
+    """The platform's carrier: calls and health checks of the workers that discovery lists."""
 
     def __init__(
         self,
@@ -45,60 +52,71 @@
         destinations: DestinationSet,
         post: Callable[[Event], None],
         reports: LoadReportReader,
-        complaints: RateLimitedLogger,
+        unreadable_answers: RateLimitedLogger,
     ) -> None:
-        self.reports, self.complaints = reports, complaints
-        self.limits, self.clock, self.destinations, self.post = limits, clock, destinations, post
+        """`post` hands an event to the core; `unreadable_answers` counts and logs bad answers."""
+        self.limits = limits
+        self.clock = clock
+        self.destinations = destinations
+        self.post = post
+        self.reports = reports
+        self.unreadable_answers = unreadable_answers
         self.pool = ConnectionPool(limits)
-        self.crew = ThreadPool("outbound", limits.connections.call_threads)
+        # Owns the calling threads: it starts them as needed, and they end with the process.
+        self.threads = ThreadPool("outbound", limits.connections.call_threads)
 
     def reconfigure(self, limits: Limits) -> None:
-        """After a reload; what is open beyond a smaller budget stays until it ends."""
-        self.limits = self.pool.limits = limits
-        self.crew.most = limits.connections.call_threads
+        """Take over limits after a reload; what exceeds a smaller one stays until it ends."""
+        self.limits = limits
+        self.pool.limits = limits
+        self.threads.most = limits.connections.call_threads
+
+    # -- calls: the decision thread ----------------------------------------------------------------
 
     def start(self, call: Call) -> None:
-        call.carrier_state = InFlightCall()
-        self.crew.submit(self.run, call, call.carrier_state)
+        """Hand a call to a calling thread; never waits."""
+        in_flight = InFlightCall()
+        call.carrier_state = in_flight
+        self.threads.submit(self.run_call, call, in_flight)
 
     def stop(self, call: Call) -> None:
-        """Never waits: before the 202 the connection is closed, after it a DELETE goes out."""
-        flight = call.carrier_state
-        if not isinstance(flight, InFlightCall):
+        """Give a call up: before its 202 the connection is closed, after it the job is cancelled.
+
+        Never waits.
+        """
+        in_flight = call.carrier_state
+        if not isinstance(in_flight, InFlightCall):
             return
-        with flight.lock:
-            flight.stopped = True
-            if flight.line is not None:
-                shut_down(flight.line.sock)
-        if flight.taken:
-            self.crew.submit(self.give_up, call)
-
-    def run(self, call: Call, flight: InFlightCall) -> None:
+        in_flight.request_stop()
+        if in_flight.phase is CallPhase.ACCEPTED:
+            self.threads.submit(self.cancel_job, call)
+
+    # -- calls: the calling thread -----------------------------------------------------------------
+
+    def run_call(self, call: Call, in_flight: InFlightCall) -> None:
+        """Make a call, and post its end unless the worker has accepted the job."""
         try:
-            result = self.exchange(call, flight)
-        except Exception as error:
-            # Guards the request: a fault here must still end its call, as what it then is known to be.
+            result = self.call_worker(call, in_flight)
+        except Exception as error:  # noqa: BLE001  a fault here must still end its call
             log(f"fault in a call: {type(error).__name__}: {error}")
-            result = AttemptResult.RESET if flight.written else AttemptResult.NOT_SENT
+            unsent = in_flight.phase is CallPhase.UNSENT
+            result = AttemptResult.NOT_SENT if unsent else AttemptResult.RESET
         if result is not None:
-            self.post(CallEnded(call, result, flight.report))
-        if (
-            flight.stopped
-            and flight.written
-            and not flight.taken
-            and result is not AttemptResult.FULL
-        ):
-            self.give_up(call)  # its 202 may have crossed our closing
+            self.post(CallEnded(call, result, in_flight.load_report))
+        if in_flight.may_run_after_stop(result):
+            self.cancel_job(call)
 
-    def exchange(self, call: Call, flight: InFlightCall) -> AttemptResult | None:
-        """How the call ended, or None once the worker has taken the job."""
-        if flight.stopped or not call.still_needed or self.late(call):
+    def call_worker(self, call: Call, in_flight: InFlightCall) -> AttemptResult | None:
+        """Return how the call ended, or None once the worker has accepted the job."""
+        if self.reason_not_to_send(call, in_flight) is not None:
             return AttemptResult.NOT_SENT
-        address = self.destinations.address(call.worker_id)
+        address = self.destinations.usable_address(call.worker_id)
         if address is None:
             return AttemptResult.NOT_SENT
         try:
-            line = self.pool.take(call.worker_id, address, call.request.requires_new_connection)
+            connection = self.pool.acquire(
+                call.worker_id, address, requires_new=call.request.requires_new_connection
+            )
         except PoolExhaustedError:
             return AttemptResult.NOT_SENT
         except OSError as error:
@@ -106,110 +124,147 @@
                 self.destinations.report_refused(call.worker_id)
             return AttemptResult.CONNECT_FAILED
         self.destinations.report_reachable(call.worker_id)
-        with flight.lock:
-            # The last look before the first byte. Guards against sending to a worker that began to drain, for
-            # a client that left, or past a window, while this call waited for its turn or its connection.
-            unwanted = (
-                flight.stopped
-                or not call.still_needed
-                or self.late(call, connecting=self.limits.timeouts.connect_seconds)
-            )
-            unwanted = unwanted or self.destinations.address(call.worker_id) != line.address
-            flight.line = None if unwanted else line
-        if unwanted:
-            self.pool.give(line)
+        if not self.claim_connection(call, in_flight, connection):
+            self.pool.put_back(connection)
             return AttemptResult.NOT_SENT
-        exchange = HttpExchange(self.limits)
-        try:
-            self.converse(call, flight, line, exchange)
-        finally:
-            with flight.lock:
-                flight.line = None
-                flight.taken = exchange.phase is ExchangePhase.TAKEN and not flight.stopped
-                reusable = exchange.reusable and not flight.stopped
-            if reusable:
-                self.pool.give(line)
-            else:
-                self.pool.close(line)
-        if exchange.unreadable is not None:
-            self.complaints.add(f"of {call.worker_id} unreadable: {exchange.unreadable}")
-        flight.report = self.reports.header(exchange.load)
+        exchange = self.run_exchange(call, in_flight, connection)
+        if exchange.protocol_error is not None:
+            self.unreadable_answers.add(
+                f"of {call.worker_id} unreadable: {exchange.protocol_error}"
+            )
+        in_flight.load_report = self.reports.read_header(exchange.load_report_text)
         return exchange.result
 
-    def late(self, call: Call, connecting: float = 0.0) -> bool:
-        """Whether it has waited for too long, or its window is over; `connecting`: seconds that it may have
-        taken to connect.
+    def claim_connection(
+        self, call: Call, in_flight: InFlightCall, connection: PooledConnection
+    ) -> bool:
+        """Make the last check before the first byte; once passed, a stop closes the connection."""
+        with in_flight.lock:
+            if self.reason_not_to_send(call, in_flight, connection) is not None:
+                return False
+            in_flight.connection = connection
+            return True
+
+    def reason_not_to_send(
+        self, call: Call, in_flight: InFlightCall, connection: PooledConnection | None = None
+    ) -> UnsentReason | None:
+        """Return why the call must not be written, or None if it may.
+
+        Checked twice. Before a connection is acquired, it saves one for a call that is already
+        futile. With the acquired `connection`, under the call's lock, it is the last check before
+        the first byte: it guards against sending to a worker that began to drain, for a client that
+        left, or past a window, while the call waited for its thread or its connection.
         """
+        if in_flight.stop_requested:
+            return UnsentReason.STOPPED
+        if not call.still_needed:
+            return UnsentReason.NOT_NEEDED
         now_us = self.clock.now_us()
-        waited = (
-            now_us - call.sent_us > (self.limits.timeouts.call_queue_seconds + connecting) * 1e6
-        )
-        return waited or (call.write_deadline_us is not None and now_us > call.write_deadline_us)
+        longest_wait_seconds = self.limits.timeouts.call_queue_seconds
+        if connection is not None:
+            longest_wait_seconds += self.limits.timeouts.connect_seconds
+        if now_us - call.sent_us > longest_wait_seconds * MICROSECONDS:
+            return UnsentReason.QUEUED_TOO_LONG
+        if call.write_deadline_us is not None and now_us > call.write_deadline_us:
+            return UnsentReason.WINDOW_OVER
+        if (
+            connection is not None
+            and self.destinations.usable_address(call.worker_id) != connection.address
+        ):
+            return UnsentReason.ADDRESS_CHANGED
+        return None
+
+    def run_exchange(
+        self, call: Call, in_flight: InFlightCall, connection: PooledConnection
+    ) -> HttpExchange:
+        """Send the call and read its answer; the connection goes back to the pool or is closed."""
+        exchange = HttpExchange(self.limits)
+        try:
+            self.send_and_receive(call, in_flight, connection, exchange)
+        finally:
+            if in_flight.finish_exchange(exchange):
+                self.pool.put_back(connection)
+            else:
+                self.pool.close(connection)
+        return exchange
 
-    def converse(
-        self, call: Call, flight: InFlightCall, line: PooledConnection, exchange: HttpExchange
+    def send_and_receive(
+        self,
+        call: Call,
+        in_flight: InFlightCall,
+        connection: PooledConnection,
+        exchange: HttpExchange,
     ) -> None:
-        left_ms = (call.deadline_us - self.clock.now_us()) // 1000
-        data = platform.call_bytes(
-            host_of(line.address), call.request.id, call.request.payload, left_ms
-        )
+        """Run the exchange on its connection until it is over."""
+        remaining_ms = (call.deadline_us - self.clock.now_us()) // MICROSECONDS_PER_MILLISECOND
+        payload = cast(Payload, call.request.payload)  # the core hands it on unread
+        data = call_bytes(host_and_port(connection.address), call.request.id, payload, remaining_ms)
         try:
-            line.sock.sendall(data)
-            flight.written = True
-            exchange.written()
-            until = time.monotonic() + self.limits.timeouts.call_answer_seconds
-            while not exchange.over:
-                exchange.feed(receive_until(line.sock, until, self.limits.sizes.read_bytes))
-                until = min(until, time.monotonic() + self.limits.timeouts.answer_body_seconds)
+            connection.sock.sendall(data)
+            in_flight.phase = CallPhase.SENT
+            exchange.mark_request_written()
+            read_by = time.monotonic() + self.limits.timeouts.call_answer_seconds
+            while not exchange.is_over:
+                exchange.receive(
+                    receive_until(connection.sock, read_by, self.limits.sizes.read_bytes)
+                )
+                # An answer that has begun must be complete soon.
+                body_by = time.monotonic() + self.limits.timeouts.answer_body_seconds
+                read_by = min(read_by, body_by)
         except OSError:
-            exchange.broke()
+            exchange.connection_lost()
 
-    def give_up(self, call: Call) -> None:
-        address = self.destinations.last_address(call.worker_id)
+    def cancel_job(self, call: Call) -> None:
+        """Tell the worker that a job is not wanted any more; its answer changes nothing here."""
+        address = self.destinations.listed_address(call.worker_id)
         if address is not None:
-            data = platform.cancel_bytes(host_of(address), call.request.id)
-            self.ask(call.worker_id, address, data, self.limits.timeouts.cancel_answer_seconds)
+            data = cancel_bytes(host_and_port(address), call.request.id)
+            timeout_seconds = self.limits.timeouts.cancel_answer_seconds
+            self.send_request(call.worker_id, address, data, timeout_seconds)
 
-    def ask(self, worker: str, address: Address, data: bytes, seconds: float) -> Message | None:
-        """A small request besides the calls; None if no answer came."""
+    # -- requests besides the calls ----------------------------------------------------------------
+
+    def send_request(
+        self, worker: str, address: Address, data: bytes, timeout_seconds: float
+    ) -> Message | None:
+        """Send a small request and return its answer, or None if none came in time."""
         try:
-            line = self.pool.take(worker, address)
+            connection = self.pool.acquire(worker, address)
         except (PoolExhaustedError, OSError):
             return None
-        parser, message = Parser(self.limits, answers=True), None
-        until = time.monotonic() + seconds
+        parser = Parser(self.limits, answers=True)
+        deadline_seconds = time.monotonic() + timeout_seconds
         try:
-            line.sock.sendall(data)
-            while message is None:
-                if not (piece := receive_until(line.sock, until, self.limits.sizes.read_bytes)):
-                    break
-                parser.feed(piece)
-                message = parser.next()
+            connection.sock.sendall(data)
+            message = receive_message(
+                connection.sock, parser, deadline_seconds, self.limits.sizes.read_bytes
+            )
         except (OSError, ProtocolError):
             message = None
         if message is not None and message.keep_alive and parser.idle:
-            self.pool.give(line)
+            self.pool.put_back(connection)
         else:
-            self.pool.close(line)
+            self.pool.close(connection)
         return message
 
     def check_health(
         self, worker: str, on_result: Callable[[HealthChecked], None] | None = None
     ) -> None:
-        self.crew.submit(self.run_probe, worker, on_result or self.post)
+        """Check a worker's health on a calling thread; `on_result` or the core gets the result."""
+        self.threads.submit(self.run_health_check, worker, on_result or self.post)
 
-    def run_probe(self, worker: str, told: Callable[[HealthChecked], None]) -> None:
-        begun_us, address = self.clock.now_us(), self.destinations.address(worker)
-        message = report = None
+    def run_health_check(self, worker: str, on_result: Callable[[HealthChecked], None]) -> None:
+        """Check a worker's health; a worker that must not get new work counts as unhealthy."""
+        begun_us = self.clock.now_us()
+        address = self.destinations.usable_address(worker)
+        message = None
+        report = None
         if address is not None:
-            path = platform.LOAD if self.reports.in_probes else platform.HEALTHY
-            data = platform.health_check_bytes(host_of(address), path)
-            message = self.ask(worker, address, data, self.limits.timeouts.health_check_seconds)
+            path = LOAD if self.reports.in_health_checks else HEALTHY
+            data = health_check_bytes(host_and_port(address), path)
+            timeout_seconds = self.limits.timeouts.health_check_seconds
+            message = self.send_request(worker, address, data, timeout_seconds)
         if message is not None:
-            report = self.reports.probe(message.body)
-        ok = message is not None and message.status == 200
-        told(HealthChecked(worker, ok, self.clock.now_us() - begun_us, report))
-
-
-def host_of(address: Address) -> str:
-    return f"{address[0]}:{address[1]}"
+            report = self.reports.read_health_check(message.body)
+        healthy = message is not None and message.status == HEALTHY_STATUS
+        on_result(HealthChecked(worker, healthy, self.clock.now_us() - begun_us, report))
--- a/stepstream/http/platform_api.py
+++ b/stepstream/http/platform_api.py
@@ -114,7 +114,7 @@
     if data["state"] not in TELLS:
         return None
     share = read_share(data.get("share"))
-    load = reports.news(data.get("load")) if reports else None
+    load = reports.read_notification(data.get("load")) if reports else None
     return JobNotification(
         name, worker, TELLS[data["state"]], data.get("result"), share, relayed, load
     )
--- a/stepstream/http/staleness.py
+++ b/stepstream/http/staleness.py
@@ -1,65 +1,100 @@
-"""Whether the list of workers can still be trusted, by what its workers do; free of I/O, seconds passed in.
+"""Detect from refused connections that the endpoint list may be stale.
 
-A watch that has fallen silent looks like a list without changes until its wait is over, up to a minute in a
-large fleet. Meanwhile workers that the list calls ready have ended: their machines refuse connections. One
-refusal is a crash that the list will tell of, seconds late; several that it goes on not to tell are a list
-that is no longer heard.
+A watch that has fallen silent looks like a list without changes until its wait is over, up to a
+minute where many dispatchers share one discovery service. Meanwhile workers that the list calls
+active have ended, and their machines refuse connections. One refusal is a crash that the list will
+report a little later; several that stay unreported suggest that the watch no longer delivers.
+
+The detector does no I/O and reads no clock: times are monotonic seconds passed in. It has no lock
+of its own; `DestinationSet` calls it under its lock.
 """
 
 import random
 from dataclasses import dataclass, field
 from math import inf
 
-LEAST = 2  # workers; one alone may have lost its process and not its machine's word
-NOTICE = 2.0  # a list tells of a crash that late or later; a refusal older than this is not news on its way
-SPREAD = 0.05  # for each dispatcher: all see a crash at once, and discovery answers one call after another
-LONGEST_SPREAD = 10.0
-AGAIN = (
-    15.0  # between two doubts: a list that has been asked for anew and still says ready is believed
-)
-MOST = 256  # workers remembered
+# Workers that must refuse before the list is checked. One alone may have crashed while its machine,
+# which would report that, is cut off: lower, and every crash costs discovery an extra call.
+MIN_REFUSING_WORKERS = 2
+# A list reports a crash up to this late. A check made sooner would find the news still on its way.
+NOTIFICATION_DELAY_SECONDS = 2.0
+# All dispatchers see a crash at the same time, and discovery answers one call after another: the
+# check is delayed by a random part of this for each other dispatcher, ...
+SPREAD_PER_DISPATCHER_SECONDS = 0.05
+# ... and by no more than this in all, or a large fleet would learn of a broken watch too late.
+MAX_SPREAD_SECONDS = 10.0
+# Between two checks. A list that has just been checked and still calls the workers active is
+# believed.
+CHECK_INTERVAL_SECONDS = 15.0
+# Refusing workers remembered at a time; further ones change nothing and are ignored. Bounds the
+# memory.
+MAX_REMEMBERED_WORKERS = 256
 
 
 @dataclass
 class StalenessDetector:
-    """`fleet`: dispatchers that ask the same discovery."""
+    """Workers that refuse although listed as active, and when to check the list because of them.
 
-    fleet: int
-    draw: random.Random
-    refused_at: dict[str, float] = field(default_factory=dict)  # by worker: its first refusal
-    due_at: float = inf
-    last: float = -inf
+    `dispatcher_count` is the number of dispatchers that call the same discovery service; `rng`
+    yields the random part of the delay. The main thread may replace `dispatcher_count` at any time.
+    """
 
-    def refused(self, worker: str, now: float) -> None:
-        """A worker that the list calls ready refuses connections."""
-        if worker in self.refused_at or len(self.refused_at) >= MOST:
-            return
-        self.refused_at[worker] = now
-        if len(self.refused_at) == LEAST:
-            spread = min(SPREAD * (self.fleet - 1), LONGEST_SPREAD)
-            self.due_at = max(now, self.last + AGAIN) + NOTICE + self.draw.uniform(0.0, spread)
+    dispatcher_count: int
+    rng: random.Random
+    # by worker: the time of its first refusal since it was last listed or reached
+    first_refusal_seconds: dict[str, float] = field(default_factory=dict)
+    check_due_seconds: float = inf  # the next check; infinite while too few workers refuse
+    last_check_seconds: float = -inf
 
-    def reached(self, worker: str) -> None:
-        """It takes connections."""
-        if self.refused_at.pop(worker, None) is not None:
-            self.settle()
+    def record_refusal(self, worker: str, now_seconds: float) -> None:
+        """Record that a worker listed as active refuses connections.
 
-    def told(self, workers: set[str] | None) -> None:
-        """Discovery's word on these, or on all (None)."""
-        for worker in (
-            list(self.refused_at) if workers is None else workers & self.refused_at.keys()
+        The refusal that makes enough workers schedules a check.
+        """
+        if (
+            worker in self.first_refusal_seconds
+            or len(self.first_refusal_seconds) >= MAX_REMEMBERED_WORKERS
         ):
-            del self.refused_at[worker]
-        self.settle()
+            return
+        self.first_refusal_seconds[worker] = now_seconds
+        if len(self.first_refusal_seconds) == MIN_REFUSING_WORKERS:
+            spread = min(
+                SPREAD_PER_DISPATCHER_SECONDS * (self.dispatcher_count - 1), MAX_SPREAD_SECONDS
+            )
+            self.check_due_seconds = (
+                max(now_seconds, self.last_check_seconds + CHECK_INTERVAL_SECONDS)
+                + NOTIFICATION_DELAY_SECONDS
+                + self.rng.uniform(0.0, spread)
+            )
+
+    def record_connect(self, worker: str) -> None:
+        """Record that a worker accepts connections."""
+        if self.first_refusal_seconds.pop(worker, None) is not None:
+            self.cancel_check_if_few_refuse()
+
+    def record_listed(self, workers: set[str] | None) -> None:
+        """Record that discovery reported on these workers, or on all of them (None)."""
+        if workers is None:
+            self.first_refusal_seconds.clear()
+        else:
+            for worker in workers & self.first_refusal_seconds.keys():
+                del self.first_refusal_seconds[worker]
+        self.cancel_check_if_few_refuse()
+
+    def cancel_check_if_few_refuse(self) -> None:
+        """Drop a scheduled check once too few workers refuse."""
+        if len(self.first_refusal_seconds) < MIN_REFUSING_WORKERS:
+            self.check_due_seconds = inf
 
-    def settle(self) -> None:
-        if len(self.refused_at) < LEAST:
-            self.due_at = inf
+    def claim_check(self, now_seconds: float) -> bool:
+        """Return whether the list is to be checked now, and count the check as made.
 
-    def due(self, now: float) -> bool:
-        """Whether the list is to be asked for anew; true once, then not before AGAIN."""
-        if now < self.due_at:
+        True at most once for each scheduled check; the next one is CHECK_INTERVAL_SECONDS away at
+        least.
+        """
+        if now_seconds < self.check_due_seconds:
             return False
-        self.refused_at.clear()
-        self.due_at, self.last = inf, now
+        self.first_refusal_seconds.clear()
+        self.check_due_seconds = inf
+        self.last_check_seconds = now_seconds
         return True
--- a/stepstream/leases/subsystem.py
+++ b/stepstream/leases/subsystem.py
@@ -75,7 +75,7 @@
         def names() -> tuple[str, ...]:
             return host.config.settings.load_report_columns
 
-        told = host.destinations.usable, host.outbound.check_health, names, host.post
+        told = host.destinations.usable_workers, host.outbound.check_health, names, host.post
         return Sweeper(self.leases, messenger, complaints, *told)
 
     # -- the node's calls ---------------------------------------------------------------------------------
--- a/stepstream/node/node.py
+++ b/stepstream/node/node.py
@@ -90,7 +90,7 @@
         self.reports = LoadReportReader(config.settings, self.bad_reports.add)
         side = ClientApi(config.settings, self.reports)
         self.server = InboundServer(
-            self.limits, self.clock, side, self.post, self.destinations.is_worker
+            self.limits, self.clock, side, self.post, self.destinations.is_worker_host
         )
         more = self.reports, self.bad_answers
         self.outbound = OutboundCarrier(
@@ -120,7 +120,7 @@
 
     def discovery_for(self, config: NodeConfig, limits: Limits) -> DiscoveryClient:
         side = DiscoveryApi(config.settings)
-        schedule = PollSchedule.of(config.settings, random.Random(config.seed))
+        schedule = PollSchedule.from_settings(config.settings, random.Random(config.seed))
         more = self.events.put, self.bad_lists, schedule
         return DiscoveryClient(limits, config.discovery, side, self.destinations, *more)
 
@@ -156,19 +156,19 @@
         if not self.persisted_endpoints:
             return  # its version would be one that discovery never gave
         try:
-            self.discovery.learn(self.discovery.side.read(self.persisted_endpoints, kept=True))
+            self.discovery.adopt_list(self.discovery.api.read(self.persisted_endpoints, kept=True))
         except ProtocolError as error:
             log(f"known list ignored: {error}")
 
     def await_agent(self) -> None:
         """Guards the first requests: what an agent of pushed lists holds counts from the first moment."""
         if not self.config.settings.polls_endpoints:
-            self.discovery.heard.wait(self.limits.startup.first_agent_list_seconds)
+            self.discovery.first_answer_received.wait(self.limits.startup.first_agent_list_seconds)
 
     def await_list(self) -> None:
         """Ready means: there is a list to serve from, or none could be had in a few seconds."""
         self.discovery.poll()
-        self.discovery.heard.wait(self.limits.startup.first_endpoint_list_seconds)
+        self.discovery.first_answer_received.wait(self.limits.startup.first_endpoint_list_seconds)
         self.server.state.starting = False
 
     # -- the decision thread ------------------------------------------------------------------------------
@@ -248,16 +248,16 @@
         return 0
 
     def look_round(self) -> None:
-        run_guarded("sweep", self.outbound.pool.sweep)
+        run_guarded("sweep", self.outbound.pool.retire_idle)
         run_guarded("doubt", self.look_at_list)
         self.look_at_parts()
 
     def look_at_list(self) -> None:
-        if self.destinations.is_suspected_stale():
+        if self.destinations.claim_staleness_check():
             log(
                 "discovery asked beside its watch: workers that its list calls ready refuse connections"
             )
-            self.discovery.check()
+            self.discovery.check_beside_watch()
 
     def look_at_parts(self) -> None:
         run_guarded("look", self.server.enforce_timeouts)
@@ -300,8 +300,8 @@
         self.sharing = dispatchers
         settings = self.in_force(self.config)
         self.post(SettingsChanged(settings))
-        self.discovery.schedule.dispatchers = dispatchers
-        self.destinations.doubt.fleet = dispatchers
+        self.discovery.schedule.dispatcher_count = dispatchers
+        self.destinations.staleness.dispatcher_count = dispatchers
         log(f"the workers are shared by {dispatchers} dispatchers")
 
     def in_force(self, config: NodeConfig) -> Settings:
@@ -314,7 +314,7 @@
         old, new = self.discovery, self.discovery_for(config, limits)
         if config.discovery == self.config.discovery:
             new.version = old.version  # the same list goes on: no need for a whole one
-        new.poll_soon()  # what it has to tell counts soon after a reload
+        new.poll_now()  # what it has to tell counts soon after a reload
         spawn_thread("discovery", new.run)  # first: without a thread nothing changes
         old.stop()
         # Before anything is read by the new settings: the core hears of them first.
@@ -323,14 +323,14 @@
         self.reports.reconfigure(config.settings)
         self.server.reconfigure(limits, ClientApi(config.settings, self.reports))
         self.outbound.reconfigure(limits)
-        self.destinations.doubt.fleet = config.settings.dispatcher_count
+        self.destinations.staleness.dispatcher_count = config.settings.dispatcher_count
         self.discovery = new
 
     def report(self) -> None:
         counts = ", ".join(f"{n} {outcome.value}" for outcome, n in self.counts.items())
         log(
             f"status: {self.core.open_count} requests open, {len(self.server.connections)} inbound and "
-            f"{self.outbound.pool.count} outbound connections, {self.server.rejected_count} turned away, "
+            f"{self.outbound.pool.open_count} outbound connections, {self.server.rejected_count} turned away, "
             f"{self.bad_reports.count} load reports and {self.bad_answers.count} answers unreadable, "
             f"{self.bad_lists.count} calls to discovery failed, {counts}"
             + "".join(f", {more}" for part in self.subsystems.values() if (more := part.status()))
--- a/tests/golden/front_samples.py
+++ b/tests/golden/front_samples.py
@@ -264,7 +264,7 @@
 
 
 def probe_bytes(how: str) -> str:
-    path = platform.LOAD if reports_reader(how)[0].in_probes else platform.HEALTHY
+    path = platform.LOAD if reports_reader(how)[0].in_health_checks else platform.HEALTHY
     return text_of(platform.health_check_bytes("127.0.0.1:9000", path))
 
 
@@ -309,7 +309,7 @@
 
     destinations = DestinationSet()
     destinations.apply(discovery_side().read(data, kept=True))
-    return destinations.listed()
+    return destinations.export_list()
 
 
 def news_read(body: bytes) -> object:
@@ -329,7 +329,11 @@
 
 def report_read(place: str, how: str, given: object) -> object:
     reader, complaints = reports_reader(how)
-    read = {"header": reader.header, "news": reader.news, "probe": reader.probe}[place]
+    read = {
+        "header": reader.read_header,
+        "news": reader.read_notification,
+        "probe": reader.read_health_check,
+    }[place]
     return {"report": read(given), "complaints": len(complaints)}
 
 
@@ -337,16 +341,16 @@
     """What a worker's answer to a call proves, by its bytes; then the connection ends."""
     exchange = HttpExchange(LIMITS)
     if written:
-        exchange.written()
+        exchange.mark_request_written()
     if data:
-        exchange.feed(data)
-    if not exchange.over:
-        exchange.feed(b"")
+        exchange.receive(data)
+    if not exchange.is_over:
+        exchange.receive(b"")
     return {
         "taken": exchange.result is None,
         "result": plain(exchange.result),
-        "reusable": exchange.reusable,
-        "load": exchange.load,
+        "reusable": exchange.connection_reusable,
+        "load": exchange.load_report_text,
     }
 
 
@@ -1199,7 +1203,7 @@
         config = config_from({**CONFIG, "operator": ""}, {})
         node = Node(config, operator, str(path))
         node.counts.update({outcome: 5 + k for k, outcome in enumerate(node.counts)})
-        node.server.rejected_count, node.outbound.pool.count = 1, 2
+        node.server.rejected_count, node.outbound.pool.open_count = 1, 2
         node.bad_reports.count, node.bad_answers.count, node.bad_lists.count = 3, 4, 9
         node.report()
     return error.getvalue()
--- a/tests/golden/state_answers.py
+++ b/tests/golden/state_answers.py
@@ -563,7 +563,7 @@
     """Discovery's list in its own form before its first answer, after a whole list and a change."""
     side = platform.DiscoveryApi(config_from(CONFIGURATION, {}).settings)
     workers = DestinationSet()
-    told: list[object] = [workers.listed()]
+    told: list[object] = [workers.export_list()]
     first = {"id": "s-1", "addr": "127.0.0.1:5000", "zone": "petrzalka", "cell": 3, "weight": 2.5}
     second = {"id": "s-2", "addr": "127.0.0.1:5001", "started_ms": UNIX_MS}
     third = {"id": "s-3", "addr": "127.0.0.1:5002"}
@@ -572,7 +572,7 @@
         (4, False, [{**first, "state": "draining"}, {"id": "s-3", "state": "gone"}]),
     ):
         workers.apply(side.read({"version": version, "full": full, "servers": rows}))
-        told.append(workers.listed())
+        told.append(workers.export_list())
     return told
 
 
--- a/tests/hot_restart/test_hot_restart.py
+++ b/tests/hot_restart/test_hot_restart.py
@@ -253,12 +253,12 @@
         }
     )
     destinations = DestinationSet()
-    assert destinations.listed() is None
+    assert destinations.export_list() is None
     destinations.apply(told)
     destinations.apply(
         side.read({"version": 42, "full": False, "servers": [{"id": "s-2", "state": "gone"}]})
     )
-    again = side.read(destinations.listed(), kept=True)
+    again = side.read(destinations.export_list(), kept=True)
     assert again.version == 42
     assert again.addresses == {"s-1": ("127.0.0.1", 81)}
     assert again.update.endpoints == told.update.endpoints[:1]
--- /dev/null
+++ b/tests/http/test_exchange.py
@@ -0,0 +1,71 @@
+"""An exchange with a worker as a state machine, by random steps against a model of its states."""
+
+from hypothesis import strategies as st
+from net_helpers import LIMITS
+from walk import walks
+
+from stepstream.http.codec import write_answer
+from stepstream.http.exchange import ExchangePhase, HttpExchange
+from stepstream.model.events import AttemptResult
+
+NOT_STARTED = {"Not-Started": "1"}
+INTERIM, INCOMPLETE = "interim", "incomplete"  # answers that end nothing
+# By name: the worker's bytes, and the attempt's result (None: the job is accepted).
+ANSWERS = {
+    "accepted": (write_answer(202), None),
+    "full": (write_answer(503, headers=NOT_STARTED), AttemptResult.FULL),
+    "too late": (write_answer(504, headers=NOT_STARTED), AttemptResult.FULL),
+    "busy": (write_answer(503), AttemptResult.ERROR),
+    "error": (write_answer(500), AttemptResult.ERROR),
+    "continue": (b"HTTP/1.1 100 Continue\r\n\r\n", INTERIM),
+    "junk": (b"junk\r\n\r\n", AttemptResult.RESET),
+    "part": (b"HTTP/1.1 20", INCOMPLETE),
+}
+OPEN = "open"
+
+
+class ExchangeRig:
+    """The model: whether the last byte is written, and the first thing that ended the exchange."""
+
+    def __init__(self):
+        self.exchange = HttpExchange(LIMITS)
+        self.written = False
+        self.result = OPEN
+        self.inside_answer = False
+
+    def write_request(self, _):
+        if self.result == OPEN and not self.written:
+            self.exchange.mark_request_written()
+            self.written = True
+
+    def answer(self, name):
+        if self.result != OPEN or self.inside_answer or not self.written:
+            return
+        data, result = ANSWERS[name]
+        self.exchange.receive(data)
+        self.inside_answer = result == INCOMPLETE
+        if result not in (INCOMPLETE, INTERIM):
+            self.result = result
+
+    def lose_connection(self, worker_closes):
+        if worker_closes and self.written:
+            self.exchange.receive(b"")
+        else:
+            self.exchange.connection_lost()
+        if self.result == OPEN:
+            lost = AttemptResult.RESET if self.written else AttemptResult.CONNECT_FAILED
+            self.result = lost
+
+    def check(self):
+        assert self.exchange.is_over == (self.result != OPEN)
+        assert self.exchange.result == (None if self.result == OPEN else self.result)
+        accepted = self.exchange.phase is ExchangePhase.JOB_ACCEPTED
+        assert accepted == (self.result is None)
+
+
+test_exchange_against_its_model = walks(
+    ExchangeRig,
+    write_request=st.none(),
+    answer=st.sampled_from(list(ANSWERS)),
+    lose_connection=st.booleans(),
+)
--- a/tests/http/test_load_reports.py
+++ b/tests/http/test_load_reports.py
@@ -11,23 +11,15 @@
 from stepstream.http import platform_api as platform
 from stepstream.http.codec import Message
 from stepstream.http.load_reports import LoadReportReader
-from stepstream.http.named_numbers import MOST
-
-
-def reader(how="answers"):
-    wrong = []
-    return LoadReportReader(
-        replace(SETTINGS, **{**PROBED, "load_report_source": how}), wrong.append
-    ), wrong
-
+from stepstream.http.named_numbers import LARGEST_NUMBER
 
 FULL = {"queue": 2.0, "free_slots": 1.5}
-FORMS = {
+READABLE = {
     "TEXT util=0.6, queue=2, x0=1.5": FULL,
     " TEXT x0 = 1.5,queue=2 ,zone=a": FULL,
     "TEXT util=0": None,
 }
-BAD = (
+UNREADABLE = (
     "JSON queue=2",
     "TEXT queue",
     "TEXT queue=many",
@@ -37,38 +29,55 @@
 )
 
 
-@pytest.mark.parametrize("text", [*FORMS, *BAD])
-def test_a_report_as_text_in_a_header_and_in_a_probes_body(text):
-    made, wrong = reader()
-    assert made.header(text) == FORMS.get(text) == made.probe(text.encode())
-    assert len(wrong) == 2 * (text in BAD)
+def settings_with(source):
+    return replace(SETTINGS, **{**PROBED, "load_report_source": source})
+
+
+def make_reader(source="answers"):
+    """A reader, and the list of what it has found wrong."""
+    complaints = []
+    return LoadReportReader(settings_with(source), complaints.append), complaints
 
 
-@pytest.mark.parametrize("how,places", [("answers", 3), ("probe", 1), ("none", 0)])
-def test_reports_come_where_the_settings_say_also_after_a_reload(how, places):
-    made, _ = reader("none")
-    made.reconfigure(replace(SETTINGS, **{**PROBED, "load_report_source": how}))
+@pytest.mark.parametrize("text", [*READABLE, *UNREADABLE])
+def test_a_report_in_text_form_is_read_from_a_header_and_from_a_health_check(text):
+    reader, complaints = make_reader()
+    expected = READABLE.get(text)
+    assert reader.read_header(text) == expected == reader.read_health_check(text.encode())
+    assert len(complaints) == 2 * (text in UNREADABLE)
+
+
+@pytest.mark.parametrize(("source", "places"), [("answers", 3), ("probe", 1), ("none", 0)])
+def test_reports_come_where_the_settings_say_also_after_a_reload(source, places):
+    reader, _ = make_reader("none")
+    reader.reconfigure(settings_with(source))
     load = {"queue": 2, "x0": 1.5}
-    news = json.dumps({"id": "a", "from": "s", "state": "done", "load": load}).encode()
-    told = platform.read_notification(Message("POST", platform.NEWS, body=news), made)
-    read = [
-        made.probe(json.dumps(load).encode()),
-        made.header("TEXT queue=2, x0=1.5"),
-        told.load_report,
+    body = json.dumps({"id": "a", "from": "s", "state": "done", "load": load}).encode()
+    notification = platform.read_notification(Message("POST", platform.NEWS, body=body), reader)
+    reports = [
+        reader.read_health_check(json.dumps(load).encode()),
+        reader.read_header("TEXT queue=2, x0=1.5"),
+        notification.load_report,
     ]
-    assert read == [FULL] * places + [None] * (3 - places)
+    assert reports == [FULL] * places + [None] * (3 - places)
 
 
-plain = st.none() | st.booleans() | st.integers() | st.floats() | st.text() | st.lists(st.floats())
-values = plain | st.dictionaries(st.sampled_from(["queue", "x0", "util"]), plain)
+SCALARS = (
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text() | st.lists(st.floats())
+)
+LOADS = SCALARS | st.dictionaries(st.sampled_from(["queue", "x0", "util"]), SCALARS)
 
 
 @settings(derandomize=True, deadline=None, database=None)
-@given(values, st.binary(max_size=60), st.text(max_size=60))
-def test_whatever_comes_it_is_a_report_of_bounded_figures_or_none(load, tail, text):
-    made, _ = reader()
+@given(LOADS, st.binary(max_size=60), st.text(max_size=60))
+def test_whatever_comes_it_is_a_report_of_bounded_numbers_or_none(load, tail, text):
+    reader, _ = make_reader()
     bodies = (tail, b"TEXT queue=" + tail, b"{" + tail, json.dumps(load).encode())
-    found = [made.news(load), made.header("TEXT " + text), *map(made.probe, bodies)]
-    for report in filter(None, found):
+    reports = [
+        reader.read_notification(load),
+        reader.read_header("TEXT " + text),
+        *map(reader.read_health_check, bodies),
+    ]
+    for report in filter(None, reports):
         assert set(report) <= {"queue", "free_slots"}
-        assert all(0 <= x <= MOST for x in report.values())
+        assert all(0 <= number <= LARGEST_NUMBER for number in report.values())
--- a/tests/http/test_poll_schedule.py
+++ b/tests/http/test_poll_schedule.py
@@ -1,4 +1,4 @@
-"""When discovery is called: the clocks on what counts as told, held by the schedule alone."""
+"""When discovery is called: the platform's bounds, kept by the schedule alone."""
 
 import random
 
@@ -6,80 +6,110 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from stepstream.http import poll_schedule as terms
-from stepstream.http.poll_schedule import PollSchedule
+from stepstream.http.poll_schedule import BACKOFF_SECONDS, PollSchedule
 
-TOLD = 6.0  # s after discovery had it and could be reached
-GRACE = 0.5  # the drain grace of the platform's days
-QUEUE = 2.0  # s after which discovery fails a call that waits
-ANSWER = 0.3  # the way of a call that is answered at once
-SIZES = st.integers(1, 250)
+KNOWN_BY_SECONDS = 6.0  # after discovery had a change and could be reached
+DRAIN_GRACE_SECONDS = 0.5  # the drain grace of the platform's days
+QUEUE_TIMEOUT_SECONDS = 2.0  # discovery fails a call that has waited for so long
+ROUND_TRIP_SECONDS = 0.3  # of a call that is answered at once
+LIST_COST_SECONDS = 0.5  # discovery's work for a complete list
+MEAN_JITTER = 0.75
+DISPATCHER_COUNTS = st.integers(1, 250)
 
 
-class Slowest(random.Random):
+class UpperBound(random.Random):
+    """Yields the upper end of each range."""
+
     def uniform(self, low, high):
         return high
 
 
-def of(size, pushed=False):
-    return PollSchedule(size, pushed, Slowest(0))
+def schedule_of(dispatcher_count, agent_pushes=False):
+    return PollSchedule(dispatcher_count, agent_pushes, UpperBound(0))
 
 
-def test_a_few_hear_of_a_change_in_time_though_a_watch_falls_silent_and_one_call_hangs():
-    """From the opening of the watch, at worst: silence, a call beside it that hangs, a pause, and the answer
-    to the next call on its way. The grace for sends is left whole.
+@pytest.mark.parametrize("dispatcher_count", range(1, 5))
+def test_few_know_of_a_change_in_time_though_a_watch_falls_silent_and_a_call_hangs(
+    dispatcher_count,
+):
+    """From the opening of the watch, at worst: silence, a call beside it that hangs, a pause, and
+    the round trip of the next call. The grace for sends is left whole.
     """
-    for size in range(1, 5):
-        one = of(size)
-        worst = one.wait + one.slack + one.limit + one.failed() + ANSWER
-        assert worst <= TOLD - GRACE
-
-
-def test_of_more_a_silent_watch_is_answered_for_within_2_s_of_its_wait():
-    """Also by the slowest answer that discovery gives; a call that hangs as well is not in time there."""
-    assert all(of(size).slack + QUEUE <= 2.0 + GRACE for size in range(5, 250))
+    schedule = schedule_of(dispatcher_count)
+    longest = (
+        schedule.watch_wait_seconds
+        + schedule.watch_overrun_seconds
+        + schedule.call_timeout_seconds
+        + schedule.pause_after_failure_seconds()
+        + ROUND_TRIP_SECONDS
+    )
+    assert longest <= KNOWN_BY_SECONDS - DRAIN_GRACE_SECONDS
+
+
+def test_with_more_a_silent_watch_is_made_up_for_within_2_s_of_its_wait():
+    """Also by the slowest answer that discovery gives; a call that hangs as well is not in time."""
+    assert all(
+        schedule_of(count).watch_overrun_seconds + QUEUE_TIMEOUT_SECONDS
+        <= 2.0 + DRAIN_GRACE_SECONDS
+        for count in range(5, 250)
+    )
 
 
 def test_calls_are_not_given_up_before_discovery_fails_them():
-    """Six dispatchers that gave theirs up after 1 s after a reload kept its queue full: three were not served
-    in 14 s (herd+brink, seed 918771944686).
+    """Six dispatchers that gave theirs up after 1 s after a reload kept its queue full: three were
+    not served in 14 s (herd+brink, seed 918771944686).
     """
-    assert all(of(size).limit > 2.0 for size in (1, 6, 30, 200))
+    assert all(schedule_of(count).call_timeout_seconds > 2.0 for count in (1, 6, 30, 200))
 
 
-@pytest.mark.parametrize("size", range(1, 9))
-def test_a_fleet_whose_calls_all_fail_asks_for_less_than_discovery_serves(size):
-    """Each makes a call that waits for 2 s and a pause; a whole list is half a second of discovery's work."""
-    one = of(size)
-    pauses = [one.failed() * 0.75 for _ in range(20)]  # the mean of the draw
-    assert size / (QUEUE + pauses[-1]) * 0.5 < 1.0
+@pytest.mark.parametrize("dispatcher_count", range(1, 9))
+def test_a_fleet_whose_calls_all_fail_asks_for_less_than_discovery_serves(dispatcher_count):
+    """Each makes a call that waits for 2 s and a pause; a complete list is half a second of work."""
+    schedule = schedule_of(dispatcher_count)
+    pauses = [schedule.pause_after_failure_seconds() * MEAN_JITTER for _ in range(20)]
+    period_seconds = QUEUE_TIMEOUT_SECONDS + pauses[-1]
+    assert dispatcher_count / period_seconds * LIST_COST_SECONDS < 1.0
 
 
 @settings(derandomize=True, deadline=None, database=None)
-@given(size=SIZES, failures=st.integers(1, 30))
+@given(dispatcher_count=DISPATCHER_COUNTS, failures=st.integers(1, 30))
 def test_no_row_of_failures_makes_a_pause_that_with_the_calls_round_it_reaches_the_bound(
-    size, failures
+    dispatcher_count, failures
 ):
-    """A call that hangs to its limit, the pause after it and the next call's way, whatever failed before."""
-    one = of(size)
-    pauses = [one.failed() for _ in range(failures)]
-    assert one.limit + max(pauses) + ANSWER <= TOLD - GRACE + 1e-9
-    assert min(pauses) >= terms.BACKOFF / 2  # bounded the other way too: no storm
-    one.answered(1.0, idle=False)
-    assert one.failed() <= pauses[-1]
+    """A call that hangs to its timeout, the pause after it and the next call's round trip."""
+    schedule = schedule_of(dispatcher_count)
+    pauses = [schedule.pause_after_failure_seconds() for _ in range(failures)]
+    longest = schedule.call_timeout_seconds + max(pauses) + ROUND_TRIP_SECONDS
+    assert longest <= KNOWN_BY_SECONDS - DRAIN_GRACE_SECONDS + 1e-9
+    assert min(pauses) >= BACKOFF_SECONDS / 2  # bounded the other way too: no storm
+    schedule.pause_after_answer_seconds(1.0, unchanged=False)
+    assert schedule.pause_after_failure_seconds() <= pauses[-1]
 
 
 @pytest.mark.parametrize(
-    ("size", "seconds"), [(1, 2.35), (4, 2.35), (8, 4.4), (40, 22.0), (500, 60.0)]
+    ("dispatcher_count", "wait_seconds"),
+    [(1, 2.35), (4, 2.35), (8, 4.4), (40, 22.0), (500, 60.0)],
 )
-def test_watches_last_longer_where_more_of_them_end(size, seconds):
-    assert of(size).wait == pytest.approx(seconds)
-    assert of(size).wait <= 60.0
+def test_watches_last_longer_where_more_of_them_end(dispatcher_count, wait_seconds):
+    schedule = schedule_of(dispatcher_count)
+    assert schedule.watch_wait_seconds == pytest.approx(wait_seconds)
+    assert schedule.watch_wait_seconds <= 60.0
+
+
+@pytest.mark.parametrize(
+    ("took_seconds", "unchanged", "pause_seconds"),
+    [(0.05, True, 0.1), (0.1, True, 0.0), (0.05, False, 0.0)],
+)
+def test_only_a_watch_answered_at_once_with_nothing_new_is_followed_by_a_pause(
+    took_seconds, unchanged, pause_seconds
+):
+    pause = schedule_of(1).pause_after_answer_seconds(took_seconds, unchanged=unchanged)
+    assert pause == pause_seconds
 
 
-def test_an_agents_word_is_never_older_than_half_a_second():
-    """What it holds counts as told at once; it answers at no cost."""
-    one = of(200, pushed=True)
-    assert one.first() == 0.0
-    assert one.wait + one.slack <= 0.5
-    assert one.limit + one.failed() <= 0.5
+def test_what_an_agent_pushes_is_never_older_than_half_a_second():
+    """What it holds counts as known at once; it answers at no cost."""
+    schedule = schedule_of(200, agent_pushes=True)
+    assert schedule.first_pause_seconds() == 0.0
+    assert schedule.watch_wait_seconds + schedule.watch_overrun_seconds <= 0.5
+    assert schedule.call_timeout_seconds + schedule.pause_after_failure_seconds() <= 0.5
--- a/tests/lab/test_lab.py
+++ b/tests/lab/test_lab.py
@@ -222,11 +222,14 @@
     for name in ("a", "b", "c"):
         made.model.offer(made.clock.now_us(), Task(name, 10**9))
     read = [
-        reports.probe(made.load_text().encode()),
-        reports.header(made.load_header().get("Server-Load")),
+        reports.read_health_check(made.load_text().encode()),
+        reports.read_header(made.load_header().get("Server-Load")),
     ]
     full = {"queue": 1.0, "free_slots": 0.0}
-    assert [*read, reports.news(made.look())] == [full, *[full if how == "answers" else None] * 2]
+    assert [*read, reports.read_notification(made.look())] == [
+        full,
+        *[full if how == "answers" else None] * 2,
+    ]
 
 
 def test_a_faulty_site_file_names_its_key(tmp_path):
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -343,7 +343,7 @@
     answer.set()
     wait_for(lambda: is_ready(port))
     assert node.destinations.version == 4
-    assert node.destinations.address("s-1") is None
+    assert node.destinations.usable_address("s-1") is None
     node.discovery.stop()
 
 
--- /dev/null
+++ b/tests/outbound_helpers.py
@@ -0,0 +1,79 @@
+"""An outbound carrier with one worker beside it, and answers of discovery that name workers."""
+
+from dataclasses import replace
+
+from net_helpers import LIMITS, SETTINGS, request
+from node_helpers import Server, wait_for
+
+from stepstream.config.limits import Limits, Timeouts
+from stepstream.core.events import CallEnded
+from stepstream.core.requests import Call
+from stepstream.http.codec import write_answer
+from stepstream.http.destination_set import DestinationSet
+from stepstream.http.in_flight_call import CallPhase
+from stepstream.http.load_reports import LoadReportReader
+from stepstream.http.outbound import OutboundCarrier
+from stepstream.http.platform_api import EndpointAnswer
+from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind, EndpointState
+from stepstream.runtime.clock import Clock
+from stepstream.runtime.log import RateLimitedLogger
+
+CLOCK = Clock()
+REUSED_AT_ONCE = Limits(timeouts=Timeouts(outbound_reuse_delay_seconds=0.0))
+
+
+def endpoint_answer(state=EndpointState.ACTIVE, kind=EndpointListKind.COMPLETE, **ports):
+    """Discovery's answer at version 1: the named workers, each at its port of 127.0.0.1."""
+    endpoints = tuple(Endpoint(name, state=state) for name in ports)
+    addresses = {name: ("127.0.0.1", port) for name, port in ports.items()}
+    return EndpointAnswer(1, EndpointList(kind, endpoints), addresses)
+
+
+def accept_job(_):
+    return write_answer(202)
+
+
+class OutboundHarness:
+    """A carrier whose events are recorded, and one worker 'w' that answers by `reply`."""
+
+    def __init__(self, reply, limits=LIMITS, settings=SETTINGS):
+        self.events = []
+        self.server = Server(reply)
+        self.destinations = DestinationSet()
+        self.destinations.apply(endpoint_answer(w=self.server.port))
+        self.settings = settings
+        self.unreadable = RateLimitedLogger("answer", limits)
+        self.carrier = OutboundCarrier(
+            limits,
+            CLOCK,
+            self.destinations,
+            self.events.append,
+            LoadReportReader(settings, self.unreadable.add),
+            self.unreadable,
+        )
+
+    def new_call(self, name="aa", sent_us=None, worker="w"):
+        now_us = CLOCK.now_us()
+        job = replace(request(name, now_us), settings=self.settings)
+        return Call(job, 0, worker, now_us if sent_us is None else sent_us, now_us + 5_000_000)
+
+    def start_call(self, name="aa", sent_us=None, worker="w"):
+        call = self.new_call(name, sent_us, worker)
+        self.carrier.start(call)
+        return call
+
+    def start_accepted_call(self, name):
+        """A call, once its worker has accepted the job."""
+        call = self.start_call(name)
+        wait_for(lambda: call.carrier_state.phase is CallPhase.ACCEPTED)
+        return call
+
+    def idle_connections(self):
+        """The worker's idle connections, once there is one."""
+        return wait_for(lambda: self.carrier.pool.idle.get("w"))
+
+    def result(self, call):
+        """How a call ended, once it has."""
+        return wait_for(
+            lambda: [e.result for e in self.events if isinstance(e, CallEnded) and e.call is call]
+        )[0]
