Name the platform's paths and the inbound server's calls by their terms

The paths of the platform's API were single words, and two methods of the inbound server themed ones.

--- a/stepstream/admin/listener.py
+++ b/stepstream/admin/listener.py
@@ -86,7 +86,7 @@
                 # Guards the next callers: the one waiting longest without a whole call makes room.
                 self.end(min(self.callers.values(), key=lambda c: c.begun))
             sock.setblocking(False)
-            parser = Parser(self.limits, body=self.limits.sizes.admin_body_bytes)
+            parser = Parser(self.limits, max_body_bytes=self.limits.sizes.admin_body_bytes)
             self.callers[sock.fileno()] = Caller(sock, parser, time.monotonic())
             self.poll.register(sock, IN)
 
--- a/stepstream/admin/service.py
+++ b/stepstream/admin/service.py
@@ -71,7 +71,7 @@
     def news(self, body: bytes) -> Verdict:
         """From the process beside this one: a worker brought it there, and it is this one's."""
         try:
-            told = platform.read_notification(Message(method="POST", body=body), relayed=True)
+            told = platform.read_notification(Message(method="POST", body=body), forwarded=True)
         except ProtocolError as error:
             return Verdict(error.status, f"{error}")
         if told is not None:
--- a/stepstream/gearman/driver.py
+++ b/stepstream/gearman/driver.py
@@ -60,7 +60,7 @@
         self.lock = threading.RLock()
         asked = House(
             new_id=lambda: secrets.token_hex(8),
-            full=house.crowded,
+            full=house.is_overloaded,
             closing=lambda: house.state.closing,
             gate=gate,
             on_answer=self.on_answer,
@@ -248,7 +248,7 @@
             self.ended = True
             self.side.writer.forget(self)
             self.link.close()
-        self.house.forget(self)
+        self.house.remove_connection(self)
 
     # -- sending ------------------------------------------------------------------------------------------
 
--- a/stepstream/http/codec.py
+++ b/stepstream/http/codec.py
@@ -59,9 +59,11 @@
 class Parser:
     """Bytes in, whole messages out. Once broken it stays so: where the next message begins is unknown."""
 
-    def __init__(self, limits: Limits, answers: bool = False, body: int | None = None) -> None:
+    def __init__(
+        self, limits: Limits, answers: bool = False, max_body_bytes: int | None = None
+    ) -> None:
         self.limits, self.answers = limits, answers
-        self.most = limits.sizes.body_bytes if body is None else body
+        self.most = limits.sizes.body_bytes if max_body_bytes is None else max_body_bytes
         self.state = State.HEAD
         self.buffer = bytearray()
         self.seen = 0  # bytes of the buffer already searched for a line's end
--- a/stepstream/http/discovery_client.py
+++ b/stepstream/http/discovery_client.py
@@ -194,7 +194,9 @@
         """
         until = time.monotonic() + seconds
         sock.sendall(data)
-        parser = Parser(self.limits, answers=True, body=self.limits.sizes.endpoint_list_bytes)
+        parser = Parser(
+            self.limits, answers=True, max_body_bytes=self.limits.sizes.endpoint_list_bytes
+        )
         message = None
         while message is None:
             piece = receive_until(sock, until, self.limits.sizes.read_bytes)
--- a/stepstream/http/outbound.py
+++ b/stepstream/http/outbound.py
@@ -202,7 +202,9 @@
         begun_us, address = self.clock.now_us(), self.destinations.address(worker)
         message = report = None
         if address is not None:
-            path = platform.LOAD if self.reports.in_probes else platform.HEALTHY
+            path = (
+                platform.LOAD_REPORT_PATH if self.reports.in_probes else platform.HEALTH_CHECK_PATH
+            )
             data = platform.health_check_bytes(host_of(address), path)
             message = self.ask(worker, address, data, self.limits.timeouts.health_check_seconds)
         if message is not None:
--- a/stepstream/http/platform_api.py
+++ b/stepstream/http/platform_api.py
@@ -18,15 +18,15 @@
 from stepstream.ports.access_control import Rejection, RejectionKind
 from stepstream.ports.payload import Payload, result_bytes
 
-READY, NEWS, TARGETS = "/-/ready", "/_jobs/news", "/api/targets"
-HEALTHY, LOAD = "/-/healthy", "/-/load"
+READINESS_PATH, NOTIFICATION_PATH, ENDPOINT_LIST_PATH = "/-/ready", "/_jobs/news", "/api/targets"
+HEALTH_CHECK_PATH, LOAD_REPORT_PATH = "/-/healthy", "/-/load"
 ID = re.compile(r"[0-9A-Za-z._~-]{1,64}")
 STATES = {
     "ready": EndpointState.ACTIVE,
     "draining": EndpointState.DRAINING,
     "gone": EndpointState.REMOVED,
 }
-TELLS = {news.value: news for news in JobStatus}
+STATUS_BY_WIRE_NAME = {news.value: news for news in JobStatus}
 
 
 class ClientApi:
@@ -95,7 +95,7 @@
 
 
 def read_notification(
-    message: Message, reports: LoadReportReader | None = None, relayed: bool = False
+    message: Message, reports: LoadReportReader | None = None, forwarded: bool = False
 ) -> JobNotification | None:
     """None for news of a kind that is not known: it is acknowledged, or its sender would repeat it.
 
@@ -111,12 +111,12 @@
         or not isinstance(data.get("state"), str)
     ):
         raise ProtocolError(400, "news needs id, from and state")
-    if data["state"] not in TELLS:
+    if data["state"] not in STATUS_BY_WIRE_NAME:
         return None
     share = read_share(data.get("share"))
     load = reports.news(data.get("load")) if reports else None
     return JobNotification(
-        name, worker, TELLS[data["state"]], data.get("result"), share, relayed, load
+        name, worker, STATUS_BY_WIRE_NAME[data["state"]], data.get("result"), share, forwarded, load
     )
 
 
@@ -203,7 +203,7 @@
     return write_request("DELETE", f"/jobs/{name}", {"Host": host})
 
 
-def health_check_bytes(host: str, path: str = HEALTHY) -> bytes:
+def health_check_bytes(host: str, path: str = HEALTH_CHECK_PATH) -> bytes:
     return write_request("GET", path, {"Host": host})
 
 
@@ -238,12 +238,14 @@
 
     @staticmethod
     def fetch_bytes(host: str) -> bytes:
-        return write_request("GET", TARGETS, {"Host": host})
+        return write_request("GET", ENDPOINT_LIST_PATH, {"Host": host})
 
     @staticmethod
-    def watch_bytes(host: str, version: int, wait_s: float) -> bytes:
+    def watch_bytes(host: str, version: int, wait_seconds: float) -> bytes:
         return write_request(
-            "GET", f"{TARGETS}?index={version}&wait={int(wait_s * 1000)}", {"Host": host}
+            "GET",
+            f"{ENDPOINT_LIST_PATH}?index={version}&wait={int(wait_seconds * 1000)}",
+            {"Host": host},
         )
 
     def read_answer(self, message: Message) -> EndpointAnswer:
@@ -251,7 +253,7 @@
             raise ProtocolError(400, f"discovery answered {message.status}")
         return self.read(read_json(message.body))
 
-    def read(self, data: dict, kept: bool = False) -> EndpointAnswer:
+    def read(self, data: dict, persisted: bool = False) -> EndpointAnswer:
         """`kept` for the list from before a start, which may be old."""
         try:
             rows = [self.entry(row) for row in data.get("servers", ())]
@@ -264,7 +266,9 @@
         entries = tuple(entry for entry, _ in rows)
         addresses = {entry.worker_id: address for entry, address in rows if address}
         return EndpointAnswer(
-            version, EndpointList(EndpointListKind.PERSISTED if kept else kind, entries), addresses
+            version,
+            EndpointList(EndpointListKind.PERSISTED if persisted else kind, entries),
+            addresses,
         )
 
     def entry(self, row: dict) -> tuple[Endpoint, tuple[str, int] | None]:
--- a/stepstream/http/server.py
+++ b/stepstream/http/server.py
@@ -73,7 +73,7 @@
                     self.link.hang_up()
                 else:
                     self.link.close()
-            self.house.forget(self)
+            self.house.remove_connection(self)
             self.let_go(left)
 
     def let_go(self, left: Request | None) -> None:
@@ -319,7 +319,7 @@
         self.known_host = known_host
         self.limits, self.clock, self.post = limits, clock, post
         self.state = ServerState(side)
-        self.state.is_overloaded = self.crowded
+        self.state.is_overloaded = self.is_overloaded
         self.readers = ThreadPool("inbound", limits.connections.inbound)
         self.writers = ThreadPool("late writer", limits.connections.slow_writer_threads)
         self.lock = threading.Lock()
@@ -523,13 +523,13 @@
             return
         self.linger(sock, self.limits.timeouts.rejected_linger_seconds)
 
-    def forget(self, inbound: Connection) -> None:
+    def remove_connection(self, inbound: Connection) -> None:
         with self.lock:
             self.strike(inbound)
             self.evicted_count -= inbound.evicted
             inbound.evicted = False
 
-    def crowded(self) -> bool:
+    def is_overloaded(self) -> bool:
         """Only open requests count: connections between requests make room when news needs it."""
         most = self.limits.connections.open_requests
         if len(self.connections) < most:
--- a/stepstream/http/session.py
+++ b/stepstream/http/session.py
@@ -101,7 +101,7 @@
 
     def read(self, message: Message, now_us: int) -> list[Step]:
         path = platform.path_of(message)
-        if path == platform.NEWS:
+        if path == platform.NOTIFICATION_PATH:
             told = platform.read_notification(message, self.door.side.reports)
             if self.door.access_control is not None:
                 name = platform.read_json(message.body)["from"]
@@ -112,7 +112,7 @@
                     return [self.turn_away(turned)]
             self.of_worker = self.proven = True
             return [self.reply(200), *([told] if told else [])]
-        if path == platform.READY:
+        if path == platform.READINESS_PATH:
             if message.method != "GET":
                 raise ProtocolError(405, "only GET")
             away = self.door.starting or self.door.shutting_down or self.door.draining
--- a/stepstream/node/node.py
+++ b/stepstream/node/node.py
@@ -156,7 +156,7 @@
         if not self.persisted_endpoints:
             return  # its version would be one that discovery never gave
         try:
-            self.discovery.learn(self.discovery.side.read(self.persisted_endpoints, kept=True))
+            self.discovery.learn(self.discovery.side.read(self.persisted_endpoints, persisted=True))
         except ProtocolError as error:
             log(f"known list ignored: {error}")
 
--- a/tests/golden/front_samples.py
+++ b/tests/golden/front_samples.py
@@ -264,7 +264,11 @@
 
 
 def probe_bytes(how: str) -> str:
-    path = platform.LOAD if reports_reader(how)[0].in_probes else platform.HEALTHY
+    path = (
+        platform.LOAD_REPORT_PATH
+        if reports_reader(how)[0].in_probes
+        else platform.HEALTH_CHECK_PATH
+    )
     return text_of(platform.health_check_bytes("127.0.0.1:9000", path))
 
 
@@ -277,7 +281,7 @@
 
 def list_read(data: bytes) -> object:
     """Discovery's answer, read from the bytes of its connection."""
-    parser = Parser(LIMITS, answers=True, body=LIMITS.sizes.endpoint_list_bytes)
+    parser = Parser(LIMITS, answers=True, max_body_bytes=LIMITS.sizes.endpoint_list_bytes)
     parser.feed(data)
     try:
         message = parser.next() or parser.end()
@@ -308,14 +312,16 @@
     from stepstream.http.destination_set import DestinationSet
 
     destinations = DestinationSet()
-    destinations.apply(discovery_side().read(data, kept=True))
+    destinations.apply(discovery_side().read(data, persisted=True))
     return destinations.listed()
 
 
 def news_read(body: bytes) -> object:
     reader, complaints = reports_reader()
     try:
-        told = platform.read_notification(Message("POST", platform.NEWS, body=body), reader)
+        told = platform.read_notification(
+            Message("POST", platform.NOTIFICATION_PATH, body=body), reader
+        )
     except ProtocolError as error:
         return {"status": error.status}
     return {"news": told_of(told), "complaints": len(complaints)}
@@ -323,7 +329,7 @@
 
 def news_written(body: bytes) -> str:
     """News as it goes on to the process beside this one."""
-    told = platform.read_notification(Message("POST", platform.NEWS, body=body))
+    told = platform.read_notification(Message("POST", platform.NOTIFICATION_PATH, body=body))
     return text_of(platform.notification_body(told))
 
 
--- a/tests/golden/state_answers.py
+++ b/tests/golden/state_answers.py
@@ -616,7 +616,7 @@
 
 
 def worker_news() -> dict[str, object]:
-    done, running = platform.TELLS["done"], platform.TELLS["running"]
+    done, running = platform.STATUS_BY_WIRE_NAME["done"], platform.STATUS_BY_WIRE_NAME["running"]
     return {
         "done": JobNotification("job-1", "s-1", done, {"sum": 3}),
         "running": JobNotification("job-1", "s-1", running, None, (250, 1000)),
--- a/tests/hot_restart/test_hot_restart.py
+++ b/tests/hot_restart/test_hot_restart.py
@@ -148,7 +148,7 @@
 def test_news_passed_on_reads_back_as_it_came():
     told = JobNotification("zz", "s-1", JobStatus.RUNNING, None, (400, 1000))
     assert read_notification(
-        Message(method="POST", body=notification_body(told)), relayed=True
+        Message(method="POST", body=notification_body(told)), forwarded=True
     ) == JobNotification("zz", "s-1", JobStatus.RUNNING, None, (400, 1000), True)
 
 
@@ -258,7 +258,7 @@
     destinations.apply(
         side.read({"version": 42, "full": False, "servers": [{"id": "s-2", "state": "gone"}]})
     )
-    again = side.read(destinations.listed(), kept=True)
+    again = side.read(destinations.listed(), persisted=True)
     assert again.version == 42
     assert again.addresses == {"s-1": ("127.0.0.1", 81)}
     assert again.update.endpoints == told.update.endpoints[:1]
--- a/tests/http/test_load_reports.py
+++ b/tests/http/test_load_reports.py
@@ -50,7 +50,7 @@
     made.reconfigure(replace(SETTINGS, **{**PROBED, "load_report_source": how}))
     load = {"queue": 2, "x0": 1.5}
     news = json.dumps({"id": "a", "from": "s", "state": "done", "load": load}).encode()
-    told = platform.read_notification(Message("POST", platform.NEWS, body=news), made)
+    told = platform.read_notification(Message("POST", platform.NOTIFICATION_PATH, body=news), made)
     read = [
         made.probe(json.dumps(load).encode()),
         made.header("TEXT queue=2, x0=1.5"),
--- a/tests/http/test_platform_api.py
+++ b/tests/http/test_platform_api.py
@@ -76,7 +76,7 @@
 
 
 def news(body, method="POST"):
-    return platform.read_notification(Message(method, platform.NEWS, body=body))
+    return platform.read_notification(Message(method, platform.NOTIFICATION_PATH, body=body))
 
 
 def test_news_is_read_and_kinds_not_known_are_passed_over():
@@ -138,7 +138,7 @@
     entry = Endpoint("s-1", 1, 1, 3, EndpointState.ACTIVE, 1.5, 7_000)
     assert targets.update == EndpointList(EndpointListKind.CHANGES, (entry,))
     assert targets.addresses == {"s-1": ("127.0.0.1", 8081)}
-    assert side.read({"servers": []}, kept=True).update.kind is EndpointListKind.PERSISTED
+    assert side.read({"servers": []}, persisted=True).update.kind is EndpointListKind.PERSISTED
 
 
 @pytest.mark.parametrize(
