Split the platform's API by side and cite the RFCs that the HTTP parser follows

One module held what clients, workers and discovery send and get. The parser's states and rules have names, docstrings and the sections of RFC 9112 and 9110 that they come from.

--- a/stepstream/http/codec.py
+++ b/stepstream/http/codec.py
@@ -1,4 +1,11 @@
-"""HTTP/1.1 as a state machine that is fed bytes and knows no socket."""
+"""HTTP/1.1 message syntax (RFC 9112) as a state machine that is fed bytes and knows no socket.
+
+The parser is stricter than the RFC asks where a lenient reading could be used for request smuggling
+(RFC 9112, 11.2): a message whose framing is in doubt is an error and ends its connection.
+
+A `Parser` belongs to one connection and has no lock of its own: it is used by one thread at a time,
+which its owner sees to. The writing functions keep no state and may be called by any thread.
+"""
 
 import re
 from copy import copy
@@ -7,9 +14,21 @@
 
 from stepstream.config.limits import Limits
 
-TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
-CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f]")  # in a header's value
-TARGET = re.compile(r"[\x21-\x7e]+")
+CRLF = b"\r\n"
+HEAD_END = b"\r\n\r\n"
+TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")  # RFC 9110, 5.6.2
+# What a field value must not hold (RFC 9110, 5.5); bytes outside ASCII are refused before.
+FIELD_VALUE_CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f]")
+REQUEST_TARGET = re.compile(r"[\x21-\x7e]+")
+REQUEST_LINE_PARTS = 3  # method, target, version
+# The space before a missing reason phrase may be missing too, which RFC 9112, 4, forbids to send.
+STATUS_AND_REASON = re.compile(r"[1-9][0-9]{2}( .*)?")
+CONTENT_LENGTH = re.compile(r"[0-9]{1,18}")
+CHUNK_SIZE_LINE = re.compile(rb"([0-9a-fA-F]{1,8})(;[\x20-\x7e]*)?")
+# Fields whose repetition has no safe reading (RFC 9112, 3.2 and 6.3).
+UNREPEATABLE_FIELDS = ("content-length", "transfer-encoding", "host")
+FIRST_FINAL_STATUS = 200  # those below are interim (RFC 9110, 15.2)
+STATUSES_WITHOUT_BODY = (204, 304)
 REASONS = {
     200: "OK",
     400: "Bad Request",
@@ -27,7 +46,7 @@
 
 
 class ProtocolError(Exception):
-    """The peer broke the protocol; `status` is what it gets where it is owed an answer."""
+    """The peer broke the protocol; `status` is the HTTP status that it is due, if any is."""
 
     def __init__(self, status: int, text: str) -> None:
         super().__init__(text)
@@ -36,258 +55,316 @@
 
 @dataclass(slots=True)
 class Message:
-    """A request (method and target) or an answer (status)."""
+    """A request (method and target) or an answer (status); header names are in lower case."""
 
     method: str = ""
     target: str = ""
     status: int = 0
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
-    keep_alive: bool = True
+    keep_alive: bool = True  # whether the connection persists after it (RFC 9112, 9.3)
+
 
+class ParserState(Enum):
+    """Which part of a message the parser expects next."""
 
-class State(Enum):
-    HEAD = 1
-    LENGTH = 2  # a body of known length
+    HEAD = 1  # the first line and the header fields
+    FIXED_LENGTH_BODY = 2
     CHUNK_SIZE = 3
-    CHUNK = 4
-    TRAILER = 5
-    TO_END = 6  # an answer's body that ends with the connection
+    CHUNK_DATA = 4
+    TRAILERS = 5
+    BODY_UNTIL_CLOSE = 6  # an answer's body that ends with the connection
     BROKEN = 7
 
 
 class Parser:
-    """Bytes in, whole messages out. Once broken it stays so: where the next message begins is unknown."""
+    """Turns bytes into complete messages.
+
+    After a `ProtocolError` every further call raises one: where the next message would begin is
+    unknown.
+    """
 
     def __init__(
-        self, limits: Limits, answers: bool = False, max_body_bytes: int | None = None
+        self, limits: Limits, *, answers: bool = False, max_body_bytes: int | None = None
     ) -> None:
-        self.limits, self.answers = limits, answers
-        self.most = limits.sizes.body_bytes if max_body_bytes is None else max_body_bytes
-        self.state = State.HEAD
+        """Parse answers if `answers`, else requests; the body limit defaults to the platform's."""
+        self.limits = limits
+        self.answers = answers
+        self.max_body_bytes = limits.sizes.body_bytes if max_body_bytes is None else max_body_bytes
+        self.state = ParserState.HEAD
         self.buffer = bytearray()
-        self.seen = 0  # bytes of the buffer already searched for a line's end
+        self.searched_bytes = 0  # of the buffer, already searched for the end of the head
         self.message = Message()
-        self.blank = False  # an empty line stood before the message
-        self.need = 0
-        self.parts: list[bytes] = []
-        self.size = 0  # of the chunks so far
+        self.empty_line_skipped = False  # before the current message
+        self.expected_bytes = 0  # of the body or of the current chunk
+        self.chunks: list[bytes] = []
+        self.chunked_bytes = 0  # sizes of the chunks announced so far
 
     @property
     def idle(self) -> bool:
-        """Between messages: not one byte of the next one is here."""
-        return self.state is State.HEAD and not self.buffer
+        """Whether the parser is between messages and holds no byte of the next one."""
+        return self.state is ParserState.HEAD and not self.buffer
 
     def feed(self, data: bytes) -> None:
+        """Buffer received bytes."""
         self.buffer += data
 
     def next(self) -> Message | None:
-        """The next whole message, or None until more bytes are fed."""
+        """Return the next complete message, or None until more bytes are fed."""
+        if self.state is ParserState.BROKEN:
+            raise ProtocolError(400, "the connection broke the protocol before")
         try:
-            while self.state is not State.BROKEN:
-                step = self.STEPS[self.state]
-                if not step(self):
-                    return None
-                if self.state is State.HEAD:
+            while self.STEPS[self.state](self):
+                if self.state is ParserState.HEAD:
                     message, self.message = self.message, Message()
                     return message
-            raise ProtocolError(400, "the connection broke the protocol before")
         except ProtocolError:
-            self.state = State.BROKEN
+            self.state = ParserState.BROKEN
             raise
-
-    def whole(self) -> bool:
-        """Whether the next message is wholly here; nothing is taken."""
-        twin = copy(self)
-        twin.buffer, twin.parts, twin.message = (
-            bytearray(self.buffer),
-            list(self.parts),
-            copy(self.message),
-        )
+        return None
+
+    def has_complete_message(self) -> bool:
+        """Tell whether `next` would return a message; nothing is consumed."""
+        lookahead = copy(self)
+        lookahead.buffer = bytearray(self.buffer)
+        lookahead.chunks = list(self.chunks)
+        lookahead.message = copy(self.message)
         try:
-            return twin.next() is not None
+            return lookahead.next() is not None
         except ProtocolError:
             return False
 
     def end(self) -> Message | None:
-        """The peer has closed its side: an answer without a length is whole now."""
-        if self.state is not State.TO_END:
+        """Take note that the peer closed its side; return the answer that this completes, if any.
+
+        Only a body without a declared length ends so (RFC 9112, 6.3, rule 8); anything else that
+        is incomplete stays incomplete (RFC 9112, 8).
+        """
+        if self.state is not ParserState.BODY_UNTIL_CLOSE:
             return None
-        self.state = State.HEAD
-        self.message.body, self.buffer = bytes(self.buffer), bytearray()
+        self.state = ParserState.HEAD
+        self.message.body = bytes(self.buffer)
+        self.buffer = bytearray()
         return self.message
 
-    # -- steps: each is true once its state is over -----------------------------------------------------
-
-    def head(self) -> bool:
-        if self.buffer[:2] == b"\r\n":
-            # One empty line before a message is allowed; guards against a peer that sends them without end.
-            if self.blank:
-                raise ProtocolError(400, "empty lines in place of a message")
-            self.blank = True
-            del self.buffer[:2]
-            return bool(self.buffer) and self.head()
-        at = self.buffer.find(b"\r\n\r\n", max(self.seen - 3, 0))
-        if at < 0 or at > self.limits.sizes.head_bytes:
-            self.seen = len(self.buffer)
-            if self.seen > self.limits.sizes.head_bytes:
+    # -- one method a state; each returns whether its part is complete and the state has changed ---
+
+    def _parse_head(self) -> bool:
+        while self.buffer.startswith(CRLF):
+            self._skip_empty_line()
+        max_bytes = self.limits.sizes.head_bytes
+        # The end may begin within the bytes that were searched last.
+        end = self.buffer.find(HEAD_END, max(self.searched_bytes - len(HEAD_END) + 1, 0))
+        if end < 0 or end > max_bytes:
+            self.searched_bytes = len(self.buffer)
+            if self.searched_bytes > max_bytes:
                 raise ProtocolError(431, "the head is too large")
             return False
         try:
-            first, *lines = self.buffer[:at].decode("ascii").split("\r\n")
-        except UnicodeDecodeError:
-            raise ProtocolError(400, "the head holds bytes outside ASCII") from None
-        del self.buffer[: at + 4]
-        self.seen, self.blank = 0, False
-        version = self.status_line(first) if self.answers else self.request_line(first)
-        self.message.headers = headers = self.fields(lines)
-        if version == 0 and "transfer-encoding" in headers:
-            # Guards against smuggling: to an HTTP/1.0 party on the way the coding means nothing.
-            raise ProtocolError(400, "HTTP/1.0 has no transfer codings")
-        connection = [part.strip().lower() for part in headers.get("connection", "").split(",")]
-        self.message.keep_alive = "close" not in connection and (
-            version > 0 or "keep-alive" in connection
+            first, *lines = self.buffer[:end].decode("ascii").split("\r\n")
+        except UnicodeDecodeError as error:
+            raise ProtocolError(400, "the head holds bytes outside ASCII") from error
+        del self.buffer[: end + len(HEAD_END)]
+        self.searched_bytes = 0
+        self.empty_line_skipped = False
+        minor_version = (
+            self._parse_status_line(first) if self.answers else self._parse_request_line(first)
         )
-        self.frame(headers)
+        self.message.headers = self._parse_fields(lines)
+        self._parse_persistence(minor_version)
+        self._start_body(minor_version)
         return True
 
-    def request_line(self, line: str) -> int:
+    def _skip_empty_line(self) -> None:
+        """Skip one empty line before a message, as RFC 9112, 2.2, advises; a second is an error."""
+        if self.empty_line_skipped:
+            raise ProtocolError(400, "empty lines in place of a message")
+        self.empty_line_skipped = True
+        del self.buffer[: len(CRLF)]
+
+    def _parse_request_line(self, line: str) -> int:
+        """Read method and target (RFC 9112, 3); return the minor version."""
         parts = line.split(" ")
-        if len(parts) != 3 or not TOKEN.fullmatch(parts[0]) or not TARGET.fullmatch(parts[1]):
+        if (
+            len(parts) != REQUEST_LINE_PARTS
+            or not TOKEN.fullmatch(parts[0])
+            or not REQUEST_TARGET.fullmatch(parts[1])
+        ):
             raise ProtocolError(400, "the request line is malformed")
-        self.message.method, self.message.target = parts[:2]
-        return self.version(parts[2])
+        self.message.method, self.message.target, version = parts
+        return self._parse_version(version)
 
-    def status_line(self, line: str) -> int:
-        version, _, rest = line.partition(" ")
-        if not re.fullmatch(r"[1-9][0-9]{2}( .*)?", rest):
+    def _parse_status_line(self, line: str) -> int:
+        """Read the status (RFC 9112, 4); return the minor version."""
+        version, _, status_and_reason = line.partition(" ")
+        if not STATUS_AND_REASON.fullmatch(status_and_reason):
             raise ProtocolError(400, "the status line is malformed")
-        self.message.status = int(rest[:3])
-        return self.version(version)
+        self.message.status = int(status_and_reason[:3])
+        return self._parse_version(version)
 
     @staticmethod
-    def version(text: str) -> int:
+    def _parse_version(text: str) -> int:
+        """Return the minor version of HTTP/1 (RFC 9112, 2.3)."""
         if text not in ("HTTP/1.1", "HTTP/1.0"):
             raise ProtocolError(400, "the version is not HTTP/1.0 or HTTP/1.1")
         return int(text[-1])
 
     @staticmethod
-    def fields(lines: list[str]) -> dict[str, str]:
+    def _parse_fields(lines: list[str]) -> dict[str, str]:
+        """Read header fields (RFC 9112, 5).
+
+        A space before the colon and a folded line are errors (5.1 and 5.2): such names are no
+        tokens. Values of a repeated field are joined by commas (RFC 9110, 5.3).
+        """
         headers: dict[str, str] = {}
         for line in lines:
             name, colon, value = line.partition(":")
-            if not colon or not TOKEN.fullmatch(name) or CONTROL.search(value):
+            if not colon or not TOKEN.fullmatch(name) or FIELD_VALUE_CONTROL.search(value):
                 raise ProtocolError(400, "a header is malformed")
-            name, value = name.lower(), value.strip(" \t")
+            name = name.lower()
+            value = value.strip(" \t")
             if name in headers:
-                # Guards against request smuggling: two lengths, or a length twice, have no safe reading.
-                if name in ("content-length", "transfer-encoding", "host"):
+                if name in UNREPEATABLE_FIELDS:
                     raise ProtocolError(400, f"{name} comes twice")
                 value = f"{headers[name]}, {value}"
             headers[name] = value
         return headers
 
-    def frame(self, headers: dict[str, str]) -> None:
-        """How the body is delimited; decides the next state."""
-        coding, length = headers.get("transfer-encoding"), headers.get("content-length")
-        if self.answers and (self.message.status in (204, 304) or self.message.status < 200):
-            self.need, self.state = 0, State.LENGTH
+    def _parse_persistence(self, minor_version: int) -> None:
+        """Apply the Connection field (RFC 9112, 9.3; RFC 9110, 7.6.1)."""
+        field_value = self.message.headers.get("connection", "")
+        options = [option.strip().lower() for option in field_value.split(",")]
+        persists = minor_version > 0 or "keep-alive" in options
+        self.message.keep_alive = persists and "close" not in options
+
+    def _start_body(self, minor_version: int) -> None:
+        """Choose the next state by how the body is framed (RFC 9112, 6.3)."""
+        coding = self.message.headers.get("transfer-encoding")
+        length = self.message.headers.get("content-length")
+        if coding is not None and minor_version == 0:
+            # To an HTTP/1.0 intermediary the coding means nothing (RFC 9112, 6.1).
+            raise ProtocolError(400, "HTTP/1.0 has no transfer codings")
+        if self.answers and self._status_excludes_body():
+            self._expect_body(0)
         elif coding is not None:
             if coding.lower() != "chunked" or length is not None:
                 raise ProtocolError(400, "the framing is not understood")
-            self.parts, self.size, self.state = [], 0, State.CHUNK_SIZE
+            self.chunks = []
+            self.chunked_bytes = 0
+            self.state = ParserState.CHUNK_SIZE
         elif length is not None:
-            if not re.fullmatch(r"[0-9]{1,18}", length):
+            if not CONTENT_LENGTH.fullmatch(length):
                 raise ProtocolError(400, "Content-Length is malformed")
-            self.need, self.state = int(length), State.LENGTH
-            self.check(self.need)
+            self._expect_body(int(length))
+            self._check_body_size(self.expected_bytes)
         elif self.answers:
-            self.message.keep_alive, self.state = False, State.TO_END
+            self.message.keep_alive = False
+            self.state = ParserState.BODY_UNTIL_CLOSE
         else:
-            self.need, self.state = 0, State.LENGTH
+            self._expect_body(0)
+
+    def _status_excludes_body(self) -> bool:
+        status = self.message.status
+        return status in STATUSES_WITHOUT_BODY or status < FIRST_FINAL_STATUS
 
-    def check(self, size: int) -> None:
-        if size > self.most:
+    def _expect_body(self, size_bytes: int) -> None:
+        self.expected_bytes = size_bytes
+        self.state = ParserState.FIXED_LENGTH_BODY
+
+    def _check_body_size(self, size_bytes: int) -> None:
+        if size_bytes > self.max_body_bytes:
             raise ProtocolError(413, "the body is too large")
 
-    def length(self) -> bool:
-        if len(self.buffer) < self.need:
+    def _parse_fixed_length_body(self) -> bool:
+        if len(self.buffer) < self.expected_bytes:
             return False
-        self.message.body = bytes(self.buffer[: self.need])
-        del self.buffer[: self.need]
-        self.state = State.HEAD
+        self.message.body = bytes(self.buffer[: self.expected_bytes])
+        del self.buffer[: self.expected_bytes]
+        self.state = ParserState.HEAD
         return True
 
-    def line(self, most: int) -> bytes | None:
-        at = self.buffer.find(b"\r\n")
-        if at > most or (at < 0 and len(self.buffer) > most):
+    def _take_line(self, max_bytes: int) -> bytes | None:
+        """Consume a line inside the body, without its end; None until it is complete."""
+        end = self.buffer.find(CRLF)
+        if end > max_bytes or (end < 0 and len(self.buffer) > max_bytes):
             raise ProtocolError(400, "a line inside the body is too long")
-        if at < 0:
+        if end < 0:
             return None
-        line = bytes(self.buffer[:at])
-        del self.buffer[: at + 2]
+        line = bytes(self.buffer[:end])
+        del self.buffer[: end + len(CRLF)]
         return line
 
-    def chunk_size(self) -> bool:
-        line = self.line(self.limits.sizes.chunk_line_bytes)
+    def _parse_chunk_size(self) -> bool:
+        """Read a chunk's size and ignore its extensions (RFC 9112, 7.1 and 7.1.1).
+
+        White space around the size and a bare line feed are errors: parties on the way read them
+        differently.
+        """
+        line = self._take_line(self.limits.sizes.chunk_line_bytes)
         if line is None:
             return False
-        # Strict: white space or a bare line feed here is read differently by different parties.
-        found = re.fullmatch(rb"([0-9a-fA-F]{1,8})(;[\x20-\x7e]*)?", line)
-        if not found:
+        match = CHUNK_SIZE_LINE.fullmatch(line)
+        if not match:
             raise ProtocolError(400, "a chunk's size is malformed")
-        self.need = int(found[1], 16)
-        self.size += self.need
-        self.check(self.size)
-        self.state = State.CHUNK if self.need else State.TRAILER
+        self.expected_bytes = int(match[1], 16)
+        self.chunked_bytes += self.expected_bytes
+        self._check_body_size(self.chunked_bytes)
+        is_last = self.expected_bytes == 0
+        self.state = ParserState.TRAILERS if is_last else ParserState.CHUNK_DATA
         return True
 
-    def chunk(self) -> bool:
-        if len(self.buffer) < self.need + 2:
+    def _parse_chunk_data(self) -> bool:
+        size = self.expected_bytes
+        if len(self.buffer) < size + len(CRLF):
             return False
-        if self.buffer[self.need : self.need + 2] != b"\r\n":
+        if self.buffer[size : size + len(CRLF)] != CRLF:
             raise ProtocolError(400, "a chunk does not end where it should")
-        self.parts.append(bytes(self.buffer[: self.need]))
-        del self.buffer[: self.need + 2]
-        self.state = State.CHUNK_SIZE
+        self.chunks.append(bytes(self.buffer[:size]))
+        del self.buffer[: size + len(CRLF)]
+        self.state = ParserState.CHUNK_SIZE
         return True
 
-    def trailer(self) -> bool:
-        line = self.line(self.limits.sizes.head_bytes)
+    def _parse_trailers(self) -> bool:
+        """Discard trailer fields, as RFC 9112, 7.1.2, allows, up to the empty line."""
+        line = self._take_line(self.limits.sizes.head_bytes)
         if line is None:
             return False
         if not line:
-            self.message.body, self.state = b"".join(self.parts), State.HEAD
+            self.message.body = b"".join(self.chunks)
+            self.state = ParserState.HEAD
         return True
 
-    def to_end(self) -> bool:
-        self.check(len(self.buffer))
+    def _parse_body_until_close(self) -> bool:
+        self._check_body_size(len(self.buffer))
         return False
 
     STEPS = {
-        State.HEAD: head,
-        State.LENGTH: length,
-        State.CHUNK_SIZE: chunk_size,
-        State.CHUNK: chunk,
-        State.TRAILER: trailer,
-        State.TO_END: to_end,
+        ParserState.HEAD: _parse_head,
+        ParserState.FIXED_LENGTH_BODY: _parse_fixed_length_body,
+        ParserState.CHUNK_SIZE: _parse_chunk_size,
+        ParserState.CHUNK_DATA: _parse_chunk_data,
+        ParserState.TRAILERS: _parse_trailers,
+        ParserState.BODY_UNTIL_CLOSE: _parse_body_until_close,
     }
 
 
-def head_bytes(first: str, headers: dict[str, str]) -> bytes:
-    lines = [first, *(f"{name}: {value}" for name, value in headers.items())]
+def write_head(first_line: str, headers: dict[str, str]) -> bytes:
+    """Return the first line and the header fields, up to and with the empty line."""
+    lines = [first_line, *(f"{name}: {value}" for name, value in headers.items())]
     return ("\r\n".join(lines) + "\r\n\r\n").encode("ascii")
 
 
 def write_request(method: str, target: str, headers: dict[str, str], body: bytes = b"") -> bytes:
+    """Return a request; its length is declared if it has a body or could have one."""
     framed = {**headers, "Content-Length": str(len(body))} if body or method == "POST" else headers
-    return head_bytes(f"{method} {target} HTTP/1.1", framed) + body
+    return write_head(f"{method} {target} HTTP/1.1", framed) + body
 
 
 def write_answer(
-    status: int, body: bytes = b"", headers: dict[str, str] | None = None, close: bool = False
+    status: int, body: bytes = b"", headers: dict[str, str] | None = None, *, close: bool = False
 ) -> bytes:
+    """Return an answer with its length; `close` announces the connection's end (RFC 9112, 9.6)."""
     framed = {**(headers or {}), "Content-Length": str(len(body))}
     if close:
         framed["Connection"] = "close"
-    return head_bytes(f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}", framed) + body
+    return write_head(f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}", framed) + body
--- /dev/null
+++ b/stepstream/http/discovery_api.py
@@ -0,0 +1,108 @@
+"""The platform's discovery API: polls of the endpoint list and the answers to them.
+
+The paths and field names are the platform's; they are translated here and nowhere else.
+`DiscoveryApi` is immutable after its construction; any thread may use it.
+"""
+
+from dataclasses import dataclass
+from typing import Any, cast
+
+from stepstream.http.codec import Message, ProtocolError, write_request
+from stepstream.http.json_body import read_json_object
+from stepstream.http.named_numbers import bounded_number
+from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind, EndpointState
+from stepstream.model.settings import Settings
+
+ENDPOINT_LIST_PATH = "/api/targets"
+OK = 200
+UNKNOWN_NAME = -1  # the index of a zone or worker kind that the settings do not list
+STATE_BY_WIRE_NAME = {
+    "ready": EndpointState.ACTIVE,
+    "draining": EndpointState.DRAINING,
+    "gone": EndpointState.REMOVED,
+}
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointAnswer:
+    """An answer of discovery: the list as the core takes it, and where its workers listen."""
+
+    version: int
+    update: EndpointList
+    addresses: dict[str, Address]
+
+
+class DiscoveryApi:
+    """Writes polls and reads endpoint lists by the names in the settings."""
+
+    def __init__(self, settings: Settings) -> None:
+        # Without polling, discovery's address is that of an agent beside this dispatcher.
+        self.pushed = not settings.polls_endpoints
+        self.zone_index = {name: k for k, name in enumerate(settings.zones)}
+        self.worker_kind_index = {name: k for k, name in enumerate(settings.worker_kinds)}
+
+    @staticmethod
+    def fetch_bytes(host: str) -> bytes:
+        """Return a poll of the complete list."""
+        return write_request("GET", ENDPOINT_LIST_PATH, {"Host": host})
+
+    @staticmethod
+    def watch_bytes(host: str, version: int, wait_seconds: float) -> bytes:
+        """Return a long poll for what has changed since a version."""
+        query = f"index={version}&wait={int(wait_seconds * 1000)}"
+        return write_request("GET", f"{ENDPOINT_LIST_PATH}?{query}", {"Host": host})
+
+    def read_answer(self, message: Message) -> EndpointAnswer:
+        """Return the list in an answer of discovery; ProtocolError if there is none."""
+        if message.status != OK:
+            raise ProtocolError(400, f"discovery answered {message.status}")
+        return self.read(read_json_object(message.body))
+
+    def read(self, data: dict[str, Any], *, persisted: bool = False) -> EndpointAnswer:
+        """Return a list from its JSON object; ProtocolError if it is malformed.
+
+        `persisted` marks a list from before this start, which may be outdated.
+        """
+        try:
+            rows = [self._read_row(row) for row in data.get("servers", ())]
+            version = int(data.get("version", 0))
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+            text = f"the list is malformed: {type(error).__name__} {error}"
+            raise ProtocolError(400, text) from error
+        if persisted:
+            kind = EndpointListKind.PERSISTED
+        elif data.get("full", True):
+            kind = EndpointListKind.COMPLETE
+        else:
+            kind = EndpointListKind.CHANGES
+        endpoints = tuple(endpoint for endpoint, _ in rows)
+        addresses = {endpoint.worker_id: address for endpoint, address in rows if address}
+        return EndpointAnswer(version, EndpointList(kind, endpoints), addresses)
+
+    def _read_row(self, row: dict[str, Any]) -> tuple[Endpoint, Address | None]:
+        """Return a row's endpoint and address; wrong types and values raise as they come."""
+        state = STATE_BY_WIRE_NAME[row.get("state", "ready")]
+        host, _, port = row.get("addr", "").rpartition(":")
+        if not host and state is not EndpointState.REMOVED:
+            raise ValueError(f"{row['id']} has no addr")
+        if not isinstance(row["id"], str):
+            raise ValueError("an id is not text")  # noqa: TRY004  its name is part of log lines
+        endpoint = Endpoint(
+            worker_id=row["id"],
+            zone=index_of(self.zone_index, row.get("zone", 0)),
+            worker_kind=index_of(self.worker_kind_index, row.get("kind", 0)),
+            cell=int(row.get("cell", 0)),
+            state=state,
+            weight=bounded_number(row.get("weight", 1.0)),
+            started_us=int(row.get("started_ms", 0)) * 1000,
+        )
+        return endpoint, (host, int(port)) if host else None
+
+
+def index_of(indices: dict[str, int], name: object) -> int:
+    """Return the index of a name that the settings list; a number stands for itself."""
+    if isinstance(name, int):
+        return name
+    # A value of any other type is in no table, or raises TypeError: then the list is malformed.
+    return indices.get(cast("str", name), UNKNOWN_NAME)
--- /dev/null
+++ b/stepstream/http/json_body.py
@@ -0,0 +1,18 @@
+"""The JSON body of a message, as the platform's APIs read it. No state; any thread."""
+
+from typing import Any
+
+import ujson
+
+from stepstream.http.codec import ProtocolError
+
+
+def read_json_object(body: bytes) -> dict[str, Any]:
+    """Return the JSON object in `body`; ProtocolError 400 if it holds anything else."""
+    try:
+        data = ujson.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise ProtocolError(400, "the body is not JSON") from error
+    if not isinstance(data, dict):
+        raise ProtocolError(400, "the body is not a JSON object")
+    return data
--- a/stepstream/http/server.py
+++ b/stepstream/http/server.py
@@ -18,7 +18,7 @@
     RequestReceived,
 )
 from stepstream.core.requests import Request
-from stepstream.http import platform_api as platform
+from stepstream.http import client_api as platform
 from stepstream.http.codec import ProtocolError
 from stepstream.http.session import HttpSession, Reply, ServerState, SessionPhase, Step
 from stepstream.ports.connections import Connection, ListenerSpec
@@ -359,7 +359,7 @@
         )
 
     def http_refusal(self) -> bytes:
-        return platform.overload_answer(self.state.side.settings.max_retry_after_us, True)
+        return platform.overload_answer(self.state.side.settings.max_retry_after_us, close=True)
 
     def listen(
         self,
--- a/stepstream/http/session.py
+++ b/stepstream/http/session.py
@@ -11,8 +11,9 @@
     JobNotification,
 )
 from stepstream.core.requests import Request
-from stepstream.http import platform_api as platform
+from stepstream.http import client_api, worker_api
 from stepstream.http.codec import Message, Parser, ProtocolError, write_answer
+from stepstream.http.json_body import read_json_object
 from stepstream.ports.access_control import AccessControl, Authorization, Credential, Rejection
 from stepstream.runtime.transport import Transport
 
@@ -20,7 +21,7 @@
 class ServerState:
     """What all inbound connections go by: the platform's words, and whether new work is taken."""
 
-    def __init__(self, side: platform.ClientApi) -> None:
+    def __init__(self, side: client_api.ClientApi) -> None:
         self.side = side  # replaced by a reload, between two messages
         self.starting = False  # no list to serve from yet: the front is told to send nobody
         self.shutting_down = False  # after SIGTERM: the front is told to send nobody new
@@ -100,11 +101,11 @@
         return found
 
     def read(self, message: Message, now_us: int) -> list[Step]:
-        path = platform.path_of(message)
-        if path == platform.NOTIFICATION_PATH:
-            told = platform.read_notification(message, self.door.side.reports)
+        path = client_api.path_of(message)
+        if path == worker_api.NOTIFICATION_PATH:
+            told = worker_api.read_notification(message, self.door.side.load_reports)
             if self.door.access_control is not None:
-                name = platform.read_json(message.body)["from"]
+                name = read_json_object(message.body)["from"]
                 turned = self.door.access_control.authorize_worker(
                     "http", self.credential(message), name
                 )
@@ -112,7 +113,7 @@
                     return [self.turn_away(turned)]
             self.of_worker = self.proven = True
             return [self.reply(200), *([told] if told else [])]
-        if path == platform.READINESS_PATH:
+        if path == client_api.READINESS_PATH:
             if message.method != "GET":
                 raise ProtocolError(405, "only GET")
             away = self.door.starting or self.door.shutting_down or self.door.draining
@@ -131,7 +132,10 @@
             self.phase = SessionPhase.CLOSED
             return [
                 Reply(
-                    platform.overload_answer(self.door.side.settings.max_retry_after_us, True), True
+                    client_api.overload_answer(
+                        self.door.side.settings.max_retry_after_us, close=True
+                    ),
+                    True,
                 )
             ]
         self.request, self.phase, self.proven, self.visa = request, SessionPhase.WAITING, True, visa
@@ -141,14 +145,16 @@
         if self.door.access_control is None:
             return None
         side = self.door.side
-        kind = side.settings.classes[side.class_of(message)].name
+        kind = side.settings.classes[side.job_class_of(message)].name
         tenant = message.headers.get("tenant")
         return self.door.access_control.authorize_request(
             "http", self.credential(message), kind, tenant
         )
 
     def credential(self, message: Message) -> Credential:
-        return Credential(platform.bearer(message), self.link.certificate if self.link else None)
+        return Credential(
+            client_api.bearer_token(message), self.link.certificate if self.link else None
+        )
 
     @staticmethod
     def end_visa(visa: Authorization | None) -> None:
@@ -159,13 +165,13 @@
         """The framing is whole: another request may follow, by somebody who may."""
         close = self.closing()
         self.phase, self.answered = SessionPhase.CLOSED if close else SessionPhase.READING, True
-        return Reply(platform.rejection_answer(turned, close), close)
+        return Reply(client_api.rejection_answer(turned, close=close), close)
 
     def closing(self) -> bool:
         # Open requests still wait for workers' news: those connections stay until the end. A request that has
         # been read behind this one is answered before its connection closes.
         closing = self.door.closing or self.door.drain_closing
-        return not self.keep_alive or (closing and not self.of_worker and not self.parser.whole())
+        return not self.keep_alive or (closing and not self.of_worker and not self.parser.has_complete_message())
 
     def reply(self, status: int) -> Reply:
         close = self.closing()
@@ -182,7 +188,9 @@
         if self.phase is not SessionPhase.WAITING or answer.request is not self.request:
             return None
         close = self.closing()
-        data = platform.final_answer(answer.outcome, answer.result, answer.retry_after_us, close)
+        data = client_api.final_answer(
+            answer.outcome, answer.result, answer.retry_after_us, close=close
+        )
         self.request, self.phase, self.answered = (
             None,
             SessionPhase.CLOSED if close else SessionPhase.READING,
--- a/tests/golden/front_samples.py
+++ b/tests/golden/front_samples.py
@@ -41,8 +41,8 @@
 from stepstream.core.commands import Answer, Outcome
 from stepstream.core.events import JobNotification
 from stepstream.core.requests import Request
+from stepstream.http import client_api, discovery_api, worker_api
 from stepstream.http import load_reports as reports
-from stepstream.http import platform_api as platform
 from stepstream.http.codec import Message, Parser, ProtocolError, write_answer
 from stepstream.http.exchange import HttpExchange
 from stepstream.http.session import HttpSession, Reply, ServerState
@@ -179,7 +179,7 @@
 
 def http_session(gate: object = None, **flags: bool) -> object:
     """An inbound connection without its socket; `flags` are those of the door that it goes by."""
-    door = ServerState(platform.ClientApi(settings_of(), reports_reader()[0]))
+    door = ServerState(client_api.ClientApi(settings_of(), reports_reader()[0]))
     door.access_control = gate
     for name, value in flags.items():
         setattr(door, STATE_FIELDS.get(name, name), value)
@@ -247,33 +247,33 @@
 
 
 def status_answer(status: int, close: bool) -> str:
-    return text_of(write_answer(status, b"x", {"A": "b"}, close))
+    return text_of(write_answer(status, b"x", {"A": "b"}, close=close))
 
 
 def refusal_of_a_full_house(pause_us: int) -> str:
-    return text_of(platform.overload_answer(pause_us, True))
+    return text_of(client_api.overload_answer(pause_us, close=True))
 
 
 def call_bytes(path: str, body: bytes, key: str, timeout_ms: int) -> str:
     payload = Payload(path, body, key)
-    return text_of(platform.call_bytes("127.0.0.1:9000", "00000000000000aa", payload, timeout_ms))
+    return text_of(worker_api.call_bytes("127.0.0.1:9000", "00000000000000aa", payload, timeout_ms))
 
 
 def give_up_bytes() -> str:
-    return text_of(platform.cancel_bytes("127.0.0.1:9000", "00000000000000aa"))
+    return text_of(worker_api.cancel_bytes("127.0.0.1:9000", "00000000000000aa"))
 
 
 def probe_bytes(how: str) -> str:
     path = (
-        platform.LOAD_REPORT_PATH
+        worker_api.LOAD_REPORT_PATH
         if reports_reader(how)[0].in_probes
-        else platform.HEALTH_CHECK_PATH
+        else worker_api.HEALTH_CHECK_PATH
     )
-    return text_of(platform.health_check_bytes("127.0.0.1:9000", path))
+    return text_of(worker_api.health_check_bytes("127.0.0.1:9000", path))
 
 
 def list_call(version: int | None, wait_s: float = 30.0) -> str:
-    side = platform.DiscoveryApi(settings_of())
+    side = discovery_api.DiscoveryApi(settings_of())
     if version is None:
         return text_of(side.fetch_bytes("127.0.0.1:8500"))
     return text_of(side.watch_bytes("127.0.0.1:8500", version, wait_s))
@@ -291,7 +291,7 @@
 
 
 def discovery_side() -> object:
-    return platform.DiscoveryApi(settings_of())
+    return discovery_api.DiscoveryApi(settings_of())
 
 
 def targets_of(targets: object) -> dict:
@@ -319,8 +319,8 @@
 def news_read(body: bytes) -> object:
     reader, complaints = reports_reader()
     try:
-        told = platform.read_notification(
-            Message("POST", platform.NOTIFICATION_PATH, body=body), reader
+        told = worker_api.read_notification(
+            Message("POST", worker_api.NOTIFICATION_PATH, body=body), reader
         )
     except ProtocolError as error:
         return {"status": error.status}
@@ -329,8 +329,8 @@
 
 def news_written(body: bytes) -> str:
     """News as it goes on to the process beside this one."""
-    told = platform.read_notification(Message("POST", platform.NOTIFICATION_PATH, body=body))
-    return text_of(platform.notification_body(told))
+    told = worker_api.read_notification(Message("POST", worker_api.NOTIFICATION_PATH, body=body))
+    return text_of(worker_api.notification_body(told))
 
 
 def report_read(place: str, how: str, given: object) -> object:
--- a/tests/golden/state_answers.py
+++ b/tests/golden/state_answers.py
@@ -31,7 +31,7 @@
 from stepstream.core.maintenance import MaintenanceRegistry
 from stepstream.hot_restart import controller as handover_driver
 from stepstream.hot_restart import state as handover
-from stepstream.http import platform_api as platform
+from stepstream.http import discovery_api, worker_api
 from stepstream.http.destination_set import DestinationSet
 from stepstream.lab import demo, fleet_faults, fleet_play, ledger, nodes, referee, rig
 from stepstream.leases import core as lease_core
@@ -561,7 +561,7 @@
 
 def listed_workers() -> list[object]:
     """Discovery's list in its own form before its first answer, after a whole list and a change."""
-    side = platform.DiscoveryApi(config_from(CONFIGURATION, {}).settings)
+    side = discovery_api.DiscoveryApi(config_from(CONFIGURATION, {}).settings)
     workers = DestinationSet()
     told: list[object] = [workers.listed()]
     first = {"id": "s-1", "addr": "127.0.0.1:5000", "zone": "petrzalka", "cell": 3, "weight": 2.5}
@@ -616,7 +616,10 @@
 
 
 def worker_news() -> dict[str, object]:
-    done, running = platform.STATUS_BY_WIRE_NAME["done"], platform.STATUS_BY_WIRE_NAME["running"]
+    done, running = (
+        worker_api.STATUS_BY_WIRE_NAME["done"],
+        worker_api.STATUS_BY_WIRE_NAME["running"],
+    )
     return {
         "done": JobNotification("job-1", "s-1", done, {"sum": 3}),
         "running": JobNotification("job-1", "s-1", running, None, (250, 1000)),
--- a/tests/http/test_inbound.py
+++ b/tests/http/test_inbound.py
@@ -14,8 +14,8 @@
 from stepstream.config.limits import ConnectionLimits, Limits, Timeouts
 from stepstream.core.commands import Answer, Outcome
 from stepstream.core.events import ClientDisconnected, RequestFaulted, RequestReceived
+from stepstream.http.client_api import ClientApi
 from stepstream.http.codec import write_request
-from stepstream.http.platform_api import ClientApi
 from stepstream.http.server import InboundServer
 from stepstream.http.session import HttpSession, SessionPhase
 from stepstream.runtime.clock import Clock
--- a/tests/http/test_platform_api.py
+++ b/tests/http/test_platform_api.py
@@ -5,12 +5,12 @@
 
 from stepstream.core.commands import Outcome
 from stepstream.core.events import JobNotification, JobStatus
-from stepstream.http import platform_api as platform
+from stepstream.http import client_api, discovery_api, worker_api
 from stepstream.http.codec import Message, Parser, ProtocolError
 from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind, EndpointState
 from stepstream.model.events import AttemptResult
 
-SIDE = platform.ClientApi(SETTINGS)
+SIDE = client_api.ClientApi(SETTINGS)
 ROW = {
     "id": "s-1",
     "addr": "127.0.0.1:8081",
@@ -76,7 +76,7 @@
 
 
 def news(body, method="POST"):
-    return platform.read_notification(Message(method, platform.NOTIFICATION_PATH, body=body))
+    return worker_api.read_notification(Message(method, worker_api.NOTIFICATION_PATH, body=body))
 
 
 def test_news_is_read_and_kinds_not_known_are_passed_over():
@@ -97,8 +97,8 @@
 
 def test_a_call_passes_on_what_it_must_and_says_how_long_it_waits():
     message = parsed(job_bytes(path="/nav-publish?user=1", body=b"xyz", Idempotency_Key="k"))
-    request = platform.ClientApi(SETTINGS).read_request(message, 0)
-    sent = parsed(platform.call_bytes("h:1", request.id, request.payload, 480))
+    request = client_api.ClientApi(SETTINGS).read_request(message, 0)
+    sent = parsed(worker_api.call_bytes("h:1", request.id, request.payload, 480))
     assert (sent.method, sent.target, sent.body) == ("POST", "/nav-publish?user=1", b"xyz")
     names = ("request-id", "idempotency-key", "request-timeout-ms")
     assert [sent.headers[name] for name in names] == ["00000000000000aa", "k", "480"]
@@ -116,13 +116,13 @@
     ],
 )
 def test_a_workers_answer_proves_no_more_than_the_table_says(status, headers, result):
-    assert platform.read_call_answer(Message(status=status, headers=headers)) is result
+    assert worker_api.read_call_answer(Message(status=status, headers=headers)) is result
 
 
 def test_final_answers():
     def answer(outcome, result=None, pause_us=0):
         parser = Parser(LIMITS, answers=True)
-        parser.feed(platform.final_answer(outcome, result, pause_us, False))
+        parser.feed(client_api.final_answer(outcome, result, pause_us, close=False))
         return parser.next()
 
     assert answer(Outcome.SERVED, "é").body == "é".encode()
@@ -133,7 +133,7 @@
 
 
 def test_the_list_is_read_with_names_as_indices():
-    side = platform.DiscoveryApi(SETTINGS)
+    side = discovery_api.DiscoveryApi(SETTINGS)
     targets = side.read({"version": 4, "full": False, "servers": [ROW]})
     entry = Endpoint("s-1", 1, 1, 3, EndpointState.ACTIVE, 1.5, 7_000)
     assert targets.update == EndpointList(EndpointListKind.CHANGES, (entry,))
@@ -146,4 +146,4 @@
 )
 def test_a_malformed_list_is_a_protocol_error(row):
     with pytest.raises(ProtocolError):
-        platform.DiscoveryApi(SETTINGS).read({"servers": [row]})
+        discovery_api.DiscoveryApi(SETTINGS).read({"servers": [row]})
--- a/tests/http/test_session.py
+++ b/tests/http/test_session.py
@@ -7,8 +7,8 @@
 from stepstream.core.commands import Answer, Outcome
 from stepstream.core.events import JobNotification
 from stepstream.core.requests import Request
+from stepstream.http.client_api import ClientApi
 from stepstream.http.codec import write_request
-from stepstream.http.platform_api import ClientApi
 from stepstream.http.session import HttpSession, Reply, ServerState, SessionPhase
 
 NEWS = write_request(
