Give server state, connection, eviction and lingering closes a module each

The inbound server and its connections referred to each other in one module of 568 lines. A connection now knows its server by a small protocol, so the imports go one way; ranking connections for eviction and closing sockets a while later stand by themselves, and the session's phases and transitions have names. Each module says which thread runs what and what its lock guards.

--- a/stepstream/gearman/driver.py
+++ b/stepstream/gearman/driver.py
@@ -323,7 +323,7 @@
         if self.session.proven:
             return EvictionRank.IDLE, self.active
         return (
-            EvictionRank.STRANGER
+            EvictionRank.UNUSED
             if now - self.begun >= self.house.limits.timeouts.unproven_seconds
             else EvictionRank.NEW,
             self.begun,
--- a/stepstream/http/session.py
+++ b/stepstream/http/session.py
@@ -1,231 +1,278 @@
-"""The protocol session of an inbound connection, as a state machine without I/O."""
+"""The HTTP session of an inbound connection, as a state machine without I/O.
+
+Bytes and final answers go in; events and bytes that are due come out. The transitions:
+
+- READING, on a notification, a readiness check or an unauthorized request: answers it and goes on
+  READING, or is CLOSED if the connection closes with this answer.
+- READING, on a request: AWAITING_ANSWER; while the server is overloaded, CLOSED.
+- AWAITING_ANSWER, on more bytes: stays so and buffers them.
+- AWAITING_ANSWER, on the final answer: READING, or CLOSED if the connection closes with it.
+- READING or AWAITING_ANSWER, on a protocol error: CLOSED.
+- Any, on `close`, when the connection has ended on either side: CLOSED, and it stays so.
+
+A session belongs to one connection and has no lock of its own: every call is made with the
+connection's lock held, by its reader thread, the decision thread (final answers) or the main thread
+(timeouts and closes).
+"""
 
 import math
-from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
 from stepstream.config.limits import Limits
 from stepstream.core.commands import Answer
-from stepstream.core.events import (
-    JobNotification,
-)
+from stepstream.core.events import JobNotification
 from stepstream.core.requests import Request
-from stepstream.http import client_api, worker_api
+from stepstream.http.client_api import (
+    READINESS_PATH,
+    bearer_token,
+    final_answer,
+    overload_answer,
+    path_of,
+    rejection_answer,
+)
 from stepstream.http.codec import Message, Parser, ProtocolError, write_answer
 from stepstream.http.json_body import read_json_object
-from stepstream.ports.access_control import AccessControl, Authorization, Credential, Rejection
+from stepstream.http.server_state import ServerState
+from stepstream.http.worker_api import NOTIFICATION_PATH, read_notification
+from stepstream.ports.access_control import Authorization, Credential, Rejection
 from stepstream.runtime.transport import Transport
 
 
-class ServerState:
-    """What all inbound connections go by: the platform's words, and whether new work is taken."""
-
-    def __init__(self, side: client_api.ClientApi) -> None:
-        self.side = side  # replaced by a reload, between two messages
-        self.starting = False  # no list to serve from yet: the front is told to send nobody
-        self.shutting_down = False  # after SIGTERM: the front is told to send nobody new
-        self.closing = False  # some time later: connections close after their next answer
-        self.draining = False  # the operators' drain: the front is told to send nobody new
-        self.shutdown_started_at: float | None = None  # monotonic seconds of SIGTERM
-        self.drain_closing = False  # some time later: as `closing`, until the drain ends
-        self.access_control: AccessControl | None = (
-            None  # who is calling, where an installation wants to know
-        )
-        # Whether one more request would leave no connection for the news that ends it.
-        self.is_overloaded: Callable[[], bool] = lambda: False
-
-
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """Bytes that are due at once, with no word from the core."""
+    """Bytes that are due to the peer; `close`: nothing is sent behind them."""
 
     data: bytes
     close: bool
 
 
-Step = Reply | Request | JobNotification
+SessionEvent = Reply | Request | JobNotification
 
 
 class SessionPhase(Enum):
-    READING = 1  # a message, or nothing yet
-    WAITING = 2  # a request is open; what comes behind it stays unread
-    CLOSED = 3
+    """What a session is doing."""
+
+    READING = 1  # a message, of which nothing may be here yet
+    AWAITING_ANSWER = 2  # a request is open; bytes behind it are buffered, not parsed
+    CLOSED = 3  # nothing is read any more
 
 
 class HttpSession:
-    """An inbound connection as a state machine: bytes and answers in, steps and bytes out."""
+    """One inbound connection's protocol state."""
 
-    def __init__(self, limits: Limits, door: ServerState, link: Transport | None = None) -> None:
-        """`link`: what the gate may ask who is there; nothing is read or written here."""
-        self.limits, self.door, self.link = limits, door, link
-        self.visa: Authorization | None = None  # of the open request
+    def __init__(
+        self, limits: Limits, server_state: ServerState, transport: Transport | None = None
+    ) -> None:
+        """`transport` only tells the peer's certificate; nothing is read or written here."""
+        self.limits = limits
+        self.server_state = server_state
+        self.transport = transport
         self.parser = Parser(limits)
         self.phase = SessionPhase.READING
-        self.request: Request | None = None
-        self.keep_alive = True
-        self.of_worker = False  # it has brought news
-        self.proven = False  # it has brought a job or news: it is no stranger
-        self.answered = False  # it has had an answer: its next message has a time of its own
+        self.request: Request | None = None  # the open one
+        self.authorization: Authorization | None = None  # of the open request
+        self.keep_alive = True  # whether the peer lets the connection persist
+        self.is_worker = False  # it has sent a notification
+        self.has_sent_work = False  # it has sent a request or a notification
+        self.has_answered = False  # the first message has had its answer
 
     @property
-    def between(self) -> bool:
-        """Nothing is owed and nothing half read: it may be closed."""
+    def is_idle(self) -> bool:
+        """Whether nothing is owed and no part of a message is here, so that it may be closed."""
         return self.phase is SessionPhase.READING and self.parser.idle
 
-    def feed(self, data: bytes, now_us: int) -> list[Step]:
+    @property
+    def is_reading_message(self) -> bool:
+        """Whether a part of a message is here and its rest is awaited."""
+        return self.phase is SessionPhase.READING and not self.parser.idle
+
+    @property
+    def has_open_request(self) -> bool:
+        """Whether a request awaits its final answer."""
+        return self.phase is SessionPhase.AWAITING_ANSWER
+
+    @property
+    def is_unfinished(self) -> bool:
+        """Whether a message is partly read or a request open."""
+        return self.has_open_request or self.is_reading_message
+
+    # -- input ------------------------------------------------------------------------------------
+
+    def receive(self, data: bytes, now_us: int) -> list[SessionEvent]:
+        """Take bytes that arrived at `now_us`; return what follows from them, in order."""
         if self.phase is SessionPhase.CLOSED:
             return []
         self.parser.feed(data)
-        if self.phase is SessionPhase.WAITING:
-            # Guards against a peer that sends on and on behind an open request.
-            if (
-                len(self.parser.buffer)
-                > self.limits.sizes.head_bytes + self.limits.sizes.body_bytes
-            ):
-                return [self.refuse(ProtocolError(413, "too much behind an open request"))]
+        if self.has_open_request:
+            # Guards memory against a peer that sends on and on behind an open request.
+            max_bytes = self.limits.sizes.head_bytes + self.limits.sizes.body_bytes
+            if len(self.parser.buffer) > max_bytes:
+                return [self.fail(ProtocolError(413, "too much behind an open request"))]
             return []
-        return self.steps(now_us)
+        return self.next_events(now_us)
 
-    def steps(self, now_us: int) -> list[Step]:
-        found: list[Step] = []
+    def next_events(self, now_us: int) -> list[SessionEvent]:
+        """Parse what is buffered, up to a request: more is parsed after its answer only."""
+        events: list[SessionEvent] = []
         while self.phase is SessionPhase.READING:
             try:
                 message = self.parser.next()
                 if message is None:
                     break
                 self.keep_alive = message.keep_alive
-                found += self.read(message, now_us)
+                events += self._handle_message(message, now_us)
             except ProtocolError as error:
-                found.append(self.refuse(error))
-        return found
-
-    def read(self, message: Message, now_us: int) -> list[Step]:
-        path = client_api.path_of(message)
-        if path == worker_api.NOTIFICATION_PATH:
-            told = worker_api.read_notification(message, self.door.side.load_reports)
-            if self.door.access_control is not None:
-                name = read_json_object(message.body)["from"]
-                turned = self.door.access_control.authorize_worker(
-                    "http", self.credential(message), name
-                )
-                if turned is not None:
-                    return [self.turn_away(turned)]
-            self.of_worker = self.proven = True
-            return [self.reply(200), *([told] if told else [])]
-        if path == client_api.READINESS_PATH:
-            if message.method != "GET":
-                raise ProtocolError(405, "only GET")
-            away = self.door.starting or self.door.shutting_down or self.door.draining
-            return [self.reply(503 if away else 200)]
-        visa = self.visa_for(message)
-        if isinstance(visa, Rejection):
-            return [self.turn_away(visa)]
+                events.append(self.fail(error))
+        return events
+
+    def _handle_message(self, message: Message, now_us: int) -> list[SessionEvent]:
+        path = path_of(message)
+        if path == NOTIFICATION_PATH:
+            return self._handle_notification(message)
+        if path == READINESS_PATH:
+            return [self._handle_readiness_check(message)]
+        return [self._handle_request(message, now_us)]
+
+    def _handle_notification(self, message: Message) -> list[SessionEvent]:
+        load_reports = self.server_state.client_api.load_reports
+        notification = read_notification(message, load_reports)
+        access_control = self.server_state.access_control
+        if access_control is not None:
+            worker_id = read_json_object(message.body)["from"]
+            rejection = access_control.authorize_worker(
+                "http", self._credential(message), worker_id
+            )
+            if rejection is not None:
+                return [self._reject(rejection)]
+        self.is_worker = True
+        self.has_sent_work = True
+        acknowledgement = self._reply(200)
+        return [acknowledgement] if notification is None else [acknowledgement, notification]
+
+    def _handle_readiness_check(self, message: Message) -> Reply:
+        if message.method != "GET":
+            raise ProtocolError(405, "only GET")
+        return self._reply(200 if self.server_state.is_ready else 503)
+
+    def _handle_request(self, message: Message, now_us: int) -> SessionEvent:
+        client_api = self.server_state.client_api
+        authorization = self._authorize(message)
+        if isinstance(authorization, Rejection):
+            return self._reject(authorization)
         try:
-            request = self.door.side.read_request(message, now_us, visa.tenant if visa else None)
+            tenant = authorization.tenant if authorization else None
+            request = client_api.read_request(message, now_us, tenant)
         except ProtocolError:
-            self.end_visa(visa)
+            release(authorization)
             raise
-        if self.door.is_overloaded():
-            self.end_visa(visa)
-            # Guards the news: with every connection held by a waiting request none of them would ever end.
+        if self.server_state.is_overloaded():
+            release(authorization)
+            # Guards notifications: with a waiting request on every connection none of them could
+            # come in, and no request would ever end.
             self.phase = SessionPhase.CLOSED
-            return [
-                Reply(
-                    client_api.overload_answer(
-                        self.door.side.settings.max_retry_after_us, close=True
-                    ),
-                    True,
-                )
-            ]
-        self.request, self.phase, self.proven, self.visa = request, SessionPhase.WAITING, True, visa
-        return [self.request]
-
-    def visa_for(self, message: Message) -> "Authorization | Rejection | None":
-        if self.door.access_control is None:
+            retry_after_us = client_api.settings.max_retry_after_us
+            return Reply(overload_answer(retry_after_us, close=True), close=True)
+        self.request = request
+        self.authorization = authorization
+        self.has_sent_work = True
+        self.phase = SessionPhase.AWAITING_ANSWER
+        return request
+
+    def _authorize(self, message: Message) -> Authorization | Rejection | None:
+        """Return who may send this request, why nobody may, or None where nobody is asked."""
+        access_control = self.server_state.access_control
+        if access_control is None:
             return None
-        side = self.door.side
-        kind = side.settings.classes[side.job_class_of(message)].name
+        client_api = self.server_state.client_api
+        class_name = client_api.settings.classes[client_api.job_class_of(message)].name
         tenant = message.headers.get("tenant")
-        return self.door.access_control.authorize_request(
-            "http", self.credential(message), kind, tenant
-        )
-
-    def credential(self, message: Message) -> Credential:
-        return Credential(
-            client_api.bearer_token(message), self.link.certificate if self.link else None
+        return access_control.authorize_request(
+            "http", self._credential(message), class_name, tenant
         )
 
-    @staticmethod
-    def end_visa(visa: Authorization | None) -> None:
-        if visa is not None:
-            visa.release()
-
-    def turn_away(self, turned: Rejection) -> Reply:
-        """The framing is whole: another request may follow, by somebody who may."""
-        close = self.closing()
-        self.phase, self.answered = SessionPhase.CLOSED if close else SessionPhase.READING, True
-        return Reply(client_api.rejection_answer(turned, close=close), close)
-
-    def closing(self) -> bool:
-        # Open requests still wait for workers' news: those connections stay until the end. A request that has
-        # been read behind this one is answered before its connection closes.
-        closing = self.door.closing or self.door.drain_closing
-        return not self.keep_alive or (closing and not self.of_worker and not self.parser.has_complete_message())
-
-    def reply(self, status: int) -> Reply:
-        close = self.closing()
-        self.phase, self.answered = SessionPhase.CLOSED if close else SessionPhase.READING, True
-        return Reply(write_answer(status, close=close), close)
+    def _credential(self, message: Message) -> Credential:
+        certificate = self.transport.certificate if self.transport else None
+        return Credential(bearer_token(message), certificate)
 
-    def refuse(self, error: ProtocolError) -> Reply:
-        """Ends the connection: behind a message in doubt nothing is read, and strangers hold no place."""
-        self.phase = SessionPhase.CLOSED
-        return Reply(write_answer(error.status, close=True), True)
+    # -- output -----------------------------------------------------------------------------------
 
     def answer(self, answer: Answer) -> Reply | None:
-        """The final answer's bytes; None if the request is no longer this connection's."""
-        if self.phase is not SessionPhase.WAITING or answer.request is not self.request:
+        """Return the final answer's bytes; None if the request is not the one that is open."""
+        if not self.has_open_request or answer.request is not self.request:
             return None
-        close = self.closing()
-        data = client_api.final_answer(
-            answer.outcome, answer.result, answer.retry_after_us, close=close
-        )
-        self.request, self.phase, self.answered = (
-            None,
-            SessionPhase.CLOSED if close else SessionPhase.READING,
-            True,
-        )
-        self.end_visa(self.visa)
+        close = self._closes_with_answer()
+        data = final_answer(answer.outcome, answer.result, answer.retry_after_us, close=close)
+        self.request = None
+        self._finish_exchange(close=close)
+        release(self.authorization)
         return Reply(data, close)
 
-    def patience(self, limits: Limits) -> float:
-        """For how long its peer may go on as it is; a stranger's silence is not that of an old client."""
-        if self.phase is SessionPhase.WAITING:
+    def fail(self, error: ProtocolError) -> Reply:
+        """End the session by an error.
+
+        Behind a message in doubt nothing can be read, and a peer that nobody knows must not keep a
+        place by its errors.
+        """
+        self.phase = SessionPhase.CLOSED
+        return Reply(write_answer(error.status, close=True), close=True)
+
+    def close(self) -> Request | None:
+        """End the session without an answer; return the request that stays open, if any."""
+        open_request = self.request
+        self.request = None
+        self.phase = SessionPhase.CLOSED
+        release(self.authorization)
+        return open_request
+
+    def timeout_seconds(self, limits: Limits) -> float:
+        """Return for how long the peer may stay in the present state.
+
+        Silence is tolerated for longer in a peer that has sent work before than in a new one.
+        """
+        timeouts = limits.timeouts
+        if self.has_open_request:
             return math.inf
         if self.phase is SessionPhase.CLOSED:
-            return limits.timeouts.linger_seconds
-        if self.between:
+            return timeouts.linger_seconds
+        if self.is_idle:
             return (
-                limits.timeouts.inbound_idle_seconds
-                if self.proven
-                else limits.timeouts.first_message_seconds
+                timeouts.inbound_idle_seconds
+                if self.has_sent_work
+                else timeouts.first_message_seconds
             )
-        return (
-            limits.timeouts.message_seconds
-            if self.answered
-            else limits.timeouts.first_message_seconds
-        )
+        return timeouts.message_seconds if self.has_answered else timeouts.first_message_seconds
+
+    def _reject(self, rejection: Rejection) -> Reply:
+        """Answer an unauthorized message; as its framing is sound, another one may follow."""
+        close = self._closes_with_answer()
+        self._finish_exchange(close=close)
+        return Reply(rejection_answer(rejection, close=close), close)
+
+    def _reply(self, status: int) -> Reply:
+        close = self._closes_with_answer()
+        self._finish_exchange(close=close)
+        return Reply(write_answer(status, close=close), close)
+
+    def _closes_with_answer(self) -> bool:
+        """Whether the connection closes with the answer that is due now.
+
+        While connections are being closed, those of workers stay, for open requests await their
+        notifications, and a message that is complete already is answered before its connection
+        closes.
+        """
+        if not self.keep_alive:
+            return True
+        if not self.server_state.closes_connections or self.is_worker:
+            return False
+        return not self.parser.has_complete_message()
+
+    def _finish_exchange(self, *, close: bool) -> None:
+        self.phase = SessionPhase.CLOSED if close else SessionPhase.READING
+        self.has_answered = True
 
-    @property
-    def owes(self) -> bool:
-        """A message is half read or a request open."""
-        return self.phase is SessionPhase.WAITING or (
-            self.phase is SessionPhase.READING and not self.parser.idle
-        )
 
-    def closed(self) -> Request | None:
-        """The peer has gone; the request that it leaves behind, if any."""
-        left, self.request, self.phase = self.request, None, SessionPhase.CLOSED
-        self.end_visa(self.visa)
-        return left
+def release(authorization: Authorization | None) -> None:
+    """Give an authorization back; any number of times."""
+    if authorization is not None:
+        authorization.release()
--- a/tests/golden/front_samples.py
+++ b/tests/golden/front_samples.py
@@ -45,7 +45,8 @@
 from stepstream.http import load_reports as reports
 from stepstream.http.codec import Message, Parser, ProtocolError, write_answer
 from stepstream.http.exchange import HttpExchange
-from stepstream.http.session import HttpSession, Reply, ServerState
+from stepstream.http.server_state import ServerState
+from stepstream.http.session import HttpSession, Reply
 from stepstream.ports.payload import ChunkedResult, Payload, ResultChunk
 
 RECORDED = HERE / "fronts"
@@ -231,13 +232,13 @@
 def converse(data: bytes, gate: object = None, **flags: bool) -> list[dict]:
     """The steps of a new session for these bytes; a fault is no step."""
     session = http_session(gate, **flags)
-    return [step_of(step) for step in session.feed(data, NOW_US)]
+    return [step_of(step) for step in session.receive(data, NOW_US)]
 
 
 def final_answer(outcome: str, result: object, pause_us: int, head: str = "") -> list[dict]:
     """A request's final answer on its connection."""
     session = http_session()
-    (request,) = session.feed(job(head), NOW_US)
+    (request,) = session.receive(job(head), NOW_US)
     answer = Answer(request, Outcome(outcome), result, pause_us)
     return [step_of(session.answer(answer))]
 
--- a/tests/http/test_inbound.py
+++ b/tests/http/test_inbound.py
@@ -31,13 +31,13 @@
     def __init__(self, limits=LIMITS):
         self.events = []
         side = ClientApi(SETTINGS)
-        self.house = InboundServer(
+        self.server = InboundServer(
             limits, CLOCK, side, self.events.append, lambda host: host == WORKER_HOST
         )
-        entrance = self.house.bind(("127.0.0.1", 0))
-        self.house.start_listening(entrance)
+        entrance = self.server.bind(("127.0.0.1", 0))
+        self.server.start_listening(entrance)
         self.port = entrance.listener.getsockname()[1]
-        threading.Thread(target=self.house.accept_loop, args=(entrance,), daemon=True).start()
+        threading.Thread(target=self.server.accept_loop, args=(entrance,), daemon=True).start()
 
     def dial(self, host="127.0.0.1"):
         where = ("127.0.0.1", self.port)
@@ -45,7 +45,7 @@
 
     def looked(self, done):
         """Looks at the connections as the main thread does every while, until then."""
-        wait_for(lambda: self.house.enforce_timeouts() or done())
+        wait_for(lambda: self.server.enforce_timeouts() or done())
 
     def of(self, kind):
         return [event.request for event in self.events if isinstance(event, kind)]
@@ -119,12 +119,12 @@
     with contextlib.ExitStack() as stack:
         for _ in range(10):
             stack.enter_context(home.dial())
-        wait_for(lambda: home.house.external_count == 10)
+        wait_for(lambda: home.server.external_count == 10)
         time.sleep(0.02)
         assert ask(home.port, b"GET /-/ready HTTP/1.1\r\n\r\n").status == 200
-        assert home.house.external_count <= 1  # the next ones find room without a look
-    wait_for(lambda: not home.house.connections and not home.house.evicted_count)
-    assert home.house.external_count == 0
+        assert home.server.external_count <= 1  # the next ones find room without a look
+    wait_for(lambda: not home.server.connections and not home.server.evicted_count)
+    assert home.server.external_count == 0
 
 
 def test_an_idle_client_makes_room_before_a_new_connection_that_takes_its_time():
@@ -135,7 +135,7 @@
         )
     )
     with home.dial() as new:
-        wait_for(lambda: len(home.house.connections) == 1)
+        wait_for(lambda: len(home.server.connections) == 1)
         with home.dial() as client:
             client.sendall(job_bytes())
             (waiting,) = wait_for(lambda: home.of(RequestReceived))
@@ -154,7 +154,7 @@
             timeouts=Timeouts(evictable_idle_seconds=0.0),
         )
     )
-    home.house.evicted_count = 2
+    home.server.evicted_count = 2
     assert ask(home.port, b"").status == 503
 
 
@@ -167,7 +167,9 @@
     )
     with home.dial() as dawdler:
         dawdler.sendall(b"POST /revalue HTTP/1.1\r\n")
-        wait_for(lambda: any(not inbound.session.between for inbound in home.house.connections))
+        wait_for(
+            lambda: any(not connection.session.is_idle for connection in home.server.connections)
+        )
         assert ask(home.port, b"GET /-/ready HTTP/1.1\r\n\r\n").status == 200
         assert dawdler.recv(1) == b""
 
@@ -176,14 +178,17 @@
     home = Home(Limits(timeouts=Timeouts(first_message_seconds=0.05)))
     with home.dial() as slow:
         slow.sendall(b"GET /-/ready HT")
-        wait_for(lambda: any(not inbound.session.between for inbound in home.house.connections))
+        wait_for(
+            lambda: any(not connection.session.is_idle for connection in home.server.connections)
+        )
         home.looked(
             lambda: all(
-                inbound.session.phase is SessionPhase.CLOSED for inbound in home.house.connections
+                connection.session.phase is SessionPhase.CLOSED
+                for connection in home.server.connections
             )
         )
         assert ask(0, b"", slow).status == 400
-    wait_for(lambda: not home.house.connections)
+    wait_for(lambda: not home.server.connections)
 
 
 def test_a_silent_stranger_is_let_go_and_an_old_client_is_not():
@@ -193,7 +198,7 @@
         (waiting,) = wait_for(lambda: home.of(RequestReceived))
         waiting.response_sink.answer(Answer(waiting, Outcome.SERVED, "ok"))
         assert ask(0, b"", client).status == 200
-        home.looked(lambda: len(home.house.connections) == 1)
+        home.looked(lambda: len(home.server.connections) == 1)
         assert silent.recv(1) == b""
         client.sendall(job_bytes(name="02"))
         wait_for(lambda: len(home.of(RequestReceived)) == 2)
@@ -203,7 +208,7 @@
     home = Home(Limits(timeouts=Timeouts(linger_seconds=0.05)))
     with home.dial() as stays:
         assert ask(0, b"GET /nowhere HTTP/1.1\r\n\r\n", stays).status == 404
-        home.looked(lambda: not home.house.connections)
+        home.looked(lambda: not home.server.connections)
 
 
 def test_a_peer_that_is_still_sending_after_its_error_does_not_make_room():
@@ -216,14 +221,14 @@
     with home.dial() as sending:
         sending.sendall(b"POST /revalue HTTP/1.1\r\nContent-Length: 20000000\r\n\r\n")
         assert ask(0, b"", sending).status == 413
-        (closed,) = home.house.connections
-        closed.active = 0.0  # as if long ago
+        (closed,) = home.server.connections
+        closed.last_activity_at_seconds = 0.0  # as if long ago
         sending.sendall(bytes(1000))
-        wait_for(lambda: closed.active > 0.0)
+        wait_for(lambda: closed.last_activity_at_seconds > 0.0)
         # Its place is not to be had for another one now; how long it may go on counts from its error.
         assert ask(home.port, b"").status == 503
-        assert closed.begun < closed.active
-        assert closed in home.house.connections
+        assert closed.phase_started_at_seconds < closed.last_activity_at_seconds
+        assert closed in home.server.connections
 
 
 def test_an_error_reaches_a_peer_that_is_still_sending():
@@ -238,7 +243,7 @@
     with home.dial() as peer:
         peer.sendall(job_bytes(name="01") + job_bytes(name="02") + job_bytes(name="03")[:20])
         (first,) = wait_for(lambda: home.of(RequestReceived))
-        home.house.state.closing = True
+        home.server.state.closing = True
         for name, stays in (("01", True), ("02", False)):
             (*_, waiting) = wait_for(
                 lambda name=name: [r for r in home.of(RequestReceived) if r.id == name]
@@ -286,15 +291,15 @@
         self.peer = self.home.dial()
         self.peer.sendall(job_bytes(name="01"))
         (waiting,) = wait_for(lambda: self.home.of(RequestReceived))
-        self.inbound = waiting.response_sink
+        self.connection = waiting.response_sink
         waiting.response_sink.answer(Answer(waiting, Outcome.SERVED, "ok"))
         assert ask(0, b"", self.peer).status == 200
 
 
 ENDS = {
-    "stop": lambda one: one.home.house.close_idle(),
-    "idle": lambda one: one.inbound.enforce_timeouts(time.monotonic() + 1000.0),
-    "room": lambda one: one.inbound.evict(),
+    "stop": lambda one: one.home.server.close_idle(),
+    "idle": lambda one: one.connection.enforce_timeouts(time.monotonic() + 1000.0),
+    "room": lambda one: one.connection.evict(),
 }
 
 
@@ -302,15 +307,15 @@
 def test_a_request_in_the_instant_of_our_close_is_not_sent_on_and_meets_no_reset(monkeypatch, end):
     """It comes between the last look for bytes and the shutdown: its client sends it once more elsewhere."""
     one = Resting()
-    shut = {name: getattr(one.inbound.link, name) for name in ("half_close", "hang_up")}
+    shut = {name: getattr(one.connection.transport, name) for name in ("half_close", "hang_up")}
 
     def crossed(name):
         one.peer.sendall(job_bytes(name="02"))
-        wait_for(one.inbound.link.unread)
+        wait_for(one.connection.transport.unread)
         shut[name]()
 
     for name in shut:
-        monkeypatch.setattr(one.inbound.link, name, partial(crossed, name))
+        monkeypatch.setattr(one.connection.transport, name, partial(crossed, name))
     ENDS[end](one)
     assert one.peer.recv(100) == b""
     if (
@@ -320,7 +325,7 @@
     time.sleep(0.1)  # for a reset over unread bytes to come, if there is one
     assert one.peer.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
     one.peer.close()
-    wait_for(lambda: one.inbound not in one.home.house.connections)
+    wait_for(lambda: one.connection not in one.home.server.connections)
     assert [r.id for r in one.home.of(RequestReceived)] == ["01"]
 
 
@@ -329,7 +334,7 @@
     """Its reader has been woken and stands right before it takes the bytes, while the close looks round."""
     one = Resting()
     woken, go = threading.Event(), threading.Event()
-    wait = one.inbound.link.wait
+    wait = one.connection.transport.wait
 
     def held(size):
         there = wait(size)
@@ -337,7 +342,7 @@
         assert go.wait(PATIENCE)
         return there
 
-    monkeypatch.setattr(one.inbound.link, "wait", held)
+    monkeypatch.setattr(one.connection.transport, "wait", held)
     one.peer.sendall(job_bytes(name="02"))  # ends the wait that began before this hook
     (_, second) = wait_for(
         lambda: len(one.home.of(RequestReceived)) == 2 and one.home.of(RequestReceived)
@@ -362,7 +367,7 @@
         first.sendall(job_bytes())
         wait_for(lambda: home.of(RequestReceived))
         with home.dial() as peer:
-            wait_for(lambda: home.house.rejected_count)
+            wait_for(lambda: home.server.rejected_count)
             for part in (job_bytes()[:30], job_bytes()[30:]):
                 peer.sendall(part)
                 time.sleep(0.05)  # for a reset to come, if there is one
@@ -379,9 +384,9 @@
     with contextlib.ExitStack() as stack:
         for _ in range(10):
             stack.enter_context(home.dial())
-        wait_for(lambda: home.house.rejected_count == 10)
-        assert len(home.house.lingering) <= 3
-        home.looked(lambda: not home.house.lingering)
+        wait_for(lambda: home.server.rejected_count == 10)
+        assert len(home.server.lingering) <= 3
+        home.looked(lambda: not home.server.lingering)
 
 
 def test_an_answer_that_its_client_does_not_read_holds_up_nobody():
@@ -390,7 +395,9 @@
         peer.sendall(job_bytes())
         (waiting,) = wait_for(lambda: home.of(RequestReceived))
         waiting.response_sink.answer(Answer(waiting, Outcome.SERVED, "x" * 8_000_000))
-        assert waiting.response_sink.writing  # it came back before its peer had taken the answer
+        assert (
+            waiting.response_sink.slow_writer_active
+        )  # it came back before its peer had taken the answer
         total = 0
         while total < 8_000_000:
             total += len(peer.recv(1 << 20))
@@ -398,14 +405,14 @@
 
 def test_a_fault_in_a_reader_thread_answers_its_request(monkeypatch, capfd):
     home = Home()
-    feed = HttpSession.feed
+    feed = HttpSession.receive
 
     def broken(self, data, now_us):
         if self.request is not None:
             raise KeyError("lost")
         return feed(self, data, now_us)
 
-    monkeypatch.setattr(HttpSession, "feed", broken)
+    monkeypatch.setattr(HttpSession, "receive", broken)
     with home.dial() as peer:
         peer.sendall(job_bytes())
         wait_for(lambda: home.of(RequestReceived))
--- a/tests/http/test_session.py
+++ b/tests/http/test_session.py
@@ -9,7 +9,8 @@
 from stepstream.core.requests import Request
 from stepstream.http.client_api import ClientApi
 from stepstream.http.codec import write_request
-from stepstream.http.session import HttpSession, Reply, ServerState, SessionPhase
+from stepstream.http.server_state import ServerState
+from stepstream.http.session import HttpSession, Reply, SessionPhase
 
 NEWS = write_request(
     "POST", "/_jobs/news", {}, b'{"id":"aa","from":"s-1","state":"done","result":"x"}'
@@ -27,8 +28,8 @@
     """The model: messages that have wholly arrived, and one of idle, open and closed."""
 
     def __init__(self):
-        self.door = ServerState(ClientApi(SETTINGS))
-        self.session = HttpSession(LIMITS, self.door)
+        self.server_state = ServerState(ClientApi(SETTINGS))
+        self.session = HttpSession(LIMITS, self.server_state)
         self.rest, self.queue, self.state, self.worker = b"", [], "idle", False
         self.seen, self.expected, self.request = [], [], None
 
@@ -49,7 +50,7 @@
             self.feed(data)
 
     def feed(self, data):
-        self.note(self.session.feed(data, 0))
+        self.note(self.session.receive(data, 0))
         self.advance()
 
     def answer(self, _):
@@ -58,16 +59,16 @@
         if reply is not None:
             self.note([reply])
             self.reply(200)
-            self.note(self.session.steps(0))
+            self.note(self.session.next_events(0))
             self.advance()
 
     def leave(self, _):
-        left = self.session.closed()
+        left = self.session.close()
         assert (left is not None) == (self.state == "open")
         self.state = "closed"
 
     def stop(self, _):
-        self.door.shutting_down = self.door.closing = True
+        self.server_state.shutting_down = self.server_state.closing = True
 
     def note(self, steps):
         for step in steps:
@@ -87,14 +88,14 @@
                 self.state = "closed"
             else:
                 self.worker = self.worker or kind == "news"
-                leaving = 503 if self.door.shutting_down else 200
+                leaving = 503 if self.server_state.shutting_down else 200
                 self.reply({"news": 200, "ready": leaving}[kind])
                 self.expected += [JobNotification] if kind == "news" else []
 
     def reply(self, status):
         # What has been read whole behind this one is answered first.
         behind = bool(self.queue) and self.queue[0] != "junk"
-        close = self.door.shutting_down and not self.worker and not behind
+        close = self.server_state.shutting_down and not self.worker and not behind
         self.expected.append((status, close))
         self.state = "closed" if close else "idle"
 
@@ -102,12 +103,12 @@
         assert self.seen == self.expected
         phases = {
             "idle": SessionPhase.READING,
-            "open": SessionPhase.WAITING,
+            "open": SessionPhase.AWAITING_ANSWER,
             "closed": SessionPhase.CLOSED,
         }
         assert self.session.phase is phases[self.state]
         if self.state == "idle":
-            assert self.session.between == (not self.rest)
+            assert self.session.is_idle == (not self.rest)
 
 
 test_inbound_against_its_model = walks(
