Name the inbound tests by behaviour and split them by module

The tests of the inbound server and of its connections have a file each and share their set-up; names and comments say what is checked. A table of cases checks eviction by itself.

--- /dev/null
+++ b/tests/http/test_client_connection.py
@@ -0,0 +1,222 @@
+"""Inbound connections on loopback sockets: timeouts, closes, slow readers and faults."""
+
+import contextlib
+import socket
+import struct
+import threading
+import time
+from functools import partial
+
+import pytest
+from inbound_helpers import ServerHarness, serve
+from net_helpers import job_bytes
+from node_helpers import PATIENCE, ask, wait_for
+
+from stepstream.config.limits import Limits, Timeouts
+from stepstream.core.events import ClientDisconnected, RequestFaulted, RequestReceived
+from stepstream.http.session import HttpSession, SessionPhase
+
+
+def test_a_peer_that_does_not_finish_its_message_gets_400():
+    harness = ServerHarness(Limits(timeouts=Timeouts(first_message_seconds=0.05)))
+    with harness.connect() as slow:
+        slow.sendall(b"GET /-/ready HT")
+        wait_for(
+            lambda: any(not connection.session.is_idle for connection in harness.server.connections)
+        )
+        harness.check_timeouts_until(
+            lambda: all(
+                connection.session.phase is SessionPhase.CLOSED
+                for connection in harness.server.connections
+            )
+        )
+        assert ask(0, b"", slow).status == 400
+    wait_for(lambda: not harness.server.connections)
+
+
+def test_a_new_connection_without_a_message_times_out_and_an_idle_client_does_not():
+    harness = ServerHarness(Limits(timeouts=Timeouts(first_message_seconds=0.05)))
+    with harness.connect() as silent, harness.connect() as client:
+        client.sendall(job_bytes())
+        (waiting,) = wait_for(lambda: harness.requests(RequestReceived))
+        serve(waiting)
+        assert ask(0, b"", client).status == 200
+        harness.check_timeouts_until(lambda: len(harness.server.connections) == 1)
+        assert silent.recv(1) == b""
+        client.sendall(job_bytes(name="02"))
+        wait_for(lambda: len(harness.requests(RequestReceived)) == 2)
+
+
+def test_a_connection_that_its_peer_keeps_open_after_an_error_times_out():
+    harness = ServerHarness(Limits(timeouts=Timeouts(linger_seconds=0.05)))
+    with harness.connect() as peer:
+        assert ask(0, b"GET /nowhere HTTP/1.1\r\n\r\n", peer).status == 404
+        harness.check_timeouts_until(lambda: not harness.server.connections)
+
+
+def test_an_error_reaches_a_peer_that_is_still_sending():
+    harness = ServerHarness()
+    with harness.connect() as peer:
+        head = b"POST /revalue HTTP/1.1\r\nContent-Length: 20000000\r\n\r\n"
+        assert ask(0, head + bytes(20_000_000), peer).status == 413
+
+
+def test_pipelined_requests_are_all_answered_before_a_shutdown_closes_their_connection():
+    harness = ServerHarness()
+    with harness.connect() as peer:
+        peer.sendall(job_bytes(name="01") + job_bytes(name="02") + job_bytes(name="03")[:20])
+        (first,) = wait_for(lambda: harness.requests(RequestReceived))
+        harness.server.state.closing = True
+        for name, keep_alive in (("01", True), ("02", False)):
+            (*_, waiting) = wait_for(
+                lambda name=name: [r for r in harness.requests(RequestReceived) if r.id == name]
+            )
+            serve(waiting)
+            answer = ask(0, b"", peer)
+            assert (answer.status, answer.keep_alive) == (200, keep_alive)
+        assert peer.recv(1) == b""
+
+
+@pytest.mark.parametrize("how", ["closed", "half", "reset", "behind"])
+def test_a_client_that_disconnects_during_its_request_is_reported(how):
+    harness = ServerHarness()
+    with harness.connect() as peer:
+        peer.sendall(job_bytes())
+        wait_for(lambda: harness.requests(RequestReceived))
+        if how == "behind":  # bytes of its next requests come before its end
+            peer.sendall(job_bytes(name="02") + job_bytes(name="03")[:40])
+        if how == "half":
+            peer.shutdown(socket.SHUT_WR)
+            wait_for(lambda: harness.requests(ClientDisconnected))
+        if how == "reset":
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    wait_for(lambda: harness.requests(ClientDisconnected) == harness.requests(RequestReceived))
+    assert len(harness.requests(RequestReceived)) == 1
+    assert harness.requests(ClientDisconnected)[0].client_disconnected
+
+
+def test_a_client_that_sends_too_much_behind_its_request_gets_413_and_is_reported_as_gone():
+    harness = ServerHarness()
+    with harness.connect() as peer:
+        peer.sendall(job_bytes())
+        wait_for(lambda: harness.requests(RequestReceived))
+        with contextlib.suppress(OSError):
+            peer.sendall(job_bytes(name="02") * 1000)
+        assert ask(0, b"", peer).status == 413
+        wait_for(lambda: harness.requests(ClientDisconnected) == harness.requests(RequestReceived))
+
+
+class IdleClient:
+    """A client with an idle connection, after one served request."""
+
+    def __init__(self):
+        self.harness = ServerHarness()
+        self.peer = self.harness.connect()
+        self.peer.sendall(job_bytes(name="01"))
+        (waiting,) = wait_for(lambda: self.harness.requests(RequestReceived))
+        self.connection = waiting.response_sink
+        serve(waiting)
+        assert ask(0, b"", self.peer).status == 200
+
+
+CLOSES = {
+    "shutdown": lambda client: client.harness.server.close_idle(),
+    "timeout": lambda client: client.connection.enforce_timeouts(time.monotonic() + 1000.0),
+    "evicted": lambda client: client.connection.evict(),
+}
+
+
+@pytest.mark.parametrize("close", CLOSES)
+def test_a_request_that_crosses_our_close_is_not_served_and_meets_no_reset(monkeypatch, close):
+    """It comes between the last check for bytes and the shutdown: its client sends it elsewhere."""
+    client = IdleClient()
+    originals = {
+        name: getattr(client.connection.transport, name) for name in ("half_close", "hang_up")
+    }
+
+    def preceded_by_a_request(name):
+        client.peer.sendall(job_bytes(name="02"))
+        wait_for(client.connection.transport.unread)
+        originals[name]()
+
+    for name in originals:
+        monkeypatch.setattr(client.connection.transport, name, partial(preceded_by_a_request, name))
+    CLOSES[close](client)
+    assert client.peer.recv(100) == b""
+    # An evicted connection's place is needed at once: bytes still on their way meet a reset.
+    if close != "evicted":
+        client.peer.sendall(job_bytes(name="03"))
+    time.sleep(0.1)  # for a reset over unread bytes to come, if there is one
+    assert client.peer.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
+    client.peer.close()
+    wait_for(lambda: client.connection not in client.harness.server.connections)
+    assert [r.id for r in client.harness.requests(RequestReceived)] == ["01"]
+
+
+@pytest.mark.parametrize("close", CLOSES)
+def test_a_request_received_before_our_close_is_served(monkeypatch, close):
+    """Its reader is awake and right before it takes the bytes while the connection is closed."""
+    client = IdleClient()
+    woken, go = threading.Event(), threading.Event()
+    wait = client.connection.transport.wait
+
+    def wait_and_pause(size):
+        has_input = wait(size)
+        woken.set()
+        assert go.wait(PATIENCE)
+        return has_input
+
+    monkeypatch.setattr(client.connection.transport, "wait", wait_and_pause)
+    client.peer.sendall(job_bytes(name="02"))  # ends the wait that began before this hook
+    (_, second) = wait_for(
+        lambda: (
+            len(client.harness.requests(RequestReceived)) == 2
+            and client.harness.requests(RequestReceived)
+        )
+    )
+    serve(second)
+    assert ask(0, b"", client.peer).status == 200
+    client.peer.sendall(job_bytes(name="03"))
+    assert woken.wait(PATIENCE)
+    CLOSES[close](client)
+    go.set()
+    (*_, last) = wait_for(
+        lambda: (
+            len(client.harness.requests(RequestReceived)) == 3
+            and client.harness.requests(RequestReceived)
+        )
+    )
+    serve(last)
+    assert ask(0, b"", client.peer).status == 200
+
+
+def test_an_answer_that_its_client_does_not_read_blocks_nobody():
+    harness = ServerHarness()
+    with harness.connect() as peer:
+        peer.sendall(job_bytes())
+        (waiting,) = wait_for(lambda: harness.requests(RequestReceived))
+        serve(waiting, "x" * 8_000_000)
+        # The call has returned before the peer has taken the answer.
+        assert waiting.response_sink.slow_writer_active
+        total = 0
+        while total < 8_000_000:
+            total += len(peer.recv(1 << 20))
+
+
+def test_a_fault_in_a_reader_thread_answers_its_request(monkeypatch, capfd):
+    harness = ServerHarness()
+    receive = HttpSession.receive
+
+    def broken(self, data, now_us):
+        if self.request is not None:
+            raise KeyError("lost")
+        return receive(self, data, now_us)
+
+    monkeypatch.setattr(HttpSession, "receive", broken)
+    with harness.connect() as peer:
+        peer.sendall(job_bytes())
+        wait_for(lambda: harness.requests(RequestReceived))
+        peer.sendall(b"x")
+        faulted = wait_for(lambda: harness.requests(RequestFaulted))
+        assert faulted == harness.requests(RequestReceived)
+    assert "fault in inbound: KeyError" in capfd.readouterr().err
--- a/tests/http/test_codec.py
+++ b/tests/http/test_codec.py
@@ -1,4 +1,4 @@
-"""The HTTP/1.1 parser: whole messages out of any pieces, one plain status for each fault."""
+"""The HTTP/1.1 parser: complete messages from pieces of any size, a status for each error."""
 
 import pytest
 from hypothesis import given, settings
@@ -59,7 +59,7 @@
         (b"GET / HTTP/1.1\r\nA: " + b"a" * 20_000, 431),
     ],
 )
-def test_faults_have_their_status_and_break_the_connection(data, status):
+def test_a_protocol_error_has_its_status_and_breaks_the_connection(data, status):
     parser = Parser(LIMITS)
     parser.feed(data)
     with pytest.raises(ProtocolError) as fault:
@@ -79,7 +79,7 @@
     assert not message.keep_alive
 
 
-def test_a_cut_answer_is_none():
+def test_an_incomplete_answer_is_none():
     parser = Parser(LIMITS, answers=True)
     parser.feed(write_answer(200, b"abc")[:-1])
     assert parser.next() is None
@@ -101,7 +101,7 @@
         (b"HTTP/1.0\r\nConnection: keep-alive\r\n", True),
     ],
 )
-def test_keep_alive(head, keeps):
+def test_persistence_by_version_and_connection_options(head, keeps):
     parser = Parser(LIMITS)
     parser.feed(b"GET / " + head + b"\r\n")
     assert parser.next().keep_alive is keeps
--- a/tests/http/test_platform_api.py
+++ b/tests/http/test_platform_api.py
@@ -1,4 +1,4 @@
-"""The platform's words, read and written."""
+"""The platform's APIs: what clients, workers and discovery send and get."""
 
 import pytest
 from net_helpers import LIMITS, SETTINGS, job_bytes
@@ -10,7 +10,7 @@
 from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind, EndpointState
 from stepstream.model.events import AttemptResult
 
-SIDE = client_api.ClientApi(SETTINGS)
+CLIENT_API = client_api.ClientApi(SETTINGS)
 ROW = {
     "id": "s-1",
     "addr": "127.0.0.1:8081",
@@ -23,18 +23,18 @@
 }
 
 
-def parsed(data):
+def parse(data):
     parser = Parser(LIMITS)
     parser.feed(data)
     return parser.next()
 
 
-def read(**more):
-    return SIDE.read_request(parsed(job_bytes(**more)), 1_000)
+def read_job(**headers):
+    return CLIENT_API.read_request(parse(job_bytes(**headers)), 1_000)
 
 
 def test_a_request_is_read_by_the_names_in_the_settings():
-    taken = read(
+    taken = read_job(
         path="/nav-publish?user=k7",
         Tenant="hron-asset",
         Request_Info="slots=2,x=1",
@@ -69,36 +69,36 @@
         ({"Request_Info": "slots=1e300"}, 400),
     ],
 )
-def test_what_is_wrong_with_a_request_has_its_status(more, status):
+def test_a_malformed_request_has_its_status(more, status):
     with pytest.raises(ProtocolError) as fault:
-        read(**more)
+        read_job(**more)
     assert fault.value.status == status
 
 
-def news(body, method="POST"):
+def read_news(body, method="POST"):
     return worker_api.read_notification(Message(method, worker_api.NOTIFICATION_PATH, body=body))
 
 
-def test_news_is_read_and_kinds_not_known_are_passed_over():
-    assert news(b'{"id":"a","from":"s","state":"done","result":"r"}') == JobNotification(
+def test_a_notification_is_read_and_an_unknown_status_is_ignored():
+    assert read_news(b'{"id":"a","from":"s","state":"done","result":"r"}') == JobNotification(
         "a", "s", JobStatus.DONE, "r"
     )
-    assert news(b'{"id":"a","from":"s","state":"dancing"}') is None
+    assert read_news(b'{"id":"a","from":"s","state":"dancing"}') is None
 
 
 @pytest.mark.parametrize(
     "body", [b"", b"[]", b"{", b'{"id":1,"from":"s","state":"done"}', b"[" * 60_000, b"\xff"]
 )
-def test_malformed_news_is_a_400(body):
+def test_a_malformed_notification_is_a_400(body):
     with pytest.raises(ProtocolError) as fault:
-        news(body)
+        read_news(body)
     assert fault.value.status == 400
 
 
-def test_a_call_passes_on_what_it_must_and_says_how_long_it_waits():
-    message = parsed(job_bytes(path="/nav-publish?user=1", body=b"xyz", Idempotency_Key="k"))
+def test_a_call_carries_the_request_its_id_key_and_timeout():
+    message = parse(job_bytes(path="/nav-publish?user=1", body=b"xyz", Idempotency_Key="k"))
     request = client_api.ClientApi(SETTINGS).read_request(message, 0)
-    sent = parsed(worker_api.call_bytes("h:1", request.id, request.payload, 480))
+    sent = parse(worker_api.call_bytes("h:1", request.id, request.payload, 480))
     assert (sent.method, sent.target, sent.body) == ("POST", "/nav-publish?user=1", b"xyz")
     names = ("request-id", "idempotency-key", "request-timeout-ms")
     assert [sent.headers[name] for name in names] == ["00000000000000aa", "k", "480"]
@@ -115,11 +115,11 @@
         (404, {}, AttemptResult.ERROR),
     ],
 )
-def test_a_workers_answer_proves_no_more_than_the_table_says(status, headers, result):
+def test_the_answer_to_a_call_decides_its_result(status, headers, result):
     assert worker_api.read_call_answer(Message(status=status, headers=headers)) is result
 
 
-def test_final_answers():
+def test_final_answers_by_outcome():
     def answer(outcome, result=None, pause_us=0):
         parser = Parser(LIMITS, answers=True)
         parser.feed(client_api.final_answer(outcome, result, pause_us, close=False))
@@ -132,7 +132,7 @@
     assert answer(Outcome.FAILED).status not in (200, 429, 503)
 
 
-def test_the_list_is_read_with_names_as_indices():
+def test_an_endpoint_list_is_read_with_names_as_indices():
     side = discovery_api.DiscoveryApi(SETTINGS)
     targets = side.read({"version": 4, "full": False, "servers": [ROW]})
     entry = Endpoint("s-1", 1, 1, 3, EndpointState.ACTIVE, 1.5, 7_000)
@@ -144,6 +144,6 @@
 @pytest.mark.parametrize(
     "row", [{}, {"id": "s"}, {**ROW, "state": "odd"}, {**ROW, "addr": "x:y"}, 5]
 )
-def test_a_malformed_list_is_a_protocol_error(row):
+def test_a_malformed_endpoint_list_is_a_protocol_error(row):
     with pytest.raises(ProtocolError):
         discovery_api.DiscoveryApi(SETTINGS).read({"servers": [row]})
--- /dev/null
+++ b/tests/http/test_server.py
@@ -0,0 +1,185 @@
+"""The connection budget on loopback sockets: admission, eviction and rejection."""
+
+import contextlib
+import time
+
+from inbound_helpers import NOTIFICATION, READINESS_CHECK, WORKER_HOST, ServerHarness, serve
+from net_helpers import job_bytes
+from node_helpers import PATIENCE, ask, wait_for
+
+from stepstream.config.limits import ConnectionLimits, Limits, Timeouts
+from stepstream.core.events import RequestReceived
+
+
+def test_over_budget_a_connection_gets_503_at_once_and_open_requests_stay():
+    harness = ServerHarness(Limits(connections=ConnectionLimits(inbound=1, reserved_for_workers=0)))
+    with harness.connect() as peer:
+        peer.sendall(job_bytes())
+        (open_request,) = wait_for(lambda: harness.requests(RequestReceived))
+        rejected = ask(harness.port, b"")
+        assert rejected.status == 503
+        assert rejected.headers["retry-after"] == "2.000"
+        serve(open_request)
+        assert ask(0, b"", peer).status == 200
+
+
+def test_a_notification_is_admitted_when_open_requests_occupy_all_other_connections():
+    harness = ServerHarness(
+        Limits(connections=ConnectionLimits(inbound=3, reserved_for_workers=0, open_requests=1))
+    )
+    with harness.connect() as idle, harness.connect() as first:
+        assert ask(0, READINESS_CHECK, idle).status == 200
+        first.sendall(job_bytes(name="01"))
+        wait_for(lambda: harness.requests(RequestReceived))
+        assert ask(0, job_bytes(name="02"), idle).status == 503
+        assert ask(harness.port, NOTIFICATION).status == 200
+
+
+def test_reserved_connections_are_for_workers_hosts_only():
+    harness = ServerHarness(Limits(connections=ConnectionLimits(inbound=2, reserved_for_workers=1)))
+    with harness.connect() as client, harness.connect(WORKER_HOST) as worker:
+        client.sendall(job_bytes())
+        wait_for(lambda: harness.requests(RequestReceived))
+        assert ask(0, NOTIFICATION, worker).status == 200
+        assert ask(harness.port, b"").status == 503
+
+
+def test_a_flood_of_silent_connections_keeps_out_neither_notifications_nor_clients():
+    harness = ServerHarness(
+        Limits(
+            connections=ConnectionLimits(inbound=6, reserved_for_workers=2),
+            timeouts=Timeouts(evictable_idle_seconds=0.0, unproven_seconds=0.0),
+        )
+    )  # whether a connection is evicted does not depend on the clock
+    with contextlib.ExitStack() as stack:
+        client = stack.enter_context(harness.connect())
+        client.sendall(job_bytes(name="01"))
+        (waiting,) = wait_for(lambda: harness.requests(RequestReceived))
+        serve(waiting)
+        assert ask(0, b"", client).status == 200
+        for _ in range(20):
+            stack.enter_context(harness.connect())  # and send nothing
+        worker = stack.enter_context(harness.connect(WORKER_HOST))
+        assert ask(0, NOTIFICATION, worker).status == 200
+        # A new client is admitted, and the old one has kept its connection.
+        fresh = stack.enter_context(harness.connect())
+        fresh.sendall(job_bytes(name="02"))
+        wait_for(lambda: len(harness.requests(RequestReceived)) == 2)
+        client.sendall(job_bytes(name="03"))
+        wait_for(lambda: len(harness.requests(RequestReceived)) == 3)
+
+
+def test_many_silent_connections_are_evicted_at_once_and_every_place_is_freed():
+    harness = ServerHarness(
+        Limits(
+            connections=ConnectionLimits(inbound=12, reserved_for_workers=2),
+            timeouts=Timeouts(evictable_idle_seconds=0.01),
+        )
+    )
+    with contextlib.ExitStack() as stack:
+        for _ in range(10):
+            stack.enter_context(harness.connect())
+        wait_for(lambda: harness.server.external_count == 10)
+        time.sleep(0.02)
+        assert ask(harness.port, READINESS_CHECK).status == 200
+        assert (
+            harness.server.external_count <= 1
+        )  # so the next ones are admitted without an eviction
+    wait_for(lambda: not harness.server.connections and not harness.server.evicted_count)
+    assert harness.server.external_count == 0
+
+
+def test_an_idle_client_is_evicted_before_a_slow_new_connection():
+    harness = ServerHarness(
+        Limits(
+            connections=ConnectionLimits(inbound=2, reserved_for_workers=0),
+            timeouts=Timeouts(evictable_idle_seconds=0.0, unproven_seconds=PATIENCE),
+        )
+    )
+    with harness.connect() as new:
+        wait_for(lambda: len(harness.server.connections) == 1)
+        with harness.connect() as client:
+            client.sendall(job_bytes())
+            (waiting,) = wait_for(lambda: harness.requests(RequestReceived))
+            serve(waiting)
+            assert ask(0, b"", client).status == 200
+            assert ask(harness.port, READINESS_CHECK).status == 200
+            assert client.recv(1) == b""
+        new.sendall(job_bytes(name="02"))
+        wait_for(lambda: len(harness.requests(RequestReceived)) == 2)
+
+
+def test_evicted_connections_count_against_the_budget_until_they_are_closed():
+    harness = ServerHarness(
+        Limits(
+            connections=ConnectionLimits(inbound=2, reserved_for_workers=0, evicted_unclosed=0),
+            timeouts=Timeouts(evictable_idle_seconds=0.0),
+        )
+    )
+    harness.server.evicted_count = 2
+    assert ask(harness.port, b"").status == 503
+
+
+def test_a_peer_with_half_a_message_is_evicted_for_a_new_connection():
+    harness = ServerHarness(
+        Limits(
+            connections=ConnectionLimits(inbound=1, reserved_for_workers=0),
+            timeouts=Timeouts(evictable_idle_seconds=0.0),
+        )
+    )
+    with harness.connect() as slow:
+        slow.sendall(b"POST /revalue HTTP/1.1\r\n")
+        wait_for(
+            lambda: any(not connection.session.is_idle for connection in harness.server.connections)
+        )
+        assert ask(harness.port, READINESS_CHECK).status == 200
+        assert slow.recv(1) == b""
+
+
+def test_a_peer_that_is_still_sending_after_its_error_is_not_evicted():
+    harness = ServerHarness(
+        Limits(
+            connections=ConnectionLimits(inbound=1, reserved_for_workers=0),
+            timeouts=Timeouts(evictable_idle_seconds=PATIENCE),
+        )
+    )
+    with harness.connect() as sending:
+        sending.sendall(b"POST /revalue HTTP/1.1\r\nContent-Length: 20000000\r\n\r\n")
+        assert ask(0, b"", sending).status == 413
+        (closed,) = harness.server.connections
+        closed.last_activity_at_seconds = 0.0  # long ago
+        sending.sendall(bytes(1000))
+        wait_for(lambda: closed.last_activity_at_seconds > 0.0)
+        # It is not evicted; how long it may linger counts from its error.
+        assert ask(harness.port, b"").status == 503
+        assert closed.phase_started_at_seconds < closed.last_activity_at_seconds
+        assert closed in harness.server.connections
+
+
+def test_a_rejected_peer_can_still_send_and_reads_its_503():
+    """Closed at once, the connection would be reset by what its peer sends, and the 503 lost."""
+    harness = ServerHarness(Limits(connections=ConnectionLimits(inbound=1, reserved_for_workers=0)))
+    with harness.connect() as first:
+        first.sendall(job_bytes())
+        wait_for(lambda: harness.requests(RequestReceived))
+        with harness.connect() as peer:
+            wait_for(lambda: harness.server.rejected_count)
+            for part in (job_bytes()[:30], job_bytes()[30:]):
+                peer.sendall(part)
+                time.sleep(0.05)  # for a reset to come, if there is one
+            assert ask(0, b"", peer).status == 503
+
+
+def test_rejected_connections_are_bounded_and_closed_in_time():
+    harness = ServerHarness(
+        Limits(
+            connections=ConnectionLimits(inbound=0, reserved_for_workers=0, lingering=3),
+            timeouts=Timeouts(rejected_linger_seconds=0.05),
+        )
+    )
+    with contextlib.ExitStack() as stack:
+        for _ in range(10):
+            stack.enter_context(harness.connect())
+        wait_for(lambda: harness.server.rejected_count == 10)
+        assert len(harness.server.lingering) <= 3
+        harness.check_timeouts_until(lambda: not harness.server.lingering)
--- a/tests/http/test_session.py
+++ b/tests/http/test_session.py
@@ -12,90 +12,98 @@
 from stepstream.http.server_state import ServerState
 from stepstream.http.session import HttpSession, Reply, SessionPhase
 
-NEWS = write_request(
+NOTIFICATION = write_request(
     "POST", "/_jobs/news", {}, b'{"id":"aa","from":"s-1","state":"done","result":"x"}'
 )
-KINDS = {
-    "job": job_bytes(),
-    "news": NEWS,
-    "ready": b"GET /-/ready HTTP/1.1\r\n\r\n",
-    "lost": b"GET /nowhere HTTP/1.1\r\n\r\n",
+MESSAGES = {
+    "request": job_bytes(),
+    "notification": NOTIFICATION,
+    "readiness": b"GET /-/ready HTTP/1.1\r\n\r\n",
+    "unknown path": b"GET /nowhere HTTP/1.1\r\n\r\n",
     "junk": b"junk\r\n\r\n",
 }
 
 
-class InboundRig:
-    """The model: messages that have wholly arrived, and one of idle, open and closed."""
+class SessionModel:
+    """A session beside its model: complete messages that wait, and idle, open or closed."""
 
     def __init__(self):
         self.server_state = ServerState(ClientApi(SETTINGS))
         self.session = HttpSession(LIMITS, self.server_state)
-        self.rest, self.queue, self.state, self.worker = b"", [], "idle", False
-        self.seen, self.expected, self.request = [], [], None
+        self.rest_of_message = b""
+        self.waiting_messages = []
+        self.state = "idle"
+        self.is_worker = False
+        self.seen = []
+        self.expected = []
+        self.request = None
 
     def send(self, kind):
-        if not self.rest:
-            self.queue.append(kind)
-            self.feed(KINDS[kind])
+        if not self.rest_of_message:
+            self.waiting_messages.append(kind)
+            self.receive(MESSAGES[kind])
 
     def send_half(self, kind):
-        if not self.rest:
-            self.rest, self.half = KINDS[kind][5:], kind
-            self.feed(KINDS[kind][:5])
+        if not self.rest_of_message:
+            self.rest_of_message = MESSAGES[kind][5:]
+            self.half_sent = kind
+            self.receive(MESSAGES[kind][:5])
 
     def send_rest(self, _):
-        if self.rest:
-            self.queue.append(self.half)
-            data, self.rest = self.rest, b""
-            self.feed(data)
+        if self.rest_of_message:
+            self.waiting_messages.append(self.half_sent)
+            data = self.rest_of_message
+            self.rest_of_message = b""
+            self.receive(data)
 
-    def feed(self, data):
-        self.note(self.session.receive(data, 0))
-        self.advance()
+    def receive(self, data):
+        self.record(self.session.receive(data, 0))
+        self.advance_model()
 
     def answer(self, _):
         reply = self.session.answer(Answer(self.request, Outcome.SERVED, "ok"))
         assert (reply is not None) == (self.state == "open")
         if reply is not None:
-            self.note([reply])
-            self.reply(200)
-            self.note(self.session.next_events(0))
-            self.advance()
-
-    def leave(self, _):
-        left = self.session.close()
-        assert (left is not None) == (self.state == "open")
+            self.record([reply])
+            self.expect_reply(200)
+            self.record(self.session.next_events(0))
+            self.advance_model()
+
+    def disconnect(self, _):
+        open_request = self.session.close()
+        assert (open_request is not None) == (self.state == "open")
         self.state = "closed"
 
-    def stop(self, _):
+    def shut_down(self, _):
         self.server_state.shutting_down = self.server_state.closing = True
 
-    def note(self, steps):
-        for step in steps:
-            if isinstance(step, Request):
-                self.request = step
-            status = int(step.data[9:12]) if isinstance(step, Reply) else None
-            self.seen.append((status, step.close) if status else type(step))
-
-    def advance(self):
-        while self.queue and self.state == "idle":
-            kind = self.queue.pop(0)
-            if kind == "job":
+    def record(self, events):
+        for event in events:
+            if isinstance(event, Request):
+                self.request = event
+            status = int(event.data[9:12]) if isinstance(event, Reply) else None
+            self.seen.append((status, event.close) if status else type(event))
+
+    def advance_model(self):
+        while self.waiting_messages and self.state == "idle":
+            kind = self.waiting_messages.pop(0)
+            if kind == "request":
                 self.expected.append(Request)
                 self.state = "open"
-            elif kind in ("junk", "lost"):
-                self.expected.append(({"junk": 400, "lost": 404}[kind], True))
+            elif kind in ("junk", "unknown path"):
+                self.expected.append(({"junk": 400, "unknown path": 404}[kind], True))
                 self.state = "closed"
             else:
-                self.worker = self.worker or kind == "news"
-                leaving = 503 if self.server_state.shutting_down else 200
-                self.reply({"news": 200, "ready": leaving}[kind])
-                self.expected += [JobNotification] if kind == "news" else []
-
-    def reply(self, status):
-        # What has been read whole behind this one is answered first.
-        behind = bool(self.queue) and self.queue[0] != "junk"
-        close = self.server_state.shutting_down and not self.worker and not behind
+                self.is_worker = self.is_worker or kind == "notification"
+                readiness = 503 if self.server_state.shutting_down else 200
+                self.expect_reply({"notification": 200, "readiness": readiness}[kind])
+                if kind == "notification":
+                    self.expected.append(JobNotification)
+
+    def expect_reply(self, status):
+        # A complete message behind this one is answered before the connection closes.
+        another_waits = bool(self.waiting_messages) and self.waiting_messages[0] != "junk"
+        close = self.server_state.shutting_down and not self.is_worker and not another_waits
         self.expected.append((status, close))
         self.state = "closed" if close else "idle"
 
@@ -108,15 +116,15 @@
         }
         assert self.session.phase is phases[self.state]
         if self.state == "idle":
-            assert self.session.is_idle == (not self.rest)
+            assert self.session.is_idle == (not self.rest_of_message)
 
 
-test_inbound_against_its_model = walks(
-    InboundRig,
-    send=st.sampled_from(list(KINDS)),
-    send_half=st.sampled_from(list(KINDS)),
+test_a_session_behaves_as_its_model = walks(
+    SessionModel,
+    send=st.sampled_from(list(MESSAGES)),
+    send_half=st.sampled_from(list(MESSAGES)),
     send_rest=st.none(),
     answer=st.none(),
-    leave=st.none(),
-    stop=st.none(),
+    disconnect=st.none(),
+    shut_down=st.none(),
 )
--- /dev/null
+++ b/tests/inbound_helpers.py
@@ -0,0 +1,52 @@
+"""An inbound server on loopback sockets, and what its clients send."""
+
+import socket
+import threading
+
+from net_helpers import LIMITS, SETTINGS
+from node_helpers import PATIENCE, wait_for
+
+from stepstream.core.commands import Answer, Outcome
+from stepstream.http.client_api import ClientApi
+from stepstream.http.codec import write_request
+from stepstream.http.server import InboundServer
+from stepstream.runtime.clock import Clock
+
+NOTIFICATION = write_request("POST", "/_jobs/news", {}, b'{"id":"01","from":"s","state":"started"}')
+READINESS_CHECK = b"GET /-/ready HTTP/1.1\r\n\r\n"
+WORKER_HOST = "127.0.0.9"
+
+
+class ServerHarness:
+    """A listening server whose events are recorded; there is no core to decide on them."""
+
+    def __init__(self, limits=LIMITS):
+        self.events = []
+        self.server = InboundServer(
+            limits,
+            Clock(),
+            ClientApi(SETTINGS),
+            self.events.append,
+            lambda host: host == WORKER_HOST,
+        )
+        spec = self.server.bind(("127.0.0.1", 0))
+        self.server.start_listening(spec)
+        self.port = spec.listener.getsockname()[1]
+        threading.Thread(target=self.server.accept_loop, args=(spec,), daemon=True).start()
+
+    def connect(self, host="127.0.0.1"):
+        address = ("127.0.0.1", self.port)
+        return socket.create_connection(address, timeout=PATIENCE, source_address=(host, 0))
+
+    def check_timeouts_until(self, done):
+        """Check the connections' timeouts, as the main thread does periodically, until `done()`."""
+        wait_for(lambda: self.server.enforce_timeouts() or done())
+
+    def requests(self, kind):
+        """The requests of all events of a kind, in order."""
+        return [event.request for event in self.events if isinstance(event, kind)]
+
+
+def serve(request, result="ok"):
+    """Give an open request its final answer, as the decision thread does."""
+    request.response_sink.answer(Answer(request, Outcome.SERVED, result))
