--- a/stepstream/http/codec.py
+++ b/stepstream/http/codec.py
@@ -13,6 +13,7 @@
 from enum import Enum
 
 from stepstream.config.limits import Limits
+from stepstream.http.errors import HttpError
 
 CRLF = b"\r\n"
 HEAD_END = b"\r\n\r\n"
@@ -45,7 +46,7 @@
 }
 
 
-class ProtocolError(Exception):
+class ProtocolError(HttpError):
     """The peer broke the protocol; `status` is the HTTP status that it is due, if any is."""
 
     def __init__(self, status: int, text: str) -> None:
