--- a/stepstream/http/connection_pool.py
+++ b/stepstream/http/connection_pool.py
@@ -11,7 +11,7 @@
 import time
 
 from stepstream.config.limits import Limits
-from stepstream.http.destination_set import Address
+from stepstream.http.discovery_api import Address
 from stepstream.http.errors import HttpError
 from stepstream.runtime.sockets import connect, is_stale
 
--- a/stepstream/http/destination_set.py
+++ b/stepstream/http/destination_set.py
@@ -10,12 +10,10 @@
 import threading
 import time
 
-from stepstream.http.platform_api import EndpointAnswer
+from stepstream.http.discovery_api import Address, EndpointAnswer
 from stepstream.http.staleness import StalenessDetector
 from stepstream.model.endpoints import Endpoint, EndpointListKind, EndpointState
 
-Address = tuple[str, int]  # host and port, as the socket module takes them
-
 SOURCE = "discovery"  # the name of this source of endpoints
 
 
--- a/stepstream/http/discovery_client.py
+++ b/stepstream/http/discovery_client.py
@@ -25,9 +25,9 @@
 from stepstream.core.endpoint_set import EndpointsUpdated
 from stepstream.core.events import Event
 from stepstream.http.codec import Parser, ProtocolError
-from stepstream.http.destination_set import SOURCE, Address, DestinationSet, host_and_port
+from stepstream.http.destination_set import SOURCE, DestinationSet, host_and_port
+from stepstream.http.discovery_api import Address, DiscoveryApi, EndpointAnswer
 from stepstream.http.errors import HttpError
-from stepstream.http.platform_api import DiscoveryApi, EndpointAnswer
 from stepstream.http.poll_schedule import PollSchedule
 from stepstream.http.receiving import receive_message
 from stepstream.runtime.log import RateLimitedLogger
@@ -306,7 +306,9 @@
         """
         deadline_seconds = time.monotonic() + timeout_seconds
         connection.sendall(data)
-        parser = Parser(self.limits, answers=True, body=self.limits.sizes.endpoint_list_bytes)
+        parser = Parser(
+            self.limits, answers=True, max_body_bytes=self.limits.sizes.endpoint_list_bytes
+        )
         message = receive_message(
             connection, parser, deadline_seconds, self.limits.sizes.read_bytes
         )
--- a/stepstream/http/exchange.py
+++ b/stepstream/http/exchange.py
@@ -10,7 +10,7 @@
 from stepstream.config.limits import Limits
 from stepstream.http.codec import Message, Parser, ProtocolError
 from stepstream.http.load_reports import HEADER
-from stepstream.http.platform_api import read_call_answer
+from stepstream.http.worker_api import read_call_answer
 from stepstream.model.events import AttemptResult
 
 # RFC 9110, 15.2: answers with these statuses are interim, and the final one follows.
--- a/stepstream/http/outbound.py
+++ b/stepstream/http/outbound.py
@@ -18,18 +18,19 @@
 from stepstream.core.requests import Call
 from stepstream.http.codec import Message, Parser, ProtocolError
 from stepstream.http.connection_pool import ConnectionPool, PooledConnection, PoolExhaustedError
-from stepstream.http.destination_set import Address, DestinationSet, host_and_port
+from stepstream.http.destination_set import DestinationSet, host_and_port
+from stepstream.http.discovery_api import Address
 from stepstream.http.exchange import HttpExchange
 from stepstream.http.in_flight_call import CallPhase, InFlightCall, UnsentReason
 from stepstream.http.load_reports import LoadReportReader
-from stepstream.http.platform_api import (
-    HEALTHY,
-    LOAD,
+from stepstream.http.receiving import receive_message
+from stepstream.http.worker_api import (
+    HEALTH_CHECK_PATH,
+    LOAD_REPORT_PATH,
     call_bytes,
     cancel_bytes,
     health_check_bytes,
 )
-from stepstream.http.receiving import receive_message
 from stepstream.model.events import AttemptResult, HealthChecked
 from stepstream.ports.payload import Payload
 from stepstream.runtime.clock import Clock
@@ -260,7 +261,8 @@
         message = None
         report = None
         if address is not None:
-            path = LOAD if self.reports.in_health_checks else HEALTHY
+            in_body = self.reports.in_health_checks
+            path = LOAD_REPORT_PATH if in_body else HEALTH_CHECK_PATH
             data = health_check_bytes(host_and_port(address), path)
             timeout_seconds = self.limits.timeouts.health_check_seconds
             message = self.send_request(worker, address, data, timeout_seconds)
--- a/tests/http/test_discovery.py
+++ b/tests/http/test_discovery.py
@@ -12,8 +12,8 @@
 
 from stepstream.http.codec import write_answer
 from stepstream.http.destination_set import DestinationSet
+from stepstream.http.discovery_api import DiscoveryApi
 from stepstream.http.discovery_client import DiscoveryClient
-from stepstream.http.platform_api import DiscoveryApi
 from stepstream.http.poll_schedule import PollSchedule
 from stepstream.model.endpoints import EndpointListKind
 from stepstream.runtime.log import RateLimitedLogger
--- a/tests/http/test_load_reports.py
+++ b/tests/http/test_load_reports.py
@@ -8,10 +8,10 @@
 from hypothesis import strategies as st
 from net_helpers import PROBED, SETTINGS
 
-from stepstream.http import platform_api as platform
 from stepstream.http.codec import Message
 from stepstream.http.load_reports import LoadReportReader
 from stepstream.http.named_numbers import LARGEST_NUMBER
+from stepstream.http.worker_api import NOTIFICATION_PATH, read_notification
 
 FULL = {"queue": 2.0, "free_slots": 1.5}
 READABLE = {
@@ -53,7 +53,8 @@
     reader.reconfigure(settings_with(source))
     load = {"queue": 2, "x0": 1.5}
     body = json.dumps({"id": "a", "from": "s", "state": "done", "load": load}).encode()
-    notification = platform.read_notification(Message("POST", platform.NEWS, body=body), reader)
+    message = Message("POST", NOTIFICATION_PATH, body=body)
+    notification = read_notification(message, reader)
     reports = [
         reader.read_health_check(json.dumps(load).encode()),
         reader.read_header("TEXT queue=2, x0=1.5"),
--- a/tests/outbound_helpers.py
+++ b/tests/outbound_helpers.py
@@ -10,10 +10,10 @@
 from stepstream.core.requests import Call
 from stepstream.http.codec import write_answer
 from stepstream.http.destination_set import DestinationSet
+from stepstream.http.discovery_api import EndpointAnswer
 from stepstream.http.in_flight_call import CallPhase
 from stepstream.http.load_reports import LoadReportReader
 from stepstream.http.outbound import OutboundCarrier
-from stepstream.http.platform_api import EndpointAnswer
 from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind, EndpointState
 from stepstream.runtime.clock import Clock
 from stepstream.runtime.log import RateLimitedLogger
