--- a/stepstream/http/discovery_client.py
+++ b/stepstream/http/discovery_client.py
@@ -92,7 +92,7 @@
 
     @property
     def retired(self) -> bool:
-        """Whether the client has been stopped."""
+        """Whether the client has been stopped; final, so that it may be read without the lock."""
         return self.state is ClientState.RETIRED
 
     @property
--- a/stepstream/http/named_numbers.py
+++ b/stepstream/http/named_numbers.py
@@ -30,8 +30,8 @@
 def bounded_number(value: object) -> float:
     """Return a number from 0 to LARGEST_NUMBER, given as one or as its text.
 
-    Raises ValueError for anything else, as float() does. The bound guards the sums over workers: a
-    number like 1e300 would swallow all others.
+    Raises ValueError for anything else, as float() does: discovery's log line names the type. The
+    bound guards the sums over workers: a number like 1e300 would swallow all others.
     """
     number = float(value) if isinstance(value, str) else value
     if (
--- a/stepstream/http/poll_schedule.py
+++ b/stepstream/http/poll_schedule.py
@@ -42,7 +42,7 @@
 CALL_TIMEOUT_SECONDS = 2.2
 
 # First calls are spread over so much for each dispatcher, and over no more than the bound: a
-# dispatcher that waits longer starts without a list.
+# dispatcher serves from the list of before its start for so long.
 FIRST_PAUSE_PER_DISPATCHER_SECONDS = 0.1
 MAX_FIRST_PAUSE_SECONDS = 4.0
 
--- a/stepstream/http/staleness.py
+++ b/stepstream/http/staleness.py
@@ -13,10 +13,11 @@
 from dataclasses import dataclass, field
 from math import inf
 
-# Workers that must refuse before the list is checked. One alone may have crashed while its machine,
-# which would report that, is cut off: lower, and every crash costs discovery an extra call.
+# Workers that must refuse before the list is checked. One alone is a crash that the list will still
+# report: with 1, every crash would cost discovery an extra call.
 MIN_REFUSING_WORKERS = 2
-# A list reports a crash up to this late. A check made sooner would find the news still on its way.
+# The list reports a crash with about this delay. A check made sooner would be answered before the
+# crash is listed, and prove nothing.
 NOTIFICATION_DELAY_SECONDS = 2.0
 # All dispatchers see a crash at the same time, and discovery answers one call after another: the
 # check is delayed by a random part of this for each other dispatcher, ...
