--- a/stepstream/admin/listener.py
+++ b/stepstream/admin/listener.py
@@ -104,7 +104,7 @@
                     min(self.connections.values(), key=lambda connection: connection.opened_at)
                 )
             sock.setblocking(False)  # noqa: FBT003  the socket's own signature
-            parser = Parser(self.limits, body=self.limits.sizes.admin_body_bytes)
+            parser = Parser(self.limits, max_body_bytes=self.limits.sizes.admin_body_bytes)
             self.connections[sock.fileno()] = AdminConnection(sock, parser, time.monotonic())
             self.poll.register(sock, READABLE)
 
--- a/stepstream/admin/service.py
+++ b/stepstream/admin/service.py
@@ -24,7 +24,7 @@
 from stepstream.core.events import MaintenanceChanged, SiblingProcessChanged
 from stepstream.core.maintenance import MaintenanceRegistry
 from stepstream.http.codec import Message, ProtocolError
-from stepstream.http.platform_api import read_notification
+from stepstream.http.worker_api import read_notification
 from stepstream.ports.admin import AdminResponse
 from stepstream.runtime.log import log
 from stepstream.subsystem_context import SubsystemContext
@@ -94,13 +94,13 @@
 
     def _is_known(self, worker_id: str) -> bool:
         """Tell whether discovery's endpoint list or the Gearman front has the worker."""
-        listed = self.context.destinations.last_address(worker_id) is not None
+        listed = self.context.destinations.listed_address(worker_id) is not None
         return listed or self.context.core.endpoints.contains(worker_id)
 
     def _take_notification(self, body: bytes) -> AdminResponse:
         """Post a notification that a worker sent to the sibling process, and that belongs here."""
         try:
-            notification = read_notification(Message(method="POST", body=body), relayed=True)
+            notification = read_notification(Message(method="POST", body=body), forwarded=True)
         except ProtocolError as error:
             return AdminResponse(error.status, str(error))
         if notification is not None:
@@ -147,7 +147,7 @@
     def _apply_maintenance(self) -> int:
         """Pass the state to the destination set and the core; return how many workers it holds."""
         state = self.maintenance.snapshot()
-        self.context.destinations.ban(state.in_maintenance)
+        self.context.destinations.set_in_maintenance(state.in_maintenance)
         self.context.post(MaintenanceChanged(state))
         return len(state.in_maintenance)
 
@@ -209,9 +209,9 @@
     def _hand_over_endpoint_list(self, hot_restart: "HotRestartController") -> None:
         """Pass discovery's list to the next process, at most one turn after it has changed."""
         destinations = self.context.destinations
-        if destinations.changes != self.handed_over_updates:
-            self.handed_over_updates = destinations.changes
-            hot_restart.endpoint_list = destinations.listed()
+        if destinations.update_count != self.handed_over_updates:
+            self.handed_over_updates = destinations.update_count
+            hot_restart.endpoint_list = destinations.export_list()
             hot_restart.write()
 
     def _post_sibling_change(self, hot_restart: "HotRestartController") -> None:
--- a/stepstream/leases/subsystem.py
+++ b/stepstream/leases/subsystem.py
@@ -199,7 +199,7 @@
             "leases.probe_sweep needs load reports and probes (load_report.how, limits.probing)"
         )
     return HealthCheckPort(
-        list_workers=context.destinations.usable,
+        list_workers=context.destinations.usable_workers,
         check_health=context.outbound.check_health,
         load_report_columns=lambda: context.config.settings.load_report_columns,
         post=context.post,
--- a/tests/golden/state_answers.py
+++ b/tests/golden/state_answers.py
@@ -32,7 +32,7 @@
 from stepstream.hot_restart import controller as handover_driver
 from stepstream.hot_restart import state_file
 from stepstream.hot_restart.process import ProcessRecord
-from stepstream.http import platform_api as platform
+from stepstream.http import discovery_api, worker_api
 from stepstream.http.destination_set import DestinationSet
 from stepstream.lab import demo, fleet_faults, fleet_play, ledger, nodes, referee, rig
 from stepstream.leases import messages as lease_messages
@@ -572,9 +572,9 @@
 
 def listed_workers() -> list[object]:
     """Discovery's list in its own form before its first answer, after a whole list and a change."""
-    side = platform.DiscoveryApi(config_from(CONFIGURATION, {}).settings)
+    side = discovery_api.DiscoveryApi(config_from(CONFIGURATION, {}).settings)
     workers = DestinationSet()
-    told: list[object] = [workers.listed()]
+    told: list[object] = [workers.export_list()]
     first = {"id": "s-1", "addr": "127.0.0.1:5000", "zone": "petrzalka", "cell": 3, "weight": 2.5}
     second = {"id": "s-2", "addr": "127.0.0.1:5001", "started_ms": UNIX_MS}
     third = {"id": "s-3", "addr": "127.0.0.1:5002"}
@@ -583,7 +583,7 @@
         (4, False, [{**first, "state": "draining"}, {"id": "s-3", "state": "gone"}]),
     ):
         workers.apply(side.read({"version": version, "full": full, "servers": rows}))
-        told.append(workers.listed())
+        told.append(workers.export_list())
     return told
 
 
@@ -628,7 +628,10 @@
 
 
 def worker_news() -> dict[str, object]:
-    done, running = platform.TELLS["done"], platform.TELLS["running"]
+    done, running = (
+        worker_api.STATUS_BY_WIRE_NAME["done"],
+        worker_api.STATUS_BY_WIRE_NAME["running"],
+    )
     return {
         "done": JobNotification("job-1", "s-1", done, {"sum": 3}),
         "running": JobNotification("job-1", "s-1", running, None, (250, 1000)),
--- a/tests/hot_restart/test_hot_restart.py
+++ b/tests/hot_restart/test_hot_restart.py
@@ -35,7 +35,8 @@
 from stepstream.hot_restart.state_file import StateFile
 from stepstream.http.codec import Message
 from stepstream.http.destination_set import DestinationSet
-from stepstream.http.platform_api import DiscoveryApi, notification_body, read_notification
+from stepstream.http.discovery_api import DiscoveryApi
+from stepstream.http.worker_api import notification_body, read_notification
 from stepstream.ports.admin import AdminResponse
 
 OLD = ProcessRecord(100, "127.0.0.1:9901", 1_000, True)
@@ -197,7 +198,7 @@
 def test_a_forwarded_notification_reads_back_as_it_came():
     notification = JobNotification("zz", "s-1", JobStatus.RUNNING, None, (400, 1000))
     assert read_notification(
-        Message(method="POST", body=notification_body(notification)), relayed=True
+        Message(method="POST", body=notification_body(notification)), forwarded=True
     ) == JobNotification("zz", "s-1", JobStatus.RUNNING, None, (400, 1000), True)
 
 
@@ -301,12 +302,12 @@
         }
     )
     destinations = DestinationSet()
-    assert destinations.listed() is None
+    assert destinations.export_list() is None
     destinations.apply(told)
     destinations.apply(
         side.read({"version": 42, "full": False, "servers": [{"id": "s-2", "state": "gone"}]})
     )
-    again = side.read(destinations.listed(), kept=True)
+    again = side.read(destinations.export_list(), persisted=True)
     assert again.version == 42
     assert again.addresses == {"s-1": ("127.0.0.1", 81)}
     assert again.update.endpoints == told.update.endpoints[:1]
--- /dev/null
+++ b/tests/http/test_session.py
@@ -0,0 +1,130 @@
+"""Inbound sessions as state machines, by random steps against a model of their states."""
+
+from hypothesis import strategies as st
+from net_helpers import LIMITS, SETTINGS, job_bytes
+from walk import walks
+
+from stepstream.core.commands import Answer, Outcome
+from stepstream.core.events import JobNotification
+from stepstream.core.requests import Request
+from stepstream.http.client_api import ClientApi
+from stepstream.http.codec import write_request
+from stepstream.http.server_state import ServerState
+from stepstream.http.session import HttpSession, Reply, SessionPhase
+
+NOTIFICATION = write_request(
+    "POST", "/_jobs/news", {}, b'{"id":"aa","from":"s-1","state":"done","result":"x"}'
+)
+MESSAGES = {
+    "request": job_bytes(),
+    "notification": NOTIFICATION,
+    "readiness": b"GET /-/ready HTTP/1.1\r\n\r\n",
+    "unknown path": b"GET /nowhere HTTP/1.1\r\n\r\n",
+    "junk": b"junk\r\n\r\n",
+}
+
+
+class SessionModel:
+    """A session beside its model: complete messages that wait, and idle, open or closed."""
+
+    def __init__(self):
+        self.server_state = ServerState(ClientApi(SETTINGS))
+        self.session = HttpSession(LIMITS, self.server_state)
+        self.rest_of_message = b""
+        self.waiting_messages = []
+        self.state = "idle"
+        self.is_worker = False
+        self.seen = []
+        self.expected = []
+        self.request = None
+
+    def send(self, kind):
+        if not self.rest_of_message:
+            self.waiting_messages.append(kind)
+            self.receive(MESSAGES[kind])
+
+    def send_half(self, kind):
+        if not self.rest_of_message:
+            self.rest_of_message = MESSAGES[kind][5:]
+            self.half_sent = kind
+            self.receive(MESSAGES[kind][:5])
+
+    def send_rest(self, _):
+        if self.rest_of_message:
+            self.waiting_messages.append(self.half_sent)
+            data = self.rest_of_message
+            self.rest_of_message = b""
+            self.receive(data)
+
+    def receive(self, data):
+        self.record(self.session.receive(data, 0))
+        self.advance_model()
+
+    def answer(self, _):
+        reply = self.session.answer(Answer(self.request, Outcome.SERVED, "ok"))
+        assert (reply is not None) == (self.state == "open")
+        if reply is not None:
+            self.record([reply])
+            self.expect_reply(200)
+            self.record(self.session.next_events(0))
+            self.advance_model()
+
+    def disconnect(self, _):
+        open_request = self.session.close()
+        assert (open_request is not None) == (self.state == "open")
+        self.state = "closed"
+
+    def shut_down(self, _):
+        self.server_state.shutting_down = self.server_state.closing = True
+
+    def record(self, events):
+        for event in events:
+            if isinstance(event, Request):
+                self.request = event
+            status = int(event.data[9:12]) if isinstance(event, Reply) else None
+            self.seen.append((status, event.close) if status else type(event))
+
+    def advance_model(self):
+        while self.waiting_messages and self.state == "idle":
+            kind = self.waiting_messages.pop(0)
+            if kind == "request":
+                self.expected.append(Request)
+                self.state = "open"
+            elif kind in ("junk", "unknown path"):
+                self.expected.append(({"junk": 400, "unknown path": 404}[kind], True))
+                self.state = "closed"
+            else:
+                self.is_worker = self.is_worker or kind == "notification"
+                readiness = 503 if self.server_state.shutting_down else 200
+                self.expect_reply({"notification": 200, "readiness": readiness}[kind])
+                if kind == "notification":
+                    self.expected.append(JobNotification)
+
+    def expect_reply(self, status):
+        # A complete message behind this one is answered before the connection closes.
+        another_waits = bool(self.waiting_messages) and self.waiting_messages[0] != "junk"
+        close = self.server_state.shutting_down and not self.is_worker and not another_waits
+        self.expected.append((status, close))
+        self.state = "closed" if close else "idle"
+
+    def check(self):
+        assert self.seen == self.expected
+        phases = {
+            "idle": SessionPhase.READING,
+            "open": SessionPhase.AWAITING_ANSWER,
+            "closed": SessionPhase.CLOSED,
+        }
+        assert self.session.phase is phases[self.state]
+        if self.state == "idle":
+            assert self.session.is_idle == (not self.rest_of_message)
+
+
+test_a_session_behaves_as_its_model = walks(
+    SessionModel,
+    send=st.sampled_from(list(MESSAGES)),
+    send_half=st.sampled_from(list(MESSAGES)),
+    send_rest=st.none(),
+    answer=st.none(),
+    disconnect=st.none(),
+    shut_down=st.none(),
+)
