--- a/stepstream/admin/subsystem.py
+++ b/stepstream/admin/subsystem.py
@@ -72,7 +72,7 @@
         if state.maintenance.in_maintenance:
             self.service.adopt_maintenance()
         handed_over = state.endpoint_list
-        configured = self.context.config.known or None
+        configured = self.context.config.persisted_endpoints or None
         if handed_over is not None and is_newer_list(handed_over, configured):
             self.context.persisted_endpoints = handed_over
             version = handed_over.get("version")
--- a/stepstream/admin_client.py
+++ b/stepstream/admin_client.py
@@ -10,13 +10,13 @@
 
 
 def call_admin(
-    at: str, path: str, method: str = "GET", patience_s: float = TIMEOUT_SECONDS
+    at: str, path: str, method: str = "GET", timeout_seconds: float = TIMEOUT_SECONDS
 ) -> tuple[int, dict]:
     """The status and what was told; ConnectionError without an answer, FieldError if `at` is no address."""
     host, _, port = at.rpartition(":")
     if not host or not (port.isascii() and port.isdigit() and 0 < int(port) < 65536):
         raise ConfigurationError(f"--at={at} is not HOST:PORT")
-    connection = http.client.HTTPConnection(host, int(port), timeout=patience_s)
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout_seconds)
     try:
         connection.request(method, path)
         answer = connection.getresponse()
--- a/stepstream/config/fields.py
+++ b/stepstream/config/fields.py
@@ -16,7 +16,7 @@
             self.values[name] = value
 
     @classmethod
-    def of(cls, values: dict[str, str]) -> "SettingsFields":
+    def from_pairs(cls, values: dict[str, str]) -> "SettingsFields":
         fields = cls([])
         fields.values = values
         return fields
@@ -27,7 +27,7 @@
             raise ConfigurationError(f"{name} is missing")
         return value
 
-    def whole(self, name: str, default: int | None = None) -> int:
+    def integer(self, name: str, default: int | None = None) -> int:
         value = self.values.get(name)
         if value is None and default is not None:
             return default
@@ -48,14 +48,14 @@
             raise ConfigurationError(f"{name}={value} is not a finite number")
         return number
 
-    def least(self, name: str, least: int, default: int | None = None) -> int:
+    def integer_at_least(self, name: str, least: int, default: int | None = None) -> int:
         """A whole number that cannot be served below `least`."""
-        value = self.whole(name, default)
+        value = self.integer(name, default)
         if value < least:
             raise ConfigurationError(f"{name}={value} must be at least {least}")
         return value
 
-    def between(self, name: str, low: float, high: float, default: float) -> float:
+    def number_between(self, name: str, low: float, high: float, default: float) -> float:
         value = self.number(name, default)
         if not low <= value <= high:
             raise ConfigurationError(f"{name}={value} is not between {low:g} and {high:g}")
@@ -71,13 +71,13 @@
             return False
         raise ConfigurationError(f"{name}={value} is not a truth value")
 
-    def one_of(self, name: str, table: dict, default: str | None = None) -> object:
+    def choice(self, name: str, table: dict, default: str | None = None) -> object:
         value = self.text(name, default)
         if value not in table:
             raise ConfigurationError(f"{name}={value} is not known")
         return table[value]
 
-    def row(self, name: str) -> list[str]:
+    def comma_separated(self, name: str) -> list[str]:
         value = self.values.get(name, "")
         return value.split(",") if value not in ("", "-") else []
 
--- a/stepstream/config/node_config.py
+++ b/stepstream/config/node_config.py
@@ -24,7 +24,7 @@
     memory_mb: int
     sockets: int
     settings: Settings
-    known: dict = field(default_factory=dict)  # a list in discovery's form, maybe old
+    persisted_endpoints: dict = field(default_factory=dict)  # a list in discovery's form, maybe old
     operator: tuple[str, int] | None = None  # the admin listener's address; None: there is none
 
 
@@ -90,6 +90,6 @@
         memory_mb=int(positive(fields, "limits.memory_mb", 192)),
         sockets=int(positive(fields, "limits.sockets", 1024)),
         settings=settings,
-        known=known,
+        persisted_endpoints=known,
         operator=address(fields, "operator") if fields.values.get("operator") else None,
     )
--- a/stepstream/http/client_connection.py
+++ b/stepstream/http/client_connection.py
@@ -95,7 +95,7 @@
                 if self.slow_writer_active:
                     # Closed now, the descriptor's number could be another socket's by the time
                     # that the slow writer sends.
-                    self.transport.hang_up()
+                    self.transport.shut_down()
                 else:
                     self.transport.close()
             self.server.remove_connection(self)
@@ -106,7 +106,7 @@
         write_seconds = limits.timeouts.write_seconds
         set_socket_timeout(self.transport.sock, socket.SO_SNDTIMEO, write_seconds)
         try:
-            self.transport.begin()
+            self.transport.handshake()
         except OSError:
             return
         while self._wait_for_input(limits.sizes.read_bytes):
@@ -116,7 +116,7 @@
     def _wait_for_input(self, read_bytes: int) -> bool:
         """Wait until bytes can be taken; return whether there are any, or the connection ended."""
         try:
-            return self.transport.wait(read_bytes)
+            return self.transport.wait_readable(read_bytes)
         except OSError:
             return False
 
@@ -142,7 +142,7 @@
         limits = self.server.limits
         with self.lock:
             session = self.session
-            data = self.transport.take(limits.sizes.read_bytes)
+            data = self.transport.receive_available(limits.sizes.read_bytes)
             now_us = self.server.clock.now_us()
             now_seconds = time.monotonic()
             self.last_activity_at_seconds = now_seconds
@@ -213,11 +213,11 @@
                 self.queued_replies.append(reply)
                 return
             try:
-                if self.transport.offer(reply.data):
+                if self.transport.send_available(reply.data):
                     self._on_sent(reply)
                     return
             except OSError:
-                self.transport.hang_up()
+                self.transport.shut_down()
                 return
             self.slow_writer_active = True
         self.server.slow_writer_threads.submit(self._write_slowly, reply)
@@ -226,9 +226,9 @@
         """Send the rest of a reply and those queued behind it, waiting for the peer."""
         while True:
             try:
-                self.transport.finish()
+                self.transport.flush()
             except OSError:
-                self.transport.hang_up()
+                self.transport.shut_down()
             with self.lock:
                 if self.reader_ended:
                     self.slow_writer_active = False
@@ -239,7 +239,7 @@
                     self.slow_writer_active = False
                     return
                 reply = self.queued_replies.popleft()
-                self.transport.add(reply.data)
+                self.transport.enqueue(reply.data)
 
     def _on_sent(self, reply: Reply) -> None:
         """Close the sending side behind the last reply; the caller holds the lock."""
@@ -321,10 +321,10 @@
             session = self.session
             if session.has_open_request or self.slow_writer_active:
                 return False
-            if session.is_idle and self.transport.unread():
+            if session.is_idle and self.transport.has_unread():
                 return False
             session.close()
-            self.transport.hang_up()
+            self.transport.shut_down()
             return True
 
     def close_if_idle(self) -> bool:
@@ -334,7 +334,7 @@
         """
         with self.lock:
             session = self.session
-            if not session.is_idle or session.is_worker or self.transport.unread():
+            if not session.is_idle or session.is_worker or self.transport.has_unread():
                 return False
             session.close()
             self._half_close(time.monotonic())
@@ -357,8 +357,8 @@
             if session.is_reading_message:
                 reply = session.fail(ProtocolError(400, "too slow"))
             elif session.phase is SessionPhase.CLOSED:
-                self.transport.hang_up()
-            elif not self.transport.unread():
+                self.transport.shut_down()
+            elif not self.transport.has_unread():
                 session.close()
                 self._half_close(now_seconds)
         if reply is not None:
--- a/stepstream/http/outbound.py
+++ b/stepstream/http/outbound.py
@@ -70,7 +70,7 @@
         """Take over limits after a reload; what exceeds a smaller one stays until it ends."""
         self.limits = limits
         self.pool.limits = limits
-        self.threads.most = limits.connections.call_threads
+        self.threads.max_threads = limits.connections.call_threads
 
     # -- calls: the decision thread ----------------------------------------------------------------
 
--- a/stepstream/http/server.py
+++ b/stepstream/http/server.py
@@ -70,8 +70,8 @@
         self.limits = limits
         self.lingering.limits = limits
         self.state.client_api = client_api
-        self.reader_threads.most = limits.connections.inbound
-        self.slow_writer_threads.most = limits.connections.slow_writer_threads
+        self.reader_threads.max_threads = limits.connections.inbound
+        self.slow_writer_threads.max_threads = limits.connections.slow_writer_threads
 
     # -- listeners --------------------------------------------------------------------------------
 
--- a/stepstream/leases/command_runner.py
+++ b/stepstream/leases/command_runner.py
@@ -172,7 +172,7 @@
         )
         call_timeout_seconds = self.call_timeout_seconds(called_at)
         try:
-            status, fields = call_admin(self.address, path, "PUT", patience_s=call_timeout_seconds)
+            status, fields = call_admin(self.address, path, "PUT", timeout_seconds=call_timeout_seconds)
         except ConnectionError as error:
             self.answer = SessionAnswer(error=str(error))
             return
@@ -196,7 +196,7 @@
         """Give the lease back; if the dispatcher cannot be reached, it expires."""
         path = f"/leases/{self.name}/release?session={self.session_name}"
         with contextlib.suppress(ConnectionError):
-            call_admin(self.address, path, "PUT", patience_s=RELEASE_CALL_SECONDS)
+            call_admin(self.address, path, "PUT", timeout_seconds=RELEASE_CALL_SECONDS)
 
     # -- the command ------------------------------------------------------------------------------
 
--- a/stepstream/leases/health_reports.py
+++ b/stepstream/leases/health_reports.py
@@ -15,12 +15,12 @@
 
 import msgspec
 
-from stepstream.config.operator_file import SWEEP_S
+from stepstream.config.operator_file import PROBE_SWEEP_LEASE_SECONDS
 from stepstream.leases.errors import LeaseError
 from stepstream.leases.fencing import FencedError, FencingGuard
 
 LEASE_NAME = "probe-sweep"
-TTL_SECONDS = SWEEP_S
+TTL_SECONDS = PROBE_SWEEP_LEASE_SECONDS
 OPERATION_SECONDS = 1.0  # a health check takes a second at most (config/limits.py)
 PERIOD_SECONDS = 1.0  # a dispatcher alone checks a worker once in about so long
 DELEGATION_SECONDS = 1.6  # after a report, for which a worker is not checked by others
--- a/stepstream/runtime/threads.py
+++ b/stepstream/runtime/threads.py
@@ -23,33 +23,33 @@
     """Threads that take jobs from one queue, started as needed up to a bound."""
 
     def __init__(self, name: str, most: int) -> None:
-        self.name, self.most = name, most
+        self.name, self.max_threads = name, most
         self.jobs: SimpleQueue[tuple[Callable, tuple]] = SimpleQueue()
         self.lock = threading.Lock()
-        self.threads, self.free = 0, 0  # free: threads less the jobs that are queued or being done
+        self.thread_count, self.idle_count = 0, 0  # free: threads less the jobs that are queued or being done
 
     def submit(self, step: Callable, *args: object) -> None:
         with self.lock:
-            self.free -= 1
-            start = self.free < 0 and self.threads < self.most
+            self.idle_count -= 1
+            start = self.idle_count < 0 and self.thread_count < self.max_threads
             if start:
-                self.threads, self.free = self.threads + 1, self.free + 1
+                self.thread_count, self.idle_count = self.thread_count + 1, self.idle_count + 1
         self.jobs.put((step, args))
         if start:
-            self.start()
+            self.start_thread()
 
-    def start(self) -> None:
+    def start_thread(self) -> None:
         try:
-            spawn_thread(self.name, self.work)
+            spawn_thread(self.name, self.run_jobs)
         except RuntimeError:
             # Guards against a machine out of threads: the job waits for one that is there.
             with self.lock:
-                self.threads, self.free = self.threads - 1, self.free - 1
+                self.thread_count, self.idle_count = self.thread_count - 1, self.idle_count - 1
             log(f"no thread to be had for {self.name}")
 
-    def work(self) -> None:
+    def run_jobs(self) -> None:
         while True:
             step, args = self.jobs.get()
             run_guarded(self.name, step, *args)
             with self.lock:
-                self.free += 1
+                self.idle_count += 1
--- a/tests/runtime/test_threads.py
+++ b/tests/runtime/test_threads.py
@@ -10,5 +10,5 @@
     pool.submit(lambda: 1 / 0)
     pool.submit(seen.append, 1)
     wait_for(lambda: seen)
-    assert pool.threads == 1
+    assert pool.thread_count == 1
     assert "ZeroDivisionError" in capfd.readouterr().err
