--- a/stepstream/admin/subsystem.py
+++ b/stepstream/admin/subsystem.py
@@ -59,7 +59,7 @@
         found = keeper.load()
         if found is not None and found.bans.in_maintenance:
             self.desk.adopted()
-        if found is not None and newer(found.listed, host.config.known or None):
+        if found is not None and newer(found.listed, host.config.persisted_endpoints or None):
             host.persisted_endpoints = (
                 found.listed
             )  # what discovery told the process before this one
--- a/stepstream/config/errors.py
+++ b/stepstream/config/errors.py
@@ -1,7 +1,9 @@
 """Errors in configuration."""
 
-pass
-
 
 class ConfigurationError(Exception):
-    """A value is missing or cannot be read; the text names its key."""
+    """A value is missing, cannot be read or cannot be had.
+
+    The text begins with the value's key as the operator wrote it, and ends with the expected form.
+    `serve` and `check-config` print it as one line and exit with status 2.
+    """
--- a/stepstream/config/fields.py
+++ b/stepstream/config/fields.py
@@ -1,33 +1,54 @@
-"""Typed reading of dotted name=value pairs."""
+"""Typed reading of dotted name=value pairs, the form that both sources of settings share.
+
+The simulator's wire sends such pairs; nested JSON is flattened into them by `flatten`. Nothing here
+keeps state beyond one message.
+"""
+
+import math
+from collections.abc import Mapping
+from typing import TypeVar
 
-pass
 from stepstream.config.errors import ConfigurationError
 
+Value = TypeVar("Value")
+
+TRUE_WORDS = ("1", "true")
+FALSE_WORDS = ("0", "false")
+EMPTY_LIST_WORDS = ("", "-")
+MAX_PORT = 65_535
+
 
 class SettingsFields:
-    """The name=value parts of one message; names that nobody asks for are ignored."""
+    """The name=value pairs of one message, each read as the type that its reader expects.
+
+    Pairs that nobody reads are ignored. Every method raises `ConfigurationError`, which names the
+    key, for a value that is missing without a default or not of the expected form.
+    """
 
     def __init__(self, parts: list[str]) -> None:
         self.values: dict[str, str] = {}
         for part in parts:
-            name, eq, value = part.partition("=")
-            if not eq or not name:
+            name, equals_sign, value = part.partition("=")
+            if not equals_sign or not name:
                 raise ConfigurationError(f"'{part}' is not name=value")
             self.values[name] = value
 
     @classmethod
-    def of(cls, values: dict[str, str]) -> "SettingsFields":
+    def from_pairs(cls, values: dict[str, str]) -> "SettingsFields":
+        """Wrap pairs that are separated already."""
         fields = cls([])
         fields.values = values
         return fields
 
     def text(self, name: str, default: str | None = None) -> str:
+        """Read a text."""
         value = self.values.get(name, default)
         if value is None:
             raise ConfigurationError(f"{name} is missing")
         return value
 
-    def whole(self, name: str, default: int | None = None) -> int:
+    def integer(self, name: str, default: int | None = None) -> int:
+        """Read a whole number."""
         value = self.values.get(name)
         if value is None and default is not None:
             return default
@@ -37,6 +58,7 @@
             raise ConfigurationError(f"{name}={value} is not a whole number") from None
 
     def number(self, name: str, default: float | None = None) -> float:
+        """Read a finite number."""
         value = self.values.get(name)
         if value is None and default is not None:
             return default
@@ -44,62 +66,91 @@
             number = float(self.text(name))
         except ValueError:
             raise ConfigurationError(f"{name}={value} is not a number") from None
-        if number != number or number in (float("inf"), float("-inf")):
+        if not math.isfinite(number):
             raise ConfigurationError(f"{name}={value} is not a finite number")
         return number
 
-    def least(self, name: str, least: int, default: int | None = None) -> int:
-        """A whole number that cannot be served below `least`."""
-        value = self.whole(name, default)
+    def integer_at_least(self, name: str, least: int, default: int | None = None) -> int:
+        """Read a whole number that must not be below `least`."""
+        value = self.integer(name, default)
         if value < least:
             raise ConfigurationError(f"{name}={value} must be at least {least}")
         return value
 
-    def between(self, name: str, low: float, high: float, default: float) -> float:
+    def number_between(self, name: str, low: float, high: float, default: float) -> float:
+        """Read a number from `low` to `high`, both included."""
         value = self.number(name, default)
         if not low <= value <= high:
             raise ConfigurationError(f"{name}={value} is not between {low:g} and {high:g}")
         return value
 
-    def flag(self, name: str, default: bool = False) -> bool:
+    def positive_number(self, name: str, default: float) -> float:
+        """Read a number above 0."""
+        value = self.number(name, default)
+        if value <= 0:
+            raise ConfigurationError(f"{name}={value} must be above 0")
+        return value
+
+    def flag(self, name: str) -> bool:
+        """Read a truth value; a missing one is false."""
         value = self.values.get(name)
-        if value is None:
-            return default
-        if value in ("1", "true"):
-            return True
-        if value in ("0", "false"):
+        if value is None or value in FALSE_WORDS:
             return False
-        raise ConfigurationError(f"{name}={value} is not a truth value")
+        if value in TRUE_WORDS:
+            return True
+        raise ConfigurationError(f"{name}={value} is not a truth value (true or false)")
 
-    def one_of(self, name: str, table: dict, default: str | None = None) -> object:
+    def choice(self, name: str, meanings: Mapping[str, Value], default: str | None = None) -> Value:
+        """Read one of the words that `meanings` lists, as what it means there."""
         value = self.text(name, default)
-        if value not in table:
-            raise ConfigurationError(f"{name}={value} is not known")
-        return table[value]
+        if value not in meanings:
+            raise ConfigurationError(f"{name}={value} is not known ({', '.join(meanings)} are)")
+        return meanings[value]
 
-    def row(self, name: str) -> list[str]:
+    def comma_separated(self, name: str) -> list[str]:
+        """Read a list; missing, empty and `-` are the empty list."""
         value = self.values.get(name, "")
-        return value.split(",") if value not in ("", "-") else []
+        return [] if value in EMPTY_LIST_WORDS else value.split(",")
+
+    def address(self, name: str) -> tuple[str, int]:
+        """Read HOST:PORT."""
+        text = self.text(name)
+        host, _, port = text.rpartition(":")
+        if not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+            raise ConfigurationError(f"{name}={text} is not HOST:PORT")
+        return host, int(port)
 
 
 def flatten(value: object, path: str, pairs: dict[str, str]) -> dict[str, str]:
-    """Nested JSON as the wire's dotted pairs."""
-    dot = f"{path}." if path else ""
+    """Add a nested JSON value to `pairs` as the wire's dotted names, below `path`; give `pairs`.
+
+    A list of plain values becomes one comma-separated value, a list with objects in it becomes
+    `path.count` and `path.0`, `path.1`, ...; null is left out.
+    """
+    prefix = f"{path}." if path else ""
     if isinstance(value, dict):
         for name, part in value.items():
-            flatten(part, dot + str(name), pairs)
-    elif isinstance(value, list) and any(isinstance(part, dict) for part in value):
-        pairs[dot + "count"] = str(len(value))
-        for k, part in enumerate(value):
-            flatten(part, f"{dot}{k}", pairs)
+            flatten(part, f"{prefix}{name}", pairs)
     elif isinstance(value, list):
-        if any("," in str(part) for part in value):
-            raise ConfigurationError(f"{path}: a value in this list holds a comma")
-        pairs[path] = ",".join(map(plain, value))
+        flatten_list(value, path, pairs)
     elif value is not None:
-        pairs[path] = plain(value)
+        pairs[path] = scalar_text(value)
     return pairs
 
 
-def plain(value: object) -> str:
+def flatten_list(parts: list[object], path: str, pairs: dict[str, str]) -> None:
+    """Add a JSON list to `pairs`, as `flatten` describes."""
+    if any(isinstance(part, dict) for part in parts):
+        prefix = f"{path}." if path else ""
+        pairs[f"{prefix}count"] = str(len(parts))
+        for position, part in enumerate(parts):
+            flatten(part, f"{prefix}{position}", pairs)
+        return
+    if any("," in str(part) for part in parts):
+        raise ConfigurationError(f"{path}: a value in this list holds a comma")
+    pairs[path] = ",".join(map(scalar_text, parts))
+
+
+def scalar_text(value: object) -> str:
+    """Write a JSON scalar as the wire does: `true` and `false` in lower case."""
     return str(value).lower() if isinstance(value, bool) else str(value)
--- a/stepstream/config/node_config.py
+++ b/stepstream/config/node_config.py
@@ -1,8 +1,12 @@
-"""The configuration of one dispatcher: the file that EDGE_CONFIG names and the environment."""
+"""The configuration of one dispatcher: the file that EDGE_CONFIG names, and the environment.
+
+Read by the main thread, at the start and at every reload; what is read is immutable.
+"""
 
 import os
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Any
 
 import ujson
 
@@ -11,40 +15,36 @@
 from stepstream.config.settings_reader import read_settings
 from stepstream.model.settings import Settings
 
+# Keys of the file that are read here; `settings` and `known` are read apart.
+OWN_KEYS = ("name", "listen", "discovery", "operator", "seed", "limits")
+# Those that an environment variable (EDGE_NAME, ...) supplies where the file leaves them out.
+ENVIRONMENT_KEYS = ("name", "listen", "discovery", "operator")
+
+JsonObject = dict[str, Any]
+
 
 @dataclass(frozen=True)
 class NodeConfig:
-    """What one dispatcher is told at its start."""
+    """The checked configuration of one dispatcher."""
 
     name: str
-    listen: tuple[str, int]
+    listen: tuple[str, int]  # where clients connect
     discovery: tuple[str, int]
-    seed: int
+    seed: int  # of the load balancer's random draws, of poll times and of the staleness detector
     cores: float
     memory_mb: int
-    sockets: int
+    sockets: int  # file descriptors
     settings: Settings
-    known: dict = field(default_factory=dict)  # a list in discovery's form, maybe old
+    # The file's `known`: an endpoint list in discovery's form, maybe an old one.
+    persisted_endpoints: JsonObject = field(default_factory=dict)
     operator: tuple[str, int] | None = None  # the admin listener's address; None: there is none
 
 
-def address(fields: SettingsFields, name: str) -> tuple[str, int]:
-    host, _, port = fields.text(name).rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ConfigurationError(f"{name}={fields.text(name)} is not HOST:PORT")
-    return host, int(port)
-
-
-def positive(fields: SettingsFields, name: str, default: float) -> float:
-    value = fields.number(name, default)
-    if value <= 0:
-        raise ConfigurationError(f"{name}={value} must be above 0")
-    return value
-
-
 def read_config(environment: Mapping[str, str] = os.environ) -> NodeConfig:
-    """EDGE_CONFIG's file; EDGE_NAME, EDGE_LISTEN, EDGE_DISCOVERY and EDGE_OPERATOR stand in for what it
-    leaves out.
+    """Read the file that EDGE_CONFIG names.
+
+    EDGE_NAME, EDGE_LISTEN, EDGE_DISCOVERY and EDGE_OPERATOR stand in for keys that it leaves out.
+    `ConfigurationError` names the variable or the key at fault.
     """
     path = environment.get("EDGE_CONFIG")
     if not path:
@@ -53,43 +53,53 @@
         with open(path, encoding="utf-8") as file:
             data = ujson.loads(file.read())
     except (OSError, ValueError) as error:
-        raise ConfigurationError(f"EDGE_CONFIG={path} cannot be read: {error}") from None
+        raise ConfigurationError(f"EDGE_CONFIG={path} cannot be read: {error}") from error
     if not isinstance(data, dict):
         raise ConfigurationError(f"EDGE_CONFIG={path} is not a JSON object")
     return config_from(data, environment)
 
 
-def config_from(data: dict, environment: Mapping[str, str]) -> NodeConfig:
-    names = ("name", "listen", "discovery", "operator", "seed", "limits")
-    own = {name: data[name] for name in names if name in data}
-    pairs = flatten(own, "", {})
-    for name in ("name", "listen", "discovery", "operator"):
-        if f"EDGE_{name.upper()}" in environment:
-            pairs.setdefault(name, environment[f"EDGE_{name.upper()}"])
-    fields = SettingsFields.of(pairs)
+def config_from(data: JsonObject, environment: Mapping[str, str]) -> NodeConfig:
+    """Check the file's content and complete it from the environment."""
+    fields = own_fields(data, environment)
     if not isinstance(data.get("settings"), dict):
         raise ConfigurationError("settings is missing or not an object")
-    known = data.get("known") or {}
-    if not isinstance(known, dict):
+    persisted_endpoints = data.get("known") or {}
+    if not isinstance(persisted_endpoints, dict):
         raise ConfigurationError("known is not an object")
-    seed = fields.text("seed", "0")
-    try:
-        number = int(seed, 16)
-    except ValueError:
-        raise ConfigurationError(f"seed={seed} is not a hexadecimal number") from None
+    seed = read_seed(fields)
     try:
-        settings = read_settings(SettingsFields.of(flatten(data["settings"], "", {})))
+        settings = read_settings(SettingsFields.from_pairs(flatten(data["settings"], "", {})))
     except ConfigurationError as error:
-        raise ConfigurationError(f"settings: {error}") from None
+        raise ConfigurationError(f"settings: {error}") from error
     return NodeConfig(
         name=fields.text("name", "dispatcher"),
-        listen=address(fields, "listen"),
-        discovery=address(fields, "discovery"),
-        seed=number,
-        cores=positive(fields, "limits.cores", 1.0),
-        memory_mb=int(positive(fields, "limits.memory_mb", 192)),
-        sockets=int(positive(fields, "limits.sockets", 1024)),
+        listen=fields.address("listen"),
+        discovery=fields.address("discovery"),
+        seed=seed,
+        cores=fields.positive_number("limits.cores", 1.0),
+        memory_mb=int(fields.positive_number("limits.memory_mb", 192)),
+        sockets=int(fields.positive_number("limits.sockets", 1024)),
         settings=settings,
-        known=known,
-        operator=address(fields, "operator") if fields.values.get("operator") else None,
+        persisted_endpoints=persisted_endpoints,
+        operator=fields.address("operator") if fields.values.get("operator") else None,
     )
+
+
+def own_fields(data: JsonObject, environment: Mapping[str, str]) -> SettingsFields:
+    """Collect the file's keys that are neither settings nor endpoints, and the environment's."""
+    pairs = flatten({key: data[key] for key in OWN_KEYS if key in data}, "", {})
+    for key in ENVIRONMENT_KEYS:
+        variable = f"EDGE_{key.upper()}"
+        if variable in environment:
+            pairs.setdefault(key, environment[variable])
+    return SettingsFields.from_pairs(pairs)
+
+
+def read_seed(fields: SettingsFields) -> int:
+    """Read the seed, a hexadecimal number."""
+    seed = fields.text("seed", "0")
+    try:
+        return int(seed, 16)
+    except ValueError:
+        raise ConfigurationError(f"seed={seed} is not a hexadecimal number") from None
--- a/stepstream/config/operator_file.py
+++ b/stepstream/config/operator_file.py
@@ -134,7 +134,7 @@
     log: Literal["json", "console"] = "console"
 
 
-SWEEP_S = 3.0  # time to live of the probe sweep's lease
+PROBE_SWEEP_LEASE_SECONDS = 3.0  # time to live of the probe sweep's lease
 MemberName = Annotated[str, msgspec.Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")]
 
 
@@ -215,9 +215,9 @@
         for place, name in enumerate(names):
             if name in names[:place]:
                 raise ConfigurationError(f"leases.{key}[{place}]={name} is there twice")
-    if leases.probe_sweep and leases.longest_s < SWEEP_S:
+    if leases.probe_sweep and leases.longest_s < PROBE_SWEEP_LEASE_SECONDS:
         raise ConfigurationError(
-            f"leases.longest_s={leases.longest_s:g} is under the {SWEEP_S:g} s of probe_sweep's lease"
+            f"leases.longest_s={leases.longest_s:g} is under the {PROBE_SWEEP_LEASE_SECONDS:g} s of probe_sweep's lease"
         )
     if leases.longest_s * 1000 < 4 * leases.timeout_ms:
         raise ConfigurationError(
--- a/stepstream/gearman/driver.py
+++ b/stepstream/gearman/driver.py
@@ -162,7 +162,7 @@
     def run(self) -> None:
         try:
             self.prepare()
-            self.link.begin()
+            self.link.handshake()
             self.peer.certificate = self.link.certificate
             self.read_on()
         except OSError:
@@ -179,7 +179,7 @@
     def read_on(self) -> None:
         while True:
             try:
-                data = self.link.recv(self.house.limits.sizes.read_bytes)
+                data = self.link.receive(self.house.limits.sizes.read_bytes)
             except OSError:
                 return
             if not data:
@@ -258,9 +258,9 @@
             if self.ended or self.last_word:
                 return
             self.last_word = close
-            waited = bool(self.link.rest)
+            waited = bool(self.link.unsent)
             try:
-                gone = self.link.offer(data)
+                gone = self.link.send_available(data)
             except OSError:
                 self.drop()
                 return
@@ -270,7 +270,7 @@
                 return
             if not waited:
                 self.moved = time.monotonic()
-            if len(self.link.rest) > self.house.limits.sizes.unsent_bytes:
+            if len(self.link.unsent) > self.house.limits.sizes.unsent_bytes:
                 # Guards memory against a peer that asks for much and reads little.
                 self.drop()
                 return
@@ -278,18 +278,18 @@
 
     def drop(self) -> None:
         self.dropped = True
-        self.link.hang_up()
+        self.link.shut_down()
 
     def send_more(self) -> None:
         """The writer's turn."""
         with self.lock:
-            before = len(self.link.rest)
+            before = len(self.link.unsent)
             try:
-                gone = self.ended or self.dropped or self.link.push()
+                gone = self.ended or self.dropped or self.link.flush_available()
             except OSError:
                 self.drop()
                 gone = True
-            if len(self.link.rest) < before:
+            if len(self.link.unsent) < before:
                 self.moved = time.monotonic()
             if gone and self.last_word:
                 self.half_close()
@@ -311,12 +311,14 @@
 
     def busy(self) -> bool:
         if self.session.closed:
-            return bool(self.link.rest)
+            return bool(self.link.unsent)
         stays = self.session.proven and not self.is_member() and not self.house.state.closing
-        return self.has_open_request() or bool(self.link.rest) or stays or not self.session.between
+        return (
+            self.has_open_request() or bool(self.link.unsent) or stays or not self.session.between
+        )
 
     def eviction_rank(self, now: float) -> tuple[EvictionRank, float]:
-        if self.has_open_request() or self.is_member() or self.link.rest:
+        if self.has_open_request() or self.is_member() or self.link.unsent:
             return EvictionRank.NEVER, math.inf
         if self.session.closed:
             return EvictionRank.DONE, self.active
@@ -332,28 +334,28 @@
     def evict(self) -> bool:
         if self.has_open_request() or self.is_member():
             return False
-        self.link.hang_up()
+        self.link.shut_down()
         return True
 
     def close_if_idle(self) -> bool:
         if (
             self.has_open_request()
             or self.is_member()
-            or self.link.rest
+            or self.link.unsent
             or not self.session.between
         ):
             return False
-        self.link.hang_up()
+        self.link.shut_down()
         return True
 
     def enforce_timeouts(self, now: float) -> None:
         """Guards against half a packet and silence, silent strangers, and peers that read nothing."""
         limits = self.house.limits
-        if self.link.rest and now - self.moved > limits.timeouts.write_seconds:
-            self.link.hang_up()
+        if self.link.unsent and now - self.moved > limits.timeouts.write_seconds:
+            self.link.shut_down()
         elif self.session.closed:
             if now - self.begun > limits.timeouts.linger_seconds:
-                self.link.hang_up()
+                self.link.shut_down()
         elif not self.session.between:
             if now - self.begun > limits.timeouts.message_seconds:
                 with self.side.lock:
@@ -363,13 +365,13 @@
                     self.send(reply.data, reply.close)
         elif not self.session.proven:
             if now - self.begun > limits.timeouts.first_message_seconds:
-                self.link.hang_up()
+                self.link.shut_down()
         elif (
             not self.has_open_request()
             and not self.is_member()
             and now - self.active > limits.timeouts.inbound_idle_seconds
         ):
-            self.link.hang_up()
+            self.link.shut_down()
 
 
 class Writer:
--- a/stepstream/http/outbound.py
+++ b/stepstream/http/outbound.py
@@ -55,7 +55,7 @@
     def reconfigure(self, limits: Limits) -> None:
         """After a reload; what is open beyond a smaller budget stays until it ends."""
         self.limits = self.pool.limits = limits
-        self.crew.most = limits.connections.call_threads
+        self.crew.max_threads = limits.connections.call_threads
 
     def start(self, call: Call) -> None:
         call.carrier_state = InFlightCall()
--- a/stepstream/http/server.py
+++ b/stepstream/http/server.py
@@ -70,7 +70,7 @@
                 self.ended = True
                 if self.writing:
                     # Guards the late writer: a number closed under its hands may be another's socket by then.
-                    self.link.hang_up()
+                    self.link.shut_down()
                 else:
                     self.link.close()
             self.house.forget(self)
@@ -86,12 +86,12 @@
         limits = self.house.limits
         set_socket_timeout(self.link.sock, socket.SO_SNDTIMEO, limits.timeouts.write_seconds)
         try:
-            self.link.begin()
+            self.link.handshake()
         except OSError:
             return
         while True:
             try:
-                if not self.link.wait(limits.sizes.read_bytes):
+                if not self.link.wait_readable(limits.sizes.read_bytes):
                     return
             except OSError:
                 return
@@ -108,9 +108,9 @@
             reply = None
             if session.phase is SessionPhase.READING and not session.between:
                 reply = session.refuse(ProtocolError(400, "too slow"))
-            elif session.phase is SessionPhase.CLOSED or not self.link.unread():
+            elif session.phase is SessionPhase.CLOSED or not self.link.has_unread():
                 if session.phase is SessionPhase.CLOSED:
-                    self.link.hang_up()
+                    self.link.shut_down()
                 else:
                     self.part(now)
         if reply is not None:
@@ -138,7 +138,7 @@
         taken, and no request can be taken before its end and looked at after it.
         """
         with self.lock:
-            data = self.link.take(self.house.limits.sizes.read_bytes)
+            data = self.link.receive_available(self.house.limits.sizes.read_bytes)
             now_us, now = self.house.clock.now_us(), time.monotonic()
             if self.session.phase is SessionPhase.CLOSED:
                 # Guards against a peer that goes on sending after its last answer.
@@ -193,11 +193,11 @@
                 self.late.append(reply)
                 return
             try:
-                if self.link.offer(reply.data):
+                if self.link.send_available(reply.data):
                     self.finish(reply)
                     return
             except OSError:
-                self.link.hang_up()
+                self.link.shut_down()
                 return
             self.writing = True
         self.house.writers.submit(self.write_rest, reply)
@@ -205,9 +205,9 @@
     def write_rest(self, reply: Reply) -> None:
         while True:
             try:
-                self.link.finish()
+                self.link.flush()
             except OSError:
-                self.link.hang_up()
+                self.link.shut_down()
             with self.lock:
                 if self.ended:
                     self.writing = False
@@ -218,7 +218,7 @@
                     self.writing = False
                     return
                 reply = self.late.popleft()
-                self.link.add(reply.data)
+                self.link.enqueue(reply.data)
 
     def finish(self, reply: Reply) -> None:
         """Half a close: a full one could reset the connection and take the answer with it."""
@@ -288,17 +288,17 @@
             if (
                 self.session.phase is SessionPhase.WAITING
                 or self.writing
-                or (self.session.between and self.link.unread())
+                or (self.session.between and self.link.has_unread())
             ):
                 return False
             self.session.closed()
-            self.link.hang_up()
+            self.link.shut_down()
             return True
 
     def close_if_idle(self) -> bool:
         """Between requests only, and not if bytes of the next one are here already."""
         with self.lock:
-            if not self.session.between or self.session.of_worker or self.link.unread():
+            if not self.session.between or self.session.of_worker or self.link.has_unread():
                 return False
             self.part(time.monotonic())
             return True
@@ -335,7 +335,7 @@
     def reconfigure(self, limits: Limits, side: platform.ClientApi) -> None:
         """After a reload; connections beyond a smaller budget stay until they end."""
         self.limits, self.state.side = limits, side
-        self.readers.most, self.writers.most = (
+        self.readers.max_threads, self.writers.max_threads = (
             limits.connections.inbound,
             limits.connections.slow_writer_threads,
         )
--- a/stepstream/identity/tls.py
+++ b/stepstream/identity/tls.py
@@ -68,7 +68,7 @@
         self.certificate: Certificate | None = None
         self.plain = b""  # waited for and not taken yet
 
-    def begin(self) -> None:
+    def handshake(self) -> None:
         """The handshake; OSError (ssl.SSLError is one) if there is none. The driver's look bounds its
         time.
         """
@@ -91,7 +91,7 @@
             with contextlib.suppress(OSError):
                 self.sock.sendall(self.outgoing.read())
 
-    def recv(self, size: int) -> bytes:
+    def receive(self, size: int) -> bytes:
         while True:
             with self.lock:
                 try:
@@ -106,27 +106,27 @@
             with self.lock:
                 self.incoming.write(data)
 
-    def wait(self, size: int) -> bool:
-        self.plain = self.recv(size)
+    def wait_readable(self, size: int) -> bool:
+        self.plain = self.receive(size)
         return bool(self.plain)
 
-    def take(self, size: int) -> bytes:
+    def receive_available(self, size: int) -> bytes:
         data, self.plain = self.plain, b""
         return data
 
-    def add(self, data: bytes) -> None:
+    def enqueue(self, data: bytes) -> None:
         with self.lock:
             self.tls.write(data)
-            self.rest += self.outgoing.read()
+            self.unsent += self.outgoing.read()
 
-    def offer(self, data: bytes) -> bool:
-        self.add(data)
-        return self.push()
+    def send_available(self, data: bytes) -> bool:
+        self.enqueue(data)
+        return self.flush_available()
 
-    def unread(self) -> bool:
+    def has_unread(self) -> bool:
         with self.lock:
             waiting = bool(self.plain or self.tls.pending() or self.incoming.pending)
-        return waiting or super().unread()
+        return waiting or super().has_unread()
 
     def half_close(self) -> None:
         with self.lock, contextlib.suppress(OSError):
--- a/stepstream/leases/sweep.py
+++ b/stepstream/leases/sweep.py
@@ -11,11 +11,11 @@
 
 import msgspec
 
-from stepstream.config.operator_file import SWEEP_S
+from stepstream.config.operator_file import PROBE_SWEEP_LEASE_SECONDS
 from stepstream.leases.guard import FencedError, Guard
 
 LEASE = "probe-sweep"
-TTL_S, ACT_S = SWEEP_S, 1.0  # a probe takes a second at most, net/limits.py
+TTL_S, ACT_S = PROBE_SWEEP_LEASE_SECONDS, 1.0  # a probe takes a second at most, net/limits.py
 PERIOD_S = 1.0  # a module alone probes a worker once in about so long
 SPARED_S = 1.6  # a worker that was told of so lately is not probed by others
 OLDEST_S = 0.4  # a report that is older where it is sent is no news
--- a/stepstream/node/node.py
+++ b/stepstream/node/node.py
@@ -102,7 +102,7 @@
         self.discovery = self.discovery_for(config, self.limits)
         self.counts = dict.fromkeys(Outcome, 0)
         # The list from before the start: the configuration's, or a newer one handed over.
-        self.persisted_endpoints = config.known
+        self.persisted_endpoints = config.persisted_endpoints
         self.hot_restarting = False
         self.is_health_check_delegated = lambda worker: False
         self.sharing: int | None = (
--- a/stepstream/runtime/log.py
+++ b/stepstream/runtime/log.py
@@ -17,18 +17,18 @@
     """A flood of bad input must not flood the log. Seconds passed in."""
 
     def __init__(self, most: int, period: float) -> None:
-        self.most, self.period = most, period
-        self.since, self.lines, self.held = -period, 0, 0
+        self.lines_per_period, self.period_seconds = most, period
+        self.since, self.lines, self.suppressed_count = -period, 0, 0
 
-    def allows(self, now: float) -> str | None:
+    def line_suffix(self, now: float) -> str | None:
         """None: say nothing; else what to add to the line (those held back before it)."""
-        if now - self.since >= self.period:
+        if now - self.since >= self.period_seconds:
             self.since, self.lines = now, 0
-        if self.lines >= self.most:
-            self.held += 1
+        if self.lines >= self.lines_per_period:
+            self.suppressed_count += 1
             return None
         self.lines += 1
-        held, self.held = self.held, 0
+        held, self.suppressed_count = self.suppressed_count, 0
         return f" ({held} more such not logged)" if held else ""
 
 
@@ -37,12 +37,14 @@
 
     def __init__(self, what: str, limits: Limits) -> None:
         """`what` begins each line."""
-        self.what, self.count, self.lock = what, 0, threading.Lock()
-        self.quota = LogRateLimit(limits.logging.lines_per_period, limits.logging.period_seconds)
+        self.prefix, self.count, self.lock = what, 0, threading.Lock()
+        self.rate_limit = LogRateLimit(
+            limits.logging.lines_per_period, limits.logging.period_seconds
+        )
 
     def add(self, text: str) -> None:
         with self.lock:
             self.count += 1
-            more = self.quota.allows(time.monotonic())
+            more = self.rate_limit.line_suffix(time.monotonic())
         if more is not None:
-            log(f"{self.what} {text}{more}")
+            log(f"{self.prefix} {text}{more}")
--- a/stepstream/runtime/threads.py
+++ b/stepstream/runtime/threads.py
@@ -23,7 +23,7 @@
     """Threads that take jobs from one queue, started as needed up to a bound."""
 
     def __init__(self, name: str, most: int) -> None:
-        self.name, self.most = name, most
+        self.name, self.max_threads = name, most
         self.jobs: SimpleQueue[tuple[Callable, tuple]] = SimpleQueue()
         self.lock = threading.Lock()
         self.threads, self.free = 0, 0  # free: threads less the jobs that are queued or being done
@@ -31,7 +31,7 @@
     def submit(self, step: Callable, *args: object) -> None:
         with self.lock:
             self.free -= 1
-            start = self.free < 0 and self.threads < self.most
+            start = self.free < 0 and self.threads < self.max_threads
             if start:
                 self.threads, self.free = self.threads + 1, self.free + 1
         self.jobs.put((step, args))
--- a/stepstream/runtime/transport.py
+++ b/stepstream/runtime/transport.py
@@ -14,55 +14,55 @@
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
-        self.rest = bytearray()
+        self.unsent = bytearray()
 
-    def begin(self) -> None:
+    def handshake(self) -> None:
         """In the connection's own thread, before it is read. OSError ends the connection."""
 
-    def recv(self, size: int) -> bytes:
+    def receive(self, size: int) -> bytes:
         """Waits; b"" for the peer's end. OSError if it broke."""
         return self.sock.recv(size)
 
-    def wait(self, size: int) -> bool:
+    def wait_readable(self, size: int) -> bool:
         """Until bytes can be taken; False for the peer's end. OSError if it broke."""
         return bool(self.sock.recv(1, socket.MSG_PEEK))
 
-    def take(self, size: int) -> bytes:
+    def receive_available(self, size: int) -> bytes:
         """After a wait: what has come, without waiting."""
         return self.sock.recv(size, socket.MSG_DONTWAIT)
 
-    def add(self, data: bytes) -> None:
+    def enqueue(self, data: bytes) -> None:
         """To what waits to be sent."""
-        self.rest += data
+        self.unsent += data
 
-    def offer(self, data: bytes) -> bool:
+    def send_available(self, data: bytes) -> bool:
         """Sends without waiting; whether all is gone. OSError if the connection broke."""
-        if not self.rest:
+        if not self.unsent:
             try:
                 data = data[self.sock.send(data, socket.MSG_DONTWAIT) :]
             except BlockingIOError:
                 pass
             if not data:
                 return True
-        self.rest += data
+        self.unsent += data
         return False
 
-    def push(self) -> bool:
+    def flush_available(self) -> bool:
         """Goes on with what is left, without waiting; whether nothing is."""
         try:
-            while self.rest:
-                sent = self.sock.send(self.rest, socket.MSG_DONTWAIT)
-                del self.rest[:sent]
+            while self.unsent:
+                sent = self.sock.send(self.unsent, socket.MSG_DONTWAIT)
+                del self.unsent[:sent]
         except BlockingIOError:
             return False
         return True
 
-    def finish(self) -> None:
+    def flush(self) -> None:
         """Waits until all is gone, within the socket's time limit."""
-        self.sock.sendall(self.rest)
-        self.rest.clear()
+        self.sock.sendall(self.unsent)
+        self.unsent.clear()
 
-    def unread(self) -> bool:
+    def has_unread(self) -> bool:
         """Whether bytes are here that nobody has read."""
         try:
             return bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
@@ -76,7 +76,7 @@
         except OSError:
             pass
 
-    def hang_up(self) -> None:
+    def shut_down(self) -> None:
         shut_down(self.sock)
 
     def close(self) -> None:
--- a/stepstream/simulator_adapter.py
+++ b/stepstream/simulator_adapter.py
@@ -60,7 +60,7 @@
 
 
 def read_report(fields: SettingsFields, settings: Settings) -> dict[str, float] | None:
-    row = fields.row("gauge")
+    row = fields.comma_separated("gauge")
     if not row:
         return None
     if len(row) != len(settings.load_report_columns):
@@ -76,26 +76,26 @@
 def read_entry(fields: SettingsFields) -> Endpoint:
     return Endpoint(
         worker_id=fields.text("runner"),
-        zone=fields.whole("campus", 0),
-        worker_kind=fields.whole("type", 0),
-        cell=fields.whole("cluster", 0),
-        state=fields.one_of("mode", STATES, "IN"),
+        zone=fields.integer("campus", 0),
+        worker_kind=fields.integer("type", 0),
+        cell=fields.integer("cluster", 0),
+        state=fields.choice("mode", STATES, "IN"),
         weight=fields.number("weight", 1.0),
-        started_us=fields.whole("ready_at_us", 0),
+        started_us=fields.integer("ready_at_us", 0),
     )
 
 
 def read_event(name: str, fields: SettingsFields, settings: Settings) -> PolicyEvent | None:
     """One event of an instance, or None for kinds that this library has no use for."""
     if name == "REQUEST":
-        which = fields.whole("type")
+        which = fields.integer("type")
         if not 0 <= which < len(settings.classes):
             raise WireError(f"type={which} is not in services")
         return JobSubmitted(
             job_id=fields.text("msg_id"),
             job_class=which,
-            budget_us=fields.whole("budget_us"),
-            tenant=fields.whole("tenant", 0),
+            budget_us=fields.integer("budget_us"),
+            tenant=fields.integer("tenant", 0),
             key=fields.values.get("path_key"),
             slots=fields.number("cores_needed", 1.0),
             memory=fields.number("ram_units", 0.0),
@@ -104,28 +104,28 @@
     if name == "ANSWER":
         return AttemptEnded(
             job_id=fields.text("msg_id"),
-            attempt_number=fields.whole("n", 0),
+            attempt_number=fields.integer("n", 0),
             worker_id=fields.text("runner"),
-            result=fields.one_of("state_code", RESULTS),
-            elapsed_us=fields.whole("spent_us", 0),
+            result=fields.choice("state_code", RESULTS),
+            elapsed_us=fields.integer("spent_us", 0),
             job_answered=fields.flag("finished"),
             load_report=read_report(fields, settings),
         )
     if name == "PROGRESS":
-        if fields.whole("kind", 0) != 1:
+        if fields.integer("kind", 0) != 1:
             return None
-        return AttemptStarted(fields.text("msg_id"), fields.whole("n", 0), fields.text("runner"))
+        return AttemptStarted(fields.text("msg_id"), fields.integer("n", 0), fields.text("runner"))
     if name == "SAMPLED":
         return HealthChecked(
             worker_id=fields.text("runner"),
             healthy=fields.text("state_code", "OK") == "OK",
-            elapsed_us=fields.whole("spent_us", 0),
+            elapsed_us=fields.integer("spent_us", 0),
             load_report=read_report(fields, settings),
         )
     if name == "CANCELLED_BY_CLIENT":
         return JobAbandoned(fields.text("msg_id"))
     if name == "WAKE":
-        return TimerFired(fields.whole("ctx"))
+        return TimerFired(fields.integer("ctx"))
     if name in ("STREAMING", "PEER"):
         return None
     raise WireError(f"message {name} is not known")
@@ -183,11 +183,11 @@
                 return reply
             if name == "TABLE":
                 fields = SettingsFields(parts)
-                sheet, count = fields.whole("sheet"), fields.whole("lines", 0)
+                sheet, count = fields.integer("sheet"), fields.integer("lines", 0)
                 self.tables[sheet] = tuple(self.entry(lines) for _ in range(count))
             elif name == "SWITCH_TO":
                 decide()
-                at = SettingsFields(parts).whole("dispatcher")
+                at = SettingsFields(parts).integer("dispatcher")
             elif at is None:
                 raise WireError(f"{name} comes before any SWITCH_TO")
             elif name == "ENLIST":
@@ -195,7 +195,7 @@
                 fields = SettingsFields(parts)
                 self.settings[at] = read_settings(fields)
                 self.balancers[at] = LoadBalancer(
-                    self.settings[at], fields.whole("rng_seed"), now_us
+                    self.settings[at], fields.integer("rng_seed"), now_us
                 )
             elif at not in self.balancers:
                 raise WireError(f"{name} for dispatcher {at}, which is not running")
@@ -204,8 +204,8 @@
                 del self.balancers[at], self.settings[at]
             elif name == "TOPOLOGY":
                 fields = SettingsFields(parts)
-                kind = fields.one_of("mode", LISTS)
-                sheet = fields.whole("sheet", -1)
+                kind = fields.choice("mode", LISTS)
+                sheet = fields.integer("sheet", -1)
                 if kind is not EndpointListKind.FAILED and sheet not in self.tables:
                     raise WireError(f"sheet={sheet} was never sent")
                 entries = () if kind is EndpointListKind.FAILED else self.tables[sheet]
@@ -252,7 +252,7 @@
             if name != "MARK":
                 raise WireError(f"expected MARK, found {name}")
             fields = SettingsFields(parts)
-            now_us, batch = fields.whole("t_us"), fields.whole("batch")
+            now_us, batch = fields.integer("t_us"), fields.integer("batch")
             try:
                 reply = drill.batch(now_us, lines)
             except ConfigurationError:
--- a/tests/admin/test_admin.py
+++ b/tests/admin/test_admin.py
@@ -117,8 +117,8 @@
 
 def test_bad_calls_are_logged_within_a_rate():
     quota = LogRateLimit(2, 10.0)
-    assert [quota.allows(t) for t in (0.0, 1.0, 2.0, 3.0)] == ["", "", None, None]
-    assert quota.allows(10.5) == " (2 more such not logged)"
+    assert [quota.line_suffix(t) for t in (0.0, 1.0, 2.0, 3.0)] == ["", "", None, None]
+    assert quota.line_suffix(10.5) == " (2 more such not logged)"
 
 
 # -- the driver on real sockets ---------------------------------------------------------------------------
--- a/tests/http/test_network.py
+++ b/tests/http/test_network.py
@@ -852,11 +852,11 @@
 def test_a_request_in_the_instant_of_our_close_is_not_sent_on_and_meets_no_reset(monkeypatch, end):
     """It comes between the last look for bytes and the shutdown: its client sends it once more elsewhere."""
     one = Resting()
-    shut = {name: getattr(one.inbound.link, name) for name in ("half_close", "hang_up")}
+    shut = {name: getattr(one.inbound.link, name) for name in ("half_close", "shut_down")}
 
     def crossed(name):
         one.peer.sendall(job_bytes(name="02"))
-        wait_for(one.inbound.link.unread)
+        wait_for(one.inbound.link.has_unread)
         shut[name]()
 
     for name in shut:
@@ -879,7 +879,7 @@
     """Its reader has been woken and stands right before it takes the bytes, while the close looks round."""
     one = Resting()
     woken, go = threading.Event(), threading.Event()
-    wait = one.inbound.link.wait
+    wait = one.inbound.link.wait_readable
 
     def held(size):
         there = wait(size)
@@ -887,7 +887,7 @@
         assert go.wait(PATIENCE)
         return there
 
-    monkeypatch.setattr(one.inbound.link, "wait", held)
+    monkeypatch.setattr(one.inbound.link, "wait_readable", held)
     one.peer.sendall(job_bytes(name="02"))  # ends the wait that began before this hook
     (_, second) = wait_for(
         lambda: len(one.home.of(RequestReceived)) == 2 and one.home.of(RequestReceived)
--- a/tests/lab/test_lab.py
+++ b/tests/lab/test_lab.py
@@ -203,7 +203,7 @@
 
 def test_the_days_settings_are_what_a_dispatcher_reads():
     settings = read_settings(
-        SettingsFields.of(flatten(settings_of(draw_day(read_site(), 1, 5, "http")), "", {}))
+        SettingsFields.from_pairs(flatten(settings_of(draw_day(read_site(), 1, 5, "http")), "", {}))
     )
     assert settings.class_names == ("revalue", "price-check", "nav-publish")
     assert settings.reports_start
@@ -212,7 +212,7 @@
 @pytest.mark.parametrize("how", ["probe", "answers"])
 def test_what_a_node_of_the_second_site_tells_of_its_load_is_what_the_dispatcher_reads(how):
     day = draw_day(replaced(read_site(name="probed"), reports=how, report_ms=0.0), 1, 5, "http")
-    settings = read_settings(SettingsFields.of(flatten(settings_of(day), "", {})))
+    settings = read_settings(SettingsFields.from_pairs(flatten(settings_of(day), "", {})))
     assert not settings.polls_endpoints
     assert settings.classes[-1].effect is Effect.NOT_IDEMPOTENT
     made, reports = (
