Split the operator's file into sections, checks and the reader

One module held the sections, their checks and the reload's comparison. The sections now stand in operator_sections with each key's default, unit and consequence, the checks over several values in operator_checks, a function a section; operator_file reads the file and gives the sections on. A fault says HOST:PORT where it showed a regular expression.

--- /dev/null
+++ b/stepstream/config/operator_checks.py
@@ -0,0 +1,137 @@
+"""Checks of the operator's file that take more than one value.
+
+They compare sections with the deployment's settings and with each other. Each raises
+`ConfigurationError`, which names the key, and none changes anything.
+"""
+
+from stepstream.config.errors import ConfigurationError
+from stepstream.config.fields import MAX_PORT
+from stepstream.config.operator_sections import (
+    PROBE_SWEEP_LEASE_SECONDS,
+    CallerSection,
+    GearmanSection,
+    IdentitySection,
+    LeasesSection,
+    MembershipSection,
+    OperatorConfig,
+)
+from stepstream.model.settings import Settings
+
+ALL = "*"  # in a caller's tenants and classes
+# A lease is renewed well before its end: a round to the voters must fit in that often.
+LEAST_TIMEOUTS_PER_LEASE = 4
+MILLISECONDS = 1000
+
+
+def check_operator_config(operator: OperatorConfig, settings: Settings) -> None:
+    """Check every section that is there."""
+    if operator.gearman is not None:
+        check_gearman(operator.gearman, settings)
+    if operator.fleet is not None:
+        check_membership(operator.fleet)
+    if operator.leases is not None:
+        check_leases(operator.leases, operator)
+    if operator.identity is not None:
+        check_identity(operator.identity, operator, settings)
+
+
+def check_gearman(gearman: GearmanSection, settings: Settings) -> None:
+    """Check `[gearman]`: its names are the settings', its port is one."""
+    check_name("gearman.tenant", gearman.tenant, settings.tenants)
+    check_name("gearman.worker.zone", gearman.worker.zone, settings.zones)
+    check_name("gearman.worker.kind", gearman.worker.kind, settings.worker_kinds)
+    check_port("gearman.listen", gearman.listen)
+
+
+def check_membership(membership: MembershipSection) -> None:
+    """Check `[fleet]`: every port is one."""
+    check_port("fleet.listen", membership.listen)
+    if membership.advertise is not None:
+        check_port("fleet.advertise", membership.advertise)
+    for position, seed in enumerate(membership.seeds):
+        check_port(f"fleet.seeds[{position}]", seed)
+
+
+def check_leases(leases: LeasesSection, operator: OperatorConfig) -> None:
+    """Check `[leases]`: `[fleet]` is there, voters are distinct, times fit together."""
+    if operator.fleet is None:
+        raise ConfigurationError("leases needs [fleet]: its members carry the messages")
+    check_distinct("leases.voters", leases.voters)
+    check_distinct("leases.old_voters", leases.old_voters)
+    if leases.probe_sweep and leases.longest_s < PROBE_SWEEP_LEASE_SECONDS:
+        raise ConfigurationError(
+            f"leases.longest_s={leases.longest_s:g} is under the "
+            f"{PROBE_SWEEP_LEASE_SECONDS:g} s of probe_sweep's lease"
+        )
+    if leases.longest_s * MILLISECONDS < LEAST_TIMEOUTS_PER_LEASE * leases.timeout_ms:
+        raise ConfigurationError(
+            f"leases.longest_s={leases.longest_s:g} is under four times leases.timeout_ms"
+        )
+
+
+def check_identity(identity: IdentitySection, operator: OperatorConfig, settings: Settings) -> None:
+    """Check `[identity]`: names are the settings', callers are distinct, ports are ports."""
+    for class_name in identity.methods:
+        check_name(f"identity.methods.{class_name}", class_name, settings.class_names)
+    owners: dict[tuple[str, str], str] = {}
+    for position, caller in enumerate(identity.caller):
+        check_caller(f"identity.caller[{position}]", caller, identity, settings, owners)
+    if identity.tls is None:
+        return
+    check_port("identity.tls.listen", identity.tls.listen)
+    if identity.tls.gearman_listen is not None:
+        check_port("identity.tls.gearman_listen", identity.tls.gearman_listen)
+        if operator.gearman is None:
+            raise ConfigurationError("identity.tls.gearman_listen needs [gearman]")
+
+
+def check_caller(
+    path: str,
+    caller: CallerSection,
+    identity: IdentitySection,
+    settings: Settings,
+    owners: dict[tuple[str, str], str],
+) -> None:
+    """Check a caller; `owners` collects the path of the caller of each name and subject so far."""
+    for tenant in caller.tenants:
+        if tenant != ALL:
+            check_name(f"{path}.tenants", tenant, settings.tenants)
+    for class_name in caller.classes:
+        if class_name != ALL:
+            check_name(f"{path}.classes", class_name, settings.class_names)
+    claim_name(owners, path, "name", caller.name)
+    for subject in caller.subjects:
+        claim_name(owners, path, "subjects", subject)
+    if any(subject.startswith(identity.workers) for subject in caller.subjects):
+        raise ConfigurationError(
+            f"{path}.subjects: names that begin with one of identity.workers are workers'"
+        )
+
+
+def claim_name(owners: dict[tuple[str, str], str], path: str, key: str, value: str) -> None:
+    """Record that a caller's name or subject is taken; a fault if another one has it."""
+    owner = owners.get((key, value))
+    if owner is not None:
+        raise ConfigurationError(f"{path}.{key}={value} is {owner}'s too")
+    owners[key, value] = path
+
+
+def check_name(key: str, value: str, known: tuple[str, ...]) -> None:
+    """Check that the settings know a name; "" stands for a default and passes."""
+    if value and value not in known:
+        raise ConfigurationError(
+            f"{key}={value} is not in the settings ({', '.join(known) or 'which name none'})"
+        )
+
+
+def check_port(key: str, address: str) -> None:
+    """Check the port of an address whose form the section's type has checked; 0 is any free one."""
+    if int(address.rpartition(":")[2]) > MAX_PORT:
+        raise ConfigurationError(f"{key}={address} is not HOST:PORT")
+
+
+def check_distinct(key: str, names: tuple[str, ...]) -> None:
+    """Check that no name stands in a list twice."""
+    for position, name in enumerate(names):
+        if name in names[:position]:
+            raise ConfigurationError(f"{key}[{position}]={name} is there twice")
--- /dev/null
+++ b/stepstream/config/operator_sections.py
@@ -0,0 +1,273 @@
+"""The sections of the operator's TOML file, one typed structure each.
+
+Attributes are spelled as the file's keys, so that a fault and `require_unchanged` name what the
+operator wrote. Each docstring gives a key's default, unit and consequence. What one value alone can
+tell (type, bounds, form) is declared here; what takes the settings or another section is checked in
+`operator_checks`. Sections are immutable.
+"""
+
+from typing import Annotated, Literal
+
+import msgspec
+
+PROBE_SWEEP_LEASE_SECONDS = 3.0  # time to live of the lease of `probe_sweep`
+
+HOST_PORT_PATTERN = r"^[^:\s]+:\d{1,5}$"
+IPV4_PORT_PATTERN = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
+IDENTIFIER_PATTERN = r"^[A-Za-z0-9._-]+$"
+# How a fault words each pattern.
+PATTERN_FORMS = {
+    HOST_PORT_PATTERN: "HOST:PORT",
+    IPV4_PORT_PATTERN: "IPv4:PORT, never a name",
+    IDENTIFIER_PATTERN: "letters, digits, '.', '_' and '-' only",
+}
+
+Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+Milliseconds = Annotated[int, msgspec.Meta(ge=10, le=600_000)]
+HostPort = Annotated[str, msgspec.Meta(pattern=HOST_PORT_PATTERN)]
+Ipv4Port = Annotated[str, msgspec.Meta(pattern=IPV4_PORT_PATTERN)]
+Identifier = Annotated[str, msgspec.Meta(min_length=1, max_length=64, pattern=IDENTIFIER_PATTERN)]
+NonEmptyText = Annotated[str, msgspec.Meta(min_length=1)]
+LogFormat = Literal["json", "console"]
+CredentialKind = Literal["token", "certificate"]
+
+
+class Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What all sections share: a key that is not known is a fault, never ignored."""
+
+
+class WorkerDefaults(Section, frozen=True, kw_only=True):
+    """`[gearman.worker]`: what a Gearman worker is taken for that says nothing else of itself.
+
+    zone (""): name of its zone; "" stands for the first zone of the settings. A wrong one makes its
+        jobs pay for crossing zones.
+    kind (""): name of its kind; "" stands for the first kind of the settings. Decides which classes
+        it may run.
+    cell (0): workers of one cell drop each other's repeats of a job with an idempotency key.
+    slots (1, 1 to 1024 jobs): jobs that it may hold at once. Too many, and jobs wait inside the
+        worker, where nobody sees them.
+    weight (1.0, above 0): its weight against the others' in the rotation.
+    """
+
+    zone: str = ""
+    kind: str = ""
+    cell: int = 0
+    slots: Annotated[int, msgspec.Meta(ge=1, le=1024)] = 1
+    weight: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+
+
+class GearmanSection(Section, frozen=True, kw_only=True):
+    """`[gearman]`: Gearman's front and carrier; docs/gearman.md.
+
+    listen (required, HOST:PORT): where Gearman's clients and workers connect; needs a restart.
+    tenant (""): the tenant of functions that name none; "" rejects such functions where the
+        settings know tenants.
+    allow_shutdown (false): whether the text command `shutdown` may end the program.
+    queue (8, 0 to 10,000 jobs): jobs beyond its slots that may wait for one worker's GRAB_JOB; a
+        further one finds the worker full.
+    queue_wait_ms (1,000 ms): a job that waits longer there is returned, never run, and may be
+        tried elsewhere.
+    keep_s (300 s): for how long the outcome of a background job can be asked for.
+    keep_most (10,000 jobs): for how many; the oldest go first.
+    jobs_a_connection (1,000 jobs): open jobs of one client connection; further ones are rejected.
+    worker: what a worker is taken for by default, `[gearman.worker]`.
+    """
+
+    listen: HostPort
+    tenant: str = ""
+    allow_shutdown: bool = False
+    queue: Annotated[int, msgspec.Meta(ge=0, le=10_000)] = 8
+    queue_wait_ms: Count = 1_000
+    keep_s: Count = 300
+    keep_most: Count = 10_000
+    jobs_a_connection: Count = 1_000
+    worker: WorkerDefaults = WorkerDefaults()
+
+
+class CallerSection(Section, frozen=True, kw_only=True):
+    """`[[identity.caller]]`: a caller and its rights; docs/identity.md.
+
+    name (required, up to 64 characters): its name in the audit log; unique.
+    subjects (required): subjects of tokens and names of certificates that stand for it.
+    tenants (required): tenants that it may call for; "*" stands for all.
+    classes (required): classes of jobs that it may call; "*" stands for all.
+    state ("active"): "suspended" denies it everything.
+    rate_per_s (0.0 requests a second): its rate limit; 0 is none.
+    burst (1 request): requests that it may make at once within the rate limit.
+    most_open (0 requests): bound of its open requests; 0 is none of its own.
+    """
+
+    name: Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+    subjects: Annotated[tuple[str, ...], msgspec.Meta(min_length=1)]
+    tenants: tuple[str, ...]
+    classes: tuple[str, ...]
+    state: Literal["active", "suspended"] = "active"
+    rate_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    burst: Count = 1
+    most_open: Annotated[int, msgspec.Meta(ge=0)] = 0
+
+
+class TlsSection(Section, frozen=True, kw_only=True):
+    """`[identity.tls]`: TLS listeners beside the plain ones; docs/identity.md.
+
+    listen (required, HOST:PORT): the TLS listener of HTTP; needs a restart.
+    gearman_listen (none, HOST:PORT): the TLS listener of Gearman; needs `[gearman]` and a restart.
+    certificate (required, path): PEM file of the server's certificate with its chain.
+    key (required, path): PEM file of its private key.
+    clients_ca (required, path): PEM bundle that clients' certificates are verified against.
+    clients ("required"): "wanted" lets a client without a certificate show a token.
+    least ("1.3"): lowest version of TLS, "1.2" or "1.3".
+    crl ("", path): PEM file of revocation lists, signed by a CA of the bundle; "" is none.
+    names (["uri", "dns"]): which name of a certificate counts: the first kind that it has.
+    """
+
+    listen: HostPort
+    gearman_listen: HostPort | None = None
+    certificate: str
+    key: str
+    clients_ca: str
+    clients: Literal["required", "wanted"] = "required"
+    least: Literal["1.2", "1.3"] = "1.3"
+    crl: str = ""
+    names: tuple[Literal["uri", "dns", "cn"], ...] = ("uri", "dns")
+
+
+class IdentitySection(Section, frozen=True, kw_only=True):
+    """`[identity]`: authentication and authorization of callers; docs/identity.md.
+
+    keys (required, path): JWK set that tokens are verified against.
+    issuer (required): the tokens' `iss`.
+    audience (required): must be among the tokens' `aud`.
+    leeway_s (5, 0 to 60 s): by which clocks may differ.
+    token_bytes (4,096, 256 to 12,288 bytes): a longer token is rejected unread.
+    longest_s (86,400 s): longest life of a token, from `iat` to `exp`.
+    cache (10,000 tokens): verified tokens that are remembered; less costs signature checks.
+    workers (["worker/"]): a worker's subject is one of these prefixes and the worker's id.
+    news ("identified"): "open" takes workers' notifications and registrations from anybody.
+    admins ([]): subjects that may use Gearman's text commands.
+    audit ("json"): format of audit lines, "json" or "console".
+    audit_allowed (false): whether allowed requests are written too.
+    denials_per_s (20 lines a second): audit lines of denials; further ones are counted.
+    methods ({}): by class, the kinds of credential that it takes; the others take any.
+    caller ([], up to 10,000): the callers.
+    tls (none): TLS listeners.
+    """
+
+    keys: str
+    issuer: NonEmptyText
+    audience: NonEmptyText
+    leeway_s: Annotated[int, msgspec.Meta(ge=0, le=60)] = 5
+    token_bytes: Annotated[int, msgspec.Meta(ge=256, le=12_288)] = 4096
+    longest_s: Count = 86_400
+    cache: Count = 10_000
+    workers: tuple[str, ...] = ("worker/",)
+    news: Literal["identified", "open"] = "identified"
+    admins: tuple[str, ...] = ()
+    audit: LogFormat = "json"
+    audit_allowed: bool = False
+    denials_per_s: Count = 20
+    methods: dict[str, Annotated[tuple[CredentialKind, ...], msgspec.Meta(min_length=1)]] = {}
+    caller: Annotated[tuple[CallerSection, ...], msgspec.Meta(max_length=10_000)] = ()
+    tls: TlsSection | None = None
+
+
+class MembershipSection(Section, frozen=True, kw_only=True):
+    """`[fleet]`: the dispatchers' membership protocol (SWIM with Lifeguard); docs/fleet.md.
+
+    listen (required, IPv4:PORT): UDP address of this member.
+    advertise (`listen`, IPv4:PORT): where the others send, if that is another address.
+    seeds ([], up to 64 IPv4:PORT): members to join through; none: it stays alone until another
+        member has it as a seed.
+    cluster (required): name of the cluster; datagrams of another one are dropped and counted.
+    share_maintenance (false): whether worker maintenance set at one dispatcher holds at all.
+    follow_size (true): whether the policy's count of dispatchers follows the membership list;
+        otherwise the settings' `fleet_size` holds, whoever has crashed or joined.
+    hold_s (30, 1 to 86,400 s): for so long a dead member still counts as a dispatcher. Short: a
+        stop of some seconds moves everybody's share twice.
+    period_ms (400, 10 to 600,000 ms): protocol period, between two probes. Longer: crashes are
+        noticed later; shorter: more datagrams.
+    timeout_ms (200 ms): of a direct probe, before indirect ones. Under the round trip every probe
+        becomes an indirect one.
+    helpers (3, 0 to 16 members): members asked for an indirect probe. 0: one lossy link is a
+        suspicion.
+    suspicion (3, 1 to 100 periods): shortest suspicion, times the logarithm of the cluster's size.
+        Short: slow members are declared dead.
+    slack (6, 1 to 100 times): longest suspicion over the shortest, where nobody confirms it.
+    confirmations (3, 0 to 16 members): independent ones that make the suspicion shortest.
+    gossip (4, 1 to 32 times): retransmissions of a message, times the logarithm of the cluster's
+        size. Less: more is left to anti-entropy.
+    sync_ms (5,000 ms): between two anti-entropy exchanges with a random member.
+    reach_ms (1,000 ms): between two attempts to reach a seed or a dead member. Longer: a healed
+        partition is noticed later.
+    young_s (10, 1 to 600 s): after its start, for so long, the settings' `fleet_size` is the least
+        that counts. Short: a member that has yet to hear of the others takes more than its share.
+    health (8, 0 to 32): highest local health score (Lifeguard); each point stretches its probes by
+        a period. 0 switches it off.
+    forget_s (86,400, 60 to 2,592,000 s): a death or leave is remembered at least so long.
+    most (1,024, 2 to 4,096): names of members, and workers with a maintenance record.
+    log ("console"): format of its log lines, "json" or "console".
+    """
+
+    listen: Ipv4Port
+    advertise: Ipv4Port | None = None
+    seeds: Annotated[tuple[Ipv4Port, ...], msgspec.Meta(max_length=64)] = ()
+    cluster: Identifier
+    share_maintenance: bool = False
+    follow_size: bool = True
+    hold_s: Annotated[float, msgspec.Meta(ge=1, le=86_400)] = 30.0
+    period_ms: Milliseconds = 400
+    timeout_ms: Milliseconds = 200
+    helpers: Annotated[int, msgspec.Meta(ge=0, le=16)] = 3
+    suspicion: Annotated[float, msgspec.Meta(ge=1, le=100)] = 3.0
+    slack: Annotated[float, msgspec.Meta(ge=1, le=100)] = 6.0
+    confirmations: Annotated[int, msgspec.Meta(ge=0, le=16)] = 3
+    gossip: Annotated[float, msgspec.Meta(ge=1, le=32)] = 4.0
+    sync_ms: Milliseconds = 5_000
+    reach_ms: Milliseconds = 1_000
+    young_s: Annotated[float, msgspec.Meta(ge=1, le=600)] = 10.0
+    health: Annotated[int, msgspec.Meta(ge=0, le=32)] = 8
+    forget_s: Annotated[float, msgspec.Meta(ge=60, le=2_592_000)] = 86_400.0
+    most: Annotated[int, msgspec.Meta(ge=2, le=4_096)] = 1_024
+    log: LogFormat = "console"
+
+
+class LeasesSection(Section, frozen=True, kw_only=True):
+    """`[leases]`: cluster-wide tasks with one holder at a time (PaxosLease); docs/leases.md.
+
+    voters (required, 1 to 15 names): the acceptors; leases are granted by a majority of them. Three
+        bear one failure, five two.
+    old_voters ([], up to 15 names): while the voters are changed: majorities of both sets are
+        needed.
+    drift (0.01, above 0 to 0.2): fraction by which a clock may run fast or slow. Too small, and two
+        may hold a lease at once; too large costs time after a holder's loss.
+    longest_s (60, 1 to 3,600 s): longest time to live of a lease. A voter is silent for so long
+        after its start.
+    timeout_ms (300 ms): one round to the voters and back; under the true round trip nobody gets a
+        lease.
+    turn_ms (300 ms): for so long the one that waited longest goes first when a lease becomes free.
+    most (4,096, 1 to 65,536): leases that a voter remembers.
+    most_sessions (1,024, 1 to 65,536): programs and tasks that want leases through this dispatcher;
+        further ones get 503.
+    probe_sweep (false): whether the health checks of one dispatcher serve all.
+    log ("console"): format of its log lines, "json" or "console".
+    """
+
+    voters: Annotated[tuple[Identifier, ...], msgspec.Meta(min_length=1, max_length=15)]
+    old_voters: Annotated[tuple[Identifier, ...], msgspec.Meta(max_length=15)] = ()
+    drift: Annotated[float, msgspec.Meta(gt=0, le=0.2)] = 0.01
+    longest_s: Annotated[float, msgspec.Meta(ge=1, le=3600)] = 60.0
+    timeout_ms: Milliseconds = 300
+    turn_ms: Milliseconds = 300
+    most: Annotated[int, msgspec.Meta(ge=1, le=65_536)] = 4_096
+    most_sessions: Annotated[int, msgspec.Meta(ge=1, le=65_536)] = 1_024
+    probe_sweep: bool = False
+    log: LogFormat = "console"
+
+
+class OperatorConfig(Section, frozen=True, kw_only=True):
+    """The whole file; a section that is missing leaves its subsystem switched off."""
+
+    gearman: GearmanSection | None = None
+    identity: IdentitySection | None = None
+    fleet: MembershipSection | None = None
+    leases: LeasesSection | None = None
--- a/tests/config/test_operator_file.py
+++ b/tests/config/test_operator_file.py
@@ -15,6 +15,8 @@
     "msgspec",
     "tomllib",
     "stepstream.config.operator_file",
+    "stepstream.config.operator_sections",
+    "stepstream.config.operator_checks",
     "stepstream.gearman",
     "stepstream.identity",
     "stepstream.membership",
