Split the node into wiring, decision thread, start, reload, shutdown and status

One class of 400 lines wired everything and ran every step. NodeContext holds the wired components; DecisionThread owns the core and the counts; start, reload, shutdown, periodic tasks and the status line are a module each, and Node is the main thread that calls them. Each module says what state it owns and which thread runs it. Order of effects, log lines and thread names are as before.

--- a/stepstream/node/__init__.py
+++ b/stepstream/node/__init__.py
@@ -1,1 +1,1 @@
-"""The composition root: wiring, decision thread, signals."""
+"""The composition root: wiring, the decision thread, and a node's life from start to shutdown."""
--- /dev/null
+++ b/stepstream/node/context.py
@@ -0,0 +1,136 @@
+"""The wiring of one dispatcher: its core, the platform's network side and the subsystems.
+
+The context is created by the main thread, which alone replaces its attributes (at a reload, and
+`hot_restarting` at a shutdown). Other threads read them and post events; each component says itself
+which threads may call it. It is what a subsystem sees as `SubsystemContext`.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import replace
+from importlib import import_module
+from queue import SimpleQueue
+from typing import TYPE_CHECKING
+
+from stepstream.config.limits import Limits, limits_for
+from stepstream.config.node_config import NodeConfig
+from stepstream.core.commands import Command
+from stepstream.core.dispatcher import Dispatcher
+from stepstream.core.events import Event
+from stepstream.http.destination_set import SOURCE, DestinationSet
+from stepstream.http.discovery_client import DiscoveryClient
+from stepstream.http.load_reports import LoadReportReader
+from stepstream.http.outbound import OutboundCarrier
+from stepstream.http.platform_api import ClientApi, DiscoveryApi
+from stepstream.http.poll_schedule import PollSchedule
+from stepstream.http.server import InboundServer
+from stepstream.http.staleness import StalenessDetector
+from stepstream.model.events import SettingsChanged
+from stepstream.model.settings import Settings
+from stepstream.node.subsystems import enabled_subsystems
+from stepstream.ports.carriers import Carrier
+from stepstream.ports.subsystem import Subsystem
+from stepstream.runtime.clock import Clock
+from stepstream.runtime.log import RateLimitedLogger, log
+
+if TYPE_CHECKING:
+    from stepstream.config.operator_file import OperatorConfig
+
+
+class NodeContext:
+    """The components of one dispatcher, wired to each other but not started.
+
+    `operator` is the content of the operator's file, if there is one, and `operator_path` its path,
+    for a reload. `ConfigurationError` names what a subsystem cannot have.
+    """
+
+    def __init__(
+        self,
+        config: NodeConfig,
+        operator: "OperatorConfig | None" = None,
+        operator_path: str | None = None,
+    ) -> None:
+        self.config = config
+        self.operator = operator
+        self.operator_path = operator_path
+        self.limits: Limits = limits_for(config)
+        self.clock = Clock()
+        self.events: SimpleQueue[Event] = SimpleQueue()  # to the decision thread
+        self.post = self.events.put
+        # A queue and no Event: its put() may interrupt its own get(), as a signal handler does.
+        self.signals: SimpleQueue[int] = SimpleQueue()  # to the main thread
+        self.bad_reports = RateLimitedLogger("load report ignored:", self.limits)
+        self.bad_answers = RateLimitedLogger("answer", self.limits)
+        self.bad_lists = RateLimitedLogger("discovery failed:", self.limits)
+        self.create_network_side()
+        # The list from before the start: the configuration's, or a newer one handed over.
+        self.persisted_endpoints = config.persisted_endpoints
+        self.hot_restarting = False
+        self.is_health_check_delegated: Callable[[str], bool] = never_delegated
+        # Dispatchers that share the workers, where a subsystem knows better than the settings.
+        self.observed_dispatcher_count: int | None = None
+        self.subsystems: dict[str, Subsystem] = {}
+        for key, module in enabled_subsystems(config, operator):
+            self.subsystems[key] = import_module(module).create_subsystem(self)
+        self.command_handlers: dict[type, Callable[[Command], None]] = {}
+        for subsystem in self.subsystems.values():
+            self.command_handlers.update(subsystem.command_handlers())
+
+    def create_network_side(self) -> None:
+        """Create the core, the inbound server, the outbound carrier and the discovery client."""
+        config = self.config
+        self.core = Dispatcher(
+            config.settings,
+            config.seed,
+            self.clock.now_us(),
+            self.limits.loop.timer_tick_us,
+            self.limits.loop.answer_margin_us,
+            log,
+        )
+        self.destinations = DestinationSet(
+            StalenessDetector(config.settings.dispatcher_count, random.Random(config.seed))
+        )
+        self.reports = LoadReportReader(config.settings, self.bad_reports.add)
+        self.server = InboundServer(
+            self.limits,
+            self.clock,
+            ClientApi(config.settings, self.reports),
+            self.post,
+            self.destinations.is_worker,
+        )
+        self.outbound = OutboundCarrier(
+            self.limits, self.clock, self.destinations, self.post, self.reports, self.bad_answers
+        )
+        self.carriers: dict[str, Carrier] = {SOURCE: self.outbound}
+        self.discovery = self.create_discovery_client(config, self.limits)
+
+    def create_discovery_client(self, config: NodeConfig, limits: Limits) -> DiscoveryClient:
+        """Create a client of the discovery that `config` names; the caller starts its thread."""
+        return DiscoveryClient(
+            limits,
+            config.discovery,
+            DiscoveryApi(config.settings),
+            self.destinations,
+            self.events.put,
+            self.bad_lists,
+            PollSchedule.of(config.settings, random.Random(config.seed)),
+        )
+
+    def set_dispatcher_count(self, dispatchers: int) -> None:
+        """Share the workers among so many dispatchers from now on, this one included."""
+        self.observed_dispatcher_count = dispatchers
+        self.post(SettingsChanged(self.effective_settings(self.config)))
+        self.discovery.schedule.dispatchers = dispatchers
+        self.destinations.doubt.fleet = dispatchers
+        log(f"the workers are shared by {dispatchers} dispatchers")
+
+    def effective_settings(self, config: NodeConfig) -> Settings:
+        """Give the settings of `config` with the observed count of dispatchers, if there is one."""
+        if self.observed_dispatcher_count is None:
+            return config.settings
+        return replace(config.settings, dispatcher_count=self.observed_dispatcher_count)
+
+
+def never_delegated(worker_id: str) -> bool:  # noqa: ARG001  the form that a subsystem replaces
+    """Say that no worker's health check is left to another dispatcher."""
+    return False
--- /dev/null
+++ b/stepstream/node/decision_thread.py
@@ -0,0 +1,105 @@
+"""The decision thread: it takes events in batches, lets the core decide and executes its commands.
+
+This thread owns the core and the outcome counts; nobody else changes them. Nothing that it calls
+may wait for a peer.
+"""
+
+from queue import Empty
+from typing import NoReturn, cast
+
+from stepstream.core.commands import (
+    Answer,
+    CheckWorkerHealth,
+    Command,
+    LogMessage,
+    Outcome,
+    PollEndpoints,
+    Progress,
+    StartCall,
+    StopCall,
+)
+from stepstream.core.events import Event
+from stepstream.http.destination_set import SOURCE
+from stepstream.node.context import NodeContext
+from stepstream.ports.carriers import Carrier
+from stepstream.ports.response_sink import ResponseSink
+from stepstream.runtime.log import log
+from stepstream.runtime.threads import run_guarded
+
+MICROSECONDS = 1e6
+
+
+class DecisionThread:
+    """What the decision thread runs, and what it counts."""
+
+    def __init__(self, context: NodeContext) -> None:
+        self.context = context
+        self.outcome_counts = dict.fromkeys(Outcome, 0)  # requests answered, by outcome
+
+    def run(self) -> NoReturn:
+        """Decide until the process ends; a fault costs its batch and a line in the log."""
+        while True:
+            run_guarded("decisions", self.run_batch)
+
+    def run_batch(self) -> None:
+        """Wait for events or a timer, decide on them, and execute what the core commands."""
+        context = self.context
+        events = self.next_events()
+        for command in context.core.handle(context.clock.now_us(), events):
+            run_guarded("a command", self.execute, command)
+
+    def next_events(self) -> list[Event]:
+        """Wait for an event, at most until the next timer; give all events there are, in order.
+
+        At most a batch of them; none if a timer came first.
+        """
+        loop = self.context.limits.loop
+        wait_seconds = loop.longest_wait_seconds
+        timer_us = self.context.core.next_timer_us()
+        if timer_us is not None:
+            wait_seconds = (timer_us - self.context.clock.now_us()) / MICROSECONDS
+        queue = self.context.events
+        events: list[Event] = []
+        try:
+            if wait_seconds > 0:
+                events.append(queue.get(timeout=min(wait_seconds, loop.longest_wait_seconds)))
+            while len(events) < loop.event_batch:
+                events.append(queue.get_nowait())
+        except Empty:
+            pass
+        return events
+
+    def execute(self, command: Command) -> None:
+        """Execute one command; one that no handler knows is dropped."""
+        context = self.context
+        match command:
+            case StartCall(call):
+                carrier = self.carrier_of(call.worker_id)
+                call.carrier = carrier
+                carrier.start(call)
+            case StopCall(call):
+                # The core keeps a call's carrier and a request's sink without knowing their types.
+                cast(Carrier, call.carrier).stop(call)
+            case Progress(request, done, of):
+                cast(ResponseSink, request.response_sink).progress(done, of)
+            case Answer(request):
+                self.outcome_counts[command.outcome] += 1
+                cast(ResponseSink, request.response_sink).answer(command)
+            case CheckWorkerHealth(worker_id):
+                if not context.is_health_check_delegated(worker_id):
+                    self.carrier_of(worker_id).check_health(worker_id)
+            case PollEndpoints():
+                context.discovery.poll()
+            case LogMessage(text):
+                log(f"note: {text}")
+            case _:
+                handler = context.command_handlers.get(type(command))
+                if handler is not None:
+                    handler(command)
+
+    def carrier_of(self, worker_id: str) -> Carrier:
+        """Give the carrier of the source that has the worker.
+
+        For a worker that no source has it is discovery's, which ends the call as not sent.
+        """
+        return self.context.carriers[self.context.core.endpoints.owner(worker_id) or SOURCE]
--- a/tests/golden/front_samples.py
+++ b/tests/golden/front_samples.py
@@ -1198,10 +1198,11 @@
         operator = read_operator(str(path), settings_of()) if sections else None
         config = config_from({**CONFIG, "operator": ""}, {})
         node = Node(config, operator, str(path))
-        node.counts.update({outcome: 5 + k for k, outcome in enumerate(node.counts)})
+        counts = node.decision_thread.outcome_counts
+        counts.update({outcome: 5 + k for k, outcome in enumerate(counts)})
         node.server.rejected_count, node.outbound.pool.count = 1, 2
         node.bad_reports.count, node.bad_answers.count, node.bad_lists.count = 3, 4, 9
-        node.report()
+        node.log_status()
     return error.getvalue()
 
 
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -256,7 +256,7 @@
     looked, stopped = [], []
     monkeypatch.setattr(node, "start", lambda: None)
     monkeypatch.setattr(node, "stop", lambda: stopped.append(True))
-    monkeypatch.setattr(node, "look_round", lambda: looked.append(True))
+    monkeypatch.setattr(node, "run_periodic_tasks", lambda: looked.append(True))
     switch = sys.getswitchinterval()
     handlers = {
         number: signal.getsignal(number)
@@ -270,7 +270,7 @@
             signal.signal(number, handler)
     assert stopped
     assert max(node.signals.waits) <= 0.05
-    assert not looked  # the rounds of looks keep their own pace
+    assert not looked  # periodic tasks keep their own pace
 
 
 def test_a_crowd_that_never_finishes_a_message_does_not_hold_the_stop(world):
