--- a/stepstream/admin_client.py
+++ b/stepstream/admin_client.py
@@ -1,31 +1,37 @@
 """One call to a dispatcher's admin listener, for commands that ask a running program."""
 
 import http.client
+from typing import Any
 
 import ujson
 
 from stepstream.config.errors import ConfigurationError
+from stepstream.config.fields import MAX_PORT
 
 TIMEOUT_SECONDS = 5.0
 
 
 def call_admin(
-    at: str, path: str, method: str = "GET", patience_s: float = TIMEOUT_SECONDS
-) -> tuple[int, dict]:
-    """The status and what was told; ConnectionError without an answer, FieldError if `at` is no address."""
+    at: str, path: str, method: str = "GET", timeout_seconds: float = TIMEOUT_SECONDS
+) -> tuple[int, Any]:
+    """Make a call to the admin listener at HOST:PORT; give the status and the JSON of the answer.
+
+    An answer that is not JSON is given as the text under `error`. ConnectionError without an
+    answer, `ConfigurationError` if `at`, the option `--at`, is no address.
+    """
     host, _, port = at.rpartition(":")
-    if not host or not (port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+    if not host or not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
         raise ConfigurationError(f"--at={at} is not HOST:PORT")
-    connection = http.client.HTTPConnection(host, int(port), timeout=patience_s)
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout_seconds)
     try:
         connection.request(method, path)
-        answer = connection.getresponse()
-        body, status = answer.read(), answer.status
+        response = connection.getresponse()
+        body = response.read()
     except (OSError, http.client.HTTPException) as error:
-        raise ConnectionError(f"{at}: {error}") from None
+        raise ConnectionError(f"{at}: {error}") from error
     finally:
         connection.close()
     try:
-        return status, ujson.loads(body)
+        return response.status, ujson.loads(body)
     except ValueError:
-        return status, {"error": body.decode("utf-8", "replace").strip()}
+        return response.status, {"error": body.decode("utf-8", "replace").strip()}
--- a/stepstream/config/fields.py
+++ b/stepstream/config/fields.py
@@ -12,9 +12,9 @@
 
 Value = TypeVar("Value")
 
-TRUE_WORDS = ("1", "true")
-FALSE_WORDS = ("0", "false")
-EMPTY_LIST_WORDS = ("", "-")
+TRUE_TEXTS = ("1", "true")
+FALSE_TEXTS = ("0", "false")
+EMPTY_LIST_TEXTS = ("", "-")
 MAX_PORT = 65_535
 
 
@@ -94,9 +94,9 @@
     def flag(self, name: str) -> bool:
         """Read a truth value; a missing one is false."""
         value = self.values.get(name)
-        if value is None or value in FALSE_WORDS:
+        if value is None or value in FALSE_TEXTS:
             return False
-        if value in TRUE_WORDS:
+        if value in TRUE_TEXTS:
             return True
         raise ConfigurationError(f"{name}={value} is not a truth value (true or false)")
 
@@ -110,7 +110,7 @@
     def comma_separated(self, name: str) -> list[str]:
         """Read a list; missing, empty and `-` are the empty list."""
         value = self.values.get(name, "")
-        return [] if value in EMPTY_LIST_WORDS else value.split(",")
+        return [] if value in EMPTY_LIST_TEXTS else value.split(",")
 
     def address(self, name: str) -> tuple[str, int]:
         """Read HOST:PORT."""
--- a/stepstream/leases/runner.py
+++ b/stepstream/leases/runner.py
@@ -78,7 +78,7 @@
         spare = max(self.until - self.act - asked, LOOK_S) if self.token else self.ttl
         try:
             status, told = call_admin(
-                self.at, path, "PUT", patience_s=min(self.ttl / 4, 2.0, spare)
+                self.at, path, "PUT", timeout_seconds=min(self.ttl / 4, 2.0, spare)
             )
         except ConnectionError as error:
             self.told = {"error": str(error)}
@@ -149,7 +149,7 @@
                 self.at,
                 f"/leases/{self.name}/release?session={self.session}",
                 "PUT",
-                patience_s=1.0,
+                timeout_seconds=1.0,
             )
 
 
--- a/stepstream/runtime/__init__.py
+++ b/stepstream/runtime/__init__.py
@@ -1,1 +1,1 @@
-"""What every thread of the program uses: logging, clock, threads, sockets."""
+"""What every driver stands on: clock, log, threads, sockets and transports."""
--- a/stepstream/runtime/threads.py
+++ b/stepstream/runtime/threads.py
@@ -1,55 +1,75 @@
-"""Threads that outlive a fault."""
+"""Threads that outlive a fault, and pools of them.
+
+All threads are daemons: the main thread ends the process, whatever they do. Each is named for what
+it runs, and whoever calls `spawn_thread` owns it.
+"""
 
 import threading
 from collections.abc import Callable
 from queue import SimpleQueue
+from typing import Any, TypeVarTuple
 
 from stepstream.runtime.log import log
 
+Arguments = TypeVarTuple("Arguments")
+
 
-def run_guarded(name: str, step: Callable, *args: object) -> None:
-    """Guards the program: an unexpected fault costs one line in the log, not the thread's caller."""
+def run_guarded(name: str, step: Callable[[*Arguments], object], *arguments: *Arguments) -> None:
+    """Run a step; an unexpected fault costs one line in the log, not the caller's thread."""
     try:
-        step(*args)
-    except Exception as error:
+        step(*arguments)
+    except Exception as error:  # noqa: BLE001  the last guard of every thread: any fault is logged
         log(f"fault in {name}: {type(error).__name__}: {error}")
 
 
-def spawn_thread(name: str, step: Callable, *args: object) -> None:
-    threading.Thread(target=run_guarded, args=(name, step, *args), name=name, daemon=True).start()
+def spawn_thread(name: str, step: Callable[[*Arguments], object], *arguments: *Arguments) -> None:
+    """Start a guarded daemon thread; RuntimeError if the machine has none left."""
+    threading.Thread(
+        target=run_guarded, args=(name, step, *arguments), name=name, daemon=True
+    ).start()
 
 
 class ThreadPool:
-    """Threads that take jobs from one queue, started as needed up to a bound."""
+    """Threads that take jobs from one queue, started as needed up to `max_threads`.
 
-    def __init__(self, name: str, most: int) -> None:
-        self.name, self.max_threads = name, most
-        self.jobs: SimpleQueue[tuple[Callable, tuple]] = SimpleQueue()
-        self.lock = threading.Lock()
-        self.threads, self.free = 0, 0  # free: threads less the jobs that are queued or being done
+    Threads are never stopped. Any thread may submit.
+    """
 
-    def submit(self, step: Callable, *args: object) -> None:
+    def __init__(self, name: str, max_threads: int) -> None:
+        self.name = name
+        self.max_threads = max_threads
+        self.jobs: SimpleQueue[tuple[Callable[..., object], tuple[Any, ...]]] = SimpleQueue()
+        self.lock = threading.Lock()  # guards the two counts
+        self.thread_count = 0
+        self.idle_count = 0  # threads less the jobs that are queued or running; may be negative
+
+    def submit(self, step: Callable[[*Arguments], object], *arguments: *Arguments) -> None:
+        """Queue a job, and start a thread for it if all are busy and more are allowed."""
         with self.lock:
-            self.free -= 1
-            start = self.free < 0 and self.threads < self.max_threads
-            if start:
-                self.threads, self.free = self.threads + 1, self.free + 1
-        self.jobs.put((step, args))
-        if start:
-            self.start()
-
-    def start(self) -> None:
+            self.idle_count -= 1
+            needs_thread = self.idle_count < 0 and self.thread_count < self.max_threads
+            if needs_thread:
+                self.thread_count += 1
+                self.idle_count += 1
+        self.jobs.put((step, arguments))
+        if needs_thread:
+            self.start_thread()
+
+    def start_thread(self) -> None:
+        """Start the thread that `submit` has counted already."""
         try:
-            spawn_thread(self.name, self.work)
+            spawn_thread(self.name, self.run_jobs)
         except RuntimeError:
             # Guards against a machine out of threads: the job waits for one that is there.
             with self.lock:
-                self.threads, self.free = self.threads - 1, self.free - 1
+                self.thread_count -= 1
+                self.idle_count -= 1
             log(f"no thread to be had for {self.name}")
 
-    def work(self) -> None:
+    def run_jobs(self) -> None:
+        """Run jobs for ever; the body of each thread."""
         while True:
-            step, args = self.jobs.get()
-            run_guarded(self.name, step, *args)
+            step, arguments = self.jobs.get()
+            run_guarded(self.name, step, *arguments)
             with self.lock:
-                self.free += 1
+                self.idle_count += 1
--- a/stepstream/subsystem_context.py
+++ b/stepstream/subsystem_context.py
@@ -1,8 +1,8 @@
-"""What a subsystem may use of the node that it is plugged into: above `net/`, below every subsystem."""
+"""What a subsystem may use of the node that it is plugged into: above `http`, below subsystems."""
 
 from collections.abc import Callable
 from queue import SimpleQueue
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from stepstream.config.errors import ConfigurationError
 from stepstream.config.limits import Limits
@@ -21,36 +21,49 @@
 
 
 class SubsystemContext(Protocol):
+    """The node as a subsystem sees it; `node.context` implements it.
+
+    The main thread owns the attributes and replaces some of them at a reload. Subsystems read them,
+    and set only those that say so, while they are created.
+    """
+
     config: NodeConfig
     operator: "OperatorConfig | None"
     limits: Limits
     clock: Clock
-    post: Callable[[Event], None]  # to the core; whoever wants it changed posts
-    core: Dispatcher  # to be read
+    post: Callable[[Event], None]  # to the core; any thread
+    core: Dispatcher  # to be read; what is to change goes through `post`
     server: InboundServer
     destinations: DestinationSet
-    signals: "SimpleQueue[int]"
-    events: "SimpleQueue[Event]"
-    carriers: dict[str, Carrier]
+    signals: "SimpleQueue[int]"  # as if the process had got them; any thread
+    events: "SimpleQueue[Event]"  # those that the core has yet to take; `post` adds to it
+    carriers: dict[str, Carrier]  # by endpoint source; a subsystem adds its own
     outbound: HealthChecker  # of discovery's workers
-    subsystems: dict[str, Subsystem]  # by section; those made so far
-    persisted_endpoints: dict  # the list from before the start
-    is_health_check_delegated: Callable[
-        [str], bool
-    ]  # whether the core's probe of a worker is left to whoever told of it of late
-    hot_restarting: bool  # it stops, and a process beside it serves on
+    subsystems: dict[str, Subsystem]  # by section; those created so far
+    # The endpoint list from before the start, in discovery's form; a subsystem may set a newer one.
+    persisted_endpoints: dict[str, Any]
+    # Whether the core's health check of a worker is left to another dispatcher, which has reported
+    # on it of late; a subsystem may set it. Called by the decision thread.
+    is_health_check_delegated: Callable[[str], bool]
+    hot_restarting: bool  # this process stops, and one beside it serves on
 
     def set_dispatcher_count(self, dispatchers: int) -> None:
-        """So many share the workers from now on, this one included; any thread."""
+        """Share the workers among so many from now on, this one included; any thread."""
 
 
 def open_listener(
-    key: str, text: str, opened: Callable[[tuple[str, int]], ListenerSpec], what: str
+    key: str,
+    text: str,
+    create_listener: Callable[[tuple[str, int]], ListenerSpec],
+    log_suffix: str,
 ) -> BoundListener:
-    """An entrance at HOST:PORT; FieldError names the key if the address cannot be had."""
+    """Open a listener at HOST:PORT; `ConfigurationError` names the key if it cannot be had.
+
+    `log_suffix` ends the log line that announces the listener.
+    """
     host, _, port = text.rpartition(":")
     address = host, int(port)
     try:
-        return BoundListener(address, opened(address), what)
+        return BoundListener(address, create_listener(address), log_suffix)
     except OSError as error:
-        raise ConfigurationError(f"{key}={text}: {error}") from None
+        raise ConfigurationError(f"{key}={text}: {error}") from error
--- a/tests/http/test_network.py
+++ b/tests/http/test_network.py
@@ -310,7 +310,7 @@
     crew.submit(lambda: 1 / 0)
     crew.submit(seen.append, 1)
     wait_for(lambda: seen)
-    assert crew.threads == 1
+    assert crew.thread_count == 1
     assert "ZeroDivisionError" in capfd.readouterr().err
 
 
