--- a/tests/config/test_operator_file.py
+++ b/tests/config/test_operator_file.py
@@ -8,7 +8,12 @@
 from net_helpers import SETTINGS
 
 from stepstream.config.errors import ConfigurationError
-from stepstream.config.operator_file import GearmanSection, OperatorConfig, read_operator
+from stepstream.config.operator_file import (
+    GearmanSection,
+    OperatorConfig,
+    read_operator,
+    require_unchanged,
+)
 
 ROOT = Path(__file__).parents[2]
 HEAVY = (
@@ -33,6 +38,7 @@
 )
 
 
+GEARMAN = '[gearman]\nlisten = "127.0.0.1:1"\n'
 IDENTITY = '[identity]\nkeys = "k"\nissuer = "i"\naudience = "a"\n'
 CALLER = """[[identity.caller]]
 name = "a"
@@ -40,6 +46,7 @@
 tenants = ["hron-asset"]
 classes = ["revalue"]
 """
+FLEET = '[fleet]\nlisten = "127.0.0.1:1"\ncluster = "c"\n'
 TLS = '[identity.tls]\nlisten = "127.0.0.1:1"\ncertificate = "c"\nkey = "k"\nclients_ca = "a"\n'
 
 
@@ -68,7 +75,19 @@
     ("text", "key"),
     [
         ("[gearman]\n", "gearman: Object missing required field `listen`"),
-        ('[gearman]\nlisten = "127.0.0.1"\n', "gearman.listen: "),
+        ('[gearman]\nlisten = "127.0.0.1"\n', "gearman.listen: Expected HOST:PORT"),
+        (FLEET.replace("127.0.0.1", "localhost"), "fleet.listen: Expected IPv4:PORT, never a name"),
+        (FLEET + 'seeds = ["127.0.0.1:1", "127.0.0.1:99999"]\n', "fleet.seeds[1]=127.0.0.1:99999"),
+        ('[leases]\nvoters = ["a"]\n', "leases needs [fleet]"),
+        (FLEET + '[leases]\nvoters = ["a", "b", "a"]\n', "leases.voters[2]=a is there twice"),
+        (
+            FLEET + '[leases]\nvoters = ["a"]\nlongest_s = 2\nprobe_sweep = true\n',
+            "leases.longest_s=2 is under the 3 s of probe_sweep's lease",
+        ),
+        (
+            FLEET + '[leases]\nvoters = ["a"]\nlongest_s = 1\n',
+            "leases.longest_s=1 is under four times leases.timeout_ms",
+        ),
         ('[gearman]\nlisten = "127.0.0.1:99999"\n', "gearman.listen="),
         (
             '[gearman]\nlisten = "127.0.0.1:1"\nqueue = "x"\n',
@@ -123,6 +142,30 @@
         read_operator(str(tmp_path / "nowhere.toml"), SETTINGS)
 
 
+@pytest.mark.parametrize(
+    ("key", "old", "new", "fault"),
+    [
+        (
+            "gearman.listen",
+            GEARMAN,
+            GEARMAN.replace(":1", ":2"),
+            "gearman.listen=127.0.0.1:2 changes",
+        ),
+        ("gearman.worker", GEARMAN, GEARMAN + "[gearman.worker]\nslots = 2\n", None),
+        ("gearman.listen", GEARMAN, GEARMAN + "queue = 9\n", None),
+        ("identity.tls", IDENTITY, IDENTITY + TLS, "identity.tls is switched on or off"),
+        ("identity.tls.listen", IDENTITY, IDENTITY, None),
+    ],
+)
+def test_a_reload_may_not_change_what_needs_a_restart(tmp_path, key, old, new, fault):
+    before, after = read(tmp_path, old), read(tmp_path, new)
+    if fault is None:
+        require_unchanged(key, before, after)
+        return
+    with pytest.raises(ConfigurationError, match=fault):
+        require_unchanged(key, before, after)
+
+
 def test_the_commented_example_is_read():
     operator = read_operator(str(ROOT / "deploy" / "operator.toml"), SETTINGS)
     assert operator.gearman is not None
--- a/tests/config/test_settings.py
+++ b/tests/config/test_settings.py
@@ -1,6 +1,7 @@
 """The one reader: nested JSON and dotted pairs give the same Settings, and faults name their key."""
 
 import json
+import re
 
 import pytest
 from config_helpers import CONFIG
@@ -64,7 +65,12 @@
         (("known",), [1], "known"),
         (("settings",), None, "settings"),
         (("settings", "services"), [], "services.count"),
-        (("settings", "services", 0, "effect"), "odd", "settings: services.0.effect=odd"),
+        (
+            ("settings", "services", 0, "effect"),
+            "odd",
+            "settings: services.0.effect=odd is not known",
+        ),
+        (("settings", "services", 0, "effect"), "odd", "(pure, token, side_effect are)"),
         (("settings", "services", 1, "deadline_us"), "soon", "services.1.deadline_us=soon"),
         (("settings", "limits", "cancelling"), "maybe", "limits.cancelling=maybe"),
         (("settings", "extra", "class_kind"), [1], "extra.class_kind"),
@@ -104,7 +110,7 @@
     ],
 )
 def test_a_fault_names_its_key(path, value, words):
-    with pytest.raises(ConfigurationError, match=words.replace(".", r"\.")):
+    with pytest.raises(ConfigurationError, match=re.escape(words)):
         config_from(changed(path, value), {})
 
 
--- /dev/null
+++ b/tests/node/test_decision_thread.py
@@ -0,0 +1,128 @@
+"""The decision thread: which events it takes at a time, and whom it hands each command to."""
+
+import time
+from types import SimpleNamespace
+
+import pytest
+from config_helpers import CONFIG
+
+from stepstream.config.node_config import config_from
+from stepstream.core.commands import (
+    Answer,
+    CheckWorkerHealth,
+    ForwardNotification,
+    LogMessage,
+    Outcome,
+    Progress,
+    StartCall,
+    StopCall,
+)
+from stepstream.http.destination_set import SOURCE
+from stepstream.node.node import Node
+
+
+class RecordingCarrier:
+    """Records what it is asked to do."""
+
+    def __init__(self):
+        self.calls = []
+
+    def start(self, call):
+        self.calls.append(("start", call))
+
+    def stop(self, call):
+        self.calls.append(("stop", call))
+
+    def check_health(self, worker_id):
+        self.calls.append(("check_health", worker_id))
+
+
+class RecordingSink:
+    """Records what a request's origin is told."""
+
+    def __init__(self):
+        self.told = []
+
+    def answer(self, answer):
+        self.told.append(answer)
+
+    def progress(self, done, of):
+        self.told.append((done, of))
+
+
+@pytest.fixture
+def node():
+    """A wired dispatcher that is not started, with a recording carrier for discovery's workers."""
+    made = Node(config_from(CONFIG, {}))
+    made.carriers[SOURCE] = RecordingCarrier()
+    return made
+
+
+def test_a_batch_is_bounded_and_keeps_the_events_order(node):
+    limit = node.limits.loop.event_batch
+    for number in range(limit + 3):
+        node.post(number)
+    assert node.decision_thread.next_events() == list(range(limit))
+    assert node.decision_thread.next_events() == [limit, limit + 1, limit + 2]
+
+
+def test_a_timer_that_is_due_is_not_waited_for(node, monkeypatch):
+    monkeypatch.setattr(node.core, "next_timer_us", lambda: node.clock.now_us() - 1)
+    started_at = time.monotonic()
+    assert node.decision_thread.next_events() == []
+    assert time.monotonic() - started_at < node.limits.loop.longest_wait_seconds
+
+
+def test_without_a_timer_a_wait_for_events_ends_by_itself(node, monkeypatch):
+    monkeypatch.setattr(node.core, "next_timer_us", lambda: None)
+    started_at = time.monotonic()
+    assert node.decision_thread.next_events() == []
+    assert time.monotonic() - started_at >= node.limits.loop.longest_wait_seconds
+
+
+def test_a_call_is_stopped_at_the_carrier_that_started_it(node):
+    call = SimpleNamespace(worker_id="s-1", carrier=None)
+    first = node.carriers[SOURCE]
+    node.decision_thread.execute(StartCall(call))
+    node.carriers[SOURCE] = RecordingCarrier()
+    node.decision_thread.execute(StopCall(call))
+    assert first.calls == [("start", call), ("stop", call)]
+
+
+def test_a_health_check_is_left_to_whom_it_is_delegated(node):
+    node.is_health_check_delegated = lambda worker_id: worker_id == "s-1"
+    node.decision_thread.execute(CheckWorkerHealth("s-1"))
+    node.decision_thread.execute(CheckWorkerHealth("s-2"))
+    assert node.carriers[SOURCE].calls == [("check_health", "s-2")]
+
+
+def test_answers_reach_their_sink_and_are_counted_by_outcome(node):
+    request = SimpleNamespace(response_sink=RecordingSink())
+    answer = Answer(request, Outcome.SERVED, b"1")
+    node.decision_thread.execute(Progress(request, 1, 2))
+    node.decision_thread.execute(answer)
+    assert request.response_sink.told == [(1, 2), answer]
+    assert node.decision_thread.outcome_counts == {
+        Outcome.SERVED: 1,
+        Outcome.REJECTED: 0,
+        Outcome.FAILED: 0,
+    }
+
+
+def test_other_commands_go_to_the_subsystem_that_handles_them_or_nowhere(node):
+    handled = []
+    command = ForwardNotification(object())
+    node.decision_thread.execute(command)
+    node.command_handlers[ForwardNotification] = handled.append
+    node.decision_thread.execute(command)
+    assert handled == [command]
+
+
+def test_a_fault_in_one_command_does_not_hold_up_the_next(node, monkeypatch, capsys):
+    broken = StopCall(SimpleNamespace(carrier=None))
+    monkeypatch.setattr(node.core, "handle", lambda _now, _events: [broken, LogMessage("next")])
+    node.post(object())
+    node.decision_thread.run_batch()
+    fault, note = capsys.readouterr().err.splitlines()
+    assert fault.startswith("stepstream: fault in a command: AttributeError")
+    assert note == "stepstream: note: next"
