--- a/stepstream/gearman/driver.py
+++ b/stepstream/gearman/driver.py
@@ -313,7 +313,9 @@
         if self.session.closed:
             return bool(self.link.unsent)
         stays = self.session.proven and not self.is_member() and not self.house.state.closing
-        return self.has_open_request() or bool(self.link.unsent) or stays or not self.session.between
+        return (
+            self.has_open_request() or bool(self.link.unsent) or stays or not self.session.between
+        )
 
     def eviction_rank(self, now: float) -> tuple[EvictionRank, float]:
         if self.has_open_request() or self.is_member() or self.link.unsent:
--- a/stepstream/hot_restart/forwarder.py
+++ b/stepstream/hot_restart/forwarder.py
@@ -11,7 +11,7 @@
 from stepstream.core.events import JobNotification
 from stepstream.hot_restart.process import ProcessRecord
 from stepstream.http.codec import Parser, ProtocolError, write_request
-from stepstream.http.platform_api import notification_body
+from stepstream.http.worker_api import notification_body
 from stepstream.runtime.sockets import connect, set_socket_timeout
 from stepstream.runtime.threads import ThreadPool
 
--- a/stepstream/leases/command_runner.py
+++ b/stepstream/leases/command_runner.py
@@ -172,7 +172,9 @@
         )
         call_timeout_seconds = self.call_timeout_seconds(called_at)
         try:
-            status, fields = call_admin(self.address, path, "PUT", timeout_seconds=call_timeout_seconds)
+            status, fields = call_admin(
+                self.address, path, "PUT", timeout_seconds=call_timeout_seconds
+            )
         except ConnectionError as error:
             self.answer = SessionAnswer(error=str(error))
             return
--- a/tests/http/test_client_connection.py
+++ b/tests/http/test_client_connection.py
@@ -131,7 +131,7 @@
     """It comes between the last check for bytes and the shutdown: its client sends it elsewhere."""
     client = IdleClient()
     originals = {
-        name: getattr(client.connection.transport, name) for name in ("half_close", "hang_up")
+        name: getattr(client.connection.transport, name) for name in ("half_close", "shut_down")
     }
 
     def preceded_by_a_request(name):
@@ -158,7 +158,7 @@
     """Its reader is awake and right before it takes the bytes while the connection is closed."""
     client = IdleClient()
     woken, go = threading.Event(), threading.Event()
-    wait = client.connection.transport.wait
+    wait = client.connection.transport.wait_readable
 
     def wait_and_pause(size):
         has_input = wait(size)
@@ -166,7 +166,7 @@
         assert go.wait(PATIENCE)
         return has_input
 
-    monkeypatch.setattr(client.connection.transport, "wait", wait_and_pause)
+    monkeypatch.setattr(client.connection.transport, "wait_readable", wait_and_pause)
     client.peer.sendall(job_bytes(name="02"))  # ends the wait that began before this hook
     (_, second) = wait_for(
         lambda: (
