--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -18,13 +18,18 @@
 from stepstream.lab.fleet_rig import Dispatcher, FleetRig
 from stepstream.lab.fleet_search import Search
 from stepstream.lab.fleet_world import BrokenError, World
-from stepstream.membership.messages import State
-from stepstream.membership.view import Times
-
-SWIM = {"health": 0, "confirmations": 0, "slack": 1.0}  # Lifeguard's parts off: one fixed suspicion
+from stepstream.membership.messages import MemberState
+from stepstream.membership.protocol_settings import ProtocolSettings
+
+# Lifeguard's parts off: one fixed suspicion
+SWIM = {
+    "max_local_health_score": 0,
+    "suspicion_confirmations": 0,
+    "suspicion_max_multiplier": 1.0,
+}
 
 
-def joined(seed: int, members: int, times: Times = Times()) -> World:  # noqa: B008
+def joined(seed: int, members: int, times: ProtocolSettings = ProtocolSettings()) -> World:  # noqa: B008
     world = World(seed, members, times)
     world.start_all()
     if not world.run(120.0, world.agreed):
@@ -41,7 +46,7 @@
     load = (world.sent - sent) / members / 10, (world.bytes - size) / members / 10
     begun = world.now
     world.crash("n1")
-    world.run(60.0, lambda: world.known("n1", (State.DEAD,)))
+    world.run(60.0, lambda: world.known("n1", (MemberState.DEAD,)))
     known = world.now - begun
     world.start("n1")
     world.run(30.0, world.agreed)
@@ -64,7 +69,7 @@
 def wrong_deaths(job: tuple[str, float, bool, int, float]) -> dict:
     """Members held dead while they run, by others that do not stand still, for each member and hour."""
     which, loss, stalled, seed, seconds = job
-    times = Times(**SWIM) if which == "SWIM" else Times()
+    times = ProtocolSettings(**SWIM) if which == "SWIM" else ProtocolSettings()
     world = joined(seed, 20, times)
     world.links.loss = loss
     begun = len(world.deaths)
@@ -86,7 +91,7 @@
 
 def schedule(job: tuple[int, int, float]) -> dict:
     members, seed, seconds = job
-    world = World(seed, members, Times())
+    world = World(seed, members, ProtocolSettings())
     world.links.doubled = world.links.late = 0.05
     world.start_all()
     world.run(3.0)
--- a/stepstream/lab/fleet_search.py
+++ b/stepstream/lab/fleet_search.py
@@ -8,9 +8,17 @@
 from dataclasses import dataclass, field
 
 from stepstream.lab.fleet_world import BrokenError
-from stepstream.membership import messages as m
-from stepstream.membership.messages import Row, State
-from stepstream.membership.view import PRESENT, Send, Times, View
+from stepstream.membership.messages import (
+    MAX_DATAGRAM_BYTES,
+    PRESENT,
+    MemberRecord,
+    MemberState,
+    decode,
+    encode,
+)
+from stepstream.membership.outbox import OutgoingDatagram
+from stepstream.membership.protocol import MembershipProtocol
+from stepstream.membership.protocol_settings import ProtocolSettings
 
 CLUSTER = "search"
 MOST_WAITING = (
@@ -62,7 +70,7 @@
 @dataclass
 class Situation:
     now: float
-    views: dict[str, View]
+    views: dict[str, MembershipProtocol]
     waiting: list[tuple[str, bytes]]  # address and datagram, oldest first
     restarts: int = 0
     ended: dict[tuple[str, str], tuple] = field(default_factory=dict)
@@ -75,12 +83,20 @@
         return made
 
     def begin(self, address: str, name: str, generation: int) -> None:
-        row = Row(name, address, generation, 0, State.ALIVE)
-        times = Times(
-            period=0.5, timeout=0.2, sync=1.0, reach=0.5, suspicion=1.0, slack=2.0, young=2.0
+        row = MemberRecord(name, address, generation, 0, MemberState.ALIVE)
+        times = ProtocolSettings(
+            probe_interval_seconds=0.5,
+            probe_timeout_seconds=0.2,
+            anti_entropy_interval_seconds=1.0,
+            reconnect_interval_seconds=0.5,
+            suspicion_multiplier=1.0,
+            suspicion_max_multiplier=2.0,
+            startup_hold_seconds=2.0,
         )
         seeds = ("127.0.0.1:1", "127.0.0.1:2")
-        self.views[address] = View(row, CLUSTER, seeds, times, random.Random(7), self.now)
+        self.views[address] = MembershipProtocol(
+            row, CLUSTER, seeds, times, random.Random(7), self.now
+        )
 
     def copy(self) -> "Situation":
         return pickle.loads(pickle.dumps(self))
@@ -89,9 +105,9 @@
         views = tuple(
             (
                 v.digest,
-                v.awareness,
-                v.probe is not None and v.probe.target,
-                round(v.next_at() - self.now, 3),
+                v.context.local_health.score,
+                v.detector.probe is not None and v.detector.probe.target,
+                round(v.next_tick_at() - self.now, 3),
             )
             for v in self.views.values()
         )
@@ -107,10 +123,10 @@
             for address in self.views:
                 yield f"restart {address}", ("restart", address)
 
-    def carry(self, sends: list[Send]) -> None:
+    def carry(self, sends: list[OutgoingDatagram]) -> None:
         for send in sends:
-            data = m.encode(send.datagram)
-            if len(data) > m.DATAGRAM:
+            data = encode(send.datagram)
+            if len(data) > MAX_DATAGRAM_BYTES:
                 raise BrokenError(f"{len(data)} bytes")
             self.waiting.append((send.address, data))
         self.waiting = self.waiting[-2 * MOST_WAITING :]
@@ -118,8 +134,8 @@
     def move_on(self, step: float) -> None:
         self.now += step
         for view in self.views.values():
-            if view.next_at() <= self.now:
-                view.looked = self.now  # no stall: the step is the search's, not the process's
+            if view.next_tick_at() <= self.now:
+                view.ticked_at = self.now  # no stall: the step is the search's, not the process's
                 self.carry(view.tick(self.now))
             self.check(view)
 
@@ -127,26 +143,26 @@
         address, data = self.waiting[k] if again else self.waiting.pop(k)
         if address in self.views:
             view = self.views[address]
-            self.carry(view.handle(self.now, m.decode(data, CLUSTER)))
+            self.carry(view.handle(self.now, decode(data, CLUSTER)))
             self.check(view)
 
     def lose(self, k: int) -> None:
         del self.waiting[k]
 
     def restart(self, address: str) -> None:
-        old = self.views[address].me
+        old = self.views[address].members.local
         self.restarts += 1
         self.ended = {key: x for key, x in self.ended.items() if key[0] != old.name}
         self.begin(address, old.name, old.generation + 1)
 
-    def check(self, view: View) -> None:
+    def check(self, view: MembershipProtocol) -> None:
         """Nobody ended is back on the same claim."""
-        for name, member in view.members.items():
-            key, row = (view.me.name, name), member.row
+        for name, member in view.members.by_name.items():
+            key, row = (view.members.local_name, name), member.record
             if row.state not in PRESENT:
-                self.ended[key] = max(row.order[:3], self.ended.get(key, row.order[:3]))
-            elif key in self.ended and row.order[:3] <= self.ended[key]:
-                raise BrokenError(f"{view.me.name} has {name} back on an old claim")
+                self.ended[key] = max(row.precedence[:3], self.ended.get(key, row.precedence[:3]))
+            elif key in self.ended and row.precedence[:3] <= self.ended[key]:
+                raise BrokenError(f"{view.members.local_name} has {name} back on an old claim")
 
     def agrees_in_the_end(self) -> bool:
         for _ in range(FAIR_ROUNDS):
@@ -154,7 +170,7 @@
             while self.waiting:
                 self.deliver(0)
             if len({view.digest for view in self.views.values()}) == 1 and all(
-                len(view.here) == 3 for view in self.views.values()
+                len(view.members.present) == 3 for view in self.views.values()
             ):
                 return True
         return False
--- a/stepstream/lab/fleet_world.py
+++ b/stepstream/lab/fleet_world.py
@@ -1,6 +1,6 @@
 """Many views of the fleet in simulated time: no sockets, no threads, one seed replays everything.
 
-The same `fleet.view.View` as in the program. Links lose, delay, duplicate and reorder datagrams and are cut
+The same `MembershipProtocol` as in the program. Links lose, delay, duplicate and reorder datagrams and are cut
 by ordered pair; members stall, crash and restart. What must hold is checked after every step of a member.
 """
 
@@ -12,10 +12,21 @@
 from stepstream.lab.fleet_faults import Play, Schedule
 from stepstream.lab.links import Links
 from stepstream.lab.timeline import Timeline
-from stepstream.membership import messages as m
-from stepstream.membership.counting import Roster, Seen
-from stepstream.membership.messages import Phase, Row, State
-from stepstream.membership.view import PRESENT, Send, Times, View
+from stepstream.membership.member_count import MemberCount, observe
+from stepstream.membership.messages import (
+    MAX_CONFIRMED_DEATHS,
+    MAX_DATAGRAM_BYTES,
+    PRESENT,
+    MemberRecord,
+    MemberState,
+    MemberStatus,
+    Phase,
+    decode,
+    encode,
+)
+from stepstream.membership.outbox import OutgoingDatagram
+from stepstream.membership.protocol import MembershipProtocol
+from stepstream.membership.protocol_settings import ProtocolSettings
 
 CLUSTER = "lab"
 LOOK = (
@@ -35,13 +46,13 @@
 
     name: str
     address: str
-    view: View | None = None  # None: not running
+    view: MembershipProtocol | None = None  # None: not running
     started: float = 0.0
     stalled_until: float = 0.0
     due: int = 0  # number of the tick that counts
     held: list[tuple[bytes, str]] = field(default_factory=list)  # datagrams that wait out a stall
     seen: int = 0  # the newest change that was checked
-    roster: Roster | None = None
+    roster: MemberCount | None = None
     looked: float = -1.0  # for the next one
     dead: dict[tuple[str, float], float] = field(
         default_factory=dict
@@ -49,7 +60,9 @@
 
 
 class World(Timeline):
-    def __init__(self, seed: int, members: int, times: Times, links: Links | None = None) -> None:
+    def __init__(
+        self, seed: int, members: int, times: ProtocolSettings, links: Links | None = None
+    ) -> None:
         super().__init__()
         self.draw = random.Random(seed)
         self.times, self.links = times, links or Links()
@@ -77,9 +90,9 @@
         sim = self.sims[name]
         if generation is None:
             generation = int((1_000_000 + self.now + self.clock_offset.get(name, 0.0)) * 1000)
-        me = Row(name, sim.address, generation, 0, State.ALIVE)
+        me = MemberRecord(name, sim.address, generation, 0, MemberState.ALIVE)
         draw = random.Random(self.draw.random())
-        sim.view = View(
+        sim.view = MembershipProtocol(
             me, CLUSTER, self.seeds if seeds is None else seeds, self.times, draw, self.now
         )
         sim.started, sim.stalled_until, sim.held, sim.seen, sim.dead = self.now, 0.0, [], 0, {}
@@ -114,7 +127,7 @@
             self.arrive(data, to)
 
     def count_all(self, hold: float) -> None:
-        """From now on each member counts the fleet and bears witness, as the program does (fleet.plug)."""
+        """From now on each member counts the fleet and bears witness, as the program does (membership.subsystem)."""
         for sim in self.sims.values():
             self.call(self.draw.uniform(0, COUNTING), lambda sim=sim: self.count(sim, hold))
 
@@ -124,16 +137,17 @@
         if view is None:
             sim.roster = None
         elif self.now >= sim.stalled_until:
-            sim.roster = sim.roster or Roster(sim.name, hold)
-            seen = [
-                Seen(n, x.row.state, self.now - x.since, x.row.mark)
-                for n, x in view.members.items()
-            ]
-            view.now = self.now
-            ended = tuple(sim.roster.witnessed(seen)[: m.MOST_ENDED])
-            view.tell_facts(m.Facts(sim.name, 0, 0, Phase.SERVING, 0, "", 0, 0, "", ended))
-            witnesses = {name: frozenset(facts.ended) for name, facts in view.facts.items()}
-            sim.roster.update(seen, witnesses)
+            sim.roster = sim.roster or MemberCount(sim.name, hold)
+            seen = observe(view.members, self.now)
+            view.context.now = self.now
+            ended = tuple(sim.roster.confirmed_deaths(seen)[:MAX_CONFIRMED_DEATHS])
+            status = MemberStatus(sim.name, 0, 0, Phase.SERVING, 0, "", 0, 0, "", ended)
+            view.statuses.publish(status)
+            confirmations = {
+                name: frozenset(status.confirmed_deaths)
+                for name, status in view.statuses.by_owner.items()
+            }
+            sim.roster.update(seen, confirmations)
 
     def counted(self, name: str) -> int:
         roster = self.sims[name].roster
@@ -181,7 +195,7 @@
     def schedule(self, sim: Sim) -> None:
         sim.due += 1
         number = sim.due
-        at = min(max(sim.view.next_at(), self.now, sim.stalled_until), 1e12)
+        at = min(max(sim.view.next_tick_at(), self.now, sim.stalled_until), 1e12)
         heapq.heappush(self.queue, (at, next(self.serial), lambda: self.tick_if(sim, number)))
 
     def tick_if(self, sim: Sim, number: int) -> None:
@@ -195,10 +209,10 @@
 
     # -- links --------------------------------------------------------------------------------------------
 
-    def carry(self, sim: Sim, sends: list[Send]) -> None:
+    def carry(self, sim: Sim, sends: list[OutgoingDatagram]) -> None:
         for send in sends:
-            data = m.encode(send.datagram)
-            if len(data) > m.DATAGRAM:
+            data = encode(send.datagram)
+            if len(data) > MAX_DATAGRAM_BYTES:
                 raise BrokenError(
                     f"{self.now:.3f} s: a datagram of {len(data)} bytes from {sim.name}"
                 )
@@ -218,10 +232,10 @@
             if len(sim.held) < 256:
                 sim.held.append((data, address))
             return
-        before = sim.view.next_at()
-        self.carry(sim, sim.view.handle(self.now, m.decode(data, CLUSTER)))
+        before = sim.view.next_tick_at()
+        self.carry(sim, sim.view.handle(self.now, decode(data, CLUSTER)))
         self.watch(self, sim)
-        if sim.view.next_at() < before:
+        if sim.view.next_tick_at() < before:
             self.schedule(sim)
 
     # -- what is asked of it --------------------------------------------------------------------------------
@@ -233,16 +247,17 @@
             return False
         alive = {sim.name for sim in self.running()}
         return all(
-            {n for n, x in view.members.items() if x.row.state is State.ALIVE} == alive
+            {n for n, x in view.members.by_name.items() if x.record.state is MemberState.ALIVE}
+            == alive
             for view in views[:1]
         )
 
-    def known(self, name: str, states: tuple[State, ...]) -> bool:
+    def known(self, name: str, states: tuple[MemberState, ...]) -> bool:
         """Whether all running others hold this member in one of these states."""
         return all(
             sim.name == name
-            or (x := sim.view.members.get(name)) is not None
-            and x.row.state in states
+            or (x := sim.view.members.by_name.get(name)) is not None
+            and x.record.state in states
             for sim in self.running()
         )
 
@@ -252,25 +267,27 @@
     connected to it is held dead for long, and all is bounded."""
     view = sim.view
     check_held_dead(world, sim)
-    if len(view.members) > world.times.most or len(view.gossip.pieces) > 3 * world.times.most:
+    most = world.times.max_members
+    if len(view.members.by_name) > most or len(view.outbox.broadcasts.queued) > 3 * most:
         raise BrokenError(f"{world.now:.3f} s: {sim.name} holds more than its bound")
-    if view.number > sim.seen:
-        fresh = min(view.number - sim.seen, len(view.changes))
-        sim.seen = view.number
-        for change in list(view.changes)[-fresh:]:
-            member = view.members.get(change.name)
+    events = view.members.events
+    if events.last_number > sim.seen:
+        fresh = min(events.last_number - sim.seen, len(events.recent))
+        sim.seen = events.last_number
+        for change in list(events.recent)[-fresh:]:
+            member = view.members.by_name.get(change.name)
             if member is None:
                 continue
-            key, row = (f"{sim.name}@{sim.started}", change.name), member.row
+            key, row = (f"{sim.name}@{sim.started}", change.name), member.record
             ended = world.best.get(key)
             if row.state in PRESENT:
-                if ended is not None and row.order[:3] <= ended:
+                if ended is not None and row.precedence[:3] <= ended:
                     raise BrokenError(
                         f"{world.now:.3f} s: {sim.name} has {row.name} back on an old claim"
                     )
-            elif ended is None or row.order[:3] > ended:
-                world.best[key] = row.order[:3]
-                if row.state is State.DEAD:
+            elif ended is None or row.precedence[:3] > ended:
+                world.best[key] = row.precedence[:3]
+                if row.state is MemberState.DEAD:
                     lives = (
                         world.sims[row.name].view is not None if row.name in world.sims else False
                     )
@@ -281,18 +298,18 @@
     if world.now < sim.looked + LOOK:
         return
     sim.looked, held = world.now, {}
-    for name in sim.view.members.keys() - sim.view.here:
+    for name in sim.view.members.by_name.keys() - sim.view.members.present:
         other, cuts = world.sims.get(name), world.links.cuts
         if (
             other is None
             or other.view is None
             or other.stalled_until > world.now
-            or sim.view.members[name].row.state is not State.DEAD
+            or sim.view.members.by_name[name].record.state is not MemberState.DEAD
             or {(sim.name, name), (name, sim.name)} & cuts
         ):
             continue
         since = held[name, other.started] = sim.dead.get((name, other.started), world.now)
-        if world.now - since > HELD_DEAD * world.times.period:
+        if world.now - since > HELD_DEAD * world.times.probe_interval_seconds:
             raise BrokenError(
                 f"{world.now:.3f} s: {sim.name} has held {name} dead since {since:.3f} s"
             )
--- /dev/null
+++ b/stepstream/membership/anti_entropy.py
@@ -0,0 +1,161 @@
+"""Anti-entropy: exchanges of the whole state with random members, seeds and dead members; no I/O.
+
+Dissemination sends each update a limited number of times, so some members may miss one. Here a
+member sends the digest of all that it holds now and then, and whoever differs answers with pages of
+everything. Digests to seeds and to dead members let a healed partition find itself again. Touched
+only under the driver's lock.
+"""
+
+from collections.abc import Iterable
+from math import inf
+
+from stepstream.membership.context import ProtocolContext
+from stepstream.membership.dissemination import paginate
+from stepstream.membership.maintenance_records import MaintenanceRecords
+from stepstream.membership.member_list import MemberList
+from stepstream.membership.member_status import MemberStatuses
+from stepstream.membership.messages import Digest, MemberRecord, MemberState, Page, Update
+from stepstream.membership.outbox import MAX_BURST, Outbox
+from stepstream.membership.protocol_settings import SUSPECT_NOTIFIERS
+
+# Fractions of an interval between which the next one is drawn, so that members drift apart.
+INTERVAL_SPREAD = (0.75, 1.25)
+HASTENED_SPREAD = (0.5, 1.0)
+
+
+class AntiEntropy:
+    """Sends digests by its timers, and pages where digests differ."""
+
+    def __init__(  # noqa: PLR0913  all parts whose state is exchanged, and the seeds
+        self,
+        context: ProtocolContext,
+        members: MemberList,
+        statuses: MemberStatuses,
+        maintenance: MaintenanceRecords,
+        outbox: Outbox,
+        seeds: Iterable[str],
+    ) -> None:
+        self.context = context
+        self.members = members
+        self.statuses = statuses
+        self.maintenance = maintenance
+        self.outbox = outbox
+        self.seeds = tuple(seeds)  # HOST:PORT; the local address among them does no harm
+        # Drawn, so that members that start together do not act in step.
+        interval_seconds = context.settings.anti_entropy_interval_seconds
+        self.round_at = context.now + context.rng.uniform(0, interval_seconds)
+        self.reconnect_at = context.now
+        self._is_round_hastened = False
+        self._pages_sent_at: dict[str, float] = {}  # by address
+
+    @property
+    def digest(self) -> int:
+        """Digest of all records and confirmed deaths; equal where members hold the same."""
+        return self.members.digest ^ self.statuses.digest ^ self.maintenance.digest
+
+    def next_deadline(self) -> float:
+        """Return when `tick` is due."""
+        return min(self.round_at, self.reconnect_at)
+
+    def tick(self) -> None:
+        """Send the digests that are due."""
+        now = self.context.now
+        settings = self.context.settings
+        if now >= self.round_at:
+            interval_seconds = settings.anti_entropy_interval_seconds
+            self.round_at = now + interval_seconds * self.context.rng.uniform(*INTERVAL_SPREAD)
+            self._exchange_with_random_member()
+        if now >= self.reconnect_at:
+            interval_seconds = settings.reconnect_interval_seconds
+            self.reconnect_at = now + interval_seconds * self.context.rng.uniform(*INTERVAL_SPREAD)
+            self.reconnect()
+
+    def handle(self, sender: MemberRecord, body: Digest | Page) -> None:
+        """Answer a digest that differs, or a page that wants a reply, with all that is held."""
+        if isinstance(body, Digest):
+            if body.digest == self.digest:
+                return
+            self.send_pages(sender.address, wants_reply=True)
+        elif body.wants_reply:
+            self.send_pages(sender.address, wants_reply=False)
+        self._hasten_round()
+
+    def send_digest(self, address: str, recipient: str = "", *, piggyback: bool = True) -> None:
+        """Send the digest; the arguments are those of `Outbox.send`."""
+        self.outbox.send(address, Digest(self.digest), recipient, piggyback=piggyback)
+
+    def notify_suspects(self) -> None:
+        """Have each suspect hear of its suspicion from a few members in each probe interval.
+
+        Lifeguard, section IV, Buddy System. One whose links come and go has so many chances to
+        refute before its deadline, whatever the cluster's size.
+        """
+        probability = SUSPECT_NOTIFIERS / len(self.members.present)
+        for member in list(self.members.suspects.values())[:MAX_BURST]:
+            if self.context.rng.random() < probability:
+                self.send_digest(member.record.address, member.record.name)
+
+    def reconnect(self) -> None:
+        """Send digests to where the other side of a partition may be.
+
+        That is a seed at which no present member is known (before joining, all of those), and a
+        dead member.
+        """
+        present = {self.members.by_name[name].record.address for name in self.members.present}
+        seeds = [seed for seed in self.seeds if seed not in present]
+        if self.members.joined_at is None:
+            for seed in seeds[:MAX_BURST]:
+                self.send_digest(seed, piggyback=False)
+        elif seeds:
+            self.send_digest(self.context.rng.choice(seeds), piggyback=False)
+        dead = [
+            member.record
+            for member in self.members.by_name.values()
+            if member.record.state is MemberState.DEAD
+        ]
+        if dead:
+            record = self.context.rng.choice(dead)
+            self.send_digest(record.address, record.name)
+
+    def send_pages(self, address: str, *, wants_reply: bool) -> None:
+        """Send all that is held; a lost page is sent again after the next digest that differs."""
+        if not self._may_send_pages(address):
+            return
+        updates: list[Update] = [
+            member.record
+            for name, member in self.members.by_name.items()
+            if name != self.members.local_name
+        ]
+        updates += self.maintenance.by_worker.values()
+        updates += self.statuses.by_owner.values()
+        pages = list(paginate(updates, self.outbox.payload_bytes)) or [[]]
+        for page in pages:
+            self.outbox.send_with(address, Page(wants_reply), page)
+
+    def _may_send_pages(self, address: str) -> bool:
+        """Limit pages to one set an address in half a probe interval."""
+        now = self.context.now
+        pause_seconds = self.context.settings.probe_interval_seconds / 2
+        if now - self._pages_sent_at.get(address, -inf) < pause_seconds:
+            return False
+        if len(self._pages_sent_at) > self.context.settings.max_members:
+            self._pages_sent_at.clear()
+        self._pages_sent_at[address] = now
+        return True
+
+    def _exchange_with_random_member(self) -> None:
+        self._is_round_hastened = False
+        others = self.members.others()
+        if others:
+            self.context.metrics.anti_entropy_rounds += 1
+            name = self.context.rng.choice(others)
+            self.send_digest(self.members.by_name[name].record.address, name)
+
+    def _hasten_round(self) -> None:
+        """Bring the next round forward: where two differ, others are likely to differ as well."""
+        if self._is_round_hastened:
+            return
+        self._is_round_hastened = True
+        interval_seconds = self.context.settings.reconnect_interval_seconds
+        delay_seconds = interval_seconds * self.context.rng.uniform(*HASTENED_SPREAD)
+        self.round_at = min(self.round_at, self.context.now + delay_seconds)
--- /dev/null
+++ b/stepstream/membership/application_messages.py
@@ -0,0 +1,47 @@
+"""Messages of other subsystems between members, sent once and unacknowledged; free of I/O.
+
+Owned by the protocol and touched only under the driver's lock; the driver hands on what arrived.
+"""
+
+from collections import deque
+from typing import NamedTuple
+
+from stepstream.membership.member_list import MemberList
+from stepstream.membership.messages import ApplicationMessage, MemberRecord
+from stepstream.membership.outbox import Outbox
+
+MAX_RECEIVED = 1_024  # that wait for the driver; the oldest go first
+
+
+class ReceivedMessage(NamedTuple):
+    """A message with its sender's name."""
+
+    sender: str
+    kind: str
+    data: bytes
+
+
+class ApplicationMessages:
+    """Sends messages by member name and keeps those received until they are taken."""
+
+    def __init__(self, members: MemberList, outbox: Outbox) -> None:
+        self.members = members
+        self.outbox = outbox
+        self._received: deque[ReceivedMessage] = deque(maxlen=MAX_RECEIVED)
+
+    def send(self, recipient: str, kind: str, data: bytes) -> None:
+        """Queue a message to a known member; it may be lost, duplicated or late."""
+        member = self.members.by_name.get(recipient)
+        if member is not None:
+            self.outbox.send_with(member.record.address, ApplicationMessage(kind, data), [])
+
+    def receive(self, sender: MemberRecord, message: ApplicationMessage) -> None:
+        """Keep a message, unless its sender's process was replaced by a later start."""
+        if self.members.by_name[sender.name].record.generation == sender.generation:
+            self._received.append(ReceivedMessage(sender.name, message.kind, message.data))
+
+    def take_received(self) -> list[ReceivedMessage]:
+        """Return what was received, and forget it."""
+        received = list(self._received)
+        self._received.clear()
+        return received
--- a/stepstream/membership/commands.py
+++ b/stepstream/membership/commands.py
@@ -23,6 +23,8 @@
 import sys
 import time
 from collections.abc import Callable
+from http import HTTPStatus
+from typing import Any
 from urllib.parse import quote
 
 import ujson
@@ -31,10 +33,18 @@
 from rich.table import Table
 
 from stepstream.admin_client import call_admin
-
-OK, NOT_SO, BAD_CALL = 0, 1, 2
-TOLD = ("phase", "list_version", "settings", "open_requests", "program")
-STATES = {
+from stepstream.membership.errors import MembershipError
+
+EXIT_OK = 0
+EXIT_NEGATIVE = 1  # unsettled, or no such member
+EXIT_BAD_CALL = 2
+
+WIDTH_WITHOUT_TERMINAL = 160  # characters
+WATCH_INTERVAL_SECONDS = 0.5
+STATUS_KEYS = ("phase", "list_version", "settings", "open_requests", "program")
+COLUMNS = ("name", "state", "since", "phase", "list", "settings", "open", "program", "address")
+RIGHT_ALIGNED_COLUMNS = {"since", "list", "open"}
+STATE_STYLES = {
     "alive": "green",
     "suspect": "yellow",
     "dead": "red",
@@ -42,137 +52,159 @@
     "superseded": "magenta",
 }
 
+Answer = dict[str, Any]  # a JSON object of the admin listener; its keys are in `report`
+
 
-class RefusedError(Exception):
-    """The dispatcher said no, or could not be asked; `code` is the command's exit code."""
+class CommandError(MembershipError):
+    """The dispatcher refused, or could not be asked; `exit_code` is the command's."""
 
-    def __init__(self, text: str, code: int) -> None:
+    def __init__(self, text: str, exit_code: int) -> None:
         super().__init__(text)
-        self.code = code
+        self.exit_code = exit_code
 
 
-def ask(at: str, path: str, method: str = "GET") -> dict:
-    """One call; RefusedError if there is no answer, or none that is a yes."""
+def call(at: str, path: str, method: str = "GET") -> Answer:
+    """Call the admin listener; CommandError unless the answer is a success."""
     try:
-        status, told = call_admin(at, path, method)
+        status, answer = call_admin(at, path, method)
     except ConnectionError as error:
-        raise RefusedError(str(error), BAD_CALL) from None
-    if status == 404 and path == "/fleet":
-        raise RefusedError(f"{at}: this dispatcher has no [fleet]", BAD_CALL)
-    if status != 200:
-        raise RefusedError(
-            f"{at}: {told.get('error', status)}", NOT_SO if status == 404 else BAD_CALL
-        )
-    return told
+        raise CommandError(str(error), EXIT_BAD_CALL) from error
+    is_unknown = status == HTTPStatus.NOT_FOUND
+    if is_unknown and path == "/fleet":
+        raise CommandError(f"{at}: this dispatcher has no [fleet]", EXIT_BAD_CALL)
+    if status != HTTPStatus.OK:
+        exit_code = EXIT_NEGATIVE if is_unknown else EXIT_BAD_CALL
+        raise CommandError(f"{at}: {answer.get('error', status)}", exit_code)
+    return answer
 
 
 def run(words: list[str], console: Console | None = None) -> int:
-    """The command's exit code: 0, 1 (unsettled, or no such member) or 2 (bad call)."""
+    """Run a command line; return its exit code."""
     arguments = docopt(__doc__, words)
-    console = console or Console(width=None if sys.stdout.isatty() else 160)
-    at = arguments["--at"]
+    console = console or Console(width=None if sys.stdout.isatty() else WIDTH_WITHOUT_TERMINAL)
     try:
-        if arguments["members"]:
-            return members(at, arguments["--json"], console)
-        if arguments["watch"]:
-            return watch(at, console, lambda: True)
-        if arguments["explain"]:
-            return explain(at, arguments["NAME"], arguments["--json"], console)
-        told = ask(at, "/fleet/leave", "PUT")
-        console.print(
-            f"{told['leaving']} stops: it answers all that it has taken, then says that it leaves"
-        )
-        return OK
-    except RefusedError as error:
+        return run_command(arguments, console)
+    except CommandError as error:
         print(f"stepstream: {error}", file=sys.stderr)
-        return error.code
+        return error.exit_code
 
 
-def members(at: str, as_json: bool, console: Console) -> int:
-    told = ask(at, "/fleet")
+def run_command(arguments: dict[str, Any], console: Console) -> int:
+    """Run the command that docopt has found; return its exit code."""
+    at = arguments["--at"]
+    if arguments["members"]:
+        return show_members(at, console, as_json=arguments["--json"])
+    if arguments["watch"]:
+        return watch(at, console, lambda: True)
+    if arguments["explain"]:
+        return explain(at, arguments["NAME"], console, as_json=arguments["--json"])
+    return leave(at, console)
+
+
+def show_members(at: str, console: Console, *, as_json: bool) -> int:
+    """Print the members; EXIT_NEGATIVE while they are unsettled."""
+    answer = call(at, "/fleet")
     if as_json:
-        print(ujson.dumps(told, escape_forward_slashes=False))
+        print_json(answer)
     else:
-        console.print(table(told))
-        for word in told["words"]:
-            if word["out"]:
+        console.print(members_table(answer))
+        for record in answer["words"]:
+            if record["out"]:
                 console.print(
-                    f"worker {word['worker']} is out for maintenance, told at {word['by']}"
+                    f"worker {record['worker']} is out for maintenance, told at {record['by']}"
                 )
-    return OK if told["settled"] else NOT_SO
+    return EXIT_OK if answer["settled"] else EXIT_NEGATIVE
 
 
-def table(told: dict) -> Table:
-    settled = "settled" if told["settled"] else "unsettled"
-    made = Table(
-        title=f"{told['cluster']} as {told['self']} sees it: {settled}, {told['counted']} counted, "
-        f"digest {told['digest']}",
+def members_table(answer: Answer) -> Table:
+    """Return a table with a row a member."""
+    settled = "settled" if answer["settled"] else "unsettled"
+    table = Table(
+        title=f"{answer['cluster']} as {answer['self']} sees it: {settled}, "
+        f"{answer['counted']} counted, digest {answer['digest']}",
         title_justify="left",
     )
-    right = {"since", "list", "open"}
-    for column in (
-        "name",
-        "state",
-        "since",
-        "phase",
-        "list",
-        "settings",
-        "open",
-        "program",
-        "address",
-    ):
-        made.add_column(column, justify="right" if column in right else "left", no_wrap=True)
-    for member in told["members"]:
-        facts, state = member["facts"], member["state"]
-        made.add_row(
-            member["name"] + (" *" if member["name"] == told["self"] else ""),
-            f"[{STATES.get(state, 'white')}]{state}[/]",
+    for column in COLUMNS:
+        is_right_aligned = column in RIGHT_ALIGNED_COLUMNS
+        table.add_column(column, justify="right" if is_right_aligned else "left", no_wrap=True)
+    for member in answer["members"]:
+        status = member["facts"]
+        table.add_row(
+            member["name"] + (" *" if member["name"] == answer["self"] else ""),
+            styled_state(member["state"]),
             f"{member['since_s']:.0f} s",
-            *(str(facts.get(key, "")) for key in TOLD),
+            *(str(status.get(key, "")) for key in STATUS_KEYS),
             member["address"],
         )
-    return made
-
-
-def watch(at: str, console: Console, going: Callable[[], bool], pause: float = 0.5) -> int:
-    """Changes as they come, until stopped; a dispatcher that no longer answers ends it."""
-    number = ask(at, "/fleet")["number"]
-    while going():
-        told = ask(at, f"/fleet/changes?after={number}")
-        if told["number"] < number:
+    return table
+
+
+def watch(
+    at: str,
+    console: Console,
+    is_watching: Callable[[], bool],
+    interval_seconds: float = WATCH_INTERVAL_SECONDS,
+) -> int:
+    """Print events as they come, until stopped or until the dispatcher no longer answers."""
+    number = call(at, "/fleet")["number"]
+    while is_watching():
+        answer = call(at, f"/fleet/changes?after={number}")
+        if answer["number"] < number:
             console.print("[dim]the dispatcher has started anew[/]")
-        if told["lost"]:
-            console.print(f"[dim]{told['lost']} changes are no longer kept[/]")
-        for change in told["changes"]:
-            console.print(line(change), highlight=False)
-        number = told["number"]
-        time.sleep(pause)
-    return OK
-
-
-def line(change: dict) -> str:
-    state = change["after"]
-    before = f"{change['before']} -> " if change["before"] else ""
-    return (
-        f"{change['ago_s']:6.1f} s ago  {change['name']:<16} {before}[{STATES.get(state, 'white')}]{state}[/]"
-        f"  by {change['by']}: {change['why']}"
-    )
+        if answer["lost"]:
+            console.print(f"[dim]{answer['lost']} changes are no longer kept[/]")
+        print_events(answer["changes"], console)
+        number = answer["number"]
+        time.sleep(interval_seconds)
+    return EXIT_OK
 
 
-def explain(at: str, name: str, as_json: bool, console: Console) -> int:
-    told = ask(at, f"/fleet/members/{quote(name, safe='')}")
+def explain(at: str, name: str, console: Console, *, as_json: bool) -> int:
+    """Print why a member is in its state."""
+    answer = call(at, f"/fleet/members/{quote(name, safe='')}")
     if as_json:
-        print(ujson.dumps(told, escape_forward_slashes=False))
-        return OK
+        print_json(answer)
+        return EXIT_OK
     console.print(
-        f"{told['name']} at {told['address']}: {told['state']} for {told['since_s']:.1f} s, heard from "
-        f"{told['by']}; generation {told['generation']}, incarnation {told['incarnation']}"
+        f"{answer['name']} at {answer['address']}: {answer['state']} for "
+        f"{answer['since_s']:.1f} s, heard from {answer['by']}; "
+        f"generation {answer['generation']}, incarnation {answer['incarnation']}"
     )
-    if told["suspicion"]:
-        accusers = ", ".join(told["suspicion"]["accusers"])
-        console.print(
-            f"suspected by {accusers}; held dead in {told['suspicion']['dead_in_s']:.1f} s"
-        )
-    for change in told["history"]:
-        console.print(line(change), highlight=False)
-    return OK
+    suspicion = answer["suspicion"]
+    if suspicion:
+        accusers = ", ".join(suspicion["accusers"])
+        console.print(f"suspected by {accusers}; held dead in {suspicion['dead_in_s']:.1f} s")
+    print_events(answer["history"], console)
+    return EXIT_OK
+
+
+def leave(at: str, console: Console) -> int:
+    """Have the dispatcher stop gracefully."""
+    name = call(at, "/fleet/leave", "PUT")["leaving"]
+    console.print(f"{name} stops: it answers all that it has taken, then says that it leaves")
+    return EXIT_OK
+
+
+def print_json(answer: Answer) -> None:
+    """Print an answer as one line of JSON."""
+    print(ujson.dumps(answer, escape_forward_slashes=False))
+
+
+def print_events(events: list[Answer], console: Console) -> None:
+    """Print a line an event."""
+    for event in events:
+        console.print(event_line(event), highlight=False)
+
+
+def event_line(event: Answer) -> str:
+    """Return one event as console markup."""
+    before = f"{event['before']} -> " if event["before"] else ""
+    return (
+        f"{event['ago_s']:6.1f} s ago  {event['name']:<16} {before}{styled_state(event['after'])}"
+        f"  by {event['by']}: {event['why']}"
+    )
+
+
+def styled_state(state: str) -> str:
+    """Return a state as console markup."""
+    return f"[{STATE_STYLES.get(state, 'white')}]{state}[/]"
--- /dev/null
+++ b/stepstream/membership/context.py
@@ -0,0 +1,61 @@
+"""What all parts of one member's protocol share: settings, random numbers, time and metrics.
+
+Owned by the protocol and touched only under the driver's lock.
+"""
+
+import random
+from dataclasses import dataclass, field
+
+from stepstream.membership.protocol_settings import ProtocolSettings
+
+
+@dataclass(slots=True)
+class ProtocolMetrics:
+    """Counters since the start."""
+
+    probes: int = 0
+    failed_probes: int = 0
+    refutations: int = 0
+    stalls: int = 0
+    anti_entropy_rounds: int = 0
+    rejected_names: int = 0  # beyond `max_members`
+    misdirected_pings: int = 0  # meant for another name at this address
+
+
+@dataclass(slots=True)
+class LocalHealth:
+    """Lifeguard's local health multiplier (section IV, LHA-Probe): 0 is healthy.
+
+    A member that misses answers which it should have had doubts itself before others: it stretches
+    its probe interval and timeout.
+    """
+
+    score: int = 0
+
+    @property
+    def multiplier(self) -> int:
+        """The factor by which probe interval and timeout are stretched."""
+        return 1 + self.score
+
+    def worsen(self, points: int, max_score: int) -> None:
+        """Add points, up to `max_score`."""
+        self.score = min(self.score + points, max_score)
+
+    def improve(self) -> None:
+        """Take off one point after a probe that succeeded."""
+        self.score = max(self.score - 1, 0)
+
+
+@dataclass(slots=True)
+class ProtocolContext:
+    """`now` is the caller's monotonic time in seconds at the current datagram or tick."""
+
+    settings: ProtocolSettings
+    rng: random.Random
+    now: float
+    metrics: ProtocolMetrics = field(default_factory=ProtocolMetrics)
+    local_health: LocalHealth = field(default_factory=LocalHealth)
+
+    def worsen_local_health(self, points: int) -> None:
+        """Add points to the local health score, within the settings' bound."""
+        self.local_health.worsen(points, self.settings.max_local_health_score)
--- a/stepstream/membership/driver.py
+++ b/stepstream/membership/driver.py
@@ -1,4 +1,9 @@
-"""The fleet's one thread and one UDP socket. Monotonic time for every wait."""
+"""The membership thread and its UDP socket.
+
+The driver owns the socket, the thread's loop and the lock that guards the protocol: the thread, the
+admin listener's thread and senders of application messages take it for each call. Waits are on
+monotonic time.
+"""
 
 import random
 import select
@@ -10,137 +15,177 @@
 import structlog
 
 from stepstream.config.limits import Limits
-from stepstream.membership import messages as m
-from stepstream.membership.view import Change, Send, View
+from stepstream.membership.application_messages import ReceivedMessage
+from stepstream.membership.event_history import MembershipEvent
+from stepstream.membership.messages import (
+    MAX_DATAGRAM_BYTES,
+    InvalidDatagramError,
+    decode,
+    encode,
+)
+from stepstream.membership.outbox import OutgoingDatagram
+from stepstream.membership.protocol import MembershipProtocol
 from stepstream.runtime.log import RateLimitedLogger, log
 
-LONGEST_WAIT = 0.5  # seconds
-READS = 64  # datagrams before the timers are looked at again
-LINES = 50  # changes written in one turn; more are counted in one line
-ACTING = 0.2  # seconds between two looks at what follows from the view
+MAX_READS_A_TURN = 64  # datagrams before the timers are run again
+MAX_EVENT_LINES_A_TURN = 50  # further events are counted in one line
+PERIODIC_TASK_SECONDS = 0.2  # between two runs of the periodic task; the longest wait of the thread
+LEAVE_TRANSMISSIONS = 3  # in case of loss
+LEAVE_PAUSE_SECONDS = 0.02
+
+# A generation is the start's Unix time in milliseconds, times this, plus a random number below it.
+STARTS_A_MILLISECOND = 1024
+NANOSECONDS_A_MILLISECOND = 1_000_000
+MILLISECONDS_A_SECOND = 1_000
+
+MessageHandler = Callable[[str, bytes], None]  # takes the sender's name and the data
 
 
-def new_generation(draw: random.Random) -> int:
-    """Of this start: its time of day, and chance for two starts in one millisecond."""
-    return (time.time_ns() // 1_000_000) * 1024 + draw.randrange(1024)
+def new_generation(rng: random.Random) -> int:
+    """Return a generation for this start, greater than those of earlier milliseconds."""
+    started_at_ms = time.time_ns() // NANOSECONDS_A_MILLISECOND
+    return started_at_ms * STARTS_A_MILLISECOND + rng.randrange(STARTS_A_MILLISECOND)
 
 
 class Driver:
-    """`act` is called by the thread, a few times a second, with the view locked; it must not wait."""
+    """Runs a protocol on a UDP socket.
+
+    `run_periodic_task` is called by the thread, a few times a second, with the lock held; it must
+    not wait. OSError if the address cannot be bound; SO_REUSEPORT lets both processes of a hot
+    restart listen.
+    """
 
     def __init__(
         self,
         address: tuple[str, int],
-        view: View,
+        protocol: MembershipProtocol,
         limits: Limits,
-        lines: structlog.BoundLogger,
-        act: Callable[[float], None],
+        logger: structlog.BoundLogger,
+        run_periodic_task: Callable[[float], None],
     ) -> None:
-        """OSError if the address cannot be had. SO_REUSEPORT: a hot restart's two processes both listen."""
-        self.view, self.lines, self.act = view, lines, act
-        self.lock = threading.Lock()
-        self.complaints = RateLimitedLogger("fleet datagram dropped:", limits)
-        self.unsent = 0
-        self.written = 0  # the newest change in the log
-        self.acted = 0.0
-        self.cpu_s = 0.0  # that the thread has used
-        self.closed = False
-        self.heard: dict[str, Callable[[str, bytes], None]] = {}  # by kind, who takes parcels
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.protocol = protocol
+        self.logger = logger
+        self.run_periodic_task = run_periodic_task
+        self.lock = threading.Lock()  # guards the protocol and what the periodic task derives
+        self.dropped_datagrams = RateLimitedLogger("fleet datagram dropped:", limits)
+        self.unsent_datagrams = 0
+        self.cpu_seconds = 0.0  # that the thread has used
+        self.is_closed = False
+        self.message_handlers: dict[str, MessageHandler] = {}  # by kind of application message
+        self._last_logged_event = 0
+        self._periodic_task_ran_at = 0.0
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-            self.sock.bind(address)
-            self.sock.setblocking(False)
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            self.socket.bind(address)
+            self.socket.setblocking(False)  # noqa: FBT003  the library's signature
         except OSError:
-            self.sock.close()
+            self.socket.close()
             raise
 
     def run(self) -> None:
+        """Run until closed: the membership thread's loop."""
         poll = select.poll()
-        poll.register(self.sock, select.POLLIN)
-        while not self.closed:
+        poll.register(self.socket, select.POLLIN)
+        while not self.is_closed:
             try:
-                self.turn(poll)
-            except Exception as error:
-                # Guards the view: a fault over one datagram must not end the membership of this process.
+                self.run_turn(poll)
+            except Exception as error:  # noqa: BLE001  one datagram must not end the membership
                 log(f"fault in fleet: {type(error).__name__}: {error}")
-                time.sleep(ACTING)
-        self.sock.close()
+                time.sleep(PERIODIC_TASK_SECONDS)
+        self.socket.close()
 
-    def turn(self, poll: "select.poll") -> None:
+    def run_turn(self, poll: "select.poll") -> None:
+        """Wait for a datagram or a timer, let the protocol handle it, and act on what it says."""
         with self.lock:
-            due = self.view.next_at()
-        poll.poll(min(max(due - time.monotonic(), 0.0), LONGEST_WAIT, ACTING) * 1000)
+            deadline = self.protocol.next_tick_at()
+        wait_seconds = min(max(deadline - time.monotonic(), 0.0), PERIODIC_TASK_SECONDS)
+        poll.poll(wait_seconds * MILLISECONDS_A_SECOND)
         with self.lock:
-            # Timers before datagrams: a stall of this process is seen before what waited is believed.
-            sends = self.view.tick(time.monotonic())
-            sends += self.read()
-            now = time.monotonic()
-            if now - self.acted >= ACTING:
-                self.acted, self.cpu_s = now, time.thread_time()
-                self.act(now)
-            fresh = self.fresh_changes()
-            parcels = list(self.view.parcels)
-            self.view.parcels.clear()
-            self.closed = self.closed or bool(self.view.superseded)
-        self.carry(sends)
-        self.write(fresh)
-        for sender, kind, data in parcels:
-            if (take := self.heard.get(kind)) is not None:
-                take(sender, data)
-
-    def post(self, name: str, kind: str, data: bytes) -> None:
-        """Any thread but one that has the view locked."""
+            # Timers before datagrams: the protocol must see a stall of this process before it
+            # handles what waited meanwhile.
+            outgoing = self.protocol.tick(time.monotonic())
+            outgoing += self.receive()
+            self._run_periodic_task_if_due()
+            events = self._events_to_log()
+            messages = self.protocol.application.take_received()
+            self.is_closed = self.is_closed or self.protocol.members.superseded_by is not None
+        self.transmit(outgoing)
+        self._log_events(events)
+        self._deliver(messages)
+
+    def send_application_message(self, recipient: str, kind: str, data: bytes) -> None:
+        """Send another subsystem's message; for any thread that does not hold the lock."""
         with self.lock:
-            sends = self.view.post(time.monotonic(), name, kind, data)
-        self.carry(sends)
+            outgoing = self.protocol.send_application_message(
+                time.monotonic(), recipient, kind, data
+            )
+        self.transmit(outgoing)
 
-    def read(self) -> list[Send]:
-        sends: list[Send] = []
-        for _ in range(READS):
+    def receive(self) -> list[OutgoingDatagram]:
+        """Let the protocol handle waiting datagrams, with the lock held; return its answers."""
+        outgoing: list[OutgoingDatagram] = []
+        for _ in range(MAX_READS_A_TURN):
             try:
-                data, source = self.sock.recvfrom(m.DATAGRAM + 1)
+                data, source = self.socket.recvfrom(MAX_DATAGRAM_BYTES + 1)
             except OSError:
                 break  # none left, or an error of a datagram sent earlier
             try:
-                datagram = m.decode(data, self.view.cluster)
-            except m.BadDatagramError as error:
-                self.complaints.add(f"from {source[0]}:{source[1]}: {error}")
+                datagram = decode(data, self.protocol.cluster)
+            except InvalidDatagramError as error:
+                self.dropped_datagrams.add(f"from {source[0]}:{source[1]}: {error}")
                 continue
-            sends += self.view.handle(time.monotonic(), datagram)
-        return sends
+            outgoing += self.protocol.handle(time.monotonic(), datagram)
+        return outgoing
 
-    def carry(self, sends: list[Send]) -> None:
-        for send in sends:
-            host, _, port = send.address.rpartition(":")
+    def transmit(self, outgoing: list[OutgoingDatagram]) -> None:
+        """Send datagrams; one that cannot be sent is counted, and as good as lost on the way."""
+        for item in outgoing:
+            host, _, port = item.address.rpartition(":")
             try:
-                self.sock.sendto(m.encode(send.datagram), (host, int(port)))
+                self.socket.sendto(encode(item.datagram), (host, int(port)))
             except (OSError, OverflowError):
-                self.unsent += 1  # as if lost on the way
-
-    def fresh_changes(self) -> list[Change]:
-        fresh = [change for change in self.view.changes if change.number > self.written]
-        self.written = self.view.number
-        return fresh
-
-    def write(self, changes: list[Change]) -> None:
-        for change in changes[:LINES]:
-            self.lines.info(
-                "fleet member",
-                member=change.name,
-                before=change.before,
-                after=change.after,
-                by=change.by,
-                why=change.why,
-            )
-        if len(changes) > LINES:
-            self.lines.info("fleet members", more=len(changes) - LINES)
+                self.unsent_datagrams += 1
 
     def leave(self) -> None:
-        """Said three times, in case of loss; then the thread ends."""
+        """Announce the leave, some times in case of loss, and end the thread."""
         with self.lock:
-            sends = self.view.leave(time.monotonic())
-        for _ in range(3 if sends else 0):
-            self.carry(sends)
-            time.sleep(0.02)
-        self.closed = True
+            outgoing = self.protocol.leave(time.monotonic())
+        if outgoing:
+            for _ in range(LEAVE_TRANSMISSIONS):
+                self.transmit(outgoing)
+                time.sleep(LEAVE_PAUSE_SECONDS)
+        self.is_closed = True
+
+    def _run_periodic_task_if_due(self) -> None:
+        now = time.monotonic()
+        if now - self._periodic_task_ran_at >= PERIODIC_TASK_SECONDS:
+            self._periodic_task_ran_at = now
+            self.cpu_seconds = time.thread_time()
+            self.run_periodic_task(now)
+
+    def _events_to_log(self) -> list[MembershipEvent]:
+        history = self.protocol.members.events
+        events = history.after(self._last_logged_event)
+        self._last_logged_event = history.last_number
+        return events
+
+    def _log_events(self, events: list[MembershipEvent]) -> None:
+        for event in events[:MAX_EVENT_LINES_A_TURN]:
+            # Operators' pages and tools look for these words.
+            self.logger.info(
+                "fleet member",
+                member=event.name,
+                before=event.before,
+                after=event.after,
+                by=event.reported_by,
+                why=event.reason,
+            )
+        if len(events) > MAX_EVENT_LINES_A_TURN:
+            self.logger.info("fleet members", more=len(events) - MAX_EVENT_LINES_A_TURN)
+
+    def _deliver(self, messages: list[ReceivedMessage]) -> None:
+        for message in messages:
+            handler = self.message_handlers.get(message.kind)
+            if handler is not None:
+                handler(message.sender, message.data)
--- /dev/null
+++ b/stepstream/membership/event_history.py
@@ -0,0 +1,43 @@
+"""Numbered state changes of members, for the log and for operators who watch; free of I/O.
+
+Owned by the member list; touched only under the driver's lock.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+
+MAX_EVENTS = 512
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipEvent:
+    """A member's change of state, or of its process."""
+
+    number: int
+    at: float  # monotonic seconds
+    name: str
+    before: str  # "" for a name that was not known
+    after: str
+    reported_by: str
+    reason: str
+
+
+class EventHistory:
+    """The latest events; the oldest go first."""
+
+    def __init__(self) -> None:
+        self.recent: deque[MembershipEvent] = deque(maxlen=MAX_EVENTS)
+        self.last_number = 0
+
+    def record(  # noqa: PLR0913  one argument a field of the event
+        self, at: float, name: str, before: str, after: str, reported_by: str, reason: str
+    ) -> MembershipEvent:
+        """Append an event under the next number."""
+        self.last_number += 1
+        event = MembershipEvent(self.last_number, at, name, before, after, reported_by, reason)
+        self.recent.append(event)
+        return event
+
+    def after(self, number: int) -> list[MembershipEvent]:
+        """Return the events with a greater number, as far as they are kept."""
+        return [event for event in self.recent if event.number > number]
--- /dev/null
+++ b/stepstream/membership/failure_detector.py
@@ -0,0 +1,230 @@
+"""SWIM's failure detector with Lifeguard's local health; free of I/O.
+
+SWIM, section 3.1: each probe interval one member is pinged; without its ack in time, helpers ping
+it on this member's behalf (ping-req); without any ack it is suspected (section 4.2), and a
+suspicion that nobody refutes in time becomes a death. Lifeguard, section IV: a helper says by a
+nack that its own probe is unanswered, and a prober that misses nacks, too, doubts itself.
+
+Owns the probe under way and those on behalf of others; touched only under the driver's lock.
+"""
+
+from dataclasses import dataclass
+from math import inf
+
+import msgspec
+
+from stepstream.membership.context import ProtocolContext
+from stepstream.membership.member_list import MemberList
+from stepstream.membership.messages import (
+    PRESENT,
+    Ack,
+    MemberRecord,
+    MemberState,
+    Nack,
+    Ping,
+    PingRequest,
+)
+from stepstream.membership.outbox import Outbox
+from stepstream.membership.probe_order import ProbeOrder
+from stepstream.membership.record_merge import RecordMerger
+
+MAX_RELAYED_PROBES = 64  # under way at once
+NACK_TIMEOUT_FRACTION = 0.8  # of the probe timeout: before the prober gives up on its helper
+SEQUENCE_RANGE = 2**32  # from which the first sequence number is drawn
+
+
+@dataclass(slots=True)
+class Probe:
+    """The probe of the current interval. `indirect_at`: when helpers are asked."""
+
+    sequence: int
+    target: str
+    indirect_at: float
+    is_acked: bool = False
+    helpers: int | None = None  # asked so far; None before they are asked
+    nacks: int = 0
+
+    def awaits_helpers(self) -> bool:
+        """Return whether helpers will be asked unless an ack arrives before."""
+        return not self.is_acked and self.helpers is None
+
+
+@dataclass(slots=True)
+class RelayedProbe:
+    """A probe on behalf of the member at `address`, under that member's sequence number."""
+
+    sequence: int
+    address: str
+    nack_at: float
+    ends_at: float
+
+
+class FailureDetector:
+    """Probes the others in turn, helps with their probes, and lets suspicions run out."""
+
+    def __init__(
+        self,
+        context: ProtocolContext,
+        members: MemberList,
+        merger: RecordMerger,
+        probe_order: ProbeOrder,
+        outbox: Outbox,
+    ) -> None:
+        self.context = context
+        self.members = members
+        self.merger = merger
+        self.probe_order = probe_order
+        self.outbox = outbox
+        self.probe: Probe | None = None
+        self._relayed: dict[int, RelayedProbe] = {}  # by this member's sequence number
+        self._last_sequence = context.rng.randrange(SEQUENCE_RANGE)
+        # Drawn, so that members that start together do not probe in step.
+        interval_seconds = context.settings.probe_interval_seconds
+        self.next_probe_at = context.now + context.rng.uniform(0, interval_seconds)
+
+    def next_deadline(self) -> float:
+        """Return when one of the timers is due."""
+        deadline = self.next_probe_at
+        if self.probe is not None and self.probe.awaits_helpers():
+            deadline = min(deadline, self.probe.indirect_at)
+        for suspicion in self.members.suspicions():
+            deadline = min(deadline, suspicion.deadline)
+        for relayed in self._relayed.values():
+            deadline = min(deadline, relayed.nack_at, relayed.ends_at)
+        return deadline
+
+    # -- datagrams --------------------------------------------------------------------------------
+
+    def handle(self, sender: MemberRecord, body: Ping | Ack | PingRequest | Nack) -> None:
+        """Handle a member's probe, or an answer to one."""
+        match body:
+            case Ping():
+                self._on_ping(sender, body)
+            case Ack():
+                self._on_ack(body)
+            case PingRequest():
+                self._on_ping_request(sender, body)
+            case Nack():
+                if self.probe is not None and self.probe.sequence == body.sequence:
+                    self.probe.nacks += 1
+
+    def _on_ping(self, sender: MemberRecord, ping: Ping) -> None:
+        if ping.target == self.members.local_name:
+            self.outbox.send(sender.address, Ack(ping.sequence), sender.name)
+        else:
+            self.context.metrics.misdirected_pings += 1
+
+    def _on_ack(self, ack: Ack) -> None:
+        probe = self.probe
+        if probe is not None and probe.sequence == ack.sequence and not probe.is_acked:
+            probe.is_acked = True
+            self.context.local_health.improve()
+        elif (relayed := self._relayed.pop(ack.sequence, None)) is not None:
+            self.outbox.send(relayed.address, Ack(relayed.sequence))
+
+    def _on_ping_request(self, sender: MemberRecord, request: PingRequest) -> None:
+        if len(self._relayed) >= MAX_RELAYED_PROBES:
+            return
+        settings = self.context.settings
+        now = self.context.now
+        sequence = self._next_sequence()
+        self._relayed[sequence] = RelayedProbe(
+            request.sequence,
+            sender.address,
+            nack_at=now + NACK_TIMEOUT_FRACTION * settings.probe_timeout_seconds,
+            ends_at=now + settings.probe_interval_seconds,
+        )
+        self.outbox.send(request.address, Ping(sequence, request.target), request.target)
+
+    # -- timers -----------------------------------------------------------------------------------
+
+    def tick_relayed_probes(self) -> None:
+        """Send the nacks that are due and drop what is over."""
+        now = self.context.now
+        for sequence, relayed in list(self._relayed.items()):
+            if now >= relayed.nack_at:
+                relayed.nack_at = inf
+                self.outbox.send(relayed.address, Nack(relayed.sequence))
+            if now >= relayed.ends_at:
+                del self._relayed[sequence]
+
+    def tick_probe(self) -> bool:
+        """Ask helpers, or end the probe and start the next one, as is due.
+
+        Return whether a new probe interval has begun.
+        """
+        now = self.context.now
+        probe = self.probe
+        if probe is not None and probe.awaits_helpers() and now >= probe.indirect_at:
+            self._ask_helpers(probe)
+        if now < self.next_probe_at:
+            return False
+        if probe is not None and not probe.is_acked:
+            self._fail_probe(probe)
+        # The local health multiplier stretches the interval and the timeout by the same factor.
+        multiplier = self.context.local_health.multiplier
+        self.probe = self._start_probe(multiplier)
+        self.next_probe_at = now + self.context.settings.probe_interval_seconds * multiplier
+        return True
+
+    def expire_suspicions(self) -> None:
+        """Declare dead each suspect that has not refuted its suspicion in time."""
+        local_name = self.members.local_name
+        for member in list(self.members.suspects.values()):
+            if member.suspicion is not None and self.context.now >= member.suspicion.deadline:
+                dead = msgspec.structs.replace(
+                    member.record, state=MemberState.DEAD, reported_by=local_name
+                )
+                self.merger.merge(dead, local_name)
+
+    def recover_from_stall(self, seconds: float) -> None:
+        """Drop or postpone all that ran out while this process itself stood still."""
+        self.context.metrics.stalls += 1
+        is_long = seconds > self.context.settings.probe_interval_seconds
+        self.context.worsen_local_health(2 if is_long else 1)
+        self.probe = None
+        self.next_probe_at = self.context.now
+        self._relayed.clear()
+        for suspicion in self.members.suspicions():
+            suspicion.postpone(seconds)
+
+    # -- probes -----------------------------------------------------------------------------------
+
+    def _start_probe(self, multiplier: int) -> Probe | None:
+        target = self.probe_order.next_target()
+        if target is None:
+            return None
+        self.context.metrics.probes += 1
+        sequence = self._next_sequence()
+        address = self.members.by_name[target].record.address
+        self.outbox.send(address, Ping(sequence, target), target)
+        timeout_seconds = self.context.settings.probe_timeout_seconds * multiplier
+        return Probe(sequence, target, indirect_at=self.context.now + timeout_seconds)
+
+    def _ask_helpers(self, probe: Probe) -> None:
+        candidates = [name for name in self.members.others() if name != probe.target]
+        count = min(self.context.settings.indirect_probes, len(candidates))
+        helpers = self.context.rng.sample(candidates, count)
+        probe.helpers = len(helpers)
+        target = self.members.by_name.get(probe.target)
+        if target is None:
+            return
+        for name in helpers:
+            request = PingRequest(probe.sequence, probe.target, target.record.address)
+            self.outbox.send(self.members.by_name[name].record.address, request, name)
+
+    def _fail_probe(self, probe: Probe) -> None:
+        """Suspect the target; each helper that did not even send a nack worsens local health."""
+        self.context.metrics.failed_probes += 1
+        self.context.worsen_local_health(probe.helpers - probe.nacks if probe.helpers else 1)
+        member = self.members.by_name.get(probe.target)
+        if member is not None and member.record.state in PRESENT:
+            local_name = self.members.local_name
+            suspect = msgspec.structs.replace(
+                member.record, state=MemberState.SUSPECT, reported_by=local_name
+            )
+            self.merger.merge(suspect, local_name)
+
+    def _next_sequence(self) -> int:
+        self._last_sequence += 1
+        return self._last_sequence
--- /dev/null
+++ b/stepstream/membership/maintenance_records.py
@@ -0,0 +1,53 @@
+"""Operators' calls on workers, replicated to all members; free of I/O.
+
+A last-writer-wins register a worker, ordered by Lamport time (Lamport 1978, "Time, Clocks, and the
+Ordering of Events"), so that the merge is commutative, associative and idempotent. Owned by the
+protocol and touched only under the driver's lock.
+"""
+
+from stepstream.membership.context import ProtocolContext
+from stepstream.membership.member_list import MemberList
+from stepstream.membership.messages import MaintenanceRecord
+from stepstream.membership.outbox import Outbox
+
+
+class MaintenanceRecords:
+    """The latest record of each worker that an operator has called on."""
+
+    def __init__(self, context: ProtocolContext, members: MemberList, outbox: Outbox) -> None:
+        self.context = context
+        self.members = members
+        self.outbox = outbox
+        self.by_worker: dict[str, MaintenanceRecord] = {}
+        self.digest = 0  # XOR of all records' fingerprints
+
+    def record(
+        self, worker: str, *, in_maintenance: bool, recorded_at_us: int
+    ) -> MaintenanceRecord | None:
+        """Record an operator's call at this dispatcher; None if no further worker is admitted.
+
+        `recorded_at_us` is Unix time in microseconds.
+        """
+        if self._is_beyond_bound(worker):
+            return None
+        latest = max((record.lamport_time for record in self.by_worker.values()), default=0)
+        record = MaintenanceRecord(
+            worker, latest + 1, in_maintenance, self.members.local_name, recorded_at_us
+        )
+        self.merge(record)
+        return record
+
+    def merge(self, record: MaintenanceRecord) -> None:
+        """Take a record if it is later than the one held."""
+        if self._is_beyond_bound(record.worker):
+            self.context.metrics.rejected_names += 1
+            return
+        old = self.by_worker.get(record.worker)
+        if old is None or record.precedence > old.precedence:
+            self.digest ^= record.fingerprint ^ (old.fingerprint if old is not None else 0)
+            self.by_worker[record.worker] = record
+            self.outbox.broadcast(record)
+
+    def _is_beyond_bound(self, worker: str) -> bool:
+        max_workers = self.context.settings.max_members
+        return worker not in self.by_worker and len(self.by_worker) >= max_workers
--- /dev/null
+++ b/stepstream/membership/member_count.py
@@ -0,0 +1,109 @@
+"""How many dispatchers share the cluster's capacity; free of I/O.
+
+The count divides what the dispatchers share: a cold worker's first load, calls to discovery. A
+membership list is no quorum: a member that is held dead may be alive behind a partition and
+sending. So a name counts from when it is first heard of, and is removed only if it left, or if the
+majority of all that count confirm that they have held it dead for a while (of two halves, the one
+with the least name). A confirmation names the very death claim, so that none from before a return
+counts. docs/fleet.md has the proof: while a partition lasts at most one side can shrink its count,
+members of a minority go on to take what they took, and both sides together take at most one and a
+half of the whole share.
+
+Owned by the subsystem and touched only under the driver's lock.
+"""
+
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass
+
+from stepstream.membership.member_list import MemberList
+from stepstream.membership.messages import MemberState
+
+# By member, the local one included: the fingerprints of the death claims that it confirms.
+Confirmations = Mapping[str, frozenset[int]]
+
+
+@dataclass(frozen=True, slots=True)
+class ObservedMember:
+    """A member as this one holds it.
+
+    `state_seconds` is the time for which it is in its state, `fingerprint` its record's.
+    """
+
+    name: str
+    state: MemberState
+    state_seconds: float
+    fingerprint: int
+
+
+def observe(members: MemberList, now: float) -> list[ObservedMember]:
+    """Return all members as the list holds them."""
+    return [
+        ObservedMember(
+            name, member.record.state, now - member.state_since, member.record.fingerprint
+        )
+        for name, member in members.by_name.items()
+    ]
+
+
+class MemberCount:
+    """The names that count.
+
+    `confirmation_delay_seconds` is the time for which a member is held dead before this one
+    confirms its death.
+    """
+
+    def __init__(self, local_name: str, confirmation_delay_seconds: float) -> None:
+        self.local_name = local_name
+        self.confirmation_delay_seconds = confirmation_delay_seconds
+        self.names = {local_name}
+        # By name, the fingerprint of the death claim for which it was removed.
+        self._removed: dict[str, int] = {}
+
+    def confirmed_deaths(self, observed: Iterable[ObservedMember]) -> list[int]:
+        """Return the fingerprints of deaths that were held for long enough.
+
+        Those of members that still count go first, the latest before the earlier ones.
+        """
+        dead = [
+            member
+            for member in observed
+            if member.state is MemberState.DEAD
+            and member.state_seconds >= self.confirmation_delay_seconds
+        ]
+        dead.sort(
+            key=lambda member: (member.name not in self.names, member.state_seconds, member.name)
+        )
+        return [member.fingerprint for member in dead]
+
+    def update(self, observed: Iterable[ObservedMember], confirmations: Confirmations) -> int:
+        """Add and remove names, and return how many count by now."""
+        by_name = {member.name: member for member in sorted(observed, key=lambda item: item.name)}
+        self._add_and_drop_left(by_name.values())
+        for member in by_name.values():
+            if member.state is MemberState.DEAD and member.name in self.names:
+                self._remove_if_confirmed(member, confirmations)
+        self._forget_unknown(by_name)
+        return len(self.names)
+
+    def _add_and_drop_left(self, observed: Collection[ObservedMember]) -> None:
+        left = {member.name for member in observed if member.state is MemberState.LEFT}
+        counted = {
+            member.name
+            for member in observed
+            if self._removed.get(member.name) != member.fingerprint
+        }
+        self.names = (self.names | counted | {self.local_name}) - left
+
+    def _remove_if_confirmed(self, member: ObservedMember, confirmations: Confirmations) -> None:
+        voters = {name for name in self.names if member.fingerprint in confirmations.get(name, ())}
+        if self._is_majority(voters):
+            self.names.discard(member.name)
+            self._removed[member.name] = member.fingerprint
+
+    def _is_majority(self, voters: set[str]) -> bool:
+        is_first_half = 2 * len(voters) == len(self.names) and min(self.names) in voters
+        return 2 * len(voters) > len(self.names) or is_first_half
+
+    def _forget_unknown(self, by_name: Mapping[str, ObservedMember]) -> None:
+        self.names = {name for name in self.names if name in by_name or name == self.local_name}
+        self._removed = {name: mark for name, mark in self._removed.items() if name in by_name}
--- /dev/null
+++ b/stepstream/membership/member_list.py
@@ -0,0 +1,161 @@
+"""The membership list: one record a name, with indexes and an order-independent digest; no I/O.
+
+Owned by the protocol and touched only under the driver's lock. Which of two records holds is
+decided in `record_merge`; this module keeps what was decided consistent.
+"""
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+import msgspec
+
+from stepstream.membership.context import ProtocolContext
+from stepstream.membership.event_history import EventHistory, MembershipEvent
+from stepstream.membership.messages import PRESENT, MemberRecord, MemberState
+from stepstream.membership.suspicion import Suspicion
+
+MAX_EVENTS_OF_A_MEMBER = 8
+
+
+@dataclass(slots=True)
+class Member:
+    """A member as this one holds it. `state_since` is in monotonic seconds."""
+
+    record: MemberRecord
+    state_since: float
+    reported_by: str  # the member from which the record was received
+    suspicion: Suspicion | None = None
+    history: "deque[MembershipEvent]" = field(
+        default_factory=lambda: deque(maxlen=MAX_EVENTS_OF_A_MEMBER)
+    )
+
+
+class MemberList:
+    """All known members by name, the local one among them."""
+
+    def __init__(self, context: ProtocolContext, local: MemberRecord) -> None:
+        self.context = context
+        self.local_name = local.name
+        self.by_name = {local.name: Member(local, context.now, local.name)}
+        self.present: set[str] = {local.name}  # names of alive and suspect members
+        self.suspects: dict[str, Member] = {}
+        self.digest = local.fingerprint  # XOR of all records' fingerprints
+        self.events = EventHistory()
+        # When another member was first heard from directly; None before that.
+        self.joined_at: float | None = None
+        # The address of a later start under the local name; this process is passive from then on.
+        self.superseded_by: str | None = None
+        self._rejected_names: set[str] = set()  # each is reported once
+
+    @property
+    def local(self) -> MemberRecord:
+        """The local member's own record."""
+        return self.by_name[self.local_name].record
+
+    def others(self) -> list[str]:
+        """Return the names of the other present members, in an order that a seed repeats."""
+        return sorted(self.present - {self.local_name})
+
+    def suspicions(self) -> Iterator[Suspicion]:
+        """Yield the suspicions under way."""
+        return (
+            member.suspicion for member in self.suspects.values() if member.suspicion is not None
+        )
+
+    def is_present(self, name: str) -> bool:
+        """Return whether a name is known as alive or suspect."""
+        member = self.by_name.get(name)
+        return member is not None and member.record.state in PRESENT
+
+    def add(self, record: MemberRecord, reported_by: str) -> Member:
+        """Add the first record of a name."""
+        member = Member(record, self.context.now, reported_by)
+        self.by_name[record.name] = member
+        self.digest ^= record.fingerprint
+        return member
+
+    def replace(self, member: Member, record: MemberRecord, reported_by: str) -> None:
+        """Replace a member's record by one that overrides it."""
+        old = member.record
+        member.record = record
+        member.reported_by = reported_by
+        self.digest ^= old.fingerprint ^ record.fingerprint
+        # The time for which an earlier death claim was held does not confirm a renewed one.
+        is_renewed_death = (
+            record.state is MemberState.DEAD and old.incarnation != record.incarnation
+        )
+        if old.state != record.state or old.generation != record.generation or is_renewed_death:
+            member.state_since = self.context.now
+
+    def replace_local(self, record: MemberRecord) -> None:
+        """Replace the local member's own record."""
+        member = self.by_name[self.local_name]
+        self.digest ^= member.record.fingerprint ^ record.fingerprint
+        member.record = record
+
+    def leave(self) -> MemberRecord:
+        """Mark the local member as left and return its record."""
+        left = msgspec.structs.replace(self.local, state=MemberState.LEFT)
+        self.replace_local(left)
+        self.present.discard(left.name)
+        return left
+
+    def set_suspicion(self, member: Member, suspicion: Suspicion | None) -> None:
+        """Begin a suspicion of a member, or end the one under way."""
+        name = member.record.name
+        if suspicion is not None:
+            self.suspects[name] = member
+        elif member.suspicion is not None:
+            del self.suspects[name]
+        member.suspicion = suspicion
+
+    def update_presence(self, member: Member) -> None:
+        """Count a member as present or not, by its record's state."""
+        if member.record.state in PRESENT:
+            self.present.add(member.record.name)
+        else:
+            self.present.discard(member.record.name)
+
+    def record_event(  # noqa: PLR0913  one argument a field of the event
+        self, name: str, before: str, after: str, reported_by: str, reason: str
+    ) -> None:
+        """Record an event of a known member."""
+        event = self.events.record(self.context.now, name, before, after, reported_by, reason)
+        self.by_name[name].history.append(event)
+
+    # -- the bound on names ---------------------------------------------------------------------
+
+    def is_full(self) -> bool:
+        """Return whether another name needs one to be forgotten first."""
+        return len(self.by_name) >= self.context.settings.max_members
+
+    def forget_oldest_tombstone(self) -> str | None:
+        """Drop the dead or left member that was so for longest, and return its name.
+
+        None if no tombstone is older than `tombstone_timeout_seconds`.
+        """
+        timeout = self.context.settings.tombstone_timeout_seconds
+        expired = [
+            member
+            for member in self.by_name.values()
+            if member.record.state not in PRESENT
+            and self.context.now - member.state_since >= timeout
+        ]
+        if not expired:
+            return None
+        oldest = min(expired, key=lambda member: member.state_since).record
+        del self.by_name[oldest.name]
+        self.digest ^= oldest.fingerprint
+        return oldest.name
+
+    def reject_name(self, name: str) -> None:
+        """Count a name beyond the bound, and report each once."""
+        max_members = self.context.settings.max_members
+        self.context.metrics.rejected_names += 1
+        if name in self._rejected_names or len(self._rejected_names) >= max_members:
+            return
+        self._rejected_names.add(name)
+        # Operators' pages and tools look for these texts.
+        reason = f"no room: {max_members} names are known (fleet.most)"
+        self.events.record(self.context.now, name, "", "turned away", self.local_name, reason)
--- a/stepstream/membership/messages.py
+++ b/stepstream/membership/messages.py
@@ -1,7 +1,9 @@
-"""What members tell each other, as MessagePack in datagrams; free of I/O.
+"""Datagrams between members, as MessagePack, and their codec; free of I/O and of state.
 
-Every datagram holds the format's version, the cluster's name and its sender's row. Sizes and numbers are
-bounded by the types, so that nothing out of bounds reaches the view. docs/fleet.md has the table.
+Each datagram holds the format's version, the cluster's name and its sender's member record. All
+structures are encoded as arrays, by position: field and class names do not travel, so they may be
+renamed, but never reordered. Types bound every size and number, so that nothing out of bounds
+reaches the protocol. docs/fleet.md has the table.
 """
 
 from enum import IntEnum
@@ -10,188 +12,239 @@
 
 import msgspec
 
-VERSION = 1
-DATAGRAM = (
-    1_400  # bytes; fits an Ethernet frame with room for tunnels, so that no datagram is fragmented
-)
-PARCEL = 1_080  # bytes of another subsystem's message in a datagram
-MOST_ROWS = 64  # of one sort in a datagram
-MOST_ENDED = (
-    40  # deaths that one member bears witness to at once; the others' turn comes after these
-)
-
-Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")]
-Place = Annotated[
+from stepstream.membership.errors import MembershipError
+
+PROTOCOL_VERSION = 1
+# Fits an Ethernet frame with space for tunnels, so that no datagram is fragmented.
+MAX_DATAGRAM_BYTES = 1_400
+MAX_APPLICATION_BYTES = 1_080  # data of one application message
+MAX_UPDATES_OF_A_KIND = 64  # in one datagram
+MAX_CONFIRMED_DEATHS = 40  # that one member confirms at once; the others follow after these
+FINGERPRINT_BYTES = 6
+MAX_ERROR_CHARACTERS = 160
+
+MemberName = Annotated[str, msgspec.Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")]
+AdvertisedAddress = Annotated[
     str, msgspec.Meta(max_length=64, pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
-]  # as advertised
-Worker = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
-Number = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
-Text = Annotated[str, msgspec.Meta(max_length=24)]
+]
+WorkerId = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+Unsigned = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+ShortText = Annotated[str, msgspec.Meta(max_length=24)]
+
 
+def fingerprint(text: str) -> int:
+    """Return a 48-bit digest of a text."""
+    return int.from_bytes(blake2b(text.encode(), digest_size=FINGERPRINT_BYTES).digest())
 
-class State(IntEnum):
-    """In the order of what overrides what within one incarnation."""
+
+class MemberState(IntEnum):
+    """Within one incarnation the greater state overrides (SWIM, section 4.2)."""
 
     ALIVE = 0
     SUSPECT = 1
     DEAD = 2
     LEFT = 3
 
+    @property
+    def label(self) -> str:
+        """The state's name in answers and logs."""
+        return self.name.lower()
+
+
+# States of members that take part: they are probed, counted and sent updates.
+PRESENT = (MemberState.ALIVE, MemberState.SUSPECT)
+
 
 class Phase(IntEnum):
+    """Phase of a dispatcher's process."""
+
     STARTING = 0
     SERVING = 1
     DRAINING = 2
     LEAVING = 3
 
 
-class Row(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
-    """A claim about one member. `generation` is of its start, `incarnation` counts its refutations since.
+class MemberRecord(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """A claim about one member.
 
-    `by` is who says so, where that is not the member itself: it orders nothing.
+    `generation` identifies the process start, `incarnation` counts its refutations since (SWIM,
+    section 4.2). `reported_by` names the member that claims it, "" for the member itself; it has
+    no part in the order of claims.
     """
 
-    name: Name
-    address: Place
-    generation: Number
-    incarnation: Number
-    state: State
-    by: Annotated[str, msgspec.Meta(max_length=64)] = ""
+    name: MemberName
+    address: AdvertisedAddress
+    generation: Unsigned
+    incarnation: Unsigned
+    state: MemberState
+    reported_by: Annotated[str, msgspec.Meta(max_length=64)] = ""
 
     @property
-    def order(self) -> tuple[int, str, int, int]:
-        """The later of two claims about a name is the greater; two starts in one instant go by address."""
+    def precedence(self) -> tuple[int, str, int, int]:
+        """Of two claims about a name the greater one holds.
+
+        Two starts in one instant are ordered by address.
+        """
         return self.generation, self.address, self.incarnation, self.state
 
     @property
-    def mark(self) -> int:
-        """Stands for just this claim, in 48 bits."""
-        text = f"{self.name} {self.address} {self.generation} {self.incarnation} {int(self.state)}"
-        return int.from_bytes(blake2b(text.encode(), digest_size=6).digest())
+    def fingerprint(self) -> int:
+        """Identifies just this claim, in 48 bits."""
+        return fingerprint(
+            f"{self.name} {self.address} {self.generation} {self.incarnation} {int(self.state)}"
+        )
+
 
+class MemberStatus(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """What a member reports of itself; `revision` grows with each change in one generation.
 
-class Facts(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
-    """What a member says of itself; `count` grows with each change in one generation."""
+    `confirmed_deaths` holds the fingerprints of the death claims that this member has held for
+    long enough to confirm them (see `member_count`).
+    """
 
-    owner: Name
-    generation: Number
-    count: Number
+    owner: MemberName
+    generation: Unsigned
+    revision: Unsigned
     phase: Phase
-    list_version: Number
-    settings: Text  # digest of the settings in force
-    open_requests: Number
-    started_ms: Number  # Unix time
-    program: Text  # its version
-    ended: Annotated[
-        tuple[Number, ...], msgspec.Meta(max_length=MOST_ENDED)
-    ] = ()  # marks of claims of death
+    endpoint_list_version: Unsigned
+    settings_digest: ShortText
+    open_requests: Unsigned
+    started_at_ms: Unsigned  # Unix time
+    program_version: ShortText
+    confirmed_deaths: Annotated[
+        tuple[Unsigned, ...], msgspec.Meta(max_length=MAX_CONFIRMED_DEATHS)
+    ] = ()
 
     @property
-    def order(self) -> tuple[int, int]:
-        return self.generation, self.count
+    def precedence(self) -> tuple[int, int]:
+        """Of two statuses of a member the greater one holds."""
+        return self.generation, self.revision
 
 
-class Word(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
-    """An operator's word on a worker. `stamp` is a Lamport counter over the whole fleet."""
+class MaintenanceRecord(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """An operator's call on a worker, as a last-writer-wins register."""
 
-    worker: Worker
-    stamp: Number
-    out: bool  # out for maintenance; else back
-    by: Name  # the dispatcher that was told
-    at_us: Number  # when, Unix time in microseconds
+    worker: WorkerId
+    lamport_time: Unsigned  # over the whole cluster
+    in_maintenance: bool
+    recorded_by: MemberName  # the dispatcher that took the operator's call
+    recorded_at_us: Unsigned  # Unix time
+
+    @property
+    def precedence(self) -> tuple[int, bool, str]:
+        """Of two concurrent calls 'in maintenance' holds, the safe one, then the greater name's."""
+        return self.lamport_time, self.in_maintenance, self.recorded_by
 
     @property
-    def order(self) -> tuple[int, bool, str]:
-        """Of two words in one instant 'out' holds, then the greater name's: the safe one first."""
-        return self.stamp, self.out, self.by
+    def fingerprint(self) -> int:
+        """Identifies just this record, in 48 bits."""
+        return fingerprint(f"{self.precedence!r}{self.worker}")
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """Are you `target`, and there?"""
+    """Direct probe (SWIM, section 3.1); `target` guards against an address with a new owner."""
 
-    seq: Number
-    target: Name
+    sequence: Unsigned
+    target: MemberName
 
 
 class Ack(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    seq: Number
+    """Answer of a probed member, or its relay by a helper."""
 
+    sequence: Unsigned
 
-class PingFor(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """Ask `target` for me and pass its answer on."""
 
-    seq: Number
-    target: Name
-    address: Place
+class PingRequest(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Ask a helper to probe `target` and to relay its answer: ping-req (SWIM, section 3.1)."""
+
+    sequence: Unsigned
+    target: MemberName
+    address: AdvertisedAddress
 
 
 class Nack(msgspec.Struct, frozen=True, array_like=True, tag=4):
-    """I have asked for you and have no answer: the way to me is good."""
+    """A helper's target has not answered: the prober's link to the helper works (Lifeguard)."""
 
-    seq: Number
+    sequence: Unsigned
 
 
-class Compare(msgspec.Struct, frozen=True, array_like=True, tag=5):
-    """The digest of all that I hold; whoever holds something else answers with pages of it."""
+class Digest(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Anti-entropy digest of all that the sender holds; a recipient that differs sends pages."""
 
-    digest: Number
+    digest: Unsigned
 
 
 class Page(msgspec.Struct, frozen=True, array_like=True, tag=6):
-    """A part of all that a member holds, safe to lose; `reply`: the sender wants the other's pages."""
+    """Part of the sender's whole state, safe to lose; `wants_reply` asks for the recipient's."""
 
-    reply: bool
+    wants_reply: bool
 
 
-class Parcel(msgspec.Struct, frozen=True, array_like=True, tag=7):
-    """Another subsystem's message; the view carries it to a member and knows nothing of it."""
+class ApplicationMessage(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Another subsystem's message, carried to a member unread."""
 
     kind: Annotated[str, msgspec.Meta(min_length=1, max_length=16)]
-    data: Annotated[bytes, msgspec.Meta(max_length=PARCEL)]
+    data: Annotated[bytes, msgspec.Meta(max_length=MAX_APPLICATION_BYTES)]
+
 
+Body = Ping | Ack | PingRequest | Nack | Digest | Page | ApplicationMessage
+# What is piggybacked on a body, or fills a page.
+Update = MemberRecord | MemberStatus | MaintenanceRecord
 
-Body = Ping | Ack | PingFor | Nack | Compare | Page | Parcel
-Rows = Annotated[tuple[Row, ...], msgspec.Meta(max_length=MOST_ROWS)]
+MemberRecords = Annotated[tuple[MemberRecord, ...], msgspec.Meta(max_length=MAX_UPDATES_OF_A_KIND)]
+MemberStatuses = Annotated[tuple[MemberStatus, ...], msgspec.Meta(max_length=MAX_UPDATES_OF_A_KIND)]
+MaintenanceRecords = Annotated[
+    tuple[MaintenanceRecord, ...], msgspec.Meta(max_length=MAX_UPDATES_OF_A_KIND)
+]
 
 
 class Datagram(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """One message with the updates that are piggybacked on it (SWIM, section 4.1)."""
+
     version: Annotated[int, msgspec.Meta(ge=0, le=255)]
     cluster: Annotated[str, msgspec.Meta(max_length=64)]
-    sender: Row  # its own, alive or left
+    sender: MemberRecord  # its own, alive or left
     body: Body
-    rows: Rows = ()
-    facts: Annotated[tuple[Facts, ...], msgspec.Meta(max_length=MOST_ROWS)] = ()
-    words: Annotated[tuple[Word, ...], msgspec.Meta(max_length=MOST_ROWS)] = ()
+    member_records: MemberRecords = ()
+    member_statuses: MemberStatuses = ()
+    maintenance_records: MaintenanceRecords = ()
 
 
-class BadDatagramError(Exception):
-    """It is dropped and counted; the text says why, for one line in the log within a rate."""
+class InvalidDatagramError(MembershipError):
+    """A datagram that is dropped and counted; the text says why."""
 
 
-ENCODER = msgspec.msgpack.Encoder()
-DECODER = msgspec.msgpack.Decoder(Datagram)
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Datagram)
 
 
 def encode(datagram: Datagram) -> bytes:
-    return ENCODER.encode(datagram)
+    """Return the datagram's bytes."""
+    return _ENCODER.encode(datagram)
 
 
-def size(part: msgspec.Struct) -> int:
-    return len(ENCODER.encode(part))
+def encoded_bytes(part: msgspec.Struct) -> int:
+    """Return the size in bytes that a part takes in a datagram."""
+    return len(_ENCODER.encode(part))
 
 
 def decode(data: bytes, cluster: str) -> Datagram:
-    """BadDatagramError if it is too long, unreadable, of another version or of another cluster."""
-    if len(data) > DATAGRAM:
-        raise BadDatagramError(f"{len(data)} bytes, over {DATAGRAM}")
+    """Return the datagram in these bytes.
+
+    Raises InvalidDatagramError if it is too long, unreadable, of another version or of another
+    cluster than `cluster`.
+    """
+    if len(data) > MAX_DATAGRAM_BYTES:
+        raise InvalidDatagramError(f"{len(data)} bytes, over {MAX_DATAGRAM_BYTES}")
     try:
-        datagram = DECODER.decode(data)
+        datagram = _DECODER.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise BadDatagramError(f"unreadable: {error}"[:160]) from None
-    if datagram.version != VERSION:
-        raise BadDatagramError(f"version {datagram.version}, not {VERSION}")
+        text = f"unreadable: {error}"[:MAX_ERROR_CHARACTERS]
+        raise InvalidDatagramError(text) from error
+    if datagram.version != PROTOCOL_VERSION:
+        raise InvalidDatagramError(f"version {datagram.version}, not {PROTOCOL_VERSION}")
     if datagram.cluster != cluster:
-        raise BadDatagramError(
+        raise InvalidDatagramError(
             f"of cluster {datagram.cluster!r}: see seeds and cluster on both sides"
         )
     return datagram
--- /dev/null
+++ b/stepstream/membership/protocol.py
@@ -0,0 +1,178 @@
+"""One member's protocol: routes datagrams and ticks to its parts; free of I/O.
+
+SWIM (Das, Gupta, Motivala 2002): direct and indirect probes, suspicion, incarnations, refutation,
+updates piggybacked on probes. Lifeguard (Dadgar, Phillips, Currey 2017): local health, suspicion
+that shrinks with confirmations, notified suspects. Anti-entropy repairs what these miss.
+docs/fleet.md has what is guaranteed.
+
+The protocol owns all its parts. With a driver any thread may call it that holds the driver's lock;
+in simulations only the caller's thread does. Times are the caller's monotonic seconds and never go
+back.
+"""
+
+import random
+from collections.abc import Iterable
+from math import inf
+
+from stepstream.membership.anti_entropy import AntiEntropy
+from stepstream.membership.application_messages import ApplicationMessages
+from stepstream.membership.context import ProtocolContext
+from stepstream.membership.failure_detector import FailureDetector
+from stepstream.membership.maintenance_records import MaintenanceRecords
+from stepstream.membership.member_list import MemberList
+from stepstream.membership.member_status import MemberStatuses
+from stepstream.membership.messages import (
+    ApplicationMessage,
+    Body,
+    Datagram,
+    Digest,
+    MemberRecord,
+    Page,
+)
+from stepstream.membership.outbox import MAX_BURST, Outbox, OutgoingDatagram
+from stepstream.membership.probe_order import ProbeOrder
+from stepstream.membership.protocol_settings import ProtocolSettings
+from stepstream.membership.record_merge import RecordMerger
+
+MIN_STALL_SECONDS = 0.1  # a tick that is less late than this is no stall
+
+
+class MembershipProtocol:
+    """The state machine of one member; each call returns the datagrams to send."""
+
+    def __init__(  # noqa: PLR0913  the member's identity, its settings, and chance and time
+        self,
+        local: MemberRecord,
+        cluster: str,
+        seeds: Iterable[str],
+        settings: ProtocolSettings,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        """`local` is alive at incarnation 0; `seeds` are addresses, its own may be among them."""
+        self.cluster = cluster
+        self.started_at = now
+        self.ticked_at = now
+        self.has_left = False
+        self.context = ProtocolContext(settings, rng, now)
+        self.members = MemberList(self.context, local)
+        self.outbox = Outbox(self.context, self.members, cluster)
+        self.outbox.broadcast(local)
+        self.statuses = MemberStatuses(self.context, self.members, self.outbox)
+        self.maintenance = MaintenanceRecords(self.context, self.members, self.outbox)
+        self.application = ApplicationMessages(self.members, self.outbox)
+        probe_order = ProbeOrder(self.context, self.members)
+        self.merger = RecordMerger(
+            self.context, self.members, self.statuses, probe_order, self.outbox
+        )
+        # The detector draws from `rng` before anti-entropy does: seeded simulations rely on it.
+        self.detector = FailureDetector(
+            self.context, self.members, self.merger, probe_order, self.outbox
+        )
+        self.anti_entropy = AntiEntropy(
+            self.context, self.members, self.statuses, self.maintenance, self.outbox, seeds
+        )
+
+    @property
+    def digest(self) -> int:
+        """Digest of all that is held; equal where members hold the same."""
+        return self.anti_entropy.digest
+
+    @property
+    def is_passive(self) -> bool:
+        """Whether the name was yielded or the member has left: it answers nothing any more."""
+        return self.members.superseded_by is not None or self.has_left
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether no suspicion or record is under way, as far as this member knows."""
+        local_address = self.members.local.address
+        is_alone = all(seed == local_address for seed in self.anti_entropy.seeds)
+        is_quiet = not self.members.suspects and not self.outbox.broadcasts.has_member_records()
+        has_joined = self.members.joined_at is not None
+        is_superseded = self.members.superseded_by is not None
+        return (has_joined or is_alone) and is_quiet and not is_superseded
+
+    def reconfigure(self, settings: ProtocolSettings, seeds: Iterable[str]) -> None:
+        """Apply new settings and seeds; timers under way keep their deadlines."""
+        self.context.settings = settings
+        self.anti_entropy.seeds = tuple(seeds)
+
+    def next_tick_at(self) -> float:
+        """Return when `tick` is due."""
+        if self.is_passive:
+            return inf
+        return min(self.detector.next_deadline(), self.anti_entropy.next_deadline())
+
+    def tick(self, now: float) -> list[OutgoingDatagram]:
+        """Do what is due by now."""
+        late_seconds = now - max(self.next_tick_at(), self.ticked_at)
+        self.context.now = now
+        self.ticked_at = now
+        if self.is_passive:
+            return self.outbox.take()
+        if late_seconds > max(self.context.settings.probe_timeout_seconds, MIN_STALL_SECONDS):
+            self.detector.recover_from_stall(late_seconds)
+        self.detector.tick_relayed_probes()
+        if self.detector.tick_probe():
+            self.anti_entropy.notify_suspects()
+        self.detector.expire_suspicions()
+        self.anti_entropy.tick()
+        return self.outbox.take()
+
+    def handle(self, now: float, datagram: Datagram) -> list[OutgoingDatagram]:
+        """Take in a datagram."""
+        self.context.now = now
+        if not self.is_passive:
+            self._take_in(datagram)
+        return self.outbox.take()
+
+    def _take_in(self, datagram: Datagram) -> None:
+        sender = datagram.sender
+        is_admitted = self.merger.merge(sender, sender.name)
+        if sender.name == self.members.local_name or not is_admitted:
+            # A later start under this name, this member's own datagram by way of a seed, or a name
+            # beyond the bound: the rest of the datagram is not for this member.
+            return
+        if self.members.joined_at is None:
+            self.members.joined_at = self.context.now
+            self.anti_entropy.send_digest(sender.address)
+        for record in datagram.member_records:
+            self.merger.merge(record, record.reported_by or sender.name)
+        for status in datagram.member_statuses:
+            self.statuses.merge(status)
+        for maintenance in datagram.maintenance_records:
+            self.maintenance.merge(maintenance)
+        self._route_body(sender, datagram.body)
+
+    def _route_body(self, sender: MemberRecord, body: Body) -> None:
+        match body:
+            case Digest() | Page():
+                self.anti_entropy.handle(sender, body)
+            case ApplicationMessage():
+                self.application.receive(sender, body)
+            case _:
+                self.detector.handle(sender, body)
+
+    def send_application_message(
+        self, now: float, recipient: str, kind: str, data: bytes
+    ) -> list[OutgoingDatagram]:
+        """Send another subsystem's message to a member, once, as easily lost as any datagram."""
+        self.context.now = now
+        if self.is_passive:
+            return []
+        self.application.send(recipient, kind, data)
+        return self.outbox.take()
+
+    def leave(self, now: float) -> list[OutgoingDatagram]:
+        """Announce a graceful leave to some members; this one answers nothing from here on."""
+        self.context.now = now
+        if self.is_passive:
+            return []
+        others = self.members.others()
+        left = self.members.leave()
+        for name in self.context.rng.sample(others, min(MAX_BURST, len(others))):
+            address = self.members.by_name[name].record.address
+            self.outbox.send_with(address, Digest(self.digest), [left])
+        self.has_left = True
+        return self.outbox.take()
--- /dev/null
+++ b/stepstream/membership/record_merge.py
@@ -0,0 +1,208 @@
+"""Merging of received member records: which claim holds, and what follows from it; free of I/O.
+
+Claims about a name are ordered by (generation, address, incarnation, state) and the greatest holds:
+the merge of two lists is commutative, associative and idempotent. SWIM, section 4.2 orders by
+incarnation and state; generation and address distinguish the starts of a process. Touched only
+under the driver's lock.
+"""
+
+import msgspec
+
+from stepstream.membership.context import ProtocolContext
+from stepstream.membership.member_list import Member, MemberList
+from stepstream.membership.member_status import MemberStatuses
+from stepstream.membership.messages import PRESENT, MemberRecord, MemberState, Ping
+from stepstream.membership.outbox import MAX_BURST, Outbox
+from stepstream.membership.probe_order import ProbeOrder
+from stepstream.membership.protocol_settings import SUSPECT_NOTIFIERS
+from stepstream.membership.suspicion import start_suspicion
+
+# Seconds after joining in which the record of an earlier start may still arrive.
+NAME_TAKEOVER_SECONDS = 3.0
+# Of a ping that is sent for the record piggybacked on it: no probe waits for its ack.
+NOTIFICATION_SEQUENCE = 2**53
+
+# Operators' pages explain these texts: they stand in logs and answers.
+_STATE_REASONS = {
+    MemberState.SUSPECT: "answered neither this prober nor its helpers",
+    MemberState.DEAD: "did not refute the suspicion in time",
+    MemberState.LEFT: "said that it leaves",
+    MemberState.ALIVE: "alive",
+}
+
+
+def is_new_start(old: MemberRecord, new: MemberRecord) -> bool:
+    """Return whether the records are of two processes."""
+    return new.generation != old.generation or new.address != old.address
+
+
+def override_reason(old: MemberRecord, new: MemberRecord) -> str:
+    """Return why the later record overrides the earlier one."""
+    if new.generation != old.generation:
+        return f"a later start (generation {new.generation} after {old.generation})"
+    if new.address != old.address:
+        return f"a second start in the same instant, at {new.address}"
+    if new.incarnation != old.incarnation:
+        return f"incarnation {new.incarnation} after {old.incarnation}"
+    return _STATE_REASONS[new.state]
+
+
+class RecordMerger:
+    """Applies records to the member list, and queues what others must learn of it."""
+
+    def __init__(
+        self,
+        context: ProtocolContext,
+        members: MemberList,
+        statuses: MemberStatuses,
+        probe_order: ProbeOrder,
+        outbox: Outbox,
+    ) -> None:
+        self.context = context
+        self.members = members
+        self.statuses = statuses
+        self.probe_order = probe_order
+        self.outbox = outbox
+
+    def merge(self, record: MemberRecord, reported_by: str) -> bool:
+        """Merge a record; return False if its name is beyond the bound on members."""
+        if record.name == self.members.local_name:
+            self.merge_local(record, reported_by)
+            return True
+        member = self.members.by_name.get(record.name)
+        if member is None:
+            return self._add(record, reported_by)
+        held = member.record
+        if record.precedence > held.precedence:
+            self._override(member, record, reported_by)
+        elif (
+            record.precedence == held.precedence
+            and member.suspicion is not None
+            and member.suspicion.confirm(reported_by)
+        ):
+            # Others' suspicions shrink by the confirmation as well (Lifeguard, LHA-Suspicion).
+            self.outbox.broadcast(record)
+        return True
+
+    def _add(self, record: MemberRecord, reported_by: str) -> bool:
+        if not self._make_room(record.name):
+            return False
+        member = self.members.add(record, reported_by)
+        if record.state in PRESENT:
+            self.probe_order.insert(record.name)
+        self._apply(member)
+        self._record_event(member, "", "heard of for the first time")
+        return True
+
+    def _override(self, member: Member, record: MemberRecord, reported_by: str) -> None:
+        old = member.record
+        self.members.replace(member, record, reported_by)
+        if record.state in PRESENT and old.state not in PRESENT:
+            self.probe_order.insert(record.name)
+        self._apply(member)
+        if old.state != record.state or is_new_start(old, record):
+            self._record_event(member, old.state.label, override_reason(old, record))
+        if record.state is MemberState.DEAD and reported_by != self.members.local_name:
+            self.notify_dead(member)
+
+    def _apply(self, member: Member) -> None:
+        """Update suspicion, presence and dissemination after a change of a member's record."""
+        if member.record.state is MemberState.SUSPECT:
+            self._start_suspicion(member)
+        else:
+            self.members.set_suspicion(member, None)
+        self.members.update_presence(member)
+        self.outbox.broadcast(member.record)
+
+    def _start_suspicion(self, member: Member) -> None:
+        present = len(self.members.present)
+        suspicion = start_suspicion(self.context.now, present, self.context.settings)
+        self.members.set_suspicion(member, suspicion)
+        suspicion.confirm(member.reported_by)
+        # Some members probe the suspect next themselves: they confirm the suspicion, or refute it.
+        is_reported = member.reported_by != self.members.local_name
+        if is_reported and self.context.rng.random() < SUSPECT_NOTIFIERS / present:
+            self.probe_order.prioritize(member.record.name)
+
+    def _record_event(self, member: Member, before: str, reason: str) -> None:
+        record = member.record
+        self.members.record_event(
+            record.name, before, record.state.label, member.reported_by, reason
+        )
+
+    def notify_dead(self, member: Member) -> None:
+        """Send a member that others declared dead its record, so that it can refute it at once.
+
+        The record rides on a ping, the refutation on the ack. A digest would not do: after a
+        healed partition each member notifies half the cluster, and where lists differ each digest
+        is answered with the whole list.
+        """
+        if len(self.outbox.waiting) < MAX_BURST:
+            record = member.record
+            ping = Ping(NOTIFICATION_SEQUENCE, record.name)
+            self.outbox.send(record.address, ping, record.name)
+
+    def _make_room(self, name: str) -> bool:
+        if not self.members.is_full():
+            return True
+        forgotten = self.members.forget_oldest_tombstone()
+        if forgotten is None:
+            self.members.reject_name(name)
+            return False
+        self.statuses.forget(forgotten)
+        return True
+
+    # -- records of the local name --------------------------------------------------------------
+
+    def merge_local(self, record: MemberRecord, reported_by: str) -> None:
+        """Answer a claim about the local name that overrides the local record.
+
+        A claim about this process is refuted by a greater incarnation (SWIM, section 4.2). One of
+        another start either comes from before this start, and is overridden by a greater
+        generation, or from a later start, to which this process yields the name.
+        """
+        if record.precedence <= self.members.local.precedence:
+            return
+        if not is_new_start(self.members.local, record):
+            self._refute(record, reported_by)
+        elif self._is_joining():
+            self._take_over_name(record, reported_by)
+        else:
+            self._yield_name(record, reported_by)
+
+    def _is_joining(self) -> bool:
+        joined_at = self.members.joined_at
+        return joined_at is None or self.context.now - joined_at < NAME_TAKEOVER_SECONDS
+
+    def _refute(self, record: MemberRecord, reported_by: str) -> None:
+        self.context.metrics.refutations += 1
+        self.context.worsen_local_health(1)
+        local = self.members.local
+        self._replace_local(msgspec.structs.replace(local, incarnation=record.incarnation + 1))
+        reason = f"refuted what {reported_by} said"
+        self.members.record_event(
+            local.name, record.state.label, MemberState.ALIVE.label, reported_by, reason
+        )
+
+    def _take_over_name(self, record: MemberRecord, reported_by: str) -> None:
+        local = self.members.local
+        self._replace_local(
+            msgspec.structs.replace(local, generation=record.generation + 1, incarnation=0)
+        )
+        alive = MemberState.ALIVE.label
+        reason = "took the name over from an earlier start whose clock was ahead"
+        self.members.record_event(local.name, alive, alive, reported_by, reason)
+
+    def _yield_name(self, record: MemberRecord, reported_by: str) -> None:
+        self.members.superseded_by = record.address
+        reason = (
+            f"{record.address} started later under this name: stop one, or give each its own name"
+        )
+        self.members.record_event(
+            record.name, MemberState.ALIVE.label, "superseded", reported_by, reason
+        )
+
+    def _replace_local(self, record: MemberRecord) -> None:
+        self.members.replace_local(record)
+        self.outbox.broadcast(record)
+        self.statuses.renew_local_generation()
--- a/stepstream/membership/report.py
+++ b/stepstream/membership/report.py
@@ -1,85 +1,151 @@
-"""What the admin listener says of the fleet, as plain objects; free of I/O."""
+"""The answers of the admin listener about the membership, as plain objects; free of I/O and state.
 
-from dataclasses import asdict
+The keys of these objects are read by operators and their tools, so they keep their spelling: this
+module is the one place that translates the program's names into them.
+"""
 
-from stepstream.membership.messages import Facts, Phase
-from stepstream.membership.view import Change, Member, View, state_name
+from stepstream.membership.context import ProtocolMetrics
+from stepstream.membership.event_history import MembershipEvent
+from stepstream.membership.member_list import Member
+from stepstream.membership.messages import MaintenanceRecord
+from stepstream.membership.protocol import MembershipProtocol
 
+Answer = dict[str, object]
 
-def facts_of(view: View, name: str, now: float) -> dict:
-    facts: Facts | None = view.facts.get(name)
-    if facts is None:
+SECONDS_DIGITS = 3
+
+
+def status_answer(protocol: MembershipProtocol, name: str, now: float) -> Answer:
+    """Return what a member reports of itself; empty before its first report."""
+    statuses = protocol.statuses
+    status = statuses.by_owner.get(name)
+    if status is None:
         return {}
     return {
-        "phase": Phase(facts.phase).name.lower(),
-        "list_version": facts.list_version,
-        "settings": facts.settings,
-        "open_requests": facts.open_requests,
-        "started_ms": facts.started_ms,
-        "program": facts.program,
-        "count": facts.count,
-        "age_s": round(now - view.facts_at.get(name, now), 3),
+        "phase": status.phase.name.lower(),
+        "list_version": status.endpoint_list_version,
+        "settings": status.settings_digest,
+        "open_requests": status.open_requests,
+        "started_ms": status.started_at_ms,
+        "program": status.program_version,
+        "count": status.revision,
+        "age_s": round(now - statuses.received_at.get(name, now), SECONDS_DIGITS),
+    }
+
+
+def member_answer(protocol: MembershipProtocol, member: Member, now: float) -> Answer:
+    """Return a member's record and status."""
+    record = member.record
+    members = protocol.members
+    is_superseded = record.name == members.local_name and members.superseded_by is not None
+    return {
+        "name": record.name,
+        "address": record.address,
+        "state": "superseded" if is_superseded else record.state.label,
+        "generation": record.generation,
+        "incarnation": record.incarnation,
+        "since_s": round(now - member.state_since, SECONDS_DIGITS),
+        "facts": status_answer(protocol, record.name, now),
+    }
+
+
+def maintenance_answer(record: MaintenanceRecord) -> Answer:
+    """Return an operator's call on a worker."""
+    return {
+        "worker": record.worker,
+        "out": record.in_maintenance,
+        "by": record.recorded_by,
+        "stamp": record.lamport_time,
+        "at_us": record.recorded_at_us,
     }
 
 
-def member_of(view: View, member: Member, now: float) -> dict:
-    row = member.row
-    superseded = row.name == view.me.name and view.superseded
+def metrics_answer(metrics: ProtocolMetrics) -> Answer:
+    """Return the protocol's counters since the start."""
     return {
-        "name": row.name,
-        "address": row.address,
-        "state": "superseded" if superseded else state_name(row),
-        "generation": row.generation,
-        "incarnation": row.incarnation,
-        "since_s": round(now - member.since, 3),
-        "facts": facts_of(view, row.name, now),
+        "probes": metrics.probes,
+        "failed_probes": metrics.failed_probes,
+        "refutations": metrics.refutations,
+        "stalls": metrics.stalls,
+        "syncs": metrics.anti_entropy_rounds,
+        "turned_away": metrics.rejected_names,
+        "not_me": metrics.misdirected_pings,
     }
 
 
-def members(view: View, counted: int, now: float) -> dict:
-    """`counted`: dispatchers that share what is the fleet's, by `counting`."""
+def membership_answer(
+    protocol: MembershipProtocol,
+    dispatcher_count: int,
+    driver_metrics: dict[str, object],
+    now: float,
+) -> Answer:
+    """Return the answer of `GET /fleet`.
+
+    `dispatcher_count` is the number that share the cluster's capacity, by `member_count`;
+    `driver_metrics` are further counters under their answers' keys.
+    """
+    members = protocol.members
     return {
-        "self": view.me.name,
-        "self_generation": view.me.generation,
-        "cluster": view.cluster,
-        "settled": view.settled,
-        "digest": f"{view.digest:012x}",
-        "counted": counted,
-        "number": view.number,
-        "members": [member_of(view, view.members[name], now) for name in sorted(view.members)],
+        "self": members.local_name,
+        "self_generation": members.local.generation,
+        "cluster": protocol.cluster,
+        "settled": protocol.is_settled,
+        "digest": f"{protocol.digest:012x}",
+        "counted": dispatcher_count,
+        "number": members.events.last_number,
+        "members": [
+            member_answer(protocol, member, now) for _, member in sorted(members.by_name.items())
+        ],
         "words": [
-            {"worker": w.worker, "out": w.out, "by": w.by, "stamp": w.stamp, "at_us": w.at_us}
-            for _, w in sorted(view.words.items())
+            maintenance_answer(record)
+            for _, record in sorted(protocol.maintenance.by_worker.items())
         ],
-        "counts": {**asdict(view.counts), "awareness": view.awareness},
+        "counts": {
+            **metrics_answer(protocol.context.metrics),
+            "awareness": protocol.context.local_health.score,
+            **driver_metrics,
+        },
     }
 
 
-def as_told(change: Change, now: float) -> dict:
-    told = asdict(change)
-    return {"ago_s": round(now - told.pop("at"), 3), **told}
+def event_answer(event: MembershipEvent, now: float) -> Answer:
+    """Return one event."""
+    return {
+        "ago_s": round(now - event.at, SECONDS_DIGITS),
+        "number": event.number,
+        "name": event.name,
+        "before": event.before,
+        "after": event.after,
+        "by": event.reported_by,
+        "why": event.reason,
+    }
 
 
-def changes(view: View, after: int, now: float) -> dict:
-    """Those behind `after`; `lost` if some of them are no longer kept."""
-    kept = [change for change in view.changes if change.number > after]
+def events_answer(protocol: MembershipProtocol, after: int, now: float) -> Answer:
+    """Return the answer of `GET /fleet/changes`: events after a number, and how many are lost."""
+    events = protocol.members.events
+    recent = events.after(after)
     return {
-        "number": view.number,
-        "lost": max(view.number - after - len(kept), 0) if after else 0,
-        "changes": [as_told(c, now) for c in kept],
+        "number": events.last_number,
+        "lost": max(events.last_number - after - len(recent), 0) if after else 0,
+        "changes": [event_answer(event, now) for event in recent],
     }
 
 
-def explain(view: View, name: str, now: float) -> dict | None:
-    """Why a member is in its state, from whom that was heard and when; None for a name not known."""
-    member = view.members.get(name)
+def explanation_answer(protocol: MembershipProtocol, name: str, now: float) -> Answer | None:
+    """Return the answer of `GET /fleet/members/NAME`; None for a name that is not known."""
+    member = protocol.members.by_name.get(name)
     if member is None:
         return None
-    doubt = None
+    suspicion: Answer | None = None
     if member.suspicion is not None:
-        doubt = {
+        suspicion = {
             "accusers": sorted(member.suspicion.accusers),
-            "dead_in_s": round(member.suspicion.until - now, 3),
+            "dead_in_s": round(member.suspicion.deadline - now, SECONDS_DIGITS),
         }
-    history = [as_told(c, now) for c in member.history]
-    return {**member_of(view, member, now), "by": member.by, "suspicion": doubt, "history": history}
+    return {
+        **member_answer(protocol, member, now),
+        "by": member.reported_by,
+        "suspicion": suspicion,
+        "history": [event_answer(event, now) for event in member.history],
+    }
--- a/stepstream/membership/subsystem.py
+++ b/stepstream/membership/subsystem.py
@@ -1,24 +1,42 @@
-"""How `[fleet]` plugs into the node: the view, what it is for, and the operators' calls about it."""
+"""How `[fleet]` plugs into the node: the protocol, its effects on the node, and operators' calls.
+
+The subsystem owns the protocol, the driver and the count of dispatchers. The node's main thread
+calls its lifecycle methods, the membership thread `run_periodic_task` and the admin listener's
+thread the answers; the latter two only under the driver's lock.
+"""
 
 import random
 import signal
 import time
 from collections.abc import Callable, Sequence
+from typing import cast
 
 import msgspec
 
 from stepstream import __version__
 from stepstream.config.errors import ConfigurationError
 from stepstream.config.node_config import NodeConfig
-from stepstream.config.operator_file import MembershipSection as Section
-from stepstream.config.operator_file import OperatorConfig, require_unchanged, split_address
-from stepstream.membership import messages as m
+from stepstream.config.operator_file import (
+    MembershipSection,
+    OperatorConfig,
+    require_unchanged,
+    split_address,
+)
 from stepstream.membership import report
-from stepstream.membership.counting import Roster, Seen
-from stepstream.membership.driver import Driver, new_generation
-from stepstream.membership.messages import Phase
+from stepstream.membership.driver import Driver, MessageHandler, new_generation
+from stepstream.membership.member_count import MemberCount, ObservedMember, observe
+from stepstream.membership.messages import (
+    MAX_CONFIRMED_DEATHS,
+    MaintenanceRecord,
+    MemberName,
+    MemberRecord,
+    MemberState,
+    MemberStatus,
+    Phase,
+)
+from stepstream.membership.protocol import MembershipProtocol
+from stepstream.membership.protocol_settings import ProtocolSettings
 from stepstream.membership.settings_digest import settings_digest
-from stepstream.membership.view import Times, View
 from stepstream.ports.admin import (
     AdminRequest,
     AdminResponse,
@@ -32,9 +50,17 @@
 from stepstream.runtime.threads import spawn_thread
 from stepstream.subsystem_context import SubsystemContext
 
-READS = frozenset({"GET", "HEAD"})
-FACTS = 0.5  # seconds between two looks at what this member says of itself
-FIXED = (
+READ_METHODS = frozenset({"GET", "HEAD"})
+WRITE_METHODS = frozenset({"PUT", "POST"})
+STATUS_INTERVAL_SECONDS = 0.5  # between two looks at what this member reports of itself
+MAX_LIST_VERSION = 2**53
+MAX_NUMBER_DIGITS = 15  # of an event's number in a call
+MILLISECONDS_A_SECOND = 1_000
+NANOSECONDS_A_MILLISECOND = 1_000_000
+HTTP_OK = 200
+HTTP_BAD_REQUEST = 400
+HTTP_NOT_FOUND = 404
+KEYS_FIXED_UNTIL_RESTART = (
     "fleet.listen",
     "fleet.advertise",
     "fleet.cluster",
@@ -44,230 +70,311 @@
 
 
 class MembershipSubsystem(Subsystem):
+    """The dispatchers' membership; a MessageTransport (ports.messaging) for other subsystems.
+
+    ConfigurationError names a key of the section, or of the configuration, that does not fit.
+    """
+
     def __init__(self, host: SubsystemContext) -> None:
-        """FieldError names a key of the section, or of the configuration, that does not fit."""
         self.host = host
-        section, config = host.operator.fleet, host.config
-        check(section, config)
-        self.draw = random.Random()  # by the machine's own chance: members must not draw alike
+        section = self.section
+        config = host.config
+        validate_section(section, config)
+        rng = random.Random()  # seeded by the machine: members must not draw alike
         address = section.advertise or section.listen
-        me = m.Row(config.name, address, new_generation(self.draw), 0, m.State.ALIVE)
-        now = time.monotonic()
-        self.view = View(me, section.cluster, section.seeds, times_of(section), self.draw, now)
-        self.roster = Roster(config.name, section.hold_s)
-        self.started_ms = time.time_ns() // 1_000_000
+        local = MemberRecord(config.name, address, new_generation(rng), 0, MemberState.ALIVE)
+        self.protocol = MembershipProtocol(
+            local,
+            section.cluster,
+            section.seeds,
+            protocol_settings(section),
+            rng,
+            time.monotonic(),
+        )
+        self.member_count = MemberCount(config.name, section.hold_s)
+        self.started_at_ms = time.time_ns() // NANOSECONDS_A_MILLISECOND
         self.phase = Phase.STARTING
-        self.counted = config.settings.dispatcher_count
-        self.told: dict[str, m.Word] = {}  # words that maintenance here has heard
-        self.facts_at = 0.0  # when it last told them
-        self.driver: Driver | None = None
-        self.heard: dict[str, Callable[[str, bytes], None]] = {}
-        self.process = f"{config.name}@{me.generation:x}"
+        self.dispatcher_count = config.settings.dispatcher_count
+        self.process = f"{config.name}@{local.generation:x}"
+        self._driver: Driver | None = None  # before the start
+        self._message_handlers: dict[str, MessageHandler] = {}
+        # By worker, the records that worker maintenance here knows of.
+        self._applied_maintenance: dict[str, MaintenanceRecord] = {}
+        self._status_published_at = 0.0
+
+    @property
+    def section(self) -> MembershipSection:
+        """The `[fleet]` section in force."""
+        return section_of(self.host.operator)
+
+    @property
+    def maintenance(self) -> WorkerMaintenance | None:
+        """The admin subsystem's worker maintenance, if the admin listener is on."""
+        return cast("WorkerMaintenance | None", self.host.subsystems.get("operator"))
+
+    @property
+    def driver(self) -> Driver:
+        """The driver, from the start on."""
+        if self._driver is None:
+            raise RuntimeError("the membership subsystem is used before its start")
+        return self._driver
 
-    # -- for other subsystems (ports.Messenger) -----------------------------------------------------------
+    # -- MessageTransport, for other subsystems ---------------------------------------------------
 
-    def subscribe(self, kind: str, take: Callable[[str, bytes], None]) -> None:
-        self.heard[kind] = take
+    def subscribe(self, kind: str, on_message: MessageHandler) -> None:
+        """Hand messages of a kind to `on_message`; to be called before the start."""
+        self._message_handlers[kind] = on_message
 
     def send(self, member: str, kind: str, data: bytes) -> None:
-        if self.driver is not None:
-            self.driver.post(member, kind, data)
+        """Send a message to a member; it may be lost, duplicated or late."""
+        if self._driver is not None:
+            self._driver.send_application_message(member, kind, data)
 
     def present(self) -> list[str]:
+        """Return the names of the other present members."""
         with self.driver.lock:
-            return self.view.others()
+            return self.protocol.members.others()
 
     def superseded(self) -> bool:
-        return bool(self.view.superseded)
+        """Return whether a later process has this one's name."""
+        return self.protocol.members.superseded_by is not None
 
-    @property
-    def section(self) -> Section:
-        return self.host.operator.fleet
-
-    @property
-    def maintenance(self) -> WorkerMaintenance | None:
-        return self.host.subsystems.get("operator")
-
-    # -- the node's calls ---------------------------------------------------------------------------------
+    # -- the node's main thread -------------------------------------------------------------------
 
     def start(self) -> None:
-        listen = self.section.listen
+        """Bind the socket and start the membership thread."""
+        section = self.section
         try:
-            lines = structured_logger(self.section.log)
-            self.driver = Driver(
-                split_address(listen), self.view, self.host.limits, lines, self.act
+            self._driver = Driver(
+                split_address(section.listen),
+                self.protocol,
+                self.host.limits,
+                structured_logger(section.log),
+                self.run_periodic_task,
             )
         except OSError as error:
-            raise ConfigurationError(f"fleet.listen={listen}: {error}") from None
-        self.driver.heard = self.heard
-        if self.section.share_maintenance and self.maintenance is not None:
-            # Before the admin listener hears its first call: a word told by then would stay here.
-            self.maintenance.on_change = self.say
-        spawn_thread("fleet", self.driver.run)
-        log(
-            f"{self.host.config.name} is a member of {self.section.cluster} at {self.view.me.address}"
-        )
+            raise ConfigurationError(f"fleet.listen={section.listen}: {error}") from error
+        self._driver.message_handlers = self._message_handlers
+        if section.share_maintenance and self.maintenance is not None:
+            # Before the admin listener takes its first call: its record would not be shared.
+            self.maintenance.on_change = self.record_maintenance
+        # The driver owns the thread: it ends once the driver is closed.
+        spawn_thread("fleet", self._driver.run)
+        address = self.protocol.members.local.address
+        log(f"{self.host.config.name} is a member of {section.cluster} at {address}")
 
     def on_serving(self) -> None:
+        """Report the serving phase."""
         self.phase = Phase.SERVING
 
     def prepare_reload(
         self, config: NodeConfig, operator: OperatorConfig | None
     ) -> Callable[[], None]:
-        for key in FIXED:
-            require_unchanged(key, self.host.operator, operator)
-        check(operator.fleet, config)
+        """Check a reloaded section; return what applies it."""
+        if self.host.operator is not None and operator is not None:
+            for key in KEYS_FIXED_UNTIL_RESTART:
+                require_unchanged(key, self.host.operator, operator)
+        section = section_of(operator)
+        validate_section(section, config)
         if config.name != self.host.config.name:
             raise ConfigurationError(
                 f"name={config.name} changes only with a restart where there is [fleet]"
             )
-        return lambda: self.take_over(operator.fleet)
+        return lambda: self._apply_section(section)
 
-    def take_over(self, section: Section) -> None:
+    def _apply_section(self, section: MembershipSection) -> None:
         with self.driver.lock:
-            self.view.times, self.view.seeds = times_of(section), section.seeds
-            self.view.gossip.multiple = self.view.times.gossip
-            self.roster.hold = section.hold_s
-            self.counted = 0  # the settings are new: what follows from the view is told again
+            self.protocol.reconfigure(protocol_settings(section), section.seeds)
+            self.member_count.confirmation_delay_seconds = section.hold_s
+            # The node's settings are new: the periodic task must set their dispatcher count again.
+            self.dispatcher_count = 0
+
+    def run_periodic_tasks(self) -> None:
+        """Do nothing: the membership thread has timers of its own."""
 
     def begin_shutdown(self) -> bool:
+        """Report the leaving phase; no process beside this one is known of here."""
         self.phase = Phase.LEAVING
         return False
 
     def stop(self) -> None:
-        """All is answered. In a hot restart the name goes on with the process beside this one."""
+        """Leave the cluster; in a hot restart the name goes on with the process beside this one."""
         if self.host.hot_restarting:
-            self.driver.closed = True
+            self.driver.is_closed = True
         else:
             self.driver.leave()
 
     def status(self) -> str:
-        view, driver = self.view, self.driver
+        """Return the part of the status line."""
+        driver = self.driver
         return (
-            f"fleet of {len(view.here)} present and {self.counted} counted, "
-            f"{driver.complaints.count} datagrams dropped and {driver.unsent} not sent"
+            f"fleet of {len(self.protocol.members.present)} present and "
+            f"{self.dispatcher_count} counted, "
+            f"{driver.dropped_datagrams.count} datagrams dropped and "
+            f"{driver.unsent_datagrams} not sent"
         )
 
-    # -- the fleet thread, with the view locked -----------------------------------------------------------
-
-    def act(self, now: float) -> None:
-        """What follows from the view: this member's own facts, the share, and operators' words."""
-        seen = [
-            Seen(name, x.row.state, now - x.since, x.row.mark)
-            for name, x in self.view.members.items()
-        ]
-        if now - self.facts_at >= FACTS:
-            self.facts_at = now
-            self.view.tell_facts(self.own_facts(self.roster.witnessed(seen)))
-        counted = self.count(now, seen)
-        if counted != self.counted:
-            self.counted = counted
+    # -- the membership thread, with the driver's lock held ---------------------------------------
+
+    def run_periodic_task(self, now: float) -> None:
+        """Publish the local status, and apply to the node what follows from the membership."""
+        observed = observe(self.protocol.members, now)
+        if now - self._status_published_at >= STATUS_INTERVAL_SECONDS:
+            self._status_published_at = now
+            confirmed_deaths = self.member_count.confirmed_deaths(observed)
+            self.protocol.statuses.publish(self.local_status(confirmed_deaths))
+        dispatcher_count = self._count_dispatchers(now, observed)
+        if dispatcher_count != self.dispatcher_count:
+            self.dispatcher_count = dispatcher_count
             if self.section.follow_size:
-                self.host.set_dispatcher_count(counted)
-        if self.section.share_maintenance and self.maintenance is not None:
-            for worker, word in self.view.words.items():
-                if self.told.get(worker) != word:
-                    self.told[worker] = word
-                    self.maintenance.apply_remote_change(worker, word.out, word.by, word.at_us)
-
-    def count(self, now: float, seen: list[Seen]) -> int:
-        witnesses = {name: frozenset(facts.ended) for name, facts in self.view.facts.items()}
-        counted = self.roster.update(seen, witnesses)
-        young = now - self.view.begun < self.view.times.young
-        if young or not self.view.joined:
-            # Until it has heard of the others for a while, the settings' word is the safer one.
-            return max(counted, self.host.config.settings.dispatcher_count)
-        return counted
-
-    def own_facts(self, ended: list[int]) -> m.Facts:
+                self.host.set_dispatcher_count(dispatcher_count)
+        self._apply_maintenance_records()
+
+    def _apply_maintenance_records(self) -> None:
+        maintenance = self.maintenance
+        if not self.section.share_maintenance or maintenance is None:
+            return
+        for worker, record in self.protocol.maintenance.by_worker.items():
+            if self._applied_maintenance.get(worker) != record:
+                self._applied_maintenance[worker] = record
+                maintenance.apply_remote_change(
+                    worker, record.in_maintenance, record.recorded_by, record.recorded_at_us
+                )
+
+    def _count_dispatchers(self, now: float, observed: list[ObservedMember]) -> int:
+        protocol = self.protocol
+        confirmations = {
+            owner: frozenset(status.confirmed_deaths)
+            for owner, status in protocol.statuses.by_owner.items()
+        }
+        count = self.member_count.update(observed, confirmations)
+        uptime_seconds = now - protocol.started_at
+        is_starting = uptime_seconds < protocol.context.settings.startup_hold_seconds
+        if is_starting or protocol.members.joined_at is None:
+            # Until it has heard of the others for a while, the configured count is the safer one.
+            return max(count, self.host.config.settings.dispatcher_count)
+        return count
+
+    def local_status(self, confirmed_deaths: list[int]) -> MemberStatus:
+        """Return what this member reports of itself."""
         host = self.host
-        desk_drains = self.maintenance is not None and self.maintenance.draining()
-        phase = Phase.DRAINING if desk_drains and self.phase is Phase.SERVING else self.phase
-        return m.Facts(
-            owner=self.view.me.name,
-            generation=0,
-            count=0,
-            phase=phase,
-            list_version=min(max(host.destinations.version or 0, 0), 2**53),
-            settings=settings_digest(host.config.settings),
+        is_draining = self.maintenance is not None and self.maintenance.draining()
+        is_serving = self.phase is Phase.SERVING
+        return MemberStatus(
+            owner=self.protocol.members.local_name,
+            generation=0,  # this and the revision are filled in when it is published
+            revision=0,
+            phase=Phase.DRAINING if is_draining and is_serving else self.phase,
+            endpoint_list_version=min(max(host.destinations.version or 0, 0), MAX_LIST_VERSION),
+            settings_digest=settings_digest(host.config.settings),
             open_requests=host.core.open_count,
-            started_ms=self.started_ms,
-            program=__version__,
-            ended=tuple(ended[: m.MOST_ENDED]),
+            started_at_ms=self.started_at_ms,
+            program_version=__version__,
+            confirmed_deaths=tuple(confirmed_deaths[:MAX_CONFIRMED_DEATHS]),
         )
 
-    # -- the admin listener's thread ----------------------------------------------------------------------
+    # -- the admin listener's thread --------------------------------------------------------------
 
-    def say(self, worker: str, out: bool) -> None:
+    def record_maintenance(
+        self,
+        worker: str,
+        in_maintenance: bool,  # noqa: FBT001  called as WorkerMaintenance.on_change
+    ) -> None:
+        """Share an operator's call on a worker with all members."""
         with self.driver.lock:
-            word = self.view.say(worker, out, self.host.clock.now_us())
-            if word is not None:
-                self.told[worker] = word
-        if word is None:
+            record = self.protocol.maintenance.record(
+                worker,
+                in_maintenance=in_maintenance,
+                recorded_at_us=self.host.clock.now_us(),
+            )
+            if record is not None:
+                self._applied_maintenance[worker] = record
+        if record is None:
+            max_members = self.protocol.context.settings.max_members
             log(
-                f"fleet: no room for word of {worker}: {self.view.times.most} workers are known (fleet.most)"
+                f"fleet: no room for word of {worker}: {max_members} workers are known (fleet.most)"
             )
 
     def admin_routes(self) -> Sequence[AdminRoute]:
+        """Return the routes below `/fleet`."""
         return (
-            AdminRoute(r"/fleet", READS, self.on_members),
-            AdminRoute(r"/fleet/changes", READS, self.on_changes),
-            AdminRoute(r"/fleet/members/([^/]{1,128})", READS, self.on_explain),
-            AdminRoute(r"/fleet/leave", frozenset({"PUT", "POST"}), self.on_leave),
+            AdminRoute(r"/fleet", READ_METHODS, self.on_membership),
+            AdminRoute(r"/fleet/changes", READ_METHODS, self.on_events),
+            AdminRoute(r"/fleet/members/([^/]{1,128})", READ_METHODS, self.on_explain),
+            AdminRoute(r"/fleet/leave", WRITE_METHODS, self.on_leave),
         )
 
-    def on_members(self, call: AdminRequest) -> AdminResponse:
-        with self.driver.lock:
-            told = report.members(self.view, self.counted, time.monotonic())
-        counts = {"dropped": self.driver.complaints.count, "unsent": self.driver.unsent}
-        told["counts"] |= {**counts, "cpu_s": round(self.driver.cpu_s, 3)}
-        return json_response(200, told)
-
-    def on_changes(self, call: AdminRequest) -> AdminResponse:
-        after = call.query.get("after", "0")
-        if not (after.isascii() and after.isdigit() and len(after) < 16):
-            return json_response(400, {"error": "after is not a whole number"})
+    def on_membership(self, _request: AdminRequest) -> AdminResponse:
+        """Answer `GET /fleet`."""
+        driver = self.driver
+        with driver.lock:
+            driver_metrics: dict[str, object] = {
+                "dropped": driver.dropped_datagrams.count,
+                "unsent": driver.unsent_datagrams,
+                "cpu_s": round(driver.cpu_seconds, report.SECONDS_DIGITS),
+            }
+            answer = report.membership_answer(
+                self.protocol, self.dispatcher_count, driver_metrics, time.monotonic()
+            )
+        return json_response(HTTP_OK, answer)
+
+    def on_events(self, request: AdminRequest) -> AdminResponse:
+        """Answer `GET /fleet/changes?after=NUMBER`."""
+        after = request.query.get("after", "0")
+        if not (after.isascii() and after.isdigit() and len(after) <= MAX_NUMBER_DIGITS):
+            return json_response(HTTP_BAD_REQUEST, {"error": "after is not a whole number"})
         with self.driver.lock:
-            return json_response(200, report.changes(self.view, int(after), time.monotonic()))
+            answer = report.events_answer(self.protocol, int(after), time.monotonic())
+        return json_response(HTTP_OK, answer)
 
-    def on_explain(self, call: AdminRequest) -> AdminResponse:
+    def on_explain(self, request: AdminRequest) -> AdminResponse:
+        """Answer `GET /fleet/members/NAME`."""
         with self.driver.lock:
-            found = report.explain(self.view, call.parts[0], time.monotonic())
-        return (
-            json_response(200, found) if found else json_response(404, {"error": "no such member"})
-        )
+            answer = report.explanation_answer(self.protocol, request.parts[0], time.monotonic())
+        if answer is None:
+            return json_response(HTTP_NOT_FOUND, {"error": "no such member"})
+        return json_response(HTTP_OK, answer)
 
-    def on_leave(self, call: AdminRequest) -> AdminResponse:
-        """The graceful stop, as SIGTERM begins it: all is answered, and the others are told."""
+    def on_leave(self, _request: AdminRequest) -> AdminResponse:
+        """Answer `PUT /fleet/leave`: begin the graceful shutdown, as SIGTERM does."""
         self.host.signals.put(signal.SIGTERM)
-        return json_response(200, {"leaving": self.view.me.name})
-
-
-def times_of(section: Section) -> Times:
-    return Times(
-        period=section.period_ms / 1000,
-        timeout=section.timeout_ms / 1000,
-        helpers=section.helpers,
-        suspicion=section.suspicion,
-        slack=section.slack,
-        confirmations=section.confirmations,
-        gossip=section.gossip,
-        sync=section.sync_ms / 1000,
-        reach=section.reach_ms / 1000,
-        young=section.young_s,
-        health=section.health,
-        forget=section.forget_s,
-        most=section.most,
+        return json_response(HTTP_OK, {"leaving": self.protocol.members.local_name})
+
+
+def section_of(operator: OperatorConfig | None) -> MembershipSection:
+    """Return the `[fleet]` section; ConfigurationError without one."""
+    if operator is None or operator.fleet is None:
+        raise ConfigurationError("fleet: the operator's file has no [fleet]")
+    return operator.fleet
+
+
+def protocol_settings(section: MembershipSection) -> ProtocolSettings:
+    """Translate the section's keys into the protocol's settings."""
+    return ProtocolSettings(
+        probe_interval_seconds=section.period_ms / MILLISECONDS_A_SECOND,
+        probe_timeout_seconds=section.timeout_ms / MILLISECONDS_A_SECOND,
+        indirect_probes=section.helpers,
+        suspicion_multiplier=section.suspicion,
+        suspicion_max_multiplier=section.slack,
+        suspicion_confirmations=section.confirmations,
+        retransmit_multiplier=section.gossip,
+        anti_entropy_interval_seconds=section.sync_ms / MILLISECONDS_A_SECOND,
+        reconnect_interval_seconds=section.reach_ms / MILLISECONDS_A_SECOND,
+        startup_hold_seconds=section.young_s,
+        max_local_health_score=section.health,
+        tombstone_timeout_seconds=section.forget_s,
+        max_members=section.most,
     )
 
 
-def check(section: Section, config: NodeConfig) -> None:
+def validate_section(section: MembershipSection, config: NodeConfig) -> None:
+    """Check what the section's types cannot; ConfigurationError names the key."""
     try:
-        msgspec.convert(config.name, m.Name)
-    except msgspec.ValidationError:
+        msgspec.convert(config.name, MemberName)
+    except msgspec.ValidationError as error:
         raise ConfigurationError(
             f"name={config.name} cannot be a member's: letters, digits, . _ - only"
-        ) from None
+        ) from error
     if (section.advertise or section.listen).startswith("0.0.0.0:"):
         raise ConfigurationError("fleet.advertise: 0.0.0.0 is no address that others can reach")
     if section.timeout_ms >= section.period_ms:
@@ -279,4 +386,5 @@
 
 
 def create_subsystem(host: SubsystemContext) -> MembershipSubsystem:
+    """Return the subsystem; the node calls this where the operator's file has `[fleet]`."""
     return MembershipSubsystem(host)
--- a/tests/golden/state_answers.py
+++ b/tests/golden/state_answers.py
@@ -40,8 +40,9 @@
 from stepstream.leases.sweeper import Sweeper
 from stepstream.membership import driver as fleet_driver
 from stepstream.membership import messages as fleet_messages
+from stepstream.membership import outbox as fleet_outbox
+from stepstream.membership import protocol as fleet_protocol
 from stepstream.membership import subsystem as fleet_plug
-from stepstream.membership import view as fleet_view
 from stepstream.membership.settings_digest import settings_digest
 from stepstream.model.events import HealthChecked
 from stepstream.ports.admin import AdminResponse, AdminRoute
@@ -114,23 +115,23 @@
     """Through a socket to the fleet's driver: what its view is told, and how many it drops."""
     view = Recipient(cluster)
     made = fleet_driver.Driver(("127.0.0.1", 0), view, LIMITS, None, None)
-    with quiet(), made.sock, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+    with quiet(), made.socket, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
         for data in sent:
-            sender.sendto(data, made.sock.getsockname())
-            made.read()
-    return view.heard, made.complaints.count
+            sender.sendto(data, made.socket.getsockname())
+            made.receive()
+    return view.heard, made.dropped_datagrams.count
 
 
 def from_the_driver(datagrams: Sequence[object]) -> list[bytes]:
     """Sent by the fleet's driver: the bytes that arrive at a socket."""
     made = fleet_driver.Driver(("127.0.0.1", 0), Recipient(""), LIMITS, None, None)
-    with made.sock, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as receiver:
+    with made.socket, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as receiver:
         receiver.bind(("127.0.0.1", 0))
         receiver.settimeout(10.0)
         address = "{}:{}".format(*receiver.getsockname())
         heard = []
         for datagram in datagrams:
-            made.carry([fleet_view.Send(address, datagram)])
+            made.transmit([fleet_outbox.OutgoingDatagram(address, datagram)])
             heard.append(receiver.recv(65_536))
         return heard
 
@@ -290,8 +291,10 @@
     incarnation: int = 0,
     generation: int = UNIX_MS * 1024,
 ) -> object:
-    state_now = fleet_messages.State[state]
-    return fleet_messages.Row(name, f"127.0.0.1:{port}", generation, incarnation, state_now)
+    state_now = fleet_messages.MemberState[state]
+    return fleet_messages.MemberRecord(
+        name, f"127.0.0.1:{port}", generation, incarnation, state_now
+    )
 
 
 def fleet_host(clock: StillClock) -> SimpleNamespace:
@@ -312,35 +315,41 @@
     """The subsystem with a view whose chance and start are fixed, and a socket on any port."""
     part = fleet_plug.MembershipSubsystem(host)
     me = row("n0", 7946, "ALIVE")
-    times = fleet_plug.times_of(host.operator.fleet)
+    times = fleet_plug.protocol_settings(host.operator.fleet)
     seeds = host.operator.fleet.seeds
-    part.view = fleet_view.View(me, "golden", seeds, times, random.Random(1), clock.now)
+    rng = random.Random(1)
+    part.protocol = fleet_protocol.MembershipProtocol(me, "golden", seeds, times, rng, clock.now)
     lines = logging.getLogger("golden")
-    part.driver = fleet_driver.Driver(("127.0.0.1", 0), part.view, LIMITS, lines, part.act)
+    address, act = ("127.0.0.1", 0), part.run_periodic_task
+    part._driver = fleet_driver.Driver(address, part.protocol, LIMITS, lines, act)
     return part
 
 
 def told_facts(owner: str, phase: str, ended: tuple[int, ...] = ()) -> object:
     at = fleet_messages.Phase[phase]
     generation, settings = UNIX_MS * 1024, "0a1b2c3d4e5f"
-    return fleet_messages.Facts(owner, generation, 4, at, 42, settings, 3, UNIX_MS, "0.0.0", ended)
+    return fleet_messages.MemberStatus(
+        owner, generation, 4, at, 42, settings, 3, UNIX_MS, "0.0.0", ended
+    )
 
 
 def fill(view: object, clock: StillClock) -> None:
     """Members in every state, with facts and operators' words."""
     for name, port in (("n1", 7947), ("n2", 7948), ("n3", 7949), ("n4", 7950)):
-        view.claim(row(name, port, "ALIVE"), "n1")
-    view.tell_facts(told_facts("n0", "SERVING", (17,)))
-    view.learn_facts(told_facts("n1", "DRAINING"))
+        view.merger.merge(row(name, port, "ALIVE"), "n1")
+    view.statuses.publish(told_facts("n0", "SERVING", (17,)))
+    view.statuses.merge(told_facts("n1", "DRAINING"))
     clock.now += 1.5
-    view.now = clock.now
+    view.context.now = clock.now
     for name, port, state in (("n2", 7948, "SUSPECT"), ("n3", 7949, "DEAD"), ("n4", 7950, "LEFT")):
-        view.claim(row(name, port, state), "n1")
-    view.claim(row("n2", 7948, "SUSPECT"), "n3")
-    view.claim(row("n1", 7947, "ALIVE", 0, UNIX_MS * 1024 + 7), "n1")
-    view.claim(row("n0", 7946, "SUSPECT"), "n2")
-    view.say("s-1", True, UNIX_MS * 1000)
-    view.say("10.0.0.7:5000", False, UNIX_MS * 1000 + 1)
+        view.merger.merge(row(name, port, state), "n1")
+    view.merger.merge(row("n2", 7948, "SUSPECT"), "n3")
+    view.merger.merge(row("n1", 7947, "ALIVE", 0, UNIX_MS * 1024 + 7), "n1")
+    view.merger.merge(row("n0", 7946, "SUSPECT"), "n2")
+    view.maintenance.record("s-1", in_maintenance=True, recorded_at_us=UNIX_MS * 1000)
+    view.maintenance.record(
+        "10.0.0.7:5000", in_maintenance=False, recorded_at_us=UNIX_MS * 1000 + 1
+    )
     clock.now += 0.25
 
 
@@ -353,7 +362,7 @@
         ask = caller.ask
         ask("GET", "/fleet")
         ask("GET", "/fleet/changes")
-        fill(part.view, clock)
+        fill(part.protocol, clock)
         for target in (
             "/fleet",
             "/fleet/changes",
@@ -365,8 +374,8 @@
             ask("GET", f"/fleet/members/{name}")
         for text in ("x", "-1", "", "1" * 16, "%C2%B2"):
             ask("GET", f"/fleet/changes?after={text}")
-        part.view.changes.popleft()
-        part.view.changes.popleft()
+        part.protocol.members.events.recent.popleft()
+        part.protocol.members.events.recent.popleft()
         ask("GET", "/fleet/changes?after=1")
         ask("HEAD", "/fleet")
         for method, target in (
@@ -380,14 +389,14 @@
             ask(method, target)
         ask("PUT", "/fleet/leave")
         clock.now += 10.0
-        part.view.now = clock.now
-        part.view.claim(row("n1", 7947, "ALIVE", 0, UNIX_MS * 1024 + 7), "n1")
-        part.view.joined = True
-        part.view.about_me(row("n0", 7999, "ALIVE", 0, UNIX_MS * 1024 + 9), "n0")
+        part.protocol.context.now = clock.now
+        part.protocol.merger.merge(row("n1", 7947, "ALIVE", 0, UNIX_MS * 1024 + 7), "n1")
+        part.protocol.members.joined_at = part.protocol.started_at
+        part.protocol.merger.merge_local(row("n0", 7999, "ALIVE", 0, UNIX_MS * 1024 + 9), "n0")
         ask("GET", "/fleet")
         ask("GET", "/fleet/members/n0")
         caller.close()
-        part.driver.sock.close()
+        part.driver.socket.close()
     stops = host.signals.get() == signal.SIGTERM
     return [*caller.told, ["SIGTERM after /fleet/leave", json.dumps(stops)]]
 
@@ -397,11 +406,11 @@
     clock = StillClock()
     with quiet(), clock.in_force():
         part = fleet_plug.MembershipSubsystem(fleet_host(clock))
-        started = msgspec.to_builtins(part.own_facts([17, 4]))
+        started = msgspec.to_builtins(part.local_status([17, 4]))
         part.on_serving()
-        serving = msgspec.to_builtins(part.own_facts([]))
+        serving = msgspec.to_builtins(part.local_status([]))
         part.begin_shutdown()
-        leaving = msgspec.to_builtins(part.own_facts([]))
+        leaving = msgspec.to_builtins(part.local_status([]))
     told = {"starting": started, "serving": serving, "leaving": leaving}
     program = 8  # the program's version, which changes with each release
     for facts in told.values():
--- a/tests/golden/state_samples.py
+++ b/tests/golden/state_samples.py
@@ -31,7 +31,9 @@
 from stepstream.leases import rules as lease_rules
 from stepstream.leases import sweep
 from stepstream.membership import messages as fleet_messages
-from stepstream.membership import view as fleet_view
+from stepstream.membership import protocol as fleet_protocol
+from stepstream.membership.member_status import confirmed_deaths_fingerprint
+from stepstream.membership.protocol_settings import ProtocolSettings
 
 FOLDER = Path(__file__).resolve().parent / "state"
 CLUSTER = "golden"
@@ -57,19 +59,19 @@
 def member_row(
     name: str = "n0", port: int = 7946, incarnation: int = 0, state: str = "ALIVE", by: str = ""
 ) -> object:
-    return fleet_messages.Row(
+    return fleet_messages.MemberRecord(
         name,
         f"127.0.0.1:{port}",
         1_700_000_000_000 * 1024 + 5,
         incarnation,
-        fleet_messages.State[state],
+        fleet_messages.MemberState[state],
         by,
     )
 
 
 def member_facts(owner: str = "n0", phase: str = "SERVING", ended: tuple[int, ...] = ()) -> object:
     generation, count, list_version, open_requests = 1_700_000_000_000 * 1024 + 5, 7, 42, 3
-    return fleet_messages.Facts(
+    return fleet_messages.MemberStatus(
         owner,
         generation,
         count,
@@ -84,7 +86,7 @@
 
 
 def operator_word(worker: str = "s-1", stamp: int = 3, out: bool = True) -> object:
-    return fleet_messages.Word(worker, stamp, out, "n1", 1_700_000_000_123_456)
+    return fleet_messages.MaintenanceRecord(worker, stamp, out, "n1", 1_700_000_000_123_456)
 
 
 def fleet_bodies() -> dict[str, object]:
@@ -93,15 +95,17 @@
         "ping": fleet_messages.Ping(1, "n1"),
         "ping-greatest-number": fleet_messages.Ping(MOST_NUMBER, "A.b_c-9" * 9),
         "ack": fleet_messages.Ack(2),
-        "ping-for": fleet_messages.PingFor(3, "n2", "127.0.0.1:7948"),
+        "ping-for": fleet_messages.PingRequest(3, "n2", "127.0.0.1:7948"),
         "nack": fleet_messages.Nack(4),
-        "compare": fleet_messages.Compare(0xABCDEF012345),
-        "compare-zero": fleet_messages.Compare(0),
+        "compare": fleet_messages.Digest(0xABCDEF012345),
+        "compare-zero": fleet_messages.Digest(0),
         "page": fleet_messages.Page(False),
         "page-that-wants-a-reply": fleet_messages.Page(True),
-        "parcel": fleet_messages.Parcel("lease", bytes(range(256))),
-        "parcel-empty": fleet_messages.Parcel("sweep", b""),
-        "parcel-largest": fleet_messages.Parcel("k" * 16, b"\xff" * fleet_messages.PARCEL),
+        "parcel": fleet_messages.ApplicationMessage("lease", bytes(range(256))),
+        "parcel-empty": fleet_messages.ApplicationMessage("sweep", b""),
+        "parcel-largest": fleet_messages.ApplicationMessage(
+            "k" * 16, b"\xff" * fleet_messages.MAX_APPLICATION_BYTES
+        ),
     }
 
 
@@ -124,7 +128,7 @@
         made[f"rows-{state.lower()}"] = fleet_datagram(ack, rows)
     for phase in ("STARTING", "SERVING", "DRAINING", "LEAVING"):
         made[f"facts-{phase.lower()}"] = fleet_datagram(ack, (), (member_facts("n0", phase),))
-    marks_of_deaths = tuple(range(2**47, 2**47 + fleet_messages.MOST_ENDED))
+    marks_of_deaths = tuple(range(2**47, 2**47 + fleet_messages.MAX_CONFIRMED_DEATHS))
     made["facts-ended"] = fleet_datagram(ack, (), (member_facts(ended=marks_of_deaths),))
     words = operator_word(), operator_word("10.0.0.7:5000", 4, False), operator_word("Ž" * 20, 0)
     made["words"] = fleet_datagram(ack, (), (), words)
@@ -207,7 +211,11 @@
         "page-not-a-truth-value": (ping, (3,), [6, 1]),
         "parcel-kind-empty": (ping, (3,), [7, "", b""]),
         "parcel-kind-too-long": (ping, (3,), [7, "k" * 17, b""]),
-        "parcel-data-too-long": (ping, (3,), [7, "lease", b"x" * (fleet_messages.PARCEL + 1)]),
+        "parcel-data-too-long": (
+            ping,
+            (3,),
+            [7, "lease", b"x" * (fleet_messages.MAX_APPLICATION_BYTES + 1)],
+        ),
         "parcel-data-text": (ping, (3,), [7, "lease", "text"]),
         "rows-too-many": (ping, (4,), [["n", "127.0.0.1:1", 1, 0, 0]] * 65),
         "rows-null": (whole, (4,), None),
@@ -225,7 +233,7 @@
     made["row-longer-by-one-element"] = extended(ping, (2,))
     made["facts-longer-by-one-element"] = extended(whole, (5, 0))
     made["word-longer-by-one-element"] = extended(whole, (6, 0))
-    made["over-the-longest-datagram"] = ping.ljust(fleet_messages.DATAGRAM + 1, b"\x00")
+    made["over-the-longest-datagram"] = ping.ljust(fleet_messages.MAX_DATAGRAM_BYTES + 1, b"\x00")
     made["text-not-utf-8"] = ping.replace(b"golden", b"gold\xff\xff")
     return made
 
@@ -517,7 +525,7 @@
         "fleet",
         fleet_messages.encode,
         lambda data: fleet_messages.decode(data, CLUSTER),
-        fleet_messages.BadDatagramError,
+        fleet_messages.InvalidDatagramError,
         fleet_samples,
         fleet_malformed,
         fleet_tolerated,
@@ -563,12 +571,12 @@
     """Digests that members compare with each other's."""
     return {
         "rows": [
-            member_row(state=state, incarnation=number).mark
+            member_row(state=state, incarnation=number).fingerprint
             for number, state in enumerate(("ALIVE", "SUSPECT", "DEAD", "LEFT"))
         ],
-        "words": [fleet_view.word_hashed(operator_word(out=out)) for out in (True, False)],
+        "words": [operator_word(out=out).fingerprint for out in (True, False)],
         "witnesses": [
-            fleet_view.witness_hashed(facts)
+            confirmed_deaths_fingerprint(facts)
             for facts in (
                 None,
                 member_facts(),
@@ -605,11 +613,11 @@
     """All datagrams of three members in simulated time, with an operator's word and a leave."""
     addresses = {f"n{number}": f"127.0.0.1:{7946 + number}" for number in range(3)}
     views = {
-        address: fleet_view.View(
+        address: fleet_protocol.MembershipProtocol(
             member_row(name, int(address.rpartition(":")[2])),
             CLUSTER,
             tuple(addresses.values()),
-            fleet_view.Times(),
+            ProtocolSettings(),
             random.Random(name),
             0.0,
         )
@@ -628,12 +636,14 @@
     for step in range(1, 61):
         now = step / 20
         if step == 20:
-            first.tell_facts(member_facts())
-            first.say("s-1", True, 1_700_000_000_000_000)
+            first.statuses.publish(member_facts())
+            first.maintenance.record(
+                "s-1", in_maintenance=True, recorded_at_us=1_700_000_000_000_000
+            )
         if step == 50:
             carry(first.leave(now))
         for view in views.values():
-            if view.next_at() <= now:
+            if view.next_tick_at() <= now:
                 carry(view.tick(now))
         while under_way:
             address, data = under_way.pop(0)
--- a/tests/membership/test_membership_processes.py
+++ b/tests/membership/test_membership_processes.py
@@ -21,8 +21,15 @@
 from stepstream.lab.fleet_day import play
 from stepstream.lab.fleet_play import Watch
 from stepstream.lab.fleet_rig import Dispatcher, FleetRig
-from stepstream.membership import messages as m
 from stepstream.membership.commands import run
+from stepstream.membership.messages import (
+    PROTOCOL_VERSION,
+    Datagram,
+    MemberRecord,
+    MemberState,
+    Ping,
+    encode,
+)
 
 # Shorter than the defaults, so that the whole of this file takes a minute and a half.
 TIMES = "period_ms = 200\ntimeout_ms = 90\nsync_ms = 1000\nreach_ms = 300\nyoung_s = 2\nhold_s = 2\nslack = 3\n"
@@ -175,8 +182,8 @@
 
 def test_a_flood_of_damaged_and_foreign_datagrams_is_dropped_and_counted(fleet):
     target = fleet.members["n0"]
-    row = m.Row("stranger", "127.0.0.1:9", 1, 0, m.State.ALIVE)
-    whole = m.encode(m.Datagram(m.VERSION, "other", row, m.Ping(1, "n0")))
+    record = MemberRecord("stranger", "127.0.0.1:9", 1, 0, MemberState.ALIVE)
+    whole = encode(Datagram(PROTOCOL_VERSION, "other", record, Ping(1, "n0")))
     dice = random.Random(1)
     with socket.socket(type=socket.SOCK_DGRAM) as sock:
         for k in range(3000):
