Move the [fleet] section's checks and translation into a module of their own

Cause: the subsystem mixed the operator's keys with its life cycle. Change: membership/section.py; words of the field for cycles, indirect probes and capacity.

--- a/stepstream/membership/commands.py
+++ b/stepstream/membership/commands.py
@@ -78,9 +78,9 @@
     return answer
 
 
-def run(words: list[str], console: Console | None = None) -> int:
+def run(argv: list[str], console: Console | None = None) -> int:
     """Run a command line; return its exit code."""
-    arguments = docopt(__doc__, words)
+    arguments = docopt(__doc__, argv)
     console = console or Console(width=None if sys.stdout.isatty() else WIDTH_WITHOUT_TERMINAL)
     try:
         return run_command(arguments, console)
@@ -118,9 +118,9 @@
 
 def members_table(answer: Answer) -> Table:
     """Return a table with a row a member."""
-    settled = "settled" if answer["settled"] else "unsettled"
+    state = "settled" if answer["settled"] else "unsettled"
     table = Table(
-        title=f"{answer['cluster']} as {answer['self']} sees it: {settled}, "
+        title=f"{answer['cluster']} as {answer['self']} sees it: {state}, "
         f"{answer['counted']} counted, digest {answer['digest']}",
         title_justify="left",
     )
--- a/stepstream/membership/driver.py
+++ b/stepstream/membership/driver.py
@@ -27,8 +27,8 @@
 from stepstream.membership.protocol import MembershipProtocol
 from stepstream.runtime.log import RateLimitedLogger, log
 
-MAX_READS_A_TURN = 64  # datagrams before the timers are run again
-MAX_EVENT_LINES_A_TURN = 50  # further events are counted in one line
+MAX_READS_A_CYCLE = 64  # datagrams before the timers are run again
+MAX_EVENT_LINES_A_CYCLE = 50  # further events are counted in one line
 PERIODIC_TASK_SECONDS = 0.2  # between two runs of the periodic task; the longest wait of the thread
 LEAVE_TRANSMISSIONS = 3  # in case of loss
 LEAVE_PAUSE_SECONDS = 0.02
@@ -89,13 +89,13 @@
         poll.register(self.socket, select.POLLIN)
         while not self.is_closed:
             try:
-                self.run_turn(poll)
+                self.run_cycle(poll)
             except Exception as error:  # noqa: BLE001  one datagram must not end the membership
                 log(f"fault in fleet: {type(error).__name__}: {error}")
                 time.sleep(PERIODIC_TASK_SECONDS)
         self.socket.close()
 
-    def run_turn(self, poll: "select.poll") -> None:
+    def run_cycle(self, poll: "select.poll") -> None:
         """Wait for a datagram or a timer, let the protocol handle it, and act on what it says."""
         with self.lock:
             deadline = self.protocol.next_tick_at()
@@ -125,7 +125,7 @@
     def receive(self) -> list[OutgoingDatagram]:
         """Let the protocol handle waiting datagrams, with the lock held; return its answers."""
         outgoing: list[OutgoingDatagram] = []
-        for _ in range(MAX_READS_A_TURN):
+        for _ in range(MAX_READS_A_CYCLE):
             try:
                 data, source = self.socket.recvfrom(MAX_DATAGRAM_BYTES + 1)
             except OSError:
@@ -171,7 +171,7 @@
         return events
 
     def _log_events(self, events: list[MembershipEvent]) -> None:
-        for event in events[:MAX_EVENT_LINES_A_TURN]:
+        for event in events[:MAX_EVENT_LINES_A_CYCLE]:
             # Operators' pages and tools look for these words.
             self.logger.info(
                 "fleet member",
@@ -181,8 +181,8 @@
                 by=event.reported_by,
                 why=event.reason,
             )
-        if len(events) > MAX_EVENT_LINES_A_TURN:
-            self.logger.info("fleet members", more=len(events) - MAX_EVENT_LINES_A_TURN)
+        if len(events) > MAX_EVENT_LINES_A_CYCLE:
+            self.logger.info("fleet members", more=len(events) - MAX_EVENT_LINES_A_CYCLE)
 
     def _deliver(self, messages: list[ReceivedMessage]) -> None:
         for message in messages:
--- a/stepstream/membership/failure_detector.py
+++ b/stepstream/membership/failure_detector.py
@@ -149,14 +149,14 @@
                 del self._relayed[sequence]
 
     def tick_probe(self) -> bool:
-        """Ask helpers, or end the probe and start the next one, as is due.
+        """Request indirect probes, or end the probe and start the next one, as is due.
 
         Return whether a new probe interval has begun.
         """
         now = self.context.now
         probe = self.probe
         if probe is not None and probe.awaits_helpers() and now >= probe.indirect_at:
-            self._ask_helpers(probe)
+            self._request_indirect_probes(probe)
         if now < self.next_probe_at:
             return False
         if probe is not None and not probe.is_acked:
@@ -201,7 +201,8 @@
         timeout_seconds = self.context.settings.probe_timeout_seconds * multiplier
         return Probe(sequence, target, indirect_at=self.context.now + timeout_seconds)
 
-    def _ask_helpers(self, probe: Probe) -> None:
+    def _request_indirect_probes(self, probe: Probe) -> None:
+        """Send ping-reqs to k random helpers (SWIM, section 3.1)."""
         candidates = [name for name in self.members.others() if name != probe.target]
         count = min(self.context.settings.indirect_probes, len(candidates))
         helpers = self.context.rng.sample(candidates, count)
--- a/stepstream/membership/member_count.py
+++ b/stepstream/membership/member_count.py
@@ -106,4 +106,4 @@
 
     def _forget_unknown(self, by_name: Mapping[str, ObservedMember]) -> None:
         self.names = {name for name in self.names if name in by_name or name == self.local_name}
-        self._removed = {name: mark for name, mark in self._removed.items() if name in by_name}
+        self._removed = {name: claim for name, claim in self._removed.items() if name in by_name}
--- a/stepstream/membership/messages.py
+++ b/stepstream/membership/messages.py
@@ -3,7 +3,7 @@
 Each datagram holds the format's version, the cluster's name and its sender's member record. All
 structures are encoded as arrays, by position: field and class names do not travel, so they may be
 renamed, but never reordered. Types bound every size and number, so that nothing out of bounds
-reaches the protocol. docs/fleet.md has the table.
+reaches the protocol.
 """
 
 from enum import IntEnum
--- a/stepstream/membership/record_merge.py
+++ b/stepstream/membership/record_merge.py
@@ -72,11 +72,11 @@
         member = self.members.by_name.get(record.name)
         if member is None:
             return self._add(record, reported_by)
-        held = member.record
-        if record.precedence > held.precedence:
+        current = member.record
+        if record.precedence > current.precedence:
             self._override(member, record, reported_by)
         elif (
-            record.precedence == held.precedence
+            record.precedence == current.precedence
             and member.suspicion is not None
             and member.suspicion.confirm(reported_by)
         ):
@@ -85,7 +85,7 @@
         return True
 
     def _add(self, record: MemberRecord, reported_by: str) -> bool:
-        if not self._make_room(record.name):
+        if not self._ensure_capacity(record.name):
             return False
         member = self.members.add(record, reported_by)
         if record.state in PRESENT:
@@ -142,7 +142,7 @@
             ping = Ping(NOTIFICATION_SEQUENCE, record.name)
             self.outbox.send(record.address, ping, record.name)
 
-    def _make_room(self, name: str) -> bool:
+    def _ensure_capacity(self, name: str) -> bool:
         if not self.members.is_full():
             return True
         forgotten = self.members.forget_oldest_tombstone()
--- a/stepstream/membership/subsystem.py
+++ b/stepstream/membership/subsystem.py
@@ -11,8 +11,6 @@
 from collections.abc import Callable, Sequence
 from typing import cast
 
-import msgspec
-
 from stepstream import __version__
 from stepstream.config.errors import ConfigurationError
 from stepstream.config.node_config import NodeConfig
@@ -24,18 +22,23 @@
 )
 from stepstream.membership import report
 from stepstream.membership.driver import Driver, MessageHandler, new_generation
+from stepstream.membership.errors import MembershipError
 from stepstream.membership.member_count import MemberCount, ObservedMember, observe
 from stepstream.membership.messages import (
     MAX_CONFIRMED_DEATHS,
     MaintenanceRecord,
-    MemberName,
     MemberRecord,
     MemberState,
     MemberStatus,
     Phase,
 )
 from stepstream.membership.protocol import MembershipProtocol
-from stepstream.membership.protocol_settings import ProtocolSettings
+from stepstream.membership.section import (
+    KEYS_FIXED_UNTIL_RESTART,
+    protocol_settings,
+    section_of,
+    validate_section,
+)
 from stepstream.membership.settings_digest import settings_digest
 from stepstream.ports.admin import (
     AdminRequest,
@@ -55,18 +58,10 @@
 STATUS_INTERVAL_SECONDS = 0.5  # between two looks at what this member reports of itself
 MAX_LIST_VERSION = 2**53
 MAX_NUMBER_DIGITS = 15  # of an event's number in a call
-MILLISECONDS_A_SECOND = 1_000
 NANOSECONDS_A_MILLISECOND = 1_000_000
 HTTP_OK = 200
 HTTP_BAD_REQUEST = 400
 HTTP_NOT_FOUND = 404
-KEYS_FIXED_UNTIL_RESTART = (
-    "fleet.listen",
-    "fleet.advertise",
-    "fleet.cluster",
-    "fleet.share_maintenance",
-    "fleet.follow_size",
-)
 
 
 class MembershipSubsystem(Subsystem):
@@ -116,7 +111,7 @@
     def driver(self) -> Driver:
         """The driver, from the start on."""
         if self._driver is None:
-            raise RuntimeError("the membership subsystem is used before its start")
+            raise MembershipError("the membership subsystem is used before its start")
         return self._driver
 
     # -- MessageTransport, for other subsystems ---------------------------------------------------
@@ -341,50 +336,6 @@
         return json_response(HTTP_OK, {"leaving": self.protocol.members.local_name})
 
 
-def section_of(operator: OperatorConfig | None) -> MembershipSection:
-    """Return the `[fleet]` section; ConfigurationError without one."""
-    if operator is None or operator.fleet is None:
-        raise ConfigurationError("fleet: the operator's file has no [fleet]")
-    return operator.fleet
-
-
-def protocol_settings(section: MembershipSection) -> ProtocolSettings:
-    """Translate the section's keys into the protocol's settings."""
-    return ProtocolSettings(
-        probe_interval_seconds=section.period_ms / MILLISECONDS_A_SECOND,
-        probe_timeout_seconds=section.timeout_ms / MILLISECONDS_A_SECOND,
-        indirect_probes=section.helpers,
-        suspicion_multiplier=section.suspicion,
-        suspicion_max_multiplier=section.slack,
-        suspicion_confirmations=section.confirmations,
-        retransmit_multiplier=section.gossip,
-        anti_entropy_interval_seconds=section.sync_ms / MILLISECONDS_A_SECOND,
-        reconnect_interval_seconds=section.reach_ms / MILLISECONDS_A_SECOND,
-        startup_hold_seconds=section.young_s,
-        max_local_health_score=section.health,
-        tombstone_timeout_seconds=section.forget_s,
-        max_members=section.most,
-    )
-
-
-def validate_section(section: MembershipSection, config: NodeConfig) -> None:
-    """Check what the section's types cannot; ConfigurationError names the key."""
-    try:
-        msgspec.convert(config.name, MemberName)
-    except msgspec.ValidationError as error:
-        raise ConfigurationError(
-            f"name={config.name} cannot be a member's: letters, digits, . _ - only"
-        ) from error
-    if (section.advertise or section.listen).startswith("0.0.0.0:"):
-        raise ConfigurationError("fleet.advertise: 0.0.0.0 is no address that others can reach")
-    if section.timeout_ms >= section.period_ms:
-        raise ConfigurationError(f"fleet.timeout_ms={section.timeout_ms} must be under period_ms")
-    if section.share_maintenance and config.operator is None:
-        raise ConfigurationError(
-            "fleet.share_maintenance needs `operator`, the admin listener's address"
-        )
-
-
 def create_subsystem(host: SubsystemContext) -> MembershipSubsystem:
     """Return the subsystem; the node calls this where the operator's file has `[fleet]`."""
     return MembershipSubsystem(host)
--- a/tests/golden/state_answers.py
+++ b/tests/golden/state_answers.py
@@ -42,6 +42,7 @@
 from stepstream.membership import messages as fleet_messages
 from stepstream.membership import outbox as fleet_outbox
 from stepstream.membership import protocol as fleet_protocol
+from stepstream.membership import section as fleet_section
 from stepstream.membership import subsystem as fleet_plug
 from stepstream.membership.settings_digest import settings_digest
 from stepstream.model.events import HealthChecked
@@ -315,7 +316,7 @@
     """The subsystem with a view whose chance and start are fixed, and a socket on any port."""
     part = fleet_plug.MembershipSubsystem(host)
     me = row("n0", 7946, "ALIVE")
-    times = fleet_plug.protocol_settings(host.operator.fleet)
+    times = fleet_section.protocol_settings(host.operator.fleet)
     seeds = host.operator.fleet.seeds
     rng = random.Random(1)
     part.protocol = fleet_protocol.MembershipProtocol(me, "golden", seeds, times, rng, clock.now)
