Split the membership tests by module and test the new parts directly

Cause: one test file held codec, merge, simulation and count; parts that were split out of the view had no tests of their own. Every earlier case and assertion is kept.

--- /dev/null
+++ b/tests/membership/test_membership_messages.py
@@ -0,0 +1,87 @@
+"""Datagrams: whatever arrives is decoded within bounds, or dropped with a reason."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from membership_helpers import protocol
+
+from stepstream.lab.fleet_world import CLUSTER
+from stepstream.membership.messages import (
+    MAX_DATAGRAM_BYTES,
+    PROTOCOL_VERSION,
+    Ack,
+    Datagram,
+    InvalidDatagramError,
+    MemberRecord,
+    MemberState,
+    PingRequest,
+    decode,
+    encode,
+)
+
+LOCAL = protocol().members.local
+
+
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(st.data())
+def test_any_bytes_are_a_bounded_datagram_or_dropped(data):
+    encoded = encode(
+        Datagram(
+            PROTOCOL_VERSION,
+            CLUSTER,
+            LOCAL,
+            PingRequest(3, "n1", "127.0.0.1:5"),
+            member_records=(LOCAL,) * 3,
+        )
+    )
+    part = bytearray(encoded[: data.draw(st.integers(0, len(encoded)))])
+    for _ in range(data.draw(st.integers(0, 3))):
+        if part:
+            part[data.draw(st.integers(0, len(part) - 1))] = data.draw(st.integers(0, 255))
+    target = protocol(name="n1")
+    try:
+        datagram = decode(bytes(part), CLUSTER)
+    except InvalidDatagramError:
+        return
+    target.handle(1.0, datagram)
+    assert len(target.members.by_name) <= 1 + 4
+    assert datagram.cluster == CLUSTER
+
+
+@pytest.mark.parametrize(
+    ("data", "reason"),
+    [
+        (b"\xc1" * 10, "unreadable"),
+        (b"x" * (MAX_DATAGRAM_BYTES + 1), "over"),
+        (encode(Datagram(2, CLUSTER, LOCAL, Ack(1))), "version 2"),
+        (encode(Datagram(1, "other", LOCAL, Ack(1))), "cluster 'other'"),
+        (
+            encode(
+                Datagram(
+                    1, CLUSTER, MemberRecord("a b", "127.0.0.1:1", 1, 0, MemberState.ALIVE), Ack(1)
+                )
+            ),
+            "unreadable",
+        ),
+        (
+            encode(
+                Datagram(1, CLUSTER, MemberRecord("a", "host:1", 1, 0, MemberState.ALIVE), Ack(1))
+            ),
+            "unreadable",
+        ),
+        (
+            encode(
+                Datagram(
+                    1,
+                    CLUSTER,
+                    MemberRecord("a", "127.0.0.1:1", 2**60, 0, MemberState.ALIVE),
+                    Ack(1),
+                )
+            ),
+            "unreadable",
+        ),
+    ],
+)
+def test_an_invalid_datagram_is_dropped_with_its_reason(data, reason):
+    with pytest.raises(InvalidDatagramError, match=reason):
+        decode(data, CLUSTER)
--- a/tests/membership/test_membership_processes.py
+++ b/tests/membership/test_membership_processes.py
@@ -32,14 +32,14 @@
 )
 
 # Shorter than the defaults, so that the whole of this file takes a minute and a half.
-TIMES = "period_ms = 200\ntimeout_ms = 90\nsync_ms = 1000\nreach_ms = 300\nyoung_s = 2\nhold_s = 2\nslack = 3\n"
-PATIENCE = 40.0
+SHORT_INTERVALS = "period_ms = 200\ntimeout_ms = 90\nsync_ms = 1000\nreach_ms = 300\nyoung_s = 2\nhold_s = 2\nslack = 3\n"
+PATIENCE_SECONDS = 40.0
 
 
 @pytest.fixture(scope="module")
 def rig():
-    with FleetRig(5, seed=1, more=TIMES) as made:
-        made.wait_for(lambda: made.agreed(made.members), PATIENCE, "one view")
+    with FleetRig(5, seed=1, more=SHORT_INTERVALS) as made:
+        made.wait_for(lambda: made.agreed(made.members), PATIENCE_SECONDS, "one view")
         yield made
 
 
@@ -49,7 +49,7 @@
     rig.heal()
     rig.relay.links.loss = 0.0
     rig.start([name for name, member in rig.members.items() if not member.running()])
-    rig.wait_for(lambda: rig.agreed(rig.members), PATIENCE, "one view again")
+    rig.wait_for(lambda: rig.agreed(rig.members), PATIENCE_SECONDS, "one view again")
     return rig
 
 
@@ -57,25 +57,29 @@
 
 
 def counted(rig, name):
-    told = rig.members[name].fleet()
-    return told and told["counted"]
+    answer = rig.members[name].fleet()
+    return answer and answer["counted"]
 
 
-def test_a_crash_is_known_the_count_follows_and_a_restart_is_taken_back_with_nothing_remembered(
+def test_a_crash_is_detected_and_the_count_follows_it_and_the_restart(
     fleet,
 ):
     fleet.kill("n4")
     rest = ALL - {"n4"}
-    fleet.wait_for(lambda: fleet.held(rest, "n4", "dead"), PATIENCE, "the death")
-    fleet.wait_for(lambda: {counted(fleet, n) for n in rest} == {4}, PATIENCE, "the count of four")
+    fleet.wait_for(lambda: fleet.held(rest, "n4", "dead"), PATIENCE_SECONDS, "the death")
+    fleet.wait_for(
+        lambda: {counted(fleet, n) for n in rest} == {4}, PATIENCE_SECONDS, "the count of four"
+    )
     assert "the workers are shared by 4 dispatchers" in fleet.members["n0"].words()
     fleet.start(["n4"])
-    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE, "the return")
-    fleet.wait_for(lambda: {counted(fleet, n) for n in ALL} == {5}, PATIENCE, "the count of five")
+    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE_SECONDS, "the return")
+    fleet.wait_for(
+        lambda: {counted(fleet, n) for n in ALL} == {5}, PATIENCE_SECONDS, "the count of five"
+    )
 
 
 @pytest.mark.parametrize("side", [("n0", "n1"), ("n3",)])
-def test_a_cut_makes_two_views_and_heals_into_one_and_its_minority_never_takes_more(fleet, side):
+def test_a_partition_heals_into_one_list_and_its_minority_never_takes_more(fleet, side):
     rest = ALL - set(side)
     fleet.cut(side, rest)
     fleet.wait_for(
@@ -83,101 +87,105 @@
             all(fleet.held(rest, s, "dead") for s in side)
             and all(fleet.held(side, r, "dead") for r in rest)
         ),
-        PATIENCE,
+        PATIENCE_SECONDS,
         "the cut",
     )
     fleet.wait_for(
-        lambda: {counted(fleet, n) for n in rest} == {len(rest)}, PATIENCE, "the majority's count"
+        lambda: {counted(fleet, n) for n in rest} == {len(rest)},
+        PATIENCE_SECONDS,
+        "the majority's count",
     )
     assert {counted(fleet, name) for name in side} == {5}
     fleet.heal()
-    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE, "the healing")
+    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE_SECONDS, "the healing")
 
 
-def test_a_one_way_cut_beside_helpers_kills_nobody(fleet):
+def test_a_one_way_partition_is_bridged_by_indirect_probes(fleet):
     before = {name: fleet.members[name].fleet()["number"] for name in ALL}
     fleet.cut(["n1"], ["n2"], both=False)
     sent = fleet.members["n2"].fleet()["counts"]["probes"]
     fleet.wait_for(
         lambda: fleet.members["n2"].fleet()["counts"]["probes"] >= sent + 15,
-        PATIENCE,
+        PATIENCE_SECONDS,
         "three rounds of probes",
     )
     for name in ALL:
-        told = fleet.members[name].call(f"/fleet/changes?after={before[name]}")[1]
-        assert not [change for change in told["changes"] if change["after"] == "dead"]
+        answer = fleet.members[name].call(f"/fleet/changes?after={before[name]}")[1]
+        assert not [change for change in answer["changes"] if change["after"] == "dead"]
 
 
-def test_three_islands_heal_in_any_order(fleet):
+def test_three_partitions_heal_in_any_order(fleet):
     fleet.cut(["n0", "n1"], ["n2", "n3", "n4"])
     fleet.cut(["n2", "n3"], ["n4"])
     fleet.wait_for(
         lambda: fleet.held(["n0", "n4"], "n2", "dead") and fleet.held(["n2", "n4"], "n0", "dead"),
-        PATIENCE,
+        PATIENCE_SECONDS,
         "the islands",
     )
     assert counted(fleet, "n4") == counted(fleet, "n0") == 5  # no island is the greater part
     fleet.heal()
     fleet.cut(["n0", "n1"], ["n2", "n3", "n4"])
-    fleet.wait_for(lambda: fleet.agreed_among(["n2", "n3", "n4"]), PATIENCE, "two of them")
+    fleet.wait_for(lambda: fleet.agreed_among(["n2", "n3", "n4"]), PATIENCE_SECONDS, "two of them")
     fleet.heal()
-    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE, "all of them")
+    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE_SECONDS, "all of them")
 
 
-def test_links_that_come_and_go_faster_than_a_suspicion_kill_nobody(fleet):
+def test_links_that_flap_faster_than_a_suspicion_kill_nobody(fleet):
     number = fleet.members["n0"].fleet()["number"]
     for _ in range(12):
         fleet.cut(["n2"], ALL - {"n2"})
         time.sleep(0.1)
         fleet.heal()
         time.sleep(0.1)
-    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE, "one view")
-    told = fleet.members["n0"].call(f"/fleet/changes?after={number}")[1]["changes"]
-    assert not [change for change in told if change["after"] == "dead"]
+    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE_SECONDS, "one view")
+    answer = fleet.members["n0"].call(f"/fleet/changes?after={number}")[1]["changes"]
+    assert not [change for change in answer if change["after"] == "dead"]
 
 
-def test_a_stopped_process_is_held_dead_and_let_go_on_it_holds_nobody_so(fleet):
+def test_a_stopped_process_is_held_dead_and_holds_nobody_dead_once_it_continues(fleet):
     number = fleet.members["n2"].fleet()["number"]
     fleet.freeze("n2")
-    fleet.wait_for(lambda: fleet.held(ALL - {"n2"}, "n2", "dead"), PATIENCE, "the death")
+    fleet.wait_for(lambda: fleet.held(ALL - {"n2"}, "n2", "dead"), PATIENCE_SECONDS, "the death")
     fleet.thaw("n2")
-    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE, "the return")
-    told = fleet.members["n2"].call(f"/fleet/changes?after={number}")[1]["changes"]
-    assert not [change for change in told if change["after"] == "dead" and change["name"] != "n2"]
+    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE_SECONDS, "the return")
+    answer = fleet.members["n2"].call(f"/fleet/changes?after={number}")[1]["changes"]
+    assert not [change for change in answer if change["after"] == "dead" and change["name"] != "n2"]
     assert fleet.members["n2"].fleet()["counts"]["stalls"] >= 1
 
 
-def test_all_but_one_killed_at_once_seeds_among_them_and_started_again(fleet):
+def test_all_but_one_crash_at_once_and_restart(fleet):
     rest = sorted(ALL - {"n3"})
     for name in rest:
         fleet.kill(name)
-    fleet.wait_for(lambda: all(fleet.held(["n3"], n, "dead") for n in rest), PATIENCE, "the deaths")
+    fleet.wait_for(
+        lambda: all(fleet.held(["n3"], n, "dead") for n in rest), PATIENCE_SECONDS, "the deaths"
+    )
     assert counted(fleet, "n3") == 5  # one of five takes no more than it had
     fleet.start(rest)
-    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE, "the return")
+    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE_SECONDS, "the return")
 
 
-def test_a_rolling_restart_is_said_by_each_and_nobody_is_held_dead(fleet):
+def test_in_a_rolling_restart_each_leaves_and_nobody_is_held_dead(fleet):
     numbers = {name: fleet.members[name].fleet()["number"] for name in ALL}
     for name in ("n0", "n1"):
         assert fleet.stop(name) == 0
         fleet.wait_for(
-            lambda name=name: fleet.held(ALL - {name}, name, "left"), PATIENCE, "the leave"
+            lambda name=name: fleet.held(ALL - {name}, name, "left"), PATIENCE_SECONDS, "the leave"
         )
         fleet.start([name])
-        fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE, "the return")
-    told = fleet.members["n4"].call(f"/fleet/changes?after={numbers['n4']}")[1]["changes"]
+        fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE_SECONDS, "the return")
+    answer = fleet.members["n4"].call(f"/fleet/changes?after={numbers['n4']}")[1]["changes"]
     # On a machine too busy to answer in 90 ms somebody may be suspected; who left is never held dead.
-    assert not [c for c in told if c["name"] in ("n0", "n1") and c["after"] == "dead"]
+    assert not [c for c in answer if c["name"] in ("n0", "n1") and c["after"] == "dead"]
 
 
-def test_thirty_in_a_hundred_lost_on_every_link_and_the_view_still_settles(fleet):
+def test_members_agree_where_each_link_loses_thirty_percent(fleet):
     fleet.relay.links.loss = 0.3
     fleet.kill("n1")
-    fleet.wait_for(lambda: fleet.held(ALL - {"n1"}, "n1", "dead"), PATIENCE, "the death")
+    fleet.wait_for(lambda: fleet.held(ALL - {"n1"}, "n1", "dead"), PATIENCE_SECONDS, "the death")
     fleet.relay.links.loss = 0.0
     fleet.start(["n1"])
-    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE, "the return")
+    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE_SECONDS, "the return")
 
 
 def test_a_flood_of_damaged_and_foreign_datagrams_is_dropped_and_counted(fleet):
@@ -193,8 +201,8 @@
             with contextlib.suppress(OSError):
                 sock.sendto(cut, (target.host, target.ports["fleet"]))
         sock.sendto(whole, (target.host, target.ports["fleet"]))
-    fleet.wait_for(lambda: "fleet datagram dropped" in target.words(), PATIENCE, "the line")
-    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE, "one view")
+    fleet.wait_for(lambda: "fleet datagram dropped" in target.words(), PATIENCE_SECONDS, "the line")
+    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE_SECONDS, "one view")
     assert "stranger" not in target.states()
     assert target.words().count("fleet datagram dropped") <= 40  # 10 lines in 10 s, whatever comes
 
@@ -207,8 +215,8 @@
     }
 
 
-def test_a_ban_holds_at_all_also_where_it_was_cut_off_or_started_empty(fleet):
-    """A worker that only n0 is told of: its word counts whether or not others know the worker."""
+def test_a_maintenance_record_reaches_partitioned_and_restarted_members(fleet):
+    """Only n0 lists the worker: the record holds whether or not others know it."""
     listed = {
         "version": 3,
         "full": True,
@@ -217,40 +225,46 @@
     fleet.kill("n0")
     fleet.members["n0"].known = listed
     fleet.start(["n0"])
-    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE, "the return")
+    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE_SECONDS, "the return")
     fleet.cut(["n4"], ALL - {"n4"})
     assert fleet.members["n0"].call("/workers/s-1/maint", "PUT")[0] == 200
     fleet.wait_for(
-        lambda: all(v for n, v in out_at(fleet, "s-1").items() if n != "n4"), PATIENCE, "the ban"
+        lambda: all(v for n, v in out_at(fleet, "s-1").items() if n != "n4"),
+        PATIENCE_SECONDS,
+        "the ban",
     )
-    fleet.kill("n0")  # who was told
+    fleet.kill("n0")  # which took the operator's call
     fleet.kill("n1")
     fleet.start(["n1"])
     fleet.heal()
-    fleet.wait_for(lambda: all(out_at(fleet, "s-1").values()), PATIENCE, "the ban everywhere")
-    fleet.wait_for(lambda: "told at n0" in fleet.members["n4"].words(), PATIENCE, "its line")
+    fleet.wait_for(
+        lambda: all(out_at(fleet, "s-1").values()), PATIENCE_SECONDS, "the ban everywhere"
+    )
+    fleet.wait_for(
+        lambda: "told at n0" in fleet.members["n4"].words(), PATIENCE_SECONDS, "its line"
+    )
     # n4 never heard of the worker from discovery, yet it is out there, and can be let back from there.
     assert fleet.members["n4"].call("/workers/s-1/ready", "PUT")[0] == 200
     fleet.start(["n0"])
-    fleet.wait_for(lambda: not any(out_at(fleet, "s-1").values()), PATIENCE, "the return")
+    fleet.wait_for(lambda: not any(out_at(fleet, "s-1").values()), PATIENCE_SECONDS, "the return")
 
 
-def test_a_second_machine_of_one_name_has_it_and_the_first_is_told_what_to_do(fleet):
-    twin = FleetRig(1, seed=2, more=TIMES)
+def test_a_name_started_twice_goes_to_the_later_start_and_the_earlier_logs_what_to_do(fleet):
+    twin = FleetRig(1, seed=2, more=SHORT_INTERVALS)
     made = twin.members["n0"]
     made.name, twin.members = "n3", {"n3": made}
     made.advertise = fleet.relay.add("twin", made.host, (made.host, made.ports["fleet"]))
     twin.seeds = fleet.seeds
     with twin:
         words = fleet.members["n3"].words
-        fleet.wait_for(lambda: "give each its own name" in words(), PATIENCE, "the line")
+        fleet.wait_for(lambda: "give each its own name" in words(), PATIENCE_SECONDS, "the line")
         assert words().count("after=superseded") == 1
         fleet.wait_for(
             lambda: (
                 {fleet.members[n].call("/fleet/members/n3")[1]["address"] for n in ALL - {"n3"}}
                 == {made.advertise}
             ),
-            PATIENCE,
+            PATIENCE_SECONDS,
             "one settled view",
         )
         assert made.process.poll() is None
@@ -258,29 +272,29 @@
     fleet.kill("n3")  # as the line says
 
 
-def test_one_started_with_all_its_seeds_dead_waits_unsettled_and_joins_once_one_is_back(fleet):
+def test_a_member_whose_seeds_are_all_dead_is_unsettled_until_one_is_back(fleet):
     for name in ALL:
         fleet.kill(name)
     fleet.start(["n4"])
     tried = fleet.members["n4"].fleet()["counts"]
-    told = fleet.members["n4"].fleet()
-    assert not told["settled"]
+    answer = fleet.members["n4"].fleet()
+    assert not answer["settled"]
     assert list(fleet.members["n4"].states()) == ["n4"]
     assert tried["probes"] == 0
     assert run(["fleet", "members", "--at", fleet.members["n4"].admin]) == 1
     fleet.start(["n0"])
-    fleet.wait_for(lambda: fleet.agreed(["n0", "n4"]), PATIENCE, "the two")
+    fleet.wait_for(lambda: fleet.agreed(["n0", "n4"]), PATIENCE_SECONDS, "the two")
     fleet.start(sorted(ALL - {"n0", "n4"}))
-    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE, "all")
+    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE_SECONDS, "all")
 
 
 @pytest.mark.parametrize("back", [5.0, 3600.0])
-def test_a_restart_whose_clock_was_set_back_takes_its_name_over(fleet, back):
+def test_a_restart_with_its_clock_set_back_takes_its_name_over(fleet, back):
     member = fleet.members["n2"]
     before = member.fleet()["members"]
     fleet.kill("n2")
     fleet.spawn(member, clock_s=-back)
-    fleet.wait_for(lambda: member.fleet() and fleet.agreed(ALL), PATIENCE, "the return")
+    fleet.wait_for(lambda: member.fleet() and fleet.agreed(ALL), PATIENCE_SECONDS, "the return")
     assert "clock was ahead" in member.words()
     old, new = (
         next(r for r in rows if r["name"] == "n2") for rows in (before, member.fleet()["members"])
@@ -288,17 +302,17 @@
     assert new["generation"] > old["generation"]
 
 
-def test_an_address_taken_over_by_another_name_is_told_from_its_former_owner(fleet):
+def test_an_address_with_a_new_owner_is_distinguished_from_the_former(fleet):
     fleet.kill("n3")
     was = fleet.members["n3"]
     heir = Dispatcher("heir", was.host, was.ports, was.advertise, was.folder)
     fleet.spawn(heir)
     try:
         rest = sorted(ALL - {"n3"})
-        fleet.wait_for(lambda: fleet.held(rest, "n3", "dead"), PATIENCE, "the death")
-        fleet.wait_for(lambda: fleet.held(rest, "heir", "alive"), PATIENCE, "the heir")
+        fleet.wait_for(lambda: fleet.held(rest, "n3", "dead"), PATIENCE_SECONDS, "the death")
+        fleet.wait_for(lambda: fleet.held(rest, "heir", "alive"), PATIENCE_SECONDS, "the heir")
         fleet.wait_for(
-            lambda: {counted(fleet, n) for n in rest} == {5}, PATIENCE, "one for the other"
+            lambda: {counted(fleet, n) for n in rest} == {5}, PATIENCE_SECONDS, "one for the other"
         )
     finally:
         heir.process.kill()
@@ -306,27 +320,31 @@
         heir.log.close()
 
 
-def test_a_reload_changes_times_and_seeds_and_refuses_a_new_address_by_its_key(fleet):
+def test_a_reload_changes_intervals_and_seeds_and_rejects_a_new_address_by_its_key(fleet):
     member = fleet.members["n2"]
-    fleet.files(member, seeds=[member.advertise], more=TIMES + 'log = "json"\n')
+    fleet.files(member, seeds=[member.advertise], more=SHORT_INTERVALS + 'log = "json"\n')
     member.process.send_signal(signal.SIGHUP)
-    fleet.wait_for(lambda: "reloaded: n2" in member.words(), PATIENCE, "the reload")
-    fleet.files(member, more=TIMES.replace("timeout_ms = 90", "timeout_ms = 900"))
+    fleet.wait_for(lambda: "reloaded: n2" in member.words(), PATIENCE_SECONDS, "the reload")
+    fleet.files(member, more=SHORT_INTERVALS.replace("timeout_ms = 90", "timeout_ms = 900"))
     member.process.send_signal(signal.SIGHUP)
     fleet.wait_for(
-        lambda: "fleet.timeout_ms=900 must be under period_ms" in member.words(), PATIENCE, "its no"
+        lambda: "fleet.timeout_ms=900 must be under period_ms" in member.words(),
+        PATIENCE_SECONDS,
+        "its no",
     )
     member.advertise, kept = "127.0.0.1:9", member.advertise
     fleet.files(member)
     member.advertise = kept
     member.process.send_signal(signal.SIGHUP)
     fleet.wait_for(
-        lambda: "fleet.advertise=127.0.0.1:9 changes only" in member.words(), PATIENCE, "its no"
+        lambda: "fleet.advertise=127.0.0.1:9 changes only" in member.words(),
+        PATIENCE_SECONDS,
+        "its no",
     )
-    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE, "one view")
+    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE_SECONDS, "one view")
 
 
-def test_a_hot_restart_in_the_middle_of_a_cut_hands_the_name_on_and_nobody_suspects_it(fleet):
+def test_a_hot_restart_during_a_partition_hands_the_name_on(fleet):
     fleet.cut(["n4"], ALL - {"n4"})
     member, old = fleet.members["n1"], fleet.members["n1"].process
     number = fleet.members["n0"].fleet()["number"]
@@ -334,15 +352,17 @@
     fleet.files(member)
     new = fleet.spawn(member, beside=True)
     fleet.wait_for(
-        lambda: member.words().count("serves on") >= 2 and member.fleet(), PATIENCE, "the new one"
+        lambda: member.words().count("serves on") >= 2 and member.fleet(),
+        PATIENCE_SECONDS,
+        "the new one",
     )
     old.send_signal(signal.SIGTERM)
-    assert old.wait(PATIENCE) == 0
+    assert old.wait(PATIENCE_SECONDS) == 0
     assert new.poll() is None
     fleet.heal()
-    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE, "one view")
-    told = fleet.members["n0"].call(f"/fleet/changes?after={number}")[1]["changes"]
-    assert not [c for c in told if c["name"] == "n1" and c["after"] in ("dead", "left")]
+    fleet.wait_for(lambda: fleet.agreed(ALL), PATIENCE_SECONDS, "one view")
+    answer = fleet.members["n0"].call(f"/fleet/changes?after={number}")[1]["changes"]
+    assert not [c for c in answer if c["name"] == "n1" and c["after"] in ("dead", "left")]
 
 
 def free_port_at(host):
@@ -353,7 +373,7 @@
 # -- the operators' commands ------------------------------------------------------------------------------
 
 
-def test_commands_show_explain_and_exit_by_what_they_found(fleet, capsys):
+def test_commands_print_members_and_exit_by_what_they_found(fleet, capsys):
     at = fleet.members["n0"].admin
     assert run(["fleet", "members", "--at", at]) == 0
     shown = capsys.readouterr().out
@@ -361,10 +381,10 @@
     assert all(name in shown for name in ALL)
     assert "serving" in shown
     assert run(["fleet", "members", "--at", at, "--json"]) == 0
-    told = json.loads(capsys.readouterr().out)
-    assert told["self"] == "n0"
-    assert told["settled"]
-    assert len({r["facts"]["settings"] for r in told["members"]}) == 1
+    answer = json.loads(capsys.readouterr().out)
+    assert answer["self"] == "n0"
+    assert answer["settled"]
+    assert len({r["facts"]["settings"] for r in answer["members"]}) == 1
     assert run(["fleet", "explain", "n1", "--at", at]) == 0
     assert "alive for" in capsys.readouterr().out
     assert run(["fleet", "explain", "nobody", "--at", at]) == 1
@@ -377,10 +397,12 @@
         assert fleet.members["n0"].call(path)[0] == status
     fleet.kill("n4")
     assert run(["fleet", "members", "--at", at]) in (0, 1)
-    fleet.wait_for(lambda: run(["fleet", "members", "--at", at]) == 1, PATIENCE, "unsettled")
+    fleet.wait_for(
+        lambda: run(["fleet", "members", "--at", at]) == 1, PATIENCE_SECONDS, "unsettled"
+    )
     assert run(["fleet", "leave", "--at", fleet.members["n3"].admin]) == 0
-    assert fleet.members["n3"].process.wait(PATIENCE) == 0
-    fleet.wait_for(lambda: fleet.held(["n0"], "n3", "left"), PATIENCE, "the leave")
+    assert fleet.members["n3"].process.wait(PATIENCE_SECONDS) == 0
+    fleet.wait_for(lambda: fleet.held(["n0"], "n3", "left"), PATIENCE_SECONDS, "the leave")
 
 
 BASE = 'listen = "127.0.0.1:7946"\ncluster = "lab"\n'
@@ -400,7 +422,7 @@
         (BASE + "colour = 1\n", "colour"),
     ],
 )
-def test_a_faulty_key_is_one_line_that_names_it(tmp_path, section, key):
+def test_an_invalid_key_is_one_line_that_names_it(tmp_path, section, key):
     (tmp_path / "operator.toml").write_text("[fleet]\n" + section)
     (tmp_path / "config.json").write_text(
         json.dumps({**CONFIG, "listen": f"127.0.0.1:{free_port()}"})
@@ -418,7 +440,7 @@
         env={**os.environ, "EDGE_CONFIG": str(tmp_path / "config.json")},
         capture_output=True,
         text=True,
-        timeout=PATIENCE,
+        timeout=PATIENCE_SECONDS,
     )
     assert done.returncode == 2
     assert key in done.stderr
@@ -430,10 +452,10 @@
     faults.write_text('[[fault]]\nkind = "restart"\nat = 0.5\nwho = ["n1"]\n')
     words = ["lab", "fleet", "--members", "3", "--faults", str(faults), "--seconds", "2"]
     assert main([*words, "--out", str(tmp_path)]) == 0
-    told = json.loads((tmp_path / "fleet.json").read_text())
-    assert told["broken"] == []
-    assert told["settled_s"] is not None
-    assert {span["state"] for span in told["spans"]} >= {"alive"}
+    answer = json.loads((tmp_path / "fleet.json").read_text())
+    assert answer["broken"] == []
+    assert answer["settled_s"] is not None
+    assert {span["state"] for span in answer["spans"]} >= {"alive"}
     assert (tmp_path / "fleet.png").read_bytes().startswith(b"\x89PNG")
     faults.write_text('[[fault]]\nkind = "restart"\nat = 0.5\nwho = ["n9"]\n')
     assert main(words) == 2
@@ -441,7 +463,7 @@
     assert main(["lab", "fleet", "--members", "1"]) == 2
 
 
-def test_the_lab_notices_a_view_that_goes_back():
+def test_the_lab_notices_a_record_that_goes_back():
     watch = Watch(0.0)
     row = {"name": "a", "state": "dead", "generation": 5, "incarnation": 1, "facts": {"count": 4}}
     for change in ({}, {"state": "alive"}, {"incarnation": 0}, {"generation": 4}):
@@ -453,6 +475,6 @@
 
 @pytest.mark.parametrize("viewed", [False, True])
 def test_a_day_on_which_two_of_four_dispatchers_crash_keeps_the_rules(viewed):
-    told = play((3, viewed, 3))
-    assert told["breaches"] == []
-    assert told["finals"]["served"] > 100
+    answer = play((3, viewed, 3))
+    assert answer["breaches"] == []
+    assert answer["finals"]["served"] > 100
--- /dev/null
+++ b/tests/membership/test_record_merge.py
@@ -0,0 +1,111 @@
+"""Merging records, maintenance records and statuses into one member's state."""
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from membership_helpers import protocol, record
+
+from stepstream.membership.messages import (
+    MaintenanceRecord,
+    MemberRecord,
+    MemberState,
+    MemberStatus,
+    Phase,
+)
+from stepstream.membership.protocol_settings import ProtocolSettings
+
+RECORDS = st.builds(
+    MemberRecord,
+    name=st.sampled_from(["a", "b", "c"]),
+    address=st.sampled_from(["127.0.0.1:2", "127.0.0.1:3"]),
+    generation=st.integers(1, 3),
+    incarnation=st.integers(0, 2),
+    state=st.sampled_from(MemberState),
+)
+MAINTENANCE_RECORDS = st.builds(
+    MaintenanceRecord,
+    worker=st.sampled_from(["s-1", "s-2"]),
+    lamport_time=st.integers(1, 3),
+    in_maintenance=st.booleans(),
+    recorded_by=st.sampled_from(["a", "b"]),
+    recorded_at_us=st.just(7),
+)
+
+
+STATUSES = st.builds(
+    lambda owner, generation, revision: MemberStatus(
+        owner,
+        generation,
+        revision,
+        Phase.SERVING,
+        0,
+        "",
+        revision,
+        0,
+        "",
+        (generation, revision) if revision else (),
+    ),
+    owner=st.sampled_from(["a", "b"]),
+    generation=st.integers(1, 2),
+    revision=st.integers(0, 3),
+)
+
+
+def merged(records, maintenance, statuses):
+    """All that a member holds after it has merged these, in their order."""
+    made = protocol()
+    for one in records:
+        made.merger.merge(one, "x")
+    for one in maintenance:
+        made.maintenance.merge(one)
+    for one in statuses:
+        made.statuses.merge(one)
+    by_name = {name: member.record for name, member in made.members.by_name.items()}
+    return made.digest, by_name, made.maintenance.by_worker, made.statuses.by_owner
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(
+    st.lists(RECORDS, max_size=12),
+    st.lists(MAINTENANCE_RECORDS, max_size=6),
+    st.lists(STATUSES, max_size=6),
+    st.randoms(use_true_random=False),
+)
+def test_the_merge_is_commutative_associative_and_idempotent(records, maintenance, statuses, rng):
+    once = merged(records, maintenance, statuses)
+    records_again = records + rng.sample(records, len(records) // 2)
+    maintenance_again = maintenance + maintenance[:2]
+    statuses_again = statuses + statuses[:2]
+    for shuffled in (records_again, maintenance_again, statuses_again):
+        rng.shuffle(shuffled)
+    assert merged(records_again, maintenance_again, statuses_again) == once
+    for name, merged_record in once[1].items():
+        if name != "me":
+            assert merged_record.precedence == max(r.precedence for r in records if r.name == name)
+
+
+def test_names_beyond_the_bound_are_rejected_until_an_expired_tombstone_makes_room():
+    made = protocol(ProtocolSettings(max_members=3, tombstone_timeout_seconds=100.0))
+    for port, name in enumerate("abcd", start=2):
+        made.merger.merge(record(name, port=port), name)
+    assert set(made.members.by_name) == {"me", "a", "b"}
+    assert made.context.metrics.rejected_names == 2
+    assert [event.name for event in made.members.events.recent if event.after == "turned away"] == [
+        "c",
+        "d",
+    ]
+    made.merger.merge(record("a", MemberState.DEAD), "b")
+    made.context.now = 99.0
+    assert not made.merger.merge(record("c", port=4), "c")
+    made.context.now = 100.0
+    assert made.merger.merge(record("c", port=4), "c")
+    assert "a" not in made.members.by_name
+
+
+def test_a_renewed_death_claim_restarts_the_time_in_its_state():
+    made = protocol()
+    dead = record("a", MemberState.DEAD)
+    made.merger.merge(dead, "b")
+    made.context.now = 50.0
+    made.merger.merge(msgspec.structs.replace(dead, incarnation=1), "b")
+    assert made.members.by_name["a"].state_since == 50.0
