--- /dev/null
+++ b/stepstream/core/call_handler.py
@@ -0,0 +1,111 @@
+"""Calls of requests to workers: their start, their timeout and their end.
+
+A call that the core has ended stays ended, whatever its carrier reports later. The decision thread
+calls it; the state of a call is in its `Call` record.
+"""
+
+from stepstream.core.commands import StartCall, StopCall
+from stepstream.core.dispatch_state import DispatchState
+from stepstream.core.events import CallEnded, CallTimeoutSet
+from stepstream.core.requests import Call, Request
+from stepstream.core.timer_wheel import CallTimeout
+from stepstream.model.events import AttemptEnded, AttemptResult
+
+
+class CallHandler:
+    """Starts and ends calls, and reports their ends to the policy."""
+
+    def __init__(self, state: DispatchState) -> None:
+        self._state = state
+
+    def handle(self, now_us: int, event: CallEnded | CallTimeoutSet) -> None:
+        """Handle a carrier's report on a call."""
+        match event:
+            case CallEnded(call, result, load_report):
+                self.end(now_us, call, result, load_report)
+            case CallTimeoutSet(call, at_us):
+                if call.open:
+                    self._state.timers.schedule(at_us, CallTimeout(call))
+
+    def start(self, now_us: int, request: Request, worker_id: str, timeout_us: int) -> None:
+        """Start a call for the policy; a `timeout_us` of 0 leaves it the request's time.
+
+        A call that may not be sent gets its number all the same, and ends at once as not sent.
+        """
+        state = self._state
+        deadline_us = request.deadline_us - state.answer_margin_us
+        if timeout_us:
+            deadline_us = min(deadline_us, now_us + timeout_us)
+        call = Call(
+            request,
+            number=len(request.calls),
+            worker_id=worker_id,
+            sent_us=now_us,
+            deadline_us=deadline_us,
+            write_deadline_us=request.next_call_write_deadline_us(),
+        )
+        may_send = (
+            not request.answered
+            and not may_collide(request, worker_id)
+            and call.number < state.settings.attempt_limit
+            and now_us < deadline_us
+        )
+        request.calls.append(call)
+        if not may_send:
+            self.end(now_us, call, AttemptResult.NOT_SENT)
+            return
+        if timeout_us:
+            state.timers.schedule(deadline_us, CallTimeout(call))
+        state.output.commands.append(StartCall(call))
+
+    def cancel(self, now_us: int, request: Request, number: int) -> None:
+        """Cancel a call by its number; one that is not open is left as it is."""
+        if 0 <= number < len(request.calls):
+            self._stop(now_us, request.calls[number], AttemptResult.CANCELLED)
+
+    def time_out(self, now_us: int, call: Call) -> None:
+        """End a call that has reached its time limit; one that is not open is left as it is."""
+        self._stop(now_us, call, AttemptResult.TIMEOUT)
+
+    def end(
+        self,
+        now_us: int,
+        call: Call,
+        result: AttemptResult,
+        load_report: dict[str, float] | None = None,
+    ) -> None:
+        """End a call and report it to the policy; one that is not open is left as it is."""
+        if not call.open:
+            return
+        call.open = False
+        call.result = result
+        request = call.request
+        self._state.output.policy_events.append(
+            AttemptEnded(
+                job_id=request.id,
+                attempt_number=call.number,
+                worker_id=call.worker_id,
+                result=result,
+                elapsed_us=max(now_us - call.sent_us, 0),
+                job_answered=request.answered,
+                load_report=load_report,
+            )
+        )
+        self._state.requests.remove_if_finished(request)
+
+    def _stop(self, now_us: int, call: Call, result: AttemptResult) -> None:
+        if call.open:
+            self._state.output.commands.append(StopCall(call))
+            self.end(now_us, call, result)
+
+
+def may_collide(request: Request, worker_id: str) -> bool:
+    """Return whether a new call to a worker could meet an earlier one of the same request there.
+
+    An open call can, and so can one given up, whose cancellation may reach the worker after the new
+    call, and one ended by a notification, which may be delivered again.
+    """
+    return any(
+        call.worker_id == worker_id and (call.notified or not call.worker_finished)
+        for call in request.calls
+    )
--- a/stepstream/core/commands.py
+++ b/stepstream/core/commands.py
@@ -1,42 +1,47 @@
-"""Commands: what the core asks fronts, carriers and endpoint sources to do."""
+"""Commands: what the core asks fronts, carriers and endpoint sources to do.
+
+`Dispatcher.handle` returns them in the order in which they must take effect. The node carries each
+out on the decision thread, so whatever it calls must not wait. No command's failure changes the
+core's state: the outcome of a call comes back as an event.
+"""
 
 from dataclasses import dataclass
-from enum import Enum
-from typing import TYPE_CHECKING
 
-pass
-if TYPE_CHECKING:
-    pass
 from stepstream.core.events import JobNotification
-from stepstream.core.requests import Call, Request
-
-
-class Outcome(Enum):
-    SERVED = "served"
-    REJECTED = "refused"
-    FAILED = "failed"
+from stepstream.core.requests import Answer, Call, Outcome, Request
+
+__all__ = [
+    "Answer",
+    "CheckWorkerHealth",
+    "Command",
+    "ForwardNotification",
+    "LogMessage",
+    "Outcome",
+    "PollEndpoints",
+    "Progress",
+    "StartCall",
+    "StopCall",
+]
 
 
 @dataclass(frozen=True, slots=True)
 class StartCall:
+    """Send a call through the carrier of its worker."""
+
     call: Call
 
 
 @dataclass(frozen=True, slots=True)
 class StopCall:
-    call: Call
-
+    """Give up a call that the core has ended; what its carrier still reports is ignored."""
 
-@dataclass(frozen=True, slots=True)
-class Answer:
-    request: Request
-    outcome: Outcome
-    result: object = None
-    retry_after_us: int = 0
+    call: Call
 
 
 @dataclass(frozen=True, slots=True)
 class Progress:
+    """Report to the client that `done` of `of` parts of the job are complete."""
+
     request: Request
     done: int
     of: int
@@ -44,22 +49,28 @@
 
 @dataclass(frozen=True, slots=True)
 class CheckWorkerHealth:
+    """Send a health check to a worker; its result comes back as the event `HealthChecked`."""
+
     worker_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class PollEndpoints:
-    watch: bool
+    """Ask discovery for the endpoint list."""
+
+    watch: bool  # True: wait for changes from now on; False: fetch the complete list once
 
 
 @dataclass(frozen=True, slots=True)
 class LogMessage:
+    """Write a line of the policy to the log."""
+
     text: str
 
 
 @dataclass(frozen=True, slots=True)
 class ForwardNotification:
-    """News of a request that this process does not hold, for the process beside it."""
+    """Forward a notification of an unknown request to the sibling process of a hot restart."""
 
     notification: JobNotification
 
--- a/stepstream/core/drain.py
+++ b/stepstream/core/drain.py
@@ -1,9 +1,14 @@
-"""The operators' drain of this dispatcher: `PUT /healthcheck/fail` and `/healthcheck/ok`; free of I/O.
+"""The drain of this dispatcher by its operators; free of I/O.
 
-After the call the front is told no at `GET /-/ready`. It goes on sending new connections for a moment after
-its first no (it asks every 0.1 s and stops 0.2 s later); kept connections stay in use while they are open.
-From `close_after` seconds on, every answer closes its connection and idle ones are closed, so that no client
-is held idle when the drain is over. `ok` ends it at once, without a restart.
+`PUT /healthcheck/fail` starts it, `PUT /healthcheck/ok` ends it at once, without a restart.
+
+While it is active, `GET /-/ready` tells the load balancer in front of the dispatcher that it is not
+ready. That one still sends new connections for a moment (it checks every 0.1 s and stops 0.2 s
+after the first failure) and uses open connections for as long as they stay open. Once the closing
+delay has passed, every answer therefore closes its connection, and idle connections are closed, so
+that no client waits idle for the end of the drain.
+
+The admin listener's thread owns the state; other threads may read `active`.
 """
 
 from dataclasses import dataclass
@@ -11,25 +16,31 @@
 
 @dataclass
 class DrainState:
-    close_after_seconds: float  # seconds from the call to the closing of kept connections
-    started_at: float | None = None  # monotonic seconds of the first call out; None: not drained
+    """Whether and since when this dispatcher drains. Times are monotonic seconds."""
 
-    def start(self, now: float) -> bool:
-        """Whether this began a drain; a second call keeps the first one's time."""
-        if self.started_at is not None:
+    close_after_seconds: float  # from the start of the drain to the closing of connections
+    started_at_seconds: float | None = None  # time of the first call; None: not draining
+
+    def start(self, now_seconds: float) -> bool:
+        """Begin a drain; return False if there is one already, which keeps its start."""
+        if self.started_at_seconds is not None:
             return False
-        self.started_at = now
+        self.started_at_seconds = now_seconds
         return True
 
     def cancel(self) -> bool:
-        """Whether a drain ended."""
-        ended, self.started_at = self.started_at is not None, None
-        return ended
+        """End the drain; return False if there was none."""
+        was_active = self.active
+        self.started_at_seconds = None
+        return was_active
 
     @property
     def active(self) -> bool:
-        return self.started_at is not None
+        """Whether the dispatcher drains."""
+        return self.started_at_seconds is not None
 
-    def closes_connections(self, now: float) -> bool:
-        """Whether connections are to close after their answers, and idle ones at once."""
-        return self.started_at is not None and now - self.started_at >= self.close_after_seconds
+    def closes_connections(self, now_seconds: float) -> bool:
+        """Return whether idle connections close now, and others after their next answer."""
+        if self.started_at_seconds is None:
+            return False
+        return now_seconds - self.started_at_seconds >= self.close_after_seconds
--- a/stepstream/core/endpoint_set.py
+++ b/stepstream/core/endpoint_set.py
@@ -1,110 +1,150 @@
-"""Several catalogues merged into the one destination set that the module is told; free of I/O.
+"""The endpoint set: the workers of several sources merged into the one list that the policy sees.
 
-Each source owns the workers it has named. A full list of one source says who of its own is gone and nothing
-of another's. An id belongs to the source that named it first for as long as that source holds it: calls go to
-its carrier, and nobody can take over a worker by calling himself the same.
+Each source owns the workers that it has named. A complete list of one source says which of its own
+workers are gone, and nothing of another's. An id belongs to the source that named it first, until
+that source drops it: calls go to the owner's carrier, so nobody can take over a worker by using its
+id. A source that names an id of another's holds a claim, which waits until the id is free.
+
+The decision thread owns the set and changes it. Other threads may call `contains` and `owner`,
+which read one entry each.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind, EndpointState
 
-if TYPE_CHECKING:
+if TYPE_CHECKING:  # loaded only where there are operators
     from stepstream.core.maintenance import MaintenanceOverlay, MaintenanceState
 
 
 @dataclass(frozen=True, slots=True)
 class EndpointsUpdated:
-    """A catalogue's word on its workers; `source` names it."""
+    """An update of one source's endpoints.
+
+    Posted as an event by the discovery client's thread and by the subsystems that have workers of
+    their own.
+    """
 
     source: str
     update: EndpointList
 
 
-class EndpointSet:
-    def __init__(self, complain: Callable[[str], None]) -> None:
-        self.complain = complain
-        self.owned: dict[str, dict[str, Endpoint]] = {}  # by source, what it holds
-        self.source_of: dict[str, str] = {}
-        self.claims: dict[tuple[str, str], Endpoint] = {}  # to ids that another source holds
-        self.overlay: MaintenanceOverlay | None = (
-            None  # the operators' bans, once there have been any
-        )
+class ClaimKey(NamedTuple):
+    """A source and the id that it claims from another."""
+
+    source: str
+    worker_id: str
+
 
-    def apply(self, listed: EndpointsUpdated) -> EndpointList:
-        """What the module is told of this: a list of the same kind that takes nothing from other sources."""
-        source, told = listed.source, listed.update
-        if told.kind is EndpointListKind.FAILED:
-            return told
-        full = told.kind is not EndpointListKind.CHANGES
-        if full:
-            self.let_go(source, {entry.worker_id for entry in told.endpoints})
-        entries = [entry for entry in told.endpoints if self.take(source, entry)]
-        entries += self.heirs()
-        if full:
-            named = {entry.worker_id for entry in entries}
-            entries += [
-                e for held in self.owned.values() for e in held.values() if e.worker_id not in named
-            ]
-        if self.overlay is not None:
-            entries = [self.overlay.apply(entry) for entry in entries]
-        return EndpointList(told.kind, tuple(entries))
-
-    def maintain(self, state: "MaintenanceState") -> EndpointList:
-        """The operators' bans: the entries whose look they change, as changes."""
-        if self.overlay is None:
+class EndpointSet:
+    """The workers of all sources, each with its owner, and the claims that wait for an id."""
+
+    def __init__(self, log_conflict: Callable[[str], None]) -> None:
+        """Create an empty set; `log_conflict` takes one line for each claim that has to wait."""
+        self._log_conflict = log_conflict
+        self._endpoints_by_source: dict[str, dict[str, Endpoint]] = {}
+        self._owner_by_worker: dict[str, str] = {}
+        self._waiting_claims: dict[ClaimKey, Endpoint] = {}
+        # The operators' maintenance state; None until there is any.
+        self._maintenance: MaintenanceOverlay | None = None
+
+    def apply(self, updated: EndpointsUpdated) -> EndpointList:
+        """Merge one source's update; return what the policy is to apply, of the same kind.
+
+        A complete list comes back with all other sources' workers, a failed one as it is.
+        """
+        source = updated.source
+        update = updated.update
+        if update.kind is EndpointListKind.FAILED:
+            return update
+        is_complete = update.kind is not EndpointListKind.CHANGES
+        if is_complete:
+            self._release_unlisted(source, {endpoint.worker_id for endpoint in update.endpoints})
+        endpoints = [endpoint for endpoint in update.endpoints if self._register(source, endpoint)]
+        endpoints.extend(self._grant_waiting_claims())
+        if is_complete:
+            listed = {endpoint.worker_id for endpoint in endpoints}
+            endpoints.extend(
+                endpoint for endpoint in self._registered() if endpoint.worker_id not in listed
+            )
+        if self._maintenance is not None:
+            endpoints = [self._maintenance.apply(endpoint) for endpoint in endpoints]
+        return EndpointList(update.kind, tuple(endpoints))
+
+    def apply_maintenance(self, state: "MaintenanceState") -> EndpointList:
+        """Apply the operators' maintenance state; return the endpoints that it changes."""
+        if self._maintenance is None:
+            # Loaded only where there are operators.
             from stepstream.core.maintenance import MaintenanceOverlay
 
-            self.overlay = MaintenanceOverlay()
-        changed = self.overlay.update(state)
-        held = [e for own in self.owned.values() for e in own.values() if e.worker_id in changed]
-        return EndpointList(
-            EndpointListKind.CHANGES, tuple(self.overlay.apply(entry) for entry in held)
+            self._maintenance = MaintenanceOverlay()
+        changed_workers = self._maintenance.update(state)
+        changed_endpoints = tuple(
+            self._maintenance.apply(endpoint)
+            for endpoint in self._registered()
+            if endpoint.worker_id in changed_workers
         )
-
-    def contains(self, worker: str) -> bool:
-        """Whether any source has a worker by that id; safe to ask from another thread."""
-        return worker in self.source_of
-
-    def heirs(self) -> list[Endpoint]:
-        """Workers whose id another source held until now."""
-        free = [claim for claim in self.claims if claim[1] not in self.source_of]
-        return [entry for claim in free if self.take(claim[0], entry := self.claims.pop(claim))]
-
-    def let_go(self, source: str, named: set[str]) -> None:
-        held = self.owned.get(source, {})
-        for worker in [worker for worker in held if worker not in named]:
-            del held[worker], self.source_of[worker]
-        for claim in [
-            claim for claim in self.claims if claim[0] == source and claim[1] not in named
-        ]:
-            del self.claims[claim]
-
-    def take(self, source: str, entry: Endpoint) -> bool:
-        """Whether the entry is this source's to give."""
-        owner = self.source_of.get(entry.worker_id, source)
+        return EndpointList(EndpointListKind.CHANGES, changed_endpoints)
+
+    def contains(self, worker_id: str) -> bool:
+        """Return whether any source has a worker of that id; any thread may ask."""
+        return worker_id in self._owner_by_worker
+
+    def owner(self, worker_id: str) -> str | None:
+        """Return the source whose carrier takes calls to a worker; None if no source has it."""
+        return self._owner_by_worker.get(worker_id)
+
+    def _registered(self) -> Iterator[Endpoint]:
+        for endpoints in self._endpoints_by_source.values():
+            yield from endpoints.values()
+
+    def _release_unlisted(self, source: str, listed: set[str]) -> None:
+        """Drop the workers and claims of a source that its complete list does not name."""
+        endpoints = self._endpoints_by_source.get(source, {})
+        for worker_id in [worker_id for worker_id in endpoints if worker_id not in listed]:
+            del endpoints[worker_id]
+            del self._owner_by_worker[worker_id]
+        for claim in list(self._waiting_claims):
+            if claim.source == source and claim.worker_id not in listed:
+                del self._waiting_claims[claim]
+
+    def _register(self, source: str, endpoint: Endpoint) -> bool:
+        """Record an endpoint if its id is free or the source's own; else have its claim wait."""
+        worker_id = endpoint.worker_id
+        owner = self._owner_by_worker.get(worker_id, source)
         if owner != source:
-            self.claim((source, entry.worker_id), entry, owner)
+            self._update_claim(ClaimKey(source, worker_id), endpoint, owner)
             return False
-        held = self.owned.setdefault(source, {})
-        if entry.state is EndpointState.REMOVED:
-            held.pop(entry.worker_id, None)
-            self.source_of.pop(entry.worker_id, None)
+        endpoints = self._endpoints_by_source.setdefault(source, {})
+        if endpoint.state is EndpointState.REMOVED:
+            endpoints.pop(worker_id, None)
+            self._owner_by_worker.pop(worker_id, None)
         else:
-            held[entry.worker_id] = entry
-            self.source_of[entry.worker_id] = source
+            endpoints[worker_id] = endpoint
+            self._owner_by_worker[worker_id] = source
         return True
 
-    def claim(self, claim: tuple[str, str], entry: Endpoint, owner: str) -> None:
-        if entry.state is EndpointState.REMOVED:
-            self.claims.pop(claim, None)
+    def _update_claim(self, claim: ClaimKey, endpoint: Endpoint, owner: str) -> None:
+        if endpoint.state is EndpointState.REMOVED:
+            self._waiting_claims.pop(claim, None)
             return
-        if claim not in self.claims:
-            self.complain(f"worker {claim[1]} of {claim[0]} waits: {owner} holds that id")
-        self.claims[claim] = entry
-
-    def owner(self, worker: str) -> str | None:
-        """Whose carrier takes calls to this worker; None for one that nobody holds."""
-        return self.source_of.get(worker)
+        if claim not in self._waiting_claims:
+            self._log_conflict(
+                f"worker {claim.worker_id} of {claim.source} waits: {owner} holds that id"
+            )
+        self._waiting_claims[claim] = endpoint
+
+    def _grant_waiting_claims(self) -> list[Endpoint]:
+        """Register the claims whose ids are free now, the oldest first; return their endpoints."""
+        granted = []
+        free_claims = [
+            claim for claim in self._waiting_claims if claim.worker_id not in self._owner_by_worker
+        ]
+        for claim in free_claims:
+            endpoint = self._waiting_claims.pop(claim)
+            # Of several claims to one id, the first one registered makes the others wait again.
+            if self._register(claim.source, endpoint):
+                granted.append(endpoint)
+        return granted
--- a/stepstream/core/events.py
+++ b/stepstream/core/events.py
@@ -1,26 +1,35 @@
-"""Events: what fronts, carriers and endpoint sources tell the core."""
+"""Events: what fronts, carriers, endpoint sources and subsystems report to the core.
+
+Any thread may create one and post it to the node's event queue; none is changed afterwards. The
+decision thread takes them from the queue and hands them to `Dispatcher.handle` in their order.
+Events that the core does not handle itself pass to the policy as they are. Times are microseconds
+on the node's clock.
+"""
 
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
 
 from stepstream.core.endpoint_set import EndpointsUpdated
+from stepstream.core.requests import Call, Request
 from stepstream.model.events import AttemptResult, HealthChecked, SettingsChanged
 
-if TYPE_CHECKING:
+if TYPE_CHECKING:  # loaded only where there are operators
     from stepstream.core.maintenance import MaintenanceState
-from stepstream.core.requests import Call, Request
 
 
 class JobStatus(Enum):
+    """The status of a job in a worker's notification; the values are the platform's words."""
+
     STARTED = "started"
     RUNNING = "running"
     DONE = "done"
     FAILED = "failed"
-    RETURNED = "returned"
-    LOST = "lost"
+    RETURNED = "returned"  # the worker gave the job back without having run it
+    LOST = "lost"  # the worker has lost the job; it may have run
 
 
+# How a call ends by a notification that the job ended without a result.
 RESULT_BY_STATUS = {
     JobStatus.FAILED: AttemptResult.ERROR,
     JobStatus.RETURNED: AttemptResult.FULL,
@@ -30,70 +39,81 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestReceived:
+    """A front has read a complete request; sent by the thread of its connection."""
+
     request: Request
 
 
 @dataclass(frozen=True, slots=True)
 class ClientDisconnected:
-    """The client has closed its connection."""
+    """The client has disconnected or withdrawn the job; sent by the thread of its front."""
+
+    request: Request
+
+
+@dataclass(frozen=True, slots=True)
+class RequestFaulted:
+    """A front failed on this request and will not answer it; sent by the thread that failed."""
 
     request: Request
 
 
 @dataclass(frozen=True, slots=True)
 class CallEnded:
-    """The exchange for a call ended without the worker taking the job."""
+    """A call ended without its worker taking the job; sent by the carrier's thread."""
 
     call: Call
     result: AttemptResult
-    load_report: dict[str, float] | None = None  # the worker's load, if its answer told
+    load_report: dict[str, float] | None = None  # the worker's load by name, if its answer has it
 
 
 @dataclass(frozen=True, slots=True)
-class MaintenanceChanged:
-    """The operators' bans, whole."""
+class CallTimeoutSet:
+    """A worker has set a time limit to a call that it has begun; sent by the carrier's thread."""
 
-    state: "MaintenanceState"
+    call: Call
+    at_us: int  # past it the call has timed out
 
 
 @dataclass(frozen=True, slots=True)
 class JobNotification:
-    """A worker's news of a job."""
+    """A worker's notification of a job; sent by the thread that received it.
+
+    It may come before the worker's response to the call, more than once, or from before a restart.
+    """
 
     request_id: str
     worker_id: str
     status: JobStatus
-    result: object = None
-    progress: tuple[int, int] | None = None  # with News.RUNNING: so much of so much is done
-    forwarded: bool = False  # passed on by the process beside this one in a hot restart
-    load_report: dict[str, float] | None = None  # the worker's load, with news that ends a call
+    result: object = None  # of DONE: JSON value or `ports.payload.ChunkedResult`
+    progress: tuple[int, int] | None = None  # of RUNNING: parts complete, parts in all
+    forwarded: bool = False  # came from the sibling process of a hot restart
+    load_report: dict[str, float] | None = None  # the worker's load by name, where it ends a call
 
 
 @dataclass(frozen=True, slots=True)
-class SiblingProcessChanged:
-    """Whether a process beside this one shares the clients' address: news it does not know goes there."""
+class MaintenanceChanged:
+    """Operators have changed the maintenance state; sent by the admin listener's thread."""
 
-    present: bool
+    state: "MaintenanceState"  # the complete new state
 
 
 @dataclass(frozen=True, slots=True)
-class CallTimeoutSet:
-    """The worker's own bound on a call that has begun: past it the call has timed out."""
-
-    call: Call
-    at_us: int
-
+class SiblingProcessChanged:
+    """A sibling process of a hot restart has come or gone; sent by the admin listener's thread.
 
-@dataclass(frozen=True, slots=True)
-class RequestFaulted:
-    """A thread of the front failed on this request: it must be answered all the same."""
+    While there is one, notifications of requests unknown here are forwarded to it.
+    """
 
-    request: Request
+    present: bool
 
 
 @dataclass(frozen=True, slots=True)
 class ShutdownStarted:
-    """The process ends soon: whatever is open or still comes is answered by then."""
+    """The process ends soon; sent by the main thread.
+
+    Every request that is open or still comes is answered by the deadline.
+    """
 
     deadline_us: int
 
--- a/stepstream/core/maintenance.py
+++ b/stepstream/core/maintenance.py
@@ -1,9 +1,13 @@
-"""Maintenance of workers: the operators' bans, and how a banned worker looks to the module; free of I/O.
+"""Maintenance of workers by operators, and how it changes the endpoints that the policy sees.
 
-A banned worker is shown to the module as draining, whatever its catalogue says, so that the module's rule on
-drains holds for it: nothing new after the grace. The ban lasts until the call back. The return is cold: the
-operators restart the worker meanwhile, so it is shown as started when it was let back, unless its catalogue
-tells of a later start.
+A worker in maintenance is shown to the policy as draining, whatever its source says: it gets
+nothing new once the policy's grace period is over. Maintenance lasts until an operator releases the
+worker. As operators restart a worker meanwhile, it is shown as started at its release, so that it
+goes through slow start, unless its source tells of a later start.
+
+`MaintenanceRegistry` belongs to the admin service and may be used by any thread;
+`MaintenanceOverlay` belongs to the endpoint set and thereby to the decision thread. A
+`MaintenanceState` passes from one to the other.
 """
 
 import threading
@@ -11,68 +15,73 @@
 
 from stepstream.model.endpoints import Endpoint, EndpointState
 
-LIFTED_MOST = 1024  # returns remembered for their cold start; the oldest go first
+MAX_RELEASES = 1024  # releases remembered for their slow start; the oldest are dropped first
 
 
 @dataclass(frozen=True, slots=True)
 class MaintenanceState:
-    """What passes between processes and to the core. `generation` orders two states: the higher is newer."""
+    """The complete state, as it passes between processes and to the core."""
 
-    generation: int = 0
-    in_maintenance: frozenset[str] = frozenset()
-    released: tuple[
-        tuple[str, int], ...
-    ] = ()  # (worker, microseconds on the one clock base) of each return
+    generation: int = 0  # orders two states: the higher one is newer
+    in_maintenance: frozenset[str] = frozenset()  # worker ids
+    # Worker id and time of each release, the oldest first; microseconds on the clock that all
+    # processes of a machine share.
+    released: tuple[tuple[str, int], ...] = ()
 
 
 @dataclass
 class MaintenanceCounters:
-    out: int = 0  # calls that took a worker out
-    back: int = 0  # calls that let one back
-    again: int = 0  # calls that changed nothing
-    unknown: int = 0  # calls for ids that nobody holds
+    """What operators' calls have come to since the start."""
+
+    begun: int = 0  # calls that put a worker into maintenance
+    released: int = 0  # calls that released one
+    unchanged: int = 0  # calls that changed nothing
+    unknown: int = 0  # calls for ids that no source has
 
 
 class MaintenanceRegistry:
-    """The operators' word, shared by the admin listener's thread and whoever hands the state over."""
+    """The operators' maintenance state, as this process knows it.
+
+    Shared by the admin listener's thread and by those that hand the state over to another process.
+    """
 
     def __init__(self) -> None:
-        self.lock = threading.Lock()
+        self.lock = threading.Lock()  # guards `state` and `counts`
         self.state = MaintenanceState()
         self.counts = MaintenanceCounters()
 
-    def begin(self, worker: str) -> bool:
-        """Whether that changed anything; a second call out changes nothing."""
+    def begin(self, worker_id: str) -> bool:
+        """Put a worker into maintenance; return whether that changed anything."""
         with self.lock:
-            if worker in self.state.in_maintenance:
-                self.counts.again += 1
+            if worker_id in self.state.in_maintenance:
+                self.counts.unchanged += 1
                 return False
-            self.counts.out += 1
+            self.counts.begun += 1
             self.state = replace(
                 self.state,
                 generation=self.state.generation + 1,
-                in_maintenance=self.state.in_maintenance | {worker},
+                in_maintenance=self.state.in_maintenance | {worker_id},
             )
             return True
 
-    def release(self, worker: str, now_us: int) -> bool:
+    def release(self, worker_id: str, now_us: int) -> bool:
+        """Release a worker from maintenance; return whether that changed anything."""
         with self.lock:
-            if worker not in self.state.in_maintenance:
-                self.counts.again += 1
+            if worker_id not in self.state.in_maintenance:
+                self.counts.unchanged += 1
                 return False
-            self.counts.back += 1
-            lifted = tuple(pair for pair in self.state.released if pair[0] != worker)[
-                -(LIFTED_MOST - 1) :
-            ]
+            self.counts.released += 1
+            earlier = [pair for pair in self.state.released if pair[0] != worker_id]
+            released = (*earlier, (worker_id, now_us))
             self.state = MaintenanceState(
-                self.state.generation + 1,
-                self.state.in_maintenance - {worker},
-                (*lifted, (worker, now_us)),
+                generation=self.state.generation + 1,
+                in_maintenance=self.state.in_maintenance - {worker_id},
+                released=released[-MAX_RELEASES:],
             )
             return True
 
     def adopt(self, state: MaintenanceState) -> bool:
-        """Another process's state, if it is newer than this one's."""
+        """Take over another process's state if it is newer; return whether it was."""
         with self.lock:
             if state.generation <= self.state.generation:
                 return False
@@ -80,40 +89,46 @@
             return True
 
     def snapshot(self) -> MaintenanceState:
+        """Return the current state."""
         with self.lock:
             return self.state
 
-    def contains(self, worker: str) -> bool:
-        return worker in self.state.in_maintenance
+    def contains(self, worker_id: str) -> bool:
+        """Return whether a worker is in maintenance."""
+        return worker_id in self.state.in_maintenance
 
 
 @dataclass
 class MaintenanceOverlay:
-    """The bans as the core keeps them, to be laid over every entry that a catalogue gives."""
+    """The maintenance state as the endpoint set lays it over every endpoint of its sources."""
 
-    in_maintenance: frozenset[str] = frozenset()
-    released: dict[str, int] = field(default_factory=dict)
+    in_maintenance: frozenset[str] = frozenset()  # worker ids
+    released_us: dict[str, int] = field(
+        default_factory=dict
+    )  # time of the latest release, by worker
 
     def update(self, state: MaintenanceState) -> set[str]:
-        """The workers whose look has changed."""
+        """Take over a new state; return the ids of the workers that it shows differently."""
+        released_us = dict(state.released)
         changed = set(self.in_maintenance ^ state.in_maintenance)
-        lifted = dict(state.released)
-        changed |= {w for w, at_us in lifted.items() if self.released.get(w) != at_us}
-        self.in_maintenance, self.released = state.in_maintenance, lifted
+        changed.update(
+            worker_id
+            for worker_id, at_us in released_us.items()
+            if self.released_us.get(worker_id) != at_us
+        )
+        self.in_maintenance = state.in_maintenance
+        self.released_us = released_us
         return changed
 
-    def apply(self, entry: Endpoint) -> Endpoint:
-        if entry.worker_id in self.in_maintenance:
-            return (
-                entry
-                if entry.state is not EndpointState.ACTIVE
-                else replace(entry, state=EndpointState.DRAINING)
-            )
-        back_us = self.released.get(entry.worker_id)
-        if (
-            back_us is not None
-            and back_us > entry.started_us
-            and entry.state is not EndpointState.REMOVED
-        ):
-            return replace(entry, started_us=back_us)
-        return entry
+    def apply(self, endpoint: Endpoint) -> Endpoint:
+        """Return an endpoint as the policy is to see it."""
+        if endpoint.worker_id in self.in_maintenance:
+            if endpoint.state is EndpointState.ACTIVE:
+                return replace(endpoint, state=EndpointState.DRAINING)
+            return endpoint
+        if endpoint.state is EndpointState.REMOVED:
+            return endpoint
+        released_us = self.released_us.get(endpoint.worker_id)
+        if released_us is not None and released_us > endpoint.started_us:
+            return replace(endpoint, started_us=released_us)
+        return endpoint
--- /dev/null
+++ b/stepstream/core/notification_handler.py
@@ -0,0 +1,75 @@
+"""Notifications that workers send of their jobs.
+
+A notification may come before the worker's response to the call, more than once, or from before a
+restart: each takes effect at most once. It owns whether a sibling process of a hot restart exists.
+The decision thread calls it.
+"""
+
+from stepstream.core.call_handler import CallHandler
+from stepstream.core.commands import ForwardNotification, Progress
+from stepstream.core.dispatch_state import DispatchState
+from stepstream.core.events import RESULT_BY_STATUS, JobNotification, JobStatus
+from stepstream.core.requests import Call, Outcome, Request
+from stepstream.model.events import AttemptResult, AttemptStarted, JobAbandoned
+
+
+class NotificationHandler:
+    """Finds the call that a notification is of, and answers, ends or reports it."""
+
+    def __init__(self, state: DispatchState, calls: CallHandler) -> None:
+        self.has_sibling_process = False  # one may hold requests that are unknown here
+        self._state = state
+        self._calls = calls
+
+    def handle(self, now_us: int, notification: JobNotification) -> None:
+        """Apply a notification to the latest call of its request to its worker, if there is one."""
+        request = self._state.requests.get(notification.request_id)
+        if request is None:
+            self._forward(notification)
+            return
+        for call in reversed(request.calls):
+            if call.worker_id == notification.worker_id:
+                self._apply(now_us, request, call, notification)
+                return
+
+    def _forward(self, notification: JobNotification) -> None:
+        if self.has_sibling_process and not notification.forwarded:
+            self._state.output.commands.append(ForwardNotification(notification))
+
+    def _apply(
+        self, now_us: int, request: Request, call: Call, notification: JobNotification
+    ) -> None:
+        if notification.status is JobStatus.DONE:
+            self._complete(now_us, request, call, notification)
+        elif call.open:
+            self._apply_to_open_call(now_us, request, call, notification)
+
+    def _complete(
+        self, now_us: int, request: Request, call: Call, notification: JobNotification
+    ) -> None:
+        first_result = not request.answered
+        if first_result:
+            self._state.requests.answer(request, Outcome.SERVED, notification.result)
+        call.notified = True
+        if call.open:
+            self._calls.end(now_us, call, AttemptResult.OK, notification.load_report)
+        elif first_result:
+            # A call that was given up, or broke before the worker's response, has served after all:
+            # the policy has only to forget the job.
+            self._state.output.policy_events.append(JobAbandoned(request.id))
+
+    def _apply_to_open_call(
+        self, now_us: int, request: Request, call: Call, notification: JobNotification
+    ) -> None:
+        output = self._state.output
+        status = notification.status
+        if status is JobStatus.STARTED:
+            output.policy_events.append(AttemptStarted(request.id, call.number, call.worker_id))
+        elif status is JobStatus.RUNNING:
+            if notification.progress and not request.answered:
+                done, total = notification.progress
+                output.commands.append(Progress(request, done, total))
+        else:
+            call.notified = True
+            result = RESULT_BY_STATUS[status]
+            self._calls.end(now_us, call, result, notification.load_report)
--- /dev/null
+++ b/stepstream/core/request_table.py
@@ -0,0 +1,66 @@
+"""The table of open requests, and the rule that each gets at most one final answer.
+
+The decision thread owns it. The main thread reads `open_count` for the status line and the
+shutdown.
+"""
+
+from stepstream.core.requests import Answer, Outcome, Request
+from stepstream.core.round_output import RoundOutput
+from stepstream.model.events import JobAbandoned
+
+
+class RequestTable:
+    """Requests by id, from admission until they are answered and all their calls have ended."""
+
+    def __init__(self, output: RoundOutput) -> None:
+        self.by_id: dict[str, Request] = {}
+        self.open_count = 0  # requests that are owed an answer
+        self._output = output
+
+    def get(self, request_id: str) -> Request | None:
+        """Return the request of that id; None if there is none, or none any more."""
+        return self.by_id.get(request_id)
+
+    def contains(self, request: Request) -> bool:
+        """Return whether this very request, not another of the same id, is in the table."""
+        return self.by_id.get(request.id) is request
+
+    def add(self, request: Request) -> None:
+        """Add a request that is owed an answer; its id must be new."""
+        self.by_id[request.id] = request
+        self.open_count += 1
+
+    def answer(
+        self,
+        request: Request,
+        outcome: Outcome,
+        result: object = None,
+        retry_after_us: int = 0,
+    ) -> None:
+        """Give the final answer; drop it if the request has had one or is not in the table."""
+        if request.answered or not self.contains(request):
+            return
+        self._output.commands.append(Answer(request, outcome, result, retry_after_us))
+        self._set_answered(request)
+
+    def fail(self, request: Request) -> None:
+        """Answer a request as failed without the policy, and have the policy cancel its calls."""
+        self.answer(request, Outcome.FAILED)
+        self._output.policy_events.append(JobAbandoned(request.id))
+
+    def abandon(self, request: Request) -> None:
+        """Close a request whose client is gone, and have the policy cancel its calls."""
+        if request.answered or not self.contains(request):
+            return
+        self._set_answered(request)
+        self._output.policy_events.append(JobAbandoned(request.id))
+
+    def remove_if_finished(self, request: Request) -> None:
+        """Remove a request that is answered and has no call in flight."""
+        if request.answered and not request.has_open_calls:
+            self.by_id.pop(request.id, None)
+
+    def _set_answered(self, request: Request) -> None:
+        request.answered = True
+        self.open_count -= 1
+        self.remove_if_finished(request)
--- /dev/null
+++ b/stepstream/core/timer_handler.py
@@ -0,0 +1,46 @@
+"""Timers that are due: the policy's own, the time limits of calls, the deadlines of answers.
+
+The decision thread calls it; it owns nothing but what the shared state holds.
+"""
+
+from stepstream.core.call_handler import CallHandler
+from stepstream.core.dispatch_state import DispatchState
+from stepstream.core.requests import Request
+from stepstream.core.timer_wheel import (
+    AnswerDeadline,
+    AnswerOverdue,
+    CallTimeout,
+    PolicyTimer,
+    Timer,
+)
+from stepstream.model.events import TimerFired
+
+
+class TimerHandler:
+    """Acts on each timer that is due, unless what it was set for is over."""
+
+    def __init__(self, state: DispatchState, calls: CallHandler) -> None:
+        self._state = state
+        self._calls = calls
+
+    def handle(self, now_us: int, timer: Timer) -> None:
+        """Act on a timer that is due."""
+        match timer:
+            case PolicyTimer(token):
+                self._state.output.policy_events.append(TimerFired(token))
+            case CallTimeout(call):
+                self._calls.time_out(now_us, call)
+            case AnswerDeadline(request):
+                if not request.answered:
+                    self._end_calls(now_us, request)
+            case AnswerOverdue(request):
+                if not request.answered:
+                    self._state.requests.fail(request)
+
+    def _end_calls(self, now_us: int, request: Request) -> None:
+        """End all calls, whatever their carriers do; the policy answers in the same round."""
+        for call in request.calls:
+            self._calls.time_out(now_us, call)
+        # The policy may fail to answer: then the request fails in the next tick.
+        timers = self._state.timers
+        timers.schedule(now_us + timers.tick_us, AnswerOverdue(request))
--- a/stepstream/core/timer_wheel.py
+++ b/stepstream/core/timer_wheel.py
@@ -1,29 +1,75 @@
-"""Timers as coarse ticks on a wheel: cheap to set, never rung before their time."""
+"""The core's timers, held as coarse ticks on a wheel: cheap to set, never due before their time.
+
+A timer cannot be cancelled: whoever handles one that is due checks whether it still matters. The
+decision thread owns the wheel. Times are microseconds on the node's clock.
+"""
+
+from dataclasses import dataclass
+
+from stepstream.core.requests import Call, Request
+
+
+@dataclass(frozen=True, slots=True)
+class PolicyTimer:
+    """The policy has asked to be called at this time."""
+
+    token: int  # the policy's name for it
+
+
+@dataclass(frozen=True, slots=True)
+class CallTimeout:
+    """A call has reached its time limit."""
+
+    call: Call
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerDeadline:
+    """A request needs its answer now for it to reach the client in time."""
+
+    request: Request
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerOverdue:
+    """A tick has passed since the answer deadline: a request without an answer has failed."""
+
+    request: Request
+
+
+Timer = PolicyTimer | CallTimeout | AnswerDeadline | AnswerOverdue
 
 
 class TimerWheel:
-    """A timer rings in the first tick that lies wholly past its time; cancelling is the owner's business."""
+    """Timers by tick. A timer is due in the first tick that begins at its time or later."""
 
     def __init__(self, now_us: int, tick_us: int) -> None:
         self.tick_us = tick_us
-        self.tick = now_us // tick_us  # all earlier ticks have rung, this one too
-        self.slots: dict[int, list[object]] = {}
-
-    def schedule(self, at_us: int, item: object) -> None:
-        # Never into a tick that has rung: a time in the past rings with the next one.
-        tick = max(-(-at_us // self.tick_us), self.tick + 1)
-        self.slots.setdefault(tick, []).append(item)
-
-    def pop_due(self, now_us: int) -> list[object]:
-        """What has come due, oldest tick first."""
-        last = now_us // self.tick_us
-        if last <= self.tick:
+        self._last_tick = now_us // tick_us  # this tick and all before it are past
+        self._timers_by_tick: dict[int, list[Timer]] = {}
+
+    def schedule(self, due_us: int, timer: Timer) -> None:
+        """Set a timer; one whose time has passed is due in the next tick."""
+        rounded_up_tick = -(-due_us // self.tick_us)
+        tick = max(rounded_up_tick, self._last_tick + 1)
+        self._timers_by_tick.setdefault(tick, []).append(timer)
+
+    def pop_due(self, now_us: int) -> list[Timer]:
+        """Remove and return the timers that are due, by tick, then in the order they were set."""
+        current_tick = now_us // self.tick_us
+        ticks_passed = current_tick - self._last_tick
+        if ticks_passed <= 0:
             return []
-        gap = last - self.tick
-        # After a long stall the set ticks are fewer than the passed ones.
-        ticks = range(self.tick + 1, last + 1) if gap <= len(self.slots) else sorted(self.slots)
-        self.tick = last
-        return [item for t in ticks if t <= last for item in self.slots.pop(t, ())]
+        # After a long stall, the ticks with timers are fewer than the ticks that have passed.
+        if ticks_passed <= len(self._timers_by_tick):
+            due_ticks = list(range(self._last_tick + 1, current_tick + 1))
+        else:
+            due_ticks = sorted(tick for tick in self._timers_by_tick if tick <= current_tick)
+        self._last_tick = current_tick
+        return [timer for tick in due_ticks for timer in self._timers_by_tick.pop(tick, ())]
 
     def next_due_us(self) -> int | None:
-        return min(self.slots) * self.tick_us if self.slots else None
+        """Return when the next timer is due; None without timers."""
+        if not self._timers_by_tick:
+            return None
+        return min(self._timers_by_tick) * self.tick_us
--- a/stepstream/ports/access_control.py
+++ b/stepstream/ports/access_control.py
@@ -1,63 +1,71 @@
-"""Authentication and authorization of peers, as fronts ask for them."""
+"""Authentication and authorization of peers, as the fronts ask for them.
+
+Implemented by the identity subsystem; without it the fronts admit every peer.
+"""
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING, Protocol
-
-if TYPE_CHECKING:
-    pass
+from typing import Protocol
 
 
 @dataclass(frozen=True, slots=True)
 class Credential:
-    """What a peer shows of itself; a certificate was verified in the handshake."""
+    """What a peer presents to identify itself."""
 
-    token: bytes | None = None
-    certificate: object = None
+    token: bytes | None = None  # bearer token, not yet verified
+    certificate: object = None  # client certificate, verified in the TLS handshake
 
 
 class RejectionKind(Enum):
-    """Why a gate turns somebody away: nobody is identified, he may not, or not now."""
+    """Why a peer is rejected. The values are the error codes of the Gearman front."""
 
-    UNAUTHENTICATED = "NOT_IDENTIFIED"
-    FORBIDDEN = "NOT_ALLOWED"
-    RATE_LIMITED = "LATER"
+    UNAUTHENTICATED = "NOT_IDENTIFIED"  # its credential identifies nobody
+    FORBIDDEN = "NOT_ALLOWED"  # it may not do this
+    RATE_LIMITED = "LATER"  # it may, but not now
 
 
 @dataclass(frozen=True, slots=True)
 class Rejection:
-    """Turned away; `reason` is one word, `retry_s` when to come back."""
+    """A rejected request, worker or command."""
 
     kind: RejectionKind
-    reason: str
-    retry_after_seconds: float = 0.0
+    reason: str  # one word, for the peer and the log
+    retry_after_seconds: float = 0.0  # of RATE_LIMITED
 
 
 class Authorization(Protocol):
-    """An allowed request of an identified caller."""
+    """An admitted request of an identified caller. Any thread may release it."""
 
     caller: str
     tenant: str
 
     def release(self) -> None:
-        """It is over; any number of times."""
+        """End the request for the caller's limits; further calls have no effect."""
 
 
 class AccessControl(Protocol):
-    """Who may come in, where an installation wants to know. Any thread; none of these waits."""
+    """Who may do what. The fronts' threads call it; no method waits.
+
+    `front` names the front that asks, for the log. Each method logs its decision.
+    """
 
     def authorize_request(
-        self, front: str, credential: Credential, kind: str, tenant: str | None
-    ) -> "Authorization | Rejection":
-        """A client's request of a class; `tenant` None: the one that the caller stands for."""
+        self, front: str, credential: Credential, class_name: str, tenant: str | None
+    ) -> Authorization | Rejection:
+        """Authorize a client's request of a job class.
+
+        Without a `tenant`, the request is of the one tenant that the caller belongs to.
+        """
 
     def authorize_job_access(
         self, front: str, credential: Credential, callers: set[str]
     ) -> Rejection | None:
-        """Somebody asks for a job of these callers; None if he is one of them."""
+        """Authorize access to a job that belongs to `callers`; return None if the peer is one."""
 
-    def authorize_worker(self, front: str, credential: Credential, name: str) -> Rejection | None:
-        """A worker's word or joining under this id; None if it is who it says."""
+    def authorize_worker(
+        self, front: str, credential: Credential, worker_id: str
+    ) -> Rejection | None:
+        """Authorize a notification or registration under a worker id; return None if allowed."""
 
-    def authorize_admin(self, front: str, credential: Credential, what: str) -> Rejection | None:
-        """An operator's command; None if he may."""
+    def authorize_admin(self, front: str, credential: Credential, command: str) -> Rejection | None:
+        """Authorize an operator's command; return None if allowed."""
--- a/stepstream/ports/admin.py
+++ b/stepstream/ports/admin.py
@@ -2,60 +2,65 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 import ujson
 
-if TYPE_CHECKING:
-    pass
-
 
 @dataclass(frozen=True, slots=True)
 class AdminRequest:
-    """An operator's call to a path that a subsystem has added; `parts` are the path's variable ones."""
+    """An operator's request to a path that a subsystem has added."""
 
     method: str
-    parts: tuple[str, ...] = ()
+    parts: tuple[str, ...] = ()  # the groups of the route's pattern, percent-decoded
     query: Mapping[str, str] = field(default_factory=dict)
     body: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
 class AdminResponse:
-    """`text` as it goes out; 2xx is yes, 4xx or 5xx is no."""
+    """The response to an operator's request."""
 
-    status: int
-    text: str
-    content_type: str = "text/plain"  # the content's type
+    status: int  # HTTP status: 2xx for success, 4xx or 5xx otherwise
+    text: str  # the body
+    content_type: str = "text/plain"
 
 
-def json_response(status: int, told: object) -> AdminResponse:
-    return AdminResponse(
-        status, ujson.dumps(told, escape_forward_slashes=False), "application/json"
-    )
+def json_response(status: int, body: object) -> AdminResponse:
+    """Return a response whose body is `body` as JSON."""
+    text = ujson.dumps(body, escape_forward_slashes=False)
+    return AdminResponse(status, text, "application/json")
 
 
 @dataclass(frozen=True, slots=True)
 class AdminRoute:
-    """A path of the admin listener: a regular expression for all of it, and the methods that it takes.
-
-    `answer` is called by the admin listener's thread and must not wait.
-    """
+    """A path of the admin listener that a subsystem serves."""
 
-    pattern: str
+    pattern: str  # regular expression that the whole path matches
     methods: frozenset[str]
-    answer: Callable[[AdminRequest], AdminResponse]
+    answer: Callable[[AdminRequest], AdminResponse]  # on the admin listener's thread; must not wait
 
 
 class WorkerMaintenance(Protocol):
-    """Operators' words on workers, as the admin listener's part keeps them."""
+    """The operators' maintenance of workers, as other subsystems see it.
+
+    Implemented by the admin subsystem, called by the membership and lease subsystems from threads
+    of their own; no method waits.
+    """
 
-    on_change: (
-        "Callable[[str, bool], None] | None"  # called with each word told here: worker, whether out
-    )
+    # Set by the membership subsystem before the admin listener opens. The admin listener's thread
+    # calls it for each operator's command given here: worker id, and whether the worker is in
+    # maintenance from now on. It must not wait.
+    on_change: Callable[[str, bool], None] | None
 
-    def apply_remote_change(self, worker: str, out: bool, by: str, at_us: int) -> None:
-        """A word told at another dispatcher; any thread, never waits."""
+    def apply_remote_change(
+        self,
+        worker_id: str,
+        in_maintenance: bool,  # noqa: FBT001  the pair that `on_change` reports
+        member: str,
+        at_us: int,
+    ) -> None:
+        """Apply an operator's command that was given to another member at `at_us`."""
 
     def draining(self) -> bool:
-        """Whether this dispatcher is drained on an operator's word."""
+        """Return whether operators drain this dispatcher."""
--- a/stepstream/ports/carriers.py
+++ b/stepstream/ports/carriers.py
@@ -1,37 +1,36 @@
-"""Carriers of calls to workers, health checks and sources of endpoints."""
+"""Carriers of calls to workers, and health checkers."""
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
-if TYPE_CHECKING:
-    from stepstream.core.requests import Call
-    from stepstream.model.events import HealthChecked
+from stepstream.core.requests import CallCarrier
+from stepstream.model.events import HealthChecked
 
 
-class Carrier(Protocol):
-    """Takes calls to the workers of one source. None of these waits.
+class Carrier(CallCarrier, Protocol):
+    """Carries the calls to the workers of one endpoint source.
 
-    What becomes of a call is posted to the core: `CallEnded` where it never reached the job's end by the
-    carrier's own knowledge, `Told` where its worker says so.
+    Implemented by the HTTP outbound carrier and the Gearman service. The node calls it on the
+    decision thread, so no method may wait. What becomes of a call is posted to the core as an
+    event: `CallEnded` where it ended without its worker taking the job, `JobNotification` where the
+    worker reports on the job.
     """
 
-    def start(self, call: "Call") -> None: ...
-
-    def stop(self, call: "Call") -> None: ...
-
-    def check_health(self, worker: str) -> None: ...
+    def check_health(self, worker: str) -> None:
+        """Check a worker's health; post the result to the core as `HealthChecked`."""
 
 
 class HealthChecker(Protocol):
-    """Probes a worker for whoever asks."""
+    """Checks the health of discovery's workers for the core or another subsystem.
+
+    Implemented by the HTTP outbound carrier; any thread may call it.
+    """
 
     def check_health(
-        self, worker: str, on_result: "Callable[[HealthChecked], None] | None" = None
+        self, worker: str, on_result: Callable[[HealthChecked], None] | None = None
     ) -> None:
-        """Never waits; the outcome goes to `told`, from a thread of its own, or else to the core."""
-
-
-class EndpointSource(Protocol):
-    """Says which workers there are: it posts `Listed` to the core, and may be asked to."""
+        """Check a worker's health without waiting for the result.
 
-    def poll(self, watch: bool) -> None: ...
+        `on_result` takes the result on a thread of the carrier; without it, the result is posted to
+        the core.
+        """
--- a/stepstream/ports/connections.py
+++ b/stepstream/ports/connections.py
@@ -1,54 +1,66 @@
-"""Inbound connections and listeners, as the inbound server sees those of any front."""
+"""Inbound connections and listeners of any front, as the inbound server manages them.
 
+The server keeps one budget of connections for all fronts, evicts idle connections to make room,
+enforces timeouts, and knows when a shutdown may end.
+"""
+
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
-
-if TYPE_CHECKING:
-    import socket
+from typing import Protocol
 
 
 class Connection(Protocol):
-    """An inbound connection of any front, as the house sees it that shares the budget of places."""
+    """An inbound connection of a front.
 
-    is_external: bool  # not from a worker's host
-    evicted: bool  # has made room, but its thread has yet to close it
+    Implemented by the connection classes of the HTTP and Gearman fronts. `run` has a thread of its
+    own; the server calls the other methods from its accepting thread, the main thread and the admin
+    listener's thread. They must not wait for the peer. Times are monotonic seconds.
+    """
+
+    is_external: bool  # its peer is not on the host of a known worker
+    evicted: bool  # evicted from the budget, its socket not yet closed; the server sets it
 
     def run(self) -> None:
-        """Reads until the connection ends, in a thread of its own."""
+        """Read and handle what the peer sends until the connection ends."""
 
     def has_open_request(self) -> bool:
-        """A request is open on it."""
+        """Return whether a request on it is unanswered."""
 
     def busy(self) -> bool:
-        """Something is owed to it, or its peer may still use it after SIGTERM."""
+        """Return whether a shutdown must wait for it.
+
+        It must while the peer is owed something, and for as long as a client may still use it.
+        """
 
     def eviction_rank(self, now: float) -> tuple[int, float]:
-        """Its rank among those that may make room, least first, and since when (seconds)."""
+        """Return its rank for eviction, the lowest first, and since when it has been idle."""
 
     def evict(self) -> bool:
-        """Makes room, unless something is owed."""
+        """Close it to make room; return False, and leave it open, if the peer is owed something."""
 
     def enforce_timeouts(self, now: float) -> None:
-        """Ends what has gone on for too long."""
+        """Close it, or answer with an error, if its current step has taken too long."""
 
     def close_if_idle(self) -> bool:
-        """Closes it if nothing is owed and nothing half read."""
+        """Close it if no request is open or partly read; return whether it was closed."""
 
 
 @dataclass(slots=True)
 class ListenerSpec:
-    """A listening socket, what makes a connection of what it accepts, and the words of a full house."""
+    """A listening socket and how its front treats what it accepts."""
 
-    listener: "socket.socket"
-    create_connection: "Callable[[socket.socket, bool], Connection]"
-    overload_response: Callable[[], bytes]
+    listener: socket.socket
+    # Make a connection of an accepted socket; the flag is its `is_external`. On the accepting
+    # thread.
+    create_connection: Callable[[socket.socket, bool], Connection]
+    overload_response: Callable[[], bytes]  # what a peer is sent when no connection is left for it
 
 
 @dataclass(frozen=True, slots=True)
 class BoundListener:
-    """An entrance that is open, and the end of the line in the log that tells of it."""
+    """A listener that is open."""
 
     address: tuple[str, int]
     spec: ListenerSpec
-    log_suffix: str = ""
+    log_suffix: str = ""  # ends the line of the log that reports it
--- a/stepstream/ports/messaging.py
+++ b/stepstream/ports/messaging.py
@@ -1,25 +1,33 @@
-"""Messages between dispatchers."""
+"""Messages between the dispatchers of a cluster."""
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol
-
-if TYPE_CHECKING:
-    pass
+from typing import Protocol
 
 
 class MessageTransport(Protocol):
-    """Carries other subsystems' messages between dispatchers, as the fleet's view does."""
+    """Carries other subsystems' messages between dispatchers.
+
+    Implemented by the membership subsystem, called by the lease subsystem. Any thread may call its
+    methods once it has started; none of them waits.
+    """
 
-    process: str  # this start's name: of no other process, ever
+    process: str  # name of this start of the process, unique among all processes ever
 
-    def subscribe(self, kind: str, take: Callable[[str, bytes], None]) -> None:
-        """Before the start: messages of that kind go to `take`, with the sender's name; it must not wait."""
+    def subscribe(self, kind: str, on_message: Callable[[str, bytes], None]) -> None:
+        """Have messages of a kind passed to `on_message`, with the name of their sender.
+
+        To be called before the transport starts. The transport's thread calls `on_message`, which
+        must not wait.
+        """
 
     def send(self, member: str, kind: str, data: bytes) -> None:
-        """To a member by its name, whatever its state; it may be lost, doubled or late. Up to 1,064 bytes."""
+        """Send up to 1,064 bytes to a member by its name, whatever its state.
+
+        A message may be lost, duplicated or delayed.
+        """
 
     def present(self) -> list[str]:
-        """The names of the others that are held alive or suspect."""
+        """Return the names of the other members that are alive or suspect."""
 
     def superseded(self) -> bool:
-        """Whether a later process has this one's name: then this one speaks for nobody."""
+        """Return whether a later process has taken this one's name and speaks for it."""
--- a/stepstream/ports/payload.py
+++ b/stepstream/ports/payload.py
@@ -1,49 +1,47 @@
-"""What a worker is given of a request, and what it returns, in no protocol's form."""
+"""What a worker is given of a request, and what it returns, in no protocol's form.
+
+`Payload` is defined with the request that carries it: the core may not import this package. All
+records are immutable and may be read by any thread.
+"""
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 import ujson
 
-if TYPE_CHECKING:
-    pass
-
-
-@dataclass(frozen=True, slots=True)
-class Payload:
-    """What a worker is given of a request, in no protocol's form; every carrier can send it.
-
-    `path` holds class, further path and query as they came, `body` the job's input. `idempotency_key` is ""
-    where the client gave none.
-    """
+from stepstream.core.requests import Payload
 
-    path: str
-    body: bytes = b""
-    idempotency_key: str = ""
+__all__ = ["ChunkedResult", "Payload", "ResultChunk", "result_bytes"]
 
 
 @dataclass(frozen=True, slots=True)
 class ResultChunk:
-    """A part of a result that its worker sent before the end; a warning is told, but is no part of it."""
+    """A part of a result that its worker sent before the end of the job."""
 
     data: bytes
-    warning: bool = False
+    warning: bool = False  # a warning is reported, but is no part of the result
 
 
 @dataclass(frozen=True, slots=True)
 class ChunkedResult:
-    """The result of a worker that gives it in pieces; a front without pieces answers with the whole."""
+    """The result of a worker that sends it in chunks.
+
+    A front whose protocol has no chunks answers with the complete result.
+    """
 
     chunks: tuple[ResultChunk, ...]
-    last: bytes
+    last: bytes  # what came with the end of the job
 
     @property
     def complete(self) -> bytes:
-        return b"".join(piece.data for piece in self.chunks if not piece.warning) + self.last
+        """The result in one piece, without warnings."""
+        return b"".join(chunk.data for chunk in self.chunks if not chunk.warning) + self.last
 
 
 def result_bytes(result: object) -> bytes:
-    """What a worker of any carrier gave, in one piece: text as it is, anything else of JSON as JSON."""
+    """Return the result of a worker of any carrier in one piece.
+
+    Text is encoded as it is, any other JSON value as JSON; lone surrogates are kept.
+    """
     if isinstance(result, ChunkedResult):
         return result.complete
     text = result if isinstance(result, str) else ujson.dumps(result, escape_forward_slashes=False)
--- a/stepstream/ports/response_sink.py
+++ b/stepstream/ports/response_sink.py
@@ -1,14 +1,8 @@
-"""Where the answer of a request goes."""
+"""Where the answer of a request goes.
 
-from typing import TYPE_CHECKING, Protocol
+The protocol is defined with the request that carries it: the core may not import this package.
+"""
 
-if TYPE_CHECKING:
-    from stepstream.core.commands import Answer
+from stepstream.core.requests import ResponseSink
 
-
-class ResponseSink(Protocol):
-    """Where a request came from; the decision thread calls it, so neither may wait for a peer."""
-
-    def answer(self, answer: "Answer") -> None: ...
-
-    def progress(self, done: int, of: int) -> None: ...
+__all__ = ["ResponseSink"]
--- a/stepstream/ports/subsystem.py
+++ b/stepstream/ports/subsystem.py
@@ -1,60 +1,81 @@
 """A part of the program beyond the platform's dispatcher, as the node plugs it in."""
 
 from collections.abc import Callable, Mapping, Sequence
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Any
 
-if TYPE_CHECKING:
-    from stepstream.config.node_config import NodeConfig
-    from stepstream.config.operator_file import OperatorConfig
-    from stepstream.core.commands import Command
+from stepstream.core.commands import Command
 from stepstream.ports.admin import AdminRoute
 from stepstream.ports.connections import BoundListener
 
+if TYPE_CHECKING:  # loaded only where there is an operator's file
+    from stepstream.config.node_config import NodeConfig
+    from stepstream.config.operator_file import OperatorConfig
+
 
-class Subsystem(Protocol):
-    """A part of the program beyond the platform's dispatcher, as `node.py` plugs it in.
+class Subsystem:
+    """A part of the program that the operator's file switches on, and what it does by default.
 
-    Made from the operator's file before anything listens; all of these but the admin paths' answers and the
-    commands are called by the main thread. What a subsystem has nothing to say to it leaves as it is here.
+    Base of the class in each package's `subsystem` module, which the node creates from the
+    operator's file before anything listens. The main thread calls all methods; the admin routes'
+    functions run on the admin listener's thread and the command handlers on the decision thread.
+    Subclasses override what they need.
     """
 
     def start(self) -> None:
-        """Before the clients' address is open. FieldError names the key of what cannot be had."""
+        """Start its threads and listeners, before the clients' listener opens.
+
+        Raise `ConfigurationError`, which names the key, for what cannot be had.
+        """
+
+    def open_listeners(self) -> Sequence[BoundListener]:
+        """Open further listeners for clients or workers, once the clients' listener is open.
 
-    def open_listeners(self) -> "Sequence[BoundListener]":
-        """Further entrances, once the clients' is open; FieldError names the key that cannot be had."""
+        Raise `ConfigurationError`, which names the key, for one that cannot be opened.
+        """
         return ()
 
     def on_serving(self) -> None:
-        """The clients' listener is open and accepted from."""
+        """Take note that the clients' listener accepts connections."""
 
     def prepare_reload(
-        self, config: "NodeConfig", operator: "OperatorConfig | None"
+        self,
+        config: "NodeConfig",  # noqa: ARG002  for those that override it
+        operator: "OperatorConfig | None",  # noqa: ARG002  for those that override it
     ) -> Callable[[], None]:
-        """A reload: reads all that can be wrong (FieldError) and changes nothing; the answer takes it over.
+        """Check a new configuration without changing anything; return what puts it into force.
 
-        What it gives back cannot fail; it is called once every subsystem's part was found good.
+        Raise `ConfigurationError` for a fault. The returned function must not fail; it is called
+        once every subsystem has found the configuration good.
         """
         return lambda: None
 
     def run_periodic_tasks(self) -> None:
-        """Twice a second, and oftener while the program stops."""
+        """Run what is due, twice a second and more often in a shutdown; must not wait."""
 
     def begin_shutdown(self) -> bool:
-        """SIGTERM came; True if a process beside this one serves the clients' address from now on."""
+        """Begin the shutdown on SIGTERM.
+
+        Return True if a sibling process serves the clients' address from now on.
+        """
         return False
 
     def stop(self) -> None:
-        """All is answered and the process ends; may take a moment, never waits for a peer."""
+        """End its work: all requests are answered and the process ends.
 
-    def admin_routes(self) -> "Sequence[AdminRoute]":
-        """What it adds to the admin listener."""
+        It may take a moment, but must not wait for a peer.
+        """
+
+    def admin_routes(self) -> Sequence[AdminRoute]:
+        """Return the routes that it adds to the admin listener."""
         return ()
 
-    def command_handlers(self) -> "Mapping[type, Callable[[Command], None]]":
-        """The core's commands that it carries out, by type; the decision thread calls these."""
+    def command_handlers(self) -> Mapping[type[Command], Callable[[Any], None]]:
+        """Return the core's commands that it carries out: by type, the function that takes one.
+
+        The decision thread calls the functions, which must not wait.
+        """
         return {}
 
     def status(self) -> str:
-        """What it adds to the status line, "" for nothing."""
+        """Return what it adds to the status line; empty for nothing."""
         return ""
--- a/tests/admin/test_admin.py
+++ b/tests/admin/test_admin.py
@@ -65,7 +65,7 @@
     assert state.in_maintenance == frozenset()
     assert state.released == (("s-1", 5_000),)
     assert state.generation == 2
-    assert (bans.counts.out, bans.counts.back, bans.counts.again) == (1, 1, 2)
+    assert (bans.counts.begun, bans.counts.released, bans.counts.unchanged) == (1, 1, 2)
     assert not bans.adopt(MaintenanceState(2, frozenset({"s-9"})))
     assert bans.adopt(MaintenanceState(3, frozenset({"s-9"})))
     assert bans.contains("s-9")
@@ -75,13 +75,13 @@
     members = EndpointSet(lambda _: None)
     entries = (Endpoint("s-1", started_us=1_000), Endpoint("s-2"))
     members.apply(EndpointsUpdated("discovery", EndpointList(EndpointListKind.COMPLETE, entries)))
-    told = members.maintain(MaintenanceState(1, frozenset({"s-1"})))
+    told = members.apply_maintenance(MaintenanceState(1, frozenset({"s-1"})))
     assert [(e.worker_id, e.state) for e in told.endpoints] == [("s-1", EndpointState.DRAINING)]
     again = members.apply(
         EndpointsUpdated("discovery", EndpointList(EndpointListKind.COMPLETE, entries))
     )
     assert {e.worker_id: e.state for e in again.endpoints}["s-1"] is EndpointState.DRAINING
-    back = members.maintain(MaintenanceState(2, frozenset(), (("s-1", 9_000),)))
+    back = members.apply_maintenance(MaintenanceState(2, frozenset(), (("s-1", 9_000),)))
     assert [(e.state, e.started_us) for e in back.endpoints] == [(EndpointState.ACTIVE, 9_000)]
     later = members.apply(
         EndpointsUpdated("discovery", EndpointList(EndpointListKind.CHANGES, entries[:1]))
--- a/tests/core/test_endpoint_set.py
+++ b/tests/core/test_endpoint_set.py
@@ -1,4 +1,4 @@
-"""Several catalogues in one destination set, against a model that keeps a plain set a source."""
+"""The endpoint set merged from several sources, against a model that keeps a plain set a source."""
 
 from hypothesis import strategies as st
 from walk import walks
@@ -6,104 +6,121 @@
 from stepstream.core.endpoint_set import EndpointSet, EndpointsUpdated
 from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind, EndpointState
 
-IDS, SOURCES = ("a", "b", "c"), ("discovery", "gearman", "consul")
+IDS = ("a", "b", "c")
+SOURCES = ("discovery", "gearman", "consul")
 STATES = list(EndpointState)
 
 
-class MembersRig:
-    """The model: what each source last said of each id, and who held an id first."""
+def update(source, kind, *endpoints):
+    return EndpointsUpdated(source, EndpointList(kind, endpoints))
+
+
+class EndpointSetModel:
+    """What each source last listed of each id, which source owns it, and what the policy sees."""
 
     def __init__(self):
-        self.members, self.module, self.complaints = EndpointSet(self.complain), {}, []
-        self.said = {source: {} for source in SOURCES}
+        self.conflicts = []
+        self.endpoints = EndpointSet(self.conflicts.append)
+        self.policy_view = {}
+        self.listed = {source: {} for source in SOURCES}
         self.owner = {}
 
-    def complain(self, text):
-        self.complaints.append(text)
+    # -- moves ----------------------------------------------------------------------------------
 
-    def changes(self, move):
+    def change(self, move):
         source, worker, state = move
         self.apply(source, EndpointListKind.CHANGES, {worker: state})
 
-    def full(self, move):
-        source, rows = move
-        self.apply(source, EndpointListKind.COMPLETE, rows)
-
-    def failed(self, source):
-        told = EndpointList(EndpointListKind.FAILED)
-        assert self.members.apply(EndpointsUpdated(source, told)) is told
-
-    def apply(self, source, kind, rows):
-        entries = tuple(
-            Endpoint(w, worker_kind=SOURCES.index(source), state=s) for w, s in rows.items()
-        )
-        told = self.members.apply(EndpointsUpdated(source, EndpointList(kind, entries)))
-        assert told.kind is kind
-        # What the module makes of it.
-        if kind is not EndpointListKind.CHANGES:
-            self.module = {}
-        for entry in told.endpoints:
-            self.module.pop(entry.worker_id, None)
-            if entry.state is not EndpointState.REMOVED:
-                self.module[entry.worker_id] = (SOURCES[entry.worker_kind], entry.state)
-        if kind is not EndpointListKind.CHANGES:
-            self.said[source] = {}
-        for worker, state in rows.items():
-            self.said[source].pop(worker, None)
-            if state is not EndpointState.REMOVED:
-                self.said[source][worker] = state
+    def list_all(self, move):
+        source, states = move
+        self.apply(source, EndpointListKind.COMPLETE, states)
+
+    def fail(self, source):
+        failed = EndpointList(EndpointListKind.FAILED)
+        assert self.endpoints.apply(EndpointsUpdated(source, failed)) is failed
+
+    def apply(self, source, kind, states):
+        entries = [
+            Endpoint(worker, worker_kind=SOURCES.index(source), state=state)
+            for worker, state in states.items()
+        ]
+        merged = self.endpoints.apply(update(source, kind, *entries))
+        assert merged.kind is kind
+        self.update_policy_view(merged)
+        self.update_listed(source, kind, states)
         for worker in IDS:
-            if worker not in self.said[self.owner.get(worker, source)]:
+            if worker not in self.listed[self.owner.get(worker, source)]:
                 self.owner.pop(worker, None)
 
+    def update_policy_view(self, merged):
+        if merged.kind is not EndpointListKind.CHANGES:
+            self.policy_view = {}
+        for endpoint in merged.endpoints:
+            self.policy_view.pop(endpoint.worker_id, None)
+            if endpoint.state is not EndpointState.REMOVED:
+                source = SOURCES[endpoint.worker_kind]
+                self.policy_view[endpoint.worker_id] = (source, endpoint.state)
+
+    def update_listed(self, source, kind, states):
+        if kind is not EndpointListKind.CHANGES:
+            self.listed[source] = {}
+        for worker, state in states.items():
+            self.listed[source].pop(worker, None)
+            if state is not EndpointState.REMOVED:
+                self.listed[source][worker] = state
+
+    # -- checks ---------------------------------------------------------------------------------
+
     def check(self):
         for worker in IDS:
-            holders = [source for source in SOURCES if worker in self.said[source]]
-            if not holders:
-                assert worker not in self.module
-                assert self.members.owner(worker) is None
+            listing = [source for source in SOURCES if worker in self.listed[source]]
+            assert self.endpoints.contains(worker) == bool(listing)
+            if not listing:
+                assert worker not in self.policy_view
+                assert self.endpoints.owner(worker) is None
                 continue
-            owner, state = self.module[worker]
-            # The first holder stays; which of several that waited comes next is free.
+            owner, state = self.policy_view[worker]
+            # The first owner stays; which of several that wait comes next is free.
             assert owner == self.owner.setdefault(worker, owner)
-            assert owner in holders
-            assert state is self.said[owner][worker]
-            assert self.members.owner(worker) == owner
+            assert owner in listing
+            assert state is self.listed[owner][worker]
+            assert self.endpoints.owner(worker) == owner
 
 
-test_merged_lists_against_their_model = walks(
-    MembersRig,
-    changes=st.tuples(st.sampled_from(SOURCES), st.sampled_from(IDS), st.sampled_from(STATES)),
-    full=st.tuples(
+test_endpoint_set_against_its_model = walks(
+    EndpointSetModel,
+    change=st.tuples(st.sampled_from(SOURCES), st.sampled_from(IDS), st.sampled_from(STATES)),
+    list_all=st.tuples(
         st.sampled_from(SOURCES),
         st.dictionaries(st.sampled_from(IDS), st.sampled_from(STATES), max_size=3),
     ),
-    failed=st.sampled_from(SOURCES),
+    fail=st.sampled_from(SOURCES),
 )
 
 
-def test_a_full_list_of_one_source_keeps_the_other_sources_workers():
-    members = EndpointSet(lambda _: None)
-    members.apply(
-        EndpointsUpdated("gearman", EndpointList(EndpointListKind.CHANGES, (Endpoint("g"),)))
-    )
-    told = members.apply(
-        EndpointsUpdated("discovery", EndpointList(EndpointListKind.COMPLETE, (Endpoint("s"),)))
-    )
-    assert {e.worker_id for e in told.endpoints} == {"g", "s"}
-    told = members.apply(EndpointsUpdated("discovery", EndpointList(EndpointListKind.COMPLETE, ())))
-    assert {e.worker_id for e in told.endpoints} == {"g"}
-
-
-def test_a_claimed_id_is_complained_of_once():
-    said = []
-    members = EndpointSet(said.append)
-    members.apply(
-        EndpointsUpdated("discovery", EndpointList(EndpointListKind.COMPLETE, (Endpoint("a"),)))
-    )
+def test_a_complete_list_of_one_source_keeps_the_other_sources_workers():
+    endpoints = EndpointSet(lambda _: None)
+    endpoints.apply(update("gearman", EndpointListKind.CHANGES, Endpoint("g")))
+    merged = endpoints.apply(update("discovery", EndpointListKind.COMPLETE, Endpoint("s")))
+    assert {e.worker_id for e in merged.endpoints} == {"g", "s"}
+    merged = endpoints.apply(update("discovery", EndpointListKind.COMPLETE))
+    assert {e.worker_id for e in merged.endpoints} == {"g"}
+
+
+def test_a_claim_to_an_owned_id_is_logged_once():
+    conflicts = []
+    endpoints = EndpointSet(conflicts.append)
+    endpoints.apply(update("discovery", EndpointListKind.COMPLETE, Endpoint("a")))
     for _ in range(3):
-        told = members.apply(
-            EndpointsUpdated("gearman", EndpointList(EndpointListKind.CHANGES, (Endpoint("a"),)))
-        )
-        assert told.endpoints == ()
-    assert said == ["worker a of gearman waits: discovery holds that id"]
+        merged = endpoints.apply(update("gearman", EndpointListKind.CHANGES, Endpoint("a")))
+        assert merged.endpoints == ()
+    assert conflicts == ["worker a of gearman waits: discovery holds that id"]
+
+
+def test_a_waiting_claim_is_granted_when_the_owner_drops_the_id():
+    endpoints = EndpointSet(lambda _: None)
+    endpoints.apply(update("discovery", EndpointListKind.COMPLETE, Endpoint("a", zone=1)))
+    endpoints.apply(update("gearman", EndpointListKind.CHANGES, Endpoint("a", zone=2)))
+    merged = endpoints.apply(update("discovery", EndpointListKind.COMPLETE))
+    assert merged.endpoints == (Endpoint("a", zone=2),)
+    assert endpoints.owner("a") == "gearman"
--- /dev/null
+++ b/tests/core/test_timer_wheel.py
@@ -0,0 +1,34 @@
+"""The timer wheel: no timer is due before its time, and due timers keep their order."""
+
+import pytest
+
+from stepstream.core.timer_wheel import PolicyTimer, TimerWheel
+
+TICK_US = 1_000
+
+
+def tokens(timers):
+    return [timer.token for timer in timers]
+
+
+@pytest.mark.parametrize(
+    ("due_us", "first_us"),
+    [(12_000, 12_000), (12_001, 13_000), (12_999, 13_000), (10_000, 11_000), (3, 11_000)],
+)
+def test_a_timer_is_due_in_the_first_tick_not_before_its_time(due_us, first_us):
+    wheel = TimerWheel(10_000, TICK_US)
+    wheel.schedule(due_us, PolicyTimer(1))
+    assert wheel.next_due_us() == first_us
+    assert wheel.pop_due(first_us - 1) == []
+    assert tokens(wheel.pop_due(first_us)) == [1]
+    assert wheel.next_due_us() is None
+
+
+@pytest.mark.parametrize("now_us", [13_000, 9_000_000])
+def test_due_timers_come_by_tick_and_then_in_the_order_they_were_set(now_us):
+    wheel = TimerWheel(10_000, TICK_US)
+    for token, due_us in enumerate([13_000, 12_000, 11_000, 12_000]):
+        wheel.schedule(due_us, PolicyTimer(token))
+    wheel.schedule(9_500_000, PolicyTimer(9))
+    assert tokens(wheel.pop_due(now_us)) == [2, 1, 3, 0]
+    assert wheel.next_due_us() == 9_500_000
--- a/tests/core_helpers.py
+++ b/tests/core_helpers.py
@@ -1,45 +1,65 @@
-"""A dispatcher core with a clock of the tests' own."""
+"""A dispatcher with a clock of the tests' own."""
+
+from types import SimpleNamespace
 
 from net_helpers import LIMITS, SETTINGS, WORKERS, request
 
 from stepstream.core.dispatcher import Dispatcher
-from stepstream.core.events import (
-    RequestReceived,
-)
+from stepstream.core.events import RequestReceived
 from stepstream.model.endpoints import EndpointList, EndpointListKind
+from stepstream.model.events import TimerFired
 
 START_US = 1_000_000
 
 
-class Desk:
-    """A dispatcher with four workers, its clock and its commands."""
+def of_type(kind, commands):
+    return [command for command in commands if isinstance(command, kind)]
+
+
+class DispatcherHarness:
+    """A dispatcher with four workers, its clock, its commands and the faults that it has logged."""
 
     def __init__(self, settings=SETTINGS):
-        self.now, self.commands, self.complaints = START_US, [], []
-        self.core = Dispatcher(
+        self.now_us = START_US
+        self.commands = []
+        self.faults = []
+        self.dispatcher = Dispatcher(
             settings,
             1,
-            self.now,
+            self.now_us,
             LIMITS.loop.timer_tick_us,
             LIMITS.loop.answer_margin_us,
-            self.complaints.append,
+            self.faults.append,
+        )
+        self.post(EndpointList(EndpointListKind.PERSISTED, WORKERS))
+
+    def post(self, *events):
+        """Run one round with these events; return its commands."""
+        commands = self.dispatcher.handle(self.now_us, list(events))
+        self.commands += commands
+        return commands
+
+    def receive(self, name="aa", **fields):
+        """Post a new request; return it and the commands."""
+        received = request(name, self.now_us, **fields)
+        return received, self.post(RequestReceived(received))
+
+    def decide(self, *actions):
+        """Run one round in which the policy decides on these actions and nothing else."""
+        policy = self.dispatcher.load_balancer
+        decisions = [list(actions)]
+        self.dispatcher.load_balancer = SimpleNamespace(
+            handle=lambda now_us, events: decisions.pop() if decisions else []
         )
-        self.tell(EndpointList(EndpointListKind.PERSISTED, WORKERS))
-
-    def tell(self, *events):
-        found = self.core.handle(self.now, list(events))
-        self.commands += found
-        return found
-
-    def take(self, name="aa", **more):
-        taken = request(name, self.now, **more)
-        return taken, self.tell(RequestReceived(taken))
-
-    def until(self, at_us):
-        """Rings every timer up to then, each at its time."""
-        found = []
-        while (due := self.core.next_timer_us()) is not None and due <= at_us:
-            self.now = max(due, self.now)
-            found += self.tell()
-        self.now = at_us
-        return found
+        commands = self.post(TimerFired(0))
+        self.dispatcher.load_balancer = policy
+        return commands
+
+    def run_until(self, end_us):
+        """Run a round for each timer up to then, at its time; return their commands."""
+        commands = []
+        while (due_us := self.dispatcher.next_timer_us()) is not None and due_us <= end_us:
+            self.now_us = max(due_us, self.now_us)
+            commands += self.post()
+        self.now_us = end_us
+        return commands
--- a/tests/hot_restart/test_hot_restart.py
+++ b/tests/hot_restart/test_hot_restart.py
@@ -10,7 +10,7 @@
 
 import pytest
 from admin_helpers import call
-from core_helpers import Desk
+from core_helpers import DispatcherHarness
 from net_helpers import LIMITS, SETTINGS, WORKERS, job_bytes
 from node_helpers import PATIENCE, ROOT, World, ask, free_port, wait_for
 
@@ -130,19 +130,21 @@
 
 
 def test_news_of_a_request_that_is_not_here_goes_to_the_process_beside_once():
-    desk = Desk()
+    harness = DispatcherHarness()
     told = JobNotification("zz", WORKERS[0].worker_id, JobStatus.DONE, "x")
-    assert desk.tell(told) == []
-    desk.tell(SiblingProcessChanged(True))
-    assert desk.tell(told) == [ForwardNotification(told)]
+    assert harness.post(told) == []
+    harness.post(SiblingProcessChanged(True))
+    assert harness.post(told) == [ForwardNotification(told)]
     assert (
-        desk.tell(JobNotification("zz", WORKERS[0].worker_id, JobStatus.DONE, "x", forwarded=True))
+        harness.post(
+            JobNotification("zz", WORKERS[0].worker_id, JobStatus.DONE, "x", forwarded=True)
+        )
         == []
     )
-    taken, commands = desk.take("aa")
+    taken, commands = harness.receive("aa")
     (start,) = [c for c in commands if isinstance(c, StartCall)]
     own = JobNotification("aa", start.call.worker_id, JobStatus.DONE, "y")
-    assert not [c for c in desk.tell(own) if isinstance(c, ForwardNotification)]
+    assert not [c for c in harness.post(own) if isinstance(c, ForwardNotification)]
 
 
 def test_news_passed_on_reads_back_as_it_came():
