--- a/stepstream/ports/access_control.py
+++ b/stepstream/ports/access_control.py
@@ -46,7 +46,8 @@
 class AccessControl(Protocol):
     """Who may do what. The fronts' threads call it; no method waits.
 
-    `front` names the front that asks, for the log. Each method logs its decision.
+    `front` names the front that asks. Rejections are written to the audit log, admissions only
+    where the operators ask for it.
     """
 
     def authorize_request(
--- a/stepstream/ports/admin.py
+++ b/stepstream/ports/admin.py
@@ -44,8 +44,8 @@
 class WorkerMaintenance(Protocol):
     """The operators' maintenance of workers, as other subsystems see it.
 
-    Implemented by the admin subsystem, called by the membership and lease subsystems from threads
-    of their own; no method waits.
+    Implemented by the admin subsystem, called by the membership and lease subsystems. Any thread
+    may call it; no method waits.
     """
 
     # Set by the membership subsystem before the admin listener opens. The admin listener's thread
