--- a/tests/admin/test_admin.py
+++ b/tests/admin/test_admin.py
@@ -136,7 +136,7 @@
     assert state.in_maintenance == frozenset()
     assert state.released == (("s-1", 5_000),)
     assert state.generation == 2
-    assert (registry.counts.out, registry.counts.back, registry.counts.again) == (1, 1, 2)
+    assert (registry.counts.begun, registry.counts.released, registry.counts.unchanged) == (1, 1, 2)
     assert not registry.adopt(MaintenanceState(2, frozenset({"s-9"})))
     assert registry.adopt(MaintenanceState(3, frozenset({"s-9"})))
     assert registry.contains("s-9")
@@ -146,13 +146,13 @@
     members = EndpointSet(lambda _: None)
     entries = (Endpoint("s-1", started_us=1_000), Endpoint("s-2"))
     members.apply(EndpointsUpdated("discovery", EndpointList(EndpointListKind.COMPLETE, entries)))
-    told = members.maintain(MaintenanceState(1, frozenset({"s-1"})))
+    told = members.apply_maintenance(MaintenanceState(1, frozenset({"s-1"})))
     assert [(e.worker_id, e.state) for e in told.endpoints] == [("s-1", EndpointState.DRAINING)]
     again = members.apply(
         EndpointsUpdated("discovery", EndpointList(EndpointListKind.COMPLETE, entries))
     )
     assert {e.worker_id: e.state for e in again.endpoints}["s-1"] is EndpointState.DRAINING
-    back = members.maintain(MaintenanceState(2, frozenset(), (("s-1", 9_000),)))
+    back = members.apply_maintenance(MaintenanceState(2, frozenset(), (("s-1", 9_000),)))
     assert [(e.state, e.started_us) for e in back.endpoints] == [(EndpointState.ACTIVE, 9_000)]
     later = members.apply(
         EndpointsUpdated("discovery", EndpointList(EndpointListKind.CHANGES, entries[:1]))
--- a/tests/hot_restart/test_hot_restart.py
+++ b/tests/hot_restart/test_hot_restart.py
@@ -11,7 +11,7 @@
 
 import pytest
 from admin_helpers import request
-from core_helpers import Desk
+from core_helpers import DispatcherHarness
 from net_helpers import LIMITS, SETTINGS, WORKERS, job_bytes
 from node_helpers import PATIENCE, ROOT, World, ask, free_port, wait_for
 
@@ -180,19 +180,21 @@
 
 
 def test_a_notification_of_an_unknown_request_is_forwarded_to_the_sibling_once():
-    desk = Desk()
+    harness = DispatcherHarness()
     notification = JobNotification("zz", WORKERS[0].worker_id, JobStatus.DONE, "x")
-    assert desk.tell(notification) == []
-    desk.tell(SiblingProcessChanged(True))
-    assert desk.tell(notification) == [ForwardNotification(notification)]
+    assert harness.post(notification) == []
+    harness.post(SiblingProcessChanged(True))
+    assert harness.post(notification) == [ForwardNotification(notification)]
     assert (
-        desk.tell(JobNotification("zz", WORKERS[0].worker_id, JobStatus.DONE, "x", forwarded=True))
+        harness.post(
+            JobNotification("zz", WORKERS[0].worker_id, JobStatus.DONE, "x", forwarded=True)
+        )
         == []
     )
-    taken, commands = desk.take("aa")
+    taken, commands = harness.receive("aa")
     (start,) = [c for c in commands if isinstance(c, StartCall)]
     own = JobNotification("aa", start.call.worker_id, JobStatus.DONE, "y")
-    assert not [c for c in desk.tell(own) if isinstance(c, ForwardNotification)]
+    assert not [c for c in harness.post(own) if isinstance(c, ForwardNotification)]
 
 
 def test_a_forwarded_notification_reads_back_as_it_came():
