--- a/tests/golden/decision_codec.py
+++ b/tests/golden/decision_codec.py
@@ -74,7 +74,7 @@
 
 def settings_from(pairs: dict[str, str]):
     """The program's settings, from the wire's dotted keys."""
-    return read_settings(SettingsFields.of(pairs))
+    return read_settings(SettingsFields.from_pairs(pairs))
 
 
 def new_policy(settings: dict[str, str], seed: int, start_us: int) -> Policy:
