--- a/tests/http/test_client_connection.py
+++ b/tests/http/test_client_connection.py
@@ -136,7 +136,7 @@
 
     def preceded_by_a_request(name):
         client.peer.sendall(job_bytes(name="02"))
-        wait_for(client.connection.transport.unread)
+        wait_for(client.connection.transport.has_unread)
         originals[name]()
 
     for name in originals:
