--- a/stepstream/membership/anti_entropy.py
+++ b/stepstream/membership/anti_entropy.py
@@ -87,8 +87,8 @@
     def notify_suspects(self) -> None:
         """Have each suspect hear of its suspicion from a few members in each probe interval.
 
-        Lifeguard, section IV, Buddy System. One whose links come and go has so many chances to
-        refute before its deadline, whatever the cluster's size.
+        Lifeguard, Buddy System. One whose links come and go has so many chances to refute before
+        its deadline, whatever the cluster's size.
         """
         probability = SUSPECT_NOTIFIERS / len(self.members.present)
         for member in list(self.members.suspects.values())[:MAX_BURST]:
--- a/stepstream/membership/context.py
+++ b/stepstream/membership/context.py
@@ -24,7 +24,7 @@
 
 @dataclass(slots=True)
 class LocalHealth:
-    """Lifeguard's local health multiplier (section IV, LHA-Probe): 0 is healthy.
+    """Lifeguard's local health multiplier (LHA-Probe): 0 is healthy.
 
     A member that misses answers which it should have had doubts itself before others: it stretches
     its probe interval and timeout.
--- a/stepstream/membership/driver.py
+++ b/stepstream/membership/driver.py
@@ -15,6 +15,7 @@
 import structlog
 
 from stepstream.config.limits import Limits
+from stepstream.config.operator_file import split_address
 from stepstream.membership.application_messages import ReceivedMessage
 from stepstream.membership.event_history import MembershipEvent
 from stepstream.membership.messages import (
@@ -141,9 +142,8 @@
     def transmit(self, outgoing: list[OutgoingDatagram]) -> None:
         """Send datagrams; one that cannot be sent is counted, and as good as lost on the way."""
         for item in outgoing:
-            host, _, port = item.address.rpartition(":")
             try:
-                self.socket.sendto(encode(item.datagram), (host, int(port)))
+                self.socket.sendto(encode(item.datagram), split_address(item.address))
             except (OSError, OverflowError):
                 self.unsent_datagrams += 1
 
--- a/stepstream/membership/failure_detector.py
+++ b/stepstream/membership/failure_detector.py
@@ -2,7 +2,7 @@
 
 SWIM, section 3.1: each probe interval one member is pinged; without its ack in time, helpers ping
 it on this member's behalf (ping-req); without any ack it is suspected (section 4.2), and a
-suspicion that nobody refutes in time becomes a death. Lifeguard, section IV: a helper says by a
+suspicion that nobody refutes in time becomes a death. Lifeguard (LHA-Probe): a helper says by a
 nack that its own probe is unanswered, and a prober that misses nacks, too, doubts itself.
 
 Owns the probe under way and those on behalf of others; touched only under the driver's lock.
--- a/stepstream/membership/outbox.py
+++ b/stepstream/membership/outbox.py
@@ -53,9 +53,9 @@
         """Queue a datagram.
 
         `recipient` is the member it is for, if known: a suspect or dead one gets its own record,
-        so that it can refute it (Lifeguard, section IV, Buddy System). `piggyback` says whether
-        queued updates ride along: each is sent a limited number of times, and must not be spent on
-        an address that nobody is known to be at.
+        so that it can refute it (Lifeguard, Buddy System). `piggyback` says whether queued updates
+        ride along: each is sent a limited number of times, and must not be spent on an address that
+        nobody is known to be at.
         """
         payload_bytes = self.payload_bytes - encoded_bytes(body)
         updates: list[Update] = []
--- a/stepstream/membership/suspicion.py
+++ b/stepstream/membership/suspicion.py
@@ -1,6 +1,6 @@
 """Suspicion of one member by one observer: it shrinks with independent confirmations; free of I/O.
 
-Lifeguard, section IV, LHA-Suspicion, on top of SWIM, section 4.2. Owned by the member list.
+Lifeguard, LHA-Suspicion, on top of SWIM, section 4.2. Owned by the member list.
 """
 
 from dataclasses import dataclass, field
