Build the node's parts in named steps, and name the node tests' stand-ins plainly

The stand-in process of the tests says notify, hold_jobs and endpoint_list; a reload without its log line now fails the test at once.

--- a/stepstream/node/context.py
+++ b/stepstream/node/context.py
@@ -57,12 +57,21 @@
         self.clock = Clock()
         self.events: SimpleQueue[Event] = SimpleQueue()  # to the decision thread
         self.post = self.events.put
-        # A queue and no Event: its put() may interrupt its own get(), as a signal handler does.
-        self.signals: SimpleQueue[int] = SimpleQueue()  # to the main thread
+        # To the main thread. A queue and no Event: its put() may interrupt its own get(), as a
+        # signal handler does.
+        self.signals: SimpleQueue[int] = SimpleQueue()
         self.bad_reports = RateLimitedLogger("load report ignored:", self.limits)
         self.bad_answers = RateLimitedLogger("answer", self.limits)
         self.bad_lists = RateLimitedLogger("discovery failed:", self.limits)
-        self.create_network_side()
+        self.core = create_core(config, self.limits, self.clock)
+        self.destinations = create_destinations(config)
+        self.reports = LoadReportReader(config.settings, self.bad_reports.add)
+        self.server = self.create_server()
+        self.outbound = OutboundCarrier(
+            self.limits, self.clock, self.destinations, self.post, self.reports, self.bad_answers
+        )
+        self.carriers: dict[str, Carrier] = {SOURCE: self.outbound}  # by endpoint source
+        self.discovery = self.create_discovery_client(config, self.limits)
         # The list from before the start: the configuration's, or a newer one handed over.
         self.persisted_endpoints = config.persisted_endpoints
         self.hot_restarting = False
@@ -70,39 +79,28 @@
         # Dispatchers that share the workers, where a subsystem knows better than the settings.
         self.observed_dispatcher_count: int | None = None
         self.subsystems: dict[str, Subsystem] = {}
-        for key, module in enabled_subsystems(config, operator):
-            self.subsystems[key] = import_module(module).create_subsystem(self)
         self.command_handlers: dict[type, Callable[[Command], None]] = {}
-        for subsystem in self.subsystems.values():
-            self.command_handlers.update(subsystem.command_handlers())
+        self.create_subsystems()
 
-    def create_network_side(self) -> None:
-        """Create the core, the inbound server, the outbound carrier and the discovery client."""
-        config = self.config
-        self.core = Dispatcher(
-            config.settings,
-            config.seed,
-            self.clock.now_us(),
-            self.limits.loop.timer_tick_us,
-            self.limits.loop.answer_margin_us,
-            log,
-        )
-        self.destinations = DestinationSet(
-            StalenessDetector(config.settings.dispatcher_count, random.Random(config.seed))
-        )
-        self.reports = LoadReportReader(config.settings, self.bad_reports.add)
-        self.server = InboundServer(
+    def create_server(self) -> InboundServer:
+        """Create the server of clients' and workers' connections; its start binds the address."""
+        return InboundServer(
             self.limits,
             self.clock,
-            ClientApi(config.settings, self.reports),
+            ClientApi(self.config.settings, self.reports),
             self.post,
             self.destinations.is_worker,
         )
-        self.outbound = OutboundCarrier(
-            self.limits, self.clock, self.destinations, self.post, self.reports, self.bad_answers
-        )
-        self.carriers: dict[str, Carrier] = {SOURCE: self.outbound}
-        self.discovery = self.create_discovery_client(config, self.limits)
+
+    def create_subsystems(self) -> None:
+        """Import and create each enabled subsystem, and collect the commands that it handles.
+
+        Each finds those before it in `subsystems`.
+        """
+        for key, module in enabled_subsystems(self.config, self.operator):
+            self.subsystems[key] = import_module(module).create_subsystem(self)
+        for subsystem in self.subsystems.values():
+            self.command_handlers.update(subsystem.command_handlers())
 
     def create_discovery_client(self, config: NodeConfig, limits: Limits) -> DiscoveryClient:
         """Create a client of the discovery that `config` names; the caller starts its thread."""
@@ -131,6 +129,24 @@
         return replace(config.settings, dispatcher_count=self.observed_dispatcher_count)
 
 
+def create_core(config: NodeConfig, limits: Limits, clock: Clock) -> Dispatcher:
+    """Create the core, which the decision thread owns from its start on."""
+    return Dispatcher(
+        config.settings,
+        config.seed,
+        clock.now_us(),
+        limits.loop.timer_tick_us,
+        limits.loop.answer_margin_us,
+        log,
+    )
+
+
+def create_destinations(config: NodeConfig) -> DestinationSet:
+    """Create the set of discovery's workers, empty, with the detector of a stale list."""
+    detector = StalenessDetector(config.settings.dispatcher_count, random.Random(config.seed))
+    return DestinationSet(detector)
+
+
 def never_delegated(worker_id: str) -> bool:  # noqa: ARG001  the form that a subsystem replaces
     """Say that no worker's health check is left to another dispatcher."""
     return False
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -56,9 +56,9 @@
         b"payload",
         "00000000000000aa",
     )
-    # Told again, and of a job from before a restart: acknowledged all the same.
-    assert world.news("00000000000000aa", "done", "x") == 200
-    assert world.news("00ff", "lost") == 200
+    # A notification that comes again, and one of a job from before a restart: both acknowledged.
+    assert world.notify("00000000000000aa", "done", "x") == 200
+    assert world.notify("00ff", "lost") == 200
 
 
 @pytest.mark.parametrize(
@@ -88,7 +88,7 @@
 
 
 def test_a_client_that_leaves_has_its_job_deleted_at_the_worker(world):
-    world.hold.set()
+    world.hold_jobs.set()
     with socket.create_connection(("127.0.0.1", world.port), timeout=PATIENCE) as peer:
         peer.sendall(job_bytes(name="0b"))
         wait_for(world.jobs)
@@ -96,14 +96,14 @@
 
 
 def test_full_is_tried_again_and_an_error_of_a_keyed_job_is_not_called_harmless(world):
-    world.answers += [write_answer(503, headers={"Not-Started": "1"})]
+    world.worker_answers += [write_answer(503, headers={"Not-Started": "1"})]
     assert ask(world.port, job_bytes(name="0c", path="/nav-publish")).status == 200
-    world.answers += [write_answer(500)] * 4
+    world.worker_answers += [write_answer(500)] * 4
     assert ask(world.port, job_bytes(name="0d", path="/nav-publish")).status not in (200, 429, 503)
 
 
 def test_sigterm_answers_what_is_open_takes_what_still_comes_and_ends_well(world):
-    world.hold.set()
+    world.hold_jobs.set()
     answers = []
 
     def client(name):
@@ -117,9 +117,9 @@
     second = threading.Thread(target=client, args=("0f",))
     second.start()
     wait_for(lambda: len(world.jobs()) == 2)
-    # News comes on new connections: the listener must outlive the front's last one.
+    # Notifications come on new connections: the listener must outlive the front's last one.
     for name in ("0e", "0f"):
-        assert world.news(name, "done", "1") == 200
+        assert world.notify(name, "done", "1") == 200
     first.join(PATIENCE)
     second.join(PATIENCE)
     assert [a.status for a in answers] == [200] * 2
@@ -136,17 +136,17 @@
     node.start()
     port = node.server.listeners[0].listener.getsockname()[1]
     with socket.create_connection(("127.0.0.1", port), timeout=PATIENCE) as peer:
-        # The stand-in worker knows the first dispatcher only: its news does not come here.
-        world.hold.set()
+        # The stand-in worker knows the first dispatcher only: its notifications do not come here.
+        world.hold_jobs.set()
         peer.sendall(job_bytes(name="0a"))
         wait_for(world.jobs)
         stop = threading.Thread(target=node.stop, daemon=True)
         stop.start()
         wait_for(lambda: node.server.state.shutting_down)
-        told = write_request(
+        notification = write_request(
             "POST", "/_jobs/news", {}, b'{"id":"0a","from":"s-1","state":"done","result":"1"}'
         )
-        assert ask(port, told).status == 200
+        assert ask(port, notification).status == 200
         answer = ask(0, b"", peer)
         assert (answer.status, answer.keep_alive) == (200, True)
         peer.sendall(job_bytes(name="0b"))
@@ -164,7 +164,7 @@
 
 
 def test_a_reload_asks_the_new_discovery_and_keeps_what_is_open(world):
-    world.hold.set()
+    world.hold_jobs.set()
     new = Server(world.on_discovery)
     with socket.create_connection(("127.0.0.1", world.port), timeout=PATIENCE) as peer:
         peer.sendall(job_bytes(name="0e", Request_Timeout_Ms="60000"))
@@ -178,9 +178,9 @@
         wait_for(lambda: [m for m in new.seen if "wait=" in m.target])
         before = len(world.discovery.seen)
         # The job of before the reload is answered on its connection, and a new one after it.
-        assert world.news("0e", "done", "1") == 200
+        assert world.notify("0e", "done", "1") == 200
         assert ask(0, b"", peer).body == b"1"
-        world.hold.clear()
+        world.hold_jobs.clear()
         assert ask(0, job_bytes(name="0f"), peer).status == 200
         wait_for(lambda: len([m for m in new.seen if "wait=" in m.target]) > 2)
     assert new.seen[0].target == "/api/targets"
@@ -238,7 +238,7 @@
 
 
 class Signals:
-    """Stands in for the queue of signals: no signal cuts a wait short, as under a bench that leads waits."""
+    """A queue of signals in which no signal cuts a wait short, as where a bench controls the waits."""
 
     def __init__(self, after):
         self.after, self.waits = after, []
@@ -253,10 +253,10 @@
 def test_sigterm_is_heard_within_a_short_wait_where_it_does_not_cut_the_wait_short(monkeypatch):
     node = Node(config_from(CONFIG, {}))
     node.signals = Signals(after=3)
-    looked, stopped = [], []
+    rounds, stopped = [], []
     monkeypatch.setattr(node, "start", lambda: None)
     monkeypatch.setattr(node, "stop", lambda: stopped.append(True))
-    monkeypatch.setattr(node, "run_periodic_tasks", lambda: looked.append(True))
+    monkeypatch.setattr(node, "run_periodic_tasks", lambda: rounds.append(True))
     switch = sys.getswitchinterval()
     handlers = {
         number: signal.getsignal(number)
@@ -270,25 +270,26 @@
             signal.signal(number, handler)
     assert stopped
     assert max(node.signals.waits) <= 0.05
-    assert not looked  # periodic tasks keep their own pace
+    assert not rounds  # periodic tasks keep their own pace
 
 
 def test_a_crowd_that_never_finishes_a_message_does_not_hold_the_stop(world):
     world.process.send_signal(signal.SIGTERM)
     wait_for(lambda: ask(world.port, b"GET /-/ready HTTP/1.1\r\n\r\n").status == 503)
     time.sleep(0.5)  # the front's new connections have stopped by now; these are nobody's requests
-    crowd, until = [], time.monotonic() + 10.0
+    peers = []
+    until = time.monotonic() + 10.0
     try:
         while world.process.poll() is None and time.monotonic() < until:
             with contextlib.suppress(OSError):
                 peer = socket.create_connection(("127.0.0.1", world.port), timeout=PATIENCE)
                 peer.sendall(b"POST /revalue HTTP/1.1\r\nRequest-Id: 0")
-                crowd.append(peer)
+                peers.append(peer)
             time.sleep(0.1)
         assert world.process.wait(PATIENCE) == 0
         assert time.monotonic() < until
     finally:
-        for peer in crowd:
+        for peer in peers:
             peer.close()
 
 
--- a/tests/node_helpers.py
+++ b/tests/node_helpers.py
@@ -92,26 +92,26 @@
         self.worker = Server(self.on_worker)
         self.discovery = Server(self.on_discovery)
         self.port = free_port()
-        self.hold = threading.Event()  # while set, jobs are taken but not done
-        self.answers = []  # what the worker gives instead of a 202, first come
+        self.hold_jobs = threading.Event()  # while set, jobs are taken but not done
+        self.worker_answers = []  # what the worker gives instead of a 202, first come
         entry = {
             "id": "s-1",
             "addr": f"127.0.0.1:{self.worker.port}",
             "state": "ready",
             "zone": "ruzinov",
         }
-        self.list = {"version": 3, "full": True, "servers": [entry]}
-        # Without tells of starts a job that is held here does not look like a sign of a full worker.
-        told = {
+        self.endpoint_list = {"version": 3, "full": True, "servers": [entry]}
+        # Without notified starts a job that is held here does not look like a sign of a full worker.
+        settings = {
             **CONFIG["settings"],
             "extra": {**CONFIG["settings"]["extra"], "tells_start": False},
         }
         config = {
             **CONFIG,
-            "settings": told,
+            "settings": settings,
             "listen": f"127.0.0.1:{self.port}",
             "discovery": f"127.0.0.1:{self.discovery.port}",
-            "known": self.list,
+            "known": self.endpoint_list,
             **more,
         }
         self.config, self.path = config, folder / "config.json"
@@ -132,6 +132,7 @@
         for line in self.process.stderr:
             if "reloaded" in line or "configuration" in line:
                 return line
+        raise AssertionError("the process ended without a line on the reload")
 
     def ready(self):
         try:
@@ -141,19 +142,19 @@
 
     def on_worker(self, message):
         if message.method == "POST":
-            if self.answers:
-                return self.answers.pop(0)
-            if not self.hold.is_set():
-                self.news(message.headers["request-id"], "done", "17.5")
+            if self.worker_answers:
+                return self.worker_answers.pop(0)
+            if not self.hold_jobs.is_set():
+                self.notify(message.headers["request-id"], "done", "17.5")
             return write_answer(202)
         return write_answer(200)
 
     def on_discovery(self, message):
         if "wait=" in message.target:
             time.sleep(0.2)
-        return write_answer(200, json.dumps(self.list).encode())
+        return write_answer(200, json.dumps(self.endpoint_list).encode())
 
-    def news(self, name, state, result=None):
+    def notify(self, name, state, result=None):
         body = json.dumps({"id": name, "from": "s-1", "state": state, "result": result}).encode()
         return ask(
             self.port, write_request("POST", "/_jobs/news", {"Connection": "close"}, body)
