--- a/stepstream/http/outbound.py
+++ b/stepstream/http/outbound.py
@@ -11,7 +11,6 @@
 
 import time
 from collections.abc import Callable
-from typing import cast
 
 from stepstream.config.limits import Limits
 from stepstream.core.events import CallEnded, Event
@@ -32,7 +31,6 @@
     health_check_bytes,
 )
 from stepstream.model.events import AttemptResult, HealthChecked
-from stepstream.ports.payload import Payload
 from stepstream.runtime.clock import Clock
 from stepstream.runtime.log import RateLimitedLogger, log
 from stepstream.runtime.sockets import receive_until
@@ -198,8 +196,9 @@
     ) -> None:
         """Run the exchange on its connection until it is over."""
         remaining_ms = (call.deadline_us - self.clock.now_us()) // MICROSECONDS_PER_MILLISECOND
-        payload = cast(Payload, call.request.payload)  # the core hands it on unread
-        data = call_bytes(host_and_port(connection.address), call.request.id, payload, remaining_ms)
+        data = call_bytes(
+            host_and_port(connection.address), call.request.id, call.request.payload, remaining_ms
+        )
         try:
             connection.sock.sendall(data)
             in_flight.phase = CallPhase.SENT
--- a/stepstream/membership/commands.py
+++ b/stepstream/membership/commands.py
@@ -24,7 +24,7 @@
 import time
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Any
+from typing import Any, cast
 from urllib.parse import quote
 
 import ujson
@@ -75,7 +75,7 @@
     if status != HTTPStatus.OK:
         exit_code = EXIT_NEGATIVE if is_unknown else EXIT_BAD_CALL
         raise CommandError(f"{at}: {answer.get('error', status)}", exit_code)
-    return answer
+    return cast(Answer, answer)
 
 
 def run(argv: list[str], console: Console | None = None) -> int:
