--- a/stepstream/model/ejections.py
+++ b/stepstream/model/ejections.py
@@ -26,6 +26,10 @@
             self.next_probation_us = now_us + self.ejection_time_us
             self.ejected_at_us = now_us
 
+    def begin_probation(self, now_us: int) -> None:
+        """Note an attempt: one at a time on probation."""
+        self.next_probation_us = now_us + self.ejection_time_us
+
     def shorten(self) -> bool:
         """Admit the next job at once, as one has started; return whether the ejection is over."""
         self.ejection_time_us //= 2
--- a/stepstream/model/events.py
+++ b/stepstream/model/events.py
@@ -24,6 +24,12 @@
         """Return whether it proves that the job never ran on that worker."""
         return self in (AttemptResult.FULL, AttemptResult.CONNECT_FAILED, AttemptResult.NOT_SENT)
 
+    @property
+    def reflects_health(self) -> bool:
+        """Return whether it speaks for or against the worker's health."""
+        neutral = (AttemptResult.FULL, AttemptResult.NOT_SENT, AttemptResult.CANCELLED)
+        return self not in neutral
+
 
 @dataclass(frozen=True)
 class JobSubmitted:
--- a/stepstream/model/job_mix.py
+++ b/stepstream/model/job_mix.py
@@ -37,7 +37,7 @@
         self.mean_ordinary_weight = _mean(self.mean_ordinary_weight, weight)
         return weight > self.mean_ordinary_weight
 
-    def key_fraction(self, key: str) -> float:
+    def key_fraction(self, key: str | None) -> float:
         """Return the fraction of recent jobs with this key, the present one left out."""
         others = self.jobs_by_key.get(key, 1) - 1
         return others / (self.jobs_seen + 1 / NEWEST_JOB_WEIGHT)
--- a/stepstream/model/job_records.py
+++ b/stepstream/model/job_records.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field, replace
 
 from stepstream.model.events import JobSubmitted
-from stepstream.model.settings import Effect, JobClass
+from stepstream.model.settings import Effect, JobClass, KeyScope
 from stepstream.model.worker_records import Worker
 
 
@@ -69,10 +69,22 @@
         index = class_names.index(name) if name in class_names else -1
         self.request = replace(self.request, job_class=index)
 
+    @property
+    def repeats_are_harmless(self) -> bool:
+        """Return whether its client may submit it again without a second effect."""
+        terms = self.class_settings
+        keyed = terms.effect is Effect.IDEMPOTENT_WITH_KEY and terms.key_scope == KeyScope.ALL
+        return terms.effect is Effect.IDEMPOTENT or keyed or self.first_possible_run() is None
+
     def attempt_at(self, number: int) -> Attempt | None:
         """Return the attempt of this number, or None if there was none."""
         return self.attempts[number] if 0 <= number < len(self.attempts) else None
 
+    def may_attempt(self, attempt_limit: int, now_us: int) -> bool:
+        """Return whether its answer is owed and the rules allow another attempt."""
+        left = not self.ended and len(self.attempts) < attempt_limit
+        return left and self.may_repeat(now_us)
+
     def may_repeat(self, now_us: int) -> bool:
         """Return whether its effect allows another attempt, within its key scope."""
         first = self.first_possible_run()
@@ -83,6 +95,18 @@
             and now_us <= first.sent_us + self.class_settings.idempotency_window_us
         )
 
+    def workers_in_key_scope(self, workers: list[Worker]) -> list[Worker]:
+        """Return those of the workers where a repeat would be dropped, if it may have run."""
+        first = self.first_possible_run()
+        scope = self.class_settings.key_scope
+        unbound = self.class_settings.effect is Effect.IDEMPOTENT or scope == KeyScope.ALL
+        if first is None or unbound:
+            return workers
+        place = first.worker.endpoint
+        if scope == KeyScope.ZONE:
+            return [worker for worker in workers if worker.endpoint.zone == place.zone]
+        return [worker for worker in workers if worker.endpoint.cell == place.cell]
+
     def first_possible_run(self) -> Attempt | None:
         """Return the first attempt that may have had its effect: repeats are bound to it."""
         return next((attempt for attempt in self.attempts if not attempt.never_ran), None)
--- a/stepstream/model/pool_load.py
+++ b/stepstream/model/pool_load.py
@@ -76,4 +76,8 @@
         """Return the pool's summed caps less its average busy slots."""
         if self.cap == inf:
             return inf
-        return self.cap * pool.cap_fraction * pool.worker_count - pool.mean_busy_slots
+        return self.summed_caps(pool) - pool.mean_busy_slots
+
+    def summed_caps(self, pool: Pool) -> float:
+        """Return the slots that the pool's workers may be loaded with."""
+        return self.cap * pool.cap_fraction * pool.worker_count
--- /dev/null
+++ b/stepstream/model/rotation.py
@@ -0,0 +1,14 @@
+"""Smooth weighted round robin, as nginx does it; the workers' records keep the current weights."""
+
+from collections.abc import Sequence
+
+from stepstream.model.worker_records import Worker
+
+
+def take_next(workers: Sequence[Worker], weights: Sequence[float]) -> Worker:
+    """Return the worker whose turn it is: the one with the largest current weight."""
+    for worker, weight in zip(workers, weights, strict=True):
+        worker.current_weight += weight
+    chosen = max(workers, key=lambda worker: worker.current_weight)
+    chosen.current_weight -= sum(weights)
+    return chosen
--- a/stepstream/model/settings.py
+++ b/stepstream/model/settings.py
@@ -91,6 +91,10 @@
         """Return the tenant's name, or "" for one that the settings do not name."""
         return self.tenants[tenant] if 0 <= tenant < len(self.tenants) else ""
 
+    def advises_beyond_objective(self, job_class: JobClass) -> bool:
+        """Return whether a rejected job of the class is advised to wait past its objective."""
+        return self.may_advise_retry and self.max_retry_after_us > job_class.latency_objective_us
+
     @property
     def class_names(self) -> tuple[str, ...]:
         """Return the names of the classes in their order."""
--- a/stepstream/model/state.py
+++ b/stepstream/model/state.py
@@ -6,10 +6,18 @@
 import random
 from collections import deque
 from math import inf
-
-from stepstream.model.actions import PolicyAction, SetTimer, TimerToken
+from zlib import crc32
+
+from stepstream.model.actions import (
+    CancelAttempt,
+    PolicyAction,
+    SetTimer,
+    StartAttempt,
+    TimerToken,
+)
 from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind, EndpointState
 from stepstream.model.estimators import RunTimeEstimator
+from stepstream.model.events import AttemptEnded, AttemptResult, JobSubmitted
 from stepstream.model.job_mix import JobMix
 from stepstream.model.job_records import Attempt, AwaitedStart, InFlightJob
 from stepstream.model.load_report_lag import LoadReportLag
@@ -17,11 +25,14 @@
 from stepstream.model.pools import SAFETY_FACTOR, Pool
 from stepstream.model.settings import LoadReportSource, Settings
 from stepstream.model.tenant_usage import TenantUsage
-from stepstream.model.worker_records import HEADROOM_VALID_US, Worker
+from stepstream.model.worker_records import HEADROOM_VALID_US, LONGEST_REPORT_LAG_US, Worker
 
-LATE_STARTS_KEPT = 15  # latest starts that tell the common cap where there are no load reports
+START_DUE_FRACTION = 0.4  # of the latency objective: an attempt that starts later is late
+START_DUE_FRACTION_MANY = 0.2  # the same of many dispatchers, whose caps are told by it
+LATE_STARTS_REMEMBERED = 15  # they tell the common cap where there are no load reports
 NEWEST_OUTCOME_WEIGHT = 0.3  # in a worker's failure rate
 NEWEST_RUN_WEIGHT = 0.15  # in a worker's slowness
+HASH_FACTOR = 0x9E3779B1  # spreads the bits of a 32-bit hash: Knuth's multiplicative method
 
 
 class PolicyState:
@@ -42,7 +53,8 @@
         self.health_check_credit = 0.0  # health checks that the jobs of this period allow
         self.warm_worker_count = 0.0  # capacity of all eligible workers, in warm ones
         self.common_cap: float | None = None  # stands in for an unknown cap
-        self.late_start_slots: deque[float] = deque(maxlen=LATE_STARTS_KEPT)  # busy slots at those
+        # Busy slots at the latest late starts, and at prompt ones beyond the common cap.
+        self.late_start_slots: deque[float] = deque(maxlen=LATE_STARTS_REMEMBERED)
         self.pool_headrooms: dict[Pool, float] = {}  # of this round
         self.has_load_reports = settings.load_report_source != LoadReportSource.NONE
         self.job_mix = JobMix()
@@ -62,6 +74,13 @@
         self.pool_load.advance(now_us)
         self.common_cap = self.common_cap or self.median_cap()
 
+    def begin_period(self) -> None:
+        """Measure anew what changes slowly, and forget the jobs of long ago."""
+        self.common_cap = self.median_cap()
+        self.headroom_changed = True  # time has passed
+        self.job_mix.forget_old_jobs()
+        self._count_warm_workers()
+
     def take_actions(self) -> list[PolicyAction]:
         """Return the actions of the round and forget them."""
         actions = self.actions
@@ -103,6 +122,7 @@
         ]
         self.workers_by_key = {}
         self.headroom_changed = True
+        self._count_warm_workers()
 
     def _apply_endpoint(self, endpoint: Endpoint) -> None:
         if endpoint.state is EndpointState.REMOVED:
@@ -121,6 +141,46 @@
             self.workers[endpoint.worker_id] = worker
         worker.endpoint = endpoint
 
+    def workers_for_key(self, key: str) -> list[Worker]:
+        """Return the eligible workers in the key's order, which is the same at every dispatcher."""
+        if key not in self.workers_by_key:
+            key_hash = crc32(key.encode())
+            self.workers_by_key[key] = sorted(
+                self.eligible_workers,
+                key=lambda worker: (worker.id_hash ^ key_hash) * HASH_FACTOR % 2**32,
+            )
+        return self.workers_by_key[key]
+
+    def slow_start_factor(self, worker: Worker) -> float:
+        """Return the least fraction of its capacity that a worker has by now."""
+        if self.now_us >= worker.slow_start_ends_us:
+            return 1.0
+        age_us = max(self.now_us - worker.endpoint.started_us, 0)
+        progress = age_us / max(self.settings.slow_start_us, 1)
+        first = self.settings.cold_capacity_fraction
+        return first + (1 - first) * progress
+
+    def _count_warm_workers(self) -> None:
+        self.warm_worker_count = sum(map(self.slow_start_factor, self.eligible_workers))
+
+    def warm_worker_interval_us(self, job_class: int) -> float:
+        """Return the mean time between two jobs of this class that a warm worker serves for us."""
+        settings = self.settings
+        interval_us = self.run_times.served_interval_us
+        interval_us = interval_us or settings.overload_window_us * settings.dispatcher_count
+        class_mean_us = self.run_times.mean_us[job_class]
+        overall_mean_us = self.run_times.mean_us[-1]
+        if class_mean_us and overall_mean_us:
+            interval_us *= class_mean_us / overall_mean_us
+        return interval_us * self.warm_worker_count
+
+    @property
+    def worker_cap(self) -> float:
+        """Return the cap of a worker whose own is not known, in slots."""
+        if self.pool_load.is_many:
+            return self.pool_load.cap
+        return inf if self.common_cap is None else max(self.common_cap, 1.0)
+
     def headroom(self, worker: Worker) -> float:
         """Return the slots that a worker has free: as reported, else its cap less its busy slots.
 
@@ -135,26 +195,38 @@
     def median_cap(self) -> float | None:
         """Return the median of the caps known by load report, 'full' or late starts, if any."""
         since_us = self.now_us - HEADROOM_VALID_US
-        any_told = self.has_load_reports
+        has_reports = self.has_load_reports
         caps = [
             worker.headroom + worker.busy_slots
-            if worker.headroom_at_us >= since_us and (any_told or worker.cap)
+            if worker.headroom_at_us >= since_us and (has_reports or worker.cap)
             else worker.cap
             for worker in self.eligible_workers
         ]
-        if not any_told:
+        if not has_reports:
             # Many late starts count, so that one on a slow worker does not stand for all.
             caps += self.late_start_slots
         known = sorted(cap for cap in caps if cap is not None)
         return known[len(known) // 2] if known else None
 
-    def record_load_report(self, worker: Worker, headroom: float) -> None:
-        """Note a worker's free slots less its queued jobs, as it reports them."""
+    def known_headroom_count(self) -> int:
+        """Return how many eligible workers' headroom is known and recent."""
+        return sum(worker.has_valid_headroom(self.now_us) for worker in self.eligible_workers)
+
+    def silent_workers(self, silent_us: int) -> list[Worker]:
+        """Return the eligible workers whose headroom was last heard of so long ago."""
+        return [w for w in self.eligible_workers if self.now_us - w.headroom_at_us >= silent_us]
+
+    def record_load_report(self, worker: Worker, report: dict[str, float] | None) -> bool:
+        """Note a worker's load; return whether it reports headroom and no queue."""
+        if not report or "free_slots" not in report:
+            return False
+        headroom = report["free_slots"] - report.get("queue", 0.0)
         self.report_lag.record_report(worker, self.now_us, headroom)
         worker.headroom = headroom - self.report_lag.unreported_slots(worker, self.now_us)
         worker.headroom_at_us = self.now_us
         if worker.headroom >= 1:  # less would help no waiting job
             self.headroom_changed = True
+        return headroom >= 1 and report.get("queue", 1.0) < 1
 
     def record_no_headroom(self, worker: Worker) -> None:
         """Note that a worker has no headroom now, whatever an older report says."""
@@ -184,15 +256,75 @@
                     more = max(slowness - worker.slowness, 0.0)
                     worker.slowness_with_open_runs += NEWEST_RUN_WEIGHT * more
 
-    # -- attempts ---------------------------------------------------------------------------
+    # -- jobs and attempts ------------------------------------------------------------------
 
-    def record_attempt(self, job: InFlightJob, worker: Worker) -> Attempt:
-        """Note that an attempt of the job goes to the worker."""
+    def record_arrival(self, request: JobSubmitted) -> bool:
+        """Count a job; return whether its tenant is within its quota."""
+        self.job_mix.record_arrival(request.key)
+        return self.tenant_usage.record_job(
+            request.tenant, self.settings.quotas_per_s, self.job_mix.jobs_seen
+        )
+
+    def start_attempt(self, job: InFlightJob, worker: Worker) -> None:
+        """Send the job to the worker and, where starts are reported, await its start."""
         attempt = Attempt(worker, self.now_us)
         job.attempts.append(attempt)
         self._change_busy(worker, job.request.slots)
         worker.record_attempt(job.request.job_class, self.now_us)
-        return attempt
+        self.actions.append(StartAttempt(job.request.job_id, worker.endpoint.worker_id))
+        if self.settings.reports_start:
+            fraction = START_DUE_FRACTION_MANY if self.pool_load.is_many else START_DUE_FRACTION
+            due_us = self.now_us + int(fraction * job.class_settings.latency_objective_us)
+            self.awaited_starts.append(AwaitedStart(due_us, job, attempt))
+            self.set_timer(TimerToken.START_DUE, due_us)
+
+    def cancel_attempts(self, job: InFlightJob, attempts: list[Attempt]) -> None:
+        """Cancel those of the job's attempts that are open, where the platform can cancel."""
+        for number, attempt in enumerate(job.attempts):
+            if self.settings.may_cancel and attempt.open and attempt in attempts:
+                self.actions.append(CancelAttempt(job.request.job_id, number))
+
+    def end_job(self, job: InFlightJob) -> None:
+        """Note that no answer is owed any more, and cancel attempts that now serve nobody."""
+        job.ended = True
+        self.cancel_attempts(job, job.attempts)
+        if not job.has_open_attempt:
+            self.jobs.pop(job.request.job_id, None)
+
+    def add_waiting_job(self, job: InFlightJob, until_us: int) -> None:
+        """Let a job wait for headroom, with a timer for when it may not wait any longer."""
+        self.waiting.append(job)
+        if not job.wait_timer_set:
+            self.set_timer(TimerToken.WAIT_EXPIRED, until_us)
+            job.wait_timer_set = True
+
+    def waiting_priority_slots(self) -> float:
+        """Return the slots of the priority jobs that wait for headroom."""
+        return sum(job.request.slots for job in self.waiting if job.priority and not job.ended)
+
+    def expected_wait_us(self) -> float:
+        """Return when one more waiting job has its turn, at the rate at which our jobs end."""
+        ahead = sum(1 for job in self.waiting if not job.ended)
+        return self.run_times.served_interval_us * (1 + ahead)
+
+    def take_waiting_jobs(self) -> list[InFlightJob]:
+        """Return the jobs that wait for headroom, priority jobs first, and forget them."""
+        waiting = [job for job in self.waiting if not job.ended]
+        waiting.sort(key=lambda job: not job.priority)
+        self.waiting = []
+        return waiting
+
+    def find_lost_attempts(self, worker: Worker) -> list[tuple[InFlightJob, Attempt]]:
+        """Return attempts that should have started before a report of now: they never will."""
+        sent_before_us = self.now_us - LONGEST_REPORT_LAG_US
+        return [
+            (job, attempt)
+            for job in self.jobs.values()
+            for attempt in job.attempts
+            if attempt.worker is worker
+            and attempt.start_missing
+            and attempt.sent_us < sent_before_us
+        ]
 
     def record_start(self, job: InFlightJob, attempt: Attempt) -> None:
         """Note that a worker has started an attempt."""
@@ -216,15 +348,17 @@
             self.pool_load.record_low_set_start(late=True)
         self.record_no_headroom(worker)
 
-    def record_end(self, job: InFlightJob, attempt: Attempt) -> None:
-        """Note that an attempt is over, whatever its result."""
+    def record_end(self, job: InFlightJob, attempt: Attempt, ended: AttemptEnded) -> None:
+        """Note that an attempt is over, and how long it took if its job was served."""
         attempt.open = False
+        attempt.never_ran = ended.result.never_ran
         self._change_busy(attempt.worker, -job.request.slots)
         if attempt.started:
             self._change_running(attempt.worker, -job.request.slots)
+        if ended.result is AttemptResult.OK:
+            self._record_served(job, attempt, ended.elapsed_us)
 
-    def record_served(self, job: InFlightJob, attempt: Attempt, elapsed_us: int) -> None:
-        """Note how long a served job took, since it was sent and since it started."""
+    def _record_served(self, job: InFlightJob, attempt: Attempt, elapsed_us: int) -> None:
         self.run_times.record_served(self.now_us, job.request.job_class, elapsed_us)
         if attempt.started:
             run_us = self.now_us - attempt.started_us
@@ -233,10 +367,10 @@
             worker.slowness += NEWEST_RUN_WEIGHT * (slowness - worker.slowness)
 
     def take_due_starts(self) -> list[AwaitedStart]:
-        """Return the starts that are due by now, and stop waiting for them."""
+        """Return the starts that are due and still missing, and stop waiting for what is due."""
         due = [start for start in self.awaited_starts if start.due_us <= self.now_us]
         self.awaited_starts = [start for start in self.awaited_starts if start.due_us > self.now_us]
-        return due
+        return [start for start in due if start.attempt.open and not start.attempt.started]
 
     def _change_busy(self, worker: Worker, slots: float) -> None:
         worker.change_busy(self.now_us, slots)
--- a/stepstream/model/worker_records.py
+++ b/stepstream/model/worker_records.py
@@ -17,6 +17,7 @@
 LONGEST_REPORT_INTERVAL_US = 2_000_000  # between two load reports that are compared
 BUSY_HISTORY_US = LONGEST_REPORT_INTERVAL_US + LONGEST_REPORT_LAG_US
 HEADROOM_VALID_US = 2_000_000  # an older load report tells nothing
+ANY_CLASS = -1  # in place of a class, where a question is of a worker as a whole
 
 
 class BusyChange(NamedTuple):
@@ -61,12 +62,17 @@
         return now_us - self.headroom_at_us <= HEADROOM_VALID_US
 
     def accepts(self, job_class: int, now_us: int) -> bool:
-        """Return whether it is not ejected, or due for probation, for the class; -1: for any."""
+        """Return whether it is not ejected, or due for probation, for the class."""
         ejection = self.class_ejections.get(job_class)
         return (ejection is None or now_us >= ejection.next_probation_us) and (
             not self.ejection_time_us or now_us >= self.next_probation_us
         )
 
+    def eject(self, ejection_time_us: int, now_us: int) -> None:
+        """Keep all jobs away from this worker for so long."""
+        self.ejection_time_us = ejection_time_us
+        self.next_probation_us = now_us + ejection_time_us
+
     def eject_class(self, job_class: int, attempt_sent_us: int, now_us: int) -> None:
         """Keep the class away from this worker, which lost an attempt sent then."""
         ejection = self.class_ejections.setdefault(job_class, ClassEjection())
@@ -79,8 +85,7 @@
         if self.ejection_time_us:
             self.next_probation_us = now_us + self.ejection_time_us
         if job_class in self.class_ejections:
-            ejection = self.class_ejections[job_class]
-            ejection.next_probation_us = now_us + ejection.ejection_time_us
+            self.class_ejections[job_class].begin_probation(now_us)
 
     def record_start(self, job_class: int) -> None:
         """Note that it has started a job of the class: an ejection of the class is shortened."""
--- a/stepstream/policy/load_balancer.py
+++ b/stepstream/policy/load_balancer.py
@@ -17,16 +17,7 @@
 )
 from stepstream.model.settings import Settings
 from stepstream.model.state import PolicyState
-from stepstream.policy import (
-    admission,
-    attempts,
-    health_checks,
-    hedging,
-    outliers,
-    pools,
-    retries,
-    slow_start,
-)
+from stepstream.policy import admission, outliers, pools, retries
 from stepstream.policy.endpoint_polling import EndpointPoller
 
 PERIOD_US = 500_000  # between two runs of the periodic tasks
@@ -60,7 +51,7 @@
             case AttemptEnded():
                 retries.on_attempt_ended(state, event)
             case AttemptStarted() if event.job_id in state.jobs:
-                hedging.on_attempt_started(state, state.jobs[event.job_id], event.attempt_number)
+                retries.on_attempt_started(state, state.jobs[event.job_id], event.attempt_number)
             case EndpointList():
                 self._on_endpoint_list(event)
             case TimerFired():
@@ -68,7 +59,7 @@
             case HealthChecked() if event.worker_id in state.workers:
                 outliers.on_load_report(state, state.workers[event.worker_id], event.load_report)
             case JobAbandoned() if event.job_id in state.jobs:
-                attempts.end_job(state, state.jobs[event.job_id])
+                state.end_job(state.jobs[event.job_id])
             case SettingsChanged():
                 state.replace_settings(event.settings)
 
@@ -78,21 +69,20 @@
             return
         self.endpoint_poller.on_success()
         self.state.apply_endpoints(listed)
-        slow_start.count_warm_workers(self.state)
         pools.fill_empty_pool(self.state)
 
     def _on_timer(self, token: int) -> None:
         if token == TimerToken.POLL_ENDPOINTS:
             self.endpoint_poller.poll()
         elif token == TimerToken.START_DUE:
-            hedging.on_starts_due(self.state)
+            retries.on_starts_due(self.state)
         elif token == TimerToken.PERIODIC_TASKS:
             self._run_periodic_tasks()
 
     def _run_periodic_tasks(self) -> None:
         state = self.state
         outliers.eject_slow_workers(state, spare_capacity=pools.has_spare_capacity(state))
+        state.begin_period()
         pools.resize(state)
-        state.job_mix.forget_old_jobs()
-        health_checks.check_silent_workers(state, PERIOD_US)
+        outliers.check_silent_workers(state, PERIOD_US)
         state.set_timer(TimerToken.PERIODIC_TASKS, state.now_us + PERIOD_US)
