--- a/tests/golden/state_samples.py
+++ b/tests/golden/state_samples.py
@@ -652,6 +652,20 @@
     return told
 
 
+def play_lease_requests(
+    step: int, now: float, cores: dict, carry: Callable[[str, list], None], claims: list
+) -> None:
+    """Two members ask for the lease, and the first one releases it."""
+    if step == 20:
+        claim, sends = cores["n0"].acquire(now, "night-report", 10.0, 1.0)
+        claims.append(claim)
+        carry("n0", sends)
+    if step == 80:
+        carry("n1", cores["n1"].acquire(now, "night-report", 8.0, 1.0)[1])
+    if step == 120:
+        carry("n0", cores["n0"].release(now, claims[0]))
+
+
 def lease_conversation() -> list[list[str]]:
     """All letters of three members, of which two want one lease after each other."""
     names = ("n0", "n1", "n2")
@@ -670,22 +684,10 @@
             told.append([sender, send.member, data.hex()])
             under_way.append((sender, send.member, data))
 
-    claims = []
-
-    def ask_by_plan(step: int, now: float) -> None:
-        """Two members ask for the lease, and the first one releases it."""
-        if step == 20:
-            claim, sends = cores["n0"].acquire(now, "night-report", 10.0, 1.0)
-            claims.append(claim)
-            carry("n0", sends)
-        if step == 80:
-            carry("n1", cores["n1"].acquire(now, "night-report", 8.0, 1.0)[1])
-        if step == 120:
-            carry("n0", cores["n0"].release(now, claims[0]))
-
+    claims: list = []
     for step in range(1, 161):
         now = 58.0 + step / 20
-        ask_by_plan(step, now)
+        play_lease_requests(step, now, cores, carry, claims)
         for name, core in cores.items():
             if core.next_tick_at() <= now:
                 carry(name, core.tick(now))
