--- a/stepstream/config/limits.py
+++ b/stepstream/config/limits.py
@@ -2,7 +2,8 @@
 
 The main thread derives the limits from the configuration, at the start and at a reload, and hands
 them down; they are immutable, so any thread may read them. What a limit protects, or what happens
-beyond it, stands beside it.
+beyond it, stands beside it. Nobody compares or prints limits, so no methods are generated for
+that: they would lengthen every start.
 """
 
 from dataclasses import dataclass, field
@@ -30,7 +31,7 @@
 MICROSECONDS = 1e6
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, eq=False, repr=False)
 class SizeLimits:
     """Sizes in bytes."""
 
@@ -45,7 +46,7 @@
     handover_bytes: int = 1 * MIB  # the state of a hot restart; more is not read
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, eq=False, repr=False)
 class GearmanLimits:
     """Limits of the Gearman front and carrier."""
 
@@ -66,7 +67,7 @@
     core_backlog_check_seconds: float = 0.005  # between two checks of that backlog
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, eq=False, repr=False)
 class ConnectionLimits:
     """Counts of connections and of the threads that serve them."""
 
@@ -86,7 +87,7 @@
     forwarder_threads: int = 4  # that forward notifications to the sibling process
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, eq=False, repr=False)
 class Timeouts:
     """Timeouts of connections and calls, in seconds."""
 
@@ -119,7 +120,7 @@
     drain_close_seconds: float = 0.5
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, eq=False, repr=False)
 class StartupTimeouts:
     """How long a start waits for a first endpoint list, in seconds."""
 
@@ -128,7 +129,7 @@
     first_agent_list_seconds: float = 0.6
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, eq=False, repr=False)
 class ShutdownTimeouts:
     """Times of a shutdown after SIGTERM, in seconds.
 
@@ -150,7 +151,7 @@
     poll_seconds: float = 0.02  # between two checks of what is owed
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, eq=False, repr=False)
 class LoopLimits:
     """Periods and batch sizes of the decision thread and of the main thread."""
 
@@ -165,7 +166,7 @@
     status_period_seconds: float = 60.0  # between two status lines in the log
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, eq=False, repr=False)
 class LogLimits:
     """Rate limit of the log lines on one sort of input that cannot be read."""
 
@@ -173,7 +174,7 @@
     period_seconds: float = 10.0
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, eq=False, repr=False)
 class Limits:
     """All limits, by concern."""
 
