--- a/stepstream/model/job_records.py
+++ b/stepstream/model/job_records.py
@@ -39,7 +39,8 @@
 
     request: JobSubmitted
     class_settings: JobClass  # as they were when the job arrived
-    arrived_us: int
+    wait_until_us: int  # so long it may wait for headroom
+    deadline_us: int  # when its client gives up
     priority: bool  # served by the High Set
     priority_weight: float
     excess: bool = False  # past its tenant's quota, or a stale retry: one attempt, last in line
@@ -48,11 +49,6 @@
     wait_timer_set: bool = False
     ended: bool = False  # the final answer was given, or is no longer owed
 
-    @property
-    def deadline_us(self) -> int:
-        """Return when its client gives up."""
-        return self.arrived_us + self.request.budget_us
-
     @property
     def has_open_attempt(self) -> bool:
         """Return whether an attempt has not ended yet."""
@@ -82,8 +78,9 @@
 
     def may_attempt(self, attempt_limit: int, now_us: int) -> bool:
         """Return whether its answer is owed and the rules allow another attempt."""
-        left = not self.ended and len(self.attempts) < attempt_limit
-        return left and self.may_repeat(now_us)
+        if self.ended or len(self.attempts) >= attempt_limit:
+            return False
+        return not self.attempts or self.may_repeat(now_us)
 
     def may_repeat(self, now_us: int) -> bool:
         """Return whether its effect allows another attempt, within its key scope."""
@@ -112,7 +109,7 @@
         return next((attempt for attempt in self.attempts if not attempt.never_ran), None)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(eq=False, slots=True)
 class AwaitedStart:
     """An attempt that should have started by a certain time."""
 
--- a/stepstream/model/load_report_lag.py
+++ b/stepstream/model/load_report_lag.py
@@ -33,8 +33,8 @@
     def unreported_slots(self, worker: Worker, now_us: int) -> float:
         """Return the slots of our own changes that a report arriving now does not include."""
         since_us = now_us - self.lag_us
-        newest = takewhile(lambda change: change.at_us >= since_us, reversed(worker.busy_history))
-        return sum(change.slots for change in newest)
+        newest = takewhile(lambda change: change[0] >= since_us, reversed(worker.busy_history))
+        return sum(slots for _, slots in newest)
 
     def record_report(self, worker: Worker, now_us: int, headroom: float) -> None:
         """Compare a report's headroom, in slots, with the worker's previous report."""
--- a/stepstream/model/state.py
+++ b/stepstream/model/state.py
@@ -49,7 +49,7 @@
         self.jobs: dict[str, InFlightJob] = {}
         self.waiting: list[InFlightJob] = []  # until a worker has headroom
         self.awaited_starts: list[AwaitedStart] = []
-        self.headroom_changed = False  # or time has passed, since waiting jobs were last tried
+        self.headroom_changed = False  # since waiting jobs were last tried, or time has passed
         self.health_check_credit = 0.0  # health checks that the jobs of this period allow
         self.warm_worker_count = 0.0  # capacity of all eligible workers, in warm ones
         self.common_cap: float | None = None  # stands in for an unknown cap
@@ -307,8 +307,16 @@
         ahead = sum(1 for job in self.waiting if not job.ended)
         return self.run_times.served_interval_us * (1 + ahead)
 
+    def take_headroom_change(self) -> bool:
+        """Return whether headroom or time has changed since the last call."""
+        changed = self.headroom_changed
+        self.headroom_changed = False
+        return changed
+
     def take_waiting_jobs(self) -> list[InFlightJob]:
         """Return the jobs that wait for headroom, priority jobs first, and forget them."""
+        if not self.waiting:
+            return []
         waiting = [job for job in self.waiting if not job.ended]
         waiting.sort(key=lambda job: not job.priority)
         self.waiting = []
--- a/stepstream/model/worker_records.py
+++ b/stepstream/model/worker_records.py
@@ -6,7 +6,6 @@
 from collections import deque
 from dataclasses import dataclass, field
 from math import inf
-from typing import NamedTuple
 from zlib import crc32
 
 from stepstream.model.ejections import ClassEjection
@@ -20,11 +19,9 @@
 ANY_CLASS = -1  # in place of a class, where a question is of a worker as a whole
 
 
-class BusyChange(NamedTuple):
-    """A change of the slots of our unfinished attempts on a worker."""
-
-    at_us: int
-    slots: float
+# A change of the slots of our unfinished attempts on a worker: its time in microseconds, and the
+# slots. A plain tuple, as each attempt makes two of them.
+BusyChange = tuple[int, float]
 
 
 @dataclass(eq=False, slots=True)
@@ -96,7 +93,17 @@
     def change_busy(self, now_us: int, slots: float) -> None:
         """Change the slots of our unfinished attempts on it, and its headroom with them."""
         self.busy_slots += slots
-        self.busy_history.append(BusyChange(now_us, slots))
-        while self.busy_history[0].at_us < now_us - BUSY_HISTORY_US:
+        self.busy_history.append((now_us, slots))
+        while self.busy_history[0][0] < now_us - BUSY_HISTORY_US:
             self.busy_history.popleft()
         self.headroom -= slots
+
+
+def accepting_workers(workers: list[Worker], job_class: int, now_us: int) -> list[Worker]:
+    """Return the workers that accept the class; few are ejected, so most need no closer look."""
+    return [
+        worker
+        for worker in workers
+        if not (worker.ejection_time_us or worker.class_ejections)
+        or worker.accepts(job_class, now_us)
+    ]
--- a/stepstream/policy/admission.py
+++ b/stepstream/policy/admission.py
@@ -6,6 +6,7 @@
 from stepstream.policy import pools, retries
 
 HEALTH_CHECKS_PER_JOB = 1.0
+LONGEST_WAIT_FRACTION = 0.8  # of the latency objective that a job may wait for headroom
 HEAVY_EXCESS_FRACTION = 0.5  # of its caps by which jobs above mean weight may exceed the Low Set's
 
 
@@ -31,7 +32,14 @@
     waited = request.client_retry and settings.advises_beyond_objective(kind)
     stale = waited and not priority and not kind.late_weight_fraction
     return InFlightJob(
-        request, kind, state.now_us, priority, weight, excess=excess or stale, stale_retry=stale
+        request,
+        kind,
+        wait_until_us=state.now_us + int(LONGEST_WAIT_FRACTION * kind.latency_objective_us),
+        deadline_us=state.now_us + request.budget_us,
+        priority=priority,
+        priority_weight=weight,
+        excess=excess or stale,
+        stale_retry=stale,
     )
 
 
--- a/stepstream/policy/outliers.py
+++ b/stepstream/policy/outliers.py
@@ -6,7 +6,7 @@
 from stepstream.model.ejections import next_ejection_time_us
 from stepstream.model.settings import Effect
 from stepstream.model.state import PolicyState
-from stepstream.model.worker_records import Worker
+from stepstream.model.worker_records import Worker, accepting_workers
 
 FAILURE_RATE_LIMIT = 0.6  # of recent outcomes; three failures in a row pass it
 SLOWNESS_LIMIT = 1.1  # logarithm of how much longer than usual a worker's runs take
@@ -15,8 +15,7 @@
 
 def available_workers(state: PolicyState, workers: list[Worker], job_class: int) -> list[Worker]:
     """Return the workers that are not ejected; all of them if most are: it is not the workers."""
-    now_us = state.now_us
-    available = [worker for worker in workers if worker.accepts(job_class, now_us)]
+    available = accepting_workers(workers, job_class, state.now_us)
     return available if 2 * len(available) >= len(workers) else workers
 
 
@@ -53,13 +52,11 @@
 
 
 def check_silent_workers(state: PolicyState, silent_us: int) -> None:
-    """Check the health of some workers without a report for so long: they may be jammed.
-
-    A dispatcher's checks are bounded by its own jobs, whatever the number of workers.
-    """
+    """Check the health of some workers without a report for so long: they may be jammed."""
     if not state.has_load_reports or not state.settings.may_check_health:
         return
     silent = state.silent_workers(silent_us)
+    # Bounded by the dispatcher's own jobs, whatever the number of workers.
     count = min(ceil(state.health_check_credit), len(silent))
     for worker in state.rng.sample(silent, count):
         state.actions.append(CheckHealth(worker.endpoint.worker_id))
--- a/stepstream/policy/retries.py
+++ b/stepstream/policy/retries.py
@@ -11,8 +11,6 @@
 from stepstream.policy import outliers
 from stepstream.policy.selection import choose_worker
 
-LONGEST_WAIT_FRACTION = 0.8  # fraction of the latency objective that a job may wait for headroom
-
 
 def attempt_or_wait(state: PolicyState, job: InFlightJob, *, defer: bool = False) -> bool:
     """Start the job's next attempt or give it up; return False if it has to wait, as deferred."""
@@ -31,9 +29,7 @@
 
 def latest_start_us(state: PolicyState, job: InFlightJob) -> int:
     """Return until when an attempt is worth starting: later it would hardly be in time."""
-    longest_wait_us = int(LONGEST_WAIT_FRACTION * job.class_settings.latency_objective_us)
-    last_moment_us = job.deadline_us - state.settings.scheduling_quantum_us
-    return min(job.arrived_us + longest_wait_us, last_moment_us)
+    return min(job.wait_until_us, job.deadline_us - state.settings.scheduling_quantum_us)
 
 
 def give_up(state: PolicyState, job: InFlightJob) -> None:
@@ -49,8 +45,7 @@
 
 def retry_waiting_jobs(state: PolicyState) -> None:
     """Give new headroom to waiting jobs, priority jobs first; give up those that are too late."""
-    headroom_changed = state.headroom_changed
-    state.headroom_changed = False
+    headroom_changed = state.take_headroom_change()
     stuck = set()  # sorts of jobs for which no worker has headroom
     for job in state.take_waiting_jobs():
         sort = (job.priority, job.request.job_class)
--- a/stepstream/policy/selection.py
+++ b/stepstream/policy/selection.py
@@ -42,11 +42,10 @@
     workers = [worker for worker in workers if worker.endpoint.can_run(kind, tenant)]
     if key is None and len(workers) > MOST_CANDIDATES:
         workers = state.rng.sample(workers, MOST_CANDIDATES)
-    now_us = state.now_us
     workers = [
         worker
         for worker in workers[:MOST_CANDIDATES]
-        if now_us >= worker.slow_start_ends_us or slow_start.is_admitted(state, job, worker)
+        if state.now_us >= worker.slow_start_ends_us or slow_start.is_admitted(state, job, worker)
     ]
     workers = outliers.available_workers(state, workers, job.request.job_class)
     if job.attempts:
@@ -92,13 +91,11 @@
 
 
 def _in_own_zone(state: PolicyState, workers: list[Worker]) -> list[Worker]:
-    """Keep to the own zone if it has headroom and crossing has a price, but for slow starts.
-
-    A worker back from a restart or maintenance must warm up before it is needed.
-    """
+    """Keep to the own zone if it has headroom and crossing has a price, but for slow starts."""
     if not state.settings.cross_zone_price:
         return workers
     zone = state.settings.zone
+    # One back from a restart or maintenance must warm up before it is needed.
     near = [w for w in workers if w.endpoint.zone == zone or state.now_us < w.slow_start_ends_us]
     return near or workers
 
