--- a/tests/policy/test_load_balancer.py
+++ b/tests/policy/test_load_balancer.py
@@ -1,7 +1,6 @@
 """DynamicPart as seen through handle."""
 
 from dataclasses import replace
-from random import Random
 
 import pytest
 from helpers import DEAR, SAFE, UNSAFE, Bench, entry, finals, pushes
@@ -9,10 +8,7 @@
 from stepstream.model.actions import CancelAttempt, Reject, SetTimer, WatchEndpoints
 from stepstream.model.endpoints import EndpointList, EndpointListKind, EndpointState
 from stepstream.model.events import AttemptResult, AttemptStarted, HealthChecked, TimerFired
-from stepstream.model.load_report_lag import CANDIDATE_LAGS_US, LoadReportLag
-from stepstream.model.pools import Pool
 from stepstream.model.settings import Effect, JobClass, LoadReportSource
-from stepstream.model.worker_records import BUSY_HISTORY_US, Worker
 
 
 def shares(**more):
@@ -352,21 +348,6 @@
         assert [p.worker_id for p in pushes(bench.job()[1])] == [lender] * lent
 
 
-@pytest.mark.parametrize("true_us", CANDIDATE_LAGS_US)
-def test_the_age_of_reports_is_learned_from_how_they_agree_with_our_pushes(true_us):
-    draw, lag, worker = Random(7), LoadReportLag(), Worker(entry(0), 0, 0, Pool(1.0))
-    busy = [(0, 0.0)]
-    for step in range(4000):
-        now, slots = busy[-1][0] + draw.randrange(10_000, 50_000), draw.choice((1.0, -1.0))
-        worker.change_busy(now, slots)
-        busy.append((now, busy[-1][1] + slots))
-        if step % 10 == 0:
-            told = next(held for at, held in reversed(busy) if at <= max(now - true_us, 0))
-            lag.record_report(worker, now, draw.uniform(-0.2, 0.2) - told)
-    assert lag.lag_us == true_us
-    assert len(worker.busy_history) <= BUSY_HISTORY_US / 10_000 + 1
-
-
 ROOM = {"free_slots": 4.0, "queue": 0.0}
 LAZY = {"load_report_source": LoadReportSource.PROBE, "reports_start": True, "may_cancel": True}
 
--- a/tests/policy/test_many_dispatchers.py
+++ b/tests/policy/test_many_dispatchers.py
@@ -2,19 +2,12 @@
 
 import heapq
 
-import pytest
 from policy_world import World
 
 from stepstream.model.actions import SetTimer, StartAttempt, WatchEndpoints
 from stepstream.model.endpoints import EndpointList, EndpointListKind
 from stepstream.model.events import JobSubmitted, TimerFired
-from stepstream.model.pool_load import (
-    MANY_DISPATCHERS,
-    MOST_CAP_OVER_LOAD,
-    MOST_CAP_OVER_RUNNING,
-    SETTLED_US,
-    PoolLoadEstimator,
-)
+from stepstream.model.pool_load import MANY_DISPATCHERS
 from stepstream.model.settings import Effect, JobClass, Settings
 from stepstream.policy.load_balancer import LoadBalancer
 
@@ -151,52 +144,6 @@
         assert sum(high[: size + 3]) >= size - 1
 
 
-def settled_load(level=2.0, running=2.0, workers=20):
-    load = PoolLoadEstimator(0, FLEET)
-    load.low_set.worker_count = workers
-    load.low_set.mean_busy_slots = level
-    load.low_set.mean_running_slots = running
-    load.now_us = SETTLED_US
-    return load
-
-
-def test_a_late_start_bounds_the_cap_by_what_runs_of_ours_and_not_by_what_waits():
-    load = settled_load(level=16.0, running=2.0)
-    assert load.headroom(load.low_set) == float("inf")  # until a late start pools stay as they are
-    load.record_low_set_start(late=True)
-    assert load.cap <= MOST_CAP_OVER_RUNNING * 2.0 / 20
-    assert load.headroom(load.low_set) < -10
-
-
-def test_the_cap_sinks_with_late_starts_only_while_it_is_kept_and_comes_back():
-    load = settled_load()
-    for _ in range(100):
-        load.record_low_set_start(late=True)
-    assert 0.08 < load.cap < 0.1  # just below the load at which they were late
-    load.low_set.mean_busy_slots = 4.0
-    for _ in range(100):
-        load.record_low_set_start(late=False)
-    assert load.cap == pytest.approx(MOST_CAP_OVER_LOAD * 4.0 / 20, rel=0.1)
-
-
-def test_a_pool_whose_jobs_were_all_refused_is_tried_again():
-    load = settled_load()
-    for _ in range(200):
-        load.record_low_set_start(late=True)
-        load.low_set.mean_busy_slots *= 0.9
-        load.low_set.mean_running_slots *= 0.9
-    assert load.cap * load.low_set.worker_count >= 1
-
-
-def test_early_starts_set_no_cap_and_a_small_fleet_goes_by_whole_slots():
-    load = settled_load()
-    load.now_us = SETTLED_US - 1
-    load.record_low_set_start(late=True)
-    assert load.cap == float("inf")
-    assert load.is_many
-    assert not PoolLoadEstimator(0, MANY_DISPATCHERS).is_many
-
-
 def test_a_wide_ordinary_job_goes_to_a_worker_with_none_of_ours():
     """A cap of one slot, which one late start brings, would hold it back until it is refused."""
     world = World((LONG, SHORT, DEAR), nodes=4)
