--- a/stepstream/model/events.py
+++ b/stepstream/model/events.py
@@ -88,7 +88,7 @@
 class TimerFired:
     """A timer that the policy had set has fired."""
 
-    token: int
+    token: int  # the TimerToken that it was set with
 
 
 @dataclass(frozen=True)
--- a/stepstream/policy/selection.py
+++ b/stepstream/policy/selection.py
@@ -11,17 +11,14 @@
 EXCESS_HEADROOM = 1.0  # slots of a worker that an excess job leaves free
 HEADROOM_FRACTION = 0.5  # rotation keeps to workers with at least this fraction of the best one's
 LEAST_WEIGHT = 1e-6  # of a worker in rotation
+Headrooms = dict[Worker, float]  # free slots by worker, in the order of the candidates
 
 
 def choose_worker(state: PolicyState, job: InFlightJob) -> Worker | None:
     """Return the worker for the job's next attempt, or None if the job has to wait."""
     candidates = _candidates(state, job)
     headrooms = {worker: state.headroom(worker) for worker in candidates}
-    pool = state.high_set if job.priority else state.low_set
-    free = _with_headroom(state, job, headrooms)
-    workers = [worker for worker in free if worker.pool is pool]
-    if not workers and _may_borrow(state, job, candidates):
-        workers = free
+    workers = _own_or_borrowed(state, job, headrooms)
     if not workers:
         return None
     if job.request.key is not None and len(candidates) <= WORKERS_PER_KEY:
@@ -64,9 +61,18 @@
     return workers[: WORKERS_PER_KEY + int(WORKERS_PER_KEY * fraction * len(workers))]
 
 
-def _with_headroom(
-    state: PolicyState, job: InFlightJob, headrooms: dict[Worker, float]
-) -> list[Worker]:
+def _own_or_borrowed(state: PolicyState, job: InFlightJob, headrooms: Headrooms) -> list[Worker]:
+    """Return workers with headroom of the job's own pool, else of the other one if it lends."""
+    free = _with_headroom(state, job, headrooms)
+    pool = state.high_set if job.priority else state.low_set
+    own = [worker for worker in free if worker.pool is pool]
+    if own:
+        return own
+    only_high = all(worker.pool is state.high_set for worker in headrooms)
+    return free if job.priority or pools.lends(state) or only_high else []
+
+
+def _with_headroom(state: PolicyState, job: InFlightJob, headrooms: Headrooms) -> list[Worker]:
     """Return the workers with headroom for the job, of both pools."""
     needed = job.request.slots + (EXCESS_HEADROOM if job.excess else 0.0)
     valid_since_us = state.now_us - HEADROOM_VALID_US
@@ -84,12 +90,6 @@
     ]
 
 
-def _may_borrow(state: PolicyState, job: InFlightJob, candidates: list[Worker]) -> bool:
-    """Return whether the job may go to the other pool: the High Set lends if it can spare one."""
-    only_high = all(worker.pool is state.high_set for worker in candidates)
-    return job.priority or pools.lends(state) or only_high
-
-
 def _in_own_zone(state: PolicyState, workers: list[Worker]) -> list[Worker]:
     """Keep to the own zone if it has headroom and crossing has a price, but for slow starts."""
     if not state.settings.cross_zone_price:
