--- a/stepstream/node/status.py
+++ b/stepstream/node/status.py
@@ -9,9 +9,10 @@
 def status_line(context: NodeContext, outcome_counts: Mapping[Outcome, int]) -> str:
     """Say how many requests and connections there are, and what came of all requests so far."""
     server = context.server
+    outbound = context.outbound
     parts = [
         f"status: {context.core.open_count} requests open",
-        f"{len(server.connections)} inbound and {context.outbound.pool.count} outbound connections",
+        f"{len(server.connections)} inbound and {outbound.pool.count} outbound connections",
         f"{server.rejected_count} turned away",
         f"{context.bad_reports.count} load reports and "
         f"{context.bad_answers.count} answers unreadable",
