Name and describe what a newcomer had to read twice

Cause: a reading test found a method's clock unnamed, transitions run together and a rename's leftovers.

--- a/stepstream/http/client_connection.py
+++ b/stepstream/http/client_connection.py
@@ -156,7 +156,9 @@
             # Guards the thread against a peer that sends its message byte by byte: each byte is
             # activity.
             reading_seconds = now_seconds - self.phase_started_at_seconds
-            if session.is_reading_message and reading_seconds > session.timeout_seconds(limits):
+            if session.is_reading_message and reading_seconds > session.state_timeout_seconds(
+                limits
+            ):
                 events.append(session.fail(ProtocolError(400, "too slow")))
         self._dispatch(events)
         return True
@@ -351,7 +353,7 @@
             since_seconds = (
                 self.last_activity_at_seconds if session.is_idle else self.phase_started_at_seconds
             )
-            timeout_seconds = session.timeout_seconds(self.server.limits)
+            timeout_seconds = session.state_timeout_seconds(self.server.limits)
             if self.slow_writer_active or now_seconds - since_seconds <= timeout_seconds:
                 return
             if session.is_reading_message:
--- a/stepstream/http/exchange.py
+++ b/stepstream/http/exchange.py
@@ -21,11 +21,12 @@
 class ExchangePhase(Enum):
     """How far an exchange has come.
 
-    WRITING          -- request written  --> AWAITING_ANSWER WRITING          -- connection lost
-    --> ENDED (CONNECT_FAILED: an incomplete request never runs) AWAITING_ANSWER  -- 202
-    --> JOB_ACCEPTED AWAITING_ANSWER  -- any other answer --> ENDED (what the answer says)
-    AWAITING_ANSWER  -- connection lost  --> ENDED (RESET: the job may have run) AWAITING_ANSWER  --
-    unreadable bytes --> ENDED (RESET)
+    - WRITING, request written: AWAITING_ANSWER
+    - WRITING, connection lost: ENDED (CONNECT_FAILED: an incomplete request never runs)
+    - AWAITING_ANSWER, 202: JOB_ACCEPTED
+    - AWAITING_ANSWER, any other answer: ENDED (with what the answer says)
+    - AWAITING_ANSWER, connection lost: ENDED (RESET: the job may have run)
+    - AWAITING_ANSWER, unreadable bytes: ENDED (RESET)
 
     JOB_ACCEPTED and ENDED are final.
     """
--- a/stepstream/model/actions.py
+++ b/stepstream/model/actions.py
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True)
 class StartAttempt:
-    """Start an attempt; attempts of a job count 0, 1, 2 ... in the order of their pushes."""
+    """Start an attempt; attempts of a job count 0, 1, 2 ... in the order of their starts."""
 
     job_id: str
     worker_id: str
--- a/stepstream/model/pool_load.py
+++ b/stepstream/model/pool_load.py
@@ -29,7 +29,7 @@
     """
 
     def __init__(self, now_us: int, dispatcher_count: int) -> None:
-        self.is_many = dispatcher_count > MANY_DISPATCHERS
+        self.has_many_dispatchers = dispatcher_count > MANY_DISPATCHERS
         self.cap = inf
         self.now_us = now_us
         self.begun_us = now_us
--- a/stepstream/model/state.py
+++ b/stepstream/model/state.py
@@ -96,7 +96,7 @@
         old = self.settings
         self.settings = new
         self.has_load_reports = new.load_report_source != LoadReportSource.NONE
-        self.pool_load.is_many = new.dispatcher_count > MANY_DISPATCHERS
+        self.pool_load.has_many_dispatchers = new.dispatcher_count > MANY_DISPATCHERS
         self.run_times.carry_over(old.class_names, new.class_names)
         self.tenant_usage.carry_over(old.tenants, new.tenants)
         for job in self.jobs.values():
@@ -177,7 +177,7 @@
     @property
     def worker_cap(self) -> float:
         """Return the cap of a worker whose own is not known, in slots."""
-        if self.pool_load.is_many:
+        if self.pool_load.has_many_dispatchers:
             return self.pool_load.cap
         return inf if self.common_cap is None else max(self.common_cap, 1.0)
 
@@ -273,7 +273,11 @@
         worker.record_attempt(job.request.job_class, self.now_us)
         self.actions.append(StartAttempt(job.request.job_id, worker.endpoint.worker_id))
         if self.settings.reports_start:
-            fraction = START_DUE_FRACTION_MANY if self.pool_load.is_many else START_DUE_FRACTION
+            fraction = (
+                START_DUE_FRACTION_MANY
+                if self.pool_load.has_many_dispatchers
+                else START_DUE_FRACTION
+            )
             due_us = self.now_us + int(fraction * job.class_settings.latency_objective_us)
             self.awaited_starts.append(AwaitedStart(due_us, job, attempt))
             self.set_timer(TimerToken.START_DUE, due_us)
--- a/stepstream/model/worker_records.py
+++ b/stepstream/model/worker_records.py
@@ -66,7 +66,7 @@
         )
 
     def eject(self, ejection_time_us: int, now_us: int) -> None:
-        """Keep all jobs away from this worker for so long."""
+        """Keep jobs away until a probation attempt, sent after this time, succeeds."""
         self.ejection_time_us = ejection_time_us
         self.next_probation_us = now_us + ejection_time_us
 
--- a/stepstream/policy/admission.py
+++ b/stepstream/policy/admission.py
@@ -55,7 +55,7 @@
     """Return whether the Low Set is over its caps for an ordinary job of this weight."""
     heavy = state.job_mix.record_ordinary_weight(job.priority_weight)
     headroom = pools.pool_headroom(state, state.low_set)
-    if not state.pool_load.is_many:
+    if not state.pool_load.has_many_dispatchers:
         return headroom < job.request.slots
     allowed_slots = HEAVY_EXCESS_FRACTION * state.pool_load.summed_caps(state.low_set)
     return headroom < (-allowed_slots if heavy else 0.0)
--- a/stepstream/policy/outliers.py
+++ b/stepstream/policy/outliers.py
@@ -28,8 +28,8 @@
         worker.eject(next_ejection_time_us(worker.ejection_time_us), state.now_us)
 
 
-def eject_slow_workers(state: PolicyState, *, spare_capacity: bool) -> None:
-    """Eject slow workers while the others have spare capacity; else all of them are needed."""
+def update_slow_ejections(state: PolicyState, *, spare_capacity: bool) -> None:
+    """Eject slow workers while the others have spare capacity; else take them back in."""
     state.measure_open_runs()
     for worker in state.eligible_workers:
         slow = worker.slowness_with_open_runs > SLOWNESS_LIMIT
--- a/stepstream/policy/pools.py
+++ b/stepstream/policy/pools.py
@@ -16,7 +16,7 @@
 
 def pool_headroom(state: PolicyState, pool: Pool) -> float:
     """Return the pool's summed caps less its summed busy slots, measured once a round."""
-    if state.pool_load.is_many:
+    if state.pool_load.has_many_dispatchers:
         return state.pool_load.headroom(pool)
     if pool not in state.pool_headrooms:
         members = [worker for worker in state.eligible_workers if worker.pool is pool]
@@ -78,7 +78,7 @@
         return cap
     if headroom > cap and len(high) > least_high:
         # Of equal headrooms the last id, so that the High Sets of many dispatchers stay the same.
-        candidates = reversed(high) if state.pool_load.is_many else high
+        candidates = reversed(high) if state.pool_load.has_many_dispatchers else high
         max(candidates, key=state.headroom).pool = state.low_set
         return -cap
     return 0.0
--- a/stepstream/policy/retries.py
+++ b/stepstream/policy/retries.py
@@ -13,7 +13,7 @@
 
 
 def attempt_or_wait(state: PolicyState, job: InFlightJob, *, defer: bool = False) -> bool:
-    """Start the job's next attempt or give it up; return False if it has to wait, as deferred."""
+    """Start the job's next attempt or give it up; return False if it waits, as `defer` demands."""
     limit = 1 if job.excess else state.settings.attempt_limit
     too_late = state.now_us >= latest_start_us(state, job)
     if too_late or not job.may_attempt(limit, state.now_us):
--- a/stepstream/policy/selection.py
+++ b/stepstream/policy/selection.py
@@ -78,7 +78,7 @@
     valid_since_us = state.now_us - HEADROOM_VALID_US
     priority = job.priority  # a cap alone never holds up a priority job
     # Many dispatchers keep a pool's caps at admission: none of our jobs on a worker is headroom.
-    is_many = state.pool_load.is_many
+    is_many = state.pool_load.has_many_dispatchers
     return [
         worker
         for worker, headroom in headrooms.items()
--- a/tests/model/test_pool_load.py
+++ b/tests/model/test_pool_load.py
@@ -59,8 +59,8 @@
     load.now_us = SETTLED_US - 1
     load.record_low_set_start(late=True)
     assert load.cap == float("inf")
-    assert load.is_many
-    assert not PoolLoadEstimator(0, MANY_DISPATCHERS).is_many
+    assert load.has_many_dispatchers
+    assert not PoolLoadEstimator(0, MANY_DISPATCHERS).has_many_dispatchers
 
 
 def test_averages_follow_the_busy_slots_within_the_time_constant():
