--- a/stepstream/http/session.py
+++ b/stepstream/http/session.py
@@ -228,7 +228,8 @@
     def state_timeout_seconds(self, limits: Limits) -> float:
         """Return for how many seconds the session may stay in its present state.
 
-        Counted from the last activity if the session is idle, else from the state's start. Silence is tolerated for longer in a peer that has sent work before than in a new one.
+        Counted from the last activity if the session is idle, else from the state's start.
+        Silence is tolerated for longer in a peer that has sent work before than in a new one.
         """
         timeouts = limits.timeouts
         if self.has_open_request:
--- a/stepstream/policy/load_balancer.py
+++ b/stepstream/policy/load_balancer.py
@@ -81,7 +81,7 @@
 
     def _run_periodic_tasks(self) -> None:
         state = self.state
-        outliers.eject_slow_workers(state, spare_capacity=pools.has_spare_capacity(state))
+        outliers.update_slow_ejections(state, spare_capacity=pools.has_spare_capacity(state))
         state.begin_period()
         pools.resize(state)
         outliers.check_silent_workers(state, PERIOD_US)
