--- a/stepstream/gearman/__init__.py
+++ b/stepstream/gearman/__init__.py
@@ -1,1 +1,5 @@
-"""Gearman: the second front and the second carrier. docs/gearman.md says how it maps to the core's rules."""
+"""Gearman: a front for its clients and a carrier for calls to its workers.
+
+`docs/gearman.md` maps the protocol to the rules of the core. Below, "the protocol" is the published
+one (gearman.org, "Gearman Protocol").
+"""
--- /dev/null
+++ b/stepstream/gearman/access.py
@@ -0,0 +1,87 @@
+"""Access checks: what peers may do where the installation identifies its callers.
+
+Without access control everything is allowed. The service calls it, under the lock of its front.
+"""
+
+from stepstream.gearman import codec
+from stepstream.gearman.codec import Kind, Packet
+from stepstream.gearman.errors import JobQueueFullError, RequestError
+from stepstream.gearman.jobs import Job
+from stepstream.gearman.names import FunctionName
+from stepstream.gearman.peers import Peer, Worker
+from stepstream.gearman.session import TOKEN_OPTION
+from stepstream.gearman.state import SOURCE, ServiceState
+from stepstream.ports.access_control import Authorization, Rejection, RejectionKind
+
+# For how long a worker's credential counts as good: no longer than a changed key file may take to
+# be read.
+RECHECK_US = 500_000
+
+
+class AccessChecks:
+    """Asks the access control, and turns its rejections into errors."""
+
+    def __init__(self, state: ServiceState) -> None:
+        self.state = state
+
+    def set_token(self, _now_us: int, peer: Peer, packet: Packet) -> None:
+        """Take the bearer token of OPTION_REQ `token:JWT`; it is verified at each later request."""
+        token = packet.args[0].removeprefix(TOKEN_OPTION)
+        peer.token = token or None
+        peer.authorized_at_us = 0
+        self.state.output.send(peer, codec.answer(Kind.OPTION_RES, "token"))
+
+    def authorize_submission(self, peer: Peer, function: FunctionName) -> Authorization | None:
+        """Authorize a job; None where callers are not identified."""
+        access_control = self.state.host.access_control
+        if access_control is None:
+            return None
+        found = access_control.authorize_request(
+            SOURCE, peer.credential, function.class_name, function.tenant
+        )
+        if isinstance(found, Rejection):
+            raise _error_for(found)
+        return found
+
+    def check_job_access(self, peer: Peer, job: Job | None) -> None:
+        """Check that a job is the peer's; an unknown one is rejected like another caller's."""
+        access_control = self.state.host.access_control
+        if access_control is not None:
+            callers = job.callers if job else set()
+            _raise_if(access_control.authorize_job_access(SOURCE, peer.credential, callers))
+
+    def check_new_worker(self, peer: Peer, worker_name: str) -> None:
+        """Check that the peer may be a worker of this name."""
+        access_control = self.state.host.access_control
+        if access_control is not None:
+            _raise_if(access_control.authorize_worker(SOURCE, peer.credential, worker_name))
+
+    def check_worker(self, now_us: int, worker: Worker) -> None:
+        """Check that a worker's credential has not expired since it registered.
+
+        It is assigned nothing more; what is assigned already goes on.
+        """
+        access_control = self.state.host.access_control
+        peer = worker.peer
+        if access_control is None or now_us - peer.authorized_at_us < RECHECK_US:
+            return
+        _raise_if(access_control.authorize_worker(SOURCE, peer.credential, worker.identity.name))
+        peer.authorized_at_us = now_us
+
+    def authorize_command(self, peer: Peer, words: tuple[str, ...]) -> Rejection | None:
+        """Authorize a text command; None if it is allowed."""
+        access_control = self.state.host.access_control
+        if access_control is None:
+            return None
+        return access_control.authorize_admin(SOURCE, peer.credential, " ".join(words))
+
+
+def _raise_if(rejection: Rejection | None) -> None:
+    if rejection is not None:
+        raise _error_for(rejection)
+
+
+def _error_for(rejection: Rejection) -> RequestError:
+    if rejection.kind is RejectionKind.RATE_LIMITED:
+        return JobQueueFullError(rejection.reason, rejection.retry_after_seconds)
+    return RequestError(rejection.kind.value, rejection.reason)
--- a/stepstream/gearman/admin.py
+++ b/stepstream/gearman/admin.py
@@ -1,157 +1,141 @@
-"""The text commands of the published protocol, for operators and their scripts; free of I/O."""
+"""The text commands of the protocol, for operators and their scripts.
 
-from collections.abc import Callable, Iterable
-from typing import Protocol
+Reader threads call it, under the lock of the front that owns the service. Tables end with a line
+that holds a period.
+"""
+
+from collections.abc import Callable, Iterator
 
 from stepstream import __version__
-from stepstream.config.operator_file import GearmanSection
-from stepstream.gearman.jobs import Job, JobTable
 from stepstream.gearman.names import registered_name
-from stepstream.gearman.workers import Member, WorkerTable
-from stepstream.model.settings import Settings
-
-END = ".\n"
-MOST_QUEUE = 10**9
-
-
-class Peer(Protocol):
-    """A connection as the commands show it."""
-
-    number: int
-    host: str
-    client_id: bytes
-    member: Member | None
-
-
-class Desk(Protocol):
-    """What the commands look at and change."""
-
-    section: GearmanSection
-    settings: Settings
-    jobs: JobTable
-    workers: WorkerTable
-    max_queue: dict[str, int]
-
-    @property
-    def peers(self) -> Iterable[Peer]: ...
-
-    def cancel(self, now_us: int, job: Job) -> None: ...
-
-
-def run(desk: Desk, now_us: int, words: tuple[str, ...]) -> tuple[str, bool]:
-    """The answer's text, and whether the program is to end."""
-    found = find(words)
-    if found is None:
-        return unknown(), False
-    length, command = found
-    return command(desk, now_us, words[length:])
-
-
-def find(words: tuple[str, ...]) -> "tuple[int, Command] | None":
-    """A command and how many words name it."""
-    for name, command in COMMANDS.items():
-        asked = tuple(name.split())
-        if words[: len(asked)] == asked:
-            return len(asked), command
-    return None
-
-
-def unknown() -> str:
-    return error("UNKNOWN_COMMAND", f"the commands are {', '.join(COMMANDS)}")
-
-
-def error(code: str, text: str) -> str:
-    """Words are joined by +, as the protocol's own server writes them."""
-    return f"ERR {code} {text.replace(' ', '+')}\n"
-
-
-def workers(desk: Desk, now_us: int, rest: tuple[str, ...]) -> tuple[str, bool]:
-    """`NUMBER HOST ID : FUNCTION ...` for each connection."""
-    rows = []
-    for peer in desk.peers:
-        runs = " ".join(sorted(peer.member.runs)) if peer.member else ""
-        name = peer.client_id.decode("utf-8", "replace").partition(";")[0] or "-"
-        rows.append(f"{peer.number} {peer.host} {name} : {runs}".rstrip() + "\n")
-    return "".join(rows) + END, False
-
-
-def status(desk: Desk, now_us: int, rest: tuple[str, ...]) -> tuple[str, bool]:
-    """`FUNCTION TOTAL RUNNING WORKERS` for each function of the settings, by tabs."""
-    running: dict[str, int] = {}
-    for job in desk.jobs.by_handle.values():
-        running[job.function] = running.get(job.function, 0) + job.running
-    settings, rows = desk.settings, []
-    for tenant in settings.tenants or ("",):
-        for kind in settings.class_names:
-            name = f"{tenant}/{kind}" if tenant else kind
-            able = sum(
-                registered_name(m.runs, kind, tenant) is not None
-                for m in desk.workers.members.values()
+from stepstream.gearman.notifications import ClientNotifier
+from stepstream.gearman.state import ServiceState
+from stepstream.gearman.text_commands import TextCommand, error_line
+
+END_OF_TABLE = ".\n"
+OK = "OK\n"
+MAX_MAXQUEUE = 10**9
+MAX_MAXQUEUE_DIGITS = 10  # further ones are not read
+
+
+class AdminCommands:
+    """Runs text commands on the service's state."""
+
+    def __init__(self, state: ServiceState, notifier: ClientNotifier) -> None:
+        self.state = state
+        self.notifier = notifier
+
+    def run(self, now_us: int, command: TextCommand, args: tuple[str, ...]) -> tuple[str, bool]:
+        """Run a command; return the answer, and whether the program is to shut down."""
+        match command:
+            case TextCommand.SHUTDOWN:
+                return self._shutdown()
+            case TextCommand.MAXQUEUE:
+                answer = self._maxqueue(args)
+            case TextCommand.CANCEL_JOB:
+                answer = self._cancel_job(now_us, args)
+            case _:
+                answer = self._report(command)
+        return answer, False
+
+    def _report(self, command: TextCommand) -> str:
+        """Return the answer of a command without arguments that changes nothing."""
+        reports: dict[TextCommand, Callable[[], str]] = {
+            TextCommand.WORKERS: self._workers,
+            TextCommand.STATUS: self._status,
+            TextCommand.VERSION: self._version,
+            TextCommand.SHOW_JOBS: self._show_jobs,
+            TextCommand.SHOW_UNIQUE_JOBS: self._show_unique_jobs,
+        }
+        return reports[command]()
+
+    def _version(self) -> str:
+        return f"OK {__version__}\n"
+
+    def _workers(self) -> str:
+        """List `NUMBER HOST ID : FUNCTION ...` for each connection."""
+        rows = []
+        for peer in self.state.peers:
+            functions = " ".join(sorted(peer.worker.timeouts_us)) if peer.worker else ""
+            name = peer.client_id.decode("utf-8", "replace").partition(";")[0] or "-"
+            rows.append(f"{peer.number} {peer.host} {name} : {functions}".rstrip() + "\n")
+        return "".join(rows) + END_OF_TABLE
+
+    def _status(self) -> str:
+        """List `FUNCTION TOTAL RUNNING WORKERS` for each function of the settings, by tabs."""
+        jobs = self.state.jobs
+        running_counts: dict[str, int] = {}
+        for job in jobs.by_handle.values():
+            if job.running:
+                running_counts[job.function] = running_counts.get(job.function, 0) + 1
+        rows = []
+        for function, class_name, tenant in self._functions():
+            worker_count = sum(
+                registered_name(worker.timeouts_us, class_name, tenant) is not None
+                for worker in self.state.workers.by_id.values()
+            )
+            open_count = jobs.open_counts.get(function, 0)
+            running_count = running_counts.get(function, 0)
+            rows.append(f"{function}\t{open_count}\t{running_count}\t{worker_count}\n")
+        return "".join(rows) + END_OF_TABLE
+
+    def _functions(self) -> Iterator[tuple[str, str, str]]:
+        """Yield each function of the settings: full name, class and tenant."""
+        settings = self.state.settings
+        for tenant in settings.tenants or ("",):
+            for class_name in settings.class_names:
+                yield f"{tenant}/{class_name}" if tenant else class_name, class_name, tenant
+
+    def _maxqueue(self, args: tuple[str, ...]) -> str:
+        """Run `maxqueue FUNCTION [N]`: at most N open jobs of it; no N lifts the bound."""
+        functions = {function for function, _, _ in self._functions()}
+        if not args or args[0] not in functions:
+            known = ", ".join(sorted(functions))
+            return error_line("UNKNOWN_FUNCTION", f"maxqueue takes one of {known}")
+        function, *numbers = args
+        if not numbers:
+            self.state.max_queue.pop(function, None)
+            return OK
+        text = numbers[0]
+        is_number = text.isascii() and text.isdigit()
+        if not is_number or int(text[:MAX_MAXQUEUE_DIGITS]) > MAX_MAXQUEUE:
+            return error_line("BAD_NUMBER", f"{text} is not a number of jobs")
+        self.state.max_queue[function] = int(text)
+        return OK
+
+    def _cancel_job(self, now_us: int, args: tuple[str, ...]) -> str:
+        job = self.state.jobs.by_handle.get(args[0]) if args else None
+        if job is None or job.request is None:
+            return error_line("JOB_NOT_FOUND", "no open job has that handle")
+        self.notifier.cancel(now_us, job)
+        return OK
+
+    def _show_jobs(self) -> str:
+        """List `HANDLE STAGE RUNNING CLIENTS FUNCTION` by tabs, of open and retained jobs."""
+        rows = []
+        for job in self.state.jobs.by_handle.values():
+            columns = (
+                job.handle,
+                job.stage.value,
+                str(int(job.running)),
+                str(len(job.clients)),
+                job.function,
+            )
+            rows.append("\t".join(columns) + "\n")
+        return "".join(rows) + END_OF_TABLE
+
+    def _show_unique_jobs(self) -> str:
+        rows = [
+            job.unique.decode("utf-8", "replace") + "\n"
+            for job in self.state.jobs.by_handle.values()
+            if job.unique
+        ]
+        return "".join(rows) + END_OF_TABLE
+
+    def _shutdown(self) -> tuple[str, bool]:
+        if not self.state.section.allow_shutdown:
+            return (
+                error_line("NOT_ALLOWED", "gearman.allow_shutdown is off in the operator file"),
+                False,
             )
-            rows.append(f"{name}\t{desk.jobs.open.get(name, 0)}\t{running.get(name, 0)}\t{able}\n")
-    return "".join(rows) + END, False
-
-
-def version(desk: Desk, now_us: int, rest: tuple[str, ...]) -> tuple[str, bool]:
-    return f"OK {__version__}\n", False
-
-
-def maxqueue(desk: Desk, now_us: int, rest: tuple[str, ...]) -> tuple[str, bool]:
-    """`maxqueue TENANT/CLASS [N]`: so many open jobs of it; without N the bound is lifted."""
-    known = {
-        f"{t}/{k}" if t else k
-        for t in desk.settings.tenants or ("",)
-        for k in desk.settings.class_names
-    }
-    if not rest or rest[0] not in known:
-        return error("UNKNOWN_FUNCTION", f"maxqueue takes one of {', '.join(sorted(known))}"), False
-    if len(rest) == 1:
-        desk.max_queue.pop(rest[0], None)
-    elif rest[1].isascii() and rest[1].isdigit() and int(rest[1][:10]) <= MOST_QUEUE:
-        desk.max_queue[rest[0]] = int(rest[1])
-    else:
-        return error("BAD_NUMBER", f"{rest[1]} is not a number of jobs"), False
-    return "OK\n", False
-
-
-def cancel_job(desk: Desk, now_us: int, rest: tuple[str, ...]) -> tuple[str, bool]:
-    job = desk.jobs.by_handle.get(rest[0]) if rest else None
-    if job is None or job.request is None:
-        return error("JOB_NOT_FOUND", "no open job has that handle"), False
-    desk.cancel(now_us, job)
-    return "OK\n", False
-
-
-def show_jobs(desk: Desk, now_us: int, rest: tuple[str, ...]) -> tuple[str, bool]:
-    """`HANDLE STAGE RUNNING CLIENTS FUNCTION` by tabs, open jobs and ended ones that are kept."""
-    rows = [
-        f"{job.handle}\t{job.stage.value}\t{int(job.running)}\t{len(job.clients)}\t{job.function}\n"
-        for job in desk.jobs.by_handle.values()
-    ]
-    return "".join(rows) + END, False
-
-
-def show_unique_jobs(desk: Desk, now_us: int, rest: tuple[str, ...]) -> tuple[str, bool]:
-    rows = [
-        job.unique.decode("utf-8", "replace") for job in desk.jobs.by_handle.values() if job.unique
-    ]
-    return "".join(f"{row}\n" for row in rows) + END, False
-
-
-def shutdown(desk: Desk, now_us: int, rest: tuple[str, ...]) -> tuple[str, bool]:
-    if not desk.section.allow_shutdown:
-        return error("NOT_ALLOWED", "gearman.allow_shutdown is off in the operator file"), False
-    return "OK\n", True
-
-
-Command = Callable[[Desk, int, tuple[str, ...]], tuple[str, bool]]
-COMMANDS: dict[str, Command] = {
-    "workers": workers,
-    "status": status,
-    "version": version,
-    "maxqueue": maxqueue,
-    "cancel job": cancel_job,
-    "show jobs": show_jobs,
-    "show unique jobs": show_unique_jobs,
-    "shutdown": shutdown,
-}
+        return OK, True
--- a/stepstream/gearman/codec.py
+++ b/stepstream/gearman/codec.py
@@ -1,22 +1,35 @@
-"""Gearman's packets as tables and a parser that is fed bytes and knows no socket.
+"""Gearman's packets as tables, a parser that is fed bytes, and the writing of packets; free of I/O.
 
-Source: the published protocol (gearman.org, 'Gearman Protocol'). A packet is a magic (NUL and REQ or RES),
-its type and its size, each four bytes, most significant first, then its arguments, all but the last ended
-by a NUL. What does not begin with a NUL is a text command, which ends with a line feed. Both may come on
-one connection.
+Source: the published protocol (gearman.org, "Gearman Protocol"). A packet is a magic (NUL and REQ
+or RES), its type and its size, each four bytes, most significant first, then its arguments, all but
+the last ended by a NUL. What does not begin with a NUL is a text command, which ends with a line
+feed. Both may come on one connection.
+
+A parser belongs to one connection, whose owner lets one thread at a time use it.
 """
 
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, IntEnum
+from typing import ClassVar, NoReturn
 
 from stepstream.config.limits import Limits
+from stepstream.gearman.errors import FramingError, RequestError
 
-HEADER = struct.Struct(">4sII")
-REQ, RES = b"\0REQ", b"\0RES"
+HEADER = struct.Struct(">4sII")  # magic, type, size
+REQ = b"\0REQ"
+RES = b"\0RES"
+MAGIC_BYTES = 4
+TAB = 9
+FIRST_PRINTABLE = 32
+LAST_PRINTABLE = 126
+MAX_NUMBER = 10**15  # of a number among the arguments
 
 
 class Kind(IntEnum):
+    """The types of packets, by their numbers on the wire."""
+
     CAN_DO = 1
     CANT_DO = 2
     RESET_ABILITIES = 3
@@ -70,7 +83,7 @@
     Kind.WORK_DATA: ("handle", "data"),
     Kind.WORK_WARNING: ("handle", "data"),
 }
-# The arguments by name, of what clients and workers send and of what the server does.
+# The names of the arguments: of what clients and workers send, then of what the server sends.
 REQUESTS: dict[Kind, tuple[str, ...]] = {
     Kind.CAN_DO: ("function",),
     Kind.CAN_DO_TIMEOUT: ("function", "timeout"),
@@ -123,23 +136,17 @@
 }
 
 
-class GearmanError(Exception):
-    """The peer broke the protocol; `code` is the first argument of the ERROR that it gets."""
-
-    def __init__(self, code: str, text: str) -> None:
-        super().__init__(text)
-        self.code = code
-
-
 @dataclass(frozen=True, slots=True)
 class Packet:
+    """A complete packet of a known type."""
+
     kind: Kind
     args: tuple[bytes, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class Unknown:
-    """A whole packet of a type that the protocol does not have, or not in this direction."""
+    """A complete packet of a type that the protocol does not have, or not in this direction."""
 
     number: int
 
@@ -154,139 +161,172 @@
 Item = Packet | Unknown | Line
 
 
-class State(Enum):
-    BETWEEN = 1  # the next byte says what comes
+class ParserState(Enum):
+    """What the parser reads next."""
+
+    IDLE = 1  # the next byte tells a packet from a text command
     HEADER = 2
     BODY = 3
     TEXT = 4
-    BROKEN = 5
+    BROKEN = 5  # nothing any more
 
 
 class Parser:
-    """Bytes in, whole packets and text commands out. Once broken it stays so."""
-
-    def __init__(self, limits: Limits, answers: bool = False) -> None:
-        """`answers`: reads what a server sends, as clients and workers do; no text commands then."""
-        self.limits, self.magic = limits, RES if answers else REQ
-        self.forms = ANSWERS if answers else REQUESTS
-        self.state = State.BETWEEN
+    """Bytes in, complete packets and text commands out; once broken it stays so."""
+
+    def __init__(self, limits: Limits, *, answers: bool = False) -> None:
+        """`answers`: parse what a server sends, as clients and workers do; no text commands."""
+        self.limits = limits
+        self.magic = RES if answers else REQ
+        self.argument_names = ANSWERS if answers else REQUESTS
+        self.state = ParserState.IDLE
         self.buffer = bytearray()
-        self.number = self.need = self.seen = 0
+        self.type_number = 0  # of the packet whose body is read
+        self.body_bytes = 0
+        self.searched_bytes = 0  # of the buffer, where the end of a text line is not
 
     @property
     def idle(self) -> bool:
-        """Between messages: not one byte of the next one is here."""
-        return self.state is State.BETWEEN and not self.buffer
+        """Whether no byte of the next message has come."""
+        return self.state is ParserState.IDLE and not self.buffer
 
     def feed(self, data: bytes) -> None:
+        """Take received bytes."""
         self.buffer += data
 
     def next(self) -> Item | None:
-        """The next message, or None until more bytes are fed; GearmanError ends the connection."""
+        """Return the next message, or None until more bytes are fed.
+
+        Raise `FramingError` where the bytes cannot be split; the connection must end.
+        """
         try:
-            while self.state is not State.BROKEN:
-                item, going = self.STEPS[self.state](self)
-                if item is not None or not going:
+            while True:
+                item, proceed = self.STEPS[self.state](self)
+                if item is not None or not proceed:
                     return item
-            raise GearmanError("BROKEN_CONNECTION", "the connection broke the protocol before")
-        except GearmanError:
-            self.state = State.BROKEN
+        except FramingError:
+            self.state = ParserState.BROKEN
             raise
 
-    # -- steps: an item, and whether to go on without one ------------------------------------------------
+    # -- steps: return an item, and whether to proceed with the next step without one -------------
 
-    def between(self) -> tuple[Item | None, bool]:
+    def _step_idle(self) -> tuple[Item | None, bool]:
         if not self.buffer:
             return None, False
-        binary = self.buffer[0] == 0
-        if not binary and self.magic is RES:
-            raise GearmanError("BAD_MAGIC", "the packet does not begin with its magic")
-        self.state, self.seen = State.HEADER if binary else State.TEXT, 0
+        is_packet = self.buffer[0] == 0
+        if not is_packet and self.magic is RES:
+            raise FramingError("BAD_MAGIC", "the packet does not begin with its magic")
+        self.state = ParserState.HEADER if is_packet else ParserState.TEXT
+        self.searched_bytes = 0
         return None, True
 
-    def header(self) -> tuple[Item | None, bool]:
-        # The magic is looked at as it comes: a peer of another protocol must not be waited for.
-        if not self.magic.startswith(bytes(self.buffer[:4])):
-            raise GearmanError("BAD_MAGIC", "the packet does not begin with its magic")
+    def _step_header(self) -> tuple[Item | None, bool]:
+        # The magic is checked as it comes: a peer of another protocol must not be waited for.
+        if not self.magic.startswith(bytes(self.buffer[:MAGIC_BYTES])):
+            raise FramingError("BAD_MAGIC", "the packet does not begin with its magic")
         if len(self.buffer) < HEADER.size:
             return None, False
-        _, self.number, self.need = HEADER.unpack_from(self.buffer)
-        if self.need > self.limits.gearman.packet_bytes:
-            # Guards memory: the size is believed by nobody before it is bounded.
-            raise GearmanError(
-                "PACKET_TOO_LARGE",
-                f"a packet holds at most {self.limits.gearman.packet_bytes} bytes",
-            )
+        _, self.type_number, self.body_bytes = HEADER.unpack_from(self.buffer)
+        max_bytes = self.limits.gearman.packet_bytes
+        if self.body_bytes > max_bytes:
+            # Guards memory: no body is awaited before its size is bounded.
+            raise FramingError("PACKET_TOO_LARGE", f"a packet holds at most {max_bytes} bytes")
         del self.buffer[: HEADER.size]
-        self.state = State.BODY
+        self.state = ParserState.BODY
         return None, True
 
-    def body(self) -> tuple[Item | None, bool]:
-        if len(self.buffer) < self.need:
+    def _step_body(self) -> tuple[Item | None, bool]:
+        if len(self.buffer) < self.body_bytes:
             return None, False
-        data = bytes(self.buffer[: self.need])
-        del self.buffer[: self.need]
-        self.state = State.BETWEEN
-        if self.number not in self.forms:
-            return Unknown(self.number), False
-        return read_args(Kind(self.number), self.forms[Kind(self.number)], data), False
-
-    def text(self) -> tuple[Item | None, bool]:
-        end = self.buffer.find(b"\n", self.seen)
-        if end > self.limits.gearman.text_line_bytes or (
-            end < 0 and len(self.buffer) > self.limits.gearman.text_line_bytes
-        ):
-            raise GearmanError(
-                "LINE_TOO_LONG",
-                f"a text command has at most {self.limits.gearman.text_line_bytes} bytes",
-            )
-        self.seen = len(self.buffer)
+        body = bytes(self.buffer[: self.body_bytes])
+        del self.buffer[: self.body_bytes]
+        self.state = ParserState.IDLE
+        if self.type_number not in self.argument_names:
+            return Unknown(self.type_number), False
+        kind = Kind(self.type_number)
+        return _parse_arguments(kind, self.argument_names[kind], body), False
+
+    def _step_text(self) -> tuple[Item | None, bool]:
+        max_bytes = self.limits.gearman.text_line_bytes
+        end = self.buffer.find(b"\n", self.searched_bytes)
+        if end > max_bytes or (end < 0 and len(self.buffer) > max_bytes):
+            raise FramingError("LINE_TOO_LONG", f"a text command has at most {max_bytes} bytes")
+        self.searched_bytes = len(self.buffer)
         if end < 0:
             return None, False
         line = bytes(self.buffer[:end]).rstrip(b"\r")
         del self.buffer[: end + 1]
-        self.state = State.BETWEEN
-        # Guards the other protocol's words from being read as this one's: text is printable.
-        if any(byte < 32 and byte != 9 or byte > 126 for byte in line):
-            raise GearmanError("BAD_TEXT", "a text command holds bytes that are no text")
+        self.state = ParserState.IDLE
+        # Guards against another protocol whose bytes would be read as text commands.
+        if not all(FIRST_PRINTABLE <= byte <= LAST_PRINTABLE or byte == TAB for byte in line):
+            raise FramingError("BAD_TEXT", "a text command holds bytes that are no text")
         return Line(tuple(line.decode("ascii").split())), False
 
-    STEPS = {State.BETWEEN: between, State.HEADER: header, State.BODY: body, State.TEXT: text}
+    def _step_broken(self) -> NoReturn:
+        raise FramingError("BROKEN_CONNECTION", "the connection broke the protocol before")
 
+    STEPS: ClassVar[dict[ParserState, Callable[["Parser"], tuple[Item | None, bool]]]] = {
+        ParserState.IDLE: _step_idle,
+        ParserState.HEADER: _step_header,
+        ParserState.BODY: _step_body,
+        ParserState.TEXT: _step_text,
+        ParserState.BROKEN: _step_broken,
+    }
 
-def read_args(kind: Kind, names: tuple[str, ...], data: bytes) -> Packet:
+
+def _parse_arguments(kind: Kind, names: tuple[str, ...], body: bytes) -> Packet:
     if not names:
-        if data:
-            raise GearmanError("BAD_ARGUMENTS", f"{kind.name} takes no arguments")
+        if body:
+            raise FramingError("BAD_ARGUMENTS", f"{kind.name} takes no arguments")
         return Packet(kind)
-    args = data.split(b"\0", len(names) - 1)
+    args = body.split(b"\0", len(names) - 1)
     if len(args) != len(names):
-        raise GearmanError(
+        raise FramingError(
             "BAD_ARGUMENTS", f"{kind.name} lacks {names[len(args)]}: a NUL is missing"
         )
     return Packet(kind, tuple(args))
 
 
+def parse_number(name: str, argument: bytes) -> int:
+    """Parse an argument that is a whole number, 0 or more; some libraries send 3.0 for 3."""
+    try:
+        number = float(argument)
+    except ValueError:
+        number = -1.0
+    if not 0 <= number <= MAX_NUMBER:
+        raise RequestError("BAD_ARGUMENTS", f"{name} is not a number from 0 to {MAX_NUMBER}")
+    return int(number)
+
+
 def write(magic: bytes, kind: Kind, *args: bytes) -> bytes:
-    """A packet's bytes. ValueError if an argument besides the last holds a NUL: nobody could split it."""
-    forms = ANSWERS if magic is RES else REQUESTS
-    if len(args) != len(forms[kind]):
-        raise ValueError(f"{kind.name} takes {len(forms[kind])} arguments")
-    if any(b"\0" in arg for arg in args[:-1]):
+    """Return the bytes of a packet.
+
+    Raise ValueError for a wrong number of arguments, and if one besides the last holds a NUL:
+    nobody could split it.
+    """
+    argument_names = ANSWERS if magic is RES else REQUESTS
+    if len(args) != len(argument_names[kind]):
+        raise ValueError(f"{kind.name} takes {len(argument_names[kind])} arguments")
+    if any(b"\0" in argument for argument in args[:-1]):
         raise ValueError(f"an argument of {kind.name} holds a NUL")
-    data = b"\0".join(args)
-    return HEADER.pack(magic, kind, len(data)) + data
+    body = b"\0".join(args)
+    return HEADER.pack(magic, kind, len(body)) + body
 
 
 def answer(kind: Kind, *args: bytes | str | int) -> bytes:
-    """What the server sends."""
-    return write(RES, kind, *(arg if isinstance(arg, bytes) else str(arg).encode() for arg in args))
+    """Return the bytes of a packet that the server sends."""
+    return write(RES, kind, *map(_encode_argument, args))
 
 
 def request(kind: Kind, *args: bytes | str | int) -> bytes:
-    """What clients and workers send."""
-    return write(REQ, kind, *(arg if isinstance(arg, bytes) else str(arg).encode() for arg in args))
+    """Return the bytes of a packet that a client or worker sends."""
+    return write(REQ, kind, *map(_encode_argument, args))
 
 
 def error(code: str, text: str) -> bytes:
+    """Return the bytes of an ERROR packet."""
     return answer(Kind.ERROR, code, text)
+
+
+def _encode_argument(argument: bytes | str | int) -> bytes:
+    return argument if isinstance(argument, bytes) else str(argument).encode()
--- /dev/null
+++ b/stepstream/gearman/errors.py
@@ -0,0 +1,30 @@
+"""The errors that Gearman's peers are answered with, under one base class.
+
+Each becomes one ERROR packet: its code, then its text. The texts are part of the wire.
+"""
+
+
+class GearmanError(Exception):
+    """What a peer sent cannot be acted on; `code` is the first argument of the ERROR it gets."""
+
+    def __init__(self, code: str, text: str) -> None:
+        super().__init__(text)
+        self.code = code
+
+
+class FramingError(GearmanError):
+    """The received bytes cannot be split into messages; the connection ends with the ERROR."""
+
+
+class RequestError(GearmanError):
+    """A complete packet cannot be acted on; the connection goes on."""
+
+
+class JobQueueFullError(RequestError):
+    """A job or request is rejected for now; trying it again later is harmless."""
+
+    def __init__(self, reason: str, retry_after_seconds: float) -> None:
+        """Put the time to wait where clients look for it: docs/gearman.md, "Outcomes"."""
+        super().__init__(
+            "JOB_QUEUE_FULL", f"refused retry-after={retry_after_seconds:.3f} {reason}"
+        )
--- /dev/null
+++ b/stepstream/gearman/front.py
@@ -0,0 +1,156 @@
+"""The Gearman front and carrier: its listeners, and where it meets the core.
+
+`GearmanFront` owns the service and guards it with its lock. The main thread opens listeners,
+reloads and runs what is due; the decision thread brings answers and calls; reader threads, one a
+connection, bring what peers send; one writer thread sends on to slow peers.
+"""
+
+import secrets
+import socket
+import threading
+from collections.abc import Callable
+from queue import SimpleQueue
+
+from stepstream.config.node_config import NodeConfig
+from stepstream.config.operator_file import GearmanSection, split_address
+from stepstream.core.commands import Answer
+from stepstream.core.requests import Call
+from stepstream.gearman import codec
+from stepstream.gearman.connection import GearmanConnection
+from stepstream.gearman.jobs import Job
+from stepstream.gearman.peers import Peer
+from stepstream.gearman.service import GearmanService
+from stepstream.gearman.state import ServiceHost
+from stepstream.gearman.writer import THREAD_NAME, Writer
+from stepstream.http.server import InboundServer
+from stepstream.model.events import HealthChecked
+from stepstream.ports.access_control import AccessControl
+from stepstream.ports.connections import ListenerSpec
+from stepstream.runtime.threads import spawn_thread
+from stepstream.runtime.transport import Transport
+
+OVERLOAD_RESPONSE = codec.error("SERVER_FULL", "refused: too many connections")
+REQUEST_ID_BYTES = 8  # random ones
+
+
+class GearmanFront:
+    """Listens for Gearman's peers, and carries the core's calls to its workers; a `ports.Carrier`.
+
+    `lock` guards the service and `connections`. The server's lock may be taken under it, and so may
+    a connection's.
+    """
+
+    def __init__(
+        self,
+        section: GearmanSection,
+        config: NodeConfig,
+        server: InboundServer,
+        signals: "SimpleQueue[int]",
+        pending_event_count: Callable[[], int],
+        access_control: AccessControl | None = None,
+    ) -> None:
+        """`pending_event_count`: how many events the core has yet to take; any thread."""
+        self.server = server
+        self.signals = signals
+        self.pending_event_count = pending_event_count
+        self.address = split_address(section.listen)
+        self.lock = threading.RLock()
+        self.connections: dict[Peer, GearmanConnection] = {}
+        self.writer = Writer()
+        host = ServiceHost(
+            new_request_id=lambda: secrets.token_hex(REQUEST_ID_BYTES),
+            is_overloaded=server.is_overloaded,
+            is_closing=lambda: server.state.closing,
+            on_answer=self._on_answer,
+            on_progress=self._on_progress,
+            access_control=access_control,
+        )
+        self.service = GearmanService(config.name, section, config.settings, server.limits, host)
+
+    # -- the main thread --------------------------------------------------------------------------
+
+    def listen(self) -> ListenerSpec:
+        """Open the listener and start the writer thread; OSError if the address cannot be had."""
+        spec = self.server.listen(
+            self.address, self._connection_factory(Transport), lambda: OVERLOAD_RESPONSE
+        )
+        spawn_thread(THREAD_NAME, self.writer.run)  # this front's, for as long as the process
+        return spec
+
+    def listen_with_transport(
+        self, address: tuple[str, int], create_transport: Callable[[socket.socket], Transport]
+    ) -> ListenerSpec:
+        """Listen over another kind of transport; OSError if the address cannot be had.
+
+        Its connections are closed without an answer when the budget is spent.
+        """
+        no_response = bytes
+        return self.server.listen(address, self._connection_factory(create_transport), no_response)
+
+    def _connection_factory(
+        self, create_transport: Callable[[socket.socket], Transport]
+    ) -> Callable[[socket.socket, bool], GearmanConnection]:
+        def create_connection(sock: socket.socket, is_external: bool) -> GearmanConnection:  # noqa: FBT001  as ListenerSpec calls it
+            return GearmanConnection(create_transport(sock), self, is_external=is_external)
+
+        return create_connection
+
+    def reconfigure(self, section: GearmanSection, config: NodeConfig) -> None:
+        """Apply a reload; open jobs, workers and connections stay as they are."""
+        with self.lock:
+            self.service.reconfigure(section, config.settings, self.server.limits)
+
+    def run_periodic_tasks(self) -> None:
+        """End what has gone on for too long."""
+        with self.lock:
+            self.service.run_periodic_tasks(self.now_us())
+            self.flush()
+
+    # -- any thread -------------------------------------------------------------------------------
+
+    def now_us(self) -> int:
+        """Return the time on the node's clock in microseconds."""
+        return self.server.clock.now_us()
+
+    def flush(self) -> None:
+        """Send and post the service's output.
+
+        The caller holds the lock, so that bytes and events leave in the order in which they became
+        due.
+        """
+        output = self.service.take_output()
+        for send in output.sends:
+            connection = self.connections.get(send.peer)
+            if connection is not None:
+                connection.send(send.data, close=send.close)
+        for event in output.events:
+            self.server.post(event)
+
+    # -- the decision thread ----------------------------------------------------------------------
+
+    def _on_answer(self, job: Job, answer: Answer) -> None:
+        with self.lock:
+            self.service.answer(self.now_us(), job, answer)
+            self.flush()
+
+    def _on_progress(self, job: Job, numerator: int, denominator: int) -> None:
+        with self.lock:
+            self.service.progress(job, numerator, denominator)
+            self.flush()
+
+    def start(self, call: Call) -> None:
+        """Queue a call for its worker."""
+        with self.lock:
+            self.service.start(self.now_us(), call)
+            self.flush()
+
+    def stop(self, call: Call) -> None:
+        """Give a call up; one that its worker has begun goes on there."""
+        with self.lock:
+            self.service.stop(call)
+
+    def check_health(self, worker: str) -> None:
+        """Report a worker healthy if it is connected: Gearman has no probe of a worker."""
+        with self.lock:
+            is_connected = worker in self.service.state.workers.by_id
+            self.server.post(HealthChecked(worker, is_connected))
--- /dev/null
+++ b/stepstream/gearman/job_assignment.py
@@ -0,0 +1,89 @@
+"""Job assignment: calls of the core wait for their worker and are assigned by its GRAB_JOB.
+
+The decision thread starts and stops calls, reader threads bring the workers' packets, all under the
+lock of the front that owns the service.
+"""
+
+from stepstream.core.events import CallTimeoutSet, JobNotification, JobStatus
+from stepstream.core.requests import Call
+from stepstream.gearman import codec
+from stepstream.gearman.access import AccessChecks
+from stepstream.gearman.codec import Kind, Packet
+from stepstream.gearman.peers import AssignedCall, Peer, Worker
+from stepstream.gearman.state import ServiceState
+
+GRABS = frozenset((Kind.GRAB_JOB, Kind.GRAB_JOB_UNIQ, Kind.GRAB_JOB_ALL))
+NO_REDUCER = ""
+
+
+class JobAssignment:
+    """Queues calls for workers, wakes workers that sleep, and assigns jobs to those that ask."""
+
+    def __init__(self, state: ServiceState, access: AccessChecks) -> None:
+        self.state = state
+        self.access = access
+
+    def start(self, now_us: int, call: Call) -> None:
+        """Queue a call for its worker, and wake the worker if it sleeps."""
+        request = call.request
+        settings = request.settings or self.state.settings  # a reload may have moved the class
+        class_name = settings.classes[request.job_class].name
+        tenant = settings.tenant_name(request.tenant)
+        ended = self.state.workers.enqueue(now_us, call, class_name, tenant)
+        self.state.output.post_all(ended)
+        if not ended:
+            self.wake(self.state.workers.by_id[call.worker_id])
+
+    def stop(self, call: Call) -> None:
+        """Drop a call that the core gave up; one that is assigned goes on at its worker."""
+        self.state.workers.stop(call)
+
+    def pre_sleep(self, _now_us: int, peer: Peer, _packet: Packet) -> None:
+        """Take PRE_SLEEP: the worker waits for a NOOP, which it gets at once if it has work."""
+        if peer.worker is not None:
+            peer.worker.asleep = True
+            self.wake(peer.worker)
+
+    def grab(self, now_us: int, peer: Peer, packet: Packet) -> None:
+        """Answer GRAB_JOB in any of its forms by a JOB_ASSIGN or NO_JOB."""
+        worker = peer.worker
+        if worker is None:
+            self.state.output.send(peer, codec.answer(Kind.NO_JOB))
+            return
+        self.access.check_worker(now_us, worker)
+        assigned = self.state.workers.assign(now_us, worker, self.state.new_handle())
+        if assigned is None:
+            self.state.output.send(peer, codec.answer(Kind.NO_JOB))
+            return
+        call = assigned.call
+        self.state.output.send(peer, assignment_packet(assigned, packet.kind))
+        self.state.output.post(JobNotification(call.request.id, call.worker_id, JobStatus.STARTED))
+        timeout_us = worker.timeouts_us.get(assigned.function, 0)
+        if timeout_us:
+            self.state.output.post(CallTimeoutSet(call, now_us + timeout_us))
+
+    def wake(self, worker: Worker) -> None:
+        """Send a worker a NOOP if it sleeps and has work; no other worker is woken."""
+        if self.state.workers.take_wakeup(worker):
+            self.state.output.send(worker.peer, codec.answer(Kind.NOOP))
+
+    def expire_queued(self, now_us: int) -> None:
+        """End the calls that no GRAB_JOB came for in time."""
+        self.state.output.post_all(self.state.workers.expire_queued(now_us))
+
+
+def assignment_packet(assigned: AssignedCall, grab: Kind) -> bytes:
+    """Return the JOB_ASSIGN packet that answers this form of GRAB_JOB."""
+    request = assigned.call.request
+    payload = request.payload
+    unique = payload.idempotency_key or request.id
+    handle = assigned.handle
+    function = assigned.function
+    match grab:
+        case Kind.GRAB_JOB_UNIQ:
+            return codec.answer(Kind.JOB_ASSIGN_UNIQ, handle, function, unique, payload.body)
+        case Kind.GRAB_JOB_ALL:
+            return codec.answer(
+                Kind.JOB_ASSIGN_ALL, handle, function, unique, NO_REDUCER, payload.body
+            )
+    return codec.answer(Kind.JOB_ASSIGN, handle, function, payload.body)
--- a/stepstream/gearman/names.py
+++ b/stepstream/gearman/names.py
@@ -1,76 +1,93 @@
-"""What names mean on this wire: functions as classes and tenants, a worker's client id; free of I/O."""
+"""What names mean on this wire: functions as job classes and tenants, client ids of workers.
+
+There is no state here; any thread may call the functions.
+"""
 
 import re
+from collections.abc import Container
 from dataclasses import dataclass
 
 from stepstream.config.operator_file import WorkerDefaults
-from stepstream.gearman.codec import GearmanError
+from stepstream.gearman.errors import RequestError
 from stepstream.model.settings import Settings
 
 CLIENT_ID = re.compile(r"[!-:<-~]{1,64}")  # printable, no space and no semicolon
-MOST_SLOTS = 1024
+CLIENT_ID_KEYS = ("zone", "kind", "cell", "slots", "weight", "start")
+MAX_SLOTS = 1024
+MAX_SLOT_DIGITS = 9  # further ones are not read
+MAX_CELL = 2**31
+MIN_WEIGHT = 1e-6
+MAX_WEIGHT = 1e6
+MAX_START_MS = 2**53
+MILLISECOND_US = 1000
 
 
 @dataclass(frozen=True, slots=True)
-class Target:
-    """What a function stands for, by places in the settings."""
+class FunctionName:
+    """The parts of a function's name; `tenant` is None where it names none."""
 
-    job_class: int
-    tenant: int
+    class_name: str
+    tenant: str | None
     slots: float
 
 
 @dataclass(frozen=True, slots=True)
-class Function:
-    """A function's name taken apart; `tenant` None: it names none."""
+class FunctionTarget:
+    """What a function stands for, by index into the settings."""
 
-    kind: str
-    tenant: str | None
+    job_class: int
+    tenant: int
     slots: float
 
 
-def split_function(name: bytes, settings: Settings) -> Function:
-    """`CLASS`, `TENANT/CLASS`, each with `+N` behind it for a job of N slots."""
+def parse_function(name: bytes, settings: Settings) -> FunctionName:
+    """Parse `CLASS` or `TENANT/CLASS`, each with `+N` behind it for a job of N slots."""
     text = name.decode("utf-8", "replace")
-    whole, plus, slots = text.partition("+")
-    if plus and not (slots.isascii() and slots.isdigit() and 1 <= int(slots[:9]) <= MOST_SLOTS):
-        raise GearmanError(
-            "BAD_FUNCTION", f"{text}: the slots behind + are a number from 1 to {MOST_SLOTS}"
-        )
-    tenant, slash, kind = whole.rpartition("/")
-    if kind not in settings.class_names:
-        raise GearmanError(
+    full_name, plus, slots = text.partition("+")
+    if plus:
+        is_number = slots.isascii() and slots.isdigit()
+        if not is_number or not 1 <= int(slots[:MAX_SLOT_DIGITS]) <= MAX_SLOTS:
+            raise RequestError(
+                "BAD_FUNCTION", f"{text}: the slots behind + are a number from 1 to {MAX_SLOTS}"
+            )
+    tenant, slash, class_name = full_name.rpartition("/")
+    if class_name not in settings.class_names:
+        raise RequestError(
             "UNKNOWN_FUNCTION",
             f"{text}: no such class; there are {', '.join(settings.class_names)}",
         )
-    return Function(kind, tenant if slash else None, float(slots or 1))
+    return FunctionName(class_name, tenant if slash else None, float(slots or 1))
 
 
-def find_target(function: Function, settings: Settings, tenant: str) -> Target:
-    """`tenant`: whose job it is."""
+def find_target(function: FunctionName, settings: Settings, tenant: str) -> FunctionTarget:
+    """Return what a function stands for in a job of `tenant`."""
     if settings.tenants and tenant not in settings.tenants:
-        fault = f"no such tenant {tenant}" if tenant else "a function here is TENANT/CLASS"
-        raise GearmanError("UNKNOWN_FUNCTION", f"{function.kind}: {fault}")
-    place = settings.tenants.index(tenant) if settings.tenants else 0
-    return Target(settings.class_names.index(function.kind), place, function.slots)
+        reason = f"no such tenant {tenant}" if tenant else "a function here is TENANT/CLASS"
+        raise RequestError("UNKNOWN_FUNCTION", f"{function.class_name}: {reason}")
+    tenant_index = settings.tenants.index(tenant) if settings.tenants else 0
+    job_class = settings.class_names.index(function.class_name)
+    return FunctionTarget(job_class, tenant_index, function.slots)
 
 
-def function_name(settings: Settings, job_class: int, tenant: int) -> str:
-    """The full name, as `status` lists it."""
-    name = settings.tenant_name(tenant)
-    return (
-        f"{name}/{settings.classes[job_class].name}" if name else settings.classes[job_class].name
-    )
+def full_function_name(settings: Settings, job_class: int, tenant: int) -> str:
+    """Return the name of a class and tenant by index, as the text command `status` lists it."""
+    class_name = settings.classes[job_class].name
+    tenant_name = settings.tenant_name(tenant)
+    return f"{tenant_name}/{class_name}" if tenant_name else class_name
 
 
-def registered_name(runs: "dict[str, int]", kind: str, tenant: str) -> str | None:
-    """The name under which a worker knows a job of this class: what it registered, the narrower first."""
-    return next((name for name in (f"{tenant}/{kind}", kind) if name in runs), None)
+def registered_name(functions: Container[str], class_name: str, tenant: str) -> str | None:
+    """Return the name under which a worker registered a class, the narrower first, or None."""
+    candidates = (f"{tenant}/{class_name}", class_name)
+    return next((name for name in candidates if name in functions), None)
 
 
 @dataclass(frozen=True, slots=True)
-class Identity:
-    """What a worker says of itself by SET_CLIENT_ID, with the file's defaults for what it leaves out."""
+class WorkerIdentity:
+    """What a worker's client id says of it, with the operator file's defaults for the rest.
+
+    `zone` and `kind` are indexes into the settings.
+    """
 
     name: str
     zone: int
@@ -81,60 +98,77 @@
     started_us: int
 
 
-def read_client_id(
-    data: bytes, settings: Settings, defaults: WorkerDefaults, now_us: int
-) -> Identity:
-    """`ID` or `ID;zone=Z;kind=K;cell=N;slots=N;weight=W;start=MS`, each part once and in any order.
+def parse_client_id(
+    client_id: bytes, settings: Settings, defaults: WorkerDefaults, now_us: int
+) -> WorkerIdentity:
+    """Parse `ID` or `ID;zone=Z;kind=K;cell=N;slots=N;weight=W;start=MS`.
 
-    `start` is the worker's last start in Unix milliseconds. Without it the connection is taken for the start,
-    and one in the future is taken for now: a worker is cold rather than trusted too early.
+    Each field comes at most once, in any order. `start` is the worker's last start in Unix
+    milliseconds. Without it the connection counts as the start, and a start in the future counts as
+    now: a worker is cold rather than trusted too early.
     """
-    text = data.decode("utf-8", "replace")
-    name, *parts = text.split(";")
+    name, *parts = client_id.decode("utf-8", "replace").split(";")
     if not CLIENT_ID.fullmatch(name):
-        raise GearmanError(
+        raise RequestError(
             "BAD_CLIENT_ID", "the id has 1 to 64 printable characters, none a space or semicolon"
         )
-    said: dict[str, str] = {}
-    for part in parts:
-        key, equals, value = part.partition("=")
-        if key not in FIELDS or not equals or key in said:
-            raise GearmanError(
-                "BAD_CLIENT_ID", f"'{part}' is none of {', '.join(FIELDS)}, or comes twice"
-            )
-        said[key] = value
-    start_ms = figure("start", said.get("start", "0"), 0, 2**53, whole=True)
-    return Identity(
+    fields = _split_fields(parts)
+    start_ms = _parse_integer("start", fields.get("start", "0"), 0, MAX_START_MS)
+    return WorkerIdentity(
         name=name,
-        zone=place("zone", said.get("zone", defaults.zone), settings.zones),
-        kind=place("kind", said.get("kind", defaults.kind), settings.worker_kinds),
-        cell=int(figure("cell", said.get("cell", str(defaults.cell)), 0, 2**31, whole=True)),
-        slots=int(
-            figure("slots", said.get("slots", str(defaults.slots)), 1, MOST_SLOTS, whole=True)
+        zone=_index_of("zone", fields.get("zone", defaults.zone), settings.zones),
+        kind=_index_of("kind", fields.get("kind", defaults.kind), settings.worker_kinds),
+        cell=_parse_integer("cell", fields.get("cell", str(defaults.cell)), 0, MAX_CELL),
+        slots=_parse_integer("slots", fields.get("slots", str(defaults.slots)), 1, MAX_SLOTS),
+        weight=_parse_float(
+            "weight", fields.get("weight", str(defaults.weight)), MIN_WEIGHT, MAX_WEIGHT
         ),
-        weight=figure("weight", said.get("weight", str(defaults.weight)), 1e-6, 1e6),
-        started_us=min(int(start_ms) * 1000, now_us) if start_ms else now_us,
+        started_us=min(start_ms * MILLISECOND_US, now_us) if start_ms else now_us,
     )
 
 
-FIELDS = ("zone", "kind", "cell", "slots", "weight", "start")
+def _split_fields(parts: list[str]) -> dict[str, str]:
+    fields: dict[str, str] = {}
+    for part in parts:
+        key, equals, value = part.partition("=")
+        if key not in CLIENT_ID_KEYS or not equals or key in fields:
+            raise RequestError(
+                "BAD_CLIENT_ID", f"'{part}' is none of {', '.join(CLIENT_ID_KEYS)}, or comes twice"
+            )
+        fields[key] = value
+    return fields
 
 
-def place(key: str, value: str, known: tuple[str, ...]) -> int:
-    if not value:
+def _index_of(key: str, name: str, known_names: tuple[str, ...]) -> int:
+    """Return a name's index; that of the first for no name."""
+    if not name:
         return 0
-    if value not in known:
-        raise GearmanError("BAD_CLIENT_ID", f"{key}={value} is not in the settings")
-    return known.index(value)
+    if name not in known_names:
+        raise RequestError("BAD_CLIENT_ID", f"{key}={name} is not in the settings")
+    return known_names.index(name)
 
 
-def figure(key: str, value: str, least: float, most: float, whole: bool = False) -> float:
+def _parse_integer(key: str, text: str, minimum: int, maximum: int) -> int:
     try:
-        number = int(value) if whole else float(value)
+        number = int(text)
     except ValueError:
-        number = None
-    if number is None or not least <= number <= most:
-        raise GearmanError(
-            "BAD_CLIENT_ID", f"{key}={value} is not a number from {least:g} to {most:g}"
-        )
+        raise _not_a_number(key, text, minimum, maximum) from None
+    if not minimum <= number <= maximum:
+        raise _not_a_number(key, text, minimum, maximum)
     return number
+
+
+def _parse_float(key: str, text: str, minimum: float, maximum: float) -> float:
+    try:
+        number = float(text)
+    except ValueError:
+        raise _not_a_number(key, text, minimum, maximum) from None
+    if not minimum <= number <= maximum:  # nor is NaN
+        raise _not_a_number(key, text, minimum, maximum)
+    return number
+
+
+def _not_a_number(key: str, text: str, minimum: float, maximum: float) -> RequestError:
+    return RequestError(
+        "BAD_CLIENT_ID", f"{key}={text} is not a number from {minimum:g} to {maximum:g}"
+    )
--- /dev/null
+++ b/stepstream/gearman/notifications.py
@@ -0,0 +1,134 @@
+"""What clients are sent about their jobs: WORK_* packets and the answers to status requests.
+
+The core's answers and progress come on the decision thread, requests on reader threads, all under
+the lock of the front that owns the service.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from stepstream.core.commands import Answer
+from stepstream.core.events import ClientDisconnected
+from stepstream.gearman import codec
+from stepstream.gearman.access import AccessChecks
+from stepstream.gearman.codec import Kind, Packet
+from stepstream.gearman.jobs import Job, JobStage
+from stepstream.gearman.peers import Peer
+from stepstream.gearman.state import ServiceState
+from stepstream.ports.payload import ChunkedResult, result_bytes
+
+SECOND_US = 1e6
+
+
+@dataclass(slots=True)
+class JobResponseSink:
+    """Where the core answers a job: a `ports.ResponseSink` that passes on to the front."""
+
+    job: Job
+    on_answer: Callable[[Job, Answer], None]
+    on_progress: Callable[[Job, int, int], None]
+
+    def answer(self, answer: Answer) -> None:
+        """Pass on the final answer."""
+        self.on_answer(self.job, answer)
+
+    def progress(self, done: int, of: int) -> None:
+        """Pass on the job's progress."""
+        self.on_progress(self.job, done, of)
+
+
+class ClientNotifier:
+    """Ends jobs and notifies the clients that wait for them."""
+
+    def __init__(self, state: ServiceState, access: AccessChecks) -> None:
+        self.state = state
+        self.access = access
+
+    def send_outcome(self, now_us: int, job: Job, answer: Answer) -> None:
+        """End a job by the core's answer; each submission that waits for it gets the outcome."""
+        clients = self.state.jobs.finish(job, answer, now_us)
+        self._notify_outcome(clients, job, answer.result)
+
+    def send_progress(self, job: Job, numerator: int, denominator: int) -> None:
+        """Send an open job's progress, once to each client."""
+        if job.stage is not JobStage.OPEN:
+            return
+        job.numerator = numerator
+        job.denominator = denominator
+        for peer in dict.fromkeys(job.clients):
+            self.state.output.send(
+                peer, codec.answer(Kind.WORK_STATUS, job.handle, numerator, denominator)
+            )
+
+    def cancel(self, now_us: int, job: Job) -> None:
+        """Cancel a job for an operator: its clients get a failure, its calls are given up."""
+        job.exception = b"cancelled by an operator"
+        self._notify_outcome(self._give_up(job, now_us), job, None)
+
+    def remove_client(self, peer: Peer) -> None:
+        """Give up the jobs that only a client that has disconnected waited for."""
+        for job in self.state.jobs.remove_client(peer):
+            self._give_up(job, 0)  # foreground jobs: the time of their end is not kept
+
+    def send_status(self, _now_us: int, peer: Peer, packet: Packet) -> None:
+        """Answer GET_STATUS."""
+        (handle,) = packet.args
+        job = self.state.jobs.by_handle.get(handle.decode("ascii", "replace"))
+        self.access.check_job_access(peer, job)
+        self.state.output.send(peer, codec.answer(Kind.STATUS_RES, handle, *status_of(job)))
+
+    def send_status_by_unique(self, _now_us: int, peer: Peer, packet: Packet) -> None:
+        """Answer GET_STATUS_UNIQUE for the latest job of a unique id."""
+        (unique,) = packet.args
+        job = self.state.jobs.latest_by_unique.get(unique)
+        self.access.check_job_access(peer, job)
+        client_count = len(job.clients) if job else 0
+        self.state.output.send(
+            peer, codec.answer(Kind.STATUS_RES_UNIQUE, unique, *status_of(job), client_count)
+        )
+
+    def _give_up(self, job: Job, now_us: int) -> list[Peer]:
+        request = job.request
+        clients = self.state.jobs.end(job, JobStage.FAILED, now_us)
+        if request is not None:
+            self.state.output.post(ClientDisconnected(request))
+        return clients
+
+    def _notify_outcome(self, clients: list[Peer], job: Job, result: object) -> None:
+        for peer in clients:
+            for data in outcome_packets(job, result, exceptions=peer.session.exceptions):
+                self.state.output.send(peer, data)
+
+
+def outcome_packets(job: Job, result: object, *, exceptions: bool) -> list[bytes]:
+    """Return the packets of an ended job's outcome: the table of docs/gearman.md, "Outcomes".
+
+    `exceptions`: the client has asked for WORK_EXCEPTION.
+    """
+    if job.stage is JobStage.SERVED:
+        return _result_packets(job.handle, result)
+    if job.stage is JobStage.REJECTED:
+        reason = f"refused retry-after={job.retry_after_us / SECOND_US:.3f}".encode()
+    else:
+        reason = b"failed " + job.exception if job.exception else b"failed"
+    kind = Kind.WORK_EXCEPTION if exceptions else Kind.WORK_WARNING
+    return [
+        codec.answer(kind, job.handle, reason),
+        codec.answer(Kind.WORK_FAIL, job.handle),
+    ]
+
+
+def _result_packets(handle: str, result: object) -> list[bytes]:
+    if not isinstance(result, ChunkedResult):
+        return [codec.answer(Kind.WORK_COMPLETE, handle, result_bytes(result))]
+    packets = []
+    for chunk in result.chunks:
+        kind = Kind.WORK_WARNING if chunk.warning else Kind.WORK_DATA
+        packets.append(codec.answer(kind, handle, chunk.data))
+    packets.append(codec.answer(Kind.WORK_COMPLETE, handle, result.last))
+    return packets
+
+
+def status_of(job: Job | None) -> tuple[int, int, int, int]:
+    """Return known, running, numerator and denominator, as STATUS_RES has them."""
+    return job.status() if job else (0, 0, 0, 0)
--- /dev/null
+++ b/stepstream/gearman/peers.py
@@ -0,0 +1,90 @@
+"""Records of a connection and of the worker that it may be; free of I/O.
+
+The tables of `jobs` and `workers` and the service's parts share them, all under the lock of the
+front that owns the service. Times are microseconds on the node's clock.
+"""
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+
+from stepstream.core.requests import Call
+from stepstream.gearman.names import WorkerIdentity
+from stepstream.gearman.session import Session
+from stepstream.model.endpoints import Endpoint, EndpointState
+from stepstream.ports.access_control import Credential
+from stepstream.ports.payload import ResultChunk
+
+
+@dataclass(eq=False, slots=True)
+class QueuedCall:
+    """A call that waits for its worker's next GRAB_JOB; it has provably not run."""
+
+    call: Call
+    class_name: str
+    tenant: str
+    queued_at_us: int
+
+
+@dataclass(eq=False, slots=True)
+class AssignedCall:
+    """A call whose job was assigned to its worker; it may have run."""
+
+    call: Call
+    handle: str  # the job handle that the worker was given
+    function: str  # under the name that the worker registered
+    chunks: list[ResultChunk] = field(default_factory=list)  # of WORK_DATA and WORK_WARNING
+    chunk_bytes: int = 0
+
+
+@dataclass(eq=False, slots=True)
+class Worker:
+    """A connection in its role as a worker, from its first CAN_DO on."""
+
+    peer: "Peer"
+    worker_id: str  # its id in the core for as long as it is connected
+    identity: WorkerIdentity
+    timeouts_us: dict[str, int] = field(default_factory=dict)  # by registered function; 0 for none
+    queue: deque[QueuedCall] = field(default_factory=deque)
+    assigned: dict[str, AssignedCall] = field(default_factory=dict)  # by job handle
+    ended_handles: OrderedDict[str, None] = field(default_factory=OrderedDict)  # oldest first
+    asleep: bool = False  # it sent PRE_SLEEP and waits for a NOOP
+
+    def endpoint(self, state: EndpointState | None = None) -> Endpoint:
+        """Return it as the core's endpoint; without a registered function it drains."""
+        identity = self.identity
+        default_state = EndpointState.ACTIVE if self.timeouts_us else EndpointState.DRAINING
+        return Endpoint(
+            worker_id=self.worker_id,
+            zone=identity.zone,
+            worker_kind=identity.kind,
+            cell=identity.cell,
+            state=state or default_state,
+            weight=identity.weight,
+            started_us=identity.started_us,
+            supported_jobs=frozenset(self.timeouts_us),
+        )
+
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether it may be assigned one more job."""
+        return len(self.assigned) < self.identity.slots
+
+
+@dataclass(eq=False, slots=True)
+class Peer:
+    """A connection as the service knows it: a client, a worker, an operator, or all of them."""
+
+    session: Session
+    host: str = ""
+    number: int = 0  # of all connections since the start
+    client_id: bytes = b""  # as SET_CLIENT_ID gave it
+    token: bytes | None = None
+    certificate: object = None  # set by the connection's reader thread before its first packet
+    authorized_at_us: int = 0  # when its credential was last found good for its worker id
+    worker: Worker | None = None
+    disconnected: bool = False
+
+    @property
+    def credential(self) -> Credential:
+        """What it has presented to identify itself."""
+        return Credential(self.token, self.certificate)
--- /dev/null
+++ b/stepstream/gearman/service.py
@@ -0,0 +1,151 @@
+"""The Gearman service without its sockets: packets, answers and calls in, packets and events out.
+
+Routes what comes to the part that handles it. The front that owns the service guards it with one
+lock: reader threads bring packets, the decision thread answers and calls, the main thread reloads
+and runs what is due. It never waits; `take_output` returns what has become due.
+"""
+
+from collections.abc import Callable
+
+from stepstream.config.limits import Limits
+from stepstream.config.operator_file import GearmanSection
+from stepstream.core.commands import Answer
+from stepstream.core.requests import Call
+from stepstream.gearman.access import AccessChecks
+from stepstream.gearman.admin import AdminCommands
+from stepstream.gearman.codec import Kind, Packet
+from stepstream.gearman.errors import GearmanError
+from stepstream.gearman.job_admission import SUBMISSIONS, JobAdmission
+from stepstream.gearman.job_assignment import GRABS, JobAssignment
+from stepstream.gearman.jobs import Job
+from stepstream.gearman.notifications import ClientNotifier
+from stepstream.gearman.peers import Peer
+from stepstream.gearman.session import Session
+from stepstream.gearman.state import Output, ServiceHost, ServiceState
+from stepstream.gearman.text_commands import (
+    TextCommand,
+    error_line,
+    parse_command,
+    unknown_command_error,
+)
+from stepstream.gearman.work_reports import WORK_REPORTS, WorkReports
+from stepstream.gearman.worker_registry import WorkerRegistry
+from stepstream.model.settings import Settings
+
+PacketHandler = Callable[[int, Peer, Packet], None]  # given the time in microseconds
+
+
+class GearmanService:
+    """All that is decided about Gearman's clients, workers and jobs."""
+
+    def __init__(
+        self,
+        name: str,
+        section: GearmanSection,
+        settings: Settings,
+        limits: Limits,
+        host: ServiceHost,
+    ) -> None:
+        """`name`: of this dispatcher, part of each job handle."""
+        self.state = ServiceState(name, section, settings, limits, host)
+        self.access = AccessChecks(self.state)
+        self.admission = JobAdmission(self.state, self.access)
+        self.registry = WorkerRegistry(self.state, self.access)
+        self.assignment = JobAssignment(self.state, self.access)
+        self.reports = WorkReports(self.state, self.assignment)
+        self.notifier = ClientNotifier(self.state, self.access)
+        self.admin = AdminCommands(self.state, self.notifier)
+        # Of ALL_YOURS nothing depends: it says that the worker has no other server.
+        self.handlers: dict[Kind, PacketHandler] = {
+            **dict.fromkeys(SUBMISSIONS, self.admission.submit),
+            **dict.fromkeys(GRABS, self.assignment.grab),
+            **dict.fromkeys(WORK_REPORTS, self.reports.report),
+            Kind.OPTION_REQ: self.access.set_token,
+            Kind.GET_STATUS: self.notifier.send_status,
+            Kind.GET_STATUS_UNIQUE: self.notifier.send_status_by_unique,
+            Kind.PRE_SLEEP: self.assignment.pre_sleep,
+            Kind.SET_CLIENT_ID: self.registry.set_client_id,
+            Kind.CAN_DO: self.registry.can_do,
+            Kind.CAN_DO_TIMEOUT: self.registry.can_do,
+            Kind.CANT_DO: self.registry.cant_do,
+            Kind.RESET_ABILITIES: self.registry.reset_abilities,
+        }
+
+    def reconfigure(self, section: GearmanSection, settings: Settings, limits: Limits) -> None:
+        """Apply a reload; open jobs and connected workers stay as they are."""
+        self.state.reconfigure(section, settings, limits)
+
+    def take_output(self) -> Output:
+        """Return what has become due since the last call: bytes by peer, and events, in order."""
+        return self.state.take_output()
+
+    # -- connections ------------------------------------------------------------------------------
+
+    def connect(self, session: Session, host: str) -> Peer:
+        """Take note of a new connection."""
+        self.state.peer_count += 1
+        peer = Peer(session, host, self.state.peer_count)
+        self.state.peers[peer] = None
+        return peer
+
+    def disconnect(self, peer: Peer) -> None:
+        """End what a connection had open: foreground jobs of its own, and its calls as a worker."""
+        if peer.disconnected:
+            return
+        peer.disconnected = True
+        self.state.peers.pop(peer, None)
+        self.notifier.remove_client(peer)
+        self.registry.remove(peer)
+
+    def send(self, peer: Peer, data: bytes, *, close: bool = False) -> None:
+        """Send a peer bytes in order with all else that it is sent."""
+        self.state.output.send(peer, data, close=close)
+
+    def on_packet(self, now_us: int, peer: Peer, packet: Packet) -> None:
+        """Handle a packet; errors are answered, those of the framing have ended it before this."""
+        handler = self.handlers.get(packet.kind)
+        if handler is None:
+            return
+        try:
+            handler(now_us, peer, packet)
+        except GearmanError as error:
+            reply = peer.session.reply_to_error(error)
+            self.send(peer, reply.data, close=reply.close)
+
+    def on_text_command(self, now_us: int, peer: Peer, words: tuple[str, ...]) -> bool:
+        """Run a text command; return whether the program is to shut down."""
+        if words[0] != TextCommand.VERSION.value:
+            rejection = self.access.authorize_command(peer, words)
+            if rejection is not None:
+                self.send(peer, error_line(rejection.kind.value, rejection.reason).encode())
+                return False
+        parsed = parse_command(words)
+        if parsed is None:
+            self.send(peer, unknown_command_error().encode())
+            return False
+        text, shuts_down = self.admin.run(now_us, *parsed)
+        self.send(peer, text.encode())
+        return shuts_down
+
+    # -- the core ---------------------------------------------------------------------------------
+
+    def answer(self, now_us: int, job: Job, answer: Answer) -> None:
+        """Take the core's final answer to a job."""
+        self.notifier.send_outcome(now_us, job, answer)
+
+    def progress(self, job: Job, numerator: int, denominator: int) -> None:
+        """Take the progress of a job."""
+        self.notifier.send_progress(job, numerator, denominator)
+
+    def start(self, now_us: int, call: Call) -> None:
+        """Queue a call for its worker."""
+        self.assignment.start(now_us, call)
+
+    def stop(self, call: Call) -> None:
+        """Give a call up."""
+        self.assignment.stop(call)
+
+    def run_periodic_tasks(self, now_us: int) -> None:
+        """End what has gone on for too long."""
+        self.assignment.expire_queued(now_us)
+        self.state.jobs.expire_outcomes(now_us)
--- a/stepstream/gearman/session.py
+++ b/stepstream/gearman/session.py
@@ -1,17 +1,21 @@
-"""One connection as a state machine: bytes in, steps out; it knows no socket and no table of jobs.
+"""One Gearman connection as a state machine without I/O: bytes in, steps out.
 
-What concerns the connection alone is answered here (ECHO_REQ, OPTION_REQ, what is not known or not
-offered); the rest passes on, checked. Framing in doubt ends the connection, and nothing behind it is
-parsed.
+What concerns the connection alone is answered here (ECHO_REQ, OPTION_REQ, what is unknown or not
+offered); the rest passes on, checked. Framing in doubt ends the connection, and nothing behind it
+is parsed. The connection's reader thread feeds it under the front's lock; its flags may be read
+without.
 """
 
 from dataclasses import dataclass
 
 from stepstream.config.limits import Limits
-from stepstream.gearman import admin, codec
-from stepstream.gearman.codec import GearmanError, Kind, Line, Packet, Parser, Unknown
+from stepstream.gearman import codec
+from stepstream.gearman.codec import Kind, Line, Packet, Parser, Unknown
+from stepstream.gearman.errors import GearmanError, RequestError
+from stepstream.gearman.text_commands import parse_command, unknown_command_error
 
-TOKEN = b"token:"
+TOKEN_OPTION = b"token:"
+EXCEPTIONS_OPTION = b"exceptions"
 NOT_OFFERED = {
     Kind.SUBMIT_REDUCE_JOB: "map and reduce",
     Kind.SUBMIT_REDUCE_JOB_BACKGROUND: "map and reduce",
@@ -22,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """Bytes due at once; `close`: and nothing after them."""
+    """Bytes to send at once; after those with `close`, nothing more is sent."""
 
     data: bytes
     close: bool = False
@@ -32,71 +36,79 @@
 
 
 class Session:
+    """What has been received on a connection, and what it has turned on."""
+
     def __init__(self, limits: Limits) -> None:
-        self.limits, self.parser = limits, Parser(limits)
-        self.closed = False
-        self.proven = False  # it has brought a message that means something: it is no stranger
-        self.exceptions = False  # OPTION_REQ: WORK_EXCEPTION is sent
-        self.errors = 0
+        self.limits = limits
+        self.parser = Parser(limits)
+        self.closed = False  # its last reply is given
+        self.has_sent_work = False  # it has sent a message that means something
+        self.exceptions = False  # WORK_EXCEPTION is sent, by OPTION_REQ
+        self.error_count = 0
 
     @property
-    def between(self) -> bool:
-        """Nothing is half read."""
+    def is_idle(self) -> bool:
+        """Whether no message is partly received."""
         return self.parser.idle
 
     def feed(self, data: bytes) -> list[Step]:
+        """Take received bytes; return the steps that they complete, in order."""
         if self.closed:
             return []
         self.parser.feed(data)
         steps: list[Step] = []
         try:
             while not self.closed and (item := self.parser.next()) is not None:
-                steps.append(self.read(item))
-        except GearmanError as fault:
-            steps.append(self.end(fault))
+                steps.append(self._step_for(item))
+        except GearmanError as error:
+            steps.append(self.close_with_error(error))
         return steps
 
-    def end(self, fault: GearmanError) -> Reply:
-        """The last word; what stands behind it is not parsed."""
+    def close_with_error(self, error: GearmanError) -> Reply:
+        """Return the last reply; what stands behind the error is not parsed."""
         self.closed = True
-        return Reply(codec.error(fault.code, str(fault)), close=True)
+        return Reply(codec.error(error.code, str(error)), close=True)
+
+    def reply_to_error(self, error: GearmanError) -> Reply:
+        """Return the reply to an error that leaves the framing whole.
 
-    def read(self, item: codec.Item) -> Step:
+        A peer that makes too many errors is ended.
+        """
+        self.error_count += 1
+        if self.error_count >= self.limits.gearman.errors_per_connection:
+            return self.close_with_error(error)
+        return Reply(codec.error(error.code, str(error)))
+
+    def _step_for(self, item: codec.Item) -> Step:
         match item:
-            case Line(words) if admin.find(words) is None:
-                # Guards against another protocol's words, in whose body packets may be hidden.
-                self.closed = True
-                return Reply(admin.unknown().encode(), close=True)
-            case Line():
-                self.proven = True
-                return item
+            case Line(words):
+                if parse_command(words) is None:
+                    # Guards against a request of another protocol, whose body may hide packets.
+                    self.closed = True
+                    return Reply(unknown_command_error().encode(), close=True)
             case Unknown(number):
-                return self.fault(
-                    GearmanError(
+                return self.reply_to_error(
+                    RequestError(
                         "UNKNOWN_COMMAND", f"there is no packet of type {number} from here"
                     )
                 )
             case Packet(Kind.ECHO_REQ, (data,)):
                 return Reply(codec.answer(Kind.ECHO_RES, data))
-            case Packet(Kind.OPTION_REQ, (option,)) if option.startswith(TOKEN):
-                return item  # who is calling: the desk's to answer, and proof of nothing yet
             case Packet(Kind.OPTION_REQ, (option,)):
-                if option != b"exceptions":
-                    return self.fault(
-                        GearmanError("UNKNOWN_OPTION", "the one option is 'exceptions'")
-                    )
-                self.exceptions = True
-                return Reply(codec.answer(Kind.OPTION_RES, option))
+                return self._step_for_option(item, option)
             case Packet(kind) if kind in NOT_OFFERED:
-                return self.fault(
-                    GearmanError("NOT_OFFERED", f"{kind.name}: {NOT_OFFERED[kind]} are not offered")
+                return self.reply_to_error(
+                    RequestError("NOT_OFFERED", f"{kind.name}: {NOT_OFFERED[kind]} are not offered")
                 )
-        self.proven = True
+        self.has_sent_work = True
         return item
 
-    def fault(self, fault: GearmanError) -> Reply:
-        """An error that leaves the framing whole; a peer that makes nothing else is ended."""
-        self.errors += 1
-        if self.errors >= self.limits.gearman.errors_per_connection:
-            return self.end(fault)
-        return Reply(codec.error(fault.code, str(fault)))
+    def _step_for_option(self, packet: Packet, option: bytes) -> Step:
+        if option.startswith(TOKEN_OPTION):
+            return packet  # the service takes the token; it does not count as work yet
+        if option != EXCEPTIONS_OPTION:
+            return self.reply_to_error(
+                RequestError("UNKNOWN_OPTION", "the one option is 'exceptions'")
+            )
+        self.exceptions = True
+        return Reply(codec.answer(Kind.OPTION_RES, option))
--- /dev/null
+++ b/stepstream/gearman/state.py
@@ -0,0 +1,117 @@
+"""What the parts of the Gearman service share: its tables, its configuration and its output.
+
+One `ServiceState` a service. The front that owns the service guards it with its lock: connections'
+reader threads bring packets, the decision thread answers and calls, the main thread reloads and
+runs what is due. Nothing here waits.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from stepstream.config.limits import Limits
+from stepstream.config.operator_file import GearmanSection
+from stepstream.core.commands import Answer
+from stepstream.core.events import Event
+from stepstream.gearman.jobs import Job, JobTable
+from stepstream.gearman.peers import Peer
+from stepstream.gearman.workers import WorkerTable
+from stepstream.model.settings import Settings
+from stepstream.ports.access_control import AccessControl
+
+SOURCE = "gearman"  # the name of the front for access control, and of its workers in the core
+SECOND_US = 1_000_000
+MILLISECOND_US = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Bytes for a peer; with `close`, nothing is sent after them."""
+
+    peer: Peer
+    data: bytes
+    close: bool = False
+
+
+@dataclass(slots=True)
+class Output:
+    """What has become due: bytes for peers and events for the core, each in order."""
+
+    sends: list[Send] = field(default_factory=list)
+    events: list[Event] = field(default_factory=list)
+
+    def send(self, peer: Peer, data: bytes, *, close: bool = False) -> None:
+        """Add bytes for a peer, unless it has disconnected."""
+        if not peer.disconnected:
+            self.sends.append(Send(peer, data, close))
+
+    def post(self, event: Event) -> None:
+        """Add an event."""
+        self.events.append(event)
+
+    def post_all(self, events: Iterable[Event]) -> None:
+        """Add events."""
+        self.events.extend(events)
+
+
+@dataclass(slots=True)
+class ServiceHost:
+    """What the service uses of the program around it."""
+
+    new_request_id: Callable[[], str]  # an id that no other request has and nobody guesses
+    is_overloaded: Callable[[], bool]  # no place for one more open request
+    is_closing: Callable[[], bool]  # some time after SIGTERM: no new jobs
+    # The core's answer to a job and its progress; called on the decision thread.
+    on_answer: Callable[[Job, Answer], None]
+    on_progress: Callable[[Job, int, int], None]
+    access_control: AccessControl | None = None  # None: peers are not identified
+
+
+class ServiceState:
+    """The tables, configuration and output of one service."""
+
+    def __init__(
+        self,
+        name: str,
+        section: GearmanSection,
+        settings: Settings,
+        limits: Limits,
+        host: ServiceHost,
+    ) -> None:
+        """`name`: of this dispatcher, part of each job handle."""
+        self.name = name
+        self.section = section
+        self.settings = settings
+        self.limits = limits
+        self.host = host
+        self.jobs = JobTable(section.keep_s * SECOND_US, section.keep_most)
+        self.workers = WorkerTable(
+            section.queue,
+            section.queue_wait_ms * MILLISECOND_US,
+            limits.gearman.partial_result_bytes,
+        )
+        self.peers: dict[Peer, None] = {}  # a dict for its order
+        self.max_queue: dict[str, int] = {}  # by function, set by the text command
+        self.peer_count = 0  # since the start
+        self.handle_count = 0  # since the start
+        self.output = Output()
+
+    def reconfigure(self, section: GearmanSection, settings: Settings, limits: Limits) -> None:
+        """Apply a reload; open jobs and connected workers stay as they are."""
+        self.section = section
+        self.settings = settings
+        self.limits = limits
+        self.jobs.retention_us = section.keep_s * SECOND_US
+        self.jobs.max_retained = section.keep_most
+        self.workers.queue_length = section.queue
+        self.workers.queue_wait_us = section.queue_wait_ms * MILLISECOND_US
+
+    def new_handle(self) -> str:
+        """Return a job handle that was never given before."""
+        self.handle_count += 1
+        return f"H:{self.name}:{self.handle_count}"
+
+    def take_output(self) -> Output:
+        """Return what has become due since the last call."""
+        output = self.output
+        self.output = Output()
+        return output
--- a/stepstream/gearman/subsystem.py
+++ b/stepstream/gearman/subsystem.py
@@ -1,11 +1,16 @@
-"""How `[gearman]` plugs into the node: a front and a carrier."""
+"""How `[gearman]` plugs into the node: a front and a carrier.
+
+The node's main thread creates and calls it.
+"""
 
 import socket
 from collections.abc import Callable, Sequence
+from typing import cast
 
 from stepstream.config.node_config import NodeConfig
-from stepstream.config.operator_file import OperatorConfig, require_unchanged
-from stepstream.gearman.driver import SOURCE, GearmanSide
+from stepstream.config.operator_file import GearmanSection, OperatorConfig, require_unchanged
+from stepstream.gearman.front import GearmanFront
+from stepstream.gearman.state import SOURCE
 from stepstream.ports.connections import BoundListener, ListenerSpec
 from stepstream.ports.subsystem import Subsystem
 from stepstream.runtime.transport import Transport
@@ -13,34 +18,61 @@
 
 
 class GearmanSubsystem(Subsystem):
-    def __init__(self, host: SubsystemContext) -> None:
-        self.host = host
-        section, gate = host.operator.gearman, host.server.state.access_control
-        self.side = GearmanSide(
-            section, host.config, host.server, host.signals, host.events.qsize, gate
+    """The Gearman front of one dispatcher."""
+
+    def __init__(self, context: SubsystemContext) -> None:
+        self.context = context
+        self.section = section_of(context.operator)
+        self.front = GearmanFront(
+            self.section,
+            context.config,
+            context.server,
+            context.signals,
+            context.events.qsize,
+            context.server.state.access_control,
         )
-        host.carriers[SOURCE] = self.side
+        context.carriers[SOURCE] = self.front
 
     def open_listeners(self) -> Sequence[BoundListener]:
-        listen = self.host.operator.gearman.listen
+        """Open the listener of `gearman.listen`."""
         return (
-            open_listener("gearman.listen", listen, lambda _: self.side.listen(), " for Gearman"),
+            open_listener(
+                "gearman.listen",
+                self.section.listen,
+                lambda _: self.front.listen(),
+                " for Gearman",
+            ),
         )
 
     def listen_with_transport(
-        self, address: tuple[str, int], link: Callable[[socket.socket], Transport]
+        self, address: tuple[str, int], create_transport: Callable[[socket.socket], Transport]
     ) -> ListenerSpec:
-        return self.side.listen_with_transport(address, link)
+        """Listen for Gearman over another kind of transport; the identity subsystem calls it."""
+        return self.front.listen_with_transport(address, create_transport)
 
     def prepare_reload(
         self, config: NodeConfig, operator: OperatorConfig | None
     ) -> Callable[[], None]:
-        require_unchanged("gearman.listen", self.host.operator, operator)
-        return lambda: self.side.reconfigure(operator.gearman, config)
+        """Check that the address stays; return what puts the new section into force."""
+        # With this subsystem there is an operator's file, before and after the reload.
+        current = cast("OperatorConfig", self.context.operator)
+        reloaded = cast("OperatorConfig", operator)
+        require_unchanged("gearman.listen", current, reloaded)
+        section = section_of(reloaded)
+        return lambda: self.front.reconfigure(section, config)
 
     def run_periodic_tasks(self) -> None:
-        self.side.look()
+        """End what has gone on for too long."""
+        self.front.run_periodic_tasks()
+
+
+def section_of(operator: OperatorConfig | None) -> GearmanSection:
+    """Return `[gearman]`, without which the node does not make this subsystem."""
+    assert operator is not None
+    assert operator.gearman is not None
+    return operator.gearman
 
 
-def create_subsystem(host: SubsystemContext) -> GearmanSubsystem:
-    return GearmanSubsystem(host)
+def create_subsystem(context: SubsystemContext) -> GearmanSubsystem:
+    """Create the subsystem of `[gearman]`; the node calls it."""
+    return GearmanSubsystem(context)
--- /dev/null
+++ b/stepstream/gearman/work_reports.py
@@ -0,0 +1,88 @@
+"""Work reports: what workers send about the jobs that are assigned to them.
+
+Data and warnings are kept until the outcome, so that a client gets those of the attempt that served
+its job and of no other. Reader threads call it, under the lock of the front that owns the service.
+"""
+
+from stepstream.core.events import CallEnded, JobNotification, JobStatus
+from stepstream.gearman.codec import Kind, Packet, parse_number
+from stepstream.gearman.errors import RequestError
+from stepstream.gearman.job_assignment import JobAssignment
+from stepstream.gearman.notifications import JobResponseSink
+from stepstream.gearman.peers import AssignedCall, Peer, Worker
+from stepstream.gearman.state import ServiceState
+from stepstream.model.events import AttemptResult
+from stepstream.ports.payload import ChunkedResult, ResultChunk
+
+WORK_REPORTS = frozenset(
+    (
+        Kind.WORK_STATUS,
+        Kind.WORK_DATA,
+        Kind.WORK_WARNING,
+        Kind.WORK_COMPLETE,
+        Kind.WORK_FAIL,
+        Kind.WORK_EXCEPTION,
+    )
+)
+
+
+class WorkReports:
+    """Takes the WORK_* packets of workers, and reports on their calls to the core."""
+
+    def __init__(self, state: ServiceState, assignment: JobAssignment) -> None:
+        self.state = state
+        self.assignment = assignment
+
+    def report(self, _now_us: int, peer: Peer, packet: Packet) -> None:
+        """Take a report on an assigned job; one on a job that has ended is ignored."""
+        worker = peer.worker
+        if worker is None:
+            raise RequestError(
+                "JOB_NOT_FOUND", "this connection is no worker: it has said no CAN_DO"
+            )
+        handle, *args = packet.args
+        assigned = self.state.workers.find_assigned(worker, handle)
+        if assigned is None:
+            return  # reported twice, or a WORK_FAIL behind its WORK_EXCEPTION
+        match packet.kind:
+            case Kind.WORK_STATUS:
+                self._report_progress(assigned, *args)
+            case Kind.WORK_DATA | Kind.WORK_WARNING:
+                chunk = ResultChunk(args[0], warning=packet.kind is Kind.WORK_WARNING)
+                self._add_chunk(worker, assigned, chunk)
+            case Kind.WORK_COMPLETE:
+                self._complete(worker, assigned, args[0])
+            case _:
+                self._fail(worker, assigned, args[0] if args else b"")
+        self.assignment.wake(worker)
+
+    def _report_progress(
+        self, assigned: AssignedCall, numerator: bytes, denominator: bytes
+    ) -> None:
+        progress = parse_number("numerator", numerator), parse_number("denominator", denominator)
+        call = assigned.call
+        self.state.output.post(
+            JobNotification(call.request.id, call.worker_id, JobStatus.RUNNING, progress=progress)
+        )
+
+    def _add_chunk(self, worker: Worker, assigned: AssignedCall, chunk: ResultChunk) -> None:
+        if self.state.workers.add_chunk(assigned, chunk):
+            return
+        self._fail(worker, assigned, b"its pieces are too large")
+        max_bytes = self.state.limits.gearman.partial_result_bytes
+        raise RequestError("RESULT_TOO_LARGE", f"a job's pieces have at most {max_bytes} bytes")
+
+    def _complete(self, worker: Worker, assigned: AssignedCall, last: bytes) -> None:
+        self.state.workers.end_assigned(worker, assigned)
+        call = assigned.call
+        result = ChunkedResult(tuple(assigned.chunks), last)
+        self.state.output.post(
+            JobNotification(call.request.id, call.worker_id, JobStatus.DONE, result)
+        )
+
+    def _fail(self, worker: Worker, assigned: AssignedCall, exception: bytes) -> None:
+        sink = assigned.call.request.response_sink
+        if exception and isinstance(sink, JobResponseSink):
+            sink.job.exception = exception
+        self.state.workers.end_assigned(worker, assigned)
+        self.state.output.post(CallEnded(assigned.call, AttemptResult.ERROR))
--- /dev/null
+++ b/stepstream/gearman/worker_registry.py
@@ -0,0 +1,109 @@
+"""The worker registry: who a worker is, which functions it registered, and when it is gone.
+
+Changes go to the core as updates of the endpoint list, before the calls that they end. Reader
+threads call it, under the lock of the front that owns the service.
+"""
+
+import re
+from dataclasses import replace
+
+from stepstream.core.endpoint_set import EndpointsUpdated
+from stepstream.gearman.access import AccessChecks
+from stepstream.gearman.codec import Packet, parse_number
+from stepstream.gearman.errors import RequestError
+from stepstream.gearman.names import parse_client_id
+from stepstream.gearman.peers import Peer, Worker
+from stepstream.gearman.state import SECOND_US, SOURCE, ServiceState
+from stepstream.model.endpoints import EndpointList, EndpointListKind, EndpointState
+
+FUNCTION_NAME = re.compile(r"[!-*,-~]{1,128}")  # printable, no space and no +
+NO_TIMEOUT = b"0"
+
+
+class WorkerRegistry:
+    """Takes SET_CLIENT_ID, CAN_DO, CANT_DO and their like."""
+
+    def __init__(self, state: ServiceState, access: AccessChecks) -> None:
+        self.state = state
+        self.access = access
+
+    def set_client_id(self, now_us: int, peer: Peer, packet: Packet) -> None:
+        """Take SET_CLIENT_ID; a worker with another identity leaves and joins as another worker."""
+        (client_id,) = packet.args
+        identity = parse_client_id(
+            client_id, self.state.settings, self.state.section.worker, now_us
+        )
+        peer.client_id = client_id
+        worker = peer.worker
+        if worker is None:
+            return
+        # Its start counts from the first id, where the client id does not give one.
+        if worker.identity == replace(identity, started_us=worker.identity.started_us):
+            return
+        if worker.assigned:
+            raise RequestError("BAD_CLIENT_ID", "a worker that holds jobs keeps its id")
+        timeouts_us = worker.timeouts_us
+        self.remove(peer)
+        new_worker = self._worker_of(now_us, peer)
+        new_worker.timeouts_us.update(timeouts_us)
+        self._announce(new_worker)
+
+    def can_do(self, now_us: int, peer: Peer, packet: Packet) -> None:
+        """Register a function: CAN_DO, or CAN_DO_TIMEOUT with seconds."""
+        function_name, *timeouts = packet.args
+        function = function_name.decode("utf-8", "replace")
+        if not FUNCTION_NAME.fullmatch(function):
+            raise RequestError(
+                "BAD_FUNCTION", "a function's name has 1 to 128 printable characters, none a +"
+            )
+        timeout_seconds = parse_number("timeout", timeouts[0] if timeouts else NO_TIMEOUT)
+        worker = self._worker_of(now_us, peer)
+        max_functions = self.state.limits.gearman.functions_per_worker
+        if function not in worker.timeouts_us and len(worker.timeouts_us) >= max_functions:
+            raise RequestError("TOO_MANY_FUNCTIONS", f"a worker names at most {max_functions}")
+        self.state.workers.add_function(worker, function, timeout_seconds * SECOND_US)
+        self._announce(worker)
+
+    def cant_do(self, _now_us: int, peer: Peer, packet: Packet) -> None:
+        """Remove a function of a worker."""
+        self._remove_functions(peer, packet.args[0].decode("utf-8", "replace"))
+
+    def reset_abilities(self, _now_us: int, peer: Peer, _packet: Packet) -> None:
+        """Remove all functions of a worker."""
+        self._remove_functions(peer, None)
+
+    def remove(self, peer: Peer) -> None:
+        """Remove a peer's worker, if it is one."""
+        worker = peer.worker
+        peer.worker = None
+        if worker is not None:
+            # The endpoint first: the calls that end must not be pushed here again.
+            self._announce(worker, EndpointState.REMOVED)
+            self.state.output.post_all(self.state.workers.remove(worker))
+
+    def _remove_functions(self, peer: Peer, function: str | None) -> None:
+        """Drain a worker of one function, or of all."""
+        worker = peer.worker
+        if worker is not None:
+            ended = self.state.workers.remove_functions(worker, function)
+            self._announce(worker)
+            self.state.output.post_all(ended)
+
+    def _worker_of(self, now_us: int, peer: Peer) -> Worker:
+        """Return a peer's worker; make it one if it is none yet."""
+        if peer.worker is not None:
+            return peer.worker
+        max_workers = self.state.limits.gearman.workers
+        if len(self.state.workers.by_id) >= max_workers:
+            raise RequestError("TOO_MANY_WORKERS", f"at most {max_workers} workers may join here")
+        client_id = peer.client_id or f"c{peer.number}".encode()
+        identity = parse_client_id(
+            client_id, self.state.settings, self.state.section.worker, now_us
+        )
+        self.access.check_new_worker(peer, identity.name)
+        peer.worker = self.state.workers.add(peer, identity)
+        return peer.worker
+
+    def _announce(self, worker: Worker, state: EndpointState | None = None) -> None:
+        change = EndpointList(EndpointListKind.CHANGES, (worker.endpoint(state),))
+        self.state.output.post(EndpointsUpdated(SOURCE, change))
--- a/stepstream/gearman/workers.py
+++ b/stepstream/gearman/workers.py
@@ -1,206 +1,160 @@
-"""Gearman workers: their queues, what they hold and when they are woken; free of I/O.
+"""Gearman's workers: their queues, what is assigned to them and when they are woken; free of I/O.
 
-The module pushes, Gearman's workers pull: a push waits here for its worker's next GRAB_JOB. Up to the hand-
-over the job has provably never run; from then on it may have.
+The policy pushes, Gearman's workers pull: a call waits here for its worker's next GRAB_JOB. Up to
+the assignment the job has provably never run; from then on it may have.
+
+The service owns the table; all access is under the lock of its front. Methods that end calls return
+the events to post to the core.
 """
 
-from collections import OrderedDict, deque
-from dataclasses import dataclass, field
+from collections import deque
 
+from stepstream.core.events import CallEnded
 from stepstream.core.requests import Call
-from stepstream.gearman.codec import GearmanError
-from stepstream.gearman.names import Identity, registered_name
-from stepstream.model.endpoints import Endpoint, EndpointState
+from stepstream.gearman.errors import RequestError
+from stepstream.gearman.names import WorkerIdentity, registered_name
+from stepstream.gearman.peers import AssignedCall, Peer, QueuedCall, Worker
 from stepstream.model.events import AttemptResult
-from stepstream.ports.payload import ChunkedResult, ResultChunk
-
-ENDED_KEPT = 64  # handles whose late words are passed over in silence
-SECOND_US = 1_000_000
-
-
-@dataclass(eq=False, slots=True)
-class Waiting:
-    call: Call
-    kind: str  # the class by name
-    tenant: str
-    since_us: int
-
-
-@dataclass(eq=False, slots=True)
-class Assigned:
-    call: Call
-    handle: str
-    function: str
-    pieces: list[ResultChunk] = field(default_factory=list)
-    size: int = 0
-    given_up: bool = False
-
-
-@dataclass(eq=False, slots=True)
-class Member:
-    """One connection of a worker. Its key is its id at the module for as long as it is a member."""
-
-    owner: object  # its connection
-    key: str
-    identity: Identity
-    runs: dict[str, int] = field(
-        default_factory=dict
-    )  # function: its time-out in microseconds, 0 for none
-    queue: deque[Waiting] = field(default_factory=deque)
-    assigned: dict[str, Assigned] = field(default_factory=dict)
-    ended: OrderedDict[str, None] = field(default_factory=OrderedDict)
-    asleep: bool = False
-
-    def entry(self, state: EndpointState | None = None) -> Endpoint:
-        told = self.identity
-        return Endpoint(
-            worker_id=self.key,
-            zone=told.zone,
-            worker_kind=told.kind,
-            cell=told.cell,
-            state=state or (EndpointState.ACTIVE if self.runs else EndpointState.DRAINING),
-            weight=told.weight,
-            started_us=told.started_us,
-            supported_jobs=frozenset(self.runs),
-        )
-
-    @property
-    def has_slot(self) -> bool:
-        return len(self.assigned) < self.identity.slots
-
-
-@dataclass(frozen=True, slots=True)
-class Ended:
-    """A call that is over here, and what that proves."""
-
-    call: Call
-    result: AttemptResult
-
-
-class WorkerTable:
-    """Its methods return what the module is to be told; a call is in one place only, queue or assigned."""
-
-    def __init__(self, queue: int, queue_wait_us: int, most_pieces: int) -> None:
-        self.queue, self.queue_wait_us, self.most_pieces = queue, queue_wait_us, most_pieces
-        self.members: dict[str, Member] = {}
+from stepstream.ports.payload import ResultChunk
 
-    def key_for(self, name: str) -> str:
-        """Guards an id that two connections claim: each is a worker of its own, none takes over."""
-        key, n = f"gearman:{name}", 1
-        while key in self.members:
-            n += 1
-            key = f"gearman:{name}~{n}"
-        return key
+MAX_ENDED_HANDLES = 64  # a worker's ended jobs whose late reports are ignored without an error
 
-    def join(self, owner: object, identity: Identity) -> Member:
-        member = Member(owner, self.key_for(identity.name), identity)
-        self.members[member.key] = member
-        return member
 
-    # -- what it runs -------------------------------------------------------------------------------------
-
-    def able(self, member: Member, function: str, timeout_us: int) -> None:
-        member.runs[function] = timeout_us
-
-    def unable(self, member: Member, function: str | None) -> list[Ended]:
-        """CANT_DO, or RESET_ABILITIES for None: what waits for that goes back at once, what runs goes on."""
+class WorkerTable:
+    """All connected workers; a call is in one place only, queued or assigned."""
+
+    def __init__(self, queue_length: int, queue_wait_us: int, max_chunk_bytes: int) -> None:
+        """`queue_length`: calls beyond a worker's slots; `max_chunk_bytes`: of one job."""
+        self.queue_length = queue_length
+        self.queue_wait_us = queue_wait_us
+        self.max_chunk_bytes = max_chunk_bytes
+        self.by_id: dict[str, Worker] = {}
+
+    # -- registration -----------------------------------------------------------------------------
+
+    def add(self, peer: Peer, identity: WorkerIdentity) -> Worker:
+        """Enter a connection as a worker."""
+        worker = Worker(peer, self._free_id(identity.name), identity)
+        self.by_id[worker.worker_id] = worker
+        return worker
+
+    def _free_id(self, name: str) -> str:
+        """Return an id for a worker; two connections of one name are two workers."""
+        worker_id = f"gearman:{name}"
+        number = 1
+        while worker_id in self.by_id:
+            number += 1
+            worker_id = f"gearman:{name}~{number}"
+        return worker_id
+
+    def remove(self, worker: Worker) -> list[CallEnded]:
+        """Forget a worker; its queued calls have never run, its assigned ones may have."""
+        self.by_id.pop(worker.worker_id, None)
+        ended = [CallEnded(queued.call, AttemptResult.NOT_SENT) for queued in worker.queue]
+        ended += [CallEnded(each.call, AttemptResult.RESET) for each in worker.assigned.values()]
+        worker.queue.clear()
+        worker.assigned.clear()
+        return ended
+
+    def add_function(self, worker: Worker, function: str, timeout_us: int) -> None:
+        """Register a function of a worker; `timeout_us` 0 for no timeout."""
+        worker.timeouts_us[function] = timeout_us
+
+    def remove_functions(self, worker: Worker, function: str | None) -> list[CallEnded]:
+        """Remove a function, or all for None; queued calls of those end, assigned ones go on."""
         if function is None:
-            member.runs.clear()
+            worker.timeouts_us.clear()
         else:
-            member.runs.pop(function, None)
-        kept, back = deque(), []
-        for waiting in member.queue:
-            if registered_name(member.runs, waiting.kind, waiting.tenant) is None:
-                back.append(Ended(waiting.call, AttemptResult.NOT_SENT))
+            worker.timeouts_us.pop(function, None)
+        remaining: deque[QueuedCall] = deque()
+        ended = []
+        for queued in worker.queue:
+            if registered_name(worker.timeouts_us, queued.class_name, queued.tenant) is None:
+                ended.append(CallEnded(queued.call, AttemptResult.NOT_SENT))
             else:
-                kept.append(waiting)
-        member.queue = kept
-        return back
-
-    def leave(self, member: Member) -> list[Ended]:
-        """Its connection has ended: what waited has never run, what it held may have."""
-        self.members.pop(member.key, None)
-        over = [Ended(waiting.call, AttemptResult.NOT_SENT) for waiting in member.queue]
-        over += [Ended(a.call, AttemptResult.RESET) for a in member.assigned.values()]
-        member.queue.clear()
-        member.assigned.clear()
-        return over
-
-    # -- calls --------------------------------------------------------------------------------------------
-
-    def push(self, now_us: int, call: Call, kind: str, tenant: str) -> list[Ended]:
-        member = self.members.get(call.worker_id)
-        if member is None or registered_name(member.runs, kind, tenant) is None:
-            return [Ended(call, AttemptResult.NOT_SENT)]
-        # Given up or not, the worker still works on it: this wire cannot recall it.
-        if any(held.call.request is call.request for held in member.assigned.values()):
-            return [Ended(call, AttemptResult.NOT_SENT)]
-        if len(member.queue) + len(member.assigned) >= member.identity.slots + self.queue:
-            return [Ended(call, AttemptResult.FULL)]
-        member.queue.append(Waiting(call, kind, tenant, now_us))
+                remaining.append(queued)
+        worker.queue = remaining
+        return ended
+
+    # -- calls ------------------------------------------------------------------------------------
+
+    def enqueue(self, now_us: int, call: Call, class_name: str, tenant: str) -> list[CallEnded]:
+        """Queue a call for its worker, or end it at once if the worker cannot take it."""
+        worker = self.by_id.get(call.worker_id)
+        if worker is None or registered_name(worker.timeouts_us, class_name, tenant) is None:
+            return [CallEnded(call, AttemptResult.NOT_SENT)]
+        # Given up or not, the worker still works on it: the protocol cannot recall a job.
+        if any(each.call.request is call.request for each in worker.assigned.values()):
+            return [CallEnded(call, AttemptResult.NOT_SENT)]
+        if len(worker.queue) + len(worker.assigned) >= worker.identity.slots + self.queue_length:
+            return [CallEnded(call, AttemptResult.FULL)]
+        worker.queue.append(QueuedCall(call, class_name, tenant, now_us))
         return []
 
-    def wakes(self, member: Member) -> bool:
-        """Whether it is to get a NOOP now; only the one that has work is ever woken, and once."""
-        if not (member.asleep and member.queue and member.has_slot):
+    def take_wakeup(self, worker: Worker) -> bool:
+        """Return whether to send a worker a NOOP now: once, and only if it has work and a slot."""
+        if not (worker.asleep and worker.queue and worker.has_free_slot):
             return False
-        member.asleep = False
+        worker.asleep = False
         return True
 
-    def grab(self, now_us: int, member: Member, handle: str) -> Assigned | None:
-        """The hand-over: the last look at whether the job is still wanted here."""
-        member.asleep = False
-        if not member.has_slot:
+    def assign(self, now_us: int, worker: Worker, handle: str) -> AssignedCall | None:
+        """Assign a worker its next queued call under a job handle; None if there is none.
+
+        Calls that are not needed any more are dropped here: this is the last check.
+        """
+        worker.asleep = False
+        if not worker.has_free_slot:
             return None
-        while member.queue:
-            waiting = member.queue.popleft()
-            function = registered_name(member.runs, waiting.kind, waiting.tenant)
-            if function is not None and waiting.call.open and now_us < waiting.call.deadline_us:
-                held = member.assigned[handle] = Assigned(waiting.call, handle, function)
-                return held
+        while worker.queue:
+            queued = worker.queue.popleft()
+            call = queued.call
+            function = registered_name(worker.timeouts_us, queued.class_name, queued.tenant)
+            if function is not None and call.open and now_us < call.deadline_us:
+                assigned = AssignedCall(call, handle, function)
+                worker.assigned[handle] = assigned
+                return assigned
         return None
 
     def stop(self, call: Call) -> None:
-        """Given up by the core. What waits is taken back; what runs cannot be recalled on this wire."""
-        member = self.members.get(call.worker_id)
-        if member is None:
-            return
-        member.queue = deque(waiting for waiting in member.queue if waiting.call is not call)
-        for held in member.assigned.values():
-            held.given_up = held.given_up or held.call is call
-
-    def overdue(self, now_us: int) -> list[Ended]:
-        """Guards a job against a worker that neither grabs nor goes: it goes back, never run."""
-        over = []
-        for member in self.members.values():
-            while member.queue and now_us - member.queue[0].since_us >= self.queue_wait_us:
-                over.append(Ended(member.queue.popleft().call, AttemptResult.FULL))
-        return over
-
-    # -- a worker's words on what it holds ----------------------------------------------------------------
-
-    def held(self, member: Member, handle: bytes) -> Assigned | None:
-        """None for one that has ended here before; GearmanError for one that was never this connection's."""
-        name = handle.decode("ascii", "replace")
-        if name in member.assigned:
-            return member.assigned[name]
-        if name in member.ended:
+        """Drop a call that the core gave up from its queue; an assigned one cannot be recalled."""
+        worker = self.by_id.get(call.worker_id)
+        if worker is not None:
+            worker.queue = deque(queued for queued in worker.queue if queued.call is not call)
+
+    def expire_queued(self, now_us: int) -> list[CallEnded]:
+        """End the calls that have waited too long for a GRAB_JOB; they have never run."""
+        ended = []
+        for worker in self.by_id.values():
+            while worker.queue and now_us - worker.queue[0].queued_at_us >= self.queue_wait_us:
+                ended.append(CallEnded(worker.queue.popleft().call, AttemptResult.FULL))
+        return ended
+
+    # -- reports on assigned jobs -----------------------------------------------------------------
+
+    def find_assigned(self, worker: Worker, handle: bytes) -> AssignedCall | None:
+        """Return the call of a worker's job handle; None if its job has ended.
+
+        Raise `RequestError` for a handle that was never this connection's.
+        """
+        text = handle.decode("ascii", "replace")
+        if text in worker.assigned:
+            return worker.assigned[text]
+        if text in worker.ended_handles:
             return None
-        raise GearmanError("JOB_NOT_FOUND", "this connection holds no job of that handle")
-
-    def over(self, member: Member, held: Assigned) -> None:
-        del member.assigned[held.handle]
-        member.ended[held.handle] = None
-        while len(member.ended) > ENDED_KEPT:
-            member.ended.popitem(last=False)
-
-    def add_piece(self, held: Assigned, data: bytes, warning: bool) -> bool:
-        """False if the job's pieces are more than are kept for it."""
-        held.size += len(data)
-        if held.size > self.most_pieces:
+        raise RequestError("JOB_NOT_FOUND", "this connection holds no job of that handle")
+
+    def end_assigned(self, worker: Worker, assigned: AssignedCall) -> None:
+        """Free the slot of an assigned call; its handle is remembered for a while."""
+        del worker.assigned[assigned.handle]
+        worker.ended_handles[assigned.handle] = None
+        while len(worker.ended_handles) > MAX_ENDED_HANDLES:
+            worker.ended_handles.popitem(last=False)
+
+    def add_chunk(self, assigned: AssignedCall, chunk: ResultChunk) -> bool:
+        """Keep a chunk of a result; return False if its job's chunks are too large together."""
+        assigned.chunk_bytes += len(chunk.data)
+        if assigned.chunk_bytes > self.max_chunk_bytes:
             return False
-        held.pieces.append(ResultChunk(data, warning))
+        assigned.chunks.append(chunk)
         return True
-
-    def result(self, held: Assigned, last: bytes) -> ChunkedResult:
-        return ChunkedResult(tuple(held.pieces), last)
--- /dev/null
+++ b/stepstream/gearman/writer.py
@@ -0,0 +1,81 @@
+"""The writer thread: sends on to the peers that do not take their bytes at once.
+
+One thread waits on all such peers together, so that none holds up another. It costs nothing while
+every peer takes what it is sent.
+"""
+
+import contextlib
+import os
+import select
+import threading
+from typing import Protocol
+
+from stepstream.runtime.threads import run_guarded
+from stepstream.runtime.transport import Transport
+
+THREAD_NAME = "gearman writer"  # part of the log line of a fault
+WAKE_BYTES = 4096  # read at once of the bytes that wake the thread
+
+
+class UnsentConnection(Protocol):
+    """A connection with unsent bytes, as the writer uses it."""
+
+    transport: Transport
+
+    def send_unsent(self) -> None:
+        """Send what the peer takes now; the writer thread calls it."""
+
+
+class Writer:
+    """The connections that have unsent bytes, and the thread that waits until they are writable.
+
+    A connection holds its own lock while it calls `add` and `remove`. `lock` guards
+    `by_descriptor` and what `poll` is registered for; it is taken last, and held for no call.
+    """
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.poll = select.poll()
+        self.by_descriptor: dict[int, UnsentConnection] = {}
+        self.wake_read, self.wake_write = os.pipe()
+        os.set_blocking(self.wake_write, False)
+        self.poll.register(self.wake_read, select.POLLIN)
+
+    def add(self, connection: UnsentConnection) -> None:
+        """Send on to a connection as soon as it takes bytes; any thread."""
+        with self.lock:
+            descriptor = connection.transport.sock.fileno()
+            if descriptor < 0 or descriptor in self.by_descriptor:
+                return
+            self.by_descriptor[descriptor] = connection
+            self.poll.register(descriptor, select.POLLOUT)
+        # A full pipe wakes the thread all the same.
+        with contextlib.suppress(BlockingIOError):
+            os.write(self.wake_write, b"x")
+
+    def remove(self, connection: UnsentConnection) -> None:
+        """Wait for a connection no more; any thread, before the descriptor is closed.
+
+        Once closed, its number may be another connection's.
+        """
+        with self.lock:
+            descriptor = connection.transport.sock.fileno()
+            if self.by_descriptor.get(descriptor) is connection:
+                del self.by_descriptor[descriptor]
+                self.poll.unregister(descriptor)
+
+    def run(self) -> None:
+        """Serve for ever; the body of the writer thread."""
+        while True:
+            run_guarded(THREAD_NAME, self._serve_writable)
+
+    def _serve_writable(self) -> None:
+        """Wait until connections are writable, and let each send on."""
+        for descriptor, _ in self.poll.poll():
+            if descriptor == self.wake_read:
+                os.read(self.wake_read, WAKE_BYTES)
+                continue
+            # Without the lock: the connection checks by its own whether there is still work.
+            connection = self.by_descriptor.get(descriptor)
+            if connection is not None:
+                connection.send_unsent()
--- a/tests/gearman/test_gearman_codec.py
+++ b/tests/gearman/test_gearman_codec.py
@@ -9,14 +9,14 @@
 from stepstream.gearman.codec import (
     ANSWERS,
     REQUESTS,
-    GearmanError,
     Kind,
     Line,
     Packet,
     Parser,
-    State,
+    ParserState,
     Unknown,
 )
+from stepstream.gearman.errors import FramingError
 from stepstream.gearman.session import Reply, Session
 
 WORD = st.binary(max_size=20).map(lambda data: data.replace(b"\0", b"x"))
@@ -59,9 +59,9 @@
     parser = Parser(LIMITS)
     try:
         feed_split(parser, data, sorted(min(cut, len(data)) for cut in cuts))
-    except GearmanError:
+    except FramingError:
         parser.feed(codec.request(Kind.GRAB_JOB))
-        with pytest.raises(GearmanError):
+        with pytest.raises(FramingError):
             parser.next()
 
 
@@ -110,9 +110,9 @@
 def test_a_size_is_refused_before_its_bytes_are_waited_for():
     parser = Parser(LIMITS)
     parser.feed(codec.HEADER.pack(codec.REQ, Kind.ECHO_REQ, LIMITS.gearman.packet_bytes + 1))
-    with pytest.raises(GearmanError):
+    with pytest.raises(FramingError):
         parser.next()
-    assert parser.state is State.BROKEN
+    assert parser.state is ParserState.BROKEN
 
 
 def test_text_and_packets_mix_on_one_connection():
--- a/tests/gearman_helpers.py
+++ b/tests/gearman_helpers.py
@@ -1,4 +1,4 @@
-"""The core, the module and the Gearman desk on one clock without a socket; peers are lists of packets."""
+"""The core, the policy and the Gearman service on one clock without a socket, and peers for them."""
 
 from dataclasses import replace
 
@@ -11,57 +11,64 @@
 from stepstream.core.events import JobNotification, JobStatus
 from stepstream.gearman import codec
 from stepstream.gearman.codec import Kind, Parser
-from stepstream.gearman.desk import SOURCE, Desk, House
+from stepstream.gearman.service import GearmanService
 from stepstream.gearman.session import Reply, Session
+from stepstream.gearman.state import SOURCE, ServiceHost
 from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind
 from stepstream.model.settings import Effect, JobClass
 
-START = 1_800_000_000_000_000
+START_US = 1_800_000_000_000_000
 SECTION = GearmanSection(listen="127.0.0.1:4730", tenant="tatra-invest", queue=2)
 UNSAFE = JobClass(
     latency_objective_us=200_000, deadline_us=5_000_000, effect=Effect.NOT_IDEMPOTENT, name="once"
 )
-THREE = replace(SETTINGS, classes=(*SETTINGS.classes, UNSAFE), polls_endpoints=False)
+SETTINGS_WITH_UNSAFE = replace(SETTINGS, classes=(*SETTINGS.classes, UNSAFE), polls_endpoints=False)
 
 
-class Plug:
-    """One peer: what it sends goes through its session, what it gets is kept as packets."""
+class FakePeer:
+    """One peer: what it sends goes through its session, what it receives is kept as packets."""
 
-    def __init__(self, floor):
-        self.floor, self.session = floor, Session(LIMITS)
-        self.peer = floor.desk.opened(self.session, "127.0.0.1")
-        self.parser, self.got, self.text, self.ended = Parser(LIMITS, answers=True), [], b"", False
+    def __init__(self, harness):
+        self.harness = harness
+        self.session = Session(LIMITS)
+        self.peer = harness.service.connect(self.session, "127.0.0.1")
+        self.parser = Parser(LIMITS, answers=True)
+        self.received = []
+        self.text = b""
+        self.ended = False
 
     def send(self, kind, *args):
-        return self.raw(codec.request(kind, *args))
+        return self.send_bytes(codec.request(kind, *args))
 
-    def raw(self, data):
-        before = len(self.got)
+    def send_bytes(self, data):
+        before = len(self.received)
         for step in self.session.feed(data):
             if isinstance(step, Reply):
-                self.floor.desk.send(self.peer, step.data, step.close)
+                self.harness.service.send(self.peer, step.data, close=step.close)
             elif isinstance(step, codec.Packet):
-                self.floor.desk.on_packet(self.floor.now, self.peer, step)
+                self.harness.service.on_packet(self.harness.now_us, self.peer, step)
             else:
-                self.floor.shut = self.floor.desk.on_line(self.floor.now, self.peer, step.words)
-        self.floor.settle()
-        return self.got[before:]
+                self.harness.shut_down = self.harness.service.on_text_command(
+                    self.harness.now_us, self.peer, step.words
+                )
+        self.harness.settle()
+        return self.received[before:]
 
-    def take(self, data, close):
+    def receive(self, data, close):
         if data[:1] != b"\0":
             self.text += data
             return
         self.parser.feed(data)
         while (packet := self.parser.next()) is not None:
-            self.got.append(packet)
+            self.received.append(packet)
         self.ended = self.ended or close
 
     def of(self, *kinds):
-        return [packet for packet in self.got if packet.kind in kinds]
+        return [packet for packet in self.received if packet.kind in kinds]
 
-    def leave(self):
-        self.floor.desk.closed(self.peer)
-        self.floor.settle()
+    def disconnect(self):
+        self.harness.service.disconnect(self.peer)
+        self.harness.settle()
 
     def join(self, name="w", *functions, extra=""):
         self.send(Kind.SET_CLIENT_ID, f"{name};start=1{extra}")
@@ -79,82 +86,101 @@
         return packet.args or None
 
 
-class Floor:
-    def __init__(self, settings=THREE, section=SECTION, limits=LIMITS):
-        self.now, self.shut, self.ids = START, False, 0
-        self.faults, self.http, self.stopped = [], [], []
-        self.core = Dispatcher(settings, 1, self.now, 2_000, 4_000, self.faults.append)
-        self.closing = self.full = False
-        house = House(
-            self.new_id, lambda: self.full, lambda: self.closing, self.on_answer, self.on_progress
+class ServiceHarness:
+    """The service, the real core and all peers, on a clock that only the test moves."""
+
+    def __init__(self, settings=SETTINGS_WITH_UNSAFE, section=SECTION, limits=LIMITS):
+        self.now_us = START_US
+        self.shut_down = False
+        self.request_count = 0
+        self.faults = []
+        self.http_calls = []
+        self.stopped_calls = []
+        self.core = Dispatcher(settings, 1, self.now_us, 2_000, 4_000, self.faults.append)
+        self.closing = False
+        self.overloaded = False
+        self.host = ServiceHost(
+            new_request_id=self.new_request_id,
+            is_overloaded=lambda: self.overloaded,
+            is_closing=lambda: self.closing,
+            on_answer=self.on_answer,
+            on_progress=self.on_progress,
         )
-        self.desk = Desk("n0", section, settings, limits, house)
-        self.plugs = []
+        self.service = GearmanService("n0", section, settings, limits, self.host)
+        self.peers = []
 
-    def new_id(self):
-        self.ids += 1
-        return f"{self.ids:016x}"
+    @property
+    def state(self):
+        return self.service.state
+
+    def new_request_id(self):
+        self.request_count += 1
+        return f"{self.request_count:016x}"
 
     def on_answer(self, job, answer):
-        self.desk.answer(self.now, job, answer)
+        self.service.answer(self.now_us, job, answer)
 
     def on_progress(self, job, done, of):
-        self.desk.progress(job, done, of)
+        self.service.progress(job, done, of)
 
-    def plug(self):
-        self.plugs.append(Plug(self))
-        return self.plugs[-1]
+    def connect(self):
+        self.peers.append(FakePeer(self))
+        return self.peers[-1]
 
     def http_worker(self, name="s-1"):
-        self.tell(
+        self.post(
             EndpointsUpdated(
                 "discovery", EndpointList(EndpointListKind.COMPLETE, (Endpoint(name),))
             )
         )
 
-    def tell(self, *events):
+    def post(self, *events):
         self.run(list(events))
         self.settle()
 
     def settle(self):
         while True:
-            out = self.desk.take()
-            for send in out.sends:
-                for plug in self.plugs:
-                    if plug.peer is send.peer:
-                        plug.take(send.data, send.close)
-            if not out.events:
+            output = self.service.take_output()
+            for send in output.sends:
+                for peer in self.peers:
+                    if peer.peer is send.peer:
+                        peer.receive(send.data, send.close)
+            if not output.events:
                 return
-            self.run(out.events)
+            self.run(output.events)
 
     def run(self, events):
-        for command in self.core.handle(self.now, events):
+        for command in self.core.handle(self.now_us, events):
             match command:
                 case StartCall(call):
                     gearman = self.core.endpoints.owner(call.worker_id) == SOURCE
-                    call.carrier = self.desk if gearman else None
-                    self.desk.start(self.now, call) if gearman else self.http.append(call)
+                    call.carrier = self.service if gearman else None
+                    self.service.start(self.now_us, call) if gearman else self.http_calls.append(
+                        call
+                    )
                 case StopCall(call):
-                    self.stopped.append(call)
-                    self.desk.stop(call)
+                    self.stopped_calls.append(call)
+                    self.service.stop(call)
                 case Answer(request):
                     request.response_sink.answer(command)
                 case Progress(request, done, of):
                     request.response_sink.progress(done, of)
 
-    def http_news(self, call, news, result=None, progress=None):
-        self.tell(JobNotification(call.request.id, call.worker_id, news, result, progress))
+    def notify_http(self, call, status, result=None, progress=None):
+        self.post(JobNotification(call.request.id, call.worker_id, status, result, progress))
 
-    def http_done(self, call, result="17.5"):
-        self.http_news(call, JobStatus.DONE, result)
+    def complete_http(self, call, result="17.5"):
+        self.notify_http(call, JobStatus.DONE, result)
 
-    def later(self, us, step=100_000):
+    def advance(self, us, step=100_000):
         """Time passes; timers ring as they come due."""
-        until = self.now + us
-        while self.now < until:
+        until = self.now_us + us
+        while self.now_us < until:
             due = self.core.next_timer_us()
-            self.now = min(until, self.now + step, max(due, self.now + 1) if due else until)
+            self.now_us = min(
+                until, self.now_us + step, max(due, self.now_us + 1) if due else until
+            )
             self.run([])
-            self.desk.look(self.now)
+            self.service.run_periodic_tasks(self.now_us)
             self.settle()
         assert not self.faults
--- a/tests/golden/front_samples.py
+++ b/tests/golden/front_samples.py
@@ -1138,6 +1138,7 @@
 def gearman_read(answers: bool, data: bytes) -> object:
     """What the codec reads: packets as number and arguments, text as words, or the fault's code."""
     from stepstream.gearman import codec
+    from stepstream.gearman.errors import GearmanError
 
     parser, found = codec.Parser(LIMITS, answers=answers), []
     parser.feed(data)
@@ -1150,7 +1151,7 @@
                     found.append({"unknown": number})
                 case codec.Line(words):
                     found.append({"words": list(words)})
-    except codec.GearmanError as fault:
+    except GearmanError as fault:
         found.append({"fault": fault.code})
     return found
 
@@ -1159,37 +1160,37 @@
     """What each peer gets after each step: (peer, bytes that it sends), ("later", microseconds) or
     ("answer", (outcome, result, microseconds to wait)) of the first job.
 
-    The steps play on the desk, the core and the module without a socket.
+    The steps play on the service, the core and the policy without a socket.
     """
-    from gearman_helpers import Floor, Plug
+    from gearman_helpers import FakePeer, ServiceHarness
 
     got: list[list[str]] = []
 
-    class Recorder(Plug):
-        """A peer of the floor that keeps the bytes that it is sent."""
+    class Recorder(FakePeer):
+        """A peer of the harness that keeps the bytes that it is sent."""
 
-        def take(self, data: bytes, close: bool) -> None:
+        def receive(self, data: bytes, close: bool) -> None:
             got.append([self.name, text_of(data), "close" if close else "stays"])
 
-    floor, peers, told = Floor(), {}, []
+    harness, peers, told = ServiceHarness(), {}, []
     if guarded is not None:
-        floor.desk.house.gate = guarded.gate
+        harness.host.access_control = guarded.gate
     for peer, what in script:
         got.clear()
         if peer == "later":
-            floor.later(what)
+            harness.advance(what)
         elif peer == "answer":
-            job = next(iter(floor.desk.jobs.by_handle.values()))
+            job = next(iter(harness.state.jobs.by_handle.values()))
             outcome, result, pause_us = what
             answer = Answer(job.request, Outcome(outcome), result, pause_us)
-            floor.desk.answer(floor.now, job, answer)
-            floor.settle()
+            harness.service.answer(harness.now_us, job, answer)
+            harness.settle()
         else:
             if peer not in peers:
-                peers[peer] = Recorder(floor)
+                peers[peer] = Recorder(harness)
                 peers[peer].name = peer
-                floor.plugs.append(peers[peer])
-            peers[peer].raw(what)
+                harness.peers.append(peers[peer])
+            peers[peer].send_bytes(what)
         told.append([list(row) for row in got])
     return told
 
