--- a/stepstream/gearman/access.py
+++ b/stepstream/gearman/access.py
@@ -68,12 +68,12 @@
         _raise_if(access_control.authorize_worker(SOURCE, peer.credential, worker.identity.name))
         peer.authorized_at_us = now_us
 
-    def authorize_command(self, peer: Peer, words: tuple[str, ...]) -> Rejection | None:
+    def authorize_command(self, peer: Peer, tokens: tuple[str, ...]) -> Rejection | None:
         """Authorize a text command; None if it is allowed."""
         access_control = self.state.host.access_control
         if access_control is None:
             return None
-        return access_control.authorize_admin(SOURCE, peer.credential, " ".join(words))
+        return access_control.authorize_admin(SOURCE, peer.credential, " ".join(tokens))
 
 
 def _raise_if(rejection: Rejection | None) -> None:
--- a/stepstream/gearman/codec.py
+++ b/stepstream/gearman/codec.py
@@ -153,9 +153,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Line:
-    """A text command, split into words."""
+    """A line of text, split into its tokens at blanks."""
 
-    words: tuple[str, ...]
+    tokens: tuple[str, ...]
 
 
 Item = Packet | Unknown | Line
--- a/stepstream/gearman/connection.py
+++ b/stepstream/gearman/connection.py
@@ -5,7 +5,8 @@
 to a bound, and left to the writer thread.
 
 Locks are taken in this order: the front's, which guards the service and the session; the
-connection's, which guards its sending side; the writer's. Times are monotonic seconds.
+connection's, which guards its sending side; the writer's. The server's lock is taken under the
+front's, and the server calls a connection without holding its own. Times are monotonic seconds.
 """
 
 import math
@@ -77,7 +78,8 @@
         self.dropped = False  # the peer reads too little: nothing more of it is handled
         self.session = Session(front.server.limits)
         # A phase starts with the first byte of a message, or with the end of the last reply once
-        # the session is closed. The reader thread's, as are the two of its registration credit.
+        # the session is closed. Single values without a lock: the server's checks may read one that
+        # is a moment old. The registration credit is the reader thread's alone.
         now_seconds = time.monotonic()
         self.phase_started_at_seconds = now_seconds
         self.last_activity_at_seconds = now_seconds
@@ -151,8 +153,8 @@
                 service.send(self.peer, step.data, close=step.close)
             case Packet():
                 service.on_packet(now_us, self.peer, step)
-            case Line(words):
-                if service.on_text_command(now_us, self.peer, words):
+            case Line(tokens):
+                if service.on_text_command(now_us, self.peer, tokens):
                     self.front.signals.put(signal.SIGTERM)
 
     def _throttle(self, step: Step) -> None:
--- a/stepstream/gearman/job_admission.py
+++ b/stepstream/gearman/job_admission.py
@@ -24,7 +24,7 @@
 )
 from stepstream.gearman.notifications import JobResponseSink
 from stepstream.gearman.peers import Peer
-from stepstream.gearman.state import ServiceState
+from stepstream.gearman.state import SECOND_US, ServiceState
 from stepstream.model.settings import Effect, JobClass
 from stepstream.ports.access_control import Authorization
 from stepstream.ports.payload import Payload
@@ -39,7 +39,6 @@
 }
 UNIQUE_OF_WORKLOAD = b"-"  # the protocol's unique id for: by the workload's content
 IDEMPOTENCY_KEY = re.compile(rb"[!-~]{1,128}")
-SECOND_US = 1e6
 
 
 @dataclass(frozen=True, slots=True)
--- a/stepstream/gearman/jobs.py
+++ b/stepstream/gearman/jobs.py
@@ -12,11 +12,10 @@
 
 from stepstream.core.commands import Answer, Outcome
 from stepstream.core.requests import Request
+from stepstream.gearman.names import MILLISECOND_US
 from stepstream.gearman.peers import Peer
 from stepstream.ports.access_control import Authorization
 
-MILLISECOND_US = 1000
-
 
 class JobStage(Enum):
     """How far a job is. The values are the words of the text command `show jobs`."""
--- a/stepstream/gearman/notifications.py
+++ b/stepstream/gearman/notifications.py
@@ -14,11 +14,9 @@
 from stepstream.gearman.codec import Kind, Packet
 from stepstream.gearman.jobs import Job, JobStage
 from stepstream.gearman.peers import Peer
-from stepstream.gearman.state import ServiceState
+from stepstream.gearman.state import SECOND_US, ServiceState
 from stepstream.ports.payload import ChunkedResult, result_bytes
 
-SECOND_US = 1e6
-
 
 @dataclass(slots=True)
 class JobResponseSink:
--- a/stepstream/gearman/service.py
+++ b/stepstream/gearman/service.py
@@ -112,14 +112,14 @@
             reply = peer.session.reply_to_error(error)
             self.send(peer, reply.data, close=reply.close)
 
-    def on_text_command(self, now_us: int, peer: Peer, words: tuple[str, ...]) -> bool:
+    def on_text_command(self, now_us: int, peer: Peer, tokens: tuple[str, ...]) -> bool:
         """Run a text command; return whether the program is to shut down."""
-        if words[0] != TextCommand.VERSION.value:
-            rejection = self.access.authorize_command(peer, words)
+        if tokens[0] != TextCommand.VERSION.value:
+            rejection = self.access.authorize_command(peer, tokens)
             if rejection is not None:
                 self.send(peer, error_line(rejection.kind.value, rejection.reason).encode())
                 return False
-        parsed = parse_command(words)
+        parsed = parse_command(tokens)
         if parsed is None:
             self.send(peer, unknown_command_error().encode())
             return False
--- a/stepstream/gearman/session.py
+++ b/stepstream/gearman/session.py
@@ -81,8 +81,8 @@
 
     def _step_for(self, item: codec.Item) -> Step:
         match item:
-            case Line(words):
-                if parse_command(words) is None:
+            case Line(tokens):
+                if parse_command(tokens) is None:
                     # Guards against a request of another protocol, whose body may hide packets.
                     self.closed = True
                     return Reply(unknown_command_error().encode(), close=True)
--- a/stepstream/gearman/state.py
+++ b/stepstream/gearman/state.py
@@ -13,6 +13,7 @@
 from stepstream.core.commands import Answer
 from stepstream.core.events import Event
 from stepstream.gearman.jobs import Job, JobTable
+from stepstream.gearman.names import MILLISECOND_US
 from stepstream.gearman.peers import Peer
 from stepstream.gearman.workers import WorkerTable
 from stepstream.model.settings import Settings
@@ -20,7 +21,6 @@
 
 SOURCE = "gearman"  # the name of the front for access control, and of its workers in the core
 SECOND_US = 1_000_000
-MILLISECOND_US = 1000
 
 
 @dataclass(frozen=True, slots=True)
--- a/stepstream/gearman/text_commands.py
+++ b/stepstream/gearman/text_commands.py
@@ -19,12 +19,12 @@
     SHUTDOWN = "shutdown"
 
 
-def parse_command(words: tuple[str, ...]) -> tuple[TextCommand, tuple[str, ...]] | None:
-    """Return the command that a line's words begin with, and its arguments; None for none."""
+def parse_command(tokens: tuple[str, ...]) -> tuple[TextCommand, tuple[str, ...]] | None:
+    """Return the command that a line begins with, and its arguments; None for none."""
     for command in TextCommand:
-        command_words = tuple(command.value.split())
-        if words[: len(command_words)] == command_words:
-            return command, words[len(command_words) :]
+        command_tokens = tuple(command.value.split())
+        if tokens[: len(command_tokens)] == command_tokens:
+            return command, tokens[len(command_tokens) :]
     return None
 
 
--- a/tests/gearman/test_gearman_codec.py
+++ b/tests/gearman/test_gearman_codec.py
@@ -1,4 +1,4 @@
-"""Gearman's packets: what is written reads back however it is split, and what is none ends at once."""
+"""Gearman's packets: parsing in pieces, faults of the framing, and a session's own replies."""
 
 import pytest
 from hypothesis import given, settings
@@ -39,7 +39,7 @@
 
 
 @pytest.mark.parametrize(("forms", "magic"), [(REQUESTS, codec.REQ), (ANSWERS, codec.RES)])
-def test_what_is_written_reads_back_however_it_is_split(forms, magic):
+def test_written_packets_parse_back_however_they_are_split(forms, magic):
     @settings(derandomize=True, deadline=None, max_examples=200, database=None)
     @given(st.data())
     def check(data):
@@ -55,7 +55,7 @@
 
 @settings(derandomize=True, deadline=None, max_examples=300, database=None)
 @given(st.binary(max_size=200), st.lists(st.integers(0, 200), max_size=4))
-def test_no_bytes_raise_anything_but_a_gearman_error_and_nothing_behind_it_is_read(data, cuts):
+def test_any_bytes_parse_or_raise_a_framing_error_behind_which_nothing_is_parsed(data, cuts):
     parser = Parser(LIMITS)
     try:
         feed_split(parser, data, sorted(min(cut, len(data)) for cut in cuts))
@@ -65,7 +65,7 @@
             parser.next()
 
 
-def test_every_type_of_the_protocol_has_its_form():
+def test_every_type_of_packet_has_its_argument_names():
     assert {kind for kind in Kind} == set(REQUESTS) | set(ANSWERS)
     assert set(REQUESTS) & set(ANSWERS) == {kind for kind in Kind if kind.name.startswith("WORK_")}
 
@@ -83,7 +83,7 @@
         (b"GET \x80\n", "BAD_TEXT"),
     ],
 )
-def test_framing_in_doubt_is_one_error_and_the_end(data, code):
+def test_a_framing_error_is_answered_once_and_ends_the_connection(data, code):
     session = Session(LIMITS)
     (reply,) = session.feed(data + codec.request(Kind.GRAB_JOB))
     assert reply.close
@@ -92,7 +92,7 @@
     assert session.feed(codec.request(Kind.ECHO_REQ, b"x")) == []
 
 
-def test_what_is_half_here_and_what_says_nothing_is_ended_within_three_seconds():
+def test_partial_messages_and_silent_peers_time_out_within_three_seconds():
     assert (
         max(LIMITS.timeouts.first_message_seconds, LIMITS.timeouts.message_seconds)
         + LIMITS.loop.sweep_seconds
@@ -100,14 +100,14 @@
     )
 
 
-def test_another_protocols_words_end_the_connection_before_its_body_is_read():
+def test_another_protocols_request_ends_the_connection_before_its_body_is_parsed():
     hidden = codec.request(Kind.SUBMIT_JOB, "revalue", "", "x")
     (reply,) = Session(LIMITS).feed(b"POST /revalue HTTP/1.1\r\n\r\n" + hidden)
     assert reply.close
     assert reply.data.startswith(b"ERR UNKNOWN_COMMAND")
 
 
-def test_a_size_is_refused_before_its_bytes_are_waited_for():
+def test_too_large_a_packet_is_rejected_before_its_body_comes():
     parser = Parser(LIMITS)
     parser.feed(codec.HEADER.pack(codec.REQ, Kind.ECHO_REQ, LIMITS.gearman.packet_bytes + 1))
     with pytest.raises(FramingError):
@@ -128,7 +128,7 @@
     assert parser.next() == Line(("version",))
 
 
-def test_an_unknown_type_leaves_the_framing_whole_and_only_so_many_are_borne():
+def test_unknown_types_keep_the_framing_and_are_limited_in_number():
     parser = Parser(LIMITS)
     parser.feed(codec.HEADER.pack(codec.REQ, 99, 2) + b"ab" + codec.request(Kind.PRE_SLEEP))
     assert [parser.next(), parser.next()] == [Unknown(99), Packet(Kind.PRE_SLEEP)]
@@ -149,14 +149,14 @@
         codec.request(Kind.SUBMIT_JOB_EPOCH, "f", "u", "1", "w"),
     ],
 )
-def test_what_is_not_offered_is_refused_by_its_name(packet):
+def test_packets_that_are_not_offered_are_rejected_by_name(packet):
     (reply,) = Session(LIMITS).feed(packet)
     assert isinstance(reply, Reply)
     assert not reply.close
     assert b"NOT_OFFERED\0SUBMIT_" in reply.data
 
 
-def test_an_argument_that_cannot_be_split_is_not_written():
+def test_arguments_that_could_not_be_split_are_not_written():
     with pytest.raises(ValueError, match="NUL"):
         codec.request(Kind.SUBMIT_JOB, "a\0b", "", "")
     with pytest.raises(ValueError, match="arguments"):
--- a/tests/gearman/test_gearman_node.py
+++ b/tests/gearman/test_gearman_node.py
@@ -1,4 +1,4 @@
-"""The whole program with Gearman on loopback: another's client and worker, and peers that misbehave."""
+"""The whole program with Gearman on loopback: a library's client and worker, and peers at fault."""
 
 import contextlib
 import json
@@ -48,7 +48,7 @@
     raise ValueError("no market data")
 
 
-def test_another_library_as_client_and_worker_unchanged(program):
+def test_pygearman_works_unchanged_as_client_worker_and_admin_client(program):
     library_worker(
         program, b"lib;zone=ruzinov;start=1", {b"revalue": revalue, b"nav-publish": broken}
     )
@@ -74,24 +74,24 @@
     assert (answer.status, answer.body) == (200, b"part OVER HTTP")
 
 
-def test_a_client_that_drops_is_taken_out_and_others_go_on(program):
+def test_a_disconnected_client_disturbs_no_other(program):
     worker = Peer(program.gearman).join()
     client = Peer(program.gearman).send(Kind.SUBMIT_JOB, "revalue", "", "one")
     client.until(Kind.JOB_CREATED)
-    held = worker.grab()[0]
+    assigned = worker.grab()[0]
     client.close()
     wait_for(lambda: "\topen\t" not in program.command("show jobs"))
-    worker.send(Kind.WORK_COMPLETE, held, "nobody hears this")
+    worker.send(Kind.WORK_COMPLETE, assigned, "nobody hears this")
     client = Peer(program.gearman).send(Kind.SUBMIT_JOB, "revalue", "", "two")
     worker.send(Kind.WORK_COMPLETE, worker.grab()[0], "heard")
     assert client.until(Kind.WORK_COMPLETE).args[1] == b"heard"
 
 
-def test_a_worker_that_goes_away_with_a_job_has_it_done_by_another(program):
+def test_the_job_of_a_worker_that_disconnects_is_done_by_another(program):
     first = Peer(program.gearman).join("first")
     client = Peer(program.gearman).send(Kind.SUBMIT_JOB, "revalue", "", "x")
-    held = first.grab()[0]
-    first.send(Kind.WORK_STATUS, held, "1", "2")
+    assigned = first.grab()[0]
+    first.send(Kind.WORK_STATUS, assigned, "1", "2")
     client.until(Kind.WORK_STATUS)
     second = Peer(program.gearman).join("second")
     first.close()
@@ -124,7 +124,7 @@
         "silent",
     ],
 )
-def test_bad_input_gets_an_error_or_the_end_in_time_and_disturbs_nobody(program, data):
+def test_bad_input_ends_the_connection_in_time_and_disturbs_no_other(program, data):
     bad = Peer(program.gearman)
     bad.sock.sendall(data)
     while bad.sock.recv(65536):
@@ -135,7 +135,7 @@
     assert client.until(Kind.WORK_COMPLETE).args[1] == b"r"
 
 
-def test_a_slow_reader_of_data_is_given_up_and_holds_up_nobody(program):
+def test_a_client_that_reads_too_little_is_dropped_and_delays_no_other(program):
     worker = Peer(program.gearman).join()
     slow, quick = Peer(program.gearman), Peer(program.gearman)
     slow.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
@@ -145,14 +145,14 @@
     def serve():
         with contextlib.suppress(OSError, AssertionError):
             while True:
-                held = worker.grab()[0]
+                assigned = worker.grab()[0]
                 for _ in range(3):
-                    worker.send(Kind.WORK_DATA, held, b"d" * 60_000)
-                worker.send(Kind.WORK_COMPLETE, held, "end")
+                    worker.send(Kind.WORK_DATA, assigned, b"d" * 60_000)
+                worker.send(Kind.WORK_COMPLETE, assigned, "end")
 
     threading.Thread(target=serve, daemon=True).start()
 
-    def given_up():
+    def dropped():
         nonlocal rounds
         rounds += 1
         with contextlib.suppress(OSError):
@@ -164,19 +164,19 @@
             program.command("workers").count("127.0.0.1") <= 3
         )  # worker, quick and the asker itself
 
-    wait_for(given_up)
+    wait_for(dropped)
     assert program.process.poll() is None
 
 
-def test_sigterm_answers_foreground_and_background_jobs_and_ends_well(program):
+def test_sigterm_answers_foreground_and_background_jobs_and_exits_with_0(program):
     worker = Peer(program.gearman).join()
     client = Peer(program.gearman)
     client.send(Kind.SUBMIT_JOB, "revalue", "", "x").until(Kind.JOB_CREATED)
-    held = worker.grab()[0]
+    assigned = worker.grab()[0]
     client.send(Kind.SUBMIT_JOB_BG, "revalue", "", "y").until(Kind.JOB_CREATED)
     program.process.send_signal(signal.SIGTERM)
     assert next(line for line in program.process.stderr if "stopping" in line)
-    worker.send(Kind.WORK_COMPLETE, held, "in time")
+    worker.send(Kind.WORK_COMPLETE, assigned, "in time")
     assert client.until(Kind.WORK_COMPLETE).args[1] == b"in time"
     worker.send(Kind.WORK_COMPLETE, worker.grab()[0], "too")
     assert program.process.wait(PATIENCE) == 0
@@ -185,7 +185,7 @@
     assert log.endswith("stepstream: stopped\n")
 
 
-def test_a_reload_reads_the_operators_file_all_or_nothing(program):
+def test_a_reload_applies_the_operators_file_completely_or_not_at_all(program):
     worker = Peer(program.gearman).join()
     good = SECTION.format(port=program.gearman)
     for bad, key in (
@@ -207,7 +207,7 @@
     assert program.process.wait(PATIENCE) == 0
 
 
-def test_an_address_in_use_is_named_by_its_own_key(program, tmp_path):
+def test_an_address_in_use_is_reported_with_its_key(program, tmp_path):
     folder = tmp_path / "second"
     folder.mkdir()
     config = {**program.config, "listen": f"127.0.0.1:{free_port()}"}
@@ -224,7 +224,7 @@
     assert f"gearman.listen=127.0.0.1:{program.gearman}" in run.stderr
 
 
-def test_a_faulty_operator_file_ends_the_start_with_one_line(tmp_path):
+def test_a_faulty_operator_file_stops_the_start_with_one_line(tmp_path):
     (tmp_path / "config.json").write_text(json.dumps(CONFIG))
     (tmp_path / "o.toml").write_text("[gearman]\nlisten = 3\n")
     run = subprocess.run(
--- a/tests/gearman/test_gearman_service.py
+++ b/tests/gearman/test_gearman_service.py
@@ -1,4 +1,4 @@
-"""Gearman's clients and workers on the real core and module, on one clock and without a socket."""
+"""Gearman's clients and workers on the real core and policy, on one clock and without a socket."""
 
 from dataclasses import replace
 
@@ -24,7 +24,7 @@
 
 
 def submit(peer, function="revalue", unique="", data="x", kind=Kind.SUBMIT_JOB):
-    """The handle."""
+    """Submit a job; return its handle."""
     (packet,) = [p for p in peer.send(kind, function, unique, data) if p.kind is Kind.JOB_CREATED]
     return packet.args[0]
 
@@ -35,7 +35,7 @@
 
 
 def status(peer, handle):
-    """Known, running, numerator, denominator."""
+    """Return known, running, numerator and denominator."""
     (packet,) = [p for p in peer.send(Kind.GET_STATUS, handle) if p.kind is Kind.STATUS_RES]
     return tuple(int(x) for x in packet.args[1:])
 
@@ -47,13 +47,13 @@
     harness, worker = harness_with_worker()
     client = harness.connect()
     handle = submit(client, "tatra-invest/revalue+2", "u1", "body")
-    held, function, unique, workload = worker.grab()
+    assigned, function, unique, workload = worker.grab()
     assert (function, workload) == (b"revalue", b"body")
-    assert held != handle
-    worker.send(Kind.WORK_STATUS, held, "1", "4")
-    worker.send(Kind.WORK_DATA, held, "part")
-    worker.send(Kind.WORK_WARNING, held, "hm")
-    worker.send(Kind.WORK_COMPLETE, held, "end")
+    assert assigned != handle
+    worker.send(Kind.WORK_STATUS, assigned, "1", "4")
+    worker.send(Kind.WORK_DATA, assigned, "part")
+    worker.send(Kind.WORK_WARNING, assigned, "hm")
+    worker.send(Kind.WORK_COMPLETE, assigned, "end")
     kinds = [(p.kind, p.args[1:]) for p in client.received]
     assert kinds == [
         (Kind.JOB_CREATED, ()),
@@ -73,8 +73,8 @@
     client = harness.connect()
     submit(client)
     worker, other = (first, second) if (taken := first.grab()) else (second, first)
-    held = (taken or worker.grab())[0]
-    worker.send(Kind.WORK_DATA, held, "half of the first")
+    assigned = (taken or worker.grab())[0]
+    worker.send(Kind.WORK_DATA, assigned, "half of the first")
     worker.disconnect()
     other.send(Kind.WORK_COMPLETE, other.grab()[0], "whole of the second")
     assert [p.args[1] for p in client.of(Kind.WORK_DATA, Kind.WORK_COMPLETE)] == [
@@ -95,7 +95,7 @@
     assert [p.args[1:] for p in client.received[1:]] == [(b"400", b"1000"), (b"17.5",)]
 
 
-def test_refused_and_failed_are_told_apart_and_say_when_to_come_back():
+def test_rejected_and_failed_jobs_differ_and_a_rejected_one_has_a_retry_after():
     harness = ServiceHarness()  # no worker at all: refused once its patience ends
     client, asks = harness.connect(), harness.connect()
     asks.send(Kind.OPTION_REQ, "exceptions")
@@ -127,7 +127,7 @@
         ("revalue", "u" * 300, "BAD_UNIQUE"),
     ],
 )
-def test_what_cannot_be_a_job_is_an_error_with_a_code(function, unique, expected):
+def test_an_invalid_submission_is_answered_with_an_error_code(function, unique, expected):
     harness = ServiceHarness()
     client = harness.connect()
     assert code(client.send(Kind.SUBMIT_JOB, function, unique, "x")) == expected
@@ -135,7 +135,7 @@
     assert not harness.core.requests
 
 
-def test_too_much_is_refused_with_the_time_to_come_back_and_bounds_memory():
+def test_submissions_beyond_a_limit_are_rejected_with_a_retry_after():
     small = replace(
         LIMITS,
         gearman=replace(LIMITS.gearman, in_flight_workload_bytes=100),
@@ -166,10 +166,10 @@
     return with_fields(SECTION, **more)
 
 
-# -- clients that leave, coalesce or stay away -------------------------------------------------------------
+# -- clients that disconnect, coalesce or submit in the background -------------------------------------------------------------
 
 
-def test_a_client_that_drops_mid_job_has_it_given_up_and_cancelled_at_the_http_node():
+def test_a_job_whose_client_disconnects_is_given_up_and_cancelled_at_the_http_node():
     harness = ServiceHarness()
     harness.http_worker()
     client = harness.connect()
@@ -180,7 +180,7 @@
     assert not harness.state.jobs.by_handle
 
 
-def test_a_job_that_waits_for_its_worker_is_taken_back_when_its_client_drops():
+def test_a_queued_job_is_dropped_when_its_client_disconnects():
     harness, worker = harness_with_worker()
     client = harness.connect()
     submit(client)
@@ -188,19 +188,19 @@
     assert worker.grab() is None
 
 
-def test_of_coalesced_clients_only_the_last_one_that_leaves_gives_the_job_up():
+def test_a_coalesced_job_is_given_up_when_its_last_client_disconnects():
     harness, worker = harness_with_worker()
     clients = [harness.connect() for _ in range(3)]
     handles = {submit(client, unique="same", data=f"{k}") for k, client in enumerate(clients)}
     assert len(handles) == 1
     assert len(harness.core.requests) == 1
-    held = worker.grab()
-    assert held[3] == b"0"
+    assigned = worker.grab()
+    assert assigned[3] == b"0"
     assert worker.grab() is None
     clients[0].disconnect()
     clients[1].disconnect()
     assert harness.core.open_count == 1
-    worker.send(Kind.WORK_COMPLETE, held[0], "r")
+    worker.send(Kind.WORK_COMPLETE, assigned[0], "r")
     assert [p.args[1] for p in clients[2].of(*FINALS)] == [b"r"]
     # Ended: the same unique is a new job.
     assert submit(clients[2], unique="same") not in handles
@@ -208,7 +208,7 @@
     assert harness.core.open_count == 0
 
 
-def test_one_client_that_submits_the_same_twice_is_owed_two_outcomes():
+def test_a_client_that_submits_one_unique_twice_gets_two_outcomes():
     harness, worker = harness_with_worker()
     client = harness.connect()
     assert submit(client, unique="u") == submit(client, unique="u")
@@ -237,10 +237,10 @@
     client, asker = harness.connect(), harness.connect()
     handle = submit(client, unique="bg", kind=Kind.SUBMIT_JOB_LOW_BG)
     client.disconnect()
-    held = worker.grab()[0]
-    worker.send(Kind.WORK_STATUS, held, "3", "9")
+    assigned = worker.grab()[0]
+    worker.send(Kind.WORK_STATUS, assigned, "3", "9")
     assert status(asker, handle) == (1, 1, 3, 9)
-    worker.send(Kind.WORK_COMPLETE, held, "r")
+    worker.send(Kind.WORK_COMPLETE, assigned, "r")
     assert status(asker, handle) == (1, 0, 9, 9)
     (packet,) = asker.send(Kind.GET_STATUS_UNIQUE, "bg")
     assert packet.args == (b"bg", b"1", b"0", b"9", b"9", b"0")
@@ -249,7 +249,7 @@
     assert not harness.state.jobs.latest_by_unique
 
 
-def test_refused_and_failed_background_jobs_have_their_own_numbers():
+def test_the_status_tells_rejected_and_failed_background_jobs_apart():
     harness = ServiceHarness()
     asker = harness.connect()
     handle = submit(asker, kind=Kind.SUBMIT_JOB_BG)
@@ -275,7 +275,7 @@
     assert harness.core.open_count == 1
 
 
-def test_only_so_many_outcomes_are_kept_the_oldest_go_first():
+def test_retained_outcomes_are_bounded_and_the_oldest_go_first():
     harness, worker = harness_with_worker(section=replace_section(keep_most=2))
     client = harness.connect()
     handles = []
@@ -288,15 +288,21 @@
 # -- workers ----------------------------------------------------------------------------------------------
 
 
-def test_a_new_connection_is_a_cold_start_unless_it_says_when_it_began():
+def test_a_worker_without_a_start_time_counts_as_started_now():
     harness = ServiceHarness()
     harness.connect().send(Kind.CAN_DO, "revalue")
     harness.connect().join("w", extra=";zone=petrzalka;kind=old-blade;cell=3;slots=4;weight=0.5")
-    new, told = [w.endpoint for w in harness.core.load_balancer.state.workers.values()]
+    new, described = [w.endpoint for w in harness.core.load_balancer.state.workers.values()]
     assert new.worker_id == "gearman:c1"
     assert new.started_us == harness.now_us
     assert new.supported_jobs == {"revalue"}
-    assert (told.zone, told.worker_kind, told.cell, told.weight, told.started_us) == (
+    assert (
+        described.zone,
+        described.worker_kind,
+        described.cell,
+        described.weight,
+        described.started_us,
+    ) == (
         1,
         1,
         3,
@@ -334,7 +340,7 @@
     assert peer.peer.client_id == b""
 
 
-def test_a_worker_gets_only_what_it_can_do_by_the_name_that_it_gave():
+def test_a_worker_is_assigned_only_functions_that_it_registered():
     harness = ServiceHarness()
     worker = harness.connect().join("w", "hron-asset/revalue", "nav-publish")
     client = harness.connect()
@@ -362,7 +368,7 @@
     assert [p.kind for p in worker.send(Kind.PRE_SLEEP)] == [Kind.NOOP]
 
 
-def test_beyond_slots_and_queue_the_answer_is_full_and_the_module_tries_elsewhere():
+def test_a_worker_with_a_full_queue_rejects_calls_and_the_policy_tries_elsewhere():
     harness, worker = harness_with_worker(section=replace_section(queue=1))
     harness.http_worker()
     client = harness.connect()
@@ -374,7 +380,7 @@
 
 
 @pytest.mark.parametrize("how", ["cant", "reset", "close"])
-def test_what_waits_at_a_worker_that_drains_has_never_run_and_goes_elsewhere(how):
+def test_calls_queued_at_a_draining_worker_have_never_run_and_go_elsewhere(how):
     harness, worker = harness_with_worker()
     submit(harness.connect(), "once")
     assert not harness.http_calls
@@ -401,8 +407,8 @@
     worker.send(Kind.CAN_DO, "once")
     client = harness.connect()
     submit(client, function, "key")
-    held = worker.grab()[0]
-    worker.send(Kind.WORK_STATUS, held, "1", "2")
+    assigned = worker.grab()[0]
+    worker.send(Kind.WORK_STATUS, assigned, "1", "2")
     harness.http_worker()
     worker.disconnect()
     assert len(harness.http_calls) == again
@@ -472,29 +478,29 @@
     assert len(client.of(*FINALS)) == 2
 
 
-def test_words_from_a_worker_that_does_not_hold_the_job_change_nothing():
+def test_reports_on_jobs_that_are_not_assigned_to_the_worker_change_nothing():
     harness, worker = harness_with_worker()
     thief, client = harness.connect().join("thief"), harness.connect()
     harness.advance(10_000)
     handle = submit(client)
     owner, other = (worker, thief) if (taken := worker.grab()) else (thief, worker)
-    held = (taken or owner.grab())[0]
-    for name in (held, handle, b"H:n0:999"):
+    assigned = (taken or owner.grab())[0]
+    for name in (assigned, handle, b"H:n0:999"):
         assert code(other.send(Kind.WORK_COMPLETE, name, "stolen")) == "JOB_NOT_FOUND"
-    assert code(client.send(Kind.WORK_COMPLETE, held, "stolen")) == "JOB_NOT_FOUND"
-    owner.send(Kind.WORK_COMPLETE, held, "own")
-    assert owner.send(Kind.WORK_COMPLETE, held, "twice") == []  # its own, ended: passed over
+    assert code(client.send(Kind.WORK_COMPLETE, assigned, "stolen")) == "JOB_NOT_FOUND"
+    owner.send(Kind.WORK_COMPLETE, assigned, "own")
+    assert owner.send(Kind.WORK_COMPLETE, assigned, "twice") == []  # its own, ended: passed over
     assert [p.args[1] for p in client.of(*FINALS)] == [b"own"]
 
 
-def test_a_worker_that_came_back_does_not_complete_what_it_held_before():
+def test_a_worker_that_reconnects_cannot_complete_its_earlier_jobs():
     harness, worker = harness_with_worker()
     client = harness.connect()
     submit(client)
-    held = worker.grab()[0]
+    assigned = worker.grab()[0]
     worker.disconnect()
     again = harness.connect().join("w")
-    assert code(again.send(Kind.WORK_COMPLETE, held, "late")) == "JOB_NOT_FOUND"
+    assert code(again.send(Kind.WORK_COMPLETE, assigned, "late")) == "JOB_NOT_FOUND"
     again.send(Kind.WORK_COMPLETE, again.grab()[0], "new")
     assert [p.args[1] for p in client.of(*FINALS)] == [b"new"]
 
@@ -507,31 +513,31 @@
     worker.send(Kind.CAN_DO_TIMEOUT, "revalue", "1")
     client = harness.connect()
     submit(client)
-    held = worker.grab()[0]
+    assigned = worker.grab()[0]
     harness.http_worker()
     harness.advance(900_000)
     assert not harness.http_calls
     harness.advance(200_000)
     assert [call.worker_id for call in harness.http_calls] == ["s-1"]
-    worker.send(Kind.WORK_COMPLETE, held, "late but its own")
+    worker.send(Kind.WORK_COMPLETE, assigned, "late but its own")
     assert [p.args[1] for p in client.of(*FINALS)] == [b"late but its own"]
     assert harness.stopped_calls[-1].worker_id == "s-1"
 
 
-def test_pieces_without_end_fail_the_job_and_not_the_program():
+def test_too_many_result_chunks_fail_the_job():
     harness, worker = harness_with_worker(
         limits=replace(LIMITS, gearman=replace(LIMITS.gearman, partial_result_bytes=10))
     )
     worker.send(Kind.CAN_DO, "once")
     client = harness.connect()
     submit(client, "once")
-    held = worker.grab()[0]
-    worker.send(Kind.WORK_DATA, held, "123456")
-    assert code(worker.send(Kind.WORK_DATA, held, "123456")) == "RESULT_TOO_LARGE"
+    assigned = worker.grab()[0]
+    worker.send(Kind.WORK_DATA, assigned, "123456")
+    assert code(worker.send(Kind.WORK_DATA, assigned, "123456")) == "RESULT_TOO_LARGE"
     assert [p.kind for p in client.of(*FINALS)] == [Kind.WORK_FAIL]
 
 
-def test_an_id_changes_only_while_nothing_is_held():
+def test_a_client_id_changes_only_while_no_job_is_assigned():
     harness, worker = harness_with_worker()
     worker.send(Kind.SET_CLIENT_ID, "other;slots=2")
     assert list(harness.core.load_balancer.state.workers) == ["gearman:other"]
@@ -540,7 +546,7 @@
     assert code(worker.send(Kind.SET_CLIENT_ID, "third")) == "BAD_CLIENT_ID"
 
 
-def test_members_and_functions_are_bounded():
+def test_workers_and_their_functions_are_bounded():
     harness = ServiceHarness(
         limits=replace(LIMITS, gearman=replace(LIMITS.gearman, workers=1, functions_per_worker=2))
     )
@@ -550,7 +556,7 @@
     assert code(harness.peers[0].send(Kind.CAN_DO, "a b")) == "BAD_FUNCTION"
 
 
-def test_after_the_last_call_foreground_and_background_jobs_are_answered():
+def test_a_shutdown_answers_foreground_and_background_jobs():
     harness, worker = harness_with_worker()
     client = harness.connect()
     submit(client)
@@ -563,7 +569,7 @@
     assert harness.core.open_count == 0
 
 
-def test_a_reload_keeps_jobs_and_members():
+def test_a_reload_keeps_jobs_and_workers():
     harness, worker = harness_with_worker()
     client = harness.connect()
     submit(client)
@@ -571,33 +577,33 @@
     harness.post(SettingsChanged(turned))
     harness.service.reconfigure(SECTION, turned, LIMITS)
     submit(client, "nav-publish", "k")
-    held = [worker.grab() for _ in range(2)][0]
-    assert held[1] == b"revalue"
-    worker.send(Kind.WORK_COMPLETE, held[0], "r")
+    assigned = [worker.grab() for _ in range(2)][0]
+    assert assigned[1] == b"revalue"
+    worker.send(Kind.WORK_COMPLETE, assigned[0], "r")
     assert worker.grab()[1] == b"nav-publish"
 
 
 # -- text commands ----------------------------------------------------------------------------------------
 
 
-def told(harness, line):
+def run_command(harness, line):
     peer = harness.connect()
     peer.send_bytes(line.encode() + b"\n")
     return peer.text.decode()
 
 
-def test_the_text_commands_say_what_is():
+def test_text_commands_report_workers_functions_and_jobs():
     harness, worker = harness_with_worker()
     client = harness.connect()
     handle = submit(client, unique="u").decode()
-    assert "127.0.0.1 w : nav-publish revalue\n" in told(harness, "workers")
-    assert "tatra-invest/revalue\t1\t1\t1\n" in told(harness, "status")
-    assert told(harness, "status").endswith(".\n")
-    assert told(harness, "version").startswith("OK ")
-    assert f"{handle}\topen\t1\t1\ttatra-invest/revalue\n" in told(harness, "show jobs")
-    assert told(harness, "show unique jobs") == "u\n.\n"
-    assert told(harness, "cancel job H:none").startswith("ERR JOB_NOT_FOUND")
-    assert told(harness, f"cancel job {handle}") == "OK\n"
+    assert "127.0.0.1 w : nav-publish revalue\n" in run_command(harness, "workers")
+    assert "tatra-invest/revalue\t1\t1\t1\n" in run_command(harness, "status")
+    assert run_command(harness, "status").endswith(".\n")
+    assert run_command(harness, "version").startswith("OK ")
+    assert f"{handle}\topen\t1\t1\ttatra-invest/revalue\n" in run_command(harness, "show jobs")
+    assert run_command(harness, "show unique jobs") == "u\n.\n"
+    assert run_command(harness, "cancel job H:none").startswith("ERR JOB_NOT_FOUND")
+    assert run_command(harness, f"cancel job {handle}") == "OK\n"
     assert [p.kind for p in client.of(*FINALS)] == [Kind.WORK_FAIL]
     assert worker.grab() is None
 
@@ -605,21 +611,21 @@
 def test_maxqueue_bounds_a_function_and_is_lifted_again():
     harness = ServiceHarness()
     client = harness.connect()
-    assert told(harness, "maxqueue tatra-invest/revalue 1") == "OK\n"
+    assert run_command(harness, "maxqueue tatra-invest/revalue 1") == "OK\n"
     submit(client)
     assert code(client.send(Kind.SUBMIT_JOB, "revalue", "", "x")) == "JOB_QUEUE_FULL"
-    assert told(harness, "maxqueue tatra-invest/revalue") == "OK\n"
+    assert run_command(harness, "maxqueue tatra-invest/revalue") == "OK\n"
     submit(client)
-    assert told(harness, "maxqueue revalue 1").startswith("ERR UNKNOWN_FUNCTION")
-    assert told(harness, "maxqueue tatra-invest/revalue -1").startswith("ERR BAD_NUMBER")
+    assert run_command(harness, "maxqueue revalue 1").startswith("ERR UNKNOWN_FUNCTION")
+    assert run_command(harness, "maxqueue tatra-invest/revalue -1").startswith("ERR BAD_NUMBER")
 
 
 def test_shutdown_is_refused_unless_the_file_allows_it():
     harness = ServiceHarness()
-    assert told(harness, "shutdown").startswith("ERR NOT_ALLOWED")
+    assert run_command(harness, "shutdown").startswith("ERR NOT_ALLOWED")
     assert not harness.shut_down
     harness = ServiceHarness(section=replace_section(allow_shutdown=True))
-    assert told(harness, "shutdown") == "OK\n"
+    assert run_command(harness, "shutdown") == "OK\n"
     assert harness.shut_down
 
 
@@ -744,27 +750,28 @@
 )
 
 
-# -- who is calling ---------------------------------------------------------------------------------------
+# -- access control ---------------------------------------------------------------------------------------
 
 
-class Gatekeeper:
-    """A gate of the tests' own: who shows `good` may, and it may be closed to workers."""
+class FakeAccessControl:
+    """Admits workers with the token `good`, until it admits none; rejects all clients."""
 
     def __init__(self):
-        self.open_to_workers, self.asked = True, 0
+        self.admits_workers = True
+        self.worker_checks = 0
 
     def authorize_request(self, front, credential, kind, tenant):
         return Rejection(RejectionKind.UNAUTHENTICATED, "no_credential")
 
     def authorize_worker(self, front, credential, name):
-        self.asked += 1
-        good = self.open_to_workers and credential.token == b"good"
+        self.worker_checks += 1
+        good = self.admits_workers and credential.token == b"good"
         return None if good else Rejection(RejectionKind.FORBIDDEN, "somebody_else")
 
 
-def test_a_worker_whose_credential_has_ended_gets_nothing_more_and_ends_what_it_holds():
+def test_a_worker_whose_credential_expired_is_assigned_nothing_more_and_may_end_its_jobs():
     harness = ServiceHarness()
-    harness.host.access_control = gate = Gatekeeper()
+    harness.host.access_control = access_control = FakeAccessControl()
     worker, client = harness.connect(), harness.connect()
     assert code(worker.send(Kind.CAN_DO, "revalue")) == "NOT_ALLOWED"
     worker.send(Kind.OPTION_REQ, "token:good")
@@ -773,13 +780,13 @@
     harness.host.access_control = None
     submit(client)
     submit(client)
-    harness.host.access_control = gate
-    held = worker.grab()[0]
-    asked = gate.asked
+    harness.host.access_control = access_control
+    assigned = worker.grab()[0]
+    check_count = access_control.worker_checks
     worker.send(Kind.GRAB_JOB)
-    assert gate.asked == asked  # found good a moment ago
-    gate.open_to_workers = False
-    worker.send(Kind.WORK_COMPLETE, held, "r")
+    assert access_control.worker_checks == check_count  # found good a moment ago
+    access_control.admits_workers = False
+    worker.send(Kind.WORK_COMPLETE, assigned, "r")
     assert len(client.of(Kind.WORK_COMPLETE)) == 1
     harness.now_us += 600_000
     assert code(worker.send(Kind.GRAB_JOB)) == "NOT_ALLOWED"
--- a/tests/gearman_helpers.py
+++ b/tests/gearman_helpers.py
@@ -49,7 +49,7 @@
                 self.harness.service.on_packet(self.harness.now_us, self.peer, step)
             else:
                 self.harness.shut_down = self.harness.service.on_text_command(
-                    self.harness.now_us, self.peer, step.words
+                    self.harness.now_us, self.peer, step.tokens
                 )
         self.harness.settle()
         return self.received[before:]
