--- /dev/null
+++ b/tests/gearman/test_gearman_text_commands.py
@@ -0,0 +1,29 @@
+"""Text commands: how a line's tokens are told apart, and how errors read."""
+
+import pytest
+
+from stepstream.gearman.text_commands import TextCommand, error_line, parse_command
+
+
+@pytest.mark.parametrize(
+    ("line", "command", "arguments"),
+    [
+        ("status", TextCommand.STATUS, ()),
+        ("status now", TextCommand.STATUS, ("now",)),
+        ("maxqueue revalue 3", TextCommand.MAXQUEUE, ("revalue", "3")),
+        ("cancel job H:n0:1", TextCommand.CANCEL_JOB, ("H:n0:1",)),
+        ("show unique jobs", TextCommand.SHOW_UNIQUE_JOBS, ()),
+        ("show jobs", TextCommand.SHOW_JOBS, ()),
+    ],
+)
+def test_a_line_is_a_command_and_its_arguments(line, command, arguments):
+    assert parse_command(tuple(line.split())) == (command, arguments)
+
+
+@pytest.mark.parametrize("line", ["", "STATUS", "show", "cancel", "jobs show", "POST / HTTP/1.1"])
+def test_any_other_line_is_no_command(line):
+    assert parse_command(tuple(line.split())) is None
+
+
+def test_an_error_is_one_line_whose_text_has_no_blanks():
+    assert error_line("NOT_ALLOWED", "it is off") == "ERR NOT_ALLOWED it+is+off\n"
