--- a/benchmarks/identity.py
+++ b/benchmarks/identity.py
@@ -34,8 +34,8 @@
 from stepstream.gearman import codec
 from stepstream.gearman.codec import Kind
 from stepstream.http.codec import Parser, write_request
-from stepstream.identity.keeper import Keeper
-from stepstream.identity.keys import State
+from stepstream.identity.key_rotation import SigningKeyStore
+from stepstream.identity.key_set import KeyState
 
 WAYS = ("plain", "token, cached", "token, new each", "certificate, kept")
 LINKS = 8
@@ -76,8 +76,8 @@
         self.way, self.folder = way, Path(tempfile.mkdtemp(prefix="stepstream-bench-"))
         self.host = f"127.78.{os.getpid() >> 8 & 255}.{os.getpid() & 255}"
         self.http, self.gearman, self.tls = (self.port() for _ in range(3))
-        self.keeper, self.ca = Keeper(self.folder), trustme.CA()
-        self.keeper.new("EdDSA", "k1", State.ACTIVE, 0)
+        self.keeper, self.ca = SigningKeyStore(self.folder), trustme.CA()
+        self.keeper.create_key("EdDSA", "k1", KeyState.ACTIVE, 0)
         self.sent = self.done = 0
         self.process = self.start()
 
@@ -120,7 +120,7 @@
     def token(self, subject: str, number: int = 0) -> str:
         now = int(time.time())
         claims = {"iss": "bench", "aud": "bench", "sub": subject, "iat": now, "exp": now + 3600}
-        return self.keeper.issue({**claims, "jti": str(number)})
+        return self.keeper.issue_token({**claims, "jti": str(number)})
 
     def work(self) -> None:
         """The worker's thread."""
--- a/stepstream/cli.py
+++ b/stepstream/cli.py
@@ -191,7 +191,7 @@
 def keys_or_token(arguments: dict) -> int:
     try:
         from stepstream.identity import commands
-        from stepstream.identity.keeper import KeeperError
+        from stepstream.identity.errors import IdentityCommandError
     except ModuleNotFoundError as error:
         print(
             f"stepstream: this needs the package {error.name}: pip install .[identity]",
@@ -200,7 +200,7 @@
         return 2
     try:
         return commands.keys(arguments) if arguments["keys"] else commands.token(arguments)
-    except (KeeperError, OSError) as error:
+    except (IdentityCommandError, OSError) as error:
         print(f"stepstream: {error}", file=sys.stderr)
         return 2
 
--- a/stepstream/identity/audit.py
+++ b/stepstream/identity/audit.py
@@ -1,7 +1,8 @@
-"""Audit lines: who asked for what, what was decided and why; never a token, a key or a body.
+"""The audit log: who asked for what, what was decided and why; never a token, a key or a body.
 
-Lines of denials are bounded: a flood of forged tokens must not fill the log. What was left out is counted
-and said with the next line.
+Lines of denials are rate-limited: a flood of forged tokens must not fill the log. Suppressed lines
+are counted, and the next line states their number. An `AuditLog` owns that count and the bucket;
+the access control's lock lets one thread at a time write.
 """
 
 import sys
@@ -9,63 +10,77 @@
 from collections.abc import Callable
 from typing import TextIO
 
-from stepstream.identity.rights import Decision, Verdict
+from stepstream.identity.permissions import Decision, Verdict
+from stepstream.identity.rate_limiter import TokenBucket
 from stepstream.runtime.structured_log import LogFormat, structured_logger
 
-MOST_TEXT = 128  # of what a caller may have made up
+MAX_TEXT_LENGTH = 128  # of a field that a peer may have made up
 
 
-class Audit:
+class AuditLog:
+    """Writes decisions as structured log lines.
+
+    `include_allowed`: whether admissions are written too. At most `max_denials_per_second` lines of
+    other decisions are written. `now` gives monotonic seconds.
+    """
+
     def __init__(
         self,
-        form: LogFormat,
-        allowed_too: bool,
-        denials_per_s: int,
+        log_format: LogFormat,
+        max_denials_per_second: int,
+        *,
+        include_allowed: bool,
         stream: TextIO = sys.stderr,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
-        """`form`: json or console. `allowed_too`: else only what was not allowed is written."""
-        self.logger = structured_logger(form, stream)
-        self.allowed_too, self.denials_per_s, self.now = allowed_too, denials_per_s, now
-        self.level, self.at, self.left_out = float(denials_per_s), now(), 0
+        self.logger = structured_logger(log_format, stream)
+        self.include_allowed = include_allowed
+        self.max_denials_per_second = max_denials_per_second
+        self.now = now
+        self.bucket = TokenBucket(float(max_denials_per_second), now())
+        self.suppressed_count = 0  # since the last line of a denial
 
-    def decision(
-        self, front: str, what: str, decision: Decision, subject: str = "", key: str = ""
+    def wants(self, decision: Decision) -> bool:
+        """Return whether such a decision is written, as far as the rate limit allows."""
+        return self.include_allowed or decision.verdict is not Verdict.ALLOWED
+
+    def record(
+        self, front: str, operation: str, decision: Decision, subject: str = "", key_id: str = ""
     ) -> None:
+        """Write a decision, unless it is not wanted or over the rate limit."""
+        if not self.wants(decision):
+            return
         if decision.verdict is Verdict.ALLOWED:
-            if self.allowed_too:
-                self.write(front, what, decision, subject, key)
+            self._write(front, operation, decision, subject, key_id)
             return
-        if self.may_write():
-            left_out, self.left_out = self.left_out, 0
-            more = {"left_out": left_out} if left_out else {}
-            self.write(front, what, decision, subject, key, **more)
-        else:
-            self.left_out += 1
-
-    def may_write(self) -> bool:
-        now = self.now()
-        self.level = min(
-            self.level + (now - self.at) * self.denials_per_s, float(self.denials_per_s)
-        )
-        self.at = now
-        if self.level < 1.0:
-            return False
-        self.level -= 1.0
-        return True
+        rate = self.max_denials_per_second
+        if not self.bucket.try_take(self.now(), rate, float(rate)):
+            self.suppressed_count += 1
+            return
+        suppressed_count = self.suppressed_count
+        self.suppressed_count = 0
+        self._write(front, operation, decision, subject, key_id, suppressed_count)
 
-    def write(
-        self, front: str, what: str, decision: Decision, subject: str, key: str, **more: int
+    def _write(
+        self,
+        front: str,
+        operation: str,
+        decision: Decision,
+        subject: str,
+        key_id: str,
+        suppressed_count: int = 0,
     ) -> None:
+        # The fields' names are fixed: operators' tools read them.
+        further_fields = {"left_out": suppressed_count} if suppressed_count else {}
         self.logger.info(
             "audit",
             front=front,
-            what=what[:MOST_TEXT],
+            what=operation[:MAX_TEXT_LENGTH],
             decision=decision.verdict.value,
             reason=decision.reason,
             rule=decision.rule,
             caller=decision.caller,
-            subject=subject[:MOST_TEXT],
-            key=key[:MOST_TEXT],
-            **more,
+            subject=subject[:MAX_TEXT_LENGTH],
+            key=key_id[:MAX_TEXT_LENGTH],
+            **further_fields,
         )
--- a/stepstream/identity/certificates.py
+++ b/stepstream/identity/certificates.py
@@ -1,103 +1,125 @@
-"""What a client's certificate says, and whether it is good now; free of I/O.
+"""Client certificates and revocation lists (X.509, RFC 5280); free of I/O.
 
-The chain was verified in the handshake. What may change while a connection lives, its end and its
-revocation, is asked for every request.
+The chain was verified in the TLS handshake. Expiry and revocation may change while a connection is
+open and are checked for every request. All objects are immutable; any thread may read them.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from cryptography import x509
 from cryptography.x509.oid import NameOID
 
-NAMES = ("uri", "dns", "cn")
+from stepstream.identity.errors import CertificateError
 
-
-class CertificateError(Exception):
-    """The certificate identifies nobody; `reason` is one word for logs and clients."""
-
-    def __init__(self, reason: str, serial: str = "") -> None:
-        super().__init__(reason)
-        self.reason, self.serial = reason, serial
+NAME_KINDS = ("uri", "dns", "cn")  # the operator's `identity.tls.names`
+SPIFFE_SCHEME = "spiffe://"
+CRL_HEADER = b"-----BEGIN X509 CRL-----"
 
 
 @dataclass(frozen=True, slots=True)
-class Certificate:
-    """Times in Unix seconds. `names`: those that it has, by kind, in the certificate's order."""
+class ClientCertificate:
+    """What a peer's certificate states; times in Unix seconds.
 
-    serial: int
-    issuer: bytes
+    `names` has the names by kind (`NAME_KINDS`), in the certificate's order.
+    """
+
+    serial_number: int
+    issuer: bytes  # DER
     not_before: float
     not_after: float
     names: dict[str, tuple[str, ...]]
 
     @property
-    def key(self) -> str:
-        return f"{self.serial:x}"
-
-    def subject(self, order: tuple[str, ...]) -> str:
-        """The first name by the file's order of kinds: a URI as it is, else `dns:NAME` or `cn:NAME`."""
-        for kind in order:
-            found = self.names.get(kind, ())
-            if kind == "uri" and len([n for n in found if n.startswith("spiffe://")]) > 1:
-                raise CertificateError(
-                    "two_spiffe_ids", self.key
-                )  # SPIFFE X.509-SVID, 2: exactly one
-            if found:
-                return found[0] if kind == "uri" else f"{kind}:{found[0]}"
-        raise CertificateError("no_name", self.key)
-
-
-def read_certificate(der: bytes) -> Certificate:
-    try:
-        found = x509.load_der_x509_certificate(der)
-        names = {
-            "cn": tuple(a.value for a in found.subject.get_attributes_for_oid(NameOID.COMMON_NAME))
-        }
-        try:
-            alternative = found.extensions.get_extension_for_class(
-                x509.SubjectAlternativeName
-            ).value
-            names["uri"] = tuple(alternative.get_values_for_type(x509.UniformResourceIdentifier))
-            names["dns"] = tuple(alternative.get_values_for_type(x509.DNSName))
-        except x509.ExtensionNotFound:
-            pass
-        return Certificate(
-            found.serial_number,
-            found.issuer.public_bytes(),
-            found.not_valid_before_utc.timestamp(),
-            found.not_valid_after_utc.timestamp(),
-            names,
-        )
-    except ValueError:
-        raise CertificateError("unreadable") from None
+    def key_id(self) -> str:
+        """The serial number in hexadecimal, for audit lines."""
+        return f"{self.serial_number:x}"
+
+    def subject(self, name_kinds: Sequence[str]) -> str:
+        """Return the first name of the first kind that it has; raise `CertificateError`.
+
+        A URI is returned as it is, the others as `dns:NAME` or `cn:NAME`.
+        """
+        for kind in name_kinds:
+            names = self.names.get(kind, ())
+            if kind == "uri" and sum(name.startswith(SPIFFE_SCHEME) for name in names) > 1:
+                # SPIFFE X.509-SVID, 2: exactly one.
+                raise CertificateError("two_spiffe_ids", "it has several SPIFFE IDs", self.key_id)
+            if names:
+                return names[0] if kind == "uri" else f"{kind}:{names[0]}"
+        raise CertificateError("no_name", f"it has no name of {', '.join(name_kinds)}", self.key_id)
 
 
 @dataclass(frozen=True, slots=True)
-class Revoked:
-    """Certificates that a CRL file names, by issuer and serial number."""
+class RevocationList:
+    """The certificates that CRLs (RFC 5280, 5) revoke, by the issuer's DER and serial number."""
 
-    serials: frozenset[tuple[bytes, int]] = frozenset()
+    revoked: frozenset[tuple[bytes, int]] = frozenset()
 
-    def has(self, certificate: Certificate) -> bool:
-        return (certificate.issuer, certificate.serial) in self.serials
+    def has_revoked(self, certificate: ClientCertificate) -> bool:
+        """Return whether the certificate is revoked."""
+        return (certificate.issuer, certificate.serial_number) in self.revoked
 
 
-def read_crls(data: bytes, issuers: list[x509.Certificate]) -> Revoked:
-    """One or more PEM lists; ValueError if one cannot be read or no issuer at hand has signed it."""
-    serials = set()
-    for piece in data.split(b"-----BEGIN X509 CRL-----")[1:]:
-        crl = x509.load_pem_x509_crl(b"-----BEGIN X509 CRL-----" + piece)
+def parse_certificate(der: bytes) -> ClientCertificate:
+    """Read a DER certificate; raise `CertificateError`."""
+    try:
+        certificate = x509.load_der_x509_certificate(der)
+        return ClientCertificate(
+            certificate.serial_number,
+            certificate.issuer.public_bytes(),
+            certificate.not_valid_before_utc.timestamp(),
+            certificate.not_valid_after_utc.timestamp(),
+            names_of(certificate),
+        )
+    except ValueError as error:
+        raise CertificateError("unreadable", "it is no X.509 certificate") from error
+
+
+def names_of(certificate: x509.Certificate) -> dict[str, tuple[str, ...]]:
+    """Return the common names and the alternative names (RFC 5280, 4.1.2.6 and 4.2.1.6)."""
+    common_names = certificate.subject.get_attributes_for_oid(NameOID.COMMON_NAME)
+    names = {"cn": tuple(str(attribute.value) for attribute in common_names)}
+    try:
+        extension = certificate.extensions.get_extension_for_class(x509.SubjectAlternativeName)
+    except x509.ExtensionNotFound:
+        return names
+    alternative_names = extension.value
+    names["uri"] = tuple(alternative_names.get_values_for_type(x509.UniformResourceIdentifier))
+    names["dns"] = tuple(alternative_names.get_values_for_type(x509.DNSName))
+    return names
+
+
+def parse_revocation_lists(data: bytes, issuers: Sequence[x509.Certificate]) -> RevocationList:
+    """Read one or more PEM CRLs, each signed by one of the issuers (RFC 5280, 5.1.1.3).
+
+    Raise ValueError if one cannot be read or no issuer has signed it.
+    """
+    revoked: set[tuple[bytes, int]] = set()
+    for body in data.split(CRL_HEADER)[1:]:
+        crl = x509.load_pem_x509_crl(CRL_HEADER + body)
         signers = [issuer for issuer in issuers if issuer.subject == crl.issuer]
-        if not any(crl.is_signature_valid(signer.public_key()) for signer in signers):
+        if not any(is_signed_by(crl, signer) for signer in signers):
             raise ValueError("a list is signed by none of the CA bundle")
-        serials |= {(crl.issuer.public_bytes(), entry.serial_number) for entry in crl}
-    return Revoked(frozenset(serials))
+        issuer_name = crl.issuer.public_bytes()
+        revoked.update((issuer_name, entry.serial_number) for entry in crl)
+    return RevocationList(frozenset(revoked))
+
+
+def is_signed_by(crl: x509.CertificateRevocationList, signer: x509.Certificate) -> bool:
+    """Return whether this CA certificate's key has signed the list."""
+    # The library raises TypeError for kinds of keys that sign no list.
+    return crl.is_signature_valid(signer.public_key())  # type: ignore[arg-type]
 
 
-def check(certificate: Certificate, revoked: Revoked, now: float) -> None:
-    if revoked.has(certificate):
-        raise CertificateError("certificate_revoked", certificate.key)
+def check_validity(
+    certificate: ClientCertificate, revocation_list: RevocationList, now: float
+) -> None:
+    """Raise `CertificateError` if it is not good at the Unix time `now` (RFC 5280, 4.1.2.5)."""
+    key_id = certificate.key_id
+    if revocation_list.has_revoked(certificate):
+        raise CertificateError("certificate_revoked", "a CRL revokes it", key_id)
     if now >= certificate.not_after:
-        raise CertificateError("certificate_expired", certificate.key)
+        raise CertificateError("certificate_expired", "notAfter has passed", key_id)
     if now < certificate.not_before:
-        raise CertificateError("certificate_not_yet", certificate.key)
+        raise CertificateError("certificate_not_yet", "notBefore is in the future", key_id)
--- a/stepstream/identity/commands.py
+++ b/stepstream/identity/commands.py
@@ -1,42 +1,65 @@
-"""`stepstream keys`, `stepstream token` and `stepstream identity explain`; each gives an exit code."""
+"""`stepstream keys`, `stepstream token` and `stepstream identity explain`.
+
+Each public function takes docopt's arguments or their values, prints, and returns the exit status.
+"""
 
 import secrets
 import time
-from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 import ujson
 
 from stepstream.config.errors import ConfigurationError
-from stepstream.config.operator_file import IdentitySection as Section
-from stepstream.identity.gate import prepare, rights_of, rules_of
-from stepstream.identity.keeper import Keeper, KeeperError
-from stepstream.identity.keys import State
-from stepstream.identity.rights import Decision, Identity, Method, Verdict
-from stepstream.identity.tokens import TokenError, decoded, read_object, verify
-
-
-def keys(arguments: dict) -> int:
-    keeper, now = Keeper(Path(arguments["--dir"])), int(time.time())
+from stepstream.config.operator_file import IdentitySection
+from stepstream.identity.access_control import IdentityAccessControl, authenticate
+from stepstream.identity.configuration import load_identity
+from stepstream.identity.errors import IdentityCommandError, TokenError
+from stepstream.identity.key_rotation import SigningKeyStore
+from stepstream.identity.key_set import KeyState
+from stepstream.identity.permissions import Verdict
+from stepstream.identity.tokens import decode_base64url, parse_json_object
+from stepstream.ports.access_control import Credential
+
+TOKEN_ID_RANDOM_BYTES = 8
+MAX_SECONDS_DIGITS = 9
+TIME_CLAIMS = ("iat", "nbf", "exp")
+TIME_FORMAT = "%Y-%m-%dT%H:%M:%SZ"
+
+
+def keys(arguments: dict[str, Any]) -> int:
+    """Create, rotate, revoke or list the signing keys of `--dir`.
+
+    Raise `IdentityCommandError` or OSError.
+    """
+    key_store = SigningKeyStore(Path(arguments["--dir"]))
+    now = int(time.time())
     if arguments["new"]:
-        state = State.NEXT if arguments["--state"] == "next" else State.ACTIVE
-        print(keeper.new(arguments["--alg"], arguments["--kid"], state, now))
+        state = KeyState.NEXT if arguments["--state"] == "next" else KeyState.ACTIVE
+        print(key_store.create_key(arguments["--alg"], arguments["--kid"], state, now))
     elif arguments["rotate"]:
-        for line in keeper.rotate(whole(arguments, "--overlap"), now, arguments["--early"]):
+        overlap_seconds = seconds_argument(arguments, "--overlap")
+        for line in key_store.rotate(overlap_seconds, now, early=arguments["--early"]):
             print(line)
     elif arguments["revoke"]:
-        keeper.revoke(arguments["KID"])
-        print(f"{arguments['KID']} is revoked: no token of it is good from the next reading on")
+        key_id = arguments["KID"]
+        key_store.revoke(key_id)
+        print(f"{key_id} is revoked: no token of it is good from the next reading on")
     else:
-        for row in keeper.rows():
-            ends = f" until {stamp(row['not_after'])}" if row.get("not_after") else ""
-            print(
-                f"{row['kid']} {row['alg']} {row['state']} since {stamp(row.get('not_before', 0))}{ends}"
-            )
+        for row in key_store.load_rows():
+            print(key_line(row))
     return 0
 
 
-def token(arguments: dict) -> int:
+def key_line(row: dict[str, Any]) -> str:
+    """Return the line of `keys list` for a row of the key file."""
+    end = f" until {format_time(row['not_after'])}" if row.get("not_after") else ""
+    start = format_time(row.get("not_before", 0))
+    return f"{row['kid']} {row['alg']} {row['state']} since {start}{end}"
+
+
+def token(arguments: dict[str, Any]) -> int:
+    """Issue a token, or print what one states; raise `IdentityCommandError` or OSError."""
     if arguments["inspect"]:
         return inspect(arguments["TOKEN"])
     now = int(time.time())
@@ -46,68 +69,65 @@
         "sub": arguments["--subject"],
         "iat": now,
         "nbf": now,
-        "exp": now + whole(arguments, "--ttl"),
-        "jti": secrets.token_hex(8),
+        "exp": now + seconds_argument(arguments, "--ttl"),
+        "jti": secrets.token_hex(TOKEN_ID_RANDOM_BYTES),
     }
-    print(Keeper(Path(arguments["--dir"])).issue(claims, arguments["--kid"]))
+    key_store = SigningKeyStore(Path(arguments["--dir"]))
+    print(key_store.issue_token(claims, arguments["--kid"]))
     return 0
 
 
 def inspect(text: str) -> int:
-    """What a token says, unverified, without its signature."""
+    """Print what a token states, unverified, without its signature."""
     try:
         parts = text.encode().split(b".")
-        header, claims = (read_object(decoded(part)) for part in parts[:2])
-    except (TokenError, ValueError) as fault:
-        raise KeeperError(f"TOKEN is none: {fault}") from None
-    for name in ("iat", "nbf", "exp"):
-        if isinstance(claims.get(name), int | float) and not isinstance(claims[name], bool):
-            claims[f"{name} at"] = stamp(claims[name])
+        header, claims = (parse_json_object(decode_base64url(part)) for part in parts[:2])
+    except TokenError as error:
+        raise IdentityCommandError(f"TOKEN is none: {error.reason}") from error
+    except ValueError as error:
+        raise IdentityCommandError(f"TOKEN is none: {error}") from error
+    for name in TIME_CLAIMS:
+        value = claims.get(name)
+        if isinstance(value, int | float) and not isinstance(value, bool):
+            claims[f"{name} at"] = format_time(value)
     print(ujson.dumps({"header": header, "claims": claims, "verified": False}, indent=1))
     return 0
 
 
-@dataclass(frozen=True, slots=True)
-class Explained:
-    decision: Decision
-    subject: str = ""
-    key: str = ""
+def explain(
+    section: IdentitySection | None, token: str, class_name: str, tenant: str | None
+) -> int:
+    """Print the decision on a request and the rule behind it, as the access control decides now.
 
-
-def explain(section: Section | None, text: str, kind: str, tenant: str | None) -> int:
-    """The decision and the rule behind it, as the gate would take it now; 0 if allowed, else 1."""
+    Return 0 if the request is allowed, else 1; raise `ConfigurationError`.
+    """
     if section is None:
         raise ConfigurationError("the operator's file has no [identity]")
-    found = explained(section, text.encode(), kind, tenant, time.time())
-    decision = found.decision
+    credential = Credential(token=token.encode())
+    rules = IdentityAccessControl(load_identity(section)).rules
+    presented = authenticate(rules, credential, time.time())
+    decision = presented.failure or rules.permissions.decide(
+        presented.principal, class_name, tenant
+    )
     print(f"{decision.verdict.value}: {decision.reason}")
     print(f"rule: {decision.rule}")
     print(
-        f"subject: {found.subject or '-'}, key: {found.key or '-'}, caller: {decision.caller or '-'}"
+        f"subject: {presented.subject or '-'}, key: {presented.key_id or '-'},"
+        f" caller: {decision.caller or '-'}"
     )
     if decision.tenant:
         print(f"tenant: {decision.tenant}")
     return 0 if decision.verdict is Verdict.ALLOWED else 1
 
 
-def explained(
-    section: Section, text: bytes, kind: str, tenant: str | None, now: float
-) -> Explained:
-    prepared = prepare(section)
-    try:
-        claims = verify(text, prepared.ring, rules_of(section), now)
-    except TokenError as fault:
-        return Explained(Decision(Verdict.UNKNOWN, fault.reason, "identity"), key=fault.kid)
-    identity = Identity(claims.subject, Method.TOKEN, claims.kid, claims.expires)
-    return Explained(rights_of(section).judge(identity, kind, tenant), claims.subject, claims.kid)
-
-
-def whole(arguments: dict, name: str) -> int:
-    text = arguments[name]
-    if not text.isascii() or not text.isdigit() or len(text) > 9:
-        raise KeeperError(f"{name}={text} is not a whole number of seconds")
+def seconds_argument(arguments: dict[str, Any], name: str) -> int:
+    """Return an argument in whole seconds; raise `IdentityCommandError`."""
+    text: str = arguments[name]
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_SECONDS_DIGITS:
+        raise IdentityCommandError(f"{name}={text} is not a whole number of seconds")
     return int(text)
 
 
-def stamp(seconds: float) -> str:
-    return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(seconds)) if seconds else "ever"
+def format_time(unix_seconds: float) -> str:
+    """Return a time in UTC; "ever" for 0, which stands for no bound."""
+    return time.strftime(TIME_FORMAT, time.gmtime(unix_seconds)) if unix_seconds else "ever"
--- /dev/null
+++ b/stepstream/identity/errors.py
@@ -0,0 +1,45 @@
+"""The errors of this package. No text holds a token, a signature or a private key."""
+
+
+class IdentityError(Exception):
+    """Base of this package's errors; the text says what is wrong and what was expected."""
+
+
+class CredentialError(IdentityError):
+    """A credential identifies nobody.
+
+    `reason` is one word for clients, audit lines and the command line, where the text is not told:
+    it would help forgers. `key_id` names the token's key or the certificate's serial number, as
+    far as it is known.
+    """
+
+    credential = "credential"
+
+    def __init__(self, reason: str, explanation: str, key_id: str = "") -> None:
+        subject = f"{self.credential} of {key_id}" if key_id else self.credential
+        super().__init__(f"{subject}: {explanation}")
+        self.reason = reason
+        self.key_id = key_id
+
+
+class TokenError(CredentialError):
+    """A bearer token that identifies nobody."""
+
+    credential = "token"
+
+
+class CertificateError(CredentialError):
+    """A client certificate that identifies nobody."""
+
+    credential = "certificate"
+
+
+class KeySetError(IdentityError):
+    """A JWK set that cannot be used; the text begins with the path of the faulty member."""
+
+
+class IdentityCommandError(IdentityError):
+    """A command on keys or tokens that cannot be carried out.
+
+    The text is printed as one line, and the command exits with status 2.
+    """
--- /dev/null
+++ b/stepstream/identity/key_rotation.py
@@ -0,0 +1,213 @@
+"""The folder of signing keys and their rotation, for `stepstream keys` and `stepstream token`.
+
+The folder holds `keys.json`, the JWK set that every verifier reads, and a private PEM file a key,
+of mode 0600. A rotation has three steps, each safe by itself: the next key is known to all
+verifiers before it signs; it signs while tokens of the previous one are still good; the previous
+one goes once the last of them has expired. One command at a time may change a folder: there is no
+lock.
+"""
+
+import os
+import secrets
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, cast
+
+import jwt
+import ujson
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric import ec, ed25519, rsa
+
+from stepstream.identity.errors import IdentityCommandError, KeySetError
+from stepstream.identity.key_set import ALGORITHMS, KEY_ID_PATTERN, KeyState, parse_key_set
+
+KEY_FILE_NAME = "keys.json"
+KEY_FILE_MODE = 0o644
+PRIVATE_KEY_MODE = 0o600
+FOLDER_MODE = 0o700
+RSA_BITS = 3072
+RSA_PUBLIC_EXPONENT = 65537
+KEY_ID_RANDOM_BYTES = 4
+PROPAGATION_SECONDS = 60  # after which every verifier is taken to know a next key
+
+PrivateKey = ed25519.Ed25519PrivateKey | ec.EllipticCurvePrivateKey | rsa.RSAPrivateKey
+JwkRow = dict[str, Any]  # a key's row in the key file
+
+
+@dataclass
+class SigningKeyStore:
+    """The signing keys of a folder. Times are Unix seconds.
+
+    All methods raise `IdentityCommandError` for what cannot be done and OSError for files that
+    cannot be read or written.
+    """
+
+    folder: Path
+
+    @property
+    def key_file(self) -> Path:
+        """The path of the JWK set."""
+        return self.folder / KEY_FILE_NAME
+
+    def private_key_file(self, key_id: str) -> Path:
+        """Return the path of a key's private half."""
+        return self.folder / f"{key_id}.pem"
+
+    def load_rows(self) -> list[JwkRow]:
+        """Return the rows of the key file; none if there is no file."""
+        if not self.key_file.exists():
+            return []
+        try:
+            data = ujson.loads(self.key_file.read_bytes())
+            parse_key_set(data)
+        except (KeySetError, ValueError) as error:
+            raise IdentityCommandError(f"{self.key_file}: {error}") from error
+        return cast("list[JwkRow]", data["keys"])
+
+    def create_key(self, algorithm: str, key_id: str | None, state: KeyState, now: int) -> str:
+        """Create a key pair; return its id, a random one if `key_id` is None or empty."""
+        if algorithm not in ALGORITHMS:
+            raise IdentityCommandError(f"--alg={algorithm} is none of {', '.join(ALGORITHMS)}")
+        key_id = key_id or f"k{secrets.token_hex(KEY_ID_RANDOM_BYTES)}"
+        if not KEY_ID_PATTERN.fullmatch(key_id):
+            raise IdentityCommandError(f"--kid={key_id} needs 1 to 64 letters, digits, - or _")
+        rows = self.load_rows()
+        is_taken = any(row["kid"] == key_id for row in rows)
+        if is_taken or self.private_key_file(key_id).exists():
+            raise IdentityCommandError(f"--kid={key_id} is there already")
+        private_key = generate_private_key(algorithm)
+        pem = private_key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+        self._write_atomically(self.private_key_file(key_id), pem, PRIVATE_KEY_MODE)
+        row = public_jwk(algorithm, private_key)
+        rows.append({**row, "kid": key_id, "state": state.value, "not_before": now})
+        self._save_rows(rows)
+        return key_id
+
+    def rotate(self, overlap_seconds: int, now: int, *, early: bool = False) -> list[str]:
+        """Activate the next key, retire the active one, drop what has ended, make a new next key.
+
+        Tokens of the retired key are good for `overlap_seconds` more. `early` does not wait until
+        all verifiers know the next key. Return lines that tell the operator what was done.
+        """
+        rows = self.load_rows()
+        next_row = self._next_row(rows)
+        if not early and now - next_row["not_before"] < PROPAGATION_SECONDS:
+            raise IdentityCommandError(
+                f"the next key is younger than {PROPAGATION_SECONDS} s:"
+                " verifiers may not know it (--early)"
+            )
+        lines = retire_active(rows, overlap_seconds, now)
+        next_row["state"] = KeyState.ACTIVE.value
+        lines.append(f"{next_row['kid']} signs from now on")
+        lines += self._drop_ended(rows, now)
+        self._save_rows(rows)
+        key_id = self.create_key(next_row["alg"], None, KeyState.NEXT, now)
+        lines.append(f"{key_id} is next")
+        return lines
+
+    def revoke(self, key_id: str) -> None:
+        """Revoke a key at once and delete its private half."""
+        rows = self.load_rows()
+        row = next((row for row in rows if row["kid"] == key_id), None)
+        if row is None:
+            raise IdentityCommandError(f"there is no key {key_id}")
+        row["state"] = KeyState.REVOKED.value
+        self._save_rows(rows)
+        self.private_key_file(key_id).unlink(missing_ok=True)
+
+    def issue_token(self, claims: dict[str, Any], key_id: str | None = None) -> str:
+        """Return a token signed by the newest active key, or by the one named."""
+        rows = self.load_rows()
+        if key_id:
+            matching = [row for row in rows if row["kid"] == key_id]
+        else:
+            matching = [row for row in rows if row["state"] == KeyState.ACTIVE.value]
+        if not matching:
+            raise IdentityCommandError(
+                f"there is no key {key_id}" if key_id else "there is no active key"
+            )
+        row = matching[-1]
+        try:
+            pem = self.private_key_file(row["kid"]).read_bytes()
+        except OSError as error:
+            raise IdentityCommandError(f"the private key of {row['kid']} is not here") from error
+        return jwt.encode(claims, pem, algorithm=row["alg"], headers={"kid": row["kid"]})
+
+    # -- steps ------------------------------------------------------------------------------------
+
+    def _next_row(self, rows: list[JwkRow]) -> JwkRow:
+        """Return the first next key."""
+        for row in rows:
+            if row["state"] == KeyState.NEXT.value:
+                return row
+        raise IdentityCommandError(
+            "there is no next key: 'keys new --state next' first, and let verifiers read it"
+        )
+
+    def _drop_ended(self, rows: list[JwkRow], now: int) -> list[str]:
+        """Remove retired keys whose last token has expired; return the lines that tell it."""
+        ended = [
+            row
+            for row in rows
+            if row["state"] == KeyState.RETIRING.value and row["not_after"] <= now
+        ]
+        for row in ended:
+            rows.remove(row)
+            self.private_key_file(row["kid"]).unlink(missing_ok=True)
+        return [f"{row['kid']} is gone" for row in ended]
+
+    def _save_rows(self, rows: list[JwkRow]) -> None:
+        data = {"keys": rows}
+        parse_key_set(data)
+        text = ujson.dumps(data, indent=1).encode() + b"\n"
+        self._write_atomically(self.key_file, text, KEY_FILE_MODE)
+
+    def _write_atomically(self, path: Path, data: bytes, mode: int) -> None:
+        """Write a file completely or not at all: a reader never sees a part of it."""
+        self.folder.mkdir(mode=FOLDER_MODE, parents=True, exist_ok=True)
+        descriptor, temporary_name = tempfile.mkstemp(dir=self.folder, prefix=".")
+        try:
+            with os.fdopen(descriptor, "wb") as file:
+                os.fchmod(file.fileno(), mode)
+                file.write(data)
+                file.flush()
+                os.fsync(file.fileno())
+            os.replace(temporary_name, path)
+        except BaseException:
+            os.unlink(temporary_name)
+            raise
+
+
+def retire_active(rows: list[JwkRow], overlap_seconds: int, now: int) -> list[str]:
+    """Retire the active keys in the rows; return the lines that tell it."""
+    lines = []
+    for row in rows:
+        if row["state"] == KeyState.ACTIVE.value:
+            row["state"] = KeyState.RETIRING.value
+            row["not_after"] = now + overlap_seconds
+            lines.append(f"{row['kid']} retires, its tokens are good for {overlap_seconds} s more")
+    return lines
+
+
+def generate_private_key(algorithm: str) -> PrivateKey:
+    """Generate a private key for one of `ALGORITHMS`."""
+    match algorithm:
+        case "EdDSA":
+            return ed25519.Ed25519PrivateKey.generate()
+        case "ES256":
+            return ec.generate_private_key(ec.SECP256R1())
+    return rsa.generate_private_key(public_exponent=RSA_PUBLIC_EXPONENT, key_size=RSA_BITS)
+
+
+def public_jwk(algorithm: str, private_key: PrivateKey) -> JwkRow:
+    """Return the public half as a JWK (RFC 7517) without an id."""
+    library_algorithm = jwt.get_algorithm_by_name(algorithm)
+    jwk = library_algorithm.to_jwk(private_key.public_key(), as_dict=True)
+    # `use` says it all: `key_ops` should not stand beside it (RFC 7517, 4.3).
+    members = {name: value for name, value in jwk.items() if name != "key_ops"}
+    return {**members, "alg": algorithm, "use": "sig"}
--- /dev/null
+++ b/stepstream/identity/key_set.py
@@ -0,0 +1,146 @@
+"""The keys that tokens are verified with: a JWK set (RFC 7517); free of I/O.
+
+Beside RFC 7517's members each key has `state` (next, active, retiring, revoked) and, in Unix
+seconds, `not_before` and `not_after`. A key is used with one algorithm only, its `alg`: a token's
+header chooses nothing but the key's id (RFC 8725, 3.1). A key set never changes; any thread reads
+it.
+"""
+
+import re
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+import jwt
+
+from stepstream.identity.errors import KeySetError, TokenError
+
+KEY_ID_PATTERN = re.compile(r"[0-9A-Za-z_-]{1,64}")
+# By `alg`: the `kty` and `crv` that go with it (RFC 7518, 6.1; RFC 8037, 2).
+ALGORITHMS: dict[str, tuple[str, str | None]] = {
+    "EdDSA": ("OKP", "Ed25519"),
+    "ES256": ("EC", "P-256"),
+    "RS256": ("RSA", None),
+}
+MIN_RSA_BITS = 2048  # RFC 7518, 3.3
+MAX_KEYS = 64
+MAX_UNIX_SECONDS = 2**53  # what every reader of JSON holds exactly (RFC 8259, 6)
+# Members that hold private or symmetric keys (RFC 7518, 6.2.2, 6.3.2 and 6.4.1).
+PRIVATE_MEMBERS = frozenset(("d", "p", "q", "dp", "dq", "qi", "oth", "k"))
+
+
+class KeyState(Enum):
+    """A key's place in the rotation. The values are the key file's."""
+
+    NEXT = "next"  # known to all verifiers before it signs
+    ACTIVE = "active"  # signs
+    RETIRING = "retiring"  # signs no more; its tokens are good until `not_after`
+    REVOKED = "revoked"  # never again
+
+
+@dataclass(frozen=True, slots=True)
+class VerificationKey:
+    """A public key; times in Unix seconds."""
+
+    key_id: str
+    algorithm: str
+    state: KeyState
+    not_before: int = 0
+    not_after: int = 0  # 0: no end
+    public_key: Any = None  # in the form that the algorithm's verifier takes
+
+    def check_usable(self, now: float) -> None:
+        """Raise `TokenError` if no token of this key is good at the Unix time `now`."""
+        if self.state is KeyState.REVOKED:
+            raise TokenError("key_revoked", "the key is revoked", self.key_id)
+        if now < self.not_before:
+            raise TokenError("key_not_yet", "the key is not valid yet", self.key_id)
+        if self.not_after and now >= self.not_after:
+            raise TokenError("key_past", "the key has retired", self.key_id)
+
+
+@dataclass(frozen=True, slots=True)
+class KeySet:
+    """All keys of a key file, by id."""
+
+    keys: dict[str, VerificationKey]
+
+    def find(self, key_id: str) -> VerificationKey:
+        """Return the key with this id; raise `TokenError` if there is none."""
+        key = self.keys.get(key_id)
+        if key is None:
+            raise TokenError("unknown_kid", "the key set has no key with this kid", key_id)
+        return key
+
+
+def parse_key_set(data: object) -> KeySet:
+    """Read a decoded JWK set (RFC 7517, 5), all or nothing; raise `KeySetError`."""
+    rows = data.get("keys") if isinstance(data, dict) else None
+    if not isinstance(rows, list):
+        raise KeySetError("keys: not a list")
+    if len(rows) > MAX_KEYS:
+        raise KeySetError(f"keys: more than {MAX_KEYS}")
+    keys: dict[str, VerificationKey] = {}
+    for position, row in enumerate(rows):
+        key = parse_key(f"keys[{position}]", row)
+        if key.key_id in keys:
+            raise KeySetError(f"keys[{position}].kid: {key.key_id} comes twice")
+        keys[key.key_id] = key
+    return KeySet(keys)
+
+
+def parse_key(path: str, row: object) -> VerificationKey:
+    """Read one JWK with this package's further members; raise `KeySetError`."""
+    if not isinstance(row, dict):
+        raise KeySetError(f"{path}: not an object")
+    key_id = row.get("kid")
+    if not isinstance(key_id, str) or not KEY_ID_PATTERN.fullmatch(key_id):
+        raise KeySetError(f"{path}.kid: needs 1 to 64 letters, digits, - or _")
+    algorithm = parse_algorithm(path, row)
+    if PRIVATE_MEMBERS & row.keys():
+        # Guards a private key from being handed to every verifier.
+        raise KeySetError(f"{path}: holds private members; a key set is public")
+    if row.get("use", "sig") != "sig":  # RFC 7517, 4.2
+        raise KeySetError(f"{path}.use: not sig")
+    try:
+        state = KeyState(row.get("state", "active"))
+    except ValueError as error:
+        expected = ", ".join(state.value for state in KeyState)
+        raise KeySetError(f"{path}.state: {row['state']} is none of {expected}") from error
+    not_before = row.get("not_before", 0)
+    not_after = row.get("not_after", 0)
+    if not (is_unix_time(not_before) and is_unix_time(not_after)):
+        raise KeySetError(f"{path}: not_before and not_after are Unix seconds")
+    if state is KeyState.RETIRING and not not_after:
+        raise KeySetError(f"{path}.not_after: a retiring key needs its end")
+    public_key = parse_public_key(path, row, algorithm)
+    return VerificationKey(key_id, algorithm, state, not_before, not_after, public_key)
+
+
+def parse_algorithm(path: str, row: dict[str, Any]) -> str:
+    """Return a JWK's `alg`, which its `kty` and `crv` must go with; raise `KeySetError`."""
+    algorithm = row.get("alg")
+    if algorithm not in ALGORITHMS:
+        raise KeySetError(f"{path}.alg: {algorithm} is none of {', '.join(ALGORITHMS)}")
+    assert isinstance(algorithm, str)
+    key_type, curve = ALGORITHMS[algorithm]
+    if row.get("kty") != key_type or (curve and row.get("crv") != curve):
+        expected = f"{key_type} {curve or ''}".rstrip()
+        raise KeySetError(f"{path}.kty: {algorithm} goes with {expected}")
+    return algorithm
+
+
+def is_unix_time(value: object) -> bool:
+    """Return whether a JSON value is whole Unix seconds."""
+    return isinstance(value, int) and not isinstance(value, bool) and 0 <= value < MAX_UNIX_SECONDS
+
+
+def parse_public_key(path: str, row: dict[str, Any], algorithm: str) -> object:
+    """Return a JWK's key in the library's form; raise `KeySetError`."""
+    try:
+        public_key = jwt.PyJWK(row, algorithm=algorithm).key
+    except (jwt.PyJWTError, ValueError, TypeError, KeyError) as error:
+        raise KeySetError(f"{path}: {type(error).__name__}: {error}") from error
+    if algorithm == "RS256" and public_key.key_size < MIN_RSA_BITS:
+        raise KeySetError(f"{path}.n: fewer than {MIN_RSA_BITS} bits")
+    return public_key
--- /dev/null
+++ b/stepstream/identity/permissions.py
@@ -0,0 +1,201 @@
+"""Authorization of an authenticated principal: one decision that says why; free of I/O.
+
+Denied means that the caller may not: nobody is identified (401) or somebody is, and may not (403).
+Over a rate or a number of open requests is no denial but a rejection for now, which says when to
+retry (503).
+
+Owns the callers' rate limiters. `decide` only reads what never changes, and any thread may call it;
+`admit`, `release` and `adopt_usage` change the rate limiters, and need the access control's lock.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+
+from stepstream.identity.rate_limiter import RateLimiter, TokenBucket
+
+ALL = "*"  # among a caller's tenants or classes
+# Until a caller without a rate limit, but with too many open requests, may try again.
+OPEN_REQUESTS_RETRY_SECONDS = 1.0
+
+
+class AuthenticationMethod(Enum):
+    """How a principal was authenticated. The values are those of `identity.methods`."""
+
+    TOKEN = "token"
+    CERTIFICATE = "certificate"
+
+
+class Verdict(Enum):
+    """The outcome of a decision. The values are the audit lines'."""
+
+    ALLOWED = "allowed"
+    UNKNOWN = "unknown"  # 401
+    DENIED = "denied"  # 403
+    LATER = "later"  # 503 with Retry-After
+
+
+@dataclass(frozen=True, slots=True)
+class Principal:
+    """Whom a credential identifies."""
+
+    subject: str  # of the token, or the certificate's name
+    method: AuthenticationMethod
+    key_id: str = ""  # kid, or the certificate's serial number
+    expires_at: float = 0.0  # Unix seconds
+
+
+@dataclass(frozen=True, slots=True)
+class Caller:
+    """A caller of the operator's file with its permissions and limits; limits of 0 are none.
+
+    `tenants` and `classes`: empty for none, "*" for all.
+    """
+
+    name: str
+    subjects: frozenset[str]
+    tenants: frozenset[str]
+    classes: frozenset[str]
+    suspended: bool = False
+    rate_per_second: float = 0.0
+    burst: int = 1
+    max_open_requests: int = 0
+
+    @property
+    def has_limits(self) -> bool:
+        """Whether its requests are counted."""
+        return bool(self.rate_per_second or self.max_open_requests)
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """An authorization decision.
+
+    `reason` is one word for the peer and the audit line; `rule` names the line of the operator's
+    file, or the check, that decided.
+    """
+
+    verdict: Verdict
+    reason: str
+    rule: str
+    caller: str = ""
+    tenant: str = ""
+    retry_after_seconds: float = 0.0  # of LATER
+
+
+@dataclass
+class Permissions:
+    """The callers' permissions and what they have used of their limits.
+
+    `required_methods`: by class, the methods of which one is required; the others take any.
+    """
+
+    callers: tuple[Caller, ...]
+    required_methods: Mapping[str, frozenset[AuthenticationMethod]]
+    rate_limiters: dict[str, RateLimiter] = field(default_factory=dict)  # by the caller's name
+
+    def __post_init__(self) -> None:
+        self.callers_by_subject = {
+            subject: caller for caller in self.callers for subject in caller.subjects
+        }
+
+    def adopt_usage(self, previous: "Permissions") -> None:
+        """Take over the rate limiters of the callers that stay, by name, at a reload."""
+        names = {caller.name for caller in self.callers}
+        self.rate_limiters = {
+            name: limiter for name, limiter in previous.rate_limiters.items() if name in names
+        }
+
+    def is_same_caller(self, principal: Principal, other: Principal) -> bool:
+        """Return whether two principals are one subject, or subjects of one caller."""
+        if principal.subject == other.subject:
+            return True
+        caller = self.callers_by_subject.get(principal.subject)
+        return caller is not None and caller is self.callers_by_subject.get(other.subject)
+
+    def decide(self, principal: Principal | None, class_name: str, tenant: str | None) -> Decision:
+        """Decide whether a principal may send a job of this class for this tenant.
+
+        Without a `tenant`, the request is of the one tenant that the caller belongs to. Nothing is
+        counted.
+        """
+        if principal is None:
+            return Decision(Verdict.UNKNOWN, "no_credential", "identity")
+        caller = self.callers_by_subject.get(principal.subject)
+        if caller is None:
+            return Decision(Verdict.DENIED, "unknown_caller", "identity.caller")
+        denial = self._class_denial(caller, principal, class_name)
+        if denial is not None:
+            return denial
+        if tenant is None:
+            if len(caller.tenants) != 1 or ALL in caller.tenants:
+                return denied(caller, "tenant_missing", "tenants")
+            (tenant,) = caller.tenants
+        elif not caller.tenants & {tenant, ALL}:
+            return denied(caller, "tenant_contradicts", "tenants")
+        return Decision(Verdict.ALLOWED, "allowed", rule_of(caller), caller.name, tenant)
+
+    def _class_denial(
+        self, caller: Caller, principal: Principal, class_name: str
+    ) -> Decision | None:
+        """Return why the caller may not send jobs of this class, for whatever tenant."""
+        if caller.suspended:
+            return denied(caller, "suspended", "state")
+        if not caller.classes & {class_name, ALL}:
+            return denied(caller, "class_not_allowed", "classes")
+        required = self.required_methods.get(class_name)
+        if required is not None and principal.method not in required:
+            rule = f"identity.methods.{class_name}"
+            return Decision(Verdict.DENIED, "method_not_allowed", rule, caller.name)
+        return None
+
+    def admit(
+        self, principal: Principal | None, class_name: str, tenant: str | None, now: float
+    ) -> Decision:
+        """Decide, and count an allowed request of a caller with limits until `release`.
+
+        `now` is in Unix seconds.
+        """
+        decision = self.decide(principal, class_name, tenant)
+        if principal is None or decision.verdict is not Verdict.ALLOWED:
+            return decision
+        caller = self.callers_by_subject[principal.subject]
+        if not caller.has_limits:
+            return decision
+        limiter = self.rate_limiters.get(caller.name)
+        if limiter is None:
+            limiter = RateLimiter(TokenBucket(float(caller.burst), now))
+            self.rate_limiters[caller.name] = limiter
+        rate = caller.rate_per_second
+        if caller.max_open_requests and limiter.open_requests >= caller.max_open_requests:
+            retry_after_seconds = 1 / rate if rate else OPEN_REQUESTS_RETRY_SECONDS
+            return rejected_for_now(caller, "too_many_open", "most_open", retry_after_seconds)
+        if rate and not limiter.bucket.try_take(now, rate, float(caller.burst)):
+            retry_after_seconds = limiter.bucket.seconds_until_token(rate)
+            return rejected_for_now(caller, "over_rate", "rate_per_s", retry_after_seconds)
+        limiter.open_requests += 1
+        return decision
+
+    def release(self, caller_name: str) -> None:
+        """End a request that `admit` counted."""
+        limiter = self.rate_limiters.get(caller_name)
+        if limiter is not None:
+            limiter.close_request()
+
+
+def rule_of(caller: Caller) -> str:
+    """Return the name of the caller's table in the operator's file."""
+    return f"identity.caller {caller.name}"
+
+
+def denied(caller: Caller, reason: str, key: str) -> Decision:
+    """Return a denial by a key of the caller's table."""
+    return Decision(Verdict.DENIED, reason, f"{rule_of(caller)}: {key}", caller.name)
+
+
+def rejected_for_now(caller: Caller, reason: str, key: str, retry_after_seconds: float) -> Decision:
+    """Return a rejection by a limit of the caller's table."""
+    rule = f"{rule_of(caller)}: {key}"
+    return Decision(
+        Verdict.LATER, reason, rule, caller.name, retry_after_seconds=retry_after_seconds
+    )
--- a/stepstream/identity/subsystem.py
+++ b/stepstream/identity/subsystem.py
@@ -1,72 +1,99 @@
-"""How `[identity]` plugs into the node: the gate at every front, and TLS listeners beside the plain ones."""
+"""How `[identity]` plugs into the node.
+
+Makes and owns the access control, sets it for every front, and opens TLS listeners beside the plain
+ones. The node's main thread calls it.
+"""
 
 import socket
 from collections.abc import Callable, Sequence
-from typing import Protocol
+from typing import Protocol, cast
 
 from stepstream.config.node_config import NodeConfig
-from stepstream.config.operator_file import OperatorConfig, require_unchanged
-from stepstream.identity.gate import Gate, Prepared, prepare
+from stepstream.config.operator_file import IdentitySection, OperatorConfig, require_unchanged
+from stepstream.identity.access_control import IdentityAccessControl
+from stepstream.identity.configuration import load_identity
 from stepstream.ports.connections import BoundListener, ListenerSpec
 from stepstream.ports.subsystem import Subsystem
 from stepstream.runtime.transport import Transport
 from stepstream.subsystem_context import SubsystemContext, open_listener
 
-FIXED = ("identity.tls", "identity.tls.listen", "identity.tls.gearman_listen")
+RESTART_ONLY_KEYS = ("identity.tls", "identity.tls.listen", "identity.tls.gearman_listen")
 
 
-class Listens(Protocol):
-    """A front that takes connections over another kind of link as well."""
+class TransportFront(Protocol):
+    """A front that accepts connections over another kind of transport as well."""
 
     def listen_with_transport(
-        self, address: tuple[str, int], link: Callable[[socket.socket], Transport]
-    ) -> ListenerSpec: ...
+        self, address: tuple[str, int], create_transport: Callable[[socket.socket], Transport], /
+    ) -> ListenerSpec:
+        """Listen at an address; OSError if it cannot be had."""
 
 
 class IdentitySubsystem(Subsystem):
-    def __init__(self, host: SubsystemContext) -> None:
-        """FieldError if a file that the section names cannot be used."""
-        self.host = host
-        self.gate = host.server.state.access_control = Gate(prepare(host.operator.identity))
+    """The identification of one dispatcher's callers.
+
+    Raise `ConfigurationError` if a file that the section names cannot be used.
+    """
+
+    def __init__(self, context: SubsystemContext) -> None:
+        self.context = context
+        self.access_control = IdentityAccessControl(load_identity(section_of(context.operator)))
+        context.server.state.access_control = self.access_control
 
     def open_listeners(self) -> Sequence[BoundListener]:
-        section = self.host.operator.identity.tls
-        if section is None:
+        """Open the TLS listeners of HTTP and, where it is configured, of Gearman."""
+        tls = section_of(self.context.operator).tls
+        if tls is None:
             return ()
-        fronts: list[tuple[str, str, Listens, str]] = [
-            ("identity.tls.listen", section.listen, self.host.server, " for TLS")
-        ]
-        if section.gearman_listen:
-            gearman: Listens = self.host.subsystems["gearman"]
-            fronts.append(
-                (
-                    "identity.tls.gearman_listen",
-                    section.gearman_listen,
-                    gearman,
-                    " for Gearman over TLS",
-                )
+        listeners = [
+            self._open_tls_listener(
+                "identity.tls.listen", tls.listen, self.context.server, " for TLS"
             )
-        return [
-            open_listener(
-                key,
-                text,
-                lambda at, front=front: front.listen_with_transport(at, self.gate.link),
-                what,
-            )
-            for key, text, front, what in fronts
         ]
+        if tls.gearman_listen:
+            # The node creates `[gearman]`, which this key needs, before it opens listeners.
+            gearman = cast("TransportFront", self.context.subsystems["gearman"])
+            key = "identity.tls.gearman_listen"
+            suffix = " for Gearman over TLS"
+            listeners.append(self._open_tls_listener(key, tls.gearman_listen, gearman, suffix))
+        return listeners
+
+    def _open_tls_listener(
+        self, key: str, address: str, front: TransportFront, log_suffix: str
+    ) -> BoundListener:
+        """Open a front's TLS listener; `ConfigurationError` names the key if it cannot be had."""
+        create_transport = self.access_control.create_tls_transport
+        return open_listener(
+            key,
+            address,
+            lambda parsed: front.listen_with_transport(parsed, create_transport),
+            log_suffix,
+        )
 
     def prepare_reload(
-        self, config: NodeConfig, operator: OperatorConfig | None
+        self, _config: NodeConfig, operator: OperatorConfig | None
     ) -> Callable[[], None]:
-        for key in FIXED:
-            require_unchanged(key, self.host.operator, operator)
-        found: Prepared = prepare(operator.identity)
-        return lambda: self.gate.apply(found)
+        """Read the files of a new section; return what puts it into force."""
+        # With this subsystem there is an operator's file, before and after the reload.
+        current = cast("OperatorConfig", self.context.operator)
+        reloaded = cast("OperatorConfig", operator)
+        for key in RESTART_ONLY_KEYS:
+            require_unchanged(key, current, reloaded)
+        loaded = load_identity(section_of(reloaded))
+        return lambda: self.access_control.apply(loaded)
 
     def run_periodic_tasks(self) -> None:
-        self.gate.look()
+        """Read the key file again if it has changed."""
+        self.access_control.reload_changed_keys()
+
+
+def section_of(operator: OperatorConfig | None) -> IdentitySection:
+    """Return `[identity]`, without which the node does not make this subsystem."""
+    assert operator is not None
+    assert operator.identity is not None
+    return operator.identity
 
 
-def create_subsystem(host: SubsystemContext) -> IdentitySubsystem:
-    return IdentitySubsystem(host)
+def create_subsystem(context: SubsystemContext) -> IdentitySubsystem:
+    """Make the subsystem; the node calls this for an operator's file with `[identity]`."""
+    return IdentitySubsystem(context)
--- a/stepstream/identity/tls.py
+++ b/stepstream/identity/tls.py
@@ -1,8 +1,8 @@
-"""TLS under an inbound connection: the library between two memory buffers, and the bare socket.
+"""TLS under an inbound connection: the library between two memory buffers, and the plain socket.
 
-The handshake takes place in the connection's own thread, within the time of a greeting. Reading never
-writes: what the library wants to say meanwhile leaves with the next answer, so that one thread at a time
-sends.
+The handshake runs in the connection's own thread, within the time of a connection's first request.
+Receiving never sends: what the library wants to send meanwhile leaves with the next answer, so that
+one thread at a time sends. A `TlsTransport` owns the library's state, which its lock guards.
 """
 
 import contextlib
@@ -15,27 +15,32 @@
 from cryptography import x509
 
 from stepstream.config.errors import ConfigurationError
-from stepstream.config.operator_file import TlsSection as Section
-from stepstream.identity.certificates import Certificate, Revoked, read_certificate, read_crls
+from stepstream.config.operator_file import TlsSection
+from stepstream.identity.certificates import (
+    ClientCertificate,
+    RevocationList,
+    parse_certificate,
+    parse_revocation_lists,
+)
 from stepstream.runtime.transport import Transport
 
-RECORD = 16 * 1024
-LEAST = {"1.2": ssl.TLSVersion.TLSv1_2, "1.3": ssl.TLSVersion.TLSv1_3}
+RECORD_BYTES = 16 * 1024  # the longest TLS record's plain text (RFC 8446, 5.1)
+TLS_VERSIONS = {"1.2": ssl.TLSVersion.TLSv1_2, "1.3": ssl.TLSVersion.TLSv1_3}
 
 
 @dataclass(frozen=True, slots=True)
-class Credentials:
-    """What new connections are met with; files read and found whole."""
+class TlsCredentials:
+    """What new connections are accepted with, of files that were read and found good."""
 
     context: ssl.SSLContext
-    revoked: Revoked
+    revocation_list: RevocationList
 
 
-def load(section: Section) -> Credentials:
-    """FieldError names the key whose file cannot be used."""
+def load_tls_credentials(section: TlsSection) -> TlsCredentials:
+    """Read the files of `[identity.tls]`; `ConfigurationError` names the key of a faulty one."""
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-    context.minimum_version = LEAST[section.least]
-    # Guards a revocation: a resumed session would bring back a certificate that nobody has looked at again.
+    context.minimum_version = TLS_VERSIONS[section.least]
+    # Guards revocation: a resumed session would bring back a certificate that is not checked again.
     context.options |= ssl.OP_NO_TICKET | ssl.OP_NO_RENEGOTIATION
     context.num_tickets = 0
     context.set_alpn_protocols(["http/1.1"])
@@ -44,95 +49,116 @@
     except (OSError, ssl.SSLError) as error:
         raise ConfigurationError(
             f"identity.tls.certificate={section.certificate}: {error}"
-        ) from None
+        ) from error
     try:
         bundle = Path(section.clients_ca).read_bytes()
         issuers = x509.load_pem_x509_certificates(bundle)
         context.load_verify_locations(cadata=bundle.decode("ascii"))
     except (OSError, ValueError) as error:
-        raise ConfigurationError(f"identity.tls.clients_ca={section.clients_ca}: {error}") from None
+        raise ConfigurationError(
+            f"identity.tls.clients_ca={section.clients_ca}: {error}"
+        ) from error
     context.verify_mode = ssl.CERT_REQUIRED if section.clients == "required" else ssl.CERT_OPTIONAL
+    return TlsCredentials(context, load_revocation_list(section, issuers))
+
+
+def load_revocation_list(section: TlsSection, issuers: list[x509.Certificate]) -> RevocationList:
+    """Read the section's CRL file, if any; `ConfigurationError` if it cannot be used."""
+    if not section.crl:
+        return RevocationList()
     try:
-        revoked = read_crls(Path(section.crl).read_bytes(), issuers) if section.crl else Revoked()
+        return parse_revocation_lists(Path(section.crl).read_bytes(), issuers)
     except (OSError, ValueError) as error:
-        raise ConfigurationError(f"identity.tls.crl={section.crl}: {error}") from None
-    return Credentials(context, revoked)
+        raise ConfigurationError(f"identity.tls.crl={section.crl}: {error}") from error
 
 
-class TlsLink(Transport):
+class TlsTransport(Transport):
+    """TLS over a connected socket, as the server; see `Transport` for the methods' threads."""
+
     def __init__(self, sock: socket.socket, context: ssl.SSLContext) -> None:
         super().__init__(sock)
-        self.incoming, self.outgoing = ssl.MemoryBIO(), ssl.MemoryBIO()
+        self.incoming = ssl.MemoryBIO()  # received, not yet decrypted
+        self.outgoing = ssl.MemoryBIO()  # encrypted, not yet sent
         self.tls = context.wrap_bio(self.incoming, self.outgoing, server_side=True)
-        self.lock = threading.Lock()  # of the library's state
-        self.certificate: Certificate | None = None
-        self.plain = b""  # waited for and not taken yet
+        # Guards `tls` and both buffers after the handshake: one thread reads, another may send.
+        self.lock = threading.Lock()
+        self.certificate: ClientCertificate | None = None
+        self.decrypted = b""  # by `wait_readable`, for `receive_available`
 
     def handshake(self) -> None:
-        """The handshake; OSError (ssl.SSLError is one) if there is none. The driver's look bounds its
-        time.
+        """Carry out the handshake; OSError (ssl.SSLError is one) if it fails.
+
+        The driver's timeout bounds it by shutting the socket down.
         """
-        while not self.shaken():
-            data = self.sock.recv(RECORD)
+        while not self._advance_handshake():
+            data = self.sock.recv(RECORD_BYTES)
             if not data:
                 raise OSError("the peer left in the handshake")
             self.incoming.write(data)
         der = self.tls.getpeercert(binary_form=True)
-        self.certificate = read_certificate(der) if der else None
+        self.certificate = parse_certificate(der) if der else None
 
-    def shaken(self) -> bool:
+    def _advance_handshake(self) -> bool:
+        """Take a step with the bytes at hand; return whether the handshake is complete."""
         try:
             self.tls.do_handshake()
-            return True
         except ssl.SSLWantReadError:
             return False
         finally:
-            # An alert too: it says what was wrong.
+            # After an error too: the alert tells the peer what was wrong.
             with contextlib.suppress(OSError):
                 self.sock.sendall(self.outgoing.read())
+        return True
 
-    def receive(self, size: int) -> bytes:
+    def receive(self, max_bytes: int) -> bytes:
+        """Wait for decrypted bytes; b"" for the peer's end."""
         while True:
             with self.lock:
                 try:
-                    return self.tls.read(size)
+                    return self.tls.read(max_bytes)
                 except ssl.SSLWantReadError:
                     pass
                 except ssl.SSLZeroReturnError:
                     return b""
-            data = self.sock.recv(RECORD)
+            data = self.sock.recv(RECORD_BYTES)
             if not data:
                 return b""
             with self.lock:
                 self.incoming.write(data)
 
-    def wait_readable(self, size: int) -> bool:
-        self.plain = self.receive(size)
-        return bool(self.plain)
+    def wait_readable(self, max_bytes: int) -> bool:
+        """Wait for decrypted bytes and keep them for `receive_available`."""
+        self.decrypted = self.receive(max_bytes)
+        return bool(self.decrypted)
 
-    def receive_available(self, size: int) -> bytes:
-        data, self.plain = self.plain, b""
+    def receive_available(self, max_bytes: int) -> bytes:  # noqa: ARG002  bounded by the wait
+        """Return what `wait_readable` waited for."""
+        data = self.decrypted
+        self.decrypted = b""
         return data
 
     def enqueue(self, data: bytes) -> None:
+        """Encrypt bytes and put them behind what waits to be sent."""
         with self.lock:
             self.tls.write(data)
             self.unsent += self.outgoing.read()
 
     def send_available(self, data: bytes) -> bool:
+        """Encrypt and send without waiting; return whether all is sent."""
         self.enqueue(data)
         return self.flush_available()
 
     def has_unread(self) -> bool:
+        """Return whether bytes are here that nobody has read, decrypted or not."""
         with self.lock:
-            waiting = bool(self.plain or self.tls.pending() or self.incoming.pending)
-        return waiting or super().has_unread()
+            is_buffered = bool(self.decrypted or self.tls.pending() or self.incoming.pending)
+        return is_buffered or super().has_unread()
 
     def half_close(self) -> None:
+        """Send the closing alert and nothing more (RFC 8446, 6.1), and go on receiving."""
         with self.lock, contextlib.suppress(OSError):
-            try:
+            # Without the peer's own alert the library wants to read on; it need not come.
+            with contextlib.suppress(ssl.SSLWantReadError):
                 self.tls.unwrap()
-            except ssl.SSLWantReadError:
-                pass
             self.sock.send(self.outgoing.read(), socket.MSG_DONTWAIT)
         super().half_close()
--- a/stepstream/identity/tokens.py
+++ b/stepstream/identity/tokens.py
@@ -1,211 +1,201 @@
-"""Tokens: JWT (RFC 7519) checked against the key ring at a given time; free of I/O.
+"""Verification of bearer tokens: JWT (RFC 7519) in JWS compact form (RFC 7515); free of I/O.
 
-The library verifies the signature. Everything that depends on the time is checked here against the caller's
-clock, so that a token in the cache is judged by the same words as a new one.
+A token is verified against a key set at a given time. The library verifies the signature only.
+What depends on the time is checked here against the caller's clock, so that a cached token is
+checked by the same functions as a new one. There is no state; any thread may call.
 """
 
 import base64
 import binascii
-import hashlib
 import json
 import re
-import threading
-from collections import OrderedDict
 from dataclasses import dataclass
+from typing import Any, NoReturn
 
 import jwt
 
-from stepstream.identity.keys import ALGORITHMS, KID, Key, KeyRing
+from stepstream.identity.errors import TokenError
+from stepstream.identity.key_set import (
+    ALGORITHMS,
+    KEY_ID_PATTERN,
+    MAX_UNIX_SECONDS,
+    KeySet,
+    VerificationKey,
+)
 
-FORM = re.compile(rb"[A-Za-z0-9_-]+\.[A-Za-z0-9_-]+\.[A-Za-z0-9_-]+")
-SUBJECT = re.compile(r"[!-~]{1,128}")
-MOST_TIME = 2**53
-VERIFIERS = {name: jwt.get_algorithm_by_name(name) for name in ALGORITHMS}
-
-
-class TokenError(Exception):
-    """The token identifies nobody; `reason` is one word for logs, tables and the client."""
-
-    def __init__(self, reason: str, kid: str = "") -> None:
-        super().__init__(reason)
-        self.reason, self.kid = reason, kid
+# Three base64url parts without padding; an empty signature, `alg` none, does not match.
+COMPACT_FORM = re.compile(rb"[A-Za-z0-9_-]+\.[A-Za-z0-9_-]+\.[A-Za-z0-9_-]+")
+SUBJECT_PATTERN = re.compile(r"[!-~]{1,128}")
+ACCEPTED_TYPES = ("JWT", "at+jwt")  # RFC 7519, 5.1; RFC 9068, 2.1
+MAX_TOKEN_ID_LENGTH = 128
+SIGNATURE_VERIFIERS = {name: jwt.get_algorithm_by_name(name) for name in ALGORITHMS}
 
 
 @dataclass(frozen=True, slots=True)
 class TokenRules:
+    """What a token must fulfil beside its signature."""
+
     issuer: str
     audience: str
-    leeway_s: int = 5
-    most_bytes: int = 4096
-    longest_s: int = 86_400  # between iat and exp
+    leeway_seconds: int = 5  # by which clocks may differ
+    max_bytes: int = 4096
+    max_lifetime_seconds: int = 86_400  # from `iat` to `exp`
 
 
 @dataclass(frozen=True, slots=True)
 class Claims:
-    """Times in Unix seconds."""
+    """The claims of a verified token; times in Unix seconds."""
 
     subject: str
-    kid: str
-    expires: float
+    key_id: str
+    expires_at: float
     not_before: float
-    issued: float
-    id: str = ""
-
-
-def verify(token: bytes, ring: KeyRing, rules: TokenRules, now: float) -> Claims:
-    """Who the token speaks of; TokenError with the first reason why not."""
-    key = key_of(token, ring, rules)
-    if (fault := key.fault(now)) is not None:
-        raise TokenError(fault, key.kid)
-    signed, _, signature = token.rpartition(b".")
-    # The algorithm is the key's. What the header says of it has been compared, and is not asked again.
-    if not VERIFIERS[key.algorithm].verify(signed, key.public, decoded(signature)):
-        raise TokenError("bad_signature", key.kid)
-    claims = read_claims(decoded(signed.partition(b".")[2]), key, rules)
+    issued_at: float
+    token_id: str = ""
+
+
+def verify_token(token: bytes, key_set: KeySet, rules: TokenRules, now: float) -> Claims:
+    """Return the claims of a token; raise `TokenError` with the first reason against it."""
+    key = select_key(token, key_set, rules)
+    key.check_usable(now)
+    signing_input, _, signature = token.rpartition(b".")
+    # The algorithm is the key's; the header's `alg` has been compared with it and is not read again
+    # (RFC 8725, 3.1).
+    verifier = SIGNATURE_VERIFIERS[key.algorithm]
+    if not verifier.verify(signing_input, key.public_key, decode_base64url(signature)):
+        raise TokenError("bad_signature", "the signature does not match the key", key.key_id)
+    payload = decode_base64url(signing_input.partition(b".")[2])
+    claims = parse_claims(payload, key.key_id, rules)
     check_times(claims, rules, now)
     return claims
 
 
-def key_of(token: bytes, ring: KeyRing, rules: TokenRules) -> Key:
-    """By the header's `kid` alone; nothing is parsed before its size is bounded."""
-    if len(token) > rules.most_bytes:
-        raise TokenError("too_long")
-    if not FORM.fullmatch(token):
-        raise TokenError("not_a_token")
-    header = read_object(decoded(token.split(b".")[0]))
-    kid = header.get("kid")
-    if not isinstance(kid, str) or not KID.fullmatch(kid):
-        raise TokenError("no_kid" if kid is None else "bad_kid")
-    key = ring.find(kid)
-    if key is None:
-        raise TokenError("unknown_kid", kid)
+def check_size(token: bytes, rules: TokenRules) -> None:
+    """Raise `TokenError` for a token over the rules' size, of which nothing is to be read."""
+    if len(token) > rules.max_bytes:
+        raise TokenError("too_long", f"over {rules.max_bytes} bytes")
+
+
+def select_key(token: bytes, key_set: KeySet, rules: TokenRules) -> VerificationKey:
+    """Return the key that the header's `kid` names; raise `TokenError`.
+
+    Nothing is parsed before the size is bounded. See RFC 7515, 4.1 for the header's members.
+    """
+    check_size(token, rules)
+    if not COMPACT_FORM.fullmatch(token):
+        raise TokenError("not_a_token", "not three base64url parts")
+    header = parse_json_object(decode_base64url(token.split(b".")[0]))
+    key_id = header.get("kid")
+    if key_id is None:
+        raise TokenError("no_kid", "the header has no kid")
+    if not isinstance(key_id, str) or not KEY_ID_PATTERN.fullmatch(key_id):
+        raise TokenError("bad_kid", "kid is not 1 to 64 letters, digits, - or _")
+    key = key_set.find(key_id)
     if header.get("alg") != key.algorithm:
-        raise TokenError("wrong_alg", kid)
-    if header.get("typ", "JWT") not in ("JWT", "at+jwt"):
-        raise TokenError("wrong_typ", kid)
+        raise TokenError("wrong_alg", f"the header's alg is not {key.algorithm}", key_id)
+    if header.get("typ", "JWT") not in ACCEPTED_TYPES:
+        raise TokenError("wrong_typ", f"typ is none of {', '.join(ACCEPTED_TYPES)}", key_id)
     if "crit" in header or header.get("b64") is False:
-        raise TokenError("crit", kid)  # RFC 7515, 4.1.11: extensions that are not understood
+        # Extensions that are not understood must not be passed over (RFC 7515, 4.1.11; RFC 7797).
+        raise TokenError("crit", "the header demands extensions", key_id)
     return key
 
 
-def decoded(part: bytes) -> bytes:
+def decode_base64url(part: bytes) -> bytes:
+    """Decode base64url without padding (RFC 7515, 2); raise `TokenError`."""
     try:
         return base64.urlsafe_b64decode(part + b"=" * (-len(part) % 4))
     except (binascii.Error, ValueError):
-        raise TokenError("not_a_token") from None
-
+        # No cause is chained here and below: its text may quote the credential.
+        raise TokenError("not_a_token", "a part is not base64url") from None
 
-def read_object(data: bytes) -> dict:
-    """Guards against a member that comes twice: two readers would each see another one."""
 
-    def once(pairs: list[tuple[str, object]]) -> dict:
-        found = dict(pairs)
-        if len(found) != len(pairs):
-            raise TokenError("duplicate_claim")
-        return found
+def parse_json_object(data: bytes) -> dict[str, Any]:
+    """Decode a JSON object; raise `TokenError`.
 
+    Names must be unique (RFC 7515, 4; RFC 7519, 4): two readers could each see another value.
+    """
     try:
-        value = json.loads(data, object_pairs_hook=once, parse_constant=not_finite)
+        value = json.loads(
+            data, object_pairs_hook=reject_duplicate_names, parse_constant=reject_constant
+        )
     except (ValueError, RecursionError):
-        raise TokenError("not_json") from None
+        raise TokenError("not_json", "a part is not JSON") from None
     if not isinstance(value, dict):
-        raise TokenError("not_json")
+        raise TokenError("not_json", "a part is not a JSON object")
+    return value
+
+
+def reject_duplicate_names(members: list[tuple[str, Any]]) -> dict[str, Any]:
+    """Make an object of its members; raise `TokenError` if a name comes twice."""
+    value = dict(members)
+    if len(value) != len(members):
+        raise TokenError("duplicate_claim", "an object has a name twice")
     return value
 
 
-def not_finite(_: str) -> object:
-    raise TokenError("not_json")
+def reject_constant(_constant: str) -> NoReturn:
+    """Raise `TokenError` for NaN and infinities, which are not JSON (RFC 8259, 6)."""
+    raise TokenError("not_json", "a number is not finite")
 
 
-def read_claims(payload: bytes, key: Key, rules: TokenRules) -> Claims:
-    claims = read_object(payload)
-    if claims.get("iss") != rules.issuer:
-        raise TokenError("wrong_issuer" if "iss" in claims else "no_issuer", key.kid)
-    audience = claims.get("aud")
-    heard = audience if isinstance(audience, list) else [audience]
-    if rules.audience not in [one for one in heard if isinstance(one, str)]:
-        raise TokenError("wrong_audience" if audience is not None else "no_audience", key.kid)
+def parse_claims(payload: bytes, key_id: str, rules: TokenRules) -> Claims:
+    """Read the claims of a token whose signature is good (RFC 7519, 4.1); raise `TokenError`."""
+    claims = parse_json_object(payload)
+    check_issuer_and_audience(claims, key_id, rules)
     subject = claims.get("sub")
-    if not isinstance(subject, str) or not SUBJECT.fullmatch(subject):
-        raise TokenError("bad_subject" if subject is not None else "no_subject", key.kid)
-    expires, issued = (time_of(claims, name, key) for name in ("exp", "iat"))
-    if expires is None:
-        raise TokenError("no_expiry", key.kid)
-    if issued is None:
-        raise TokenError("no_issue_time", key.kid)
-    not_before = time_of(claims, "nbf", key)
-    named = claims.get("jti", "")
-    if not isinstance(named, str) or len(named) > 128:
-        raise TokenError("bad_id", key.kid)
-    return Claims(
-        subject, key.kid, expires, issued if not_before is None else not_before, issued, named
-    )
-
-
-def time_of(claims: dict, name: str, key: Key) -> float | None:
+    if subject is None:
+        raise TokenError("no_subject", "there is no sub", key_id)
+    if not isinstance(subject, str) or not SUBJECT_PATTERN.fullmatch(subject):
+        raise TokenError("bad_subject", "sub is not 1 to 128 visible ASCII characters", key_id)
+    expires_at = numeric_date(claims, "exp", key_id)
+    issued_at = numeric_date(claims, "iat", key_id)
+    if expires_at is None:
+        raise TokenError("no_expiry", "there is no exp", key_id)
+    if issued_at is None:
+        raise TokenError("no_issue_time", "there is no iat", key_id)
+    not_before = numeric_date(claims, "nbf", key_id)
+    if not_before is None:
+        not_before = issued_at
+    token_id = claims.get("jti", "")
+    if not isinstance(token_id, str) or len(token_id) > MAX_TOKEN_ID_LENGTH:
+        raise TokenError("bad_id", f"jti is not up to {MAX_TOKEN_ID_LENGTH} characters", key_id)
+    return Claims(subject, key_id, expires_at, not_before, issued_at, token_id)
+
+
+def check_issuer_and_audience(claims: dict[str, Any], key_id: str, rules: TokenRules) -> None:
+    """Check `iss` and `aud` (RFC 7519, 4.1.1 and 4.1.3); raise `TokenError`."""
+    if "iss" not in claims:
+        raise TokenError("no_issuer", "there is no iss", key_id)
+    if claims["iss"] != rules.issuer:
+        raise TokenError("wrong_issuer", "iss is not identity.issuer", key_id)
+    audience = claims.get("aud")
+    if audience is None:
+        raise TokenError("no_audience", "there is no aud", key_id)
+    audiences = audience if isinstance(audience, list) else [audience]
+    if rules.audience not in [member for member in audiences if isinstance(member, str)]:
+        raise TokenError("wrong_audience", "aud does not name identity.audience", key_id)
+
+
+def numeric_date(claims: dict[str, Any], name: str, key_id: str) -> float | None:
+    """Return a NumericDate (RFC 7519, 2) in Unix seconds, None without one; raise `TokenError`."""
     value = claims.get(name)
     if value is None:
         return None
-    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < MOST_TIME:
-        raise TokenError("bad_time", key.kid)
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not 0 <= value < MAX_UNIX_SECONDS:
+        raise TokenError("bad_time", f"{name} is not Unix seconds", key_id)
     return float(value)
 
 
 def check_times(claims: Claims, rules: TokenRules, now: float) -> None:
-    if claims.expires - claims.issued > rules.longest_s:
-        raise TokenError("too_long_lived", claims.kid)
-    if now >= claims.expires + rules.leeway_s:
-        raise TokenError("expired", claims.kid)
-    if now < claims.not_before - rules.leeway_s:
-        raise TokenError("not_yet", claims.kid)
-    if now < claims.issued - rules.leeway_s:
-        raise TokenError("issued_later", claims.kid)
-
-
-class Verifier:
-    """Verified tokens kept by their hash: bounded, and judged anew in everything that may have changed.
-
-    A cached token is good only while its key is in the present ring unrevoked and its own times hold; the
-    signature alone is not looked at again. A new ring empties the cache.
-    """
-
-    def __init__(self, ring: KeyRing, rules: TokenRules, most: int) -> None:
-        self.ring, self.rules, self.most = ring, rules, most
-        self.known: OrderedDict[bytes, Claims] = OrderedDict()
-        self.hits = self.misses = 0
-        self.latest = 0.0
-        self.lock = threading.Lock()  # of the table's order; a look needs none
-
-    def replaced(self, ring: KeyRing, rules: TokenRules, most: int) -> "Verifier":
-        """One for a new ring; the time that has been goes along."""
-        new = Verifier(ring, rules, most)
-        new.latest = self.latest
-        return new
-
-    def verify(self, token: bytes, now: float) -> Claims:
-        # Guards against a clock that steps back: what has expired stays so.
-        self.latest = now = max(now, self.latest)
-        if len(token) > self.rules.most_bytes:
-            raise TokenError("too_long")
-        mark = hashlib.sha256(token).digest()
-        claims = self.known.get(mark)
-        if claims is None:
-            self.misses += 1
-            claims = verify(token, self.ring, self.rules, now)
-            with self.lock:
-                self.known[mark] = claims
-                while len(self.known) > self.most:
-                    self.known.popitem(last=False)
-            return claims
-        self.hits += 1
-        try:
-            key = self.ring.find(claims.kid)
-            if key is None:
-                raise TokenError("unknown_kid", claims.kid)
-            if (fault := key.fault(now)) is not None:
-                raise TokenError(fault, claims.kid)
-            check_times(claims, self.rules, now)
-        except TokenError:
-            self.known.pop(mark, None)
-            raise
-        return claims
+    """Raise `TokenError` if the token is not good at the Unix time `now` (RFC 7519, 4.1.4 to 6)."""
+    if claims.expires_at - claims.issued_at > rules.max_lifetime_seconds:
+        explanation = f"exp is more than {rules.max_lifetime_seconds} s after iat"
+        raise TokenError("too_long_lived", explanation, claims.key_id)
+    if now >= claims.expires_at + rules.leeway_seconds:
+        raise TokenError("expired", "exp has passed", claims.key_id)
+    if now < claims.not_before - rules.leeway_seconds:
+        raise TokenError("not_yet", "nbf is in the future", claims.key_id)
+    if now < claims.issued_at - rules.leeway_seconds:
+        raise TokenError("issued_later", "iat is in the future", claims.key_id)
--- a/tests/golden/front_samples.py
+++ b/tests/golden/front_samples.py
@@ -1085,15 +1085,22 @@
 
     def __init__(self, folder: Path, form: str = "json", denials_per_s: int = 20) -> None:
         from stepstream.config.operator_file import read_operator
-        from stepstream.identity.audit import Audit
-        from stepstream.identity.gate import Gate, prepare
+        from stepstream.identity.access_control import IdentityAccessControl
+        from stepstream.identity.audit import AuditLog
+        from stepstream.identity.configuration import load_identity
 
         section = read_operator(str(folder / "operator.toml"), settings_of()).identity
-        self.gate = Gate(prepare(section), now=lambda: NOW_S)
+        self.gate = IdentityAccessControl(load_identity(section), now=lambda: NOW_S)
         self.stream = io.StringIO()
         self.now_s = 1.0
-        audit = Audit(form, True, denials_per_s, self.stream, now=lambda: self.now_s)
-        self.gate.rules = dataclasses.replace(self.gate.rules, audit=audit)
+        audit_log = AuditLog(
+            form,
+            denials_per_s,
+            include_allowed=True,
+            stream=self.stream,
+            now=lambda: self.now_s,
+        )
+        self.gate.rules = dataclasses.replace(self.gate.rules, audit_log=audit_log)
 
     def later(self, seconds: float) -> None:
         self.now_s += seconds
@@ -1103,9 +1110,9 @@
 
 
 def issued(folder: Path, claims: dict, kid: str) -> str:
-    from stepstream.identity.keeper import Keeper
+    from stepstream.identity.key_rotation import SigningKeyStore
 
-    return Keeper(folder).issue(claims, kid)
+    return SigningKeyStore(folder).issue_token(claims, kid)
 
 
 @contextlib.contextmanager
--- a/tests/identity/test_identity_node.py
+++ b/tests/identity/test_identity_node.py
@@ -21,8 +21,8 @@
 from stepstream.gearman import codec
 from stepstream.gearman.codec import Kind
 from stepstream.http.codec import write_request
-from stepstream.identity.keeper import Keeper
-from stepstream.identity.keys import State
+from stepstream.identity.key_rotation import SigningKeyStore
+from stepstream.identity.key_set import KeyState
 
 NAMES = {"iss": "https://issuer.test", "aud": "stepstream"}
 SECTION = """[gearman]
@@ -67,9 +67,10 @@
     """The program with [identity], a Gearman worker that may, and words for tokens."""
 
     def __init__(self, folder, tls=False):
-        self.folder, self.keeper = folder, Keeper(folder)
-        self.keeper.new("EdDSA", "k1", State.ACTIVE, 0)
-        self.keeper.new("EdDSA", "k2", State.NEXT, 0)
+        self.folder = folder
+        self.key_store = SigningKeyStore(folder)
+        self.key_store.create_key("EdDSA", "k1", KeyState.ACTIVE, 0)
+        self.key_store.create_key("EdDSA", "k2", KeyState.NEXT, 0)
         self.tls, self.gearman_tls = free_port(), free_port()
         section = SECTION.format(folder=folder)
         if tls:
@@ -101,7 +102,9 @@
 
     def token(self, subject="portal", ttl=600, **claims):
         now = int(time.time())
-        return self.keeper.issue({**NAMES, "sub": subject, "iat": now, "exp": now + ttl, **claims})
+        return self.key_store.issue_token(
+            {**NAMES, "sub": subject, "iat": now, "exp": now + ttl, **claims}
+        )
 
     def post(self, token=None, peer=None, tenant="tatra-invest", path="/revalue", name=None):
         headers = {"Authorization": f"Bearer {token}"} if token else {}
@@ -245,10 +248,10 @@
         thread.start()
     old = guarded.token()
     wait_for(lambda: len(seen) > 20)
-    guarded.keeper.rotate(overlap_s=5, now=int(time.time()))
+    guarded.key_store.rotate(overlap_seconds=5, now=int(time.time()))
     rotated = len(seen)
     wait_for(lambda: len(seen) > rotated + 40)
-    assert guarded.keeper.rows()[0]["state"] == "retiring"
+    assert guarded.key_store.load_rows()[0]["state"] == "retiring"
     wait_for(lambda: guarded.post(old).status == 401)
     assert "key_past" in challenge(guarded.post(old))[1]
     stop.set()
@@ -264,7 +267,7 @@
     token = guarded.token()
     with socket.create_connection(("127.0.0.1", guarded.http), timeout=PATIENCE) as peer:
         assert guarded.post(token, peer).status == 200
-        guarded.keeper.revoke("k1")
+        guarded.key_store.revoke("k1")
         wait_for(lambda: guarded.post(token, peer).status == 401)
         assert "key_revoked" in challenge(guarded.post(token, peer))[1]
 
@@ -407,9 +410,11 @@
     old = client_context(sealed, "old.test")
     old.maximum_version = ssl.TLSVersion.TLSv1_2
     for refused in (context, none, old):
-        with pytest.raises((ssl.SSLError, OSError, ConnectionError)):
-            with dial(sealed.tls, refused) as peer:
-                sealed.post(peer=peer)
+        with (
+            pytest.raises((ssl.SSLError, OSError, ConnectionError)),
+            dial(sealed.tls, refused) as peer,
+        ):
+            sealed.post(peer=peer)
 
 
 def test_the_wrong_protocol_on_either_port_and_a_stalled_handshake_end_in_time(sealed):
--- a/tests/identity/test_identity_rights.py
+++ b/tests/identity/test_identity_permissions.py
@@ -1,4 +1,4 @@
-"""The rights engine: each decision with the rule behind it, and meters against a model."""
+"""Permissions: each decision with the rule behind it, and rate limiters against a model."""
 
 import io
 import json
@@ -7,8 +7,15 @@
 from hypothesis import strategies as st
 from walk import walks
 
-from stepstream.identity.audit import Audit
-from stepstream.identity.rights import Caller, Decision, Identity, Method, Rights, Verdict
+from stepstream.identity.audit import AuditLog
+from stepstream.identity.permissions import (
+    AuthenticationMethod,
+    Caller,
+    Decision,
+    Permissions,
+    Principal,
+    Verdict,
+)
 
 PORTAL = Caller(
     "portal",
@@ -18,19 +25,19 @@
 )
 ADMIN = Caller("admin", frozenset(("admin",)), frozenset(("*",)), frozenset(("*",)))
 OUT = Caller("out", frozenset(("out",)), frozenset(("*",)), frozenset(("*",)), suspended=True)
-METHODS = {"nav-publish": frozenset((Method.CERTIFICATE,))}
+METHODS = {"nav-publish": frozenset((AuthenticationMethod.CERTIFICATE,))}
 
 
-def rights(*more):
-    return Rights((PORTAL, ADMIN, OUT, *more), METHODS)
+def permissions_with(*more):
+    return Permissions((PORTAL, ADMIN, OUT, *more), METHODS)
 
 
 def by_token(subject):
-    return Identity(subject, Method.TOKEN, "k")
+    return Principal(subject, AuthenticationMethod.TOKEN, "k")
 
 
 @pytest.mark.parametrize(
-    ("identity", "kind", "tenant", "verdict", "reason", "rule"),
+    ("principal", "class_name", "tenant", "verdict", "reason", "rule"),
     [
         (None, "revalue", "north", Verdict.UNKNOWN, "no_credential", "identity"),
         (by_token("who"), "revalue", "north", Verdict.DENIED, "unknown_caller", "identity.caller"),
@@ -91,7 +98,7 @@
             "identity.caller portal",
         ),
         (
-            Identity("admin", Method.CERTIFICATE),
+            Principal("admin", AuthenticationMethod.CERTIFICATE),
             "nav-publish",
             "south",
             Verdict.ALLOWED,
@@ -100,40 +107,47 @@
         ),
     ],
 )
-def test_each_decision_says_why(identity, kind, tenant, verdict, reason, rule):
-    found = rights().judge(identity, kind, tenant)
+def test_each_decision_says_why(principal, class_name, tenant, verdict, reason, rule):
+    found = permissions_with().decide(principal, class_name, tenant)
     assert (found.verdict, found.reason, found.rule) == (verdict, reason, rule)
 
 
 def test_a_caller_of_one_tenant_need_not_name_it():
-    assert rights().judge(by_token("portal"), "revalue", None).tenant == "north"
+    assert permissions_with().decide(by_token("portal"), "revalue", None).tenant == "north"
 
 
-def test_over_its_rate_a_caller_hears_when_to_come_back():
+def test_over_its_rate_a_caller_is_told_when_to_retry():
     slow = Caller(
-        "slow", frozenset(("slow",)), frozenset(("*",)), frozenset(("*",)), rate_per_s=2.0, burst=1
+        "slow",
+        frozenset(("slow",)),
+        frozenset(("*",)),
+        frozenset(("*",)),
+        rate_per_second=2.0,
+        burst=1,
     )
-    engine = rights(slow)
+    engine = permissions_with(slow)
     assert engine.admit(by_token("slow"), "revalue", "north", 10.0).verdict is Verdict.ALLOWED
     later = engine.admit(by_token("slow"), "revalue", "north", 10.1)
     assert later.verdict is Verdict.LATER
-    assert later.retry_s == pytest.approx(0.4)
+    assert later.retry_after_seconds == pytest.approx(0.4)
     assert engine.admit(by_token("slow"), "revalue", "north", 10.5).verdict is Verdict.ALLOWED
     # One caller's rate is not another's, and what is denied costs nothing.
     assert engine.admit(by_token("admin"), "revalue", "north", 10.5).verdict is Verdict.ALLOWED
 
 
-def test_a_reload_keeps_what_was_used():
-    few = Caller("few", frozenset(("few",)), frozenset(("*",)), frozenset(("*",)), most_open=1)
-    old, new = rights(few), rights(few)
+def test_a_reload_keeps_the_used_limits():
+    few = Caller(
+        "few", frozenset(("few",)), frozenset(("*",)), frozenset(("*",)), max_open_requests=1
+    )
+    old, new = permissions_with(few), permissions_with(few)
     assert old.admit(by_token("few"), "revalue", "north", 1.0).verdict is Verdict.ALLOWED
-    new.carry(old)
+    new.adopt_usage(old)
     assert new.admit(by_token("few"), "revalue", "north", 1.0).reason == "too_many_open"
-    new.ended("few")
+    new.release("few")
     assert new.admit(by_token("few"), "revalue", "north", 1.0).verdict is Verdict.ALLOWED
 
 
-class MeterRig:
+class RateLimiterRig:
     """The model: exact arithmetic over whole milliseconds."""
 
     RATE, BURST, OPEN = 4, 3, 2
@@ -149,7 +163,7 @@
             self.BURST,
             self.OPEN,
         )
-        self.engine, self.ms = Rights((caller,), {}), 0
+        self.engine, self.ms = Permissions((caller,), {}), 0
         self.level, self.open, self.last = self.BURST * 1000, 0, 0
 
     def wait(self, ms):
@@ -164,23 +178,25 @@
         self.last = self.ms
         if self.level < 1000:
             assert found.reason == "over_rate"
-            assert found.retry_s == pytest.approx((1000 - self.level) / 1000 / self.RATE)
+            assert found.retry_after_seconds == pytest.approx(
+                (1000 - self.level) / 1000 / self.RATE
+            )
             return
         assert found.verdict is Verdict.ALLOWED
         self.level, self.open = self.level - 1000, self.open + 1
 
     def end(self, _):
-        self.engine.ended("c")
+        self.engine.release("c")
         self.open = max(self.open - 1, 0)
 
     def check(self):
-        meter = self.engine.meters.get("c")
-        assert meter is None or meter.open == self.open
+        limiter = self.engine.rate_limiters.get("c")
+        assert limiter is None or limiter.open_requests == self.open
 
 
 # Quarters of a second and rates of four: sums that floats hold exactly.
-test_meters_against_their_model = walks(
-    MeterRig, wait=st.sampled_from((125, 250, 500)), ask=st.none(), end=st.none()
+test_rate_limiters_against_their_model = walks(
+    RateLimiterRig, wait=st.sampled_from((125, 250, 500)), ask=st.none(), end=st.none()
 )
 
 
@@ -195,12 +211,12 @@
 
 def test_an_audit_line_says_who_what_and_why_and_denials_are_bounded():
     clock, stream = [0.0], io.StringIO()
-    audit = Audit("json", True, 2, stream, lambda: clock[0])
+    audit = AuditLog("json", 2, include_allowed=True, stream=stream, now=lambda: clock[0])
     for _ in range(5):
-        audit.decision("http", "north/revalue", DENIED, "out", "k1")
+        audit.record("http", "north/revalue", DENIED, "out", "k1")
     clock[0] = 1.0
-    audit.decision("http", "north/revalue", DENIED, "out", "k1")
-    audit.decision(
+    audit.record("http", "north/revalue", DENIED, "out", "k1")
+    audit.record(
         "http", "north/revalue", Decision(Verdict.ALLOWED, "allowed", "r", "portal"), "portal", "k1"
     )
     found = lines(stream)
@@ -219,8 +235,8 @@
 
 def test_allowed_requests_are_written_only_if_asked_for_and_what_is_made_up_is_cut():
     stream = io.StringIO()
-    audit = Audit("json", False, 10, stream)
-    audit.decision("http", "x", Decision(Verdict.ALLOWED, "allowed", "r"))
-    audit.decision("http", "w" * 1000, DENIED, "s" * 1000, "k" * 1000)
+    audit = AuditLog("json", 10, include_allowed=False, stream=stream)
+    audit.record("http", "x", Decision(Verdict.ALLOWED, "allowed", "r"))
+    audit.record("http", "w" * 1000, DENIED, "s" * 1000, "k" * 1000)
     (line,) = lines(stream)
     assert len(line["what"]) == len(line["subject"]) == len(line["key"]) == 128
--- a/tests/identity/test_identity_tokens.py
+++ b/tests/identity/test_identity_tokens.py
@@ -5,22 +5,35 @@
 import hashlib
 import hmac
 import json
+import re
 
 import jwt
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from stepstream.identity.keeper import generate, public_row
-from stepstream.identity.keys import KeySetError, State, read_keys
-from stepstream.identity.tokens import Claims, TokenError, TokenRules, Verifier, verify
+from stepstream.identity.errors import (
+    CertificateError,
+    CredentialError,
+    IdentityCommandError,
+    IdentityError,
+    KeySetError,
+    TokenError,
+)
+from stepstream.identity.key_rotation import generate_private_key, public_jwk
+from stepstream.identity.key_set import KeyState, parse_key_set
+from stepstream.identity.token_cache import CachingTokenVerifier
+from stepstream.identity.tokens import Claims, TokenRules, verify_token
 
 NOW = 1_900_000_000
 RULES = TokenRules(issuer="https://issuer.test", audience="stepstream")
 KEYS = {
-    kid: (alg, generate(alg)) for kid, alg in (("ed", "EdDSA"), ("es", "ES256"), ("rs", "RS256"))
+    kid: (alg, generate_private_key(alg))
+    for kid, alg in (("ed", "EdDSA"), ("es", "ES256"), ("rs", "RS256"))
+}
+KEYS |= {
+    kid: ("EdDSA", generate_private_key("EdDSA")) for kid in ("next", "soon", "old", "past", "gone")
 }
-KEYS |= {kid: ("EdDSA", generate("EdDSA")) for kid in ("next", "soon", "old", "past", "gone")}
 STATES = {
     "next": {"state": "next", "not_before": NOW - 10},
     "soon": {"state": "next", "not_before": NOW + 10},
@@ -29,10 +42,10 @@
     "gone": {"state": "revoked"},
 }
 ROWS = [
-    {**public_row(alg, private), "kid": kid, **STATES.get(kid, {})}
+    {**public_jwk(alg, private), "kid": kid, **STATES.get(kid, {})}
     for kid, (alg, private) in KEYS.items()
 ]
-RING = read_keys({"keys": ROWS})
+RING = parse_key_set({"keys": ROWS})
 GOOD = {
     "iss": RULES.issuer,
     "aud": RULES.audience,
@@ -174,10 +187,28 @@
 def test_each_forgery_is_rejected_for_its_own_reason(name):
     token, reason = FORGED[name]
     with pytest.raises(TokenError) as fault:
-        verify(token, RING, RULES, NOW)
+        verify_token(token, RING, RULES, NOW)
     assert fault.value.reason == reason
 
 
+@pytest.mark.parametrize("name", FORGED)
+def test_no_error_text_holds_a_part_of_the_token(name):
+    token, _ = FORGED[name]
+    with pytest.raises(TokenError) as fault:
+        verify_token(token, RING, RULES, NOW)
+    text = str(fault.value)
+    assert re.fullmatch(r"token( of [0-9A-Za-z_-]{1,64})?: [^\n]+", text)
+    assert not any(part.decode() in text for part in token.split(b".") if len(part) > 3)
+    assert fault.value.__suppress_context__ or fault.value.__cause__ is None
+
+
+def test_errors_have_one_base():
+    for error in (CredentialError, KeySetError, IdentityCommandError):
+        assert issubclass(error, IdentityError)
+    for error in (TokenError, CertificateError):
+        assert issubclass(error, CredentialError)
+
+
 def test_the_table_is_as_long_as_it_should_be():
     assert len(FORGED) >= 40
     assert len({token for token, _ in FORGED.values()}) == len(FORGED)
@@ -185,10 +216,10 @@
 
 @pytest.mark.parametrize("kid", ["ed", "es", "rs", "next", "old"])
 def test_good_tokens_of_each_algorithm_and_state_are_taken(kid):
-    claims = verify(sign(kid), RING, RULES, NOW)
+    claims = verify_token(sign(kid), RING, RULES, NOW)
     assert claims == Claims("portal", kid, NOW + 60, NOW - 5, NOW - 5, "1")
     assert (
-        verify(sign(kid, aud=["x", RULES.audience], exp=NOW - 4), RING, RULES, NOW).subject
+        verify_token(sign(kid, aud=["x", RULES.audience], exp=NOW - 4), RING, RULES, NOW).subject
         == "portal"
     )
 
@@ -210,7 +241,7 @@
     else:
         del token[at]
     try:
-        claims = verify(bytes(token), RING, RULES, NOW)
+        claims = verify_token(bytes(token), RING, RULES, NOW)
     except TokenError:
         return
     # Base64 leaves some bits of a last letter without meaning: those change nothing that is signed.
@@ -234,67 +265,67 @@
 
 
 def test_a_cached_token_ends_with_its_time_and_with_its_key():
-    verifier, token = Verifier(RING, RULES, 10), sign()
+    verifier, token = CachingTokenVerifier(RING, RULES, 10), sign()
     assert [reason_of(verifier, token, NOW + k) for k in (0, 1, 64, 65)] == [
         None,
         None,
         None,
         "expired",
     ]
-    verifier, token = Verifier(RING, RULES, 10), sign("old", exp=NOW + 600)
+    verifier, token = CachingTokenVerifier(RING, RULES, 10), sign("old", exp=NOW + 600)
     assert [reason_of(verifier, token, NOW + k) for k in (0, 9, 10)] == [None, None, "key_past"]
-    assert (verifier.hits, verifier.misses) == (2, 1)
+    assert (verifier.hit_count, verifier.miss_count) == (2, 1)
 
 
 def test_a_revocation_ends_cached_tokens_at_once():
-    verifier, token = Verifier(RING, RULES, 10), sign()
+    verifier, token = CachingTokenVerifier(RING, RULES, 10), sign()
     assert reason_of(verifier, token, NOW) is None
     rows = [{**row, "state": "revoked"} if row["kid"] == "ed" else row for row in ROWS]
-    verifier = verifier.replaced(read_keys({"keys": rows}), RULES, 10)
+    verifier = verifier.replaced(parse_key_set({"keys": rows}), RULES, 10)
     assert reason_of(verifier, token, NOW) == "key_revoked"
-    verifier = verifier.replaced(read_keys({"keys": rows[1:]}), RULES, 10)
+    verifier = verifier.replaced(parse_key_set({"keys": rows[1:]}), RULES, 10)
     assert reason_of(verifier, token, NOW) == "unknown_kid"
 
 
 def test_a_clock_that_steps_back_revives_nothing():
-    verifier, token = Verifier(RING, RULES, 10), sign()
+    verifier, token = CachingTokenVerifier(RING, RULES, 10), sign()
     assert reason_of(verifier, token, NOW + 70) == "expired"
     assert reason_of(verifier, token, NOW) == "expired"
 
 
 def test_the_cache_is_bounded_and_forgets_the_oldest():
-    verifier = Verifier(RING, RULES, 2)
+    verifier = CachingTokenVerifier(RING, RULES, 2)
     tokens = [sign(jti=str(k)) for k in range(3)]
     for token in (*tokens, tokens[0]):
         verifier.verify(token, NOW)
-    assert len(verifier.known) == 2
-    assert verifier.misses == 4
+    assert len(verifier.cached_claims) == 2
+    assert verifier.miss_count == 4
 
 
 def test_a_rotation_drops_no_good_token_and_takes_none_past_its_end():
     """Every second of a rotation, with a token of each key made when it signed."""
     names, begun = ("a", "b"), NOW
-    pair = {name: generate("EdDSA") for name in names}
+    pair = {name: generate_private_key("EdDSA") for name in names}
     KEYS.update({name: ("EdDSA", pair[name]) for name in names})
 
     def ring(second):
-        a = {**public_row("EdDSA", pair["a"]), "kid": "a"}
-        b = {**public_row("EdDSA", pair["b"]), "kid": "b", "not_before": begun}
+        a = {**public_jwk("EdDSA", pair["a"]), "kid": "a"}
+        b = {**public_jwk("EdDSA", pair["b"]), "kid": "b", "not_before": begun}
         if second < 100:
             return [{**a, "state": "active"}, {**b, "state": "next"}]
         if second < 160:
             return [{**a, "state": "retiring", "not_after": begun + 160}, {**b, "state": "active"}]
         return [{**b, "state": "active"}]
 
-    verifier, held = Verifier(read_keys({"keys": ring(0)}), RULES, 100), []
+    verifier, held = CachingTokenVerifier(parse_key_set({"keys": ring(0)}), RULES, 100), []
     for second in range(300):
         if second in (100, 160):
-            verifier = verifier.replaced(read_keys({"keys": ring(second)}), RULES, 100)
+            verifier = verifier.replaced(parse_key_set({"keys": ring(second)}), RULES, 100)
         now = begun + second
         signer = "a" if second < 100 else "b"
         held.append((signer, now, sign(signer, iat=now, exp=now + 30, jti=str(second))))
         for name, issued, token in held[-80:]:
-            good = now < issued + 30 + RULES.leeway_s and (name == "b" or second < 160)
+            good = now < issued + 30 + RULES.leeway_seconds and (name == "b" or second < 160)
             assert (reason_of(verifier, token, now) is None) == good, (second, name, issued - begun)
 
 
@@ -327,12 +358,14 @@
 )
 def test_a_faulty_key_set_names_the_member(data, text):
     with pytest.raises(KeySetError) as fault:
-        read_keys(data)
+        parse_key_set(data)
     assert text in str(fault.value)
 
 
 def test_states_and_times_are_read():
-    assert RING.find("old").state is State.RETIRING
+    assert RING.find("old").state is KeyState.RETIRING
     assert RING.find("old").not_after == NOW + 10
-    assert RING.find("ed").state is State.ACTIVE
-    assert RING.find("nobody") is None
+    assert RING.find("ed").state is KeyState.ACTIVE
+    with pytest.raises(TokenError) as fault:
+        RING.find("nobody")
+    assert fault.value.reason == "unknown_kid"
