Give identity's tests of tokens, TLS and commands a module each; type a CRL's fault

One module held the program, its fixtures and three subjects in 500 lines. A faulty revocation list raises an error of the package's family with the same text, and a key's state is read by a function of its own.

--- a/stepstream/identity/certificates.py
+++ b/stepstream/identity/certificates.py
@@ -10,7 +10,7 @@
 from cryptography import x509
 from cryptography.x509.oid import NameOID
 
-from stepstream.identity.errors import CertificateError
+from stepstream.identity.errors import CertificateError, RevocationListError
 
 NAME_KINDS = ("uri", "dns", "cn")  # the operator's `identity.tls.names`
 SPIFFE_SCHEME = "spiffe://"
@@ -93,19 +93,29 @@
 def parse_revocation_lists(data: bytes, issuers: Sequence[x509.Certificate]) -> RevocationList:
     """Read one or more PEM CRLs, each signed by one of the issuers (RFC 5280, 5.1.1.3).
 
-    Raise ValueError if one cannot be read or no issuer has signed it.
+    Raise `RevocationListError` if one cannot be read or no issuer has signed it.
     """
     revoked: set[tuple[bytes, int]] = set()
     for body in data.split(CRL_HEADER)[1:]:
-        crl = x509.load_pem_x509_crl(CRL_HEADER + body)
-        signers = [issuer for issuer in issuers if issuer.subject == crl.issuer]
-        if not any(is_signed_by(crl, signer) for signer in signers):
-            raise ValueError("a list is signed by none of the CA bundle")
-        issuer_name = crl.issuer.public_bytes()
-        revoked.update((issuer_name, entry.serial_number) for entry in crl)
+        try:
+            crl = x509.load_pem_x509_crl(CRL_HEADER + body)
+            revoked |= revoked_by(crl, issuers)
+        except ValueError as error:  # the library's; its text names what it could not read
+            raise RevocationListError(str(error)) from error
     return RevocationList(frozenset(revoked))
 
 
+def revoked_by(
+    crl: x509.CertificateRevocationList, issuers: Sequence[x509.Certificate]
+) -> set[tuple[bytes, int]]:
+    """Return what a list revokes; raise `RevocationListError` if no issuer has signed it."""
+    signers = [issuer for issuer in issuers if issuer.subject == crl.issuer]
+    if not any(is_signed_by(crl, signer) for signer in signers):
+        raise RevocationListError("a list is signed by none of the CA bundle")
+    issuer_name = crl.issuer.public_bytes()
+    return {(issuer_name, entry.serial_number) for entry in crl}
+
+
 def is_signed_by(crl: x509.CertificateRevocationList, signer: x509.Certificate) -> bool:
     """Return whether this CA certificate's key has signed the list."""
     # The library raises TypeError for kinds of keys that sign no list.
--- a/stepstream/identity/errors.py
+++ b/stepstream/identity/errors.py
@@ -38,6 +38,10 @@
     """A JWK set that cannot be used; the text begins with the path of the faulty member."""
 
 
+class RevocationListError(IdentityError):
+    """A file of certificate revocation lists that cannot be used."""
+
+
 class IdentityCommandError(IdentityError):
     """A command on keys or tokens that cannot be carried out.
 
--- a/stepstream/identity/key_set.py
+++ b/stepstream/identity/key_set.py
@@ -102,11 +102,7 @@
         raise KeySetError(f"{path}: holds private members; a key set is public")
     if row.get("use", "sig") != "sig":  # RFC 7517, 4.2
         raise KeySetError(f"{path}.use: not sig")
-    try:
-        state = KeyState(row.get("state", "active"))
-    except ValueError as error:
-        expected = ", ".join(state.value for state in KeyState)
-        raise KeySetError(f"{path}.state: {row['state']} is none of {expected}") from error
+    state = parse_state(path, row)
     not_before = row.get("not_before", 0)
     not_after = row.get("not_after", 0)
     if not (is_unix_time(not_before) and is_unix_time(not_after)):
@@ -130,6 +126,15 @@
     return algorithm
 
 
+def parse_state(path: str, row: dict[str, Any]) -> KeyState:
+    """Return a key's `state`, active by default; raise `KeySetError`."""
+    try:
+        return KeyState(row.get("state", KeyState.ACTIVE.value))
+    except ValueError as error:
+        expected = ", ".join(state.value for state in KeyState)
+        raise KeySetError(f"{path}.state: {row['state']} is none of {expected}") from error
+
+
 def is_unix_time(value: object) -> bool:
     """Return whether a JSON value is whole Unix seconds."""
     return isinstance(value, int) and not isinstance(value, bool) and 0 <= value < MAX_UNIX_SECONDS
--- a/stepstream/identity/tls.py
+++ b/stepstream/identity/tls.py
@@ -22,6 +22,7 @@
     parse_certificate,
     parse_revocation_lists,
 )
+from stepstream.identity.errors import RevocationListError
 from stepstream.runtime.transport import Transport
 
 RECORD_BYTES = 16 * 1024  # the longest TLS record's plain text (RFC 8446, 5.1)
@@ -68,7 +69,7 @@
         return RevocationList()
     try:
         return parse_revocation_lists(Path(section.crl).read_bytes(), issuers)
-    except (OSError, ValueError) as error:
+    except (OSError, RevocationListError) as error:
         raise ConfigurationError(f"identity.tls.crl={section.crl}: {error}") from error
 
 
--- /dev/null
+++ b/tests/identity/test_identity_commands.py
@@ -0,0 +1,60 @@
+"""The command line: `keys`, `token` and `identity explain`."""
+
+import json
+import os
+import subprocess
+import sys
+
+from identity_helpers import NAMES
+from node_helpers import PATIENCE, ROOT
+
+
+def stepstream(*words, **environment):
+    return subprocess.run(
+        [sys.executable, "-m", "stepstream", *words],
+        cwd=ROOT,
+        env={**os.environ, **environment},
+        capture_output=True,
+        text=True,
+        timeout=PATIENCE,
+    )
+
+
+def test_keys_and_tokens_from_the_command_line(tmp_path):
+    folder = str(tmp_path / "keys")
+    kid = stepstream("keys", "new", "--dir", folder).stdout.strip()
+    private = tmp_path / "keys" / f"{kid}.pem"
+    assert private.stat().st_mode & 0o777 == 0o600
+    assert "no next key" in stepstream("keys", "rotate", "--dir", folder).stderr
+    stepstream("keys", "new", "--dir", folder, "--state", "next", "--alg", "ES256")
+    assert "may not know it" in stepstream("keys", "rotate", "--dir", folder).stderr
+    assert "signs from now on" in stepstream("keys", "rotate", "--dir", folder, "--early").stdout
+    states = [
+        line.split()[2] for line in stepstream("keys", "list", "--dir", folder).stdout.splitlines()
+    ]
+    assert states == ["retiring", "active", "next"]
+    names = ("--subject", "portal", "--issuer", NAMES["iss"], "--audience", NAMES["aud"])
+    token = stepstream("token", "issue", "--dir", folder, *names).stdout.strip()
+    told = json.loads(stepstream("token", "inspect", token).stdout)
+    assert told["header"]["alg"] == "ES256"
+    assert told["claims"]["sub"] == "portal"
+    assert told["verified"] is False
+    assert stepstream("token", "inspect", "nonsense").returncode == 2
+    assert "is revoked" in stepstream("keys", "revoke", kid, "--dir", folder).stdout
+    assert not private.exists()
+    assert stepstream("keys", "revoke", "who", "--dir", folder).returncode == 2
+
+
+def test_explain_prints_the_decision_and_its_rule(program):
+    def explain(token, *more):
+        words = ("--operator", str(program.operator), "--token", token, "--class", *more)
+        return stepstream("identity", "explain", *words, EDGE_CONFIG=str(program.path))
+
+    good = explain(program.token(), "revalue")
+    assert good.returncode == 0
+    assert "allowed" in good.stdout
+    assert "tenant: tatra-invest" in good.stdout
+    bad = explain(program.token(), "nav-publish", "--tenant", "tatra-invest")
+    assert bad.returncode == 1
+    assert "class_not_allowed\nrule: identity.caller portal: classes" in bad.stdout
+    assert "not_a_token" in explain("x", "revalue").stdout
