--- a/stepstream/identity/access_control.py
+++ b/stepstream/identity/access_control.py
@@ -105,7 +105,7 @@
     def __init__(self, loaded: LoadedIdentity, now: Callable[[], float] = time.time) -> None:
         section = loaded.section
         self.now = now
-        self.lock = threading.Lock()  # guards rate limiters, audit log and replacement of `rules`
+        self.lock = threading.Lock()  # guards the rate limiters and the audit log
         self.key_file_version = loaded.key_file_version
         self.rules = ActiveRules(
             section=section,
--- a/tests/identity/conftest.py
+++ b/tests/identity/conftest.py
@@ -6,15 +6,15 @@
 
 @pytest.fixture
 def program(tmp_path):
-    made = IdentityProgram(tmp_path)
-    yield made
-    made.process.kill()
-    made.process.communicate()
+    running = IdentityProgram(tmp_path)
+    yield running
+    running.process.kill()
+    running.process.communicate()
 
 
 @pytest.fixture
 def tls_program(tmp_path):
-    made = IdentityProgram(tmp_path, tls=True)
-    yield made
-    made.process.kill()
-    made.process.communicate()
+    running = IdentityProgram(tmp_path, tls=True)
+    yield running
+    running.process.kill()
+    running.process.communicate()
--- a/tests/identity/test_identity_commands.py
+++ b/tests/identity/test_identity_commands.py
@@ -5,7 +5,7 @@
 import subprocess
 import sys
 
-from identity_helpers import NAMES
+from identity_helpers import ISSUER_AND_AUDIENCE
 from node_helpers import PATIENCE, ROOT
 
 
@@ -33,12 +33,19 @@
         line.split()[2] for line in stepstream("keys", "list", "--dir", folder).stdout.splitlines()
     ]
     assert states == ["retiring", "active", "next"]
-    names = ("--subject", "portal", "--issuer", NAMES["iss"], "--audience", NAMES["aud"])
-    token = stepstream("token", "issue", "--dir", folder, *names).stdout.strip()
-    told = json.loads(stepstream("token", "inspect", token).stdout)
-    assert told["header"]["alg"] == "ES256"
-    assert told["claims"]["sub"] == "portal"
-    assert told["verified"] is False
+    claims = (
+        "--subject",
+        "portal",
+        "--issuer",
+        ISSUER_AND_AUDIENCE["iss"],
+        "--audience",
+        ISSUER_AND_AUDIENCE["aud"],
+    )
+    token = stepstream("token", "issue", "--dir", folder, *claims).stdout.strip()
+    inspected = json.loads(stepstream("token", "inspect", token).stdout)
+    assert inspected["header"]["alg"] == "ES256"
+    assert inspected["claims"]["sub"] == "portal"
+    assert inspected["verified"] is False
     assert stepstream("token", "inspect", "nonsense").returncode == 2
     assert "is revoked" in stepstream("keys", "revoke", kid, "--dir", folder).stdout
     assert not private.exists()
--- a/tests/identity/test_identity_node.py
+++ b/tests/identity/test_identity_node.py
@@ -12,52 +12,67 @@
 from stepstream.http.codec import write_request
 
 
-def test_callers_get_what_they_may_and_hear_why_not(program):
-    program.worker()
+def test_callers_are_served_within_their_permissions(program):
+    program.start_worker()
     portal = program.token()
     assert program.post(portal).body == b"17.5"
-    assert program.post(portal, tenant=None).status == 200  # it stands for one tenant alone
+    assert program.post(portal, tenant=None).status == 200  # it belongs to one tenant alone
+
+
+def test_each_faulty_token_is_challenged_with_its_reason(program):
     assert challenge(program.post()) == (401, 'Bearer realm="stepstream"')
     for token, reason in (
         (program.token(aud="another"), "wrong_audience"),
         (program.token(exp=int(time.time()) - 60), "expired"),
-        (portal[:-6] + "AAAAAA", "bad_signature"),
+        (program.token()[:-6] + "AAAAAA", "bad_signature"),
         ("x" * 5000, "too_long"),
     ):
-        status, said = challenge(program.post(token))
+        status, header = challenge(program.post(token))
         assert status == 401
-        assert f'error_description="{reason}"' in said
+        assert f'error_description="{reason}"' in header
+
+
+def test_a_request_beyond_the_permissions_is_forbidden_with_its_reason(program):
+    portal = program.token()
     for answer, reason in (
         (program.post(portal, tenant="nobody"), "tenant_contradicts"),
         (program.post(portal, path="/nav-publish"), "class_not_allowed"),
         (program.post(program.token("publisher"), path="/nav-publish"), "method_not_allowed"),
         (program.post(program.token("stranger")), "unknown_caller"),
     ):
-        status, said = challenge(answer)
+        status, header = challenge(answer)
         assert status == 403
-        assert 'error="insufficient_scope"' in said
-        assert reason in said
+        assert 'error="insufficient_scope"' in header
+        assert reason in header
+
+
+def test_a_caller_over_its_rate_is_told_when_to_retry(program):
+    program.start_worker()
     slow = program.token("slow")
     assert program.post(slow).status == 200
-    later = program.post(slow)
-    assert later.status == 503
-    assert float(later.headers["retry-after"]) > 1
-    # The connection of somebody turned away goes on.
+    rejection = program.post(slow)
+    assert rejection.status == 503
+    assert float(rejection.headers["retry-after"]) > 1
+
+
+def test_the_connection_of_a_rejected_client_stays_open(program):
+    program.start_worker()
     with socket.create_connection(("127.0.0.1", program.http), timeout=PATIENCE) as peer:
-        assert [program.post(t, peer).status for t in (None, portal)] == [401, 200]
+        statuses = [program.post(token, peer).status for token in (None, program.token())]
+    assert statuses == [401, 200]
 
 
-def test_news_needs_the_token_of_the_worker_that_it_speaks_for(program):
-    def news(token):
+def test_a_notification_needs_the_token_of_the_worker_that_it_names(program):
+    def notify(token):
         headers = {"Connection": "close"} | ({"Authorization": f"Bearer {token}"} if token else {})
         body = b'{"id":"0a","from":"s-1","state":"done","result":"forged"}'
         return ask(program.http, write_request("POST", "/_jobs/news", headers, body)).status
 
     tokens = (None, program.token(), program.token("worker/s-2"), program.token("worker/s-1"))
-    assert [news(token) for token in tokens] == [401, 403, 403, 200]
+    assert [notify(token) for token in tokens] == [401, 403, 403, 200]
 
 
-def test_a_worker_joins_only_as_whom_its_token_names(program):
+def test_a_worker_registers_only_under_the_id_that_its_token_names(program):
     for token, expected in (
         (None, b"NOT_IDENTIFIED"),
         (program.token("worker/other"), b"NOT_ALLOWED"),
@@ -69,15 +84,15 @@
         assert peer.until(Kind.ERROR).args[0] == expected
 
 
-def test_gearman_clients_are_known_by_their_token_and_keep_to_their_own_jobs(program):
-    program.worker()
+def test_gearman_clients_are_identified_by_their_token_and_see_only_their_own_jobs(program):
+    program.start_worker()
     peer = Peer(program.gearman)
     assert (
         peer.send(Kind.SUBMIT_JOB, "revalue", "", "x").until(Kind.ERROR).args[0]
         == b"NOT_IDENTIFIED"
     )
-    said = peer.send(Kind.OPTION_REQ, f"token:{program.token()}").until(Kind.OPTION_RES)
-    assert said.args == (b"token",)  # never the token itself
+    answer = peer.send(Kind.OPTION_REQ, f"token:{program.token()}").until(Kind.OPTION_RES)
+    assert answer.args == (b"token",)  # never the token itself
     handle = peer.send(Kind.SUBMIT_JOB_BG, "revalue", "u", "x").until(Kind.JOB_CREATED).args[0]
     assert peer.send(Kind.SUBMIT_JOB, "nav-publish", "k", "x").until(Kind.ERROR).args == (
         b"NOT_ALLOWED",
@@ -96,35 +111,36 @@
 
 
 def test_a_rotation_under_load_drops_no_good_request_and_ends_the_old_key(program):
-    program.worker()
-    seen, stop = [], threading.Event()
+    program.start_worker()
+    statuses = []
+    stop = threading.Event()
 
     def load():
         with socket.create_connection(("127.0.0.1", program.http), timeout=PATIENCE) as peer:
             while not stop.is_set():
-                seen.append(program.post(program.token(ttl=30), peer).status)
+                statuses.append(program.post(program.token(ttl=30), peer).status)
 
     threads = [threading.Thread(target=load) for _ in range(3)]
     for thread in threads:
         thread.start()
     old = program.token()
-    wait_for(lambda: len(seen) > 20)
+    wait_for(lambda: len(statuses) > 20)
     program.key_store.rotate(overlap_seconds=5, now=int(time.time()))
-    rotated = len(seen)
-    wait_for(lambda: len(seen) > rotated + 40)
+    count_at_rotation = len(statuses)
+    wait_for(lambda: len(statuses) > count_at_rotation + 40)
     assert program.key_store.load_rows()[0]["state"] == "retiring"
     wait_for(lambda: program.post(old).status == 401)
     assert "key_past" in challenge(program.post(old))[1]
     stop.set()
     for thread in threads:
         thread.join()
-    # The module may refuse under load; nobody was turned away for who he is.
-    assert 200 in seen
-    assert not set(seen) & {401, 403}
+    # The policy may reject under load; nobody was rejected for the credential.
+    assert 200 in statuses
+    assert not set(statuses) & {401, 403}
 
 
 def test_a_revoked_key_ends_cached_tokens_on_open_connections(program):
-    program.worker()
+    program.start_worker()
     token = program.token()
     with socket.create_connection(("127.0.0.1", program.http), timeout=PATIENCE) as peer:
         assert program.post(token, peer).status == 200
@@ -134,16 +150,18 @@
 
 
 def test_a_key_file_half_written_changes_nothing(program):
-    program.worker()
-    token, whole = program.token(), (program.folder / "keys.json").read_bytes()
-    (program.folder / "keys.json").write_bytes(whole[: len(whole) // 2])
+    program.start_worker()
+    token = program.token()
+    key_file = program.folder / "keys.json"
+    complete = key_file.read_bytes()
+    key_file.write_bytes(complete[: len(complete) // 2])
     line = next(line for line in program.process.stderr if "keys:" in line)
     assert "the old ones serve on" in line
     assert program.post(token).status == 200
 
 
 def test_no_token_and_no_key_is_written_to_the_log(program):
-    program.worker()
+    program.start_worker()
     tokens = [program.token(), program.token("stranger"), program.token(aud="another")]
     for token in tokens:
         program.post(token)
--- a/tests/identity/test_identity_tokens.py
+++ b/tests/identity/test_identity_tokens.py
@@ -9,6 +9,7 @@
 
 import jwt
 import pytest
+from cryptography.hazmat.primitives.serialization import Encoding, PublicFormat
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -45,7 +46,7 @@
     {**public_jwk(alg, private), "kid": kid, **STATES.get(kid, {})}
     for kid, (alg, private) in KEYS.items()
 ]
-RING = parse_key_set({"keys": ROWS})
+KEY_SET = parse_key_set({"keys": ROWS})
 GOOD = {
     "iss": RULES.issuer,
     "aud": RULES.audience,
@@ -56,41 +57,38 @@
 }
 
 
-def b64(data):
+def base64url(data):
     return base64.urlsafe_b64encode(data).rstrip(b"=")
 
 
 def sign(kid="ed", header=None, payload=None, **claims):
     """A token as a forger with the private key of `kid` would make it; None takes a claim out."""
     alg, private = KEYS[kid]
-    told = {"alg": alg, "kid": kid, "typ": "JWT", **(header or {})}
-    told = {name: value for name, value in told.items() if value is not None}
+    members = {"alg": alg, "kid": kid, "typ": "JWT", **(header or {})}
+    members = {name: value for name, value in members.items() if value is not None}
     body = {name: value for name, value in {**GOOD, **claims}.items() if value is not None}
     data = json.dumps(body).encode() if payload is None else payload
-    signed = b64(json.dumps(told).encode()) + b"." + b64(data)
-    return signed + b"." + b64(jwt.get_algorithm_by_name(alg).sign(signed, private))
+    signed = base64url(json.dumps(members).encode()) + b"." + base64url(data)
+    return signed + b"." + base64url(jwt.get_algorithm_by_name(alg).sign(signed, private))
 
 
 def raw(header, payload=None, signature=b"x"):
     data = json.dumps(GOOD).encode() if payload is None else payload
-    return b64(header) + b"." + b64(data) + b"." + b64(signature)
+    return base64url(header) + b"." + base64url(data) + b"." + base64url(signature)
 
 
 def public_pem(kid):
-    from cryptography.hazmat.primitives import serialization as s
-
-    return (
-        KEYS[kid][1].public_key().public_bytes(s.Encoding.PEM, s.PublicFormat.SubjectPublicKeyInfo)
-    )
+    public_key = KEYS[kid][1].public_key()
+    return public_key.public_bytes(Encoding.PEM, PublicFormat.SubjectPublicKeyInfo)
 
 
 def hs256_with_the_public_key(kid):
     signed = (
-        b64(json.dumps({"alg": "HS256", "kid": kid}).encode())
+        base64url(json.dumps({"alg": "HS256", "kid": kid}).encode())
         + b"."
-        + b64(json.dumps(GOOD).encode())
+        + base64url(json.dumps(GOOD).encode())
     )
-    return signed + b"." + b64(hmac.new(public_pem(kid), signed, hashlib.sha256).digest())
+    return signed + b"." + base64url(hmac.new(public_pem(kid), signed, hashlib.sha256).digest())
 
 
 def swapped(kid, other):
@@ -98,7 +96,7 @@
     head, body, _ = sign(kid).split(b".")
     alg, private = KEYS[other]
     return b".".join(
-        (head, body, b64(jwt.get_algorithm_by_name(alg).sign(head + b"." + body, private)))
+        (head, body, base64url(jwt.get_algorithm_by_name(alg).sign(head + b"." + body, private)))
     )
 
 
@@ -187,7 +185,7 @@
 def test_each_forgery_is_rejected_for_its_own_reason(name):
     token, reason = FORGED[name]
     with pytest.raises(TokenError) as fault:
-        verify_token(token, RING, RULES, NOW)
+        verify_token(token, KEY_SET, RULES, NOW)
     assert fault.value.reason == reason
 
 
@@ -195,7 +193,7 @@
 def test_no_error_text_holds_a_part_of_the_token(name):
     token, _ = FORGED[name]
     with pytest.raises(TokenError) as fault:
-        verify_token(token, RING, RULES, NOW)
+        verify_token(token, KEY_SET, RULES, NOW)
     text = str(fault.value)
     assert re.fullmatch(r"token( of [0-9A-Za-z_-]{1,64})?: [^\n]+", text)
     assert not any(part.decode() in text for part in token.split(b".") if len(part) > 3)
@@ -215,11 +213,11 @@
 
 
 @pytest.mark.parametrize("kid", ["ed", "es", "rs", "next", "old"])
-def test_good_tokens_of_each_algorithm_and_state_are_taken(kid):
-    claims = verify_token(sign(kid), RING, RULES, NOW)
+def test_good_tokens_of_each_algorithm_and_state_are_accepted(kid):
+    claims = verify_token(sign(kid), KEY_SET, RULES, NOW)
     assert claims == Claims("portal", kid, NOW + 60, NOW - 5, NOW - 5, "1")
     assert (
-        verify_token(sign(kid, aud=["x", RULES.audience], exp=NOW - 4), RING, RULES, NOW).subject
+        verify_token(sign(kid, aud=["x", RULES.audience], exp=NOW - 4), KEY_SET, RULES, NOW).subject
         == "portal"
     )
 
@@ -231,7 +229,7 @@
     st.integers(1, 255),
     st.sampled_from("xid"),
 )
-def test_no_mutation_of_a_good_token_is_taken(kid, at, flip, how):
+def test_no_mutation_of_a_good_token_is_accepted(kid, at, flip, how):
     token = bytearray(TOKENS[kid])
     at %= len(token)
     if how == "x":
@@ -241,7 +239,7 @@
     else:
         del token[at]
     try:
-        claims = verify_token(bytes(token), RING, RULES, NOW)
+        claims = verify_token(bytes(token), KEY_SET, RULES, NOW)
     except TokenError:
         return
     # Base64 leaves some bits of a last letter without meaning: those change nothing that is signed.
@@ -265,20 +263,20 @@
 
 
 def test_a_cached_token_ends_with_its_time_and_with_its_key():
-    verifier, token = CachingTokenVerifier(RING, RULES, 10), sign()
+    verifier, token = CachingTokenVerifier(KEY_SET, RULES, 10), sign()
     assert [reason_of(verifier, token, NOW + k) for k in (0, 1, 64, 65)] == [
         None,
         None,
         None,
         "expired",
     ]
-    verifier, token = CachingTokenVerifier(RING, RULES, 10), sign("old", exp=NOW + 600)
+    verifier, token = CachingTokenVerifier(KEY_SET, RULES, 10), sign("old", exp=NOW + 600)
     assert [reason_of(verifier, token, NOW + k) for k in (0, 9, 10)] == [None, None, "key_past"]
     assert (verifier.hit_count, verifier.miss_count) == (2, 1)
 
 
 def test_a_revocation_ends_cached_tokens_at_once():
-    verifier, token = CachingTokenVerifier(RING, RULES, 10), sign()
+    verifier, token = CachingTokenVerifier(KEY_SET, RULES, 10), sign()
     assert reason_of(verifier, token, NOW) is None
     rows = [{**row, "state": "revoked"} if row["kid"] == "ed" else row for row in ROWS]
     verifier = verifier.replaced(parse_key_set({"keys": rows}), RULES, 10)
@@ -287,14 +285,14 @@
     assert reason_of(verifier, token, NOW) == "unknown_kid"
 
 
-def test_a_clock_that_steps_back_revives_nothing():
-    verifier, token = CachingTokenVerifier(RING, RULES, 10), sign()
+def test_an_expired_token_stays_expired_if_the_clock_steps_back():
+    verifier, token = CachingTokenVerifier(KEY_SET, RULES, 10), sign()
     assert reason_of(verifier, token, NOW + 70) == "expired"
     assert reason_of(verifier, token, NOW) == "expired"
 
 
 def test_the_cache_is_bounded_and_forgets_the_oldest():
-    verifier = CachingTokenVerifier(RING, RULES, 2)
+    verifier = CachingTokenVerifier(KEY_SET, RULES, 2)
     tokens = [sign(jti=str(k)) for k in range(3)]
     for token in (*tokens, tokens[0]):
         verifier.verify(token, NOW)
@@ -302,7 +300,7 @@
     assert verifier.miss_count == 4
 
 
-def test_a_rotation_drops_no_good_token_and_takes_none_past_its_end():
+def test_a_rotation_rejects_no_good_token_and_accepts_none_past_its_end():
     """Every second of a rotation, with a token of each key made when it signed."""
     names, begun = ("a", "b"), NOW
     pair = {name: generate_private_key("EdDSA") for name in names}
@@ -363,9 +361,9 @@
 
 
 def test_states_and_times_are_read():
-    assert RING.find("old").state is KeyState.RETIRING
-    assert RING.find("old").not_after == NOW + 10
-    assert RING.find("ed").state is KeyState.ACTIVE
+    assert KEY_SET.find("old").state is KeyState.RETIRING
+    assert KEY_SET.find("old").not_after == NOW + 10
+    assert KEY_SET.find("ed").state is KeyState.ACTIVE
     with pytest.raises(TokenError) as fault:
-        RING.find("nobody")
+        KEY_SET.find("nobody")
     assert fault.value.reason == "unknown_kid"
--- a/tests/identity_helpers.py
+++ b/tests/identity_helpers.py
@@ -1,5 +1,6 @@
 """A running dispatcher with `[identity]`, its signing keys and, if asked for, TLS listeners."""
 
+import contextlib
 import datetime
 import threading
 import time
@@ -15,7 +16,7 @@
 from stepstream.identity.key_rotation import SigningKeyStore
 from stepstream.identity.key_set import KeyState
 
-NAMES = {"iss": "https://issuer.test", "aud": "stepstream"}
+ISSUER_AND_AUDIENCE = {"iss": "https://issuer.test", "aud": "stepstream"}
 SECTION = """[gearman]
 listen = "127.0.0.1:{{port}}"
 [identity]
@@ -55,69 +56,73 @@
 
 
 class IdentityProgram(Program):
-    """The program with [identity], a Gearman worker that may, and words for tokens."""
+    """The program with `[identity]`: its signing keys, tokens, requests and a Gearman worker."""
 
     def __init__(self, folder, tls=False):
         self.folder = folder
         self.key_store = SigningKeyStore(folder)
         self.key_store.create_key("EdDSA", "k1", KeyState.ACTIVE, 0)
         self.key_store.create_key("EdDSA", "k2", KeyState.NEXT, 0)
-        self.tls, self.gearman_tls = free_port(), free_port()
+        self.tls_port = free_port()
+        self.gearman_tls_port = free_port()
         section = SECTION.format(folder=folder)
         if tls:
             self.ca = trustme.CA()
             self.write_tls_files()
-            section += TLS.format(folder=folder, tls=self.tls, gearman_tls=self.gearman_tls)
+            section += TLS.format(
+                folder=folder, tls=self.tls_port, gearman_tls=self.gearman_tls_port
+            )
         super().__init__(folder, section)
 
     def write_tls_files(self):
+        """Write a new server certificate of the same CA, and an empty revocation list."""
         server = self.ca.issue_cert("127.0.0.1")
         chain = b"".join(blob.bytes() for blob in server.cert_chain_pems)
         (self.folder / "server.pem").write_bytes(chain)
         (self.folder / "server.key").write_bytes(server.private_key_pem.bytes())
         (self.folder / "ca.pem").write_bytes(self.ca.cert_pem.bytes())
-        self.revoke()
+        self.write_revocation_list()
 
-    def revoke(self, *serials):
-        """A new CRL."""
+    def write_revocation_list(self, *serial_numbers):
+        """Write a CRL that revokes these certificates."""
         issuer = x509.load_pem_x509_certificate(self.ca.cert_pem.bytes())
         now = datetime.datetime.now(datetime.UTC)
         crl = x509.CertificateRevocationListBuilder().issuer_name(issuer.subject)
         crl = crl.last_update(now).next_update(now + datetime.timedelta(days=1))
-        for serial in serials:
-            row = x509.RevokedCertificateBuilder().serial_number(serial).revocation_date(now)
-            crl = crl.add_revoked_certificate(row.build())
+        for serial_number in serial_numbers:
+            entry = x509.RevokedCertificateBuilder().serial_number(serial_number)
+            crl = crl.add_revoked_certificate(entry.revocation_date(now).build())
         key = serialization.load_pem_private_key(self.ca.private_key_pem.bytes(), None)
         signed = crl.sign(key, hashes.SHA256())
         (self.folder / "crl.pem").write_bytes(signed.public_bytes(serialization.Encoding.PEM))
 
     def token(self, subject="portal", ttl=600, **claims):
+        """Issue a token of the active key; `ttl` in seconds."""
         now = int(time.time())
         return self.key_store.issue_token(
-            {**NAMES, "sub": subject, "iat": now, "exp": now + ttl, **claims}
+            {**ISSUER_AND_AUDIENCE, "sub": subject, "iat": now, "exp": now + ttl, **claims}
         )
 
     def post(self, token=None, peer=None, tenant="tatra-invest", path="/revalue", name=None):
+        """Send a job over HTTP; return the answer."""
         headers = {"Authorization": f"Bearer {token}"} if token else {}
         name = name or f"{time.monotonic_ns():016x}"
         return ask(self.http, job_bytes(name=name, path=path, Tenant=tenant, **headers), peer)
 
-    def worker(self, name="w"):
-        """One that serves all it gets, in a thread."""
-        made = Peer(self.gearman)
-        made.send(Kind.OPTION_REQ, f"token:{self.token(f'worker/{name}', 3600)}")
-        made.join(name)
+    def start_worker(self, name="w"):
+        """Register a Gearman worker that completes each job with 17.5, in a thread."""
+        peer = Peer(self.gearman)
+        peer.send(Kind.OPTION_REQ, f"token:{self.token(f'worker/{name}', 3600)}")
+        peer.join(name)
 
         def serve():
-            try:
+            with contextlib.suppress(OSError, AssertionError):  # the program has ended
                 while True:
-                    made.send(Kind.WORK_COMPLETE, made.grab()[0], "17.5")
-            except (OSError, AssertionError):
-                pass
+                    peer.send(Kind.WORK_COMPLETE, peer.grab()[0], "17.5")
 
         threading.Thread(target=serve, daemon=True).start()
-        return made
 
 
 def challenge(answer):
+    """The status of an HTTP answer and its challenge (RFC 6750, 3)."""
     return answer.status, answer.headers.get("www-authenticate", "")
