--- a/stepstream/identity/tls.py
+++ b/stepstream/identity/tls.py
@@ -1,6 +1,6 @@
 """TLS under an inbound connection: the library between two memory buffers, and the plain socket.
 
-The handshake runs in the connection's own thread, within the time of a connection's first request.
+The handshake runs in the connection's own thread, within the time of its first message.
 Receiving never sends: what the library wants to send meanwhile leaves with the next answer, so that
 one thread at a time sends. A `TlsTransport` owns the library's state, which its lock guards.
 """
