--- a/tests/identity/test_identity_tokens.py
+++ b/tests/identity/test_identity_tokens.py
@@ -5,22 +5,36 @@
 import hashlib
 import hmac
 import json
+import re
 
 import jwt
 import pytest
+from cryptography.hazmat.primitives.serialization import Encoding, PublicFormat
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from stepstream.identity.keeper import generate, public_row
-from stepstream.identity.keys import KeySetError, State, read_keys
-from stepstream.identity.tokens import Claims, TokenError, TokenRules, Verifier, verify
+from stepstream.identity.errors import (
+    CertificateError,
+    CredentialError,
+    IdentityCommandError,
+    IdentityError,
+    KeySetError,
+    TokenError,
+)
+from stepstream.identity.key_rotation import generate_private_key, public_jwk
+from stepstream.identity.key_set import KeyState, parse_key_set
+from stepstream.identity.token_cache import CachingTokenVerifier
+from stepstream.identity.tokens import Claims, TokenRules, verify_token
 
 NOW = 1_900_000_000
 RULES = TokenRules(issuer="https://issuer.test", audience="stepstream")
 KEYS = {
-    kid: (alg, generate(alg)) for kid, alg in (("ed", "EdDSA"), ("es", "ES256"), ("rs", "RS256"))
+    kid: (alg, generate_private_key(alg))
+    for kid, alg in (("ed", "EdDSA"), ("es", "ES256"), ("rs", "RS256"))
+}
+KEYS |= {
+    kid: ("EdDSA", generate_private_key("EdDSA")) for kid in ("next", "soon", "old", "past", "gone")
 }
-KEYS |= {kid: ("EdDSA", generate("EdDSA")) for kid in ("next", "soon", "old", "past", "gone")}
 STATES = {
     "next": {"state": "next", "not_before": NOW - 10},
     "soon": {"state": "next", "not_before": NOW + 10},
@@ -29,10 +43,10 @@
     "gone": {"state": "revoked"},
 }
 ROWS = [
-    {**public_row(alg, private), "kid": kid, **STATES.get(kid, {})}
+    {**public_jwk(alg, private), "kid": kid, **STATES.get(kid, {})}
     for kid, (alg, private) in KEYS.items()
 ]
-RING = read_keys({"keys": ROWS})
+KEY_SET = parse_key_set({"keys": ROWS})
 GOOD = {
     "iss": RULES.issuer,
     "aud": RULES.audience,
@@ -43,41 +57,38 @@
 }
 
 
-def b64(data):
+def base64url(data):
     return base64.urlsafe_b64encode(data).rstrip(b"=")
 
 
 def sign(kid="ed", header=None, payload=None, **claims):
     """A token as a forger with the private key of `kid` would make it; None takes a claim out."""
     alg, private = KEYS[kid]
-    told = {"alg": alg, "kid": kid, "typ": "JWT", **(header or {})}
-    told = {name: value for name, value in told.items() if value is not None}
+    members = {"alg": alg, "kid": kid, "typ": "JWT", **(header or {})}
+    members = {name: value for name, value in members.items() if value is not None}
     body = {name: value for name, value in {**GOOD, **claims}.items() if value is not None}
     data = json.dumps(body).encode() if payload is None else payload
-    signed = b64(json.dumps(told).encode()) + b"." + b64(data)
-    return signed + b"." + b64(jwt.get_algorithm_by_name(alg).sign(signed, private))
+    signed = base64url(json.dumps(members).encode()) + b"." + base64url(data)
+    return signed + b"." + base64url(jwt.get_algorithm_by_name(alg).sign(signed, private))
 
 
 def raw(header, payload=None, signature=b"x"):
     data = json.dumps(GOOD).encode() if payload is None else payload
-    return b64(header) + b"." + b64(data) + b"." + b64(signature)
+    return base64url(header) + b"." + base64url(data) + b"." + base64url(signature)
 
 
 def public_pem(kid):
-    from cryptography.hazmat.primitives import serialization as s
-
-    return (
-        KEYS[kid][1].public_key().public_bytes(s.Encoding.PEM, s.PublicFormat.SubjectPublicKeyInfo)
-    )
+    public_key = KEYS[kid][1].public_key()
+    return public_key.public_bytes(Encoding.PEM, PublicFormat.SubjectPublicKeyInfo)
 
 
 def hs256_with_the_public_key(kid):
     signed = (
-        b64(json.dumps({"alg": "HS256", "kid": kid}).encode())
+        base64url(json.dumps({"alg": "HS256", "kid": kid}).encode())
         + b"."
-        + b64(json.dumps(GOOD).encode())
+        + base64url(json.dumps(GOOD).encode())
     )
-    return signed + b"." + b64(hmac.new(public_pem(kid), signed, hashlib.sha256).digest())
+    return signed + b"." + base64url(hmac.new(public_pem(kid), signed, hashlib.sha256).digest())
 
 
 def swapped(kid, other):
@@ -85,7 +96,7 @@
     head, body, _ = sign(kid).split(b".")
     alg, private = KEYS[other]
     return b".".join(
-        (head, body, b64(jwt.get_algorithm_by_name(alg).sign(head + b"." + body, private)))
+        (head, body, base64url(jwt.get_algorithm_by_name(alg).sign(head + b"." + body, private)))
     )
 
 
@@ -174,21 +185,39 @@
 def test_each_forgery_is_rejected_for_its_own_reason(name):
     token, reason = FORGED[name]
     with pytest.raises(TokenError) as fault:
-        verify(token, RING, RULES, NOW)
+        verify_token(token, KEY_SET, RULES, NOW)
     assert fault.value.reason == reason
 
 
+@pytest.mark.parametrize("name", FORGED)
+def test_no_error_text_holds_a_part_of_the_token(name):
+    token, _ = FORGED[name]
+    with pytest.raises(TokenError) as fault:
+        verify_token(token, KEY_SET, RULES, NOW)
+    text = str(fault.value)
+    assert re.fullmatch(r"token( of [0-9A-Za-z_-]{1,64})?: [^\n]+", text)
+    assert not any(part.decode() in text for part in token.split(b".") if len(part) > 3)
+    assert fault.value.__suppress_context__ or fault.value.__cause__ is None
+
+
+def test_errors_have_one_base():
+    for error in (CredentialError, KeySetError, IdentityCommandError):
+        assert issubclass(error, IdentityError)
+    for error in (TokenError, CertificateError):
+        assert issubclass(error, CredentialError)
+
+
 def test_the_table_is_as_long_as_it_should_be():
     assert len(FORGED) >= 40
     assert len({token for token, _ in FORGED.values()}) == len(FORGED)
 
 
 @pytest.mark.parametrize("kid", ["ed", "es", "rs", "next", "old"])
-def test_good_tokens_of_each_algorithm_and_state_are_taken(kid):
-    claims = verify(sign(kid), RING, RULES, NOW)
+def test_good_tokens_of_each_algorithm_and_state_are_accepted(kid):
+    claims = verify_token(sign(kid), KEY_SET, RULES, NOW)
     assert claims == Claims("portal", kid, NOW + 60, NOW - 5, NOW - 5, "1")
     assert (
-        verify(sign(kid, aud=["x", RULES.audience], exp=NOW - 4), RING, RULES, NOW).subject
+        verify_token(sign(kid, aud=["x", RULES.audience], exp=NOW - 4), KEY_SET, RULES, NOW).subject
         == "portal"
     )
 
@@ -200,7 +229,7 @@
     st.integers(1, 255),
     st.sampled_from("xid"),
 )
-def test_no_mutation_of_a_good_token_is_taken(kid, at, flip, how):
+def test_no_mutation_of_a_good_token_is_accepted(kid, at, flip, how):
     token = bytearray(TOKENS[kid])
     at %= len(token)
     if how == "x":
@@ -210,7 +239,7 @@
     else:
         del token[at]
     try:
-        claims = verify(bytes(token), RING, RULES, NOW)
+        claims = verify_token(bytes(token), KEY_SET, RULES, NOW)
     except TokenError:
         return
     # Base64 leaves some bits of a last letter without meaning: those change nothing that is signed.
@@ -234,67 +263,67 @@
 
 
 def test_a_cached_token_ends_with_its_time_and_with_its_key():
-    verifier, token = Verifier(RING, RULES, 10), sign()
+    verifier, token = CachingTokenVerifier(KEY_SET, RULES, 10), sign()
     assert [reason_of(verifier, token, NOW + k) for k in (0, 1, 64, 65)] == [
         None,
         None,
         None,
         "expired",
     ]
-    verifier, token = Verifier(RING, RULES, 10), sign("old", exp=NOW + 600)
+    verifier, token = CachingTokenVerifier(KEY_SET, RULES, 10), sign("old", exp=NOW + 600)
     assert [reason_of(verifier, token, NOW + k) for k in (0, 9, 10)] == [None, None, "key_past"]
-    assert (verifier.hits, verifier.misses) == (2, 1)
+    assert (verifier.hit_count, verifier.miss_count) == (2, 1)
 
 
 def test_a_revocation_ends_cached_tokens_at_once():
-    verifier, token = Verifier(RING, RULES, 10), sign()
+    verifier, token = CachingTokenVerifier(KEY_SET, RULES, 10), sign()
     assert reason_of(verifier, token, NOW) is None
     rows = [{**row, "state": "revoked"} if row["kid"] == "ed" else row for row in ROWS]
-    verifier = verifier.replaced(read_keys({"keys": rows}), RULES, 10)
+    verifier = verifier.replaced(parse_key_set({"keys": rows}), RULES, 10)
     assert reason_of(verifier, token, NOW) == "key_revoked"
-    verifier = verifier.replaced(read_keys({"keys": rows[1:]}), RULES, 10)
+    verifier = verifier.replaced(parse_key_set({"keys": rows[1:]}), RULES, 10)
     assert reason_of(verifier, token, NOW) == "unknown_kid"
 
 
-def test_a_clock_that_steps_back_revives_nothing():
-    verifier, token = Verifier(RING, RULES, 10), sign()
+def test_an_expired_token_stays_expired_if_the_clock_steps_back():
+    verifier, token = CachingTokenVerifier(KEY_SET, RULES, 10), sign()
     assert reason_of(verifier, token, NOW + 70) == "expired"
     assert reason_of(verifier, token, NOW) == "expired"
 
 
 def test_the_cache_is_bounded_and_forgets_the_oldest():
-    verifier = Verifier(RING, RULES, 2)
+    verifier = CachingTokenVerifier(KEY_SET, RULES, 2)
     tokens = [sign(jti=str(k)) for k in range(3)]
     for token in (*tokens, tokens[0]):
         verifier.verify(token, NOW)
-    assert len(verifier.known) == 2
-    assert verifier.misses == 4
+    assert len(verifier.cached_claims) == 2
+    assert verifier.miss_count == 4
 
 
-def test_a_rotation_drops_no_good_token_and_takes_none_past_its_end():
+def test_a_rotation_rejects_no_good_token_and_accepts_none_past_its_end():
     """Every second of a rotation, with a token of each key made when it signed."""
     names, begun = ("a", "b"), NOW
-    pair = {name: generate("EdDSA") for name in names}
+    pair = {name: generate_private_key("EdDSA") for name in names}
     KEYS.update({name: ("EdDSA", pair[name]) for name in names})
 
     def ring(second):
-        a = {**public_row("EdDSA", pair["a"]), "kid": "a"}
-        b = {**public_row("EdDSA", pair["b"]), "kid": "b", "not_before": begun}
+        a = {**public_jwk("EdDSA", pair["a"]), "kid": "a"}
+        b = {**public_jwk("EdDSA", pair["b"]), "kid": "b", "not_before": begun}
         if second < 100:
             return [{**a, "state": "active"}, {**b, "state": "next"}]
         if second < 160:
             return [{**a, "state": "retiring", "not_after": begun + 160}, {**b, "state": "active"}]
         return [{**b, "state": "active"}]
 
-    verifier, held = Verifier(read_keys({"keys": ring(0)}), RULES, 100), []
+    verifier, held = CachingTokenVerifier(parse_key_set({"keys": ring(0)}), RULES, 100), []
     for second in range(300):
         if second in (100, 160):
-            verifier = verifier.replaced(read_keys({"keys": ring(second)}), RULES, 100)
+            verifier = verifier.replaced(parse_key_set({"keys": ring(second)}), RULES, 100)
         now = begun + second
         signer = "a" if second < 100 else "b"
         held.append((signer, now, sign(signer, iat=now, exp=now + 30, jti=str(second))))
         for name, issued, token in held[-80:]:
-            good = now < issued + 30 + RULES.leeway_s and (name == "b" or second < 160)
+            good = now < issued + 30 + RULES.leeway_seconds and (name == "b" or second < 160)
             assert (reason_of(verifier, token, now) is None) == good, (second, name, issued - begun)
 
 
@@ -327,12 +356,14 @@
 )
 def test_a_faulty_key_set_names_the_member(data, text):
     with pytest.raises(KeySetError) as fault:
-        read_keys(data)
+        parse_key_set(data)
     assert text in str(fault.value)
 
 
 def test_states_and_times_are_read():
-    assert RING.find("old").state is State.RETIRING
-    assert RING.find("old").not_after == NOW + 10
-    assert RING.find("ed").state is State.ACTIVE
-    assert RING.find("nobody") is None
+    assert KEY_SET.find("old").state is KeyState.RETIRING
+    assert KEY_SET.find("old").not_after == NOW + 10
+    assert KEY_SET.find("ed").state is KeyState.ACTIVE
+    with pytest.raises(TokenError) as fault:
+        KEY_SET.find("nobody")
+    assert fault.value.reason == "unknown_kid"
