Make the command line a package with a module a command

The one module held every command in a chain of branches, and each wrote its errors in its own way. A table now names each command's module, which is imported once the command is called; `CommandError` ends a command with one line and an exit code, and two context managers turn configuration errors, I/O errors and missing optional packages into it.

--- /dev/null
+++ b/stepstream/cli/fleet.py
@@ -0,0 +1,15 @@
+"""`stepstream fleet`: how a running dispatcher sees the others; membership has usage and texts."""
+
+from contextlib import suppress
+
+from stepstream.cli.errors import EXIT_OK, command_errors, optional_packages
+from stepstream.config.errors import ConfigurationError
+
+
+def run(command_line: list[str]) -> int:
+    """Run the command line, which begins with `fleet`; give its exit code."""
+    with optional_packages("fleet", extra="fleet"):
+        from stepstream.membership.commands import run as run_fleet
+    with command_errors(ConfigurationError), suppress(KeyboardInterrupt):
+        return run_fleet(command_line)
+    return EXIT_OK  # interrupted: the operator has seen enough
--- /dev/null
+++ b/stepstream/cli/identity_explain.py
@@ -0,0 +1,19 @@
+"""`stepstream identity explain`: the decision on a token, and the rule behind it."""
+
+from stepstream.cli.arguments import Arguments
+from stepstream.cli.configuration import operator_path, read_configuration
+from stepstream.cli.errors import CommandError, command_errors
+from stepstream.config.errors import ConfigurationError
+
+
+def run(arguments: Arguments) -> int:
+    """Print the decision and give its exit code; CommandError if the configuration is at fault."""
+    _, operator = read_configuration(operator_path(arguments))
+    if operator is None:  # the usage asks for --operator, but its FILE may be an empty text
+        raise CommandError("identity explain needs --operator FILE")
+    from stepstream.identity import commands
+
+    with command_errors(ConfigurationError):
+        return commands.explain(
+            operator.identity, arguments["--token"], arguments["--class"], arguments["--tenant"]
+        )
--- /dev/null
+++ b/stepstream/cli/keys_and_token.py
@@ -0,0 +1,16 @@
+"""`stepstream keys` and `stepstream token`: the keys that tokens are signed by, and tokens."""
+
+from stepstream.cli.arguments import Arguments
+from stepstream.cli.errors import command_errors, optional_packages
+
+
+def run(arguments: Arguments) -> int:
+    """Make, rotate, revoke or list keys, or issue or inspect a token; give the exit code.
+
+    CommandError if what was asked cannot be done, or if the key folder cannot be read or written.
+    """
+    with optional_packages("this", extra="identity"):
+        from stepstream.identity import commands
+        from stepstream.identity.keeper import KeeperError
+    with command_errors(KeeperError, OSError):
+        return commands.keys(arguments) if arguments["keys"] else commands.token(arguments)
--- /dev/null
+++ b/stepstream/cli/lease.py
@@ -0,0 +1,15 @@
+"""`stepstream lease`: leases known to a running dispatcher; leases has usage and texts."""
+
+from contextlib import suppress
+
+from stepstream.cli.errors import EXIT_OK, command_errors, optional_packages
+from stepstream.config.errors import ConfigurationError
+
+
+def run(command_line: list[str]) -> int:
+    """Run the command line, which begins with `lease`; give its exit code."""
+    with optional_packages("lease", extra="fleet"):
+        from stepstream.leases.commands import run as run_lease
+    with command_errors(ConfigurationError), suppress(KeyboardInterrupt):
+        return run_lease(command_line)
+    return EXIT_OK  # interrupted: the operator has seen enough
