Split the simulator adapter into reading, writing, instances and command

One function read, checked and carried out every message of a batch in a chain of branches. Messages now find their reader, handler and writer in a table each: `wire_reader` (messages to events and endpoints), `wire_writer` (actions to messages), `adapter` (the instances and one batch for them) and `command` (standard input and output). The command and every byte of its replies are unchanged.

--- /dev/null
+++ b/stepstream/simulator_adapter/adapter.py
@@ -0,0 +1,154 @@
+"""The instances of the dispatcher that one simulator run plays, and the batches of their messages.
+
+The adapter owns the endpoint tables, which all instances share, and the running instances. All of
+it belongs to the process's one thread.
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from stepstream.config.settings_reader import read_settings
+from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind
+from stepstream.model.events import PolicyEvent
+from stepstream.model.settings import Settings
+from stepstream.policy.load_balancer import LoadBalancer
+from stepstream.simulator_adapter.errors import WireError
+from stepstream.simulator_adapter.wire_reader import (
+    LIST_KINDS,
+    Message,
+    read_endpoint,
+    read_event,
+)
+from stepstream.simulator_adapter.wire_writer import write_action
+
+END_OF_BATCH = "END"
+NO_TABLE = -1  # what a TOPOLOGY without `sheet` names
+
+
+@dataclass(frozen=True, slots=True)
+class Instance:
+    """One running dispatcher's policy, and the settings that its messages are read by."""
+
+    settings: Settings
+    load_balancer: LoadBalancer
+
+
+class SimulatorAdapter:
+    """Endpoint tables by their number, and running instances by the dispatcher's number."""
+
+    def __init__(self) -> None:
+        self.tables: dict[int, tuple[Endpoint, ...]] = {}
+        self.instances: dict[int, Instance] = {}
+
+    def run_batch(self, now_us: int, lines: Iterator[str]) -> list[str]:
+        """Take one batch up to its END; return the reply's lines, without the last, FINISHED.
+
+        Raise ConfigurationError for a message at fault, and whatever a fault in deciding raises.
+        """
+        batch = Batch(self, now_us, lines)
+        for line in lines:
+            message = Message(line)
+            if message.name == END_OF_BATCH:
+                batch.decide()
+                return batch.reply
+            MESSAGE_HANDLERS.get(message.name, Batch.add_event)(batch, message)
+        raise WireError("the input ends inside a batch")
+
+
+class Batch:
+    """The messages of one moment: which instance they are for, its events, and the reply so far.
+
+    An instance decides once on all its events in a row, at the latest when another one's begin.
+    """
+
+    def __init__(self, adapter: SimulatorAdapter, now_us: int, lines: Iterator[str]) -> None:
+        self.adapter = adapter
+        self.now_us = now_us
+        self.lines = lines  # a TABLE takes more of them
+        self.dispatcher: int | None = None  # the number of the instance that is spoken to
+        self.events: list[PolicyEvent] = []
+        self.reply: list[str] = []
+
+    def decide(self) -> None:
+        """Have the instance decide on its events, if there are any, and write its actions."""
+        if not self.events or self.dispatcher is None:
+            return
+        balancer = self.adapter.instances[self.dispatcher].load_balancer
+        actions = balancer.handle(self.now_us, self.events)
+        if actions:
+            self.reply.append(f"AS dispatcher={self.dispatcher}")
+            self.reply.extend(map(write_action, actions))
+        self.events.clear()
+
+    def _selected(self, message: Message) -> int:
+        """Return the number of the instance that the message is for, whether or not it runs."""
+        if self.dispatcher is None:
+            raise WireError(f"{message.name} comes before any SWITCH_TO")
+        return self.dispatcher
+
+    def _running(self, message: Message) -> Instance:
+        """Return the running instance that the message is for."""
+        dispatcher = self._selected(message)
+        instance = self.adapter.instances.get(dispatcher)
+        if instance is None:
+            raise WireError(f"{message.name} for dispatcher {dispatcher}, which is not running")
+        return instance
+
+    # -- messages ----------------------------------------------------------------------------------
+
+    def read_table(self, message: Message) -> None:
+        """Take TABLE, and its RUNNER lines: a table of endpoints that replaces one so numbered."""
+        fields = message.fields()
+        number = fields.integer("sheet")
+        count = fields.integer("lines", 0)
+        self.adapter.tables[number] = tuple(
+            read_endpoint(Message(next(self.lines, ""))) for _ in range(count)
+        )
+
+    def switch_instance(self, message: Message) -> None:
+        """Take SWITCH_TO: the messages that follow are for the dispatcher that it names."""
+        self.decide()
+        self.dispatcher = message.fields().integer("dispatcher")
+
+    def start_instance(self, message: Message) -> None:
+        """Take ENLIST: the instance starts, or starts anew, with these settings."""
+        dispatcher = self._selected(message)
+        self.decide()
+        fields = message.fields()
+        settings = read_settings(fields)
+        balancer = LoadBalancer(settings, fields.integer("rng_seed"), self.now_us)
+        self.adapter.instances[dispatcher] = Instance(settings, balancer)
+
+    def stop_instance(self, message: Message) -> None:
+        """Take EXIT: the instance and what it has learned are gone."""
+        self._running(message)
+        self.decide()
+        del self.adapter.instances[self._selected(message)]
+
+    def add_endpoint_list(self, message: Message) -> None:
+        """Take TOPOLOGY: an event whose endpoints are those of a table as it is now."""
+        self._running(message)
+        fields = message.fields()
+        kind = fields.choice("mode", LIST_KINDS)
+        number = fields.integer("sheet", NO_TABLE)
+        if kind is EndpointListKind.FAILED:
+            self.events.append(EndpointList(kind))
+            return
+        if number not in self.adapter.tables:
+            raise WireError(f"sheet={number} was never sent")
+        self.events.append(EndpointList(kind, self.adapter.tables[number]))
+
+    def add_event(self, message: Message) -> None:
+        """Take any other message: an event, or one that the policy has no use for."""
+        event = read_event(message, self._running(message).settings)
+        if event is not None:
+            self.events.append(event)
+
+
+MESSAGE_HANDLERS: dict[str, Callable[[Batch, Message], None]] = {
+    "TABLE": Batch.read_table,
+    "SWITCH_TO": Batch.switch_instance,
+    "ENLIST": Batch.start_instance,
+    "EXIT": Batch.stop_instance,
+    "TOPOLOGY": Batch.add_endpoint_list,
+}
--- /dev/null
+++ b/stepstream/simulator_adapter/command.py
@@ -0,0 +1,80 @@
+"""The command: batches from standard input, each answered on standard output before the next."""
+
+import sys
+from collections.abc import Callable
+from typing import TextIO
+
+from stepstream.config.errors import ConfigurationError
+from stepstream.simulator_adapter.adapter import SimulatorAdapter
+from stepstream.simulator_adapter.errors import WireError
+from stepstream.simulator_adapter.wire_reader import Message
+from stepstream.simulator_adapter.wire_writer import write_panic
+
+EXIT_OK = 0
+EXIT_BAD_INPUT = 2
+
+
+class NumberedLines:
+    """The input's lines without their ends; `number` is that of the last one read, from 1."""
+
+    def __init__(self, stream: TextIO) -> None:
+        self.stream = stream
+        self.number = 0
+
+    def __iter__(self) -> "NumberedLines":
+        return self
+
+    def __next__(self) -> str:
+        line = self.stream.readline()
+        if not line:
+            raise StopIteration
+        self.number += 1
+        return line.rstrip("\r\n")
+
+
+def main() -> int:
+    """Run on standard input and output; return the exit code."""
+    return run(
+        sys.stdin,
+        sys.stdout,
+        lambda text: print("stepstream.simulator_adapter:", text, file=sys.stderr),
+    )
+
+
+def run(source: TextIO, sink: TextIO, report_error: Callable[[str], None]) -> int:
+    """Answer every batch of `source` on `sink`; return the exit code.
+
+    Input that cannot be read is reported with its line's number, and ends the run.
+    """
+    adapter = SimulatorAdapter()
+    lines = NumberedLines(source)
+    try:
+        for line in lines:
+            if line:
+                sink.write(answer_batch(adapter, line, lines))
+                sink.flush()
+    except ConfigurationError as error:
+        report_error(f"line {lines.number}: {error}")
+        return EXIT_BAD_INPUT
+    return EXIT_OK
+
+
+def answer_batch(adapter: SimulatorAdapter, first_line: str, lines: NumberedLines) -> str:
+    """Take the batch that `first_line`, its MARK, begins; return the whole reply.
+
+    Raise ConfigurationError for input that cannot be read.
+    """
+    mark = Message(first_line)
+    if mark.name != "MARK":
+        raise WireError(f"expected MARK, found {mark.name}")
+    fields = mark.fields()
+    now_us = fields.integer("t_us")
+    number = fields.integer("batch")
+    try:
+        reply = adapter.run_batch(now_us, lines)
+    except ConfigurationError:
+        raise
+    except Exception as error:  # noqa: BLE001  any fault in deciding must be seen by the simulator
+        reply = [write_panic(error)]
+    reply.append(f"FINISHED batch={number}")
+    return "\n".join(reply) + "\n"
--- a/tests/policy/test_policy_limits.py
+++ b/tests/policy/test_policy_limits.py
@@ -15,7 +15,7 @@
 
 POLICY = sorted((PACKAGE / "policy").glob("*.py"))
 MODEL = sorted((PACKAGE / "model").glob("*.py"))
-ADAPTER = [PACKAGE / "simulator_adapter.py"]
+ADAPTER = sorted((PACKAGE / "simulator_adapter").glob("*.py"))
 
 
 def roots_imported(path):
--- a/tests/simulator_adapter/test_simulator_adapter.py
+++ b/tests/simulator_adapter/test_simulator_adapter.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from stepstream import simulator_adapter as drill
+from stepstream.policy.load_balancer import LoadBalancer
+from stepstream.simulator_adapter.command import run
 
 ROOT = Path(__file__).parents[2]
 CONF = (
@@ -31,7 +32,7 @@
 
 def play(*lines):
     sink, complaints = io.StringIO(), []
-    code = drill.run(io.StringIO("\n".join(lines) + "\n"), sink, complaints.append)
+    code = run(io.StringIO("\n".join(lines) + "\n"), sink, complaints.append)
     return code, sink.getvalue().splitlines(), complaints
 
 
@@ -129,7 +130,7 @@
     def broken(*_):
         raise KeyError("lost")
 
-    monkeypatch.setattr(drill.LoadBalancer, "handle", broken)
+    monkeypatch.setattr(LoadBalancer, "handle", broken)
     code, out, _ = play(*START)
     assert code == 0
     assert out[0].startswith("PANIC body_text=KeyError")
