--- a/stepstream/cli/identity_explain.py
+++ b/stepstream/cli/identity_explain.py
@@ -11,7 +11,7 @@
     _, operator = read_configuration(operator_path(arguments))
     if operator is None:  # the usage asks for --operator, but its FILE may be an empty text
         raise CommandError("identity explain needs --operator FILE")
-    from stepstream.identity import commands
+    from stepstream.identity import commands  # not loaded where the configuration is at fault
 
     with command_errors(ConfigurationError):
         return commands.explain(
--- a/stepstream/cli/serve.py
+++ b/stepstream/cli/serve.py
@@ -13,7 +13,7 @@
     """
     path = operator_path(arguments)
     config, operator = read_configuration(path)
-    from stepstream.node.node import Node
+    from stepstream.node.node import Node  # not loaded where the configuration is at fault
 
     host, port = config.listen
     with (
--- a/stepstream/simulator_adapter/adapter.py
+++ b/stepstream/simulator_adapter/adapter.py
@@ -56,16 +56,17 @@
 
 
 class Batch:
-    """The messages of one moment: which instance they are for, its events, and the reply so far.
+    """The messages of one moment: the instance that they are for, its events, the reply so far.
 
-    An instance decides once on all its events in a row, at the latest when another one's begin.
+    An instance decides once on all its events in a row: when another one is selected, when it
+    starts anew or stops, or at the batch's end.
     """
 
     def __init__(self, adapter: SimulatorAdapter, now_us: int, lines: Iterator[str]) -> None:
         self.adapter = adapter
         self.now_us = now_us
         self.lines = lines  # a TABLE takes more of them
-        self.dispatcher: int | None = None  # the number of the instance that is spoken to
+        self.dispatcher: int | None = None  # number of the selected instance, running or not
         self.events: list[PolicyEvent] = []
         self.reply: list[str] = []
 
@@ -121,9 +122,10 @@
 
     def stop_instance(self, message: Message) -> None:
         """Take EXIT: the instance and what it has learned are gone."""
-        self._running(message)
+        dispatcher = self._selected(message)
+        self._running(message)  # an instance that does not run cannot stop
         self.decide()
-        del self.adapter.instances[self._selected(message)]
+        del self.adapter.instances[dispatcher]
 
     def add_endpoint_list(self, message: Message) -> None:
         """Take TOPOLOGY: an event whose endpoints are those of a table as it is now."""
--- a/stepstream/simulator_adapter/command.py
+++ b/stepstream/simulator_adapter/command.py
@@ -10,6 +10,7 @@
 from stepstream.simulator_adapter.wire_reader import Message
 from stepstream.simulator_adapter.wire_writer import write_panic
 
+HEAD_OF_BATCH = "MARK"
 EXIT_OK = 0
 EXIT_BAD_INPUT = 2
 
@@ -64,10 +65,10 @@
 
     Raise ConfigurationError for input that cannot be read.
     """
-    mark = Message(first_line)
-    if mark.name != "MARK":
-        raise WireError(f"expected MARK, found {mark.name}")
-    fields = mark.fields()
+    head = Message(first_line)
+    if head.name != HEAD_OF_BATCH:
+        raise WireError(f"expected {HEAD_OF_BATCH}, found {head.name}")
+    fields = head.fields()
     now_us = fields.integer("t_us")
     number = fields.integer("batch")
     try:
--- a/tests/simulator_adapter/test_simulator_adapter.py
+++ b/tests/simulator_adapter/test_simulator_adapter.py
@@ -30,10 +30,10 @@
 REQUEST = "REQUEST msg_id=00000000000000aa type=1 tenant=0 budget_us=5000000"
 
 
-def play(*lines):
-    sink, complaints = io.StringIO(), []
-    code = run(io.StringIO("\n".join(lines) + "\n"), sink, complaints.append)
-    return code, sink.getvalue().splitlines(), complaints
+def run_transcript(*lines):
+    sink, errors = io.StringIO(), []
+    code = run(io.StringIO("\n".join(lines) + "\n"), sink, errors.append)
+    return code, sink.getvalue().splitlines(), errors
 
 
 def batch(number, *lines, at=2_000_000):
@@ -41,7 +41,7 @@
 
 
 def test_a_request_is_relayed_and_answered():
-    code, out, complaints = play(
+    code, out, errors = run_transcript(
         "MARK t_us=1 batch=0",
         "END",
         *START,
@@ -51,7 +51,7 @@
             "ANSWER msg_id=00000000000000aa n=0 runner=10.0.0.1:5000 state_code=ABORTED spent_us=9",
         ),
     )
-    assert (code, complaints) == (0, [])
+    assert (code, errors) == (0, [])
     assert out[0] == "FINISHED batch=0"
     assert [line for line in out if line.startswith("RELAY msg_id=00000000000000aa")]
     assert out[-3:] == [
@@ -62,7 +62,7 @@
 
 
 def test_late_events_of_ended_requests_are_ignored():
-    code, out, _ = play(
+    code, out, _ = run_transcript(
         *START,
         *batch(
             2,
@@ -77,7 +77,7 @@
 
 
 def test_a_table_number_is_used_in_the_order_of_events():
-    code, out, _ = play(
+    code, out, _ = run_transcript(
         *START,
         *batch(
             2,
@@ -93,7 +93,7 @@
 
 
 def test_an_instance_that_exits_and_comes_back_starts_anew():
-    code, out, _ = play(*START, *batch(2, REQUEST, "EXIT", *START[2:-1], REQUEST))
+    code, out, _ = run_transcript(*START, *batch(2, REQUEST, "EXIT", *START[2:-1], REQUEST))
     assert code == 0
     assert len([line for line in out if line.startswith("RELAY")]) == 2
 
@@ -118,11 +118,11 @@
     ],
 )
 def test_malformed_input_gets_one_plain_line_and_a_bad_exit(lines, words):
-    code, out, complaints = play(*lines)
+    code, out, errors = run_transcript(*lines)
     assert code != 0
-    assert len(complaints) == 1
-    assert words in complaints[0]
-    assert complaints[0].startswith("line ")
+    assert len(errors) == 1
+    assert words in errors[0]
+    assert errors[0].startswith("line ")
     assert not out or out[-1].startswith("FINISHED")  # no half reply
 
 
@@ -131,14 +131,14 @@
         raise KeyError("lost")
 
     monkeypatch.setattr(LoadBalancer, "handle", broken)
-    code, out, _ = play(*START)
+    code, out, _ = run_transcript(*START)
     assert code == 0
     assert out[0].startswith("PANIC body_text=KeyError")
     assert out[-1] == "FINISHED batch=1"
 
 
 def transcript(instances):
-    """A run of many batches for the given dispatchers; what each is told does not depend on the others."""
+    """A run of many batches for the given dispatchers; the messages to each do not depend on the others."""
     lines = []
     for number in range(1, 60):
         lines.append(f"MARK t_us={number * 50_000} batch={number}")
@@ -158,7 +158,7 @@
 
 def actions_by_instance(instances):
     environment = {**os.environ, "PYTHONHASHSEED": str(sum(instances) + 1)}
-    run = subprocess.run(
+    process = subprocess.run(
         [sys.executable, "-m", "stepstream.simulator_adapter"],
         input=transcript(instances),
         capture_output=True,
@@ -168,7 +168,7 @@
         check=True,
     )
     found, at = {}, None
-    for line in run.stdout.splitlines():
+    for line in process.stdout.splitlines():
         if line.startswith("AS "):
             at = line
         elif not line.startswith("FINISHED"):
