Describe the lab's harness, name its figures and type its process and log

Cause: the harness had no descriptions; packed assignments, bare figures and untyped fields made it hard to follow which process, log and fault tasks it owns. Change: docstrings, named constants, an error of its own (a RuntimeError as before), the wait for an idle node written once, fault tasks and progress named for what they are. Order of effects and of draws stays.

--- a/stepstream/lab/rig.py
+++ b/stepstream/lab/rig.py
@@ -1,4 +1,10 @@
-"""A whole day on loopback: fleet, discovery, clients, and the real program in a process of its own."""
+"""Test harness of a lab run on loopback: worker nodes, discovery, clients and the real dispatcher.
+
+`Rig` starts emulated worker nodes and a discovery service in this process, the dispatcher in a
+process of its own, plays the request and fault schedules of a `Day`, and measures what the
+dispatcher used. It owns the child process, its log and a temporary folder; all of its state
+belongs to the event loop thread that calls `start`.
+"""
 
 import asyncio
 import contextlib
@@ -11,28 +17,47 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any, TextIO
 
 import ujson
 
 from stepstream.lab.catalogue import Catalogue
 from stepstream.lab.clients import Clients
-from stepstream.lab.nodes import Clock, GearmanNode, HttpNode, NodeDriver
+from stepstream.lab.nodes import Clock, GearmanNode, HttpNode
 from stepstream.lab.pricing import PricingNode
 from stepstream.lab.referee import Figures, Referee
 from stepstream.lab.site import Day, Fault, Speech, settings_of
 
-START_S = 20.0
-PATIENCE_S = 0.02
-DRAIN_STEP_S = 0.05
+START_S = 20.0  # limit for the dispatcher's start, and for its shutdown
+PATIENCE_S = 0.02  # between two attempts to connect to a dispatcher that starts
+DRAIN_STEP_S = 0.05  # between two looks at a draining node
+DRAIN_MARGIN_S = 0.2  # beyond the site's drain grace
+PROGRESS_STEP_S = 0.5  # between two progress reports
+LOG_TAIL_CHARACTERS = 2000
+LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}  # of the dispatcher's process
+LOOPBACK_NUMBERS = 2**16  # addresses in 127.77.0.0/16
+US_PER_SECOND = 1e6
+MS_PER_SECOND = 1000
+BYTES_PER_MB = 1e6
+# Fields of /proc/PID/stat, counted from the state (field 3 in proc(5)), which follows the name.
+STAT_USER_TICKS = 11
+STAT_SYSTEM_TICKS = 12
+STAT_RESIDENT_PAGES = 21
 OPERATOR = """[gearman]
 listen = "{host}:{port}"
 tenant = "{tenant}"
 """
 
+EmulatedNode = HttpNode | GearmanNode
+
+
+class RigError(RuntimeError):
+    """The dispatcher's process did not start, or is not there."""
+
 
 @dataclass(slots=True)
 class Cost:
-    """What the dispatcher used. CPU in seconds, memory in megabytes."""
+    """What the dispatcher's process used: CPU in seconds, resident memory in megabytes."""
 
     cpu_s: float = 0.0
     rss_mb: float = 0.0
@@ -40,71 +65,85 @@
 
 @dataclass(slots=True)
 class Result:
+    """Outcome of a run."""
+
     figures: Figures
     cost: Cost
-    late_ms: float  # by how much the lab itself was late at its worst
+    late_ms: float  # the longest delay by which the lab itself sent a request late
 
 
 def own_host() -> str:
-    """A loopback address that no other process of the lab uses.
+    """Return a loopback address that no other process of the lab uses.
 
-    Connections leave from 127.0.0.1, so none of them takes a port here between its choice and its use.
+    Connections leave from 127.0.0.1, so none of them takes a port of this address between the
+    choice of the port and its use.
     """
-    number = os.getpid() % 2**16
+    number = os.getpid() % LOOPBACK_NUMBERS
     return f"127.77.{number >> 8}.{number & 255}"
 
 
 def free_port(host: str) -> int:
+    """Return a TCP port that is free on `host` at this moment."""
     with socket.create_server((host, 0)) as probe:
-        return probe.getsockname()[1]
+        port: int = probe.getsockname()[1]
+        return port
 
 
 @dataclass(eq=False)
 class Rig:
-    """`with_gearman`: whether the dispatcher is given the operator's file; off, it is the platform's."""
+    """A dispatcher process with the emulated fleet, discovery and clients around it.
+
+    Call `start`, then `play` once, and `stop` in any case. `with_gearman` says whether the
+    dispatcher gets an operator file with a Gearman listener; without it, it runs as on the
+    platform.
+    """
 
     day: Day
-    seed: int
+    seed: int  # of the dispatcher
     with_gearman: bool = True
     clock: Clock = field(default_factory=Clock)
-    nodes: list[NodeDriver] = field(default_factory=list)
-    process: asyncio.subprocess.Process | None = None
-    log: object = None
+    nodes: list[EmulatedNode] = field(default_factory=list)
+    process: asyncio.subprocess.Process | None = None  # the dispatcher, once started
+    log: TextIO | None = None  # the dispatcher's standard error
 
     def __post_init__(self) -> None:
         self.referee = Referee(self.day)
         self.catalogue = Catalogue(self.clock, self.referee)
         self.host = own_host()
-        self.http, self.gearman = (
-            (self.host, free_port(self.host)),
-            (self.host, free_port(self.host)),
-        )
+        self.http = (self.host, free_port(self.host))
+        self.gearman = (self.host, free_port(self.host))
         self.folder = tempfile.TemporaryDirectory(prefix="stepstream-lab-")
-        self.faults: list[asyncio.Task] = []
+        self.fault_tasks: list[asyncio.Task[None]] = []
 
-    # -- start and end ------------------------------------------------------------------------------------
+    # -- start and stop -----------------------------------------------------------------------
 
     async def start(self) -> None:
-        port = await self.catalogue.begin()
-        self.nodes = [self.node(k) for k in range(len(self.day.specs))]
+        """Start discovery, HTTP nodes, dispatcher and Gearman workers, in this order.
+
+        Raises RigError with the end of the dispatcher's log if it does not listen in time.
+        """
+        discovery_port = await self.catalogue.begin()
+        self.nodes = [self.node(index) for index in range(len(self.day.specs))]
         for node in self.nodes:
             if isinstance(node, HttpNode):
                 await node.begin()
                 await self.catalogue.put(self.row(node, "ready"))
-        await self.start_dispatcher(port)
+        await self.start_dispatcher(discovery_port)
         for node in self.nodes:
             if isinstance(node, GearmanNode):
                 await node.begin()
 
-    def node(self, k: int) -> NodeDriver:
+    def node(self, index: int) -> EmulatedNode:
+        """Build the emulated node with this index; it does not run yet."""
         seeds = self.day.streams["nodes"].spawn(1)
-        model = PricingNode(self.day.specs[k], seeds[0], self.clock.now_us())
-        if self.day.speeches[k] is Speech.HTTP:
+        model = PricingNode(self.day.specs[index], seeds[0], self.clock.now_us())
+        if self.day.speeches[index] is Speech.HTTP:
             return HttpNode(model, self.clock, self.referee, host=self.host, dispatcher=self.http)
-        names = tuple(part.name for part in self.day.site.job)
+        names = tuple(job_class.name for job_class in self.day.site.job)
         return GearmanNode(model, self.clock, self.referee, address=self.gearman, functions=names)
 
-    def row(self, node: HttpNode, state: str) -> dict:
+    def row(self, node: HttpNode, state: str) -> dict[str, Any]:
+        """Return the node's entry in discovery's endpoint list, with the platform's keys."""
         spec = node.model.spec
         return {
             "id": spec.name,
@@ -118,13 +157,14 @@
         }
 
     async def start_dispatcher(self, discovery_port: int) -> None:
+        """Start `stepstream serve` in a process of its own and wait until it listens."""
         folder = Path(self.folder.name)
         config = {
             "name": "lab",
             "listen": f"{self.http[0]}:{self.http[1]}",
             "discovery": f"127.0.0.1:{discovery_port}",
             "seed": f"{self.seed:x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": LIMITS,
             "settings": settings_of(self.day),
         }
         (folder / "config.json").write_text(ujson.dumps(config))
@@ -135,7 +175,9 @@
             )
             (folder / "operator.toml").write_text(text)
             arguments += ["--operator", str(folder / "operator.toml")]
-        self.log = open(folder / "log.txt", "w+", encoding="utf-8")
+        self.log = open(  # noqa: SIM115  `stop` closes it after the process
+            folder / "log.txt", "w+", encoding="utf-8"
+        )
         self.process = await asyncio.create_subprocess_exec(
             *arguments,
             env={**os.environ, "EDGE_CONFIG": str(folder / "config.json")},
@@ -144,24 +186,45 @@
         await self.wait_for_ready()
 
     async def wait_for_ready(self) -> None:
-        until = time.monotonic() + START_S
-        for address in [self.http, *([self.gearman] if self.with_gearman else [])]:
+        """Wait until the dispatcher accepts connections on each of its listeners.
+
+        Raises RigError if its process ends, or after `START_S`.
+        """
+        deadline_s = time.monotonic() + START_S
+        addresses = [self.http]
+        if self.with_gearman:
+            addresses.append(self.gearman)
+        for address in addresses:
             while True:
-                if self.process.returncode is not None or time.monotonic() > until:
-                    raise RuntimeError(f"the dispatcher did not start: {self.last_words()}")
+                has_ended = self.dispatcher().returncode is not None
+                if has_ended or time.monotonic() > deadline_s:
+                    raise RigError(f"the dispatcher did not start: {self.log_tail()}")
                 with contextlib.suppress(OSError):
                     _, writer = await asyncio.open_connection(*address)
                     writer.close()
                     break
                 await asyncio.sleep(PATIENCE_S)
 
-    def last_words(self) -> str:
+    def dispatcher(self) -> asyncio.subprocess.Process:
+        """Return the dispatcher's process; RigError if `start` has not started it."""
+        if self.process is None:
+            raise RigError("the dispatcher's process is not started: call Rig.start first")
+        return self.process
+
+    def log_tail(self) -> str:
+        """Return the end of the dispatcher's log."""
+        if self.log is None:
+            return ""
         self.log.flush()
         self.log.seek(0)
-        return self.log.read()[-2000:].strip()
+        return self.log.read()[-LOG_TAIL_CHARACTERS:].strip()
 
     async def stop(self) -> None:
-        for task in self.faults:
+        """Stop faults, nodes and dispatcher, and remove the temporary folder.
+
+        The dispatcher gets SIGTERM and, if it has not ended after `START_S`, SIGKILL.
+        """
+        for task in self.fault_tasks:
             task.cancel()
         for node in self.nodes:
             node.stop()
@@ -176,101 +239,119 @@
             self.log.close()
         self.folder.cleanup()
 
-    # -- a day --------------------------------------------------------------------------------------------
+    # -- run ----------------------------------------------------------------------------------
+
+    async def play(self, on_progress: Callable[[Clients], None] | None = None) -> Result:
+        """Play the request schedule with its faults and return the outcome.
 
-    async def play(self, watch: Callable[[Clients], None] | None = None) -> Result:
-        """The schedule with its faults. `watch` is called twice a second."""
+        `on_progress` is called twice a second. An end of the dispatcher before that of the
+        schedule is a breach in the result; an error of the lab's own is raised.
+        """
         clients = Clients(self.day, self.clock, self.referee, self.http, self.gearman)
         before = self.cost()
-        self.faults = [asyncio.ensure_future(self.fault(fault)) for fault in self.day.faults]
-        watcher = asyncio.ensure_future(self.watch(clients, watch)) if watch else None
-        run, ended = (
-            asyncio.ensure_future(clients.run()),
-            asyncio.ensure_future(self.process.wait()),
-        )
+        self.fault_tasks = [asyncio.ensure_future(self.fault(fault)) for fault in self.day.faults]
+        reporting = None
+        if on_progress:
+            reporting = asyncio.ensure_future(self.report_progress(clients, on_progress))
+        run = asyncio.ensure_future(clients.run())
+        ended = asyncio.ensure_future(self.dispatcher().wait())
         try:
             await asyncio.wait((run, ended), return_when=asyncio.FIRST_COMPLETED)
         finally:
-            for task in (run, ended, watcher):
+            for task in (run, ended, reporting):
                 if task is not None and not task.done():
                     task.cancel()
         if run.done():
-            run.result()  # a fault of the lab's own is not the dispatcher's
+            run.result()  # raises an error of the lab's own, which is not the dispatcher's
         else:
-            self.referee.breach(self.clock.now_us(), f"the dispatcher ended: {self.last_words()}")
+            self.referee.breach(self.clock.now_us(), f"the dispatcher ended: {self.log_tail()}")
         after = self.cost()
         cost = Cost(after.cpu_s - before.cpu_s, after.rss_mb)
         return Result(self.referee.figures(), cost, clients.late_us / 1000)
 
-    async def watch(self, clients: Clients, show: Callable[[Clients], None]) -> None:
+    async def report_progress(
+        self, clients: Clients, on_progress: Callable[[Clients], None]
+    ) -> None:
+        """Call `on_progress` every `PROGRESS_STEP_S` until cancelled."""
         while True:
-            show(clients)
-            await asyncio.sleep(0.5)
+            on_progress(clients)
+            await asyncio.sleep(PROGRESS_STEP_S)
 
     def cost(self) -> Cost:
-        """Of the dispatcher's process so far, from the kernel's own account."""
+        """Return what the dispatcher's process used so far, by proc(5); zeros if it has gone."""
         try:
-            stat = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+            stat = Path(f"/proc/{self.dispatcher().pid}/stat").read_text()
         except OSError:
             return Cost()
-        ticks = int(stat[11]) + int(stat[12])
-        pages = int(stat[21])
-        return Cost(ticks / os.sysconf("SC_CLK_TCK"), pages * os.sysconf("SC_PAGE_SIZE") / 1e6)
+        values = stat.rpartition(")")[2].split()  # the name before it may hold spaces
+        ticks = int(values[STAT_USER_TICKS]) + int(values[STAT_SYSTEM_TICKS])
+        resident_bytes = int(values[STAT_RESIDENT_PAGES]) * os.sysconf("SC_PAGE_SIZE")
+        return Cost(ticks / os.sysconf("SC_CLK_TCK"), resident_bytes / BYTES_PER_MB)
 
-    # -- faults -------------------------------------------------------------------------------------------
+    # -- faults -------------------------------------------------------------------------------
 
     async def fault(self, fault: Fault) -> None:
-        await asyncio.sleep(fault.at_us / 1e6)
-        await asyncio.gather(*(self.strike(fault, self.nodes[k]) for k in fault.nodes))
+        """Wait for the fault's time and inject it into each of its nodes."""
+        await asyncio.sleep(fault.at_us / US_PER_SECOND)
+        await asyncio.gather(*(self.inject(fault, self.nodes[index]) for index in fault.nodes))
 
-    async def strike(self, fault: Fault, node: NodeDriver) -> None:
-        seconds = (fault.end_us - fault.at_us) / 1e6
+    async def inject(self, fault: Fault, node: EmulatedNode) -> None:
+        """Put one node at fault, and back in order when the fault's time is over."""
+        duration_s = (fault.end_us - fault.at_us) / US_PER_SECOND
         match fault.kind:
             case "slow":
+                # Work done so far counts at the speed that it was done with.
                 node.model.advance(self.clock.now_us())
                 node.model.slow = fault.size
-                await asyncio.sleep(seconds)
+                await asyncio.sleep(duration_s)
                 node.model.advance(self.clock.now_us())
                 node.model.slow = 1.0
                 node.stirred.set()
             case "errors":
                 node.model.fails = fault.size
-                await asyncio.sleep(seconds)
+                await asyncio.sleep(duration_s)
                 node.model.fails = 0.0
             case "crash":
                 node.crash()
                 await self.announce(node, "gone")
-                await asyncio.sleep(seconds)
-                await self.return_of(node)
+                await asyncio.sleep(duration_s)
+                await self.bring_back(node)
             case "drain":
                 await self.drain(node)
-                await asyncio.sleep(seconds)
-                await self.return_of(node)
+                await asyncio.sleep(duration_s)
+                await self.bring_back(node)
 
-    async def drain(self, node: NodeDriver) -> None:
-        """Told, then it finishes its work, then its process ends."""
+    async def drain(self, node: EmulatedNode) -> None:
+        """Announce that the node drains, let it finish its work, then end its process."""
         if isinstance(node, GearmanNode):
             node.drain()
         else:
             await self.announce(node, "draining")
-        while node.model.running or node.model.waiting:
-            await asyncio.sleep(DRAIN_STEP_S)
-        # What the rule still allows may come within the grace: the process waits that long.
-        await asyncio.sleep(self.day.site.drain_grace_ms / 1000 + 0.2)
-        while node.model.running or node.model.waiting:
-            await asyncio.sleep(DRAIN_STEP_S)
+        await self.wait_until_idle(node)
+        # Jobs may still be sent within the drain grace: the process waits that long.
+        await asyncio.sleep(self.day.site.drain_grace_ms / MS_PER_SECOND + DRAIN_MARGIN_S)
+        await self.wait_until_idle(node)
         node.crash()
         await self.announce(node, "gone")
 
-    async def return_of(self, node: NodeDriver) -> None:
+    async def wait_until_idle(self, node: EmulatedNode) -> None:
+        """Wait until the node has neither running nor waiting jobs."""
+        while node.model.running or node.model.waiting:
+            await asyncio.sleep(DRAIN_STEP_S)
+
+    async def bring_back(self, node: EmulatedNode) -> None:
+        """Start the node's process anew and announce it."""
         await node.restart()
         self.referee.ready_again(node.name)
         await self.announce(node, "ready")
 
-    async def announce(self, node: NodeDriver, state: str) -> None:
-        """Discovery hears of it late; a Gearman worker's connection is its own word."""
+    async def announce(self, node: EmulatedNode, state: str) -> None:
+        """Change the node's state in discovery, with the site's delay.
+
+        Discovery does not list Gearman workers: their connection says that they are there.
+        """
         if isinstance(node, HttpNode):
             row = self.row(node, state)
-            late = self.day.streams["discovery"].uniform(*self.day.site.notice_ms) / 1000
-            await asyncio.sleep(late)
+            notice_ms = self.day.streams["discovery"].uniform(*self.day.site.notice_ms)
+            await asyncio.sleep(notice_ms / MS_PER_SECOND)
             await self.catalogue.put(row)
