Split the demo's run into schedule, progress and tables, and describe each

Cause: the demo's functions were described by single words and mixed progress with the run. Change: docstrings, a progress bar as a context manager, the table of classes in a function of its own, named constants; the golden sample's builder patches the renamed function.

--- a/stepstream/lab/demo.py
+++ b/stepstream/lab/demo.py
@@ -1,10 +1,16 @@
-"""`stepstream demo`: a small day on this machine, its progress, and a table of what it came to."""
+"""`stepstream demo`: run a small cluster under load on this machine and print the outcome.
+
+Progress goes to standard error, the tables to standard output and, on request, the figures to a
+JSON file. The module holds no state; each run has an event loop of its own.
+"""
 
 import asyncio
 import contextlib
 import signal
 import sys
+from collections.abc import Callable, Iterator
 from dataclasses import asdict
+from typing import Any
 
 import ujson
 from rich.console import Console
@@ -17,18 +23,33 @@
 from stepstream.lab.rig import Result, Rig
 from stepstream.lab.site import Day, draw_day, read_site
 
-WIDTH = 120
-LATE_MS = 100.0  # a lab later than this says so: its figures are the machine's as well
-
-
-def run(mix: str, seconds: int, seed: int, json_path: str | None, hold: bool, site: str) -> int:
-    """0 if all rules were kept, 1 if one was broken."""
-    if not 1 <= seconds <= 3600:
-        raise ConfigurationError(f"--seconds={seconds} is not between 1 and 3600")
+WIDTH = 120  # columns of the table, at least
+MAX_LATE_MS = 100.0  # a lab later than this says so: its figures are the machine's as well
+MAX_SECONDS = 3600
+US_PER_SECOND = 1e6
+TABLE_COLUMNS = ("class", "asked", "in time", "served", "refused", "failed", "median ms", "p99 ms")
+LAST_COLUMNS_KEYS = ("served", "refused", "failed", "p50_ms", "p99_ms")  # in Figures.by_class
+
+
+def run(
+    mix: str,
+    seconds: int,
+    seed: int,
+    json_path: str | None,
+    hold: bool,  # noqa: FBT001  an option of the command, passed by its name
+    site: str,
+) -> int:
+    """Run the demo; return 0 if all invariants held and 1 if one was violated.
+
+    With `hold`, start the cluster without load, print its addresses and wait for a signal.
+    Raises ConfigurationError if an option is out of range.
+    """
+    if not 1 <= seconds <= MAX_SECONDS:
+        raise ConfigurationError(f"--seconds={seconds} is not between 1 and {MAX_SECONDS}")
     day = draw_day(read_site(name=site), seed, seconds, mix)
     if hold:
-        return asyncio.run(held(day, seed))
-    result = asyncio.run(played(day, seed))
+        return asyncio.run(run_until_signal(day, seed))
+    result = asyncio.run(play_schedule(day, seed))
     console = Console()
     console.width = max(console.width, WIDTH)  # written to a file it would be cut at 80
     show(console, day, mix, seed, result)
@@ -38,8 +59,8 @@
     return 1 if result.figures.breaches else 0
 
 
-def as_json(day: Day, mix: str, seed: int, result: Result) -> dict:
-    figures = asdict(result.figures)
+def as_json(day: Day, mix: str, seed: int, result: Result) -> dict[str, Any]:
+    """Return the content of the file of `--json`."""
     head = {
         "mix": mix,
         "seed": seed,
@@ -47,55 +68,73 @@
         "nodes": len(day.specs),
         "jobs": len(day.asks),
     }
+    figures = asdict(result.figures)
     return {**head, **figures, **asdict(result.cost), "late_ms": result.late_ms}
 
 
-async def held(day: Day, seed: int) -> int:
-    """Fleet and dispatcher until SIGINT or SIGTERM."""
-    rig, stop = Rig(day, seed), asyncio.Event()
+async def run_until_signal(day: Day, seed: int) -> int:
+    """Run fleet and dispatcher without load until SIGINT or SIGTERM; return the exit code.
+
+    The addresses of the dispatcher's listeners are printed as a line of JSON once they accept.
+    """
+    rig = Rig(day, seed)
+    stop = asyncio.Event()
     for number in (signal.SIGINT, signal.SIGTERM):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
     try:
         await rig.start()
-        where = {"http": "{}:{}".format(*rig.http), "gearman": "{}:{}".format(*rig.gearman)}
-        print(ujson.dumps(where), flush=True)
+        addresses = {"http": "{}:{}".format(*rig.http), "gearman": "{}:{}".format(*rig.gearman)}
+        print(ujson.dumps(addresses), flush=True)
         await stop.wait()
     finally:
         await rig.stop()
     return 0
 
 
-async def played(day: Day, seed: int) -> Result:
+async def play_schedule(day: Day, seed: int) -> Result:
+    """Play the request schedule, reporting progress on standard error, and return the outcome."""
     console = Console(stderr=True)
-    columns = (
-        TextColumn("{task.description}"),
-        BarColumn(),
-        MofNCompleteColumn(),
-        TimeElapsedColumn(),
-    )
     rig = Rig(day, seed)
     with contextlib.ExitStack() as stack:
-        shown = None
+        on_progress: Callable[[Clients], None]
         if console.is_terminal:
-            progress = stack.enter_context(Progress(*columns, console=console))
-            bar = progress.add_task("jobs", total=len(day.asks))
-            shown = lambda clients: progress.update(bar, completed=clients.over)  # noqa: E731
+            on_progress = stack.enter_context(progress_bar(console, len(day.asks)))
         else:
-            shown = Lines(len(day.asks)).show
+            on_progress = ProgressLines(len(day.asks)).show
         try:
             await rig.start()
-            return await rig.play(shown)
+            return await rig.play(on_progress)
         finally:
             await rig.stop()
 
 
-class Lines:
-    """Progress where there is no terminal: a line every tenth."""
+@contextlib.contextmanager
+def progress_bar(console: Console, total: int) -> Iterator[Callable[[Clients], None]]:
+    """Show a progress bar on a terminal; give the function that moves it."""
+    columns = (
+        TextColumn("{task.description}"),
+        BarColumn(),
+        MofNCompleteColumn(),
+        TimeElapsedColumn(),
+    )
+    with Progress(*columns, console=console) as progress:
+        bar = progress.add_task("jobs", total=total)
+
+        def move_bar(clients: Clients) -> None:
+            progress.update(bar, completed=clients.over)
+
+        yield move_bar
+
+
+class ProgressLines:
+    """Progress where there is no terminal: a line on standard error for each tenth."""
 
     def __init__(self, total: int) -> None:
-        self.total, self.tenths = total, 0
+        self.total = total
+        self.tenths = 0
 
     def show(self, clients: Clients) -> None:
+        """Print a line if another tenth of the jobs is complete."""
         tenths = 10 * clients.over // max(self.total, 1)
         if tenths > self.tenths:
             self.tenths = tenths
@@ -103,22 +142,16 @@
 
 
 def show(console: Console, day: Day, mix: str, seed: int, result: Result) -> None:
+    """Print the table of job classes, the score, the dispatcher's cost and all violations."""
     figures = result.figures
-    table = Table(
-        title=f"{mix}: {len(day.asks)} jobs in {day.seconds} s on {len(day.specs)} nodes, seed {seed}"
-    )
-    for name in ("class", "asked", "in time", "served", "refused", "failed", "median ms", "p99 ms"):
-        table.add_column(name, justify="left" if name == "class" else "right")
-    for name, row in figures.by_class.items():
-        counts = [f"{row[key]:.0f}" for key in ("served", "refused", "failed", "p50_ms", "p99_ms")]
-        table.add_row(name, f"{row['asked']:.0f}", f"{row['in_time']:.3f}", *counts)
-    console.print(table)
+    console.print(class_table(day, mix, seed, figures))
     console.print(summary(figures))
-    cpu_us = 1e6 * result.cost.cpu_s / max(len(day.asks), 1)
+    cpu_us = US_PER_SECOND * result.cost.cpu_s / max(len(day.asks), 1)
     console.print(f"dispatcher: {cpu_us:.0f} us of CPU a job, {result.cost.rss_mb:.0f} MB resident")
-    if result.late_ms > LATE_MS:
+    if result.late_ms > MAX_LATE_MS:
         console.print(
-            f"the lab itself ran late by {result.late_ms:.0f} ms: this machine was too busy to judge"
+            f"the lab itself ran late by {result.late_ms:.0f} ms: "
+            "this machine was too busy to judge"
         )
     for breach in figures.breaches:
         console.print(f"broken rule at {breach}")
@@ -126,9 +159,24 @@
         console.print("all four rules kept, as seen at the nodes and the clients")
 
 
+def class_table(day: Day, mix: str, seed: int, figures: Figures) -> Table:
+    """Return the table with a row for each job class."""
+    jobs = f"{len(day.asks)} jobs in {day.seconds} s"
+    table = Table(title=f"{mix}: {jobs} on {len(day.specs)} nodes, seed {seed}")
+    for name in TABLE_COLUMNS:
+        table.add_column(name, justify="left" if name == "class" else "right")
+    for name, row in figures.by_class.items():
+        last_columns = [f"{row[key]:.0f}" for key in LAST_COLUMNS_KEYS]
+        table.add_row(name, f"{row['asked']:.0f}", f"{row['in_time']:.3f}", *last_columns)
+    return table
+
+
 def summary(figures: Figures) -> str:
+    """Return the line with the score, its parts and the tenants' shares in time."""
     tenants = ", ".join(f"{name} {share:.3f}" for name, share in figures.by_tenant.items())
     return (
-        f"score {figures.score:.3f} (whole run {figures.whole:.3f}, worst 10 s {figures.worst_window:.3f}, "
-        f"worst class {figures.worst_class:.3f}, worst tenant {figures.worst_tenant:.3f}; {tenants})"
+        f"score {figures.score:.3f} (whole run {figures.whole:.3f}, "
+        f"worst 10 s {figures.worst_window:.3f}, "
+        f"worst class {figures.worst_class:.3f}, worst tenant {figures.worst_tenant:.3f}; "
+        f"{tenants})"
     )
--- a/tests/golden/state_answers.py
+++ b/tests/golden/state_answers.py
@@ -698,7 +698,7 @@
     with (
         tempfile.TemporaryDirectory() as folder,
         quiet(),
-        mock.patch.object(demo, "played", played),
+        mock.patch.object(demo, "play_schedule", played),
     ):
         path = Path(folder) / "demo.json"
         demo.run("mixed", 12, 1, str(path), False, "small")
