State the methods of admin routes once, beside AdminRoute

Cause: membership, leases and the admin routing each defined the same two sets of HTTP methods. Change: READ_METHODS and WRITE_METHODS stand in ports.admin; the three import them.

--- a/stepstream/admin/routing.py
+++ b/stepstream/admin/routing.py
@@ -11,7 +11,13 @@
 from enum import Enum
 from urllib.parse import parse_qsl, unquote
 
-from stepstream.ports.admin import AdminRequest, AdminResponse, AdminRoute
+from stepstream.ports.admin import (
+    READ_METHODS,
+    WRITE_METHODS,
+    AdminRequest,
+    AdminResponse,
+    AdminRoute,
+)
 
 HTTP_OK = 200
 HTTP_BAD_REQUEST = 400
@@ -23,9 +29,6 @@
 MAX_QUERY_CHARACTERS = 1024  # more of a query is not read
 MAX_ECHOED_CHARACTERS = 64  # of a path, in a response or a log line
 
-READ_METHODS = frozenset({"GET", "HEAD"})
-WRITE_METHODS = frozenset({"PUT", "POST"})
-
 
 class AdminAction(Enum):
     """What a request asks for; the value names it in the response to a wrong method."""
--- a/stepstream/leases/admin_api.py
+++ b/stepstream/leases/admin_api.py
@@ -23,10 +23,15 @@
 from stepstream.leases.messages import LEASE_NAME_PATTERN
 from stepstream.leases.proposer import LeaseState, Proposer
 from stepstream.leases.sessions import Session, SessionService
-from stepstream.ports.admin import AdminRequest, AdminResponse, AdminRoute, json_response
+from stepstream.ports.admin import (
+    READ_METHODS,
+    WRITE_METHODS,
+    AdminRequest,
+    AdminResponse,
+    AdminRoute,
+    json_response,
+)
 
-READ_METHODS = frozenset({"GET", "HEAD"})
-WRITE_METHODS = frozenset({"PUT", "POST"})
 LEASE_NAME = re.compile(LEASE_NAME_PATTERN)
 SESSION_NAME = re.compile(r"[A-Za-z0-9-]{8,64}")
 MAX_MILLISECONDS_DIGITS = 8
--- a/stepstream/membership/subsystem.py
+++ b/stepstream/membership/subsystem.py
@@ -41,6 +41,8 @@
 )
 from stepstream.membership.settings_digest import settings_digest
 from stepstream.ports.admin import (
+    READ_METHODS,
+    WRITE_METHODS,
     AdminRequest,
     AdminResponse,
     AdminRoute,
@@ -53,8 +55,6 @@
 from stepstream.runtime.threads import spawn_thread
 from stepstream.subsystem_context import SubsystemContext
 
-READ_METHODS = frozenset({"GET", "HEAD"})
-WRITE_METHODS = frozenset({"PUT", "POST"})
 STATUS_INTERVAL_SECONDS = 0.5  # between two looks at what this member reports of itself
 MAX_LIST_VERSION = 2**53
 MAX_NUMBER_DIGITS = 15  # of an event's number in a call
--- a/stepstream/ports/admin.py
+++ b/stepstream/ports/admin.py
@@ -6,6 +6,11 @@
 
 import ujson
 
+# Methods of an admin route. Changes come by PUT; POST is taken as well, as other proxies' admin
+# listeners want it.
+READ_METHODS = frozenset({"GET", "HEAD"})
+WRITE_METHODS = frozenset({"PUT", "POST"})
+
 
 @dataclass(frozen=True, slots=True)
 class AdminRequest:
