Answer errors and missing things as JSON through two shared functions

Change: ports.admin has json_error and json_or_not_found; the lease calls' error_response goes, and all texts and statuses stay.

--- a/stepstream/leases/admin_api.py
+++ b/stepstream/leases/admin_api.py
@@ -29,6 +29,8 @@
     AdminRequest,
     AdminResponse,
     AdminRoute,
+    json_error,
+    json_or_not_found,
     json_response,
 )
 
@@ -72,11 +74,9 @@
         try:
             lease = lease_name(request)
         except BadRequestError as error:
-            return error_response(400, str(error))
-        for row in self.rows():
-            if row["name"] == lease:
-                return json_response(200, row)
-        return error_response(404, "no such lease is known here")
+            return json_error(400, str(error))
+        row = next((row for row in self.rows() if row["name"] == lease), None)
+        return json_or_not_found(row, "no such lease is known here")
 
     def on_want(self, request: AdminRequest) -> AdminResponse:
         """Answer `PUT /leases/NAME/want`: a heartbeat of a session, or its first call."""
@@ -88,9 +88,9 @@
             if session is None:
                 return self.open_session(now, lease, session_name, request.query)
         except BadRequestError as error:
-            return error_response(400, str(error))
+            return json_error(400, str(error))
         if session.proposer.lease != lease:
-            return error_response(400, f"session is of lease {session.proposer.lease}")
+            return json_error(400, f"session is of lease {session.proposer.lease}")
         return self.session_response(session)
 
     def open_session(
@@ -108,9 +108,9 @@
         except LeaseTimesError as error:
             raise BadRequestError(str(error)) from error
         if self.client.closed:
-            return error_response(503, "this dispatcher is drained or stops")
+            return json_error(503, "this dispatcher is drained or stops")
         if not has_capacity:
-            return error_response(503, "leases.most_sessions are open")
+            return json_error(503, "leases.most_sessions are open")
         session = self.sessions.open(now, session_name, lease, ttl_seconds, operation_seconds)
         return self.session_response(session)
 
@@ -142,15 +142,15 @@
         try:
             lease = lease_name(request)
         except BadRequestError as error:
-            return error_response(400, str(error))
+            return json_error(400, str(error))
         session_name = request.query.get("session")
         if session_name is None:
             ended_count = self.sessions.end(lease)
             if ended_count == 0:
-                return error_response(404, "not held through here")
+                return json_error(404, "not held through here")
             return json_response(200, {"ending": ended_count})
         if not self.sessions.release(session_name):
-            return error_response(404, "no such session")
+            return json_error(404, "no such session")
         return json_response(200, {"released": lease})
 
     # -- rows of `GET /leases` --------------------------------------------------------------------
@@ -257,8 +257,3 @@
     if not (text.isascii() and text.isdigit() and len(text) <= MAX_MILLISECONDS_DIGITS):
         return None
     return int(text) / 1000
-
-
-def error_response(status: int, text: str) -> AdminResponse:
-    """Return an answer with an error's text."""
-    return json_response(status, {"error": text})
--- a/stepstream/membership/subsystem.py
+++ b/stepstream/membership/subsystem.py
@@ -47,6 +47,8 @@
     AdminResponse,
     AdminRoute,
     WorkerMaintenance,
+    json_error,
+    json_or_not_found,
     json_response,
 )
 from stepstream.ports.subsystem import Subsystem
@@ -61,7 +63,6 @@
 NANOSECONDS_A_MILLISECOND = 1_000_000
 HTTP_OK = 200
 HTTP_BAD_REQUEST = 400
-HTTP_NOT_FOUND = 404
 
 
 class MembershipSubsystem(Subsystem):
@@ -317,7 +318,7 @@
         """Answer `GET /fleet/changes?after=NUMBER`."""
         after = request.query.get("after", "0")
         if not (after.isascii() and after.isdigit() and len(after) <= MAX_NUMBER_DIGITS):
-            return json_response(HTTP_BAD_REQUEST, {"error": "after is not a whole number"})
+            return json_error(HTTP_BAD_REQUEST, "after is not a whole number")
         with self.driver.lock:
             answer = report.events_answer(self.protocol, int(after), time.monotonic())
         return json_response(HTTP_OK, answer)
@@ -326,9 +327,7 @@
         """Answer `GET /fleet/members/NAME`."""
         with self.driver.lock:
             answer = report.explanation_answer(self.protocol, request.parts[0], time.monotonic())
-        if answer is None:
-            return json_response(HTTP_NOT_FOUND, {"error": "no such member"})
-        return json_response(HTTP_OK, answer)
+        return json_or_not_found(answer, "no such member")
 
     def on_leave(self, _request: AdminRequest) -> AdminResponse:
         """Answer `PUT /fleet/leave`: begin the graceful shutdown, as SIGTERM does."""
--- a/stepstream/ports/admin.py
+++ b/stepstream/ports/admin.py
@@ -11,6 +11,9 @@
 READ_METHODS = frozenset({"GET", "HEAD"})
 WRITE_METHODS = frozenset({"PUT", "POST"})
 
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+
 
 @dataclass(frozen=True, slots=True)
 class AdminRequest:
@@ -37,6 +40,18 @@
     return AdminResponse(status, text, "application/json")
 
 
+def json_error(status: int, error: str) -> AdminResponse:
+    """Return a response with an error's text, as JSON."""
+    return json_response(status, {"error": error})
+
+
+def json_or_not_found(found: object | None, error: str) -> AdminResponse:
+    """Return what was found as JSON; 404 with `error` for None."""
+    if found is None:
+        return json_error(HTTP_NOT_FOUND, error)
+    return json_response(HTTP_OK, found)
+
+
 @dataclass(frozen=True, slots=True)
 class AdminRoute:
     """A path of the admin listener that a subsystem serves."""
