--- a/stepstream/leases/admin_api.py
+++ b/stepstream/leases/admin_api.py
@@ -32,6 +32,7 @@
     json_error,
     json_or_not_found,
     json_response,
+    parse_whole_number,
 )
 
 LEASE_NAME = re.compile(LEASE_NAME_PATTERN)
@@ -254,6 +255,5 @@
 
 def seconds_from_milliseconds(text: str) -> float | None:
     """Return the seconds of whole milliseconds; None if the text is no such number."""
-    if not (text.isascii() and text.isdigit() and len(text) <= MAX_MILLISECONDS_DIGITS):
-        return None
-    return int(text) / 1000
+    milliseconds = parse_whole_number(text, MAX_MILLISECONDS_DIGITS)
+    return None if milliseconds is None else milliseconds / 1000
--- a/stepstream/membership/subsystem.py
+++ b/stepstream/membership/subsystem.py
@@ -50,6 +50,7 @@
     json_error,
     json_or_not_found,
     json_response,
+    parse_whole_number,
 )
 from stepstream.ports.subsystem import Subsystem
 from stepstream.runtime.log import log
@@ -316,11 +317,11 @@
 
     def on_events(self, request: AdminRequest) -> AdminResponse:
         """Answer `GET /fleet/changes?after=NUMBER`."""
-        after = request.query.get("after", "0")
-        if not (after.isascii() and after.isdigit() and len(after) <= MAX_NUMBER_DIGITS):
+        after = parse_whole_number(request.query.get("after", "0"), MAX_NUMBER_DIGITS)
+        if after is None:
             return json_error(HTTP_BAD_REQUEST, "after is not a whole number")
         with self.driver.lock:
-            answer = report.events_answer(self.protocol, int(after), time.monotonic())
+            answer = report.events_answer(self.protocol, after, time.monotonic())
         return json_response(HTTP_OK, answer)
 
     def on_explain(self, request: AdminRequest) -> AdminResponse:
--- a/stepstream/ports/admin.py
+++ b/stepstream/ports/admin.py
@@ -52,6 +52,13 @@
     return json_response(HTTP_OK, found)
 
 
+def parse_whole_number(text: str, max_digits: int) -> int | None:
+    """Return a query parameter's whole number; None if it is none of at most `max_digits`."""
+    if not (text.isascii() and text.isdigit() and len(text) <= max_digits):
+        return None
+    return int(text)
+
+
 @dataclass(frozen=True, slots=True)
 class AdminRoute:
     """A path of the admin listener that a subsystem serves."""
