Check the keys that only a restart may change through one loop

Cause: membership, leases and identity each looped over their keys, and cast away the None that a node without an operator's file has. Change: config.operator_file.require_all_unchanged loops, in the callers' order; it and require_unchanged take OperatorConfig | None, so the casts in leases and identity go. Two tests hold the first reported key and the meaning of None.

--- a/stepstream/config/operator_file.py
+++ b/stepstream/config/operator_file.py
@@ -6,6 +6,7 @@
 """
 
 import tomllib
+from collections.abc import Iterable
 
 import msgspec
 
@@ -38,6 +39,7 @@
     "TlsSection",
     "WorkerDefaults",
     "read_operator",
+    "require_all_unchanged",
     "require_unchanged",
     "split_address",
 ]
@@ -90,10 +92,19 @@
     return host, int(port)
 
 
-def require_unchanged(key: str, old: OperatorConfig, new: OperatorConfig) -> None:
+def require_all_unchanged(
+    keys: Iterable[str], old: OperatorConfig | None, new: OperatorConfig | None
+) -> None:
+    """Raise `ConfigurationError` for the first key that `require_unchanged` refuses."""
+    for key in keys:
+        require_unchanged(key, old, new)
+
+
+def require_unchanged(key: str, old: OperatorConfig | None, new: OperatorConfig | None) -> None:
     """Raise `ConfigurationError` if a reload would change what only a restart may change.
 
     That is a value, or whether a section is there; `key` is its path, such as `gearman.listen`.
+    None stands for no operator's file: all its sections are missing.
     """
     before = value_at(old, key)
     after = value_at(new, key)
@@ -104,7 +115,7 @@
         raise ConfigurationError(f"{key}={after} changes only with a restart")
 
 
-def value_at(operator: OperatorConfig, key: str) -> object:
+def value_at(operator: OperatorConfig | None, key: str) -> object:
     """Give a section or a value by its path; None where a section on the way is missing."""
     value: object = operator
     for name in key.split("."):
--- a/stepstream/identity/subsystem.py
+++ b/stepstream/identity/subsystem.py
@@ -9,7 +9,7 @@
 from typing import Protocol, cast
 
 from stepstream.config.node_config import NodeConfig
-from stepstream.config.operator_file import IdentitySection, OperatorConfig, require_unchanged
+from stepstream.config.operator_file import IdentitySection, OperatorConfig, require_all_unchanged
 from stepstream.identity.access_control import IdentityAccessControl
 from stepstream.identity.configuration import load_identity
 from stepstream.ports.connections import BoundListener, ListenerSpec
@@ -74,12 +74,8 @@
         self, _config: NodeConfig, operator: OperatorConfig | None
     ) -> Callable[[], None]:
         """Read the files of a new section; return what puts it into force."""
-        # With this subsystem there is an operator's file, before and after the reload.
-        current = cast("OperatorConfig", self.context.operator)
-        reloaded = cast("OperatorConfig", operator)
-        for key in RESTART_ONLY_KEYS:
-            require_unchanged(key, current, reloaded)
-        loaded = load_identity(section_of(reloaded))
+        require_all_unchanged(RESTART_ONLY_KEYS, self.context.operator, operator)
+        loaded = load_identity(section_of(operator))
         return lambda: self.access_control.apply(loaded)
 
     def run_periodic_tasks(self) -> None:
--- a/stepstream/leases/subsystem.py
+++ b/stepstream/leases/subsystem.py
@@ -11,7 +11,7 @@
 
 from stepstream.config.errors import ConfigurationError
 from stepstream.config.node_config import NodeConfig
-from stepstream.config.operator_file import LeasesSection, OperatorConfig, require_unchanged
+from stepstream.config.operator_file import LeasesSection, OperatorConfig, require_all_unchanged
 from stepstream.leases.admin_api import LeaseAdminApi
 from stepstream.leases.client import LeaseClient
 from stepstream.leases.configuration import LeaseConfiguration
@@ -105,11 +105,7 @@
         self, _config: NodeConfig, operator: OperatorConfig | None
     ) -> Callable[[], None]:
         """Refuse a reload that changes what members have to agree on."""
-        # With this subsystem there is an operator's file, before and after the reload.
-        current = cast("OperatorConfig", self.context.operator)
-        reloaded = cast("OperatorConfig", operator)
-        for key in RESTART_ONLY_KEYS:
-            require_unchanged(key, current, reloaded)
+        require_all_unchanged(RESTART_ONLY_KEYS, self.context.operator, operator)
         return lambda: None
 
     def run_periodic_tasks(self) -> None:
--- a/stepstream/membership/subsystem.py
+++ b/stepstream/membership/subsystem.py
@@ -17,7 +17,7 @@
 from stepstream.config.operator_file import (
     MembershipSection,
     OperatorConfig,
-    require_unchanged,
+    require_all_unchanged,
     split_address,
 )
 from stepstream.membership import report
@@ -168,9 +168,7 @@
         self, config: NodeConfig, operator: OperatorConfig | None
     ) -> Callable[[], None]:
         """Check a reloaded section; return what applies it."""
-        if self.host.operator is not None and operator is not None:
-            for key in KEYS_FIXED_UNTIL_RESTART:
-                require_unchanged(key, self.host.operator, operator)
+        require_all_unchanged(KEYS_FIXED_UNTIL_RESTART, self.host.operator, operator)
         section = section_of(operator)
         validate_section(section, config)
         if config.name != self.host.config.name:
--- a/tests/config/test_operator_file.py
+++ b/tests/config/test_operator_file.py
@@ -12,6 +12,7 @@
     GearmanSection,
     OperatorConfig,
     read_operator,
+    require_all_unchanged,
     require_unchanged,
 )
 
@@ -166,6 +167,21 @@
         require_unchanged(key, before, after)
 
 
+def test_the_first_changed_key_is_the_one_reported(tmp_path):
+    before = read(tmp_path, GEARMAN)
+    after = read(tmp_path, GEARMAN.replace(":1", ":2") + "[gearman.worker]\nslots = 2\n")
+    keys = ["gearman.queue", "gearman.listen", "gearman.worker.slots"]
+    with pytest.raises(ConfigurationError, match="gearman.listen=127.0.0.1:2 changes"):
+        require_all_unchanged(keys, before, after)
+    require_all_unchanged(keys, before, before)
+
+
+def test_without_a_file_all_sections_are_missing(tmp_path):
+    require_unchanged("gearman", None, None)
+    with pytest.raises(ConfigurationError, match="gearman is switched on or off"):
+        require_unchanged("gearman", None, read(tmp_path, GEARMAN))
+
+
 def test_the_commented_example_is_read():
     operator = read_operator(str(ROOT / "deploy" / "operator.toml"), SETTINGS)
     assert operator.gearman is not None
