Look up the admin subsystem's worker maintenance in one place

Cause: membership and leases each knew the admin subsystem's section name and cast what they found there. Change: subsystem_context.worker_maintenance does both.

--- a/stepstream/leases/subsystem.py
+++ b/stepstream/leases/subsystem.py
@@ -19,13 +19,13 @@
 from stepstream.leases.health_check_leader import HealthCheckLeader, HealthCheckPort
 from stepstream.leases.participant import Participant
 from stepstream.leases.sessions import SessionService, SessionTable
-from stepstream.ports.admin import AdminRoute, WorkerMaintenance
+from stepstream.ports.admin import AdminRoute
 from stepstream.ports.messaging import MessageTransport
 from stepstream.ports.subsystem import Subsystem
 from stepstream.runtime.log import RateLimitedLogger, log
 from stepstream.runtime.structured_log import structured_logger
 from stepstream.runtime.threads import spawn_thread
-from stepstream.subsystem_context import SubsystemContext
+from stepstream.subsystem_context import SubsystemContext, worker_maintenance
 
 # The keys of `[leases]` that a reload must not change: members have to agree on them.
 RESTART_ONLY_KEYS = tuple(
@@ -110,7 +110,7 @@
 
     def run_periodic_tasks(self) -> None:
         """Hold no leases while this dispatcher is drained; tasks may want them again afterwards."""
-        maintenance = cast("WorkerMaintenance | None", self.context.subsystems.get("operator"))
+        maintenance = worker_maintenance(self.context)
         draining = maintenance is not None and maintenance.draining()
         if draining and not self.client.closed:
             self.end_all()
--- a/stepstream/membership/subsystem.py
+++ b/stepstream/membership/subsystem.py
@@ -9,7 +9,6 @@
 import signal
 import time
 from collections.abc import Callable, Sequence
-from typing import cast
 
 from stepstream import __version__
 from stepstream.config.errors import ConfigurationError
@@ -56,7 +55,7 @@
 from stepstream.runtime.log import log
 from stepstream.runtime.structured_log import structured_logger
 from stepstream.runtime.threads import spawn_thread
-from stepstream.subsystem_context import SubsystemContext
+from stepstream.subsystem_context import SubsystemContext, worker_maintenance
 
 STATUS_INTERVAL_SECONDS = 0.5  # between two looks at what this member reports of itself
 MAX_LIST_VERSION = 2**53
@@ -107,7 +106,7 @@
     @property
     def maintenance(self) -> WorkerMaintenance | None:
         """The admin subsystem's worker maintenance, if the admin listener is on."""
-        return cast("WorkerMaintenance | None", self.host.subsystems.get("operator"))
+        return worker_maintenance(self.host)
 
     @property
     def driver(self) -> Driver:
--- a/stepstream/subsystem_context.py
+++ b/stepstream/subsystem_context.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from queue import SimpleQueue
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol, cast
 
 from stepstream.config.errors import ConfigurationError
 from stepstream.config.limits import Limits
@@ -11,6 +11,7 @@
 from stepstream.core.events import Event
 from stepstream.http.destination_set import DestinationSet
 from stepstream.http.server import InboundServer
+from stepstream.ports.admin import WorkerMaintenance
 from stepstream.ports.carriers import Carrier, HealthChecker
 from stepstream.ports.connections import BoundListener, ListenerSpec
 from stepstream.ports.subsystem import Subsystem
@@ -19,6 +20,8 @@
 if TYPE_CHECKING:
     from stepstream.config.operator_file import OperatorConfig
 
+ADMIN_SECTION = "operator"  # the admin subsystem's key among `SubsystemContext.subsystems`
+
 
 class SubsystemContext(Protocol):
     """The node as a subsystem sees it; `node.context` implements it.
@@ -51,6 +54,11 @@
         """Share the workers among so many from now on, this one included; any thread."""
 
 
+def worker_maintenance(context: SubsystemContext) -> WorkerMaintenance | None:
+    """Return the admin subsystem's worker maintenance; None if the admin listener is off."""
+    return cast("WorkerMaintenance | None", context.subsystems.get(ADMIN_SECTION))
+
+
 def open_listener(
     key: str,
     text: str,
