Run the loops of long-lived subsystem threads through one guard

Cause: the membership, lease and health-check loops each repeated the same guard, log line and pause, with a broad except of their own; the line stood in the admin listener too. Change: runtime.threads.run_until_closed runs them, with the same names and pauses; log_fault writes the line for it, run_guarded and the listener. A lost lease is handled within the health-check leader's step. Two tests hold the loop.

--- a/stepstream/admin/listener.py
+++ b/stepstream/admin/listener.py
@@ -24,7 +24,8 @@
 from stepstream.config.limits import Limits
 from stepstream.http.codec import Message, Parser, ProtocolError
 from stepstream.ports.admin import AdminResponse, AdminRoute
-from stepstream.runtime.log import RateLimitedLogger, log
+from stepstream.runtime.log import RateLimitedLogger
+from stepstream.runtime.threads import log_fault
 
 READABLE = select.POLLIN
 WRITABLE = select.POLLOUT
@@ -162,7 +163,7 @@
             return request.route.answer(replace(request.request, body=body))
         except Exception as error:  # noqa: BLE001  a subsystem's fault must not end the listener
             # Guards the caller too: the fault is a response, not a silence.
-            log(f"fault in an admin call: {type(error).__name__}: {error}")
+            log_fault("an admin call", error)
             return AdminResponse(HTTP_SERVER_ERROR, "fault")
 
     def _flush(self, connection: AdminConnection) -> None:
--- a/stepstream/leases/driver.py
+++ b/stepstream/leases/driver.py
@@ -17,7 +17,8 @@
 from stepstream.leases.participant import OutgoingEnvelope, Participant, StateChange
 from stepstream.leases.proposer import Proposer
 from stepstream.ports.messaging import MessageTransport
-from stepstream.runtime.log import RateLimitedLogger, log
+from stepstream.runtime.log import RateLimitedLogger
+from stepstream.runtime.threads import run_until_closed
 
 MESSAGE_KIND = "lease"  # of the envelopes, among the membership layer's application messages
 MAX_WAIT_SECONDS = 0.5
@@ -97,12 +98,8 @@
 
     def run(self) -> None:
         """Run the participant's timers until the driver is stopped."""
-        while not self.stopped:
-            try:
-                self.step()
-            except Exception as error:  # noqa: BLE001  a fault over one lease must not end the renewals of all others
-                log(f"fault in leases: {type(error).__name__}: {error}")
-                time.sleep(MAX_WAIT_SECONDS)
+        # A fault over one lease must not end the renewals of all others.
+        run_until_closed("leases", self.step, lambda: self.stopped, MAX_WAIT_SECONDS)
 
     def step(self) -> None:
         """Wait for the next timer or change, take the steps that are due, and log what changed."""
--- a/stepstream/leases/health_check_leader.py
+++ b/stepstream/leases/health_check_leader.py
@@ -27,7 +27,8 @@
 )
 from stepstream.model.events import HealthChecked
 from stepstream.ports.messaging import MessageTransport
-from stepstream.runtime.log import RateLimitedLogger, log
+from stepstream.runtime.log import RateLimitedLogger
+from stepstream.runtime.threads import run_until_closed
 
 MESSAGE_KIND = "sweep"  # of the pages, among the membership layer's application messages
 PUBLISH_SECONDS = 0.05  # between two publications of what the checks have brought
@@ -92,14 +93,15 @@
 
     def run(self) -> None:
         """Campaign and lead until stopped."""
-        while not self.stopped:
-            try:
-                self.lead()
-            except LeaseLostError:
-                time.sleep(PAUSE_SECONDS)  # this dispatcher is drained or stops
-            except Exception as error:  # noqa: BLE001  without a leader each dispatcher checks for itself, which costs workers more
-                log(f"fault in the probe sweep: {type(error).__name__}: {error}")
-                time.sleep(PAUSE_SECONDS)
+        # Without a leader each dispatcher checks for itself, which costs workers more.
+        run_until_closed("the probe sweep", self.campaign, lambda: self.stopped, PAUSE_SECONDS)
+
+    def campaign(self) -> None:
+        """Lead if the lease can be had; pause while this dispatcher is drained or stops."""
+        try:
+            self.lead()
+        except LeaseLostError:
+            time.sleep(PAUSE_SECONDS)
 
     def lead(self) -> None:
         """Make one attempt at the lease, to its end."""
--- a/stepstream/membership/driver.py
+++ b/stepstream/membership/driver.py
@@ -26,7 +26,8 @@
 )
 from stepstream.membership.outbox import OutgoingDatagram
 from stepstream.membership.protocol import MembershipProtocol
-from stepstream.runtime.log import RateLimitedLogger, log
+from stepstream.runtime.log import RateLimitedLogger
+from stepstream.runtime.threads import run_until_closed
 
 MAX_READS_A_CYCLE = 64  # datagrams before the timers are run again
 MAX_EVENT_LINES_A_CYCLE = 50  # further events are counted in one line
@@ -88,12 +89,10 @@
         """Run until closed: the membership thread's loop."""
         poll = select.poll()
         poll.register(self.socket, select.POLLIN)
-        while not self.is_closed:
-            try:
-                self.run_cycle(poll)
-            except Exception as error:  # noqa: BLE001  one datagram must not end the membership
-                log(f"fault in fleet: {type(error).__name__}: {error}")
-                time.sleep(PERIODIC_TASK_SECONDS)
+        # One datagram must not end the membership.
+        run_until_closed(
+            "fleet", lambda: self.run_cycle(poll), lambda: self.is_closed, PERIODIC_TASK_SECONDS
+        )
         self.socket.close()
 
     def run_cycle(self, poll: "select.poll") -> None:
--- a/stepstream/runtime/threads.py
+++ b/stepstream/runtime/threads.py
@@ -5,6 +5,7 @@
 """
 
 import threading
+import time
 from collections.abc import Callable
 from queue import SimpleQueue
 from typing import Any, TypeVarTuple
@@ -19,7 +20,28 @@
     try:
         step(*arguments)
     except Exception as error:  # noqa: BLE001  the last guard of every thread: any fault is logged
-        log(f"fault in {name}: {type(error).__name__}: {error}")
+        log_fault(name, error)
+
+
+def run_until_closed(
+    name: str, step: Callable[[], object], is_closed: Callable[[], bool], pause_seconds: float
+) -> None:
+    """Run a step over and over until closed: the loop of a thread that must outlive any fault.
+
+    After a fault, which costs one line in the log, the loop pauses: a lasting fault must not fill
+    the log or take a whole processor.
+    """
+    while not is_closed():
+        try:
+            step()
+        except Exception as error:  # noqa: BLE001  without its thread a subsystem would be gone silently
+            log_fault(name, error)
+            time.sleep(pause_seconds)
+
+
+def log_fault(name: str, error: Exception) -> None:
+    """Log an unexpected fault in a thread or call named `name`."""
+    log(f"fault in {name}: {type(error).__name__}: {error}")
 
 
 def spawn_thread(name: str, step: Callable[[*Arguments], object], *arguments: *Arguments) -> None:
--- a/tests/runtime/test_threads.py
+++ b/tests/runtime/test_threads.py
@@ -2,7 +2,7 @@
 
 from node_helpers import wait_for
 
-from stepstream.runtime.threads import ThreadPool
+from stepstream.runtime.threads import ThreadPool, run_until_closed
 
 
 def test_a_thread_pool_outlives_the_faults_of_its_jobs(capfd):
@@ -12,3 +12,25 @@
     wait_for(lambda: seen)
     assert pool.thread_count == 1
     assert "ZeroDivisionError" in capfd.readouterr().err
+
+
+def test_a_loop_outlives_faults_and_ends_once_closed(capfd, monkeypatch):
+    pauses = []
+    monkeypatch.setattr("stepstream.runtime.threads.time.sleep", pauses.append)
+    steps = []
+
+    def step():
+        steps.append(len(steps))
+        if len(steps) == 2:
+            raise KeyError("lost")
+
+    run_until_closed("the loop", step, lambda: len(steps) == 3, 0.5)
+    assert steps == [0, 1, 2]
+    assert pauses == [0.5]
+    assert capfd.readouterr().err == "stepstream: fault in the loop: KeyError: 'lost'\n"
+
+
+def test_a_loop_that_is_closed_takes_no_step():
+    steps = []
+    run_until_closed("the loop", lambda: steps.append(1), lambda: True, 0.5)
+    assert steps == []
