Log state changes, and count those beyond 50, through one function

Cause: membership and leases each wrote a line for each of the first 50 changes and one line with the count of the rest. Change: runtime.structured_log.log_changes does; each driver builds the fields of its lines, whose names and order stay.

--- a/stepstream/leases/driver.py
+++ b/stepstream/leases/driver.py
@@ -18,12 +18,12 @@
 from stepstream.leases.proposer import Proposer
 from stepstream.ports.messaging import MessageTransport
 from stepstream.runtime.log import RateLimitedLogger
+from stepstream.runtime.structured_log import log_changes
 from stepstream.runtime.threads import run_until_closed
 
 MESSAGE_KIND = "lease"  # of the envelopes, among the membership layer's application messages
 MAX_WAIT_SECONDS = 0.5
 PERIODIC_SECONDS = 0.5
-MAX_LOGGED_CHANGES = 50  # in one step; more are counted in one line
 
 
 def boot_time_seconds() -> float:
@@ -31,6 +31,17 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def log_fields(change: StateChange) -> dict[str, object]:
+    """Return the fields of the log line of a lease's transition."""
+    return {
+        "lease": change.lease,
+        "before": change.before,
+        "after": change.after,
+        "token": change.token,
+        "holder": change.proposer_id,
+    }
+
+
 class LeaseDriver:
     """Runs a participant.
 
@@ -114,7 +125,8 @@
             if changes:
                 self.state_changed.notify_all()
         self.send(outgoing)
-        self.log_changes(changes)
+        fields = [log_fields(change) for change in changes]
+        log_changes(self.logger, "lease", "leases", fields)
         self.log_mismatches(mismatches)
         now = time.monotonic()
         if now - self.last_periodic_at >= PERIODIC_SECONDS:
@@ -128,20 +140,6 @@
         if wait_seconds > 0:
             self.state_changed.wait(wait_seconds)
 
-    def log_changes(self, changes: list[StateChange]) -> None:
-        """Log the leases' transitions."""
-        for change in changes[:MAX_LOGGED_CHANGES]:
-            self.logger.info(
-                "lease",
-                lease=change.lease,
-                before=change.before,
-                after=change.after,
-                token=change.token,
-                holder=change.proposer_id,
-            )
-        if len(changes) > MAX_LOGGED_CHANGES:
-            self.logger.info("leases", more=len(changes) - MAX_LOGGED_CHANGES)
-
     def log_mismatches(self, mismatches: set[str]) -> None:
         """Log the members found since the last call to have another configuration."""
         for member in sorted(mismatches - self.logged_mismatches):
--- a/stepstream/membership/driver.py
+++ b/stepstream/membership/driver.py
@@ -27,10 +27,10 @@
 from stepstream.membership.outbox import OutgoingDatagram
 from stepstream.membership.protocol import MembershipProtocol
 from stepstream.runtime.log import RateLimitedLogger
+from stepstream.runtime.structured_log import log_changes
 from stepstream.runtime.threads import run_until_closed
 
 MAX_READS_A_CYCLE = 64  # datagrams before the timers are run again
-MAX_EVENT_LINES_A_CYCLE = 50  # further events are counted in one line
 PERIODIC_TASK_SECONDS = 0.2  # between two runs of the periodic task; the longest wait of the thread
 LEAVE_TRANSMISSIONS = 3  # in case of loss
 LEAVE_PAUSE_SECONDS = 0.02
@@ -49,6 +49,17 @@
     return started_at_ms * STARTS_A_MILLISECOND + rng.randrange(STARTS_A_MILLISECOND)
 
 
+def log_fields(event: MembershipEvent) -> dict[str, object]:
+    """Return the fields of an event's log line; operators' pages and tools look for these words."""
+    return {
+        "member": event.name,
+        "before": event.before,
+        "after": event.after,
+        "by": event.reported_by,
+        "why": event.reason,
+    }
+
+
 class Driver:
     """Runs a protocol on a UDP socket.
 
@@ -111,7 +122,8 @@
             messages = self.protocol.application.take_received()
             self.is_closed = self.is_closed or self.protocol.members.superseded_by is not None
         self.transmit(outgoing)
-        self._log_events(events)
+        fields = [log_fields(event) for event in events]
+        log_changes(self.logger, "fleet member", "fleet members", fields)
         self._deliver(messages)
 
     def send_application_message(self, recipient: str, kind: str, data: bytes) -> None:
@@ -169,20 +181,6 @@
         self._last_logged_event = history.last_number
         return events
 
-    def _log_events(self, events: list[MembershipEvent]) -> None:
-        for event in events[:MAX_EVENT_LINES_A_CYCLE]:
-            # Operators' pages and tools look for these words.
-            self.logger.info(
-                "fleet member",
-                member=event.name,
-                before=event.before,
-                after=event.after,
-                by=event.reported_by,
-                why=event.reason,
-            )
-        if len(events) > MAX_EVENT_LINES_A_CYCLE:
-            self.logger.info("fleet members", more=len(events) - MAX_EVENT_LINES_A_CYCLE)
-
     def _deliver(self, messages: list[ReceivedMessage]) -> None:
         for message in messages:
             handler = self.message_handlers.get(message.kind)
