Turn a refused or failed admin call of a command into one error

Cause: the fleet and lease commands each turned call_admin's status, its error field and ConnectionError into their text on standard error. Change: admin_client.request_json gives the JSON of a success or raises AdminCallError with text, status and reason; each command keeps what a 404 means and its exit codes. The lease runner wants the status and keeps call_admin.

--- a/stepstream/admin_client.py
+++ b/stepstream/admin_client.py
@@ -1,6 +1,7 @@
 """One call to a dispatcher's admin listener, for commands that ask a running program."""
 
 import http.client
+from http import HTTPStatus
 from typing import Any
 
 import ujson
@@ -9,6 +10,19 @@
 from stepstream.config.fields import MAX_PORT
 
 TIMEOUT_SECONDS = 5.0
+NO_ANSWER = 0  # in place of a status
+
+
+class AdminCallError(Exception):
+    """The dispatcher refused a call, or could not be asked; the text says where and why.
+
+    `status` is the answer's, or NO_ANSWER; `reason` is the answer's error text, "" without one.
+    """
+
+    def __init__(self, text: str, status: int, reason: str) -> None:
+        super().__init__(text)
+        self.status = status
+        self.reason = reason
 
 
 def call_admin(
@@ -35,3 +49,15 @@
         return response.status, ujson.loads(body)
     except ValueError:
         return response.status, {"error": body.decode("utf-8", "replace").strip()}
+
+
+def request_json(at: str, path: str, method: str = "GET") -> Any:  # noqa: ANN401  parsed JSON
+    """Make a call as `call_admin` does; give the JSON of a success, AdminCallError otherwise."""
+    try:
+        status, answer = call_admin(at, path, method)
+    except ConnectionError as error:
+        raise AdminCallError(str(error), NO_ANSWER, "") from error
+    if status != HTTPStatus.OK:
+        text = f"{at}: {answer.get('error', status)}"
+        raise AdminCallError(text, status, str(answer.get("error", "")))
+    return answer
--- a/stepstream/leases/commands.py
+++ b/stepstream/leases/commands.py
@@ -39,7 +39,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from stepstream.admin_client import call_admin
+from stepstream.admin_client import AdminCallError, request_json
 from stepstream.config.errors import ConfigurationError
 
 # Exit codes of all commands but `run`, whose codes are in `command_runner`.
@@ -68,12 +68,10 @@
     console = console or Console(width=None if sys.stdout.isatty() else PIPE_WIDTH)
     at = arguments["--at"]
     try:
-        status, answer = call_admin(at, *path_and_method(arguments))
-    except ConnectionError as error:
+        answer = request_json(at, *path_and_method(arguments))
+    except AdminCallError as error:
         print(f"stepstream: {error}", file=sys.stderr)
-        return EXIT_BAD_CALL
-    if status != HTTPStatus.OK:
-        return report_failure(at, status, answer)
+        return exit_code_of(error)
     print_answer(arguments, answer, console)
     return EXIT_OK
 
@@ -86,13 +84,9 @@
     return ("/leases" if arguments["list"] else f"/leases/{name}"), "GET"
 
 
-def report_failure(at: str, status: int, answer: Row) -> int:
-    """Print why the dispatcher did not answer 200; return the exit code."""
-    error = answer.get("error", status)
-    print(f"stepstream: {at}: {error}", file=sys.stderr)
-    is_unknown = status == HTTPStatus.NOT_FOUND and not str(answer.get("error", "")).startswith(
-        UNKNOWN_PATH
-    )
+def exit_code_of(error: AdminCallError) -> int:
+    """Return the exit code for a call that was not answered with a success."""
+    is_unknown = error.status == HTTPStatus.NOT_FOUND and not error.reason.startswith(UNKNOWN_PATH)
     return EXIT_NO_SUCH_LEASE if is_unknown else EXIT_BAD_CALL
 
 
--- a/stepstream/membership/commands.py
+++ b/stepstream/membership/commands.py
@@ -32,7 +32,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from stepstream.admin_client import call_admin
+from stepstream.admin_client import AdminCallError, request_json
 from stepstream.membership.errors import MembershipError
 
 EXIT_OK = 0
@@ -66,16 +66,14 @@
 def call(at: str, path: str, method: str = "GET") -> Answer:
     """Call the admin listener; CommandError unless the answer is a success."""
     try:
-        status, answer = call_admin(at, path, method)
-    except ConnectionError as error:
-        raise CommandError(str(error), EXIT_BAD_CALL) from error
-    is_unknown = status == HTTPStatus.NOT_FOUND
-    if is_unknown and path == "/fleet":
-        raise CommandError(f"{at}: this dispatcher has no [fleet]", EXIT_BAD_CALL)
-    if status != HTTPStatus.OK:
+        return cast(Answer, request_json(at, path, method))
+    except AdminCallError as error:
+        is_unknown = error.status == HTTPStatus.NOT_FOUND
+        if is_unknown and path == "/fleet":
+            text = f"{at}: this dispatcher has no [fleet]"
+            raise CommandError(text, EXIT_BAD_CALL) from error
         exit_code = EXIT_NEGATIVE if is_unknown else EXIT_BAD_CALL
-        raise CommandError(f"{at}: {answer.get('error', status)}", exit_code)
-    return cast(Answer, answer)
+        raise CommandError(str(error), exit_code) from error
 
 
 def run(argv: list[str], console: Console | None = None) -> int:
