--- a/stepstream/leases/driver.py
+++ b/stepstream/leases/driver.py
@@ -17,12 +17,13 @@
 from stepstream.leases.participant import OutgoingEnvelope, Participant, StateChange
 from stepstream.leases.proposer import Proposer
 from stepstream.ports.messaging import MessageTransport
-from stepstream.runtime.log import RateLimitedLogger, log
+from stepstream.runtime.log import RateLimitedLogger
+from stepstream.runtime.structured_log import log_changes
+from stepstream.runtime.threads import run_until_closed
 
 MESSAGE_KIND = "lease"  # of the envelopes, among the membership layer's application messages
 MAX_WAIT_SECONDS = 0.5
 PERIODIC_SECONDS = 0.5
-MAX_LOGGED_CHANGES = 50  # in one step; more are counted in one line
 
 
 def boot_time_seconds() -> float:
@@ -30,6 +31,17 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def log_fields(change: StateChange) -> dict[str, object]:
+    """Return the fields of the log line of a lease's transition."""
+    return {
+        "lease": change.lease,
+        "before": change.before,
+        "after": change.after,
+        "token": change.token,
+        "holder": change.proposer_id,
+    }
+
+
 class LeaseDriver:
     """Runs a participant.
 
@@ -97,12 +109,8 @@
 
     def run(self) -> None:
         """Run the participant's timers until the driver is stopped."""
-        while not self.stopped:
-            try:
-                self.step()
-            except Exception as error:  # noqa: BLE001  a fault over one lease must not end the renewals of all others
-                log(f"fault in leases: {type(error).__name__}: {error}")
-                time.sleep(MAX_WAIT_SECONDS)
+        # A fault over one lease must not end the renewals of all others.
+        run_until_closed("leases", self.step, lambda: self.stopped, MAX_WAIT_SECONDS)
 
     def step(self) -> None:
         """Wait for the next timer or change, take the steps that are due, and log what changed."""
@@ -117,7 +125,8 @@
             if changes:
                 self.state_changed.notify_all()
         self.send(outgoing)
-        self.log_changes(changes)
+        fields = [log_fields(change) for change in changes]
+        log_changes(self.logger, "lease", "leases", fields)
         self.log_mismatches(mismatches)
         now = time.monotonic()
         if now - self.last_periodic_at >= PERIODIC_SECONDS:
@@ -131,20 +140,6 @@
         if wait_seconds > 0:
             self.state_changed.wait(wait_seconds)
 
-    def log_changes(self, changes: list[StateChange]) -> None:
-        """Log the leases' transitions."""
-        for change in changes[:MAX_LOGGED_CHANGES]:
-            self.logger.info(
-                "lease",
-                lease=change.lease,
-                before=change.before,
-                after=change.after,
-                token=change.token,
-                holder=change.proposer_id,
-            )
-        if len(changes) > MAX_LOGGED_CHANGES:
-            self.logger.info("leases", more=len(changes) - MAX_LOGGED_CHANGES)
-
     def log_mismatches(self, mismatches: set[str]) -> None:
         """Log the members found since the last call to have another configuration."""
         for member in sorted(mismatches - self.logged_mismatches):
--- a/stepstream/leases/subsystem.py
+++ b/stepstream/leases/subsystem.py
@@ -11,7 +11,7 @@
 
 from stepstream.config.errors import ConfigurationError
 from stepstream.config.node_config import NodeConfig
-from stepstream.config.operator_file import LeasesSection, OperatorConfig, require_unchanged
+from stepstream.config.operator_file import LeasesSection, OperatorConfig, require_all_unchanged
 from stepstream.leases.admin_api import LeaseAdminApi
 from stepstream.leases.client import LeaseClient
 from stepstream.leases.configuration import LeaseConfiguration
@@ -19,13 +19,13 @@
 from stepstream.leases.health_check_leader import HealthCheckLeader, HealthCheckPort
 from stepstream.leases.participant import Participant
 from stepstream.leases.sessions import SessionService, SessionTable
-from stepstream.ports.admin import AdminRoute, WorkerMaintenance
+from stepstream.ports.admin import AdminRoute
 from stepstream.ports.messaging import MessageTransport
 from stepstream.ports.subsystem import Subsystem
 from stepstream.runtime.log import RateLimitedLogger, log
 from stepstream.runtime.structured_log import structured_logger
 from stepstream.runtime.threads import spawn_thread
-from stepstream.subsystem_context import SubsystemContext
+from stepstream.subsystem_context import SubsystemContext, worker_maintenance
 
 # The keys of `[leases]` that a reload must not change: members have to agree on them.
 RESTART_ONLY_KEYS = tuple(
@@ -105,16 +105,12 @@
         self, _config: NodeConfig, operator: OperatorConfig | None
     ) -> Callable[[], None]:
         """Refuse a reload that changes what members have to agree on."""
-        # With this subsystem there is an operator's file, before and after the reload.
-        current = cast("OperatorConfig", self.context.operator)
-        reloaded = cast("OperatorConfig", operator)
-        for key in RESTART_ONLY_KEYS:
-            require_unchanged(key, current, reloaded)
+        require_all_unchanged(RESTART_ONLY_KEYS, self.context.operator, operator)
         return lambda: None
 
     def run_periodic_tasks(self) -> None:
         """Hold no leases while this dispatcher is drained; tasks may want them again afterwards."""
-        maintenance = cast("WorkerMaintenance | None", self.context.subsystems.get("operator"))
+        maintenance = worker_maintenance(self.context)
         draining = maintenance is not None and maintenance.draining()
         if draining and not self.client.closed:
             self.end_all()
--- a/stepstream/membership/driver.py
+++ b/stepstream/membership/driver.py
@@ -26,10 +26,11 @@
 )
 from stepstream.membership.outbox import OutgoingDatagram
 from stepstream.membership.protocol import MembershipProtocol
-from stepstream.runtime.log import RateLimitedLogger, log
+from stepstream.runtime.log import RateLimitedLogger
+from stepstream.runtime.structured_log import log_changes
+from stepstream.runtime.threads import run_until_closed
 
 MAX_READS_A_CYCLE = 64  # datagrams before the timers are run again
-MAX_EVENT_LINES_A_CYCLE = 50  # further events are counted in one line
 PERIODIC_TASK_SECONDS = 0.2  # between two runs of the periodic task; the longest wait of the thread
 LEAVE_TRANSMISSIONS = 3  # in case of loss
 LEAVE_PAUSE_SECONDS = 0.02
@@ -48,6 +49,17 @@
     return started_at_ms * STARTS_A_MILLISECOND + rng.randrange(STARTS_A_MILLISECOND)
 
 
+def log_fields(event: MembershipEvent) -> dict[str, object]:
+    """Return the fields of an event's log line; operators' pages and tools look for these words."""
+    return {
+        "member": event.name,
+        "before": event.before,
+        "after": event.after,
+        "by": event.reported_by,
+        "why": event.reason,
+    }
+
+
 class Driver:
     """Runs a protocol on a UDP socket.
 
@@ -88,12 +100,10 @@
         """Run until closed: the membership thread's loop."""
         poll = select.poll()
         poll.register(self.socket, select.POLLIN)
-        while not self.is_closed:
-            try:
-                self.run_cycle(poll)
-            except Exception as error:  # noqa: BLE001  one datagram must not end the membership
-                log(f"fault in fleet: {type(error).__name__}: {error}")
-                time.sleep(PERIODIC_TASK_SECONDS)
+        # One datagram must not end the membership.
+        run_until_closed(
+            "fleet", lambda: self.run_cycle(poll), lambda: self.is_closed, PERIODIC_TASK_SECONDS
+        )
         self.socket.close()
 
     def run_cycle(self, poll: "select.poll") -> None:
@@ -112,7 +122,8 @@
             messages = self.protocol.application.take_received()
             self.is_closed = self.is_closed or self.protocol.members.superseded_by is not None
         self.transmit(outgoing)
-        self._log_events(events)
+        fields = [log_fields(event) for event in events]
+        log_changes(self.logger, "fleet member", "fleet members", fields)
         self._deliver(messages)
 
     def send_application_message(self, recipient: str, kind: str, data: bytes) -> None:
@@ -170,20 +181,6 @@
         self._last_logged_event = history.last_number
         return events
 
-    def _log_events(self, events: list[MembershipEvent]) -> None:
-        for event in events[:MAX_EVENT_LINES_A_CYCLE]:
-            # Operators' pages and tools look for these words.
-            self.logger.info(
-                "fleet member",
-                member=event.name,
-                before=event.before,
-                after=event.after,
-                by=event.reported_by,
-                why=event.reason,
-            )
-        if len(events) > MAX_EVENT_LINES_A_CYCLE:
-            self.logger.info("fleet members", more=len(events) - MAX_EVENT_LINES_A_CYCLE)
-
     def _deliver(self, messages: list[ReceivedMessage]) -> None:
         for message in messages:
             handler = self.message_handlers.get(message.kind)
--- a/stepstream/membership/subsystem.py
+++ b/stepstream/membership/subsystem.py
@@ -9,7 +9,6 @@
 import signal
 import time
 from collections.abc import Callable, Sequence
-from typing import cast
 
 from stepstream import __version__
 from stepstream.config.errors import ConfigurationError
@@ -17,7 +16,7 @@
 from stepstream.config.operator_file import (
     MembershipSection,
     OperatorConfig,
-    require_unchanged,
+    require_all_unchanged,
     split_address,
 )
 from stepstream.membership import report
@@ -41,27 +40,29 @@
 )
 from stepstream.membership.settings_digest import settings_digest
 from stepstream.ports.admin import (
+    READ_METHODS,
+    WRITE_METHODS,
     AdminRequest,
     AdminResponse,
     AdminRoute,
     WorkerMaintenance,
+    json_error,
+    json_or_not_found,
     json_response,
+    parse_whole_number,
 )
 from stepstream.ports.subsystem import Subsystem
 from stepstream.runtime.log import log
 from stepstream.runtime.structured_log import structured_logger
 from stepstream.runtime.threads import spawn_thread
-from stepstream.subsystem_context import SubsystemContext
+from stepstream.subsystem_context import SubsystemContext, worker_maintenance
 
-READ_METHODS = frozenset({"GET", "HEAD"})
-WRITE_METHODS = frozenset({"PUT", "POST"})
 STATUS_INTERVAL_SECONDS = 0.5  # between two looks at what this member reports of itself
 MAX_LIST_VERSION = 2**53
 MAX_NUMBER_DIGITS = 15  # of an event's number in a call
 NANOSECONDS_A_MILLISECOND = 1_000_000
 HTTP_OK = 200
 HTTP_BAD_REQUEST = 400
-HTTP_NOT_FOUND = 404
 
 
 class MembershipSubsystem(Subsystem):
@@ -105,7 +106,7 @@
     @property
     def maintenance(self) -> WorkerMaintenance | None:
         """The admin subsystem's worker maintenance, if the admin listener is on."""
-        return cast("WorkerMaintenance | None", self.host.subsystems.get("operator"))
+        return worker_maintenance(self.host)
 
     @property
     def driver(self) -> Driver:
@@ -166,9 +167,7 @@
         self, config: NodeConfig, operator: OperatorConfig | None
     ) -> Callable[[], None]:
         """Check a reloaded section; return what applies it."""
-        if self.host.operator is not None and operator is not None:
-            for key in KEYS_FIXED_UNTIL_RESTART:
-                require_unchanged(key, self.host.operator, operator)
+        require_all_unchanged(KEYS_FIXED_UNTIL_RESTART, self.host.operator, operator)
         section = section_of(operator)
         validate_section(section, config)
         if config.name != self.host.config.name:
@@ -315,20 +314,18 @@
 
     def on_events(self, request: AdminRequest) -> AdminResponse:
         """Answer `GET /fleet/changes?after=NUMBER`."""
-        after = request.query.get("after", "0")
-        if not (after.isascii() and after.isdigit() and len(after) <= MAX_NUMBER_DIGITS):
-            return json_response(HTTP_BAD_REQUEST, {"error": "after is not a whole number"})
+        after = parse_whole_number(request.query.get("after", "0"), MAX_NUMBER_DIGITS)
+        if after is None:
+            return json_error(HTTP_BAD_REQUEST, "after is not a whole number")
         with self.driver.lock:
-            answer = report.events_answer(self.protocol, int(after), time.monotonic())
+            answer = report.events_answer(self.protocol, after, time.monotonic())
         return json_response(HTTP_OK, answer)
 
     def on_explain(self, request: AdminRequest) -> AdminResponse:
         """Answer `GET /fleet/members/NAME`."""
         with self.driver.lock:
             answer = report.explanation_answer(self.protocol, request.parts[0], time.monotonic())
-        if answer is None:
-            return json_response(HTTP_NOT_FOUND, {"error": "no such member"})
-        return json_response(HTTP_OK, answer)
+        return json_or_not_found(answer, "no such member")
 
     def on_leave(self, _request: AdminRequest) -> AdminResponse:
         """Answer `PUT /fleet/leave`: begin the graceful shutdown, as SIGTERM does."""
