State the lab's four delivery invariants plainly, and name what the verifier holds

The module spoke in words of its own. It now says what each invariant is and where it is observed, a request of a client is a class of that name, each check is a method of its own, and limits and score weights are constants. Behaviour, printed texts and stored keys are unchanged.

--- a/stepstream/lab/referee.py
+++ b/stepstream/lab/referee.py
@@ -1,32 +1,59 @@
-"""The four rules, held at nodes and clients, never at the dispatcher, and a run's worth; free of I/O.
+"""Verify one emulated day against the four delivery invariants, and score it.
 
-1. Whatever a dispatcher took gets one final answer: served with what a node made for it, refused only if
-trying again is harmless, or failed. 2. What may have run is not sent again beyond what its class allows. 3.
-A node gets nothing new later than the grace after the dispatcher was told that it drains or is gone. 4. No
-cold node is pushed over.
+The invariants are observed at the emulated nodes and clients, never at the dispatcher:
+
+1. Every job that a dispatcher took gets exactly one final answer: served with a result that a node
+   produced for it, refused only if a retry is harmless, or failed.
+2. A job that may have run is not sent again beyond what its class allows.
+3. A node receives no new work later than the grace period after the dispatcher was informed that
+   the node drains or is gone.
+4. No cold node is overloaded until it fails.
+
+This module does no I/O. A `Referee` owns all state of one day; it has no lock, so only the thread
+of the event loop that plays the day may call it. All times are in microseconds on the clock of the
+lab unless a name says otherwise.
 """
 
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
-from stepstream.lab.site import Ask, Day
+from stepstream.lab.site import Ask, ClassPart, Day
+
+SOCKET_SLACK_US = 50_000
+"""Tolerance that every time limit gets because requests travel over real sockets."""
 
-SLACK_US = 50_000  # on sockets every time limit is so much longer
 WINDOW_US = 10_000_000
+"""Length of the sliding windows of which the worst one enters the score."""
+
+WINDOW_STEP_US = 1_000_000
 MOST_BREACHES = 100
+"""How many breaches a run records; later ones are dropped."""
+
+SCORE_WEIGHT_WHOLE = 0.4
+SCORE_WEIGHT_WINDOW = 0.3
+SCORE_WEIGHT_CLASS = 0.2
+SCORE_WEIGHT_TENANT = 0.1
 
 
 class Final(Enum):
+    """How a request of a client ended; the values are keys of the printed and stored results."""
+
     SERVED = "served"
     REFUSED = "refused"
     FAILED = "failed"
-    LOST = "lost"  # the connection ended without an answer
+    LOST = "lost"
+    """The connection ended without an answer."""
 
 
 @dataclass(slots=True)
 class Attempt:
-    """One arrival of a client's try at a node."""
+    """One arrival of a client's request at a node.
+
+    The node clears `open` when the attempt ends and sets `never_ran` if it rejected the attempt
+    before any work began.
+    """
 
     node: str
     cell: int
@@ -36,24 +63,34 @@
 
 
 @dataclass(slots=True)
-class Try:
+class Request:
+    """One request of a client for a job, with all attempts of the dispatcher to serve it."""
+
     attempts: list[Attempt] = field(default_factory=list)
-    made: set[str] = field(default_factory=set)  # results that nodes gave for it
+    results: set[str] = field(default_factory=set)
+    """Results that nodes produced for this request."""
     finals: list[Final] = field(default_factory=list)
 
+    def may_have_run(self) -> list[Attempt]:
+        """Return the attempts that a node did not reject before any work began."""
+        return [attempt for attempt in self.attempts if not attempt.never_ran]
+
 
 @dataclass(slots=True)
 class Record:
-    """What became of one job, all its tries together."""
+    """The outcome of one job over all of its client's requests.
+
+    `took_us` is the time from the scheduled sending of the first request to the last answer.
+    """
 
     ask: Ask
     final: Final | None = None
-    took_us: int = 0  # from the first try's sending to the last answer
+    took_us: int = 0
 
 
 @dataclass(slots=True)
 class Figures:
-    """A run's result. Shares from 0 to 1, times in milliseconds."""
+    """The result of a run. Shares are from 0 to 1, times in milliseconds."""
 
     score: float
     whole: float
@@ -68,138 +105,185 @@
 
 
 class Referee:
+    """Observe the requests of one day, record each breach of an invariant and score the run.
+
+    A request's key is the number of its job in the schedule and the number of the client's try.
+    """
+
     def __init__(self, day: Day) -> None:
         self.day = day
         self.begun_us = 0
-        self.tries: dict[tuple[int, int], Try] = {}
+        self.requests: dict[tuple[int, int], Request] = {}
         self.records: dict[int, Record] = {}
-        self.told: dict[str, int] = {}  # by node: since when its drain is told, in microseconds
+        # By node: when the dispatcher was first informed that it drains or is gone.
+        self.drain_known_since_us: dict[str, int] = {}
         self.breaches: list[str] = []
-        self.count = 0
+        self.attempt_count = 0
 
     def breach(self, now_us: int, text: str) -> None:
+        """Record a breach with its time since the start of the run, up to `MOST_BREACHES`."""
         if len(self.breaches) < MOST_BREACHES:
             self.breaches.append(f"{(now_us - self.begun_us) / 1e6:.3f} s: {text}")
 
-    # -- at the nodes -------------------------------------------------------------------------------------
+    # -- at the nodes -----------------------------------------------------------------------------
 
     def drain_told(self, now_us: int, node: str) -> None:
-        self.told.setdefault(node, now_us)
+        """Note that the dispatcher knows from now on that the node drains or is gone."""
+        self.drain_known_since_us.setdefault(node, now_us)
 
     def ready_again(self, node: str) -> None:
-        self.told.pop(node, None)
+        """Note that the node accepts new work again."""
+        self.drain_known_since_us.pop(node, None)
 
     def arrived(self, now_us: int, key: tuple[int, int], node: str, cell: int) -> Attempt:
-        """A try's attempt has reached a node: rules 2 and 3."""
-        self.count += 1
-        if not 0 <= key[0] < len(self.day.asks):
-            return Attempt(node, cell, now_us)  # of a client that the schedule does not know
-        tried = self.tries.setdefault(key, Try())
-        part = self.day.site.job[self.day.asks[key[0]].job_class]
-        name = f"{part.name} {key[0]} try {key[1]} at {node}"
-        grace_us = self.day.site.drain_grace_ms * 1000 + SLACK_US
-        if node in self.told and now_us > self.told[node] + grace_us:
-            self.breach(
-                now_us,
-                f"new work after the drain: {name}, {(now_us - self.told[node]) / 1e6:.3f} s",
-            )
-        if any(a.node == node and a.open and not a.never_ran for a in tried.attempts):
-            self.breach(now_us, f"a second open call to one node: {name}")
-        ran = [a for a in tried.attempts if not a.never_ran]
-        if ran and part.effect == "side_effect":
-            self.breach(now_us, f"sent again though it may have run: {name}")
-        if ran and part.effect == "token":
-            if ran[0].cell != cell:
-                self.breach(now_us, f"repeated outside its cell: {name}")
-            if now_us > ran[0].at_us + part.window_ms * 1000 + SLACK_US:
-                self.breach(now_us, f"repeated past its window: {name}")
+        """Record that an attempt reached a node, and verify invariants 2 and 3."""
+        self.attempt_count += 1
         attempt = Attempt(node, cell, now_us)
-        tried.attempts.append(attempt)
+        if not 0 <= key[0] < len(self.day.asks):
+            return attempt  # from a client that is not part of the schedule
+        request = self.requests.setdefault(key, Request())
+        job_class = self.day.site.job[self.day.asks[key[0]].job_class]
+        label = f"{job_class.name} {key[0]} try {key[1]} at {node}"
+        self._verify_drain(now_us, node, label)
+        self._verify_repetition(attempt, request, job_class, label)
+        request.attempts.append(attempt)
         return attempt
 
+    def _verify_drain(self, now_us: int, node: str, label: str) -> None:
+        """Verify that a new attempt is within the grace period of a drain of its node, if any."""
+        since_us = self.drain_known_since_us.get(node)
+        if since_us is None:
+            return
+        grace_us = self.day.site.drain_grace_ms * 1000 + SOCKET_SLACK_US
+        if now_us > since_us + grace_us:
+            elapsed_seconds = (now_us - since_us) / 1e6
+            self.breach(now_us, f"new work after the drain: {label}, {elapsed_seconds:.3f} s")
+
+    def _verify_repetition(
+        self, attempt: Attempt, request: Request, job_class: ClassPart, label: str
+    ) -> None:
+        """Verify that a new attempt beside the earlier ones is allowed by the class's effect."""
+        now_us = attempt.at_us
+        earlier = request.may_have_run()
+        if any(other.node == attempt.node and other.open for other in earlier):
+            self.breach(now_us, f"a second open call to one node: {label}")
+        if not earlier:
+            return
+        if job_class.effect == "side_effect":
+            self.breach(now_us, f"sent again though it may have run: {label}")
+        if job_class.effect == "token":
+            first = earlier[0]
+            if first.cell != attempt.cell:
+                self.breach(now_us, f"repeated outside its cell: {label}")
+            if now_us > first.at_us + job_class.window_ms * 1000 + SOCKET_SLACK_US:
+                self.breach(now_us, f"repeated past its window: {label}")
+
     def made(self, key: tuple[int, int], result: str) -> None:
-        if key in self.tries:
-            self.tries[key].made.add(result)
+        """Record a result that a node produced for a request."""
+        if key in self.requests:
+            self.requests[key].results.add(result)
 
     def toppled(self, now_us: int, node: str) -> None:
+        """Record that a cold node failed under overload: a breach of invariant 4."""
         self.breach(now_us, f"a cold node was pushed over: {node}")
 
-    # -- at the clients -----------------------------------------------------------------------------------
+    # -- at the clients ---------------------------------------------------------------------------
 
     def asked(self, ask: Ask) -> None:
+        """Record that a client submits a job of the schedule."""
         self.records[ask.number] = Record(ask)
 
     def answered(
         self, now_us: int, key: tuple[int, int], final: Final, result: str | None = None
     ) -> None:
-        """A try's final answer: rule 1."""
-        tried = self.tries.setdefault(key, Try())
-        tried.finals.append(final)
+        """Record the final answer to a request, and verify invariant 1."""
+        request = self.requests.setdefault(key, Request())
+        request.finals.append(final)
         record = self.records[key[0]]
-        record.final, record.took_us = final, now_us - self.begun_us - record.ask.at_us
-        part = self.day.site.job[record.ask.job_class]
-        if len(tried.finals) > 1:
-            self.breach(now_us, f"a second final answer: {part.name} {key[0]} try {key[1]}")
+        record.final = final
+        record.took_us = now_us - self.begun_us - record.ask.at_us
+        job_class = self.day.site.job[record.ask.job_class]
+        label = f"{job_class.name} {key[0]} try {key[1]}"
+        if len(request.finals) > 1:
+            self.breach(now_us, f"a second final answer: {label}")
         if final is Final.LOST:
-            self.breach(now_us, f"lost: {part.name} {key[0]} try {key[1]}")
-        if final is Final.SERVED and result not in tried.made:
-            self.breach(now_us, f"served with what no node made: {part.name} {key[0]} try {key[1]}")
-        may_have_run = any(not a.never_ran for a in tried.attempts)
-        if final is Final.REFUSED and part.effect != "pure" and may_have_run:
-            self.breach(
-                now_us, f"refused though it may have run: {part.name} {key[0]} try {key[1]}"
-            )
+            self.breach(now_us, f"lost: {label}")
+        if final is Final.SERVED and result not in request.results:
+            self.breach(now_us, f"served with what no node made: {label}")
+        if final is Final.REFUSED and job_class.effect != "pure" and request.may_have_run():
+            self.breach(now_us, f"refused though it may have run: {label}")
 
-    # -- the score ----------------------------------------------------------------------------------------
+    # -- the score --------------------------------------------------------------------------------
 
     def aim_us(self, ask: Ask) -> float:
-        part = self.day.site.job[ask.job_class]
-        return min(part.aim_ms * 1000 + part.stretch * ask.work_us, part.deadline_ms * 1000)
+        """Return the latency objective of a job: its class's, stretched by its work, to a limit."""
+        job_class = self.day.site.job[ask.job_class]
+        objective_us = job_class.aim_ms * 1000 + job_class.stretch * ask.work_us
+        return min(objective_us, job_class.deadline_ms * 1000)
 
     def in_time(self, record: Record) -> bool:
+        """Return whether a job was served within its latency objective."""
         return record.final is Final.SERVED and record.took_us <= self.aim_us(record.ask)
 
     def share(self, records: list[Record]) -> float:
-        """Worth answered within its aim over worth asked for; 1 where nothing was asked."""
-        site = self.day.site
-        worth = [site.job[r.ask.job_class].worth for r in records]
-        if site.worth_by == "work":
-            worth = [w * r.ask.work_us * r.ask.slots for w, r in zip(worth, records, strict=True)]
-        got = sum(w for w, r in zip(worth, records, strict=True) if self.in_time(r))
-        return got / sum(worth) if worth else 1.0
+        """Return the value served in time over the value asked for; 1 where nothing was asked."""
+        if not records:
+            return 1.0
+        values = [self._value(record) for record in records]
+        served = sum(
+            value for value, record in zip(values, records, strict=True) if self.in_time(record)
+        )
+        return served / sum(values)
+
+    def _value(self, record: Record) -> float:
+        """Return what a job counts for: its class's worth, times its work if the site says so."""
+        worth = self.day.site.job[record.ask.job_class].worth
+        if self.day.site.worth_by == "work":
+            return worth * record.ask.work_us * record.ask.slots
+        return worth
 
     def figures(self) -> Figures:
-        site, every = self.day.site, list(self.records.values())
-        starts = range(0, max(self.day.seconds * 1_000_000 - WINDOW_US, 0) + 1, 1_000_000)
-        windows = [
-            self.share([r for r in every if s <= r.ask.at_us < s + WINDOW_US]) for s in starts
-        ]
-        classes = {
-            p.name: [r for r in every if r.ask.job_class == k] for k, p in enumerate(site.job)
+        """Score the run: the whole day, and its worst window, class and tenant."""
+        site = self.day.site
+        records = list(self.records.values())
+        by_class = {
+            job_class.name: self.class_row([r for r in records if r.ask.job_class == index])
+            for index, job_class in enumerate(site.job)
         }
-        tenants = {
-            t.name: [r for r in every if r.ask.tenant == k] for k, t in enumerate(site.tenant)
+        by_tenant = {
+            tenant.name: self.share([r for r in records if r.ask.tenant == index])
+            for index, tenant in enumerate(site.tenant)
         }
-        whole, worst = self.share(every), min(windows)
-        by_class = {name: self.class_row(records) for name, records in classes.items()}
-        by_tenant = {name: self.share(records) for name, records in tenants.items()}
+        whole = self.share(records)
+        worst_window = min(self._window_shares(records))
         worst_class = min(row["in_time"] for row in by_class.values())
         worst_tenant = min(by_tenant.values())
         return Figures(
-            score=0.4 * whole + 0.3 * worst + 0.2 * worst_class + 0.1 * worst_tenant,
+            score=SCORE_WEIGHT_WHOLE * whole
+            + SCORE_WEIGHT_WINDOW * worst_window
+            + SCORE_WEIGHT_CLASS * worst_class
+            + SCORE_WEIGHT_TENANT * worst_tenant,
             whole=whole,
-            worst_window=worst,
+            worst_window=worst_window,
             worst_class=worst_class,
             worst_tenant=worst_tenant,
             by_class=by_class,
             by_tenant=by_tenant,
-            finals=dict(Counter((r.final.value if r.final else "none") for r in every)),
-            attempts=self.count,
+            finals=dict(Counter(r.final.value if r.final else "none" for r in records)),
+            attempts=self.attempt_count,
             breaches=list(self.breaches),
         )
 
+    def _window_shares(self, records: list[Record]) -> Iterable[float]:
+        """Yield the share of each sliding window by the jobs scheduled within it."""
+        last_start_us = max(self.day.seconds * 1_000_000 - WINDOW_US, 0)
+        for start_us in range(0, last_start_us + 1, WINDOW_STEP_US):
+            end_us = start_us + WINDOW_US
+            yield self.share([r for r in records if start_us <= r.ask.at_us < end_us])
+
     def class_row(self, records: list[Record]) -> dict[str, float]:
-        took = sorted(r.took_us / 1000 for r in records if r.final is Final.SERVED)
+        """Return one class's row of the results; the latencies are of its served jobs."""
+        latencies_ms = sorted(r.took_us / 1000 for r in records if r.final is Final.SERVED)
         count = Counter(r.final for r in records)
         return {
             "asked": len(records),
@@ -207,10 +291,13 @@
             "served": count[Final.SERVED],
             "refused": count[Final.REFUSED],
             "failed": count[Final.FAILED],
-            "p50_ms": quantile(took, 0.5),
-            "p99_ms": quantile(took, 0.99),
+            "p50_ms": quantile(latencies_ms, 0.5),
+            "p99_ms": quantile(latencies_ms, 0.99),
         }
 
 
 def quantile(ordered: list[float], part: float) -> float:
-    return ordered[min(int(part * len(ordered)), len(ordered) - 1)] if ordered else 0.0
+    """Return the value at the given part, from 0 to 1, of an ordered list; 0 where it is empty."""
+    if not ordered:
+        return 0.0
+    return ordered[min(int(part * len(ordered)), len(ordered) - 1)]
