--- a/stepstream/lab/ledger.py
+++ b/stepstream/lab/ledger.py
@@ -1,10 +1,14 @@
-"""A guarded resource in a process of its own: it takes acts by their tokens and writes down every one.
+"""A resource guarded by fencing tokens, in a process of its own, that records every operation.
 
     python -m stepstream.lab.ledger HOST:PORT FILE
 
-One JSON object a line over TCP: {"do": "begin", "token", "holder"} is told {"act": N} or {"fenced": HIGHEST};
-{"do": "end", "act": N} is told {"taken": true} or {"fenced": HIGHEST}. FILE gets a line for each, with the
-ledger's own monotonic time, before the answer goes out.
+The ledger speaks TCP with one JSON object a line. `{"do": "begin", "token", "holder"}` is answered
+with `{"act": N}` or `{"fenced": HIGHEST}`, and `{"do": "end", "act": N}` with `{"taken": true}` or
+`{"fenced": HIGHEST}`. A line that is not understood is answered with `{"error": TEXT}`. FILE gets
+one JSON object a line for each operation, with the ledger's own monotonic time, before the answer
+is sent.
+
+Every connection has a thread of the server's; the `Ledger` that they share has a lock.
 """
 
 import json
@@ -14,113 +18,158 @@
 import threading
 import time
 from pathlib import Path
+from typing import Any
 
 from stepstream.leases.fencing import FencedError, FencingGuard
 
-PATIENCE_S = 5.0
+TIMEOUT_SECONDS = 5.0
+"""How long a client waits to connect and for each answer."""
+
+JsonObject = dict[str, Any]
 
 
 class Ledger:
+    """Admit operations by their fencing tokens and append each one to a file."""
+
     def __init__(self, path: Path) -> None:
-        self.guard, self.lock, self.file = (
-            FencingGuard(),
-            threading.Lock(),
-            path.open("a", encoding="utf-8"),
-        )
-        self.acts: list[tuple[int, str]] = []
-
-    def do(self, asked: dict) -> dict:
+        self.lock = threading.Lock()  # guards all below, and the order of the lines in the file
+        self.guard = FencingGuard()
+        self.file = path.open("a", encoding="utf-8")
+        self.acts: list[tuple[int, str]] = []  # token and holder of each operation that was begun
+
+    def do(self, request: JsonObject) -> JsonObject:
+        """Admit or reject the begin or end of an operation, record it and return the answer.
+
+        Raise KeyError, IndexError or TypeError if a member of the request is missing or wrong.
+        """
         with self.lock:
-            if asked["do"] == "begin":
-                token, holder = asked["token"], asked["holder"]
+            step = request["do"]
+            if step == "begin":
+                token, holder = request["token"], request["holder"]
                 act = len(self.acts)
                 self.acts.append((token, holder))
             else:
-                act = asked["act"]
+                act = request["act"]
                 token, holder = self.acts[act]
-            what = asked["do"]
+            recorded_step = step
             try:
                 self.guard.admit(token)
-                told = {"act": act} if what == "begin" else {"taken": True}
             except FencedError as error:
-                what, told = f"refused {what}", {"fenced": error.highest_token}
+                recorded_step = f"refused {step}"
+                answer: JsonObject = {"fenced": error.highest_token}
+            else:
+                answer = {"act": act} if step == "begin" else {"taken": True}
             row = {
                 "at": time.monotonic(),
-                "what": what,
+                "what": recorded_step,
                 "token": token,
                 "holder": holder,
                 "act": act,
             }
             self.file.write(json.dumps(row) + "\n")
             self.file.flush()
-            return told
+            return answer
 
 
 class Handler(socketserver.StreamRequestHandler):
+    """Answer the requests of one connection."""
+
+    server: "Server"
+
     def handle(self) -> None:
+        """Answer each line until the client closes the connection."""
         for line in self.rfile:
             try:
-                told = self.server.ledger.do(json.loads(line))
+                answer = self.server.ledger.do(json.loads(line))
             except (ValueError, KeyError, IndexError, TypeError) as error:
-                told = {"error": f"{type(error).__name__}: {error}"}
-            self.wfile.write(json.dumps(told).encode() + b"\n")
+                answer = {"error": f"{type(error).__name__}: {error}"}
+            self.wfile.write(json.dumps(answer).encode() + b"\n")
 
 
 class Server(socketserver.ThreadingTCPServer):
-    daemon_threads = allow_reuse_address = True
+    """Accept connections to `ledger`, which is set before the first one."""
+
+    daemon_threads = True
+    allow_reuse_address = True
     ledger: Ledger
 
 
 class Client:
-    """One connection; OSError or ValueError where the ledger does not answer in time."""
+    """One connection to a ledger, for one thread.
+
+    Every call raises OSError or ValueError if the ledger does not answer in time.
+    """
 
     def __init__(self, address: tuple[str, int]) -> None:
-        self.sock = socket.create_connection(address, timeout=PATIENCE_S)
+        self.sock = socket.create_connection(address, timeout=TIMEOUT_SECONDS)
         self.lines = self.sock.makefile("rb")
 
-    def ask(self, **asked: object) -> dict:
-        self.sock.sendall(json.dumps(asked).encode() + b"\n")
-        return json.loads(self.lines.readline())
+    def ask(self, **request: object) -> JsonObject:
+        """Send a request with these members and return the ledger's answer."""
+        self.sock.sendall(json.dumps(request).encode() + b"\n")
+        answer: JsonObject = json.loads(self.lines.readline())
+        return answer
 
     def close(self) -> None:
+        """Close the connection."""
         self.lines.close()
         self.sock.close()
 
 
-def rows(path: Path) -> list[dict]:
-    """What the ledger has written; a last line that is being written is left out."""
+def rows(path: Path) -> list[JsonObject]:
+    """Read the operations that a ledger recorded, without a last line that is not yet complete."""
     text = path.read_text(encoding="utf-8") if path.exists() else ""
     return [json.loads(line) for line in text.splitlines(keepends=True) if line.endswith("\n")]
 
 
-def faults(rows: list[dict]) -> list[str]:
-    """What must never be in a ledger: tokens that fall, holders that share one, acts of two that overlap."""
-    found, highest, owners = [], 0, {}
-    begun: dict[int, dict] = {}
-    taken: list[tuple[float, float, str]] = []
-    for row in rows:
-        if row["what"].startswith("refused"):
-            continue
-        if row["token"] < highest:
-            found.append(f"token {row['token']} taken after {highest} at {row['at']:.3f}")
-        highest = max(highest, row["token"])
-        if owners.setdefault(row["token"], row["holder"]) != row["holder"]:
-            found.append(f"token {row['token']} of {owners[row['token']]} and of {row['holder']}")
-        if row["what"] == "begin":
-            begun[row["act"]] = row
-        else:
-            taken.append((begun[row["act"]]["at"], row["at"], row["holder"]))
-    taken.sort()
-    for (_, end, one), (begin, _, other) in zip(taken, taken[1:], strict=False):
-        if begin < end and one != other:
-            found.append(f"acts of {one} and {other} overlap at {begin:.3f}")
+def faults(rows: list[JsonObject]) -> list[str]:
+    """Verify a ledger's records: return a sentence for each breach of mutual exclusion.
+
+    Tokens never fall, no two holders share a token, and the operations of two holders, from begin
+    to end, do not overlap. Rejected operations had no effect and do not count.
+    """
+    admitted = [row for row in rows if not row["what"].startswith("refused")]
+    return _token_faults(admitted) + _overlap_faults(admitted)
+
+
+def _token_faults(admitted: list[JsonObject]) -> list[str]:
+    """Return the tokens that fell or that two holders used."""
+    found = []
+    highest = 0
+    owners: dict[int, str] = {}
+    for row in admitted:
+        token, holder = row["token"], row["holder"]
+        if token < highest:
+            found.append(f"token {token} taken after {highest} at {row['at']:.3f}")
+        highest = max(highest, token)
+        owner = owners.setdefault(token, holder)
+        if owner != holder:
+            found.append(f"token {token} of {owner} and of {holder}")
     return found
 
 
-def main(words: list[str]) -> None:
-    host, _, port = words[0].rpartition(":")
+def _overlap_faults(admitted: list[JsonObject]) -> list[str]:
+    """Return the operations that overlap the next one, by time of begin, of another holder."""
+    begun_at: dict[int, float] = {}
+    spans: list[tuple[float, float, str]] = []
+    for row in admitted:
+        if row["what"] == "begin":
+            begun_at[row["act"]] = row["at"]
+        else:
+            spans.append((begun_at[row["act"]], row["at"], row["holder"]))
+    spans.sort()
+    return [
+        f"acts of {holder} and {next_holder} overlap at {next_begin:.3f}"
+        for (_, end, holder), (next_begin, _, next_holder) in zip(spans, spans[1:], strict=False)
+        if next_begin < end and holder != next_holder
+    ]
+
+
+def main(arguments: list[str]) -> None:
+    """Serve a ledger until the process is stopped; the arguments are HOST:PORT and FILE."""
+    host, _, port = arguments[0].rpartition(":")
     with Server((host, int(port)), Handler) as server:
-        server.ledger = Ledger(Path(words[1]))
+        server.ledger = Ledger(Path(arguments[1]))
         server.serve_forever()
 
 
