--- a/stepstream/lab/catalogue.py
+++ b/stepstream/lab/catalogue.py
@@ -1,7 +1,14 @@
-"""An emulated discovery: the platform's list and its watch, late by what the site says."""
+"""Emulate the platform's discovery service: the list of servers, and the watch for its changes.
+
+`GET` without a query answers with the whole list. `GET ?index=VERSION&wait=MILLISECONDS` waits for
+a version above the given one and answers with the servers that changed since. A `Catalogue`
+belongs to the event loop that plays the day; it has no lock.
+"""
 
 import asyncio
+import contextlib
 from dataclasses import dataclass, field
+from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 import ujson
@@ -10,30 +17,42 @@
 from stepstream.lab.nodes import LIMITS, READ, Clock
 from stepstream.lab.referee import Referee
 
+Row = dict[str, Any]
+"""A server in the form of the discovery service's JSON, with at least `id` and `state`."""
+
+OK = 200
+
 
 @dataclass(eq=False)
 class Catalogue:
+    """The list of servers with its version, served over HTTP on a loopback port."""
+
     clock: Clock
     referee: Referee
     version: int = 1
-    rows: dict[str, dict] = field(default_factory=dict)
+    rows: dict[str, Row] = field(default_factory=dict)
     changed: dict[str, int] = field(default_factory=dict)  # by id, the version of its last change
-    news: asyncio.Condition = field(default_factory=asyncio.Condition)
+    news: asyncio.Condition = field(default_factory=asyncio.Condition)  # guards `version`'s rise
     server: asyncio.Server | None = None
 
     async def begin(self) -> int:
+        """Start to serve, and return the port."""
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        return self.server.sockets[0].getsockname()[1]
+        port: int = self.server.sockets[0].getsockname()[1]
+        return port
 
-    async def put(self, row: dict) -> None:
+    async def put(self, row: Row) -> None:
+        """Add or replace a server, and wake every watch."""
         self.version += 1
-        self.rows[row["id"]], self.changed[row["id"]] = row, self.version
+        self.rows[row["id"]] = row
+        self.changed[row["id"]] = self.version
         if self.referee.day.site.lists == "pushed":
-            self.tell([row])  # what an agent beside the dispatcher holds counts as told
+            self.tell([row])  # the dispatcher is informed once its local agent holds the change
         async with self.news:
             self.news.notify_all()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer the requests of one connection until it ends."""
         parser = Parser(LIMITS)
         try:
             while data := await reader.read(READ):
@@ -41,26 +60,28 @@
                 while (message := parser.next()) is not None:
                     writer.write(await self.answer(message))
         except (OSError, ProtocolError, asyncio.CancelledError):
-            pass
+            pass  # the dispatcher is gone, or the day is over
         finally:
             writer.close()
 
     async def answer(self, message: Message) -> bytes:
-        asked = parse_qs(urlsplit(message.target).query)
-        if "index" not in asked:
+        """Return the answer to a request: the whole list, or the changes once there are any."""
+        query = parse_qs(urlsplit(message.target).query)
+        if "index" not in query:
             rows = [row for row in self.rows.values() if row["state"] != "gone"]
-            return self.written(rows, True)
-        index, wait = int(asked["index"][0]), int(asked.get("wait", ["0"])[0]) / 1000
-        try:
+            return self.written(rows, full=True)
+        index = int(query["index"][0])
+        wait_seconds = int(query.get("wait", ["0"])[0]) / 1000
+        with contextlib.suppress(TimeoutError):  # then the answer has no changes
             async with self.news:
-                await asyncio.wait_for(self.news.wait_for(lambda: self.version > index), wait)
-        except TimeoutError:
-            pass
-        return self.written(
-            [row for row in self.rows.values() if self.changed[row["id"]] > index], False
-        )
+                await asyncio.wait_for(
+                    self.news.wait_for(lambda: self.version > index), wait_seconds
+                )
+        changes = [row for row in self.rows.values() if self.changed[row["id"]] > index]
+        return self.written(changes, full=False)
 
-    def tell(self, rows: list[dict]) -> None:
+    def tell(self, rows: list[Row]) -> None:
+        """Note that the dispatcher is informed of these servers' states from now on."""
         now_us = self.clock.now_us()
         for row in rows:
             if row["state"] == "ready":
@@ -68,8 +89,8 @@
             else:
                 self.referee.drain_told(now_us, row["id"])
 
-    def written(self, rows: list[dict], full: bool) -> bytes:
-        """From here on its changes count as told."""
+    def written(self, rows: list[Row], *, full: bool) -> bytes:
+        """Return the answer's bytes; the dispatcher counts as informed of its rows from now on."""
         self.tell(rows)
         body = {"version": self.version, "full": full, "servers": rows}
-        return write_answer(200, ujson.dumps(body).encode())
+        return write_answer(OK, ujson.dumps(body).encode())
