--- a/stepstream/lab/ledger.py
+++ b/stepstream/lab/ledger.py
@@ -17,8 +17,9 @@
 import sys
 import threading
 import time
+from itertools import pairwise
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 from stepstream.leases.fencing import FencedError, FencingGuard
 
@@ -104,9 +105,9 @@
         self.sock = socket.create_connection(address, timeout=TIMEOUT_SECONDS)
         self.lines = self.sock.makefile("rb")
 
-    def ask(self, **request: object) -> JsonObject:
+    def request(self, **members: object) -> JsonObject:
         """Send a request with these members and return the ledger's answer."""
-        self.sock.sendall(json.dumps(request).encode() + b"\n")
+        self.sock.sendall(json.dumps(members).encode() + b"\n")
         answer: JsonObject = json.loads(self.lines.readline())
         return answer
 
@@ -116,6 +117,14 @@
         self.sock.close()
 
 
+class Span(NamedTuple):
+    """A completed operation, from begin to end by the ledger's monotonic time."""
+
+    begin: float
+    end: float
+    holder: str
+
+
 def rows(path: Path) -> list[JsonObject]:
     """Read the operations that a ledger recorded, without a last line that is not yet complete."""
     text = path.read_text(encoding="utf-8") if path.exists() else ""
@@ -151,17 +160,17 @@
 def _overlap_faults(admitted: list[JsonObject]) -> list[str]:
     """Return the operations that overlap the next one, by time of begin, of another holder."""
     begun_at: dict[int, float] = {}
-    spans: list[tuple[float, float, str]] = []
+    spans: list[Span] = []
     for row in admitted:
         if row["what"] == "begin":
             begun_at[row["act"]] = row["at"]
         else:
-            spans.append((begun_at[row["act"]], row["at"], row["holder"]))
+            spans.append(Span(begun_at[row["act"]], row["at"], row["holder"]))
     spans.sort()
     return [
-        f"acts of {holder} and {next_holder} overlap at {next_begin:.3f}"
-        for (_, end, holder), (next_begin, _, next_holder) in zip(spans, spans[1:], strict=False)
-        if next_begin < end and holder != next_holder
+        f"acts of {span.holder} and {following.holder} overlap at {following.begin:.3f}"
+        for span, following in pairwise(spans)
+        if following.begin < span.end and span.holder != following.holder
     ]
 
 
