--- a/stepstream/lab/catalogue.py
+++ b/stepstream/lab/catalogue.py
@@ -32,7 +32,7 @@
     version: int = 1
     rows: dict[str, Row] = field(default_factory=dict)
     changed: dict[str, int] = field(default_factory=dict)  # by id, the version of its last change
-    news: asyncio.Condition = field(default_factory=asyncio.Condition)  # guards `version`'s rise
+    version_raised: asyncio.Condition = field(default_factory=asyncio.Condition)
     server: asyncio.Server | None = None
 
     async def begin(self) -> int:
@@ -47,9 +47,10 @@
         self.rows[row["id"]] = row
         self.changed[row["id"]] = self.version
         if self.referee.day.site.lists == "pushed":
-            self.tell([row])  # the dispatcher is informed once its local agent holds the change
-        async with self.news:
-            self.news.notify_all()
+            # The dispatcher counts as informed once its local agent holds the change.
+            self._note_informed([row])
+        async with self.version_raised:
+            self.version_raised.notify_all()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer the requests of one connection until it ends."""
@@ -69,18 +70,18 @@
         query = parse_qs(urlsplit(message.target).query)
         if "index" not in query:
             rows = [row for row in self.rows.values() if row["state"] != "gone"]
-            return self.written(rows, full=True)
+            return self._encode_answer(rows, full=True)
         index = int(query["index"][0])
         wait_seconds = int(query.get("wait", ["0"])[0]) / 1000
         with contextlib.suppress(TimeoutError):  # then the answer has no changes
-            async with self.news:
+            async with self.version_raised:
                 await asyncio.wait_for(
-                    self.news.wait_for(lambda: self.version > index), wait_seconds
+                    self.version_raised.wait_for(lambda: self.version > index), wait_seconds
                 )
         changes = [row for row in self.rows.values() if self.changed[row["id"]] > index]
-        return self.written(changes, full=False)
+        return self._encode_answer(changes, full=False)
 
-    def tell(self, rows: list[Row]) -> None:
+    def _note_informed(self, rows: list[Row]) -> None:
         """Note that the dispatcher is informed of these servers' states from now on."""
         now_us = self.clock.now_us()
         for row in rows:
@@ -89,8 +90,8 @@
             else:
                 self.referee.drain_told(now_us, row["id"])
 
-    def written(self, rows: list[Row], *, full: bool) -> bytes:
+    def _encode_answer(self, rows: list[Row], *, full: bool) -> bytes:
         """Return the answer's bytes; the dispatcher counts as informed of its rows from now on."""
-        self.tell(rows)
+        self._note_informed(rows)
         body = {"version": self.version, "full": full, "servers": rows}
         return write_answer(OK, ujson.dumps(body).encode())
--- a/stepstream/lab/links.py
+++ b/stepstream/lab/links.py
@@ -20,7 +20,7 @@
 LONGEST_WAIT_SECONDS = 0.05
 """Longest wait for a datagram, so that a change of `closed` is noticed in time."""
 
-MOST_DATAGRAMS_A_TURN = 64
+MAX_DATAGRAMS_PER_TURN = 64
 """How many datagrams to one member are received before the next member has its turn."""
 
 MILLISECONDS = 1000
@@ -136,7 +136,7 @@
 
     def take(self, station: Station) -> None:
         """Receive what was sent to one member and queue each copy that the links let pass."""
-        for _ in range(MOST_DATAGRAMS_A_TURN):
+        for _ in range(MAX_DATAGRAMS_PER_TURN):
             try:
                 data, source = station.front.recvfrom(DATAGRAM_BYTES)
             except OSError:
--- a/stepstream/lab/referee.py
+++ b/stepstream/lab/referee.py
@@ -215,7 +215,7 @@
 
     # -- the score --------------------------------------------------------------------------------
 
-    def aim_us(self, ask: Ask) -> float:
+    def latency_objective_us(self, ask: Ask) -> float:
         """Return the latency objective of a job: its class's, stretched by its work, to a limit."""
         job_class = self.day.site.job[ask.job_class]
         objective_us = job_class.aim_ms * 1000 + job_class.stretch * ask.work_us
@@ -223,7 +223,8 @@
 
     def in_time(self, record: Record) -> bool:
         """Return whether a job was served within its latency objective."""
-        return record.final is Final.SERVED and record.took_us <= self.aim_us(record.ask)
+        objective_us = self.latency_objective_us(record.ask)
+        return record.final is Final.SERVED and record.took_us <= objective_us
 
     def share(self, records: list[Record]) -> float:
         """Return the value served in time over the value asked for; 1 where nothing was asked."""
