Document the lab's node emulators and name their parts by the field's terms

The pricing model and its two drivers were written in words of their own (told, left, look, grab, drawn), and the drivers were untyped where a task met its driver. Both modules now have docstrings throughout, named constants, units in names and types that strict mypy accepts. A task's unused start time is gone; PricingNode.take is take_events, HttpNode.look is current_load_report.

--- a/stepstream/lab/pricing.py
+++ b/stepstream/lab/pricing.py
@@ -1,135 +1,160 @@
-"""An emulated pricing node: slots, a FIFO waiting room, speed, cold start and toppling; it knows no socket.
+"""Emulate a pricing node: slots, a FIFO queue, speed, slow start and overload while cold.
 
-The same class serves the loopback drivers and simulated time: whoever owns it says what time it is. Times
-are whole microseconds, work is microseconds on a core of speed 1.
+The model does no I/O and reads no clock: its owner, a loopback driver or simulated time, passes the
+time to each call. Times are whole microseconds; work is microseconds on a core of speed 1. A node's
+state belongs to the one thread (or event loop) of its owner.
 """
 
 from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum
 from math import ceil, inf
+from typing import Any
 
 import numpy as np
 
-COLD_STEP_US = 10_000  # a cold node's speed is taken as even for so long
+COLD_STEP_US = 10_000  # a warming node's speed is taken as constant for so long
+FINISHED_BELOW_US = 0.5  # remaining work that counts as none: rounding of times to microseconds
 
 
 @dataclass(frozen=True, slots=True)
 class NodeSpec:
+    """The properties of a node that no fault and no restart changes."""
+
     name: str
     zone: str
     kind: str
     cell: int
     cores: int
-    speed: float  # of a core, yardstick 1
-    queue: int  # jobs that wait beyond those that run
-    cold_share: float  # of its capacity at its start
-    warm_us: int  # until it has all of it
-    error_rate: float = 0.0
-    progress_us: int = 2_000_000
-    fall_multiple: float = 4.0
-    fall_span_us: int = 2_000_000
+    speed: float  # of a core, relative to the reference core's 1
+    queue: int  # jobs that may wait beyond those that run
+    cold_share: float  # part of its capacity at its start, 0 to 1
+    warm_us: int  # from its start to full capacity
+    error_rate: float = 0.0  # part of the jobs that fail at their end, 0 to 1
+    progress_us: int = 2_000_000  # between two progress events of a job
+    fall_multiple: float = 4.0  # offered work over capacity that a cold node does not survive
+    fall_span_us: int = 2_000_000  # window over which offered work is summed
 
     @property
     def slots(self) -> int:
+        """Return the number of slots: one a core."""
         return self.cores
 
     @property
     def weight(self) -> float:
-        """What a list says of its size: roughly what it can do."""
+        """Return the weight for the endpoint list: roughly the node's capacity."""
         return round(self.cores * self.speed, 1)
 
 
 @dataclass(eq=False, slots=True)
 class Task:
-    """One attempt at a job as the node holds it; `about` is its driver's."""
+    """One attempt at a job on the node. `about` belongs to the driver; the model never reads it."""
 
     id: str
     work_us: int
     slots: int = 1
-    about: object = None
-    left_us: float = 0.0
-    started_us: int = 0
-    told_us: int = 0  # of the last progress
+    about: Any = None
+    remaining_us: float = 0.0  # work that is still to do
+    progress_sent_at_us: int = 0
 
-    def share(self) -> float:
-        return 1.0 - max(self.left_us, 0.0) / self.work_us
+    def completed_fraction(self) -> float:
+        """Return the part of the work that is done, 0 to 1."""
+        return 1.0 - max(self.remaining_us, 0.0) / self.work_us
 
 
 class Word(Enum):
+    """What happened to a task; the values are the states of the platform's job notifications."""
+
     STARTED = "started"
-    RUNNING = "running"
+    RUNNING = "running"  # progress
     DONE = "done"
     FAILED = "failed"
 
 
 class Offer(Enum):
+    """The node's answer to an offered task."""
+
     TAKEN = "taken"
     FULL = "full"
-    ERROR = "error"  # it may have run
+    ERROR = "error"  # the task may have run
     DOWN = "down"
 
 
 class Health(Enum):
+    """Whether the node's process runs."""
+
     UP = "up"
     DOWN = "down"
-    TOPPLED = "toppled"  # pushed over while cold: it stays down
+    TOPPLED = "toppled"  # overloaded while cold: down until the next start
 
 
 @dataclass(frozen=True, slots=True)
 class Happening:
+    """An event of one task."""
+
     word: Word
     task: Task
 
 
 @dataclass(eq=False)
 class PricingNode:
+    """The model of one node. `rng` decides which jobs fail; nothing else is random."""
+
     spec: NodeSpec
     rng: np.random.Generator
-    at_us: int  # up to here all has happened
-    started_us: int = 0  # 0: long ago, warm
+    at_us: int  # the model is played up to here
+    started_us: int = 0  # 0: started long ago, so warm
     health: Health = Health.UP
-    slow: float = 1.0  # so many times slower than usual
-    fails: float = 0.0  # share of its jobs that fail at once
+    slow: float = 1.0  # fault: factor by which it is slower than usual
+    fails: float = 0.0  # fault: part of the offered tasks that fail at once, 0 to 1
     running: dict[str, Task] = field(default_factory=dict)
     waiting: deque[Task] = field(default_factory=deque)
-    sent: deque[tuple[int, float]] = field(default_factory=deque)  # work offered while cold
-    happened: list[Happening] = field(default_factory=list)
+    # Time and work of the tasks offered while cold, within the spec's `fall_span_us`.
+    offered_while_cold: deque[tuple[int, float]] = field(default_factory=deque)
+    events: list[Happening] = field(default_factory=list)  # not yet taken by the driver
 
-    # -- capacity -----------------------------------------------------------------------------------------
+    # -- capacity --
 
-    def warmth(self, now_us: int) -> float:
-        age = now_us - self.started_us
-        if not self.started_us or age >= self.spec.warm_us:
+    def slow_start_factor(self, now_us: int) -> float:
+        """Return the part of its capacity that the node has: linear from its start until warm."""
+        age_us = now_us - self.started_us
+        if not self.started_us or age_us >= self.spec.warm_us:
             return 1.0
-        return self.spec.cold_share + (1 - self.spec.cold_share) * max(age, 0) / self.spec.warm_us
+        return (
+            self.spec.cold_share + (1 - self.spec.cold_share) * max(age_us, 0) / self.spec.warm_us
+        )
 
     def is_cold(self, now_us: int) -> bool:
-        return self.warmth(now_us) < 1.0
+        """Return whether the node is still warming up."""
+        return self.slow_start_factor(now_us) < 1.0
 
-    def pace(self, now_us: int) -> float:
-        """Work a microsecond on each running job."""
-        return self.spec.speed * self.warmth(now_us) / self.slow
+    def work_rate(self, now_us: int) -> float:
+        """Return the work done in a microsecond on each running task."""
+        return self.spec.speed * self.slow_start_factor(now_us) / self.slow
 
     @property
-    def busy(self) -> int:
+    def busy_slots(self) -> int:
+        """Return the number of slots that running tasks occupy."""
         return sum(task.slots for task in self.running.values())
 
-    def report(self, now_us: int) -> dict[str, int]:
-        """Its load: jobs that wait and free slots."""
+    def load_report(self, now_us: int) -> dict[str, int]:
+        """Return the load report: waiting tasks and free slots, under the platform's names."""
         self.advance(now_us)
-        return {"queue": len(self.waiting), "x0": max(self.spec.slots - self.busy, 0)}
+        return {"queue": len(self.waiting), "x0": max(self.spec.slots - self.busy_slots, 0)}
 
-    # -- its life -----------------------------------------------------------------------------------------
+    # -- process life cycle --
 
     def start(self, now_us: int) -> None:
-        """A process that has just started: cold and empty."""
-        self.started_us = self.at_us = now_us
-        self.health, self.slow, self.fails = Health.UP, 1.0, 0.0
-        self.sent.clear()
+        """Start a new process, cold and without faults."""
+        self.started_us = now_us
+        self.at_us = now_us
+        self.health = Health.UP
+        self.slow = 1.0
+        self.fails = 0.0
+        self.offered_while_cold.clear()
 
     def die(self, now_us: int, health: Health = Health.DOWN) -> list[Task]:
-        """What it held is lost."""
+        """End the process; return the running and waiting tasks, which are lost."""
         self.advance(now_us)
         lost = [*self.running.values(), *self.waiting]
         self.running.clear()
@@ -137,98 +162,114 @@
         self.health = health
         return lost
 
-    # -- jobs ---------------------------------------------------------------------------------------------
+    # -- tasks --
 
     def offer(self, now_us: int, task: Task) -> Offer:
+        """Offer a task; it runs or waits if the answer is `TAKEN`."""
         self.advance(now_us)
         if self.health is not Health.UP:
             return Offer.DOWN
-        if self.topples(now_us, task.work_us):
+        if self.overloads_while_cold(now_us, task.work_us):
             return Offer.DOWN
         if self.fails and self.rng.random() < self.fails:
             return Offer.ERROR
         if len(self.waiting) >= self.spec.queue and not self.fits(task):
             return Offer.FULL
-        task.left_us = float(task.work_us)
+        task.remaining_us = float(task.work_us)
         self.waiting.append(task)
         self.start_waiting(now_us)
         return Offer.TAKEN
 
-    def topples(self, now_us: int, work_us: int) -> bool:
-        """Whether this much work, with that of the span before, is over its fall multiple while cold."""
+    def overloads_while_cold(self, now_us: int, work_us: int) -> bool:
+        """Record work offered to a cold node; return whether its window exceeds the limit."""
         if not self.is_cold(now_us):
             return False
-        self.sent.append((now_us, work_us))
-        while self.sent[0][0] <= now_us - self.spec.fall_span_us:
-            self.sent.popleft()
-        # Chance is allowed for: one longer job alone does not push a node over.
-        bound = (
-            self.spec.fall_multiple * self.spec.cores * self.pace(now_us) * self.spec.fall_span_us
+        self.offered_while_cold.append((now_us, work_us))
+        while self.offered_while_cold[0][0] <= now_us - self.spec.fall_span_us:
+            self.offered_while_cold.popleft()
+        limit_us = (
+            self.spec.fall_multiple
+            * self.spec.cores
+            * self.work_rate(now_us)
+            * self.spec.fall_span_us
         )
-        return sum(work for _, work in self.sent) > bound and len(self.sent) > 2 * self.spec.cores
+        offered_us = sum(work for _, work in self.offered_while_cold)
+        # A few long tasks are chance, not overload: it takes more than two tasks a core.
+        return offered_us > limit_us and len(self.offered_while_cold) > 2 * self.spec.cores
 
     def fits(self, task: Task) -> bool:
-        return not self.waiting and self.busy + task.slots <= self.spec.slots
+        """Return whether the task could start at once."""
+        return not self.waiting and self.busy_slots + task.slots <= self.spec.slots
 
     def start_waiting(self, now_us: int) -> None:
-        """In order: the first waits until it fits."""
+        """Start waiting tasks in order; the first one holds back the others until it fits.
+
+        A task that wants more slots than the node has starts once all of them are free.
+        """
         while (
             self.waiting
-            and self.busy + min(self.waiting[0].slots, self.spec.slots) <= self.spec.slots
+            and self.busy_slots + min(self.waiting[0].slots, self.spec.slots) <= self.spec.slots
         ):
             task = self.waiting.popleft()
-            task.started_us = task.told_us = now_us
+            task.progress_sent_at_us = now_us
             self.running[task.id] = task
-            self.happened.append(Happening(Word.STARTED, task))
+            self.events.append(Happening(Word.STARTED, task))
 
     def cancel(self, now_us: int, name: str) -> bool:
-        """Work stops; whether it was there."""
+        """Remove a running or waiting task; return whether the node had it."""
         self.advance(now_us)
         found = self.running.pop(name, None) is not None
-        kept = deque(task for task in self.waiting if task.id != name)
-        found = found or len(kept) < len(self.waiting)
-        self.waiting = kept
+        remaining = deque(task for task in self.waiting if task.id != name)
+        found = found or len(remaining) < len(self.waiting)
+        self.waiting = remaining
         self.start_waiting(now_us)
         return found
 
-    def disturb(self, work_us: int) -> None:
-        """Work beside its jobs: each of them is that much later for its share of the cores."""
+    def add_side_work(self, work_us: int) -> None:
+        """Spend work on something else, such as a health check: it delays each running task."""
         for task in self.running.values():
-            task.left_us += work_us / self.spec.cores
+            task.remaining_us += work_us / self.spec.cores
 
-    # -- time ---------------------------------------------------------------------------------------------
+    # -- time --
 
     def next_us(self) -> float:
-        """When something happens next, if nothing is offered before; inf for never."""
+        """Return the time of the next event if nothing is offered before; infinity for never."""
         if not self.running or self.health is not Health.UP:
             return inf
-        pace = self.pace(self.at_us)
-        ends = min(task.left_us for task in self.running.values()) / pace
-        tells = min(task.told_us for task in self.running.values()) + self.spec.progress_us
-        due = min(self.at_us + max(ceil(ends), 1), tells)
-        return min(due, self.at_us + COLD_STEP_US) if self.is_cold(self.at_us) else due
+        rate = self.work_rate(self.at_us)
+        first_end_us = min(task.remaining_us for task in self.running.values()) / rate
+        next_progress_us = (
+            min(task.progress_sent_at_us for task in self.running.values()) + self.spec.progress_us
+        )
+        due_us = min(self.at_us + max(ceil(first_end_us), 1), next_progress_us)
+        if self.is_cold(self.at_us):
+            return min(due_us, self.at_us + COLD_STEP_US)
+        return due_us
 
     def advance(self, now_us: int) -> None:
-        """Plays all up to now; what happened is kept for `take`."""
-        while (due := self.next_us()) <= now_us:
-            self.step(int(due))
+        """Play the model up to `now_us`; `take_events` returns what happened."""
+        while (due_us := self.next_us()) <= now_us:
+            self.step(int(due_us))
         self.step(now_us)
 
     def step(self, to_us: int) -> None:
-        passed = max(to_us - self.at_us, 0)
-        done = passed * self.pace(self.at_us)
+        """Play up to `to_us` at the present rate of work, without regard to events on the way."""
+        elapsed_us = max(to_us - self.at_us, 0)
+        done_us = elapsed_us * self.work_rate(self.at_us)
         self.at_us = max(to_us, self.at_us)
         for task in list(self.running.values()):
-            task.left_us -= done
-            if task.left_us <= 0.5:
+            task.remaining_us -= done_us
+            if task.remaining_us <= FINISHED_BELOW_US:
                 del self.running[task.id]
                 failed = self.spec.error_rate and self.rng.random() < self.spec.error_rate
-                self.happened.append(Happening(Word.FAILED if failed else Word.DONE, task))
-            elif self.at_us - task.told_us >= self.spec.progress_us:
-                task.told_us = self.at_us
-                self.happened.append(Happening(Word.RUNNING, task))
+                self.events.append(Happening(Word.FAILED if failed else Word.DONE, task))
+            elif self.at_us - task.progress_sent_at_us >= self.spec.progress_us:
+                task.progress_sent_at_us = self.at_us
+                self.events.append(Happening(Word.RUNNING, task))
         self.start_waiting(self.at_us)
 
-    def take(self) -> list[Happening]:
-        happened, self.happened = self.happened, []
-        return happened
+    def take_events(self) -> list[Happening]:
+        """Return the events since the last call, oldest first."""
+        events = self.events
+        self.events = []
+        return events
--- a/tests/lab/test_lab.py
+++ b/tests/lab/test_lab.py
@@ -37,9 +37,9 @@
     seen = []
     while (due := model.next_us()) <= until:
         model.advance(int(due))
-        seen += [(h.word, h.task.id, model.at_us - T0) for h in model.take()]
+        seen += [(h.word, h.task.id, model.at_us - T0) for h in model.take_events()]
     model.advance(until)
-    return seen + [(h.word, h.task.id, until - T0) for h in model.take()]
+    return seen + [(h.word, h.task.id, until - T0) for h in model.take_events()]
 
 
 def test_jobs_run_at_the_nodes_speed_and_wait_in_order():
@@ -226,7 +226,7 @@
         reports.read_header(made.load_header().get("Server-Load")),
     ]
     full = {"queue": 1.0, "free_slots": 0.0}
-    assert [*read, reports.read_notification(made.look())] == [
+    assert [*read, reports.read_notification(made.current_load_report())] == [
         full,
         *[full if how == "answers" else None] * 2,
     ]
