Document the lab's clients and split the HTTP request's bytes from its exchange

The clients' attempts, retries and connections now have docstrings, named constants, types that strict mypy accepts and the field's terms (outcome, retry-after, connection); building an HTTP request is a function apart from sending it. Wire bytes and retry rules are unchanged.

--- a/stepstream/lab/clients.py
+++ b/stepstream/lab/clients.py
@@ -1,24 +1,29 @@
-"""Open-loop clients over both protocols: each job leaves at its time, whatever became of those before it."""
+"""Emulate open-loop clients of both protocols: a job leaves at its time, however earlier ones fare.
+
+`Clients` owns the connections; all of it runs on the event loop that awaits `Clients.run`.
+"""
 
 import asyncio
 import secrets
 from collections import deque
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
 from stepstream.gearman import codec
-from stepstream.gearman.codec import Kind, Packet
+from stepstream.gearman.codec import Item, Kind, Packet
 from stepstream.http.codec import Message, write_request
 from stepstream.lab.nodes import LIMITS, READ, Clock, Workload, read_answer
 from stepstream.lab.referee import Final, Referee
 from stepstream.lab.site import Ask, Day, Speech
 
-FOLLOWS = 0.5  # part of the clients that wait as long as they are told
-GEARMAN_LINKS = 4
+RETRY_AFTER_SHARE = 0.5  # part of the clients that wait as long as an answer's retry-after says
+GEARMAN_CONNECTIONS = 4
+HTTP_SENDS = 2  # a request may be sent once more if a reused connection turns out to be closed
 
 
 @dataclass(frozen=True, slots=True)
 class Heard:
-    """What a try came to."""
+    """The outcome of one client attempt; `pause_s` is the answer's retry-after in seconds."""
 
     final: Final
     result: str | None = None
@@ -27,22 +32,28 @@
 
 @dataclass(eq=False)
 class Clients:
+    """Play the schedule's jobs against a dispatcher and report each answer to the verifier."""
+
     day: Day
     clock: Clock
     referee: Referee
-    http: tuple[str, int]
-    gearman: tuple[str, int]
+    http: tuple[str, int]  # address of the dispatcher's HTTP listener
+    gearman: tuple[str, int]  # address of its Gearman listener
+    # HTTP connections without a request in flight; the latest used is reused first.
     idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = field(default_factory=list)
-    links: list["GearmanLink"] = field(default_factory=list)
-    late_us: int = 0  # by how much the latest job left late: the lab's own fault
-    over: int = 0  # jobs that are over
+    gearman_connections: list["GearmanConnection"] = field(default_factory=list)
+    late_us: int = 0  # greatest delay of a job's start behind the schedule: the lab's own fault
+    over: int = 0  # finished jobs
 
     async def run(self) -> None:
-        """All of the schedule; ends when the last job is over."""
+        """Play the whole schedule; return when the last job has finished."""
         if any(ask.speech is Speech.GEARMAN for ask in self.day.asks):
-            self.links = [await GearmanLink.open(self.gearman) for _ in range(GEARMAN_LINKS)]
-        self.referee.begun_us = begun_us = self.clock.now_us()
-        running = set()
+            self.gearman_connections = [
+                await GearmanConnection.open(self.gearman) for _ in range(GEARMAN_CONNECTIONS)
+            ]
+        begun_us = self.clock.now_us()
+        self.referee.begun_us = begun_us
+        running: set[asyncio.Task[None]] = set()
         for ask in self.day.asks:
             wait_us = begun_us + ask.at_us - self.clock.now_us()
             if wait_us > 0:
@@ -54,151 +65,185 @@
         await asyncio.gather(*running)
 
     async def submit(self, ask: Ask) -> None:
-        """A job with the client's own retries."""
+        """Send a job until it is served, its deadline passes or the client's retries are used up.
+
+        A job that must not run twice is sent again only after a rejection.
+        """
         self.referee.asked(ask)
-        part = self.day.site.job[ask.job_class]
-        until_us = self.clock.now_us() + int(part.deadline_ms * 1000)
+        job_class = self.day.site.job[ask.job_class]
+        deadline_us = self.clock.now_us() + int(job_class.deadline_ms * 1000)
         for attempt in range(self.day.site.retries + 1):
             key = (ask.number, attempt)
-            left_us = until_us - self.clock.now_us()
-            if left_us <= 0:
+            remaining_us = deadline_us - self.clock.now_us()
+            if remaining_us <= 0:
                 break
-            heard = await self.attempt(ask, attempt, left_us)
-            self.referee.answered(self.clock.now_us(), key, heard.final, heard.result)
-            if heard.final is Final.SERVED or (
-                heard.final is Final.FAILED and part.effect == "side_effect"
-            ):
-                break  # what must not run twice is tried again only after a refusal
-            advised = heard.pause_s if ask.patience < FOLLOWS else 0.0
-            await asyncio.sleep(max(advised, self.day.site.backoff_ms / 1000))
+            outcome = await self.attempt(ask, attempt, remaining_us)
+            self.referee.answered(self.clock.now_us(), key, outcome.final, outcome.result)
+            if outcome.final is Final.SERVED:
+                break
+            if outcome.final is Final.FAILED and job_class.effect == "side_effect":
+                break
+            advised_seconds = outcome.pause_s if ask.patience < RETRY_AFTER_SHARE else 0.0
+            await asyncio.sleep(max(advised_seconds, self.day.site.backoff_ms / 1000))
         self.over += 1
 
-    async def attempt(self, ask: Ask, attempt: int, left_us: int) -> Heard:
+    async def attempt(self, ask: Ask, attempt: int, remaining_us: int) -> Heard:
+        """Send a job once, in its client's protocol, and await the outcome."""
         workload = Workload(ask.number, attempt, ask.work_us, ask.slots).dump()
         if ask.speech is Speech.GEARMAN:
             return await self.by_gearman(ask, workload)
-        return await self.by_http(ask, workload, left_us, attempt > 0)
-
-    # -- HTTP ---------------------------------------------------------------------------------------------
-
-    async def by_http(self, ask: Ask, workload: bytes, left_us: int, again: bool) -> Heard:
-        part = self.day.site.job[ask.job_class]
-        headers = {
-            "Host": "lab",
-            "Request-Id": secrets.token_hex(8),
-            "Tenant": self.day.site.tenant[ask.tenant].name,
-            "Request-Timeout-Ms": str(max(left_us // 1000, 1)),
-            "Request-Info": f"cores_needed={ask.slots}",
-        }
-        if again and self.day.site.marks_retries:
-            headers["Client-Retry"] = "1"
-        if part.effect == "token":
-            headers["Idempotency-Key"] = f"key-{ask.number}"
-        data = write_request("POST", f"/{part.name}", headers, workload)
-        used = bool(self.idle)
-        for _ in range(2):
+        return await self.by_http(ask, workload, remaining_us, attempt > 0)
+
+    async def by_http(
+        self,
+        ask: Ask,
+        workload: bytes,
+        left_us: int,
+        again: bool,  # noqa: FBT001  overridden with this signature in fleet_day
+    ) -> Heard:
+        """Send a job by HTTP; `left_us` is the time to its deadline, `again` marks a retry."""
+        data = self.http_request(ask, workload, left_us, is_retry=again)
+        may_be_closed = bool(self.idle)
+        for _ in range(HTTP_SENDS):
             try:
-                link = self.idle.pop() if self.idle else await asyncio.open_connection(*self.http)
-                link[1].write(data)
-                message = await read_answer(link[0])
+                if self.idle:
+                    connection = self.idle.pop()
+                else:
+                    connection = await asyncio.open_connection(*self.http)
+                reader, writer = connection
+                writer.write(data)
+                message = await read_answer(reader)
             except (OSError, EOFError):
-                if used:  # closed between two requests, as a dispatcher may: once more on a new one
+                if may_be_closed:
+                    # A dispatcher may close an idle connection at any time: use a new one.
                     self.idle.clear()
-                    used = False
+                    may_be_closed = False
                     continue
                 return Heard(Final.LOST)
             if message.keep_alive:
-                self.idle.append(link)
+                self.idle.append(connection)
             else:
-                link[1].close()
+                writer.close()
             return heard_http(message)
         return Heard(Final.LOST)
 
-    # -- Gearman ------------------------------------------------------------------------------------------
+    def http_request(
+        self, ask: Ask, workload: bytes, remaining_us: int, *, is_retry: bool
+    ) -> bytes:
+        """Return the bytes of a job's HTTP request."""
+        site = self.day.site
+        job_class = site.job[ask.job_class]
+        headers = {
+            "Host": "lab",
+            "Request-Id": secrets.token_hex(8),
+            "Tenant": site.tenant[ask.tenant].name,
+            "Request-Timeout-Ms": str(max(remaining_us // 1000, 1)),
+            "Request-Info": f"cores_needed={ask.slots}",
+        }
+        if is_retry and site.marks_retries:
+            headers["Client-Retry"] = "1"
+        if job_class.effect == "token":
+            headers["Idempotency-Key"] = f"key-{ask.number}"
+        return write_request("POST", f"/{job_class.name}", headers, workload)
 
     async def by_gearman(self, ask: Ask, workload: bytes) -> Heard:
-        part = self.day.site.job[ask.job_class]
+        """Send a job by Gearman; the function names tenant, job class and slots above one."""
+        job_class = self.day.site.job[ask.job_class]
         slots = f"+{ask.slots}" if ask.slots > 1 else ""
-        function = f"{self.day.site.tenant[ask.tenant].name}/{part.name}{slots}"
-        unique = f"key-{ask.number}" if part.effect == "token" else ""
-        return await self.links[ask.number % len(self.links)].submit(function, unique, workload)
+        function = f"{self.day.site.tenant[ask.tenant].name}/{job_class.name}{slots}"
+        unique = f"key-{ask.number}" if job_class.effect == "token" else ""
+        connection = self.gearman_connections[ask.number % len(self.gearman_connections)]
+        return await connection.submit(function, unique, workload)
 
 
 def heard_http(message: Message) -> Heard:
-    if message.status == 200:
+    """Return the outcome that an HTTP answer means."""
+    if message.status == HTTPStatus.OK:
         return Heard(Final.SERVED, message.body.decode())
-    if message.status in (429, 503):
+    if message.status in (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE):
         return Heard(Final.REFUSED, pause_s=float(message.headers.get("retry-after", "0")))
     return Heard(Final.FAILED)
 
 
 @dataclass(eq=False)
-class GearmanLink:
-    """A connection that many jobs share; outcomes find theirs by handle."""
+class GearmanConnection:
+    """A connection that many jobs share; outcomes are matched to jobs by handle."""
 
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
-    submitted: deque[asyncio.Future] = field(default_factory=deque)
-    open_jobs: dict[bytes, list[asyncio.Future]] = field(default_factory=dict)
-    told: dict[bytes, bytes] = field(default_factory=dict)  # by handle, the latest WORK_WARNING
+    # Jobs without a handle yet, in the order of their submission.
+    submitted: deque[asyncio.Future[Heard]] = field(default_factory=deque)
+    # Unfinished jobs by handle; jobs that the dispatcher coalesces share one.
+    open_jobs: dict[bytes, list[asyncio.Future[Heard]]] = field(default_factory=dict)
+    warnings: dict[bytes, bytes] = field(default_factory=dict)  # latest WORK_WARNING by handle
     lost: bool = False  # the connection has ended
+    task: asyncio.Task[None] | None = None  # runs `listen`; kept from garbage collection
 
     @classmethod
-    async def open(cls, address: tuple[str, int]) -> "GearmanLink":
-        link = cls(*await asyncio.open_connection(*address))
-        link.task = asyncio.ensure_future(link.listen())
-        return link
+    async def open(cls, address: tuple[str, int]) -> "GearmanConnection":
+        """Connect and start to handle the dispatcher's packets."""
+        connection = cls(*await asyncio.open_connection(*address))
+        connection.task = asyncio.ensure_future(connection.listen())
+        return connection
 
     async def submit(self, function: str, unique: str, workload: bytes) -> Heard:
+        """Submit a job and await its outcome."""
         if self.lost:
             return Heard(Final.LOST)
-        future = asyncio.get_running_loop().create_future()
+        future: asyncio.Future[Heard] = asyncio.get_running_loop().create_future()
         self.submitted.append(future)
         self.writer.write(codec.request(Kind.SUBMIT_JOB, function, unique, workload))
         return await future
 
     async def listen(self) -> None:
+        """Handle packets until the connection ends; then every unfinished job is lost."""
         parser = codec.Parser(LIMITS, answers=True)
         try:
             while data := await self.reader.read(READ):
                 parser.feed(data)
-                while (packet := parser.next()) is not None:
-                    self.on_packet(packet)
+                while (item := parser.next()) is not None:
+                    self.on_packet(item)
         except OSError:
             pass
         self.lost = True
-        for future in [
-            *self.submitted,
-            *(f for waiting in self.open_jobs.values() for f in waiting),
-        ]:
+        unfinished = list(self.submitted)
+        for futures in self.open_jobs.values():
+            unfinished += futures
+        for future in unfinished:
             future.set_result(Heard(Final.LOST))
 
-    def on_packet(self, packet: Packet) -> None:
+    def on_packet(self, packet: Item) -> None:
+        """Handle a packet of the dispatcher; ignore those that end no job, such as progress."""
         match packet:
             case Packet(Kind.JOB_CREATED, (handle,)):
                 self.open_jobs.setdefault(handle, []).append(self.submitted.popleft())
             case Packet(Kind.ERROR, (code, text)):
                 final = Final.REFUSED if code == b"JOB_QUEUE_FULL" else Final.FAILED
-                self.submitted.popleft().set_result(Heard(final, pause_s=advice(text)))
+                outcome = Heard(final, pause_s=retry_after_seconds(text))
+                self.submitted.popleft().set_result(outcome)
             case Packet(Kind.WORK_WARNING, (handle, text)):
-                self.told[handle] = text
+                self.warnings[handle] = text
             case Packet(Kind.WORK_COMPLETE, (handle, result)):
-                self.end(handle, Heard(Final.SERVED, result.decode()))
+                self.finish(handle, Heard(Final.SERVED, result.decode()))
             case Packet(Kind.WORK_FAIL, (handle,)):
-                text = self.told.get(handle, b"")
+                text = self.warnings.get(handle, b"")
                 final = Final.REFUSED if text.startswith(b"refused") else Final.FAILED
-                self.end(handle, Heard(final, pause_s=advice(text)))
-
-    def end(self, handle: bytes, heard: Heard) -> None:
-        self.told.pop(handle, None)
-        waiting = self.open_jobs[handle]
-        waiting.pop(0).set_result(heard)
-        if not waiting:
+                self.finish(handle, Heard(final, pause_s=retry_after_seconds(text)))
+
+    def finish(self, handle: bytes, outcome: Heard) -> None:
+        """Give the outcome to the oldest job of the handle."""
+        self.warnings.pop(handle, None)
+        futures = self.open_jobs[handle]
+        futures.pop(0).set_result(outcome)
+        if not futures:
             del self.open_jobs[handle]
 
 
-def advice(text: bytes) -> float:
-    """The time to come back, in seconds, of docs/gearman.md's table of outcomes."""
+def retry_after_seconds(text: bytes) -> float:
+    """Return the retry-after in an outcome's text, 0 if it has none.
+
+    The format is that of the table of outcomes in docs/gearman.md.
+    """
     for word in text.decode("utf-8", "replace").split():
         name, _, value = word.partition("=")
         if name == "retry-after":
