--- a/stepstream/lab/fleet_world.py
+++ b/stepstream/lab/fleet_world.py
@@ -1,13 +1,17 @@
-"""Many views of the fleet in simulated time: no sockets, no threads, one seed replays everything.
+"""Simulate a membership cluster without sockets or threads; a seed replays a whole run.
 
-The same `MembershipProtocol` as in the program. Links lose, delay, duplicate and reorder datagrams and are cut
-by ordered pair; members stall, crash and restart. What must hold is checked after every step of a member.
+Every member runs the program's own `MembershipProtocol`. Links lose, delay, duplicate and reorder
+datagrams and are cut by ordered pair; members stall, crash and restart. The invariants are checked
+after every step of a member.
+
+A `World` owns all state of its run. Only the thread that runs its timeline may touch it.
 """
 
 import heapq
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from stepstream.lab.fleet_faults import Play, Schedule
 from stepstream.lab.links import Links
@@ -29,288 +33,357 @@
 from stepstream.membership.protocol_settings import ProtocolSettings
 
 CLUSTER = "lab"
-LOOK = (
-    0.1  # seconds between two looks at whom a member holds dead; the bound is two hundred of these
-)
-HELD_DEAD = 40  # periods: no member that runs and is connected is held dead by another for longer
-COUNTING = 0.5  # seconds between two looks at who counts, as in the program
+FALSE_DEATH_CHECK_SECONDS = 0.1  # between two checks of one member; the bound is 200 of these
+MAX_FALSE_DEATH_PERIODS = 40  # probe intervals for which a reachable member may be believed dead
+COUNT_INTERVAL_SECONDS = 0.5  # between two counts of the members, as in the program
+STALL_FOREVER_SECONDS = 1e9
+MAX_TICK_AT_SECONDS = 1e12  # bounds a tick that is never due, which the protocol gives as infinity
+SOCKET_QUEUE_DATAGRAMS = 256  # what the socket of a stalled process holds; the rest is lost
+MAX_BROADCASTS_PER_MEMBER = 3
+SEED_MEMBERS = 3
+FIRST_START_SECONDS = 1_000_000  # time of day at the start of a run
+
+Claim = tuple[int, str, int]  # generation, address, incarnation
 
 
 class BrokenError(Exception):
-    """An invariant does not hold; the text says which, when and for whom."""
+    """Report an invariant that does not hold: which one, at what time and for which member."""
 
 
 @dataclass(eq=False)
 class Sim:
-    """One member's process."""
+    """Hold the simulated process of one member; times are in seconds of the timeline."""
 
     name: str
     address: str
     view: MembershipProtocol | None = None  # None: not running
     started: float = 0.0
     stalled_until: float = 0.0
-    due: int = 0  # number of the tick that counts
-    held: list[tuple[bytes, str]] = field(default_factory=list)  # datagrams that wait out a stall
-    seen: int = 0  # the newest change that was checked
-    roster: MemberCount | None = None
-    looked: float = -1.0  # for the next one
-    dead: dict[tuple[str, float], float] = field(
-        default_factory=dict
-    )  # since when it wrongly holds whom so
+    tick_number: int = 0  # of the scheduled tick that counts; earlier ones are void
+    socket_queue: list[tuple[bytes, str]] = field(default_factory=list)  # received while stalled
+    checked_event: int = 0  # number of the newest membership event that was checked
+    member_count: MemberCount | None = None
+    false_deaths_checked_at: float = -1.0
+    # By name and start of a running, reachable member: since when this one believes it dead.
+    false_deaths: dict[tuple[str, float], float] = field(default_factory=dict)
+
+    @property
+    def running_view(self) -> MembershipProtocol:
+        """Return the protocol of a running process; RuntimeError if it does not run."""
+        if self.view is None:
+            raise RuntimeError(f"member {self.name} is not running")
+        return self.view
 
 
 class World(Timeline):
+    """Simulate members `n0`, `n1`, ... and the links between them."""
+
     def __init__(
         self, seed: int, members: int, times: ProtocolSettings, links: Links | None = None
     ) -> None:
         super().__init__()
         self.draw = random.Random(seed)
-        self.times, self.links = times, links or Links()
-        self.sims = {}
-        for k in range(members):
-            name = f"n{k}"
-            self.sims[name] = Sim(name, f"127.1.{k >> 8}.{k & 255}:7946")
+        self.times = times
+        self.links = links or Links()
+        self.sims: dict[str, Sim] = {}
+        for number in range(members):
+            name = f"n{number}"
+            self.sims[name] = Sim(name, f"127.1.{number >> 8}.{number & 255}:7946")
         self.at = {sim.address: sim for sim in self.sims.values()}
-        self.seeds = tuple(sim.address for sim in list(self.sims.values())[:3])
-        self.best: dict[
-            tuple[str, str], tuple
-        ] = {}  # observer, name: the greatest claim seen ended
-        self.sent = self.bytes = 0
-        self.deaths: list[
-            tuple[float, str, str, bool]
-        ] = []  # when, observer, name, whether it was running
-        self.clock_offset: dict[str, float] = {}  # of a member's time of day
-        self.watch: Callable[[World, Sim], None] = check
-
-    # -- members ------------------------------------------------------------------------------------------
+        self.seeds = tuple(sim.address for sim in list(self.sims.values())[:SEED_MEMBERS])
+        # By observer's start and member: the greatest claim that the observer saw end.
+        self.ended_claims: dict[tuple[str, str], Claim] = {}
+        self.sent = 0  # datagrams
+        self.bytes = 0
+        # Time, observer, member believed dead, whether that was running.
+        self.deaths: list[tuple[float, str, str, bool]] = []
+        self.clock_offset: dict[str, float] = {}  # by member, seconds of its time of day
+        self.check_step: Callable[[World, Sim], None] = check
+
+    # -- members ----------------------------------------------------------------------------------
 
     def start(
         self, name: str, seeds: tuple[str, ...] | None = None, generation: int | None = None
     ) -> None:
+        """Start a member's process; its generation is by default its time of day in ms."""
         sim = self.sims[name]
         if generation is None:
-            generation = int((1_000_000 + self.now + self.clock_offset.get(name, 0.0)) * 1000)
-        me = MemberRecord(name, sim.address, generation, 0, MemberState.ALIVE)
-        draw = random.Random(self.draw.random())
+            time_of_day = FIRST_START_SECONDS + self.now + self.clock_offset.get(name, 0.0)
+            generation = int(time_of_day * 1000)
+        record = MemberRecord(name, sim.address, generation, 0, MemberState.ALIVE)
+        rng = random.Random(self.draw.random())
         sim.view = MembershipProtocol(
-            me, CLUSTER, self.seeds if seeds is None else seeds, self.times, draw, self.now
+            record, CLUSTER, self.seeds if seeds is None else seeds, self.times, rng, self.now
         )
-        sim.started, sim.stalled_until, sim.held, sim.seen, sim.dead = self.now, 0.0, [], 0, {}
+        sim.started = self.now
+        sim.stalled_until = 0.0
+        sim.socket_queue = []
+        sim.checked_event = 0
+        sim.false_deaths = {}
         self.schedule(sim)
 
     def start_all(self) -> None:
+        """Start every member, in the order of their numbers."""
         for name in self.sims:
             self.start(name)
 
     def crash(self, name: str) -> None:
-        self.sims[name].view = self.sims[name].roster = None
-        self.sims[name].due += 1
+        """End a member's process without notice to the others."""
+        sim = self.sims[name]
+        sim.view = None
+        sim.member_count = None
+        sim.tick_number += 1
 
     def leave(self, name: str) -> None:
+        """Let a member announce its leave, then end its process."""
         sim = self.sims[name]
-        self.carry(sim, sim.view.leave(self.now))
+        self.send(sim, sim.running_view.leave(self.now))
         self.crash(name)
 
-    def stall(self, name: str, seconds: float = 1e9) -> None:
-        """SIGSTOP and SIGCONT: datagrams wait in its socket, up to what that holds."""
+    def stall(self, name: str, seconds: float = STALL_FOREVER_SECONDS) -> None:
+        """Stop a process as SIGSTOP does, and continue it after that time unless it is forever.
+
+        Datagrams wait in its socket meanwhile, up to what that holds.
+        """
         sim = self.sims[name]
         sim.stalled_until = self.now + seconds
-        if seconds < 1e9:
-            self.call(seconds, lambda: self.wake(sim))
+        if seconds < STALL_FOREVER_SECONDS:
+            self.call(seconds, partial(self.wake, sim))
 
     def wake(self, sim: Sim) -> None:
+        """Continue a stalled process: first its timers, then what waited in its socket."""
         if sim.view is None or self.now < sim.stalled_until:
             return
         self.tick(sim)
-        held, sim.held, sim.dead = sim.held, [], {}
-        for data, to in held:
-            self.arrive(data, to)
+        queued = sim.socket_queue
+        sim.socket_queue = []
+        sim.false_deaths = {}
+        for data, address in queued:
+            self.receive(data, address)
 
     def count_all(self, hold: float) -> None:
-        """From now on each member counts the fleet and bears witness, as the program does (membership.subsystem)."""
+        """Let each member count the members and confirm deaths from now on.
+
+        `membership.subsystem` does so in the program. `hold`: `MemberCount`'s, in seconds.
+        """
         for sim in self.sims.values():
-            self.call(self.draw.uniform(0, COUNTING), lambda sim=sim: self.count(sim, hold))
+            self.call(self.draw.uniform(0, COUNT_INTERVAL_SECONDS), partial(self.count, sim, hold))
 
     def count(self, sim: Sim, hold: float) -> None:
-        self.call(COUNTING, lambda: self.count(sim, hold))
+        """Count the members as one member sees them, and schedule its next count."""
+        self.call(COUNT_INTERVAL_SECONDS, partial(self.count, sim, hold))
         view = sim.view
         if view is None:
-            sim.roster = None
+            sim.member_count = None
         elif self.now >= sim.stalled_until:
-            sim.roster = sim.roster or MemberCount(sim.name, hold)
-            seen = observe(view.members, self.now)
+            sim.member_count = sim.member_count or MemberCount(sim.name, hold)
+            observed = observe(view.members, self.now)
             view.context.now = self.now
-            ended = tuple(sim.roster.confirmed_deaths(seen)[:MAX_CONFIRMED_DEATHS])
-            status = MemberStatus(sim.name, 0, 0, Phase.SERVING, 0, "", 0, 0, "", ended)
+            deaths = tuple(sim.member_count.confirmed_deaths(observed)[:MAX_CONFIRMED_DEATHS])
+            status = MemberStatus(sim.name, 0, 0, Phase.SERVING, 0, "", 0, 0, "", deaths)
             view.statuses.publish(status)
             confirmations = {
                 name: frozenset(status.confirmed_deaths)
                 for name, status in view.statuses.by_owner.items()
             }
-            sim.roster.update(seen, confirmations)
+            sim.member_count.update(observed, confirmations)
 
     def counted(self, name: str) -> int:
-        roster = self.sims[name].roster
-        return len(roster.names) if roster is not None else 0
+        """Return how many members this one counts; 0 if it does not count."""
+        member_count = self.sims[name].member_count
+        return len(member_count.names) if member_count is not None else 0
 
     def running(self) -> list[Sim]:
+        """Return the members whose processes run, stalled ones included."""
         return [sim for sim in self.sims.values() if sim.view is not None]
 
-    # -- a schedule's hand (fleet_faults.Fleet) -----------------------------------------------------------
+    # -- what a fault schedule acts on (fleet_faults.Fleet) ---------------------------------------
 
     @property
     def names(self) -> tuple[str, ...]:
+        """Return the names of all members, running or not."""
         return tuple(self.sims)
 
     def up(self, name: str) -> bool:
+        """Return whether a member's process runs."""
         return self.sims[name].view is not None
 
     def kill(self, name: str) -> None:
+        """End a member's process as SIGKILL does."""
         self.crash(name)
 
     def go_on(self, name: str) -> None:
+        """Continue a member's process, as SIGCONT does, if it is stalled."""
         sim = self.sims[name]
         if sim.stalled_until > self.now:
             sim.stalled_until = self.now
             self.wake(sim)
 
     def link(self, pairs: set[tuple[str, str]], loss: float) -> None:
-        self.links.cuts, self.links.loss = pairs, loss
+        """Set which ordered pairs are cut, and the probability of loss, from now on."""
+        self.links.cuts = pairs
+        self.links.loss = loss
 
     def play(self, schedule: Schedule, settle: float) -> float:
-        """The whole schedule from now on, then all whole: seconds until all agree; BrokenError if they
-        have not by `settle`."""
-        begun, play = self.now, Play(self, schedule)
+        """Play a fault schedule from now on, then end all faults.
+
+        Return the seconds from there until all members agree; BrokenError if they do not within
+        `settle` seconds or if an invariant broke.
+        """
+        started = self.now
+        play = Play(self, schedule)
         for at, _, what, fault in play.steps:
-            self.run(max(begun + at - self.now, 0.0))
+            self.run(max(started + at - self.now, 0.0))
             play.do(what, fault)
         play.end()
-        whole = self.now
+        faults_ended = self.now
         if not self.run(settle, self.agreed):
             raise BrokenError(f"not settled {settle} s after the last fault")
-        return self.now - whole
+        return self.now - faults_ended
 
-    # -- time ---------------------------------------------------------------------------------------------
+    # -- time -------------------------------------------------------------------------------------
 
     def schedule(self, sim: Sim) -> None:
-        sim.due += 1
-        number = sim.due
-        at = min(max(sim.view.next_tick_at(), self.now, sim.stalled_until), 1e12)
-        heapq.heappush(self.queue, (at, next(self.serial), lambda: self.tick_if(sim, number)))
+        """Schedule a member's next tick; it replaces the one that was scheduled before."""
+        sim.tick_number += 1
+        due_at = max(sim.running_view.next_tick_at(), self.now, sim.stalled_until)
+        step: Callable[[], None] = partial(self.tick_if, sim, sim.tick_number)
+        heapq.heappush(self.queue, (min(due_at, MAX_TICK_AT_SECONDS), next(self.serial), step))
 
     def tick_if(self, sim: Sim, number: int) -> None:
-        if sim.view is not None and sim.due == number and self.now >= sim.stalled_until:
+        """Tick a member unless this tick was replaced, or its process ended or stalls."""
+        if sim.view is not None and sim.tick_number == number and self.now >= sim.stalled_until:
             self.tick(sim)
 
     def tick(self, sim: Sim) -> None:
-        self.carry(sim, sim.view.tick(self.now))
-        self.watch(self, sim)
+        """Let a member do what is due, check it, and schedule its next tick."""
+        self.send(sim, sim.running_view.tick(self.now))
+        self.check_step(self, sim)
         self.schedule(sim)
 
-    # -- links --------------------------------------------------------------------------------------------
+    # -- links ------------------------------------------------------------------------------------
 
-    def carry(self, sim: Sim, sends: list[OutgoingDatagram]) -> None:
-        for send in sends:
-            data = encode(send.datagram)
+    def send(self, sim: Sim, datagrams: list[OutgoingDatagram]) -> None:
+        """Put a member's datagrams on the links; BrokenError if one is too long."""
+        for outgoing in datagrams:
+            data = encode(outgoing.datagram)
             if len(data) > MAX_DATAGRAM_BYTES:
                 raise BrokenError(
                     f"{self.now:.3f} s: a datagram of {len(data)} bytes from {sim.name}"
                 )
             self.sent += 1
             self.bytes += len(data)
-            to = self.at.get(send.address)
-            if to is None or (sim.name, to.name) in self.links.cuts:
+            receiver = self.at.get(outgoing.address)
+            if receiver is None or (sim.name, receiver.name) in self.links.cuts:
                 continue
             for delay in self.links.fate(self.draw):
-                self.call(delay, lambda d=data, to=send.address: self.arrive(d, to))
+                self.call(delay, partial(self.receive, data, outgoing.address))
 
-    def arrive(self, data: bytes, address: str) -> None:
+    def receive(self, data: bytes, address: str) -> None:
+        """Hand a datagram to the member at this address; queue it while that stalls."""
         sim = self.at.get(address)
         if sim is None or sim.view is None:
             return
         if self.now < sim.stalled_until:
-            if len(sim.held) < 256:
-                sim.held.append((data, address))
+            if len(sim.socket_queue) < SOCKET_QUEUE_DATAGRAMS:
+                sim.socket_queue.append((data, address))
             return
-        before = sim.view.next_tick_at()
-        self.carry(sim, sim.view.handle(self.now, decode(data, CLUSTER)))
-        self.watch(self, sim)
-        if sim.view.next_tick_at() < before:
+        tick_at_before = sim.view.next_tick_at()
+        self.send(sim, sim.view.handle(self.now, decode(data, CLUSTER)))
+        self.check_step(self, sim)
+        if sim.view.next_tick_at() < tick_at_before:
             self.schedule(sim)
 
-    # -- what is asked of it --------------------------------------------------------------------------------
+    # -- queries ----------------------------------------------------------------------------------
 
     def agreed(self) -> bool:
-        """All running members hold the same, and hold each other alive and nobody else."""
-        views = [sim.view for sim in self.running()]
+        """Return whether all running members hold one list: each other alive, and nobody else."""
+        views = [sim.running_view for sim in self.running()]
         if len({view.digest for view in views}) != 1:
             return False
-        alive = {sim.name for sim in self.running()}
-        return all(
-            {n for n, x in view.members.by_name.items() if x.record.state is MemberState.ALIVE}
-            == alive
-            for view in views[:1]
-        )
+        running = {sim.name for sim in self.running()}
+        alive = {
+            name
+            for name, member in views[0].members.by_name.items()
+            if member.record.state is MemberState.ALIVE
+        }
+        return alive == running
 
     def known(self, name: str, states: tuple[MemberState, ...]) -> bool:
-        """Whether all running others hold this member in one of these states."""
-        return all(
-            sim.name == name
-            or (x := sim.view.members.by_name.get(name)) is not None
-            and x.record.state in states
-            for sim in self.running()
-        )
+        """Return whether all other running members hold this one in one of these states."""
+        for sim in self.running():
+            if sim.name == name:
+                continue
+            member = sim.running_view.members.by_name.get(name)
+            if member is None or member.record.state not in states:
+                return False
+        return True
 
 
 def check(world: World, sim: Sim) -> None:
-    """After each step of a member: nobody ended comes back on the same claim, nobody who lives and is
-    connected to it is held dead for long, and all is bounded."""
-    view = sim.view
-    check_held_dead(world, sim)
-    most = world.times.max_members
-    if len(view.members.by_name) > most or len(view.outbox.broadcasts.queued) > 3 * most:
+    """Check the invariants after a step of a member; BrokenError if one does not hold.
+
+    No ended member comes back on the same claim, no running and reachable member is believed dead
+    for long, and all state is bounded.
+    """
+    view = sim.running_view
+    check_false_deaths(world, sim)
+    max_members = world.times.max_members
+    max_broadcasts = MAX_BROADCASTS_PER_MEMBER * max_members
+    if (
+        len(view.members.by_name) > max_members
+        or len(view.outbox.broadcasts.queued) > max_broadcasts
+    ):
         raise BrokenError(f"{world.now:.3f} s: {sim.name} holds more than its bound")
     events = view.members.events
-    if events.last_number > sim.seen:
-        fresh = min(events.last_number - sim.seen, len(events.recent))
-        sim.seen = events.last_number
-        for change in list(events.recent)[-fresh:]:
-            member = view.members.by_name.get(change.name)
-            if member is None:
-                continue
-            key, row = (f"{sim.name}@{sim.started}", change.name), member.record
-            ended = world.best.get(key)
-            if row.state in PRESENT:
-                if ended is not None and row.precedence[:3] <= ended:
-                    raise BrokenError(
-                        f"{world.now:.3f} s: {sim.name} has {row.name} back on an old claim"
-                    )
-            elif ended is None or row.precedence[:3] > ended:
-                world.best[key] = row.precedence[:3]
-                if row.state is MemberState.DEAD:
-                    lives = (
-                        world.sims[row.name].view is not None if row.name in world.sims else False
-                    )
-                    world.deaths.append((world.now, sim.name, row.name, lives))
-
-
-def check_held_dead(world: World, sim: Sim) -> None:
-    if world.now < sim.looked + LOOK:
+    if events.last_number > sim.checked_event:
+        unchecked = min(events.last_number - sim.checked_event, len(events.recent))
+        sim.checked_event = events.last_number
+        for event in list(events.recent)[-unchecked:]:
+            member = view.members.by_name.get(event.name)
+            if member is not None:
+                check_claim(world, sim, member.record)
+
+
+def check_claim(world: World, sim: Sim, record: MemberRecord) -> None:
+    """Check a changed record against the claims that its observer saw end; note a new end."""
+    key = (f"{sim.name}@{sim.started}", record.name)
+    claim = record.precedence[:3]  # without the state
+    ended = world.ended_claims.get(key)
+    if record.state in PRESENT:
+        if ended is not None and claim <= ended:
+            raise BrokenError(
+                f"{world.now:.3f} s: {sim.name} has {record.name} back on an old claim"
+            )
+    elif ended is None or claim > ended:
+        world.ended_claims[key] = claim
+        if record.state is MemberState.DEAD:
+            is_running = record.name in world.sims and world.up(record.name)
+            world.deaths.append((world.now, sim.name, record.name, is_running))
+
+
+def check_false_deaths(world: World, sim: Sim) -> None:
+    """Check that a member believes no running and reachable one dead for too long."""
+    if world.now < sim.false_deaths_checked_at + FALSE_DEATH_CHECK_SECONDS:
         return
-    sim.looked, held = world.now, {}
-    for name in sim.view.members.by_name.keys() - sim.view.members.present:
-        other, cuts = world.sims.get(name), world.links.cuts
+    sim.false_deaths_checked_at = world.now
+    max_seconds = MAX_FALSE_DEATH_PERIODS * world.times.probe_interval_seconds
+    members = sim.running_view.members
+    false_deaths = {}
+    for name in members.by_name.keys() - members.present:
+        other = world.sims.get(name)
         if (
             other is None
             or other.view is None
             or other.stalled_until > world.now
-            or sim.view.members.by_name[name].record.state is not MemberState.DEAD
-            or {(sim.name, name), (name, sim.name)} & cuts
+            or members.by_name[name].record.state is not MemberState.DEAD
+            or {(sim.name, name), (name, sim.name)} & world.links.cuts
         ):
             continue
-        since = held[name, other.started] = sim.dead.get((name, other.started), world.now)
-        if world.now - since > HELD_DEAD * world.times.probe_interval_seconds:
+        key = (name, other.started)
+        since = false_deaths[key] = sim.false_deaths.get(key, world.now)
+        if world.now - since > max_seconds:
             raise BrokenError(
                 f"{world.now:.3f} s: {sim.name} has held {name} dead since {since:.3f} s"
             )
-    sim.dead = held
+    sim.false_deaths = false_deaths
