Make the simulated leases readable, a module each for processes and for the workload

One module held clocks, resource, tasks and cluster, with plain words for names, packed assignments and lambdas that strict mypy can't type. Processes are now in lease_process, the guarded resource and its tasks in lease_workload; limits are named constants.

--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -21,8 +21,9 @@
 from stepstream.lab.lease_member import MANY
 from stepstream.lab.lease_rig import TROUBLES, LeaseRig, trouble
 from stepstream.lab.lease_search import Bounds, Search, TwoHoldersError
-from stepstream.lab.lease_world import LeaseWorld, Resource, Task, drawn
-from stepstream.lab.lease_world import TwoHoldersError as BrokenError
+from stepstream.lab.lease_workload import Resource, Task
+from stepstream.lab.lease_workload import TwoHoldersError as BrokenError
+from stepstream.lab.lease_world import LeaseWorld, drawn
 from stepstream.leases.configuration import LeaseConfiguration
 
 SMALL = (
--- a/stepstream/lab/lease_world.py
+++ b/stepstream/lab/lease_world.py
@@ -1,381 +1,372 @@
-"""Leases in simulated time: the real cores, clocks that run at different rates, a guarded resource.
+"""Simulate leases without sockets or threads: members, their clocks and links, a guarded resource.
 
-One seed replays everything. After every step: at no instant do two processes hold one lease, each by its own
-clock, also one that stands still; what the resource took whole never overlaps, and its tokens never fall.
+Every member runs the program's own `Participant`. One seed replays a whole run. After every step
+no two processes may hold one lease, each by its own clock, also one that is stalled; operations
+that the resource admitted never overlap, and its tokens never fall.
+
+A `LeaseWorld` owns all state of its run. Only the thread that runs its timeline may touch it.
 """
 
 import heapq
 import random
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterator
+from functools import partial
 from math import inf
 
 from stepstream.lab.fleet_faults import Play, Schedule
+from stepstream.lab.lease_process import Process
+from stepstream.lab.lease_workload import (
+    CLOCK_TOLERANCE_SECONDS,
+    Act,
+    Grant,
+    Resource,
+    Task,
+    TwoHoldersError,
+)
 from stepstream.lab.links import Links
 from stepstream.lab.timeline import Timeline
-from stepstream.leases import messages as m
 from stepstream.leases.configuration import LeaseConfiguration
-from stepstream.leases.fencing import FencedError, FencingGuard
+from stepstream.leases.fencing import FencedError
+from stepstream.leases.messages import decode, encode
 from stepstream.leases.participant import OutgoingEnvelope, Participant
 from stepstream.leases.proposer import Proposer
 
-HAIR = 1e-9  # seconds by which two clocks' sums may differ
-
-
-class TwoHoldersError(Exception):
-    """An invariant does not hold; the text says which, when and for whom."""
-
-
-@dataclass(eq=False)
-class Process:
-    """One member's. `rate`: how fast its monotonic clock runs; `ahead`: of its time of day, seconds."""
-
-    name: str
-    rate: float = 1.0
-    ahead: float = 0.0
-    origin: float = 0.0
-    core: Participant | None = None  # None: not running
-    starts: int = 0
-    stalled_until: float = 0.0
-    due: int = 0
-    held: list[tuple[str, bytes]] = field(default_factory=list)
-    steps: list[Callable[[], None]] = field(
-        default_factory=list
-    )  # its tasks' that wait out a stall
-
-    def local(self, now: float) -> float:
-        return (now - self.origin) * self.rate
-
-    def real(self, local: float) -> float:
-        return self.origin + local / self.rate
-
-
-@dataclass
-class Act:
-    token: int
-    proposer: str
-    begun: float
-    ended: float = inf
-    taken: bool = False
-
-
-@dataclass
-class Resource:
-    """Guarded; an act begins and ends, and counts only if neither was fenced off."""
-
-    guard: FencingGuard = field(default_factory=FencingGuard)
-    acts: list[Act] = field(default_factory=list)
-
-    def begin(self, now: float, token: int, proposer: str) -> Act:
-        self.guard.admit(token)
-        if self.acts and token < self.acts[-1].token:
-            raise TwoHoldersError(
-                f"{now:.3f} s: an act with token {token} after {self.acts[-1].token}"
-            )
-        act = Act(token, proposer, now)
-        self.acts.append(act)
-        return act
-
-    def end(self, now: float, act: Act) -> None:
-        self.guard.admit(act.token)
-        act.ended, act.taken = now, True
-        for other in self.acts:
-            if other.taken and other.proposer != act.proposer and other.ended > act.begun + HAIR:
-                if other.begun < act.ended - HAIR:
-                    raise TwoHoldersError(
-                        f"{now:.3f} s: acts of {other.proposer} and {act.proposer} overlap"
-                    )
-
-
-@dataclass(frozen=True)
-class Task:
-    """Wants a lease again and again: acts while it has it, for `hold`, then thinks. Seconds."""
-
-    lease: str
-    ttl: float = 4.0
-    act: float = 0.8
-    hold: float = 3.0
-    think: float = 1.0
-
-
-@dataclass
-class Grant:
-    """A time for which somebody held it, for the figures."""
-
-    lease: str
-    proposer: str
-    token: int
-    since: float
+STALL_FOREVER_SECONDS = 1e9
+MAX_TICK_AT_SECONDS = 1e12  # bounds a tick that is never due, which the core gives as infinity
+TICK_MARGIN_SECONDS = 1e-6  # past a tick's time, so that rounding never makes it too early
+SOCKET_QUEUE_ENVELOPES = 256  # what the socket of a stalled process holds; the rest is lost
+FIRST_START_SECONDS = 1_000  # time of day at the start of a run
+MAX_TASK_START_SECONDS = 0.5
+OPERATION_PAUSE_SECONDS = 0.01  # between two operations of one task
+HOLDER_POLL_SECONDS = (0.02, 0.1)  # between two looks of a task that may not operate
+START_SECONDS = 3.0  # how long `drawn` runs a new cluster
+SHAPES = ((3, 5), (5, 7), (3, 10), (5, 10))  # acceptors, members
 
 
 class LeaseWorld(Timeline):
-    """`names`: all members; the voters are the rules'. Drift is drawn within the rules' bound."""
+    """Simulate members that want leases; the acceptors are those of the configuration.
+
+    The rate of each clock is drawn within the configuration's bound on clock drift.
+    """
 
     def __init__(
         self, seed: int, names: list[str], rules: LeaseConfiguration, links: Links | None = None
     ) -> None:
         super().__init__()
         self.draw = random.Random(seed)
-        self.rules, self.links = rules, links or Links()
+        self.rules = rules
+        self.links = links or Links()
         self.processes = {name: Process(name) for name in names}
         for process in self.processes.values():
             process.rate = 1.0 + self.draw.choice((-1, -1, 0, 1, 1)) * rules.max_clock_drift
-        self.resources: dict[str, Resource] = {}
+        self.resources: dict[str, Resource] = {}  # by lease
         self.grants: list[Grant] = []
-        self.given: dict[str, str] = {}  # by lease, who was seen to hold it last
+        self.last_holder: dict[str, str] = {}  # by lease, the proposer last seen to hold it
         self.tasks: dict[str, list[Task]] = {name: [] for name in names}
-        self.sent = self.bodies = 0
-        self.fenced = 0  # effects that the guard refused
+        self.sent = 0  # envelopes
+        self.bodies = 0  # messages in them
+        self.fenced = 0  # operations that the guard rejected
 
-    # -- processes (a schedule's hand: fleet_faults.Fleet) ---------------------------------------------------
+    # -- processes, and what a fault schedule acts on (fleet_faults.Fleet) ------------------------
 
     @property
     def names(self) -> tuple[str, ...]:
+        """Return the names of all members, running or not."""
         return tuple(self.processes)
 
     def up(self, name: str) -> bool:
+        """Return whether a member's process runs."""
         return self.processes[name].core is not None
 
     def start(self, name: str) -> None:
+        """Start a member's process and its tasks; its first ballot follows its time of day."""
         process = self.processes[name]
         process.starts += 1
-        process.origin, process.stalled_until, process.held, process.steps = self.now, 0.0, [], []
-        base = max(int((1_000 + self.now + process.ahead) * 1000), 0)
-        draw = random.Random(self.draw.random())
-        process.core = Participant(name, f"{name}@{process.starts}", self.rules, base, draw, 0.0)
+        process.origin = self.now
+        process.stalled_until = 0.0
+        process.socket_queue = []
+        process.stalled_steps = []
+        first_ballot = max(int((FIRST_START_SECONDS + self.now + process.ahead) * 1000), 0)
+        rng = random.Random(self.draw.random())
+        process.core = Participant(
+            name, f"{name}@{process.starts}", self.rules, first_ballot, rng, 0.0
+        )
         self.schedule(process)
         for task in self.tasks[name]:
-            self.step(
-                process, self.draw.uniform(0.0, 0.5), lambda task=task: self.work(process, task)
-            )
+            pause = self.draw.uniform(0.0, MAX_TASK_START_SECONDS)
+            self.call_task(process, pause, partial(self.work, process, task))
 
     def start_all(self) -> None:
+        """Start every member, in the order of their names as given."""
         for name in self.processes:
             self.start(name)
 
     def kill(self, name: str) -> None:
+        """End a member's process as SIGKILL does."""
         process = self.processes[name]
-        process.core, process.due = None, process.due + 1
+        process.core = None
+        process.tick_number += 1
 
     def leave(self, name: str) -> None:
-        """SIGTERM: all is released, the acts in hand having ended."""
+        """End a member's process as SIGTERM does: it releases all leases, its operations ended."""
         process = self.processes[name]
-        for claim in list(process.core.proposers.values()):
-            self.carry(process, process.core.release(process.local(self.now), claim))
+        core = process.running_core
+        for proposer in list(core.proposers.values()):
+            self.send(process, core.release(process.local(self.now), proposer))
         self.kill(name)
 
-    def stall(self, name: str, seconds: float = 1e9) -> None:
+    def stall(self, name: str, seconds: float = STALL_FOREVER_SECONDS) -> None:
+        """Stop a process as SIGSTOP does, and continue it after that time unless it is forever."""
         process = self.processes[name]
         process.stalled_until = self.now + seconds
-        if seconds < 1e9:
-            self.call(seconds, lambda: self.wake(process))
+        if seconds < STALL_FOREVER_SECONDS:
+            self.call(seconds, partial(self.wake, process))
 
     def go_on(self, name: str) -> None:
+        """Continue a member's process, as SIGCONT does, if it is stalled."""
         process = self.processes[name]
         if process.stalled_until > self.now:
             process.stalled_until = self.now
             self.wake(process)
 
     def wake(self, process: Process) -> None:
+        """Continue a stalled process: its timers, tasks and received envelopes in a drawn order."""
         if process.core is None or self.now < process.stalled_until:
             return
-        # Whatever order the machine lets it go on in: its tasks, its timers, what waited in its socket.
-        todo = [lambda: self.tick(process)]
-        todo += [lambda x=x: self.arrive(*x, process.name) for x in process.held]
-        todo += process.steps
-        process.held, process.steps = [], []
-        self.draw.shuffle(todo)
-        for step in todo:
-            if process.core is not None:
+        # The operating system may run them in any order.
+        steps: list[Callable[[], None]] = [partial(self.tick, process)]
+        steps += [
+            partial(self.receive, sender, data, process.name)
+            for sender, data in process.socket_queue
+        ]
+        steps += process.stalled_steps
+        process.socket_queue = []
+        process.stalled_steps = []
+        self.draw.shuffle(steps)
+        for step in steps:
+            if self.up(process.name):
                 step()
-        if process.core is not None:
+        if self.up(process.name):
             self.schedule(process)
 
     def link(self, pairs: set[tuple[str, str]], loss: float) -> None:
-        self.links.cuts, self.links.loss = pairs, loss
+        """Set which ordered pairs are cut, and the probability of loss, from now on."""
+        self.links.cuts = pairs
+        self.links.loss = loss
 
-    # -- time and links -------------------------------------------------------------------------------------
+    def play(self, schedule: Schedule, within: float) -> float:
+        """Play a fault schedule from now on, then end all faults.
+
+        Return the seconds from there until every wanted lease is held; TwoHoldersError if that
+        takes longer than `within` seconds or if an invariant broke.
+        """
+        started = self.now
+        play = Play(self, schedule)
+        for at, _, what, fault in play.steps:
+            self.run(max(started + at - self.now, 0.0))
+            play.do(what, fault)
+            self.check()
+        play.end()
+        faults_ended = self.now
+        wanted = {task.lease for tasks in self.tasks.values() for task in tasks}
+        if not self.run(within, lambda: all(self.holders(lease) for lease in wanted)):
+            raise TwoHoldersError(
+                f"not all of {sorted(wanted)} are held {within} s after the last fault"
+            )
+        return self.now - faults_ended
+
+    # -- time and links ---------------------------------------------------------------------------
 
     def schedule(self, process: Process) -> None:
-        process.due += 1
-        number = process.due
-        at = min(
-            max(process.real(process.core.next_tick_at()), self.now, process.stalled_until), 1e12
-        )
-        heapq.heappush(
-            self.queue, (at + 1e-6, next(self.serial), lambda: self.tick_if(process, number))
+        """Schedule a process's next tick; it replaces the one that was scheduled before."""
+        process.tick_number += 1
+        due_at = max(
+            process.real(process.running_core.next_tick_at()), self.now, process.stalled_until
         )
+        at = min(due_at, MAX_TICK_AT_SECONDS) + TICK_MARGIN_SECONDS
+        step: Callable[[], None] = partial(self.tick_if, process, process.tick_number)
+        heapq.heappush(self.queue, (at, next(self.serial), step))
 
     def tick_if(self, process: Process, number: int) -> None:
-        if process.core is not None and process.due == number and self.now >= process.stalled_until:
+        """Tick a process unless this tick was replaced, or the process ended or stalls."""
+        is_current = process.tick_number == number
+        if process.core is not None and is_current and self.now >= process.stalled_until:
             self.tick(process)
 
     def tick(self, process: Process) -> None:
-        self.carry(process, process.core.tick(process.local(self.now)))
+        """Let a process do what is due, check the leases, and schedule its next tick."""
+        self.send(process, process.running_core.tick(process.local(self.now)))
         self.check()
         self.schedule(process)
 
-    def carry(self, process: Process, sends: list[OutgoingEnvelope]) -> None:
-        for send in sends:
-            data = m.encode(send.envelope)
+    def send(self, process: Process, envelopes: list[OutgoingEnvelope]) -> None:
+        """Put a process's envelopes on the links."""
+        for outgoing in envelopes:
+            data = encode(outgoing.envelope)
+            receiver = outgoing.member
             self.sent += 1
-            self.bodies += len(send.envelope.messages)
-            if (process.name, send.member) in self.links.cuts or send.member not in self.processes:
+            self.bodies += len(outgoing.envelope.messages)
+            if (process.name, receiver) in self.links.cuts or receiver not in self.processes:
                 continue
             for delay in self.links.fate(self.draw):
-                self.call(delay, lambda d=data, to=send.member: self.arrive(process.name, d, to))
+                self.call(delay, partial(self.receive, process.name, data, receiver))
 
-    def arrive(self, sender: str, data: bytes, name: str) -> None:
+    def receive(self, sender: str, data: bytes, name: str) -> None:
+        """Hand an envelope to a member; queue it while that stalls."""
         process = self.processes[name]
         if process.core is None:
             return
         if self.now < process.stalled_until:
-            if len(process.held) < 256:
-                process.held.append((sender, data))
+            if len(process.socket_queue) < SOCKET_QUEUE_ENVELOPES:
+                process.socket_queue.append((sender, data))
             return
-        self.carry(process, process.core.handle(process.local(self.now), sender, m.decode(data)))
+        envelope = decode(data)
+        self.send(process, process.core.handle(process.local(self.now), sender, envelope))
         self.check()
         self.schedule(process)
 
-    # -- tasks ----------------------------------------------------------------------------------------------
+    # -- tasks ------------------------------------------------------------------------------------
+
+    def call_task(self, process: Process, after: float, step: Callable[[], None]) -> None:
+        """Run a step of a task after that many seconds, if the process was not restarted.
 
-    def step(self, process: Process, after: float, step: Callable[[], None]) -> None:
-        """One of a task's, by the same start of the process; it waits out a stall."""
+        A step that comes due during a stall waits for its end.
+        """
         start = process.starts
 
-        def go() -> None:
+        def run_step() -> None:
             if process.core is None or process.starts != start:
                 return
             if self.now < process.stalled_until:
-                process.steps.append(go)
+                process.stalled_steps.append(run_step)
             else:
                 step()
                 self.check()
                 self.schedule(process)
 
-        self.call(after, go)
+        self.call(after, run_step)
 
     def work(self, process: Process, task: Task) -> None:
+        """Let a task begin to acquire its lease."""
         now = process.local(self.now)
-        claim, sends = process.core.acquire(now, task.lease, task.ttl, task.act)
-        self.carry(process, sends)
-        self.turn(process, claim, task, inf)
+        proposer, envelopes = process.running_core.acquire(now, task.lease, task.ttl, task.act)
+        self.send(process, envelopes)
+        self.continue_task(process, proposer, task, inf)
+
+    def continue_task(self, process: Process, proposer: Proposer, task: Task, since: float) -> None:
+        """Let a task look at its lease and operate if it may, the check right before the operation.
 
-    def turn(self, process: Process, claim: Proposer, task: Task, since: float) -> None:
-        """Looks at its lease and acts if it may: the check comes right before the act. `since`: it acts."""
+        `since`: local time of its first operation under this lease, infinity before that.
+        """
         now = process.local(self.now)
-        if claim.is_over:
+        if proposer.is_over:
             pause = self.draw.uniform(0.5, 1.5) * task.think
-            self.step(process, pause, lambda: self.work(process, task))
+            self.call_task(process, pause, partial(self.work, process, task))
         elif now - since > task.hold:
-            self.let_go(process, claim, task)
-        elif claim.may_begin_operation(now):
-            # Between the check and the write anything may happen to the process.
+            self.release(process, proposer, task)
+        elif proposer.may_begin_operation(now):
+            # Anything may happen to the process between the check and the write.
             length = self.draw.uniform(0.2, 1.0) * task.act / (1 + self.rules.max_clock_drift)
-            then = (process, claim, task, min(since, now))
-            self.step(process, length * 0.3, lambda: self.begin(*then, length * 0.7))
+            begin = partial(
+                self.begin_operation, process, proposer, task, min(since, now), length * 0.7
+            )
+            self.call_task(process, length * 0.3, begin)
         else:
-            pause = self.draw.uniform(0.02, 0.1)
-            self.step(process, pause, lambda: self.turn(process, claim, task, since))
+            pause = self.draw.uniform(*HOLDER_POLL_SECONDS)
+            look_again = partial(self.continue_task, process, proposer, task, since)
+            self.call_task(process, pause, look_again)
 
-    def begin(
-        self, process: Process, claim: Proposer, task: Task, since: float, length: float
+    def begin_operation(
+        self, process: Process, proposer: Proposer, task: Task, since: float, seconds: float
     ) -> None:
-        resource = self.resources.setdefault(claim.lease, Resource())
+        """Begin an operation on the resource that takes so many seconds."""
+        resource = self.resources.setdefault(proposer.lease, Resource())
         try:
-            act = resource.begin(self.now, claim.token, claim.proposer_id)
+            act = resource.begin(self.now, proposer.token, proposer.proposer_id)
         except FencedError as error:
-            self.behind(process, claim, task, error)
+            self.on_fenced(process, proposer, task, error)
             return
-        self.step(process, length, lambda: self.end(process, claim, task, since, act))
+        end = partial(self.end_operation, process, proposer, task, since, act)
+        self.call_task(process, seconds, end)
 
-    def end(self, process: Process, claim: Proposer, task: Task, since: float, act: Act) -> None:
+    def end_operation(
+        self, process: Process, proposer: Proposer, task: Task, since: float, act: Act
+    ) -> None:
+        """End an operation on the resource."""
         try:
-            self.resources[claim.lease].end(self.now, act)
+            self.resources[proposer.lease].end(self.now, act)
         except FencedError as error:
-            self.behind(process, claim, task, error)
+            self.on_fenced(process, proposer, task, error)
             return
-        self.step(process, 0.01, lambda: self.turn(process, claim, task, since))
+        next_step = partial(self.continue_task, process, proposer, task, since)
+        self.call_task(process, OPERATION_PAUSE_SECONDS, next_step)
 
-    def behind(self, process: Process, claim: Proposer, task: Task, error: FencedError) -> None:
-        """The resource has seen a higher token: this grant is of no use."""
+    def on_fenced(
+        self, process: Process, proposer: Proposer, task: Task, error: FencedError
+    ) -> None:
+        """Give up a lease whose token is behind one that the resource has seen."""
         self.fenced += 1
         if error.highest_token == error.token:
             raise TwoHoldersError(
-                f"{self.now:.3f} s: {claim.proposer_id} was refused by its own token"
+                f"{self.now:.3f} s: {proposer.proposer_id} was refused by its own token"
             )
-        process.core.advance_ballots_past(error.highest_token)
-        self.let_go(process, claim, task)
+        process.running_core.advance_ballots_past(error.highest_token)
+        self.release(process, proposer, task)
 
-    def let_go(self, process: Process, claim: Proposer, task: Task) -> None:
-        self.carry(process, process.core.release(process.local(self.now), claim))
-        self.turn(process, claim, task, inf)
+    def release(self, process: Process, proposer: Proposer, task: Task) -> None:
+        """Let a task release its lease."""
+        now = process.local(self.now)
+        self.send(process, process.running_core.release(now, proposer))
+        self.continue_task(process, proposer, task, inf)
 
-    def play(self, schedule: Schedule, within: float) -> float:
-        """The whole schedule from now on, then all whole: seconds until every lease is held.
-        TwoHoldersError if an invariant broke, or if that took longer than `within`.
-        """
-        begun, play = self.now, Play(self, schedule)
-        for at, _, what, fault in play.steps:
-            self.run(max(begun + at - self.now, 0.0))
-            play.do(what, fault)
-            self.check()
-        play.end()
-        whole = self.now
-        wanted = {task.lease for tasks in self.tasks.values() for task in tasks}
-        if not self.run(within, lambda: all(self.holders(lease) for lease in wanted)):
-            raise TwoHoldersError(
-                f"not all of {sorted(wanted)} are held {within} s after the last fault"
-            )
-        return self.now - whole
+    # -- invariants -------------------------------------------------------------------------------
 
-    # -- what must hold -------------------------------------------------------------------------------------
+    def proposers(self) -> Iterator[tuple[Process, Proposer]]:
+        """Yield the proposers of all running processes."""
+        for process in self.processes.values():
+            if process.core is not None:
+                for proposer in process.core.proposers.values():
+                    yield process, proposer
 
     def holders(self, lease: str) -> list[str]:
-        """Whoever would find that it holds the lease if it looked at its clock now."""
+        """Return the proposers that would find now, by their own clocks, that they hold it."""
+        expired_at = self.now + CLOCK_TOLERANCE_SECONDS
         return [
-            claim.proposer_id
-            for process in self.processes.values()
-            if process.core is not None
-            for claim in process.core.proposers.values()
-            if claim.lease == lease
-            and claim.token
-            and not claim.is_over
-            and process.real(claim.expires_at) > self.now + HAIR
+            proposer.proposer_id
+            for process, proposer in self.proposers()
+            if proposer.lease == lease
+            and proposer.token
+            and not proposer.is_over
+            and process.real(proposer.expires_at) > expired_at
         ]
 
     def check(self) -> None:
-        for lease in {
-            x.lease
-            for p in self.processes.values()
-            if p.core is not None
-            for x in p.core.proposers.values()
-        }:
-            found = self.holders(lease)
-            if len(found) > 1:
-                raise TwoHoldersError(f"{self.now:.3f} s: {lease} is held by {' and '.join(found)}")
-            if found and self.given.get(lease) != found[0]:
-                self.given[lease] = found[0]
-                claim = next(
-                    p.core.proposers[found[0]]
-                    for p in self.processes.values()
-                    if p.core is not None and found[0] in p.core.proposers
+        """Check that every lease has one holder at most, and record a new one; TwoHoldersError."""
+        for lease in {proposer.lease for _, proposer in self.proposers()}:
+            holders = self.holders(lease)
+            if len(holders) > 1:
+                raise TwoHoldersError(
+                    f"{self.now:.3f} s: {lease} is held by {' and '.join(holders)}"
                 )
-                self.grants.append(Grant(lease, found[0], claim.token, self.now))
-
-
-SHAPES = ((3, 5), (5, 7), (3, 10), (5, 10))  # voters, members
+            if holders and self.last_holder.get(lease) != holders[0]:
+                self.last_holder[lease] = holders[0]
+                token = next(
+                    proposer.token
+                    for _, proposer in self.proposers()
+                    if proposer.proposer_id == holders[0]
+                )
+                self.grants.append(Grant(lease, holders[0], token, self.now))
 
 
 def drawn(seed: int, drift: float = 0.01) -> LeaseWorld:
-    """A world with one lease that every member wants, its clocks, links and voters drawn by the seed."""
-    voters, members = SHAPES[seed % len(SHAPES)]
-    names = [f"n{k}" for k in range(members)]
-    world = LeaseWorld(
-        seed,
-        names,
-        LeaseConfiguration(tuple(names[:voters]), max_ttl_seconds=6.0, max_clock_drift=drift),
-    )
+    """Return a started cluster with one lease that every member wants.
+
+    The seed draws its clocks, links and acceptors; `drift` is the bound on the clocks' rates.
+    """
+    acceptors, members = SHAPES[seed % len(SHAPES)]
+    names = [f"n{number}" for number in range(members)]
+    rules = LeaseConfiguration(tuple(names[:acceptors]), max_ttl_seconds=6.0, max_clock_drift=drift)
+    world = LeaseWorld(seed, names, rules)
     pick = world.draw.choice
     world.links = Links(
         doubled=0.05,
@@ -385,9 +376,8 @@
     )
     for name, process in world.processes.items():
         world.tasks[name] = [Task("x", hold=pick((3.0, 3.0, 1e6)))]
-        process.ahead = pick(
-            (0.0, 0.0, -500.0, 300.0)
-        )  # from its second start on its time of day may be back
+        # Members disagree on the time of day, from which their first ballots follow.
+        process.ahead = pick((0.0, 0.0, -500.0, 300.0))
     world.start_all()
-    world.run(3.0)
+    world.run(START_SECONDS)
     return world
--- a/tests/leases/test_lease_cluster.py
+++ b/tests/leases/test_lease_cluster.py
@@ -3,7 +3,8 @@
 import pytest
 from lease_helpers import ACCEPTORS, CONFIGURATION, no_drift_margin, recovered_world
 
-from stepstream.lab.lease_world import LeaseWorld, Task, TwoHoldersError
+from stepstream.lab.lease_workload import Task, TwoHoldersError
+from stepstream.lab.lease_world import LeaseWorld
 from stepstream.leases.configuration import LeaseConfiguration
 
 FOREVER = 1e6  # seconds
