Make the search over orders of lease events readable, its states in a module of their own

Themed names, one-letter indexes and packed assignments are replaced by PaxosLease's terms; requests and answers are told apart by type.

--- a/stepstream/lab/lease_search.py
+++ b/stepstream/lab/lease_search.py
@@ -1,313 +1,296 @@
-"""A small configuration of leases in every order of what may happen to it: three voters, two proposers.
+"""Search every order of events of a small configuration of leases: three acceptors, two proposers.
 
-The program's own voters and claims. Every message ever sent may be delivered at any later time, again and
-again, or never: so loss, delay without bound, doubling and every order are all tried. Time moves on by steps;
-voters restart; proposers prepare (with a number as it comes, or one that skips some), propose again and
-release whenever they could, however early or late. Bounded are ballots, renewals, restarts and time. Answers
-that only move a proposer's next try (busy, stale, silent, your turn) are left out: any try is tried anyhow.
+The acceptors and proposers are the program's own. Every message ever sent may be delivered at any
+later time, any number of times, or never: that covers loss, unbounded delay, duplicates and every
+order. Time moves on by steps; acceptors restart; proposers prepare (with the next ballot number or
+one that skips a number), propose again and release whenever they could, however early or late.
+Ballots, renewals, restarts and time are bounded. Answers that only move a proposer's next attempt
+(Busy, StaleBallot, Recovering, LeaseAvailable) are left out, as every attempt is tried anyhow.
+
+A `Search` owns its situations; only the thread that runs it may touch them.
 """
 
 import random
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
-from stepstream.leases import messages as m
-from stepstream.leases.acceptor import Acceptor, LeaseRecord
+from stepstream.lab.lease_situation import (
+    ACCEPTORS,
+    LEASE,
+    Situation,
+    acceptor_state,
+    copy_acceptor,
+    copy_proposer,
+)
+from stepstream.leases.acceptor import Acceptor
 from stepstream.leases.configuration import LeaseConfiguration
-from stepstream.leases.proposer import BallotSequence, ProposalRound, Proposer
-from stepstream.leases.wait_queue import WaitQueue
+from stepstream.leases.messages import Accepted, Message, Prepare, Promise, ProposerMessage
+from stepstream.leases.proposer import BallotSequence, Proposer
+
+TTL_SECONDS = 2.0
+OPERATION_SECONDS = TTL_SECONDS / 4
+ROUND_TIMEOUT_SECONDS = TTL_SECONDS / 4
+TIME_STEP_SECONDS = 1.0
+PROPOSERS = ("a", "b")
+# Of each proposer's clock, in units of the drift. The acceptors' is 1: a holder whose clock runs
+# slow among acceptors whose clocks run fast is the dangerous case.
+CLOCK_RATES = {"a": -1, "b": 0}
+ACCEPTORS_STARTED_AT = -1e6  # so long ago that they answer at once
 
-LEASE, TTL = "x", 2.0
-VOTERS, PROPOSERS = ("v0", "v1", "v2"), ("a", "b")
-HEARD = (m.Promise, m.Accepted)
-RATES = {
-    "a": -1,
-    "b": 0,
-}  # times the drift: a holder whose clock runs slow among voters whose clocks run fast
+# The names of a path's events, as pairs of the path before and the last name: cheap to extend.
+Path = tuple["Path", str] | tuple[()]
 
 
 class TwoHoldersError(Exception):
-    """The text is the path that led there."""
+    """Report that two proposers hold the lease; the text is the path of events that led there."""
 
 
 @dataclass(frozen=True)
 class Bounds:
+    """Bound what a path may hold; `ballots` is by proposer."""
+
     ballots: tuple[int, int] = (1, 1)
     renewals: int = 1
     restarts: int = 1
     steps: int = 3  # of a second: how long a path may last
-    drift: float = 0.125
+    drift: float = 0.125  # largest error of a clock's rate
     releases: bool = True
 
 
-@dataclass
-class Situation:
-    """Whatever an act does not touch is shared with the situation before it. `boxes`: by voter, numbers of
-    the messages ever sent between it and the proposers.
-    """
-
-    now: float
-    voters: dict[str, Acceptor]
-    boxes: dict[str, frozenset[int]]
-    claims: tuple[Proposer, ...]
-    renewals: int = 0
-    restarts: int = 0
-    asked: tuple[int, ...] = (0, 0)  # ballots begun
-
-    def copy(self) -> "Situation":
-        made = Situation.__new__(Situation)
-        made.__dict__.update(self.__dict__)
-        return made
-
-    def key(self) -> int:
-        """Alike for situations that differ only in which voter is which: all start and are clocked alike."""
-        voters = sorted(hash((self.voter_key(name), self.boxes[name])) for name in VOTERS)
-        claims = tuple(claim_key(claim) for claim in self.claims)
-        return hash((self.now, tuple(voters), claims, self.renewals, self.restarts, self.asked))
-
-    def voter_key(self, name: str) -> object:
-        counted = tuple(
-            (
-                name in claim.promised_by,
-                tuple(n for n, one in claim.rounds.items() if name in one.accepted_by),
-            )
-            for claim in self.claims
-        )
-        return state_of(self.voters[name]), counted
-
-
-def state_of(voter: Acceptor) -> object:
-    record = voter.records.get(LEASE)
-    if record is None:
-        return voter.recovering_until
-    promised = (
-        (record.promised.number, record.promised.proposer) if record.promised is not None else None
-    )
-    grant = record.grant
-    kept = (
-        (grant.ballot.number, grant.ballot.proposer, grant.expires_at)
-        if grant is not None
-        else None
-    )
-    return voter.recovering_until, promised, record.promise_released, kept
-
-
-def claim_key(claim: Proposer) -> object:
-    rounds = tuple(
-        (n, one.sent_at, len(one.accepted_by)) for n, one in sorted(claim.rounds.items())
-    )
-    ballot = claim.ballot.number if claim.ballot is not None else 0
-    return (
-        ballot,
-        len(claim.promised_by),
-        rounds,
-        claim.token,
-        claim.expires_at,
-        claim.is_over,
-        claim.phase.value,
-    )
-
-
-def own_voter(voter: Acceptor) -> Acceptor:
-    made = Acceptor.__new__(Acceptor)
-    made.__dict__.update(voter.__dict__)
-    record = voter.records.get(LEASE)
-    if record is not None:
-        fresh = LeaseRecord(
-            WaitQueue(voter.configuration),
-            record.promised,
-            record.promise_released,
-            record.grant,
-            record.free_since,
-        )
-        made.records = {LEASE: fresh}
-    else:
-        made.records = {}
-    return made
-
-
-def own_claim(claim: Proposer) -> Proposer:
-    made = Proposer.__new__(Proposer)
-    made.__dict__.update(claim.__dict__)
-    made.ballots = BallotSequence(claim.ballots.highest)
-    made.promised_by, made.rejections, made.answered_at = set(claim.promised_by), {}, {}
-    made.rounds = {
-        n: ProposalRound(one.sent_at, set(one.accepted_by)) for n, one in claim.rounds.items()
-    }
-    return made
-
-
 @dataclass
 class Search:
-    """`most`: states after which it gives up, unfinished."""
+    """Search all paths within the bounds; `most`: states after which it gives up, unfinished."""
 
     bounds: Bounds
     most: int = 10_000_000
-    seen: set[int] = field(default_factory=set)
+    seen: set[int] = field(default_factory=set)  # keys of situations
     held: int = 0  # states in which somebody holds the lease
-    messages: list[tuple[int, m.Message]] = field(default_factory=list)  # proposer, what; both ways
-    numbers: dict[tuple[int, m.Message], int] = field(default_factory=dict)
+    # Every message ever sent, in both directions, with its proposer's index.
+    messages: list[tuple[int, Message]] = field(default_factory=list)
+    numbers: dict[tuple[int, Message], int] = field(default_factory=dict)  # indexes of `messages`
 
     @property
     def states(self) -> int:
+        """Return how many different states were seen."""
         return len(self.seen)
 
     def run(self) -> bool:
-        """Whether everything was tried; TwoHoldersError with the path that led there."""
-        todo: list[tuple[Situation, tuple]] = [(self.first(), ())]
-        while todo:
-            situation, path = todo.pop()
-            for name, then in self.nexts(situation):
-                if (key := then.key()) in self.seen:
+        """Search depth first; return whether everything was tried.
+
+        TwoHoldersError with the path to it if two proposers hold the lease at one instant.
+        """
+        pending: list[tuple[Situation, Path]] = [(self.first(), ())]
+        while pending:
+            situation, path = pending.pop()
+            for name, successor in self.successors(situation):
+                key = successor.key()
+                if key in self.seen:
                     continue
                 self.seen.add(key)
                 if len(self.seen) >= self.most:
                     return False
                 holders = sum(
-                    claim.is_held(self.local(then, k)) for k, claim in enumerate(then.claims)
+                    proposer.is_held(self.proposer_clock(successor, index))
+                    for index, proposer in enumerate(successor.proposers)
                 )
-                self.held += holders > 0
+                if holders > 0:
+                    self.held += 1
                 if holders > 1:
-                    raise TwoHoldersError(" / ".join(unrolled((path, name))))
-                todo.append((then, (path, name)))
+                    raise TwoHoldersError(" / ".join(event_names((path, name))))
+                pending.append((successor, (path, name)))
         return True
 
     def first(self) -> Situation:
-        rules = LeaseConfiguration(
-            VOTERS,
+        """Return the situation in which nothing was sent yet."""
+        configuration = LeaseConfiguration(
+            ACCEPTORS,
             max_clock_drift=self.bounds.drift,
-            max_ttl_seconds=TTL,
-            round_timeout_seconds=TTL / 4,
+            max_ttl_seconds=TTL_SECONDS,
+            round_timeout_seconds=ROUND_TIMEOUT_SECONDS,
             head_start_seconds=0.0,
         )
-        claims = tuple(
-            Proposer(rules, LEASE, name, TTL, TTL / 4, BallotSequence(0), random.Random(1), 0.0)
+        proposers = tuple(
+            Proposer(
+                configuration,
+                LEASE,
+                name,
+                TTL_SECONDS,
+                OPERATION_SECONDS,
+                BallotSequence(0),
+                random.Random(1),
+                0.0,
+            )
             for name in PROPOSERS
         )
-        voters = {name: Acceptor(rules, -1e6) for name in VOTERS}
-        return Situation(0.0, voters, dict.fromkeys(VOTERS, frozenset()), claims)
+        acceptors = {name: Acceptor(configuration, ACCEPTORS_STARTED_AT) for name in ACCEPTORS}
+        return Situation(0.0, acceptors, dict.fromkeys(ACCEPTORS, frozenset()), proposers)
 
-    def local(self, situation: Situation, k: int) -> float:
-        return situation.now * (1.0 + self.bounds.drift * RATES[PROPOSERS[k]])
+    def proposer_clock(self, situation: Situation, index: int) -> float:
+        """Return what a proposer's clock shows, in seconds."""
+        return situation.now * (1.0 + self.bounds.drift * CLOCK_RATES[PROPOSERS[index]])
 
-    def clock(self, situation: Situation) -> float:
-        """The voters'."""
+    def acceptor_clock(self, situation: Situation) -> float:
+        """Return what every acceptor's clock shows, in seconds."""
         return situation.now * (1.0 + self.bounds.drift)
 
-    # -- what may happen next -------------------------------------------------------------------------------
-
-    def nexts(self, situation: Situation) -> Iterator[tuple[str, Situation]]:
-        bounds = self.bounds
-        if situation.now < bounds.steps:
-            yield "time", self.later(situation)
-        for name in VOTERS:
-            for number in situation.boxes[name]:
-                k, body = self.messages[number]
-                then = (
-                    self.heard(situation, name, k, body)
-                    if isinstance(body, HEARD)
-                    else self.asked(situation, name, k, body)
-                )
-                if then is not None:
-                    yield f"{type(body).__name__} {name} {PROPOSERS[k]}", then
-            if situation.restarts < bounds.restarts:
-                then = situation.copy()
-                then.restarts += 1
-                fresh = Acceptor(situation.voters[name].configuration, self.clock(situation))
-                then.voters = {**situation.voters, name: fresh}
-                yield f"{name} restarts", then
-        for k, claim in enumerate(situation.claims):
-            if not claim.is_over:
-                yield from self.tries(situation, k, claim)
-
-    def tries(
-        self, situation: Situation, k: int, claim: Proposer
+    # -- events -----------------------------------------------------------------------------------
+
+    def successors(self, situation: Situation) -> Iterator[tuple[str, Situation]]:
+        """Yield each event that may come next, by name, and the situation after it."""
+        if situation.now < self.bounds.steps:
+            yield "time", self.after_time_step(situation)
+        for name in ACCEPTORS:
+            for number in situation.mailboxes[name]:
+                index, message = self.messages[number]
+                successor = self.after_delivery(situation, name, index, message)
+                if successor is not None:
+                    yield f"{type(message).__name__} {name} {PROPOSERS[index]}", successor
+            if situation.restarts < self.bounds.restarts:
+                yield f"{name} restarts", self.after_restart(situation, name)
+        for index, proposer in enumerate(situation.proposers):
+            if not proposer.is_over:
+                yield from self.proposer_events(situation, index, proposer)
+
+    def proposer_events(
+        self, situation: Situation, index: int, proposer: Proposer
     ) -> Iterator[tuple[str, Situation]]:
-        bounds, who = self.bounds, PROPOSERS[k]
-        if situation.asked[k] < bounds.ballots[k]:
-            for skip in (0, 1):
-                then, mine = self.touched(situation, k)
-                mine.ballots.highest += skip
-                then.asked = tuple(n + (j == k) for j, n in enumerate(situation.asked))
-                self.say(then, k, mine.begin_ballot(self.local(then, k)))
-                yield f"{who} prepares {mine.ballot.number}", then
+        """Yield what a proposer may do next of its own accord, and the situation after it."""
+        bounds = self.bounds
+        name = PROPOSERS[index]
+        if situation.ballots_begun[index] < bounds.ballots[index]:
+            for skipped_numbers in (0, 1):
+                successor, changed = self.with_own_proposer(situation, index)
+                changed.ballots.highest += skipped_numbers
+                begun = list(situation.ballots_begun)
+                begun[index] += 1
+                successor.ballots_begun = tuple(begun)
+                now = self.proposer_clock(successor, index)
+                self.send(successor, index, changed.begin_ballot(now))
+                yield f"{name} prepares {changed.current_ballot().number}", successor
         if (
-            claim.rounds
-            and claim.configuration.is_quorum(claim.promised_by)
+            proposer.rounds
+            and proposer.configuration.is_quorum(proposer.promised_by)
             and situation.renewals < bounds.renewals
         ):
-            then, mine = self.touched(situation, k)
-            then.renewals += 1
-            self.say(then, k, mine.propose(self.local(then, k)))
-            yield f"{who} proposes again", then
-        if bounds.releases and claim.token:
-            then, mine = self.touched(situation, k)
-            self.say(then, k, mine.release())
-            yield f"{who} releases", then
-
-    def touched(self, situation: Situation, k: int) -> tuple[Situation, Proposer]:
-        then, mine = situation.copy(), own_claim(situation.claims[k])
-        then.claims = tuple(mine if j == k else claim for j, claim in enumerate(situation.claims))
-        return then, mine
-
-    def later(self, situation: Situation) -> Situation:
-        then = situation.copy()
-        then.now += 1.0
-        for k in range(len(PROPOSERS)):
-            claim = then.claims[k]
-            if claim.token and not claim.is_over and self.local(then, k) >= claim.expires_at:
-                moved, mine = self.touched(then, k)
-                then = moved
-                self.say(then, k, mine.tick(self.local(then, k)))
-        then.voters = {name: own_voter(voter) for name, voter in then.voters.items()}
-        for voter in then.voters.values():
-            voter.tick(self.clock(then))
-        return then
-
-    def asked(self, situation: Situation, name: str, k: int, body: m.Message) -> Situation | None:
-        """A voter is asked; None if that changes nothing."""
-        old = situation.voters[name]
-        voter = own_voter(old)
-        told = voter.handle(self.clock(situation), PROPOSERS[k], body)
-        box = situation.boxes[name] | {self.number(k, x) for _, x in told if isinstance(x, HEARD)}
-        if box == situation.boxes[name] and state_of(voter) == state_of(old):
+            successor, changed = self.with_own_proposer(situation, index)
+            successor.renewals += 1
+            self.send(successor, index, changed.propose(self.proposer_clock(successor, index)))
+            yield f"{name} proposes again", successor
+        if bounds.releases and proposer.token:
+            successor, changed = self.with_own_proposer(situation, index)
+            self.send(successor, index, changed.release())
+            yield f"{name} releases", successor
+
+    def with_own_proposer(self, situation: Situation, index: int) -> tuple[Situation, Proposer]:
+        """Return a copy of a situation, and the one proposer in it that may be changed."""
+        successor = situation.copy()
+        changed = copy_proposer(situation.proposers[index])
+        proposers = list(situation.proposers)
+        proposers[index] = changed
+        successor.proposers = tuple(proposers)
+        return successor, changed
+
+    def after_time_step(self, situation: Situation) -> Situation:
+        """Return the situation a step of time later: leases expire on either side."""
+        successor = situation.copy()
+        successor.now += TIME_STEP_SECONDS
+        for index in range(len(PROPOSERS)):
+            proposer = successor.proposers[index]
+            now = self.proposer_clock(successor, index)
+            if proposer.token and not proposer.is_over and now >= proposer.expires_at:
+                successor, changed = self.with_own_proposer(successor, index)
+                self.send(successor, index, changed.tick(now))
+        successor.acceptors = {
+            name: copy_acceptor(acceptor) for name, acceptor in successor.acceptors.items()
+        }
+        for acceptor in successor.acceptors.values():
+            acceptor.tick(self.acceptor_clock(successor))
+        return successor
+
+    def after_restart(self, situation: Situation, name: str) -> Situation:
+        """Return the situation after an acceptor lost all state."""
+        successor = situation.copy()
+        successor.restarts += 1
+        configuration = situation.acceptors[name].configuration
+        restarted = Acceptor(configuration, self.acceptor_clock(situation))
+        successor.acceptors = {**situation.acceptors, name: restarted}
+        return successor
+
+    # -- messages ---------------------------------------------------------------------------------
+
+    def after_delivery(
+        self, situation: Situation, name: str, index: int, message: Message
+    ) -> Situation | None:
+        """Return the situation after a message between an acceptor and a proposer was delivered.
+
+        None if it changes nothing.
+        """
+        if isinstance(message, Promise | Accepted):
+            return self.after_answer(situation, name, index, message)
+        if isinstance(message, ProposerMessage):
+            return self.after_request(situation, name, index, message)
+        raise TypeError(f"{type(message).__name__} is not searched")
+
+    def after_request(
+        self, situation: Situation, name: str, index: int, message: ProposerMessage
+    ) -> Situation | None:
+        """Return the situation after an acceptor received a request; None if it changes nothing."""
+        before = situation.acceptors[name]
+        acceptor = copy_acceptor(before)
+        answers = acceptor.handle(self.acceptor_clock(situation), PROPOSERS[index], message)
+        mailbox = situation.mailboxes[name] | {
+            self.message_number(index, answer)
+            for _, answer in answers
+            if isinstance(answer, Promise | Accepted)
+        }
+        is_same_state = acceptor_state(acceptor) == acceptor_state(before)
+        if is_same_state and mailbox == situation.mailboxes[name]:
             return None
-        then = situation.copy()
-        then.voters, then.boxes = {**situation.voters, name: voter}, {**situation.boxes, name: box}
-        return then
-
-    def heard(self, situation: Situation, name: str, k: int, body: m.Message) -> Situation | None:
-        """A proposer hears an answer; None if that is no news."""
-        claim = situation.claims[k]
-        if claim.is_over or body.ballot != claim.ballot:
+        successor = situation.copy()
+        successor.acceptors = {**situation.acceptors, name: acceptor}
+        successor.mailboxes = {**situation.mailboxes, name: mailbox}
+        return successor
+
+    def after_answer(
+        self, situation: Situation, name: str, index: int, answer: Promise | Accepted
+    ) -> Situation | None:
+        """Return the situation after a proposer received an answer; None if it ignores it."""
+        proposer = situation.proposers[index]
+        if proposer.is_over or answer.ballot != proposer.ballot:
             return None
-        if isinstance(body, m.Promise) and name in claim.promised_by:
+        if isinstance(answer, Promise) and name in proposer.promised_by:
             return None
-        then, mine = self.touched(situation, k)
-        self.say(then, k, mine.handle(self.local(then, k), name, body))
-        return then
-
-    def number(self, k: int, body: m.Message) -> int:
-        if (k, body) not in self.numbers:
-            self.numbers[k, body] = len(self.messages)
-            self.messages.append((k, body))
-        return self.numbers[k, body]
-
-    def say(self, then: Situation, k: int, bodies: list[m.Message]) -> None:
-        if bodies:
-            # What matters of a prepare is its ballot: how long somebody has waited is for comfort.
-            plain = [msg_without_wait(body) for body in bodies]
-            fresh = {self.number(k, body) for body in plain}
-            then.boxes = {name: box | fresh for name, box in then.boxes.items()}
-
-
-def msg_without_wait(body: m.Message) -> m.Message:
-    return (
-        m.Prepare(body.lease, body.ballot, body.ttl_ms, 0) if isinstance(body, m.Prepare) else body
-    )
-
-
-def unrolled(path: tuple) -> list[str]:
+        successor, changed = self.with_own_proposer(situation, index)
+        now = self.proposer_clock(successor, index)
+        self.send(successor, index, changed.handle(now, name, answer))
+        return successor
+
+    def message_number(self, index: int, message: Message) -> int:
+        """Return a message's number, a new one for a message that was never sent before."""
+        key = (index, message)
+        if key not in self.numbers:
+            self.numbers[key] = len(self.messages)
+            self.messages.append(key)
+        return self.numbers[key]
+
+    def send(self, situation: Situation, index: int, messages: Sequence[ProposerMessage]) -> None:
+        """Put a proposer's messages into every acceptor's mailbox."""
+        if messages:
+            sent = {self.message_number(index, without_wait(message)) for message in messages}
+            situation.mailboxes = {
+                name: mailbox | sent for name, mailbox in situation.mailboxes.items()
+            }
+
+
+def without_wait(message: ProposerMessage) -> ProposerMessage:
+    """Return a message without the time waited: that serves fairness, and would split states."""
+    if isinstance(message, Prepare):
+        return Prepare(message.lease, message.ballot, message.ttl_ms, 0)
+    return message
+
+
+def event_names(path: Path) -> list[str]:
+    """Return the names of a path's events, first to last."""
     names: list[str] = []
     while path:
         path, name = path
