--- a/stepstream/lab/referee.py
+++ b/stepstream/lab/referee.py
@@ -19,7 +19,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from stepstream.lab.site import Ask, ClassPart, Day
+from stepstream.lab.site import Ask, Day, JobClassTable
 
 SOCKET_SLACK_US = 50_000
 """Tolerance that every time limit gets because requests travel over real sockets."""
@@ -160,7 +160,7 @@
             self.breach(now_us, f"new work after the drain: {label}, {elapsed_seconds:.3f} s")
 
     def _verify_repetition(
-        self, attempt: Attempt, request: Request, job_class: ClassPart, label: str
+        self, attempt: Attempt, request: Request, job_class: JobClassTable, label: str
     ) -> None:
         """Verify that a new attempt beside the earlier ones is allowed by the class's effect."""
         now_us = attempt.at_us
