--- a/stepstream/lab/lease_search.py
+++ b/stepstream/lab/lease_search.py
@@ -24,7 +24,14 @@
 )
 from stepstream.leases.acceptor import Acceptor
 from stepstream.leases.configuration import LeaseConfiguration
-from stepstream.leases.messages import Accepted, Message, Prepare, Promise, ProposerMessage
+from stepstream.leases.messages import (
+    PROPOSER_MESSAGES,
+    Accepted,
+    Message,
+    Prepare,
+    Promise,
+    ProposerMessage,
+)
 from stepstream.leases.proposer import BallotSequence, Proposer
 
 TTL_SECONDS = 2.0
@@ -36,6 +43,7 @@
 # slow among acceptors whose clocks run fast is the dangerous case.
 CLOCK_RATES = {"a": -1, "b": 0}
 ACCEPTORS_STARTED_AT = -1e6  # so long ago that they answer at once
+ANSWERS = (Promise, Accepted)  # those that are searched; as a tuple, quicker than a union
 
 # The names of a path's events, as pairs of the path before and the last name: cheap to extend.
 Path = tuple["Path", str] | tuple[()]
@@ -225,9 +233,9 @@
 
         None if it changes nothing.
         """
-        if isinstance(message, Promise | Accepted):
+        if isinstance(message, ANSWERS):
             return self.after_answer(situation, name, index, message)
-        if isinstance(message, ProposerMessage):
+        if isinstance(message, PROPOSER_MESSAGES):
             return self.after_request(situation, name, index, message)
         raise TypeError(f"{type(message).__name__} is not searched")
 
@@ -241,7 +249,7 @@
         mailbox = situation.mailboxes[name] | {
             self.message_number(index, answer)
             for _, answer in answers
-            if isinstance(answer, Promise | Accepted)
+            if isinstance(answer, ANSWERS)
         }
         is_same_state = acceptor_state(acceptor) == acceptor_state(before)
         if is_same_state and mailbox == situation.mailboxes[name]:
