Tell a member's status by its own start where the lab checks that none goes back

Change: the check goes by the start that the status names. Within a start no revision goes back, and no earlier start comes back: stricter than before. Two tests force both orders; both fail with the change taken out.

--- a/stepstream/lab/fleet_play.py
+++ b/stepstream/lab/fleet_play.py
@@ -83,7 +83,10 @@
     spans: list[Span] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
     claims: dict[tuple[str, str, str], tuple[int, int, str]] = field(default_factory=dict)
+    # By observing process and member: the start that the member's status is of, and its revision.
     counts: dict[tuple[str, str], tuple[int, int]] = field(default_factory=dict)
+    # Starts of members whose status an observing process has replaced by that of another start.
+    past_starts: set[tuple[str, str, int]] = field(default_factory=set)
 
     def look(self, rig: FleetRig, frozen: set[str]) -> None:
         now = time.monotonic() - self.began
@@ -112,10 +115,23 @@
                 self.broken.append(f"{now:.1f} s: {observer} has {name} back on an old claim")
         self.claims[(life, name, "")] = claim
         if "count" in row["facts"]:
-            count = row["generation"], row["facts"]["count"]
-            if count < self.counts.get((life, name), count):
-                self.broken.append(f"{now:.1f} s: {observer}: the counter of {name} went back")
-            self.counts[(life, name)] = count
+            self.check_counter(now, life, observer, row)
+
+    def check_counter(self, now: float, life: str, observer: str, row: dict) -> None:
+        """Check that a member's status never goes back to an older revision or an older start.
+
+        A status is told apart by the start that it is of and not by the record beside it: right
+        after a restart the new record may stand beside the old process's status for a moment.
+        """
+        name, facts = row["name"], row["facts"]
+        started_ms, count = facts.get("started_ms", 0), facts["count"]
+        last_start, last_count = self.counts.get((life, name), (started_ms, count))
+        if started_ms != last_start:
+            self.past_starts.add((life, name, last_start))
+        is_past = (life, name, started_ms) in self.past_starts
+        if is_past or (started_ms == last_start and count < last_count):
+            self.broken.append(f"{now:.1f} s: {observer}: the counter of {name} went back")
+        self.counts[life, name] = started_ms, count
 
 
 @dataclass
--- a/tests/membership/test_membership_processes.py
+++ b/tests/membership/test_membership_processes.py
@@ -473,6 +473,32 @@
     assert "back on an old claim" in watch.broken[0]
 
 
+def status_row(generation, started_ms, count):
+    """A member's row as `GET /fleet` shows it: its record, and the status of one start."""
+    return {
+        "name": "a",
+        "state": "alive",
+        "generation": generation,
+        "incarnation": 0,
+        "facts": {"started_ms": started_ms, "count": count},
+    }
+
+
+def test_the_lab_takes_no_status_of_the_old_process_beside_the_new_record_for_one_that_goes_back():
+    watch = Watch(0.0)
+    for row in (status_row(1, 100, 7), status_row(2, 100, 7), status_row(2, 200, 0)):
+        watch.saw(1.0, "n0@1", "n0", row)
+    assert watch.broken == []
+
+
+def test_the_lab_notices_a_status_of_an_earlier_start_that_comes_back():
+    watch = Watch(0.0)
+    for row in (status_row(1, 100, 7), status_row(2, 200, 0), status_row(2, 100, 8)):
+        watch.saw(1.0, "n0@1", "n0", row)
+    assert len(watch.broken) == 1
+    assert "the counter of a went back" in watch.broken[0]
+
+
 @pytest.mark.parametrize("viewed", [False, True])
 def test_a_day_on_which_two_of_four_dispatchers_crash_keeps_the_rules(viewed):
     answer = play((3, viewed, 3))
