Keep the lab's check of counters as strict where a record's generation goes back

Cause: the golden results of the lab hold that a record of an older generation counts as a counter that went back.

--- a/stepstream/lab/fleet_play.py
+++ b/stepstream/lab/fleet_play.py
@@ -83,8 +83,9 @@
     spans: list[Span] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
     claims: dict[tuple[str, str, str], tuple[int, int, str]] = field(default_factory=dict)
-    # By observing process and member: the start that the member's status is of, and its revision.
-    counts: dict[tuple[str, str], tuple[int, int]] = field(default_factory=dict)
+    # By observing process and member: the record's generation, the start that the status beside it
+    # is of, and the status's revision.
+    counts: dict[tuple[str, str], tuple[int, int, int]] = field(default_factory=dict)
     # Starts of members whose status an observing process has replaced by that of another start.
     past_starts: set[tuple[str, str, int]] = field(default_factory=set)
 
@@ -123,15 +124,17 @@
         A status is told apart by the start that it is of and not by the record beside it: right
         after a restart the new record may stand beside the old process's status for a moment.
         """
-        name, facts = row["name"], row["facts"]
+        name, generation, facts = row["name"], row["generation"], row["facts"]
         started_ms, count = facts.get("started_ms", 0), facts["count"]
-        last_start, last_count = self.counts.get((life, name), (started_ms, count))
+        seen = generation, started_ms, count
+        last_generation, last_start, last_count = self.counts.get((life, name), seen)
         if started_ms != last_start:
             self.past_starts.add((life, name, last_start))
         is_past = (life, name, started_ms) in self.past_starts
-        if is_past or (started_ms == last_start and count < last_count):
+        is_older = started_ms == last_start and count < last_count
+        if generation < last_generation or is_past or is_older:
             self.broken.append(f"{now:.1f} s: {observer}: the counter of {name} went back")
-        self.counts[life, name] = started_ms, count
+        self.counts[life, name] = seen
 
 
 @dataclass
