--- a/stepstream/lab/fleet_play.py
+++ b/stepstream/lab/fleet_play.py
@@ -131,7 +131,8 @@
         if started_ms != last_start:
             self.past_starts.add((life, name, last_start))
         is_past = (life, name, started_ms) in self.past_starts
-        is_older = started_ms == last_start and count < last_count
+        is_same_process = (generation, started_ms) == (last_generation, last_start)
+        is_older = is_same_process and count < last_count
         if generation < last_generation or is_past or is_older:
             self.broken.append(f"{now:.1f} s: {observer}: the counter of {name} went back")
         self.counts[life, name] = seen
