Send a reply in the same critical section as the session's step

Callers saw: no answer at a shutdown, drain, timeout or eviction; the answer of a second pipelined message in place of the first; half of an answer that a slow client was reading at a shutdown.

Cause: ClientConnection.answer, the reader's replies and enforce_timeouts took the session's step under the lock and wrote under a later hold of it; close_if_idle did not ask for a slow writer. A pipelined request was posted after the lock was released, so its disconnect could come first.

Change: _send and _dispatch run with the lock held, up to the first byte, the queue or the posted event; close_if_idle leaves a slow writer alone.

--- a/stepstream/http/client_connection.py
+++ b/stepstream/http/client_connection.py
@@ -14,6 +14,10 @@
 `lock` guards the session, the fields of this object and the socket's calls that do not wait. Bytes
 are received from the kernel only under the lock. A thread that closes the connection under the lock
 therefore sees either all unread bytes or a session that has none of them.
+
+A step of the session and what follows from it are one critical section: the reply is sent or
+queued, and the events are posted, before the lock is released. Otherwise another thread could close
+the connection before the reply, or send the reply of a later message first.
 """
 
 import math
@@ -125,15 +129,12 @@
             return self._process_input()
         except Exception as error:  # noqa: BLE001  whatever it is, the request has to be answered
             log_events.internal_fault(where="inbound", error=error)
-        reply = None
         with self.lock:
             request = self.session.request
             if request is None:
-                reply = self.session.fail(ProtocolError(500, "fault"))
+                self._send(self.session.fail(ProtocolError(500, "fault")))
         if request is not None:
             self.server.post(RequestFaulted(request))
-        if reply is not None:
-            self.write(reply)
         return True
 
     def _process_input(self) -> bool:
@@ -155,20 +156,18 @@
             # Guards the thread against a peer that sends its message byte by byte.
             if session.is_reading_message and self._has_timed_out(now_seconds):
                 events.append(session.fail(ProtocolError(400, "too slow")))
-        self._dispatch(events)
+            self._dispatch(events)
         return True
 
     def _dispatch(self, events: list[SessionEvent]) -> None:
-        """Write replies and post the rest to the core, in order."""
+        """Send replies and post the rest to the core, in order; the caller holds the lock."""
         for event in events:
             match event:
                 case Reply():
-                    self.write(event)
+                    self._send(event)
                     if event.close:
-                        with self.lock:
-                            open_request = self.session.close()
                         # An error closes the connection: its open request has lost its client.
-                        self._report_disconnect(open_request)
+                        self._report_disconnect(self.session.close())
                 case Request():
                     event.response_sink = self
                     self.server.post(RequestReceived(event))
@@ -193,30 +192,29 @@
             now_seconds = time.monotonic()
             self.last_activity_at_seconds = now_seconds
             self.phase_started_at_seconds = now_seconds
-        self.write(reply)
-        with self.lock:
-            events = []
+            self._send(reply)
             if self.session.parser.buffer:
-                events = self.session.next_events(self.server.clock.now_us())
-        self._dispatch(events)
+                self._dispatch(self.session.next_events(self.server.clock.now_us()))
 
     def progress(self, done: int, of: int) -> None:
         """Ignore a job's progress: HTTP/1.1 has no message for it."""
 
-    def write(self, reply: Reply) -> None:
-        """Send a reply without waiting; a slow writer sends what the peer does not accept."""
-        with self.lock:
-            if self.slow_writer_active:
-                self.queued_replies.append(reply)
-                return
-            try:
-                if self.transport.send_available(reply.data):
-                    self._on_sent(reply)
-                    return
-            except OSError:
-                self.transport.shut_down()
+    def _send(self, reply: Reply) -> None:
+        """Send a reply without waiting; a slow writer sends what the peer does not accept.
+
+        The caller holds the lock.
+        """
+        if self.slow_writer_active:
+            self.queued_replies.append(reply)
+            return
+        try:
+            if self.transport.send_available(reply.data):
+                self._on_sent(reply)
                 return
-            self.slow_writer_active = True
+        except OSError:
+            self.transport.shut_down()
+            return
+        self.slow_writer_active = True
         self.server.slow_writer_threads.submit(self._write_slowly, reply)
 
     def _write_slowly(self, reply: Reply) -> None:
@@ -329,10 +327,12 @@
     def close_if_idle(self) -> bool:
         """Close a client's connection between requests; return whether it was closed.
 
-        It stays open if bytes of the next request have arrived.
+        It stays open if bytes of the next request have arrived, or while a slow writer sends.
         """
         with self.lock:
             session = self.session
+            if self.slow_writer_active:
+                return False
             if not session.is_idle or session.is_worker or self.transport.has_unread():
                 return False
             session.close()
@@ -344,20 +344,17 @@
 
         Guards the reader threads against half-open, silent and slow peers.
         """
-        reply = None
         with self.lock:
             session = self.session
             if self.slow_writer_active or not self._has_timed_out(now_seconds):
                 return
             if session.is_reading_message:
-                reply = session.fail(ProtocolError(400, "too slow"))
+                self._send(session.fail(ProtocolError(400, "too slow")))
             elif session.phase is SessionPhase.CLOSED:
                 self.transport.shut_down()
             elif not self.transport.has_unread():
                 session.close()
                 self._half_close(now_seconds)
-        if reply is not None:
-            self.write(reply)
 
     def _has_timed_out(self, now_seconds: float) -> bool:
         """Return whether the session has stayed in its state for too long; with the lock held."""
--- a/tests/http/test_client_connection.py
+++ b/tests/http/test_client_connection.py
@@ -1,6 +1,7 @@
 """Inbound connections on loopback sockets: timeouts, closes, slow readers and faults."""
 
 import contextlib
+import select
 import socket
 import struct
 import threading
@@ -16,7 +17,7 @@
 from tests.config.configurations import LIMITS
 from tests.http.messages import job_request
 from tests.http.scripted_server import exchange
-from tests.http.server_harness import serve
+from tests.http.server_harness import READINESS_CHECK, serve
 from tests.runtime.waiting import PATIENCE_SECONDS, wait_for
 
 RESET_SECONDS = 0.1  # on loopback a reset takes much less
@@ -254,3 +255,114 @@
         faulted = wait_for(lambda: harness.requests(RequestFaulted))
         assert faulted == harness.requests(RequestReceived)
     assert "internal_fault where=inbound error_type=KeyError" in capfd.readouterr().err
+
+
+# -- a reply, and what another thread does meanwhile ----------------------------------------------
+
+
+class InterruptibleLock:
+    """A lock that calls `on_release` after each release, as another thread may run just there."""
+
+    def __init__(self, on_release):
+        self.lock = threading.Lock()
+        self.on_release = on_release
+
+    def __enter__(self):
+        self.lock.acquire()
+
+    def __exit__(self, *error):
+        self.lock.release()
+        self.on_release()
+
+
+def once(action):
+    """Return a function that runs the action at its first call only."""
+    remaining = [action]
+    return lambda: remaining.pop()() if remaining else None
+
+
+@pytest.mark.parametrize("close", CLOSES)
+@pytest.mark.parametrize("replier", ["decision thread", "reader"])
+def test_a_reply_is_sent_before_another_thread_can_close_its_connection(
+    serve_inbound, replier, close
+):
+    # Guards against an answer that is lost: the connection was closed before its first byte.
+    client = IdleClient(serve_inbound())
+    if replier == "decision thread":
+        client.peer.sendall(job_request("02"))
+        (_, waiting) = wait_for(
+            lambda: (
+                len(client.harness.requests(RequestReceived)) == 2
+                and client.harness.requests(RequestReceived)
+            )
+        )
+    closed = threading.Event()
+    client.connection.lock = InterruptibleLock(once(lambda: (CLOSES[close](client), closed.set())))
+    if replier == "decision thread":
+        serve(waiting)
+    else:
+        client.peer.sendall(READINESS_CHECK)
+    assert closed.wait(PATIENCE_SECONDS)
+    assert exchange(0, b"", client.peer).status == 200
+    client.peer.close()
+
+
+def test_a_pipelined_message_is_answered_after_the_request_before_it(serve_inbound):
+    # Guards against exchanged answers: the reader answered the second message first.
+    client = IdleClient(serve_inbound())
+    client.peer.sendall(job_request("02"))
+    (_, waiting) = wait_for(
+        lambda: (
+            len(client.harness.requests(RequestReceived)) == 2
+            and client.harness.requests(RequestReceived)
+        )
+    )
+
+    def send_readiness_check():
+        client.peer.sendall(READINESS_CHECK)
+        wait_for(lambda: select.select([client.peer], [], [], 0)[0])
+
+    client.connection.lock = InterruptibleLock(once(send_readiness_check))
+    serve(waiting, "second")
+    first_answer = exchange(0, b"", client.peer)
+    assert b"second" in first_answer.body
+    client.peer.close()
+
+
+def test_a_pipelined_request_is_reported_before_its_client_is_reported_as_gone(serve_inbound):
+    # Guards against a request without a client that lives on until its deadline.
+    client = IdleClient(serve_inbound())
+    client.peer.sendall(job_request("02") + job_request("03"))
+    (_, waiting) = wait_for(
+        lambda: (
+            len(client.harness.requests(RequestReceived)) == 2
+            and client.harness.requests(RequestReceived)
+        )
+    )
+    connection = client.connection
+
+    def disconnect_once_the_next_is_open():
+        if connection.session.request is not None and connection.session.request.id == "03":
+            client.peer.close()
+            wait_for(lambda: client.harness.requests(ClientDisconnected))
+
+    connection.lock = InterruptibleLock(disconnect_once_the_next_is_open)
+    serve(waiting)
+    wait_for(lambda: client.harness.requests(ClientDisconnected))
+    last_events = [type(event) for event in client.harness.events[-2:]]
+    assert last_events == [RequestReceived, ClientDisconnected]
+
+
+def test_a_shutdown_does_not_cut_an_answer_that_a_slow_client_is_still_reading(serve_inbound):
+    # Guards against an answer that ends in the middle, as its connection was closed for sending.
+    harness = serve_inbound()
+    with harness.connect() as peer:
+        peer.sendall(job_request())
+        (waiting,) = wait_for(lambda: harness.requests(RequestReceived))
+        serve(waiting, "x" * 8_000_000)
+        harness.server.close_idle()
+        total_bytes = 0
+        while total_bytes < 8_000_000:
+            received = peer.recv(1 << 20)
+            assert received
+            total_bytes += len(received)
