Adopt an endpoint list only over the list that it was polled from

Callers saw: jobs at a draining worker, and a version that went back.

Cause: call_once adopted its answer whatever a check had adopted meanwhile. A check did not notice that discovery's count had started anew, and a reload let two clients adopt lists into one destination set for a moment.

Change: adopt_list has one rule for watch, call beside it, check and start; a list that is not adopted is logged as endpoint_list_overtaken and comes again with the next watch. A reload stops the old client first.

--- a/stepstream/http/discovery_client.py
+++ b/stepstream/http/discovery_client.py
@@ -9,6 +9,11 @@
   At most one runs at a time.
 - Any other thread may request a poll, adopt a list, or stop the client.
 
+A list is adopted only if the version that it was polled from is still the current one. Calls beside
+each other can be answered in any order, and discovery may start its count of versions anew, so the
+version of the answer itself does not tell whether it is newer. After a list that was not adopted,
+the next call continues from the current version, so that no change is missed.
+
 State: the version of the current list, the client's state, and the connection. A comment at each
 lock says what it guards. `PollSchedule` decides all pauses and timeouts.
 """
@@ -30,6 +35,7 @@
 from stepstream.http.errors import HttpError
 from stepstream.http.poll_schedule import PollSchedule
 from stepstream.http.receiving import receive_message
+from stepstream.runtime import log_events
 from stepstream.runtime.log import RateLimitedLogger
 from stepstream.runtime.sockets import connect, is_stale, shut_down
 from stepstream.runtime.threads import spawn_thread
@@ -121,26 +127,23 @@
     def adopt_list(self, answer: EndpointAnswer, since: int | None = None) -> bool:
         """Adopt a list, and continue the watch from its version; return whether it was adopted.
 
-        `since` is the version that the list was polled from; None: any.
+        `since` is the version that the list was polled from; None: a complete list, polled or from
+        before the start while there was no version.
         """
         with self.lock:
-            if not self._may_adopt(since):
+            if self.retired:
+                return False
+            if self.version != since:
+                log_events.endpoint_list_overtaken(
+                    version=answer.version, current_version=self.version
+                )
                 return False
-            self.version = answer.version
+            fetch_next = must_fetch_complete_list(since, answer.version)
+            self.version = None if fetch_next else answer.version
             self.destinations.apply(answer)
             self.post(EndpointsUpdated(SOURCE, answer.update))
             return True
 
-    def _may_adopt(self, since: int | None) -> bool:
-        """Decide whether a list may replace the current one; the caller holds the lock.
-
-        After a reload, a list from the old address must not replace one from the new address. The
-        list of a check must not replace a list that the watch has received since the check began.
-        """
-        if self.retired:
-            return False
-        return since is None or self.version == since
-
     def check_beside_watch(self) -> None:
         """Check, in a thread of its own, whether the watch has fallen silent; never waits."""
         if self.check_in_progress.acquire(blocking=False):
@@ -202,10 +205,8 @@
             return self.pause_after_failure(error)
         # A later failure must not count as the end of the watch that was to be reopened.
         self.end_reopening()
-        self.adopt_list(answer)
+        self.adopt_list(answer, since=version)
         self.first_answer_received.set()
-        if must_fetch_complete_list(version, answer.version):
-            self.version = None
         unchanged = version is not None and answer.version == version
         took_seconds = time.monotonic() - begun_seconds
         return self.schedule.pause_after_answer_seconds(took_seconds, unchanged=unchanged)
--- a/stepstream/node/reload.py
+++ b/stepstream/node/reload.py
@@ -4,6 +4,7 @@
 change.
 """
 
+import threading
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -11,6 +12,7 @@
 from stepstream.config.limits import limits_for
 from stepstream.config.node_config import NodeConfig, read_config
 from stepstream.http.client_api import ClientApi
+from stepstream.http.discovery_client import DiscoveryClient
 from stepstream.model.events import SettingsChanged
 from stepstream.node.context import NodeContext
 from stepstream.node.subsystems import require_same_subsystems
@@ -60,18 +62,26 @@
         raise ConfigurationError(f"listen={host}:{port} changes only with a restart")
 
 
+def run_after(event: threading.Event, client: DiscoveryClient) -> None:
+    """Run a discovery client once the event is set: never two clients adopt lists at one time."""
+    event.wait()
+    client.run()
+
+
 def apply_configuration(context: NodeContext, config: NodeConfig) -> None:
     """Replace the configuration of every component; it must have passed all checks."""
     config = replace(config, settings=context.effective_settings(config))
     limits = limits_for(config)
     old = context.discovery
     new = context.create_discovery_client(config, limits)
-    if config.discovery == context.config.discovery:
-        new.version = old.version  # the watch continues without a fetch of the complete list
     new.poll_now()  # the platform expects the new list soon after a reload
+    old_stopped = threading.Event()
     # Before any change: if no thread can be started, everything stays as it is.
-    spawn_thread("discovery", new.run)
+    spawn_thread("discovery", run_after, old_stopped, new)
     old.stop()
+    if config.discovery == context.config.discovery:
+        new.version = old.version  # the watch continues without a fetch of the complete list
+    old_stopped.set()
     # The core gets the new settings first, before any message is read by them.
     context.events.put(SettingsChanged(config.settings))
     context.config = config
--- a/stepstream/runtime/log_events.py
+++ b/stepstream/runtime/log_events.py
@@ -127,6 +127,16 @@
     )
 
 
+def endpoint_list_overtaken(*, version: int, current_version: int | None) -> None:
+    """Log an endpoint list that was not adopted: another call had changed the list meanwhile.
+
+    `current_version` is None if the complete list is to be fetched.
+    """
+    write_event(
+        Severity.INFO, "endpoint_list_overtaken", version=version, current_version=current_version
+    )
+
+
 def worker_id_conflict(*, worker: str, source: str, owner: str) -> None:
     """Log that a source lists a worker id which another source, the owner, has listed before."""
     write_event(Severity.WARNING, "worker_id_conflict", worker=worker, source=source, owner=owner)
--- a/tests/http/test_discovery.py
+++ b/tests/http/test_discovery.py
@@ -274,6 +274,83 @@
     assert harness.client.version == 7
 
 
+@pytest.mark.parametrize(
+    ("current", "since", "answered", "adopted", "continued_from"),
+    [
+        (7, 7, 8, True, 8),
+        (9, 7, 8, False, 9),  # a check was faster; the answer is older
+        (9, 7, 10, False, 9),  # a check was faster; the next watch reports version 10 again
+        (9, 9, 2, True, None),  # discovery has started its count anew
+        (2, 9, 3, False, 2),  # another call has noticed that before
+        (None, None, 5, True, 5),  # the first list, or a list from before the start
+        (5, None, 9, False, 5),
+        (None, 9, 10, False, None),
+    ],
+)
+def test_a_list_is_adopted_only_over_the_one_that_it_was_polled_from(
+    make_client, current, since, answered, adopted, continued_from
+):
+    harness = make_client(lambda _: None, version=current)
+    answer = replace(endpoint_answer(w=1), version=answered)
+    assert harness.client.adopt_list(answer, since=since) is adopted
+    assert harness.client.version == continued_from
+    assert len(harness.events) == adopted
+    assert (harness.destinations.usable_address("w") is not None) is adopted
+
+
+def test_the_late_answer_beside_a_silent_watch_does_not_undo_a_check(start_client, silence):
+    # Guards against a draining worker that is used again: the answer of an older list came last.
+    answer_late = threading.Event()
+    older = NEWER_LIST
+    newer = LIST.replace(b"7", b"9").replace(b"ready", b"draining")
+    calls_beside_watch = []
+
+    def reply(message):
+        if "wait=0" not in message.target:
+            silence.wait(PATIENCE_SECONDS)
+            return None
+        calls_beside_watch.append(message)
+        if len(calls_beside_watch) > 1:
+            return write_answer(200, newer)
+        answer_late.wait(PATIENCE_SECONDS)
+        return write_answer(200, older)
+
+    schedule = make_schedule(
+        watch_wait_seconds=0.05, watch_overrun_seconds=0.05, call_timeout_seconds=PATIENCE_SECONDS
+    )
+    harness = start_client(reply, version=7, schedule=schedule)
+    client = harness.client
+    wait_for(lambda: calls_beside_watch)
+    client.check_beside_watch()
+    wait_for(lambda: client.version == 9)
+    answer_late.set()
+    wait_for(lambda: [t for t in harness.targets() if "wait=0" not in t][1:])
+    watches = [target for target in harness.targets() if "wait=0" not in target]
+    assert watches[1].startswith("/api/targets?index=9")
+    assert client.version == 9
+    assert harness.destinations.usable_address("s-1") is None
+
+
+def test_a_check_that_finds_the_count_started_anew_has_the_complete_list_fetched(
+    start_client, silence
+):
+    # Guards against changes that are missed: versions of the old and the new count do not compare.
+    def reply(message):
+        if "wait=0" in message.target:
+            return write_answer(200, b'{"version":2,"full":false,"servers":[]}')
+        if "index=9" in message.target:
+            silence.wait(PATIENCE_SECONDS)
+            return None
+        return write_answer(200, LIST) if "index" not in message.target else write_answer(503)
+
+    schedule = make_schedule(watch_wait_seconds=PATIENCE_SECONDS)
+    harness = start_client(reply, version=9, schedule=schedule)
+    wait_for(lambda: harness.server.requests)
+    harness.client.check_beside_watch()
+    wait_for(lambda: len(harness.server.requests) >= 3)
+    assert harness.targets()[2] == "/api/targets"
+
+
 # -- stops -----------------------------------------------------------------------------------------
 
 
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -20,7 +20,9 @@
 from stepstream.config.node_config import config_from
 from stepstream.core.events import ShutdownStarted
 from stepstream.http.codec import write_answer, write_request
+from stepstream.http.discovery_client import DiscoveryClient
 from stepstream.node.node import Node
+from stepstream.node.reload import apply_configuration
 from tests.case_ids import case_id
 from tests.config.configurations import CONFIGURATION, LIMITS
 from tests.http.messages import job_request
@@ -365,6 +367,26 @@
     wait_for(lambda: is_ready(port))
 
 
+def test_a_reload_stops_the_old_discovery_client_before_the_new_one_calls(make_node, monkeypatch):
+    # Guards against an older list over a newer one: two clients adopted lists at one time.
+    node = make_node(config_from(CONFIGURATION, {}))
+    new_client_runs = threading.Event()
+    old = node.discovery
+    stop = old.stop
+
+    def stop_slowly():
+        # Time is the subject: without a wait for this stop the new client would run by now.
+        assert not new_client_runs.wait(0.2)
+        old.version = 9
+        stop()
+
+    monkeypatch.setattr(old, "stop", stop_slowly)
+    monkeypatch.setattr(DiscoveryClient, "run", lambda client: new_client_runs.set())
+    apply_configuration(node, node.config)
+    assert new_client_runs.wait(PATIENCE_SECONDS)
+    assert node.discovery.version == 9
+
+
 def test_a_reload_that_leaves_discovery_where_it_is_goes_on_from_the_list_that_is_held(dispatcher):
     wait_for(lambda: dispatcher.discovery.requests)
     settings = {
