A job that never ran is rejected, not failed, when its deadline ends its wait

Callers saw: 502 for a job that waited for headroom until its deadline and was never sent, so that a client could not dare to send it again.

Cause: the core ends a request 4 ms before its deadline and fails it 2 ms later; the policy gives a waiting job up 1 ms before, too late to be asked.

Change: at the answer's deadline the core posts AnswerDue, and retries.give_up decides between 503 and 502. The failure one tick later stays as the last resort.

--- a/stepstream/core/timer_handler.py
+++ b/stepstream/core/timer_handler.py
@@ -13,7 +13,7 @@
     PolicyTimer,
     Timer,
 )
-from stepstream.model.events import TimerFired
+from stepstream.model.events import AnswerDue, TimerFired
 
 
 class TimerHandler:
@@ -38,11 +38,13 @@
                     self._state.requests.fail(request)
 
     def _end_calls(self, now_us: int, request: Request) -> None:
-        """End all calls, whatever their carriers do, so that the policy can answer in this round.
+        """End all calls, whatever their carriers do, and let the policy answer in this round.
 
-        A request that it leaves open, such as that of a waiting job, fails one tick later.
+        Only the policy knows whether a retry of the client is harmless. A request that it leaves
+        open fails one tick later.
         """
         for call in request.calls:
             self._calls.time_out(now_us, call)
+        self._state.output.policy_events.append(AnswerDue(request.id))
         timers = self._state.timers
         timers.schedule(now_us + timers.tick_us, AnswerOverdue(request))
--- a/stepstream/model/events.py
+++ b/stepstream/model/events.py
@@ -87,6 +87,13 @@
     job_id: str
 
 
+@record
+class AnswerDue:
+    """The job's answer has to be given now to be in time; no attempt of it is open any more."""
+
+    job_id: str
+
+
 @record
 class TimerFired:
     """A timer that the policy had set has fired."""
@@ -108,6 +115,7 @@
     | AttemptStarted
     | HealthChecked
     | JobAbandoned
+    | AnswerDue
     | TimerFired
     | SettingsChanged
 )
--- a/stepstream/policy/load_balancer.py
+++ b/stepstream/policy/load_balancer.py
@@ -6,6 +6,7 @@
 from stepstream.model.actions import PolicyAction, TimerToken
 from stepstream.model.endpoints import EndpointList, EndpointListKind
 from stepstream.model.events import (
+    AnswerDue,
     AttemptEnded,
     AttemptStarted,
     HealthChecked,
@@ -52,6 +53,8 @@
 
     def _on_event(self, event: PolicyEvent) -> None:
         match event:
+            case JobAbandoned() | AnswerDue():
+                self._on_answer_event(event)
             case JobSubmitted():
                 self._on_job_submitted(event)
             case AttemptEnded():
@@ -64,8 +67,6 @@
                 self._on_timer_fired(event)
             case HealthChecked():
                 self._on_health_checked(event)
-            case JobAbandoned():
-                self._on_job_abandoned(event)
             case SettingsChanged():
                 self.state.replace_settings(event.settings)
 
@@ -102,10 +103,14 @@
         if worker is not None:
             load_reports.on_load_report(self.state, worker, event.load_report)
 
-    def _on_job_abandoned(self, event: JobAbandoned) -> None:
+    def _on_answer_event(self, event: JobAbandoned | AnswerDue) -> None:
         job = self.state.jobs.in_flight.get(event.job_id)
-        if job is not None:
+        if job is None:
+            return
+        if isinstance(event, JobAbandoned):
             attempts.end_job(self.state, job)
+        elif not job.ended:
+            retries.give_up(self.state, job)
 
     def _run_periodic_tasks(self) -> None:
         """Measure anew what changes slowly, and decide what is decided once a period."""
--- a/tests/core/test_dispatcher.py
+++ b/tests/core/test_dispatcher.py
@@ -75,6 +75,18 @@
     assert harness.post(JobNotification("aa", first.worker_id, status)) == []
 
 
+def test_a_waiting_job_whose_deadline_ends_before_its_wait_is_rejected_as_it_never_ran():
+    # Guards against 502 for a job that never ran: its client would not dare to send it again.
+    harness = DispatcherHarness()
+    harness.post(EndpointList(EndpointListKind.COMPLETE, ()))
+    received, commands = harness.receive(budget_us=100_000)  # it may wait for 160 ms
+    assert not commands_of_type(Answer, commands)
+    answered = harness.run_until(received.deadline_us)
+    (answer,) = commands_of_type(Answer, answered)
+    assert answer.outcome is Outcome.REJECTED
+    assert not harness.dispatcher.requests
+
+
 def test_done_after_a_broken_exchange_still_serves():
     harness = DispatcherHarness()
     received, commands = harness.receive()
--- a/tests/golden/decision_codec.py
+++ b/tests/golden/decision_codec.py
@@ -23,6 +23,7 @@
 )
 from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind, EndpointState
 from stepstream.model.events import (
+    AnswerDue,
     AttemptEnded,
     AttemptResult,
     AttemptStarted,
@@ -203,6 +204,8 @@
             )
         case "left":
             return JobAbandoned(data["job"])
+        case "due":
+            return AnswerDue(data["job"])
         case "timer":
             return TimerFired(data["token"])
         case "settings":
--- a/tests/golden/decision_incidents.py
+++ b/tests/golden/decision_incidents.py
@@ -150,6 +150,12 @@
     return platform.random.sample(events, 3)
 
 
+def make_answer_due(platform: SimulatedPlatform) -> list[dict]:
+    """Let the answer of a job be due, whether or not it has been given, and of an unknown one."""
+    job = platform.random.choice(list(platform.jobs)) if platform.jobs else "job0"
+    return [{"event": "due", "job": name} for name in (job, f"job{platform.job_count}", "stranger")]
+
+
 INCIDENTS: dict[str, Callable[[SimulatedPlatform], list[dict]]] = {
     incident.__name__: incident
     for incident in (
@@ -169,5 +175,6 @@
         recover,
         change_load,
         send_unknown_events,
+        make_answer_due,
     )
 }
