Hold back workers that refused connections while nothing confirms the list

Cause: several workers crash at once, discovery answers most watches with 503, and a dispatcher whose list is unconfirmed for nearly 6 s uses the cold processes that accept connections at the old addresses.

Change: the discovery client reports when answers begin or end to confirm the list, the carrier reports refusals, and one rule of the policy leaves out what refused once nothing confirmed the list for 4 s.

--- a/stepstream/core/events.py
+++ b/stepstream/core/events.py
@@ -11,7 +11,14 @@
 
 from stepstream.core.endpoint_set import EndpointsUpdated
 from stepstream.core.requests import Call, Request
-from stepstream.model.events import AttemptResult, HealthChecked, SettingsChanged
+from stepstream.model.events import (
+    AttemptResult,
+    ConnectionRefused,
+    EndpointCallFailed,
+    EndpointListConfirmed,
+    HealthChecked,
+    SettingsChanged,
+)
 from stepstream.model.records import record
 
 if TYPE_CHECKING:  # loaded only where there are operators
@@ -127,6 +134,9 @@
     | CallTimeoutSet
     | RequestFaulted
     | EndpointsUpdated
+    | EndpointCallFailed
+    | EndpointListConfirmed
+    | ConnectionRefused
     | MaintenanceChanged
     | SiblingProcessChanged
     | HealthChecked
--- a/stepstream/http/discovery_client.py
+++ b/stepstream/http/discovery_client.py
@@ -35,11 +35,20 @@
 from stepstream.http.errors import HttpError
 from stepstream.http.poll_schedule import PollSchedule
 from stepstream.http.receiving import receive_message
+from stepstream.model.events import EndpointCallFailed, EndpointListConfirmed
 from stepstream.runtime import log_events
 from stepstream.runtime.log import RateLimitedLogger
 from stepstream.runtime.sockets import connect, is_stale, shut_down
 from stepstream.runtime.threads import spawn_thread
 
+MICROSECONDS_PER_SECOND = 1e6
+
+ListConfirmation = EndpointCallFailed | EndpointListConfirmed
+
+
+def ignore_confirmation(event: ListConfirmation) -> None:
+    """Do nothing: for a client whose reports nobody uses."""
+
 
 class ClientState(Enum):
     """The state of the client thread.
@@ -74,8 +83,12 @@
         post: Callable[[Event], None],
         failures: RateLimitedLogger,
         schedule: PollSchedule,
+        report_confirmation: Callable[[ListConfirmation], None] = ignore_confirmation,
     ) -> None:
-        """`post` hands an event to the core; `failures` counts and logs calls that fail."""
+        """`post` hands an event to the core; `failures` counts and logs calls that fail.
+
+        `report_confirmation` is called when answers begin or end to confirm the list.
+        """
         self.limits = limits
         self.address = address
         self.api = api
@@ -83,11 +96,13 @@
         self.post = post
         self.failures = failures
         self.schedule = schedule
+        self.report_confirmation = report_confirmation
         self.wake_ups: SimpleQueue[None] = SimpleQueue()  # each ends one pause between calls
         # Guards `state`, the assignment of `connection`, and the adoption of a list: after stop()
         # has returned, no list is adopted. The destination set's lock is taken inside this one.
         self.lock = threading.Lock()
         self.state = ClientState.FOLLOWING
+        self.is_confirmed: bool | None = None  # as last reported; guarded by the lock
         self.connection: socket.socket | None = None  # the client thread's
         # The version of the current list; None: fetch the complete list. 0 is a valid version.
         self.version: int | None = None
@@ -144,6 +159,25 @@
             self.post(EndpointsUpdated(SOURCE, answer.update))
             return True
 
+    def confirm_list(self) -> None:
+        """Report that an answer confirms the list, unless that is known."""
+        self._report_confirmation(EndpointListConfirmed(), is_confirmed=True)
+
+    def doubt_list(self, unconfirmed_seconds: float = 0.0) -> None:
+        """Report that a call has failed, unless that is known.
+
+        `unconfirmed_seconds` is for how long the list may have been outdated already.
+        """
+        unconfirmed_us = int(unconfirmed_seconds * MICROSECONDS_PER_SECOND)
+        self._report_confirmation(EndpointCallFailed(unconfirmed_us), is_confirmed=False)
+
+    def _report_confirmation(self, event: ListConfirmation, *, is_confirmed: bool) -> None:
+        with self.lock:
+            if self.retired or self.is_confirmed is is_confirmed:
+                return
+            self.is_confirmed = is_confirmed
+            self.report_confirmation(event)
+
     def check_beside_watch(self) -> None:
         """Check, in a thread of its own, whether the watch has fallen silent; never waits."""
         if self.check_in_progress.acquire(blocking=False):
@@ -161,6 +195,7 @@
             if version is None or self.retired:
                 return
             answer = self.fetch_beside_watch(version)
+            self.confirm_list()
             if answer.version != version and self.adopt_list(answer, since=version):
                 self.reopen_watch()
         except (OSError, ProtocolError) as error:
@@ -206,6 +241,7 @@
         # A later failure must not count as the end of the watch that was to be reopened.
         self.end_reopening()
         self.adopt_list(answer, since=version)
+        self.confirm_list()
         self.first_answer_received.set()
         unchanged = version is not None and answer.version == version
         took_seconds = time.monotonic() - begun_seconds
@@ -218,6 +254,7 @@
             return 0.0
         if not self.retired:
             self.failures.add(str(error))
+            self.doubt_list()
         return self.schedule.pause_after_failure_seconds()
 
     def end_reopening(self) -> bool:
@@ -245,6 +282,8 @@
             )
         except TimeoutError:
             self.failures.add("a watch fell silent")
+            # It may have fallen silent as soon as it was opened.
+            self.doubt_list(wait_seconds + self.schedule.watch_overrun_seconds)
         answer = self.fetch_until_answered(version)
         self.close_connection()  # not before the changes that the silent watch missed are known
         return answer
--- a/stepstream/http/outbound.py
+++ b/stepstream/http/outbound.py
@@ -29,7 +29,7 @@
     cancel_bytes,
     health_check_bytes,
 )
-from stepstream.model.events import AttemptResult, HealthChecked
+from stepstream.model.events import AttemptResult, ConnectionRefused, HealthChecked
 from stepstream.runtime import log_events
 from stepstream.runtime.clock import Clock
 from stepstream.runtime.log import RateLimitedLogger
@@ -121,6 +121,7 @@
         except OSError as error:
             if isinstance(error, ConnectionRefusedError):
                 self.destinations.report_refused(call.worker_id)
+                self.post(ConnectionRefused(call.worker_id))
             return AttemptResult.CONNECT_FAILED
         self.destinations.report_reachable(call.worker_id)
         if not self.claim_connection(call, in_flight, connection):
--- a/stepstream/model/events.py
+++ b/stepstream/model/events.py
@@ -94,6 +94,25 @@
     job_id: str
 
 
+@record
+class EndpointCallFailed:
+    """A call for the endpoint list has failed: nothing confirms the list any more."""
+
+    unconfirmed_us: int = 0  # for how long the list may have been outdated already
+
+
+@record
+class EndpointListConfirmed:
+    """A call for the endpoint list was answered: the list is current, changed or not."""
+
+
+@record
+class ConnectionRefused:
+    """A worker's machine has refused a connection: its process had ended."""
+
+    worker_id: str
+
+
 @record
 class TimerFired:
     """A timer that the policy had set has fired."""
@@ -116,6 +135,9 @@
     | HealthChecked
     | JobAbandoned
     | AnswerDue
+    | EndpointCallFailed
+    | EndpointListConfirmed
+    | ConnectionRefused
     | TimerFired
     | SettingsChanged
 )
--- a/stepstream/model/worker_records.py
+++ b/stepstream/model/worker_records.py
@@ -50,6 +50,7 @@
     last_report_us: float = -inf
     last_report_headroom: float = 0.0  # free slots less queued jobs, as reported
     busy_history: deque[BusyChange] = field(default_factory=deque)  # of the last BUSY_HISTORY_US
+    refused_at_us: float = -inf  # when its machine last refused a connection
     failure_rate: float = 0.0  # running mean of recent outcomes
     slowness: float = 0.0  # mean logarithm of the ratio of its ended runs to the usual run time
     slowness_with_open_runs: float = 0.0
--- a/stepstream/node/context.py
+++ b/stepstream/node/context.py
@@ -115,6 +115,7 @@
             self.events.put,
             self.failed_discovery_calls,
             PollSchedule.from_settings(config.settings, random.Random(config.seed)),
+            self.events.put,
         )
 
     def set_dispatcher_count(self, dispatchers: int) -> None:
--- a/stepstream/policy/load_balancer.py
+++ b/stepstream/policy/load_balancer.py
@@ -9,6 +9,9 @@
     AnswerDue,
     AttemptEnded,
     AttemptStarted,
+    ConnectionRefused,
+    EndpointCallFailed,
+    EndpointListConfirmed,
     HealthChecked,
     JobAbandoned,
     JobSubmitted,
@@ -30,6 +33,7 @@
     retries,
     slow_start,
     timers,
+    unconfirmed_list,
 )
 from stepstream.policy.endpoint_polling import EndpointPoller
 
@@ -53,6 +57,8 @@
 
     def _on_event(self, event: PolicyEvent) -> None:
         match event:
+            case EndpointCallFailed() | EndpointListConfirmed() | ConnectionRefused():
+                self._on_list_evidence(event)
             case JobAbandoned() | AnswerDue():
                 self._on_answer_event(event)
             case JobSubmitted():
@@ -112,6 +118,17 @@
         elif not job.ended:
             retries.give_up(self.state, job)
 
+    def _on_list_evidence(
+        self, event: EndpointCallFailed | EndpointListConfirmed | ConnectionRefused
+    ) -> None:
+        match event:
+            case EndpointCallFailed():
+                unconfirmed_list.on_call_failed(self.state, event)
+            case EndpointListConfirmed():
+                unconfirmed_list.on_list_confirmed(self.state)
+            case ConnectionRefused():
+                unconfirmed_list.on_connection_refused(self.state, event)
+
     def _run_periodic_tasks(self) -> None:
         """Measure anew what changes slowly, and decide what is decided once a period."""
         state = self.state
--- a/stepstream/policy/selection.py
+++ b/stepstream/policy/selection.py
@@ -13,6 +13,7 @@
     pools,
     priority,
     slow_start,
+    unconfirmed_list,
     weighted_round_robin,
 )
 
@@ -44,7 +45,7 @@
 
 
 def _candidates(state: PolicyState, job: InFlightJob) -> list[Worker]:
-    """Return the workers that may run the job, by ejections, slow start, key and past attempts."""
+    """Return the workers that may run the job, by ejections, list, slow start, key, attempts."""
     now_us = state.now_us
     workers = _sample_of_capable_workers(state, job)
     workers = [
@@ -53,6 +54,7 @@
         if now_us >= worker.slow_start_ends_us or slow_start.is_admitted(state, job, worker)
     ]
     workers = outliers.available_workers(state, workers, job.request.job_class)
+    workers = unconfirmed_list.usable_workers(state, workers)
     if job.attempts:
         workers = _workers_for_repeat(job, workers)
     if job.request.key is None:
--- a/tests/core/test_dispatcher.py
+++ b/tests/core/test_dispatcher.py
@@ -20,8 +20,15 @@
 from stepstream.core.requests import Call
 from stepstream.model.actions import Fail, Reject, StartAttempt
 from stepstream.model.endpoints import EndpointList, EndpointListKind
-from stepstream.model.events import AttemptResult, SettingsChanged
+from stepstream.model.events import (
+    AttemptResult,
+    ConnectionRefused,
+    EndpointCallFailed,
+    EndpointListConfirmed,
+    SettingsChanged,
+)
 from stepstream.model.settings import Settings
+from stepstream.policy.unconfirmed_list import MAX_UNCONFIRMED_US
 from tests.config.configurations import LIMITS, POLICY_SETTINGS
 from tests.core.builders import WORKERS, make_request
 from tests.core.harness import START_US, DispatcherHarness, commands_of_type
@@ -75,6 +82,23 @@
     assert harness.post(JobNotification("aa", first.worker_id, status)) == []
 
 
+def test_no_call_goes_to_a_worker_that_refused_while_the_list_is_unconfirmed_for_too_long():
+    # Guards against jobs at a worker that was removed and is back, cold, as another process.
+    harness = DispatcherHarness()
+    harness.post(ConnectionRefused("s-1"), EndpointCallFailed())
+    harness.now_us += MAX_UNCONFIRMED_US
+
+    def workers_of_calls(numbers):
+        calls = [only_call(harness.receive(f"{number:02x}")[1]) for number in numbers]
+        for call in calls:
+            harness.post(JobNotification(call.request.id, call.worker_id, JobStatus.DONE, "42"))
+        return {call.worker_id for call in calls}
+
+    assert "s-1" not in workers_of_calls(range(24))
+    harness.post(EndpointListConfirmed())
+    assert "s-1" in workers_of_calls(range(24, 48))
+
+
 def test_a_waiting_job_whose_deadline_ends_before_its_wait_is_rejected_as_it_never_ran():
     # Guards against 502 for a job that never ran: its client would not dare to send it again.
     harness = DispatcherHarness()
--- a/tests/golden/decision_codec.py
+++ b/tests/golden/decision_codec.py
@@ -27,6 +27,9 @@
     AttemptEnded,
     AttemptResult,
     AttemptStarted,
+    ConnectionRefused,
+    EndpointCallFailed,
+    EndpointListConfirmed,
     HealthChecked,
     JobAbandoned,
     JobSubmitted,
@@ -70,6 +73,7 @@
     "stepstream.policy.selection",
     "stepstream.policy.slow_start",
     "stepstream.policy.timers",
+    "stepstream.policy.unconfirmed_list",
     "stepstream.policy.waiting",
     "stepstream.policy.weighted_round_robin",
 )
@@ -206,6 +210,12 @@
             return JobAbandoned(data["job"])
         case "due":
             return AnswerDue(data["job"])
+        case "call_failed":
+            return EndpointCallFailed(data["unconfirmed_us"])
+        case "list_confirmed":
+            return EndpointListConfirmed()
+        case "refused":
+            return ConnectionRefused(data["worker"])
         case "timer":
             return TimerFired(data["token"])
         case "settings":
--- a/tests/golden/decision_incidents.py
+++ b/tests/golden/decision_incidents.py
@@ -156,6 +156,22 @@
     return [{"event": "due", "job": name} for name in (job, f"job{platform.job_count}", "stranger")]
 
 
+def fail_endpoint_call(platform: SimulatedPlatform) -> list[dict]:
+    """Let a call for the list fail, at times after a silent watch."""
+    return [{"event": "call_failed", "unconfirmed_us": platform.random.choice((0, 3_000_000))}]
+
+
+def confirm_endpoint_list(platform: SimulatedPlatform) -> list[dict]:
+    """Let a call for the list be answered without changes."""
+    return [{"event": "list_confirmed"}]
+
+
+def refuse_connection(platform: SimulatedPlatform) -> list[dict]:
+    """Let a worker refuse a connection, and one that is unknown."""
+    workers = (platform.any_worker().entry["worker"], UNKNOWN_WORKER)
+    return [{"event": "refused", "worker": worker} for worker in workers]
+
+
 INCIDENTS: dict[str, Callable[[SimulatedPlatform], list[dict]]] = {
     incident.__name__: incident
     for incident in (
@@ -176,5 +192,8 @@
         change_load,
         send_unknown_events,
         make_answer_due,
+        fail_endpoint_call,
+        confirm_endpoint_list,
+        refuse_connection,
     )
 }
--- a/tests/http/test_discovery.py
+++ b/tests/http/test_discovery.py
@@ -13,6 +13,7 @@
 from stepstream.http.discovery_client import DiscoveryClient
 from stepstream.http.poll_schedule import PollSchedule
 from stepstream.model.endpoints import EndpointListKind
+from stepstream.model.events import EndpointCallFailed, EndpointListConfirmed
 from stepstream.runtime import log_events
 from stepstream.runtime.log import RateLimitedLogger
 from tests.config.configurations import LIMITS, POLICY_SETTINGS
@@ -45,7 +46,7 @@
 class DiscoveryHarness:
     """A client whose events are recorded, and a discovery service that answers by `reply`."""
 
-    def __init__(self, reply, version=None, settings=POLICY_SETTINGS, schedule=None):
+    def __init__(self, reply, version=None, settings=POLICY_SETTINGS, schedule=None, **options):
         self.events = []
         self.server = ScriptedServer(reply)
         self.failures = RateLimitedLogger(log_events.discovery_call_failed, LIMITS)
@@ -58,6 +59,7 @@
             self.events.append,
             self.failures,
             schedule or make_schedule(settings),
+            **options,
         )
         self.client.version = version
 
@@ -209,6 +211,44 @@
     assert harness.destinations.usable_address("s-1") == ("127.0.0.1", 1)
 
 
+# -- what confirms the list ------------------------------------------------------------------------
+
+
+def test_failures_and_answers_are_reported_where_they_change_what_is_known(start_client, silence):
+    # Guards against a list that is trusted for seconds while discovery rejects each call.
+    answers = [
+        write_answer(503),
+        write_answer(503),
+        write_answer(200, LIST),
+        write_answer(200, LIST),
+    ]
+
+    def reply(_):
+        if answers:
+            return answers.pop(0)
+        silence.wait(PATIENCE_SECONDS)
+        return None
+
+    reported = []
+    harness = start_client(reply, report_confirmation=reported.append)
+    wait_for(lambda: not answers and len(harness.server.requests) > 4)
+    assert reported == [EndpointCallFailed(0), EndpointListConfirmed()]
+
+
+def test_a_silent_watch_is_reported_with_the_time_since_it_was_opened(start_client, silence):
+    def reply(message):
+        if "wait=0" in message.target:
+            return write_answer(503)
+        silence.wait(PATIENCE_SECONDS)
+        return None
+
+    reported = []
+    schedule = make_schedule(watch_wait_seconds=0.25, watch_overrun_seconds=0.25)
+    harness = start_client(reply, version=7, schedule=schedule, report_confirmation=reported.append)
+    wait_for(lambda: harness.failures.count >= 3)
+    assert reported == [EndpointCallFailed(500_000)]
+
+
 # -- silent watches --------------------------------------------------------------------------------
 
 
--- a/tests/http/test_outbound.py
+++ b/tests/http/test_outbound.py
@@ -13,7 +13,7 @@
 from stepstream.http.in_flight_call import UnsentReason
 from stepstream.http.outbound import max_unsent_us
 from stepstream.model.endpoints import EndpointListKind, EndpointState
-from stepstream.model.events import AttemptResult
+from stepstream.model.events import AttemptResult, ConnectionRefused
 from stepstream.model.settings import Effect
 from tests.case_ids import case_id
 from tests.config.configurations import HEALTH_CHECK_LOAD_REPORTS, LIMITS, POLICY_SETTINGS
@@ -68,6 +68,7 @@
         port = closed.getsockname()[1]
     harness.destinations.apply(endpoint_answer(w=port))
     assert harness.result(harness.start_call()) is AttemptResult.CONNECT_FAILED
+    assert harness.events[0] == ConnectionRefused("w")
 
 
 def test_connections_refused_by_several_workers_make_the_list_suspect_once(make_carrier):
