--- a/stepstream/membership/failure_detector.py
+++ b/stepstream/membership/failure_detector.py
@@ -8,7 +8,7 @@
 Owns the probe under way and those on behalf of others; touched only under the driver's lock.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from math import inf
 
 import msgspec
@@ -39,16 +39,16 @@
 class Probe:
     """The probe of the current interval.
 
-    `indirect_at` is when indirect probes are requested, `helpers` the number of members that got
-    such a request, None before that.
+    `indirect_at` is when indirect probes are requested, `helpers` the members that got such a
+    request, None before that, and `nacked` those of them that sent a nack, once or more.
     """
 
     sequence: int
     target: str
     indirect_at: float
     is_acked: bool = False
-    helpers: int | None = None
-    nacks: int = 0
+    helpers: frozenset[str] | None = None
+    nacked: set[str] = field(default_factory=set)
 
     def awaits_indirect_probes(self) -> bool:
         """Return whether indirect probes are requested unless an ack arrives before."""
@@ -120,7 +120,7 @@
             case PingRequest():
                 self._on_ping_request(sender, body)
             case Nack():
-                self._on_nack(body)
+                self._on_nack(sender, body)
 
     def _on_ping(self, sender: MemberRecord, ping: Ping) -> None:
         if ping.target == self.members.local_name:
@@ -138,9 +138,13 @@
         if relayed is not None:
             self.outbox.send(relayed.address, Ack(relayed.sequence))
 
-    def _on_nack(self, nack: Nack) -> None:
-        if self.probe is not None and self.probe.sequence == nack.sequence:
-            self.probe.nacks += 1
+    def _on_nack(self, sender: MemberRecord, nack: Nack) -> None:
+        probe = self.probe
+        if probe is None or probe.sequence != nack.sequence or probe.helpers is None:
+            return
+        # A datagram may arrive twice, and from a member that was not asked.
+        if sender.name in probe.helpers:
+            probe.nacked.add(sender.name)
 
     def _on_ping_request(self, sender: MemberRecord, request: PingRequest) -> None:
         if len(self._relayed) >= MAX_RELAYED_PROBES:
@@ -227,7 +231,7 @@
         candidates = [name for name in self.members.others() if name != probe.target]
         count = min(self.context.settings.indirect_probes, len(candidates))
         helpers = self.context.rng.sample(candidates, count)
-        probe.helpers = len(helpers)
+        probe.helpers = frozenset(helpers)
         target = self.members.by_name.get(probe.target)
         if target is None:
             return
@@ -238,7 +242,8 @@
     def _fail_probe(self, probe: Probe) -> None:
         """Worsen local health and suspect the target (SWIM, section 4.2)."""
         self.context.metrics.failed_probes += 1
-        self.context.worsen_local_health(failed_probe_penalty(probe.helpers, probe.nacks))
+        helpers = None if probe.helpers is None else len(probe.helpers)
+        self.context.worsen_local_health(failed_probe_penalty(helpers, len(probe.nacked)))
         member = self.members.by_name.get(probe.target)
         if member is not None and member.record.state in PRESENT:
             local_name = self.members.local_name
--- a/stepstream/membership/local_health.py
+++ b/stepstream/membership/local_health.py
@@ -26,8 +26,8 @@
         return 1 + self.score
 
     def worsen(self, points: int, max_score: int) -> None:
-        """Add points, up to `max_score`."""
-        self.score = min(self.score + points, max_score)
+        """Add points, 0 or more, up to `max_score`."""
+        self.score = min(self.score + max(points, 0), max_score)
 
     def improve(self) -> None:
         """Take off one point after a probe that succeeded."""
--- a/tests/membership/test_failure_detector.py
+++ b/tests/membership/test_failure_detector.py
@@ -86,15 +86,35 @@
 def test_each_missing_nack_of_a_failed_probe_worsens_local_health(nacks, score):
     member = member_with("a", "b", "c", "d", "e")
     ping, started_at = start_probe(member)
-    run_until(member, started_at + TIMEOUT + 0.01, PingRequest)
-    for _ in range(nacks):
-        receive(member, started_at + TIMEOUT + 0.02, record("a"), Nack(ping.sequence))
+    requests = run_until(member, started_at + TIMEOUT + 0.01, PingRequest)
+    for helper in helpers_of(member, requests)[:nacks]:
+        receive(member, started_at + TIMEOUT + 0.02, helper, Nack(ping.sequence))
     run_until(member, started_at + INTERVAL + 0.01, Ping)
     assert member.context.local_health.score == score
     next_probe_seconds = member.detector.next_probe_at - (started_at + INTERVAL)
     assert next_probe_seconds == pytest.approx(INTERVAL * (1 + score))
 
 
+def helpers_of(member, requests):
+    """The records of the members that were asked to probe."""
+    addresses = {address for address, _ in requests}
+    known = [other.record for other in member.members.by_name.values()]
+    return [one for one in known if one.address in addresses]
+
+
+def test_a_helpers_nack_counts_once_and_only_a_helpers():
+    # Guards against a score below 0: the next probe had no timeout and its target was suspected.
+    member = member_with("a", "b", "c", "d", "e")
+    ping, started_at = start_probe(member)
+    requests = run_until(member, started_at + TIMEOUT + 0.01, PingRequest)
+    helper = helpers_of(member, requests)[0]
+    target = member.members.by_name[ping.target].record
+    for sender in (helper, helper, helper, helper, helper, target):
+        receive(member, started_at + TIMEOUT + 0.02, sender, Nack(ping.sequence))
+    run_until(member, started_at + INTERVAL + 0.01, Ping)
+    assert member.context.local_health.score == SETTINGS.indirect_probes - 1
+
+
 def test_a_helper_relays_the_ack_under_the_probers_sequence_number():
     helper = member_with("prober", "target")
     prober = record("prober")
@@ -132,5 +152,7 @@
     health = LocalHealth()
     health.improve()
     assert (health.score, health.multiplier) == (0, 1)
+    health.worsen(-2, max_score=3)
+    assert (health.score, health.multiplier) == (0, 1)
     health.worsen(5, max_score=3)
     assert (health.score, health.multiplier) == (3, 4)
