Withdraw the silent sessions that make room for another one

Callers saw: a lease could be granted to a program that had gone, and nobody held it for a time to live.

Cause: SessionTable.has_capacity expired silent sessions and dropped the list of those that only waited, so their proposers contended on.

Change: SessionService expires them, which releases their proposers, before it counts; the table only counts.

Measured: the new test fails on (nothing released) and passes.

--- a/stepstream/leases/session_table.py
+++ b/stepstream/leases/session_table.py
@@ -77,9 +77,8 @@
         """Close a session and return it."""
         return self.open_sessions.pop(name, None)
 
-    def has_capacity(self, now: float) -> bool:
-        """Return whether one more session fits, after the silent ones were expired."""
-        self.expire(now)
+    def has_capacity(self) -> bool:
+        """Return whether one more session fits."""
         return len(self.open_sessions) < self.max_sessions
 
     def request_end(self, lease: str | None = None) -> list[Session]:
--- a/stepstream/leases/sessions.py
+++ b/stepstream/leases/sessions.py
@@ -21,9 +21,10 @@
             return self.table.heartbeat(now, name)
 
     def has_capacity(self, now: float) -> bool:
-        """Return whether one more session may be opened."""
+        """Return whether one more session may be opened, once the silent ones have expired."""
+        self.expire(now)
         with self.driver.state_changed:
-            return self.table.has_capacity(now)
+            return self.table.has_capacity()
 
     def open(
         self, now: float, name: str, lease: str, ttl_seconds: float, operation_seconds: float
--- /dev/null
+++ b/tests/leases/test_lease_sessions.py
@@ -0,0 +1,38 @@
+"""The sessions of programs outside: what their service releases."""
+
+import threading
+
+from stepstream.leases.session_table import SessionTable
+from stepstream.leases.sessions import SessionService
+from tests.leases.lease_builders import recovered_participant
+
+TTL_SECONDS = 4.0
+
+
+class RecordingDriver:
+    """A driver whose releases are recorded."""
+
+    def __init__(self, participant):
+        self.participant = participant
+        self.state_changed = threading.Condition()
+        self.released = []
+
+    def acquire(self, lease, ttl_seconds, operation_seconds):
+        """Begin an attempt at time 0."""
+        proposer, _ = self.participant.acquire(0.0, lease, ttl_seconds, operation_seconds)
+        return proposer
+
+    def release(self, proposer):
+        """Record the attempt."""
+        self.released.append(proposer)
+
+
+def test_a_silent_session_that_makes_room_for_another_is_withdrawn_at_the_acceptors():
+    # Guards against a lease that is granted to a program which has gone.
+    driver = RecordingDriver(recovered_participant())
+    service = SessionService(driver, SessionTable(max_sessions=1))
+    waiting = service.open(0.0, "first", "nightly", TTL_SECONDS, 0.1)
+    assert not service.has_capacity(0.0)
+    assert not driver.released
+    assert service.has_capacity(TTL_SECONDS)
+    assert driver.released == [waiting.proposer]
