Say the true bound of an application message in the port

Cause: the port's docstring said 1,064 bytes where the codec allows 1,080.

Change: the docstring, as MAX_APPLICATION_BYTES of membership/messages.py.

Measured: read against the constant; no code changed.

--- a/stepstream/ports/messaging.py
+++ b/stepstream/ports/messaging.py
@@ -21,7 +21,7 @@
         """
 
     def send(self, member: str, kind: str, data: bytes) -> None:
-        """Send up to 1,064 bytes to a member by its name, in any state.
+        """Send up to 1,080 bytes to a member by its name, in any state.
 
         A message may be lost, duplicated or delayed.
         """
