Close a Gearman connection only without unread and unhandled messages

Callers saw: a connection that ended without a reply to a submission that was read, at a shutdown, drain, eviction or idle timeout.

Cause: closes decided on values read without a lock; between receiving and handling a message the session was idle and no submission was known, and nothing asked for unread bytes.

Change: bytes are received and parsed under the front's lock, messages are counted until handled, and closes decide under that lock.

--- a/stepstream/gearman/connection.py
+++ b/stepstream/gearman/connection.py
@@ -72,6 +72,9 @@
         self.last_reply_sent = False  # nothing is sent after it
         self.sent_at_seconds = 0.0  # when the peer last took some of the unsent bytes
         self.dropped = False  # the peer reads too little: its further messages are ignored
+        # Guarded by the front's lock, so that a close sees a message that was received.
+        self.unhandled_messages = 0
+        self.closed_idle = False  # closed between messages: what comes later is ignored
         self.session = Session(front.server.limits)
         # A phase starts with the first byte of a message, or with the end of the last reply once
         # the session is closed. No lock guards these values: the server's checks may read one that
@@ -108,30 +111,43 @@
             sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
     def _read_until_end(self) -> None:
+        read_bytes = self.server.limits.sizes.read_bytes
         while True:
             try:
-                data = self.transport.receive(self.server.limits.sizes.read_bytes)
+                if not self.transport.wait_readable(read_bytes):
+                    return
+                steps = self._receive(read_bytes)
             except OSError:
                 return
-            if not data:
-                return
             try:
-                self._process(data)
+                self._process(steps)
             except Exception as error:  # noqa: BLE001  whatever it is, the thread goes on to `_end`
                 # Guards the thread: this connection ends and gives back what it holds.
                 log_events.internal_fault(where="gearman", error=error)
                 return
 
-    def _process(self, data: bytes) -> None:
-        """Feed the session, and handle what is complete."""
+    def _receive(self, max_bytes: int) -> list[Step]:
+        """Receive the bytes that have arrived, and feed the session; return what is complete.
+
+        Bytes leave the kernel only under the front's lock: whoever closes the connection under it
+        sees either unread bytes or unhandled messages.
+        """
         now_seconds = time.monotonic()
-        if self.session.is_idle:
-            self.phase_started_at_seconds = now_seconds
-        self.last_activity_at_seconds = now_seconds
         with self.front.lock:
+            data = self.transport.receive_available(max_bytes)
+            if self.closed_idle:
+                return []
+            if self.session.is_idle:
+                self.phase_started_at_seconds = now_seconds
+            self.last_activity_at_seconds = now_seconds
             steps = self.session.feed(data)
+            self.unhandled_messages = len(steps)
         if steps:
             self.phase_started_at_seconds = now_seconds  # of the message that is partly here
+        return steps
+
+    def _process(self, steps: list[Step]) -> None:
+        """Handle messages in order."""
         for step in steps:
             if self.dropped:
                 return
@@ -139,6 +155,7 @@
             self._throttle(step)
             with self.front.lock:
                 self._handle(step)
+                self.unhandled_messages -= 1
                 self.front.flush()
 
     def _handle(self, step: Step) -> None:
@@ -266,29 +283,39 @@
 
     def evict(self) -> bool:
         """End the connection at once, unless it is in use; return whether it was ended."""
-        if self._view().is_in_use:
-            return False
-        self.transport.shut_down()
-        return True
+        with self.front.lock:
+            view = self._view()
+            if view.is_in_use or (view.session_idle and self.transport.has_unread()):
+                return False
+            self.closed_idle = True
+            self.transport.shut_down()
+            return True
 
     def close_if_idle(self) -> bool:
         """Close a client's connection between messages; return whether it was closed."""
-        if not connection_rules.closes_when_idle(self._view()):
-            return False
-        self.transport.shut_down()
-        return True
+        with self.front.lock:
+            if not connection_rules.closes_when_idle(self._view()) or self.transport.has_unread():
+                return False
+            self.closed_idle = True
+            self.transport.shut_down()
+            return True
 
     def enforce_timeouts(self, now: float) -> None:
         """Close the connection, or reply to a slow message, if a timeout has passed."""
         timeouts = self.server.limits.timeouts
-        match connection_rules.timeout_action(self._view(), now, timeouts):
-            case TimeoutAction.CLOSE:
-                self.transport.shut_down()
-            case TimeoutAction.REPLY_AND_CLOSE:
-                self._end_slow_message()
+        with self.front.lock:
+            match connection_rules.timeout_action(self._view(), now, timeouts):
+                case TimeoutAction.CLOSE:
+                    self.closed_idle = True
+                    self.transport.shut_down()
+                case TimeoutAction.REPLY_AND_CLOSE:
+                    self._end_slow_message()
 
     def _view(self) -> ConnectionView:
-        """Return what a decision needs; each value is read once, and without a lock."""
+        """Return what a decision needs; each value is read once.
+
+        A decision that closes the connection holds the front's lock.
+        """
         return ConnectionView(
             is_worker=self.is_worker(),
             has_open_request=self.has_open_request(),
@@ -299,13 +326,13 @@
             phase_started_at_seconds=self.phase_started_at_seconds,
             last_activity_at_seconds=self.last_activity_at_seconds,
             sent_at_seconds=self.sent_at_seconds,
+            has_unhandled_messages=self.unhandled_messages > 0,
         )
 
     def _end_slow_message(self) -> None:
-        with self.front.lock:
-            error = FramingError("TOO_SLOW", "half a message, and then nothing")
-            reply = self.session.close_with_error(error)
-            self.send(reply.data, close=reply.close)
+        error = FramingError("TOO_SLOW", "half a message, and then nothing")
+        reply = self.session.close_with_error(error)
+        self.send(reply.data, close=reply.close)
 
 
 def peer_host(sock: socket.socket) -> str:
--- a/stepstream/gearman/connection_rules.py
+++ b/stepstream/gearman/connection_rules.py
@@ -32,11 +32,12 @@
     phase_started_at_seconds: float  # first byte of the message, or end of the last reply
     last_activity_at_seconds: float  # last byte received
     sent_at_seconds: float  # when the peer last took some of the unsent bytes
+    has_unhandled_messages: bool = False  # complete ones that the service has not got yet
 
     @property
     def is_in_use(self) -> bool:
-        """Whether closing it would lose something: a job's outcome, or a worker."""
-        return self.has_open_request or self.is_worker
+        """Whether closing it would lose something: a message, a job's outcome, or a worker."""
+        return self.has_open_request or self.is_worker or self.has_unhandled_messages
 
 
 class TimeoutAction(Enum):
@@ -99,7 +100,7 @@
         return view.has_unsent_bytes
     is_client = view.has_sent_work and not view.is_worker
     client_may_submit = is_client and not server_is_closing
-    is_owed = view.has_open_request or view.has_unsent_bytes
+    is_owed = view.has_open_request or view.has_unsent_bytes or view.has_unhandled_messages
     return is_owed or client_may_submit or not view.session_idle
 
 
--- /dev/null
+++ b/tests/gearman/test_gearman_connection.py
@@ -0,0 +1,84 @@
+"""A Gearman connection on a loopback socket: its closes against messages that have arrived."""
+
+import socket
+import threading
+from queue import SimpleQueue
+
+import pytest
+
+from stepstream.config.node_config import config_from
+from stepstream.gearman.codec import Kind
+from stepstream.gearman.connection import GearmanConnection
+from stepstream.gearman.front import GearmanFront
+from stepstream.http.client_api import ClientApi
+from stepstream.http.server import InboundServer
+from stepstream.runtime.clock import Clock
+from stepstream.runtime.transport import Transport
+from tests.config.configurations import CONFIGURATION, LIMITS, POLICY_SETTINGS
+from tests.gearman.program import GearmanPeer
+from tests.gearman.service_harness import SECTION
+from tests.runtime.waiting import PATIENCE_SECONDS, wait_for
+
+CLOSES = {
+    "shutdown": lambda connection: connection.close_if_idle(),
+    "evicted": lambda connection: connection.evict(),
+    "timeout": lambda connection: connection.enforce_timeouts(float("inf")),
+}
+
+
+@pytest.fixture
+def connection_and_peer():
+    """A connection whose reader thread runs, and its peer, which has sent work before."""
+    events = []
+    server = InboundServer(
+        LIMITS, Clock(), ClientApi(POLICY_SETTINGS), events.append, lambda host: False
+    )
+    front = GearmanFront(
+        SECTION, config_from(CONFIGURATION, {}), server, SimpleQueue(), lambda: len(events)
+    )
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        peer = GearmanPeer.connect(listener.getsockname()[1])
+        sock, _ = listener.accept()
+    connection = GearmanConnection(Transport(sock), front, is_external=True)
+    reader = threading.Thread(target=connection.run, daemon=True)
+    reader.start()
+    peer.send(Kind.GET_STATUS, "H:none").until(Kind.STATUS_RES)
+    wait_for(lambda: not connection.unhandled_messages)
+    yield connection, peer
+    peer.sock.close()
+    reader.join(PATIENCE_SECONDS)
+
+
+@pytest.mark.parametrize("close", CLOSES)
+def test_a_submission_that_was_received_is_answered_though_its_connection_seems_idle(
+    connection_and_peer, monkeypatch, close
+):
+    # Guards against a submission that is read and whose connection closes without a reply.
+    connection, peer = connection_and_peer
+    received, go = threading.Event(), threading.Event()
+
+    def pause_before_handling(step):
+        received.set()
+        assert go.wait(PATIENCE_SECONDS)
+
+    monkeypatch.setattr(connection, "_throttle", pause_before_handling)
+    peer.send(Kind.SUBMIT_JOB, "tatra-invest/revalue", "", "x")
+    assert received.wait(PATIENCE_SECONDS)
+    CLOSES[close](connection)
+    go.set()
+    assert peer.next().kind is Kind.JOB_CREATED
+
+
+@pytest.mark.parametrize("close", ["shutdown", "evicted"])
+def test_a_connection_with_unread_bytes_is_not_closed_as_idle(
+    connection_and_peer, monkeypatch, close
+):
+    connection, _ = connection_and_peer
+    monkeypatch.setattr(connection.transport, "has_unread", lambda: True)
+    assert not CLOSES[close](connection)
+
+
+def test_an_idle_connection_is_closed(connection_and_peer):
+    connection, peer = connection_and_peer
+    assert connection.close_if_idle()
+    assert peer.next() is None
