Take opaque unique ids of Gearman clients as keys, and answer a NUL by ERROR

Callers saw: BAD_UNIQUE for the 16 raw bytes that a client library sends on a class with idempotency keys; a connection that ended after a status request with a NUL.

Cause: check_submission wanted printable text; the answer to a status request repeats its argument where a NUL cannot stand.

Change: idempotency_key maps a unique id to a key of the allowed form, as it is or hashed; a NUL in a status request is BAD_ARGUMENTS.

--- a/stepstream/gearman/admission_rules.py
+++ b/stepstream/gearman/admission_rules.py
@@ -4,6 +4,7 @@
 admitted. `job_admission` applies them in the order of this module.
 """
 
+import hashlib
 import re
 from dataclasses import dataclass
 
@@ -11,7 +12,9 @@
 from stepstream.gearman.errors import JobQueueFullError, RequestError
 from stepstream.model.settings import Effect, JobClass
 
-IDEMPOTENCY_KEY = re.compile(rb"[!-~]{1,128}")
+MAX_IDEMPOTENCY_KEY_BYTES = 128
+IDEMPOTENCY_KEY = re.compile(rb"[!-~]+")  # printable, no space
+HASHED_KEY_PREFIX = b"sha256:"
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,9 +39,10 @@
     that every worker accepts.
     """
     needs_key = job_class.effect is Effect.IDEMPOTENT_WITH_KEY
-    if needs_key and not IDEMPOTENCY_KEY.fullmatch(unique):
+    if needs_key and not 1 <= len(unique) <= MAX_IDEMPOTENCY_KEY_BYTES:
         raise RequestError(
-            "BAD_UNIQUE", f"{job_class.name} needs a unique id of 1 to 128 printable characters"
+            "BAD_UNIQUE",
+            f"{job_class.name} needs a unique id of 1 to {MAX_IDEMPOTENCY_KEY_BYTES} bytes",
         )
     if len(unique) > limits.gearman.unique_id_bytes:
         raise RequestError(
@@ -50,6 +54,18 @@
         )
 
 
+def idempotency_key(unique: bytes) -> str:
+    """Return the idempotency key for a unique id, which the protocol treats as opaque bytes.
+
+    A key is printable text without spaces. A unique id of that form is its own key. Any other is
+    hashed, as printable text of the key's length cannot tell all of them apart; so is one that
+    looks like a hashed key.
+    """
+    if IDEMPOTENCY_KEY.fullmatch(unique) and not unique.startswith(HASHED_KEY_PREFIX):
+        return unique.decode("ascii")
+    return (HASHED_KEY_PREFIX + hashlib.sha256(unique).hexdigest().encode()).decode("ascii")
+
+
 def check_client_usage(
     open_submissions: int, max_open_submissions: int, retry_after_seconds: float
 ) -> None:
--- a/stepstream/gearman/job_admission.py
+++ b/stepstream/gearman/job_admission.py
@@ -18,6 +18,7 @@
     check_dispatcher_usage,
     check_shutdown,
     check_submission,
+    idempotency_key,
 )
 from stepstream.gearman.codec import Kind, Packet
 from stepstream.gearman.errors import GearmanError
@@ -136,7 +137,7 @@
         job_class = state.settings.classes[target.job_class]
         job = Job(state.new_handle(), function, submission.unique, len(submission.workload))
         is_keyed = job_class.effect is Effect.IDEMPOTENT_WITH_KEY
-        idempotency_key = submission.unique.decode("ascii") if is_keyed else ""
+        key = idempotency_key(submission.unique) if is_keyed else ""
         job.authorization = submission.authorization
         job.request = Request(
             id=state.host.new_request_id(),
@@ -145,7 +146,7 @@
             deadline_us=now_us + job_class.deadline_us,
             tenant=target.tenant,
             slots=target.slots,
-            payload=Payload(f"/{job_class.name}", submission.workload, idempotency_key),
+            payload=Payload(f"/{job_class.name}", submission.workload, key),
             response_sink=JobResponseSink(job, state.host.on_answer, state.host.on_progress),
             settings=state.settings,
         )
--- a/stepstream/gearman/notifications.py
+++ b/stepstream/gearman/notifications.py
@@ -13,6 +13,7 @@
 from stepstream.gearman import codec
 from stepstream.gearman.access import AccessChecks
 from stepstream.gearman.codec import Kind, Packet
+from stepstream.gearman.errors import RequestError
 from stepstream.gearman.jobs import UNKNOWN_JOB_STATUS, Job, JobStage, StatusFields
 from stepstream.gearman.peers import Peer
 from stepstream.gearman.state import SECOND_US, ServiceState
@@ -71,6 +72,7 @@
     def send_status(self, _now_us: int, peer: Peer, packet: Packet) -> None:
         """Answer GET_STATUS."""
         (handle,) = packet.args
+        require_no_nul("handle", handle)
         job = self.state.jobs.by_handle.get(handle.decode("ascii", "replace"))
         self.access.check_job_access(peer, job)
         self.state.output.send(peer, codec.answer(Kind.STATUS_RES, handle, *status_of(job)))
@@ -78,6 +80,7 @@
     def send_status_by_unique(self, _now_us: int, peer: Peer, packet: Packet) -> None:
         """Answer GET_STATUS_UNIQUE for the latest job of a unique id."""
         (unique,) = packet.args
+        require_no_nul("unique", unique)
         job = self.state.jobs.latest_by_unique.get(unique)
         self.access.check_job_access(peer, job)
         client_count = len(job.clients) if job else 0
@@ -98,6 +101,12 @@
                 self.state.output.send(peer, data)
 
 
+def require_no_nul(name: str, argument: bytes) -> None:
+    """Raise `RequestError` for an argument with a NUL: the answer could not repeat it."""
+    if b"\0" in argument:
+        raise RequestError("BAD_ARGUMENTS", f"the {name} holds a NUL")
+
+
 def outcome_packets(job: Job, result: object, *, exceptions: bool) -> list[bytes]:
     """Return the packets of an ended job's outcome: the table of docs/gearman.md, "Outcomes".
 
--- a/tests/gearman/test_gearman_node.py
+++ b/tests/gearman/test_gearman_node.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 
+import gear
 import gearman
 import pytest
 
@@ -37,6 +38,33 @@
     wait_for(lambda: name.decode().partition(";")[0] in program.command("workers"))
 
 
+RAW_UNIQUE = bytes(range(1, 9)) + b"\xff" * 8  # of the length that client libraries draw
+
+
+def test_a_raw_unique_id_of_a_client_library_is_a_key(program):
+    # Guards against BAD_UNIQUE for opaque bytes on a class with idempotency keys.
+    library_worker(program, b"lib;start=1", {b"nav-publish": lambda worker, job: b"done"})
+    client = gearman.GearmanClient([f"127.0.0.1:{program.gearman}"])
+    done = client.submit_job("nav-publish", b"x", unique=RAW_UNIQUE, poll_timeout=PATIENCE_SECONDS)
+    assert (done.state, done.result) == ("COMPLETE", b"done")
+
+
+def test_another_client_library_sends_a_raw_unique_id_and_reads_an_error_code_of_letters(program):
+    library_worker(program, b"lib;start=1", {b"nav-publish": lambda worker, job: b"done"})
+    client = gear.Client()
+    client.addServer("127.0.0.1", program.gearman)
+    client.waitForServer()
+    try:
+        with pytest.raises(gear.GearmanError):
+            client.submitJob(gear.Job(b"nothing", b"x"), timeout=PATIENCE_SECONDS)
+        job = gear.Job(b"nav-publish", b"x", unique=RAW_UNIQUE)
+        client.submitJob(job, timeout=PATIENCE_SECONDS)
+        wait_for(lambda: job.complete)
+        assert (job.failure, job.data) == (False, [b"done"])
+    finally:
+        client.shutdown()
+
+
 def broken(worker, job):
     raise ValueError("no market data")
 
--- a/tests/golden/decision_codec.py
+++ b/tests/golden/decision_codec.py
@@ -202,6 +202,12 @@
             return AttemptStarted(data["job"], data["attempt"], data["worker"])
         case "probed":
             return HealthChecked(data["worker"], data["ok"], data["spent_us"], data["report"])
+    return platform_event_from(data)
+
+
+def platform_event_from(data: dict):
+    """The program's event that is not of one attempt or health check, from plain data."""
+    match data["event"]:
         case "list":
             return EndpointList(
                 EndpointListKind(data["kind"]), tuple(map(entry_from, data["entries"]))
