Guard the admin listener against stale events, faults and missing descriptors

Callers saw: an operator's call closed unanswered when 32 others were held; an admin thread that one fault would end; without a free descriptor a thread that used 2.01 CPU seconds in 2 s.

Cause: events were matched to connections by descriptor after others had been handled; own routes and periodic tasks had no guard; a failed accept left the caller in the queue, so poll returned at once. The clients' accept loop logged each of 100 tries a second.

Change: match first, guard all, pause 0.1 s; accept_failed is one line in 10 s. rejected_count of several accepting threads gets its lock.

--- a/stepstream/admin/listener.py
+++ b/stepstream/admin/listener.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import errno
 import select
 import socket
 import time
@@ -27,11 +28,16 @@
 from stepstream.ports.admin import AdminResponse, AdminRoute
 from stepstream.runtime import log_events
 from stepstream.runtime.log import RateLimitedLogger
+from stepstream.runtime.threads import run_until_closed
 
 READABLE = select.POLLIN
 WRITABLE = select.POLLOUT
 BROKEN = select.POLLERR | select.POLLHUP | select.POLLNVAL
 MILLISECONDS_PER_SECOND = 1000
+# An accept that fails for one of these fails again until something is closed.
+EXHAUSTED_RESOURCES = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
+ACCEPT_PAUSE_SECONDS = 0.1  # after such a failure
+FAULT_PAUSE_SECONDS = 1.0  # after a fault of the periodic tasks, or of a turn
 
 
 class AdminListener:
@@ -60,6 +66,9 @@
         self.poll.register(self.listening_socket, READABLE)
         self.connections: dict[int, AdminConnection] = {}  # by file descriptor
         self.bad_requests = RateLimitedLogger(log_events.admin_request_rejected, limits)
+        self.failed_accepts = RateLimitedLogger(log_events.accept_failed, limits, max_lines=1)
+        self.accept_again_at: float | None = None  # monotonic seconds; None: it accepts
+        self.tasks_again_at = 0.0  # monotonic seconds
 
     def _listen(self, address: tuple[str, int]) -> socket.socket:
         listening_socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -75,22 +84,43 @@
 
     def run(self) -> None:
         """Serve until the listening socket is closed; the body of the listener's thread."""
-        while self.listening_socket.fileno() >= 0:
-            self.poll_once()
+        run_until_closed(
+            "admin",
+            self.poll_once,
+            lambda: self.listening_socket.fileno() < 0,
+            FAULT_PAUSE_SECONDS,
+        )
 
     def poll_once(self) -> None:
         """Wait for events, serve them, and run what is due by time."""
         poll_milliseconds = self.limits.timeouts.admin_poll_seconds * MILLISECONDS_PER_SECOND
-        for descriptor, events in self.poll.poll(poll_milliseconds):
-            if events & select.POLLNVAL and descriptor not in self.connections:
+        # A descriptor that is closed in this turn may be another connection's at once.
+        ready = [
+            (descriptor, self.connections.get(descriptor), events)
+            for descriptor, events in self.poll.poll(poll_milliseconds)
+        ]
+        for descriptor, connection, events in ready:
+            if connection is not None:
+                if self.connections.get(descriptor) is connection:
+                    self._serve(connection, events)
+            elif events & select.POLLNVAL:
                 return  # the listening socket is closed
-            if descriptor == self.listening_socket.fileno():
+            elif descriptor == self.listening_socket.fileno():
                 self._accept()
-            elif descriptor in self.connections:
-                self._serve(self.connections[descriptor], events)
         now = time.monotonic()
+        self._resume_accepting(now)
         self._close_expired(now)
-        self.run_periodic_tasks(now)
+        self._run_tasks(now)
+
+    def _run_tasks(self, now: float) -> None:
+        """Run the periodic tasks; after a fault in them, the next time after a pause."""
+        if now < self.tasks_again_at:
+            return
+        try:
+            self.run_periodic_tasks(now)
+        except Exception as error:  # noqa: BLE001  a fault must not end the listener
+            log_events.internal_fault(where="admin tasks", error=error)
+            self.tasks_again_at = now + FAULT_PAUSE_SECONDS
 
     def _accept(self) -> None:
         """Accept the waiting connections; one beyond the bound evicts another."""
@@ -98,7 +128,9 @@
         for _ in range(max_connections):
             try:
                 sock, _ = self.listening_socket.accept()
-            except OSError:
+            except OSError as error:
+                if error.errno in EXHAUSTED_RESOURCES:
+                    self._pause_accepting(error)
                 return  # none is left, or the caller has gone before the accept
             evicted = decisions.connection_to_evict(self.connections.values(), max_connections)
             if evicted is not None:
@@ -108,6 +140,17 @@
             self.connections[sock.fileno()] = AdminConnection(sock, parser, time.monotonic())
             self.poll.register(sock, READABLE)
 
+    def _pause_accepting(self, error: OSError) -> None:
+        """Accept nothing for a while: the waiting caller would end each wait for events at once."""
+        self.failed_accepts.add(str(error))
+        self.poll.unregister(self.listening_socket)
+        self.accept_again_at = time.monotonic() + ACCEPT_PAUSE_SECONDS
+
+    def _resume_accepting(self, now: float) -> None:
+        if self.accept_again_at is not None and now >= self.accept_again_at:
+            self.accept_again_at = None
+            self.poll.register(self.listening_socket, READABLE)
+
     def _close_expired(self, now: float) -> None:
         """Close the connections whose time for a request is over."""
         max_age_seconds = self.limits.timeouts.admin_request_seconds
@@ -121,6 +164,8 @@
                 self._flush(connection)
             elif events & (READABLE | BROKEN):
                 self._read(connection)
+        except BlockingIOError:
+            return  # nothing has arrived after all
         except OSError:
             self._close(connection)
 
@@ -151,17 +196,17 @@
             self.bad_requests.add(f"{message.method} {target}: {error}")
             connection.respond(AdminResponse(error.status, str(error)))
             return
-        if isinstance(request, SubsystemRequest):
-            response = self._answer_subsystem_request(request, message.body)
-        else:
-            response = self.answer(replace(request, body=message.body))
+        response = self._answer_guarded(request, message.body)
         connection.respond(response, head_only=message.method == "HEAD")
 
-    @staticmethod
-    def _answer_subsystem_request(request: SubsystemRequest, body: bytes) -> AdminResponse:
+    def _answer_guarded(
+        self, request: OperatorRequest | SubsystemRequest, body: bytes
+    ) -> AdminResponse:
         try:
-            return request.route.answer(replace(request.request, body=body))
-        except Exception as error:  # noqa: BLE001  a subsystem's fault must not end the listener
+            if isinstance(request, SubsystemRequest):
+                return request.route.answer(replace(request.request, body=body))
+            return self.answer(replace(request, body=body))
+        except Exception as error:  # noqa: BLE001  a fault must not end the listener
             # Guards the caller too: the fault is a response, not a silence.
             log_events.internal_fault(where="an admin call", error=error)
             return AdminResponse(HTTP_SERVER_ERROR, "fault")
--- a/stepstream/http/server.py
+++ b/stepstream/http/server.py
@@ -26,6 +26,7 @@
 from stepstream.ports.connections import Connection, ListenerSpec
 from stepstream.runtime import log_events
 from stepstream.runtime.clock import Clock
+from stepstream.runtime.log import RateLimitedLogger
 from stepstream.runtime.sockets import shut_down
 from stepstream.runtime.threads import ThreadPool
 from stepstream.runtime.transport import Transport
@@ -61,6 +62,7 @@
         self.evicted_count = 0  # evicted, and not yet closed by their reader threads
         self.lingering = LingeringSockets(limits)
         self.rejected_count = 0
+        self.failed_accepts = RateLimitedLogger(log_events.accept_failed, limits, max_lines=1)
         self.listeners: list[ListenerSpec] = []
         self.is_ending = False  # no request that arrives would be answered
 
@@ -148,7 +150,7 @@
                 if spec.closing.is_set():
                     return
                 # A peer gone before its accept, or no descriptor left: neither may end the loop.
-                log_events.accept_failed(reason=str(error))
+                self.failed_accepts.add(str(error))
                 time.sleep(self.limits.timeouts.accept_retry_seconds)
                 continue
             self._admit_or_reject(spec, sock, peer[0])
@@ -225,7 +227,8 @@
 
     def _reject(self, spec: ListenerSpec, sock: socket.socket) -> None:
         """Send the overload response without reading a byte, and without a thread."""
-        self.rejected_count += 1
+        with self.lock:
+            self.rejected_count += 1
         try:
             sock.send(spec.overload_response(), socket.MSG_DONTWAIT)
             sock.shutdown(socket.SHUT_WR)
--- a/stepstream/runtime/log.py
+++ b/stepstream/runtime/log.py
@@ -84,16 +84,18 @@
 class RateLimitedLogger:
     """Counts bad input of one kind, and logs its event at a bounded rate; any thread.
 
-    Parameters: the event of `log_events`, and the limits with the rate (10 lines in 10 s).
+    Parameters: the event of `log_events`, the limits with the rate (10 lines in 10 s), and fewer
+    lines in that time, if any.
     """
 
-    def __init__(self, event: RateLimitedEvent, limits: Limits) -> None:
+    def __init__(
+        self, event: RateLimitedEvent, limits: Limits, max_lines: int | None = None
+    ) -> None:
         self.event = event
         self.count = 0
         self.lock = threading.Lock()  # guards the count and the rate limit
-        self.rate_limit = LogRateLimit(
-            limits.logging.lines_per_period, limits.logging.period_seconds
-        )
+        lines_per_period = limits.logging.lines_per_period if max_lines is None else max_lines
+        self.rate_limit = LogRateLimit(lines_per_period, limits.logging.period_seconds)
 
     def add(self, reason: str) -> None:
         """Count one more, and log it unless the rate is reached."""
--- a/stepstream/runtime/log_events.py
+++ b/stepstream/runtime/log_events.py
@@ -94,9 +94,11 @@
     write_event(Severity.WARNING, "thread_start_failed", pool=pool)
 
 
-def accept_failed(*, reason: str) -> None:
+def accept_failed(*, reason: str, suppressed_events: int) -> None:
     """Log that a connection was gone before its accept, or that no descriptor was left."""
-    write_event(Severity.WARNING, "accept_failed", reason=reason)
+    write_event(
+        Severity.WARNING, "accept_failed", reason=reason, suppressed_events=suppressed_events
+    )
 
 
 # -- discovery, workers and their load reports ----------------------------------------------------
