Merge maintenance of both processes of a hot restart under a lock

Callers saw: jobs at a worker that operators had taken out, or none at one they had released, after a hot restart; a state file that cannot be read loses all maintenance.

Cause: two threads wrote one unfinished file without a lock; signatures were taken by name after reading or replacing; both processes read, merged and wrote without a lock between them, and the later write undid the other's change; the last check at SIGTERM was applied nowhere.

Change: a lock in the process, flock on the folder between processes, a merge of both sides' changes since the state that the file last held, the signature of the open file, and what is adopted is applied. The form of the file is unchanged.

--- a/stepstream/admin/service.py
+++ b/stepstream/admin/service.py
@@ -140,8 +140,8 @@
     def _apply_and_hand_over_maintenance(self) -> int:
         """Apply the changed state here and in the state file; return how many workers it holds."""
         count = self._apply_maintenance()
-        if self.hot_restart is not None:
-            self.hot_restart.write()
+        if self.hot_restart is not None and self.hot_restart.write():
+            count = self._apply_maintenance()  # with what a sibling has changed
         return count
 
     def adopt_maintenance(self) -> None:
@@ -221,7 +221,8 @@
         if destinations.update_count != self.handed_over_updates:
             self.handed_over_updates = destinations.update_count
             hot_restart.endpoint_list = destinations.export_list()
-            hot_restart.write()
+            if hot_restart.write():
+                self.adopt_maintenance()
 
     def _post_sibling_change(self, hot_restart: "HotRestartController") -> None:
         """Notify the core when a sibling process has appeared or ended."""
--- a/stepstream/admin/subsystem.py
+++ b/stepstream/admin/subsystem.py
@@ -86,8 +86,9 @@
         The state file comes before the answers to health checks: SIGTERM may reach the
         predecessor as soon as a health check has succeeded.
         """
-        if self.service.hot_restart is not None:
-            self.service.hot_restart.write(ready=True)
+        hot_restart = self.service.hot_restart
+        if hot_restart is not None and hot_restart.write(ready=True):
+            self.service.adopt_maintenance()
         self.service.started = True
 
     def begin_shutdown(self) -> bool:
@@ -99,7 +100,9 @@
         hot_restart = self.service.hot_restart
         if hot_restart is None:
             return False
-        hot_restart.check_file()  # the successor may be ready since the listener's last turn
+        # The successor may be ready since the listener's last turn, and have changed maintenance.
+        if hot_restart.check_file():
+            self.service.adopt_maintenance()
         return hot_restart.successor() is not None
 
     def command_handlers(self) -> Mapping[type, Callable[[Command], None]]:
--- a/stepstream/core/maintenance.py
+++ b/stepstream/core/maintenance.py
@@ -11,6 +11,7 @@
 """
 
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from stepstream.model.endpoints import Endpoint, EndpointState
@@ -94,6 +95,12 @@
             self.state = state
             return True
 
+    def merge(self, merge: Callable[[MaintenanceState], MaintenanceState]) -> MaintenanceState:
+        """Replace the state by what `merge` makes of it, in one step; return the new state."""
+        with self.lock:
+            self.state = merge(self.state)
+            return self.state
+
     def snapshot(self) -> MaintenanceState:
         """Return the current state."""
         with self.lock:
--- a/stepstream/hot_restart/precedence.py
+++ b/stepstream/hot_restart/precedence.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from typing import Any
 
+from stepstream.core.maintenance import MAX_REMEMBERED_RELEASES, MaintenanceState
 from stepstream.hot_restart.process import ProcessRecord
 
 EndpointListJson = dict[str, Any]  # an endpoint list in the form in which discovery sends it
@@ -40,6 +41,43 @@
     return (*siblings, own)
 
 
+def merge_maintenance(
+    base: MaintenanceState, own: MaintenanceState, theirs: MaintenanceState
+) -> MaintenanceState:
+    """Return the state with the changes of both processes since `base`, their last common state.
+
+    A worker that only one of them has put into maintenance or released is as that one has it. The
+    generation grows where the result is neither of the two.
+    """
+    if own.in_maintenance == base.in_maintenance and own.released == base.released:
+        return theirs if theirs.generation > own.generation else own
+    begun = own.in_maintenance - base.in_maintenance
+    ended = base.in_maintenance - own.in_maintenance
+    in_maintenance = (theirs.in_maintenance | begun) - ended
+    released = _merge_releases(own.released, theirs.released, in_maintenance)
+    newer = max(own, theirs, key=lambda state: state.generation)
+    is_newer = (in_maintenance, released) == (newer.in_maintenance, newer.released)
+    if is_newer and own.generation != theirs.generation:
+        return newer
+    return MaintenanceState(newer.generation + 1, in_maintenance, released)
+
+
+def _merge_releases(
+    own: tuple[tuple[str, int], ...],
+    theirs: tuple[tuple[str, int], ...],
+    in_maintenance: frozenset[str],
+) -> tuple[tuple[str, int], ...]:
+    """Return the latest release of each worker, the oldest first."""
+    latest: dict[str, int] = {}
+    for worker_id, at_us in (*theirs, *own):
+        latest[worker_id] = max(at_us, latest.get(worker_id, at_us))
+    releases = [
+        (worker_id, at_us) for worker_id, at_us in latest.items() if worker_id not in in_maintenance
+    ]
+    releases.sort(key=lambda release: release[1])
+    return tuple(releases[-MAX_REMEMBERED_RELEASES:])
+
+
 def is_newer_list(candidate: EndpointListJson | None, current: EndpointListJson | None) -> bool:
     """Decide whether the candidate replaces the current endpoint list.
 
--- a/stepstream/hot_restart/state_file.py
+++ b/stepstream/hot_restart/state_file.py
@@ -1,16 +1,25 @@
 """The state file in $TMPDIR, which the processes of a hot restart read and write in turn.
 
 A write goes to another name and is renamed over the old file, so that a reader finds either the old
-state or the new one, never a part. The object owns the signature of the content that it last read
-or wrote; it belongs to the controller, and the threads that call the controller call it.
+state or the new one, never a part. `update` reads, merges and writes under two locks: one between
+the threads of this process, and an advisory one on the folder between processes (flock(2)), which
+the kernel releases if its owner ends. The object owns the signature of the content that it last
+read or wrote; it belongs to the controller, whose lock guards it.
 """
 
+import contextlib
+import fcntl
 import os
+import time
+from collections.abc import Callable, Iterator
 
-from stepstream.hot_restart.state import HandoverState, decode, encode
+from stepstream.hot_restart.state import HandoverState, HandoverStateError, decode, encode
 
 FileSignature = tuple[int, int, int]  # inode, modification time in nanoseconds, size in bytes
 
+LOCK_TIMEOUT_SECONDS = 0.2  # an operator's call, which waits for the write, is owed within 1 s
+LOCK_RETRY_SECONDS = 0.005
+
 
 def state_folder() -> str | None:
     """Return $TMPDIR, where both processes of a hot restart look; None where it is not set."""
@@ -24,6 +33,7 @@
     """
 
     def __init__(self, folder: str, dispatcher_name: str, own_pid: int, max_bytes: int) -> None:
+        self.folder = folder
         self.path = os.path.join(folder, f"stepstream-{dispatcher_name}.handover")
         self.unfinished_path = f"{self.path}.{own_pid}.part"
         self.max_bytes = max_bytes
@@ -34,8 +44,10 @@
 
         Raise OSError (FileNotFoundError if there is no file) or HandoverStateError.
         """
-        data = self._read_bytes()
-        self.known_signature = self._signature()
+        with open(self.path, "rb") as file:
+            # Of the open file: by its name it could be that of a later content.
+            self.known_signature = signature_of(os.fstat(file.fileno()))
+            data = file.read(self.max_bytes)
         return decode(data)
 
     def read_if_changed(self) -> HandoverState | None:
@@ -44,29 +56,64 @@
         Raise as `read` does. Without a change it costs one stat. A state that cannot be used is
         read only once.
         """
-        signature = self._signature()
-        if signature is None or signature == self.known_signature:
+        try:
+            signature = signature_of(os.stat(self.path))
+        except OSError:
             return None
-        self.known_signature = signature
-        return decode(self._read_bytes())
+        return None if signature == self.known_signature else self.read()
 
-    def write(self, state: HandoverState) -> None:
+    def update(self, merge: Callable[[HandoverState | None], HandoverState]) -> HandoverState:
+        """Replace the file by what `merge` makes of its state, None if that cannot be used.
+
+        No other process updates it meanwhile. Return the new state; raise OSError if it could not
+        be written, TimeoutError if another process holds the lock for too long.
+        """
+        with self._locked_folder():
+            state = merge(self._read_or_none())
+            self._replace(state)
+        return state
+
+    def _read_or_none(self) -> HandoverState | None:
+        try:
+            return self.read()
+        except (FileNotFoundError, HandoverStateError):
+            return None
+
+    def _replace(self, state: HandoverState) -> None:
         """Replace the file atomically, its content on disk first; raise OSError if that fails."""
         with open(self.unfinished_path, "wb") as file:
             file.write(encode(state))
             file.flush()
             os.fsync(file.fileno())
+            signature = signature_of(os.fstat(file.fileno()))
         os.replace(self.unfinished_path, self.path)
-        self.known_signature = self._signature()
+        self.known_signature = signature
+
+    @contextlib.contextmanager
+    def _locked_folder(self) -> Iterator[None]:
+        """Hold the lock between processes."""
+        descriptor = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            lock_within(descriptor, LOCK_TIMEOUT_SECONDS)
+            yield
+        finally:
+            os.close(descriptor)  # releases the lock
 
-    def _read_bytes(self) -> bytes:
-        with open(self.path, "rb") as file:
-            return file.read(self.max_bytes)
 
-    def _signature(self) -> FileSignature | None:
-        """Identify the file's present content; None if there is no file."""
+def lock_within(descriptor: int, timeout_seconds: float) -> None:
+    """Lock an open file against other processes; raise TimeoutError if one of them holds it."""
+    deadline = time.monotonic() + timeout_seconds
+    while True:
         try:
-            status = os.stat(self.path)
-        except OSError:
-            return None
-        return status.st_ino, status.st_mtime_ns, status.st_size
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            if time.monotonic() >= deadline:
+                raise TimeoutError("another process holds the lock of the state file") from None
+            time.sleep(LOCK_RETRY_SECONDS)
+        else:
+            return
+
+
+def signature_of(status: os.stat_result) -> FileSignature:
+    """Identify a file's content."""
+    return status.st_ino, status.st_mtime_ns, status.st_size
--- a/tests/hot_restart/test_hot_restart.py
+++ b/tests/hot_restart/test_hot_restart.py
@@ -199,6 +199,18 @@
     assert subsystem.service.started
 
 
+def test_the_last_check_at_sigterm_applies_what_the_successor_has_changed():
+    # Guards against jobs at a worker that the successor's operators took out just before.
+    subsystem = AdminSubsystem.__new__(AdminSubsystem)
+    adopted = []
+    hot_restart = SimpleNamespace(check_file=lambda: True, successor=lambda: NEW)
+    subsystem.service = SimpleNamespace(
+        hot_restart=hot_restart, adopt_maintenance=lambda: adopted.append(True)
+    )
+    assert subsystem.begin_shutdown()
+    assert adopted
+
+
 def test_an_own_record_that_a_sibling_did_not_know_is_written_again(tmp_path):
     own = controller_for(tmp_path, ProcessRecord(os.getpid(), "127.0.0.1:9901", 1_000, True))
     own.write()
