Report faulty keys, certificates and missing packages of identity in one line

Callers saw: a TLS connection that ended by an internal fault; operators saw tracebacks, and a private key file without its key.

The event client_certificate_unreadable is new.

--- a/stepstream/identity/certificates.py
+++ b/stepstream/identity/certificates.py
@@ -15,6 +15,13 @@
 NAME_KINDS = ("uri", "dns", "cn")  # the values of `identity.tls.names`
 SPIFFE_SCHEME = "spiffe://"
 CRL_HEADER = b"-----BEGIN X509 CRL-----"
+# What the library raises for a certificate that the TLS handshake may have accepted.
+UNREADABLE = (
+    ValueError,
+    x509.InvalidVersion,
+    x509.DuplicateExtension,
+    x509.UnsupportedGeneralNameType,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,8 +79,9 @@
             certificate.not_valid_after_utc.timestamp(),
             names_of(certificate),
         )
-    except ValueError as error:
-        raise CertificateError("unreadable", "it is no X.509 certificate") from error
+    except UNREADABLE as error:
+        explanation = f"it cannot be read: {type(error).__name__}"
+        raise CertificateError("unreadable", explanation) from error
 
 
 def names_of(certificate: x509.Certificate) -> dict[str, tuple[str, ...]]:
--- a/stepstream/identity/key_rotation.py
+++ b/stepstream/identity/key_rotation.py
@@ -82,15 +82,20 @@
         if is_taken or self.private_key_file(key_id).exists():
             raise IdentityCommandError(f"--kid={key_id} exists already")
         private_key = generate_private_key(algorithm)
+        row = public_jwk(algorithm, private_key)
+        rows.append({**row, "kid": key_id, "state": state.value, "not_before": now})
+        self._check_rows(rows)
         pem = private_key.private_bytes(
             serialization.Encoding.PEM,
             serialization.PrivateFormat.PKCS8,
             serialization.NoEncryption(),
         )
         self._write_atomically(self.private_key_file(key_id), pem, PRIVATE_KEY_MODE)
-        row = public_jwk(algorithm, private_key)
-        rows.append({**row, "kid": key_id, "state": state.value, "not_before": now})
-        self._save_rows(rows)
+        try:
+            self._save_rows(rows)
+        except BaseException:
+            self.private_key_file(key_id).unlink(missing_ok=True)
+            raise
         return key_id
 
     def rotate(self, overlap_seconds: int, now: int, *, early: bool = False) -> list[str]:
@@ -156,11 +161,17 @@
         return [f"{row['kid']} is removed" for row in ended]
 
     def _save_rows(self, rows: list[JwkRow]) -> None:
-        data = {"keys": rows}
-        parse_key_set(data)
-        text = ujson.dumps(data, indent=1).encode() + b"\n"
+        self._check_rows(rows)
+        text = ujson.dumps({"keys": rows}, indent=1).encode() + b"\n"
         self._write_atomically(self.key_file, text, KEY_FILE_MODE)
 
+    def _check_rows(self, rows: list[JwkRow]) -> None:
+        """Raise `IdentityCommandError` for rows that verifiers would reject, as too many."""
+        try:
+            parse_key_set({"keys": rows})
+        except KeySetError as error:
+            raise IdentityCommandError(f"{self.key_file}: {error}") from error
+
     def _write_atomically(self, path: Path, data: bytes, mode: int) -> None:
         """Write a file completely or not at all: a reader never sees a part of it."""
         self.folder.mkdir(mode=FOLDER_MODE, parents=True, exist_ok=True)
--- a/stepstream/identity/key_set.py
+++ b/stepstream/identity/key_set.py
@@ -119,9 +119,8 @@
 def parse_algorithm(path: str, row: dict[str, Any]) -> str:
     """Return a JWK's `alg`, which its `kty` and `crv` must match; raise `KeySetError`."""
     algorithm = row.get("alg")
-    if algorithm not in ALGORITHMS:
+    if not isinstance(algorithm, str) or algorithm not in ALGORITHMS:
         raise KeySetError(f"{path}.alg: {algorithm} is none of {', '.join(ALGORITHMS)}")
-    assert isinstance(algorithm, str)
     key_type, curve = ALGORITHMS[algorithm]
     if row.get("kty") != key_type or (curve and row.get("crv") != curve):
         expected = f"{key_type} {curve or ''}".rstrip()
--- a/stepstream/identity/tls.py
+++ b/stepstream/identity/tls.py
@@ -22,7 +22,8 @@
     parse_certificate,
     parse_revocation_lists,
 )
-from stepstream.identity.errors import RevocationListError
+from stepstream.identity.errors import CertificateError, RevocationListError
+from stepstream.runtime import log_events
 from stepstream.runtime.transport import Transport
 
 RECORD_BYTES = 16 * 1024  # the longest TLS record's plain text (RFC 8446, 5.1)
@@ -97,7 +98,12 @@
                 raise OSError("the peer left in the handshake")
             self.incoming.write(data)
         der = self.tls.getpeercert(binary_form=True)
-        self.certificate = parse_certificate(der) if der else None
+        try:
+            self.certificate = parse_certificate(der) if der else None
+        except CertificateError as error:
+            # Only the holder of a certificate of our own CA bundle can cause this line.
+            log_events.client_certificate_unreadable(reason=str(error))
+            raise OSError(str(error)) from error
 
     def _advance_handshake(self) -> bool:
         """Advance with the received bytes; return whether the handshake is complete."""
--- a/stepstream/runtime/log_events.py
+++ b/stepstream/runtime/log_events.py
@@ -264,6 +264,11 @@
     write_event(Severity.INFO, "keys_reloaded", keys=keys)
 
 
+def client_certificate_unreadable(*, reason: str) -> None:
+    """Log that a client's certificate passed the TLS handshake and cannot be read here."""
+    write_event(Severity.WARNING, "client_certificate_unreadable", reason=reason)
+
+
 def keys_reload_failed(*, reason: str) -> None:
     """Log that a changed key file cannot be used; the previous keys stay in force."""
     write_event(Severity.ERROR, "keys_reload_failed", reason=reason, in_force="previous keys")
--- a/tests/identity/test_identity_commands.py
+++ b/tests/identity/test_identity_commands.py
@@ -8,7 +8,8 @@
 import pytest
 
 from stepstream.identity.key_rotation import SigningKeyStore
-from stepstream.identity.key_set import KeyState
+from stepstream.identity.key_set import MAX_KEYS, KeyState
+from tests.config.configurations import CONFIGURATION
 from tests.identity.program import ISSUER_AND_AUDIENCE
 from tests.node.dispatcher_process import ROOT
 from tests.runtime.waiting import PATIENCE_SECONDS
@@ -25,6 +26,34 @@
     )
 
 
+def test_a_key_beyond_the_bound_is_one_line_and_leaves_no_private_file(tmp_path):
+    # Guards against a private key without a public one, whose id can never be used again.
+    store = SigningKeyStore(tmp_path)
+    for number in range(MAX_KEYS):
+        store.create_key("EdDSA", f"k{number}", KeyState.ACTIVE, 0)
+    done = stepstream("keys", "new", "--dir", str(tmp_path), "--kid", "more")
+    assert done.returncode == 2
+    assert done.stderr.splitlines() == [f"stepstream: {store.key_file}: keys: more than {MAX_KEYS}"]
+    assert not store.private_key_file("more").exists()
+
+
+def test_explain_without_its_packages_is_one_line(tmp_path):
+    # Guards against a traceback where only the operator's packages are installed.
+    (tmp_path / "jwt.py").write_text("raise ModuleNotFoundError(name='jwt')")
+    section = '[identity]\nissuer = "i"\naudience = "a"\nkeys = "k"\n'
+    (tmp_path / "operator.toml").write_text(section)
+    (tmp_path / "config.json").write_text(json.dumps(CONFIGURATION))
+    done = stepstream(
+        *("identity", "explain", "--operator", str(tmp_path / "operator.toml")),
+        *("--token", "t", "--class", "revalue"),
+        EDGE_CONFIG=str(tmp_path / "config.json"),
+        PYTHONPATH=str(tmp_path),
+    )
+    assert done.returncode == 2
+    assert done.stderr.count("\n") == 1
+    assert "needs the package jwt: pip install .[identity]" in done.stderr
+
+
 def test_keys_and_tokens_from_the_command_line(tmp_path):
     folder = str(tmp_path / "keys")
     kid = stepstream("keys", "new", "--dir", folder).stdout.strip()
--- a/tests/identity/test_identity_tls.py
+++ b/tests/identity/test_identity_tls.py
@@ -1,5 +1,6 @@
 """The running program with `[identity.tls]`: client certificates, their end, revocation, handshakes."""
 
+import contextlib
 import datetime
 import socket
 import ssl
@@ -29,6 +30,12 @@
 
 def client_with_uri(tls_program, uri, seconds=600):
     """A client certificate with one URI SAN, which trustme does not make."""
+    names = x509.SubjectAlternativeName([x509.UniformResourceIdentifier(uri)])
+    return client_with_names(tls_program, names, seconds)
+
+
+def client_with_names(tls_program, names, seconds=600):
+    """A client certificate with this extension as its alternative names."""
     issuer = x509.load_pem_x509_certificate(tls_program.ca.cert_pem.bytes())
     signer = serialization.load_pem_private_key(tls_program.ca.private_key_pem.bytes(), None)
     key = ec.generate_private_key(ec.SECP256R1())
@@ -41,9 +48,7 @@
         .serial_number(x509.random_serial_number())
         .not_valid_before(now - datetime.timedelta(seconds=60))
         .not_valid_after(now + datetime.timedelta(seconds=seconds))
-        .add_extension(
-            x509.SubjectAlternativeName([x509.UniformResourceIdentifier(uri)]), critical=True
-        )
+        .add_extension(names, critical=True)
         .sign(signer, hashes.SHA256())
     )
     path = tls_program.folder / f"client{certificate.serial_number}.pem"
@@ -65,6 +70,26 @@
     return context.wrap_socket(plain, server_hostname="127.0.0.1")
 
 
+def test_a_certificate_that_only_the_handshake_can_read_costs_one_line_and_its_connection(
+    tls_program,
+):
+    # Guards against a reader thread that ends with an unforeseen fault.
+    x400_address = x509.UnrecognizedExtension(
+        x509.OID_SUBJECT_ALTERNATIVE_NAME, b"\x30\x02\xa3\x00"
+    )
+    context, _ = client_with_names(tls_program, x400_address)
+    with connect_tls(tls_program.tls_port, context) as peer, contextlib.suppress(OSError):
+        assert peer.recv(1) == b""
+    tls_program.start_worker()
+    publisher, _ = client_with_uri(tls_program, "spiffe://danubia/publisher")
+    with connect_tls(tls_program.tls_port, publisher) as peer:
+        assert tls_program.post(peer=peer, path="/nav-publish").body == b"17.5"
+    tls_program.process.terminate()
+    log = tls_program.process.communicate(timeout=PATIENCE_SECONDS)[1]
+    assert log.count("client_certificate_unreadable") == 1
+    assert "internal_fault" not in log
+
+
 def test_a_certificate_identifies_its_caller_over_http_and_gearman(tls_program):
     tls_program.start_worker()
     publisher, _ = client_with_uri(tls_program, "spiffe://danubia/publisher")
--- a/tests/identity/test_identity_tokens.py
+++ b/tests/identity/test_identity_tokens.py
@@ -351,6 +351,7 @@
         ({"keys": [row(not_before="x")]}, "keys[0]: not_before"),
         ({"keys": [row(use="enc")]}, "keys[0].use"),
         ({"keys": [row(), row()]}, "keys[1].kid: ed comes twice"),
+        ({"keys": [row(alg=["EdDSA"])]}, "keys[0].alg"),
         ({"keys": [row(kid=f"k{n}") for n in range(65)]}, "more than 64"),
     ],
     ids=[
@@ -368,6 +369,7 @@
         "start that is no time",
         "use",
         "key id twice",
+        "algorithm that is no text",
         "too many keys",
     ],
 )
