The last of overlapping faults brings a member back, and only real crashes count

Callers saw: nothing; the lab's harness ended a fault early and timed crashes of members that were down already, which hides faults of the program.

Cause: FaultInjector started or resumed a member at the first end of two overlapping faults; FaultRun timed all members of a crash.

Change: process faults in force are kept like link faults; a member returns when none holds it. FaultRun times the members that ran.

--- a/stepstream/lab/faults/injector.py
+++ b/stepstream/lab/faults/injector.py
@@ -2,10 +2,12 @@
 
 Each fault becomes a step that begins it and, unless it is a restart, one that ends it; a flap has
 further steps between. The caller waits for the time of each step, then calls `apply`. Process
-faults act at once. Link faults add up: after each step, the cut links and the loss of all faults in
-force replace what the cluster had.
+faults act at once; of several that hold a member down, or suspended, the last to end brings it
+back. Link faults add up: after each step, the cut links and the loss of all faults in force replace
+what the cluster had.
 """
 
+from collections.abc import Collection
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
@@ -18,6 +20,9 @@
     Schedule,
 )
 
+# The member does not run until the fault ends.
+DOWN_FAULTS = frozenset((FaultKind.CRASH, FaultKind.LEAVE))
+
 
 class Transition(StrEnum):
     """Which end of a fault a step applies; the value is what the command prints."""
@@ -81,6 +86,7 @@
         self.target = target
         self.steps: list[FaultStep] = []
         self._link_faults: list[Fault] = []  # those in force now
+        self._process_faults: list[Fault] = []  # the same
         for number, fault in enumerate(schedule.faults):
             self.steps.extend(_steps_of(number, fault))
         self.steps.sort(key=lambda step: step[:3])
@@ -89,20 +95,22 @@
         """Begin or end a fault; members that are in no state for it are passed over."""
         if fault.kind in PROCESS_FAULTS:
             if transition is Transition.BEGIN:
+                self._process_faults.append(fault)
                 self._begin_process_fault(fault)
             else:
+                self._process_faults = without(self._process_faults, fault)
                 self._end_process_fault(fault)
             return
         if transition is Transition.BEGIN:
             self._link_faults.append(fault)
         else:
-            # By identity: two equal faults may be in force at once.
-            self._link_faults = [other for other in self._link_faults if other is not fault]
+            self._link_faults = without(self._link_faults, fault)
         self._apply_link_faults()
 
     def end_all(self) -> None:
         """Heal all links, start every member that is not running, resume every suspended one."""
         self._link_faults = []
+        self._process_faults = []
         self._apply_link_faults()
         for name in self.target.names:
             if not self.target.is_running(name):
@@ -127,19 +135,23 @@
                     raise UnknownFaultKindError(fault.kind)
 
     def _end_process_fault(self, fault: Fault) -> None:
-        """End a process fault; a later one that holds a member down does not delay its start."""
+        """End a process fault for the members that no other one holds down or suspended."""
         target = self.target
         for name in fault.members:
             match fault.kind:
                 case FaultKind.STALL:
-                    if target.is_running(name):
+                    if target.is_running(name) and not self._is_held(name, {FaultKind.STALL}):
                         target.resume(name)
                 case FaultKind.CRASH | FaultKind.RESTART | FaultKind.LEAVE:
-                    if not target.is_running(name):
+                    if not target.is_running(name) and not self._is_held(name, DOWN_FAULTS):
                         target.start(name)
                 case _:
                     raise UnknownFaultKindError(fault.kind)
 
+    def _is_held(self, name: str, kinds: Collection[FaultKind]) -> bool:
+        """Return whether a fault of these kinds is in force for a member."""
+        return any(fault.kind in kinds and name in fault.members for fault in self._process_faults)
+
     def _apply_link_faults(self) -> None:
         """Set the links to all link faults in force together."""
         cut_pairs: set[LinkPair] = set()
@@ -162,6 +174,11 @@
         return outgoing if fault.kind is FaultKind.ONE_WAY else outgoing | incoming
 
 
+def without(faults: list[Fault], ended: Fault) -> list[Fault]:
+    """Return the faults but one; by identity, as two equal ones may be in force at once."""
+    return [fault for fault in faults if fault is not ended]
+
+
 def _steps_of(fault_number: int, fault: Fault) -> list[FaultStep]:
     """Return the steps of one fault, in no particular order."""
     begin_seconds = fault.begin_seconds
--- a/stepstream/lab/reports/fault_run.py
+++ b/stepstream/lab/reports/fault_run.py
@@ -16,7 +16,7 @@
 from stepstream.config.errors import ConfigurationError
 from stepstream.lab.faults.injector import FaultInjector, FaultStep, Transition
 from stepstream.lab.faults.random_schedule import generate_schedule
-from stepstream.lab.faults.schedule import Fault, FaultKind, Schedule, read_schedule
+from stepstream.lab.faults.schedule import FaultKind, Schedule, read_schedule
 from stepstream.lab.processes.dispatcher_cluster import DispatcherCluster
 from stepstream.lab.processes.process_controller import ProcessController
 from stepstream.lab.reports.invariant_monitor import (
@@ -104,15 +104,17 @@
 
     def _apply(self, injector: FaultInjector, step: FaultStep) -> None:
         """Begin or end a fault, and say so."""
+        # A crash that meets a member which is down already is none.
+        running = [name for name in step.fault.members if self.controller.is_running(name)]
         injector.apply(step.transition, step.fault)
         text = f"{step.at_seconds:7.1f} s  {step.transition} of {describe(step.fault)}"
         self.console.print(text, highlight=False)
         if step.fault.kind is FaultKind.CRASH and step.transition is Transition.BEGIN:
-            self._add_crashes(step.fault)
+            self._add_crashes(running)
 
-    def _add_crashes(self, fault: Fault) -> None:
+    def _add_crashes(self, crashed: list[str]) -> None:
         now_seconds = time.monotonic()
-        self.undetected_crashes += [UndetectedCrash(name, now_seconds) for name in fault.members]
+        self.undetected_crashes += [UndetectedCrash(name, now_seconds) for name in crashed]
 
     def _wait_for_convergence(self) -> float | None:
         """Return how long the lists need to agree; None, and a violation, if it is too long."""
--- a/tests/lab/faults/test_fault_schedule.py
+++ b/tests/lab/faults/test_fault_schedule.py
@@ -238,3 +238,26 @@
         "^\\| `([a-z_]+)` \\| (?:kill|stop|suspend|drop|cut) ", PAGE.read_text(), re.M
     )
     assert sorted(listed) == sorted(kind.value for kind in FaultKind)
+
+
+@pytest.mark.parametrize(
+    ("kind", "begun", "ended"),
+    [(FaultKind.CRASH, "kill", "start"), (FaultKind.STALL, "stall", "resume")],
+)
+def test_of_two_overlapping_faults_of_a_member_the_last_to_end_brings_it_back(kind, begun, ended):
+    # Guards against a fault that the harness ends early, so that it hides what the fault shows.
+    target = RecordingTarget()
+    injector = FaultInjector(target, Schedule())
+    first = link_fault(kind, members=("n1",))
+    second = Fault(kind=kind, begin_seconds=1.0, duration_seconds=4.0, members=("n1",))
+    for transition, fault in (
+        (Transition.BEGIN, first),
+        (Transition.BEGIN, second),
+        (Transition.END, first),
+    ):
+        injector.apply(transition, fault)
+    assert (ended, "n1") not in target.calls
+    injector.apply(Transition.END, second)
+    assert target.calls[0] == (begun, "n1")
+    assert target.calls[-1] == (ended, "n1")
+    assert target.calls.count((ended, "n1")) == 1
