Count the lingering sockets that close_due works on against their bound

Callers saw: nothing; a flood of rejected peers could take more descriptors than the bound for a moment.

Cause: close_due took the queue out, and add counted the empty one.

Change: those taken out count until they are put back or closed.

--- a/stepstream/http/lingering.py
+++ b/stepstream/http/lingering.py
@@ -39,26 +39,27 @@
     """The sockets that are closed later, at most `lingering` of the limits.
 
     Threads that accept connections add sockets; the main thread closes those that are due. The lock
-    guards `queue`.
+    guards `queue` and `taken_count`.
     """
 
     def __init__(self, limits: Limits) -> None:
         self.limits = limits  # replaced by a reload
         self.lock = threading.Lock()
         self.queue: deque[LingeringSocket] = deque()  # in the order in which they were added
+        self.taken_count = 0  # out of the queue, while `close_due` works on them
 
     def __len__(self) -> int:
-        return len(self.queue)
+        return len(self.queue) + self.taken_count
 
     def add(self, sock: socket.socket, seconds: float) -> None:
-        """Close a socket after `seconds`; beyond the limit, close the oldest one at once.
+        """Close a socket after `seconds`; beyond the limit, close the oldest of the queue at once.
 
         Each socket occupies a descriptor, and a flood of rejected peers must not take them all.
         """
         oldest = None
         with self.lock:
             self.queue.append(LingeringSocket(sock, time.monotonic() + seconds))
-            if len(self.queue) > self.limits.connections.lingering:
+            if len(self) > self.limits.connections.lingering:
                 oldest = self.queue.popleft()
         if oldest is not None:
             oldest.discard_received(self.limits.sizes.read_bytes)
@@ -69,6 +70,7 @@
         with self.lock:
             waiting = self.queue
             self.queue = deque()
+            self.taken_count = len(waiting)
         remaining = []
         for lingering in waiting:
             lingering.discard_received(self.limits.sizes.read_bytes)
@@ -78,3 +80,4 @@
                 remaining.append(lingering)
         with self.lock:
             self.queue.extendleft(reversed(remaining))
+            self.taken_count = 0
