Take a common cap of 0.0 for a cap

Callers saw: attempts at a fleet that is full as at one of which nothing is known, until the next period.

Cause: two comparisons by truth value in policy/capacity.py, where headroom takes 0.0 as a cap.

Change: compare with None.

--- a/stepstream/policy/capacity.py
+++ b/stepstream/policy/capacity.py
@@ -96,7 +96,8 @@
 def measure_missing_common_cap(state: PolicyState) -> None:
     """Measure the common cap as soon as the first cap is known, not only with the next period."""
     measurements = state.measurements
-    measurements.common_cap = measurements.common_cap or median_cap(state)
+    if measurements.common_cap is None:
+        measurements.common_cap = median_cap(state)
 
 
 def change_busy_slots(state: PolicyState, worker: Worker, slots: float) -> None:
@@ -134,7 +135,8 @@
 
 def learn_from_start(state: PolicyState, worker: Worker) -> None:
     """Note a start on a worker that is at the common cap: its own cap is larger by a slot."""
-    at_cap = worker.busy_slots >= (state.measurements.common_cap or inf)
+    common_cap = state.measurements.common_cap
+    at_cap = common_cap is not None and worker.busy_slots >= common_cap
     if at_cap and not has_valid_headroom(worker, state.now_us):
         state.measurements.observed_caps.append(worker.busy_slots + 1)
 
--- a/tests/policy/test_capacity.py
+++ b/tests/policy/test_capacity.py
@@ -48,3 +48,14 @@
     # The report is from after the first change and from before the second one.
     capacity.learn_from_load_report(state, worker, 5.0)
     assert capacity.headroom(state, worker) == 4.0
+
+
+def test_a_common_cap_of_zero_is_a_cap():
+    # Guards against a full fleet that counts as one of which no cap is known.
+    state, worker = one_worker()
+    state.measurements.common_cap = 0.0
+    worker.cap = 5.0
+    capacity.measure_missing_common_cap(state)
+    assert state.measurements.common_cap == 0.0
+    capacity.learn_from_start(state, worker)
+    assert list(state.measurements.observed_caps) == [1.0]
