Take attempts on a process that has gone off their pool once

Callers saw: nothing measured; for up to half a second a pool looked emptier than it was, so that it took jobs over its caps.

Cause: the recount of the pools left a removed or restarted worker's open attempts out, and their ends took the same slots off again.

Change: they leave the pool with the process, whose record then belongs to no pool.

Draining and ejected workers are left out by the recount as well: suspected, not mended.

--- a/stepstream/policy/endpoint_updates.py
+++ b/stepstream/policy/endpoint_updates.py
@@ -14,11 +14,8 @@
     workers = state.workers
     if listed.kind is not EndpointListKind.CHANGES:
         listed_ids = {endpoint.worker_id for endpoint in listed.endpoints}
-        workers.by_id = {
-            worker_id: worker
-            for worker_id, worker in workers.by_id.items()
-            if worker_id in listed_ids
-        }
+        for worker_id in [known for known in workers.by_id if known not in listed_ids]:
+            _remove_worker(state, worker_id)
     workers.eligible = [
         worker
         for _, worker in sorted(workers.by_id.items())
@@ -33,16 +30,29 @@
     """Add, change or remove one worker."""
     workers = state.workers.by_id
     if endpoint.state is EndpointState.REMOVED:
-        workers.pop(endpoint.worker_id, None)
+        _remove_worker(state, endpoint.worker_id)
         return
     known = workers.get(endpoint.worker_id)
     if known is None or endpoint.started_us > known.endpoint.started_us:
         pool = known.pool if known is not None else state.pools.low_set
+        _remove_worker(state, endpoint.worker_id)
         workers[endpoint.worker_id] = _new_worker(state, endpoint, pool)
     else:
         known.endpoint = endpoint
 
 
+def _remove_worker(state: PolicyState, worker_id: str) -> None:
+    """Forget a process; its attempts that are still open leave its pool now, and not at their end.
+
+    The next recount of the pools would leave them out as well, and their ends take them off again.
+    """
+    worker = state.workers.by_id.pop(worker_id, None)
+    if worker is not None:
+        worker.pool.busy_slots -= worker.busy_slots
+        worker.pool.running_slots -= worker.running_slots
+        worker.pool = Pool()
+
+
 def _new_worker(state: PolicyState, endpoint: Endpoint, pool: Pool) -> Worker:
     """Return the record of a process that has just appeared or was restarted.
 
--- a/tests/policy/test_pools.py
+++ b/tests/policy/test_pools.py
@@ -1,7 +1,9 @@
 """The High Set and the Low Set, as the balancer's actions and state show them."""
 
+import pytest
+
 from stepstream.model.actions import Reject
-from stepstream.model.endpoints import EndpointList, EndpointListKind, EndpointState
+from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind, EndpointState
 from stepstream.model.events import AttemptResult
 from stepstream.model.settings import Effect, JobClass
 from tests.model.builders import HIGH_PRIORITY, IDEMPOTENT, NOT_IDEMPOTENT, make_endpoint
@@ -147,3 +149,20 @@
     for worker_id in set(worker_ids):
         expected = 80 * weights[worker_id] / total
         assert abs(worker_ids.count(worker_id) - expected) <= 1
+
+
+@pytest.mark.parametrize("change", ["removed", "restarted"])
+def test_attempts_on_a_process_that_has_gone_leave_their_pool_once(change):
+    # Guards against a pool that looks emptier than it is: a recount and the end took them off.
+    harness = PolicyHarness(workers=4)
+    job_id, actions = harness.submit()
+    worker_id = first_worker(actions)
+    pool = harness.balancer.state.workers.by_id[worker_id].pool
+    before = pool.busy_slots
+    state = EndpointState.REMOVED if change == "removed" else EndpointState.ACTIVE
+    gone = Endpoint(worker_id, state=state, started_us=harness.now_us)
+    harness.handle(EndpointList(EndpointListKind.CHANGES, (gone,)))
+    harness.finish_period()  # counts the pools anew
+    assert pool.busy_slots == before - 1.0
+    harness.end_attempt(job_id, worker_id, AttemptResult.RESET, job_ended=True)
+    assert pool.busy_slots == before - 1.0
