--- a/stepstream/hot_restart/precedence.py
+++ b/stepstream/hot_restart/precedence.py
@@ -49,7 +49,8 @@
     A worker that only one of them has put into maintenance or released is as that one has it. The
     generation grows where the result is neither of the two.
     """
-    if own.in_maintenance == base.in_maintenance and own.released == base.released:
+    is_own_unchanged = (own.in_maintenance, own.released) == (base.in_maintenance, base.released)
+    if own == theirs or is_own_unchanged:
         return theirs if theirs.generation > own.generation else own
     begun = own.in_maintenance - base.in_maintenance
     ended = base.in_maintenance - own.in_maintenance
--- a/stepstream/lab/processes/cluster_load_test.py
+++ b/stepstream/lab/processes/cluster_load_test.py
@@ -8,6 +8,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import TypeVar
 
 from stepstream.lab.emulator.clock import US_PER_MS
 from stepstream.lab.emulator.discovery import DiscoveryEmulator
@@ -43,6 +44,8 @@
 probe_sweep = {probe_sweep}
 """
 
+ClientsKind = TypeVar("ClientsKind", bound=RoundRobinClients)
+
 Disturbance = Callable[[RoundRobinClients], Awaitable[None]]
 """What happens to the dispatchers meanwhile; the clients' front has to know of failed ones."""
 
@@ -130,14 +133,7 @@
 
     async def play_with(self, disturbance: Disturbance) -> Figures:
         """Play the schedules of requests and faults beside a disturbance; return the figures."""
-        clients = RoundRobinClients(
-            self.scenario,
-            self.clock,
-            self.verifier,
-            self.http_addresses[0],
-            self.gearman_address,
-            dispatchers=self.http_addresses,
-        )
+        clients = self.create_clients(RoundRobinClients)
         self.fault_injector.schedule()
         disturbing = asyncio.ensure_future(disturbance(clients))
         await clients.run()
@@ -146,6 +142,17 @@
         self.late_ms = clients.max_start_delay_us / US_PER_MS
         return self.verifier.figures()
 
+    def create_clients(self, kind: type[ClientsKind]) -> ClientsKind:
+        """Build the clients of this test's load."""
+        return kind(
+            self.scenario,
+            self.clock,
+            self.verifier,
+            self.http_addresses[0],
+            self.gearman_address,
+            dispatchers=self.http_addresses,
+        )
+
     def kill_dispatcher(self, index: int) -> None:
         """Kill a dispatcher without waiting for its end."""
         self.dispatchers[index].send_signal(signal.SIGKILL)
--- a/stepstream/lab/processes/stop_soak.py
+++ b/stepstream/lab/processes/stop_soak.py
@@ -117,14 +117,7 @@
 
     async def play_plan(self) -> Figures:
         """Play the load and the plan; return the figures, with each breach."""
-        clients = PersistentClients(
-            self.scenario,
-            self.clock,
-            self.verifier,
-            self.http_addresses[0],
-            self.gearman_address,
-            dispatchers=self.http_addresses,
-        )
+        clients = self.create_clients(PersistentClients)
         self.fault_injector.schedule()
         if self.plan.has_crowd:
             await self.open_crowd()
--- a/stepstream/membership/context.py
+++ b/stepstream/membership/context.py
@@ -4,6 +4,7 @@
 """
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from stepstream.membership.local_health import LocalHealth
@@ -32,13 +33,21 @@
     cpu_seconds: float
 
 
+# Returns the generation of a process that would start now, by this machine's clock.
+GenerationClock = Callable[[], int]
+
+
 @dataclass(slots=True)
 class ProtocolContext:
-    """`now` is the caller's monotonic time in seconds at the current datagram or tick."""
+    """`now` is the caller's monotonic time in seconds at the current datagram or tick.
+
+    With `newest_generation` the successor in a hot restart is recognized from the start on.
+    """
 
     settings: ProtocolSettings
     rng: random.Random
     now: float
+    newest_generation: GenerationClock | None = None
     metrics: ProtocolMetrics = field(default_factory=ProtocolMetrics)
     local_health: LocalHealth = field(default_factory=LocalHealth)
 
--- a/stepstream/membership/protocol.py
+++ b/stepstream/membership/protocol.py
@@ -16,7 +16,7 @@
 
 from stepstream.membership.anti_entropy import AntiEntropy
 from stepstream.membership.application_messages import ApplicationMessages
-from stepstream.membership.context import ProtocolContext
+from stepstream.membership.context import GenerationClock, ProtocolContext
 from stepstream.membership.failure_detector import FailureDetector
 from stepstream.membership.local_health import is_stall
 from stepstream.membership.maintenance_records import MaintenanceRecords
@@ -34,7 +34,6 @@
 from stepstream.membership.probe_order import ProbeOrder
 from stepstream.membership.protocol_settings import ProtocolSettings
 from stepstream.membership.record_merge import RecordMerger
-from stepstream.membership.record_precedence import GenerationClock
 
 
 class MembershipProtocol:
@@ -51,15 +50,12 @@
         *,
         newest_generation: GenerationClock | None = None,
     ) -> None:
-        """`local` is alive at incarnation 0; `seeds` are addresses, its own may be among them.
-
-        With `newest_generation` the successor in a hot restart is recognized from the start on.
-        """
+        """`local` is alive at incarnation 0; `seeds` are addresses, its own may be among them."""
         self.cluster = cluster
         self.started_at = now
         self.ticked_at = now
         self.has_left = False
-        self.context = ProtocolContext(settings, rng, now)
+        self.context = ProtocolContext(settings, rng, now, newest_generation)
         self.members = MemberList(self.context, local)
         self.outbox = Outbox(self.context, self.members, cluster)
         self.outbox.broadcast(local)
@@ -68,12 +64,7 @@
         self.application = ApplicationMessages(self.members, self.outbox)
         probe_order = ProbeOrder(self.context, self.members)
         self.merger = RecordMerger(
-            self.context,
-            self.members,
-            self.statuses,
-            probe_order,
-            self.outbox,
-            newest_generation,
+            self.context, self.members, self.statuses, probe_order, self.outbox
         )
         # The detector draws from `rng` before anti-entropy does: seeded simulations rely on it.
         self.detector = FailureDetector(
--- a/stepstream/membership/record_merge.py
+++ b/stepstream/membership/record_merge.py
@@ -15,7 +15,6 @@
 from stepstream.membership.outbox import MAX_BURST_DATAGRAMS, Outbox
 from stepstream.membership.probe_order import ProbeOrder
 from stepstream.membership.record_precedence import (
-    GenerationClock,
     LocalClaim,
     classify_local_claim,
     is_new_start,
@@ -50,21 +49,19 @@
 class RecordMerger:
     """Applies records to the member list, and queues what others must learn of it."""
 
-    def __init__(  # noqa: PLR0913, PLR0917  the parts that a record changes, each once
+    def __init__(
         self,
         context: ProtocolContext,
         members: MemberList,
         statuses: MemberStatuses,
         probe_order: ProbeOrder,
         outbox: Outbox,
-        newest_generation: GenerationClock | None,
     ) -> None:
         self.context = context
         self.members = members
         self.statuses = statuses
         self.probe_order = probe_order
         self.outbox = outbox
-        self.newest_generation = newest_generation
 
     def merge(self, record: MemberRecord, reported_by: str) -> bool:
         """Merge a record; return False if its name is beyond the bound on members."""
@@ -167,7 +164,8 @@
         """Answer a claim about the local name by its kind; an outdated one needs no answer."""
         joined_at = self.members.joined_at
         seconds_since_joining = None if joined_at is None else self.context.now - joined_at
-        newest_generation = None if self.newest_generation is None else self.newest_generation()
+        clock = self.context.newest_generation
+        newest_generation = None if clock is None else clock()
         match classify_local_claim(
             self.members.local, record, seconds_since_joining, newest_generation
         ):
--- a/stepstream/membership/record_precedence.py
+++ b/stepstream/membership/record_precedence.py
@@ -5,7 +5,6 @@
 state; generation and address distinguish the starts of a process. Owns no state.
 """
 
-from collections.abc import Callable
 from enum import Enum, auto
 
 from stepstream.membership.messages import (
@@ -16,9 +15,6 @@
     MemberStatus,
 )
 
-# Returns the generation of a process that would start now, by this machine's clock.
-GenerationClock = Callable[[], int]
-
 # After joining, the record of an earlier start of this process may still arrive.
 NAME_TAKEOVER_SECONDS = 3.0
 
--- a/stepstream/runtime/log_events.py
+++ b/stepstream/runtime/log_events.py
@@ -25,11 +25,7 @@
 def listener_started(*, dispatcher: str, address: str, protocol: str) -> None:
     """Log that a listener for clients and workers accepts connections."""
     write_event(
-        Severity.INFO,
-        "listener_started",
-        dispatcher=dispatcher,
-        address=address,
-        protocol=protocol,
+        Severity.INFO, "listener_started", dispatcher=dispatcher, address=address, protocol=protocol
     )
 
 
@@ -157,10 +153,7 @@
 def load_report_ignored(*, reason: str, suppressed_events: int) -> None:
     """Log a load report that cannot be read."""
     write_event(
-        Severity.WARNING,
-        "load_report_ignored",
-        reason=reason,
-        suppressed_events=suppressed_events,
+        Severity.WARNING, "load_report_ignored", reason=reason, suppressed_events=suppressed_events
     )
 
 
@@ -313,11 +306,7 @@
 def membership_started(*, dispatcher: str, cluster: str, address: str) -> None:
     """Log that this dispatcher is a member of a cluster, at its address for datagrams."""
     write_event(
-        Severity.INFO,
-        "membership_started",
-        dispatcher=dispatcher,
-        cluster=cluster,
-        address=address,
+        Severity.INFO, "membership_started", dispatcher=dispatcher, cluster=cluster, address=address
     )
 
 
--- a/tests/hot_restart/test_state_file.py
+++ b/tests/hot_restart/test_state_file.py
@@ -153,6 +153,11 @@
     ("own", "theirs", "merged"),
     [
         (BASE, BASE, BASE),
+        (
+            MaintenanceState(5, frozenset("b"), ()),
+            MaintenanceState(5, frozenset("b"), ()),
+            (5, "b", {}),
+        ),
         (BASE, MaintenanceState(4, frozenset("ab"), (("x", 1),)), (4, "ab", {"x": 1})),
         (MaintenanceState(4, frozenset("ab"), (("x", 1),)), BASE, (4, "ab", {"x": 1})),
         (
--- a/tests/http/test_client_connection.py
+++ b/tests/http/test_client_connection.py
@@ -138,6 +138,11 @@
         serve(waiting)
         assert exchange(0, b"", self.peer).status == 200
 
+    def second_request(self):
+        """Return the request after the first one, once it is received."""
+        requests = self.harness.requests
+        return wait_for(lambda: requests(RequestReceived)[1:])[0]
+
 
 def test_a_shutdown_waits_for_an_idle_client_until_connections_close(serve_inbound):
     client = IdleClient(serve_inbound())
@@ -203,12 +208,7 @@
 
     monkeypatch.setattr(client.connection.transport, "wait_readable", wait_and_pause)
     client.peer.sendall(job_request("02"))  # ends the wait that began before this hook
-    (_, second) = wait_for(
-        lambda: (
-            len(client.harness.requests(RequestReceived)) == 2
-            and client.harness.requests(RequestReceived)
-        )
-    )
+    second = client.second_request()
     serve(second)
     assert exchange(0, b"", client.peer).status == 200
     client.peer.sendall(job_request("03"))
@@ -290,12 +290,7 @@
     client = IdleClient(serve_inbound())
     if replier == "decision thread":
         client.peer.sendall(job_request("02"))
-        (_, waiting) = wait_for(
-            lambda: (
-                len(client.harness.requests(RequestReceived)) == 2
-                and client.harness.requests(RequestReceived)
-            )
-        )
+        waiting = client.second_request()
     closed = threading.Event()
     client.connection.lock = InterruptibleLock(once(lambda: (CLOSES[close](client), closed.set())))
     if replier == "decision thread":
@@ -311,12 +306,7 @@
     # Guards against exchanged answers: the reader answered the second message first.
     client = IdleClient(serve_inbound())
     client.peer.sendall(job_request("02"))
-    (_, waiting) = wait_for(
-        lambda: (
-            len(client.harness.requests(RequestReceived)) == 2
-            and client.harness.requests(RequestReceived)
-        )
-    )
+    waiting = client.second_request()
 
     def send_readiness_check():
         client.peer.sendall(READINESS_CHECK)
@@ -333,12 +323,7 @@
     # Guards against a request without a client that lives on until its deadline.
     client = IdleClient(serve_inbound())
     client.peer.sendall(job_request("02") + job_request("03"))
-    (_, waiting) = wait_for(
-        lambda: (
-            len(client.harness.requests(RequestReceived)) == 2
-            and client.harness.requests(RequestReceived)
-        )
-    )
+    waiting = client.second_request()
     connection = client.connection
 
     def disconnect_once_the_next_is_open():
