--- a/review/standins/gearman_workers.py
+++ b/review/standins/gearman_workers.py
@@ -23,7 +23,7 @@
 FUNCTIONS = (b"revalue", b"price-check", b"nav-publish")
 KEYED_FUNCTION = b"nav-publish"
 RECONNECT_SECONDS = 0.1
-RECONNECT_AFTER_BREAK_SECONDS = 4.0
+RECONNECT_AFTER_BREAK_SECONDS = 2.0
 LATENESS_SECONDS = 0.05  # by which every limit of time is longer
 
 
--- a/review/standins/program.py
+++ b/review/standins/program.py
@@ -176,14 +176,20 @@
             self.events.append((float(at), *text.split()))
 
 
-def start_gearman_dispatcher(scenario: Scenario) -> tuple[Dispatcher, tuple[str, int]]:
-    """Start one dispatcher with Gearman; return it and the address of its Gearman listener."""
+def start_gearman_dispatcher(
+    scenario: Scenario, settings: dict[str, Any] | None = None
+) -> tuple[Dispatcher, tuple[str, int]]:
+    """Start one dispatcher with Gearman; return it and the address of its Gearman listener.
+
+    Its settings are the site's, unless others are given.
+    """
     host = case_host()
     address = (host, free_port(host))
     operator_file = f'[gearman]\nlisten = "{host}:{address[1]}"\ntenant = "tatra-invest"\n'
+    settings = settings or site.settings()
     discovery = start_discovery(host)
     dispatcher = scenario.add(
-        Dispatcher("n1", scenario.folder, host, discovery, site.settings(), operator_file)
+        Dispatcher("n1", scenario.folder, host, discovery, settings, operator_file)
     )
     dispatcher.start()
     dispatcher.wait_until_ready()
