--- a/review/standins/program.py
+++ b/review/standins/program.py
@@ -11,6 +11,7 @@
 import time
 import tomllib
 from collections.abc import Callable
+from copy import copy
 from http.client import HTTPConnection
 from pathlib import Path
 from typing import Any, Self
@@ -38,6 +39,18 @@
     return f"127.{100 + (pid >> 14) % 20}.{(pid >> 6) % 250 + 1}.{(pid % 64) * 3 + number}"
 
 
+def answers_yes(address: tuple[str, int], path: str) -> bool:
+    """Return whether a GET is answered with 200."""
+    connection = HTTPConnection(*address, timeout=1.0)
+    try:
+        connection.request("GET", path)
+        return connection.getresponse().status == 200
+    except OSError:
+        return False
+    finally:
+        connection.close()
+
+
 class Dispatcher:
     """One dispatcher; several starts of it may run one after the other."""
 
@@ -52,8 +65,10 @@
         admin_address: str = "",
     ) -> None:
         """Write the files; `operator_file` is the text of the operator's file, if there is one."""
+        folder = Path(tempfile.mkdtemp(prefix=f"{name}-", dir=folder))
         self.name = name
         self.folder = folder
+        self.temporary_folder: Path | None = None  # of the process that was started last
         self.host = host
         self.port = free_port(host)
         self.log_path = folder / f"{name}.log"
@@ -74,14 +89,28 @@
         self.config_path.write_text(json.dumps(config))
         self.operator_path.write_text(operator_file)
 
-    def start(self) -> None:
-        """Start the deploy file's `run`; its temporary folder is empty, as the platform has it."""
+    def prepare_successor(self, admin_address: str) -> "Dispatcher":
+        """Return the same dispatcher with another second address, for an upgrade."""
+        successor = copy(self)
+        successor.process = None
+        successor.config_path = self.folder / "successor.json"
+        successor.log_path = self.folder / "successor.log"
+        config = json.loads(self.config_path.read_text())
+        successor.config_path.write_text(json.dumps({**config, "operator": admin_address}))
+        return successor
+
+    def start(self, temporary_folder: Path | None = None) -> None:
+        """Start the deploy file's `run`.
+
+        Its temporary folder is empty, as the platform has it, or the given one at an upgrade.
+        """
+        self.temporary_folder = temporary_folder or Path(tempfile.mkdtemp(dir=self.folder))
         with open(ROOT / "deploy" / "balancer.toml", "rb") as file:
             run = tomllib.load(file)["run"]
         environment = {
             **os.environ,
             "EDGE_CONFIG": str(self.config_path),
-            "TMPDIR": tempfile.mkdtemp(dir=self.folder),
+            "TMPDIR": str(self.temporary_folder),
         }
         if self.has_operator_file:
             environment["STEPSTREAM_OPERATOR"] = str(self.operator_path)
@@ -105,14 +134,7 @@
 
     def is_ready(self) -> bool:
         """Return whether `GET /-/ready` answers 200."""
-        connection = HTTPConnection(self.host, self.port, timeout=1.0)
-        try:
-            connection.request("GET", "/-/ready")
-            return connection.getresponse().status == 200
-        except OSError:
-            return False
-        finally:
-            connection.close()
+        return answers_yes((self.host, self.port), "/-/ready")
 
     def send(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process that was started last."""
