--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,105 +1,76 @@
-"""Case 9: during an upgrade both processes of a dispatcher grant the same lease."""
+"""Case 9: a Gearman worker in maintenance gets a new job after the grace, and loses it."""
 
 import contextlib
-import os
-import signal
-import socket
-import subprocess
-import sys
+import threading
 import time
 from pathlib import Path
 
 from standins2.case import HOST, Case, free_port, run_case, wait_until
+from standins2.gearman import GearmanClient, GearmanWorker
 from standins2.settings import configuration, service
-from standins2.web import Discovery, call, is_ready
+from standins2.web import Discovery, is_ready, operate
 
-FOLDER = Path(__file__).parent
-TTL_SECONDS = 3  # also leases.longest_s
-YES_SECONDS = 6.0  # the new process has 6 s to say yes; then SIGTERM goes to the old one
-AFTERWARDS_SECONDS = 5.0
-
-Entry = tuple[float, str, int]  # time, fencing token and process id of one write
+GRACE_SECONDS = 0.5 + 0.05  # safety.stop_sending_within_us, and the slack of every time limit
+JOB_SECONDS = 0.9  # less than gearman.queue_wait_ms by default
+RESTART_AFTER_SECONDS = 1.2  # from the yes on: the grace is over and the worker's job has ended
+JOBS = 2
 
 
 def body(case: Case) -> None:
-    """Run a task under a lease of the old process; another one wants it during an upgrade."""
-    listen, fleet = free_port(), free_port(socket.SOCK_DGRAM)
-    old_operator, new_operator = free_port(), free_port()
+    """Take out one of two workers, which runs a job while another waits; then restart it."""
+    listen, operator, gearman = free_port(), free_port(), free_port()
     discovery = Discovery([])
-    operator_file = (
-        f'[fleet]\nlisten = "{HOST}:{fleet}"\nseeds = ["{HOST}:{fleet}"]\ncluster = "nav"\n'
-        f'[leases]\nvoters = ["n1"]\nlongest_s = {TTL_SECONDS}\n'
+    services = [service("nav-publish", "side_effect", worth=10.0)]
+    case.start_dispatcher(
+        configuration(listen, discovery.port, services, operator=operator),
+        f'[gearman]\nlisten = "{HOST}:{gearman}"\ntenant = "tatra-invest"\n',
     )
-    ledger = Path(case.temporary) / "ledger"
-    ledger.touch()
-
-    def start_process(operator: int) -> "subprocess.Popen[bytes]":
-        services = [service("revalue", "pure")]
-        config = configuration(listen, discovery.port, services, operator=operator)
-        return case.start_dispatcher(config, operator_file)
-
-    def start_task(name: str, operator: int) -> None:
-        case.start(
-            name,
-            f"exec {sys.executable} -m stepstream lease run nightly --at {HOST}:{operator}"
-            f" --ttl {TTL_SECONDS} -- {sys.executable} {FOLDER / 'writer.py'} {ledger}",
-            {},
-        )
-
-    old = start_process(old_operator)
     wait_until(lambda: is_ready(listen), 15, "the dispatcher is ready")
-    start_task("first-task", old_operator)
-    wait_until(lambda: entries(ledger), 20, "the first task writes")
+    assigned: list[tuple[str, float, str]] = []
+    workers: dict[str, GearmanWorker] = {}
+
+    def work(name: str) -> None:
+        worker = GearmanWorker(gearman, f"{name};start=1000", "nav-publish")
+        workers[name] = worker
+        with contextlib.suppress(OSError):
+            while True:
+                job = worker.grab(5.0)
+                if job is None:
+                    continue
+                workload = job[2].decode()
+                assigned.append((name, time.monotonic(), workload))
+                case.log(f"{name}: assigned {workload}")
+                time.sleep(JOB_SECONDS)
+                worker.complete(job[0], b"published " + job[2])
+                case.log(f"{name}: completed {workload}")
+
+    for name in ("w1", "w2"):
+        threading.Thread(target=work, args=(name,), daemon=True).start()
+    time.sleep(0.5)
+    clients = [GearmanClient(gearman) for _ in range(JOBS)]
+    for number, client in enumerate(clients):
+        handle = client.submit("nav-publish", f"fund-{number}", f"job {number}".encode())
+        case.log(f"client: submitted job {number} as {handle}")
+    wait_until(lambda: assigned, 1, "a worker runs a job")
+    name = assigned[0][0]
+    told_at = float("inf")
     if case.trouble:
-        began = time.monotonic()
-        start_process(new_operator)
-        wait_until(lambda: says_yes(new_operator), YES_SECONDS, "the new process says yes")
-        case.log(f"the new process says yes after {time.monotonic() - began:.2f} s")
-        start_task("second-task", new_operator)
-        time.sleep(max(began + YES_SECONDS - time.monotonic(), 0))
-        os.kill(old.pid, signal.SIGTERM)
-        case.log("SIGTERM to the old process")
-    else:
-        start_task("second-task", old_operator)
-        time.sleep(YES_SECONDS)
-    time.sleep(AFTERWARDS_SECONDS)
-    judge(case, entries(ledger))
-    for process_id in {process_id for _, _, process_id in entries(ledger)}:
-        with contextlib.suppress(ProcessLookupError):
-            os.kill(process_id, signal.SIGKILL)
-
-
-def entries(ledger: Path) -> list[Entry]:
-    """Return what the tasks have written."""
-    lines = [line.split() for line in ledger.read_text().splitlines()]
-    return [(float(line[0]), line[1], int(line[2])) for line in lines if len(line) == 3]
-
-
-def says_yes(operator: int) -> bool:
-    """Return whether a process's health check succeeds."""
-    try:
-        answer = call(operator, "GET /healthcheck HTTP/1.1", {}, seconds=1.0)
-    except OSError:
-        return False
-    return answer is not None and answer.status == 200
-
-
-def judge(case: Case, written: list[Entry]) -> None:
-    """Break the rule if a holder writes after the next one has begun."""
-    tokens = list(dict.fromkeys(token for _, token, _ in written))
-    for token in tokens:
-        times = [at for at, name, _ in written if name == token]
-        case.log(f"token {token}: {len(times)} entries from {times[0]:.3f} to {times[-1]:.3f}")
-    for token, next_token in zip(tokens, tokens[1:], strict=False):
-        next_began = min(at for at, name, _ in written if name == next_token)
-        late = [at for at, name, _ in written if name == token and at > next_began]
-        if late:
-            seconds = late[-1] - next_began
-            case.break_rule(
-                f"two holders at once: {len(late)} writes of the first one, up to {seconds:.2f} s "
-                "after the second one began"
-            )
+        status = operate(case, operator, f"/workers/gearman:{name}/maint")
+        if status == 200:
+            told_at = time.monotonic()
+        time.sleep(RESTART_AFTER_SECONDS)
+        case.log(f"operators restart {name}: its process ends")
+        workers[name].close()
+    outcomes = [client.outcome(6.0) for client in clients]
+    for number, (outcome, data) in enumerate(outcomes):
+        case.log(f"client: job {number} {outcome} {data!r}")
+    for worker, at, workload in assigned:
+        if worker == name and at > told_at + GRACE_SECONDS:
+            late = at - told_at
+            case.break_rule(f"{name} got {workload} {late:.3f} s after the yes to its maintenance")
+            outcome, data = outcomes[int(workload.split()[1])]
+            case.break_rule(f"{workload}, accepted from its client, ended as {outcome} {data!r}")
 
 
 if __name__ == "__main__":
-    run_case(str(FOLDER), body)
+    run_case(str(Path(__file__).parent), body)
