Bound the nesting of JSON where it comes in, in one decoder for every path

Cause: ujson recurses on the C stack without a check of it. On a thread's 256 KiB it reads 1,022 levels (its own limit is 1,024), but writes only about 743 (lists and objects); no reader had a bound of its own. Evidence: under a debugger the decision thread stood in ujson's encoder, 740 frames deep, with its stack pointer 32 bytes below the end of its stack. Ruled out: the size of the result, its reading (the worker had its 200 already), its shape, Python's own recursion limit (json, repr and comparison raise RecursionError at about 990). The same end, -11, on the old build: a notification that the admin listener takes from a sibling, one of an unknown request that the forwarder writes again, a state file whose list is merged and written again.

Change: config/json_decoding.py is the only decoder of JSON. It counts the levels on the bytes, before anything is built, and rejects more than 128 (RFC 8259, section 9). A notification beyond the bound gets 400 with the reason, and the log has job_notification_rejected; its job stays open. Answers to other malformed messages are byte for byte as before. Tokens are decoded as UTF-8 before json.loads, which would take UTF-16 as well and so evade the count. Why this works: what has passed the bound fits the stack of any thread, for reading, writing, forwarding and printing, and nothing else can reach an encoder.

--- a/stepstream/admin/service.py
+++ b/stepstream/admin/service.py
@@ -45,7 +45,8 @@
 
     `context` is the node that the service acts on. `started` is set once the clients' listener is
     open, and `hot_restart` if there is a state folder. `on_maintenance_change` is set by the
-    subsystem that notifies other dispatchers of maintenance.
+    subsystem that notifies other dispatchers of maintenance. `on_rejected_notification` takes the
+    reason for which a forwarded notification was rejected.
     """
 
     def __init__(self, context: SubsystemContext, drain: DrainState) -> None:
@@ -55,6 +56,7 @@
         self.started = False
         self.hot_restart: HotRestartController | None = None
         self.on_maintenance_change: Callable[[str, bool], None] | None = None
+        self.on_rejected_notification: Callable[[str], None] = lambda _reason: None
         self.remote_changes: SimpleQueue[RemoteMaintenanceChange] = SimpleQueue()
         self.sibling_present = False
         # The destination set's `update_count` when its list was last written to the state file.
@@ -101,6 +103,7 @@
         try:
             notification = read_notification(Message(method="POST", body=body), forwarded=True)
         except ProtocolError as error:
+            self.on_rejected_notification(str(error))
             return AdminResponse(error.status, str(error))
         if notification is not None:
             self.context.post(notification)
--- a/stepstream/admin/subsystem.py
+++ b/stepstream/admin/subsystem.py
@@ -30,6 +30,7 @@
         self.address = address
         drain = DrainState(context.limits.timeouts.drain_close_seconds)
         self.service = AdminService(context, drain)
+        self.service.on_rejected_notification = context.server.state.report_rejected_notification
 
     def start(self) -> None:
         """Take over a predecessor's state and serve operators.
--- a/stepstream/config/node_config.py
+++ b/stepstream/config/node_config.py
@@ -8,10 +8,9 @@
 from dataclasses import field
 from typing import Any
 
-import ujson
-
 from stepstream.config.errors import ConfigurationError
 from stepstream.config.fields import SettingsFields, flatten
+from stepstream.config.json_decoding import decode_json
 from stepstream.config.settings_reader import read_settings
 from stepstream.model.records import record
 from stepstream.model.settings import Settings
@@ -52,7 +51,7 @@
         raise ConfigurationError("EDGE_CONFIG is not set")
     try:
         with open(path, encoding="utf-8") as file:
-            data = ujson.loads(file.read())
+            data = decode_json(file.read())
     except (OSError, ValueError) as error:
         raise ConfigurationError(f"EDGE_CONFIG={path} cannot be read: {error}") from error
     if not isinstance(data, dict):
--- a/stepstream/hot_restart/state.py
+++ b/stepstream/hot_restart/state.py
@@ -11,6 +11,7 @@
 
 import ujson
 
+from stepstream.config.json_decoding import JsonError, JsonNestingError, decode_json
 from stepstream.core.maintenance import MaintenanceState
 from stepstream.hot_restart.precedence import EndpointListJson
 from stepstream.hot_restart.process import ProcessRecord
@@ -75,7 +76,9 @@
     """Decode the bytes of the file; raise HandoverStateError if they deviate from the format."""
     body_text = _open_envelope(data)
     try:
-        return _read_body(ujson.loads(body_text))
+        return _read_body(decode_json(body_text))
+    except JsonNestingError as error:
+        raise StateFieldError(str(error)) from error
     except (ValueError, KeyError, TypeError) as error:
         raise StateFieldError("a field is missing or of the wrong type") from error
 
@@ -83,8 +86,8 @@
 def _open_envelope(data: bytes) -> str:
     """Check format, version and checksum, and return the body's text."""
     try:
-        envelope = ujson.loads(data)
-    except (ValueError, RecursionError) as error:
+        envelope = decode_json(data)
+    except JsonError as error:
         raise StateFormatError("not whole JSON") from error
     if not isinstance(envelope, dict) or envelope.get("format") != FORMAT:
         raise StateFormatError("not a handed-over state")
--- a/stepstream/http/codec.py
+++ b/stepstream/http/codec.py
@@ -49,11 +49,16 @@
 
 
 class ProtocolError(HttpError):
-    """The peer broke the protocol; `status` is the HTTP status of the answer, if one is sent."""
+    """The peer broke the protocol; `status` is the HTTP status of the answer, if one is sent.
 
-    def __init__(self, status: int, description: str) -> None:
+    `answer_body` is the body of that answer. It is empty unless the peer needs to know more than
+    the status.
+    """
+
+    def __init__(self, status: int, description: str, answer_body: bytes = b"") -> None:
         super().__init__(description)
         self.status = status
+        self.answer_body = answer_body
 
 
 @dataclass(slots=True)
--- a/stepstream/http/load_reports.py
+++ b/stepstream/http/load_reports.py
@@ -12,8 +12,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-import ujson
-
+from stepstream.config.json_decoding import decode_json
 from stepstream.http.errors import HttpError
 from stepstream.http.named_numbers import bounded_number, read_pairs
 from stepstream.model.settings import Settings
@@ -41,7 +40,7 @@
 def decode_body(body: bytes) -> object:
     """Decode a report in JSON or text form; raises ValueError if it is malformed."""
     text = body.decode()
-    return ujson.loads(text) if text.lstrip().startswith("{") else decode_text(text)
+    return decode_json(text) if text.lstrip().startswith("{") else decode_text(text)
 
 
 def return_decoded(load: object) -> object:
@@ -98,6 +97,6 @@
                 for name, value in fields.items()
                 if name in column_names
             } or None
-        except (ValueError, RecursionError) as error:
+        except ValueError as error:
             self.on_unreadable(f"{error}")
             return None
--- a/stepstream/http/server.py
+++ b/stepstream/http/server.py
@@ -54,6 +54,8 @@
         self.is_worker_host = is_worker_host
         self.state = ServerState(client_api)
         self.state.is_overloaded = self.is_overloaded
+        rejected_notifications = RateLimitedLogger(log_events.job_notification_rejected, limits)
+        self.state.report_rejected_notification = rejected_notifications.add
         self.reader_threads = ThreadPool("inbound", limits.connections.inbound)
         self.slow_writer_threads = ThreadPool("slow writer", limits.connections.slow_writer_threads)
         self.lock = threading.Lock()
--- a/stepstream/http/server_state.py
+++ b/stepstream/http/server_state.py
@@ -21,6 +21,8 @@
         self.access_control: AccessControl | None = None  # None: callers are not authenticated
         # Whether another open request would leave no connection for notifications.
         self.is_overloaded: Callable[[], bool] = lambda: False
+        # Takes the reason for which a job notification was rejected; any thread calls it.
+        self.report_rejected_notification: Callable[[str], None] = lambda _reason: None
 
         # Each of these makes the readiness check fail, so that the front proxy sends no new clients
         # to this dispatcher.
--- a/stepstream/http/session.py
+++ b/stepstream/http/session.py
@@ -136,7 +136,11 @@
 
     def _handle_notification(self, message: Message) -> list[SessionEvent]:
         load_reports = self.server_state.client_api.load_reports
-        notification = read_notification(message, load_reports)
+        try:
+            notification = read_notification(message, load_reports)
+        except ProtocolError as error:
+            self.server_state.report_rejected_notification(str(error))
+            raise
         access_control = self.server_state.access_control
         if access_control is not None:
             worker_id = read_json_object(message.body)["from"]
@@ -214,7 +218,7 @@
         unknown peer must not keep its connection by sending malformed messages.
         """
         self.phase = SessionPhase.CLOSED
-        return Reply(write_answer(error.status, close=True), close=True)
+        return Reply(write_answer(error.status, error.answer_body, close=True), close=True)
 
     def close(self) -> Request | None:
         """End the session without an answer; return the request that was open, if any."""
--- a/stepstream/identity/configuration.py
+++ b/stepstream/identity/configuration.py
@@ -6,9 +6,8 @@
 import os
 from dataclasses import dataclass
 
-import ujson
-
 from stepstream.config.errors import ConfigurationError
+from stepstream.config.json_decoding import decode_json
 from stepstream.config.operator_file import IdentitySection
 from stepstream.identity.errors import KeySetError
 from stepstream.identity.key_set import KeySet, parse_key_set
@@ -47,8 +46,8 @@
     if len(data) > MAX_KEY_FILE_BYTES:
         raise ConfigurationError(f"{setting}: over {MAX_KEY_FILE_BYTES} bytes")
     try:
-        key_set = parse_key_set(ujson.loads(data))
-    except (KeySetError, ValueError, RecursionError) as error:
+        key_set = parse_key_set(decode_json(data))
+    except (KeySetError, ValueError) as error:
         raise ConfigurationError(f"{setting}: {error}") from error
     tls = load_tls_credentials(section.tls) if section.tls else None
     return LoadedIdentity(section, key_set, version, tls)
--- a/stepstream/identity/key_rotation.py
+++ b/stepstream/identity/key_rotation.py
@@ -17,6 +17,7 @@
 from cryptography.hazmat.primitives import serialization
 from cryptography.hazmat.primitives.asymmetric import ec, ed25519, rsa
 
+from stepstream.config.json_decoding import decode_json
 from stepstream.identity.errors import IdentityCommandError, KeySetError
 from stepstream.identity.key_set import ALGORITHMS, KEY_ID_PATTERN, KeyState, parse_key_set
 from stepstream.identity.rotation_rules import (
@@ -64,7 +65,7 @@
         if not self.key_file.exists():
             return []
         try:
-            data = ujson.loads(self.key_file.read_bytes())
+            data = decode_json(self.key_file.read_bytes())
             parse_key_set(data)
         except (KeySetError, ValueError) as error:
             raise IdentityCommandError(f"{self.key_file}: {error}") from error
--- a/stepstream/identity/tokens.py
+++ b/stepstream/identity/tokens.py
@@ -14,6 +14,7 @@
 
 import jwt
 
+from stepstream.config.json_decoding import JsonNestingError, check_nesting
 from stepstream.identity.errors import TokenError
 from stepstream.identity.key_set import (
     ALGORITHMS,
@@ -117,10 +118,15 @@
     values.
     """
     try:
+        # Decoded first: `json.loads` would take bytes as UTF-16 as well, which RFC 7515 rules out.
+        text = data.decode()
+        check_nesting(text)
         value = json.loads(
-            data, object_pairs_hook=reject_duplicate_names, parse_constant=reject_constant
+            text, object_pairs_hook=reject_duplicate_names, parse_constant=reject_constant
         )
-    except (ValueError, RecursionError):
+    except JsonNestingError as error:
+        raise TokenError("not_json", f"a part is {error}") from None
+    except ValueError:
         raise TokenError("not_json", "a part is not JSON") from None
     if not isinstance(value, dict):
         raise TokenError("not_json", "a part is not a JSON object")
--- a/stepstream/lab/emulator/workload.py
+++ b/stepstream/lab/emulator/workload.py
@@ -4,6 +4,8 @@
 
 import ujson
 
+from stepstream.config.json_decoding import JsonError, decode_json
+
 FIELD_COUNT = 4
 FIELD_LIMIT = 10**9  # exclusive
 
@@ -26,8 +28,8 @@
     def parse(cls, body: bytes) -> "Workload | None":
         """Parse a body; return None if it has another form, as other clients' bodies may have."""
         try:
-            values = ujson.loads(body)
-        except ValueError:
+            values = decode_json(body)
+        except JsonError:
             return None
         if not isinstance(values, list) or len(values) != FIELD_COUNT:
             return None
--- a/stepstream/lab/processes/cluster_member.py
+++ b/stepstream/lab/processes/cluster_member.py
@@ -8,8 +8,7 @@
 from pathlib import Path
 from typing import Any, NotRequired, Self, TypedDict
 
-import ujson
-
+from stepstream.config.json_decoding import JsonError, decode_json
 from stepstream.lab.processes.addresses import free_port
 from stepstream.lab.processes.dispatcher_process import STEPSTREAM_PROGRAM, DispatcherProcess
 
@@ -115,8 +114,8 @@
         finally:
             connection.close()
         try:
-            return response.status, ujson.loads(body)
-        except ValueError:
+            return response.status, decode_json(body)
+        except JsonError:
             return response.status, body.decode()
 
     def membership_list(self) -> MembershipList | None:
--- a/stepstream/lab/verification/ledger.py
+++ b/stepstream/lab/verification/ledger.py
@@ -19,6 +19,7 @@
 from contextlib import closing
 from pathlib import Path
 
+from stepstream.config.json_decoding import decode_json
 from stepstream.lab.verification.ledger_record import JsonObject, Ledger
 
 TIMEOUT_SECONDS = 5.0
@@ -34,7 +35,7 @@
         """Respond to each line until the client closes the connection."""
         for line in self.rfile:
             try:
-                response = self.server.ledger.admit(json.loads(line))
+                response = self.server.ledger.admit(decode_json(line))
             except (ValueError, KeyError, IndexError, TypeError) as error:
                 response = {"error": f"{type(error).__name__}: {error}"}
             self.wfile.write(json.dumps(response).encode() + b"\n")
@@ -61,7 +62,7 @@
     def request(self, **members: object) -> JsonObject:
         """Send a JSON object with these members and return the ledger's response."""
         self.socket.sendall(json.dumps(members).encode() + b"\n")
-        response: JsonObject = json.loads(self.response_lines.readline())
+        response: JsonObject = decode_json(self.response_lines.readline())
         return response
 
     def close(self) -> None:
--- a/stepstream/lab/verification/ledger_record.py
+++ b/stepstream/lab/verification/ledger_record.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple, TypedDict
 
+from stepstream.config.json_decoding import decode_json
 from stepstream.leases.fencing import FencedError, FencingGuard
 
 JsonObject = dict[str, Any]
@@ -101,7 +102,7 @@
 def read_entries(path: Path) -> list[LedgerEntry]:
     """Read the entries of a ledger's file, without a last line that is not yet complete."""
     text = path.read_text(encoding="utf-8") if path.exists() else ""
-    return [json.loads(line) for line in text.splitlines(keepends=True) if line.endswith("\n")]
+    return [decode_json(line) for line in text.splitlines(keepends=True) if line.endswith("\n")]
 
 
 def find_breaches(entries: list[LedgerEntry]) -> list[str]:
--- a/stepstream/runtime/log_events.py
+++ b/stepstream/runtime/log_events.py
@@ -157,6 +157,16 @@
     )
 
 
+def job_notification_rejected(*, reason: str, suppressed_events: int) -> None:
+    """Log a job notification that cannot be read; its sender got an error and the reason."""
+    write_event(
+        Severity.WARNING,
+        "job_notification_rejected",
+        reason=reason,
+        suppressed_events=suppressed_events,
+    )
+
+
 # -- admin listener, maintenance and drain --------------------------------------------------------
 
 
--- a/stepstream/subsystem_api/admin_client.py
+++ b/stepstream/subsystem_api/admin_client.py
@@ -4,10 +4,9 @@
 from http import HTTPStatus
 from typing import Any
 
-import ujson
-
 from stepstream.config.errors import ConfigurationError
 from stepstream.config.fields import MAX_PORT
+from stepstream.config.json_decoding import JsonError, decode_json
 
 TIMEOUT_SECONDS = 5.0
 NO_ANSWER = 0  # the status of a request without an answer
@@ -48,8 +47,8 @@
     finally:
         connection.close()
     try:
-        return response.status, ujson.loads(body)
-    except ValueError:
+        return response.status, decode_json(body)
+    except JsonError:
         return response.status, {"error": body.decode("utf-8", "replace").strip()}
 
 
--- a/tests/admin/test_admin_service.py
+++ b/tests/admin/test_admin_service.py
@@ -128,6 +128,9 @@
 def test_a_forwarded_notification_is_posted_and_marked_as_forwarded(
     service, context, body, status, posted
 ):
+    rejected = []
+    service.on_rejected_notification = rejected.append
     request = OperatorRequest(AdminAction.TAKE_NOTIFICATION, body=body)
     assert service.answer(request).status == status
     assert context.posted == posted
+    assert len(rejected) == (status == 400)
--- a/tests/gearman/test_gearman_node.py
+++ b/tests/gearman/test_gearman_node.py
@@ -15,6 +15,7 @@
 from stepstream.gearman import codec
 from stepstream.gearman.codec import PacketKind
 from tests.config.configurations import CONFIGURATION
+from tests.config.nested_json import nested_lists
 from tests.gearman.program import OPERATOR_FILE_TEMPLATE, revalue_with_progress
 from tests.http.messages import job_request
 from tests.http.scripted_server import exchange
@@ -271,3 +272,17 @@
     assert run.returncode == 2
     assert "gearman.listen" in run.stderr
     assert len(run.stderr.splitlines()) == 1
+
+
+def test_a_nested_result_and_workload_pass_unread_to_clients_of_both_fronts(program):
+    # Gearman carries opaque bytes, so the bound on the nesting of JSON does not apply to them.
+    value = nested_lists(10_000).encode()
+    worker = program.connect().register_worker()
+    client = program.connect().send(PacketKind.SUBMIT_JOB, "revalue", "", value)
+    handle, *_, workload = worker.grab_job()
+    assert workload == value
+    worker.send(PacketKind.WORK_COMPLETE, handle, value)
+    assert client.receive_until(PacketKind.WORK_COMPLETE).args[1] == value
+    program.run_in_thread(lambda: worker.complete_jobs(value))
+    answer = exchange(program.http_port, job_request(body=value))
+    assert (answer.status, answer.body) == (200, value)
--- a/tests/http/test_load_reports.py
+++ b/tests/http/test_load_reports.py
@@ -12,6 +12,7 @@
 from stepstream.http.named_numbers import MAX_NUMBER
 from stepstream.http.worker_api import NOTIFICATION_PATH, read_notification
 from tests.config.configurations import HEALTH_CHECK_LOAD_REPORTS, POLICY_SETTINGS
+from tests.config.nested_json import nested_lists
 
 REPORT = {"queue": 2.0, "free_slots": 1.5}
 READABLE = {
@@ -29,6 +30,12 @@
 )
 
 
+def test_a_health_checks_report_that_is_nested_too_deeply_is_ignored():
+    reader, errors = make_reader("probe")
+    assert reader.read_health_check(f'{{"queue":{nested_lists()}}}'.encode()) is None
+    assert errors == ["JSON nested more than 128 levels deep"]
+
+
 def settings_with(source):
     return replace(POLICY_SETTINGS, **{**HEALTH_CHECK_LOAD_REPORTS, "load_report_source": source})
 
--- a/tests/identity/test_identity_tokens.py
+++ b/tests/identity/test_identity_tokens.py
@@ -15,6 +15,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from stepstream.config.errors import ConfigurationError
+from stepstream.config.json_decoding import MAX_NESTING_LEVELS
+from stepstream.config.operator_file import IdentitySection
+from stepstream.identity.configuration import load_identity
 from stepstream.identity.errors import (
     CertificateError,
     CredentialError,
@@ -23,10 +27,11 @@
     KeySetError,
     TokenError,
 )
-from stepstream.identity.key_rotation import generate_private_key, public_jwk
+from stepstream.identity.key_rotation import SigningKeyStore, generate_private_key, public_jwk
 from stepstream.identity.key_set import KeyState, parse_key_set
 from stepstream.identity.token_cache import CachingTokenVerifier
 from stepstream.identity.tokens import Claims, TokenRules, verify_token
+from tests.config.nested_json import nested_lists
 
 NOW = 1_900_000_000
 RULES = TokenRules(issuer="https://issuer.test", audience="stepstream")
@@ -80,6 +85,11 @@
     )
 
 
+def nested_member():
+    """Return a value that is within the bound on nesting, and beyond it as a member."""
+    return json.loads(nested_lists(MAX_NESTING_LEVELS))
+
+
 def encode_token(header, payload=None, signature=b"x"):
     """Return a token of these parts, which need not be valid."""
     data = json.dumps(VALID_CLAIMS).encode() if payload is None else payload
@@ -132,6 +142,9 @@
     "header that is not JSON": (encode_token(b"{"), "not_json"),
     "header that is a list": (encode_token(b"[]"), "not_json"),
     "deeply nested header": (encode_token(b"[" * 2000), "not_json"),
+    "deeply nested member of the header": (sign(header={"x": nested_member()}), "not_json"),
+    "deeply nested claim": (sign(x=nested_member()), "not_json"),
+    "header in UTF-16": (encode_token('{"kid":"ed"}'.encode("utf-16")), "not_json"),
     "alg twice in the header": (
         encode_token(b'{"alg":"EdDSA","alg":"none","kid":"ed"}'),
         "duplicate_claim",
@@ -416,6 +429,17 @@
     assert expected_text in str(raised.value)
 
 
+def test_a_key_file_that_is_nested_too_deeply_is_rejected_by_the_program_and_by_commands(tmp_path):
+    (tmp_path / "keys.json").write_text(f'{{"keys":{nested_lists()}}}')
+    section = IdentitySection(
+        keys=str(tmp_path / "keys.json"), issuer=RULES.issuer, audience=RULES.audience
+    )
+    with pytest.raises(ConfigurationError, match="keys.json: JSON nested more than"):
+        load_identity(section)
+    with pytest.raises(IdentityCommandError, match="keys.json: JSON nested more than"):
+        SigningKeyStore(tmp_path).load_jwks()
+
+
 def test_key_states_and_times_are_parsed():
     assert KEY_SET.find("old").state is KeyState.RETIRING
     assert KEY_SET.find("old").not_after == NOW + 10
