Name a deeply nested operator's file in one line instead of a traceback

Seen: `serve` and `check-config` ended with a traceback and exit code 1, where a faulty operator's file is one line and 2; a reload logged internal_fault in place of reload_failed, and kept the previous configuration.

Cause: tomllib recurses in Python and raises RecursionError (2,000 nested arrays or inline tables), which read_operator did not catch. Ruled out: an end by SIGSEGV, as the main thread reads the file and the limit of Python comes first; dotted keys of 3,000 parts, which are rejected as unknown.

Change: RecursionError counts as a file that cannot be read. Two cases of test_an_error_names_the_file_and_the_faulty_key failed before; after it all 41 of their file pass, and `serve` exits with 2 and the line.

--- a/stepstream/config/operator_file.py
+++ b/stepstream/config/operator_file.py
@@ -55,7 +55,7 @@
     try:
         with open(path, "rb") as file:
             data = tomllib.load(file)
-    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as error:
         raise ConfigurationError(f"operator file {path} cannot be read: {error}") from error
     try:
         operator = msgspec.convert(data, OperatorConfig)
--- a/tests/config/test_operator_file.py
+++ b/tests/config/test_operator_file.py
@@ -130,6 +130,9 @@
         ),
         ("[xds]\n", "Object contains unknown field `xds`"),
         ("[gearman\n", "cannot be read"),
+        # Guards against a traceback at a start, and an internal fault at a reload.
+        ("x = " + "[" * 2_000, "cannot be read: maximum recursion depth exceeded"),
+        ("x = " + "{a = " * 2_000, "cannot be read: maximum recursion depth exceeded"),
     ],
 )
 def test_an_error_names_the_file_and_the_faulty_key(tmp_path, text, message):
