Lab: a cluster member calls the admin listener by the program's own client

The lab's ClusterMember.call_admin repeated subsystem_api.admin_client.call_admin: the call, its time limit and the decoding of the answer. It calls that function now; a body that is not JSON comes under the key error, which no caller in the lab or the benchmarks reads. 105 tests of the lab's processes, membership and leases on processes and the imports pass.

--- a/stepstream/lab/processes/cluster_member.py
+++ b/stepstream/lab/processes/cluster_member.py
@@ -1,6 +1,5 @@
 """A member of a cluster of dispatchers: its addresses, its process and its admin listener."""
 
-import http.client
 import subprocess
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -8,11 +7,9 @@
 from pathlib import Path
 from typing import Any, NotRequired, Self, TypedDict
 
-from stepstream.config.json_decoding import JsonError, decode_json
 from stepstream.lab.processes.addresses import free_port
 from stepstream.lab.processes.dispatcher_process import STEPSTREAM_PROGRAM, DispatcherProcess
-
-ADMIN_TIMEOUT_SECONDS = 5.0
+from stepstream.subsystem_api.admin_client import call_admin
 
 
 class MemberStatus(TypedDict, total=False):
@@ -98,25 +95,11 @@
     # -- admin listener ---------------------------------------------------------------------------
 
     def call_admin(self, path: str, method: str = "GET") -> tuple[int, Any]:
-        """Call the admin listener; return the status and the body, decoded if it is JSON.
+        """Call the admin listener; return the status and the decoded body.
 
         Raise ConnectionError if there is no response.
         """
-        connection = http.client.HTTPConnection(
-            self.host, self.ports.admin, timeout=ADMIN_TIMEOUT_SECONDS
-        )
-        try:
-            connection.request(method, path)
-            response = connection.getresponse()
-            body = response.read()
-        except (OSError, http.client.HTTPException) as error:
-            raise ConnectionError(f"{self.name}: {error}") from None
-        finally:
-            connection.close()
-        try:
-            return response.status, decode_json(body)
-        except JsonError:
-            return response.status, body.decode()
+        return call_admin(self.admin_address, path, method)
 
     def membership_list(self) -> MembershipList | None:
         """Return the member's own membership list; None if it returns none."""
