--- a/stepstream/config/json_decoding.py
+++ b/stepstream/config/json_decoding.py
@@ -13,7 +13,7 @@
 
 import ujson
 
-# RFC 8259, section 9, lets a parser limit the depth. The messages of the platform need 3 levels.
+# RFC 8259, section 9, allows a limit. The platform's messages have 3 levels, its configuration 4.
 MAX_NESTING_LEVELS = 128
 
 _OPENING_BRACKETS = b"[{"
--- a/stepstream/config/limits.py
+++ b/stepstream/config/limits.py
@@ -59,7 +59,7 @@
     endpoint_list_bytes: int = 4 * MIB  # an answer of discovery
     chunk_line_bytes: int = 256  # the line before a chunk, with its size
     read_bytes: int = 16 * KIB  # one read from a socket
-    thread_stack_bytes: int = 256 * KIB  # half of it is for the buffers of ujson
+    thread_stack_bytes: int = 256 * KIB  # holds all nested JSON that is decoded
     unsent_bytes: int = 1 * MIB  # the connection of a peer with more of them is closed
     admin_body_bytes: int = 64 * KIB  # an admin request, or a forwarded notification
     handover_bytes: int = 1 * MIB  # the state file of a hot restart; the rest is not read
--- a/tests/admin/calls.py
+++ b/tests/admin/calls.py
@@ -14,6 +14,14 @@
         return exchange(port, request, sock)
 
 
+def is_healthy(port):
+    """Return whether the health check of an admin listener succeeds; False while none listens."""
+    try:
+        return call_admin(port, b"GET /healthcheck HTTP/1.1\r\n\r\n").status == 200
+    except OSError:
+        return False
+
+
 @contextlib.contextmanager
 def running_listener(listener):
     """Run an admin listener in a thread; close the listener and end the thread afterwards."""
--- a/tests/config/test_json_decoding.py
+++ b/tests/config/test_json_decoding.py
@@ -109,6 +109,10 @@
     decoders = {
         str(path.relative_to(ROOT / "stepstream"))
         for path in (ROOT / "stepstream").rglob("*.py")
-        if re.search(r"\b(u?json\.loads?|JSONDecoder)\b", path.read_text())
+        if re.search(r"\b(u?json\.(loads?|decode)|import loads?|JSONDecoder)\b", path.read_text())
+    }
+    assert decoders == {
+        "config/json_decoding.py",
+        "identity/tokens.py",  # needs the repeated names of an object; calls `check_nesting`
+        "lab/processes/lease_task.py",  # its parent's configuration, into typed fields
     }
-    assert decoders == {"config/json_decoding.py", "identity/tokens.py"}
--- a/tests/hot_restart/test_hot_restart.py
+++ b/tests/hot_restart/test_hot_restart.py
@@ -34,7 +34,7 @@
 from stepstream.http.discovery_api import DiscoveryApi
 from stepstream.http.worker_api import notification_body, read_notification
 from stepstream.ports.admin import AdminResponse
-from tests.admin.calls import call_admin, running_listener
+from tests.admin.calls import call_admin, is_healthy, running_listener
 from tests.config.configurations import LIMITS, POLICY_SETTINGS
 from tests.core.builders import WORKERS
 from tests.core.harness import DispatcherHarness
@@ -292,13 +292,6 @@
             assert exchange(dispatcher.port, job_request(f"00000000000000e{k}")).status == 200
 
 
-def is_healthy(port):
-    try:
-        return call_admin(port, b"GET /healthcheck HTTP/1.1\r\n\r\n").status == 200
-    except OSError:
-        return False
-
-
 def test_a_forwarded_notification_reaches_the_admin_listener_of_the_sibling(tmp_path):
     port = free_port()
     requests = []
--- a/tests/http/test_load_reports.py
+++ b/tests/http/test_load_reports.py
@@ -30,12 +30,6 @@
 )
 
 
-def test_a_health_checks_report_that_is_nested_too_deeply_is_ignored():
-    reader, errors = make_reader("probe")
-    assert reader.read_health_check(f'{{"queue":{nested_lists()}}}'.encode()) is None
-    assert errors == ["JSON nested more than 128 levels deep"]
-
-
 def settings_with(source):
     return replace(POLICY_SETTINGS, **{**HEALTH_CHECK_LOAD_REPORTS, "load_report_source": source})
 
@@ -54,6 +48,12 @@
     assert len(errors) == 2 * (text in UNREADABLE)
 
 
+def test_a_health_checks_report_that_is_nested_too_deeply_is_ignored():
+    reader, errors = make_reader("probe")
+    assert reader.read_health_check(f'{{"queue":{nested_lists()}}}'.encode()) is None
+    assert errors == ["JSON nested more than 128 levels deep"]
+
+
 @pytest.mark.parametrize(("source", "report_count"), [("answers", 3), ("probe", 1), ("none", 0)])
 def test_reports_are_read_only_from_the_source_in_the_settings_also_after_a_reload(
     source, report_count
--- a/tests/node/test_nested_messages.py
+++ b/tests/node/test_nested_messages.py
@@ -14,7 +14,7 @@
 
 from stepstream.config.json_decoding import MAX_NESTING_LEVELS
 from stepstream.http.codec import write_answer, write_request
-from tests.admin.calls import call_admin
+from tests.admin.calls import call_admin, is_healthy
 from tests.config.nested_json import TOO_MANY_LEVELS, nested_lists, nested_objects
 from tests.http.messages import job_request
 from tests.http.scripted_server import exchange
@@ -151,25 +151,16 @@
     new_config = {**dispatcher.config, "operator": f"127.0.0.1:{new_admin_port}"}
     new_config_path.write_text(json.dumps(new_config))
     with running_process(new_config_path) as sibling:
-        health_check = b"GET /healthcheck HTTP/1.1\r\n\r\n"
-        wait_for(lambda: answers(new_admin_port, health_check))
+        wait_for(lambda: is_healthy(new_admin_port))
         for _ in range(20):  # the kernel gives each connection to one of the two processes
             answer = exchange(dispatcher.port, notification("result", nested_lists(), "ff"))
             assert answer.status == 400
-        assert answers(new_admin_port, health_check)
-        assert answers(admin_port(dispatcher), health_check)
+        assert is_healthy(new_admin_port)
+        assert is_healthy(admin_port(dispatcher))
         assert sibling.poll() is None
         assert dispatcher.process.poll() is None
 
 
-def answers(port, data):
-    """Return whether the admin listener answers a request with 200; False while none listens."""
-    try:
-        return call_admin(port, data).status == 200
-    except OSError:
-        return False
-
-
 @pytest.mark.parametrize("member", ["id", "zone", "unknown"])
 def test_an_answer_of_discovery_is_rejected_and_the_old_list_stays(
     dispatcher, open_request, member
@@ -195,11 +186,11 @@
     assert_serving(dispatcher, open_request)
 
 
-def write_deep_state(folder, process_id=1):
+def write_deep_state(folder):
     """Write a state file whose endpoint list is newer than any other and too deep."""
     body = (
         '{"generation":0,"banned":[],"lifted":[],'
-        f'"processes":[[{process_id},"127.0.0.1:9",1,false]],'
+        '"processes":[[1,"127.0.0.1:9",1,false]],'
         f'"list":{{"version":99,"full":true,"servers":[],"unknown":{nested_lists()}}}}}'
     )
     envelope = {
@@ -218,14 +209,13 @@
     write_deep_state(state_folder)
     line = next(line for line in dispatcher.process.stderr if "handover_state_ignored" in line)
     assert REASON in line
-    health_check = b"GET /healthcheck HTTP/1.1\r\n\r\n"
-    assert call_admin(admin_port(dispatcher), health_check).status == 200
+    assert is_healthy(admin_port(dispatcher))
     put = b"PUT /workers/s-1/maint HTTP/1.1\r\n\r\n"
     assert call_admin(admin_port(dispatcher), put).status == 200  # writes the state again
     assert_serving(dispatcher, open_request)
 
 
-def test_a_state_file_is_ignored_at_a_start(dispatcher, state_folder, tmp_path):
+def test_a_state_file_is_ignored_at_a_start(dispatcher, state_folder):
     end_process(dispatcher.process)
     write_deep_state(state_folder)
     dispatcher.process = start_serving(dispatcher.config_file)
