--- /dev/null
+++ b/stepstream/lab/processes/overload_run.py
@@ -0,0 +1,232 @@
+"""Run one dispatcher among hostile clients, and measure its memory and its sound clients' answers.
+
+The dispatcher and each group of hostile clients are processes of their own. The platform and the
+sound clients run in this process.
+"""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from stepstream.lab.processes.addresses import free_port
+from stepstream.lab.processes.configuration_files import NodeConfiguration
+from stepstream.lab.processes.dispatcher_process import DispatcherProcess
+from stepstream.lab.processes.overload_platform import OverloadPlatform
+
+KIB_PER_MB = 1024
+SAMPLE_SECONDS = 0.02
+READY_SECONDS = 15.0
+WARM_UP_SECONDS = 1.0
+COOL_DOWN_SECONDS = 2.0
+HOSTILE_CLIENTS_MODULE = "stepstream.lab.load.hostile_clients"
+DEFAULT_MEMORY_MB = 192
+DEFAULT_DESCRIPTORS = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class HostileGroup:
+    """One process of hostile clients."""
+
+    kind: str  # a key of `hostile_traffic.TRAFFIC_BY_KIND`
+    connections: int = 1
+    departure: str = "stay"
+    piece_seconds: float = 0.0
+    carrier: str = "http"  # or "gearman"
+
+
+@dataclass(frozen=True, slots=True)
+class OverloadSetup:
+    """What one run plays."""
+
+    groups: Sequence[HostileGroup]
+    memory_mb: int = DEFAULT_MEMORY_MB
+    descriptors: int = DEFAULT_DESCRIPTORS
+    seconds: float = 5.0
+    client_count: int = 4
+    client_interval_seconds: float = 0.1
+    operator_sections: str = ""  # of the operator's file, e.g. for Gearman
+    kills_over_memory: bool = False  # as the platform does
+
+
+@dataclass(slots=True)
+class OverloadFigures:
+    """What a run has shown."""
+
+    idle_mb: float = 0.0
+    peak_mb: float = 0.0
+    final_mb: float = 0.0  # some seconds after the hostile clients have left
+    exit_status: int | None = None  # None: the process still ran at the end
+    outcomes: dict[str, int] = field(default_factory=dict)  # of the sound clients
+    slowest_seconds: float = 0.0  # of the sound clients' answers
+    cpu_seconds: float = 0.0
+    hostile_lines: list[str] = field(default_factory=list)
+    log: str = ""
+
+
+class OverloadRun:
+    """A dispatcher, its platform and its hostile clients; a context manager that ends them all."""
+
+    def __init__(self, setup: OverloadSetup, folder: Path) -> None:
+        self.setup = setup
+        self.folder = folder
+        self.host = "127.0.0.1"
+        self.port = free_port(self.host)
+        self.gearman_port = free_port(self.host)
+        self.platform = OverloadPlatform((self.host, self.port), self.host)
+        self.dispatcher = DispatcherProcess("n0", folder)
+        self.figures = OverloadFigures()
+        self.hostile: list[subprocess.Popen[str]] = []
+
+    def configuration(self) -> NodeConfiguration:
+        """Return the dispatcher's configuration."""
+        service = {"deadline_us": 5_000_000, "goal_time_us": 200_000, "worth": 1.0}
+        return {
+            "name": "n0",
+            "listen": f"{self.host}:{self.port}",
+            "discovery": f"{self.host}:{self.platform.discovery_port}",
+            "seed": "1f",
+            "limits": {
+                "cores": 1.0,
+                "memory_mb": self.setup.memory_mb,
+                "sockets": self.setup.descriptors,
+            },
+            "known": self.platform.endpoint_list(),
+            "settings": {
+                "services": [
+                    {**service, "name": "revalue", "effect": "pure"},
+                    {**service, "name": "book", "effect": "side_effect"},
+                ],
+                "projects": [
+                    {"name": "tatra-invest", "quota_per_s": 1000.0},
+                    {"name": "hron-asset", "quota_per_s": 1000.0},
+                ],
+                "discovery": "subscribe",
+                "zones": ["a"],
+                "kinds": ["m"],
+                "limits": {"try_limit": 4, "cancelling": True, "max_open": 20_000},
+            },
+        }
+
+    async def play(self) -> OverloadFigures:
+        """Play the whole run and return its figures."""
+        await self.platform.start()
+        try:
+            sections = self.setup.operator_sections.format(gearman_port=self.gearman_port)
+            self.dispatcher.write_files(self.configuration(), sections or None)
+            self.dispatcher.spawn(environment={"MALLOC_ARENA_MAX": "2"})
+            await self._wait_until_ready()
+            await self._play_load()
+        finally:
+            self._end()
+        return self.figures
+
+    async def _play_load(self) -> None:
+        watch = asyncio.ensure_future(self._watch_memory())
+        clients = asyncio.ensure_future(
+            self.platform.run_clients(self.setup.client_count, self.setup.client_interval_seconds)
+        )
+        await asyncio.sleep(WARM_UP_SECONDS)
+        self.figures.idle_mb = self._memory_mb()
+        cpu_before = self._cpu_seconds()
+        self.hostile = [self._start_group(group) for group in self.setup.groups]
+        await asyncio.sleep(self.setup.seconds)
+        self.figures.cpu_seconds = self._cpu_seconds() - cpu_before
+        await asyncio.sleep(COOL_DOWN_SECONDS)
+        self.platform.stopping.set()
+        await clients
+        self.figures.final_mb = self._memory_mb()
+        self.figures.exit_status = self.dispatcher.started_process().poll()
+        watch.cancel()
+        self.figures.outcomes = self.platform.outcome_counts()
+        self.figures.slowest_seconds = max(answer.seconds for answer in self.platform.answers)
+        self.figures.hostile_lines = [process.communicate()[0].strip() for process in self.hostile]
+        self.figures.log = self.dispatcher.read_log()
+
+    def _start_group(self, group: HostileGroup) -> "subprocess.Popen[str]":
+        port = self.gearman_port if group.carrier == "gearman" else self.port
+        arguments = [
+            sys.executable,
+            "-m",
+            HOSTILE_CLIENTS_MODULE,
+            f"{self.host}:{port}",
+            group.kind,
+            f"--connections={group.connections}",
+            f"--seconds={self.setup.seconds}",
+            f"--departure={group.departure}",
+            f"--piece-seconds={group.piece_seconds}",
+        ]
+        return subprocess.Popen(arguments, stdout=subprocess.PIPE, text=True)
+
+    async def _wait_until_ready(self) -> None:
+        deadline_seconds = time.monotonic() + READY_SECONDS
+        while True:
+            self.dispatcher.require_running()
+            try:
+                reader, writer = await asyncio.open_connection(self.host, self.port)
+                writer.write(b"GET /-/ready HTTP/1.1\r\n\r\n")
+                line = await reader.readline()
+                writer.close()
+                if b"200" in line:
+                    return
+            except OSError:
+                pass
+            if time.monotonic() > deadline_seconds:
+                raise TimeoutError(f"not ready: {self.dispatcher.log_tail()}")
+            await asyncio.sleep(0.05)
+
+    async def _watch_memory(self) -> None:
+        """Note the peak; kill the process over its limit, if the setup says so."""
+        while True:
+            memory_mb = self._memory_mb()
+            self.figures.peak_mb = max(self.figures.peak_mb, memory_mb)
+            if self.setup.kills_over_memory and memory_mb > self.setup.memory_mb:
+                self.dispatcher.send_signal(signal.SIGKILL)
+            await asyncio.sleep(SAMPLE_SECONDS)
+
+    def _memory_mb(self) -> float:
+        """Return the resident memory of the dispatcher; 0 once it has ended."""
+        try:
+            text = Path(f"/proc/{self.dispatcher.started_process().pid}/status").read_text()
+        except OSError:
+            return 0.0
+        for line in text.splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) / KIB_PER_MB
+        return 0.0
+
+    def _cpu_seconds(self) -> float:
+        try:
+            text = Path(f"/proc/{self.dispatcher.started_process().pid}/stat").read_text()
+        except OSError:
+            return 0.0
+        fields = text.rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def _end(self) -> None:
+        for process in self.hostile:
+            process.kill()
+            process.wait()
+        with self.dispatcher:
+            pass
+        self.platform.close()
+
+
+def play(setup: OverloadSetup, folder: Path) -> OverloadFigures:
+    """Play a run in an event loop of its own."""
+
+    async def run() -> OverloadFigures:
+        figures = await OverloadRun(setup, folder).play()
+        remaining = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in remaining:
+            task.cancel()
+        await asyncio.gather(*remaining, return_exceptions=True)
+        await asyncio.sleep(0)  # lets the closed connections release their sockets
+        return figures
+
+    return asyncio.run(run())
