Policy: what is kept by affinity key takes the same memory whatever keys clients send

Seen: 50 clients with ever new keys of 12 KB take 83 MB of 32 in 4 s, and it grows on. Cause: the orders of workers and the counts of jobs were kept by the key itself, up to `max_open` of them. They are kept by the key's CRC-32 now, which already decided the order, and their number is bounded in references.

--- a/stepstream/model/state.py
+++ b/stepstream/model/state.py
@@ -26,7 +26,8 @@
     def __init__(self) -> None:
         self.by_id: dict[str, Worker] = {}
         self.eligible: list[Worker] = []  # the active ones, in the order of their ids
-        self.key_orders: dict[str, list[Worker]] = {}  # the eligible workers in each key's order
+        # The eligible workers in each key's order, by the key's CRC-32.
+        self.key_orders: dict[int, list[Worker]] = {}
         self.warm_worker_equivalents = 0.0  # the sum of the eligible workers' slow-start factors
         # Since when nothing has confirmed the endpoint list; None: it is confirmed.
         self.unconfirmed_since_us: int | None = None
--- a/stepstream/policy/key_affinity.py
+++ b/stepstream/policy/key_affinity.py
@@ -8,6 +8,9 @@
 from stepstream.policy import pools
 
 MIN_WORKERS_PER_KEY = 2
+# All kept orders together may refer to this many workers, 8 bytes each, whatever keys clients send.
+MAX_KEPT_REFERENCES = 100_000
+REFERENCES_PER_ORDER = 32  # what an order costs beside its references, in references
 # Spreads the bits of a 32-bit hash: Knuth's multiplicative method.
 HASH_MULTIPLIER = 0x9E3779B1
 
@@ -15,18 +18,26 @@
 def workers_in_key_order(state: PolicyState, key: str) -> list[Worker]:
     """Return the eligible workers in the key's order, which is the same at every dispatcher.
 
-    At most as many orders are kept as there may be open requests; a new one replaces the oldest.
+    At most as many orders are kept as there may be open requests, and as `MAX_KEPT_REFERENCES`
+    allows; a new one replaces the oldest. The keys themselves are not kept: clients choose them.
     """
     orders = state.workers.key_orders
-    if key not in orders:
-        if len(orders) >= max(state.settings.max_open_requests, 1):
+    key_hash = crc32(key.encode())
+    if key_hash not in orders:
+        if len(orders) >= max_kept_orders(state):
             del orders[next(iter(orders))]
-        key_hash = crc32(key.encode())
-        orders[key] = sorted(
+        orders[key_hash] = sorted(
             state.workers.eligible,
             key=lambda worker: (worker.id_hash ^ key_hash) * HASH_MULTIPLIER % 2**32,
         )
-    return orders[key]
+    return orders[key_hash]
+
+
+def max_kept_orders(state: PolicyState) -> int:
+    """Return for how many keys the order of the workers is kept; one at least."""
+    references = REFERENCES_PER_ORDER + len(state.workers.eligible)
+    within_memory = MAX_KEPT_REFERENCES // references
+    return max(min(state.settings.max_open_requests, within_memory), 1)
 
 
 def workers_with_affinity(
--- a/tests/model/test_job_mix.py
+++ b/tests/model/test_job_mix.py
@@ -1,5 +1,7 @@
 """The counts of jobs by key."""
 
+from zlib import crc32
+
 from stepstream.model.job_mix import MAX_JOBS_COUNTED, JobMix
 
 
@@ -23,4 +25,4 @@
     job_mix.record_arrival(None)
     job_mix.forget_old_jobs()
     assert job_mix.jobs_seen == MAX_JOBS_COUNTED // 2
-    assert job_mix.jobs_by_key == {"hot": (MAX_JOBS_COUNTED - 1) // 2}
+    assert job_mix.jobs_by_key == {crc32(b"hot"): (MAX_JOBS_COUNTED - 1) // 2}
