--- a/stepstream/config/limits.py
+++ b/stepstream/config/limits.py
@@ -16,11 +16,16 @@
 
 # Division of the memory.
 PROGRAM_MEMORY_MB = 20
+SUBSYSTEMS_MEMORY_MB = 7  # in addition, if the operator's file enables any
 MIN_CONNECTION_MEMORY_MB = 4
 CONNECTION_MEMORY_KIB = 128  # the stack and buffers of a connection's thread
 GEARMAN_JOBS_PER_MEMORY_MB = 20
+GEARMAN_RETAINED_OUTCOMES_PER_MEMORY_MB = 60
 MIN_GEARMAN_JOBS = 100
 MEMORY_MB_PER_GEARMAN_WORKLOAD_MB = 6
+# The rest is for threads, for copies of messages while they are handled, and for the allocator.
+OPEN_REQUEST_FRACTION_OF_FREE_MEMORY = 0.15
+BUFFERED_FRACTION_OF_FREE_MEMORY = 0.15
 
 # Division of the file descriptors.
 MAX_UNASSIGNED_DESCRIPTORS = 64
@@ -52,8 +57,9 @@
 
 @record
 class SizeLimits:
-    """Sizes in bytes."""
+    """Sizes in bytes, and one count."""
 
+    header_fields: int = 100  # of a message, and of its trailer section
     head_bytes: int = 16 * KIB  # a message's first line and headers
     body_bytes: int = 64 * KIB  # the platform's own limit
     endpoint_list_bytes: int = 4 * MIB  # an answer of discovery
@@ -65,6 +71,14 @@
     handover_bytes: int = 1 * MIB  # the state file of a hot restart; the rest is not read
 
 
+@record
+class MemoryLimits:
+    """Bytes of messages that all connections of all protocols may hold together."""
+
+    open_request_bytes: int = 24 * MIB  # payloads of requests without an answer
+    buffered_bytes: int = 24 * MIB  # unfinished messages, and answers that peers have not taken
+
+
 @record
 class GearmanLimits:
     """Limits of the Gearman front and carrier."""
@@ -79,6 +93,7 @@
     functions_per_worker: int = 256
     errors_per_connection: int = 16  # the connection ends with the last of them
     open_jobs: int = 4000  # each costs a few KiB beside its workload
+    retained_outcomes: int = 11_520  # of background jobs; each costs about a KiB
     # Registrations and text commands that one peer may send in a burst.
     registration_changes: int = 300
     registration_change_pause_seconds: float = 0.01  # between two after the burst
@@ -102,6 +117,7 @@
     lingering: int = 16  # rejected connections that wait for their peer to close
     evictions_at_once: int = 32  # most connections that are evicted for one shortage
     slow_writer_threads: int = 8  # for answers that a slow client does not take at once
+    buffered_input_threads: int = 2  # for bytes that came before the answer to a request
     listen_backlog: int = 1024
     admin: int = 32  # connections to the admin listener
     forwarder_threads: int = 4  # for notifications to the sibling process
@@ -114,6 +130,8 @@
     accept_retry_seconds: float = 0.01  # after a failed accept
     connect_seconds: float = 0.25
     write_seconds: float = 2.0  # a peer that takes no byte for this long is closed
+    # For all of the answers that a peer did not take at once, from the first of them on.
+    answer_write_seconds: float = 5.0
     first_message_seconds: float = 2.0  # on a new connection, from the connect on
     message_seconds: float = 2.0  # a later message, from its first byte to its last
     linger_seconds: float = 2.0  # from the last answer until the peer closes
@@ -175,6 +193,9 @@
     answer_margin_us: int = 4_000
     max_wait_seconds: float = 0.5  # of the decision thread, for an event or a timer
     event_batch: int = 256  # events that the core takes at a time
+    # Connections without an open request are not read while more events wait for the core.
+    core_backlog_events: int = 512
+    core_backlog_check_seconds: float = 0.002  # between two checks of that backlog
     periodic_tasks_seconds: float = 0.5  # between two runs of the main thread's periodic tasks
     # Longest wait of the main thread, and so the longest delay until it handles a signal.
     signal_wait_seconds: float = 0.05
@@ -194,6 +215,7 @@
     """All limits, by concern."""
 
     sizes: SizeLimits = field(default_factory=SizeLimits)
+    memory: MemoryLimits = field(default_factory=MemoryLimits)
     gearman: GearmanLimits = field(default_factory=GearmanLimits)
     connections: ConnectionLimits = field(default_factory=ConnectionLimits)
     timeouts: Timeouts = field(default_factory=Timeouts)
@@ -203,13 +225,18 @@
     logging: LogLimits = field(default_factory=LogLimits)
 
 
-def limits_for(config: NodeConfig) -> Limits:
-    """Derive the limits of a dispatcher from its configured memory, descriptors and settings."""
+def limits_for(config: NodeConfig, *, has_subsystems: bool = False) -> Limits:
+    """Derive the limits of a dispatcher from its configured memory, descriptors and settings.
+
+    `has_subsystems` tells whether the operator's file is in use.
+    """
     settings = config.settings
-    connections = connection_limits(config.sockets, config.memory_mb)
+    memory_mb = config.memory_mb - (SUBSYSTEMS_MEMORY_MB if has_subsystems else 0)
+    connections = connection_limits(config.sockets, memory_mb)
     longest_deadline_us = max(job_class.deadline_us for job_class in settings.classes)
     return Limits(
-        gearman=gearman_limits(config.memory_mb, connections.inbound),
+        memory=memory_limits(memory_mb),
+        gearman=gearman_limits(memory_mb, connections.inbound),
         connections=connections,
         timeouts=Timeouts(
             connect_seconds=settings.connect_timeout_us / MICROSECONDS_PER_SECOND,
@@ -219,6 +246,18 @@
     )
 
 
+def memory_limits(memory_mb: int) -> MemoryLimits:
+    """Bound what messages may hold of the memory, in MiB, beside the program and its threads.
+
+    Each part has room for some messages of the largest size, however small the memory is.
+    """
+    free_bytes = max(memory_mb - PROGRAM_MEMORY_MB, MIN_CONNECTION_MEMORY_MB) * MIB
+    return MemoryLimits(
+        open_request_bytes=max(int(free_bytes * OPEN_REQUEST_FRACTION_OF_FREE_MEMORY), MIB),
+        buffered_bytes=max(int(free_bytes * BUFFERED_FRACTION_OF_FREE_MEMORY), MIB),
+    )
+
+
 def connection_limits(descriptors: int, memory_mb: int) -> ConnectionLimits:
     """Divide the file descriptors between inbound and outbound connections, within the memory.
 
@@ -272,6 +311,7 @@
         workers=max(int(inbound_connections * GEARMAN_WORKER_FRACTION_OF_INBOUND), 1),
         in_flight_workload_bytes=workload_mb * MIB,
         open_jobs=max(memory_mb * GEARMAN_JOBS_PER_MEMORY_MB, MIN_GEARMAN_JOBS),
+        retained_outcomes=memory_mb * GEARMAN_RETAINED_OUTCOMES_PER_MEMORY_MB,
     )
 
 
--- a/stepstream/core/call_handler.py
+++ b/stepstream/core/call_handler.py
@@ -25,7 +25,7 @@
                 self.end(now_us, call, result, load_report)
             case CallTimeoutSet(call, at_us):
                 if call.open:
-                    self._state.timers.schedule(at_us, CallTimeout(call))
+                    self._state.requests.schedule(at_us, call.request, CallTimeout(call))
 
     def start(self, now_us: int, request: Request, worker_id: str, timeout_us: int) -> None:
         """Start a call that the policy has decided on.
@@ -49,7 +49,7 @@
             self.end(now_us, call, AttemptResult.NOT_SENT)
             return
         if timeout_us:
-            state.timers.schedule(deadline_us, CallTimeout(call))
+            state.requests.schedule(deadline_us, request, CallTimeout(call))
         state.output.commands.append(StartCall(call))
 
     def cancel(self, now_us: int, request: Request, attempt_number: int) -> None:
--- a/stepstream/core/dispatcher.py
+++ b/stepstream/core/dispatcher.py
@@ -71,7 +71,7 @@
             settings=settings,
             answer_margin_us=answer_margin_us,
             timers=self._timers,
-            requests=RequestTable(self._output),
+            requests=RequestTable(self._output, self._timers),
             output=self._output,
         )
         self._request_handler = RequestHandler(self._state)
--- a/stepstream/core/request_handler.py
+++ b/stepstream/core/request_handler.py
@@ -49,6 +49,7 @@
         if immediate_answer is None:
             self._admit(now_us, request)
         else:
+            request.release_payload()
             self._state.output.commands.append(immediate_answer)
 
     def _admit(self, now_us: int, request: Request) -> None:
@@ -81,7 +82,7 @@
 
     def _schedule_answer_deadline(self, request: Request) -> None:
         due_us = request.deadline_us - self._state.answer_margin_us
-        self._state.timers.schedule(due_us, AnswerDeadline(request))
+        self._state.requests.schedule(due_us, request, AnswerDeadline(request))
 
 
 def answer_on_arrival(
--- a/stepstream/core/request_table.py
+++ b/stepstream/core/request_table.py
@@ -4,18 +4,22 @@
 shutdown.
 """
 
+from typing import cast
+
 from stepstream.core.requests import Answer, Outcome, Request
 from stepstream.core.round_output import RoundOutput
+from stepstream.core.timer_wheel import Timer, TimerHandle, TimerWheel
 from stepstream.model.events import JobAbandoned
 
 
 class RequestTable:
     """Requests by id, from admission until they are answered and all their calls have ended."""
 
-    def __init__(self, output: RoundOutput) -> None:
+    def __init__(self, output: RoundOutput, timers: TimerWheel) -> None:
         self.by_id: dict[str, Request] = {}
         self.open_count = 0  # requests without an answer
         self._output = output
+        self._timers = timers
 
     def get(self, request_id: str) -> Request | None:
         """Return the request with that id; None if there is none, or it has been removed."""
@@ -58,9 +62,21 @@
     def remove_if_finished(self, request: Request) -> None:
         """Remove a request that is answered and has no call in flight."""
         if request.answered and not request.has_open_calls:
-            self.by_id.pop(request.id, None)
+            if self.contains(request):
+                del self.by_id[request.id]
+            self._cancel_timers(request)
+
+    def schedule(self, due_us: int, request: Request, timer: Timer) -> None:
+        """Set a timer that is cancelled when the request is removed."""
+        request.timers.append(self._timers.schedule(due_us, timer))
+
+    def _cancel_timers(self, request: Request) -> None:
+        for handle in request.timers:
+            self._timers.cancel(cast(TimerHandle, handle))
+        request.timers.clear()
 
     def _set_answered(self, request: Request) -> None:
         request.answered = True
+        request.release_payload()
         self.open_count -= 1
         self.remove_if_finished(request)
--- a/stepstream/core/requests.py
+++ b/stepstream/core/requests.py
@@ -27,6 +27,13 @@
     idempotency_key: str = ""  # empty if the client sent none
 
 
+class MemoryReservation(Protocol):
+    """Memory that a front has reserved for a request's payload; any thread may release it."""
+
+    def release(self) -> None:
+        """Return the memory to the front's budget; repeated calls have no effect."""
+
+
 class Outcome(Enum):
     """How a request ended for its client."""
 
@@ -38,10 +45,17 @@
 class ResponseSink(Protocol):
     """The receiver of a request's answer, implemented by the client connection of each front.
 
-    The decision thread calls it, so no method may wait for a peer: a sink queues or writes without
-    blocking.
+    All methods but `has_peer_left` are called by the decision thread.
+
+    No method may wait for a peer: a sink queues or writes without blocking.
     """
 
+    def has_peer_left(self) -> bool:
+        """Return whether nobody waits for the answer any more; any thread may call it.
+
+        It asks the system, so it is true before the front has read up to the peer's close.
+        """
+
     def answer(self, answer: "Answer") -> None:
         """Send the final answer; called once for each request."""
 
@@ -79,15 +93,26 @@
     slots: float = 1.0  # demand on a worker's slots
     memory: float = 0.0  # demand on a worker's memory
     client_retry: bool = False  # the client reports that it repeats an earlier request
-    payload: Payload = field(kw_only=True)  # for the carrier; the core does not read it
+    # For the carrier; the core does not read it. None once the request is answered, so that an
+    # answered request holds no payload while its calls end.
+    payload: Payload | None = field(kw_only=True)
+    reservation: MemoryReservation | None = None  # of the payload; set by the front
     response_sink: ResponseSink | None = None  # set by the front before it posts the request
     # The settings that `job_class` and `tenant` index; None: the current ones.
     settings: Settings | None = None
     calls: "list[Call]" = field(default_factory=list)  # in the order of their attempt numbers
+    # The core's timers of this request and of its calls; opaque to everybody else.
+    timers: list[object] = field(default_factory=list)
     answered: bool = False  # it has its final answer, or its client has disconnected
     # Set by the front's thread when the client disconnects, before the core handles the event.
     client_disconnected: bool = False
 
+    def release_payload(self) -> None:
+        """Let go of the payload; no call of this request is written afterwards."""
+        self.payload = None
+        if self.reservation is not None:
+            self.reservation.release()
+
     @property
     def requires_new_connection(self) -> bool:
         """Decide whether each of its calls needs a new connection.
@@ -161,6 +186,15 @@
         """
         return self.open and not self.request.answered and not self.request.client_disconnected
 
+    @property
+    def client_has_left(self) -> bool:
+        """Whether the client has closed its connection, though the front may not have read that.
+
+        This is asked last before work leaves. Any thread may read it.
+        """
+        sink = self.request.response_sink
+        return sink is not None and sink.has_peer_left()
+
 
 @record
 class Answer:
--- a/stepstream/core/timer_handler.py
+++ b/stepstream/core/timer_handler.py
@@ -13,7 +13,7 @@
     PolicyTimer,
     Timer,
 )
-from stepstream.model.events import AnswerDue, TimerFired
+from stepstream.model.events import AnswerDue, AttemptResult, TimerFired
 
 
 class TimerHandler:
@@ -31,7 +31,9 @@
             case CallTimeout(call):
                 self._calls.time_out(now_us, call)
             case AnswerDeadline(request):
-                if not request.answered:
+                if request.answered:
+                    self._forget_calls(now_us, request)
+                else:
                     self._end_calls(now_us, request)
             case AnswerOverdue(request):
                 if not request.answered:
@@ -46,5 +48,13 @@
         for call in request.calls:
             self._calls.time_out(now_us, call)
         self._state.output.policy_events.append(AnswerDue(request.id))
-        timers = self._state.timers
-        timers.schedule(now_us + timers.tick_us, AnswerOverdue(request))
+        overdue_us = now_us + self._state.timers.tick_us
+        self._state.requests.schedule(overdue_us, request, AnswerOverdue(request))
+
+    def _forget_calls(self, now_us: int, request: Request) -> None:
+        """End the calls that an answered request has left behind, without a word to their workers.
+
+        Their outcomes may never be reported; the request would stay in memory for ever.
+        """
+        for call in request.calls:
+            self._calls.end(now_us, call, AttemptResult.CANCELLED)
--- a/stepstream/gearman/assignment_rules.py
+++ b/stepstream/gearman/assignment_rules.py
@@ -53,14 +53,17 @@
 def function_to_assign(queued: QueuedCall, functions: Container[str], now_us: int) -> str | None:
     """Return the registered function under which a queued call is assigned at `now_us`.
 
-    Return None if the core has given the call up, its deadline has passed, or the worker has
-    removed its function: running it would be useless. This is the last check before the job is
-    sent.
+    Return None if the call is not needed any more, it may not be written any more, or the worker
+    has removed its function. This is the last check before the job is sent, with the same reasons
+    as for HTTP workers (`http.outbound`): the answer, a client that has left, the deadline, and the
+    end of the idempotency window, after which a repeat could run a second time.
     """
     call = queued.call
-    is_needed = call.open and now_us < call.deadline_us
+    is_needed = call.still_needed and now_us < call.deadline_us and not call.client_has_left
     if not is_needed:
         return None
+    if call.write_deadline_us is not None and now_us > call.write_deadline_us:
+        return None
     return registered_name(functions, queued.class_name, queued.tenant)
 
 
--- a/stepstream/gearman/connection.py
+++ b/stepstream/gearman/connection.py
@@ -30,6 +30,7 @@
 from stepstream.http.server import InboundServer
 from stepstream.ports.connections import EvictionState
 from stepstream.runtime import log_events
+from stepstream.runtime.byte_budget import ByteReservation
 from stepstream.runtime.transport import Transport
 
 KEEPALIVE_OPTIONS = {
@@ -76,9 +77,10 @@
         self.dropped = False  # the peer reads too little: its further messages are ignored
         # The next two are guarded by the front's lock, so that whoever closes the connection sees
         # the messages that were received.
-        self.unhandled_messages = 0
+        self.has_unhandled_messages = False
         self.closed_idle = False  # closed between messages: bytes that arrive later are ignored
         self.session = Session(front.server.limits)
+        self.buffered_memory = ByteReservation(front.server.buffered_memory)
         # A phase starts with the first byte of a message or, once the session is closed, with the
         # end of the last reply. No lock guards these times: the server's checks tolerate values
         # that are slightly out of date. Only the reader thread uses the registration credit.
@@ -90,6 +92,7 @@
         )
         with front.lock:
             self.peer = front.service.connect(self.session, peer_host(transport.sock))
+            self.peer.has_left = transport.has_peer_left
             front.connections[self.peer] = self
 
     # -- the reader thread ------------------------------------------------------------------------
@@ -119,18 +122,18 @@
             try:
                 if not self.transport.wait_readable(read_bytes):
                     return
-                steps = self._receive(read_bytes)
+                self._receive(read_bytes)
             except OSError:
                 return
             try:
-                self._process(steps)
+                self._process()
             except Exception as error:  # noqa: BLE001  on any error the thread must reach `_end`
                 # The fault ends this connection only: `_end` frees its jobs, worker and socket.
                 log_events.internal_fault(where="gearman", error=error)
                 return
 
-    def _receive(self, max_bytes: int) -> list[Step]:
-        """Receive the bytes that have arrived and feed them to the session; return its steps.
+    def _receive(self, max_bytes: int) -> None:
+        """Receive the bytes that have arrived and pass them to the session.
 
         Bytes are read from the kernel only under the front's lock. A caller that closes the
         connection under that lock sees received data either as unread bytes or as unhandled
@@ -140,28 +143,37 @@
         with self.front.lock:
             data = self.transport.receive_available(max_bytes)
             if self.closed_idle:
-                return []
+                return
             if self.session.is_idle:
                 self.phase_started_at_seconds = now_seconds
             self.last_activity_at_seconds = now_seconds
-            steps = self.session.feed(data)
-            self.unhandled_messages = len(steps)
-        if steps:
-            # A message may be partly received; its phase starts now.
-            self.phase_started_at_seconds = now_seconds
-        return steps
+            self.session.receive(data)
+            self.has_unhandled_messages = True
 
-    def _process(self, steps: list[Step]) -> None:
-        """Handle messages in order."""
-        for step in steps:
-            if self.dropped:
-                return
+    def _process(self) -> None:
+        """Handle the received messages in order, one at a time, so that none waits in memory."""
+        while not self.dropped and (step := self._next_step()) is not None:
             # The lock is released after each step, so that other threads wait for one step at most.
             self._throttle(step)
             with self.front.lock:
                 self._handle(step)
-                self.unhandled_messages -= 1
                 self.front.flush()
+            # A message may be partly received; its phase starts now.
+            self.phase_started_at_seconds = self.last_activity_at_seconds
+        self._count_buffered_bytes()
+        if self.server.buffered_memory.is_exceeded():
+            self.server.shed_buffered_messages()
+
+    def _next_step(self) -> Step | None:
+        """Return the next received message's step; None, once all of them are handled."""
+        with self.front.lock:
+            step = self.session.next_step()
+            self.has_unhandled_messages = step is not None
+            return step
+
+    def _count_buffered_bytes(self) -> None:
+        """Count what this connection holds against the server's budget."""
+        self.buffered_memory.resize(self.session.held_bytes + len(self.transport.unsent))
 
     def _handle(self, step: Step) -> None:
         """Pass a step to the service; the caller holds the front's lock."""
@@ -205,6 +217,7 @@
             self.ended = True
             self.front.writer.remove(self)
             self.transport.close()
+            self.buffered_memory.release()
         self.server.remove_connection(self)
 
     # -- sending ----------------------------------------------------------------------------------
@@ -231,6 +244,7 @@
                 return
             if not had_unsent:
                 self.sent_at_seconds = time.monotonic()
+            self._count_buffered_bytes()
             if len(self.transport.unsent) > self.server.limits.sizes.unsent_bytes:
                 # Limits memory: the peer requests much and reads little.
                 self._drop()
@@ -248,6 +262,7 @@
                 done = True
             if len(self.transport.unsent) < before_bytes:
                 self.sent_at_seconds = time.monotonic()
+            self._count_buffered_bytes()
             if done and self.last_reply_sent:
                 self._half_close()
             if done:
@@ -296,6 +311,21 @@
             self.transport.shut_down()
             return True
 
+    def buffered_bytes(self) -> int:
+        """Return how many bytes of an unfinished packet and of unsent ones the connection holds."""
+        return self.buffered_memory.size_bytes
+
+    def shed_buffered_message(self) -> None:
+        """End a peer that reads too little, or reply to an unfinished packet with an error."""
+        with self.front.lock:
+            if self.transport.unsent:
+                self._drop()
+            elif not self.session.is_idle:
+                error = FramingError("SERVER_FULL", "refused: too many unfinished packets are held")
+                reply = self.session.close_with_error(error)
+                self.send(reply.data, close=reply.close)
+            self._count_buffered_bytes()
+
     def close_if_idle(self) -> bool:
         """Close a client's connection between messages; return whether it was closed."""
         with self.front.lock:
@@ -331,7 +361,7 @@
             phase_started_at_seconds=self.phase_started_at_seconds,
             last_activity_at_seconds=self.last_activity_at_seconds,
             sent_at_seconds=self.sent_at_seconds,
-            has_unhandled_messages=self.unhandled_messages > 0,
+            has_unhandled_messages=self.has_unhandled_messages,
         )
 
     def _end_slow_message(self) -> None:
--- a/stepstream/gearman/job_admission.py
+++ b/stepstream/gearman/job_admission.py
@@ -35,6 +35,7 @@
 from stepstream.gearman.state import SECOND_US, ServiceState
 from stepstream.model.settings import Effect
 from stepstream.ports.access_control import Authorization
+from stepstream.runtime.byte_budget import ByteReservation
 
 BACKGROUND_SUBMIT_KINDS = frozenset(
     (PacketKind.SUBMIT_JOB_BG, PacketKind.SUBMIT_JOB_HIGH_BG, PacketKind.SUBMIT_JOB_LOW_BG)
@@ -152,6 +153,8 @@
             response_sink=JobResponseSink(job, state.host.on_answer, state.host.on_progress),
             settings=state.settings,
         )
+        workload_bytes = len(submission.workload)
+        job.request.reservation = ByteReservation(state.host.open_request_memory, workload_bytes)
         state.jobs.add(job)
         state.output.post(RequestReceived(job.request))
         return job
@@ -167,7 +170,8 @@
             max_function_jobs=state.max_queue.get(function),
             jobs=jobs.open_count,
             workload_bytes=jobs.open_workload_bytes,
-            core_is_full=state.host.is_overloaded(),
+            core_is_full=state.host.is_overloaded()
+            or not state.host.open_request_memory.has_room_for(workload_bytes),
         )
         check_dispatcher_usage(
             usage, workload_bytes, state.limits.gearman, self._retry_after_seconds()
--- a/stepstream/gearman/job_assignment.py
+++ b/stepstream/gearman/job_assignment.py
@@ -5,13 +5,14 @@
 owns the service.
 """
 
-from stepstream.core.events import CallTimeoutSet, JobNotification, JobStatus
-from stepstream.core.requests import Call
+from stepstream.core.events import CallEnded, CallTimeoutSet, JobNotification, JobStatus
+from stepstream.core.requests import Call, Payload
 from stepstream.gearman import codec
 from stepstream.gearman.access import AccessChecks
 from stepstream.gearman.codec import Packet, PacketKind
 from stepstream.gearman.peers import AssignedCall, Peer, Worker
 from stepstream.gearman.state import ServiceState
+from stepstream.model.events import AttemptResult
 
 GRAB_JOB_KINDS = frozenset((PacketKind.GRAB_JOB, PacketKind.GRAB_JOB_UNIQ, PacketKind.GRAB_JOB_ALL))
 NO_REDUCER = ""
@@ -52,12 +53,20 @@
             self.state.output.send(peer, codec.encode_response(PacketKind.NO_JOB))
             return
         self.access.check_worker(now_us, worker)
-        assigned = self.state.workers.assign(now_us, worker, self.state.new_handle())
+        assigned, dropped = self.state.workers.assign(now_us, worker, self.state.new_handle())
+        self.state.output.post_all(dropped)
         if assigned is None:
             self.state.output.send(peer, codec.encode_response(PacketKind.NO_JOB))
             return
         call = assigned.call
-        self.state.output.send(peer, assignment_packet(assigned, packet.kind))
+        payload = call.request.payload
+        if payload is None:
+            # The answer has released it since the last check.
+            self.state.workers.end_assigned(worker, assigned)
+            self.state.output.post(CallEnded(call, AttemptResult.NOT_SENT))
+            self.state.output.send(peer, codec.encode_response(PacketKind.NO_JOB))
+            return
+        self.state.output.send(peer, assignment_packet(assigned, payload, packet.kind))
         self.state.output.post(JobNotification(call.request.id, call.worker_id, JobStatus.STARTED))
         timeout_us = worker.timeouts_us.get(assigned.function, 0)
         if timeout_us:
@@ -73,10 +82,9 @@
         self.state.output.post_all(self.state.workers.expire_queued(now_us))
 
 
-def assignment_packet(assigned: AssignedCall, grab_kind: PacketKind) -> bytes:
+def assignment_packet(assigned: AssignedCall, payload: Payload, grab_kind: PacketKind) -> bytes:
     """Return the JOB_ASSIGN packet that answers this form of GRAB_JOB."""
     request = assigned.call.request
-    payload = request.payload
     unique = payload.idempotency_key or request.id
     handle = assigned.handle
     function = assigned.function
--- a/stepstream/gearman/notifications.py
+++ b/stepstream/gearman/notifications.py
@@ -31,6 +31,12 @@
         """Pass on the final answer."""
         self.on_answer(self.job, answer)
 
+    def has_peer_left(self) -> bool:
+        """Return whether every client that waits for the job has closed its connection."""
+        if self.job.background:
+            return False
+        return all(client.has_left() for client in tuple(self.job.clients))
+
     def progress(self, done: int, total: int) -> None:
         """Pass on the job's progress."""
         self.on_progress(self.job, done, total)
--- a/stepstream/gearman/peers.py
+++ b/stepstream/gearman/peers.py
@@ -5,6 +5,7 @@
 """
 
 from collections import OrderedDict, deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from stepstream.core.job_results import ResultChunk
@@ -13,6 +14,7 @@
 from stepstream.gearman.session import Session
 from stepstream.model.endpoints import Endpoint, EndpointState
 from stepstream.ports.access_control import Credential
+from stepstream.runtime.byte_budget import ByteReservation
 
 
 @dataclass(eq=False, slots=True)
@@ -34,6 +36,7 @@
     function: str  # the name under which the worker registered it
     chunks: list[ResultChunk] = field(default_factory=list)  # of WORK_DATA and WORK_WARNING
     chunk_bytes: int = 0
+    reservation: ByteReservation | None = None  # of the chunks
 
 
 @dataclass(eq=False, slots=True)
@@ -80,6 +83,8 @@
     authorized_at_us: int = 0  # when its credential was last verified for its worker id
     worker: Worker | None = None
     disconnected: bool = False
+    # Whether its connection was closed by its side, as the system knows it; any thread calls it.
+    has_left: Callable[[], bool] = lambda: False
 
     @property
     def credential(self) -> Credential:
--- a/stepstream/gearman/session.py
+++ b/stepstream/gearman/session.py
@@ -53,20 +53,36 @@
 
     def feed(self, data: bytes) -> list[Step]:
         """Parse received bytes; return the steps that they complete, in order."""
-        if self.closed:
-            return []
-        self.parser.feed(data)
+        self.receive(data)
         steps: list[Step] = []
+        while (step := self.next_step()) is not None:
+            steps.append(step)
+        return steps
+
+    def receive(self, data: bytes) -> None:
+        """Buffer received bytes."""
+        if not self.closed:
+            self.parser.feed(data)
+
+    def next_step(self) -> Step | None:
+        """Return the step of the next buffered message, or None until more bytes are received."""
+        if self.closed:
+            return None
         try:
-            while not self.closed and (message := self.parser.next_message()) is not None:
-                steps.append(self._step_for(message))
+            message = self.parser.next_message()
+            return None if message is None else self._step_for(message)
         except GearmanError as error:
-            steps.append(self.close_with_error(error))
-        return steps
+            return self.close_with_error(error)
+
+    @property
+    def held_bytes(self) -> int:
+        """The bytes of messages that the session holds."""
+        return len(self.parser.buffer)
 
     def close_with_error(self, error: GearmanError) -> Reply:
         """Close the session and return its last reply; later bytes are not parsed."""
         self.closed = True
+        self.parser.buffer.clear()
         return Reply(codec.encode_error(error.code, str(error)), close=True)
 
     def reply_to_error(self, error: GearmanError) -> Reply:
--- a/stepstream/gearman/state.py
+++ b/stepstream/gearman/state.py
@@ -17,6 +17,7 @@
 from stepstream.gearman.workers import WorkerTable
 from stepstream.model.settings import Settings
 from stepstream.ports.access_control import AccessControl
+from stepstream.runtime.byte_budget import ByteBudget
 
 FRONT_NAME = "gearman"  # in access control, and as the source of workers in the core
 SECOND_US = 1_000_000
@@ -58,6 +59,8 @@
 
     new_request_id: Callable[[], str]  # unique, and not to be guessed by a peer
     is_overloaded: Callable[[], bool]  # the core accepts no further request
+    open_request_memory: ByteBudget  # for the workloads of open jobs
+    buffered_memory: ByteBudget  # for the chunks of results
     is_closing: Callable[[], bool]  # the last phase of a shutdown: no new jobs
     # The core's answer to a job and its progress; called on the decision thread.
     on_answer: Callable[[Job, Answer], None]
@@ -83,12 +86,13 @@
         self.limits = limits
         self.host = host
         self.jobs = JobTable(
-            section.outcome_retention_seconds * SECOND_US, section.max_retained_outcomes
+            section.outcome_retention_seconds * SECOND_US, max_retained_outcomes(section, limits)
         )
         self.workers = WorkerTable(
             section.queue,
             section.queue_wait_ms * MILLISECOND_US,
             limits.gearman.partial_result_bytes,
+            host.buffered_memory,
         )
         self.peers: dict[Peer, None] = {}  # a set in the order of connecting
         self.max_queue: dict[str, int] = {}  # by function, set by the text command `maxqueue`
@@ -102,7 +106,7 @@
         self.settings = settings
         self.limits = limits
         self.jobs.retention_us = section.outcome_retention_seconds * SECOND_US
-        self.jobs.max_retained = section.max_retained_outcomes
+        self.jobs.max_retained = max_retained_outcomes(section, limits)
         self.workers.queue_length = section.queue
         self.workers.queue_wait_us = section.queue_wait_ms * MILLISECOND_US
 
@@ -116,3 +120,8 @@
         output = self.output
         self.output = Output()
         return output
+
+
+def max_retained_outcomes(section: GearmanSection, limits: Limits) -> int:
+    """Return how many outcomes are retained: as the operator says, as far as the memory allows."""
+    return min(section.max_retained_outcomes, limits.gearman.retained_outcomes)
--- a/stepstream/gearman/workers.py
+++ b/stepstream/gearman/workers.py
@@ -23,24 +23,34 @@
 from stepstream.gearman.names import WorkerIdentity, registered_name
 from stepstream.gearman.peers import AssignedCall, Peer, QueuedCall, Worker
 from stepstream.model.events import AttemptResult
+from stepstream.runtime.byte_budget import ByteBudget, ByteReservation
 
 # A late report is ignored if it concerns one of the worker's latest ended jobs; otherwise it is an
 # error.
 MAX_ENDED_HANDLES_PER_WORKER = 64
+CHUNK_RECORD_BYTES = 128  # of a chunk, beside its data
 
 
 class WorkerTable:
     """All connected workers; a call is either queued or assigned, never both."""
 
-    def __init__(self, queue_length: int, queue_wait_us: int, max_chunk_bytes: int) -> None:
+    def __init__(
+        self,
+        queue_length: int,
+        queue_wait_us: int,
+        max_chunk_bytes: int,
+        chunk_memory: ByteBudget,
+    ) -> None:
         """Create an empty table.
 
         `queue_length`: how many calls may wait beyond a worker's slots. `queue_wait_us`: how long a
         call may wait, in microseconds. `max_chunk_bytes`: limit of one job's chunks together.
+        `chunk_memory`: the budget for the chunks of all jobs.
         """
         self.queue_length = queue_length
         self.queue_wait_us = queue_wait_us
         self.max_chunk_bytes = max_chunk_bytes
+        self.chunk_memory = chunk_memory
         self.by_id: dict[str, Worker] = {}
 
     # -- registration -----------------------------------------------------------------------------
@@ -67,6 +77,8 @@
         ended.extend(
             CallEnded(assigned.call, AttemptResult.RESET) for assigned in worker.assigned.values()
         )
+        for assigned in worker.assigned.values():
+            release_chunks(assigned)
         worker.queue.clear()
         worker.assigned.clear()
         return ended
@@ -111,22 +123,27 @@
         worker.asleep = False
         return True
 
-    def assign(self, now_us: int, worker: Worker, handle: str) -> AssignedCall | None:
-        """Assign a worker its next queued call under a job handle; return None if there is none.
+    def assign(
+        self, now_us: int, worker: Worker, handle: str
+    ) -> tuple[AssignedCall | None, list[CallEnded]]:
+        """Assign a worker its next queued call under a job handle; None if there is none.
 
-        Queued calls that must not be assigned any more (see `function_to_assign`) are dropped.
+        Queued calls that must not be assigned any more (see `function_to_assign`) are dropped; the
+        second part of the result ends them.
         """
         worker.asleep = False
+        dropped: list[CallEnded] = []
         if not has_free_slot(worker):
-            return None
+            return None, dropped
         while worker.queue:
             queued = worker.queue.popleft()
             function = function_to_assign(queued, worker.timeouts_us, now_us)
             if function is not None:
                 assigned = AssignedCall(queued.call, handle, function)
                 worker.assigned[handle] = assigned
-                return assigned
-        return None
+                return assigned, dropped
+            dropped.append(CallEnded(queued.call, AttemptResult.NOT_SENT))
+        return None, dropped
 
     def stop(self, call: Call) -> None:
         """Drop a call that the core has given up if it is queued; an assigned one goes on."""
@@ -159,14 +176,30 @@
     def end_assigned(self, worker: Worker, assigned: AssignedCall) -> None:
         """Free the slot of an assigned call; keep its handle to recognize late reports."""
         del worker.assigned[assigned.handle]
+        release_chunks(assigned)
         worker.ended_handles[assigned.handle] = None
         while len(worker.ended_handles) > MAX_ENDED_HANDLES_PER_WORKER:
             worker.ended_handles.popitem(last=False)
 
     def add_chunk(self, assigned: AssignedCall, chunk: ResultChunk) -> bool:
-        """Add a chunk to a result; return False if the job's chunks exceed the limit together."""
+        """Add a chunk to a result; return False if the job's chunks exceed the limit together.
+
+        All jobs' chunks have one budget, against which a chunk counts with its record: many small
+        ones take many times their bytes.
+        """
         assigned.chunk_bytes += len(chunk.data)
-        if assigned.chunk_bytes > self.max_chunk_bytes:
+        is_too_large = assigned.chunk_bytes > self.max_chunk_bytes
+        if is_too_large or not self.chunk_memory.has_room_for(len(chunk.data) + CHUNK_RECORD_BYTES):
             return False
         assigned.chunks.append(chunk)
+        if assigned.reservation is None:
+            assigned.reservation = ByteReservation(self.chunk_memory)
+        record_bytes = len(assigned.chunks) * CHUNK_RECORD_BYTES
+        assigned.reservation.resize(assigned.chunk_bytes + record_bytes)
         return True
+
+
+def release_chunks(assigned: AssignedCall) -> None:
+    """Return the memory of an ended job's chunks to the budget."""
+    if assigned.reservation is not None:
+        assigned.reservation.release()
--- a/stepstream/http/client_connection.py
+++ b/stepstream/http/client_connection.py
@@ -9,7 +9,10 @@
   what the kernel accepts at once.
 - A slow-writer thread of the server's pool sends the rest of a reply that the peer did not accept
   at once, and the replies queued after it. Meanwhile no other thread sends, which keeps the bytes
-  in order. It closes the socket if the reader has ended before it.
+  in order. It closes the socket if the reader has ended before it. No message is handled meanwhile:
+  a peer that does not take its answers gets no more of them.
+- A thread of the server's pool for buffered input handles the bytes that have come after a request,
+  once that is answered. The decision thread never parses what a peer sends.
 
 `lock` guards the session, the fields of this object and the socket's calls that do not wait. Bytes
 are received from the kernel only under the lock. A thread that closes the connection under the lock
@@ -25,7 +28,7 @@
 import threading
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from stepstream.config.limits import Limits
@@ -40,15 +43,29 @@
 from stepstream.core.requests import Request
 from stepstream.http.codec import ProtocolError
 from stepstream.http.eviction import rank_without_open_request
+from stepstream.http.read_lanes import ReadLanes, Work, WorkCredit
 from stepstream.http.server_state import ServerState
-from stepstream.http.session import HttpSession, Reply, SessionEvent, SessionPhase
+from stepstream.http.session import (
+    HttpSession,
+    Reply,
+    SessionEvent,
+    SessionPhase,
+    payload_size_bytes,
+)
 from stepstream.ports.connections import Connection, EvictionRank, EvictionState
 from stepstream.runtime import log_events
+from stepstream.runtime.byte_budget import ByteBudget, ByteReservation
 from stepstream.runtime.clock import Clock
 from stepstream.runtime.sockets import set_socket_timeout
 from stepstream.runtime.threads import ThreadPool
 from stepstream.runtime.transport import Transport
 
+MAX_MESSAGES_PER_TURN = 16
+SLOW_WRITER_CHECK_SECONDS = 0.01
+# After the last answer: reads in one turn of the slow lane, and the pause without it.
+MAX_DROPPED_READS = 64
+DROP_PAUSE_SECONDS = 0.02
+
 
 class ConnectionOwner(Protocol):
     """The part of the server that a connection uses."""
@@ -58,6 +75,16 @@
     state: ServerState
     post: Callable[[Event], None]  # hands an event to the core; any thread may call it
     slow_writer_threads: ThreadPool
+    buffered_input_threads: ThreadPool
+    read_lanes: ReadLanes
+    open_request_memory: ByteBudget
+    buffered_memory: ByteBudget
+
+    def wait_for_core(self) -> None:
+        """Wait while too many events wait for the core."""
+
+    def shed_buffered_messages(self) -> None:
+        """End unfinished messages while all connections hold too much; no lock may be held."""
 
     def remove_connection(self, connection: Connection) -> None:
         """Free the place of a connection that has ended."""
@@ -79,9 +106,14 @@
         self.queued_replies: deque[Reply] = deque()  # for the slow writer
         self.reader_ended = False  # if True, an active slow writer closes the socket
         self.evicted = False  # guarded by the server's lock, not by this one
+        self.buffered_memory = ByteReservation(server.buffered_memory)
+        self.has_unhandled_input = False  # the last turn ended before all messages were handled
+        self.is_aborted = False  # both directions were shut down here
         # Monotonic seconds. Activity is a received byte or an answer. A phase starts with the first
         # byte of a message or, once the session is closed, with the end of the last answer.
         now_seconds = time.monotonic()
+        # Of the reader thread.
+        self.work_credit = WorkCredit(now_seconds, is_unlimited=not is_external)
         self.accepted_at_seconds = now_seconds
         self.last_activity_at_seconds = now_seconds
         self.phase_started_at_seconds = now_seconds
@@ -96,6 +128,7 @@
             with self.lock:
                 open_request = self.session.close()
                 self.reader_ended = True
+                self.buffered_memory.release()
                 if self.slow_writer_active:
                     # If the socket were closed now, another one could get its descriptor while the
                     # slow writer still sends.
@@ -113,9 +146,31 @@
             self.transport.handshake()
         except OSError:
             return
-        while self._wait_for_input(limits.sizes.read_bytes):
-            if not self._process_input_guarded():
+        while True:
+            self._wait_for_slow_writer()
+            if not self.has_unhandled_input and not self._wait_for_input(limits.sizes.read_bytes):
                 return
+            if not self._take_turn():
+                return
+
+    def _wait_for_slow_writer(self) -> None:
+        """Wait until the peer has taken its answers, or its time for that is over."""
+        while self.slow_writer_active:
+            time.sleep(SLOW_WRITER_CHECK_SECONDS)
+
+    def _take_turn(self) -> bool:
+        """Receive and handle a bounded amount; return whether to go on reading."""
+        if self.session.has_open_request:
+            goes_on = self._process_input_guarded()  # the bytes are only buffered
+        elif self.session.phase is SessionPhase.CLOSED:
+            goes_on = self._drop_input()
+        else:
+            self.server.wait_for_core()
+            with self.server.read_lanes.turn(self.work_credit, lambda: self.is_aborted):
+                goes_on = self._process_input_guarded()
+        if self.server.buffered_memory.is_exceeded():
+            self.server.shed_buffered_messages()
+        return goes_on
 
     def _wait_for_input(self, read_bytes: int) -> bool:
         """Wait until bytes can be received; return False if the connection has ended."""
@@ -124,6 +179,21 @@
         except OSError:
             return False
 
+    def _drop_input(self) -> bool:
+        """Drop what comes after the last answer; return whether to go on reading.
+
+        A peer that is still sending must be read, or the reset of its connection might destroy the
+        answer. Without the slow lane, this is done only as often as its close must be noticed.
+        """
+        with self.server.read_lanes.try_slow_turn() as has_turn:
+            for _ in range(MAX_DROPPED_READS if has_turn else 1):
+                if not self._process_input_guarded() or not self.transport.has_unread():
+                    break
+        if not has_turn:
+            time.sleep(DROP_PAUSE_SECONDS)
+        lingered_seconds = time.monotonic() - self.phase_started_at_seconds
+        return lingered_seconds < self.server.limits.timeouts.linger_seconds
+
     def _process_input_guarded(self) -> bool:
         """Process input; a fault in it ends the open request instead of this thread."""
         try:
@@ -143,26 +213,67 @@
         limits = self.server.limits
         with self.lock:
             session = self.session
-            data = self.transport.receive_available(limits.sizes.read_bytes)
-            now_us = self.server.clock.now_us()
+            data = b""
+            if not self.has_unhandled_input:
+                data = self.transport.receive_available(limits.sizes.read_bytes)
             now_seconds = time.monotonic()
             self.last_activity_at_seconds = now_seconds
             if session.phase is SessionPhase.CLOSED:
+                self.has_unhandled_input = False
                 # Guards the thread against a peer that keeps sending after its last answer.
                 lingered_seconds = now_seconds - self.phase_started_at_seconds
                 return lingered_seconds < limits.timeouts.linger_seconds
             if session.is_idle and session.has_answered:
                 self.phase_started_at_seconds = now_seconds
-            events = session.receive(data, now_us)
+            self._dispatch(session.feed(data))
+            self.has_unhandled_input = self._handle_messages(len(data))
             # Guards the thread against a peer that sends its message byte by byte.
             if session.is_reading_message and self._has_timed_out(now_seconds):
-                events.append(
-                    session.fail(ProtocolError(400, "the message took too long to arrive"))
-                )
-            self._dispatch(events)
+                error = ProtocolError(400, "the message took too long to arrive")
+                self._dispatch([session.fail(error)])
+            self._count_buffered_bytes()
         return True
 
-    def _dispatch(self, events: list[SessionEvent]) -> None:
+    def _handle_messages(self, received_bytes: int) -> bool:
+        """Handle buffered messages; return whether more of them may be left.
+
+        It stops after `MAX_MESSAGES_PER_TURN`, so that no peer occupies a thread for long, and
+        while a slow writer sends. The caller holds the lock.
+        """
+        parser = self.session.parser
+        steps_before = parser.step_count
+        handled_messages = 0
+        while handled_messages < MAX_MESSAGES_PER_TURN and not self.slow_writer_active:
+            events = self.session.next_events(self.server.clock.now_us())
+            if not events:
+                break
+            handled_messages += 1
+            self._dispatch(events)
+        parser_steps = parser.step_count - steps_before
+        self.work_credit.spend(Work(handled_messages, parser_steps, received_bytes))
+        has_stopped_early = handled_messages == MAX_MESSAGES_PER_TURN or self.slow_writer_active
+        return (has_stopped_early or parser.is_paused) and self.session.has_buffered_input
+
+    def _handle_buffered_input(self) -> None:
+        """Handle the bytes that came before an answer; a thread of the server's pool runs this."""
+        with self.lock:
+            if self.reader_ended or not self.session.has_buffered_input:
+                return
+            more_is_left = self._handle_messages(received_bytes=0)
+            self._count_buffered_bytes()
+            if more_is_left and not self.slow_writer_active:
+                self._submit_buffered_input()
+
+    def _submit_buffered_input(self) -> None:
+        self.server.buffered_input_threads.submit(self._handle_buffered_input)
+
+    def _count_buffered_bytes(self) -> None:
+        """Count what this connection holds against the server's budget; call under the lock."""
+        queued_bytes = sum(len(reply.data) for reply in self.queued_replies)
+        unsent_bytes = len(self.transport.unsent)
+        self.buffered_memory.resize(self.session.held_bytes + unsent_bytes + queued_bytes)
+
+    def _dispatch(self, events: Iterable[SessionEvent]) -> None:
         """Send replies and post the rest to the core, in order; the caller holds the lock."""
         for event in events:
             match event:
@@ -173,6 +284,9 @@
                         self._report_disconnect(self.session.close())
                 case Request():
                     event.response_sink = self
+                    event.reservation = ByteReservation(
+                        self.server.open_request_memory, payload_size_bytes(event.payload)
+                    )
                     self.server.post(RequestReceived(event))
                 case JobNotification():
                     self.server.post(event)
@@ -197,8 +311,13 @@
             self.last_activity_at_seconds = now_seconds
             self.phase_started_at_seconds = now_seconds
             self._send(reply)
-            if self.session.parser.buffer:
-                self._dispatch(self.session.next_events(self.server.clock.now_us()))
+            if self.session.has_buffered_input:
+                self._submit_buffered_input()
+            self._count_buffered_bytes()
+
+    def has_peer_left(self) -> bool:
+        """Return whether the client has closed its connection, even behind unread bytes."""
+        return self.transport.has_peer_left()
 
     def progress(self, done: int, total: int) -> None:
         """Ignore a job's progress: HTTP/1.1 has no message for it."""
@@ -223,9 +342,10 @@
 
     def _write_slowly(self, reply: Reply) -> None:
         """Send the rest of a reply and the queued replies, waiting for the peer."""
+        deadline_seconds = time.monotonic() + self.server.limits.timeouts.answer_write_seconds
         while True:
             try:
-                self.transport.flush()
+                self.transport.flush(deadline_seconds)
             except OSError:
                 self.transport.shut_down()
             with self.lock:
@@ -236,6 +356,9 @@
                 self._on_sent(reply)
                 if not self.queued_replies:
                     self.slow_writer_active = False
+                    self._count_buffered_bytes()
+                    if self.session.has_buffered_input:
+                        self._submit_buffered_input()
                     return
                 reply = self.queued_replies.popleft()
                 self.transport.enqueue(reply.data)
@@ -295,8 +418,14 @@
         )
 
     def eviction_state(self, now_seconds: float) -> EvictionState:
-        """Return the rank, and since when the connection has been quiet (monotonic seconds)."""
-        with self.lock:
+        """Return the rank, and since when the connection has been quiet (monotonic seconds).
+
+        A connection whose lock is taken is in use at this moment. The accepting thread must not
+        wait for it: hundreds of busy connections would delay every new one.
+        """
+        if not self.lock.acquire(blocking=False):
+            return EvictionState(EvictionRank.NEVER, math.inf)
+        try:
             session = self.session
             if session.has_open_request or self.slow_writer_active:
                 return EvictionState(EvictionRank.NEVER, math.inf)
@@ -314,6 +443,8 @@
                 evict_silent_after_seconds=self.server.limits.timeouts.evict_silent_after_seconds,
             )
             return EvictionState(rank, quiet_since_seconds)
+        finally:
+            self.lock.release()
 
     def evict(self) -> bool:
         """End the connection at once to make room for others; return whether it was ended.
@@ -328,9 +459,31 @@
             if session.is_idle and self.transport.has_unread():
                 return False
             session.close()
-            self.transport.shut_down()
+            self._abort()
             return True
 
+    def _abort(self) -> None:
+        """Shut down both directions; the reader thread then ends."""
+        self.is_aborted = True
+        self.transport.shut_down()
+
+    def buffered_bytes(self) -> int:
+        """Return how many bytes of messages the connection holds."""
+        return self.buffered_memory.size_bytes
+
+    def shed_buffered_message(self) -> None:
+        """Free what is buffered: reject an unfinished message, or end a peer that takes nothing."""
+        with self.lock:
+            session = self.session
+            if session.is_reading_message:
+                self._dispatch([session.reject_overload()])
+            elif session.has_open_request and session.parser.buffer:
+                error = ProtocolError(413, "too many bytes after an open request")
+                self._dispatch([session.fail(error)])
+            elif self.slow_writer_active:
+                self._abort()
+            self._count_buffered_bytes()
+
     def close_if_idle(self) -> bool:
         """Close a client's connection between requests; return whether it was closed.
 
@@ -358,7 +511,7 @@
             if session.is_reading_message:
                 self._send(session.fail(ProtocolError(400, "the message took too long to arrive")))
             elif session.phase is SessionPhase.CLOSED:
-                self.transport.shut_down()
+                self._abort()
             elif not self.transport.has_unread():
                 session.close()
                 self._half_close(now_seconds)
--- a/stepstream/http/in_flight_call.py
+++ b/stepstream/http/in_flight_call.py
@@ -35,6 +35,7 @@
     IDEMPOTENCY_WINDOW_ENDED = (
         "the worker no longer recognizes it as a repeat of an earlier attempt"
     )
+    CLIENT_LEFT = "its client has closed the connection, which the front has not read yet"
     ADDRESS_CHANGED = "the worker drains, is in maintenance or has moved"
 
 
--- a/stepstream/http/outbound.py
+++ b/stepstream/http/outbound.py
@@ -13,7 +13,7 @@
 
 from stepstream.config.limits import Limits, Timeouts
 from stepstream.core.events import CallEnded, Event
-from stepstream.core.requests import Call
+from stepstream.core.requests import Call, Payload
 from stepstream.http.codec import Message, Parser, ProtocolError
 from stepstream.http.connection_pool import ConnectionPool, PooledConnection, PoolExhaustedError
 from stepstream.http.destination_set import DestinationSet, host_and_port
@@ -107,7 +107,9 @@
 
     def call_worker(self, call: Call, in_flight: InFlightCall) -> AttemptResult | None:
         """Return how the call ended, or None once the worker has accepted the job."""
-        if self.reason_not_to_send(call, in_flight) is not None:
+        # Read before the last check: an answer releases it, after which the call is not needed.
+        payload = call.request.payload
+        if payload is None or self.reason_not_to_send(call, in_flight) is not None:
             return AttemptResult.NOT_SENT
         address = self.destinations.usable_address(call.worker_id)
         if address is None:
@@ -127,7 +129,7 @@
         if not self.claim_connection(call, in_flight, connection):
             self.pool.put_back(connection)
             return AttemptResult.NOT_SENT
-        exchange = self.run_exchange(call, in_flight, connection)
+        exchange = self.run_exchange(call, payload, in_flight, connection)
         if exchange.protocol_error is not None:
             self.unreadable_answers.add(f"{call.worker_id}: {exchange.protocol_error}")
         in_flight.load_report = self.reports.read_header(exchange.load_report_text)
@@ -164,8 +166,16 @@
             return UnsentReason.QUEUED_TOO_LONG
         if call.write_deadline_us is not None and now_us > call.write_deadline_us:
             return UnsentReason.IDEMPOTENCY_WINDOW_ENDED
-        if connection is not None and self._is_outdated(connection):
+        return None if connection is None else self._reason_at_last_check(call, connection)
+
+    def _reason_at_last_check(
+        self, call: Call, connection: PooledConnection
+    ) -> UnsentReason | None:
+        """Return what only the last check before the first byte finds out."""
+        if self._is_outdated(connection):
             return UnsentReason.ADDRESS_CHANGED
+        if call.client_has_left:
+            return UnsentReason.CLIENT_LEFT
         return None
 
     def _is_outdated(self, connection: PooledConnection) -> bool:
@@ -173,12 +183,16 @@
         return self.destinations.usable_address(connection.worker) != connection.address
 
     def run_exchange(
-        self, call: Call, in_flight: InFlightCall, connection: PooledConnection
+        self,
+        call: Call,
+        payload: Payload,
+        in_flight: InFlightCall,
+        connection: PooledConnection,
     ) -> HttpExchange:
         """Send the call and read its answer; the connection goes back to the pool or is closed."""
         exchange = HttpExchange(self.limits)
         try:
-            self.send_and_receive(call, in_flight, connection, exchange)
+            self.send_and_receive(call, payload, in_flight, connection, exchange)
         finally:
             if in_flight.finish_exchange(exchange):
                 self.pool.put_back(connection)
@@ -189,17 +203,17 @@
     def send_and_receive(
         self,
         call: Call,
+        payload: Payload,
         in_flight: InFlightCall,
         connection: PooledConnection,
         exchange: HttpExchange,
     ) -> None:
         """Run the exchange on its connection until it is over."""
         remaining_ms = (call.deadline_us - self.clock.now_us()) // MICROSECONDS_PER_MILLISECOND
-        data = call_bytes(
-            host_and_port(connection.address), call.request.id, call.request.payload, remaining_ms
-        )
+        host = host_and_port(connection.address)
         try:
-            connection.sock.sendall(data)
+            # No name for the bytes: they are freed before the thread waits for the answer.
+            connection.sock.sendall(call_bytes(host, call.request.id, payload, remaining_ms))
             in_flight.phase = CallPhase.SENT
             exchange.on_request_written()
             read_deadline_seconds = time.monotonic() + self.limits.timeouts.call_answer_seconds
--- a/stepstream/http/server_state.py
+++ b/stepstream/http/server_state.py
@@ -21,6 +21,10 @@
         self.access_control: AccessControl | None = None  # None: callers are not authenticated
         # Whether another open request would leave no connection for notifications.
         self.is_overloaded: Callable[[], bool] = lambda: False
+        # Whether the payloads of open requests leave so many bytes of memory.
+        self.has_room_for_payload: Callable[[int], bool] = lambda _size_bytes: True
+        # Takes the reason for which a message was rejected for want of memory.
+        self.report_memory_rejection: Callable[[str], None] = lambda _reason: None
         # Takes the reason for which a job notification was rejected; any thread calls it.
         self.report_rejected_notification: Callable[[str], None] = lambda _reason: None
 
--- a/stepstream/http/session.py
+++ b/stepstream/http/session.py
@@ -6,6 +6,7 @@
   READING, or becomes CLOSED if the connection closes with this answer.
 - READING, on a request: AWAITING_ANSWER, or CLOSED while the server is overloaded.
 - AWAITING_ANSWER, on more bytes: buffers them and stays AWAITING_ANSWER.
+- READING, if its message finds no memory: CLOSED, with the overload answer.
 - AWAITING_ANSWER, on the final answer: READING, or CLOSED if the connection closes with it.
 - READING or AWAITING_ANSWER, on a protocol error: CLOSED.
 - Any, on `close`, when the connection has ended on either side: CLOSED. CLOSED is final.
@@ -21,7 +22,7 @@
 from stepstream.config.limits import Limits
 from stepstream.core.commands import Answer
 from stepstream.core.events import JobNotification
-from stepstream.core.requests import Request
+from stepstream.core.requests import Payload, Request
 from stepstream.http.client_api import (
     READINESS_PATH,
     bearer_token,
@@ -38,6 +39,9 @@
 from stepstream.ports.access_control import Authorization, Credential, Rejection
 from stepstream.runtime.transport import Transport
 
+# Of tiny chunks, the bytes of one read could occupy a thread for many milliseconds.
+MAX_PARSER_STEPS_AT_ONCE = 500
+
 
 @record
 class Reply:
@@ -68,7 +72,7 @@
         self.limits = limits
         self.server_state = server_state
         self.transport = transport
-        self.parser = Parser(limits)
+        self.parser = Parser(limits, max_steps_at_once=MAX_PARSER_STEPS_AT_ONCE)
         self.phase = SessionPhase.READING
         self.request: Request | None = None  # the open request
         self.authorization: Authorization | None = None  # of the open request
@@ -87,6 +91,16 @@
         """Whether a part of a message has arrived, and its rest has not."""
         return self.phase is SessionPhase.READING and not self.parser.idle
 
+    @property
+    def has_buffered_input(self) -> bool:
+        """Whether received bytes may hold a message that has not been handled yet."""
+        return self.phase is SessionPhase.READING and bool(self.parser.buffer)
+
+    @property
+    def held_bytes(self) -> int:
+        """The bytes of messages that the session holds, without the open request's payload."""
+        return self.parser.held_bytes
+
     @property
     def has_open_request(self) -> bool:
         """Whether a request awaits its final answer."""
@@ -101,30 +115,53 @@
 
     def receive(self, data: bytes, now_us: int) -> list[SessionEvent]:
         """Process bytes that arrived at `now_us`; return the events that follow, in order."""
+        events = self.feed(data)
+        while more_events := self.next_events(now_us):
+            events += more_events
+        return events
+
+    def feed(self, data: bytes) -> list[SessionEvent]:
+        """Buffer received bytes; return an event only if they are too many."""
         if self.phase is SessionPhase.CLOSED:
             return []
         self.parser.feed(data)
-        if self.has_open_request:
-            # Guards memory against a peer that keeps sending while its request is open.
-            max_bytes = self.limits.sizes.head_bytes + self.limits.sizes.body_bytes
-            if len(self.parser.buffer) > max_bytes:
-                return [self.fail(ProtocolError(413, "too many bytes after an open request"))]
-            return []
-        return self.next_events(now_us)
+        # Guards memory against a peer that keeps sending while its request is open.
+        max_bytes = self.limits.sizes.head_bytes + self.limits.sizes.body_bytes
+        if self.has_open_request and len(self.parser.buffer) > max_bytes:
+            return [self.fail(ProtocolError(413, "too many bytes after an open request"))]
+        return []
 
     def next_events(self, now_us: int) -> list[SessionEvent]:
-        """Parse the buffered bytes up to a request; the rest is parsed after its answer."""
-        events: list[SessionEvent] = []
-        while self.phase is SessionPhase.READING:
-            try:
-                message = self.parser.next()
-                if message is None:
-                    break
-                self.keep_alive = message.keep_alive
-                events += self._handle_message(message, now_us)
-            except ProtocolError as error:
-                events.append(self.fail(error))
-        return events
+        """Handle the next buffered message; return its events, none if no message is complete.
+
+        While a request is open, the bytes after it stay buffered.
+        """
+        if self.phase is not SessionPhase.READING:
+            return []
+        try:
+            message = self.parser.next()
+            if message is None:
+                return self._reject_unless_room_for_body()
+            self.keep_alive = message.keep_alive
+            return self._handle_message(message, now_us)
+        except ProtocolError as error:
+            return [self.fail(error)]
+
+    def _reject_unless_room_for_body(self) -> list[SessionEvent]:
+        """Reject a request whose body is being received, if its payload would find no memory."""
+        size_bytes = self.parser.announced_body_bytes
+        if not size_bytes or path_of(self.parser.message) == NOTIFICATION_PATH:
+            return []  # a notification ends a request, which frees memory
+        if self.server_state.has_room_for_payload(size_bytes):
+            return []
+        self.server_state.report_memory_rejection("open requests hold all of their memory")
+        return [self.reject_overload()]
+
+    def reject_overload(self) -> Reply:
+        """End the session: its message was not handled and may be sent again."""
+        self._end()
+        retry_after_us = self.server_state.client_api.settings.max_retry_after_us
+        return Reply(overload_answer(retry_after_us, close=True), close=True)
 
     def _handle_message(self, message: Message, now_us: int) -> list[SessionEvent]:
         path = path_of(message)
@@ -170,18 +207,27 @@
         except ProtocolError:
             release_authorization(authorization)
             raise
-        if self.server_state.is_overloaded():
+        if self._has_no_room(message):
             release_authorization(authorization)
-            # If every connection had an open request, no notification could arrive to end one.
-            self.phase = SessionPhase.CLOSED
-            retry_after_us = client_api.settings.max_retry_after_us
-            return Reply(overload_answer(retry_after_us, close=True), close=True)
+            return self.reject_overload()
         self.request = request
         self.authorization = authorization
         self.has_sent_work = True
         self.phase = SessionPhase.AWAITING_ANSWER
         return request
 
+    def _has_no_room(self, message: Message) -> bool:
+        """Decide whether a request is rejected because too much is open.
+
+        If every connection had an open request, no notification could arrive to end one.
+        """
+        if self.server_state.is_overloaded():
+            return True
+        if self.server_state.has_room_for_payload(len(message.target) + len(message.body)):
+            return False
+        self.server_state.report_memory_rejection("open requests hold all of their memory")
+        return True
+
     def _authorize(self, message: Message) -> Authorization | Rejection | None:
         """Return the authorization of a request, its rejection, or None without access control."""
         access_control = self.server_state.access_control
@@ -217,17 +263,22 @@
         The connection closes because the start of the next message is unknown, and because an
         unknown peer must not keep its connection by sending malformed messages.
         """
-        self.phase = SessionPhase.CLOSED
+        self._end()
         return Reply(write_answer(error.status, error.answer_body, close=True), close=True)
 
     def close(self) -> Request | None:
         """End the session without an answer; return the request that was open, if any."""
         open_request = self.request
         self.request = None
-        self.phase = SessionPhase.CLOSED
+        self._end()
         release_authorization(self.authorization)
         return open_request
 
+    def _end(self) -> None:
+        """Enter the final phase, in which nothing is buffered."""
+        self.phase = SessionPhase.CLOSED
+        self.parser.discard()
+
     def state_timeout_seconds(self, limits: Limits) -> float:
         """Decide for how many seconds the session may stay in its present state.
 
@@ -273,8 +324,16 @@
         return not self.parser.has_complete_message()
 
     def _finish_exchange(self, *, close: bool) -> None:
-        self.phase = SessionPhase.CLOSED if close else SessionPhase.READING
         self.has_answered = True
+        if close:
+            self._end()
+        else:
+            self.phase = SessionPhase.READING
+
+
+def payload_size_bytes(payload: Payload | None) -> int:
+    """Return how much memory the payload of a request takes until the request is answered."""
+    return len(payload.path) + len(payload.body) if payload is not None else 0
 
 
 def release_authorization(authorization: Authorization | None) -> None:
--- a/stepstream/http/worker_api.py
+++ b/stepstream/http/worker_api.py
@@ -4,8 +4,12 @@
 this module translates them. There is no state; any thread may use this module.
 """
 
+import threading
+from contextlib import nullcontext
+
 import ujson
 
+from stepstream.config.json_decoding import decode_json
 from stepstream.core.events import JobNotification, JobStatus
 from stepstream.core.requests import Payload
 from stepstream.http.codec import Message, ProtocolError, write_request
@@ -17,6 +21,9 @@
 HEALTH_CHECK_PATH = "/-/healthy"  # at a worker
 LOAD_REPORT_PATH = "/-/load"  # at a worker: a health check whose answer has a load report
 STATUS_BY_WIRE_NAME = {status.value: status for status in JobStatus}
+MAX_DECODED_BODY_BYTES = 4096
+# Held while a large body is decoded: one at a time exists in its decoded form.
+LARGE_BODY_DECODING = threading.Lock()
 PROGRESS_STEPS = 1000  # the whole of a job; the wire has a fraction from 0 to 1
 JOB_ACCEPTED_STATUS = 202
 # With the header "Not-Started: 1", the worker states that it has not started the job.
@@ -34,7 +41,10 @@
     """
     if message.method != "POST":
         raise ProtocolError(405, "news arrives by POST")
-    data = read_json_object(message.body)
+    with LARGE_BODY_DECODING if is_large(message.body) else nullcontext():
+        data = read_json_object(message.body)
+        if is_large(message.body):
+            data["result"] = compact_result(data.get("result"))
     request_id, worker_id, status = data.get("id"), data.get("from"), data.get("state")
     if (
         not isinstance(request_id, str)
@@ -55,6 +65,28 @@
     )
 
 
+class JsonText(str):
+    """The text of a JSON list or object, which stands for the value."""
+
+    __slots__ = ()
+
+
+def is_large(body: bytes) -> bool:
+    """Return whether a body is so large that its decoded form must not wait in memory."""
+    return len(body) > MAX_DECODED_BODY_BYTES
+
+
+def compact_result(result: object) -> object:
+    """Return a result in the form in which it waits in memory until it is answered.
+
+    A list or object becomes its text, which is what its client gets: decoded, it may take twenty
+    times its bytes.
+    """
+    if isinstance(result, list | dict):
+        return JsonText(ujson.dumps(result, escape_forward_slashes=False))
+    return result
+
+
 def read_progress(fraction: object) -> tuple[int, int] | None:
     """Return a progress from 0 to 1 as (steps done, steps in all); None for anything else."""
     if isinstance(fraction, int | float) and 0 <= fraction <= 1:
@@ -64,11 +96,12 @@
 
 def notification_body(notification: JobNotification) -> bytes:
     """Return a notification in a worker's wire form, for the sibling process."""
+    result = notification.result
     data = {
         "id": notification.request_id,
         "from": notification.worker_id,
         "state": notification.status.value,
-        "result": notification.result,
+        "result": decode_json(result) if isinstance(result, JsonText) else result,
     }
     if notification.progress is not None:
         done, total = notification.progress
--- a/stepstream/lab/processes/overload_platform.py
+++ b/stepstream/lab/processes/overload_platform.py
@@ -126,7 +126,11 @@
         for _ in range(NOTIFICATION_ATTEMPTS):
             try:
                 if stream is None:
-                    stream = await asyncio.open_connection(*self.notify_address)
+                    # From the worker's own address, as the dispatcher keeps places for workers.
+                    local_address = (self.notify_address[0], 0)
+                    stream = await asyncio.open_connection(
+                        *self.notify_address, local_addr=local_address
+                    )
                 stream[1].write(data)
                 await asyncio.wait_for(read_response(stream[0]), NOTIFICATION_TIMEOUT_SECONDS)
             except (OSError, EOFError, TimeoutError):
--- a/stepstream/lab/processes/overload_run.py
+++ b/stepstream/lab/processes/overload_run.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from stepstream.lab.processes.addresses import free_port
+from stepstream.lab.processes.addresses import free_port, load_test_host
 from stepstream.lab.processes.configuration_files import NodeConfiguration
 from stepstream.lab.processes.dispatcher_process import DispatcherProcess
 from stepstream.lab.processes.overload_platform import OverloadPlatform
@@ -26,6 +26,7 @@
 COOL_DOWN_SECONDS = 2.0
 HOSTILE_CLIENTS_MODULE = "stepstream.lab.load.hostile_clients"
 DEFAULT_MEMORY_MB = 192
+DEPLOYED_ENVIRONMENT = {"MALLOC_ARENA_MAX": "2"}  # as `run` of deploy/balancer.toml sets it
 DEFAULT_DESCRIPTORS = 1024
 
 
@@ -75,7 +76,7 @@
     def __init__(self, setup: OverloadSetup, folder: Path) -> None:
         self.setup = setup
         self.folder = folder
-        self.host = "127.0.0.1"
+        self.host = load_test_host()
         self.port = free_port(self.host)
         self.gearman_port = free_port(self.host)
         self.platform = OverloadPlatform((self.host, self.port), self.host)
@@ -117,9 +118,11 @@
         """Play the whole run and return its figures."""
         await self.platform.start()
         try:
-            sections = self.setup.operator_sections.format(gearman_port=self.gearman_port)
+            sections = self.setup.operator_sections.format(
+                host=self.host, gearman_port=self.gearman_port
+            )
             self.dispatcher.write_files(self.configuration(), sections or None)
-            self.dispatcher.spawn(environment={"MALLOC_ARENA_MAX": "2"})
+            self.dispatcher.spawn(environment=DEPLOYED_ENVIRONMENT)
             await self._wait_until_ready()
             await self._play_load()
         finally:
--- a/stepstream/node/context.py
+++ b/stepstream/node/context.py
@@ -55,7 +55,7 @@
         self.config = config
         self.operator = operator
         self.operator_path = operator_path
-        limits = limits_for(config)
+        limits = limits_for(config, has_subsystems=operator is not None)
         self.limits: Limits = limits
         self.clock = Clock()
         self.events: SimpleQueue[Event] = SimpleQueue()  # to the decision thread
@@ -88,13 +88,15 @@
 
     def create_server(self) -> InboundServer:
         """Create the server of inbound connections; the node's start binds its address."""
-        return InboundServer(
+        server = InboundServer(
             self.limits,
             self.clock,
             ClientApi(self.config.settings, self.reports),
             self.post,
             self.destinations.is_worker_host,
         )
+        server.pending_event_count = self.events.qsize
+        return server
 
     def create_subsystems(self) -> None:
         """Import and create each enabled subsystem, and register the commands that it handles.
--- a/stepstream/node/reload.py
+++ b/stepstream/node/reload.py
@@ -74,7 +74,7 @@
 def apply_configuration(context: NodeContext, config: NodeConfig) -> None:
     """Replace the configuration of every component; it must have passed all checks."""
     config = replace(config, settings=context.effective_settings(config))
-    limits = limits_for(config)
+    limits = limits_for(config, has_subsystems=context.operator is not None)
     old_client = context.discovery
     new_client = context.create_discovery_client(config, limits)
     new_client.poll_now()  # the platform expects the new list soon after a reload
--- a/stepstream/ports/connections.py
+++ b/stepstream/ports/connections.py
@@ -64,6 +64,12 @@
     def evict(self) -> bool:
         """Close it to make room; if its peer must still get an answer, return False instead."""
 
+    def buffered_bytes(self) -> int:
+        """Return how many bytes of unfinished messages and unsent answers it holds."""
+
+    def shed_buffered_message(self) -> None:
+        """Free these bytes: reject the message, or end the connection."""
+
     def enforce_timeouts(self, now: float) -> None:
         """Close it, or answer with an error, if its current step has taken too long."""
 
--- a/stepstream/runtime/log_events.py
+++ b/stepstream/runtime/log_events.py
@@ -157,6 +157,16 @@
     )
 
 
+def message_memory_exhausted(*, reason: str, suppressed_events: int) -> None:
+    """Log that a message was rejected, or its connection ended, for want of memory."""
+    write_event(
+        Severity.WARNING,
+        "message_memory_exhausted",
+        reason=reason,
+        suppressed_events=suppressed_events,
+    )
+
+
 def job_notification_rejected(*, reason: str, suppressed_events: int) -> None:
     """Log a job notification that cannot be read; its sender got an error and the reason."""
     write_event(
--- a/stepstream/runtime/sockets.py
+++ b/stepstream/runtime/sockets.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import select
 import socket
 import struct
 import time
@@ -71,6 +72,20 @@
     return True
 
 
+def has_peer_closed(sock: socket.socket) -> bool:
+    """Return whether the peer has closed or reset the connection, without reading from it.
+
+    The end of the peer's bytes counts as soon as it has arrived, behind whatever is unread
+    (POLLRDHUP, poll(2)). Any thread may call it; a socket that is closed here counts as well.
+    """
+    poll = select.poll()
+    try:
+        poll.register(sock, select.POLLRDHUP)
+        return bool(poll.poll(0))
+    except (OSError, ValueError):  # the socket is closed
+        return True
+
+
 def shut_down(sock: socket.socket) -> None:
     """Shut down both directions; the thread that reads or writes wakes up and closes the socket."""
     with contextlib.suppress(OSError):
--- a/stepstream/runtime/transport.py
+++ b/stepstream/runtime/transport.py
@@ -6,15 +6,16 @@
 
 import contextlib
 import socket
+import time
 
-from stepstream.runtime.sockets import shut_down
+from stepstream.runtime.sockets import has_peer_closed, shut_down
 
 
 class Transport:
     """A transport over TCP; `identity.tls` has the one over TLS.
 
-    Every method raises OSError if the connection has broken, except `has_unread`, `half_close`,
-    `shut_down` and `close`.
+    Every method raises OSError if the connection has broken, except `has_unread`, `has_peer_left`,
+    `half_close`, `shut_down` and `close`.
     """
 
     certificate: object = None  # the peer's; None for a peer without one
@@ -68,10 +69,17 @@
             return False
         return True
 
-    def flush(self) -> None:
-        """Send all of `unsent`, within the socket's timeout."""
-        self.sock.sendall(self.unsent)
-        self.unsent.clear()
+    def flush(self, deadline_seconds: float) -> None:
+        """Send all of `unsent`; each send has the socket's timeout.
+
+        Raise TimeoutError if bytes are left at the deadline (monotonic seconds): a peer that takes
+        a byte from time to time must not occupy the thread for ever.
+        """
+        while self.unsent:
+            if time.monotonic() >= deadline_seconds:
+                raise TimeoutError("the peer takes its answers too slowly")
+            sent_bytes = self.sock.send(self.unsent)
+            del self.unsent[:sent_bytes]
 
     def has_unread(self) -> bool:
         """Return whether received bytes have not been read yet."""
@@ -80,6 +88,10 @@
         except OSError:  # no bytes, or the connection has broken
             return False
 
+    def has_peer_left(self) -> bool:
+        """Return whether the peer has closed its side, even if bytes from before are unread."""
+        return has_peer_closed(self.sock)
+
     def half_close(self) -> None:
         """End the sending direction only.
 
--- a/tests/gearman/service_harness.py
+++ b/tests/gearman/service_harness.py
@@ -16,6 +16,7 @@
 from stepstream.gearman.state import FRONT_NAME, ServiceHost
 from stepstream.model.endpoints import Endpoint, EndpointList, EndpointListKind
 from stepstream.model.settings import Effect, JobClass
+from stepstream.runtime.byte_budget import ByteBudget
 from tests.config.configurations import LIMITS, POLICY_SETTINGS
 from tests.core.harness import RecordingLog
 
@@ -113,6 +114,8 @@
         self.host = ServiceHost(
             new_request_id=self.new_request_id,
             is_overloaded=lambda: self.overloaded,
+            open_request_memory=ByteBudget(limits.memory.open_request_bytes),
+            buffered_memory=ByteBudget(limits.memory.buffered_bytes),
             is_closing=lambda: self.closing,
             on_answer=self.on_answer,
             on_progress=self.on_progress,
--- a/tests/gearman/test_assignment_rules.py
+++ b/tests/gearman/test_assignment_rules.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from stepstream.core.requests import Call, Payload, Request
 from stepstream.gearman.assignment_rules import (
     function_to_assign,
     has_free_slot,
@@ -17,11 +18,28 @@
 from stepstream.model.events import AttemptResult
 
 IDENTITY = WorkerIdentity("w", zone=0, kind=0, cell=0, slots=1, weight=1.0, started_us=1_000)
-REQUEST = object()
 
 
-def call(request=REQUEST, *, still_open=True, deadline_us=100):
-    return SimpleNamespace(request=request, open=still_open, deadline_us=deadline_us)
+def request(*, client_left=False, **fields):
+    """A request whose client has left, or waits."""
+    sink = SimpleNamespace(has_peer_left=lambda: client_left)
+    request = Request("r", 0, 0, 100, payload=Payload("/f"), response_sink=sink)
+    return replace(request, **fields)
+
+
+REQUEST = request()
+
+
+def call(request=REQUEST, *, still_open=True, deadline_us=100, write_deadline_us=None):
+    return Call(
+        request,
+        0,
+        "w",
+        0,
+        deadline_us,
+        open=still_open,
+        write_deadline_us=write_deadline_us,
+    )
 
 
 def worker(*assigned, asleep=False, queue=()):
@@ -74,8 +92,23 @@
         (call(), {"f"}, 100, None),
         (call(still_open=False), {"f"}, 99, None),
         (call(), {"g"}, 99, None),
+        (call(request(answered=True)), {"f"}, 99, None),
+        (call(request(client_disconnected=True)), {"f"}, 99, None),
+        (call(request(client_left=True)), {"f"}, 99, None),
+        (call(write_deadline_us=98), {"f"}, 99, None),
+        (call(write_deadline_us=99), {"f"}, 99, "f"),
+    ],
+    ids=[
+        "open",
+        "past its deadline",
+        "ended",
+        "function not registered",
+        "answered",
+        "client's disconnect reported",
+        "client has left unnoticed",
+        "idempotency window ended",
+        "idempotency window open",
     ],
-    ids=["open", "past its deadline", "ended", "function not registered"],
 )
 def test_only_an_open_call_of_a_registered_function_is_assigned_before_its_deadline(
     queued_call, functions, now_us, function
--- a/tests/gearman/test_gearman_connection.py
+++ b/tests/gearman/test_gearman_connection.py
@@ -43,7 +43,7 @@
     reader = threading.Thread(target=connection.run, daemon=True)
     reader.start()
     peer.send(PacketKind.GET_STATUS, "H:none").receive_until(PacketKind.STATUS_RES)
-    wait_for(lambda: not connection.unhandled_messages)
+    wait_for(lambda: not connection.has_unhandled_messages)
     yield connection, peer
     peer.sock.close()
     reader.join(WAIT_TIMEOUT_SECONDS)
--- a/tests/http/test_client_connection.py
+++ b/tests/http/test_client_connection.py
@@ -254,14 +254,14 @@
     start_server, monkeypatch, capfd
 ):
     harness = start_server()
-    receive = HttpSession.receive
+    feed = HttpSession.feed
 
-    def receive_with_fault(self, data, now_us):
+    def feed_with_fault(self, data):
         if self.request is not None:
             raise KeyError("lost")
-        return receive(self, data, now_us)
+        return feed(self, data)
 
-    monkeypatch.setattr(HttpSession, "receive", receive_with_fault)
+    monkeypatch.setattr(HttpSession, "feed", feed_with_fault)
     with harness.connect() as peer:
         peer.sendall(job_request())
         wait_for(lambda: harness.requests(RequestReceived))
--- a/tests/lab/processes/test_overload.py
+++ b/tests/lab/processes/test_overload.py
@@ -11,7 +11,7 @@
 
 LATEST_ANSWER_SECONDS = REQUEST_TIMEOUT_MS / 1000 + MAX_OVERDUE_SECONDS
 LOAD_SECONDS = 4.0
-GEARMAN = '[gearman]\nlisten = "127.0.0.1:{gearman_port}"\ntenant = "hron-asset"\n'
+GEARMAN = '[gearman]\nlisten = "{host}:{gearman_port}"\ntenant = "hron-asset"\n'
 # By memory_mb: as many clients as the process has descriptors for.
 DESCRIPTORS = {32: 256, 64: 512, 192: 1024}
 FINAL_OUTCOMES = {"200", "503"}
--- a/tests/runtime/thread_ends.py
+++ b/tests/runtime/thread_ends.py
@@ -25,6 +25,7 @@
     server.lingering.close_due(float("inf"))
     end_pool(server.reader_threads)
     end_pool(server.slow_writer_threads)
+    end_pool(server.buffered_input_threads)
 
 
 def end_carrier(carrier):
