A request under an id that may have run does not run again, here or in the other process

Cause: `answer_on_arrival` compared with the requests that are open, so that an id was free again as soon as its client had left and its call had been cancelled, though the worker may have run it; and the two processes of a hot restart knew nothing of each other's ids.

--- a/stepstream/admin/subsystem.py
+++ b/stepstream/admin/subsystem.py
@@ -14,6 +14,7 @@
 from stepstream.hot_restart.controller import HotRestartController
 from stepstream.hot_restart.precedence import is_newer_list
 from stepstream.hot_restart.process import own_record
+from stepstream.hot_restart.shared_request_ids import SharedRequestIds
 from stepstream.hot_restart.state import HandoverState
 from stepstream.hot_restart.state_file import StateFile, state_folder
 from stepstream.runtime import log_events
@@ -68,6 +69,12 @@
         file = StateFile(folder, context.config.name, own.pid, context.limits.sizes.handover_bytes)
         hot_restart = HotRestartController(file, own, self.service.maintenance, context.limits)
         self.service.hot_restart = hot_restart
+        try:
+            request_ids = SharedRequestIds(folder, context.config.name, own.pid)
+        except OSError as error:
+            log_events.request_ids_not_shared(reason=str(error))
+        else:
+            context.core.share_request_ids(request_ids)
         state = hot_restart.load()
         if state is not None:
             self._adopt(state)
--- a/stepstream/core/dispatcher.py
+++ b/stepstream/core/dispatcher.py
@@ -28,6 +28,7 @@
 )
 from stepstream.core.notification_handler import NotificationHandler
 from stepstream.core.request_handler import RequestHandler
+from stepstream.core.request_ids import RequestIdClaims
 from stepstream.core.request_table import RequestTable
 from stepstream.core.requests import Outcome, Request
 from stepstream.core.round_output import RoundOutput
@@ -85,6 +86,10 @@
         """The requests that are open or have calls in flight, by id; callers only read it."""
         return self._state.requests.by_id
 
+    def share_request_ids(self, claims: RequestIdClaims) -> None:
+        """Ask `claims` before each admission; call it before the decision thread starts."""
+        self._state.requests.claims = claims
+
     @property
     def open_count(self) -> int:
         """The number of requests without an answer; any thread may read it."""
--- a/stepstream/core/request_handler.py
+++ b/stepstream/core/request_handler.py
@@ -91,17 +91,20 @@
     """Decide whether a request that arrives is answered at once; None: it is admitted.
 
     - Failed, if a request with the same id is open: the two could not be told apart, and would
-      share one answer.
+      share one answer. So is one whose id may have run before, here or in another process: it could
+      run a second time.
     - Rejected, if `settings.max_open_requests` are open. The retry-after is the longest one,
       `settings.max_retry_after_us`.
     - Failed, if a reload has removed its job class or tenant since the front read it.
     """
-    if request.id in open_requests.by_id:
+    if request.id in open_requests.by_id or request.id in open_requests.recent_ids:
         return Answer(request, Outcome.FAILED)
     if open_requests.open_count >= settings.max_open_requests:
         return Answer(request, Outcome.REJECTED, retry_after_us=settings.max_retry_after_us)
     if not has_class_and_tenant(settings, request):
         return Answer(request, Outcome.FAILED)
+    if not open_requests.claims.claim(request.id):
+        return Answer(request, Outcome.FAILED)
     return None
 
 
--- a/stepstream/core/request_table.py
+++ b/stepstream/core/request_table.py
@@ -6,6 +6,7 @@
 
 from typing import cast
 
+from stepstream.core.request_ids import RecentRequestIds, RequestIdClaims, UnsharedRequestIds
 from stepstream.core.requests import Answer, Outcome, Request
 from stepstream.core.round_output import RoundOutput
 from stepstream.core.timer_wheel import Timer, TimerHandle, TimerWheel
@@ -17,6 +18,9 @@
 
     def __init__(self, output: RoundOutput, timers: TimerWheel) -> None:
         self.by_id: dict[str, Request] = {}
+        self.recent_ids = RecentRequestIds()  # of removed requests that may have run
+        # Replaced where processes share clients.
+        self.claims: RequestIdClaims = UnsharedRequestIds()
         self.open_count = 0  # requests without an answer
         self._output = output
         self._timers = timers
@@ -64,6 +68,8 @@
         if request.answered and not request.has_open_calls:
             if self.contains(request):
                 del self.by_id[request.id]
+                if request.may_have_run:
+                    self.recent_ids.add(request.id)
             self._cancel_timers(request)
 
     def schedule(self, due_us: int, request: Request, timer: Timer) -> None:
--- a/stepstream/core/requests.py
+++ b/stepstream/core/requests.py
@@ -125,6 +125,11 @@
             return False
         return self.settings.classes[self.job_class].effect is Effect.NOT_IDEMPOTENT
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a worker may have run it, in any of its calls so far."""
+        return any(call.result is None or not call.result.never_ran for call in self.calls)
+
     @property
     def has_open_calls(self) -> bool:
         """Whether any of its calls is still in flight."""
--- a/stepstream/runtime/log_events.py
+++ b/stepstream/runtime/log_events.py
@@ -157,6 +157,11 @@
     )
 
 
+def request_ids_not_shared(*, reason: str) -> None:
+    """Log that the processes of a hot restart do not know each other's request ids."""
+    write_event(Severity.WARNING, "request_ids_not_shared", reason=reason)
+
+
 def message_memory_exhausted(*, reason: str, suppressed_events: int) -> None:
     """Log that a message was rejected, or its connection ended, for want of memory."""
     write_event(
