--- a/stepstream/config/limits.py
+++ b/stepstream/config/limits.py
@@ -61,6 +61,7 @@
 
     header_fields: int = 100  # of a message, and of its trailer section
     head_bytes: int = 16 * KIB  # a message's first line and headers
+    request_target_bytes: int = 8000  # RFC 9112, 3, recommends to support so many
     body_bytes: int = 64 * KIB  # the platform's own limit
     endpoint_list_bytes: int = 4 * MIB  # an answer of discovery
     chunk_line_bytes: int = 256  # the line before a chunk, with its size
--- a/stepstream/http/codec.py
+++ b/stepstream/http/codec.py
@@ -41,6 +41,7 @@
     405: "Method Not Allowed",
     408: "Request Timeout",
     413: "Content Too Large",
+    414: "URI Too Long",
     431: "Request Header Fields Too Large",
     500: "Internal Server Error",
     502: "Bad Gateway",
@@ -250,6 +251,8 @@
             or not REQUEST_TARGET.fullmatch(parts[1])
         ):
             raise ProtocolError(400, "the request line is malformed")
+        if len(parts[1]) > self.limits.sizes.request_target_bytes:
+            raise ProtocolError(414, "the request target is too long")
         self.message.method, self.message.target, version = parts
         return self._parse_version(version)
 
--- a/stepstream/lab/load/hostile_traffic.py
+++ b/stepstream/lab/load/hostile_traffic.py
@@ -13,6 +13,7 @@
 MAX_HEAD_BYTES = 16 * 1024
 FILLED_HEAD_BYTES = MAX_HEAD_BYTES - 512  # room for the lines that make the message valid
 FIELD_NAME_ALPHABET = "abcdefghijklmnopqrstuvwxyz0123456789"
+MAX_AFFINITY_KEY_BYTES = 8000 - len("/revalue?user=")
 BATCH_BYTES = 16 * 1024  # of small messages that are sent together
 GEARMAN_PACKET_BYTES = 72 * 1024
 GEARMAN_CAN_DO = 1
@@ -179,6 +180,14 @@
         yield request_head(identifier, f"/revalue?user={key}", "")
 
 
+def _new_affinity_keys_at_the_bound(connection_number: int) -> Iterator[bytes]:
+    """Send requests with ever new affinity keys of the largest size that is read."""
+    for number in count():
+        key = f"{connection_number}-{number}-".ljust(MAX_AFFINITY_KEY_BYTES, "k")
+        identifier = request_id(connection_number, number)
+        yield request_head(identifier, f"/revalue?user={key}", "")
+
+
 def _many_query_parameters(connection_number: int) -> Iterator[bytes]:
     """Send requests whose query has as many parameters as fit, each after the last answer."""
     query = "&".join(["a=1"] * 3500)
@@ -364,6 +373,9 @@
     "large-requests": Traffic(_large_requests, waits_for_answers=True),
     "small-requests": Traffic(_small_requests),
     "new-affinity-keys": Traffic(_new_affinity_keys, waits_for_answers=True),
+    "new-affinity-keys-at-the-bound": Traffic(
+        _new_affinity_keys_at_the_bound, waits_for_answers=True
+    ),
     "many-query-parameters": Traffic(_many_query_parameters, waits_for_answers=True),
     "one-request-id": Traffic(_one_request_id),
     "expired-requests": Traffic(_expired_requests),
--- a/stepstream/lab/processes/overload_run.py
+++ b/stepstream/lab/processes/overload_run.py
@@ -26,7 +26,12 @@
 COOL_DOWN_SECONDS = 2.0
 HOSTILE_CLIENTS_MODULE = "stepstream.lab.load.hostile_clients"
 DEFAULT_MEMORY_MB = 192
-DEPLOYED_ENVIRONMENT = {"MALLOC_ARENA_MAX": "2"}  # as `run` of deploy/balancer.toml sets it
+# As `run` of deploy/balancer.toml sets it.
+DEPLOYED_ENVIRONMENT = {
+    "MALLOC_ARENA_MAX": "2",
+    "MALLOC_MMAP_THRESHOLD_": "32768",
+    "MALLOC_TRIM_THRESHOLD_": "65536",
+}
 DEFAULT_DESCRIPTORS = 1024
 
 
--- a/tests/lab/processes/test_overload.py
+++ b/tests/lab/processes/test_overload.py
@@ -56,6 +56,7 @@
     ("kind", "connections"),
     [
         ("new-affinity-keys", 50),
+        ("new-affinity-keys-at-the-bound", 50),
         ("readiness-checks-unread", 1),
         ("one-request-id", 1),
         ("large-notifications", 20),
