A hot restart under a crowd: both processes share the limits, and a flood delays no shutdown

Memory and descriptors of both processes count together. Each process sized itself for the whole machine. While a sibling runs, each takes half of memory and descriptors (`resources_shared` in the log); messages are bounded by half at all times where an admin listener makes an upgrade possible.

--- a/stepstream/admin/subsystem.py
+++ b/stepstream/admin/subsystem.py
@@ -78,6 +78,7 @@
         state = hot_restart.load()
         if state is not None:
             self._adopt(state)
+            self.run_periodic_tasks()
 
     def _adopt(self, state: HandoverState) -> None:
         """Apply the predecessor's maintenance, and its endpoint list if that is newer than ours."""
@@ -100,6 +101,12 @@
             self.service.adopt_maintenance()
         self.service.started = True
 
+    def run_periodic_tasks(self) -> None:
+        """Share the platform's limits with the sibling process while there is one."""
+        hot_restart = self.service.hot_restart
+        if hot_restart is not None:
+            self.context.share_resources(1 if hot_restart.sibling() is None else 2)
+
     def begin_shutdown(self) -> bool:
         """Return whether this is a hot restart: a successor accepts clients on the same address.
 
--- a/stepstream/config/limits.py
+++ b/stepstream/config/limits.py
@@ -129,6 +129,8 @@
     """Timeouts of connections and calls, in seconds."""
 
     accept_retry_seconds: float = 0.01  # after a failed accept
+    eviction_retry_seconds: float = 0.02  # after an attempt that found none to evict
+    listener_drain_seconds: float = 0.5  # to accept the backlog of a listener that closes
     connect_seconds: float = 0.25
     write_seconds: float = 2.0  # a peer that takes no byte for this long is closed
     # For all of the answers that a peer did not take at once, from the first of them on.
@@ -226,17 +228,22 @@
     logging: LogLimits = field(default_factory=LogLimits)
 
 
-def limits_for(config: NodeConfig, *, has_subsystems: bool = False) -> Limits:
+def limits_for(
+    config: NodeConfig, *, has_subsystems: bool = False, process_count: int = 1
+) -> Limits:
     """Derive the limits of a dispatcher from its configured memory, descriptors and settings.
 
-    `has_subsystems` tells whether the operator's file is in use.
+    `has_subsystems` tells whether the operator's file is in use. `process_count` processes of the
+    dispatcher run at the same time, as in a hot restart: their memory and descriptors count
+    together, so that each takes its part.
     """
     settings = config.settings
-    memory_mb = config.memory_mb - (SUBSYSTEMS_MEMORY_MB if has_subsystems else 0)
-    connections = connection_limits(config.sockets, memory_mb)
+    program_share_mb = SUBSYSTEMS_MEMORY_MB if has_subsystems else 0
+    memory_mb = config.memory_mb // process_count - program_share_mb
+    connections = connection_limits(config.sockets // process_count, memory_mb)
     longest_deadline_us = max(job_class.deadline_us for job_class in settings.classes)
     return Limits(
-        memory=memory_limits(memory_mb),
+        memory=memory_limits(message_memory_mb(config, process_count) - program_share_mb),
         gearman=gearman_limits(memory_mb, connections.inbound),
         connections=connections,
         timeouts=Timeouts(
@@ -247,6 +254,16 @@
     )
 
 
+def message_memory_mb(config: NodeConfig, process_count: int) -> int:
+    """Return the part of the memory, in MiB, by which messages are bounded.
+
+    Where a hot restart is possible, it is half of the memory at all times: memory that a process
+    has used once is not all returned when the second process starts.
+    """
+    can_restart_hot = config.operator is not None
+    return config.memory_mb // (2 if can_restart_hot else process_count)
+
+
 def memory_limits(memory_mb: int) -> MemoryLimits:
     """Bound what messages may hold of the memory, in MiB, beside the program and its threads.
 
--- a/stepstream/http/server.py
+++ b/stepstream/http/server.py
@@ -68,7 +68,7 @@
         self.read_lanes = ReadLanes()
         # Replaced by the node: how many events wait for the core.
         self.pending_event_count: Callable[[], int] = lambda: 0
-        self.reader_threads = ThreadPool("inbound", limits.connections.inbound)
+        self.reader_threads = ThreadPool("inbound", max_reader_threads(limits.connections))
         self.buffered_input_threads = ThreadPool(
             "buffered input", limits.connections.buffered_input_threads
         )
@@ -76,6 +76,7 @@
         self.lock = threading.Lock()
         self.connections: set[Connection] = set()
         self.external_count = 0  # of `connections`
+        self.evict_again_at_seconds = 0.0  # monotonic; of accepting threads only
         self.evicted_count = 0  # evicted connections that their reader threads have not closed yet
         self.lingering = LingeringSockets(limits)
         self.rejected_count = 0
@@ -90,7 +91,10 @@
         self.open_request_memory.limit_bytes = limits.memory.open_request_bytes
         self.buffered_memory.limit_bytes = limits.memory.buffered_bytes
         self.state.client_api = client_api
-        self.reader_threads.max_threads = limits.connections.inbound
+        # Connections stay open beyond a smaller budget, and each of them has a thread.
+        self.reader_threads.max_threads = max(
+            self.reader_threads.max_threads, max_reader_threads(limits.connections)
+        )
         self.slow_writer_threads.max_threads = limits.connections.slow_writer_threads
 
     # -- listeners --------------------------------------------------------------------------------
@@ -188,15 +192,17 @@
     def close_listener(self, spec: ListenerSpec) -> None:
         """Close a listener, after accepting the connections in its backlog.
 
-        The kernel resets a connection that arrives between the last accept and `shut_down`; its
-        request is not read.
+        It takes `listener_drain_seconds` at most: clients that connect again and again would put
+        the close off for ever. The kernel resets a connection that arrives between the last accept
+        and `shut_down`; its request is not read.
         """
         if spec.closing.is_set():
             return
         spec.closing.set()
         spec.listener.setblocking(False)  # noqa: FBT003  the socket's signature
+        ends_at_seconds = time.monotonic() + self.limits.timeouts.listener_drain_seconds
         try:
-            while True:
+            while time.monotonic() < ends_at_seconds:
                 sock, peer = spec.listener.accept()
                 sock.setblocking(True)  # noqa: FBT003  the socket's signature
                 self._admit_or_reject(spec, sock, peer[0])
@@ -213,7 +219,7 @@
             return
         is_external = not self.is_worker_host(host)
         if self._is_full(is_external=is_external):
-            self._evict_connections()
+            self._evict_connections(for_external=is_external)
         if self._is_full(is_external=is_external):
             self._reject(spec, sock)
             return
@@ -237,11 +243,21 @@
                 is_external=is_external,
             )
 
-    def _evict_connections(self) -> None:
+    def _evict_connections(self, *, for_external: bool) -> None:
+        """Make room for a connection; a client takes no worker's place, which it could not use.
+
+        If none can be evicted, the next attempt is made a little later: in a flood, ranking all
+        connections for each new one would keep the accepting thread from its backlog.
+        """
         now_seconds = time.monotonic()
-        for connection in evict_connections(self._snapshot(), now_seconds, self.limits):
+        if now_seconds < self.evict_again_at_seconds:
+            return
+        self.evict_again_at_seconds = now_seconds + self.limits.timeouts.eviction_retry_seconds
+        candidates = [one for one in self._snapshot() if one.is_external or not for_external]
+        for connection in evict_connections(candidates, now_seconds, self.limits):
             # Its place in the budget is free now. Its descriptor is free once its reader thread has
             # closed it.
+            self.evict_again_at_seconds = now_seconds
             with self.lock:
                 if self._discard(connection):
                     self.evicted_count += 1
@@ -343,6 +359,11 @@
             return any(connection.delays_shutdown() for connection in self.connections)
 
 
+def max_reader_threads(budget: ConnectionLimits) -> int:
+    """Return how many connections have a thread at a time: also those that are evicted."""
+    return budget.inbound + budget.evicted_unclosed
+
+
 def is_budget_spent(
     budget: ConnectionLimits,
     *,
@@ -355,11 +376,15 @@
 
     - `open_count` connections are open, of them `external_count` from hosts without a worker.
       Workers may use all of `inbound`. External connections leave `reserved_for_workers` free, so
-      that notifications still arrive when clients use all other connections.
+      that notifications still arrive when clients use all other connections, and also when the
+      budget has become smaller than what clients have open.
     - `evicted_count` evicted connections still use a descriptor, because their threads have not
       closed them yet. At most `evicted_unclosed` of them are admitted on top of `inbound`, so that
       the process does not run out of descriptors.
     """
+    worker_count = open_count - external_count
+    if not is_external and worker_count < budget.reserved_for_workers:
+        return False
     max_descriptors = budget.inbound + budget.evicted_unclosed
     if open_count + evicted_count >= max_descriptors:
         return True
--- a/stepstream/lab/faults/stop_plan.py
+++ b/stepstream/lab/faults/stop_plan.py
@@ -13,6 +13,16 @@
 MAX_RELOADS = 30
 RELOAD_INTERVAL_SECONDS = 0.002
 EXTRA_CONNECTIONS_PROBABILITY = 0.3
+# What hostile clients send in runs with extra connections; none of it is a job.
+CROWD_KINDS = (
+    "unfinished-body",
+    "unfinished-tiny-chunks",
+    "endless-trailers",
+    "many-fields",
+    "readiness-checks",
+    "notifications",
+    "bytes-after-error",
+)
 MAINTENANCE_PROBABILITY = 0.5
 MAX_PAUSE_SECONDS = 0.3
 
@@ -50,11 +60,12 @@
     """All stops of one run.
 
     With `has_extra_connections`, clients also hold connections that stay idle or never finish
-    their first request.
+    their first request, and hostile clients send `crowd_kind` (see `lab.load.hostile_traffic`).
     """
 
     stops: tuple[PlannedStop, ...]
     has_extra_connections: bool
+    crowd_kind: str = ""  # empty: none
 
 
 def generate_stop_plan(seed: int, dispatcher_count: int, seconds: float) -> StopPlan:
@@ -73,4 +84,6 @@
         )
         stops.append(stop)
         at_seconds += rng.uniform(MIN_INTERVAL_SECONDS, MAX_INTERVAL_SECONDS)
-    return StopPlan(tuple(stops), rng.random() < EXTRA_CONNECTIONS_PROBABILITY)
+    has_extra_connections = rng.random() < EXTRA_CONNECTIONS_PROBABILITY
+    crowd_kind = rng.choice(CROWD_KINDS) if has_extra_connections else ""
+    return StopPlan(tuple(stops), has_extra_connections, crowd_kind)
--- a/stepstream/lab/processes/stop_soak.py
+++ b/stepstream/lab/processes/stop_soak.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import signal
+import subprocess
+import sys
 import time
 from dataclasses import dataclass, field
 
@@ -21,7 +23,7 @@
 from stepstream.lab.processes.addresses import Address, free_port
 from stepstream.lab.processes.cluster_load_test import ClusterLoadTest
 from stepstream.lab.processes.configuration_files import NodeConfiguration
-from stepstream.lab.processes.dispatcher_process import DispatcherProcess
+from stepstream.lab.processes.dispatcher_process import DispatcherProcess, end_process
 from stepstream.lab.processes.load_test import wait_for_exit
 from stepstream.lab.processes.persistent_clients import PersistentClients
 from stepstream.lab.verification.score import Figures
@@ -33,6 +35,8 @@
 DRAIN_SECONDS = 1.5
 MAINTENANCE_SECONDS = 1.0
 EXTRA_CONNECTIONS_PER_DISPATCHER = 40
+CROWD_CONNECTIONS_PER_DISPATCHER = 60
+MAX_CROWD_SECONDS = 120  # it is ended with the load
 HTTP_OK = 200
 UNFINISHED_REQUEST = b"POST /revalue HTTP/1.1\r\nContent-Le"
 
@@ -126,12 +130,15 @@
         self.fault_injector.schedule()
         if self.plan.has_extra_connections:
             await self.open_extra_connections()
+        crowd = self.start_crowd()
         stops = [asyncio.ensure_future(self.play_stop(stop, clients)) for stop in self.plan.stops]
         await clients.run()
         await asyncio.gather(*stops)
         self.fault_injector.cancel()
         self.unread_request_count = clients.unread_request_count
         self.check_logs()
+        for process in crowd:
+            end_process(process)
         for writer in self.extra_connections:
             writer.close()
         return self.verifier.figures()
@@ -143,6 +150,26 @@
                 if "internal_fault" in line or "accept_failed" in line:
                     self.verifier.record_breach(self.clock.now_us(), f"{dispatcher.name}: {line}")
 
+    def start_crowd(self) -> "list[subprocess.Popen[bytes]]":
+        """Start a process of hostile clients for each dispatcher, if the plan has a crowd."""
+        if not self.plan.crowd_kind:
+            return []
+        return [
+            subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "stepstream.lab.load.hostile_clients",
+                    f"{host}:{port}",
+                    self.plan.crowd_kind,
+                    f"--connections={CROWD_CONNECTIONS_PER_DISPATCHER}",
+                    f"--seconds={MAX_CROWD_SECONDS}",
+                ],
+                stdout=subprocess.DEVNULL,
+            )
+            for host, port in self.http_addresses
+        ]
+
     async def open_extra_connections(self) -> None:
         """Open connections that stay idle or never finish their first request."""
         for address in self.http_addresses:
--- a/stepstream/lab/reports/stop_soak.py
+++ b/stepstream/lab/reports/stop_soak.py
@@ -89,7 +89,7 @@
 
 def print_result(result: SoakResult, seconds: int) -> None:
     """Print a line about a seed; if it has breaches, print them and how to repeat the run."""
-    extra = ", extra connections" if result.plan.has_extra_connections else ""
+    extra = f", a crowd of {result.plan.crowd_kind}" if result.plan.crowd_kind else ""
     print(
         f"seed {result.seed}: {len(result.plan.stops)} stops{extra}, {result.job_count} jobs,"
         f" {result.unread_request_count} requests sent again after a close,"
--- a/stepstream/node/context.py
+++ b/stepstream/node/context.py
@@ -55,7 +55,8 @@
         self.config = config
         self.operator = operator
         self.operator_path = operator_path
-        limits = limits_for(config, has_subsystems=operator is not None)
+        self.process_count = 1  # processes that share the memory and the descriptors
+        limits = self.limits_of(config)
         self.limits: Limits = limits
         self.clock = Clock()
         self.events: SimpleQueue[Event] = SimpleQueue()  # to the decision thread
@@ -121,6 +122,27 @@
             self.events.put,
         )
 
+    def limits_of(self, config: NodeConfig) -> Limits:
+        """Return the limits of this process under `config`."""
+        return limits_for(
+            config,
+            has_subsystems=self.operator is not None,
+            process_count=self.process_count,
+        )
+
+    def share_resources(self, process_count: int) -> None:
+        """Take this process's part of the memory and the descriptors; the main thread calls it.
+
+        Connections beyond smaller limits stay open until they end.
+        """
+        if process_count == self.process_count:
+            return
+        self.process_count = process_count
+        self.limits = self.limits_of(self.config)
+        self.server.reconfigure(self.limits, self.server.state.client_api)
+        self.outbound.reconfigure(self.limits)
+        log_events.resources_shared(process_count=process_count)
+
     def set_dispatcher_count(self, dispatchers: int) -> None:
         """Set the number of dispatchers that share the workers, this one included."""
         self.observed_dispatcher_count = dispatchers
--- a/stepstream/node/reload.py
+++ b/stepstream/node/reload.py
@@ -9,7 +9,6 @@
 from typing import TYPE_CHECKING
 
 from stepstream.config.errors import ConfigurationError
-from stepstream.config.limits import limits_for
 from stepstream.config.node_config import NodeConfig, read_config
 from stepstream.http.client_api import ClientApi
 from stepstream.http.discovery_client import DiscoveryClient
@@ -74,7 +73,7 @@
 def apply_configuration(context: NodeContext, config: NodeConfig) -> None:
     """Replace the configuration of every component; it must have passed all checks."""
     config = replace(config, settings=context.effective_settings(config))
-    limits = limits_for(config, has_subsystems=context.operator is not None)
+    limits = context.limits_of(config)
     old_client = context.discovery
     new_client = context.create_discovery_client(config, limits)
     new_client.poll_now()  # the platform expects the new list soon after a reload
--- a/stepstream/node/shutdown.py
+++ b/stepstream/node/shutdown.py
@@ -43,12 +43,12 @@
     log_events.shutdown_started(
         open_requests=context.core.open_count, hot_restart=context.hot_restarting
     )
+    answering_us = int(context.limits.shutdown.answering_seconds * MICROSECONDS_PER_SECOND)
+    context.events.put(ShutdownStarted(context.clock.now_us() + answering_us))
     if context.hot_restarting:
         context.server.close_listener(context.server.listeners[0])
     else:
         context.server.state.shutting_down = True
-    answering_us = int(context.limits.shutdown.answering_seconds * MICROSECONDS_PER_SECOND)
-    context.events.put(ShutdownStarted(context.clock.now_us() + answering_us))
 
 
 def wait_until_answered(context: NodeContext, started_at: float) -> None:
--- a/stepstream/runtime/log_events.py
+++ b/stepstream/runtime/log_events.py
@@ -157,6 +157,11 @@
     )
 
 
+def resources_shared(*, process_count: int) -> None:
+    """Log among how many processes the memory and the descriptors are divided from now on."""
+    write_event(Severity.INFO, "resources_shared", process_count=process_count)
+
+
 def request_ids_not_shared(*, reason: str) -> None:
     """Log that the processes of a hot restart do not know each other's request ids."""
     write_event(Severity.WARNING, "request_ids_not_shared", reason=reason)
--- a/stepstream/subsystem_api/context.py
+++ b/stepstream/subsystem_api/context.py
@@ -52,6 +52,9 @@
     is_health_check_delegated: Callable[[str], bool]
     hot_restarting: bool  # this process shuts down, and a sibling process serves the clients
 
+    def share_resources(self, process_count: int) -> None:
+        """Take this process's part of the memory and the descriptors; the main thread calls it."""
+
     def set_dispatcher_count(self, dispatchers: int) -> None:
         """Set the count of dispatchers, this one included, among which the workers are divided.
 
