--- a/tests/config/test_limits.py
+++ b/tests/config/test_limits.py
@@ -6,6 +6,7 @@
     connection_limits,
     gearman_limits,
     limits_for,
+    memory_limits,
     shutdown_timeouts,
 )
 from stepstream.config.node_config import NodeConfig
@@ -61,3 +62,18 @@
     timeouts = shutdown_timeouts(longest_deadline_seconds)
     assert timeouts.serving_seconds == pytest.approx(serving_seconds)
     assert timeouts.answering_seconds == pytest.approx(answering_seconds)
+
+
+@pytest.mark.parametrize("memory_mb", [1, 32, 64, 192])
+def test_messages_hold_a_part_of_the_memory_and_always_some_of_the_largest(memory_mb):
+    limits = memory_limits(memory_mb)
+    both_bytes = limits.open_request_bytes + limits.buffered_bytes
+    assert both_bytes <= max(memory_mb * 1024**2 / 3, 2 * 1024**2)
+    assert min(limits.open_request_bytes, limits.buffered_bytes) >= 16 * 64 * 1024
+
+
+def test_two_processes_of_a_hot_restart_take_half_of_the_limits_each():
+    config = NodeConfig("n", ("h", 1), ("h", 2), 0, 1.0, 192, 1024, POLICY_SETTINGS)
+    alone, shared = limits_for(config), limits_for(config, process_count=2)
+    assert shared.connections.inbound + shared.connections.outbound < 512
+    assert shared.memory.buffered_bytes < alone.memory.buffered_bytes / 2
--- a/tests/core/test_timer_wheel.py
+++ b/tests/core/test_timer_wheel.py
@@ -32,3 +32,20 @@
     wheel.schedule(9_500_000, PolicyTimer(9))
     assert tokens(wheel.pop_due(now_us)) == [2, 1, 3, 0]
     assert wheel.next_due_us() == 9_500_000
+
+
+def test_a_cancelled_timer_is_never_due_and_leaves_nothing_behind():
+    # Guards against timers that hold answered requests until their deadlines.
+    wheel = TimerWheel(10_000, TICK_US)
+    kept = wheel.schedule(20_000, PolicyTimer(0))
+    for round_number in range(1000):
+        handles = [wheel.schedule(30_000 + number * TICK_US, PolicyTimer(1)) for number in range(5)]
+        for handle in handles:
+            wheel.cancel(handle)
+            wheel.cancel(handle)
+        assert len(wheel) == 1, round_number
+    assert len(wheel._tick_heap) < 100
+    assert wheel.next_due_us() == 20_000
+    assert tokens(wheel.pop_due(50_000)) == [0]
+    wheel.cancel(kept)
+    assert wheel.next_due_us() is None
--- a/tests/http/test_codec.py
+++ b/tests/http/test_codec.py
@@ -17,6 +17,8 @@
     ),
     (b"\r\nPOST /d HTTP/1.0\r\ncontent-length: 0\r\n\r\n", b""),
 ]
+TOO_MANY_FIELDS = LIMITS.sizes.header_fields + 1
+CHUNKED_HEAD = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 STREAM = b"".join(data for data, _ in MESSAGES)
 
 
@@ -58,6 +60,10 @@
         (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffff\r\n", 413),
         (b"POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 413),
         (b"GET / HTTP/1.1\r\nA: " + b"a" * 20_000, 431),
+        (b"GET /" + b"a" * LIMITS.sizes.request_target_bytes + b" HTTP/1.1\r\n\r\n", 414),
+        (b"GET / HTTP/1.1\r\n" + b"a:\r\n" * TOO_MANY_FIELDS + b"\r\n", 431),
+        (CHUNKED_HEAD + b"0\r\n" + b"a:\r\n" * TOO_MANY_FIELDS, 431),
+        (CHUNKED_HEAD + b"0\r\n" + (b"a:" + b"b" * 15_000 + b"\r\n") * 2, 431),
     ],
 )
 def test_a_malformed_message_raises_its_status_and_breaks_the_parser(data, status):
@@ -106,3 +112,42 @@
     parser = Parser(LIMITS)
     parser.feed(b"GET / " + head + b"\r\n")
     assert parser.next().keep_alive is keep_alive
+
+
+def test_a_head_of_as_many_fields_as_allowed_is_read():
+    fields = b"".join(b"f%d:\r\n" % number for number in range(LIMITS.sizes.header_fields))
+    parser = Parser(LIMITS)
+    parser.feed(b"GET / HTTP/1.1\r\n" + fields + b"\r\n")
+    assert len(parser.next().headers) == LIMITS.sizes.header_fields
+
+
+def test_a_chunked_body_is_held_as_its_bytes():
+    # Guards against one object for each tiny chunk, which takes twenty times its bytes.
+    parser = Parser(LIMITS)
+    parser.feed(CHUNKED_HEAD + b"2\r\nab\r\n" * 5000)
+    assert parser.next() is None
+    assert parser.held_bytes <= 5000 * 2 + len(CHUNKED_HEAD)
+
+
+def test_a_parser_with_a_bound_on_its_steps_goes_on_where_it_paused():
+    parser = Parser(LIMITS, max_steps_at_once=10)
+    parser.feed(CHUNKED_HEAD + b"1\r\na\r\n" * 50 + b"0\r\n\r\n")
+    calls = 1
+    while (message := parser.next()) is None:
+        assert parser.is_paused
+        calls += 1
+    assert message.body == b"a" * 50
+    assert calls > 5
+    assert parser.next() is None
+    assert not parser.is_paused
+
+
+def test_a_parser_holds_nothing_after_its_messages_are_discarded():
+    parser = Parser(LIMITS)
+    parser.feed(b"POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc")
+    assert parser.next() is None
+    assert (parser.held_bytes > 3, parser.announced_body_bytes) == (True, 10)
+    parser.discard()
+    assert parser.held_bytes == 0
+    with pytest.raises(ProtocolError):
+        parser.next()
