--- a/stepstream/http/client_connection.py
+++ b/stepstream/http/client_connection.py
@@ -31,7 +31,7 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
-from stepstream.config.limits import Limits
+from stepstream.config.limits import KIB, Limits
 from stepstream.core.commands import Answer
 from stepstream.core.events import (
     ClientDisconnected,
@@ -62,9 +62,10 @@
 
 MAX_MESSAGES_PER_TURN = 16
 SLOW_WRITER_CHECK_SECONDS = 0.01
-# After the last answer: reads in one turn of the slow lane, and the pause without it.
-MAX_DROPPED_READS = 64
-DROP_PAUSE_SECONDS = 0.02
+# After the last answer: reads in one turn of the slow lane, their size, and the pause without it.
+MAX_DROPPED_READS = 8
+DROPPED_READ_BYTES = 128 * KIB
+DROP_PAUSE_SECONDS = 0.1
 
 
 class ConnectionOwner(Protocol):
@@ -183,16 +184,33 @@
         """Drop what comes after the last answer; return whether to go on reading.
 
         A peer that is still sending must be read, or the reset of its connection might destroy the
-        answer. Without the slow lane, this is done only as often as its close must be noticed.
+        answer. Only the connection in the slow lane is read; the others look from time to time
+        whether their peers have closed. Hundreds of threads that read would take the GIL, which
+        each system call releases, from the decision thread.
         """
+        goes_on = True
         with self.server.read_lanes.try_slow_turn() as has_turn:
-            for _ in range(MAX_DROPPED_READS if has_turn else 1):
-                if not self._process_input_guarded() or not self.transport.has_unread():
-                    break
+            if has_turn:
+                goes_on = self._drop_available()
         if not has_turn:
             time.sleep(DROP_PAUSE_SECONDS)
+            if self.transport.has_peer_left():
+                goes_on = self._drop_available()  # what is left ends with the peer's close
         lingered_seconds = time.monotonic() - self.phase_started_at_seconds
-        return lingered_seconds < self.server.limits.timeouts.linger_seconds
+        return goes_on and lingered_seconds < self.server.limits.timeouts.linger_seconds
+
+    def _drop_available(self) -> bool:
+        """Drop a bounded amount of what has arrived; return whether more may come."""
+        try:
+            for _ in range(MAX_DROPPED_READS):
+                if not self.transport.drop_available(DROPPED_READ_BYTES):
+                    return False
+                self.last_activity_at_seconds = time.monotonic()
+                if not self.transport.has_unread():
+                    return True
+        except OSError:
+            return False
+        return True
 
     def _process_input_guarded(self) -> bool:
         """Process input; a fault in it ends the open request instead of this thread."""
@@ -390,13 +408,16 @@
 
         - for open and for partly read requests, and for replies that a slow writer still sends;
         - after the connection's sending side was closed, for the peer to close its side, during
-          `close_grace_seconds` at most;
+          `close_grace_seconds` at most; not for a peer that has sent nothing but errors, as such
+          peers may connect again and again;
         - for idle clients, which may send another request, until the server closes connections.
         """
         if self._has_open_or_partly_read_request() or self.slow_writer_active:
             return True
         session = self.session
         if session.phase is SessionPhase.CLOSED:
+            if not session.has_sent_work:
+                return False
             closed_seconds = time.monotonic() - self.phase_started_at_seconds
             return closed_seconds < self.server.limits.timeouts.close_grace_seconds
         may_send_request = session.is_client and session.phase is SessionPhase.READING
--- a/stepstream/runtime/transport.py
+++ b/stepstream/runtime/transport.py
@@ -42,6 +42,16 @@
         """Receive bytes without waiting; call it after `wait_readable`."""
         return self.sock.recv(max_bytes, socket.MSG_DONTWAIT)
 
+    def drop_available(self, max_bytes: int) -> bool:
+        """Drop bytes that have arrived, without waiting; return whether more may come.
+
+        It drops them as they are on the wire, so that nothing can be received afterwards.
+        """
+        try:
+            return bool(self.sock.recv(max_bytes, socket.MSG_DONTWAIT))
+        except BlockingIOError:
+            return True
+
     def enqueue(self, data: bytes) -> None:
         """Append bytes to `unsent`."""
         self.unsent += data
