A soak of hostile clients, and failing tests of memory that grows within half a minute

The soak plays a minute, each kind alone or mixed by seed, with pieces and pauses, over HTTP, Gearman and TLS, beside hot restarts; it counts files in $TMPDIR too, and compares the peak, the growth in the last third, what stays afterwards and the part of sound requests that is served.

--- a/stepstream/lab/load/hostile_clients.py
+++ b/stepstream/lab/load/hostile_clients.py
@@ -8,6 +8,7 @@
   --seconds N        How long to send [default: 5].
   --departure HOW    After the last byte: stay, close, reset or half-close [default: stay].
   --piece-seconds N  Pause after each piece of a connection's bytes [default: 0].
+  --piece-bytes N    Divide the pieces into parts of this size, 0 for whole ones [default: 0].
   --tls              Send over TLS, without checking the server's certificate.
 
 Run it as `python -m stepstream.lab.load.hostile_clients`. ADDRESS is HOST:PORT, KIND a key of
@@ -22,6 +23,7 @@
 import struct
 import sys
 import time
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from itertools import count
 
@@ -59,10 +61,11 @@
 class HostileConnection:
     """One connection: what it still has to send, and when it goes on."""
 
-    def __init__(self, sock: socket.socket, traffic: Traffic, number: int) -> None:
+    def __init__(self, sock: socket.socket, pieces: Iterator[bytes]) -> None:
         self.sock = sock
-        self.pieces = traffic.pieces(number)
-        self.unsent = memoryview(b"")
+        self.pieces = pieces
+        self.unsent = memoryview(b"")  # of the current part of a piece
+        self.rest_of_piece = memoryview(b"")  # the parts after it
         self.is_finished = False  # all bytes are sent
         self.awaits_answer = False
         self.resumes_at_seconds = 0.0  # monotonic; no bytes are sent before
@@ -76,6 +79,7 @@
     traffic: Traffic
     departure: Departure
     piece_seconds: float
+    piece_bytes: int = 0  # 0: pieces are sent whole
     tls: ssl.SSLContext | None = None
     totals: Totals = field(default_factory=Totals)
     connections: dict[int, HostileConnection] = field(default_factory=dict)  # by descriptor
@@ -112,7 +116,7 @@
             sock.close()
             return
         sock.setblocking(False)  # noqa: FBT003  the socket's signature
-        connection = HostileConnection(sock, self.traffic, next(self.numbers))
+        connection = HostileConnection(sock, self.traffic.pieces(next(self.numbers)))
         self.connections[sock.fileno()] = connection
         self.selector.register(sock, self._events(sends=True))
         self.totals.opened += 1
@@ -156,7 +160,9 @@
             connection.unsent = connection.unsent[sent_bytes:]
             self.totals.sent_bytes += sent_bytes
             if not connection.unsent:
-                connection.awaits_answer = self.traffic.waits_for_answers
+                connection.awaits_answer = (
+                    self.traffic.waits_for_answers and not connection.rest_of_piece
+                )
                 connection.resumes_at_seconds = time.monotonic() + self.piece_seconds
         is_waiting = connection.is_finished or connection.awaits_answer or self.piece_seconds
         if connection.sock.fileno() in self.connections:
@@ -171,12 +177,16 @@
         """Take the next bytes to send; return False if the client waits or has finished."""
         if connection.awaits_answer or time.monotonic() < connection.resumes_at_seconds:
             return False
-        piece = next(connection.pieces, None)
-        if piece is None:
-            connection.is_finished = True
-            self._leave(connection)
-            return False
-        connection.unsent = memoryview(piece)
+        if not connection.rest_of_piece:
+            piece = next(connection.pieces, None)
+            if piece is None:
+                connection.is_finished = True
+                self._leave(connection)
+                return False
+            connection.rest_of_piece = memoryview(piece)
+        part_bytes = self.piece_bytes or len(connection.rest_of_piece)
+        connection.unsent = connection.rest_of_piece[:part_bytes]
+        connection.rest_of_piece = connection.rest_of_piece[part_bytes:]
         return True
 
     def _leave(self, connection: HostileConnection) -> None:
@@ -223,6 +233,7 @@
         TRAFFIC_BY_KIND[arguments["KIND"]],
         Departure(arguments["--departure"]),
         float(arguments["--piece-seconds"]),
+        int(arguments["--piece-bytes"]),
         unverified_tls_context() if arguments["--tls"] else None,
     )
     clients.run(int(arguments["--connections"]), float(arguments["--seconds"]))
--- a/stepstream/lab/processes/overload_platform.py
+++ b/stepstream/lab/processes/overload_platform.py
@@ -161,6 +161,7 @@
     dispatcher_address: Address
     host: str
     worker_count: int = 3
+    bearer_token: str = ""  # of the sound clients; empty: they send none
     attempts: list[AttemptRecord] = field(default_factory=list)
     answers: list[SoundAnswer] = field(default_factory=list)
     workers: list[OverloadWorker] = field(default_factory=list)
@@ -253,6 +254,8 @@
             "Tenant": "tatra-invest",
             "Request-Timeout-Ms": str(REQUEST_TIMEOUT_MS),
         }
+        if self.bearer_token:
+            headers["Authorization"] = f"Bearer {self.bearer_token}"
         data = write_request("POST", "/revalue", headers, b"fund")
         was_kept = stream is not None
         while True:
--- a/stepstream/lab/processes/overload_run.py
+++ b/stepstream/lab/processes/overload_run.py
@@ -13,16 +13,17 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from stepstream.lab.faults.overload_plan import Carrier, HostileGroup
 from stepstream.lab.processes.addresses import free_port, load_test_host
 from stepstream.lab.processes.configuration_files import NodeConfiguration
 from stepstream.lab.processes.dispatcher_process import DispatcherProcess
+from stepstream.lab.processes.memory_series import MemorySeries, files_mb, resident_mb
 from stepstream.lab.processes.overload_platform import OverloadPlatform
+from stepstream.lab.processes.tls_files import TlsFiles
 
-KIB_PER_MB = 1024
 SAMPLE_SECONDS = 0.02
 READY_SECONDS = 15.0
 WARM_UP_SECONDS = 1.0
-COOL_DOWN_SECONDS = 1.0
 HOT_RESTART_AT_SECONDS = 1.0  # after the hostile clients have begun
 BOTH_PROCESSES_SECONDS = 2.0  # before the first gets SIGTERM
 KILL_AFTER_SIGTERM_SECONDS = 3.7  # the longest deadline, 3 s at most, and 0.7 s
@@ -36,17 +37,7 @@
     "MALLOC_TRIM_THRESHOLD_": "65536",
 }
 DEFAULT_DESCRIPTORS = 1024
-
-
-@dataclass(frozen=True, slots=True)
-class HostileGroup:
-    """One process of hostile clients."""
-
-    kind: str  # a key of `hostile_traffic.TRAFFIC_BY_KIND`
-    connections: int = 1
-    departure: str = "stay"
-    piece_seconds: float = 0.0
-    carrier: str = "http"  # or "gearman"
+SERVED = "200"  # outcome of a sound client's request
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,9 +48,11 @@
     memory_mb: int = DEFAULT_MEMORY_MB
     descriptors: int = DEFAULT_DESCRIPTORS
     seconds: float = 5.0
+    rest_seconds: float = 1.0  # after the hostile clients have left
     client_count: int = 4
     client_interval_seconds: float = 0.1
     operator_sections: str = ""  # of the operator's file, e.g. for Gearman
+    is_tls: bool = False  # a listener for HTTP over TLS is open as well
     # In the middle of the load a second process starts, and the first one gets SIGTERM.
     has_hot_restart: bool = False
 
@@ -68,10 +61,7 @@
 class OverloadFigures:
     """What a run has shown."""
 
-    idle_mb: float = 0.0
-    # Of all processes of the dispatcher together, as the platform counts them.
-    peak_mb: float = 0.0
-    final_mb: float = 0.0  # some seconds after the hostile clients have left
+    memory: MemorySeries = field(default_factory=MemorySeries)
     exit_status: int | None = None  # None: the latest process still ran at the end
     replaced_exit_status: int | None = None  # of the process that a hot restart has replaced
     outcomes: dict[str, int] = field(default_factory=dict)  # of the sound clients
@@ -80,6 +70,16 @@
     hostile_lines: list[str] = field(default_factory=list)
     log: str = ""
 
+    @property
+    def peak_mb(self) -> float:
+        """The most that the dispatcher's processes and files took together."""
+        return self.memory.peak_mb
+
+    @property
+    def served_fraction(self) -> float:
+        """The part of the sound clients' requests that were served."""
+        return self.outcomes.get(SERVED, 0) / max(sum(self.outcomes.values()), 1)
+
 
 class OverloadRun:
     """A dispatcher, its platform and its hostile clients; a context manager that ends them all."""
@@ -90,7 +90,14 @@
         self.host = load_test_host()
         self.port = free_port(self.host)
         self.gearman_port = free_port(self.host)
-        self.platform = OverloadPlatform((self.host, self.port), self.host)
+        self.tls_port = free_port(self.host)
+        self.admin_port = free_port(self.host)
+        self.tls_files = TlsFiles(folder, f"{self.host}:{self.tls_port}") if setup.is_tls else None
+        self.platform = OverloadPlatform(
+            (self.host, self.port),
+            self.host,
+            bearer_token=self.tls_files.bearer_token if self.tls_files else "",
+        )
         self.dispatcher = DispatcherProcess("n0", folder)
         self.figures = OverloadFigures()
         self.hostile: list[subprocess.Popen[str]] = []
@@ -126,7 +133,7 @@
             },
         }
         if self.setup.has_hot_restart:
-            configuration["operator"] = f"{self.host}:{free_port(self.host)}"
+            configuration["operator"] = f"{self.host}:{self.admin_port}"
         return configuration
 
     async def play(self) -> OverloadFigures:
@@ -146,6 +153,8 @@
         sections = self.setup.operator_sections.format(
             host=self.host, gearman_port=self.gearman_port
         )
+        if self.tls_files is not None:
+            sections += self.tls_files.operator_sections
         self.dispatcher.write_files(self.configuration(), sections or None)
         environment = {**DEPLOYED_ENVIRONMENT, "TMPDIR": str(self.folder / STATE_FOLDER)}
         self.processes.append(self.dispatcher.spawn(environment=environment))
@@ -153,6 +162,7 @@
     async def _play_hot_restart(self) -> None:
         """Start a second process, then stop the first as the platform does."""
         first = self.processes[0]
+        self.admin_port = free_port(self.host)
         self._start_process()
         await asyncio.sleep(BOTH_PROCESSES_SECONDS)
         first.terminate()
@@ -170,7 +180,7 @@
             self.platform.run_clients(self.setup.client_count, self.setup.client_interval_seconds)
         )
         await asyncio.sleep(WARM_UP_SECONDS)
-        self.figures.idle_mb = self._memory_mb()
+        self.figures.memory.begin_load(time.monotonic())
         cpu_before = self._cpu_seconds()
         self.hostile = [self._start_group(group) for group in self.setup.groups]
         ends_at_seconds = time.monotonic() + self.setup.seconds
@@ -179,10 +189,10 @@
             await self._play_hot_restart()
         await asyncio.sleep(max(ends_at_seconds - time.monotonic(), 0.0))
         self.figures.cpu_seconds = self._cpu_seconds() - cpu_before
-        await asyncio.sleep(COOL_DOWN_SECONDS)
+        self.figures.memory.end_load(time.monotonic())
+        await asyncio.sleep(self.setup.rest_seconds)
         self.platform.stopping.set()
         await clients
-        self.figures.final_mb = self._memory_mb()
         self.figures.exit_status = self.dispatcher.started_process().poll()
         watch.cancel()
         self.figures.outcomes = self.platform.outcome_counts()
@@ -191,7 +201,11 @@
         self.figures.log = self.dispatcher.read_log()
 
     def _start_group(self, group: HostileGroup) -> "subprocess.Popen[str]":
-        port = self.gearman_port if group.carrier == "gearman" else self.port
+        port = {
+            Carrier.HTTP: self.port,
+            Carrier.GEARMAN: self.gearman_port,
+            Carrier.TLS: self.tls_port,
+        }[group.carrier]
         arguments = [
             sys.executable,
             "-m",
@@ -202,7 +216,10 @@
             f"--seconds={self.setup.seconds}",
             f"--departure={group.departure}",
             f"--piece-seconds={group.piece_seconds}",
+            f"--piece-bytes={group.piece_bytes}",
         ]
+        if group.carrier is Carrier.TLS:
+            arguments.append("--tls")
         return subprocess.Popen(arguments, stdout=subprocess.PIPE, text=True)
 
     async def _wait_until_ready(self) -> None:
@@ -223,15 +240,13 @@
             await asyncio.sleep(0.05)
 
     async def _watch_memory(self) -> None:
-        """Note the peak."""
+        """Note what the platform counts, of all processes of the dispatcher together."""
+        folder = self.folder / STATE_FOLDER
         while True:
-            self.figures.peak_mb = max(self.figures.peak_mb, self._memory_mb())
+            resident = sum(resident_mb(process.pid) for process in self.processes)
+            self.figures.memory.add(time.monotonic(), resident, files_mb(folder))
             await asyncio.sleep(SAMPLE_SECONDS)
 
-    def _memory_mb(self) -> float:
-        """Return the resident memory of the dispatcher's processes together."""
-        return sum(resident_mb(process.pid) for process in self.processes)
-
     def _cpu_seconds(self) -> float:
         try:
             text = Path(f"/proc/{self.dispatcher.started_process().pid}/stat").read_text()
@@ -249,18 +264,6 @@
         self.platform.close()
 
 
-def resident_mb(pid: int) -> float:
-    """Return the resident memory of a process; 0 once it has ended."""
-    try:
-        text = Path(f"/proc/{pid}/status").read_text()
-    except OSError:
-        return 0.0
-    for line in text.splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) / KIB_PER_MB
-    return 0.0
-
-
 def play(setup: OverloadSetup, folder: Path) -> OverloadFigures:
     """Play a run in an event loop of its own."""
 
--- a/tests/overload/test_overload.py
+++ b/tests/overload/test_overload.py
@@ -8,8 +8,9 @@
 
 import pytest
 
+from stepstream.lab.faults.overload_plan import Carrier, HostileGroup
 from stepstream.lab.processes.overload_platform import MAX_OVERDUE_SECONDS, REQUEST_TIMEOUT_MS
-from stepstream.lab.processes.overload_run import HostileGroup, OverloadSetup, play
+from stepstream.lab.processes.overload_run import OverloadSetup, play
 
 LATEST_ANSWER_SECONDS = REQUEST_TIMEOUT_MS / 1000 + MAX_OVERDUE_SECONDS
 LOAD_SECONDS = 3.0
@@ -24,14 +25,14 @@
 
 def played(tmp_path, kind, connections, memory_mb, *, has_hot_restart=False):
     """Play one kind of hostile clients; check what holds whatever they do."""
-    carrier = "gearman" if kind.startswith("gearman") else "http"
+    carrier = Carrier.GEARMAN if kind.startswith("gearman") else Carrier.HTTP
     setup = OverloadSetup(
         [HostileGroup(kind, connections, carrier=carrier)],
         memory_mb,
         DESCRIPTORS[memory_mb],
         HOT_RESTART_SECONDS if has_hot_restart else LOAD_SECONDS,
         has_hot_restart=has_hot_restart,
-        operator_sections=GEARMAN if carrier == "gearman" else "",
+        operator_sections=GEARMAN if carrier is Carrier.GEARMAN else "",
     )
     figures = play(setup, tmp_path)
     assert figures.exit_status is None, figures.log
--- a/tests/overload/test_tls_overload.py
+++ b/tests/overload/test_tls_overload.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from stepstream.lab.processes.overload_run import resident_mb
+from stepstream.lab.processes.memory_series import resident_mb
 from tests.identity.program import TLS_SECTION_TEMPLATE, IdentityProgram
 
 MEMORY_MB = 192
