--- a/stepstream/runtime/threads.py
+++ b/stepstream/runtime/threads.py
@@ -6,12 +6,14 @@
 
 import threading
 import time
+from collections import deque
 from collections.abc import Callable
-from queue import SimpleQueue
 from typing import Any, TypeVarTuple
 
 from stepstream.runtime import log_events
 
+IDLE_THREAD_SECONDS = 2.0
+
 Arguments = TypeVarTuple("Arguments")
 
 
@@ -46,29 +48,51 @@
     ).start()
 
 
+Task = tuple[Callable[..., object], tuple[Any, ...]]
+
+
+class IdleThread:
+    """A thread of a pool that waits for a task."""
+
+    __slots__ = ("task", "has_task")
+
+    def __init__(self) -> None:
+        self.task: Task | None = None  # set before `has_task` is released
+        self.has_task = threading.Lock()
+        self.has_task.acquire()
+
+
 class ThreadPool:
-    """Threads that run tasks from one queue, started when needed, at most `max_threads`.
+    """Threads that run tasks, started when needed, at most `max_threads`.
 
-    The threads never stop. Any thread may call `submit`.
+    A task goes to the thread that became idle last, so that the others stay idle after a peak. A
+    thread ends after `idle_seconds` without a task: each takes memory for its stack. Any thread may
+    call `submit`.
     """
 
-    def __init__(self, name: str, max_threads: int) -> None:
+    def __init__(
+        self, name: str, max_threads: int, idle_seconds: float = IDLE_THREAD_SECONDS
+    ) -> None:
         self.name = name
         self.max_threads = max_threads
-        self.tasks: SimpleQueue[tuple[Callable[..., object], tuple[Any, ...]]] = SimpleQueue()
-        self.lock = threading.Lock()  # guards the two counts
+        self.idle_seconds = idle_seconds
+        self.lock = threading.Lock()  # guards the next three fields
+        self.waiting_tasks: deque[Task] = deque()  # for which no thread is idle
+        self.idle_threads: list[IdleThread] = []
         self.thread_count = 0
-        self.idle_count = 0  # threads minus tasks that are queued or running; may be negative
 
     def submit(self, step: Callable[[*Arguments], object], *arguments: *Arguments) -> None:
-        """Queue a task, and start a thread for it if all are busy and more are allowed."""
+        """Run a task in an idle thread, in a new one if allowed, or in the next that is free."""
         with self.lock:
-            self.idle_count -= 1
-            needs_thread = self.idle_count < 0 and self.thread_count < self.max_threads
+            if self.idle_threads:
+                thread = self.idle_threads.pop()
+                thread.task = (step, arguments)
+                thread.has_task.release()
+                return
+            self.waiting_tasks.append((step, arguments))
+            needs_thread = self.thread_count < self.max_threads
             if needs_thread:
                 self.thread_count += 1
-                self.idle_count += 1
-        self.tasks.put((step, arguments))
         if needs_thread:
             self.start_thread()
 
@@ -80,13 +104,28 @@
             # If the system can start no thread, the task waits for one of the pool's threads.
             with self.lock:
                 self.thread_count -= 1
-                self.idle_count -= 1
             log_events.thread_start_failed(pool=self.name)
 
     def run_tasks(self) -> None:
-        """Run queued tasks forever; each thread of the pool runs this method."""
-        while True:
-            step, arguments = self.tasks.get()
+        """Run tasks until there has been none for a while; each thread runs this method."""
+        while (task := self._next_task()) is not None:
+            step, arguments = task
             run_guarded(self.name, step, *arguments)
-            with self.lock:
-                self.idle_count += 1
+            # An idle thread must not keep what its last task was about, such as a connection.
+            del task, step, arguments
+
+    def _next_task(self) -> Task | None:
+        """Return the next task; None if this thread ends."""
+        with self.lock:
+            if self.waiting_tasks:
+                return self.waiting_tasks.popleft()
+            idle = IdleThread()
+            self.idle_threads.append(idle)
+        if idle.has_task.acquire(timeout=self.idle_seconds):
+            return idle.task
+        with self.lock:
+            if idle in self.idle_threads:
+                self.idle_threads.remove(idle)
+                self.thread_count -= 1
+                return None
+        return idle.task  # it was submitted at the last moment
--- a/tests/runtime/thread_ends.py
+++ b/tests/runtime/thread_ends.py
@@ -14,7 +14,7 @@
 def end_pool(pool):
     """Let each thread of a pool end after the tasks that are already queued."""
     for _ in range(pool.thread_count):
-        pool.tasks.put((sys.exit, ()))
+        pool.submit(sys.exit)
 
 
 def end_server(server):
