A connection that waits for its turn to be read is overtaken for a short time only

Callers saw: sound requests without any answer, 1 to 4 of 1,400 beside 100 clients with pipelined requests. In the slow lane a connection stayed though it had credit again.

Connections are ordered by the time at which they began to wait, less 0.1 s at most for full credit.

--- a/stepstream/http/read_lanes.py
+++ b/stepstream/http/read_lanes.py
@@ -4,7 +4,7 @@
 credit for the work of its turns, refilled as time passes; a sound peer never uses it up.
 
 - Of the connections with credit, a few take their turns at a time, those with most credit first.
-  The thread of a sound peer therefore waits for the end of one turn at most.
+  A connection is overtaken for a short time only: however many others come, its turn comes.
 - Connections without credit take turns one at a time, and each turn is followed by a rest of the
   same length. However many peers send at full speed, they leave half of the processor.
 
@@ -33,6 +33,8 @@
 MAX_DEBT_US = 50_000.0
 MAX_TURNS_AT_ONCE = 3
 LANE_CHECK_SECONDS = 0.1  # between two checks whether a waiting connection has ended
+# The longest time by which a connection with full credit goes before one that waits already.
+MAX_OVERTAKING_SECONDS = 0.1
 
 
 @record
@@ -82,33 +84,47 @@
         self.credit_us = max(self.credit_us - work.cost_us, -MAX_DEBT_US)
 
 
+def turn_order_seconds(credit_us: float, now_seconds: float) -> float:
+    """Return the time by which connections that begin to wait now are ordered, earliest first."""
+    return now_seconds - credit_us / MAX_CREDIT_US * MAX_OVERTAKING_SECONDS
+
+
 class ReadLanes:
     """Lets connections with credit take turns a few at a time, and the others one at a time."""
 
     def __init__(self) -> None:
         self._lock = threading.Lock()  # guards the next three fields
         self._turn_count = 0  # turns under way, of connections with credit
-        self._waiting: list[tuple[float, int, threading.Lock]] = []  # a heap: most credit first
-        self._waiting_count = 0  # since the start; orders those with equal credit
+        self._waiting: list[tuple[float, int, threading.Lock]] = []  # a heap: first turn first
+        self._waiting_count = 0  # since the start; makes each entry of the heap different
         self._slow_lane = threading.Lock()  # held for the turn of a connection without credit
 
     @contextmanager
     def turn(self, credit: WorkCredit, has_ended: Callable[[], bool]) -> Iterator[None]:
         """Run the body of the `with` statement as the next turn of a connection.
 
-        A connection that ends while it waits for the slow lane does not wait any longer.
+        Without credit it waits for the slow lane, at the longest until it has credit again. A
+        connection that ends meanwhile does not wait any longer.
         """
-        credit.refill(time.monotonic())
-        if credit.is_used_up:
-            with self._slow_turn(has_ended):
+        while not self._has_credit(credit):
+            if has_ended():
                 yield
-            return
+                return
+            if self._slow_lane.acquire(timeout=LANE_CHECK_SECONDS):
+                with self._rest_and_release(has_lane=True):
+                    yield
+                return
         self._begin(credit.credit_us)
         try:
             yield
         finally:
             self._end()
 
+    @staticmethod
+    def _has_credit(credit: WorkCredit) -> bool:
+        credit.refill(time.monotonic())
+        return not credit.is_used_up
+
     def _begin(self, credit_us: float) -> None:
         with self._lock:
             if self._turn_count < MAX_TURNS_AT_ONCE:
@@ -117,11 +133,12 @@
             signal = threading.Lock()
             signal.acquire()
             self._waiting_count += 1
-            heappush(self._waiting, (-credit_us, self._waiting_count, signal))
+            order_seconds = turn_order_seconds(credit_us, time.monotonic())
+            heappush(self._waiting, (order_seconds, self._waiting_count, signal))
         signal.acquire()  # until `_end` passes a turn on
 
     def _end(self) -> None:
-        """Pass the turn on to the waiting connection with most credit."""
+        """Pass the turn on to the first of the waiting connections."""
         with self._lock:
             if self._waiting:
                 _, _, signal = heappop(self._waiting)
@@ -136,14 +153,6 @@
         with self._rest_and_release(has_lane=has_lane):
             yield has_lane
 
-    @contextmanager
-    def _slow_turn(self, has_ended: Callable[[], bool]) -> Iterator[None]:
-        has_lane = False
-        while not has_lane and not has_ended():
-            has_lane = self._slow_lane.acquire(timeout=LANE_CHECK_SECONDS)
-        with self._rest_and_release(has_lane=has_lane):
-            yield
-
     @contextmanager
     def _rest_and_release(self, *, has_lane: bool) -> Iterator[None]:
         """After the body, rest for as long as it took, and leave the slow lane."""
