--- a/stepstream/http/worker_api.py
+++ b/stepstream/http/worker_api.py
@@ -4,9 +4,6 @@
 this module translates them. There is no state; any thread may use this module.
 """
 
-import threading
-from contextlib import nullcontext
-
 import ujson
 
 from stepstream.config.json_decoding import decode_json
@@ -14,6 +11,7 @@
 from stepstream.core.requests import Payload
 from stepstream.http.codec import Message, ProtocolError, write_request
 from stepstream.http.json_body import read_json_object
+from stepstream.http.large_json import JsonText, decode_large_object
 from stepstream.http.load_reports import LoadReportReader
 from stepstream.model.events import AttemptResult
 
@@ -21,9 +19,7 @@
 HEALTH_CHECK_PATH = "/-/healthy"  # at a worker
 LOAD_REPORT_PATH = "/-/load"  # at a worker: a health check whose answer has a load report
 STATUS_BY_WIRE_NAME = {status.value: status for status in JobStatus}
-MAX_DECODED_BODY_BYTES = 4096
-# Held while a large body is decoded: one at a time exists in its decoded form.
-LARGE_BODY_DECODING = threading.Lock()
+MAX_DECODED_BODY_BYTES = 4096  # a larger body must not wait in its decoded form
 PROGRESS_STEPS = 1000  # the whole of a job; the wire has a fraction from 0 to 1
 JOB_ACCEPTED_STATUS = 202
 # With the header "Not-Started: 1", the worker states that it has not started the job.
@@ -41,10 +37,10 @@
     """
     if message.method != "POST":
         raise ProtocolError(405, "news arrives by POST")
-    with LARGE_BODY_DECODING if is_large(message.body) else nullcontext():
+    if len(message.body) > MAX_DECODED_BODY_BYTES:
+        data = decode_large_object(message.body)
+    else:
         data = read_json_object(message.body)
-        if is_large(message.body):
-            data["result"] = compact_result(data.get("result"))
     request_id, worker_id, status = data.get("id"), data.get("from"), data.get("state")
     if (
         not isinstance(request_id, str)
@@ -65,28 +61,6 @@
     )
 
 
-class JsonText(str):
-    """The text of a JSON list or object, which stands for the value."""
-
-    __slots__ = ()
-
-
-def is_large(body: bytes) -> bool:
-    """Return whether a body is so large that its decoded form must not wait in memory."""
-    return len(body) > MAX_DECODED_BODY_BYTES
-
-
-def compact_result(result: object) -> object:
-    """Return a result in the form in which it waits in memory until it is answered.
-
-    A list or object becomes its text, which is what its client gets: decoded, it may take twenty
-    times its bytes.
-    """
-    if isinstance(result, list | dict):
-        return JsonText(ujson.dumps(result, escape_forward_slashes=False))
-    return result
-
-
 def read_progress(fraction: object) -> tuple[int, int] | None:
     """Return a progress from 0 to 1 as (steps done, steps in all); None for anything else."""
     if isinstance(fraction, int | float) and 0 <= fraction <= 1:
