--- a/stepstream/config/limits.py
+++ b/stepstream/config/limits.py
@@ -26,6 +26,7 @@
 # The rest is for threads, for copies of messages while they are handled, and for the allocator.
 OPEN_REQUEST_FRACTION_OF_FREE_MEMORY = 0.15
 BUFFERED_FRACTION_OF_FREE_MEMORY = 0.15
+QUEUED_RESULT_FRACTION_OF_FREE_MEMORY = 0.1
 
 # Division of the file descriptors.
 MAX_UNASSIGNED_DESCRIPTORS = 64
@@ -74,10 +75,12 @@
 
 @record
 class MemoryLimits:
-    """Bytes of messages that all connections of all protocols may hold together."""
+    """What the process may take, and what messages of all protocols may hold of it, in bytes."""
 
+    process_bytes: int = 0  # resident pages and files; 0: no limit
     open_request_bytes: int = 24 * MIB  # payloads of requests without an answer
     buffered_bytes: int = 24 * MIB  # unfinished messages, and answers that peers have not taken
+    queued_result_bytes: int = 16 * MIB  # of notifications that wait for the core
 
 
 @record
@@ -241,16 +244,19 @@
     program_share_mb = SUBSYSTEMS_MEMORY_MB if has_subsystems else 0
     memory_mb = config.memory_mb // process_count - program_share_mb
     connections = connection_limits(config.sockets // process_count, memory_mb)
-    longest_deadline_us = max(job_class.deadline_us for job_class in settings.classes)
+    deadlines_us = [job_class.deadline_us for job_class in settings.classes]
     return Limits(
-        memory=memory_limits(message_memory_mb(config, process_count) - program_share_mb),
+        memory=memory_limits(
+            config.memory_mb // process_count,
+            message_memory_mb(config, process_count) - program_share_mb,
+        ),
         gearman=gearman_limits(memory_mb, connections.inbound),
         connections=connections,
         timeouts=Timeouts(
             connect_seconds=settings.connect_timeout_us / MICROSECONDS_PER_SECOND,
             outbound_idle_seconds=outbound_idle_seconds(settings.worker_idle_timeout_us),
         ),
-        shutdown=shutdown_timeouts(longest_deadline_us / MICROSECONDS_PER_SECOND),
+        shutdown=shutdown_timeouts(max(deadlines_us) / MICROSECONDS_PER_SECOND),
     )
 
 
@@ -264,15 +270,18 @@
     return config.memory_mb // (2 if can_restart_hot else process_count)
 
 
-def memory_limits(memory_mb: int) -> MemoryLimits:
-    """Bound what messages may hold of the memory, in MiB, beside the program and its threads.
+def memory_limits(process_mb: int, message_mb: int) -> MemoryLimits:
+    """Bound the process by `process_mb`, and its messages by a part of `message_mb`.
 
-    Each part has room for some messages of the largest size, however small the memory is.
+    Both are in MiB; the program itself takes a part of the latter. Each bound has room for some
+    messages of the largest size, however small the memory is.
     """
-    free_bytes = max(memory_mb - PROGRAM_MEMORY_MB, MIN_CONNECTION_MEMORY_MB) * MIB
+    free_bytes = max(message_mb - PROGRAM_MEMORY_MB, MIN_CONNECTION_MEMORY_MB) * MIB
     return MemoryLimits(
+        process_bytes=process_mb * MIB,
         open_request_bytes=max(int(free_bytes * OPEN_REQUEST_FRACTION_OF_FREE_MEMORY), MIB),
         buffered_bytes=max(int(free_bytes * BUFFERED_FRACTION_OF_FREE_MEMORY), MIB),
+        queued_result_bytes=max(int(free_bytes * QUEUED_RESULT_FRACTION_OF_FREE_MEMORY), MIB),
     )
 
 
--- a/stepstream/core/events.py
+++ b/stepstream/core/events.py
@@ -6,11 +6,12 @@
 node's clock.
 """
 
+from dataclasses import field
 from enum import Enum
 from typing import TYPE_CHECKING
 
 from stepstream.core.endpoint_set import EndpointsUpdated
-from stepstream.core.requests import Call, Request
+from stepstream.core.requests import Call, MemoryReservation, Request
 from stepstream.model.events import (
     AttemptResult,
     ConnectionRefused,
@@ -97,6 +98,8 @@
     progress: tuple[int, int] | None = None  # for RUNNING: complete parts, all parts
     forwarded: bool = False  # received from the sibling process of a hot restart
     load_report: dict[str, float] | None = None  # the worker's load by name, if it ends a call
+    # Of the result, while it waits; set by the front and released with the notification.
+    reservation: MemoryReservation | None = field(default=None, compare=False)
 
 
 @record
--- a/stepstream/gearman/connection.py
+++ b/stepstream/gearman/connection.py
@@ -80,7 +80,7 @@
         self.has_unhandled_messages = False
         self.closed_idle = False  # closed between messages: bytes that arrive later are ignored
         self.session = Session(front.server.limits)
-        self.buffered_memory = ByteReservation(front.server.buffered_memory)
+        self.buffered_memory = ByteReservation(front.server.overload_manager.buffered_memory)
         # A phase starts with the first byte of a message or, once the session is closed, with the
         # end of the last reply. No lock guards these times: the server's checks tolerate values
         # that are slightly out of date. Only the reader thread uses the registration credit.
@@ -161,8 +161,7 @@
             # A message may be partly received; its phase starts now.
             self.phase_started_at_seconds = self.last_activity_at_seconds
         self._count_buffered_bytes()
-        if self.server.buffered_memory.is_exceeded():
-            self.server.shed_buffered_messages()
+        self.server.overload_manager.relieve()
 
     def _next_step(self) -> Step | None:
         """Return the next received message's step; None, once all of them are handled."""
--- a/stepstream/gearman/front.py
+++ b/stepstream/gearman/front.py
@@ -61,8 +61,8 @@
         host = ServiceHost(
             new_request_id=lambda: secrets.token_hex(REQUEST_ID_RANDOM_BYTES),
             is_overloaded=server.is_overloaded,
-            open_request_memory=server.open_request_memory,
-            buffered_memory=server.buffered_memory,
+            open_request_memory=server.overload_manager.open_request_memory,
+            buffered_memory=server.overload_manager.buffered_memory,
             is_closing=lambda: server.state.closing,
             on_answer=self._on_answer,
             on_progress=self._on_progress,
--- a/stepstream/http/client_connection.py
+++ b/stepstream/http/client_connection.py
@@ -29,6 +29,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from typing import Protocol
 
 from stepstream.config.limits import KIB, Limits
@@ -43,6 +44,7 @@
 from stepstream.core.requests import Request
 from stepstream.http.codec import ProtocolError
 from stepstream.http.eviction import rank_without_open_request
+from stepstream.http.overload_manager import OverloadManager
 from stepstream.http.read_lanes import ReadLanes, Work, WorkCredit
 from stepstream.http.server_state import ServerState
 from stepstream.http.session import (
@@ -51,10 +53,11 @@
     SessionEvent,
     SessionPhase,
     payload_size_bytes,
+    result_size_bytes,
 )
 from stepstream.ports.connections import Connection, EvictionRank, EvictionState
 from stepstream.runtime import log_events
-from stepstream.runtime.byte_budget import ByteBudget, ByteReservation
+from stepstream.runtime.byte_budget import ByteReservation
 from stepstream.runtime.clock import Clock
 from stepstream.runtime.sockets import set_socket_timeout
 from stepstream.runtime.threads import ThreadPool
@@ -78,15 +81,11 @@
     slow_writer_threads: ThreadPool
     buffered_input_threads: ThreadPool
     read_lanes: ReadLanes
-    open_request_memory: ByteBudget
-    buffered_memory: ByteBudget
+    overload_manager: OverloadManager
 
     def wait_for_core(self) -> None:
         """Wait while too many events wait for the core."""
 
-    def shed_buffered_messages(self) -> None:
-        """End unfinished messages while all connections hold too much; no lock may be held."""
-
     def remove_connection(self, connection: Connection) -> None:
         """Free the place of a connection that has ended."""
 
@@ -107,7 +106,7 @@
         self.queued_replies: deque[Reply] = deque()  # for the slow writer
         self.reader_ended = False  # if True, an active slow writer closes the socket
         self.evicted = False  # guarded by the server's lock, not by this one
-        self.buffered_memory = ByteReservation(server.buffered_memory)
+        self.buffered_memory = ByteReservation(server.overload_manager.buffered_memory)
         self.has_unhandled_input = False  # the last turn ended before all messages were handled
         self.is_aborted = False  # both directions were shut down here
         # Monotonic seconds. Activity is a received byte or an answer. A phase starts with the first
@@ -169,8 +168,7 @@
             self.server.wait_for_core()
             with self.server.read_lanes.turn(self.work_credit, lambda: self.is_aborted):
                 goes_on = self._process_input_guarded()
-        if self.server.buffered_memory.is_exceeded():
-            self.server.shed_buffered_messages()
+        self.server.overload_manager.relieve()
         return goes_on
 
     def _wait_for_input(self, read_bytes: int) -> bool:
@@ -303,11 +301,16 @@
                 case Request():
                     event.response_sink = self
                     event.reservation = ByteReservation(
-                        self.server.open_request_memory, payload_size_bytes(event.payload)
+                        self.server.overload_manager.open_request_memory,
+                        payload_size_bytes(event.payload),
                     )
                     self.server.post(RequestReceived(event))
                 case JobNotification():
-                    self.server.post(event)
+                    reservation = ByteReservation(
+                        self.server.overload_manager.queued_result_memory,
+                        result_size_bytes(event.result),
+                    )
+                    self.server.post(replace(event, reservation=reservation))
 
     def _report_disconnect(self, open_request: Request | None) -> None:
         if open_request is not None:
--- a/stepstream/http/server.py
+++ b/stepstream/http/server.py
@@ -22,14 +22,14 @@
 from stepstream.http.client_connection import ClientConnection
 from stepstream.http.eviction import evict_connections
 from stepstream.http.lingering import LingeringSockets
-from stepstream.http.memory_shedding import connections_to_shed
+from stepstream.http.overload_manager import OverloadManager
 from stepstream.http.read_lanes import ReadLanes
 from stepstream.http.server_state import ServerState
 from stepstream.ports.connections import Connection, ListenerSpec
 from stepstream.runtime import log_events
-from stepstream.runtime.byte_budget import ByteBudget
 from stepstream.runtime.clock import Clock
 from stepstream.runtime.log import RateLimitedLogger
+from stepstream.runtime.resident_memory import ResidentMemory
 from stepstream.runtime.sockets import shut_down
 from stepstream.runtime.threads import ThreadPool
 from stepstream.runtime.transport import Transport
@@ -49,6 +49,7 @@
         client_api: ClientApi,
         post: Callable[[Event], None],
         is_worker_host: Callable[[str], bool],
+        resident: ResidentMemory,
     ) -> None:
         """`post` hands an event to the core; any thread may call it."""
         self.limits = limits
@@ -59,12 +60,9 @@
         self.state.is_overloaded = self.is_overloaded
         rejected_notifications = RateLimitedLogger(log_events.job_notification_rejected, limits)
         self.state.report_rejected_notification = rejected_notifications.add
-        self.open_request_memory = ByteBudget(limits.memory.open_request_bytes)
-        self.buffered_memory = ByteBudget(limits.memory.buffered_bytes)
-        self.state.has_room_for_payload = self.open_request_memory.has_room_for
-        self.memory_rejections = RateLimitedLogger(log_events.message_memory_exhausted, limits)
-        self.state.report_memory_rejection = self.memory_rejections.add
-        self.shedding_lock = threading.Lock()  # one thread at a time chooses what to end
+        self.overload_manager = OverloadManager(limits, resident, self._snapshot)
+        self.state.has_room_for_payload = self.overload_manager.has_room_for_payload
+        self.state.report_memory_rejection = self.overload_manager.rejections.add
         self.read_lanes = ReadLanes()
         # Replaced by the node: how many events wait for the core.
         self.pending_event_count: Callable[[], int] = lambda: 0
@@ -88,8 +86,7 @@
         """Apply a reload; connections beyond a smaller budget stay open until they end."""
         self.limits = limits
         self.lingering.limits = limits
-        self.open_request_memory.limit_bytes = limits.memory.open_request_bytes
-        self.buffered_memory.limit_bytes = limits.memory.buffered_bytes
+        self.overload_manager.reconfigure(limits)
         self.state.client_api = client_api
         # Connections stay open beyond a smaller budget, and each of them has a thread.
         self.reader_threads.max_threads = max(
@@ -234,6 +231,8 @@
         self.reader_threads.submit(connection.run)
 
     def _is_full(self, *, is_external: bool) -> bool:
+        if is_external and not self.overload_manager.admits_clients():
+            return True
         with self.lock:
             return is_budget_spent(
                 self.limits.connections,
@@ -314,28 +313,17 @@
             open_requests = sum(connection.has_open_request() for connection in self.connections)
             return open_requests >= max_open_requests
 
-    # -- memory and backlog -----------------------------------------------------------------------
-
-    def shed_buffered_messages(self) -> None:
-        """End unfinished messages until the connections hold no more than the budget.
-
-        Any thread that holds no lock may call it; a second one returns at once.
-        """
-        if not self.shedding_lock.acquire(blocking=False):
-            return
-        try:
-            excess_bytes = self.buffered_memory.used_bytes - self.buffered_memory.limit_bytes
-            for connection in connections_to_shed(self._snapshot(), excess_bytes):
-                self.memory_rejections.add("unfinished messages and unread answers hold too much")
-                connection.shed_buffered_message()
-        finally:
-            self.shedding_lock.release()
+    # -- backlog ----------------------------------------------------------------------------------
 
     def wait_for_core(self) -> None:
-        """Wait while more events wait for the core than it takes in two batches."""
-        loop = self.limits.loop
-        while self.pending_event_count() > loop.core_backlog_events:
-            time.sleep(loop.core_backlog_check_seconds)
+        """Wait while more events wait for the core than it takes in two batches, or large ones."""
+        while self._has_backlog():
+            time.sleep(self.limits.loop.core_backlog_check_seconds)
+
+    def _has_backlog(self) -> bool:
+        if self.pending_event_count() > self.limits.loop.core_backlog_events:
+            return True
+        return self.overload_manager.queued_result_memory.is_exceeded()
 
     # -- timeouts and shutdown --------------------------------------------------------------------
 
@@ -344,8 +332,7 @@
         now_seconds = time.monotonic()
         for connection in self._snapshot():
             connection.enforce_timeouts(now_seconds)
-        if self.buffered_memory.is_exceeded():
-            self.shed_buffered_messages()
+        self.overload_manager.run_periodic_tasks()
         self.lingering.close_due(now_seconds)
 
     def close_idle(self) -> None:
--- a/stepstream/http/session.py
+++ b/stepstream/http/session.py
@@ -336,6 +336,11 @@
     return len(payload.path) + len(payload.body) if payload is not None else 0
 
 
+def result_size_bytes(result: object) -> int:
+    """Return how much memory the result of a notification takes, at least."""
+    return len(result) if isinstance(result, str) else 0
+
+
 def release_authorization(authorization: Authorization | None) -> None:
     """Release an authorization, if there is one; repeated calls have no effect."""
     if authorization is not None:
--- a/stepstream/model/records.py
+++ b/stepstream/model/records.py
@@ -24,7 +24,8 @@
 
 
 def _field_values(instance: Any) -> tuple[object, ...]:  # noqa: ANN401  a record of any class
-    return tuple(getattr(instance, name) for name in instance.__dataclass_fields__)
+    fields = instance.__dataclass_fields__.values()
+    return tuple(getattr(instance, each.name) for each in fields if each.compare)
 
 
 def _is_equal(self: object, other: object) -> Any:  # noqa: ANN401  a bool or NotImplemented
--- a/stepstream/node/context.py
+++ b/stepstream/node/context.py
@@ -5,6 +5,7 @@
 which threads may call it. Subsystems see the context as `SubsystemContext`.
 """
 
+import os
 import random
 from collections.abc import Callable
 from dataclasses import replace
@@ -33,6 +34,7 @@
 from stepstream.runtime import log_events
 from stepstream.runtime.clock import Clock
 from stepstream.runtime.log import RateLimitedLogger
+from stepstream.runtime.resident_memory import ResidentMemory
 
 if TYPE_CHECKING:  # loaded only where a subsystem is switched on
     from stepstream.config.operator_file import OperatorConfig
@@ -95,6 +97,7 @@
             ClientApi(self.config.settings, self.reports),
             self.post,
             self.destinations.is_worker_host,
+            ResidentMemory(os.environ.get("TMPDIR") or None),
         )
         server.pending_event_count = self.events.qsize
         return server
--- a/stepstream/node/status.py
+++ b/stepstream/node/status.py
@@ -18,14 +18,18 @@
     `outcome_counts` holds the answered requests; each subsystem adds fields of its own.
     """
     outbound = context.outbound
+    overload_manager = context.server.overload_manager
     counts = {
         "open_requests": context.core.open_count,
         "inbound_connections": len(context.server.connections),
         "outbound_connections": outbound.pool.open_count,
         "rejected_connections": context.server.rejected_count,
-        "open_request_bytes": context.server.open_request_memory.used_bytes,
-        "buffered_bytes": context.server.buffered_memory.used_bytes,
-        "memory_rejections": context.server.memory_rejections.count,
+        "memory_bytes": overload_manager.resident.counted_bytes(),
+        "memory_limit_bytes": overload_manager.limits.memory.process_bytes,
+        "open_request_bytes": overload_manager.open_request_memory.used_bytes,
+        "buffered_bytes": overload_manager.buffered_memory.used_bytes,
+        "queued_result_bytes": overload_manager.queued_result_memory.used_bytes,
+        "memory_rejections": overload_manager.rejections.count,
         "unreadable_load_reports": context.unreadable_load_reports.count,
         "unreadable_answers": context.unreadable_answers.count,
         "failed_discovery_calls": context.failed_discovery_calls.count,
--- a/stepstream/runtime/byte_budget.py
+++ b/stepstream/runtime/byte_budget.py
@@ -31,7 +31,7 @@
 
 
 class ByteReservation:
-    """The bytes that one owner holds of a budget."""
+    """The bytes that one owner holds of a budget, until it releases them or is freed."""
 
     def __init__(self, budget: ByteBudget, size_bytes: int = 0) -> None:
         self._budget = budget
@@ -56,3 +56,6 @@
             self._is_released = True
             self._budget.add(-self.size_bytes)
             self.size_bytes = 0
+
+    def __del__(self) -> None:
+        self.release()
--- a/stepstream/runtime/log_events.py
+++ b/stepstream/runtime/log_events.py
@@ -177,6 +177,32 @@
     )
 
 
+def memory_usage_changed(  # noqa: PLR0913  each budget stands beside the memory
+    *,
+    pressure: str,
+    memory_bytes: int,
+    memory_limit_bytes: int,
+    open_request_bytes: int,
+    buffered_bytes: int,
+    queued_result_bytes: int,
+    connections: int,
+    threads: int,
+) -> None:
+    """Log the counted memory beside its budgets, after a visible step or another pressure."""
+    write_event(
+        Severity.INFO,
+        "memory_usage_changed",
+        pressure=pressure,
+        memory_bytes=memory_bytes,
+        memory_limit_bytes=memory_limit_bytes,
+        open_request_bytes=open_request_bytes,
+        buffered_bytes=buffered_bytes,
+        queued_result_bytes=queued_result_bytes,
+        connections=connections,
+        threads=threads,
+    )
+
+
 def job_notification_rejected(*, reason: str, suppressed_events: int) -> None:
     """Log a job notification that cannot be read; its sender got an error and the reason."""
     write_event(
--- a/tests/config/test_limits.py
+++ b/tests/config/test_limits.py
@@ -66,7 +66,8 @@
 
 @pytest.mark.parametrize("memory_mb", [1, 32, 64, 192])
 def test_messages_hold_a_part_of_the_memory_and_always_some_of_the_largest(memory_mb):
-    limits = memory_limits(memory_mb)
+    limits = memory_limits(memory_mb, memory_mb)
+    assert limits.process_bytes == memory_mb * 1024**2
     both_bytes = limits.open_request_bytes + limits.buffered_bytes
     assert both_bytes <= max(memory_mb * 1024**2 / 3, 2 * 1024**2)
     assert min(limits.open_request_bytes, limits.buffered_bytes) >= 16 * 64 * 1024
--- a/tests/gearman/test_gearman_connection.py
+++ b/tests/gearman/test_gearman_connection.py
@@ -13,6 +13,7 @@
 from stepstream.http.client_api import ClientApi
 from stepstream.http.server import InboundServer
 from stepstream.runtime.clock import Clock
+from stepstream.runtime.resident_memory import ResidentMemory
 from stepstream.runtime.transport import Transport
 from tests.config.configurations import CONFIGURATION, LIMITS, POLICY_SETTINGS
 from tests.gearman.program import GearmanPeer
@@ -31,7 +32,12 @@
     """Yield a connection with a running reader thread, and its peer, which has sent a message."""
     events = []
     server = InboundServer(
-        LIMITS, Clock(), ClientApi(POLICY_SETTINGS), events.append, lambda host: False
+        LIMITS,
+        Clock(),
+        ClientApi(POLICY_SETTINGS),
+        events.append,
+        lambda host: False,
+        ResidentMemory(None),
     )
     front = GearmanFront(
         SECTION, config_from(CONFIGURATION, {}), server, SimpleQueue(), lambda: len(events)
--- a/tests/http/server_harness.py
+++ b/tests/http/server_harness.py
@@ -8,6 +8,7 @@
 from stepstream.http.codec import write_request
 from stepstream.http.server import InboundServer
 from stepstream.runtime.clock import Clock
+from stepstream.runtime.resident_memory import ResidentMemory
 from tests.config.configurations import LIMITS, POLICY_SETTINGS
 from tests.runtime.thread_ends import end_server
 from tests.runtime.waiting import WAIT_TIMEOUT_SECONDS, wait_for
@@ -28,6 +29,7 @@
             ClientApi(POLICY_SETTINGS),
             self.events.append,
             lambda host: host == WORKER_HOST,
+            ResidentMemory(None),
         )
         spec = self.server.bind(("127.0.0.1", 0))
         self.server.start_listening(spec)
