Reads behind open requests take turns too, and a shutdown leaves busy connections alone

The accepting and main threads waited for the GIL: hundreds of readers behind open requests took no turns, ended connections looked for their peers' close ten times a second, and a shutdown asked the system about every connection each 20 ms.

All reads take turns now, the looks become rarer, and a shutdown first looks without locks. Under load left over from before, free memory is looked for every 5 s.

--- a/stepstream/http/client_connection.py
+++ b/stepstream/http/client_connection.py
@@ -69,7 +69,8 @@
 # After the last answer: reads in one turn of the slow lane, their size, and the pause without it.
 MAX_DROPPED_READS = 8
 DROPPED_READ_BYTES = 128 * KIB
-DROP_PAUSE_SECONDS = 0.1
+MIN_DROP_PAUSE_SECONDS = 0.1
+MAX_DROP_PAUSE_SECONDS = 0.5
 
 
 class ConnectionOwner(Protocol):
@@ -112,6 +113,7 @@
         self.buffered_memory = ByteReservation(server.overload_manager.buffered_memory)
         self.has_unhandled_input = False  # the last turn ended before all messages were handled
         self.is_aborted = False  # both directions were shut down here
+        self.drop_pause_seconds = MIN_DROP_PAUSE_SECONDS  # of the reader thread
         # Monotonic seconds. Activity is a received byte or an answer. A phase starts with the first
         # byte of a message or, once the session is closed, with the end of the last answer.
         now_seconds = time.monotonic()
@@ -165,12 +167,11 @@
 
     def _take_turn(self) -> bool:
         """Receive and handle a bounded amount; return whether to go on reading."""
-        if self.session.has_open_request:
-            goes_on = self._process_input_guarded()  # the bytes are only buffered
-        elif self.session.phase is SessionPhase.CLOSED:
+        if self.session.phase is SessionPhase.CLOSED:
             goes_on = self._drop_input()
         else:
-            self.server.wait_for_core()
+            if not self.session.has_open_request:
+                self.server.wait_for_core()
             with self.server.read_lanes.turn(self.work_credit, lambda: self.is_aborted):
                 goes_on = self._process_input_guarded()
         self.server.overload_manager.relieve()
@@ -196,7 +197,8 @@
             if has_turn:
                 goes_on = self._drop_available()
         if not has_turn:
-            time.sleep(DROP_PAUSE_SECONDS)
+            time.sleep(self.drop_pause_seconds)
+            self.drop_pause_seconds = min(2 * self.drop_pause_seconds, MAX_DROP_PAUSE_SECONDS)
             if self.transport.has_peer_left():
                 goes_on = self._drop_available()  # what is left ends with the peer's close
         lingered_seconds = time.monotonic() - self.phase_started_at_seconds
@@ -534,6 +536,8 @@
 
         It stays open if bytes of the next request have arrived, or while a slow writer sends.
         """
+        if not self.session.is_idle:
+            return False  # most connections of a crowd: their locks are left alone
         with self.lock:
             session = self.session
             if self.slow_writer_active:
@@ -549,6 +553,8 @@
 
         Guards the reader threads against half-open, silent and slow peers.
         """
+        if not self._has_timed_out(now_seconds):
+            return  # a look without the lock, which a busy reader may hold
         with self.lock:
             session = self.session
             if self.slow_writer_active or not self._has_timed_out(now_seconds):
@@ -562,7 +568,7 @@
                 self._half_close(now_seconds)
 
     def _has_timed_out(self, now_seconds: float) -> bool:
-        """Return whether the session's state has timed out; the caller holds the lock."""
+        """Return whether the session's state has timed out; sure only under the lock."""
         session = self.session
         state_since_seconds = (
             self.last_activity_at_seconds if session.is_idle else self.phase_started_at_seconds
--- a/stepstream/http/overload_manager.py
+++ b/stepstream/http/overload_manager.py
@@ -32,8 +32,10 @@
 # A small request takes no more memory than its rejection.
 SMALL_PAYLOAD_BYTES = 4096
 SMALL_PAYLOAD_FRACTION_OF_BUDGET = 0.125
-# A line is logged when the memory has changed by this part of its limit.
-LOGGED_FRACTION = 1 / 16
+PERIOD_SECONDS = 0.5
+SHRINK_SECONDS = 5.0  # without pressure, between two looks for free memory
+# A visible step of the memory, as a part of its limit.
+STEP_FRACTION = 1 / 16
 
 
 class MemoryPressure(IntEnum):
@@ -78,6 +80,9 @@
         self.rejections = RateLimitedLogger(log_events.message_memory_exhausted, limits)
         self._shedding_lock = threading.Lock()  # one thread at a time chooses what to end
         # Of the main thread.
+        self._next_tasks_at_seconds = 0.0
+        self._lowest_bytes = limits.memory.process_bytes  # since the start
+        self._shrunk_at_seconds = 0.0
         self._logged_bytes = 0
         self._logged_shedding = False
 
@@ -133,21 +138,40 @@
             return excess_bytes
         return max(excess_bytes, int(used_bytes * SHED_FRACTION_OF_BUFFERED))
 
-    def run_periodic_tasks(self) -> None:
-        """Give back free memory under pressure, and log what has changed; for the main thread."""
+    def run_periodic_tasks(self, now_seconds: float) -> None:
+        """Give back free memory under pressure, and log what has changed; for the main thread.
+
+        It does so once in `PERIOD_SECONDS`, however often it is called; the time is monotonic.
+        """
+        self.relieve()
+        if now_seconds < self._next_tasks_at_seconds:
+            return
+        self._next_tasks_at_seconds = now_seconds + PERIOD_SECONDS
         self.resident.count_files()
-        if self.pressure >= MemoryPressure.SHRINK:
+        if self._may_have_free_memory(now_seconds):
+            self._shrunk_at_seconds = now_seconds
             gc.collect()
             release_free_memory()
-        self.relieve()
         self._log_changes()
 
+    def _may_have_free_memory(self, now_seconds: float) -> bool:
+        """Decide whether to look for free memory: under pressure, or from time to time after it."""
+        if self.pressure >= MemoryPressure.SHRINK:
+            return True
+        counted_bytes = self.resident.counted_bytes()
+        self._lowest_bytes = min(self._lowest_bytes, counted_bytes)
+        has_grown = counted_bytes - self._lowest_bytes >= self._step_bytes
+        return has_grown and now_seconds - self._shrunk_at_seconds >= SHRINK_SECONDS
+
+    @property
+    def _step_bytes(self) -> float:
+        return self.limits.memory.process_bytes * STEP_FRACTION
+
     def _log_changes(self) -> None:
         memory = self.limits.memory
         counted_bytes = self.resident.counted_bytes()
         pressure = memory_pressure(counted_bytes, memory.process_bytes)
-        step_bytes = memory.process_bytes * LOGGED_FRACTION
-        has_moved = abs(counted_bytes - self._logged_bytes) >= step_bytes
+        has_moved = abs(counted_bytes - self._logged_bytes) >= self._step_bytes
         sheds = pressure >= MemoryPressure.SHED
         if not memory.process_bytes or not (has_moved or sheds != self._logged_shedding):
             return
--- a/stepstream/http/server.py
+++ b/stepstream/http/server.py
@@ -380,7 +380,7 @@
         now_seconds = time.monotonic()
         for connection in self._snapshot():
             connection.enforce_timeouts(now_seconds)
-        self.overload_manager.run_periodic_tasks()
+        self.overload_manager.run_periodic_tasks(now_seconds)
         self.lingering.close_due(now_seconds)
 
     def close_idle(self) -> None:
--- a/stepstream/lab/processes/addresses.py
+++ b/stepstream/lab/processes/addresses.py
@@ -29,6 +29,14 @@
     return f"127.77.{number >> BYTE_BITS}.{number & BYTE_MASK}"
 
 
+def platform_host() -> str:
+    """Return a loopback address for the platform round the dispatcher at `load_test_host`.
+
+    Its listeners and connections can take no port that was chosen for the dispatcher.
+    """
+    return load_test_host().replace("127.77.", "127.78.", 1)
+
+
 def cluster_host(member_index: int) -> str:
     """Return a loopback address for one member, in the network of this process.
 
--- a/stepstream/lab/processes/overload_platform.py
+++ b/stepstream/lab/processes/overload_platform.py
@@ -69,10 +69,12 @@
     notifications: "asyncio.Queue[bytes]" = field(default_factory=asyncio.Queue)
     server: asyncio.Server | None = None
     senders: list[asyncio.Task[None]] = field(default_factory=list)
+    host: str = ""
     port: int = 0
 
     async def start(self, host: str) -> None:
         """Open the listener, and start to deliver notifications."""
+        self.host = host
         self.server = await asyncio.start_server(self._serve, host, 0, backlog=1024)
         self.port = self.server.sockets[0].getsockname()[1]
         self.senders = [
@@ -131,7 +133,7 @@
             try:
                 if stream is None:
                     # From the worker's own address, as the dispatcher keeps places for workers.
-                    local_address = (self.notify_address[0], 0)
+                    local_address = (self.host, 0)
                     stream = await asyncio.open_connection(
                         *self.notify_address, local_addr=local_address
                     )
--- a/stepstream/lab/processes/overload_run.py
+++ b/stepstream/lab/processes/overload_run.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 from stepstream.lab.faults.overload_plan import Carrier, HostileGroup
-from stepstream.lab.processes.addresses import free_port, load_test_host
+from stepstream.lab.processes.addresses import free_port, load_test_host, platform_host
 from stepstream.lab.processes.configuration_files import NodeConfiguration
 from stepstream.lab.processes.dispatcher_process import DispatcherProcess
 from stepstream.lab.processes.memory_series import MemorySeries, files_mb, resident_mb
@@ -91,7 +91,7 @@
         self.tls_files = TlsFiles(folder, f"{self.host}:{self.tls_port}") if setup.is_tls else None
         self.platform = OverloadPlatform(
             (self.host, self.port),
-            self.host,
+            platform_host(),
             bearer_token=self.tls_files.bearer_token if self.tls_files else "",
         )
         self.dispatcher = DispatcherProcess("n0", folder)
