Test of the resident memory: its pages come from the system, not from a heap

The test failed once beside the whole folder: the block came from free pages of the test process's heap. Mapped memory is counted in full, and gone after its end; the assertions are the same.

--- a/tests/runtime/test_resident_memory.py
+++ b/tests/runtime/test_resident_memory.py
@@ -1,5 +1,7 @@
 """The memory that the platform counts: resident pages and the program's files."""
 
+import mmap
+
 import pytest
 
 from stepstream.runtime.resident_memory import ResidentMemory
@@ -15,9 +17,9 @@
 def test_resident_pages_count_from_their_first_use_until_they_are_freed():
     memory = ResidentMemory(None)
     before_bytes = memory.counted_bytes()
-    block = bytearray(b"x") * BLOCK_BYTES
-    with_block_bytes = memory.counted_bytes()
-    del block
+    with mmap.mmap(-1, BLOCK_BYTES) as block:  # its pages come from the system and go back to it
+        block.write(b"x" * BLOCK_BYTES)
+        with_block_bytes = memory.counted_bytes()
     assert with_block_bytes - before_bytes > BLOCK_BYTES * 0.8
     assert with_block_bytes - memory.counted_bytes() > BLOCK_BYTES * 0.8
 
