--- a/stepstream/http/client_connection.py
+++ b/stepstream/http/client_connection.py
@@ -1,16 +1,14 @@
 """The driver of an inbound HTTP connection: its threads move bytes between socket and session.
 
-Three kinds of threads work on a connection:
+Four kinds of threads work on a connection:
 
 - The reader, a thread of the server's pool, executes `run` until the connection ends. Only the
-  reader reads the socket. It also closes the socket, with the exception below.
-- The thread that has a reply writes it: the reader (errors, acknowledgements), the decision thread
-  (`answer`) or the main thread (`enforce_timeouts`). None of them waits for the peer: they send
-  what the kernel accepts at once.
-- A slow-writer thread of the server's pool sends the rest of a reply that the peer did not accept
-  at once, and the replies queued after it. Meanwhile no other thread sends, which keeps the bytes
-  in order. It closes the socket if the reader has ended before it. No message is handled meanwhile:
-  a peer that does not take its answers gets no more of them.
+  reader reads the socket. It also closes the socket, unless a slow writer still sends.
+- The thread that has a reply sends it: the reader (errors, acknowledgements), the decision thread
+  (`answer`) or the main thread (`enforce_timeouts`). None of them waits for the peer.
+- A slow-writer thread of the server's pool sends what a peer does not accept at once
+  (`reply_writer`). No message is handled meanwhile: a peer that does not take its answers gets no
+  more of them.
 - A thread of the server's pool for buffered input handles the bytes that have come after a request,
   once that is answered. The decision thread never parses what a peer sends.
 
@@ -27,12 +25,11 @@
 import socket
 import threading
 import time
-from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import Protocol
 
-from stepstream.config.limits import KIB, Limits
+from stepstream.config.limits import Limits
 from stepstream.core.commands import Answer
 from stepstream.core.events import (
     ClientDisconnected,
@@ -43,9 +40,12 @@
 )
 from stepstream.core.requests import Request
 from stepstream.http.codec import ProtocolError
+from stepstream.http.connection_rules import counts_as_client
 from stepstream.http.eviction import rank_without_open_request
+from stepstream.http.input_discarding import InputDiscarder
 from stepstream.http.overload_manager import OverloadManager
 from stepstream.http.read_lanes import ReadLanes, Work, WorkCredit
+from stepstream.http.reply_writer import ReplyWriter
 from stepstream.http.server_state import ServerState
 from stepstream.http.session import (
     HttpSession,
@@ -66,11 +66,6 @@
 MAX_MESSAGES_PER_TURN = 16
 SLOW_WRITER_CHECK_SECONDS = 0.01
 MICROSECONDS_PER_SECOND = 1e6
-# After the last answer: reads in one turn of the slow lane, their size, and the pause without it.
-MAX_DROPPED_READS = 8
-DROPPED_READ_BYTES = 128 * KIB
-MIN_DROP_PAUSE_SECONDS = 0.1
-MAX_DROP_PAUSE_SECONDS = 0.5
 
 
 class ConnectionOwner(Protocol):
@@ -104,16 +99,21 @@
         self.is_external = is_external
         self.lock = threading.Lock()
         self.session = HttpSession(server.limits, server.state, transport)
-        self.slow_writer_active = False  # if True, only a slow-writer thread sends
-        self.queued_replies: deque[Reply] = deque()  # for the slow writer
-        self.reader_ended = False  # if True, an active slow writer closes the socket
+        self.writer = ReplyWriter(
+            transport,
+            self.lock,
+            server.slow_writer_threads,
+            on_sent=self._on_sent,
+            on_caught_up=self._on_caught_up,
+        )
+        self.discarder = InputDiscarder(transport, server.read_lanes)
+        self.reader_ended = False
         self.evicted = False  # guarded by the server's lock, not by this one
         self.backlog_seconds = 0.0  # set by the server before the reader starts
         self.readable_at_us = 0  # when the latest bytes were seen, before the wait for a turn
         self.buffered_memory = ByteReservation(server.overload_manager.buffered_memory)
         self.has_unhandled_input = False  # the last turn ended before all messages were handled
         self.is_aborted = False  # both directions were shut down here
-        self.drop_pause_seconds = MIN_DROP_PAUSE_SECONDS  # of the reader thread
         # Monotonic seconds. Activity is a received byte or an answer. A phase starts with the first
         # byte of a message or, once the session is closed, with the end of the last answer.
         now_seconds = time.monotonic()
@@ -134,12 +134,7 @@
                 open_request = self.session.close()
                 self.reader_ended = True
                 self.buffered_memory.release()
-                if self.slow_writer_active:
-                    # If the socket were closed now, another one could get its descriptor while the
-                    # slow writer still sends.
-                    self.transport.shut_down()
-                else:
-                    self.transport.close()
+                self.writer.end()
             self.server.remove_connection(self)
             self._report_disconnect(open_request)
 
@@ -162,13 +157,13 @@
 
     def _wait_for_slow_writer(self) -> None:
         """Wait until the peer has taken its answers, or its time for that is over."""
-        while self.slow_writer_active:
+        while self.writer.is_slow:
             time.sleep(SLOW_WRITER_CHECK_SECONDS)
 
     def _take_turn(self) -> bool:
         """Receive and handle a bounded amount; return whether to go on reading."""
         if self.session.phase is SessionPhase.CLOSED:
-            goes_on = self._drop_input()
+            goes_on = self._discard_input()
         else:
             if not self.session.has_open_request:
                 self.server.wait_for_core()
@@ -184,38 +179,18 @@
         except OSError:
             return False
 
-    def _drop_input(self) -> bool:
-        """Drop what comes after the last answer; return whether to go on reading.
+    def _discard_input(self) -> bool:
+        """Discard what comes after the last answer; return whether to go on reading."""
+        goes_on = self.discarder.discard()
+        self.last_activity_at_seconds = max(
+            self.last_activity_at_seconds, self.discarder.received_at_seconds
+        )
+        return goes_on and self._may_linger(time.monotonic())
 
-        A peer that is still sending must be read, or the reset of its connection might destroy the
-        answer. Only the connection in the slow lane is read; the others look from time to time
-        whether their peers have closed. Hundreds of threads that read would take the GIL, which
-        each system call releases, from the decision thread.
-        """
-        goes_on = True
-        with self.server.read_lanes.try_slow_turn() as has_turn:
-            if has_turn:
-                goes_on = self._drop_available()
-        if not has_turn:
-            time.sleep(self.drop_pause_seconds)
-            self.drop_pause_seconds = min(2 * self.drop_pause_seconds, MAX_DROP_PAUSE_SECONDS)
-            if self.transport.has_peer_left():
-                goes_on = self._drop_available()  # what is left ends with the peer's close
-        lingered_seconds = time.monotonic() - self.phase_started_at_seconds
-        return goes_on and lingered_seconds < self.server.limits.timeouts.linger_seconds
-
-    def _drop_available(self) -> bool:
-        """Drop a bounded amount of what has arrived; return whether more may come."""
-        try:
-            for _ in range(MAX_DROPPED_READS):
-                if not self.transport.drop_available(DROPPED_READ_BYTES):
-                    return False
-                self.last_activity_at_seconds = time.monotonic()
-                if not self.transport.has_unread():
-                    return True
-        except OSError:
-            return False
-        return True
+    def _may_linger(self, now_seconds: float) -> bool:
+        """Return whether a peer that sends after its last answer is still read."""
+        lingered_seconds = now_seconds - self.phase_started_at_seconds
+        return lingered_seconds < self.server.limits.timeouts.linger_seconds
 
     def _process_input_guarded(self) -> bool:
         """Process input; a fault in it ends the open request instead of this thread."""
@@ -243,9 +218,7 @@
             self.last_activity_at_seconds = now_seconds
             if session.phase is SessionPhase.CLOSED:
                 self.has_unhandled_input = False
-                # Guards the thread against a peer that keeps sending after its last answer.
-                lingered_seconds = now_seconds - self.phase_started_at_seconds
-                return lingered_seconds < limits.timeouts.linger_seconds
+                return self._may_linger(now_seconds)
             if session.is_idle and session.has_answered:
                 self.phase_started_at_seconds = now_seconds
             self._dispatch(session.feed(data))
@@ -275,7 +248,7 @@
         parser = self.session.parser
         steps_before = parser.step_count
         handled_messages = 0
-        while handled_messages < MAX_MESSAGES_PER_TURN and not self.slow_writer_active:
+        while handled_messages < MAX_MESSAGES_PER_TURN and not self.writer.is_slow:
             events = self.session.next_events(arrived_us)
             if not events:
                 break
@@ -283,7 +256,7 @@
             self._dispatch(events)
         parser_steps = parser.step_count - steps_before
         self.work_credit.spend(Work(handled_messages, parser_steps, received_bytes))
-        has_stopped_early = handled_messages == MAX_MESSAGES_PER_TURN or self.slow_writer_active
+        has_stopped_early = handled_messages == MAX_MESSAGES_PER_TURN or self.writer.is_slow
         return (has_stopped_early or parser.is_paused) and self.session.has_buffered_input
 
     def _handle_buffered_input(self) -> None:
@@ -293,7 +266,7 @@
                 return
             more_is_left = self._handle_messages(0, self.server.clock.now_us())
             self._count_buffered_bytes()
-            if more_is_left and not self.slow_writer_active:
+            if more_is_left and not self.writer.is_slow:
                 self._submit_buffered_input()
 
     def _submit_buffered_input(self) -> None:
@@ -301,9 +274,7 @@
 
     def _count_buffered_bytes(self) -> None:
         """Count what this connection holds against the server's budget; call under the lock."""
-        queued_bytes = sum(len(reply.data) for reply in self.queued_replies)
-        unsent_bytes = len(self.transport.unsent)
-        self.buffered_memory.resize(self.session.held_bytes + unsent_bytes + queued_bytes)
+        self.buffered_memory.resize(self.session.held_bytes + self.writer.pending_bytes)
 
     def _dispatch(self, events: Iterable[SessionEvent]) -> None:
         """Send replies and post the rest to the core, in order; the caller holds the lock."""
@@ -367,51 +338,20 @@
         """Ignore a job's progress: HTTP/1.1 has no message for it."""
 
     def _send(self, reply: Reply) -> None:
-        """Send a reply without waiting; a slow writer sends what the peer does not accept.
-
-        The caller holds the lock.
-        """
-        if self.slow_writer_active:
-            self.queued_replies.append(reply)
-            return
-        try:
-            if self.transport.send_available(reply.data):
-                self._on_sent(reply)
-                return
-        except OSError:
-            self.transport.shut_down()
-            return
-        self.slow_writer_active = True
-        self.server.slow_writer_threads.submit(self._write_slowly, reply)
-
-    def _write_slowly(self, reply: Reply) -> None:
-        """Send the rest of a reply and the queued replies, waiting for the peer."""
-        deadline_seconds = time.monotonic() + self.server.limits.timeouts.answer_write_seconds
-        while True:
-            try:
-                self.transport.flush(deadline_seconds)
-            except OSError:
-                self.transport.shut_down()
-            with self.lock:
-                if self.reader_ended:
-                    self.slow_writer_active = False
-                    self.transport.close()
-                    return
-                self._on_sent(reply)
-                if not self.queued_replies:
-                    self.slow_writer_active = False
-                    self._count_buffered_bytes()
-                    if self.session.has_buffered_input:
-                        self._submit_buffered_input()
-                    return
-                reply = self.queued_replies.popleft()
-                self.transport.enqueue(reply.data)
+        """Send a reply without waiting; the caller holds the lock."""
+        self.writer.send(reply, self.server.limits.timeouts.answer_write_seconds)
 
     def _on_sent(self, reply: Reply) -> None:
         """Close the sending side after the last reply; the caller holds the lock."""
         if reply.close:
             self._half_close(time.monotonic())
 
+    def _on_caught_up(self) -> None:
+        """Go on with what has come while a slow peer took its answers; under the lock."""
+        self._count_buffered_bytes()
+        if self.session.has_buffered_input:
+            self._submit_buffered_input()
+
     def _half_close(self, now_seconds: float) -> None:
         """Shut down the sending side; the caller holds the lock.
 
@@ -438,7 +378,7 @@
           peers may connect again and again;
         - for idle clients, which may send another request, until the server closes connections.
         """
-        if self._has_open_or_partly_read_request() or self.slow_writer_active:
+        if self._has_open_or_partly_read_request() or self.writer.is_slow:
             return True
         session = self.session
         if session.phase is SessionPhase.CLOSED:
@@ -474,7 +414,7 @@
             return EvictionState(EvictionRank.NEVER, math.inf)
         try:
             session = self.session
-            if session.has_open_request or self.slow_writer_active:
+            if session.has_open_request or self.writer.is_slow:
                 return EvictionState(EvictionRank.NEVER, math.inf)
             # A closed session counts as quiet from the last received byte on. Evicting a peer that
             # still sends would reset the connection, and the peer might lose the error reply.
@@ -501,7 +441,7 @@
         """
         with self.lock:
             session = self.session
-            if session.has_open_request or self.slow_writer_active:
+            if session.has_open_request or self.writer.is_slow:
                 return False
             if session.is_idle and self.transport.has_unread():
                 return False
@@ -527,7 +467,7 @@
             elif session.has_open_request and session.parser.buffer:
                 error = ProtocolError(413, "too many bytes after an open request")
                 self._dispatch([session.fail(error)])
-            elif self.slow_writer_active:
+            elif self.writer.is_slow:
                 self._abort()
             self._count_buffered_bytes()
 
@@ -536,11 +476,11 @@
 
         It stays open if bytes of the next request have arrived, or while a slow writer sends.
         """
-        if not self.session.is_idle:
-            return False  # most connections of a crowd: their locks are left alone
+        if self.session.phase is SessionPhase.CLOSED:
+            return False  # as most of a crowd: their locks are left alone
         with self.lock:
             session = self.session
-            if self.slow_writer_active:
+            if self.writer.is_slow:
                 return False
             if not session.is_idle or session.is_worker or self.transport.has_unread():
                 return False
@@ -557,7 +497,7 @@
             return  # a look without the lock, which a busy reader may hold
         with self.lock:
             session = self.session
-            if self.slow_writer_active or not self._has_timed_out(now_seconds):
+            if self.writer.is_slow or not self._has_timed_out(now_seconds):
                 return
             if session.is_reading_message:
                 self._send(session.fail(ProtocolError(400, "the message took too long to arrive")))
@@ -575,18 +515,3 @@
         )
         timeout_seconds = session.state_timeout_seconds(self.server.limits)
         return now_seconds - state_since_seconds > timeout_seconds
-
-
-def counts_as_client(
-    accepted_at_seconds: float, shutdown_started_at: float | None, new_connections_seconds: float
-) -> bool:
-    """Decide whether a peer that has sent only a part of its first message counts as a client.
-
-    After SIGTERM, the front proxy opens connections for at most `new_connections_seconds`. A
-    connection that opens later does not carry a client's request. Without this rule, peers that
-    connect and never finish a message would delay the shutdown. Times are monotonic seconds. Before
-    a shutdown (`shutdown_started_at` is None) every peer counts as a client.
-    """
-    if shutdown_started_at is None:
-        return True
-    return accepted_at_seconds <= shutdown_started_at + new_connections_seconds
--- a/tests/soak/test_overload_soak.py
+++ b/tests/soak/test_overload_soak.py
@@ -57,3 +57,19 @@
 def test_a_seeded_mix_of_clients_keeps_every_bound(seed, tmp_path):
     result = play_plan(generate_overload_plan(seed), LOAD_SECONDS, REST_SECONDS, tmp_path / "kept")
     assert result.breaches == ()
+
+
+@pytest.mark.parametrize(
+    ("kind", "memory_mb"),
+    [
+        ("tiny-chunks", 192),
+        ("small-requests", 32),
+        ("gearman-echo-unread", 32),
+        ("gearman-background-jobs", 32),
+    ],
+)
+def test_as_many_clients_as_descriptors_leave_sound_clients_served(kind, memory_mb, tmp_path):
+    # Guards against sound requests that are late or rejected while the memory holds.
+    carrier = Carrier.GEARMAN if kind.startswith("gearman") else Carrier.HTTP
+    group = HostileGroup(kind, DESCRIPTORS_BY_MEMORY_MB[memory_mb], carrier=carrier)
+    assert breaches(tmp_path, memory_mb, group) == ()
