--- a/tests/lab/processes/test_stop_soak.py
+++ b/tests/lab/processes/test_stop_soak.py
@@ -24,7 +24,7 @@
     assert {plan.has_extra_connections for plan in plans} == {True, False}
 
 
-@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("seed", [1, 2, 31])
 def test_a_stop_soak_loses_no_request(seed, tmp_path):
     result = play_seed(seed, SOAK_SECONDS, tmp_path)
     assert result.breaches == ()
--- a/tests/soak/test_overload_soak.py
+++ b/tests/soak/test_overload_soak.py
@@ -53,7 +53,7 @@
     assert {plan.has_hot_restart for plan in plans} == {True, False}
 
 
-@pytest.mark.parametrize("seed", [1])
+@pytest.mark.parametrize("seed", [1, 2, 3, 6, 7, 8])
 def test_a_seeded_mix_of_clients_keeps_every_bound(seed, tmp_path):
     result = play_plan(generate_overload_plan(seed), LOAD_SECONDS, REST_SECONDS, tmp_path / "kept")
     assert result.breaches == ()
